--- /dev/null
+++ b/include/lentiljunction/bundle/lj_bundle.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/// @file
+/// Module bundle: versioned, signed configuration. Depends on core and OpenSSL.
+
+#include "lentiljunction/bundle/Bundle.h"
+#include "lentiljunction/bundle/BundleKeeper.h"
+#include "lentiljunction/bundle/SignedBundle.h"
+#include "lentiljunction/bundle/Signing.h"
--- /dev/null
+++ b/include/lentiljunction/core/Clock.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <chrono>
+
+namespace lentiljunction {
+
+/// A point on the monotonic clock of one instance.
+using TimePoint = std::chrono::steady_clock::time_point;
+/// A point in civil time.
+using WallTime = std::chrono::system_clock::time_point;
+/// A span of time, in microseconds.
+using Duration = std::chrono::microseconds;
+
+/// The source of time for every decision.
+///
+/// Decision classes never read the system's clock themselves, so a test moves time by hand.
+///
+/// @see SystemClock, ManualClock
+class Clock {
+public:
+    virtual ~Clock() = default;
+
+    /// @returns the monotonic time; safe to call from any thread
+    virtual TimePoint now() const = 0;
+
+    /// @returns the civil time; safe to call from any thread
+    virtual WallTime wallNow() const = 0;
+};
+
+/// The clock of the machine.
+class SystemClock : public Clock {
+public:
+    TimePoint now() const override { return std::chrono::steady_clock::now(); }
+    WallTime wallNow() const override { return std::chrono::system_clock::now(); }
+};
+
+/// A clock that a test moves by hand.
+///
+/// @code
+/// ManualClock clock;
+/// clock.advance(std::chrono::milliseconds(5));
+/// @endcode
+class ManualClock : public Clock {
+public:
+    TimePoint now() const override { return this->monotonic; }
+    WallTime wallNow() const override { return this->wall; }
+
+    /// @param step how far both times move forward
+    void advance(Duration step)
+    {
+        this->monotonic += step;
+        this->wall += step;
+    }
+
+private:
+    TimePoint monotonic { std::chrono::hours(1) };
+    WallTime wall { std::chrono::hours(500000) };
+};
+
+/// @returns milliseconds since the Unix epoch
+inline std::int64_t toUnixMilliseconds(WallTime time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/include/lentiljunction/core/lj_core.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// @file
+/// Module core: ids, units, time, outcomes and log events. Depends on the standard library and spdlog.
+
+#include "lentiljunction/core/Clock.h"
+#include "lentiljunction/core/Failure.h"
+#include "lentiljunction/core/Ids.h"
+#include "lentiljunction/core/LogEvents.h"
+#include "lentiljunction/core/Outcome.h"
+#include "lentiljunction/core/Random.h"
+#include "lentiljunction/core/Rank.h"
+#include "lentiljunction/core/RendezvousHash.h"
--- /dev/null
+++ b/include/lentiljunction/session/TermHistory.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "lentiljunction/core/Ids.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lentiljunction {
+
+/// One entry of a database group's log.
+struct LogPoint {
+    Term term;
+    Position position;
+
+    friend bool operator==(LogPoint left, LogPoint right) { return left.term == right.term && left.position == right.position; }
+    friend bool operator!=(LogPoint left, LogPoint right) { return !(left == right); }
+
+    /// Orders log heads as an election does: the term first.
+    friend bool operator<(LogPoint left, LogPoint right)
+    {
+        if (left.term != right.term)
+            return left.term < right.term;
+        return left.position < right.position;
+    }
+};
+
+/// Whether a log contains an entry.
+enum class Coverage {
+    /// The entry is in the log.
+    Covered,
+    /// The log does not reach the entry yet.
+    Behind,
+    /// The log went another way; it will never contain the entry.
+    PastFork,
+};
+
+/// The terms of a log with the position at which each begins.
+///
+/// Positions alone do not tell whether a log contains an entry: after a promotion two logs may
+/// hold different entries at one position. The history tells which term's entry stands there.
+///
+/// @code
+/// std::optional<TermHistory> history = TermHistory::parse("1:1,4:121");
+/// history->getCoverage({ Term(1), Position(120) }, Position(130)); // Coverage::Covered
+/// @endcode
+class TermHistory {
+public:
+    /// A term and the position of its first entry.
+    struct Start {
+        Term term;
+        Position position;
+    };
+
+    /// @param text "term:position" pairs, ascending, separated by commas; may be empty
+    /// @returns the history, or nothing when the text is malformed or not ascending
+    static std::optional<TermHistory> parse(const std::string& text);
+
+    /// @returns the history as text
+    std::string toString() const;
+
+    /// @param point the entry asked for
+    /// @param head the position of the log's last entry
+    /// @returns whether the log contains the entry
+    Coverage getCoverage(LogPoint point, Position head) const;
+
+    /// @returns the first position of a term, or nothing when the log has no entry of it
+    std::optional<Position> findStart(Term term) const;
+
+    /// Adds the start of a higher term.
+    void append(Start start);
+
+    /// @returns the terms, ascending
+    const std::vector<Start>& getStarts() const { return this->starts; }
+
+private:
+    std::vector<Start> starts;
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -0,0 +1,43 @@
+#include "lentiljunction/admission/ConcurrencyLimit.h"
+
+#include <algorithm>
+
+namespace lentiljunction {
+
+namespace {
+
+/// Latency up to this multiple of the best lets the limit grow.
+constexpr double growBelow = 1.3;
+/// Latency above this multiple of the best shrinks the limit.
+constexpr double shrinkAbove = 2.0;
+constexpr double growStep = 0.05;
+constexpr double shrinkFactor = 0.97;
+/// The best latency rises by this factor with each sample, so an old best is forgotten.
+constexpr double bestDecay = 1.001;
+constexpr int slotMultiple = 2;
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(int slots)
+    : slots(slots)
+    , limit(slots)
+{
+}
+
+void ConcurrencyLimit::onSample(Duration latency, int numRunning)
+{
+    double sample = static_cast<double>(latency.count());
+    double best = static_cast<double>(this->bestLatency.count()) * bestDecay + 1;
+    if (this->bestLatency.count() == 0 || sample < best)
+        best = sample;
+    this->bestLatency = Duration(static_cast<Duration::rep>(best));
+
+    bool isFull = numRunning >= this->getLimit();
+    if (isFull && sample <= best * growBelow)
+        this->limit += growStep;
+    if (sample > best * shrinkAbove)
+        this->limit *= shrinkFactor;
+    this->limit = std::clamp(this->limit, 1.0, static_cast<double>(this->slots * slotMultiple));
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/admission/RankQueue.cpp
@@ -0,0 +1,184 @@
+#include "lentiljunction/admission/RankQueue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <iterator>
+
+namespace lentiljunction {
+
+namespace {
+
+constexpr Duration initialServiceTime = std::chrono::milliseconds(2);
+/// The weight of the newest sample in moving averages.
+constexpr double serviceTimeWeight = 0.1;
+constexpr double shareWeight = 0.02;
+/// Credit is bounded, so a rank that waited long does not get a burst.
+constexpr double maximumCredit = 2.0;
+/// A rank without a floor is still assumed to get this share when waits are estimated.
+constexpr double smallestShare = 0.01;
+
+Duration scale(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+} // namespace
+
+RankQueue::RankQueue(const std::array<RankConfig, numRanks>& ranks)
+    : ranks(ranks)
+    , meanServiceTime(initialServiceTime)
+{
+}
+
+std::optional<Outcome> RankQueue::offer(const Request& request, TimePoint now)
+{
+    Duration wait = this->estimateWait(request.rank);
+    Duration target = this->ranks[toIndex(request.rank)].target;
+    std::chrono::milliseconds retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(wait) + std::chrono::milliseconds(1);
+    if (wait > target)
+        return Outcome::notRun(NotRunReason::QueueFull, "the wait would pass the target of rank " + toString(request.rank), retryAfter);
+
+    if (now + wait + this->meanServiceTime > request.deadline)
+        return Outcome::notRun(NotRunReason::DeadlineTooShort, "the wait would pass the request's deadline", retryAfter);
+
+    Lane& lane = this->lanes[toIndex(request.rank)];
+    std::list<CallerLine>::iterator line = std::find_if(lane.lines.begin(), lane.lines.end(), [&](const CallerLine& candidate) { return candidate.caller == request.caller; });
+    if (line == lane.lines.end())
+        line = lane.lines.insert(lane.lines.end(), CallerLine { request.caller, {} });
+
+    line->requests.push_back(request);
+    lane.numWaiting++;
+    return std::nullopt;
+}
+
+std::optional<RankQueue::Request> RankQueue::takeNext(TimePoint now)
+{
+    (void)now;
+    std::optional<Rank> rank = this->chooseRank();
+    if (!rank)
+        return std::nullopt;
+
+    this->updateShares(*rank);
+    return takeFromLane(this->lanes[toIndex(*rank)]);
+}
+
+std::vector<RankQueue::Request> RankQueue::takeExpired(TimePoint now)
+{
+    std::vector<Request> expired;
+    for (Lane& lane : this->lanes) {
+        for (CallerLine& line : lane.lines) {
+            std::deque<Request>::iterator kept = std::stable_partition(line.requests.begin(), line.requests.end(), [&](const Request& request) { return request.deadline > now; });
+            lane.numWaiting -= static_cast<std::size_t>(std::distance(kept, line.requests.end()));
+            expired.insert(expired.end(), kept, line.requests.end());
+            line.requests.erase(kept, line.requests.end());
+        }
+        lane.lines.remove_if([](const CallerLine& line) { return line.requests.empty(); });
+    }
+    return expired;
+}
+
+bool RankQueue::remove(Ticket ticket)
+{
+    for (Lane& lane : this->lanes) {
+        for (std::list<CallerLine>::iterator line = lane.lines.begin(); line != lane.lines.end(); ++line) {
+            std::deque<Request>::iterator found = std::find_if(line->requests.begin(), line->requests.end(), [&](const Request& request) { return request.ticket == ticket; });
+            if (found == line->requests.end())
+                continue;
+
+            line->requests.erase(found);
+            lane.numWaiting--;
+            if (line->requests.empty())
+                lane.lines.erase(line);
+            return true;
+        }
+    }
+    return false;
+}
+
+void RankQueue::onFinished(Duration serviceTime)
+{
+    this->meanServiceTime = scale(this->meanServiceTime, 1 - serviceTimeWeight) + scale(serviceTime, serviceTimeWeight);
+}
+
+Duration RankQueue::estimateWait(Rank rank) const
+{
+    const Lane& lane = this->lanes[toIndex(rank)];
+    std::size_t numAhead = lane.numWaiting;
+    for (std::size_t index = 0; index < toIndex(rank); index++)
+        numAhead += this->lanes[index].numWaiting;
+
+    double floorShare = std::max(this->ranks[toIndex(rank)].floorPercent / 100.0, smallestShare);
+    double share = std::max(lane.share, floorShare);
+    Duration strictWait = scale(this->meanServiceTime, static_cast<double>(numAhead) / this->concurrency);
+    Duration sharedWait = scale(this->meanServiceTime, static_cast<double>(lane.numWaiting) / this->concurrency / share);
+    Duration floorWait = scale(this->meanServiceTime, static_cast<double>(lane.numWaiting + 1) / this->concurrency / floorShare);
+    return std::min(std::max(strictWait, sharedWait), floorWait);
+}
+
+std::size_t RankQueue::getNumWaiting(Rank rank) const
+{
+    return this->lanes[toIndex(rank)].numWaiting;
+}
+
+bool RankQueue::isEmpty() const
+{
+    return std::all_of(this->lanes.begin(), this->lanes.end(), [](const Lane& lane) { return lane.numWaiting == 0; });
+}
+
+std::optional<Rank> RankQueue::chooseRank()
+{
+    std::optional<Rank> strict;
+    for (Rank rank : allRanks) {
+        if (!strict && this->lanes[toIndex(rank)].numWaiting > 0)
+            strict = rank;
+    }
+    if (!strict)
+        return std::nullopt;
+
+    std::optional<Rank> earned;
+    for (Rank rank : allRanks) {
+        Lane& lane = this->lanes[toIndex(rank)];
+        if (lane.numWaiting == 0) {
+            lane.credit = 0;
+            continue;
+        }
+        lane.credit = std::min(lane.credit + this->ranks[toIndex(rank)].floorPercent / 100.0, maximumCredit);
+        if (!earned && lane.credit >= 1)
+            earned = rank;
+    }
+
+    Rank chosen = earned.value_or(*strict);
+    Lane& lane = this->lanes[toIndex(chosen)];
+    lane.credit = std::max(lane.credit - 1, 0.0);
+    return chosen;
+}
+
+void RankQueue::updateShares(Rank started)
+{
+    for (Rank rank : allRanks) {
+        Lane& lane = this->lanes[toIndex(rank)];
+        if (lane.numWaiting == 0) {
+            lane.share = lane.share + shareWeight * (1 - lane.share);
+            continue;
+        }
+        double sample = rank == started ? 1.0 : 0.0;
+        lane.share = lane.share + shareWeight * (sample - lane.share);
+    }
+}
+
+RankQueue::Request RankQueue::takeFromLane(Lane& lane)
+{
+    assert(!lane.lines.empty());
+    CallerLine& line = lane.lines.front();
+    Request request = line.requests.front();
+    line.requests.pop_front();
+    lane.numWaiting--;
+
+    if (line.requests.empty())
+        lane.lines.pop_front();
+    else
+        lane.lines.splice(lane.lines.end(), lane.lines, lane.lines.begin());
+    return request;
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/admission/RetryBudget.cpp
@@ -0,0 +1,34 @@
+#include "lentiljunction/admission/RetryBudget.h"
+
+#include <algorithm>
+
+namespace lentiljunction {
+
+namespace {
+
+/// Retries that may be made in a burst.
+constexpr double maximumTokens = 50;
+
+} // namespace
+
+RetryBudget::RetryBudget(int percent)
+    : percent(percent)
+    , tokens(maximumTokens)
+{
+}
+
+void RetryBudget::onRequest()
+{
+    this->tokens = std::min(this->tokens + this->percent / 100.0, maximumTokens);
+}
+
+bool RetryBudget::tryRetry()
+{
+    if (this->tokens < 1)
+        return false;
+
+    this->tokens -= 1;
+    return true;
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/bundle/BundleKeeper.cpp
@@ -0,0 +1,144 @@
+#include "lentiljunction/bundle/BundleKeeper.h"
+
+#include "lentiljunction/core/JsonFields.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+/// Versions for which a delta can be made. An instance further behind takes a full copy.
+constexpr std::size_t maximumSteps = 64;
+constexpr std::int64_t maximumVersion = 1'000'000'000'000;
+
+} // namespace
+
+nlohmann::json toJson(const BundleDelta& delta)
+{
+    return {
+        { "from", delta.from.value() },
+        { "to", delta.to.value() },
+        { "steps", delta.steps },
+        { "approvals", toJson(delta.approvals) },
+        { "chain", toJson(delta.chain) },
+    };
+}
+
+std::optional<BundleDelta> parseBundleDelta(const nlohmann::json& document, Failure& failure)
+{
+    std::vector<std::string> faults;
+    JsonFields fields(document, "delta", faults);
+    BundleDelta delta;
+    delta.from = BundleVersion(static_cast<std::uint64_t>(fields.getInteger("from", 1, maximumVersion)));
+    delta.to = BundleVersion(static_cast<std::uint64_t>(fields.getInteger("to", 1, maximumVersion)));
+    delta.approvals = parseApprovals(fields.getValue("approvals"), "delta.approvals", faults);
+    delta.chain = parseChain(fields.getValue("chain"), "delta.chain", faults);
+
+    const nlohmann::json& steps = fields.getValue("steps");
+    if (steps.is_array())
+        delta.steps.assign(steps.begin(), steps.end());
+    else
+        fields.addFault("steps", "must be an array");
+    fields.refuseUnknown();
+
+    if (faults.empty())
+        return delta;
+    failure.set(Failure::Kind::InvalidInput, joinFaults(faults));
+    return std::nullopt;
+}
+
+BundleKeeper::BundleKeeper(OperatorSet trust)
+    : trust(std::move(trust))
+{
+}
+
+BundleKeeper::Offer BundleKeeper::offer(const SignedBundle& offered, Failure& failure)
+{
+    std::optional<Bundle> verified = verifyBundle(offered, this->trust, failure);
+    if (!verified)
+        return Offer::Refused;
+
+    if (verified->version <= this->getVersion())
+        return Offer::NotHigher;
+
+    if (!this->continuesOperators(*verified, offered, failure))
+        return Offer::Refused;
+
+    this->accept(std::move(*verified), offered, nlohmann::json::parse(offered.text));
+    return Offer::Accepted;
+}
+
+BundleKeeper::Offer BundleKeeper::offer(const BundleDelta& delta, Failure& failure)
+{
+    if (delta.to <= this->getVersion())
+        return Offer::NotHigher;
+    if (delta.from != this->getVersion())
+        return Offer::NeedsFullCopy;
+
+    nlohmann::json next = this->document;
+    try {
+        for (const nlohmann::json& step : delta.steps)
+            next = next.patch(step);
+    } catch (const nlohmann::json::exception& error) {
+        failure.set(Failure::Kind::InvalidInput, std::string("the delta cannot be applied: ") + error.what());
+        return Offer::NeedsFullCopy;
+    }
+    return this->offer(SignedBundle { toCanonicalText(next), delta.approvals, delta.chain }, failure);
+}
+
+BundleVersion BundleKeeper::getVersion() const
+{
+    if (this->bundle == nullptr)
+        return BundleVersion();
+    return this->bundle->version;
+}
+
+std::optional<BundleDelta> BundleKeeper::makeDelta(BundleVersion from) const
+{
+    std::deque<Step>::const_iterator first = std::find_if(this->steps.begin(), this->steps.end(), [&](const Step& step) { return step.from == from; });
+    if (first == this->steps.end())
+        return std::nullopt;
+
+    BundleDelta delta;
+    delta.from = from;
+    delta.to = this->getVersion();
+    delta.approvals = this->signedBundle.approvals;
+    delta.chain = this->signedBundle.chain;
+    for (std::deque<Step>::const_iterator step = first; step != this->steps.end(); ++step)
+        delta.steps.push_back(step->patch);
+    return delta;
+}
+
+bool BundleKeeper::continuesOperators(const Bundle& next, const SignedBundle& nextSigned, Failure& failure) const
+{
+    if (this->bundle == nullptr)
+        return true;
+
+    const std::string currentSet = toCanonicalText(this->document.at("operators"));
+    bool isUnchanged = next.operators.serial == this->bundle->operators.serial;
+    if (isUnchanged && toCanonicalText(nlohmann::json::parse(nextSigned.text).at("operators")) == currentSet)
+        return true;
+
+    for (const SignedOperators& link : nextSigned.chain) {
+        if (link.text == currentSet)
+            return true;
+    }
+    failure.set(Failure::Kind::InvalidInput, "the bundle's chain does not contain the operators in force");
+    return false;
+}
+
+void BundleKeeper::accept(Bundle next, const SignedBundle& nextSigned, nlohmann::json nextDocument)
+{
+    if (this->bundle != nullptr)
+        this->steps.push_back({ this->bundle->version, nlohmann::json::diff(this->document, nextDocument) });
+    if (this->steps.size() > maximumSteps)
+        this->steps.pop_front();
+
+    this->document = std::move(nextDocument);
+    this->signedBundle = nextSigned;
+    this->bundle = std::make_shared<const Bundle>(std::move(next));
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/caller/CallerServer.cpp
@@ -0,0 +1,165 @@
+#include "CallerServer.h"
+
+#include "lentiljunction/caller/RequestCodec.h"
+
+#include <oneapi/tbb/task_arena.h>
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+constexpr int httpOk = 200;
+constexpr int httpNotFound = 404;
+constexpr int httpMethodNotAllowed = 405;
+constexpr int httpTooLarge = 413;
+constexpr int httpUnavailable = 503;
+
+/// An answer to a message that cannot be read, with its id where one can be found.
+Answer makeInvalid(const nlohmann::json& document, const std::string& reason)
+{
+    Answer answer;
+    if (document.is_object() && document.contains("id") && document.at("id").is_string())
+        answer.id = RequestId(document.at("id").get<std::string>());
+    answer.outcome = Outcome::notRun(NotRunReason::InvalidRequest, reason, std::chrono::milliseconds(0));
+    return answer;
+}
+
+std::string toPayload(const nlohmann::json& document, bool isCbor)
+{
+    if (!isCbor)
+        return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::string payload;
+    nlohmann::json::to_cbor(document, payload);
+    return payload;
+}
+
+std::string getPath(const std::string& resource)
+{
+    return resource.substr(0, resource.find('?'));
+}
+
+} // namespace
+
+class CallerServer::Workers {
+public:
+    explicit Workers(int numWorkers)
+        : arena(numWorkers, 0)
+    {
+    }
+
+    oneapi::tbb::task_arena arena;
+};
+
+CallerServer::CallerServer(EventLoop& loop, int numWorkers, Listener& listener)
+    : loop(loop)
+    , listener(listener)
+    , workers(std::make_unique<Workers>(numWorkers))
+    , server(loop, *this)
+{
+}
+
+CallerServer::~CallerServer() = default;
+
+bool CallerServer::listen(const Endpoint& endpoint, Failure& failure)
+{
+    return this->server.listen(endpoint, failure);
+}
+
+void CallerServer::onSessionOpened(WebSocketServer::Handle handle, const std::string& resource)
+{
+    if (getPath(resource) != "/v1/session") {
+        this->server.close(handle);
+        return;
+    }
+    this->sessions[handle] = true;
+}
+
+void CallerServer::onSessionMessage(WebSocketServer::Handle handle, const std::string& payload, bool isBinary)
+{
+    Format format = isBinary ? Format::Cbor : Format::Json;
+    this->decode(payload, format, "session-" + std::to_string(handle), [this, handle, isBinary](const std::string& reply) {
+        this->server.send(handle, reply, isBinary);
+    });
+}
+
+void CallerServer::onSessionClosed(WebSocketServer::Handle handle)
+{
+    this->sessions.erase(handle);
+}
+
+void CallerServer::onHttpRequest(WebSocketServer::Handle handle, const HttpRequest& request)
+{
+    std::string path = getPath(request.path);
+    if (path == "/v1/execute") {
+        this->onExecute(handle, request);
+    } else if (path == "/healthz") {
+        this->server.respond(handle, { httpOk, "text/plain", "ok\n" });
+    } else if (path == "/readyz") {
+        bool isReady = this->listener.isReady();
+        this->server.respond(handle, { isReady ? httpOk : httpUnavailable, "text/plain", isReady ? "ready\n" : "not ready\n" });
+    } else if (path == "/metrics") {
+        this->server.respond(handle, { httpOk, "text/plain; version=0.0.4", this->listener.getMetrics() });
+    } else if (path == "/v1/status") {
+        this->listener.describe([this, handle](const std::string& text) { this->server.respond(handle, { httpOk, "application/json", text }); });
+    } else {
+        this->server.respond(handle, { httpNotFound, "application/json", "{\"error\":\"no such path; see /v1/execute, /v1/session, /v1/status, /healthz, /readyz, /metrics\"}\n" });
+    }
+}
+
+void CallerServer::onExecute(WebSocketServer::Handle handle, const HttpRequest& request)
+{
+    if (request.method != "POST") {
+        this->server.respond(handle, { httpMethodNotAllowed, "application/json", "{\"error\":\"use POST\"}\n" });
+        return;
+    }
+    if (static_cast<std::int64_t>(request.body.size()) > this->limits.maximumBodyBytes) {
+        Answer refusal = makeInvalid(nlohmann::json(), "the body must be at most " + std::to_string(this->limits.maximumBodyBytes) + " bytes");
+        this->server.respond(handle, { httpTooLarge, "application/json", toJson(refusal).dump() + "\n" });
+        return;
+    }
+    this->decode(request.body, Format::Json, "", [this, handle](const std::string& reply) {
+        this->server.respond(handle, { httpOk, "application/json", reply + "\n" });
+    });
+}
+
+void CallerServer::decode(const std::string& payload, Format format, const std::string& caller, ReplyHandler reply)
+{
+    bool isCbor = format == Format::Cbor;
+    if (static_cast<std::int64_t>(payload.size()) > this->limits.maximumBodyBytes) {
+        Answer refusal = makeInvalid(nlohmann::json(), "the message must be at most " + std::to_string(this->limits.maximumBodyBytes) + " bytes");
+        reply(toPayload(toJson(refusal), isCbor));
+        return;
+    }
+
+    this->workers->arena.enqueue([this, payload, format, isCbor, caller, currentLimits = this->limits, reply = std::move(reply)] {
+        nlohmann::json document = isCbor ? nlohmann::json::from_cbor(payload, true, false) : nlohmann::json::parse(payload, nullptr, false);
+        Failure failure;
+        std::optional<Request> request;
+        if (document.is_discarded())
+            failure.set(Failure::Kind::InvalidInput, isCbor ? "the message is not CBOR" : "the body is not JSON");
+        else
+            request = parseRequest(document, currentLimits, failure);
+
+        if (!request) {
+            std::string refusal = toPayload(toJson(makeInvalid(document, failure.reason)), isCbor);
+            this->loop.post([reply, refusal] { reply(refusal); });
+            return;
+        }
+        if (request->caller.isEmpty())
+            request->caller = CallerId(caller);
+        this->loop.post([this, request = std::move(*request), format, reply] { this->runDecoded(request, format, reply); });
+    });
+}
+
+void CallerServer::runDecoded(Request request, Format format, ReplyHandler reply)
+{
+    this->listener.onRequest(std::move(request), [this, format, reply = std::move(reply)](const Answer& answer) {
+        this->workers->arena.enqueue([this, format, reply, answer] {
+            std::string payload = toPayload(toJson(answer), format == Format::Cbor);
+            this->loop.post([reply, payload] { reply(payload); });
+        });
+    });
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/caller/CallerServer.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "../net/WebSocketServer.h"
+#include "lentiljunction/bundle/Bundle.h"
+#include "lentiljunction/caller/Request.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace lentiljunction {
+
+/// The port for callers and operators: requests over HTTP and WebSocket, health and metrics.
+///
+/// Messages are decoded and encoded by the workers of a oneTBB arena; everything else runs on the
+/// traffic thread.
+class CallerServer : private WebSocketServer::Listener {
+public:
+    using AnswerHandler = std::function<void(const Answer& answer)>;
+    using TextHandler = std::function<void(const std::string& text)>;
+
+    /// Runs requests and tells about the instance. Called on the traffic thread.
+    class Listener {
+    public:
+        virtual ~Listener() = default;
+
+        /// @param handler called once, on the traffic thread
+        virtual void onRequest(Request request, AnswerHandler handler) = 0;
+
+        /// @returns whether the balancer may send new connections
+        virtual bool isReady() = 0;
+
+        /// @returns the metrics in the Prometheus text format
+        virtual std::string getMetrics() = 0;
+
+        /// Asks for the instance's state as JSON.
+        virtual void describe(TextHandler handler) = 0;
+    };
+
+    /// @param loop the traffic loop; must outlive this object
+    /// @param numWorkers threads that decode and encode
+    /// @param listener runs requests; must outlive this object
+    CallerServer(EventLoop& loop, int numWorkers, Listener& listener);
+    ~CallerServer() override;
+
+    /// Opens the port.
+    bool listen(const Endpoint& endpoint, Failure& failure);
+
+    /// Takes the limits of a newer bundle.
+    void setLimits(const LimitsConfig& newLimits) { this->limits = newLimits; }
+
+private:
+    /// The form of a message.
+    enum class Format {
+        Json,
+        Cbor,
+    };
+
+    using ReplyHandler = std::function<void(const std::string& payload)>;
+
+    void onSessionOpened(WebSocketServer::Handle handle, const std::string& resource) override;
+    void onSessionMessage(WebSocketServer::Handle handle, const std::string& payload, bool isBinary) override;
+    void onSessionClosed(WebSocketServer::Handle handle) override;
+    void onHttpRequest(WebSocketServer::Handle handle, const HttpRequest& request) override;
+
+    void onExecute(WebSocketServer::Handle handle, const HttpRequest& request);
+    void decode(const std::string& payload, Format format, const std::string& caller, ReplyHandler reply);
+    void runDecoded(Request request, Format format, ReplyHandler reply);
+
+    EventLoop& loop;
+    Listener& listener;
+    LimitsConfig limits;
+    class Workers;
+    std::unique_ptr<Workers> workers;
+    std::map<WebSocketServer::Handle, bool> sessions;
+    WebSocketServer server;
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/cli/BundleCommands.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "Command.h"
+
+#include <memory>
+
+namespace lentiljunction {
+
+/// @returns the commands keys create, bundle create, approve, roll, status and diff, and audit
+std::vector<std::unique_ptr<Command>> makeBundleCommands();
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/cli/CommandLine.cpp
@@ -0,0 +1,98 @@
+#include "CommandLine.h"
+
+#include <fcntl.h>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace lentiljunction {
+
+CommandLine::CommandLine(const std::string& name, const std::string& summary)
+    : options("lentiljunction " + name, summary)
+{
+    this->options.add_options()("help", "print this text");
+}
+
+void CommandLine::addStoreOption()
+{
+    this->options.add_options()("store", "address:port of the platform's store", cxxopts::value<std::string>()->default_value("127.0.0.1:7000"));
+}
+
+int CommandLine::run(const std::vector<std::string>& arguments, const std::function<int(const cxxopts::ParseResult&)>& body)
+{
+    std::vector<const char*> raw { "lentiljunction" };
+    for (const std::string& argument : arguments)
+        raw.push_back(argument.c_str());
+
+    try {
+        cxxopts::ParseResult parsed = this->options.parse(static_cast<int>(raw.size()), raw.data());
+        if (parsed.count("help") > 0) {
+            std::cout << this->options.help();
+            return exitcodes::ok;
+        }
+        return body(parsed);
+    } catch (const cxxopts::exceptions::exception& error) {
+        std::cerr << "error: " << error.what() << "\n"
+                  << this->options.help();
+        return exitcodes::usage;
+    }
+}
+
+int reportFailure(const Failure& failure)
+{
+    std::cerr << "error: " << failure.reason << "\n";
+    switch (failure.kind) {
+    case Failure::Kind::InvalidInput:
+        return exitcodes::usage;
+    case Failure::Kind::Conflict:
+        return exitcodes::conflict;
+    case Failure::Kind::Unavailable:
+        return exitcodes::unavailable;
+    case Failure::Kind::InDoubt:
+        return exitcodes::inDoubt;
+    default:
+        return exitcodes::failed;
+    }
+}
+
+std::optional<Endpoint> parseEndpoint(const std::string& text, Failure& failure)
+{
+    std::size_t colon = text.rfind(':');
+    std::string port = colon == std::string::npos ? "" : text.substr(colon + 1);
+    bool isNumber = !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos;
+    if (isNumber && std::stoi(port) >= 1 && std::stoi(port) <= 65535)
+        return Endpoint { text.substr(0, colon), static_cast<std::uint16_t>(std::stoi(port)) };
+
+    failure.set(Failure::Kind::InvalidInput, "\"" + text + "\" is no address:port");
+    return std::nullopt;
+}
+
+std::optional<std::string> readFile(const std::string& path, Failure& failure)
+{
+    std::ifstream stream(path);
+    if (!stream) {
+        failure.set(Failure::Kind::InvalidInput, path + ": cannot be opened");
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+bool writePrivateFile(const std::string& path, const std::string& text, Failure& failure)
+{
+    int descriptor = ::open(path.c_str(), O_CREAT | O_EXCL | O_WRONLY, S_IRUSR | S_IWUSR);
+    if (descriptor < 0) {
+        failure.set(Failure::Kind::InvalidInput, path + ": exists already or cannot be created");
+        return false;
+    }
+    bool isWritten = ::write(descriptor, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+    ::close(descriptor);
+    if (!isWritten)
+        failure.set(Failure::Kind::Unavailable, path + ": cannot be written");
+    return isWritten;
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/cli/Program.cpp
@@ -0,0 +1,58 @@
+#include "BundleCommands.h"
+#include "Command.h"
+#include "InstanceCommands.h"
+
+#include <iostream>
+#include <iterator>
+#include <sstream>
+
+namespace lentiljunction {
+
+namespace {
+
+std::vector<std::unique_ptr<Command>> makeAllCommands()
+{
+    std::vector<std::unique_ptr<Command>> commands = makeInstanceCommands();
+    std::vector<std::unique_ptr<Command>> more = makeBundleCommands();
+    commands.insert(commands.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+    return commands;
+}
+
+void printOverview(std::ostream& stream, const std::vector<std::unique_ptr<Command>>& commands)
+{
+    stream << "lentiljunction: a database proxy with session consistency\n\nusage: lentiljunction COMMAND [--help] [options]\n\n";
+    for (const std::unique_ptr<Command>& command : commands)
+        stream << "  " << command->getName() << std::string(18 - command->getName().size(), ' ') << command->getSummary() << "\n";
+}
+
+/// @returns how many arguments the name takes, zero when they do not begin with it
+std::size_t matchName(const std::string& name, const std::vector<std::string>& arguments)
+{
+    std::istringstream stream(name);
+    std::string word;
+    std::size_t count = 0;
+    while (stream >> word) {
+        if (count >= arguments.size() || arguments[count] != word)
+            return 0;
+        count++;
+    }
+    return count;
+}
+
+} // namespace
+
+int runProgram(const std::vector<std::string>& arguments)
+{
+    std::vector<std::unique_ptr<Command>> commands = makeAllCommands();
+    for (const std::unique_ptr<Command>& command : commands) {
+        std::size_t count = matchName(command->getName(), arguments);
+        if (count > 0)
+            return command->run({ arguments.begin() + static_cast<std::ptrdiff_t>(count), arguments.end() });
+    }
+
+    bool isHelp = !arguments.empty() && (arguments.front() == "--help" || arguments.front() == "help");
+    printOverview(isHelp ? std::cout : std::cerr, commands);
+    return isHelp ? exitcodes::ok : exitcodes::usage;
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/core/EventLoop.cpp
@@ -0,0 +1,73 @@
+#include "lentiljunction/core/EventLoop.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <thread>
+#include <utility>
+
+namespace lentiljunction {
+
+class EventLoop::Implementation {
+public:
+    Implementation()
+        : guard(asio::make_work_guard(this->context))
+    {
+    }
+
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> guard;
+    std::thread thread;
+};
+
+EventLoop::EventLoop()
+    : implementation(std::make_unique<Implementation>())
+{
+}
+
+EventLoop::~EventLoop()
+{
+    this->stop();
+}
+
+void EventLoop::start()
+{
+    this->implementation->thread = std::thread([this] { this->implementation->context.run(); });
+}
+
+void EventLoop::stop()
+{
+    this->implementation->context.stop();
+    if (this->implementation->thread.joinable())
+        this->implementation->thread.join();
+}
+
+void EventLoop::post(Task task)
+{
+    asio::post(this->implementation->context, std::move(task));
+}
+
+void EventLoop::schedule(Duration delay, Task task)
+{
+    std::shared_ptr<asio::steady_timer> timer = std::make_shared<asio::steady_timer>(this->implementation->context, delay);
+    timer->async_wait([timer, task = std::move(task)](const asio::error_code& error) {
+        if (!error)
+            task();
+    });
+}
+
+void EventLoop::repeat(Duration interval, Task task)
+{
+    this->schedule(interval, [this, interval, task = std::move(task)] {
+        task();
+        this->repeat(interval, task);
+    });
+}
+
+asio::io_context& EventLoop::getContext()
+{
+    return this->implementation->context;
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/net/WebSocketClient.cpp
@@ -0,0 +1,114 @@
+#include "WebSocketClient.h"
+
+#include <asio/io_context.hpp>
+#include <unordered_map>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+
+namespace lentiljunction {
+
+namespace {
+
+using Client = websocketpp::client<websocketpp::config::asio_client>;
+using ClientConnection = Client::connection_ptr;
+constexpr long openTimeoutMilliseconds = 400;
+constexpr std::size_t messageLimit = 64U << 20;
+
+} // namespace
+
+class WebSocketClient::Implementation {
+public:
+    Implementation(EventLoop& loop, Listener& listener)
+        : loop(loop)
+        , listener(listener)
+    {
+        this->client.clear_access_channels(websocketpp::log::alevel::all);
+        this->client.clear_error_channels(websocketpp::log::elevel::all);
+        this->client.init_asio(&loop.getContext());
+        this->client.set_open_handshake_timeout(openTimeoutMilliseconds);
+        this->client.set_max_message_size(messageLimit);
+    }
+
+    Handle connect(const Endpoint& endpoint, const std::string& resource)
+    {
+        Handle handle = this->nextHandle++;
+        websocketpp::lib::error_code error;
+        std::string uri = "ws://" + endpoint.host + ":" + std::to_string(endpoint.port) + resource;
+        ClientConnection connection = this->client.get_connection(uri, error);
+        if (error) {
+            this->loop.post([this, handle] { this->listener.onDisconnected(handle); });
+            return handle;
+        }
+
+        this->connections[handle] = connection;
+        connection->set_open_handler([this, handle](const websocketpp::connection_hdl&) { this->onOpen(handle); });
+        connection->set_fail_handler([this, handle](const websocketpp::connection_hdl&) { this->onGone(handle); });
+        connection->set_close_handler([this, handle](const websocketpp::connection_hdl&) { this->onGone(handle); });
+        connection->set_message_handler([this, handle](const websocketpp::connection_hdl&, const Client::message_ptr& message) {
+            this->listener.onMessage(handle, message->get_payload());
+        });
+        this->client.connect(connection);
+        return handle;
+    }
+
+    ClientConnection find(Handle handle)
+    {
+        std::unordered_map<Handle, ClientConnection>::iterator found = this->connections.find(handle);
+        return found == this->connections.end() ? nullptr : found->second;
+    }
+
+    void onGone(Handle handle)
+    {
+        if (this->connections.erase(handle) > 0)
+            this->listener.onDisconnected(handle);
+    }
+
+private:
+    void onOpen(Handle handle)
+    {
+        ClientConnection connection = this->find(handle);
+        if (connection == nullptr)
+            return;
+        asio::error_code ignored;
+        connection->get_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        this->listener.onConnected(handle);
+    }
+
+    EventLoop& loop;
+    Listener& listener;
+    Client client;
+    std::unordered_map<Handle, ClientConnection> connections;
+    Handle nextHandle = 1;
+};
+
+WebSocketClient::WebSocketClient(EventLoop& loop, Listener& listener)
+    : implementation(std::make_unique<Implementation>(loop, listener))
+{
+}
+
+WebSocketClient::~WebSocketClient() = default;
+
+WebSocketClient::Handle WebSocketClient::connect(const Endpoint& endpoint, const std::string& resource)
+{
+    return this->implementation->connect(endpoint, resource);
+}
+
+void WebSocketClient::send(Handle handle, const std::string& payload, bool isBinary)
+{
+    ClientConnection connection = this->implementation->find(handle);
+    if (connection != nullptr)
+        connection->send(payload, isBinary ? websocketpp::frame::opcode::binary : websocketpp::frame::opcode::text);
+}
+
+void WebSocketClient::drop(Handle handle)
+{
+    ClientConnection connection = this->implementation->find(handle);
+    if (connection == nullptr)
+        return;
+
+    asio::error_code ignored;
+    connection->get_socket().close(ignored);
+    this->implementation->onGone(handle);
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/net/WebSocketServer.cpp
@@ -0,0 +1,158 @@
+#include "WebSocketServer.h"
+
+#include <asio/io_context.hpp>
+#include <unordered_map>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/server.hpp>
+
+namespace lentiljunction {
+
+namespace {
+
+using Server = websocketpp::server<websocketpp::config::asio>;
+using ServerConnection = Server::connection_ptr;
+
+/// Larger messages end the connection; smaller ones over the bundle's limit get a clear error.
+constexpr std::size_t hardMessageLimit = 64U << 20;
+
+} // namespace
+
+class WebSocketServer::Implementation {
+public:
+    Implementation(EventLoop& loop, Listener& listener)
+        : listener(listener)
+    {
+        this->server.clear_access_channels(websocketpp::log::alevel::all);
+        this->server.clear_error_channels(websocketpp::log::elevel::all);
+        this->server.init_asio(&loop.getContext());
+        this->server.set_reuse_addr(true);
+        this->server.set_max_http_body_size(hardMessageLimit);
+        this->server.set_max_message_size(hardMessageLimit);
+        this->server.set_open_handler([this](websocketpp::connection_hdl connection) { this->onOpen(connection); });
+        this->server.set_close_handler([this](websocketpp::connection_hdl connection) { this->onClose(connection); });
+        this->server.set_http_handler([this](websocketpp::connection_hdl connection) { this->onHttp(connection); });
+        this->server.set_message_handler([this](websocketpp::connection_hdl connection, Server::message_ptr message) {
+            this->onMessage(connection, message->get_payload(), message->get_opcode() == websocketpp::frame::opcode::binary);
+        });
+    }
+
+    ServerConnection find(Handle handle)
+    {
+        std::unordered_map<Handle, ServerConnection>::iterator found = this->connections.find(handle);
+        return found == this->connections.end() ? nullptr : found->second;
+    }
+
+    Server server;
+    std::unordered_map<Handle, ServerConnection> connections;
+
+private:
+    void onOpen(const websocketpp::connection_hdl& weak)
+    {
+        ServerConnection connection = this->server.get_con_from_hdl(weak);
+        asio::error_code ignored;
+        connection->get_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        Handle handle = this->add(connection);
+        this->listener.onSessionOpened(handle, connection->get_resource());
+    }
+
+    void onClose(const websocketpp::connection_hdl& weak)
+    {
+        ServerConnection connection = this->server.get_con_from_hdl(weak);
+        std::unordered_map<void*, Handle>::iterator found = this->handles.find(connection.get());
+        if (found == this->handles.end())
+            return;
+
+        Handle handle = found->second;
+        this->handles.erase(found);
+        this->connections.erase(handle);
+        this->listener.onSessionClosed(handle);
+    }
+
+    void onMessage(const websocketpp::connection_hdl& weak, const std::string& payload, bool isBinary)
+    {
+        ServerConnection connection = this->server.get_con_from_hdl(weak);
+        std::unordered_map<void*, Handle>::iterator found = this->handles.find(connection.get());
+        if (found != this->handles.end())
+            this->listener.onSessionMessage(found->second, payload, isBinary);
+    }
+
+    void onHttp(const websocketpp::connection_hdl& weak)
+    {
+        ServerConnection connection = this->server.get_con_from_hdl(weak);
+        connection->defer_http_response();
+        Handle handle = this->nextHandle++;
+        this->connections[handle] = connection;
+        this->listener.onHttpRequest(handle, { connection->get_request().get_method(), connection->get_resource(), connection->get_request_body() });
+    }
+
+    Handle add(const ServerConnection& connection)
+    {
+        Handle handle = this->nextHandle++;
+        this->connections[handle] = connection;
+        this->handles[connection.get()] = handle;
+        return handle;
+    }
+
+    Listener& listener;
+    std::unordered_map<void*, Handle> handles;
+    Handle nextHandle = 1;
+};
+
+WebSocketServer::WebSocketServer(EventLoop& loop, Listener& listener)
+    : implementation(std::make_unique<Implementation>(loop, listener))
+{
+}
+
+WebSocketServer::~WebSocketServer() = default;
+
+bool WebSocketServer::listen(const Endpoint& endpoint, Failure& failure)
+{
+    websocketpp::lib::error_code error;
+    asio::error_code addressError;
+    asio::ip::address address = asio::ip::make_address(endpoint.host, addressError);
+    if (!addressError)
+        this->implementation->server.listen(asio::ip::tcp::endpoint(address, endpoint.port), error);
+    if (!addressError && !error)
+        this->implementation->server.start_accept(error);
+    if (!addressError && !error)
+        return true;
+
+    failure.set(Failure::Kind::Unavailable, endpoint.host + ":" + std::to_string(endpoint.port) + " cannot be opened: " + error.message());
+    return false;
+}
+
+void WebSocketServer::send(Handle handle, const std::string& payload, bool isBinary)
+{
+    ServerConnection connection = this->implementation->find(handle);
+    if (connection != nullptr)
+        connection->send(payload, isBinary ? websocketpp::frame::opcode::binary : websocketpp::frame::opcode::text);
+}
+
+void WebSocketServer::respond(Handle handle, const HttpResponse& response)
+{
+    ServerConnection connection = this->implementation->find(handle);
+    if (connection == nullptr)
+        return;
+
+    this->implementation->connections.erase(handle);
+    try {
+        connection->set_status(static_cast<websocketpp::http::status_code::value>(response.status));
+        connection->append_header("Content-Type", response.contentType);
+        connection->set_body(response.body);
+    } catch (const websocketpp::exception&) {
+        // The caller closed the connection before its answer.
+        return;
+    }
+    websocketpp::lib::error_code ignored;
+    connection->send_http_response(ignored);
+}
+
+void WebSocketServer::close(Handle handle)
+{
+    ServerConnection connection = this->implementation->find(handle);
+    websocketpp::lib::error_code ignored;
+    if (connection != nullptr)
+        connection->close(websocketpp::close::status::going_away, "", ignored);
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/platform/StoreWorker.cpp
@@ -0,0 +1,102 @@
+#include "StoreWorker.h"
+
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+constexpr Duration watchLimit = std::chrono::seconds(5);
+constexpr Duration watchPause = std::chrono::milliseconds(200);
+constexpr Duration failurePause = std::chrono::milliseconds(500);
+
+} // namespace
+
+StoreWorker::StoreWorker(PlatformStore& store, EventLoop& control, Listener& listener)
+    : store(store)
+    , control(control)
+    , listener(listener)
+{
+}
+
+StoreWorker::~StoreWorker()
+{
+    this->stop();
+}
+
+void StoreWorker::start()
+{
+    this->callThread = std::thread([this] { this->runCalls(); });
+    this->watchThread = std::thread([this] { this->runWatch(); });
+}
+
+void StoreWorker::stop()
+{
+    this->isStopping = true;
+    this->condition.notify_all();
+    if (this->callThread.joinable())
+        this->callThread.join();
+    if (this->watchThread.joinable())
+        this->watchThread.join();
+}
+
+void StoreWorker::submit(Call call)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->calls.push_back(std::move(call));
+    this->condition.notify_all();
+}
+
+std::size_t StoreWorker::getNumWaiting()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->calls.size();
+}
+
+void StoreWorker::runCalls()
+{
+    while (!this->isStopping) {
+        Call call;
+        {
+            std::unique_lock<std::mutex> lock(this->mutex);
+            this->condition.wait(lock, [this] { return this->isStopping || !this->calls.empty(); });
+            if (this->isStopping)
+                return;
+            call = std::move(this->calls.front());
+            this->calls.pop_front();
+        }
+        call(this->store);
+    }
+}
+
+void StoreWorker::runWatch()
+{
+    std::uint64_t revision = 0;
+    while (!this->isStopping) {
+        if (!this->isWatching) {
+            revision = 0;
+            this->pause(watchPause);
+            continue;
+        }
+
+        Failure failure;
+        std::optional<StoreWatchResult> changes = this->store.watch(storekeys::watched, revision, watchLimit, failure);
+        bool isReachable = changes.has_value();
+        this->control.post([this, isReachable] { this->listener.onStoreReachable(isReachable); });
+        if (!changes) {
+            this->pause(failurePause);
+            continue;
+        }
+        revision = changes->revision;
+        if (!changes->objects.empty())
+            this->control.post([this, found = *changes] { this->listener.onStoreChanged(found); });
+    }
+}
+
+void StoreWorker::pause(Duration duration)
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->condition.wait_for(lock, duration, [this] { return this->isStopping.load(); });
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/server/ControlPlane.cpp
@@ -0,0 +1,623 @@
+#include "ControlPlane.h"
+
+#include "lentiljunction/core/LogEvents.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+constexpr Duration tickInterval = std::chrono::milliseconds(10);
+constexpr Duration bundleRequestInterval = std::chrono::milliseconds(300);
+/// Without an answer of the store, a new instance trusts its peers' bundle after this time.
+constexpr Duration storeWait = std::chrono::milliseconds(1500);
+constexpr std::size_t spreadFanout = 3;
+constexpr std::size_t maximumQuestions = 1000;
+constexpr const char* watchDuty = "store-watch";
+
+Member makeSelf(const Settings& settings, const Clock& clock)
+{
+    Incarnation incarnation(static_cast<std::uint64_t>(toUnixMilliseconds(clock.wallNow())));
+    return { settings.instance, settings.zone, settings.advertised, MemberState::Alive, incarnation };
+}
+
+std::uint64_t makeSeed(const Settings& settings, const Clock& clock)
+{
+    return std::hash<InstanceId>()(settings.instance) ^ static_cast<std::uint64_t>(clock.now().time_since_epoch().count());
+}
+
+std::set<UpstreamId> parseUpstreamIds(const std::string& text)
+{
+    std::set<UpstreamId> ids;
+    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_array())
+        return ids;
+    for (const nlohmann::json& element : document) {
+        if (element.is_string())
+            ids.insert(UpstreamId(element.get<std::string>()));
+    }
+    return ids;
+}
+
+std::vector<SeedPeer> parseInstances(const std::string& text)
+{
+    std::vector<SeedPeer> peers;
+    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_array())
+        return peers;
+    for (const nlohmann::json& element : document) {
+        if (!element.is_object() || element.value("state", "live") != "live")
+            continue;
+        Endpoint endpoint { element.value("address", ""), element.value("peer_port", std::uint16_t(0)) };
+        peers.push_back({ InstanceId(element.value("id", "")), ZoneId(element.value("zone", "")), endpoint });
+    }
+    return peers;
+}
+
+std::optional<BundleVersion> parseVersion(const std::string& text)
+{
+    constexpr std::size_t maximumDigits = 15;
+    if (text.empty() || text.size() > maximumDigits || text.find_first_not_of("0123456789") != std::string::npos)
+        return std::nullopt;
+    return BundleVersion(std::strtoull(text.c_str(), nullptr, 10));
+}
+
+/// Reads a signed bundle from the store; without a version, the one in force.
+std::optional<SignedBundle> readBundle(PlatformStore& store, std::optional<BundleVersion> version, Failure& failure)
+{
+    if (!version) {
+        std::optional<StoreObject> pointer = store.get(storekeys::currentBundle, failure);
+        version = pointer ? parseVersion(pointer->value) : std::nullopt;
+    }
+    if (!version)
+        return std::nullopt;
+
+    std::optional<StoreObject> object = store.get(storekeys::signedBundle(*version), failure);
+    if (!object)
+        return std::nullopt;
+    return parseSignedBundle(nlohmann::json::parse(object->value, nullptr, false), failure);
+}
+
+/// Takes a block of terms by conditional update. A lost answer is resolved by the nonce.
+std::optional<TermRecord::Grant> reserveTerms(PlatformStore& store, const DatabaseId& database, Term above, const std::string& nonce)
+{
+    constexpr int maximumTries = 5;
+    for (int count = 0; count < maximumTries; count++) {
+        Failure failure;
+        std::optional<StoreObject> object = store.get(storekeys::terms(database), failure);
+        if (!object && failure.kind != Failure::Kind::NotFound)
+            return std::nullopt;
+
+        TermRecord record;
+        if (object) {
+            std::optional<TermRecord> parsed = parseTermRecord(nlohmann::json::parse(object->value, nullptr, false));
+            if (!parsed)
+                return std::nullopt;
+            record = *parsed;
+        }
+        std::optional<TermRecord::Grant> earlier = record.find(nonce);
+        if (earlier)
+            return earlier;
+
+        TermRecord::Grant grant = record.grant(nonce, above);
+        StoreVersion expected = object ? object->version : StoreVersion();
+        if (store.put(storekeys::terms(database), expected, toJson(record).dump(), failure))
+            return grant;
+        if (failure.kind == Failure::Kind::Unavailable)
+            return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(Environment environment, const Settings& settings, Listener& listener)
+    : environment(environment)
+    , settings(settings)
+    , listener(listener)
+    , random(makeSeed(settings, environment.clock))
+    , membership(makeSelf(settings, environment.clock), settings.seeds, makeSeed(settings, environment.clock), environment.clock.now())
+    , keeper(settings.trust)
+    , worker(environment.store, environment.loop, *this)
+    , audit(settings.instance.toString())
+{
+    this->membership.setListener(this);
+}
+
+void ControlPlane::start()
+{
+    this->startedAt = this->environment.clock.now();
+    this->worker.start();
+    this->listener.onMembers(this->membership.getMembers());
+    this->fetchAtStart();
+    this->environment.loop.repeat(tickInterval, [this] { this->onTick(); });
+}
+
+void ControlPlane::leave()
+{
+    this->sendAll(this->membership.leave());
+    this->areGatesStale = true;
+    this->onTick();
+}
+
+void ControlPlane::stop()
+{
+    this->worker.stop();
+}
+
+void ControlPlane::onPeerMessage(const InstanceId& from, const PeerMessage& message)
+{
+    if (const MembershipMessage* membershipMessage = std::get_if<MembershipMessage>(&message)) {
+        this->sendAll(this->membership.onMessage(from, *membershipMessage, this->environment.clock.now()));
+        this->onHigherVersion(from, membershipMessage->bundleVersion);
+    } else if (const BundleNotice* notice = std::get_if<BundleNotice>(&message)) {
+        this->onHigherVersion(from, notice->version);
+    } else if (const BundleRequest* request = std::get_if<BundleRequest>(&message)) {
+        this->onBundleRequest(from, *request);
+    } else if (const BundleReply* reply = std::get_if<BundleReply>(&message)) {
+        this->onBundleReply(from, *reply);
+    } else if (const PrimaryNotice* primary = std::get_if<PrimaryNotice>(&message)) {
+        this->onPrimaryNotice(from, *primary);
+    } else if (const OpinionRequest* question = std::get_if<OpinionRequest>(&message)) {
+        std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator watcher = this->watchers.find(question->database);
+        bool isReached = watcher != this->watchers.end() && watcher->second->reaches(question->upstream);
+        this->listener.sendToPeer(from, OpinionReply { question->question, isReached });
+    } else if (const OpinionReply* opinion = std::get_if<OpinionReply>(&message)) {
+        std::map<std::uint64_t, DatabaseId>::iterator asked = this->questions.find(opinion->question);
+        if (asked != this->questions.end() && this->watchers.count(asked->second) > 0)
+            this->watchers[asked->second]->onOpinion(opinion->isReached);
+    } else if (const LeavingNotice* leavingNotice = std::get_if<LeavingNotice>(&message)) {
+        std::set<UpstreamId> announcedLeaving(leavingNotice->upstreams.begin(), leavingNotice->upstreams.end());
+        if (announcedLeaving != this->leaving) {
+            this->setLeavingUpstreams(announcedLeaving);
+            this->forwardInZone(from, message);
+        }
+    }
+}
+
+void ControlPlane::setActive(const std::vector<DatabaseId>& databases)
+{
+    for (const DatabaseId& database : databases) {
+        std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator watcher = this->watchers.find(database);
+        if (watcher != this->watchers.end())
+            watcher->second->setActive();
+    }
+}
+
+void ControlPlane::setFast(const DatabaseId& database)
+{
+    std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator watcher = this->watchers.find(database);
+    if (watcher != this->watchers.end())
+        watcher->second->setFast();
+}
+
+nlohmann::json ControlPlane::describe() const
+{
+    nlohmann::json members = nlohmann::json::array();
+    for (const Member& member : *this->membership.getMembers())
+        members.push_back({ { "id", member.id.toString() }, { "zone", member.zone.toString() }, { "state", toString(member.state) } });
+
+    nlohmann::json groups = nlohmann::json::object();
+    for (const std::pair<const DatabaseId, std::unique_ptr<GroupWatcher>>& entry : this->watchers) {
+        std::optional<PrimaryHint> primary = entry.second->getPrimary();
+        nlohmann::json group { { "terms_in_reserve", entry.second->getNumTerms() } };
+        if (primary)
+            group.update({ { "primary", primary->upstream.toString() }, { "term", primary->term.value() }, { "primary_reached", entry.second->reaches(primary->upstream) } });
+        groups[entry.first.toString()] = group;
+    }
+
+    nlohmann::json ownUpstreams = nlohmann::json::array();
+    for (const UpstreamId& upstream : this->ownGates)
+        ownUpstreams.push_back(upstream.toString());
+    return {
+        { "instance", this->settings.instance.toString() },
+        { "zone", this->settings.zone.toString() },
+        { "ready", this->isReady },
+        { "bundle_version", this->keeper.getVersion().value() },
+        { "store_reached", this->isStoreReachable },
+        { "members", members },
+        { "gate_of", ownUpstreams },
+        { "groups", groups },
+    };
+}
+
+void ControlPlane::onMemberChanged(const Member& member)
+{
+    logEvent(events::memberChanged, "member=" + member.id.toString() + " state=" + toString(member.state));
+    this->areGatesStale = true;
+    bool isRecorder = member.zone == this->settings.zone && this->membership.getZoneOwner(watchDuty) == this->settings.instance;
+    if (isRecorder)
+        this->audit.add({ {}, AuditKind::Membership, "", member.id.toString(), "heartbeats and reports of peers", "", toString(member.state) }, this->environment.clock.wallNow());
+}
+
+void ControlPlane::onProbed(const DatabaseId& database, const UpstreamId& upstream, const UpstreamStatus& status, TimePoint askedAt)
+{
+    this->listener.onUpstreamStatus(database, upstream, status, askedAt);
+    bool isActing = status.isPrimary && status.fencedTerm == status.head.term;
+    PrimaryHint& known = this->announced[database];
+    if (!isActing || status.head.term <= known.term)
+        return;
+
+    known = { status.head.term, upstream };
+    logEvent(events::primaryChanged, "database=" + database.toString() + " primary=" + upstream.toString() + " term=" + std::to_string(known.term.value()));
+    this->listener.onNewPrimary(database, known);
+}
+
+void ControlPlane::onPrimaryReachable(const DatabaseId& database, bool isReachable)
+{
+    this->listener.onPrimaryJudged(database, isReachable);
+}
+
+std::size_t ControlPlane::askOpinions(const DatabaseId& database, const std::optional<UpstreamId>& primary)
+{
+    const DatabaseConfig* config = this->keeper.getBundle()->findDatabase(database);
+    if (config == nullptr || !primary || this->gates == nullptr)
+        return 0;
+
+    std::set<InstanceId> asked;
+    for (const UpstreamConfig& upstream : config->upstreams) {
+        const std::vector<InstanceId>& candidates = this->gates->getCandidates(upstream.id);
+        if (!candidates.empty() && candidates.front() != this->settings.instance)
+            asked.insert(candidates.front());
+    }
+    for (const InstanceId& instance : asked) {
+        std::uint64_t question = this->nextQuestion++;
+        this->questions[question] = database;
+        this->listener.sendToPeer(instance, OpinionRequest { question, database, *primary });
+    }
+    while (this->questions.size() > maximumQuestions)
+        this->questions.erase(this->questions.begin());
+    return asked.size();
+}
+
+void ControlPlane::requestTerms(const DatabaseId& database, Term above)
+{
+    std::string nonce = this->settings.instance.toString() + "/" + std::to_string(this->random.bits());
+    this->worker.submit([this, database, above, nonce](PlatformStore& store) {
+        std::optional<TermRecord::Grant> grant = reserveTerms(store, database, above, nonce);
+        this->environment.loop.post([this, database, grant] {
+            std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator watcher = this->watchers.find(database);
+            if (watcher != this->watchers.end())
+                watcher->second->onTerms(grant);
+        });
+    });
+}
+
+void ControlPlane::onPromotionEnded(const DatabaseId& database, const PrimaryHint& primary, const std::string& failureReason)
+{
+    bool isDone = failureReason.empty();
+    this->environment.metrics.onPromotion(isDone);
+    std::string detail = "database=" + database.toString() + " term=" + std::to_string(primary.term.value());
+    if (!isDone) {
+        logEvent(events::promotionFailed, detail + " reason=\"" + failureReason + "\"");
+        return;
+    }
+
+    logEvent(events::promotionDone, detail + " primary=" + primary.upstream.toString());
+    PrimaryHint& known = this->announced[database];
+    std::string before = known.upstream.toString() + " term " + std::to_string(known.term.value());
+    std::string after = primary.upstream.toString() + " term " + std::to_string(primary.term.value());
+    this->audit.add({ {}, AuditKind::Promotion, "", database.toString(), "the primary failed, left or was fenced", before, after }, this->environment.clock.wallNow());
+    if (known.term < primary.term)
+        known = primary;
+    this->listener.onNewPrimary(database, primary);
+    this->spread(PrimaryNotice { database, primary });
+}
+
+void ControlPlane::onStoreChanged(const StoreWatchResult& changes)
+{
+    for (const StoreObject& object : changes.objects) {
+        if (object.key == storekeys::currentBundle) {
+            std::optional<BundleVersion> version = parseVersion(object.value);
+            if (version && *version > this->keeper.getVersion())
+                this->fetchBundle(version);
+        } else if (object.key == storekeys::instances) {
+            this->membership.addSeeds(parseInstances(object.value));
+            this->areGatesStale = true;
+        } else if (object.key == storekeys::leavingUpstreams) {
+            std::set<UpstreamId> listed = parseUpstreamIds(object.value);
+            if (listed == this->leaving)
+                continue;
+            this->setLeavingUpstreams(listed);
+            this->spread(LeavingNotice { std::vector<UpstreamId>(listed.begin(), listed.end()) });
+        }
+    }
+}
+
+void ControlPlane::onStoreReachable(bool isReachable)
+{
+    if (isReachable == this->isStoreReachable)
+        return;
+    this->isStoreReachable = isReachable;
+    logEvent(isReachable ? events::storeBack : events::storeUnavailable, "");
+}
+
+void ControlPlane::onTick()
+{
+    TimePoint now = this->environment.clock.now();
+    this->sendAll(this->membership.onTick(now));
+    this->worker.setWatching(this->membership.getZoneOwner(watchDuty) == this->settings.instance);
+    if (this->areGatesStale)
+        this->refreshGates();
+    for (std::pair<const DatabaseId, std::unique_ptr<GroupWatcher>>& entry : this->watchers)
+        entry.second->onTick();
+    if (this->keeper.getBundle() == nullptr && now >= this->nextBundleRequest)
+        this->askForBundle();
+    this->checkReady();
+    this->flushAudit();
+}
+
+void ControlPlane::sendAll(const std::vector<Membership::Outgoing>& messages)
+{
+    for (const Membership::Outgoing& outgoing : messages)
+        this->listener.sendToPeer(outgoing.to, outgoing.message);
+}
+
+void ControlPlane::refreshGates()
+{
+    this->areGatesStale = false;
+    std::shared_ptr<const MemberList> members = this->membership.getMembers();
+    this->listener.onMembers(members);
+    std::shared_ptr<const Bundle> bundle = this->keeper.getBundle();
+    if (bundle == nullptr)
+        return;
+
+    std::shared_ptr<const GateMap> newGates = std::make_shared<const GateMap>(*members, *bundle);
+    this->recordGateMoves(*bundle, *newGates);
+    this->gates = newGates;
+    this->listener.onGates(newGates);
+    this->refreshWatchers(*bundle, *newGates);
+}
+
+void ControlPlane::refreshWatchers(const Bundle& bundle, const GateMap& newGates)
+{
+    std::map<DatabaseId, std::unique_ptr<GroupWatcher>> kept;
+    for (const std::pair<const DatabaseId, DatabaseConfig>& entry : bundle.databases) {
+        const DatabaseConfig& database = entry.second;
+        std::vector<UpstreamConfig>::const_iterator own = std::find_if(database.upstreams.begin(), database.upstreams.end(), [&](const UpstreamConfig& upstream) { return newGates.isCandidate(this->settings.instance, upstream.id); });
+        if (own == database.upstreams.end())
+            continue;
+
+        std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator existing = this->watchers.find(entry.first);
+        bool isSame = existing != this->watchers.end() && existing->second->hasConfiguration(database, bundle.getProfile(database), own->id);
+        if (isSame)
+            kept[entry.first] = std::move(existing->second);
+        else
+            kept[entry.first] = std::make_unique<GroupWatcher>(this->environment.loop, this->environment.clock, this->environment.connector, static_cast<GroupWatcher::Listener&>(*this), database, bundle.getProfile(database), own->id);
+    }
+    this->watchers = std::move(kept);
+}
+
+void ControlPlane::recordGateMoves(const Bundle& bundle, const GateMap& newGates)
+{
+    std::set<UpstreamId> current;
+    for (const std::pair<const DatabaseId, DatabaseConfig>& entry : bundle.databases) {
+        for (const UpstreamConfig& upstream : entry.second.upstreams) {
+            if (newGates.isGate(this->settings.instance, upstream.id))
+                current.insert(upstream.id);
+        }
+    }
+
+    WallTime now = this->environment.clock.wallNow();
+    for (const UpstreamId& upstream : current) {
+        if (this->ownGates.count(upstream) > 0)
+            continue;
+        logEvent(events::gateOpened, "upstream=" + upstream.toString());
+        this->audit.add({ {}, AuditKind::GateMove, "", upstream.toString(), "members or bundle changed", "", "gate at " + this->settings.instance.toString() }, now);
+    }
+    for (const UpstreamId& upstream : this->ownGates) {
+        if (current.count(upstream) == 0)
+            logEvent(events::gateClosed, "upstream=" + upstream.toString());
+    }
+    this->ownGates = std::move(current);
+}
+
+void ControlPlane::askForBundle()
+{
+    this->nextBundleRequest = this->environment.clock.now() + bundleRequestInterval;
+    std::shared_ptr<const MemberList> members = this->membership.getMembers();
+    for (std::size_t count = 0; count < spreadFanout; count++) {
+        const Member& peer = (*members)[this->random.below(members->size())];
+        if (peer.id != this->settings.instance)
+            this->listener.sendToPeer(peer.id, BundleRequest { this->keeper.getVersion(), true });
+    }
+}
+
+void ControlPlane::fetchBundle(std::optional<BundleVersion> version)
+{
+    this->worker.submit([this, version](PlatformStore& store) {
+        Failure failure;
+        std::optional<SignedBundle> bundle = readBundle(store, version, failure);
+        this->environment.loop.post([this, bundle] {
+            if (bundle)
+                this->offerBundle(*bundle, "store");
+        });
+    });
+}
+
+void ControlPlane::fetchAtStart()
+{
+    this->worker.submit([this](PlatformStore& store) {
+        Failure failure;
+        std::optional<SignedBundle> bundle = readBundle(store, std::nullopt, failure);
+        bool hasAnswered = bundle || failure.kind == Failure::Kind::NotFound;
+        Failure leavingFailure;
+        std::optional<StoreObject> leavingObject = store.get(storekeys::leavingUpstreams, leavingFailure);
+        this->environment.loop.post([this, bundle, hasAnswered, leavingObject] {
+            this->hasStoreAnswered = hasAnswered;
+            if (bundle)
+                this->offerBundle(*bundle, "store");
+            if (leavingObject)
+                this->setLeavingUpstreams(parseUpstreamIds(leavingObject->value));
+        });
+    });
+}
+
+void ControlPlane::offerBundle(const SignedBundle& bundle, const std::string& source)
+{
+    Failure failure;
+    BundleVersion before = this->keeper.getVersion();
+    this->onBundleOffer(this->keeper.offer(bundle, failure), failure, source, before);
+}
+
+void ControlPlane::onBundleOffer(BundleKeeper::Offer offer, const Failure& failure, const std::string& source, BundleVersion before)
+{
+    if (offer == BundleKeeper::Offer::Refused)
+        logEvent(events::bundleRefused, "source=" + source + " reason=\"" + failure.reason + "\"");
+    if (offer != BundleKeeper::Offer::Accepted)
+        return;
+
+    BundleVersion version = this->keeper.getVersion();
+    logEvent(events::bundleInForce, "version=" + std::to_string(version.value()) + " source=" + source);
+    this->audit.add({ {}, AuditKind::BundleInForce, "", "bundle", "received from " + source, std::to_string(before.value()), std::to_string(version.value()) }, this->environment.clock.wallNow());
+    this->environment.metrics.setBundleVersion(static_cast<double>(version.value()));
+    this->membership.setBundleVersion(version);
+    this->listener.onBundle(this->keeper.getBundle());
+    this->refreshGates();
+    this->spread(BundleNotice { version });
+}
+
+void ControlPlane::onBundleRequest(const InstanceId& from, const BundleRequest& request)
+{
+    if (this->keeper.getVersion() <= request.have)
+        return;
+
+    BundleReply reply;
+    std::optional<BundleDelta> delta;
+    if (!request.wantsFullCopy)
+        delta = this->keeper.makeDelta(request.have);
+    if (delta)
+        reply.delta = toJson(*delta);
+    else
+        reply.full = toJson(this->keeper.getSignedBundle());
+    this->listener.sendToPeer(from, reply);
+}
+
+void ControlPlane::onBundleReply(const InstanceId& from, const BundleReply& reply)
+{
+    Failure failure;
+    BundleVersion before = this->keeper.getVersion();
+    std::string source = "peer " + from.toString();
+    if (reply.delta.is_null()) {
+        std::optional<SignedBundle> bundle = parseSignedBundle(reply.full, failure);
+        if (bundle)
+            this->offerBundle(*bundle, source);
+        return;
+    }
+
+    std::optional<BundleDelta> delta = parseBundleDelta(reply.delta, failure);
+    if (!delta)
+        return;
+    BundleKeeper::Offer offer = this->keeper.offer(*delta, failure);
+    if (offer == BundleKeeper::Offer::NeedsFullCopy || offer == BundleKeeper::Offer::Refused)
+        this->listener.sendToPeer(from, BundleRequest { before, true });
+    this->onBundleOffer(offer, failure, source, before);
+}
+
+void ControlPlane::onHigherVersion(const InstanceId& from, BundleVersion version)
+{
+    TimePoint now = this->environment.clock.now();
+    if (version <= this->keeper.getVersion() || now < this->nextBundleRequest)
+        return;
+
+    this->nextBundleRequest = now + bundleRequestInterval;
+    this->listener.sendToPeer(from, BundleRequest { this->keeper.getVersion(), this->keeper.getBundle() == nullptr });
+}
+
+void ControlPlane::spread(const PeerMessage& message)
+{
+    bool isNotice = std::holds_alternative<BundleNotice>(message);
+    std::vector<InstanceId> inZone;
+    std::set<ZoneId> otherZones;
+    for (const Member& member : *this->membership.getMembers()) {
+        if (member.id == this->settings.instance || member.state == MemberState::Dead)
+            continue;
+        if (member.zone == this->settings.zone)
+            inZone.push_back(member.id);
+        else
+            otherZones.insert(member.zone);
+    }
+
+    while (isNotice && inZone.size() > spreadFanout)
+        inZone.erase(inZone.begin() + static_cast<std::ptrdiff_t>(this->random.below(inZone.size())));
+    for (const InstanceId& instance : inZone)
+        this->listener.sendToPeer(instance, message);
+
+    bool reachesOut = !isNotice || this->membership.isRelay();
+    for (const ZoneId& zone : otherZones) {
+        std::vector<InstanceId> relays = this->membership.getRelays(zone);
+        for (const InstanceId& relay : relays) {
+            if (reachesOut)
+                this->listener.sendToPeer(relay, message);
+        }
+    }
+}
+
+void ControlPlane::forwardInZone(const InstanceId& from, const PeerMessage& message)
+{
+    const Member* sender = this->membership.find(from);
+    if (sender == nullptr || sender->zone == this->settings.zone)
+        return;
+    for (const Member& member : *this->membership.getMembers()) {
+        bool isReceiver = member.zone == this->settings.zone && member.id != this->settings.instance && member.state != MemberState::Dead;
+        if (isReceiver)
+            this->listener.sendToPeer(member.id, message);
+    }
+}
+
+void ControlPlane::onPrimaryNotice(const InstanceId& from, const PrimaryNotice& notice)
+{
+    PrimaryHint& known = this->announced[notice.database];
+    if (notice.hint.term <= known.term)
+        return;
+
+    known = notice.hint;
+    logEvent(events::primaryChanged, "database=" + notice.database.toString() + " primary=" + known.upstream.toString() + " term=" + std::to_string(known.term.value()));
+    this->listener.onNewPrimary(notice.database, known);
+    this->forwardInZone(from, notice);
+    this->setFast(notice.database);
+}
+
+void ControlPlane::setLeavingUpstreams(const std::set<UpstreamId>& newLeaving)
+{
+    for (const UpstreamId& upstream : newLeaving) {
+        if (this->leaving.count(upstream) == 0)
+            logEvent(events::upstreamLeaving, "upstream=" + upstream.toString());
+    }
+    this->leaving = newLeaving;
+    this->listener.onLeavingUpstreams(this->leaving);
+}
+
+void ControlPlane::checkReady()
+{
+    if (this->isReady || this->keeper.getBundle() == nullptr)
+        return;
+
+    bool isStoreGivenUp = this->environment.clock.now() >= this->startedAt + storeWait;
+    if (!this->hasStoreAnswered && !isStoreGivenUp)
+        return;
+    this->isReady = true;
+    logEvent(events::instanceReady, "bundle=" + std::to_string(this->keeper.getVersion().value()));
+    this->listener.onReady();
+}
+
+void ControlPlane::flushAudit()
+{
+    std::optional<AuditTrail::Batch> batch = this->audit.makeBatch(this->environment.clock.now(), this->environment.clock.wallNow());
+    if (!batch)
+        return;
+
+    this->worker.submit([this, batch](PlatformStore& store) {
+        Failure failure;
+        bool isWritten = putOnce(store, batch->key, batch->value, failure);
+        this->environment.loop.post([this, isWritten, failure] {
+            if (!isWritten)
+                logEvent(events::auditWriteFailed, "reason=\"" + failure.reason + "\"");
+            this->audit.onWritten(isWritten);
+        });
+    });
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/server/ControlPlane.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "../platform/StoreWorker.h"
+#include "GroupWatcher.h"
+#include "lentiljunction/audit/AuditTrail.h"
+#include "lentiljunction/bundle/BundleKeeper.h"
+#include "lentiljunction/membership/Membership.h"
+#include "lentiljunction/peer/PeerMessage.h"
+#include "lentiljunction/routing/GateMap.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace lentiljunction {
+
+/// All control state of one instance: members, bundle, gates, groups and the audit trail.
+///
+/// Belongs to the control thread. Hands immutable snapshots to its listener.
+class ControlPlane : private Membership::Listener, private GroupWatcher::Listener, private StoreWorker::Listener {
+public:
+    /// Is told what traffic needs to know. Called on the control thread.
+    class Listener {
+    public:
+        virtual ~Listener() = default;
+        virtual void onBundle(std::shared_ptr<const Bundle> bundle) = 0;
+        virtual void onMembers(std::shared_ptr<const MemberList> members) = 0;
+        virtual void onGates(std::shared_ptr<const GateMap> gates) = 0;
+        virtual void onLeavingUpstreams(std::set<UpstreamId> leaving) = 0;
+        virtual void onUpstreamStatus(const DatabaseId& database, const UpstreamId& upstream, const UpstreamStatus& status, TimePoint askedAt) = 0;
+        virtual void onPrimaryJudged(const DatabaseId& database, bool isReachable) = 0;
+        virtual void onNewPrimary(const DatabaseId& database, const PrimaryHint& hint) = 0;
+        virtual void onReady() = 0;
+        virtual void sendToPeer(const InstanceId& to, PeerMessage message) = 0;
+    };
+
+    /// What the control plane works with; all must outlive it.
+    struct Environment {
+        EventLoop& loop;
+        const Clock& clock;
+        Metrics& metrics;
+        SqlConnector& connector;
+        PlatformStore& store;
+    };
+
+    /// @param environment what it works with
+    /// @param settings this instance's settings
+    /// @param listener told what traffic needs to know; must outlive this object
+    ControlPlane(Environment environment, const Settings& settings, Listener& listener);
+
+    /// Starts; call it on the control thread.
+    void start();
+
+    /// Announces that this instance leaves.
+    void leave();
+
+    /// Stops the threads of the store; call it after the loop was stopped.
+    void stop();
+
+    /// Takes a message of a peer.
+    void onPeerMessage(const InstanceId& from, const PeerMessage& message);
+
+    /// Notes that groups are in use.
+    void setActive(const std::vector<DatabaseId>& databases);
+
+    /// Notes that a write of a group waits for its confirmation.
+    void setFast(const DatabaseId& database);
+
+    /// @returns the state of this instance for operators
+    nlohmann::json describe() const;
+
+private:
+    void onMemberChanged(const Member& member) override;
+    void onProbed(const DatabaseId& database, const UpstreamId& upstream, const UpstreamStatus& status, TimePoint askedAt) override;
+    void onPrimaryReachable(const DatabaseId& database, bool isReachable) override;
+    std::size_t askOpinions(const DatabaseId& database, const std::optional<UpstreamId>& primary) override;
+    void requestTerms(const DatabaseId& database, Term above) override;
+    void onPromotionEnded(const DatabaseId& database, const PrimaryHint& primary, const std::string& failureReason) override;
+    void onStoreChanged(const StoreWatchResult& changes) override;
+    void onStoreReachable(bool isReachable) override;
+
+    void onTick();
+    void sendAll(const std::vector<Membership::Outgoing>& messages);
+    void refreshGates();
+    void refreshWatchers(const Bundle& bundle, const GateMap& newGates);
+    void recordGateMoves(const Bundle& bundle, const GateMap& newGates);
+    void askForBundle();
+    void fetchBundle(std::optional<BundleVersion> version);
+    void fetchAtStart();
+    void offerBundle(const SignedBundle& bundle, const std::string& source);
+    void onBundleOffer(BundleKeeper::Offer offer, const Failure& failure, const std::string& source, BundleVersion before);
+    void onBundleRequest(const InstanceId& from, const BundleRequest& request);
+    void onBundleReply(const InstanceId& from, const BundleReply& reply);
+    void onHigherVersion(const InstanceId& from, BundleVersion version);
+    void spread(const PeerMessage& message);
+    void forwardInZone(const InstanceId& from, const PeerMessage& message);
+    void onPrimaryNotice(const InstanceId& from, const PrimaryNotice& notice);
+    void setLeavingUpstreams(const std::set<UpstreamId>& newLeaving);
+    void checkReady();
+    void flushAudit();
+
+    Environment environment;
+    Settings settings;
+    ControlPlane::Listener& listener;
+    Random random;
+    Membership membership;
+    BundleKeeper keeper;
+    StoreWorker worker;
+    AuditTrail audit;
+    std::shared_ptr<const GateMap> gates;
+    std::set<UpstreamId> ownGates;
+    std::map<DatabaseId, std::unique_ptr<GroupWatcher>> watchers;
+    std::map<DatabaseId, PrimaryHint> announced;
+    std::map<std::uint64_t, DatabaseId> questions;
+    std::uint64_t nextQuestion = 1;
+    std::set<UpstreamId> leaving;
+    TimePoint startedAt;
+    TimePoint nextBundleRequest;
+    bool areGatesStale = true;
+    bool hasStoreAnswered = false;
+    bool isStoreReachable = true;
+    bool isReady = false;
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/server/GroupWatcher.cpp
@@ -0,0 +1,320 @@
+#include "GroupWatcher.h"
+
+#include "lentiljunction/core/LogEvents.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+constexpr Duration idleInterval = std::chrono::seconds(1);
+constexpr Duration activeInterval = std::chrono::milliseconds(100);
+constexpr Duration fastInterval = std::chrono::milliseconds(1);
+/// After a failed probe the next follows quickly.
+constexpr Duration suspectInterval = std::chrono::milliseconds(50);
+constexpr Duration probeTimeout = std::chrono::milliseconds(250);
+constexpr Duration commandTimeout = std::chrono::milliseconds(400);
+constexpr Duration commandRetryDelay = std::chrono::milliseconds(20);
+constexpr Duration activeTime = std::chrono::seconds(5);
+constexpr Duration fastTime = std::chrono::milliseconds(100);
+constexpr Duration termRetryDelay = std::chrono::seconds(1);
+/// Terms are asked for again when fewer are left.
+constexpr std::size_t leastTerms = 4;
+
+std::string fillTerm(std::string sql, Term term)
+{
+    const std::string placeholder = "{term}";
+    std::size_t at = sql.find(placeholder);
+    if (at != std::string::npos)
+        sql.replace(at, placeholder.size(), std::to_string(term.value()));
+    return sql;
+}
+
+} // namespace
+
+GroupWatcher::GroupWatcher(EventLoop& loop, const Clock& clock, SqlConnector& connector, Listener& listener, const DatabaseConfig& database, const ProfileConfig& profile, const UpstreamId& ownUpstream)
+    : loop(loop)
+    , clock(clock)
+    , connector(connector)
+    , listener(listener)
+    , database(database)
+    , profile(profile)
+    , ownUpstream(ownUpstream)
+    , monitor(database, ownUpstream, static_cast<std::uint64_t>(clock.now().time_since_epoch().count()))
+    , lifetime(std::make_shared<bool>(true))
+{
+    for (const UpstreamConfig& upstream : this->database.upstreams)
+        this->probers[upstream.id];
+}
+
+GroupWatcher::~GroupWatcher() = default;
+
+void GroupWatcher::setActive()
+{
+    this->activeUntil = this->clock.now() + activeTime;
+}
+
+void GroupWatcher::setFast()
+{
+    TimePoint now = this->clock.now();
+    bool wasFast = now < this->fastUntil;
+    this->fastUntil = now + fastTime;
+    this->activeUntil = now + activeTime;
+    if (wasFast)
+        return;
+
+    for (std::pair<const UpstreamId, Prober>& entry : this->probers)
+        entry.second.nextAt = now;
+    this->onTick();
+}
+
+void GroupWatcher::onTick()
+{
+    TimePoint now = this->clock.now();
+    for (const UpstreamConfig& upstream : this->database.upstreams) {
+        Prober& prober = this->probers[upstream.id];
+        if (!prober.isBusy && now >= prober.nextAt)
+            this->probe(upstream);
+    }
+
+    bool needsTerms = this->monitor.getPrimary() && this->getNumTerms() < leastTerms;
+    if (needsTerms && !this->isRequestingTerms && now >= this->nextTermRequest) {
+        this->isRequestingTerms = true;
+        this->listener.requestTerms(this->database.id, this->monitor.getHighestTerm());
+    }
+
+    if (this->promotion)
+        this->drivePromotion();
+    else
+        this->judge();
+}
+
+void GroupWatcher::onTerms(const std::optional<TermRecord::Grant>& grant)
+{
+    this->isRequestingTerms = false;
+    this->nextTermRequest = this->clock.now() + termRetryDelay;
+    if (!grant)
+        return;
+
+    this->reserve.add(grant->first, grant->last);
+    logEvent(events::termsReserved, "database=" + this->database.id.toString() + " first=" + std::to_string(grant->first.value()) + " last=" + std::to_string(grant->last.value()));
+}
+
+bool GroupWatcher::reaches(const UpstreamId& upstream) const
+{
+    std::map<UpstreamId, Prober>::const_iterator found = this->probers.find(upstream);
+    return found != this->probers.end() && found->second.numFailures == 0 && this->monitor.isReachable(upstream);
+}
+
+std::optional<PrimaryHint> GroupWatcher::getPrimary() const
+{
+    std::optional<UpstreamId> primary = this->monitor.getPrimary();
+    if (!primary)
+        return std::nullopt;
+    return PrimaryHint { this->monitor.getPrimaryTerm(), *primary };
+}
+
+bool GroupWatcher::hasConfiguration(const DatabaseConfig& otherDatabase, const ProfileConfig& otherProfile, const UpstreamId& otherUpstream) const
+{
+    return this->database == otherDatabase && this->profile == otherProfile && this->ownUpstream == otherUpstream;
+}
+
+void GroupWatcher::probe(const UpstreamConfig& upstream)
+{
+    Prober& prober = this->probers[upstream.id];
+    prober.isBusy = true;
+    if (prober.isOpen) {
+        this->sendProbe(upstream);
+        return;
+    }
+
+    prober.connection = this->connector.create(upstream);
+    std::weak_ptr<bool> alive = this->lifetime;
+    prober.connection->open(probeTimeout, [this, alive, upstream](bool isOpen) {
+        if (alive.expired())
+            return;
+        if (!isOpen) {
+            this->onProbeLost(upstream);
+            return;
+        }
+        this->probers[upstream.id].isOpen = true;
+        this->sendProbe(upstream);
+    });
+}
+
+void GroupWatcher::sendProbe(const UpstreamConfig& upstream)
+{
+    Prober& prober = this->probers[upstream.id];
+    prober.askedAt = this->clock.now();
+    std::weak_ptr<bool> alive = this->lifetime;
+    prober.connection->execute(this->profile.statusSql, probeTimeout, [this, alive, upstream](const SqlReply& reply) {
+        if (!alive.expired())
+            this->onProbeReply(upstream, reply);
+    });
+}
+
+void GroupWatcher::onProbeReply(const UpstreamConfig& upstream, const SqlReply& reply)
+{
+    Failure failure;
+    std::optional<UpstreamStatus> status;
+    if (reply.status == SqlReply::Status::Completed && !reply.results.empty())
+        status = parseUpstreamStatus(reply.results.front(), failure);
+    if (!status) {
+        this->onProbeLost(upstream);
+        return;
+    }
+
+    Prober& prober = this->probers[upstream.id];
+    prober.isBusy = false;
+    prober.numFailures = 0;
+    prober.nextAt = this->clock.now() + this->getInterval();
+    this->monitor.onStatus(upstream.id, *status, this->clock.now());
+    this->listener.onProbed(this->database.id, upstream.id, *status, prober.askedAt);
+    if (this->getInterval() == fastInterval) {
+        std::weak_ptr<bool> alive = this->lifetime;
+        this->loop.schedule(fastInterval, [this, alive] {
+            if (!alive.expired())
+                this->onTick();
+        });
+    }
+}
+
+void GroupWatcher::onProbeLost(const UpstreamConfig& upstream)
+{
+    Prober& prober = this->probers[upstream.id];
+    std::shared_ptr<SqlConnection> closing = std::move(prober.connection);
+    this->loop.post([closing] { closing->close(); });
+    prober.connection = nullptr;
+    prober.isOpen = false;
+    prober.isBusy = false;
+    prober.numFailures++;
+    prober.nextAt = this->clock.now() + suspectInterval;
+    this->monitor.onProbeFailed(upstream.id, this->clock.now());
+}
+
+Duration GroupWatcher::getInterval() const
+{
+    TimePoint now = this->clock.now();
+    if (now < this->fastUntil)
+        return fastInterval;
+    if (!this->monitor.isPrimaryReachable())
+        return suspectInterval;
+    return now < this->activeUntil ? activeInterval : idleInterval;
+}
+
+void GroupWatcher::judge()
+{
+    TimePoint now = this->clock.now();
+    bool isReachable = this->monitor.isPrimaryReachable();
+    if (this->wasReachable != isReachable && this->monitor.getPrimary()) {
+        this->wasReachable = isReachable;
+        this->listener.onPrimaryReachable(this->database.id, isReachable);
+    }
+
+    GroupMonitor::Action action = this->monitor.getNextAction(now);
+    if (action == GroupMonitor::Action::AskOpinions) {
+        logEvent(events::primarySuspected, "database=" + this->database.id.toString());
+        this->monitor.onOpinionsAsked(this->listener.askOpinions(this->database.id, this->monitor.getPrimary()), now);
+    }
+    if (action == GroupMonitor::Action::Promote)
+        this->startPromotion();
+}
+
+void GroupWatcher::startPromotion()
+{
+    TimePoint now = this->clock.now();
+    std::optional<Term> term = this->reserve.take(this->monitor.getHighestTerm());
+    if (!term) {
+        this->monitor.onPromotionEnded(now);
+        logEvent(events::promotionFailed, "database=" + this->database.id.toString() + " reason=\"no term in reserve\"");
+        return;
+    }
+
+    std::vector<UpstreamId> all;
+    std::vector<UpstreamId> excluded;
+    std::vector<UpstreamId> promotable = this->monitor.getPromotable();
+    for (const UpstreamConfig& upstream : this->database.upstreams) {
+        all.push_back(upstream.id);
+        const UpstreamStatus* status = this->monitor.findStatus(upstream.id);
+        if (status != nullptr && status->isLeaving)
+            excluded.push_back(upstream.id);
+    }
+    logEvent(events::promotionStarted, "database=" + this->database.id.toString() + " term=" + std::to_string(term->value()));
+    this->promotion.emplace(*term, all, excluded, this->database.getMajority(), now);
+    this->drivePromotion();
+}
+
+void GroupWatcher::drivePromotion()
+{
+    this->promotion->onTick(this->clock.now());
+    for (const Promotion::Command& command : this->promotion->takeCommands())
+        this->sendCommand(command);
+    if (this->promotion->getState() == Promotion::State::Done || this->promotion->getState() == Promotion::State::Failed)
+        this->endPromotion();
+}
+
+void GroupWatcher::sendCommand(const Promotion::Command& command)
+{
+    const UpstreamConfig* upstream = this->database.findUpstream(command.upstream);
+    std::uint64_t number = this->nextCommand++;
+    std::shared_ptr<SqlConnection> connection = this->connector.create(*upstream);
+    this->commandConnections[number] = connection;
+    const std::string& form = command.operation == Promotion::Operation::Fence ? this->profile.fenceSql : this->profile.promoteSql;
+    std::string sql = fillTerm(form, command.term);
+
+    std::weak_ptr<bool> alive = this->lifetime;
+    std::function<void(const SqlReply&)> finish = [this, alive, number, command](const SqlReply& reply) {
+        if (alive.expired())
+            return;
+        std::shared_ptr<SqlConnection> closing = this->commandConnections[number];
+        this->commandConnections.erase(number);
+        this->loop.post([closing] { closing->close(); });
+        this->onCommandReply(command, reply);
+    };
+    connection->open(commandTimeout, [connection = connection.get(), sql, finish](bool isOpen) {
+        if (isOpen)
+            connection->execute(sql, commandTimeout, finish);
+        else
+            finish(SqlReply());
+    });
+}
+
+void GroupWatcher::onCommandReply(const Promotion::Command& command, const SqlReply& reply)
+{
+    bool isCurrent = this->promotion && this->promotion->getTerm() == command.term;
+    if (!isCurrent)
+        return;
+
+    Failure failure;
+    std::optional<UpstreamStatus> status;
+    if (reply.status == SqlReply::Status::Completed && !reply.results.empty())
+        status = parseUpstreamStatus(reply.results.front(), failure);
+    if (status) {
+        this->monitor.onStatus(command.upstream, *status, this->clock.now());
+        this->promotion->onAnswer(command.upstream, command.operation, *status, this->clock.now());
+        this->drivePromotion();
+        return;
+    }
+
+    std::weak_ptr<bool> alive = this->lifetime;
+    this->loop.schedule(commandRetryDelay, [this, alive, command] {
+        if (alive.expired() || !this->promotion || this->promotion->getTerm() != command.term)
+            return;
+        this->promotion->onNoAnswer(command.upstream, command.operation, this->clock.now());
+        this->drivePromotion();
+    });
+}
+
+void GroupWatcher::endPromotion()
+{
+    PrimaryHint primary { this->promotion->getTerm(), this->promotion->getTarget() };
+    std::string reason = this->promotion->getFailureReason();
+    this->promotion.reset();
+    this->monitor.onPromotionEnded(this->clock.now());
+    this->setFast();
+    this->listener.onPromotionEnded(this->database.id, primary, reason);
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/server/Instance.cpp
@@ -0,0 +1,287 @@
+#include "Instance.h"
+
+#include "../caller/CallerServer.h"
+#include "../execution/PostgresConnection.h"
+#include "../peer/PeerNetwork.h"
+#include "../platform/HttpPlatformStore.h"
+#include "ControlPlane.h"
+#include "GateService.h"
+#include "RequestFlow.h"
+#include "lentiljunction/core/LogEvents.h"
+
+#include <atomic>
+#include <future>
+#include <thread>
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+constexpr Duration trafficTick = std::chrono::milliseconds(5);
+constexpr Duration peerTick = std::chrono::milliseconds(20);
+constexpr Duration activityTick = std::chrono::milliseconds(100);
+constexpr std::chrono::milliseconds drainPoll { 10 };
+constexpr const char* trafficUser = "lentiljunction";
+constexpr const char* controlUser = "lentiljunction_control";
+
+/// Opens connections of one user on one loop.
+class PostgresConnector : public SqlConnector {
+public:
+    PostgresConnector(EventLoop& loop, const Settings& settings, std::string user)
+        : loop(loop)
+        , user(std::move(user))
+        , applicationName("zone=" + settings.zone.toString() + ";instance=" + settings.instance.toString())
+    {
+    }
+
+    std::unique_ptr<SqlConnection> create(const UpstreamConfig& upstream) override
+    {
+        PostgresIdentity identity { this->user, "main", this->applicationName };
+        return std::make_unique<PostgresConnection>(this->loop, Endpoint { upstream.host, upstream.port }, identity);
+    }
+
+private:
+    EventLoop& loop;
+    std::string user;
+    std::string applicationName;
+};
+
+} // namespace
+
+/// Connects the modules. Handlers of the control thread post to the traffic thread and back.
+class Instance::Implementation : private CallerServer::Listener,
+                                 private PeerNetwork::Listener,
+                                 private RequestFlow::GateChannel,
+                                 private ControlPlane::Listener {
+public:
+    Implementation(const Settings& settings, const Clock& clock)
+        : settings(settings)
+        , clock(clock)
+        , trafficConnector(this->traffic, settings, trafficUser)
+        , controlConnector(this->control, settings, controlUser)
+        , store(settings.store, "zone=" + settings.zone.toString() + ";instance=" + settings.instance.toString(), &this->metrics)
+        , peers(this->traffic, clock, Member { settings.instance, settings.zone, settings.advertised, MemberState::Alive, Incarnation() }, *this)
+        , flow(this->traffic, clock, this->metrics, *this, settings.zone)
+        , gates(UpstreamGate::Environment { this->traffic, clock, this->metrics, this->trafficConnector, settings.instance, [this](const DatabaseId& database) { this->requestFastProbes(database); } })
+        , controlPlane(ControlPlane::Environment { this->control, clock, this->metrics, this->controlConnector, this->store }, settings, *this)
+        , callers(this->traffic, settings.workers, *this)
+    {
+    }
+
+    bool start(Failure& failure)
+    {
+        if (!this->callers.listen(this->settings.callers, failure) || !this->peers.listen(this->settings.peers, failure))
+            return false;
+
+        this->traffic.repeat(trafficTick, [this] { this->onTrafficTick(); });
+        this->traffic.repeat(peerTick, [this] { this->onPeerTick(); });
+        this->traffic.repeat(activityTick, [this] { this->reportActivity(); });
+        this->control.post([this] { this->controlPlane.start(); });
+        this->traffic.start();
+        this->control.start();
+        return true;
+    }
+
+    bool drain()
+    {
+        logEvent(events::instanceDraining, "");
+        this->isAccepting = false;
+        this->control.post([this] { this->controlPlane.leave(); });
+        std::this_thread::sleep_for(this->settings.drainGrace);
+        this->traffic.post([this] { this->flow.stopAccepting(); });
+
+        TimePoint giveUpAt = this->clock.now() + this->settings.drainLimit;
+        bool isIdle = this->isTrafficIdle();
+        while (!isIdle && this->clock.now() < giveUpAt) {
+            std::this_thread::sleep_for(drainPoll);
+            isIdle = this->isTrafficIdle();
+        }
+        std::this_thread::sleep_for(drainPoll * 5);
+        this->shutDown();
+        logEvent(events::instanceStopped, std::string("finished=") + (isIdle ? "yes" : "no"));
+        return isIdle;
+    }
+
+    void shutDown()
+    {
+        this->control.stop();
+        this->controlPlane.stop();
+        this->traffic.stop();
+    }
+
+private:
+    // CallerServer::Listener, on the traffic thread.
+
+    void onRequest(Request request, CallerServer::AnswerHandler handler) override { this->flow.run(std::move(request), std::move(handler)); }
+    bool isReady() override { return this->isServing && this->isAccepting; }
+    std::string getMetrics() override { return this->metrics.render(); }
+
+    void describe(CallerServer::TextHandler handler) override
+    {
+        this->control.post([this, handler = std::move(handler)] {
+            std::string text = this->controlPlane.describe().dump(2) + "\n";
+            this->traffic.post([handler, text] { handler(text); });
+        });
+    }
+
+    // PeerNetwork::Listener, on the traffic thread.
+
+    void onPeerMessage(const InstanceId& from, const PeerMessage& message) override
+    {
+        if (const HopRequest* hop = std::get_if<HopRequest>(&message)) {
+            this->gates.execute(*hop, [this, from](const HopAnswer& answer) { this->peers.send(from, answer); });
+            return;
+        }
+        if (const HopAnswer* answer = std::get_if<HopAnswer>(&message)) {
+            this->flow.onHopAnswer(*answer);
+            return;
+        }
+        this->control.post([this, from, message] { this->controlPlane.onPeerMessage(from, message); });
+    }
+
+    void onPeerLost(const InstanceId& instance, const std::vector<std::uint64_t>& unsentHops) override
+    {
+        this->flow.onPeerLost(instance, unsentHops);
+    }
+
+    // RequestFlow::GateChannel, on the traffic thread.
+
+    bool sendToGate(const InstanceId& gate, const HopRequest& hop) override
+    {
+        if (gate != this->settings.instance)
+            return this->peers.send(gate, hop);
+
+        this->gates.execute(hop, [this](const HopAnswer& answer) {
+            this->traffic.post([this, answer] { this->flow.onHopAnswer(answer); });
+        });
+        return true;
+    }
+
+    bool isAvoided(const InstanceId& gate) const override { return this->peers.isAvoided(gate); }
+
+    // ControlPlane::Listener, on the control thread.
+
+    void onBundle(std::shared_ptr<const Bundle> bundle) override
+    {
+        this->traffic.post([this, bundle] {
+            this->flow.setBundle(bundle);
+            this->gates.setBundle(bundle);
+            this->callers.setLimits(bundle->limits);
+        });
+    }
+
+    void onMembers(std::shared_ptr<const MemberList> members) override
+    {
+        this->traffic.post([this, members] { this->peers.setMembers(members); });
+    }
+
+    void onGates(std::shared_ptr<const GateMap> newGates) override
+    {
+        this->traffic.post([this, newGates] {
+            this->flow.setGates(newGates);
+            this->gates.setGates(newGates);
+        });
+    }
+
+    void onLeavingUpstreams(std::set<UpstreamId> leaving) override
+    {
+        this->traffic.post([this, leaving] {
+            this->flow.setLeaving(leaving);
+            this->gates.setLeaving(leaving);
+        });
+    }
+
+    void onUpstreamStatus(const DatabaseId& database, const UpstreamId& upstream, const UpstreamStatus& status, TimePoint askedAt) override
+    {
+        this->traffic.post([this, database, upstream, status, askedAt] { this->gates.onStatus(database, upstream, status, askedAt); });
+    }
+
+    void onPrimaryJudged(const DatabaseId& database, bool isReachable) override
+    {
+        this->traffic.post([this, database, isReachable] { this->gates.onPrimaryReachable(database, isReachable); });
+    }
+
+    void onNewPrimary(const DatabaseId& database, const PrimaryHint& hint) override
+    {
+        this->traffic.post([this, database, hint] { this->flow.onPrimaryNotice(database, hint); });
+    }
+
+    void onReady() override { this->isServing = true; }
+
+    void sendToPeer(const InstanceId& to, PeerMessage message) override
+    {
+        this->traffic.post([this, to, message = std::move(message)] { this->peers.send(to, message); });
+    }
+
+    void requestFastProbes(const DatabaseId& database)
+    {
+        this->control.post([this, database] { this->controlPlane.setFast(database); });
+    }
+
+    void onTrafficTick()
+    {
+        this->gates.onTick();
+        this->flow.onTick();
+    }
+
+    void onPeerTick()
+    {
+        this->peers.onTick();
+        this->metrics.setInFlight(static_cast<double>(this->flow.getNumInFlight()));
+        this->metrics.setControlBytes(static_cast<double>(this->peers.getControlBytesSent()));
+    }
+
+    void reportActivity()
+    {
+        std::vector<DatabaseId> active = this->gates.takeActiveGroups();
+        if (!active.empty())
+            this->control.post([this, active] { this->controlPlane.setActive(active); });
+    }
+
+    bool isTrafficIdle()
+    {
+        std::shared_ptr<std::promise<bool>> idle = std::make_shared<std::promise<bool>>();
+        std::future<bool> result = idle->get_future();
+        this->traffic.post([this, idle] { idle->set_value(this->flow.getNumInFlight() == 0 && this->gates.isIdle()); });
+        return result.get();
+    }
+
+    Settings settings;
+    const Clock& clock;
+    Metrics metrics;
+    EventLoop traffic;
+    EventLoop control;
+    PostgresConnector trafficConnector;
+    PostgresConnector controlConnector;
+    HttpPlatformStore store;
+    PeerNetwork peers;
+    RequestFlow flow;
+    GateService gates;
+    ControlPlane controlPlane;
+    CallerServer callers;
+    std::atomic<bool> isServing { false };
+    std::atomic<bool> isAccepting { true };
+};
+
+Instance::Instance(const Settings& settings, const Clock& clock)
+    : implementation(std::make_unique<Implementation>(settings, clock))
+{
+}
+
+Instance::~Instance()
+{
+    this->implementation->shutDown();
+}
+
+bool Instance::start(Failure& failure)
+{
+    return this->implementation->start(failure);
+}
+
+bool Instance::drain()
+{
+    return this->implementation->drain();
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/server/UpstreamGate.cpp
@@ -0,0 +1,489 @@
+#include "UpstreamGate.h"
+
+#include "lentiljunction/core/LogEvents.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+constexpr Duration openTimeout = std::chrono::milliseconds(500);
+constexpr Duration probeTimeout = std::chrono::milliseconds(250);
+/// A first try without an answer is given up after this time, when it may be repeated.
+constexpr Duration shortestSilence = std::chrono::milliseconds(250);
+constexpr int silenceFactor = 10;
+constexpr Duration initialCatchUp = std::chrono::milliseconds(10);
+constexpr Duration initialStatement = std::chrono::milliseconds(2);
+/// How much longer than at the primary a read may take at a replica, to spare the primary.
+constexpr Duration primaryRelief = std::chrono::milliseconds(20);
+constexpr int waitFactor = 2;
+constexpr int memory = 8;
+
+Duration blend(Duration mean, Duration sample)
+{
+    return (mean * (memory - 1) + sample) / memory;
+}
+
+} // namespace
+
+UpstreamGate::UpstreamGate(Environment environment, const Bundle& bundle, const DatabaseConfig& database, const UpstreamConfig& upstream, GroupState& group)
+    : environment(std::move(environment))
+    , database(database)
+    , upstream(upstream)
+    , profile(bundle.getProfile(database))
+    , transactionIdle(bundle.limits.transactionIdle)
+    , group(group)
+    , queue(bundle.ranks)
+    , limit(this->profile.slots)
+    , pool(this->profile.connections / 2, this->profile.warmConnections)
+    , meanCatchUp(initialCatchUp)
+    , meanStatement(initialStatement)
+{
+}
+
+void UpstreamGate::setBundle(const Bundle& bundle, const DatabaseConfig& newDatabase)
+{
+    this->database = newDatabase;
+    this->profile = bundle.getProfile(newDatabase);
+    this->transactionIdle = bundle.limits.transactionIdle;
+    this->queue.setRanks(bundle.ranks);
+}
+
+void UpstreamGate::execute(HopRequest hop, AnswerHandler handler)
+{
+    std::shared_ptr<Work> work = std::make_shared<Work>();
+    work->arrivedAt = this->environment.clock.now();
+    work->deadline = work->arrivedAt + hop.remaining;
+    work->hop = std::move(hop);
+    work->handler = std::move(handler);
+
+    std::optional<Outcome> refusal = this->checkBeforeQueue(*work);
+    if (refusal) {
+        this->finish(work, std::move(*refusal), false, std::nullopt);
+        return;
+    }
+    if (this->waitForReplica(work))
+        return;
+    this->enqueue(work);
+    this->pump();
+}
+
+void UpstreamGate::onGroupChanged()
+{
+    const UpstreamStatus* status = this->group.findStatus(this->upstream.id);
+    if (status == nullptr)
+        return;
+
+    TimePoint now = this->environment.clock.now();
+    std::vector<WaitingRead> waiting = std::exchange(this->waitingReads, {});
+    for (const WaitingRead& read : waiting) {
+        if (status->getCoverage(read.point) == Coverage::Behind && now < read.giveUpAt) {
+            this->waitingReads.push_back(read);
+            continue;
+        }
+        if (status->getCoverage(read.point) == Coverage::Behind) {
+            this->meanCatchUp = blend(this->meanCatchUp, 2 * std::chrono::duration_cast<Duration>(now - read.work->arrivedAt));
+            this->finish(read.work, Outcome::notRun(NotRunReason::ReplicaBehind, "the replica did not catch up in time"), false, std::nullopt);
+            continue;
+        }
+        this->meanCatchUp = blend(this->meanCatchUp, std::chrono::duration_cast<Duration>(now - read.work->arrivedAt));
+        this->enqueue(read.work);
+    }
+    this->pump();
+}
+
+void UpstreamGate::onTick()
+{
+    this->onGroupChanged();
+    for (const RankQueue::Request& expired : this->queue.takeExpired(this->environment.clock.now())) {
+        std::shared_ptr<Work> work = this->queued[expired.ticket];
+        this->queued.erase(expired.ticket);
+        this->finish(work, Outcome::notRun(NotRunReason::DeadlinePassed, "the deadline passed in the queue"), false, std::nullopt);
+    }
+    this->expireTransactions();
+    this->probeIdleConnection();
+    this->pump();
+}
+
+bool UpstreamGate::isIdle() const
+{
+    return this->queue.isEmpty() && this->numRunning == 0 && this->transactions.empty() && this->waitingReads.empty() && this->repeats.empty();
+}
+
+std::optional<Outcome> UpstreamGate::checkBeforeQueue(const Work& work)
+{
+    const Request& request = work.hop.request;
+    bool isOpenTransaction = request.action != TransactionAction::None && request.action != TransactionAction::Begin;
+    if (isOpenTransaction) {
+        std::map<TransactionId, OpenTransaction>::iterator found = this->transactions.find(request.transaction);
+        if (found == this->transactions.end())
+            return Outcome::notRun(NotRunReason::TransactionGone, "the transaction ended or was rolled back");
+        if (found->second.isBusy)
+            return Outcome::notRun(NotRunReason::InvalidRequest, "the transaction is running another request");
+        found->second.isBusy = true;
+        return std::nullopt;
+    }
+
+    if (this->isLeaving)
+        return Outcome::notRun(NotRunReason::UpstreamLeaving, "the upstream leaves");
+    if (request.isRead())
+        return std::nullopt;
+
+    std::optional<PrimaryHint> primary = this->group.getPrimary();
+    if (primary && primary->upstream != this->upstream.id)
+        return Outcome::notRun(NotRunReason::NotPrimary, "another upstream is the primary");
+    if (!this->group.isPrimaryReachable())
+        return Outcome::notRun(NotRunReason::NoPrimary, "the primary does not answer; a replacement is under way", std::chrono::milliseconds(200));
+    return std::nullopt;
+}
+
+bool UpstreamGate::waitForReplica(const std::shared_ptr<Work>& work)
+{
+    const Request& request = work->hop.request;
+    std::optional<LogPoint> point = request.session.find(request.database);
+    const UpstreamStatus* status = this->group.findStatus(this->upstream.id);
+    bool isBehind = request.isRead() && point && status != nullptr && status->getCoverage(*point) == Coverage::Behind;
+    if (!isBehind)
+        return false;
+
+    Duration worth = work->hop.alternativeCost + primaryRelief;
+    if (this->meanCatchUp > worth) {
+        this->meanCatchUp = blend(this->meanCatchUp, initialCatchUp);
+        this->finish(work, Outcome::notRun(NotRunReason::ReplicaBehind, "the primary is expected to answer sooner"), false, std::nullopt);
+        return true;
+    }
+    this->waitingReads.push_back({ work, *point, std::min(work->arrivedAt + worth * waitFactor, work->deadline) });
+    this->environment.requestFastProbes(this->database.id);
+    return true;
+}
+
+void UpstreamGate::enqueue(const std::shared_ptr<Work>& work)
+{
+    const Request& request = work->hop.request;
+    RankQueue::Ticket ticket = this->nextTicket++;
+    std::optional<Outcome> refusal = this->queue.offer({ ticket, request.rank, request.caller, work->deadline }, this->environment.clock.now());
+    if (!refusal) {
+        this->queued[ticket] = work;
+        return;
+    }
+    this->finish(work, std::move(*refusal), false, std::nullopt);
+}
+
+void UpstreamGate::pump()
+{
+    this->queue.setConcurrency(this->limit.getLimit());
+    while (this->numRunning < this->limit.getLimit() && this->startNext()) { }
+    this->maintainPool();
+}
+
+bool UpstreamGate::startNext()
+{
+    bool isRepeat = !this->repeats.empty();
+    if (!isRepeat && this->queue.isEmpty())
+        return false;
+
+    std::optional<ConnectionPool::Handle> connection = this->pool.acquire(this->environment.clock.now());
+    if (!connection)
+        return false;
+
+    std::shared_ptr<Work> work;
+    if (isRepeat) {
+        work = this->repeats.front();
+        this->repeats.pop_front();
+        this->start(work, *connection);
+        return true;
+    }
+
+    RankQueue::Ticket ticket = this->queue.takeNext(this->environment.clock.now())->ticket;
+    work = this->queued[ticket];
+    this->queued.erase(ticket);
+    bool isOpenTransaction = !work->hop.request.transaction.isEmpty();
+    if (!isOpenTransaction) {
+        this->start(work, *connection);
+        return true;
+    }
+    this->pool.release(*connection, ConnectionPool::Condition::Clean, this->environment.clock.now());
+    this->continueTransaction(work);
+    return true;
+}
+
+void UpstreamGate::start(const std::shared_ptr<Work>& work, ConnectionPool::Handle connection)
+{
+    TimePoint now = this->environment.clock.now();
+    if (work->numTries == 0)
+        this->environment.metrics.onQueueWait(work->hop.request.rank, std::chrono::duration_cast<Duration>(now - work->arrivedAt));
+    work->numTries++;
+    work->connection = connection;
+    work->startedAt = now;
+    work->numRunningAtStart = ++this->numRunning;
+    work->runner.emplace(this->makePlan(*work));
+    this->sendStep(work, work->runner->start());
+}
+
+void UpstreamGate::continueTransaction(const std::shared_ptr<Work>& work)
+{
+    std::map<TransactionId, OpenTransaction>::iterator found = this->transactions.find(work->hop.request.transaction);
+    if (found == this->transactions.end()) {
+        this->finish(work, Outcome::notRun(NotRunReason::TransactionGone, "the transaction ended or was rolled back"), false, std::nullopt);
+        return;
+    }
+    ConnectionPool::Handle connection = found->second.connection;
+    this->start(work, connection);
+}
+
+void UpstreamGate::sendStep(const std::shared_ptr<Work>& work, const TransactionRunner::Step& step)
+{
+    std::map<ConnectionPool::Handle, std::unique_ptr<SqlConnection>>::iterator connection = this->connections.find(work->connection);
+    if (connection == this->connections.end()) {
+        this->environment.loop.post([this, work] { this->onReply(work, SqlReply()); });
+        return;
+    }
+    work->stepSentAt = this->environment.clock.now();
+    connection->second->execute(step.sql, this->getStepTimeout(*work), [this, work](const SqlReply& reply) { this->onReply(work, reply); });
+}
+
+void UpstreamGate::onReply(const std::shared_ptr<Work>& work, const SqlReply& reply)
+{
+    TimePoint now = this->environment.clock.now();
+    Duration latency = std::chrono::duration_cast<Duration>(now - work->stepSentAt);
+    if (reply.status != SqlReply::Status::Lost) {
+        this->limit.onSample(latency, work->numRunningAtStart);
+        this->meanStatement = blend(this->meanStatement, latency);
+    }
+    this->handleStep(work, work->runner->onReply(reply), reply.isSilent);
+}
+
+void UpstreamGate::handleStep(const std::shared_ptr<Work>& work, const TransactionRunner::Step& step, bool wasSilent)
+{
+    if (step.kind == TransactionRunner::Step::Kind::Send) {
+        this->sendStep(work, step);
+        return;
+    }
+
+    if (step.status)
+        this->group.onStatus(this->upstream.id, *step.status, work->stepSentAt);
+    this->numRunning--;
+    this->queue.onFinished(std::chrono::duration_cast<Duration>(this->environment.clock.now() - work->startedAt));
+    this->releaseConnection(work, wasSilent);
+
+    bool isLost = step.outcome.kind == OutcomeKind::Unknown || (step.outcome.kind == OutcomeKind::NotRun && step.outcome.reason == NotRunReason::UpstreamUnavailable);
+    if (step.kind == TransactionRunner::Step::Kind::Confirm)
+        this->confirmWrite(work, step);
+    else if (isLost && this->tryAgain(work, wasSilent))
+        this->environment.metrics.onRetry();
+    else if (work->hop.request.isRead())
+        this->finishRead(work, step);
+    else
+        this->finish(work, step.outcome, work->runner->isInDoubt(), std::nullopt);
+    this->pump();
+}
+
+void UpstreamGate::releaseConnection(const std::shared_ptr<Work>& work, bool wasSilent)
+{
+    TimePoint now = this->environment.clock.now();
+    if (work->runner->isTransactionOpen()) {
+        this->keepTransaction(work);
+        return;
+    }
+
+    this->transactions.erase(work->hop.request.transaction);
+    if (wasSilent)
+        this->pool.onSilence(work->connection);
+    bool isClean = work->runner->isConnectionClean();
+    if (!isClean) {
+        this->environment.metrics.onConnectionDiscarded();
+        logEvent(events::connectionDiscarded, "upstream=" + this->upstream.id.toString() + " silent=" + (wasSilent ? "yes" : "no"));
+    }
+    this->pool.release(work->connection, isClean ? ConnectionPool::Condition::Clean : ConnectionPool::Condition::Doubtful, now);
+}
+
+void UpstreamGate::confirmWrite(const std::shared_ptr<Work>& work, const TransactionRunner::Step& step)
+{
+    TimePoint now = this->environment.clock.now();
+    LogPoint point = step.point;
+    // The status was read after the commit, within its batch, so it may count as asked for now.
+    this->group.onStatus(this->upstream.id, *step.status, now);
+    this->group.confirm(point, now, work->deadline, [this, work, point, now, outcome = step.outcome](ConfirmationTracker::Verdict verdict) {
+        this->environment.metrics.onConfirmation(std::chrono::duration_cast<Duration>(this->environment.clock.now() - now));
+        switch (verdict) {
+        case ConfirmationTracker::Verdict::Confirmed:
+            this->finish(work, outcome, false, point);
+            break;
+        case ConfirmationTracker::Verdict::Lost:
+            this->finish(work, Outcome::unknown("the write was lost in a change of primary"), true, std::nullopt);
+            break;
+        case ConfirmationTracker::Verdict::Expired:
+            this->finish(work, Outcome::unknown("the write was not confirmed in time"), true, std::nullopt);
+            break;
+        }
+    });
+    this->group.resolve(now);
+    if (this->group.hasWaitingWrites())
+        this->environment.requestFastProbes(this->database.id);
+}
+
+bool UpstreamGate::tryAgain(const std::shared_ptr<Work>& work, bool wasSilent)
+{
+    const Request& request = work->hop.request;
+    bool isRepeatable = request.isRead() || (request.key && request.action == TransactionAction::None);
+    bool hasTime = this->environment.clock.now() + this->meanStatement < work->deadline;
+    if (!wasSilent || !isRepeatable || !hasTime || work->numTries > 1)
+        return false;
+
+    this->repeats.push_back(work);
+    return true;
+}
+
+void UpstreamGate::finish(const std::shared_ptr<Work>& work, Outcome outcome, bool isInDoubt, std::optional<LogPoint> point)
+{
+    HopAnswer answer;
+    answer.hop = work->hop.hop;
+    answer.outcome = std::move(outcome);
+    answer.isInDoubt = isInDoubt || (work->numTries > 1 && answer.outcome.kind == OutcomeKind::NotRun);
+    answer.point = point;
+    answer.hint = this->group.getPrimary();
+    if (work->runner && work->runner->isTransactionOpen())
+        answer.transaction = work->hop.request.transaction;
+
+    std::map<TransactionId, OpenTransaction>::iterator open = this->transactions.find(work->hop.request.transaction);
+    bool wasRefused = answer.outcome.kind == OutcomeKind::NotRun && answer.outcome.reason == NotRunReason::InvalidRequest;
+    if (open != this->transactions.end() && !wasRefused)
+        open->second.isBusy = false;
+    AnswerHandler handler = std::exchange(work->handler, nullptr);
+    handler(std::move(answer));
+}
+
+void UpstreamGate::finishRead(const std::shared_ptr<Work>& work, const TransactionRunner::Step& step)
+{
+    const Request& request = work->hop.request;
+    Outcome outcome = step.outcome;
+    if (request.maximumAge && outcome.kind == OutcomeKind::Completed) {
+        std::optional<Duration> age = this->group.getAge(*step.status, this->environment.clock.now());
+        if (!age || *age > *request.maximumAge)
+            outcome = Outcome::notRun(NotRunReason::AgeNotProved, "the age of the data cannot be proved to be within max_staleness_ms");
+    }
+
+    std::optional<LogPoint> point;
+    if (outcome.kind == OutcomeKind::Completed && this->group.isDurable(step.status->head))
+        point = step.status->head;
+    this->finish(work, outcome, work->runner->isInDoubt(), point);
+}
+
+TransactionPlan UpstreamGate::makePlan(const Work& work) const
+{
+    const Request& request = work.hop.request;
+    TransactionPlan plan;
+    plan.statements = request.statements;
+    plan.statusSql = this->profile.statusSql;
+    plan.key = request.key;
+    switch (request.action) {
+    case TransactionAction::None:
+        plan.kind = request.isRead() ? TransactionPlan::Kind::Read : TransactionPlan::Kind::Write;
+        break;
+    case TransactionAction::Begin:
+        plan.kind = TransactionPlan::Kind::Begin;
+        break;
+    case TransactionAction::Continue:
+        plan.kind = TransactionPlan::Kind::Continue;
+        break;
+    case TransactionAction::Commit:
+        plan.kind = TransactionPlan::Kind::Commit;
+        break;
+    case TransactionAction::Rollback:
+        plan.kind = TransactionPlan::Kind::Rollback;
+        break;
+    }
+    if (plan.kind == TransactionPlan::Kind::Read)
+        plan.mustCover = request.session.find(request.database);
+    return plan;
+}
+
+Duration UpstreamGate::getStepTimeout(const Work& work) const
+{
+    const Request& request = work.hop.request;
+    Duration remaining = std::max(std::chrono::duration_cast<Duration>(work.deadline - this->environment.clock.now()), Duration(std::chrono::milliseconds(1)));
+    bool isRepeatable = request.isRead() || (request.key && request.action == TransactionAction::None);
+    if (!isRepeatable || work.numTries > 1)
+        return remaining;
+    return std::min(remaining, std::max(shortestSilence, this->meanStatement * silenceFactor));
+}
+
+void UpstreamGate::maintainPool()
+{
+    TimePoint now = this->environment.clock.now();
+    std::size_t numQueued = this->queued.size() + this->repeats.size();
+    int numUseful = std::max(0, this->limit.getLimit() - this->numRunning);
+    this->pool.setDemand(std::min(static_cast<int>(numQueued), numUseful));
+    for (ConnectionPool::Handle handle : this->pool.takeClosings(now))
+        this->discard(handle);
+    for (ConnectionPool::Handle handle : this->pool.takeOpenings(now))
+        this->openConnection(handle);
+}
+
+void UpstreamGate::openConnection(ConnectionPool::Handle handle)
+{
+    this->connections[handle] = this->environment.connector.create(this->upstream);
+    this->connections[handle]->open(openTimeout, [this, handle](bool isOpen) {
+        TimePoint now = this->environment.clock.now();
+        if (isOpen) {
+            this->pool.onOpened(handle, now);
+        } else {
+            this->pool.onLost(handle, now);
+            this->discard(handle);
+        }
+        this->pump();
+    });
+}
+
+void UpstreamGate::discard(ConnectionPool::Handle handle)
+{
+    std::map<ConnectionPool::Handle, std::unique_ptr<SqlConnection>>::iterator found = this->connections.find(handle);
+    if (found == this->connections.end())
+        return;
+
+    // The connection may be running its own handler, so it is destroyed after that returns.
+    std::shared_ptr<SqlConnection> closing = std::move(found->second);
+    this->connections.erase(found);
+    this->environment.loop.post([closing] { closing->close(); });
+}
+
+void UpstreamGate::probeIdleConnection()
+{
+    std::optional<ConnectionPool::Handle> handle = this->pool.takeProbe(this->environment.clock.now());
+    if (!handle)
+        return;
+
+    this->connections[*handle]->execute(this->profile.statusSql, probeTimeout, [this, probed = *handle](const SqlReply& reply) {
+        bool isAlive = reply.status == SqlReply::Status::Completed;
+        if (!isAlive && reply.isSilent)
+            this->pool.onSilence(probed);
+        this->pool.release(probed, isAlive ? ConnectionPool::Condition::Clean : ConnectionPool::Condition::Doubtful, this->environment.clock.now());
+        this->pump();
+    });
+}
+
+void UpstreamGate::expireTransactions()
+{
+    TimePoint now = this->environment.clock.now();
+    for (std::map<TransactionId, OpenTransaction>::iterator entry = this->transactions.begin(); entry != this->transactions.end();) {
+        bool isOver = !entry->second.isBusy && now - entry->second.lastUsed >= this->transactionIdle;
+        if (!isOver) {
+            ++entry;
+            continue;
+        }
+        this->pool.release(entry->second.connection, ConnectionPool::Condition::Doubtful, now);
+        entry = this->transactions.erase(entry);
+    }
+}
+
+void UpstreamGate::keepTransaction(const std::shared_ptr<Work>& work)
+{
+    TransactionId& id = work->hop.request.transaction;
+    if (id.isEmpty())
+        id = TransactionId(this->environment.self.toString() + "~" + this->upstream.id.toString() + "~" + std::to_string(this->nextTransaction++));
+    this->transactions[id] = { work->connection, this->environment.clock.now(), false };
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/server/UpstreamGate.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "GroupState.h"
+#include "lentiljunction/admission/ConcurrencyLimit.h"
+#include "lentiljunction/admission/RankQueue.h"
+#include "lentiljunction/core/EventLoop.h"
+#include "lentiljunction/execution/SqlConnection.h"
+#include "lentiljunction/execution/TransactionRunner.h"
+#include "lentiljunction/metrics/Metrics.h"
+#include "lentiljunction/peer/PeerMessage.h"
+#include "lentiljunction/pool/ConnectionPool.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace lentiljunction {
+
+/// Opens connections to one upstream. Tests put a fake in its place.
+class SqlConnector {
+public:
+    virtual ~SqlConnector() = default;
+
+    /// @returns a connection that is not open yet
+    virtual std::unique_ptr<SqlConnection> create(const UpstreamConfig& upstream) = 0;
+};
+
+/// The queue, the connections and the running statements of one upstream at its gate.
+///
+/// Belongs to the traffic thread.
+class UpstreamGate {
+public:
+    using AnswerHandler = std::function<void(HopAnswer answer)>;
+
+    /// What the gate needs from its surroundings; all must outlive it.
+    struct Environment {
+        EventLoop& loop;
+        const Clock& clock;
+        Metrics& metrics;
+        SqlConnector& connector;
+        InstanceId self;
+        /// Asks for probes in quick succession.
+        std::function<void(const DatabaseId&)> requestFastProbes;
+    };
+
+    /// @param environment the surroundings
+    /// @param bundle the configuration in force
+    /// @param database the group
+    /// @param upstream the upstream
+    /// @param group the group's state; must outlive the gate
+    UpstreamGate(Environment environment, const Bundle& bundle, const DatabaseConfig& database, const UpstreamConfig& upstream, GroupState& group);
+
+    /// Takes a newer bundle.
+    void setBundle(const Bundle& bundle, const DatabaseConfig& database);
+
+    /// Runs a request, now or when its turn comes.
+    ///
+    /// @param hop the request
+    /// @param handler called once
+    void execute(HopRequest hop, AnswerHandler handler);
+
+    /// Notes that the upstream leaves, or stays: a leaving one gets no new work.
+    void setLeaving(bool leaving) { this->isLeaving = leaving; }
+
+    /// Takes news from the group's state: releases reads that waited for the replica.
+    void onGroupChanged();
+
+    /// Lets time pass; call it every few milliseconds.
+    void onTick();
+
+    /// @returns whether nothing waits, runs or is open in a transaction
+    bool isIdle() const;
+
+private:
+    /// A request from its arrival to its answer.
+    struct Work {
+        HopRequest hop;
+        AnswerHandler handler;
+        std::optional<TransactionRunner> runner;
+        ConnectionPool::Handle connection = 0;
+        TimePoint arrivedAt;
+        TimePoint deadline;
+        TimePoint stepSentAt;
+        TimePoint startedAt;
+        int numTries = 0;
+        int numRunningAtStart = 0;
+    };
+
+    /// A read that waits until the replica holds an entry.
+    struct WaitingRead {
+        std::shared_ptr<Work> work;
+        LogPoint point;
+        TimePoint giveUpAt;
+    };
+
+    struct OpenTransaction {
+        ConnectionPool::Handle connection = 0;
+        TimePoint lastUsed;
+        bool isBusy = false;
+    };
+
+    std::optional<Outcome> checkBeforeQueue(const Work& work);
+    bool waitForReplica(const std::shared_ptr<Work>& work);
+    void enqueue(const std::shared_ptr<Work>& work);
+    void pump();
+    bool startNext();
+    void start(const std::shared_ptr<Work>& work, ConnectionPool::Handle connection);
+    void continueTransaction(const std::shared_ptr<Work>& work);
+    void sendStep(const std::shared_ptr<Work>& work, const TransactionRunner::Step& step);
+    void onReply(const std::shared_ptr<Work>& work, const SqlReply& reply);
+    void handleStep(const std::shared_ptr<Work>& work, const TransactionRunner::Step& step, bool wasSilent);
+    void releaseConnection(const std::shared_ptr<Work>& work, bool wasSilent);
+    void confirmWrite(const std::shared_ptr<Work>& work, const TransactionRunner::Step& step);
+    bool tryAgain(const std::shared_ptr<Work>& work, bool wasSilent);
+    void finish(const std::shared_ptr<Work>& work, Outcome outcome, bool isInDoubt, std::optional<LogPoint> point);
+    void finishRead(const std::shared_ptr<Work>& work, const TransactionRunner::Step& step);
+    TransactionPlan makePlan(const Work& work) const;
+    Duration getStepTimeout(const Work& work) const;
+    void maintainPool();
+    void openConnection(ConnectionPool::Handle handle);
+    void discard(ConnectionPool::Handle handle);
+    void probeIdleConnection();
+    void expireTransactions();
+    void keepTransaction(const std::shared_ptr<Work>& work);
+
+    Environment environment;
+    DatabaseConfig database;
+    UpstreamConfig upstream;
+    ProfileConfig profile;
+    std::chrono::milliseconds transactionIdle { 0 };
+    GroupState& group;
+    RankQueue queue;
+    ConcurrencyLimit limit;
+    ConnectionPool pool;
+    std::map<ConnectionPool::Handle, std::unique_ptr<SqlConnection>> connections;
+    std::map<RankQueue::Ticket, std::shared_ptr<Work>> queued;
+    std::deque<std::shared_ptr<Work>> repeats;
+    std::vector<WaitingRead> waitingReads;
+    std::map<TransactionId, OpenTransaction> transactions;
+    RankQueue::Ticket nextTicket = 1;
+    std::uint64_t nextTransaction = 1;
+    int numRunning = 0;
+    bool isLeaving = false;
+    Duration meanCatchUp;
+    Duration meanStatement;
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/session/TermHistory.cpp
@@ -0,0 +1,90 @@
+#include "lentiljunction/session/TermHistory.h"
+
+#include <cassert>
+#include <cstdlib>
+#include <sstream>
+
+namespace lentiljunction {
+
+namespace {
+
+std::optional<std::uint64_t> parseNumber(const std::string& text)
+{
+    constexpr std::size_t maximumDigits = 18;
+    if (text.empty() || text.size() > maximumDigits || text.find_first_not_of("0123456789") != std::string::npos)
+        return std::nullopt;
+    return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+} // namespace
+
+std::optional<TermHistory> TermHistory::parse(const std::string& text)
+{
+    TermHistory history;
+    std::istringstream stream(text);
+    std::string item;
+    while (std::getline(stream, item, ',')) {
+        std::size_t colon = item.find(':');
+        if (colon == std::string::npos)
+            return std::nullopt;
+
+        std::optional<std::uint64_t> term = parseNumber(item.substr(0, colon));
+        std::optional<std::uint64_t> position = parseNumber(item.substr(colon + 1));
+        if (!term || !position)
+            return std::nullopt;
+
+        Start start { Term(*term), Position(*position) };
+        bool isAscending = history.starts.empty()
+            || (history.starts.back().term < start.term && history.starts.back().position < start.position);
+        if (!isAscending)
+            return std::nullopt;
+        history.starts.push_back(start);
+    }
+    return history;
+}
+
+std::string TermHistory::toString() const
+{
+    std::string text;
+    for (const Start& start : this->starts) {
+        if (!text.empty())
+            text += ",";
+        text += std::to_string(start.term.value()) + ":" + std::to_string(start.position.value());
+    }
+    return text;
+}
+
+Coverage TermHistory::getCoverage(LogPoint point, Position head) const
+{
+    for (std::size_t index = 0; index < this->starts.size(); index++) {
+        if (this->starts[index].term != point.term)
+            continue;
+
+        bool isLast = index + 1 == this->starts.size();
+        if (point.position < this->starts[index].position)
+            return Coverage::PastFork;
+        if (!isLast)
+            return point.position < this->starts[index + 1].position ? Coverage::Covered : Coverage::PastFork;
+        return point.position <= head ? Coverage::Covered : Coverage::Behind;
+    }
+
+    bool hasLaterTerm = !this->starts.empty() && this->starts.back().term > point.term;
+    return hasLaterTerm ? Coverage::PastFork : Coverage::Behind;
+}
+
+std::optional<Position> TermHistory::findStart(Term term) const
+{
+    for (const Start& start : this->starts) {
+        if (start.term == term)
+            return start.position;
+    }
+    return std::nullopt;
+}
+
+void TermHistory::append(Start start)
+{
+    assert(this->starts.empty() || this->starts.back().term < start.term);
+    this->starts.push_back(start);
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/standins/database/PostgresServer.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "FaultSwitch.h"
+#include "SqlEngine.h"
+
+#include <atomic>
+#include <string>
+
+namespace lentiljunction::standins {
+
+/// The server side of the PostgreSQL protocol, simple query only, one thread per connection.
+class PostgresServer {
+public:
+    /// What the server is made of.
+    struct Settings {
+        std::string address;
+        int port = 0;
+        int maximumConnections = 16;
+        std::chrono::milliseconds openTime { 0 };
+    };
+
+    /// @param settings address and limits
+    /// @param engine executes statements; must outlive the server
+    /// @param faults what goes wrong; must outlive the server
+    PostgresServer(Settings settings, SqlEngine& engine, FaultSwitch& faults);
+
+    /// Serves until the process ends.
+    ///
+    /// @returns false when the port cannot be opened
+    bool run();
+
+private:
+    void serve(int descriptor);
+
+    Settings settings;
+    SqlEngine& engine;
+    FaultSwitch& faults;
+    std::atomic<int> numConnections { 0 };
+};
+
+} // namespace lentiljunction::standins
--- /dev/null
+++ b/standins/store/ObjectStore.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lentiljunction::standins {
+
+/// Objects with versions in memory, with conditional updates and watches.
+///
+/// Safe to call from any thread.
+class ObjectStore {
+public:
+    /// One object.
+    struct Object {
+        std::string key;
+        std::uint64_t version = 0;
+        std::uint64_t revision = 0;
+        std::string value;
+    };
+
+    /// What a conditional update did.
+    struct PutResult {
+        bool isWritten = false;
+        /// The version that the object has now; zero when it does not exist.
+        std::uint64_t version = 0;
+    };
+
+    /// The changes after a revision.
+    struct Changes {
+        std::uint64_t revision = 0;
+        std::vector<Object> objects;
+    };
+
+    /// @returns the object, or nothing
+    std::optional<Object> get(const std::string& key);
+
+    /// Writes the object if it has the expected version; zero means that it must not exist.
+    PutResult put(const std::string& key, std::uint64_t expected, const std::string& value);
+
+    /// @returns the keys that begin with the prefix, ascending
+    std::vector<std::string> list(const std::string& prefix);
+
+    /// Waits for changes of objects whose keys begin with the prefix.
+    Changes watch(const std::string& prefix, std::uint64_t afterRevision, std::chrono::milliseconds limit);
+
+private:
+    Changes collect(const std::string& prefix, std::uint64_t afterRevision) const;
+
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<std::string, Object> objects;
+    std::uint64_t revision = 0;
+};
+
+} // namespace lentiljunction::standins
--- /dev/null
+++ b/tools/lab/Demo.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+namespace lentiljunction::lab {
+
+/// Books a return through one instance, reads it back through another, is refused clearly, and
+/// watches a bundle come into force. Prints every answer.
+///
+/// @param binaries the folder with the programs
+/// @param folder receives settings and logs
+/// @returns whether everything went as it should
+bool runDemo(const std::string& binaries, const std::string& folder);
+
+} // namespace lentiljunction::lab
