Stand-in: hold no execution slot while waiting for the data's lock

A transaction that held the lock waited for a slot, and both slots were held by statements that waited for the lock, until the lock's limit of 1 s. Ruled out: promotion (done 70 ms after the suspicion in the same log) and the connection pool (its discards came after the stall began). Conclusion: a fault of the stand-in, not of the proxy; no database holds a processor while it waits for a lock.

--- a/standins/database/SqlEngine.cpp
+++ b/standins/database/SqlEngine.cpp
@@ -10,69 +10,69 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds lockWait { 1000 };
-const std::regex controlPattern("\\s*SELECT \\* FROM lentiljunction_(status|fence|promote)\\(([0-9]*)\\)\\s*", std::regex::icase);
-const SqlError readOnlyError { "25006", "cannot execute a write in a read-only transaction" };
-
-StatementResult makeError(const SqlError& error)
-{
-    StatementResult result;
-    result.error = error;
-    return result;
-}
+    constexpr std::chrono::milliseconds lockWait { 1000 };
+    const std::regex controlPattern("\\s*SELECT \\* FROM lentiljunction_(status|fence|promote)\\(([0-9]*)\\)\\s*", std::regex::icase);
+    const SqlError readOnlyError { "25006", "cannot execute a write in a read-only transaction" };
+
+    StatementResult makeError(const SqlError& error)
+    {
+        StatementResult result;
+        result.error = error;
+        return result;
+    }
 
-StatementResult makeTag(const std::string& tag)
-{
-    StatementResult result;
-    result.tag = tag;
-    return result;
-}
+    StatementResult makeTag(const std::string& tag)
+    {
+        StatementResult result;
+        result.tag = tag;
+        return result;
+    }
 
-StatementResult makeStatusRow(const UpstreamStatus& status)
-{
-    StatementResult result;
-    result.rows.columns = { "role", "fenced_term", "head_term", "head_position", "term_history", "state" };
-    result.rows.rows.push_back({ status.isPrimary ? "primary" : "replica", std::to_string(status.fencedTerm.value()), std::to_string(status.head.term.value()),
-        std::to_string(status.head.position.value()), status.history.toString(), status.isLeaving ? "leaving" : "live" });
-    result.tag = "SELECT 1";
-    return result;
-}
+    StatementResult makeStatusRow(const UpstreamStatus& status)
+    {
+        StatementResult result;
+        result.rows.columns = { "role", "fenced_term", "head_term", "head_position", "term_history", "state" };
+        result.rows.rows.push_back({ status.isPrimary ? "primary" : "replica", std::to_string(status.fencedTerm.value()), std::to_string(status.head.term.value()),
+            std::to_string(status.head.position.value()), status.history.toString(), status.isLeaving ? "leaving" : "live" });
+        result.tag = "SELECT 1";
+        return result;
+    }
 
-/// The nearest SQLSTATE for an error of SQLite.
-std::string toSqlState(int code, const std::string& message)
-{
-    if (code == SQLITE_CONSTRAINT)
-        return message.find("UNIQUE") != std::string::npos ? "23505" : "23000";
-    if (message.find("no such table") != std::string::npos)
-        return "42P01";
-    return code == SQLITE_ERROR ? "42601" : "XX000";
-}
+    /// The nearest SQLSTATE for an error of SQLite.
+    std::string toSqlState(int code, const std::string& message)
+    {
+        if (code == SQLITE_CONSTRAINT)
+            return message.find("UNIQUE") != std::string::npos ? "23505" : "23000";
+        if (message.find("no such table") != std::string::npos)
+            return "42P01";
+        return code == SQLITE_ERROR ? "42601" : "XX000";
+    }
 
-ResultSet readRows(sqlite3_stmt* statement, int& code)
-{
-    ResultSet rows;
-    for (int column = 0; column < sqlite3_column_count(statement); column++)
-        rows.columns.emplace_back(sqlite3_column_name(statement, column));
-    for (code = sqlite3_step(statement); code == SQLITE_ROW; code = sqlite3_step(statement)) {
-        std::vector<std::optional<std::string>> cells;
-        for (int column = 0; column < sqlite3_column_count(statement); column++) {
-            const unsigned char* text = sqlite3_column_text(statement, column);
-            cells.push_back(text == nullptr ? std::optional<std::string>() : std::string(reinterpret_cast<const char*>(text)));
+    ResultSet readRows(sqlite3_stmt* statement, int& code)
+    {
+        ResultSet rows;
+        for (int column = 0; column < sqlite3_column_count(statement); column++)
+            rows.columns.emplace_back(sqlite3_column_name(statement, column));
+        for (code = sqlite3_step(statement); code == SQLITE_ROW; code = sqlite3_step(statement)) {
+            std::vector<std::optional<std::string>> cells;
+            for (int column = 0; column < sqlite3_column_count(statement); column++) {
+                const unsigned char* text = sqlite3_column_text(statement, column);
+                cells.push_back(text == nullptr ? std::optional<std::string>() : std::string(reinterpret_cast<const char*>(text)));
+            }
+            rows.rows.push_back(std::move(cells));
         }
-        rows.rows.push_back(std::move(cells));
+        return rows;
     }
-    return rows;
-}
 
-std::string getKeyword(const std::string& sql)
-{
-    std::size_t begin = sql.find_first_not_of(" \t\r\n");
-    std::size_t end = begin == std::string::npos ? begin : sql.find_first_of(" \t\r\n(", begin);
-    std::string word = begin == std::string::npos ? "" : sql.substr(begin, end == std::string::npos ? end : end - begin);
-    for (char& character : word)
-        character = static_cast<char>(std::toupper(static_cast<unsigned char>(character)));
-    return word;
-}
+    std::string getKeyword(const std::string& sql)
+    {
+        std::size_t begin = sql.find_first_not_of(" \t\r\n");
+        std::size_t end = begin == std::string::npos ? begin : sql.find_first_of(" \t\r\n(", begin);
+        std::string word = begin == std::string::npos ? "" : sql.substr(begin, end == std::string::npos ? end : end - begin);
+        for (char& character : word)
+            character = static_cast<char>(std::toupper(static_cast<unsigned char>(character)));
+        return word;
+    }
 
 } // namespace
 
@@ -221,14 +221,14 @@
 
 StatementResult SqlEngine::executeData(SessionState& session, const std::string& sql)
 {
+    // A statement that waits for the lock holds no slot, as it would hold no processor.
     this->takeSlot();
     std::this_thread::sleep_for(this->serviceTime);
+    this->giveSlot();
     this->numExecuted++;
     bool isLockTaken = session.holdsLock || this->lockData(session);
-    if (!isLockTaken) {
-        this->giveSlot();
+    if (!isLockTaken)
         return makeError({ "55P03", "the lock was not free in time" });
-    }
 
     bool isWrite = false;
     StatementResult result = this->run(sql, isWrite);
@@ -239,7 +239,6 @@
         if (end.error)
             result = end;
     }
-    this->giveSlot();
     return result;
 }
 
