Let one gate at a time replace a primary

Cause: logs of one crash show two or three promotions started within 60 ms, each fencing the other's term: every candidate of an upstream watched and promoted, and a gate that backed off did not notice that another had begun. Change: only gates promote; a second candidate watches only groups it was asked to serve; a gate that sees a fence above the primary's term waits 400 ms.

--- a/include/lentiljunction/failover/GroupMonitor.h
+++ b/include/lentiljunction/failover/GroupMonitor.h
@@ -98,6 +98,7 @@
     bool isStuckFenced(TimePoint now);
     bool hasMajority() const;
     std::size_t getOrder() const;
+    void deferToOthers(TimePoint now);
     void startBackOff(TimePoint now);
     bool isOpinionDecided(TimePoint now) const;
 
@@ -111,6 +112,7 @@
     std::size_t numOpinions = 0;
     std::size_t numAgreeing = 0;
     std::optional<TimePoint> stuckSince;
+    Term highestSeen;
 };
 
 } // namespace lentiljunction
--- a/src/failover/GroupMonitor.cpp
+++ b/src/failover/GroupMonitor.cpp
@@ -7,17 +7,19 @@
 
 namespace {
 
-/// Probes in a row that must fail before other gates are asked.
-constexpr int failuresBeforeAsking = 2;
-/// A gate that does not answer within this time counts as unreachable.
-constexpr Duration opinionTimeout = std::chrono::milliseconds(100);
-/// The delay before the second and later gates try.
-constexpr Duration backOffStep = std::chrono::milliseconds(150);
-constexpr Duration backOffJitter = std::chrono::milliseconds(50);
-/// The least time between two promotions started here.
-constexpr Duration retryDelay = std::chrono::milliseconds(200);
-/// How long a mere mismatch of terms may last before it is healed by a promotion.
-constexpr Duration stuckLimit = std::chrono::milliseconds(500);
+    /// Probes in a row that must fail before other gates are asked.
+    constexpr int failuresBeforeAsking = 2;
+    /// A gate that does not answer within this time counts as unreachable.
+    constexpr Duration opinionTimeout = std::chrono::milliseconds(100);
+    /// The delay before the second and later gates try.
+    constexpr Duration backOffStep = std::chrono::milliseconds(150);
+    constexpr Duration backOffJitter = std::chrono::milliseconds(50);
+    /// The least time between two promotions started here.
+    constexpr Duration retryDelay = std::chrono::milliseconds(200);
+    /// After another gate was seen fencing, its promotion gets this long before this gate tries.
+    constexpr Duration deference = std::chrono::milliseconds(400);
+    /// How long a mere mismatch of terms may last before it is healed by a promotion.
+    constexpr Duration stuckLimit = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -73,6 +75,7 @@
     if (this->phase == Phase::Promoting)
         return Action::None;
 
+    this->deferToOthers(now);
     if (!this->needsPromotion(now) || !this->hasMajority()) {
         if (this->phase != Phase::Watching)
             this->phaseEnds = now;
@@ -220,6 +223,17 @@
     return order;
 }
 
+void GroupMonitor::deferToOthers(TimePoint now)
+{
+    Term highest = this->getHighestTerm();
+    bool isOtherActing = highest > this->highestSeen && highest > this->getPrimaryTerm() && this->highestSeen != Term();
+    this->highestSeen = highest;
+    if (!isOtherActing)
+        return;
+    this->phase = Phase::Watching;
+    this->phaseEnds = now + deference;
+}
+
 void GroupMonitor::startBackOff(TimePoint now)
 {
     Duration jitter(static_cast<Duration::rep>(this->random.below(backOffJitter.count())));
--- a/src/failover/Promotion.cpp
+++ b/src/failover/Promotion.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-/// An attempt that takes longer gives up, and another starts with a new term.
-constexpr Duration attemptLimit = std::chrono::milliseconds(1500);
-/// After a majority answered, the others get this long to show a greater log head.
-constexpr Duration straggleLimit = std::chrono::milliseconds(20);
+    /// An attempt that takes longer gives up, and another starts with a new term.
+    constexpr Duration attemptLimit = std::chrono::milliseconds(1500);
+    /// After a majority answered, the others get this long to show a greater log head.
+    constexpr Duration straggleLimit = std::chrono::milliseconds(20);
 
 } // namespace
 
--- a/src/failover/TermReserve.cpp
+++ b/src/failover/TermReserve.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr std::uint64_t termsPerBlock = 8;
-constexpr std::size_t maximumGrants = 16;
-constexpr std::int64_t maximumTerm = 1'000'000'000'000'000;
+    constexpr std::uint64_t termsPerBlock = 8;
+    constexpr std::size_t maximumGrants = 16;
+    constexpr std::int64_t maximumTerm = 1'000'000'000'000'000;
 
 } // namespace
 
--- a/src/server/ControlPlane.cpp
+++ b/src/server/ControlPlane.cpp
@@ -9,107 +9,107 @@
 
 namespace {
 
-constexpr Duration tickInterval = std::chrono::milliseconds(10);
-constexpr Duration bundleRequestInterval = std::chrono::milliseconds(300);
-/// Without an answer of the store, a new instance trusts its peers' bundle after this time.
-constexpr Duration storeWait = std::chrono::milliseconds(1500);
-constexpr std::size_t spreadFanout = 3;
-constexpr std::size_t maximumQuestions = 1000;
-constexpr const char* watchDuty = "store-watch";
-
-Member makeSelf(const Settings& settings, const Clock& clock)
-{
-    Incarnation incarnation(static_cast<std::uint64_t>(toUnixMilliseconds(clock.wallNow())));
-    return { settings.instance, settings.zone, settings.advertised, MemberState::Alive, incarnation };
-}
+    constexpr Duration tickInterval = std::chrono::milliseconds(10);
+    constexpr Duration bundleRequestInterval = std::chrono::milliseconds(300);
+    /// Without an answer of the store, a new instance trusts its peers' bundle after this time.
+    constexpr Duration storeWait = std::chrono::milliseconds(1500);
+    constexpr std::size_t spreadFanout = 3;
+    constexpr std::size_t maximumQuestions = 1000;
+    constexpr const char* watchDuty = "store-watch";
+
+    Member makeSelf(const Settings& settings, const Clock& clock)
+    {
+        Incarnation incarnation(static_cast<std::uint64_t>(toUnixMilliseconds(clock.wallNow())));
+        return { settings.instance, settings.zone, settings.advertised, MemberState::Alive, incarnation };
+    }
 
-std::uint64_t makeSeed(const Settings& settings, const Clock& clock)
-{
-    return std::hash<InstanceId>()(settings.instance) ^ static_cast<std::uint64_t>(clock.now().time_since_epoch().count());
-}
+    std::uint64_t makeSeed(const Settings& settings, const Clock& clock)
+    {
+        return std::hash<InstanceId>()(settings.instance) ^ static_cast<std::uint64_t>(clock.now().time_since_epoch().count());
+    }
 
-std::set<UpstreamId> parseUpstreamIds(const std::string& text)
-{
-    std::set<UpstreamId> ids;
-    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
-    if (!document.is_array())
+    std::set<UpstreamId> parseUpstreamIds(const std::string& text)
+    {
+        std::set<UpstreamId> ids;
+        nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+        if (!document.is_array())
+            return ids;
+        for (const nlohmann::json& element : document) {
+            if (element.is_string())
+                ids.insert(UpstreamId(element.get<std::string>()));
+        }
         return ids;
-    for (const nlohmann::json& element : document) {
-        if (element.is_string())
-            ids.insert(UpstreamId(element.get<std::string>()));
     }
-    return ids;
-}
 
-std::vector<SeedPeer> parseInstances(const std::string& text)
-{
-    std::vector<SeedPeer> peers;
-    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
-    if (!document.is_array())
+    std::vector<SeedPeer> parseInstances(const std::string& text)
+    {
+        std::vector<SeedPeer> peers;
+        nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+        if (!document.is_array())
+            return peers;
+        for (const nlohmann::json& element : document) {
+            if (!element.is_object() || element.value("state", "live") != "live")
+                continue;
+            Endpoint endpoint { element.value("address", ""), element.value("peer_port", std::uint16_t(0)) };
+            peers.push_back({ InstanceId(element.value("id", "")), ZoneId(element.value("zone", "")), endpoint });
+        }
         return peers;
-    for (const nlohmann::json& element : document) {
-        if (!element.is_object() || element.value("state", "live") != "live")
-            continue;
-        Endpoint endpoint { element.value("address", ""), element.value("peer_port", std::uint16_t(0)) };
-        peers.push_back({ InstanceId(element.value("id", "")), ZoneId(element.value("zone", "")), endpoint });
     }
-    return peers;
-}
 
-std::optional<BundleVersion> parseVersion(const std::string& text)
-{
-    constexpr std::size_t maximumDigits = 15;
-    if (text.empty() || text.size() > maximumDigits || text.find_first_not_of("0123456789") != std::string::npos)
-        return std::nullopt;
-    return BundleVersion(std::strtoull(text.c_str(), nullptr, 10));
-}
-
-/// Reads a signed bundle from the store; without a version, the one in force.
-std::optional<SignedBundle> readBundle(PlatformStore& store, std::optional<BundleVersion> version, Failure& failure)
-{
-    if (!version) {
-        std::optional<StoreObject> pointer = store.get(storekeys::currentBundle, failure);
-        version = pointer ? parseVersion(pointer->value) : std::nullopt;
+    std::optional<BundleVersion> parseVersion(const std::string& text)
+    {
+        constexpr std::size_t maximumDigits = 15;
+        if (text.empty() || text.size() > maximumDigits || text.find_first_not_of("0123456789") != std::string::npos)
+            return std::nullopt;
+        return BundleVersion(std::strtoull(text.c_str(), nullptr, 10));
     }
-    if (!version)
-        return std::nullopt;
 
-    std::optional<StoreObject> object = store.get(storekeys::signedBundle(*version), failure);
-    if (!object)
-        return std::nullopt;
-    return parseSignedBundle(nlohmann::json::parse(object->value, nullptr, false), failure);
-}
+    /// Reads a signed bundle from the store; without a version, the one in force.
+    std::optional<SignedBundle> readBundle(PlatformStore& store, std::optional<BundleVersion> version, Failure& failure)
+    {
+        if (!version) {
+            std::optional<StoreObject> pointer = store.get(storekeys::currentBundle, failure);
+            version = pointer ? parseVersion(pointer->value) : std::nullopt;
+        }
+        if (!version)
+            return std::nullopt;
 
-/// Takes a block of terms by conditional update. A lost answer is resolved by the nonce.
-std::optional<TermRecord::Grant> reserveTerms(PlatformStore& store, const DatabaseId& database, Term above, const std::string& nonce)
-{
-    constexpr int maximumTries = 5;
-    for (int count = 0; count < maximumTries; count++) {
-        Failure failure;
-        std::optional<StoreObject> object = store.get(storekeys::terms(database), failure);
-        if (!object && failure.kind != Failure::Kind::NotFound)
+        std::optional<StoreObject> object = store.get(storekeys::signedBundle(*version), failure);
+        if (!object)
             return std::nullopt;
+        return parseSignedBundle(nlohmann::json::parse(object->value, nullptr, false), failure);
+    }
+
+    /// Takes a block of terms by conditional update. A lost answer is resolved by the nonce.
+    std::optional<TermRecord::Grant> reserveTerms(PlatformStore& store, const DatabaseId& database, Term above, const std::string& nonce)
+    {
+        constexpr int maximumTries = 5;
+        for (int count = 0; count < maximumTries; count++) {
+            Failure failure;
+            std::optional<StoreObject> object = store.get(storekeys::terms(database), failure);
+            if (!object && failure.kind != Failure::Kind::NotFound)
+                return std::nullopt;
 
-        TermRecord record;
-        if (object) {
-            std::optional<TermRecord> parsed = parseTermRecord(nlohmann::json::parse(object->value, nullptr, false));
-            if (!parsed)
+            TermRecord record;
+            if (object) {
+                std::optional<TermRecord> parsed = parseTermRecord(nlohmann::json::parse(object->value, nullptr, false));
+                if (!parsed)
+                    return std::nullopt;
+                record = *parsed;
+            }
+            std::optional<TermRecord::Grant> earlier = record.find(nonce);
+            if (earlier)
+                return earlier;
+
+            TermRecord::Grant grant = record.grant(nonce, above);
+            StoreVersion expected = object ? object->version : StoreVersion();
+            if (store.put(storekeys::terms(database), expected, toJson(record).dump(), failure))
+                return grant;
+            if (failure.kind == Failure::Kind::Unavailable)
                 return std::nullopt;
-            record = *parsed;
         }
-        std::optional<TermRecord::Grant> earlier = record.find(nonce);
-        if (earlier)
-            return earlier;
-
-        TermRecord::Grant grant = record.grant(nonce, above);
-        StoreVersion expected = object ? object->version : StoreVersion();
-        if (store.put(storekeys::terms(database), expected, toJson(record).dump(), failure))
-            return grant;
-        if (failure.kind == Failure::Kind::Unavailable)
-            return std::nullopt;
+        return std::nullopt;
     }
-    return std::nullopt;
-}
 
 } // namespace
 
@@ -180,17 +180,17 @@
 void ControlPlane::setActive(const std::vector<DatabaseId>& databases)
 {
     for (const DatabaseId& database : databases) {
-        std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator watcher = this->watchers.find(database);
-        if (watcher != this->watchers.end())
-            watcher->second->setActive();
+        GroupWatcher* watcher = this->findOrMakeWatcher(database);
+        if (watcher != nullptr)
+            watcher->setActive();
     }
 }
 
 void ControlPlane::setFast(const DatabaseId& database)
 {
-    std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator watcher = this->watchers.find(database);
-    if (watcher != this->watchers.end())
-        watcher->second->setFast();
+    GroupWatcher* watcher = this->findOrMakeWatcher(database);
+    if (watcher != nullptr)
+        watcher->setFast();
 }
 
 nlohmann::json ControlPlane::describe() const
@@ -374,20 +374,51 @@
 void ControlPlane::refreshWatchers(const Bundle& bundle, const GateMap& newGates)
 {
     std::map<DatabaseId, std::unique_ptr<GroupWatcher>> kept;
-    for (const std::pair<const DatabaseId, DatabaseConfig>& entry : bundle.databases) {
-        const DatabaseConfig& database = entry.second;
-        std::vector<UpstreamConfig>::const_iterator own = std::find_if(database.upstreams.begin(), database.upstreams.end(), [&](const UpstreamConfig& upstream) { return newGates.isCandidate(this->settings.instance, upstream.id); });
-        if (own == database.upstreams.end())
-            continue;
+    for (const std::pair<const DatabaseId, DatabaseConfig>& entry : bundle.databases)
+        this->keepWatcher(bundle, newGates, entry.second, kept);
+    this->watchers = std::move(kept);
+}
 
-        std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator existing = this->watchers.find(entry.first);
-        bool isSame = existing != this->watchers.end() && existing->second->hasConfiguration(database, bundle.getProfile(database), own->id);
-        if (isSame)
-            kept[entry.first] = std::move(existing->second);
-        else
-            kept[entry.first] = std::make_unique<GroupWatcher>(this->environment.loop, this->environment.clock, this->environment.connector, static_cast<GroupWatcher::Listener&>(*this), database, bundle.getProfile(database), own->id);
+void ControlPlane::keepWatcher(const Bundle& bundle, const GateMap& newGates, const DatabaseConfig& database, std::map<DatabaseId, std::unique_ptr<GroupWatcher>>& kept)
+{
+    std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator existing = this->watchers.find(database.id);
+    const UpstreamConfig* own = nullptr;
+    bool isGate = false;
+    for (const UpstreamConfig& upstream : database.upstreams) {
+        bool isGateHere = newGates.isGate(this->settings.instance, upstream.id);
+        if (own == nullptr || (isGateHere && !isGate))
+            own = newGates.isCandidate(this->settings.instance, upstream.id) ? &upstream : own;
+        isGate = isGate || isGateHere;
     }
-    this->watchers = std::move(kept);
+
+    // A second candidate watches only groups that it was asked to serve a moment ago.
+    bool isInUse = existing != this->watchers.end() && existing->second->isActive();
+    if (own == nullptr || (!isGate && !isInUse))
+        return;
+
+    const ProfileConfig& profile = bundle.getProfile(database);
+    bool isSame = existing != this->watchers.end() && existing->second->hasConfiguration(database, profile, own->id);
+    if (isSame)
+        kept[database.id] = std::move(existing->second);
+    else
+        kept[database.id] = std::make_unique<GroupWatcher>(this->environment.loop, this->environment.clock, this->environment.connector, static_cast<GroupWatcher::Listener&>(*this), database, profile, own->id);
+    kept[database.id]->setPromoting(isGate);
+}
+
+GroupWatcher* ControlPlane::findOrMakeWatcher(const DatabaseId& database)
+{
+    std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator found = this->watchers.find(database);
+    if (found != this->watchers.end())
+        return found->second.get();
+
+    std::shared_ptr<const Bundle> bundle = this->keeper.getBundle();
+    const DatabaseConfig* config = bundle == nullptr ? nullptr : bundle->findDatabase(database);
+    if (config == nullptr)
+        return nullptr;
+
+    const UpstreamId& any = config->upstreams.front().id;
+    this->watchers[database] = std::make_unique<GroupWatcher>(this->environment.loop, this->environment.clock, this->environment.connector, static_cast<GroupWatcher::Listener&>(*this), *config, bundle->getProfile(*config), any);
+    return this->watchers[database].get();
 }
 
 void ControlPlane::recordGateMoves(const Bundle& bundle, const GateMap& newGates)
@@ -577,7 +608,9 @@
     logEvent(events::primaryChanged, "database=" + notice.database.toString() + " primary=" + known.upstream.toString() + " term=" + std::to_string(known.term.value()));
     this->listener.onNewPrimary(notice.database, known);
     this->forwardInZone(from, notice);
-    this->setFast(notice.database);
+    std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator watcher = this->watchers.find(notice.database);
+    if (watcher != this->watchers.end())
+        watcher->second->setFast();
 }
 
 void ControlPlane::setLeavingUpstreams(const std::set<UpstreamId>& newLeaving)
--- a/src/server/ControlPlane.h
+++ b/src/server/ControlPlane.h
@@ -83,6 +83,8 @@
     void sendAll(const std::vector<Membership::Outgoing>& messages);
     void refreshGates();
     void refreshWatchers(const Bundle& bundle, const GateMap& newGates);
+    void keepWatcher(const Bundle& bundle, const GateMap& newGates, const DatabaseConfig& database, std::map<DatabaseId, std::unique_ptr<GroupWatcher>>& kept);
+    GroupWatcher* findOrMakeWatcher(const DatabaseId& database);
     void recordGateMoves(const Bundle& bundle, const GateMap& newGates);
     void askForBundle();
     void fetchBundle(std::optional<BundleVersion> version);
--- a/src/server/GroupWatcher.cpp
+++ b/src/server/GroupWatcher.cpp
@@ -9,28 +9,28 @@
 
 namespace {
 
-constexpr Duration idleInterval = std::chrono::seconds(1);
-constexpr Duration activeInterval = std::chrono::milliseconds(100);
-constexpr Duration fastInterval = std::chrono::milliseconds(1);
-/// After a failed probe the next follows quickly.
-constexpr Duration suspectInterval = std::chrono::milliseconds(50);
-constexpr Duration probeTimeout = std::chrono::milliseconds(250);
-constexpr Duration commandTimeout = std::chrono::milliseconds(400);
-constexpr Duration commandRetryDelay = std::chrono::milliseconds(20);
-constexpr Duration activeTime = std::chrono::seconds(5);
-constexpr Duration fastTime = std::chrono::milliseconds(100);
-constexpr Duration termRetryDelay = std::chrono::seconds(1);
-/// Terms are asked for again when fewer are left.
-constexpr std::size_t leastTerms = 4;
-
-std::string fillTerm(std::string sql, Term term)
-{
-    const std::string placeholder = "{term}";
-    std::size_t at = sql.find(placeholder);
-    if (at != std::string::npos)
-        sql.replace(at, placeholder.size(), std::to_string(term.value()));
-    return sql;
-}
+    constexpr Duration idleInterval = std::chrono::seconds(1);
+    constexpr Duration activeInterval = std::chrono::milliseconds(100);
+    constexpr Duration fastInterval = std::chrono::milliseconds(1);
+    /// After a failed probe the next follows quickly.
+    constexpr Duration suspectInterval = std::chrono::milliseconds(50);
+    constexpr Duration probeTimeout = std::chrono::milliseconds(250);
+    constexpr Duration commandTimeout = std::chrono::milliseconds(400);
+    constexpr Duration commandRetryDelay = std::chrono::milliseconds(20);
+    constexpr Duration activeTime = std::chrono::seconds(5);
+    constexpr Duration fastTime = std::chrono::milliseconds(100);
+    constexpr Duration termRetryDelay = std::chrono::seconds(1);
+    /// Terms are asked for again when fewer are left.
+    constexpr std::size_t leastTerms = 4;
+
+    std::string fillTerm(std::string sql, Term term)
+    {
+        const std::string placeholder = "{term}";
+        std::size_t at = sql.find(placeholder);
+        if (at != std::string::npos)
+            sql.replace(at, placeholder.size(), std::to_string(term.value()));
+        return sql;
+    }
 
 } // namespace
 
@@ -56,6 +56,11 @@
     this->activeUntil = this->clock.now() + activeTime;
 }
 
+bool GroupWatcher::isActive() const
+{
+    return this->clock.now() < this->activeUntil;
+}
+
 void GroupWatcher::setFast()
 {
     TimePoint now = this->clock.now();
@@ -79,7 +84,7 @@
             this->probe(upstream);
     }
 
-    bool needsTerms = this->monitor.getPrimary() && this->getNumTerms() < leastTerms;
+    bool needsTerms = this->mayPromote && this->monitor.getPrimary() && this->getNumTerms() < leastTerms;
     if (needsTerms && !this->isRequestingTerms && now >= this->nextTermRequest) {
         this->isRequestingTerms = true;
         this->listener.requestTerms(this->database.id, this->monitor.getHighestTerm());
@@ -213,6 +218,9 @@
         this->listener.onPrimaryReachable(this->database.id, isReachable);
     }
 
+    if (!this->mayPromote)
+        return;
+
     GroupMonitor::Action action = this->monitor.getNextAction(now);
     if (action == GroupMonitor::Action::AskOpinions) {
         logEvent(events::primarySuspected, "database=" + this->database.id.toString());
--- a/src/server/GroupWatcher.h
+++ b/src/server/GroupWatcher.h
@@ -51,9 +51,15 @@
     GroupWatcher(const GroupWatcher&) = delete;
     GroupWatcher& operator=(const GroupWatcher&) = delete;
 
+    /// Sets whether this instance is a gate of the group, and so may replace its primary.
+    void setPromoting(bool promoting) { this->mayPromote = promoting; }
+
     /// Notes that the group is in use.
     void setActive();
 
+    /// @returns whether the group was in use a moment ago
+    bool isActive() const;
+
     /// Notes that a write waits for its confirmation.
     void setFast();
 
@@ -113,6 +119,7 @@
     std::optional<Promotion> promotion;
     std::map<std::uint64_t, std::shared_ptr<SqlConnection>> commandConnections;
     std::uint64_t nextCommand = 1;
+    bool mayPromote = false;
     bool isRequestingTerms = false;
     TimePoint nextTermRequest;
     TimePoint activeUntil;
