Spread reads over upstreams by weighted draws

Cause: in quiet times at 60 % of capacity urgent reads had p50 67 ms and p99 149 ms, because each instance sent every read to the replica that looked cheapest, all swung to the same one together, and the primary stood idle however long replicas queued. Change: the order is drawn at random, weighted by the cube of the inverse cost; the primary bears a handicap of 60 ms in place of the last rank.

--- a/include/lentiljunction/routing/ReadRouter.h
+++ b/include/lentiljunction/routing/ReadRouter.h
@@ -2,6 +2,7 @@
 
 #include "lentiljunction/bundle/Bundle.h"
 #include "lentiljunction/core/Clock.h"
+#include "lentiljunction/core/Random.h"
 
 #include <map>
 #include <optional>
@@ -11,8 +12,8 @@
 
 /// Why a read went to the primary.
 enum class PrimaryReadCause {
-    /// Every replica failed lately or leaves.
-    NoReplica,
+    /// It was drawn first: no replica was expected to answer sooner, or all failed lately.
+    Drawn,
     /// A replica was tried and does not hold the session's last write yet.
     ReplicaBehind,
     /// A replica was tried and could not prove the age asked for.
@@ -26,9 +27,10 @@
 
 /// Orders the upstreams of one group for a read.
 ///
-/// Replicas go first, the nearest and least busy of them before others, by the round trip and the
-/// queue wait seen in answers. An upstream that failed is avoided for a while. The primary is
-/// the last resort.
+/// Draws the order at random, weighted by what a read took there lately, its way and its queue
+/// included. In quiet times reads keep to the nearest replica; when it fills, they spread, and no
+/// two instances swing to one upstream together. The primary bears a handicap. An upstream that
+/// failed is avoided for a while.
 ///
 /// Knows no positions: whether an upstream holds the session's last write is judged where it is
 /// read, by the upstream's own status.
@@ -37,13 +39,14 @@
 class ReadRouter {
 public:
     /// @param ownZone the zone of this instance
-    explicit ReadRouter(ZoneId ownZone);
+    /// @param seed for the draws
+    ReadRouter(ZoneId ownZone, std::uint64_t seed);
 
     /// @param database the group
     /// @param primary its primary, if known
     /// @param now the current time
     /// @returns all upstreams in the order in which they are to be tried
-    std::vector<UpstreamId> getOrder(const DatabaseConfig& database, const std::optional<UpstreamId>& primary, TimePoint now) const;
+    std::vector<UpstreamId> getOrder(const DatabaseConfig& database, const std::optional<UpstreamId>& primary, TimePoint now);
 
     /// Notes how long an upstream took to answer a read, its queue included.
     void onAnswer(const UpstreamId& upstream, Duration total);
@@ -63,6 +66,7 @@
     bool isAvoided(const UpstreamId& upstream, TimePoint now) const;
 
     ZoneId ownZone;
+    Random random;
     std::map<UpstreamId, Experience> experiences;
 };
 
--- a/src/routing/AttemptPolicy.cpp
+++ b/src/routing/AttemptPolicy.cpp
@@ -6,34 +6,34 @@
 
 namespace {
 
-/// The wait before a request is tried again where the way to it may have changed.
-constexpr Duration firstDelay = std::chrono::milliseconds(2);
-constexpr Duration maximumDelay = std::chrono::milliseconds(40);
-
-/// Whether another try may find a better place.
-bool isPassing(NotRunReason reason)
-{
-    switch (reason) {
-    case NotRunReason::NoPrimary:
-    case NotRunReason::NotPrimary:
-    case NotRunReason::WrongGate:
-    case NotRunReason::UpstreamUnavailable:
-    case NotRunReason::UpstreamLeaving:
-    case NotRunReason::PeerUnreachable:
-    case NotRunReason::ReplicaBehind:
-    case NotRunReason::AgeNotProved:
-    case NotRunReason::Draining:
-        return true;
-    default:
-        return false;
+    /// The wait before a request is tried again where the way to it may have changed.
+    constexpr Duration firstDelay = std::chrono::milliseconds(2);
+    constexpr Duration maximumDelay = std::chrono::milliseconds(40);
+
+    /// Whether another try may find a better place.
+    bool isPassing(NotRunReason reason)
+    {
+        switch (reason) {
+        case NotRunReason::NoPrimary:
+        case NotRunReason::NotPrimary:
+        case NotRunReason::WrongGate:
+        case NotRunReason::UpstreamUnavailable:
+        case NotRunReason::UpstreamLeaving:
+        case NotRunReason::PeerUnreachable:
+        case NotRunReason::ReplicaBehind:
+        case NotRunReason::AgeNotProved:
+        case NotRunReason::Draining:
+            return true;
+        default:
+            return false;
+        }
     }
-}
 
-/// Whether the attempt cost an upstream work, so that the retry has to be paid for.
-bool costsUpstream(NotRunReason reason)
-{
-    return reason == NotRunReason::UpstreamUnavailable || reason == NotRunReason::AgeNotProved;
-}
+    /// Whether the attempt cost an upstream work, so that the retry has to be paid for.
+    bool costsUpstream(NotRunReason reason)
+    {
+        return reason == NotRunReason::UpstreamUnavailable || reason == NotRunReason::AgeNotProved;
+    }
 
 } // namespace
 
--- a/src/routing/GateMap.cpp
+++ b/src/routing/GateMap.cpp
@@ -10,59 +10,59 @@
 
 namespace {
 
-struct HashedMember {
-    std::uint64_t hash;
-    const InstanceId* id;
-};
-
-using ZoneMembers = std::map<ZoneId, std::vector<HashedMember>>;
-
-ZoneMembers groupByZone(const MemberList& members)
-{
-    ZoneMembers zones;
-    for (const Member& member : members) {
-        if (member.canServe())
-            zones[member.zone].push_back({ stableHash(member.id.toString()), &member.id });
+    struct HashedMember {
+        std::uint64_t hash;
+        const InstanceId* id;
+    };
+
+    using ZoneMembers = std::map<ZoneId, std::vector<HashedMember>>;
+
+    ZoneMembers groupByZone(const MemberList& members)
+    {
+        ZoneMembers zones;
+        for (const Member& member : members) {
+            if (member.canServe())
+                zones[member.zone].push_back({ stableHash(member.id.toString()), &member.id });
+        }
+        return zones;
     }
-    return zones;
-}
 
-/// Appends the best members of a zone until there are enough candidates.
-void appendBest(const std::vector<HashedMember>& members, std::uint64_t keyHash, std::vector<InstanceId>& best)
-{
-    std::vector<std::pair<std::uint64_t, const InstanceId*>> scored;
-    scored.reserve(members.size());
-    for (const HashedMember& member : members)
-        scored.emplace_back(combineHashes(keyHash, member.hash), member.id);
-
-    std::size_t numWanted = std::min(GateMap::numCandidates - best.size(), scored.size());
-    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(numWanted), scored.end(), [](const std::pair<std::uint64_t, const InstanceId*>& left, const std::pair<std::uint64_t, const InstanceId*>& right) {
-        if (left.first != right.first)
-            return left.first > right.first;
-        return *left.second < *right.second;
-    });
-    for (std::size_t index = 0; index < numWanted; index++)
-        best.push_back(*scored[index].second);
-}
+    /// Appends the best members of a zone until there are enough candidates.
+    void appendBest(const std::vector<HashedMember>& members, std::uint64_t keyHash, std::vector<InstanceId>& best)
+    {
+        std::vector<std::pair<std::uint64_t, const InstanceId*>> scored;
+        scored.reserve(members.size());
+        for (const HashedMember& member : members)
+            scored.emplace_back(combineHashes(keyHash, member.hash), member.id);
+
+        std::size_t numWanted = std::min(GateMap::numCandidates - best.size(), scored.size());
+        std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(numWanted), scored.end(), [](const std::pair<std::uint64_t, const InstanceId*>& left, const std::pair<std::uint64_t, const InstanceId*>& right) {
+            if (left.first != right.first)
+                return left.first > right.first;
+            return *left.second < *right.second;
+        });
+        for (std::size_t index = 0; index < numWanted; index++)
+            best.push_back(*scored[index].second);
+    }
 
-std::vector<InstanceId> findCandidates(const ZoneMembers& zones, const UpstreamConfig& upstream)
-{
-    std::vector<InstanceId> best;
-    std::uint64_t keyHash = stableHash(upstream.id.toString());
-    ZoneMembers::const_iterator own = zones.find(upstream.zone);
-    if (own != zones.end())
-        appendBest(own->second, keyHash, best);
-    if (best.size() == GateMap::numCandidates)
+    std::vector<InstanceId> findCandidates(const ZoneMembers& zones, const UpstreamConfig& upstream)
+    {
+        std::vector<InstanceId> best;
+        std::uint64_t keyHash = stableHash(upstream.id.toString());
+        ZoneMembers::const_iterator own = zones.find(upstream.zone);
+        if (own != zones.end())
+            appendBest(own->second, keyHash, best);
+        if (best.size() == GateMap::numCandidates)
+            return best;
+
+        std::vector<HashedMember> others;
+        for (const std::pair<const ZoneId, std::vector<HashedMember>>& zone : zones) {
+            if (zone.first != upstream.zone)
+                others.insert(others.end(), zone.second.begin(), zone.second.end());
+        }
+        appendBest(others, keyHash, best);
         return best;
-
-    std::vector<HashedMember> others;
-    for (const std::pair<const ZoneId, std::vector<HashedMember>>& zone : zones) {
-        if (zone.first != upstream.zone)
-            others.insert(others.end(), zone.second.begin(), zone.second.end());
     }
-    appendBest(others, keyHash, best);
-    return best;
-}
 
 } // namespace
 
--- a/src/routing/ReadRouter.cpp
+++ b/src/routing/ReadRouter.cpp
@@ -1,6 +1,7 @@
 #include "lentiljunction/routing/ReadRouter.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -8,19 +9,25 @@
 
 namespace {
 
-constexpr Duration assumedInZone = std::chrono::milliseconds(3);
-constexpr Duration assumedOtherZone = std::chrono::milliseconds(12);
-constexpr Duration avoidance = std::chrono::milliseconds(500);
-/// Every so many answers weigh as much as all before.
-constexpr int memory = 8;
+    constexpr Duration assumedInZone = std::chrono::milliseconds(3);
+    constexpr Duration assumedOtherZone = std::chrono::milliseconds(12);
+    /// Added to every cost, so that a very quick upstream does not draw everything.
+    constexpr Duration smallestCost = std::chrono::milliseconds(1);
+    /// What a read at the primary costs the writes there.
+    constexpr Duration primaryHandicap = std::chrono::milliseconds(60);
+    /// How strongly reads keep to the cheapest upstream.
+    constexpr double costExponent = 3;
+    constexpr Duration avoidance = std::chrono::milliseconds(500);
+    /// Every so many answers weigh as much as all before.
+    constexpr int memory = 8;
 
 } // namespace
 
 std::string toString(PrimaryReadCause cause)
 {
     switch (cause) {
-    case PrimaryReadCause::NoReplica:
-        return "no_replica";
+    case PrimaryReadCause::Drawn:
+        return "drawn";
     case PrimaryReadCause::ReplicaBehind:
         return "replica_behind";
     case PrimaryReadCause::AgeNotProved:
@@ -28,28 +35,35 @@
     case PrimaryReadCause::ReplicaFailed:
         return "replica_failed";
     }
-    return "no_replica";
+    return "drawn";
 }
 
-ReadRouter::ReadRouter(ZoneId ownZone)
+ReadRouter::ReadRouter(ZoneId ownZone, std::uint64_t seed)
     : ownZone(std::move(ownZone))
+    , random(seed)
 {
 }
 
-std::vector<UpstreamId> ReadRouter::getOrder(const DatabaseConfig& database, const std::optional<UpstreamId>& primary, TimePoint now) const
+std::vector<UpstreamId> ReadRouter::getOrder(const DatabaseConfig& database, const std::optional<UpstreamId>& primary, TimePoint now)
 {
     struct Candidate {
-        bool isPrimary;
         bool isAvoided;
-        Duration cost;
+        double draw;
         UpstreamId id;
     };
 
     std::vector<Candidate> candidates;
-    for (const UpstreamConfig& upstream : database.upstreams)
-        candidates.push_back({ upstream.id == primary, this->isAvoided(upstream.id, now), this->estimate(upstream), upstream.id });
+    for (const UpstreamConfig& upstream : database.upstreams) {
+        Duration cost = this->estimate(upstream) + smallestCost;
+        if (upstream.id == primary)
+            cost += primaryHandicap;
+        // The least of exponential draws falls on each candidate in proportion to its weight.
+        double weight = std::pow(1e6 / static_cast<double>(cost.count()), costExponent);
+        double draw = -std::log(1.0 - this->random.unit()) / weight;
+        candidates.push_back({ this->isAvoided(upstream.id, now), draw, upstream.id });
+    }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
-        return std::tie(left.isAvoided, left.isPrimary, left.cost, left.id) < std::tie(right.isAvoided, right.isPrimary, right.cost, right.id);
+        return std::tie(left.isAvoided, left.draw) < std::tie(right.isAvoided, right.draw);
     });
 
     std::vector<UpstreamId> order;
--- a/src/server/RequestFlow.cpp
+++ b/src/server/RequestFlow.cpp
@@ -8,18 +8,18 @@
 
 namespace {
 
-/// How long past its deadline a gate's own answer is still awaited.
-constexpr Duration answerSlack = std::chrono::milliseconds(50);
-/// Keys that claim to be issued later than this by our clock are refused.
-constexpr std::chrono::milliseconds futureAllowance = std::chrono::minutes(5);
-constexpr int initialRetryPercent = 20;
-
-Repeatability getRepeatability(const Request& request)
-{
-    if (request.isRead())
-        return Repeatability::Read;
-    return request.key ? Repeatability::Keyed : Repeatability::Once;
-}
+    /// How long past its deadline a gate's own answer is still awaited.
+    constexpr Duration answerSlack = std::chrono::milliseconds(50);
+    /// Keys that claim to be issued later than this by our clock are refused.
+    constexpr std::chrono::milliseconds futureAllowance = std::chrono::minutes(5);
+    constexpr int initialRetryPercent = 20;
+
+    Repeatability getRepeatability(const Request& request)
+    {
+        if (request.isRead())
+            return Repeatability::Read;
+        return request.key ? Repeatability::Keyed : Repeatability::Once;
+    }
 
 } // namespace
 
@@ -28,7 +28,7 @@
     , clock(clock)
     , metrics(metrics)
     , channel(channel)
-    , router(std::move(zone))
+    , router(std::move(zone), static_cast<std::uint64_t>(std::random_device()()))
     , budget(initialRetryPercent)
     , nextHop((static_cast<std::uint64_t>(std::random_device()()) << 24) + 1)
 {
@@ -201,7 +201,7 @@
         this->router.onAnswer(flow.upstream, std::chrono::duration_cast<Duration>(now - flow.sentAt));
         bool isPrimary = answer.hint && answer.hint->upstream == flow.upstream;
         if (isPrimary)
-            this->metrics.onPrimaryRead(toString(flow.primaryCause.value_or(PrimaryReadCause::NoReplica)));
+            this->metrics.onPrimaryRead(toString(flow.primaryCause.value_or(PrimaryReadCause::Drawn)));
         else
             this->metrics.onReplicaRead();
         return;
@@ -209,8 +209,7 @@
 
     if (answer.outcome.reason == NotRunReason::ReplicaBehind) {
         flow.primaryCause = PrimaryReadCause::ReplicaBehind;
-        // Another replica is as likely behind, so the primary is next.
-        flow.readIndex = std::max(flow.readIndex, flow.readOrder.size() - 1);
+        this->tryPrimaryNext(flow);
     } else if (answer.outcome.reason == NotRunReason::AgeNotProved) {
         flow.primaryCause = PrimaryReadCause::AgeNotProved;
     } else {
@@ -219,6 +218,16 @@
     }
 }
 
+void RequestFlow::tryPrimaryNext(Flow& flow)
+{
+    // Another replica is as likely behind as the one that was tried.
+    std::map<DatabaseId, PrimaryHint>::iterator hint = this->hints.find(flow.request.database);
+    if (hint == this->hints.end() || flow.upstream == hint->second.upstream)
+        return;
+    flow.readOrder = { hint->second.upstream };
+    flow.readIndex = 0;
+}
+
 void RequestFlow::onResult(FlowId id, const AttemptResult& result)
 {
     Flow& flow = *this->flows.at(id);
--- a/src/server/RequestFlow.h
+++ b/src/server/RequestFlow.h
@@ -110,6 +110,7 @@
     void chooseForWrite(Flow& flow, const DatabaseConfig& database);
     InstanceId chooseGate(const UpstreamId& upstream) const;
     void onResult(FlowId id, const AttemptResult& result);
+    void tryPrimaryNext(Flow& flow);
     void noteRead(Flow& flow, const HopAnswer& answer);
     void answer(FlowId id, Outcome outcome, const std::optional<LogPoint>& point, const TransactionId& transaction);
     void learnHint(const DatabaseId& database, const PrimaryHint& hint);
