--- a/include/lentiljunction/platform/PlatformStore.h
+++ b/include/lentiljunction/platform/PlatformStore.h
@@ -64,24 +64,24 @@
 /// The keys of objects in the store.
 namespace storekeys {
 
-/// The prefix of what every zone's watcher waits for.
-constexpr const char* watched = "watched/";
-/// The version of the bundle in force.
-constexpr const char* currentBundle = "watched/bundle";
-/// The platform's list of instances.
-constexpr const char* instances = "watched/instances";
-/// The platform's list of leaving upstreams.
-constexpr const char* leavingUpstreams = "watched/leaving-upstreams";
-constexpr const char* audit = "audit/";
-
-/// @returns the key of a proposed bundle's text
-inline std::string bundleText(BundleVersion version) { return "bundles/" + std::to_string(version.value()) + "/text"; }
-/// @returns the prefix of a proposed bundle's approvals
-inline std::string bundleApprovals(BundleVersion version) { return "bundles/" + std::to_string(version.value()) + "/approvals/"; }
-/// @returns the key of a signed bundle that can be rolled
-inline std::string signedBundle(BundleVersion version) { return "bundles/" + std::to_string(version.value()) + "/signed"; }
-/// @returns the key of the record that hands out a group's terms
-inline std::string terms(const DatabaseId& database) { return "terms/" + database.toString(); }
+    /// The prefix of what every zone's watcher waits for.
+    constexpr const char* watched = "watched/";
+    /// The version of the bundle in force.
+    constexpr const char* currentBundle = "watched/bundle";
+    /// The platform's list of instances.
+    constexpr const char* instances = "watched/instances";
+    /// The platform's list of leaving upstreams.
+    constexpr const char* leavingUpstreams = "watched/leaving-upstreams";
+    constexpr const char* audit = "audit/";
+
+    /// @returns the key of a proposed bundle's text
+    inline std::string bundleText(BundleVersion version) { return "bundles/" + std::to_string(version.value()) + "/text"; }
+    /// @returns the prefix of a proposed bundle's approvals
+    inline std::string bundleApprovals(BundleVersion version) { return "bundles/" + std::to_string(version.value()) + "/approvals/"; }
+    /// @returns the key of a signed bundle that can be rolled
+    inline std::string signedBundle(BundleVersion version) { return "bundles/" + std::to_string(version.value()) + "/signed"; }
+    /// @returns the key of the record that hands out a group's terms
+    inline std::string terms(const DatabaseId& database) { return "terms/" + database.toString(); }
 
 } // namespace storekeys
 
--- a/src/admission/ConcurrencyLimit.cpp
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -6,15 +6,15 @@
 
 namespace {
 
-/// Latency up to this multiple of the best lets the limit grow.
-constexpr double growBelow = 1.3;
-/// Latency above this multiple of the best shrinks the limit.
-constexpr double shrinkAbove = 2.0;
-constexpr double growStep = 0.05;
-constexpr double shrinkFactor = 0.97;
-/// The best latency rises by this factor with each sample, so an old best is forgotten.
-constexpr double bestDecay = 1.001;
-constexpr int slotMultiple = 2;
+    /// Latency up to this multiple of the best lets the limit grow.
+    constexpr double growBelow = 1.3;
+    /// Latency above this multiple of the best shrinks the limit.
+    constexpr double shrinkAbove = 2.0;
+    constexpr double growStep = 0.05;
+    constexpr double shrinkFactor = 0.97;
+    /// The best latency rises by this factor with each sample, so an old best is forgotten.
+    constexpr double bestDecay = 1.001;
+    constexpr int slotMultiple = 2;
 
 } // namespace
 
--- a/src/admission/RankQueue.cpp
+++ b/src/admission/RankQueue.cpp
@@ -8,19 +8,19 @@
 
 namespace {
 
-constexpr Duration initialServiceTime = std::chrono::milliseconds(2);
-/// The weight of the newest sample in moving averages.
-constexpr double serviceTimeWeight = 0.1;
-constexpr double shareWeight = 0.02;
-/// Credit is bounded, so a rank that waited long does not get a burst.
-constexpr double maximumCredit = 2.0;
-/// A rank without a floor is still assumed to get this share when waits are estimated.
-constexpr double smallestShare = 0.01;
-
-Duration scale(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
+    constexpr Duration initialServiceTime = std::chrono::milliseconds(2);
+    /// The weight of the newest sample in moving averages.
+    constexpr double serviceTimeWeight = 0.1;
+    constexpr double shareWeight = 0.02;
+    /// Credit is bounded, so a rank that waited long does not get a burst.
+    constexpr double maximumCredit = 2.0;
+    /// A rank without a floor is still assumed to get this share when waits are estimated.
+    constexpr double smallestShare = 0.01;
+
+    Duration scale(Duration duration, double factor)
+    {
+        return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+    }
 
 } // namespace
 
--- a/src/admission/RetryBudget.cpp
+++ b/src/admission/RetryBudget.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Retries that may be made in a burst.
-constexpr double maximumTokens = 50;
+    /// Retries that may be made in a burst.
+    constexpr double maximumTokens = 50;
 
 } // namespace
 
--- a/src/audit/AuditTrail.cpp
+++ b/src/audit/AuditTrail.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr Duration batchInterval = std::chrono::seconds(2);
-constexpr std::size_t maximumWaiting = 5000;
-constexpr std::size_t maximumPerBatch = 500;
+    constexpr Duration batchInterval = std::chrono::seconds(2);
+    constexpr std::size_t maximumWaiting = 5000;
+    constexpr std::size_t maximumPerBatch = 500;
 
 } // namespace
 
--- a/src/bundle/Bundle.cpp
+++ b/src/bundle/Bundle.cpp
@@ -6,129 +6,129 @@
 
 namespace {
 
-constexpr std::int64_t maximumVersion = 1'000'000'000'000;
-constexpr std::int64_t maximumMilliseconds = 3'600'000;
-constexpr std::size_t publicKeyHexLength = 64;
-
-ProfileConfig parseProfile(const nlohmann::json& document, const std::string& path, std::vector<std::string>& faults)
-{
-    JsonFields fields(document, path, faults);
-    ProfileConfig profile;
-    profile.slots = static_cast<int>(fields.getInteger("slots", 1, 1024));
-    profile.connections = static_cast<int>(fields.getInteger("connections", 8, 10000));
-    profile.warmConnections = static_cast<int>(fields.findInteger("warm_connections", 1, 1000).value_or(profile.warmConnections));
-    profile.keyRetention = std::chrono::seconds(fields.findInteger("key_retention_s", 60, 31536000).value_or(profile.keyRetention.count()));
-    profile.statusSql = fields.getText("status_sql");
-    profile.fenceSql = fields.getText("fence_sql");
-    profile.promoteSql = fields.getText("promote_sql");
-    fields.refuseUnknown();
+    constexpr std::int64_t maximumVersion = 1'000'000'000'000;
+    constexpr std::int64_t maximumMilliseconds = 3'600'000;
+    constexpr std::size_t publicKeyHexLength = 64;
+
+    ProfileConfig parseProfile(const nlohmann::json& document, const std::string& path, std::vector<std::string>& faults)
+    {
+        JsonFields fields(document, path, faults);
+        ProfileConfig profile;
+        profile.slots = static_cast<int>(fields.getInteger("slots", 1, 1024));
+        profile.connections = static_cast<int>(fields.getInteger("connections", 8, 10000));
+        profile.warmConnections = static_cast<int>(fields.findInteger("warm_connections", 1, 1000).value_or(profile.warmConnections));
+        profile.keyRetention = std::chrono::seconds(fields.findInteger("key_retention_s", 60, 31536000).value_or(profile.keyRetention.count()));
+        profile.statusSql = fields.getText("status_sql");
+        profile.fenceSql = fields.getText("fence_sql");
+        profile.promoteSql = fields.getText("promote_sql");
+        fields.refuseUnknown();
+
+        if (profile.fenceSql.find("{term}") == std::string::npos)
+            fields.addFault("fence_sql", "must contain {term}");
+        if (profile.promoteSql.find("{term}") == std::string::npos)
+            fields.addFault("promote_sql", "must contain {term}");
+        if (profile.warmConnections > profile.connections / 2)
+            fields.addFault("warm_connections", "must be at most half of connections");
+        return profile;
+    }
 
-    if (profile.fenceSql.find("{term}") == std::string::npos)
-        fields.addFault("fence_sql", "must contain {term}");
-    if (profile.promoteSql.find("{term}") == std::string::npos)
-        fields.addFault("promote_sql", "must contain {term}");
-    if (profile.warmConnections > profile.connections / 2)
-        fields.addFault("warm_connections", "must be at most half of connections");
-    return profile;
-}
+    UpstreamConfig parseUpstream(const nlohmann::json& document, const std::string& path, std::vector<std::string>& faults)
+    {
+        JsonFields fields(document, path, faults);
+        UpstreamConfig upstream;
+        upstream.id = UpstreamId(fields.getText("id"));
+        upstream.zone = ZoneId(fields.getText("zone"));
+        upstream.host = fields.getText("host");
+        upstream.port = static_cast<std::uint16_t>(fields.getInteger("port", 1, 65535));
+        fields.refuseUnknown();
+        return upstream;
+    }
 
-UpstreamConfig parseUpstream(const nlohmann::json& document, const std::string& path, std::vector<std::string>& faults)
-{
-    JsonFields fields(document, path, faults);
-    UpstreamConfig upstream;
-    upstream.id = UpstreamId(fields.getText("id"));
-    upstream.zone = ZoneId(fields.getText("zone"));
-    upstream.host = fields.getText("host");
-    upstream.port = static_cast<std::uint16_t>(fields.getInteger("port", 1, 65535));
-    fields.refuseUnknown();
-    return upstream;
-}
+    Durability parseDurability(JsonFields& fields)
+    {
+        std::string text = fields.findText("durability").value_or("replicated");
+        if (text == "primary")
+            return Durability::Primary;
+        if (text != "replicated")
+            fields.addFault("durability", "must be replicated or primary");
+        return Durability::Replicated;
+    }
 
-Durability parseDurability(JsonFields& fields)
-{
-    std::string text = fields.findText("durability").value_or("replicated");
-    if (text == "primary")
-        return Durability::Primary;
-    if (text != "replicated")
-        fields.addFault("durability", "must be replicated or primary");
-    return Durability::Replicated;
-}
+    DatabaseConfig parseDatabase(const std::string& id, const nlohmann::json& document, const Bundle& bundle, std::vector<std::string>& faults)
+    {
+        std::string path = "bundle.databases." + id;
+        JsonFields fields(document, path, faults);
+        DatabaseConfig database;
+        database.id = DatabaseId(id);
+        database.profile = fields.getText("profile");
+        database.durability = parseDurability(fields);
+        if (bundle.profiles.count(database.profile) == 0)
+            fields.addFault("profile", "names no profile of this bundle");
+
+        const nlohmann::json& upstreams = fields.getValue("upstreams");
+        fields.refuseUnknown();
+        if (!upstreams.is_array() || upstreams.size() % 2 == 0) {
+            fields.addFault("upstreams", "must be an array of an odd number of upstreams");
+            return database;
+        }
 
-DatabaseConfig parseDatabase(const std::string& id, const nlohmann::json& document, const Bundle& bundle, std::vector<std::string>& faults)
-{
-    std::string path = "bundle.databases." + id;
-    JsonFields fields(document, path, faults);
-    DatabaseConfig database;
-    database.id = DatabaseId(id);
-    database.profile = fields.getText("profile");
-    database.durability = parseDurability(fields);
-    if (bundle.profiles.count(database.profile) == 0)
-        fields.addFault("profile", "names no profile of this bundle");
-
-    const nlohmann::json& upstreams = fields.getValue("upstreams");
-    fields.refuseUnknown();
-    if (!upstreams.is_array() || upstreams.size() % 2 == 0) {
-        fields.addFault("upstreams", "must be an array of an odd number of upstreams");
+        for (const nlohmann::json& upstream : upstreams) {
+            UpstreamConfig parsed = parseUpstream(upstream, path + ".upstreams", faults);
+            if (database.findUpstream(parsed.id) != nullptr)
+                fields.addFault("upstreams", "names " + parsed.id.toString() + " twice");
+            database.upstreams.push_back(parsed);
+        }
         return database;
     }
 
-    for (const nlohmann::json& upstream : upstreams) {
-        UpstreamConfig parsed = parseUpstream(upstream, path + ".upstreams", faults);
-        if (database.findUpstream(parsed.id) != nullptr)
-            fields.addFault("upstreams", "names " + parsed.id.toString() + " twice");
-        database.upstreams.push_back(parsed);
+    RankConfig parseRankConfig(const nlohmann::json& document, const std::string& path, std::vector<std::string>& faults)
+    {
+        JsonFields fields(document, path, faults);
+        RankConfig rank;
+        rank.target = std::chrono::milliseconds(fields.getInteger("target_ms", 1, maximumMilliseconds));
+        rank.floorPercent = static_cast<int>(fields.findInteger("floor_percent", 0, 50).value_or(0));
+        fields.refuseUnknown();
+        return rank;
     }
-    return database;
-}
 
-RankConfig parseRankConfig(const nlohmann::json& document, const std::string& path, std::vector<std::string>& faults)
-{
-    JsonFields fields(document, path, faults);
-    RankConfig rank;
-    rank.target = std::chrono::milliseconds(fields.getInteger("target_ms", 1, maximumMilliseconds));
-    rank.floorPercent = static_cast<int>(fields.findInteger("floor_percent", 0, 50).value_or(0));
-    fields.refuseUnknown();
-    return rank;
-}
-
-LimitsConfig parseLimits(const nlohmann::json& document, std::vector<std::string>& faults)
-{
-    JsonFields fields(document, "bundle.limits", faults);
-    LimitsConfig limits;
-    limits.maximumBodyBytes = fields.findInteger("maximum_body_bytes", 1024, 64 << 20).value_or(limits.maximumBodyBytes);
-    limits.defaultDeadline = std::chrono::milliseconds(fields.findInteger("default_deadline_ms", 1, maximumMilliseconds).value_or(limits.defaultDeadline.count()));
-    limits.maximumDeadline = std::chrono::milliseconds(fields.findInteger("maximum_deadline_ms", 1, maximumMilliseconds).value_or(limits.maximumDeadline.count()));
-    limits.retryPercent = static_cast<int>(fields.findInteger("retry_percent", 0, 100).value_or(limits.retryPercent));
-    limits.transactionIdle = std::chrono::milliseconds(fields.findInteger("transaction_idle_ms", 100, maximumMilliseconds).value_or(limits.transactionIdle.count()));
-    fields.refuseUnknown();
-    return limits;
-}
+    LimitsConfig parseLimits(const nlohmann::json& document, std::vector<std::string>& faults)
+    {
+        JsonFields fields(document, "bundle.limits", faults);
+        LimitsConfig limits;
+        limits.maximumBodyBytes = fields.findInteger("maximum_body_bytes", 1024, 64 << 20).value_or(limits.maximumBodyBytes);
+        limits.defaultDeadline = std::chrono::milliseconds(fields.findInteger("default_deadline_ms", 1, maximumMilliseconds).value_or(limits.defaultDeadline.count()));
+        limits.maximumDeadline = std::chrono::milliseconds(fields.findInteger("maximum_deadline_ms", 1, maximumMilliseconds).value_or(limits.maximumDeadline.count()));
+        limits.retryPercent = static_cast<int>(fields.findInteger("retry_percent", 0, 100).value_or(limits.retryPercent));
+        limits.transactionIdle = std::chrono::milliseconds(fields.findInteger("transaction_idle_ms", 100, maximumMilliseconds).value_or(limits.transactionIdle.count()));
+        fields.refuseUnknown();
+        return limits;
+    }
 
-void parseRanks(const nlohmann::json& document, Bundle& bundle, std::vector<std::string>& faults)
-{
-    JsonFields fields(document, "bundle.ranks", faults);
-    int floorSum = 0;
-    for (Rank rank : allRanks) {
-        const std::string name = toString(rank);
-        RankConfig parsed = parseRankConfig(fields.getValue(name), fields.pathOf(name), faults);
-        bundle.ranks[toIndex(rank)] = parsed;
-        floorSum += parsed.floorPercent;
+    void parseRanks(const nlohmann::json& document, Bundle& bundle, std::vector<std::string>& faults)
+    {
+        JsonFields fields(document, "bundle.ranks", faults);
+        int floorSum = 0;
+        for (Rank rank : allRanks) {
+            const std::string name = toString(rank);
+            RankConfig parsed = parseRankConfig(fields.getValue(name), fields.pathOf(name), faults);
+            bundle.ranks[toIndex(rank)] = parsed;
+            floorSum += parsed.floorPercent;
+        }
+        fields.refuseUnknown();
+        if (floorSum > 50)
+            faults.push_back("bundle.ranks floors must add up to at most 50 percent");
     }
-    fields.refuseUnknown();
-    if (floorSum > 50)
-        faults.push_back("bundle.ranks floors must add up to at most 50 percent");
-}
 
-template <typename Parser>
-void parseEach(const nlohmann::json& document, const std::string& path, std::vector<std::string>& faults, Parser parser)
-{
-    if (!document.is_object()) {
-        faults.push_back(path + " must be an object");
-        return;
+    template <typename Parser>
+    void parseEach(const nlohmann::json& document, const std::string& path, std::vector<std::string>& faults, Parser parser)
+    {
+        if (!document.is_object()) {
+            faults.push_back(path + " must be an object");
+            return;
+        }
+        for (nlohmann::json::const_iterator entry = document.begin(); entry != document.end(); ++entry)
+            parser(entry.key(), entry.value());
     }
-    for (nlohmann::json::const_iterator entry = document.begin(); entry != document.end(); ++entry)
-        parser(entry.key(), entry.value());
-}
 
 } // namespace
 
--- a/src/bundle/BundleKeeper.cpp
+++ b/src/bundle/BundleKeeper.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-/// Versions for which a delta can be made. An instance further behind takes a full copy.
-constexpr std::size_t maximumSteps = 64;
-constexpr std::int64_t maximumVersion = 1'000'000'000'000;
+    /// Versions for which a delta can be made. An instance further behind takes a full copy.
+    constexpr std::size_t maximumSteps = 64;
+    constexpr std::int64_t maximumVersion = 1'000'000'000'000;
 
 } // namespace
 
--- a/src/bundle/BundleOffice.cpp
+++ b/src/bundle/BundleOffice.cpp
@@ -10,19 +10,19 @@
 
 namespace {
 
-BundleVersion readVersion(const std::string& text)
-{
-    return BundleVersion(std::strtoull(text.c_str(), nullptr, 10));
-}
+    BundleVersion readVersion(const std::string& text)
+    {
+        return BundleVersion(std::strtoull(text.c_str(), nullptr, 10));
+    }
 
-std::optional<nlohmann::json> parseStored(const StoreObject& object, Failure& failure)
-{
-    nlohmann::json document = nlohmann::json::parse(object.value, nullptr, false);
-    if (!document.is_discarded())
-        return document;
-    failure.set(Failure::Kind::InvalidInput, object.key + " in the store is not JSON");
-    return std::nullopt;
-}
+    std::optional<nlohmann::json> parseStored(const StoreObject& object, Failure& failure)
+    {
+        nlohmann::json document = nlohmann::json::parse(object.value, nullptr, false);
+        if (!document.is_discarded())
+            return document;
+        failure.set(Failure::Kind::InvalidInput, object.key + " in the store is not JSON");
+        return std::nullopt;
+    }
 
 } // namespace
 
--- a/src/bundle/SignedBundle.cpp
+++ b/src/bundle/SignedBundle.cpp
@@ -7,72 +7,72 @@
 
 namespace {
 
-std::optional<nlohmann::json> parseText(const std::string& text, const std::string& what, Failure& failure)
-{
-    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
-    if (!document.is_discarded())
-        return document;
+    std::optional<nlohmann::json> parseText(const std::string& text, const std::string& what, Failure& failure)
+    {
+        nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+        if (!document.is_discarded())
+            return document;
 
-    failure.set(Failure::Kind::InvalidInput, what + " is not JSON");
-    return std::nullopt;
-}
+        failure.set(Failure::Kind::InvalidInput, what + " is not JSON");
+        return std::nullopt;
+    }
 
-int countBundleApprovals(const std::vector<Approval>& approvals, const std::string& text, const OperatorSet& operators)
-{
-    int count = 0;
-    for (const std::pair<const std::string, std::string>& key : operators.keys) {
-        for (const Approval& approval : approvals) {
-            if (approval.operatorName != key.first || !verifySignature(key.second, SigningPurpose::Bundle, text, approval.signature))
-                continue;
-            count++;
-            break;
+    int countBundleApprovals(const std::vector<Approval>& approvals, const std::string& text, const OperatorSet& operators)
+    {
+        int count = 0;
+        for (const std::pair<const std::string, std::string>& key : operators.keys) {
+            for (const Approval& approval : approvals) {
+                if (approval.operatorName != key.first || !verifySignature(key.second, SigningPurpose::Bundle, text, approval.signature))
+                    continue;
+                count++;
+                break;
+            }
         }
+        return count;
     }
-    return count;
-}
 
-int countOperatorsApprovals(const SignedOperators& link, const OperatorSet& operators)
-{
-    int count = 0;
-    for (const std::pair<const std::string, std::string>& key : operators.keys) {
-        for (const Approval& approval : link.approvals) {
-            if (approval.operatorName != key.first || !verifySignature(key.second, SigningPurpose::Operators, link.text, approval.operatorsSignature))
-                continue;
-            count++;
-            break;
+    int countOperatorsApprovals(const SignedOperators& link, const OperatorSet& operators)
+    {
+        int count = 0;
+        for (const std::pair<const std::string, std::string>& key : operators.keys) {
+            for (const Approval& approval : link.approvals) {
+                if (approval.operatorName != key.first || !verifySignature(key.second, SigningPurpose::Operators, link.text, approval.operatorsSignature))
+                    continue;
+                count++;
+                break;
+            }
         }
+        return count;
     }
-    return count;
-}
 
-std::optional<OperatorSet> walkChain(const std::vector<SignedOperators>& chain, const OperatorSet& trust, Failure& failure)
-{
-    OperatorSet current = trust;
-    current.serial = 0;
-    for (const SignedOperators& link : chain) {
-        std::optional<nlohmann::json> document = parseText(link.text, "an operator set of the chain", failure);
-        if (!document)
-            return std::nullopt;
-
-        std::vector<std::string> faults;
-        OperatorSet next = parseOperatorSet(*document, "chain", faults);
-        if (!faults.empty() || next.serial != current.serial + 1) {
-            failure.set(Failure::Kind::InvalidInput, "the chain of operator sets is broken at serial " + std::to_string(current.serial + 1));
-            return std::nullopt;
+    std::optional<OperatorSet> walkChain(const std::vector<SignedOperators>& chain, const OperatorSet& trust, Failure& failure)
+    {
+        OperatorSet current = trust;
+        current.serial = 0;
+        for (const SignedOperators& link : chain) {
+            std::optional<nlohmann::json> document = parseText(link.text, "an operator set of the chain", failure);
+            if (!document)
+                return std::nullopt;
+
+            std::vector<std::string> faults;
+            OperatorSet next = parseOperatorSet(*document, "chain", faults);
+            if (!faults.empty() || next.serial != current.serial + 1) {
+                failure.set(Failure::Kind::InvalidInput, "the chain of operator sets is broken at serial " + std::to_string(current.serial + 1));
+                return std::nullopt;
+            }
+            if (countOperatorsApprovals(link, current) < current.threshold) {
+                failure.set(Failure::Kind::InvalidInput, "operator set " + std::to_string(next.serial) + " lacks approvals of the set before it");
+                return std::nullopt;
+            }
+            current = next;
         }
-        if (countOperatorsApprovals(link, current) < current.threshold) {
-            failure.set(Failure::Kind::InvalidInput, "operator set " + std::to_string(next.serial) + " lacks approvals of the set before it");
-            return std::nullopt;
-        }
-        current = next;
+        return current;
     }
-    return current;
-}
 
-bool isSameSet(const OperatorSet& left, const OperatorSet& right)
-{
-    return left.serial == right.serial && left.threshold == right.threshold && left.keys == right.keys;
-}
+    bool isSameSet(const OperatorSet& left, const OperatorSet& right)
+    {
+        return left.serial == right.serial && left.threshold == right.threshold && left.keys == right.keys;
+    }
 
 } // namespace
 
--- a/src/bundle/Signing.cpp
+++ b/src/bundle/Signing.cpp
@@ -10,75 +10,75 @@
 
 namespace {
 
-using Bytes = std::vector<unsigned char>;
-using KeyHandle = std::unique_ptr<EVP_PKEY, decltype(&EVP_PKEY_free)>;
-using ContextHandle = std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)>;
-
-constexpr std::size_t keyBytes = 32;
-constexpr std::size_t signatureBytes = 64;
-
-std::string toHex(const Bytes& bytes)
-{
-    constexpr std::array<char, 17> digits { "0123456789abcdef" };
-    std::string text;
-    for (unsigned char byte : bytes) {
-        text.push_back(digits[byte >> 4]);
-        text.push_back(digits[byte & 15]);
+    using Bytes = std::vector<unsigned char>;
+    using KeyHandle = std::unique_ptr<EVP_PKEY, decltype(&EVP_PKEY_free)>;
+    using ContextHandle = std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)>;
+
+    constexpr std::size_t keyBytes = 32;
+    constexpr std::size_t signatureBytes = 64;
+
+    std::string toHex(const Bytes& bytes)
+    {
+        constexpr std::array<char, 17> digits { "0123456789abcdef" };
+        std::string text;
+        for (unsigned char byte : bytes) {
+            text.push_back(digits[byte >> 4]);
+            text.push_back(digits[byte & 15]);
+        }
+        return text;
     }
-    return text;
-}
 
-int toDigit(char character)
-{
-    if (character >= '0' && character <= '9')
-        return character - '0';
-    if (character >= 'a' && character <= 'f')
-        return character - 'a' + 10;
-    if (character >= 'A' && character <= 'F')
-        return character - 'A' + 10;
-    return -1;
-}
-
-std::optional<Bytes> fromHex(const std::string& text, std::size_t expectedBytes)
-{
-    if (text.size() != expectedBytes * 2)
-        return std::nullopt;
+    int toDigit(char character)
+    {
+        if (character >= '0' && character <= '9')
+            return character - '0';
+        if (character >= 'a' && character <= 'f')
+            return character - 'a' + 10;
+        if (character >= 'A' && character <= 'F')
+            return character - 'A' + 10;
+        return -1;
+    }
 
-    Bytes bytes;
-    for (std::size_t index = 0; index < text.size(); index += 2) {
-        int high = toDigit(text[index]);
-        int low = toDigit(text[index + 1]);
-        if (high < 0 || low < 0)
+    std::optional<Bytes> fromHex(const std::string& text, std::size_t expectedBytes)
+    {
+        if (text.size() != expectedBytes * 2)
             return std::nullopt;
-        bytes.push_back(static_cast<unsigned char>(high * 16 + low));
+
+        Bytes bytes;
+        for (std::size_t index = 0; index < text.size(); index += 2) {
+            int high = toDigit(text[index]);
+            int low = toDigit(text[index + 1]);
+            if (high < 0 || low < 0)
+                return std::nullopt;
+            bytes.push_back(static_cast<unsigned char>(high * 16 + low));
+        }
+        return bytes;
     }
-    return bytes;
-}
 
-Bytes withPurpose(SigningPurpose purpose, const std::string& text)
-{
-    std::string full = purpose == SigningPurpose::Bundle ? "lentiljunction bundle\n" : "lentiljunction operators\n";
-    full += text;
-    return Bytes(full.begin(), full.end());
-}
+    Bytes withPurpose(SigningPurpose purpose, const std::string& text)
+    {
+        std::string full = purpose == SigningPurpose::Bundle ? "lentiljunction bundle\n" : "lentiljunction operators\n";
+        full += text;
+        return Bytes(full.begin(), full.end());
+    }
 
-KeyHandle makePrivateKey(const std::string& privateKey)
-{
-    std::optional<Bytes> bytes = fromHex(privateKey, keyBytes);
-    if (!bytes)
-        return KeyHandle(nullptr, EVP_PKEY_free);
-    return KeyHandle(EVP_PKEY_new_raw_private_key(EVP_PKEY_ED25519, nullptr, bytes->data(), bytes->size()), EVP_PKEY_free);
-}
+    KeyHandle makePrivateKey(const std::string& privateKey)
+    {
+        std::optional<Bytes> bytes = fromHex(privateKey, keyBytes);
+        if (!bytes)
+            return KeyHandle(nullptr, EVP_PKEY_free);
+        return KeyHandle(EVP_PKEY_new_raw_private_key(EVP_PKEY_ED25519, nullptr, bytes->data(), bytes->size()), EVP_PKEY_free);
+    }
 
-Bytes getRawKey(const EVP_PKEY* key, int (*getter)(const EVP_PKEY*, unsigned char*, std::size_t*))
-{
-    Bytes bytes(keyBytes);
-    std::size_t size = bytes.size();
-    int isRead = getter(key, bytes.data(), &size);
-    assert(isRead == 1 && size == keyBytes);
-    (void)isRead;
-    return bytes;
-}
+    Bytes getRawKey(const EVP_PKEY* key, int (*getter)(const EVP_PKEY*, unsigned char*, std::size_t*))
+    {
+        Bytes bytes(keyBytes);
+        std::size_t size = bytes.size();
+        int isRead = getter(key, bytes.data(), &size);
+        assert(isRead == 1 && size == keyBytes);
+        (void)isRead;
+        return bytes;
+    }
 
 } // namespace
 
--- a/src/caller/CallerServer.cpp
+++ b/src/caller/CallerServer.cpp
@@ -9,35 +9,35 @@
 
 namespace {
 
-constexpr int httpOk = 200;
-constexpr int httpNotFound = 404;
-constexpr int httpMethodNotAllowed = 405;
-constexpr int httpTooLarge = 413;
-constexpr int httpUnavailable = 503;
-
-/// An answer to a message that cannot be read, with its id where one can be found.
-Answer makeInvalid(const nlohmann::json& document, const std::string& reason)
-{
-    Answer answer;
-    if (document.is_object() && document.contains("id") && document.at("id").is_string())
-        answer.id = RequestId(document.at("id").get<std::string>());
-    answer.outcome = Outcome::notRun(NotRunReason::InvalidRequest, reason, std::chrono::milliseconds(0));
-    return answer;
-}
+    constexpr int httpOk = 200;
+    constexpr int httpNotFound = 404;
+    constexpr int httpMethodNotAllowed = 405;
+    constexpr int httpTooLarge = 413;
+    constexpr int httpUnavailable = 503;
+
+    /// An answer to a message that cannot be read, with its id where one can be found.
+    Answer makeInvalid(const nlohmann::json& document, const std::string& reason)
+    {
+        Answer answer;
+        if (document.is_object() && document.contains("id") && document.at("id").is_string())
+            answer.id = RequestId(document.at("id").get<std::string>());
+        answer.outcome = Outcome::notRun(NotRunReason::InvalidRequest, reason, std::chrono::milliseconds(0));
+        return answer;
+    }
 
-std::string toPayload(const nlohmann::json& document, bool isCbor)
-{
-    if (!isCbor)
-        return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    std::string payload;
-    nlohmann::json::to_cbor(document, payload);
-    return payload;
-}
+    std::string toPayload(const nlohmann::json& document, bool isCbor)
+    {
+        if (!isCbor)
+            return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        std::string payload;
+        nlohmann::json::to_cbor(document, payload);
+        return payload;
+    }
 
-std::string getPath(const std::string& resource)
-{
-    return resource.substr(0, resource.find('?'));
-}
+    std::string getPath(const std::string& resource)
+    {
+        return resource.substr(0, resource.find('?'));
+    }
 
 } // namespace
 
--- a/src/caller/RequestCodec.cpp
+++ b/src/caller/RequestCodec.cpp
@@ -12,67 +12,67 @@
 
 namespace {
 
-constexpr std::size_t maximumIdLength = 128;
-constexpr std::size_t maximumKeyLength = 200;
-constexpr std::int64_t maximumAgeMilliseconds = 86'400'000;
-constexpr std::int64_t maximumDeadlineMilliseconds = 3'600'000;
+    constexpr std::size_t maximumIdLength = 128;
+    constexpr std::size_t maximumKeyLength = 200;
+    constexpr std::int64_t maximumAgeMilliseconds = 86'400'000;
+    constexpr std::int64_t maximumDeadlineMilliseconds = 3'600'000;
 
-constexpr std::array<TransactionAction, 4> namedActions {
-    TransactionAction::Begin, TransactionAction::Continue, TransactionAction::Commit, TransactionAction::Rollback
-};
+    constexpr std::array<TransactionAction, 4> namedActions {
+        TransactionAction::Begin, TransactionAction::Continue, TransactionAction::Commit, TransactionAction::Rollback
+    };
 
-void checkStatements(const Request& request, JsonFields& fields)
-{
-    for (const std::string& statement : request.statements) {
-        StatementKind kind = classifyStatement(statement);
-        if (kind == StatementKind::Malformed)
-            fields.addFault("statements", "must each hold exactly one statement, without comments or dollar quotes");
-        if (kind == StatementKind::TransactionControl)
-            fields.addFault("statements", "must not begin or end a transaction; use the field transaction");
+    void checkStatements(const Request& request, JsonFields& fields)
+    {
+        for (const std::string& statement : request.statements) {
+            StatementKind kind = classifyStatement(statement);
+            if (kind == StatementKind::Malformed)
+                fields.addFault("statements", "must each hold exactly one statement, without comments or dollar quotes");
+            if (kind == StatementKind::TransactionControl)
+                fields.addFault("statements", "must not begin or end a transaction; use the field transaction");
+        }
+        bool needsStatements = request.action == TransactionAction::None || request.action == TransactionAction::Continue;
+        if (needsStatements && request.statements.empty())
+            fields.addFault("statements", "must not be empty");
     }
-    bool needsStatements = request.action == TransactionAction::None || request.action == TransactionAction::Continue;
-    if (needsStatements && request.statements.empty())
-        fields.addFault("statements", "must not be empty");
-}
 
-void readTransaction(JsonFields& fields, Request& request, std::vector<std::string>& faults)
-{
-    const nlohmann::json* value = fields.findValue("transaction");
-    if (value == nullptr)
-        return;
-
-    JsonFields inner(*value, fields.pathOf("transaction"), faults);
-    std::optional<TransactionAction> action = parseTransactionAction(inner.getText("action"));
-    if (!action)
-        inner.addFault("action", "must be begin, continue, commit or rollback");
-    request.action = action.value_or(TransactionAction::Begin);
-    if (request.action != TransactionAction::Begin)
-        request.transaction = TransactionId(inner.getText("id"));
-    inner.refuseUnknown();
-}
-
-void readKey(JsonFields& fields, Request& request)
-{
-    std::optional<std::string> text = fields.findText("idempotency_key");
-    if (!text)
-        return;
+    void readTransaction(JsonFields& fields, Request& request, std::vector<std::string>& faults)
+    {
+        const nlohmann::json* value = fields.findValue("transaction");
+        if (value == nullptr)
+            return;
+
+        JsonFields inner(*value, fields.pathOf("transaction"), faults);
+        std::optional<TransactionAction> action = parseTransactionAction(inner.getText("action"));
+        if (!action)
+            inner.addFault("action", "must be begin, continue, commit or rollback");
+        request.action = action.value_or(TransactionAction::Begin);
+        if (request.action != TransactionAction::Begin)
+            request.transaction = TransactionId(inner.getText("id"));
+        inner.refuseUnknown();
+    }
 
-    request.key = parseIdempotencyKey(*text);
-    if (!request.key)
-        fields.addFault("idempotency_key", "must be <issue time in ms since 1970>:<unique text>, at most 200 characters");
-    if (request.action != TransactionAction::None)
-        fields.addFault("idempotency_key", "cannot be used with an interactive transaction");
-}
+    void readKey(JsonFields& fields, Request& request)
+    {
+        std::optional<std::string> text = fields.findText("idempotency_key");
+        if (!text)
+            return;
+
+        request.key = parseIdempotencyKey(*text);
+        if (!request.key)
+            fields.addFault("idempotency_key", "must be <issue time in ms since 1970>:<unique text>, at most 200 characters");
+        if (request.action != TransactionAction::None)
+            fields.addFault("idempotency_key", "cannot be used with an interactive transaction");
+    }
 
-void readSession(JsonFields& fields, Request& request)
-{
-    Failure failure;
-    std::optional<SessionToken> session = SessionToken::parse(fields.findText("session").value_or(""), failure);
-    if (session)
-        request.session = *session;
-    else
-        fields.addFault("session", "is not a token of this service");
-}
+    void readSession(JsonFields& fields, Request& request)
+    {
+        Failure failure;
+        std::optional<SessionToken> session = SessionToken::parse(fields.findText("session").value_or(""), failure);
+        if (session)
+            request.session = *session;
+        else
+            fields.addFault("session", "is not a token of this service");
+    }
 
 } // namespace
 
--- a/src/cli/BundleCommands.cpp
+++ b/src/cli/BundleCommands.cpp
@@ -15,219 +15,219 @@
 
 namespace {
 
-/// A command that works on the store with the trust of a settings file.
-class StoreCommand : public Command {
-public:
-    using Body = std::function<int(const cxxopts::ParseResult& parsed, PlatformStore& store, BundleOffice& office)>;
-    using Extend = std::function<void(cxxopts::Options& options)>;
-
-    StoreCommand(std::string name, std::string summary, Extend extend, Body body)
-        : name(std::move(name))
-        , summary(std::move(summary))
-        , extend(std::move(extend))
-        , body(std::move(body))
+    /// A command that works on the store with the trust of a settings file.
+    class StoreCommand : public Command {
+    public:
+        using Body = std::function<int(const cxxopts::ParseResult& parsed, PlatformStore& store, BundleOffice& office)>;
+        using Extend = std::function<void(cxxopts::Options& options)>;
+
+        StoreCommand(std::string name, std::string summary, Extend extend, Body body)
+            : name(std::move(name))
+            , summary(std::move(summary))
+            , extend(std::move(extend))
+            , body(std::move(body))
+        {
+        }
+
+        std::string getName() const override { return this->name; }
+        std::string getSummary() const override { return this->summary; }
+
+        int run(const std::vector<std::string>& arguments) override
+        {
+            CommandLine line(this->name, this->summary);
+            line.getOptions().add_options()("settings", "an instance's INI file, for the store's address and the trusted operators", cxxopts::value<std::string>());
+            line.getOptions().add_options()("json", "print JSON");
+            this->extend(line.getOptions());
+            return line.run(arguments, [this](const cxxopts::ParseResult& parsed) { return this->runParsed(parsed); });
+        }
+
+    private:
+        int runParsed(const cxxopts::ParseResult& parsed)
+        {
+            Failure failure;
+            std::optional<Settings> settings = loadSettings(parsed["settings"].as<std::string>(), failure);
+            if (!settings)
+                return reportFailure(failure);
+
+            HttpPlatformStore store(settings->store, "zone=" + settings->zone.toString() + ";instance=operator", nullptr);
+            BundleOffice office(store, settings->trust);
+            return this->body(parsed, store, office);
+        }
+
+        std::string name;
+        std::string summary;
+        Extend extend;
+        Body body;
+    };
+
+    BundleVersion getVersion(const cxxopts::ParseResult& parsed)
     {
+        return BundleVersion(parsed["version"].as<std::uint64_t>());
     }
 
-    std::string getName() const override { return this->name; }
-    std::string getSummary() const override { return this->summary; }
+    void addVersion(cxxopts::Options& options)
+    {
+        options.add_options()("version", "the bundle's version", cxxopts::value<std::uint64_t>());
+    }
 
-    int run(const std::vector<std::string>& arguments) override
+    /// Prints one result as a line or as JSON.
+    void print(const cxxopts::ParseResult& parsed, const nlohmann::json& document, const std::string& line)
     {
-        CommandLine line(this->name, this->summary);
-        line.getOptions().add_options()("settings", "an instance's INI file, for the store's address and the trusted operators", cxxopts::value<std::string>());
-        line.getOptions().add_options()("json", "print JSON");
-        this->extend(line.getOptions());
-        return line.run(arguments, [this](const cxxopts::ParseResult& parsed) { return this->runParsed(parsed); });
+        if (parsed.count("json") > 0)
+            std::cout << document.dump() << "\n";
+        else
+            std::cout << line << "\n";
     }
 
-private:
-    int runParsed(const cxxopts::ParseResult& parsed)
+    /// Records what an operator did. A record that cannot be written is reported, not fatal.
+    void recordChange(PlatformStore& store, AuditKind kind, const std::string& actor, BundleVersion version)
     {
+        SystemClock clock;
+        AuditRecord record { clock.wallNow(), kind, actor, "bundle", "operator's command", "", std::to_string(version.value()) };
+        std::string key = storekeys::audit + std::to_string(toUnixMilliseconds(record.time)) + "-" + actor + "-" + std::to_string(::getpid());
         Failure failure;
-        std::optional<Settings> settings = loadSettings(parsed["settings"].as<std::string>(), failure);
-        if (!settings)
-            return reportFailure(failure);
-
-        HttpPlatformStore store(settings->store, "zone=" + settings->zone.toString() + ";instance=operator", nullptr);
-        BundleOffice office(store, settings->trust);
-        return this->body(parsed, store, office);
+        if (!putOnce(store, key, nlohmann::json::array({ toJson(record) }).dump(), failure))
+            std::cerr << "warning: the audit record was not written: " << failure.reason << "\n";
     }
 
-    std::string name;
-    std::string summary;
-    Extend extend;
-    Body body;
-};
-
-BundleVersion getVersion(const cxxopts::ParseResult& parsed)
-{
-    return BundleVersion(parsed["version"].as<std::uint64_t>());
-}
-
-void addVersion(cxxopts::Options& options)
-{
-    options.add_options()("version", "the bundle's version", cxxopts::value<std::uint64_t>());
-}
+    std::string getActor(const cxxopts::ParseResult& parsed)
+    {
+        return parsed["operator"].as<std::string>();
+    }
 
-/// Prints one result as a line or as JSON.
-void print(const cxxopts::ParseResult& parsed, const nlohmann::json& document, const std::string& line)
-{
-    if (parsed.count("json") > 0)
-        std::cout << document.dump() << "\n";
-    else
-        std::cout << line << "\n";
-}
+    void addOperator(cxxopts::Options& options)
+    {
+        options.add_options()("operator", "the operator's name, for approvals and the audit trail", cxxopts::value<std::string>());
+    }
 
-/// Records what an operator did. A record that cannot be written is reported, not fatal.
-void recordChange(PlatformStore& store, AuditKind kind, const std::string& actor, BundleVersion version)
-{
-    SystemClock clock;
-    AuditRecord record { clock.wallNow(), kind, actor, "bundle", "operator's command", "", std::to_string(version.value()) };
-    std::string key = storekeys::audit + std::to_string(toUnixMilliseconds(record.time)) + "-" + actor + "-" + std::to_string(::getpid());
-    Failure failure;
-    if (!putOnce(store, key, nlohmann::json::array({ toJson(record) }).dump(), failure))
-        std::cerr << "warning: the audit record was not written: " << failure.reason << "\n";
-}
+    int createBundle(const cxxopts::ParseResult& parsed, PlatformStore& store, BundleOffice& office)
+    {
+        Failure failure;
+        std::optional<std::string> text = readFile(parsed["file"].as<std::string>(), failure);
+        if (!text)
+            return reportFailure(failure);
 
-std::string getActor(const cxxopts::ParseResult& parsed)
-{
-    return parsed["operator"].as<std::string>();
-}
+        nlohmann::json document = nlohmann::json::parse(*text, nullptr, false);
+        if (document.is_discarded()) {
+            failure.set(Failure::Kind::InvalidInput, parsed["file"].as<std::string>() + ": is not JSON");
+            return reportFailure(failure);
+        }
+        std::optional<BundleVersion> version = office.create(document, failure);
+        if (!version)
+            return reportFailure(failure);
+        recordChange(store, AuditKind::BundleCreated, getActor(parsed), *version);
+        print(parsed, { { "version", version->value() } }, "created version " + std::to_string(version->value()));
+        return exitcodes::ok;
+    }
 
-void addOperator(cxxopts::Options& options)
-{
-    options.add_options()("operator", "the operator's name, for approvals and the audit trail", cxxopts::value<std::string>());
-}
+    int approveBundle(const cxxopts::ParseResult& parsed, PlatformStore& store, BundleOffice& office)
+    {
+        Failure failure;
+        std::optional<std::string> key = readFile(parsed["key"].as<std::string>(), failure);
+        if (!key)
+            return reportFailure(failure);
+        while (!key->empty() && key->back() == '\n')
+            key->pop_back();
 
-int createBundle(const cxxopts::ParseResult& parsed, PlatformStore& store, BundleOffice& office)
-{
-    Failure failure;
-    std::optional<std::string> text = readFile(parsed["file"].as<std::string>(), failure);
-    if (!text)
-        return reportFailure(failure);
-
-    nlohmann::json document = nlohmann::json::parse(*text, nullptr, false);
-    if (document.is_discarded()) {
-        failure.set(Failure::Kind::InvalidInput, parsed["file"].as<std::string>() + ": is not JSON");
-        return reportFailure(failure);
+        BundleVersion version = getVersion(parsed);
+        if (!office.approve(version, getActor(parsed), *key, failure))
+            return reportFailure(failure);
+        recordChange(store, AuditKind::BundleApproved, getActor(parsed), version);
+        print(parsed, { { "approved", version.value() } }, "approved version " + std::to_string(version.value()));
+        return exitcodes::ok;
     }
-    std::optional<BundleVersion> version = office.create(document, failure);
-    if (!version)
-        return reportFailure(failure);
-    recordChange(store, AuditKind::BundleCreated, getActor(parsed), *version);
-    print(parsed, { { "version", version->value() } }, "created version " + std::to_string(version->value()));
-    return exitcodes::ok;
-}
 
-int approveBundle(const cxxopts::ParseResult& parsed, PlatformStore& store, BundleOffice& office)
-{
-    Failure failure;
-    std::optional<std::string> key = readFile(parsed["key"].as<std::string>(), failure);
-    if (!key)
-        return reportFailure(failure);
-    while (!key->empty() && key->back() == '\n')
-        key->pop_back();
-
-    BundleVersion version = getVersion(parsed);
-    if (!office.approve(version, getActor(parsed), *key, failure))
-        return reportFailure(failure);
-    recordChange(store, AuditKind::BundleApproved, getActor(parsed), version);
-    print(parsed, { { "approved", version.value() } }, "approved version " + std::to_string(version.value()));
-    return exitcodes::ok;
-}
-
-int rollBundle(const cxxopts::ParseResult& parsed, PlatformStore& store, BundleOffice& office)
-{
-    Failure failure;
-    BundleVersion version = getVersion(parsed);
-    if (!office.roll(version, failure))
-        return reportFailure(failure);
-    recordChange(store, AuditKind::BundleRolled, getActor(parsed), version);
-    print(parsed, { { "rolled", version.value() } }, "version " + std::to_string(version.value()) + " is rolled");
-    return exitcodes::ok;
-}
+    int rollBundle(const cxxopts::ParseResult& parsed, PlatformStore& store, BundleOffice& office)
+    {
+        Failure failure;
+        BundleVersion version = getVersion(parsed);
+        if (!office.roll(version, failure))
+            return reportFailure(failure);
+        recordChange(store, AuditKind::BundleRolled, getActor(parsed), version);
+        print(parsed, { { "rolled", version.value() } }, "version " + std::to_string(version.value()) + " is rolled");
+        return exitcodes::ok;
+    }
 
-int showProgress(const cxxopts::ParseResult& parsed, PlatformStore&, BundleOffice& office)
-{
-    Failure failure;
-    std::optional<BundleOffice::Progress> progress = office.getProgress(getVersion(parsed), failure);
-    if (!progress)
-        return reportFailure(failure);
-
-    nlohmann::json document { { "version", progress->version.value() }, { "approved_by", progress->approvedBy }, { "threshold", progress->threshold }, { "in_force", progress->isInForce } };
-    std::string line = "version " + std::to_string(progress->version.value()) + ": " + std::to_string(progress->approvedBy.size()) + " of " + std::to_string(progress->threshold)
-        + " approvals" + (progress->isInForce ? ", in force" : "");
-    print(parsed, document, line);
-    return exitcodes::ok;
-}
+    int showProgress(const cxxopts::ParseResult& parsed, PlatformStore&, BundleOffice& office)
+    {
+        Failure failure;
+        std::optional<BundleOffice::Progress> progress = office.getProgress(getVersion(parsed), failure);
+        if (!progress)
+            return reportFailure(failure);
 
-int showDifference(const cxxopts::ParseResult& parsed, PlatformStore&, BundleOffice& office)
-{
-    Failure failure;
-    std::optional<std::string> proposed = office.getText(getVersion(parsed), failure);
-    if (!proposed)
-        return reportFailure(failure);
-
-    nlohmann::json before = nlohmann::json::object();
-    std::optional<SignedBundle> current = office.getCurrent(failure);
-    if (current)
-        before = nlohmann::json::parse(current->text);
-    else if (failure.kind != Failure::Kind::NotFound)
-        return reportFailure(failure);
-
-    nlohmann::json difference = nlohmann::json::diff(before, nlohmann::json::parse(*proposed));
-    if (parsed.count("json") > 0) {
-        std::cout << difference.dump() << "\n";
+        nlohmann::json document { { "version", progress->version.value() }, { "approved_by", progress->approvedBy }, { "threshold", progress->threshold }, { "in_force", progress->isInForce } };
+        std::string line = "version " + std::to_string(progress->version.value()) + ": " + std::to_string(progress->approvedBy.size()) + " of " + std::to_string(progress->threshold)
+            + " approvals" + (progress->isInForce ? ", in force" : "");
+        print(parsed, document, line);
         return exitcodes::ok;
     }
-    for (const nlohmann::json& change : difference)
-        std::cout << change.at("op").get<std::string>() << " " << change.at("path").get<std::string>() << " " << change.value("value", nlohmann::json()).dump() << "\n";
-    return exitcodes::ok;
-}
 
-int showAudit(const cxxopts::ParseResult& parsed, PlatformStore& store, BundleOffice&)
-{
-    Failure failure;
-    std::optional<std::vector<std::string>> keys = store.list(storekeys::audit, failure);
-    if (!keys)
-        return reportFailure(failure);
-
-    std::string wanted = parsed["kind"].as<std::string>();
-    for (const std::string& key : *keys) {
-        std::optional<StoreObject> object = store.get(key, failure);
-        if (!object)
+    int showDifference(const cxxopts::ParseResult& parsed, PlatformStore&, BundleOffice& office)
+    {
+        Failure failure;
+        std::optional<std::string> proposed = office.getText(getVersion(parsed), failure);
+        if (!proposed)
             return reportFailure(failure);
-        for (const nlohmann::json& record : nlohmann::json::parse(object->value, nullptr, false)) {
-            if (!wanted.empty() && record.value("kind", "") != wanted)
-                continue;
-            std::string line = std::to_string(record.value("time_ms", std::int64_t(0))) + " " + record.value("kind", "") + " " + record.value("actor", "") + " " + record.value("subject", "")
-                + ": \"" + record.value("before", "") + "\" -> \"" + record.value("after", "") + "\" (" + record.value("reason", "") + ")";
-            print(parsed, record, line);
+
+        nlohmann::json before = nlohmann::json::object();
+        std::optional<SignedBundle> current = office.getCurrent(failure);
+        if (current)
+            before = nlohmann::json::parse(current->text);
+        else if (failure.kind != Failure::Kind::NotFound)
+            return reportFailure(failure);
+
+        nlohmann::json difference = nlohmann::json::diff(before, nlohmann::json::parse(*proposed));
+        if (parsed.count("json") > 0) {
+            std::cout << difference.dump() << "\n";
+            return exitcodes::ok;
         }
+        for (const nlohmann::json& change : difference)
+            std::cout << change.at("op").get<std::string>() << " " << change.at("path").get<std::string>() << " " << change.value("value", nlohmann::json()).dump() << "\n";
+        return exitcodes::ok;
     }
-    return exitcodes::ok;
-}
 
-class KeysCommand : public Command {
-public:
-    std::string getName() const override { return "keys create"; }
-    std::string getSummary() const override { return "create an operator's key pair"; }
-
-    int run(const std::vector<std::string>& arguments) override
+    int showAudit(const cxxopts::ParseResult& parsed, PlatformStore& store, BundleOffice&)
     {
-        CommandLine line(this->getName(), this->getSummary());
-        line.getOptions().add_options()("out", "file for the private key; must not exist", cxxopts::value<std::string>());
-        return line.run(arguments, [](const cxxopts::ParseResult& parsed) {
-            Failure failure;
-            KeyPair pair = createKeyPair();
-            if (!writePrivateFile(parsed["out"].as<std::string>(), pair.privateKey + "\n", failure))
+        Failure failure;
+        std::optional<std::vector<std::string>> keys = store.list(storekeys::audit, failure);
+        if (!keys)
+            return reportFailure(failure);
+
+        std::string wanted = parsed["kind"].as<std::string>();
+        for (const std::string& key : *keys) {
+            std::optional<StoreObject> object = store.get(key, failure);
+            if (!object)
                 return reportFailure(failure);
-            std::cout << pair.publicKey << "\n";
-            return exitcodes::ok;
-        });
+            for (const nlohmann::json& record : nlohmann::json::parse(object->value, nullptr, false)) {
+                if (!wanted.empty() && record.value("kind", "") != wanted)
+                    continue;
+                std::string line = std::to_string(record.value("time_ms", std::int64_t(0))) + " " + record.value("kind", "") + " " + record.value("actor", "") + " " + record.value("subject", "")
+                    + ": \"" + record.value("before", "") + "\" -> \"" + record.value("after", "") + "\" (" + record.value("reason", "") + ")";
+                print(parsed, record, line);
+            }
+        }
+        return exitcodes::ok;
     }
-};
+
+    class KeysCommand : public Command {
+    public:
+        std::string getName() const override { return "keys create"; }
+        std::string getSummary() const override { return "create an operator's key pair"; }
+
+        int run(const std::vector<std::string>& arguments) override
+        {
+            CommandLine line(this->getName(), this->getSummary());
+            line.getOptions().add_options()("out", "file for the private key; must not exist", cxxopts::value<std::string>());
+            return line.run(arguments, [](const cxxopts::ParseResult& parsed) {
+                Failure failure;
+                KeyPair pair = createKeyPair();
+                if (!writePrivateFile(parsed["out"].as<std::string>(), pair.privateKey + "\n", failure))
+                    return reportFailure(failure);
+                std::cout << pair.publicKey << "\n";
+                return exitcodes::ok;
+            });
+        }
+    };
 
 } // namespace
 
--- a/src/cli/Command.h
+++ b/src/cli/Command.h
@@ -7,17 +7,17 @@
 
 /// Exit codes of every command.
 namespace exitcodes {
-constexpr int ok = 0;
-/// The command could not do its work.
-constexpr int failed = 1;
-/// The command line, a file or a setting is wrong.
-constexpr int usage = 2;
-/// Another operator was first.
-constexpr int conflict = 3;
-/// The store or the instance does not answer; nothing is known to have changed.
-constexpr int unavailable = 4;
-/// The store did not answer after it may have changed something.
-constexpr int inDoubt = 5;
+    constexpr int ok = 0;
+    /// The command could not do its work.
+    constexpr int failed = 1;
+    /// The command line, a file or a setting is wrong.
+    constexpr int usage = 2;
+    /// Another operator was first.
+    constexpr int conflict = 3;
+    /// The store or the instance does not answer; nothing is known to have changed.
+    constexpr int unavailable = 4;
+    /// The store did not answer after it may have changed something.
+    constexpr int inDoubt = 5;
 } // namespace exitcodes
 
 /// A subcommand of the program.
--- a/src/cli/Program.cpp
+++ b/src/cli/Program.cpp
@@ -10,34 +10,34 @@
 
 namespace {
 
-std::vector<std::unique_ptr<Command>> makeAllCommands()
-{
-    std::vector<std::unique_ptr<Command>> commands = makeInstanceCommands();
-    std::vector<std::unique_ptr<Command>> more = makeBundleCommands();
-    commands.insert(commands.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
-    return commands;
-}
+    std::vector<std::unique_ptr<Command>> makeAllCommands()
+    {
+        std::vector<std::unique_ptr<Command>> commands = makeInstanceCommands();
+        std::vector<std::unique_ptr<Command>> more = makeBundleCommands();
+        commands.insert(commands.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+        return commands;
+    }
 
-void printOverview(std::ostream& stream, const std::vector<std::unique_ptr<Command>>& commands)
-{
-    stream << "lentiljunction: a database proxy with session consistency\n\nusage: lentiljunction COMMAND [--help] [options]\n\n";
-    for (const std::unique_ptr<Command>& command : commands)
-        stream << "  " << command->getName() << std::string(18 - command->getName().size(), ' ') << command->getSummary() << "\n";
-}
+    void printOverview(std::ostream& stream, const std::vector<std::unique_ptr<Command>>& commands)
+    {
+        stream << "lentiljunction: a database proxy with session consistency\n\nusage: lentiljunction COMMAND [--help] [options]\n\n";
+        for (const std::unique_ptr<Command>& command : commands)
+            stream << "  " << command->getName() << std::string(18 - command->getName().size(), ' ') << command->getSummary() << "\n";
+    }
 
-/// @returns how many arguments the name takes, zero when they do not begin with it
-std::size_t matchName(const std::string& name, const std::vector<std::string>& arguments)
-{
-    std::istringstream stream(name);
-    std::string word;
-    std::size_t count = 0;
-    while (stream >> word) {
-        if (count >= arguments.size() || arguments[count] != word)
-            return 0;
-        count++;
+    /// @returns how many arguments the name takes, zero when they do not begin with it
+    std::size_t matchName(const std::string& name, const std::vector<std::string>& arguments)
+    {
+        std::istringstream stream(name);
+        std::string word;
+        std::size_t count = 0;
+        while (stream >> word) {
+            if (count >= arguments.size() || arguments[count] != word)
+                return 0;
+            count++;
+        }
+        return count;
     }
-    return count;
-}
 
 } // namespace
 
--- a/src/confirmation/AgeHistory.cpp
+++ b/src/confirmation/AgeHistory.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t maximumSamples = 512;
+    constexpr std::size_t maximumSamples = 512;
 
 } // namespace
 
--- a/src/confirmation/ConfirmationTracker.cpp
+++ b/src/confirmation/ConfirmationTracker.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 
-/// Whether this upstream alone would be proof: its promise and its log agree on one term and
-/// the log reaches into it.
-bool isSettled(const UpstreamStatus& status)
-{
-    return status.fencedTerm == status.head.term;
-}
+    /// Whether this upstream alone would be proof: its promise and its log agree on one term and
+    /// the log reaches into it.
+    bool isSettled(const UpstreamStatus& status)
+    {
+        return status.fencedTerm == status.head.term;
+    }
 
 } // namespace
 
--- a/src/core/JsonFields.cpp
+++ b/src/core/JsonFields.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-const nlohmann::json nullValue;
+    const nlohmann::json nullValue;
 
 } // namespace
 
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -7,18 +7,18 @@
 
 namespace {
 
-spdlog::level::level_enum toSpdlogLevel(LogLevel level)
-{
-    switch (level) {
-    case LogLevel::Information:
+    spdlog::level::level_enum toSpdlogLevel(LogLevel level)
+    {
+        switch (level) {
+        case LogLevel::Information:
+            return spdlog::level::info;
+        case LogLevel::Warning:
+            return spdlog::level::warn;
+        case LogLevel::Error:
+            return spdlog::level::err;
+        }
         return spdlog::level::info;
-    case LogLevel::Warning:
-        return spdlog::level::warn;
-    case LogLevel::Error:
-        return spdlog::level::err;
     }
-    return spdlog::level::info;
-}
 
 } // namespace
 
--- a/src/core/Outcome.cpp
+++ b/src/core/Outcome.cpp
@@ -7,36 +7,36 @@
 
 namespace {
 
-struct ReasonName {
-    NotRunReason reason;
-    const char* name;
-};
-
-constexpr std::array<ReasonName, 19> reasonNames { {
-    { NotRunReason::InvalidRequest, "invalid_request" },
-    { NotRunReason::UnknownDatabase, "unknown_database" },
-    { NotRunReason::QueueFull, "queue_full" },
-    { NotRunReason::DeadlineTooShort, "deadline_too_short" },
-    { NotRunReason::DeadlinePassed, "deadline_passed" },
-    { NotRunReason::NoPrimary, "no_primary" },
-    { NotRunReason::NotPrimary, "not_primary" },
-    { NotRunReason::WrongGate, "wrong_gate" },
-    { NotRunReason::UpstreamUnavailable, "upstream_unavailable" },
-    { NotRunReason::UpstreamLeaving, "upstream_leaving" },
-    { NotRunReason::PeerUnreachable, "peer_unreachable" },
-    { NotRunReason::ReplicaBehind, "replica_behind" },
-    { NotRunReason::AgeNotProved, "age_not_proved" },
-    { NotRunReason::SessionLost, "session_lost" },
-    { NotRunReason::KeyExpired, "key_expired" },
-    { NotRunReason::KeyReused, "key_reused" },
-    { NotRunReason::TransactionGone, "transaction_gone" },
-    { NotRunReason::NotReady, "not_ready" },
-    { NotRunReason::Draining, "draining" },
-} };
-
-constexpr std::array<OutcomeKind, 4> allKinds {
-    OutcomeKind::Completed, OutcomeKind::Rejected, OutcomeKind::NotRun, OutcomeKind::Unknown
-};
+    struct ReasonName {
+        NotRunReason reason;
+        const char* name;
+    };
+
+    constexpr std::array<ReasonName, 19> reasonNames { {
+        { NotRunReason::InvalidRequest, "invalid_request" },
+        { NotRunReason::UnknownDatabase, "unknown_database" },
+        { NotRunReason::QueueFull, "queue_full" },
+        { NotRunReason::DeadlineTooShort, "deadline_too_short" },
+        { NotRunReason::DeadlinePassed, "deadline_passed" },
+        { NotRunReason::NoPrimary, "no_primary" },
+        { NotRunReason::NotPrimary, "not_primary" },
+        { NotRunReason::WrongGate, "wrong_gate" },
+        { NotRunReason::UpstreamUnavailable, "upstream_unavailable" },
+        { NotRunReason::UpstreamLeaving, "upstream_leaving" },
+        { NotRunReason::PeerUnreachable, "peer_unreachable" },
+        { NotRunReason::ReplicaBehind, "replica_behind" },
+        { NotRunReason::AgeNotProved, "age_not_proved" },
+        { NotRunReason::SessionLost, "session_lost" },
+        { NotRunReason::KeyExpired, "key_expired" },
+        { NotRunReason::KeyReused, "key_reused" },
+        { NotRunReason::TransactionGone, "transaction_gone" },
+        { NotRunReason::NotReady, "not_ready" },
+        { NotRunReason::Draining, "draining" },
+    } };
+
+    constexpr std::array<OutcomeKind, 4> allKinds {
+        OutcomeKind::Completed, OutcomeKind::Rejected, OutcomeKind::NotRun, OutcomeKind::Unknown
+    };
 
 } // namespace
 
--- a/src/core/RendezvousHash.cpp
+++ b/src/core/RendezvousHash.cpp
@@ -4,18 +4,18 @@
 
 namespace {
 
-constexpr std::uint64_t fnvOffset = 14695981039346656037ULL;
-constexpr std::uint64_t fnvPrime = 1099511628211ULL;
-
-std::uint64_t mix(std::uint64_t hash)
-{
-    hash ^= hash >> 33;
-    hash *= 0xff51afd7ed558ccdULL;
-    hash ^= hash >> 33;
-    hash *= 0xc4ceb9fe1a85ec53ULL;
-    hash ^= hash >> 33;
-    return hash;
-}
+    constexpr std::uint64_t fnvOffset = 14695981039346656037ULL;
+    constexpr std::uint64_t fnvPrime = 1099511628211ULL;
+
+    std::uint64_t mix(std::uint64_t hash)
+    {
+        hash ^= hash >> 33;
+        hash *= 0xff51afd7ed558ccdULL;
+        hash ^= hash >> 33;
+        hash *= 0xc4ceb9fe1a85ec53ULL;
+        hash ^= hash >> 33;
+        return hash;
+    }
 
 } // namespace
 
--- a/src/execution/PostgresConnection.cpp
+++ b/src/execution/PostgresConnection.cpp
@@ -11,23 +11,23 @@
 
 namespace {
 
-ResultSet readResult(const PGresult* result)
-{
-    ResultSet set;
-    int numColumns = PQnfields(result);
-    for (int column = 0; column < numColumns; column++)
-        set.columns.emplace_back(PQfname(result, column));
-    for (int row = 0; row < PQntuples(result); row++) {
-        std::vector<std::optional<std::string>> cells;
-        for (int column = 0; column < numColumns; column++) {
-            bool isNull = PQgetisnull(result, row, column) == 1;
-            cells.push_back(isNull ? std::optional<std::string>() : std::string(PQgetvalue(result, row, column)));
+    ResultSet readResult(const PGresult* result)
+    {
+        ResultSet set;
+        int numColumns = PQnfields(result);
+        for (int column = 0; column < numColumns; column++)
+            set.columns.emplace_back(PQfname(result, column));
+        for (int row = 0; row < PQntuples(result); row++) {
+            std::vector<std::optional<std::string>> cells;
+            for (int column = 0; column < numColumns; column++) {
+                bool isNull = PQgetisnull(result, row, column) == 1;
+                cells.push_back(isNull ? std::optional<std::string>() : std::string(PQgetvalue(result, row, column)));
+            }
+            set.rows.push_back(std::move(cells));
         }
-        set.rows.push_back(std::move(cells));
+        set.affectedRows = std::strtoull(PQcmdTuples(const_cast<PGresult*>(result)), nullptr, 10);
+        return set;
     }
-    set.affectedRows = std::strtoull(PQcmdTuples(const_cast<PGresult*>(result)), nullptr, 10);
-    return set;
-}
 
 } // namespace
 
--- a/src/execution/ResultCodec.cpp
+++ b/src/execution/ResultCodec.cpp
@@ -4,31 +4,31 @@
 
 namespace {
 
-nlohmann::json toJson(const ResultSet& result)
-{
-    nlohmann::json rows = nlohmann::json::array();
-    for (const std::vector<std::optional<std::string>>& row : result.rows) {
-        nlohmann::json cells = nlohmann::json::array();
-        for (const std::optional<std::string>& cell : row)
-            cells.push_back(cell ? nlohmann::json(*cell) : nlohmann::json());
-        rows.push_back(std::move(cells));
+    nlohmann::json toJson(const ResultSet& result)
+    {
+        nlohmann::json rows = nlohmann::json::array();
+        for (const std::vector<std::optional<std::string>>& row : result.rows) {
+            nlohmann::json cells = nlohmann::json::array();
+            for (const std::optional<std::string>& cell : row)
+                cells.push_back(cell ? nlohmann::json(*cell) : nlohmann::json());
+            rows.push_back(std::move(cells));
+        }
+        return { { "columns", result.columns }, { "rows", std::move(rows) }, { "affected", result.affectedRows } };
     }
-    return { { "columns", result.columns }, { "rows", std::move(rows) }, { "affected", result.affectedRows } };
-}
 
-std::optional<ResultSet> parseResult(const nlohmann::json& document)
-{
-    ResultSet result;
-    result.columns = document.at("columns").get<std::vector<std::string>>();
-    result.affectedRows = document.at("affected").get<std::uint64_t>();
-    for (const nlohmann::json& cells : document.at("rows")) {
-        std::vector<std::optional<std::string>> row;
-        for (const nlohmann::json& cell : cells)
-            row.push_back(cell.is_null() ? std::optional<std::string>() : cell.get<std::string>());
-        result.rows.push_back(std::move(row));
+    std::optional<ResultSet> parseResult(const nlohmann::json& document)
+    {
+        ResultSet result;
+        result.columns = document.at("columns").get<std::vector<std::string>>();
+        result.affectedRows = document.at("affected").get<std::uint64_t>();
+        for (const nlohmann::json& cells : document.at("rows")) {
+            std::vector<std::optional<std::string>> row;
+            for (const nlohmann::json& cell : cells)
+                row.push_back(cell.is_null() ? std::optional<std::string>() : cell.get<std::string>());
+            result.rows.push_back(std::move(row));
+        }
+        return result;
     }
-    return result;
-}
 
 } // namespace
 
--- a/src/execution/Statement.cpp
+++ b/src/execution/Statement.cpp
@@ -7,50 +7,50 @@
 
 namespace {
 
-const std::set<std::string> transactionWords {
-    "BEGIN", "START", "COMMIT", "END", "ROLLBACK", "ABORT", "SAVEPOINT", "RELEASE", "PREPARE"
-};
+    const std::set<std::string> transactionWords {
+        "BEGIN", "START", "COMMIT", "END", "ROLLBACK", "ABORT", "SAVEPOINT", "RELEASE", "PREPARE"
+    };
 
-std::string toUpper(const std::string& text)
-{
-    std::string upper;
-    for (char character : text)
-        upper.push_back(static_cast<char>(std::toupper(static_cast<unsigned char>(character))));
-    return upper;
-}
+    std::string toUpper(const std::string& text)
+    {
+        std::string upper;
+        for (char character : text)
+            upper.push_back(static_cast<char>(std::toupper(static_cast<unsigned char>(character))));
+        return upper;
+    }
 
-std::string getFirstWord(const std::string& sql)
-{
-    std::size_t begin = sql.find_first_not_of(" \t\r\n(");
-    if (begin == std::string::npos)
-        return {};
+    std::string getFirstWord(const std::string& sql)
+    {
+        std::size_t begin = sql.find_first_not_of(" \t\r\n(");
+        if (begin == std::string::npos)
+            return {};
 
-    std::size_t end = begin;
-    while (end < sql.size() && std::isalpha(static_cast<unsigned char>(sql[end])) != 0)
-        end++;
-    return toUpper(sql.substr(begin, end - begin));
-}
+        std::size_t end = begin;
+        while (end < sql.size() && std::isalpha(static_cast<unsigned char>(sql[end])) != 0)
+            end++;
+        return toUpper(sql.substr(begin, end - begin));
+    }
 
-/// Whether a semicolon, or a comment that might hide one, stands outside quotes.
-bool hasSeparator(const std::string& sql)
-{
-    char quote = 0;
-    for (std::size_t index = 0; index < sql.size(); index++) {
-        char character = sql[index];
-        if (quote != 0) {
-            if (character == quote)
-                quote = 0;
-            continue;
+    /// Whether a semicolon, or a comment that might hide one, stands outside quotes.
+    bool hasSeparator(const std::string& sql)
+    {
+        char quote = 0;
+        for (std::size_t index = 0; index < sql.size(); index++) {
+            char character = sql[index];
+            if (quote != 0) {
+                if (character == quote)
+                    quote = 0;
+                continue;
+            }
+            if (character == '\'' || character == '"')
+                quote = character;
+            bool isComment = index + 1 < sql.size() && ((character == '-' && sql[index + 1] == '-') || (character == '/' && sql[index + 1] == '*'));
+            bool isDollarQuote = character == '$' && index + 1 < sql.size() && std::isdigit(static_cast<unsigned char>(sql[index + 1])) == 0;
+            if (character == ';' || isComment || isDollarQuote)
+                return true;
         }
-        if (character == '\'' || character == '"')
-            quote = character;
-        bool isComment = index + 1 < sql.size() && ((character == '-' && sql[index + 1] == '-') || (character == '/' && sql[index + 1] == '*'));
-        bool isDollarQuote = character == '$' && index + 1 < sql.size() && std::isdigit(static_cast<unsigned char>(sql[index + 1])) == 0;
-        if (character == ';' || isComment || isDollarQuote)
-            return true;
+        return quote != 0;
     }
-    return quote != 0;
-}
 
 } // namespace
 
--- a/src/execution/TransactionRunner.cpp
+++ b/src/execution/TransactionRunner.cpp
@@ -10,18 +10,18 @@
 
 namespace {
 
-const std::string uniqueViolation = "23505";
-const std::string undefinedTable = "42P01";
-const std::string readOnlyTransaction = "25006";
-const std::string keyTable = "lentiljunction_keys";
-constexpr int maximumKeyTries = 3;
-/// In a batch that inserts a key, BEGIN stands first and the key's row second.
-constexpr std::size_t keyRowIndex = 1;
-
-std::string makeFingerprint(const std::vector<std::string>& statements)
-{
-    return std::to_string(stableHash(joinStatements(statements)));
-}
+    const std::string uniqueViolation = "23505";
+    const std::string undefinedTable = "42P01";
+    const std::string readOnlyTransaction = "25006";
+    const std::string keyTable = "lentiljunction_keys";
+    constexpr int maximumKeyTries = 3;
+    /// In a batch that inserts a key, BEGIN stands first and the key's row second.
+    constexpr std::size_t keyRowIndex = 1;
+
+    std::string makeFingerprint(const std::vector<std::string>& statements)
+    {
+        return std::to_string(stableHash(joinStatements(statements)));
+    }
 
 } // namespace
 
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -10,16 +10,16 @@
 
 namespace {
 
-constexpr Duration probePeriod = std::chrono::seconds(1);
-/// A probe without an answer is tried through others after this time.
-constexpr Duration directTimeout = std::chrono::milliseconds(300);
-constexpr Duration probeTimeout = std::chrono::milliseconds(900);
-constexpr Duration suspicionTimeout = std::chrono::seconds(3);
-constexpr std::size_t indirectProbes = 3;
-constexpr std::size_t relaysPerZone = 2;
-constexpr std::size_t updatesPerMessage = 6;
-/// A change is repeated this many times the logarithm of the zone's size.
-constexpr double repeatFactor = 3;
+    constexpr Duration probePeriod = std::chrono::seconds(1);
+    /// A probe without an answer is tried through others after this time.
+    constexpr Duration directTimeout = std::chrono::milliseconds(300);
+    constexpr Duration probeTimeout = std::chrono::milliseconds(900);
+    constexpr Duration suspicionTimeout = std::chrono::seconds(3);
+    constexpr std::size_t indirectProbes = 3;
+    constexpr std::size_t relaysPerZone = 2;
+    constexpr std::size_t updatesPerMessage = 6;
+    /// A change is repeated this many times the logarithm of the zone's size.
+    constexpr double repeatFactor = 3;
 
 } // namespace
 
--- a/src/net/WebSocketClient.cpp
+++ b/src/net/WebSocketClient.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-using Client = websocketpp::client<websocketpp::config::asio_client>;
-using ClientConnection = Client::connection_ptr;
-constexpr long openTimeoutMilliseconds = 400;
-constexpr std::size_t messageLimit = 64U << 20;
+    using Client = websocketpp::client<websocketpp::config::asio_client>;
+    using ClientConnection = Client::connection_ptr;
+    constexpr long openTimeoutMilliseconds = 400;
+    constexpr std::size_t messageLimit = 64U << 20;
 
 } // namespace
 
--- a/src/net/WebSocketServer.cpp
+++ b/src/net/WebSocketServer.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-using Server = websocketpp::server<websocketpp::config::asio>;
-using ServerConnection = Server::connection_ptr;
+    using Server = websocketpp::server<websocketpp::config::asio>;
+    using ServerConnection = Server::connection_ptr;
 
-/// Larger messages end the connection; smaller ones over the bundle's limit get a clear error.
-constexpr std::size_t hardMessageLimit = 64U << 20;
+    /// Larger messages end the connection; smaller ones over the bundle's limit get a clear error.
+    constexpr std::size_t hardMessageLimit = 64U << 20;
 
 } // namespace
 
--- a/src/peer/PeerCodec.cpp
+++ b/src/peer/PeerCodec.cpp
@@ -7,189 +7,189 @@
 
 namespace {
 
-/// The number of the layout of these messages. An instance refuses another number.
-constexpr int formatVersion = 1;
-
-/// The index of each alternative of PeerMessage is its kind on the wire.
-enum WireKind : std::size_t {
-    Membership,
-    Request,
-    Answer,
-    Primary,
-    Question,
-    Opinion,
-    NoticeOfBundle,
-    RequestOfBundle,
-    ReplyOfBundle,
-    Leaving,
-    LinkEcho,
-};
-
-const LimitsConfig& getPeerLimits()
-{
-    static const LimitsConfig limits = [] {
-        LimitsConfig wide;
-        wide.maximumDeadline = std::chrono::hours(1);
-        return wide;
-    }();
-    return limits;
-}
-
-nlohmann::json encodeMember(const Member& member)
-{
-    return { member.id.toString(), member.zone.toString(), member.endpoint.host, member.endpoint.port, static_cast<int>(member.state), member.incarnation.value() };
-}
-
-Member decodeMember(const nlohmann::json& row)
-{
-    Member member;
-    member.id = InstanceId(row.at(0).get<std::string>());
-    member.zone = ZoneId(row.at(1).get<std::string>());
-    member.endpoint = { row.at(2).get<std::string>(), row.at(3).get<std::uint16_t>() };
-    member.state = static_cast<MemberState>(row.at(4).get<int>() & 3);
-    member.incarnation = Incarnation(row.at(5).get<std::uint64_t>());
-    return member;
-}
-
-nlohmann::json encodeHint(const PrimaryHint& hint)
-{
-    return { hint.term.value(), hint.upstream.toString() };
-}
-
-PrimaryHint decodeHint(const nlohmann::json& row)
-{
-    return { Term(row.at(0).get<std::uint64_t>()), UpstreamId(row.at(1).get<std::string>()) };
-}
-
-/// Builds the body of each kind of message.
-struct Encoder {
-    nlohmann::json operator()(const MembershipMessage& message) const
+    /// The number of the layout of these messages. An instance refuses another number.
+    constexpr int formatVersion = 1;
+
+    /// The index of each alternative of PeerMessage is its kind on the wire.
+    enum WireKind : std::size_t {
+        Membership,
+        Request,
+        Answer,
+        Primary,
+        Question,
+        Opinion,
+        NoticeOfBundle,
+        RequestOfBundle,
+        ReplyOfBundle,
+        Leaving,
+        LinkEcho,
+    };
+
+    const LimitsConfig& getPeerLimits()
     {
-        nlohmann::json updates = nlohmann::json::array();
-        for (const Member& member : message.updates)
-            updates.push_back(encodeMember(member));
-        nlohmann::json digests = nlohmann::json::array();
-        for (const MembershipMessage::ZoneDigest& digest : message.digests)
-            digests.push_back({ digest.zone.toString(), digest.digest });
-        return { static_cast<int>(message.kind), message.sequence, message.target.toString(), updates, digests, message.bundleVersion.value() };
+        static const LimitsConfig limits = [] {
+            LimitsConfig wide;
+            wide.maximumDeadline = std::chrono::hours(1);
+            return wide;
+        }();
+        return limits;
     }
 
-    nlohmann::json operator()(const HopRequest& message) const
+    nlohmann::json encodeMember(const Member& member)
     {
-        return { message.hop, toJson(message.request), message.upstream.toString(), message.remaining.count(), message.alternativeCost.count() };
+        return { member.id.toString(), member.zone.toString(), member.endpoint.host, member.endpoint.port, static_cast<int>(member.state), member.incarnation.value() };
     }
 
-    nlohmann::json operator()(const HopAnswer& message) const
+    Member decodeMember(const nlohmann::json& row)
     {
-        nlohmann::json point;
-        if (message.point)
-            point = { message.point->term.value(), message.point->position.value() };
-        nlohmann::json hint;
-        if (message.hint)
-            hint = encodeHint(*message.hint);
-        return { message.hop, toJson(message.outcome), message.isInDoubt, point, hint, message.transaction.toString() };
+        Member member;
+        member.id = InstanceId(row.at(0).get<std::string>());
+        member.zone = ZoneId(row.at(1).get<std::string>());
+        member.endpoint = { row.at(2).get<std::string>(), row.at(3).get<std::uint16_t>() };
+        member.state = static_cast<MemberState>(row.at(4).get<int>() & 3);
+        member.incarnation = Incarnation(row.at(5).get<std::uint64_t>());
+        return member;
     }
 
-    nlohmann::json operator()(const PrimaryNotice& message) const { return { message.database.toString(), encodeHint(message.hint) }; }
-    nlohmann::json operator()(const OpinionRequest& message) const { return { message.question, message.database.toString(), message.upstream.toString() }; }
-    nlohmann::json operator()(const OpinionReply& message) const { return { message.question, message.isReached }; }
-    nlohmann::json operator()(const BundleNotice& message) const { return nlohmann::json::array({ message.version.value() }); }
-    nlohmann::json operator()(const BundleRequest& message) const { return { message.have.value(), message.wantsFullCopy }; }
-    nlohmann::json operator()(const BundleReply& message) const { return nlohmann::json::array({ message.delta, message.full }); }
-    nlohmann::json operator()(const Echo& message) const { return { message.number, message.isReply }; }
+    nlohmann::json encodeHint(const PrimaryHint& hint)
+    {
+        return { hint.term.value(), hint.upstream.toString() };
+    }
 
-    nlohmann::json operator()(const LeavingNotice& message) const
+    PrimaryHint decodeHint(const nlohmann::json& row)
     {
-        nlohmann::json body = nlohmann::json::array();
-        for (const UpstreamId& upstream : message.upstreams)
-            body.push_back(upstream.toString());
-        return body;
+        return { Term(row.at(0).get<std::uint64_t>()), UpstreamId(row.at(1).get<std::string>()) };
     }
-};
 
-MembershipMessage decodeMembership(const nlohmann::json& body)
-{
-    MembershipMessage message;
-    message.kind = static_cast<MembershipMessage::Kind>(body.at(0).get<int>() & 3);
-    message.sequence = body.at(1).get<std::uint64_t>();
-    message.target = InstanceId(body.at(2).get<std::string>());
-    for (const nlohmann::json& row : body.at(3))
-        message.updates.push_back(decodeMember(row));
-    for (const nlohmann::json& row : body.at(4))
-        message.digests.push_back({ ZoneId(row.at(0).get<std::string>()), row.at(1).get<std::uint64_t>() });
-    message.bundleVersion = BundleVersion(body.at(5).get<std::uint64_t>());
-    return message;
-}
+    /// Builds the body of each kind of message.
+    struct Encoder {
+        nlohmann::json operator()(const MembershipMessage& message) const
+        {
+            nlohmann::json updates = nlohmann::json::array();
+            for (const Member& member : message.updates)
+                updates.push_back(encodeMember(member));
+            nlohmann::json digests = nlohmann::json::array();
+            for (const MembershipMessage::ZoneDigest& digest : message.digests)
+                digests.push_back({ digest.zone.toString(), digest.digest });
+            return { static_cast<int>(message.kind), message.sequence, message.target.toString(), updates, digests, message.bundleVersion.value() };
+        }
 
-std::optional<PeerMessage> decodeHopRequest(const nlohmann::json& body, Failure& failure)
-{
-    std::optional<lentiljunction::Request> request = parseRequest(body.at(1), getPeerLimits(), failure);
-    if (!request)
-        return std::nullopt;
+        nlohmann::json operator()(const HopRequest& message) const
+        {
+            return { message.hop, toJson(message.request), message.upstream.toString(), message.remaining.count(), message.alternativeCost.count() };
+        }
 
-    HopRequest message;
-    message.hop = body.at(0).get<std::uint64_t>();
-    message.request = std::move(*request);
-    message.upstream = UpstreamId(body.at(2).get<std::string>());
-    message.remaining = Duration(body.at(3).get<std::int64_t>());
-    message.alternativeCost = Duration(body.at(4).get<std::int64_t>());
-    return message;
-}
+        nlohmann::json operator()(const HopAnswer& message) const
+        {
+            nlohmann::json point;
+            if (message.point)
+                point = { message.point->term.value(), message.point->position.value() };
+            nlohmann::json hint;
+            if (message.hint)
+                hint = encodeHint(*message.hint);
+            return { message.hop, toJson(message.outcome), message.isInDoubt, point, hint, message.transaction.toString() };
+        }
 
-std::optional<PeerMessage> decodeHopAnswer(const nlohmann::json& body, Failure& failure)
-{
-    std::optional<Outcome> outcome = parseOutcome(body.at(1));
-    if (!outcome) {
-        failure.set(Failure::Kind::InvalidInput, "the outcome is malformed");
-        return std::nullopt;
+        nlohmann::json operator()(const PrimaryNotice& message) const { return { message.database.toString(), encodeHint(message.hint) }; }
+        nlohmann::json operator()(const OpinionRequest& message) const { return { message.question, message.database.toString(), message.upstream.toString() }; }
+        nlohmann::json operator()(const OpinionReply& message) const { return { message.question, message.isReached }; }
+        nlohmann::json operator()(const BundleNotice& message) const { return nlohmann::json::array({ message.version.value() }); }
+        nlohmann::json operator()(const BundleRequest& message) const { return { message.have.value(), message.wantsFullCopy }; }
+        nlohmann::json operator()(const BundleReply& message) const { return nlohmann::json::array({ message.delta, message.full }); }
+        nlohmann::json operator()(const Echo& message) const { return { message.number, message.isReply }; }
+
+        nlohmann::json operator()(const LeavingNotice& message) const
+        {
+            nlohmann::json body = nlohmann::json::array();
+            for (const UpstreamId& upstream : message.upstreams)
+                body.push_back(upstream.toString());
+            return body;
+        }
+    };
+
+    MembershipMessage decodeMembership(const nlohmann::json& body)
+    {
+        MembershipMessage message;
+        message.kind = static_cast<MembershipMessage::Kind>(body.at(0).get<int>() & 3);
+        message.sequence = body.at(1).get<std::uint64_t>();
+        message.target = InstanceId(body.at(2).get<std::string>());
+        for (const nlohmann::json& row : body.at(3))
+            message.updates.push_back(decodeMember(row));
+        for (const nlohmann::json& row : body.at(4))
+            message.digests.push_back({ ZoneId(row.at(0).get<std::string>()), row.at(1).get<std::uint64_t>() });
+        message.bundleVersion = BundleVersion(body.at(5).get<std::uint64_t>());
+        return message;
     }
 
-    HopAnswer message;
-    message.hop = body.at(0).get<std::uint64_t>();
-    message.outcome = std::move(*outcome);
-    message.isInDoubt = body.at(2).get<bool>();
-    if (!body.at(3).is_null())
-        message.point = LogPoint { Term(body.at(3).at(0).get<std::uint64_t>()), Position(body.at(3).at(1).get<std::uint64_t>()) };
-    if (!body.at(4).is_null())
-        message.hint = decodeHint(body.at(4));
-    message.transaction = TransactionId(body.at(5).get<std::string>());
-    return message;
-}
+    std::optional<PeerMessage> decodeHopRequest(const nlohmann::json& body, Failure& failure)
+    {
+        std::optional<lentiljunction::Request> request = parseRequest(body.at(1), getPeerLimits(), failure);
+        if (!request)
+            return std::nullopt;
 
-std::optional<PeerMessage> decodeBody(std::size_t kind, const nlohmann::json& body, Failure& failure)
-{
-    switch (kind) {
-    case WireKind::Membership:
-        return decodeMembership(body);
-    case WireKind::Request:
-        return decodeHopRequest(body, failure);
-    case WireKind::Answer:
-        return decodeHopAnswer(body, failure);
-    case WireKind::Primary:
-        return PrimaryNotice { DatabaseId(body.at(0).get<std::string>()), decodeHint(body.at(1)) };
-    case WireKind::Question:
-        return OpinionRequest { body.at(0).get<std::uint64_t>(), DatabaseId(body.at(1).get<std::string>()), UpstreamId(body.at(2).get<std::string>()) };
-    case WireKind::Opinion:
-        return OpinionReply { body.at(0).get<std::uint64_t>(), body.at(1).get<bool>() };
-    case WireKind::NoticeOfBundle:
-        return BundleNotice { BundleVersion(body.at(0).get<std::uint64_t>()) };
-    case WireKind::RequestOfBundle:
-        return BundleRequest { BundleVersion(body.at(0).get<std::uint64_t>()), body.at(1).get<bool>() };
-    case WireKind::ReplyOfBundle:
-        return BundleReply { body.at(0), body.at(1) };
-    case WireKind::Leaving: {
-        LeavingNotice message;
-        for (const nlohmann::json& upstream : body)
-            message.upstreams.emplace_back(upstream.get<std::string>());
+        HopRequest message;
+        message.hop = body.at(0).get<std::uint64_t>();
+        message.request = std::move(*request);
+        message.upstream = UpstreamId(body.at(2).get<std::string>());
+        message.remaining = Duration(body.at(3).get<std::int64_t>());
+        message.alternativeCost = Duration(body.at(4).get<std::int64_t>());
         return message;
     }
-    case WireKind::LinkEcho:
-        return Echo { body.at(0).get<std::uint64_t>(), body.at(1).get<bool>() };
-    default:
-        failure.set(Failure::Kind::InvalidInput, "the kind of message is not known");
-        return std::nullopt;
+
+    std::optional<PeerMessage> decodeHopAnswer(const nlohmann::json& body, Failure& failure)
+    {
+        std::optional<Outcome> outcome = parseOutcome(body.at(1));
+        if (!outcome) {
+            failure.set(Failure::Kind::InvalidInput, "the outcome is malformed");
+            return std::nullopt;
+        }
+
+        HopAnswer message;
+        message.hop = body.at(0).get<std::uint64_t>();
+        message.outcome = std::move(*outcome);
+        message.isInDoubt = body.at(2).get<bool>();
+        if (!body.at(3).is_null())
+            message.point = LogPoint { Term(body.at(3).at(0).get<std::uint64_t>()), Position(body.at(3).at(1).get<std::uint64_t>()) };
+        if (!body.at(4).is_null())
+            message.hint = decodeHint(body.at(4));
+        message.transaction = TransactionId(body.at(5).get<std::string>());
+        return message;
+    }
+
+    std::optional<PeerMessage> decodeBody(std::size_t kind, const nlohmann::json& body, Failure& failure)
+    {
+        switch (kind) {
+        case WireKind::Membership:
+            return decodeMembership(body);
+        case WireKind::Request:
+            return decodeHopRequest(body, failure);
+        case WireKind::Answer:
+            return decodeHopAnswer(body, failure);
+        case WireKind::Primary:
+            return PrimaryNotice { DatabaseId(body.at(0).get<std::string>()), decodeHint(body.at(1)) };
+        case WireKind::Question:
+            return OpinionRequest { body.at(0).get<std::uint64_t>(), DatabaseId(body.at(1).get<std::string>()), UpstreamId(body.at(2).get<std::string>()) };
+        case WireKind::Opinion:
+            return OpinionReply { body.at(0).get<std::uint64_t>(), body.at(1).get<bool>() };
+        case WireKind::NoticeOfBundle:
+            return BundleNotice { BundleVersion(body.at(0).get<std::uint64_t>()) };
+        case WireKind::RequestOfBundle:
+            return BundleRequest { BundleVersion(body.at(0).get<std::uint64_t>()), body.at(1).get<bool>() };
+        case WireKind::ReplyOfBundle:
+            return BundleReply { body.at(0), body.at(1) };
+        case WireKind::Leaving: {
+            LeavingNotice message;
+            for (const nlohmann::json& upstream : body)
+                message.upstreams.emplace_back(upstream.get<std::string>());
+            return message;
+        }
+        case WireKind::LinkEcho:
+            return Echo { body.at(0).get<std::uint64_t>(), body.at(1).get<bool>() };
+        default:
+            failure.set(Failure::Kind::InvalidInput, "the kind of message is not known");
+            return std::nullopt;
+        }
     }
-}
 
 } // namespace
 
--- a/src/peer/PeerNetwork.cpp
+++ b/src/peer/PeerNetwork.cpp
@@ -8,35 +8,35 @@
 
 namespace {
 
-/// A link on which an answer is due is tested after this silence.
-constexpr Duration echoAfter = std::chrono::milliseconds(150);
-/// A tested link that stays silent this long is dropped.
-constexpr Duration dropAfter = std::chrono::milliseconds(400);
-constexpr Duration avoidance = std::chrono::milliseconds(500);
-constexpr Duration idleLimit = std::chrono::seconds(120);
-constexpr std::size_t maximumQueued = 10000;
-
-bool isControl(const PeerMessage& message)
-{
-    return !std::holds_alternative<HopRequest>(message) && !std::holds_alternative<HopAnswer>(message);
-}
+    /// A link on which an answer is due is tested after this silence.
+    constexpr Duration echoAfter = std::chrono::milliseconds(150);
+    /// A tested link that stays silent this long is dropped.
+    constexpr Duration dropAfter = std::chrono::milliseconds(400);
+    constexpr Duration avoidance = std::chrono::milliseconds(500);
+    constexpr Duration idleLimit = std::chrono::seconds(120);
+    constexpr std::size_t maximumQueued = 10000;
+
+    bool isControl(const PeerMessage& message)
+    {
+        return !std::holds_alternative<HopRequest>(message) && !std::holds_alternative<HopAnswer>(message);
+    }
 
-bool wantsAnswer(const PeerMessage& message)
-{
-    const MembershipMessage* membership = std::get_if<MembershipMessage>(&message);
-    bool isPing = membership != nullptr && membership->kind == MembershipMessage::Kind::Ping;
-    return isPing || std::holds_alternative<HopRequest>(message) || std::holds_alternative<OpinionRequest>(message);
-}
+    bool wantsAnswer(const PeerMessage& message)
+    {
+        const MembershipMessage* membership = std::get_if<MembershipMessage>(&message);
+        bool isPing = membership != nullptr && membership->kind == MembershipMessage::Kind::Ping;
+        return isPing || std::holds_alternative<HopRequest>(message) || std::holds_alternative<OpinionRequest>(message);
+    }
 
-std::string readParameter(const std::string& resource, const std::string& name)
-{
-    std::size_t begin = resource.find(name + "=");
-    if (begin == std::string::npos)
-        return {};
-    begin += name.size() + 1;
-    std::size_t end = resource.find('&', begin);
-    return resource.substr(begin, end == std::string::npos ? std::string::npos : end - begin);
-}
+    std::string readParameter(const std::string& resource, const std::string& name)
+    {
+        std::size_t begin = resource.find(name + "=");
+        if (begin == std::string::npos)
+            return {};
+        begin += name.size() + 1;
+        std::size_t end = resource.find('&', begin);
+        return resource.substr(begin, end == std::string::npos ? std::string::npos : end - begin);
+    }
 
 } // namespace
 
--- a/src/platform/HttpPlatformStore.cpp
+++ b/src/platform/HttpPlatformStore.cpp
@@ -8,57 +8,57 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds connectTimeout { 500 };
-constexpr std::chrono::milliseconds answerTimeout { 1500 };
-constexpr int httpOk = 200;
-constexpr int httpNotFound = 404;
-constexpr int httpConflict = 409;
-
-std::unique_ptr<httplib::Client> makeClient(const Endpoint& endpoint, std::chrono::milliseconds timeout)
-{
-    std::unique_ptr<httplib::Client> client = std::make_unique<httplib::Client>(endpoint.host, endpoint.port);
-    client->set_connection_timeout(connectTimeout);
-    client->set_read_timeout(timeout);
-    client->set_write_timeout(answerTimeout);
-    return client;
-}
+    constexpr std::chrono::milliseconds connectTimeout { 500 };
+    constexpr std::chrono::milliseconds answerTimeout { 1500 };
+    constexpr int httpOk = 200;
+    constexpr int httpNotFound = 404;
+    constexpr int httpConflict = 409;
+
+    std::unique_ptr<httplib::Client> makeClient(const Endpoint& endpoint, std::chrono::milliseconds timeout)
+    {
+        std::unique_ptr<httplib::Client> client = std::make_unique<httplib::Client>(endpoint.host, endpoint.port);
+        client->set_connection_timeout(connectTimeout);
+        client->set_read_timeout(timeout);
+        client->set_write_timeout(answerTimeout);
+        return client;
+    }
 
-std::string makeQuery(const std::string& path, const httplib::Params& parameters)
-{
-    return httplib::append_query_params(path, parameters);
-}
+    std::string makeQuery(const std::string& path, const httplib::Params& parameters)
+    {
+        return httplib::append_query_params(path, parameters);
+    }
 
-bool isAnswered(const httplib::Result& result, int expected, Failure& failure, Failure::Kind lostKind)
-{
-    if (!result) {
-        failure.set(lostKind, "the store did not answer: " + httplib::to_string(result.error()));
+    bool isAnswered(const httplib::Result& result, int expected, Failure& failure, Failure::Kind lostKind)
+    {
+        if (!result) {
+            failure.set(lostKind, "the store did not answer: " + httplib::to_string(result.error()));
+            return false;
+        }
+        if (result->status == expected)
+            return true;
+
+        Failure::Kind kind = Failure::Kind::Unavailable;
+        if (result->status == httpNotFound)
+            kind = Failure::Kind::NotFound;
+        if (result->status == httpConflict)
+            kind = Failure::Kind::Conflict;
+        failure.set(kind, "the store answered " + std::to_string(result->status));
         return false;
     }
-    if (result->status == expected)
-        return true;
-
-    Failure::Kind kind = Failure::Kind::Unavailable;
-    if (result->status == httpNotFound)
-        kind = Failure::Kind::NotFound;
-    if (result->status == httpConflict)
-        kind = Failure::Kind::Conflict;
-    failure.set(kind, "the store answered " + std::to_string(result->status));
-    return false;
-}
 
-std::optional<nlohmann::json> parseBody(const std::string& body, Failure& failure)
-{
-    nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
-    if (document.is_object())
-        return document;
-    failure.set(Failure::Kind::Unavailable, "the store's answer is not a JSON object");
-    return std::nullopt;
-}
+    std::optional<nlohmann::json> parseBody(const std::string& body, Failure& failure)
+    {
+        nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+        if (document.is_object())
+            return document;
+        failure.set(Failure::Kind::Unavailable, "the store's answer is not a JSON object");
+        return std::nullopt;
+    }
 
-StoreObject readObject(const nlohmann::json& document)
-{
-    return { document.value("key", ""), StoreVersion(document.value("version", std::uint64_t(0))), document.value("value", "") };
-}
+    StoreObject readObject(const nlohmann::json& document)
+    {
+        return { document.value("key", ""), StoreVersion(document.value("version", std::uint64_t(0))), document.value("value", "") };
+    }
 
 } // namespace
 
--- a/src/platform/StoreWorker.cpp
+++ b/src/platform/StoreWorker.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr Duration watchLimit = std::chrono::seconds(5);
-constexpr Duration watchPause = std::chrono::milliseconds(200);
-constexpr Duration failurePause = std::chrono::milliseconds(500);
+    constexpr Duration watchLimit = std::chrono::seconds(5);
+    constexpr Duration watchPause = std::chrono::milliseconds(200);
+    constexpr Duration failurePause = std::chrono::milliseconds(500);
 
 } // namespace
 
--- a/src/pool/ConnectionPool.cpp
+++ b/src/pool/ConnectionPool.cpp
@@ -7,12 +7,12 @@
 
 namespace {
 
-constexpr Duration firstOpenDelay = std::chrono::milliseconds(20);
-constexpr Duration maximumOpenDelay = std::chrono::seconds(1);
-/// An idle connection is probed when it was not proven alive for this long.
-constexpr Duration probeInterval = std::chrono::seconds(1);
-/// Idle connections above the warm ones are closed after this time.
-constexpr Duration spareLifetime = std::chrono::seconds(30);
+    constexpr Duration firstOpenDelay = std::chrono::milliseconds(20);
+    constexpr Duration maximumOpenDelay = std::chrono::seconds(1);
+    /// An idle connection is probed when it was not proven alive for this long.
+    constexpr Duration probeInterval = std::chrono::seconds(1);
+    /// Idle connections above the warm ones are closed after this time.
+    constexpr Duration spareLifetime = std::chrono::seconds(30);
 
 } // namespace
 
--- a/src/server/Instance.cpp
+++ b/src/server/Instance.cpp
@@ -18,34 +18,34 @@
 
 namespace {
 
-constexpr Duration trafficTick = std::chrono::milliseconds(5);
-constexpr Duration peerTick = std::chrono::milliseconds(20);
-constexpr Duration activityTick = std::chrono::milliseconds(100);
-constexpr std::chrono::milliseconds drainPoll { 10 };
-constexpr const char* trafficUser = "lentiljunction";
-constexpr const char* controlUser = "lentiljunction_control";
-
-/// Opens connections of one user on one loop.
-class PostgresConnector : public SqlConnector {
-public:
-    PostgresConnector(EventLoop& loop, const Settings& settings, std::string user)
-        : loop(loop)
-        , user(std::move(user))
-        , applicationName("zone=" + settings.zone.toString() + ";instance=" + settings.instance.toString())
-    {
-    }
+    constexpr Duration trafficTick = std::chrono::milliseconds(5);
+    constexpr Duration peerTick = std::chrono::milliseconds(20);
+    constexpr Duration activityTick = std::chrono::milliseconds(100);
+    constexpr std::chrono::milliseconds drainPoll { 10 };
+    constexpr const char* trafficUser = "lentiljunction";
+    constexpr const char* controlUser = "lentiljunction_control";
+
+    /// Opens connections of one user on one loop.
+    class PostgresConnector : public SqlConnector {
+    public:
+        PostgresConnector(EventLoop& loop, const Settings& settings, std::string user)
+            : loop(loop)
+            , user(std::move(user))
+            , applicationName("zone=" + settings.zone.toString() + ";instance=" + settings.instance.toString())
+        {
+        }
 
-    std::unique_ptr<SqlConnection> create(const UpstreamConfig& upstream) override
-    {
-        PostgresIdentity identity { this->user, "main", this->applicationName };
-        return std::make_unique<PostgresConnection>(this->loop, Endpoint { upstream.host, upstream.port }, identity);
-    }
+        std::unique_ptr<SqlConnection> create(const UpstreamConfig& upstream) override
+        {
+            PostgresIdentity identity { this->user, "main", this->applicationName };
+            return std::make_unique<PostgresConnection>(this->loop, Endpoint { upstream.host, upstream.port }, identity);
+        }
 
-private:
-    EventLoop& loop;
-    std::string user;
-    std::string applicationName;
-};
+    private:
+        EventLoop& loop;
+        std::string user;
+        std::string applicationName;
+    };
 
 } // namespace
 
--- a/src/server/UpstreamGate.cpp
+++ b/src/server/UpstreamGate.cpp
@@ -9,22 +9,22 @@
 
 namespace {
 
-constexpr Duration openTimeout = std::chrono::milliseconds(500);
-constexpr Duration probeTimeout = std::chrono::milliseconds(250);
-/// A first try without an answer is given up after this time, when it may be repeated.
-constexpr Duration shortestSilence = std::chrono::milliseconds(250);
-constexpr int silenceFactor = 10;
-constexpr Duration initialCatchUp = std::chrono::milliseconds(10);
-constexpr Duration initialStatement = std::chrono::milliseconds(2);
-/// How much longer than at the primary a read may take at a replica, to spare the primary.
-constexpr Duration primaryRelief = std::chrono::milliseconds(20);
-constexpr int waitFactor = 2;
-constexpr int memory = 8;
-
-Duration blend(Duration mean, Duration sample)
-{
-    return (mean * (memory - 1) + sample) / memory;
-}
+    constexpr Duration openTimeout = std::chrono::milliseconds(500);
+    constexpr Duration probeTimeout = std::chrono::milliseconds(250);
+    /// A first try without an answer is given up after this time, when it may be repeated.
+    constexpr Duration shortestSilence = std::chrono::milliseconds(250);
+    constexpr int silenceFactor = 10;
+    constexpr Duration initialCatchUp = std::chrono::milliseconds(10);
+    constexpr Duration initialStatement = std::chrono::milliseconds(2);
+    /// How much longer than at the primary a read may take at a replica, to spare the primary.
+    constexpr Duration primaryRelief = std::chrono::milliseconds(20);
+    constexpr int waitFactor = 2;
+    constexpr int memory = 8;
+
+    Duration blend(Duration mean, Duration sample)
+    {
+        return (mean * (memory - 1) + sample) / memory;
+    }
 
 } // namespace
 
--- a/src/session/SessionToken.cpp
+++ b/src/session/SessionToken.cpp
@@ -8,27 +8,27 @@
 
 namespace {
 
-constexpr char entrySeparator = '.';
-constexpr char fieldSeparator = '~';
-const std::string formatMark = "1";
+    constexpr char entrySeparator = '.';
+    constexpr char fieldSeparator = '~';
+    const std::string formatMark = "1";
 
-std::vector<std::string> split(const std::string& text, char separator)
-{
-    std::vector<std::string> parts;
-    std::istringstream stream(text);
-    std::string part;
-    while (std::getline(stream, part, separator))
-        parts.push_back(part);
-    return parts;
-}
+    std::vector<std::string> split(const std::string& text, char separator)
+    {
+        std::vector<std::string> parts;
+        std::istringstream stream(text);
+        std::string part;
+        while (std::getline(stream, part, separator))
+            parts.push_back(part);
+        return parts;
+    }
 
-std::optional<std::uint64_t> parseNumber(const std::string& text)
-{
-    constexpr std::size_t maximumDigits = 18;
-    if (text.empty() || text.size() > maximumDigits || text.find_first_not_of("0123456789") != std::string::npos)
-        return std::nullopt;
-    return std::strtoull(text.c_str(), nullptr, 10);
-}
+    std::optional<std::uint64_t> parseNumber(const std::string& text)
+    {
+        constexpr std::size_t maximumDigits = 18;
+        if (text.empty() || text.size() > maximumDigits || text.find_first_not_of("0123456789") != std::string::npos)
+            return std::nullopt;
+        return std::strtoull(text.c_str(), nullptr, 10);
+    }
 
 } // namespace
 
--- a/src/session/TermHistory.cpp
+++ b/src/session/TermHistory.cpp
@@ -8,13 +8,13 @@
 
 namespace {
 
-std::optional<std::uint64_t> parseNumber(const std::string& text)
-{
-    constexpr std::size_t maximumDigits = 18;
-    if (text.empty() || text.size() > maximumDigits || text.find_first_not_of("0123456789") != std::string::npos)
-        return std::nullopt;
-    return std::strtoull(text.c_str(), nullptr, 10);
-}
+    std::optional<std::uint64_t> parseNumber(const std::string& text)
+    {
+        constexpr std::size_t maximumDigits = 18;
+        if (text.empty() || text.size() > maximumDigits || text.find_first_not_of("0123456789") != std::string::npos)
+            return std::nullopt;
+        return std::strtoull(text.c_str(), nullptr, 10);
+    }
 
 } // namespace
 
--- a/src/session/UpstreamStatus.cpp
+++ b/src/session/UpstreamStatus.cpp
@@ -7,23 +7,23 @@
 
 namespace {
 
-std::optional<std::string> findColumn(const ResultSet& result, const std::string& name)
-{
-    std::vector<std::string>::const_iterator found = std::find(result.columns.begin(), result.columns.end(), name);
-    if (found == result.columns.end())
-        return std::nullopt;
-    return result.rows.front()[static_cast<std::size_t>(found - result.columns.begin())];
-}
+    std::optional<std::string> findColumn(const ResultSet& result, const std::string& name)
+    {
+        std::vector<std::string>::const_iterator found = std::find(result.columns.begin(), result.columns.end(), name);
+        if (found == result.columns.end())
+            return std::nullopt;
+        return result.rows.front()[static_cast<std::size_t>(found - result.columns.begin())];
+    }
 
-std::uint64_t readNumber(const ResultSet& result, const std::string& name, Failure& failure)
-{
-    std::optional<std::string> text = findColumn(result, name);
-    if (!text || text->empty() || text->find_first_not_of("0123456789") != std::string::npos) {
-        failure.set(Failure::Kind::InvalidInput, "status column " + name + " is missing or no whole number");
-        return 0;
+    std::uint64_t readNumber(const ResultSet& result, const std::string& name, Failure& failure)
+    {
+        std::optional<std::string> text = findColumn(result, name);
+        if (!text || text->empty() || text->find_first_not_of("0123456789") != std::string::npos) {
+            failure.set(Failure::Kind::InvalidInput, "status column " + name + " is missing or no whole number");
+            return 0;
+        }
+        return std::strtoull(text->c_str(), nullptr, 10);
     }
-    return std::strtoull(text->c_str(), nullptr, 10);
-}
 
 } // namespace
 
--- a/src/settings/IniDocument.cpp
+++ b/src/settings/IniDocument.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 
-int appendEntry(void* user, const char* section, const char* key, const char* value)
-{
-    std::vector<IniDocument::Entry>* entries = static_cast<std::vector<IniDocument::Entry>*>(user);
-    entries->push_back({ section, key, value });
-    return 1;
-}
+    int appendEntry(void* user, const char* section, const char* key, const char* value)
+    {
+        std::vector<IniDocument::Entry>* entries = static_cast<std::vector<IniDocument::Entry>*>(user);
+        entries->push_back({ section, key, value });
+        return 1;
+    }
 
 } // namespace
 
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -3,7 +3,6 @@
 #include "IniDocument.h"
 #include "lentiljunction/core/JsonFields.h"
 
-#include <algorithm>
 #include <regex>
 #include <set>
 #include <sstream>
@@ -12,126 +11,126 @@
 
 namespace {
 
-const std::set<std::string> knownKeys {
-    "instance.id",
-    "instance.zone",
-    "callers.address",
-    "callers.port",
-    "peers.address",
-    "peers.port",
-    "peers.advertise_address",
-    "peers.advertise_port",
-    "peers.seeds",
-    "store.address",
-    "store.port",
-    "traffic.workers",
-    "drain.grace_ms",
-    "drain.limit_ms",
-    "trust.threshold",
-};
-
-const std::string trustedKeyPrefix = "trust.key.";
-const std::regex namePattern("[A-Za-z0-9][A-Za-z0-9_-]{0,62}");
-const std::regex addressPattern("([0-9]{1,3}\\.){3}[0-9]{1,3}|[0-9a-fA-F:]+");
-const std::regex publicKeyPattern("[0-9a-fA-F]{64}");
-const std::regex seedPattern("([A-Za-z0-9_-]+)@([A-Za-z0-9_-]+)@([0-9.]+|\\[[0-9a-fA-F:]+\\]):([0-9]{1,5})");
-
-/// Reads keys of one INI file and collects faults.
-class SettingsReader {
-public:
-    SettingsReader(const std::string& path, const IniDocument& document, std::vector<std::string>& faults)
-        : path(path)
-        , document(document)
-        , faults(faults)
-    {
-    }
+    const std::set<std::string> knownKeys {
+        "instance.id",
+        "instance.zone",
+        "callers.address",
+        "callers.port",
+        "peers.address",
+        "peers.port",
+        "peers.advertise_address",
+        "peers.advertise_port",
+        "store.address",
+        "store.port",
+        "traffic.workers",
+        "drain.grace_ms",
+        "drain.limit_ms",
+        "trust.threshold",
+    };
+
+    /// Sections with one entry per name have keys that begin like this.
+    const std::string trustedKeyPrefix = "trust.key.";
+    const std::string seedPrefix = "peers.seed.";
+    const std::regex namePattern("[A-Za-z0-9][A-Za-z0-9_-]{0,62}");
+    const std::regex addressPattern("([0-9]{1,3}\\.){3}[0-9]{1,3}|[0-9a-fA-F:]+");
+    const std::regex publicKeyPattern("[0-9a-fA-F]{64}");
+    const std::regex seedPattern("([A-Za-z0-9_-]+)@([0-9.]+|\\[[0-9a-fA-F:]+\\]):([0-9]{1,5})");
+
+    /// Reads keys of one INI file and collects faults.
+    class SettingsReader {
+    public:
+        SettingsReader(const std::string& path, const IniDocument& document, std::vector<std::string>& faults)
+            : path(path)
+            , document(document)
+            , faults(faults)
+        {
+        }
 
-    std::string getText(const std::string& section, const std::string& key, const std::regex& pattern, const std::string& allowed)
-    {
-        std::string value = this->document.find(section, key).value_or("");
-        if (!std::regex_match(value, pattern))
-            this->addFault(section, key, value, allowed);
-        return value;
-    }
+        std::string getText(const std::string& section, const std::string& key, const std::regex& pattern, const std::string& allowed)
+        {
+            std::string value = this->document.find(section, key).value_or("");
+            if (!std::regex_match(value, pattern))
+                this->addFault(section, key, value, allowed);
+            return value;
+        }
 
-    std::int64_t getInteger(const std::string& section, const std::string& key, std::int64_t fallback, std::int64_t low, std::int64_t high)
-    {
-        std::string value = this->document.find(section, key).value_or(std::to_string(fallback));
-        std::istringstream stream(value);
-        std::int64_t number = 0;
-        bool isWhole = (stream >> number) && stream.eof();
-        if (!isWhole || number < low || number > high)
-            this->addFault(section, key, value, "a whole number from " + std::to_string(low) + " to " + std::to_string(high));
-        return number;
-    }
+        std::int64_t getInteger(const std::string& section, const std::string& key, std::int64_t fallback, std::int64_t low, std::int64_t high)
+        {
+            std::string value = this->document.find(section, key).value_or(std::to_string(fallback));
+            std::istringstream stream(value);
+            std::int64_t number = 0;
+            bool isWhole = (stream >> number) && stream.eof();
+            if (!isWhole || number < low || number > high)
+                this->addFault(section, key, value, "a whole number from " + std::to_string(low) + " to " + std::to_string(high));
+            return number;
+        }
 
-    Endpoint getEndpoint(const std::string& section)
-    {
-        constexpr std::int64_t missingPort = 0;
-        Endpoint endpoint;
-        endpoint.host = this->getText(section, "address", addressPattern, "an IP number");
-        endpoint.port = static_cast<std::uint16_t>(this->getInteger(section, "port", missingPort, 1, 65535));
-        return endpoint;
-    }
+        Endpoint getEndpoint(const std::string& section)
+        {
+            constexpr std::int64_t missingPort = 0;
+            Endpoint endpoint;
+            endpoint.host = this->getText(section, "address", addressPattern, "an IP number");
+            endpoint.port = static_cast<std::uint16_t>(this->getInteger(section, "port", missingPort, 1, 65535));
+            return endpoint;
+        }
 
-    void addFault(const std::string& section, const std::string& key, const std::string& value, const std::string& allowed)
-    {
-        this->faults.push_back(this->path + " [" + section + "] " + key + " = \"" + value + "\": allowed is " + allowed);
-    }
+        void addFault(const std::string& section, const std::string& key, const std::string& value, const std::string& allowed)
+        {
+            this->faults.push_back(this->path + " [" + section + "] " + key + " = \"" + value + "\": allowed is " + allowed);
+        }
 
-private:
-    const std::string& path;
-    const IniDocument& document;
-    std::vector<std::string>& faults;
-};
+    private:
+        const std::string& path;
+        const IniDocument& document;
+        std::vector<std::string>& faults;
+    };
 
-void checkKnownKeys(const IniDocument& document, SettingsReader& settings)
-{
-    std::set<std::string> seen;
-    for (const IniDocument::Entry& entry : document.getEntries()) {
-        const std::string full = entry.section + "." + entry.key;
-        if (knownKeys.count(full) == 0 && full.rfind(trustedKeyPrefix, 0) != 0)
-            settings.addFault(entry.section, entry.key, entry.value, "no key of this name");
-        if (!seen.insert(full).second)
-            settings.addFault(entry.section, entry.key, entry.value, "one value only, but the key stands twice");
+    void checkKnownKeys(const IniDocument& document, SettingsReader& settings)
+    {
+        std::set<std::string> seen;
+        for (const IniDocument::Entry& entry : document.getEntries()) {
+            const std::string full = entry.section + "." + entry.key;
+            bool isNamed = full.rfind(trustedKeyPrefix, 0) == 0 || full.rfind(seedPrefix, 0) == 0;
+            if (knownKeys.count(full) == 0 && !isNamed)
+                settings.addFault(entry.section, entry.key, entry.value, "no key of this name");
+            if (!seen.insert(full).second)
+                settings.addFault(entry.section, entry.key, entry.value, "one value only, but the key stands twice");
+        }
     }
-}
 
-std::vector<SeedPeer> readSeeds(const IniDocument& document, SettingsReader& settings)
-{
-    std::vector<SeedPeer> seeds;
-    std::istringstream list(document.find("peers", "seeds").value_or(""));
-    std::string item;
-    while (std::getline(list, item, ',')) {
-        item.erase(std::remove_if(item.begin(), item.end(), [](unsigned char character) { return std::isspace(character) != 0; }), item.end());
-        if (item.empty())
-            continue;
-
-        std::smatch match;
-        if (!std::regex_match(item, match, seedPattern) || std::stoul(match[4]) > 65535) {
-            settings.addFault("peers", "seeds", item, "a list of id@zone@address:port, separated by commas");
-            continue;
+    std::vector<SeedPeer> readSeeds(const IniDocument& document, SettingsReader& settings)
+    {
+        constexpr unsigned long maximumPort = 65535;
+        std::vector<SeedPeer> seeds;
+        for (const IniDocument::Entry& entry : document.getEntries()) {
+            if (entry.section != "peers" || entry.key.rfind("seed.", 0) != 0)
+                continue;
+
+            std::smatch match;
+            if (!std::regex_match(entry.value, match, seedPattern) || std::stoul(match[3]) > maximumPort) {
+                settings.addFault(entry.section, entry.key, entry.value, "zone@address:port");
+                continue;
+            }
+            Endpoint endpoint { match[2], static_cast<std::uint16_t>(std::stoul(match[3])) };
+            seeds.push_back({ InstanceId(entry.key.substr(5)), ZoneId(match[1]), endpoint });
         }
-        Endpoint endpoint { match[3], static_cast<std::uint16_t>(std::stoul(match[4])) };
-        seeds.push_back({ InstanceId(match[1]), ZoneId(match[2]), endpoint });
+        return seeds;
     }
-    return seeds;
-}
 
-OperatorSet readTrust(const IniDocument& document, SettingsReader& settings)
-{
-    OperatorSet trust;
-    trust.threshold = static_cast<int>(settings.getInteger("trust", "threshold", 1, 1, 100));
-    for (const IniDocument::Entry& entry : document.getEntries()) {
-        if (entry.section != "trust" || entry.key.rfind("key.", 0) != 0)
-            continue;
-        trust.keys[entry.key.substr(4)] = settings.getText("trust", entry.key, publicKeyPattern, "an Ed25519 public key of 64 hexadecimal digits");
-    }
+    OperatorSet readTrust(const IniDocument& document, SettingsReader& settings)
+    {
+        OperatorSet trust;
+        trust.threshold = static_cast<int>(settings.getInteger("trust", "threshold", 1, 1, 100));
+        for (const IniDocument::Entry& entry : document.getEntries()) {
+            if (entry.section != "trust" || entry.key.rfind("key.", 0) != 0)
+                continue;
+            trust.keys[entry.key.substr(4)] = settings.getText("trust", entry.key, publicKeyPattern, "an Ed25519 public key of 64 hexadecimal digits");
+        }
 
-    if (static_cast<std::size_t>(trust.threshold) > trust.keys.size())
-        settings.addFault("trust", "threshold", std::to_string(trust.threshold), "at most the number of key.NAME entries");
-    return trust;
-}
+        if (static_cast<std::size_t>(trust.threshold) > trust.keys.size())
+            settings.addFault("trust", "threshold", std::to_string(trust.threshold), "at most the number of key.NAME entries");
+        return trust;
+    }
 
 } // namespace
 
--- a/standins/database/DatabaseLog.cpp
+++ b/standins/database/DatabaseLog.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t maximumBatch = 500;
+    constexpr std::size_t maximumBatch = 500;
 
 } // namespace
 
--- a/standins/database/PostgresServer.cpp
+++ b/standins/database/PostgresServer.cpp
@@ -12,210 +12,210 @@
 
 namespace {
 
-constexpr std::int32_t protocolVersion = 196608;
-constexpr std::int32_t sslRequest = 80877103;
-constexpr std::int32_t gssRequest = 80877104;
-constexpr std::int32_t textType = 25;
-constexpr int listenBacklog = 128;
-constexpr int maximumMessage = 64 << 20;
-constexpr int idleInTransactionMilliseconds = 2000;
-constexpr int forever = -1;
-
-/// Reads and writes the messages of one connection.
-class Wire {
-public:
-    explicit Wire(int descriptor)
-        : descriptor(descriptor)
-    {
-    }
+    constexpr std::int32_t protocolVersion = 196608;
+    constexpr std::int32_t sslRequest = 80877103;
+    constexpr std::int32_t gssRequest = 80877104;
+    constexpr std::int32_t textType = 25;
+    constexpr int listenBacklog = 128;
+    constexpr int maximumMessage = 64 << 20;
+    constexpr int idleInTransactionMilliseconds = 2000;
+    constexpr int forever = -1;
+
+    /// Reads and writes the messages of one connection.
+    class Wire {
+    public:
+        explicit Wire(int descriptor)
+            : descriptor(descriptor)
+        {
+        }
 
-    ~Wire() { ::close(this->descriptor); }
-    Wire(const Wire&) = delete;
-    Wire& operator=(const Wire&) = delete;
+        ~Wire() { ::close(this->descriptor); }
+        Wire(const Wire&) = delete;
+        Wire& operator=(const Wire&) = delete;
 
-    bool waitReadable(int milliseconds)
-    {
-        pollfd entry { this->descriptor, POLLIN, 0 };
-        return ::poll(&entry, 1, milliseconds) > 0;
-    }
+        bool waitReadable(int milliseconds)
+        {
+            pollfd entry { this->descriptor, POLLIN, 0 };
+            return ::poll(&entry, 1, milliseconds) > 0;
+        }
 
-    bool read(std::string& bytes, std::size_t size)
-    {
-        bytes.resize(size);
-        std::size_t done = 0;
-        while (done < size) {
-            ssize_t count = ::recv(this->descriptor, &bytes[done], size - done, 0);
-            if (count <= 0)
+        bool read(std::string& bytes, std::size_t size)
+        {
+            bytes.resize(size);
+            std::size_t done = 0;
+            while (done < size) {
+                ssize_t count = ::recv(this->descriptor, &bytes[done], size - done, 0);
+                if (count <= 0)
+                    return false;
+                done += static_cast<std::size_t>(count);
+            }
+            return true;
+        }
+
+        bool readNumber(std::int32_t& number)
+        {
+            std::string bytes;
+            if (!this->read(bytes, sizeof(number)))
                 return false;
-            done += static_cast<std::size_t>(count);
+            std::uint32_t network = 0;
+            std::copy(bytes.begin(), bytes.end(), reinterpret_cast<char*>(&network));
+            number = static_cast<std::int32_t>(ntohl(network));
+            return true;
+        }
+
+        void begin(char kind)
+        {
+            this->out.push_back(kind);
+            this->lengthAt = this->out.size();
+            this->addNumber(0);
+        }
+
+        void end()
+        {
+            std::uint32_t length = htonl(static_cast<std::uint32_t>(this->out.size() - this->lengthAt));
+            this->out.replace(this->lengthAt, sizeof(length), reinterpret_cast<const char*>(&length), sizeof(length));
         }
-        return true;
-    }
 
-    bool readNumber(std::int32_t& number)
+        void addNumber(std::int32_t number)
+        {
+            std::uint32_t network = htonl(static_cast<std::uint32_t>(number));
+            this->out.append(reinterpret_cast<const char*>(&network), sizeof(network));
+        }
+
+        void addShort(std::int16_t number)
+        {
+            std::uint16_t network = htons(static_cast<std::uint16_t>(number));
+            this->out.append(reinterpret_cast<const char*>(&network), sizeof(network));
+        }
+
+        void addText(const std::string& text)
+        {
+            this->out += text;
+            this->out.push_back(0);
+        }
+
+        void addRaw(const std::string& bytes) { this->out += bytes; }
+
+        bool flush()
+        {
+            std::string bytes = std::exchange(this->out, {});
+            return ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+        }
+
+        void discardOutput() { this->out.clear(); }
+
+    private:
+        int descriptor;
+        std::string out;
+        std::size_t lengthAt = 0;
+    };
+
+    void addError(Wire& wire, const SqlError& error)
     {
-        std::string bytes;
-        if (!this->read(bytes, sizeof(number)))
-            return false;
-        std::uint32_t network = 0;
-        std::copy(bytes.begin(), bytes.end(), reinterpret_cast<char*>(&network));
-        number = static_cast<std::int32_t>(ntohl(network));
-        return true;
+        wire.begin('E');
+        wire.addText("SERROR");
+        wire.addText("C" + error.sqlState);
+        wire.addText("M" + error.message);
+        wire.addRaw(std::string(1, 0));
+        wire.end();
     }
 
-    void begin(char kind)
+    void addRows(Wire& wire, const ResultSet& rows)
     {
-        this->out.push_back(kind);
-        this->lengthAt = this->out.size();
-        this->addNumber(0);
+        wire.begin('T');
+        wire.addShort(static_cast<std::int16_t>(rows.columns.size()));
+        for (const std::string& column : rows.columns) {
+            wire.addText(column);
+            wire.addNumber(0);
+            wire.addShort(0);
+            wire.addNumber(textType);
+            wire.addShort(-1);
+            wire.addNumber(-1);
+            wire.addShort(0);
+        }
+        wire.end();
+        for (const std::vector<std::optional<std::string>>& row : rows.rows) {
+            wire.begin('D');
+            wire.addShort(static_cast<std::int16_t>(row.size()));
+            for (const std::optional<std::string>& cell : row) {
+                wire.addNumber(cell ? static_cast<std::int32_t>(cell->size()) : -1);
+                wire.addRaw(cell.value_or(""));
+            }
+            wire.end();
+        }
     }
 
-    void end()
+    void addReady(Wire& wire, const SessionState& session)
     {
-        std::uint32_t length = htonl(static_cast<std::uint32_t>(this->out.size() - this->lengthAt));
-        this->out.replace(this->lengthAt, sizeof(length), reinterpret_cast<const char*>(&length), sizeof(length));
+        wire.begin('Z');
+        char state = session.isInTransaction ? 'T' : 'I';
+        wire.addRaw(std::string(1, session.isFailed ? 'E' : state));
+        wire.end();
     }
 
-    void addNumber(std::int32_t number)
+    void addParameter(Wire& wire, const std::string& name, const std::string& value)
     {
-        std::uint32_t network = htonl(static_cast<std::uint32_t>(number));
-        this->out.append(reinterpret_cast<const char*>(&network), sizeof(network));
+        wire.begin('S');
+        wire.addText(name);
+        wire.addText(value);
+        wire.end();
     }
 
-    void addShort(std::int16_t number)
+    /// Reads the start-up message, after refusals of encryption.
+    bool readStartup(Wire& wire, std::string& parameters)
     {
-        std::uint16_t network = htons(static_cast<std::uint16_t>(number));
-        this->out.append(reinterpret_cast<const char*>(&network), sizeof(network));
+        while (true) {
+            std::int32_t length = 0;
+            std::int32_t code = 0;
+            if (!wire.readNumber(length) || length < 8 || length > maximumMessage || !wire.readNumber(code))
+                return false;
+            if (!wire.read(parameters, static_cast<std::size_t>(length) - 8))
+                return false;
+            if (code == protocolVersion)
+                return true;
+            if (code != sslRequest && code != gssRequest)
+                return false;
+            wire.addRaw("N");
+            wire.flush();
+        }
     }
 
-    void addText(const std::string& text)
+    std::string findParameter(const std::string& parameters, const std::string& name)
     {
-        this->out += text;
-        this->out.push_back(0);
+        std::size_t at = parameters.find(name + std::string(1, 0));
+        return at == std::string::npos ? "" : std::string(parameters.c_str() + at + name.size() + 1);
     }
 
-    void addRaw(const std::string& bytes) { this->out += bytes; }
-
-    bool flush()
+    std::string findZone(const std::string& applicationName)
     {
-        std::string bytes = std::exchange(this->out, {});
-        return ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+        std::size_t begin = applicationName.find("zone=");
+        if (begin == std::string::npos)
+            return {};
+        begin += 5;
+        return applicationName.substr(begin, applicationName.find(';', begin) - begin);
     }
 
-    void discardOutput() { this->out.clear(); }
-
-private:
-    int descriptor;
-    std::string out;
-    std::size_t lengthAt = 0;
-};
-
-void addError(Wire& wire, const SqlError& error)
-{
-    wire.begin('E');
-    wire.addText("SERROR");
-    wire.addText("C" + error.sqlState);
-    wire.addText("M" + error.message);
-    wire.addRaw(std::string(1, 0));
-    wire.end();
-}
-
-void addRows(Wire& wire, const ResultSet& rows)
-{
-    wire.begin('T');
-    wire.addShort(static_cast<std::int16_t>(rows.columns.size()));
-    for (const std::string& column : rows.columns) {
-        wire.addText(column);
-        wire.addNumber(0);
-        wire.addShort(0);
-        wire.addNumber(textType);
-        wire.addShort(-1);
-        wire.addNumber(-1);
-        wire.addShort(0);
-    }
-    wire.end();
-    for (const std::vector<std::optional<std::string>>& row : rows.rows) {
-        wire.begin('D');
-        wire.addShort(static_cast<std::int16_t>(row.size()));
-        for (const std::optional<std::string>& cell : row) {
-            wire.addNumber(cell ? static_cast<std::int32_t>(cell->size()) : -1);
-            wire.addRaw(cell.value_or(""));
+    void executeBatch(Wire& wire, SqlEngine& engine, SessionState& session, const std::string& batch)
+    {
+        std::vector<std::string> statements = splitBatch(batch);
+        for (const std::string& statement : statements) {
+            StatementResult result = engine.execute(session, statement);
+            if (result.error) {
+                addError(wire, *result.error);
+                break;
+            }
+            if (!result.rows.columns.empty())
+                addRows(wire, result.rows);
+            wire.begin('C');
+            wire.addText(result.tag);
+            wire.end();
         }
-        wire.end();
-    }
-}
-
-void addReady(Wire& wire, const SessionState& session)
-{
-    wire.begin('Z');
-    char state = session.isInTransaction ? 'T' : 'I';
-    wire.addRaw(std::string(1, session.isFailed ? 'E' : state));
-    wire.end();
-}
-
-void addParameter(Wire& wire, const std::string& name, const std::string& value)
-{
-    wire.begin('S');
-    wire.addText(name);
-    wire.addText(value);
-    wire.end();
-}
-
-/// Reads the start-up message, after refusals of encryption.
-bool readStartup(Wire& wire, std::string& parameters)
-{
-    while (true) {
-        std::int32_t length = 0;
-        std::int32_t code = 0;
-        if (!wire.readNumber(length) || length < 8 || length > maximumMessage || !wire.readNumber(code))
-            return false;
-        if (!wire.read(parameters, static_cast<std::size_t>(length) - 8))
-            return false;
-        if (code == protocolVersion)
-            return true;
-        if (code != sslRequest && code != gssRequest)
-            return false;
-        wire.addRaw("N");
-        wire.flush();
-    }
-}
-
-std::string findParameter(const std::string& parameters, const std::string& name)
-{
-    std::size_t at = parameters.find(name + std::string(1, 0));
-    return at == std::string::npos ? "" : std::string(parameters.c_str() + at + name.size() + 1);
-}
-
-std::string findZone(const std::string& applicationName)
-{
-    std::size_t begin = applicationName.find("zone=");
-    if (begin == std::string::npos)
-        return {};
-    begin += 5;
-    return applicationName.substr(begin, applicationName.find(';', begin) - begin);
-}
-
-void executeBatch(Wire& wire, SqlEngine& engine, SessionState& session, const std::string& batch)
-{
-    std::vector<std::string> statements = splitBatch(batch);
-    for (const std::string& statement : statements) {
-        StatementResult result = engine.execute(session, statement);
-        if (result.error) {
-            addError(wire, *result.error);
-            break;
+        if (statements.empty()) {
+            wire.begin('I');
+            wire.end();
         }
-        if (!result.rows.columns.empty())
-            addRows(wire, result.rows);
-        wire.begin('C');
-        wire.addText(result.tag);
-        wire.end();
-    }
-    if (statements.empty()) {
-        wire.begin('I');
-        wire.end();
+        addReady(wire, session);
     }
-    addReady(wire, session);
-}
 
 } // namespace
 
--- a/standins/database/Replicator.cpp
+++ b/standins/database/Replicator.cpp
@@ -7,15 +7,15 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds heartbeat { 50 };
-constexpr std::chrono::milliseconds pause { 20 };
-constexpr std::chrono::milliseconds answerTimeout { 2000 };
-constexpr int httpOk = 200;
+    constexpr std::chrono::milliseconds heartbeat { 50 };
+    constexpr std::chrono::milliseconds pause { 20 };
+    constexpr std::chrono::milliseconds answerTimeout { 2000 };
+    constexpr int httpOk = 200;
 
-LogPoint parsePoint(const nlohmann::json& row)
-{
-    return { Term(row.at(0).get<std::uint64_t>()), Position(row.at(1).get<std::uint64_t>()) };
-}
+    LogPoint parsePoint(const nlohmann::json& row)
+    {
+        return { Term(row.at(0).get<std::uint64_t>()), Position(row.at(1).get<std::uint64_t>()) };
+    }
 
 } // namespace
 
--- a/standins/network/Relay.cpp
+++ b/standins/network/Relay.cpp
@@ -8,22 +8,22 @@
 
 namespace {
 
-constexpr std::size_t bufferSize = 64 << 10;
-constexpr std::chrono::milliseconds retransmission { 200 };
-const std::string zoneMark = "zone=";
+    constexpr std::size_t bufferSize = 64 << 10;
+    constexpr std::chrono::milliseconds retransmission { 200 };
+    const std::string zoneMark = "zone=";
 
-std::string findZone(const char* bytes, std::size_t size)
-{
-    std::string text(bytes, size);
-    std::size_t begin = text.find(zoneMark);
-    if (begin == std::string::npos)
-        return {};
-    begin += zoneMark.size();
-    std::size_t end = begin;
-    while (end < text.size() && (std::isalnum(static_cast<unsigned char>(text[end])) != 0 || text[end] == '-'))
-        end++;
-    return text.substr(begin, end - begin);
-}
+    std::string findZone(const char* bytes, std::size_t size)
+    {
+        std::string text(bytes, size);
+        std::size_t begin = text.find(zoneMark);
+        if (begin == std::string::npos)
+            return {};
+        begin += zoneMark.size();
+        std::size_t end = begin;
+        while (end < text.size() && (std::isalnum(static_cast<unsigned char>(text[end])) != 0 || text[end] == '-'))
+            end++;
+        return text.substr(begin, end - begin);
+    }
 
 } // namespace
 
--- a/tools/lab/Cluster.cpp
+++ b/tools/lab/Cluster.cpp
@@ -16,48 +16,59 @@
 
 namespace {
 
-const std::string loopback = "127.0.0.1";
-constexpr std::chrono::milliseconds pollInterval { 20 };
-constexpr std::chrono::seconds startLimit { 30 };
-constexpr int httpOk = 200;
-constexpr const char* operatorName = "operator";
-
-template <typename Condition>
-bool waitFor(std::chrono::milliseconds limit, Condition condition)
-{
-    std::chrono::steady_clock::time_point giveUpAt = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < giveUpAt) {
-        if (condition())
-            return true;
-        std::this_thread::sleep_for(pollInterval);
+    const std::string loopback = "127.0.0.1";
+    constexpr std::chrono::milliseconds pollInterval { 20 };
+    constexpr std::chrono::seconds startLimit { 30 };
+    constexpr int httpOk = 200;
+    constexpr const char* operatorName = "operator";
+
+    template <typename Condition>
+    bool waitFor(std::chrono::milliseconds limit, Condition condition)
+    {
+        std::chrono::steady_clock::time_point giveUpAt = std::chrono::steady_clock::now() + limit;
+        while (std::chrono::steady_clock::now() < giveUpAt) {
+            if (condition())
+                return true;
+            std::this_thread::sleep_for(pollInterval);
+        }
+        return false;
     }
-    return false;
-}
 
-std::optional<std::string> httpGet(int port, const std::string& path)
-{
-    httplib::Client client(loopback, port);
-    client.set_connection_timeout(std::chrono::seconds(1));
-    client.set_read_timeout(std::chrono::seconds(2));
-    httplib::Result result = client.Get(path);
-    if (!result || result->status != httpOk)
-        return std::nullopt;
-    return result->body;
-}
+    bool isPortFree(int port)
+    {
+        int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        ::inet_pton(AF_INET, loopback.c_str(), &address.sin_addr);
+        bool isFree = ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+        ::close(descriptor);
+        return isFree;
+    }
+
+    std::optional<std::string> httpGet(int port, const std::string& path)
+    {
+        httplib::Client client(loopback, port);
+        client.set_connection_timeout(std::chrono::seconds(1));
+        client.set_read_timeout(std::chrono::seconds(2));
+        httplib::Result result = client.Get(path);
+        if (!result || result->status != httpOk)
+            return std::nullopt;
+        return result->body;
+    }
 
 } // namespace
 
 int findFreePort()
 {
-    int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    ::inet_pton(AF_INET, loopback.c_str(), &address.sin_addr);
-    ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    socklen_t size = sizeof(address);
-    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    ::close(descriptor);
-    return ntohs(address.sin_port);
+    // Below the range from which the system takes ports for outgoing connections.
+    constexpr int firstPort = 10000;
+    constexpr int portsPerProcess = 100;
+    constexpr int numRanges = 220;
+    static int next = firstPort + static_cast<int>(::getpid() % numRanges) * portsPerProcess;
+    while (!isPortFree(next))
+        next++;
+    return next++;
 }
 
 Cluster::Cluster(SitePlan site, std::string binaries, std::string folder)
@@ -275,12 +286,12 @@
     std::ofstream file(node.settingsPath);
     file << "[instance]\nid = " << node.id << "\nzone = " << node.zone << "\n"
          << "[callers]\naddress = " << loopback << "\nport = " << node.callerPort << "\n"
-         << "[peers]\naddress = " << loopback << "\nport = " << node.peerPort << "\nadvertise_port = " << node.relayPort << "\nseeds = ";
+         << "[peers]\naddress = " << loopback << "\nport = " << node.peerPort << "\nadvertise_port = " << node.relayPort << "\n";
     for (const InstanceNode& other : this->instances) {
         if (other.id != node.id)
-            file << other.id << "@" << other.zone << "@" << loopback << ":" << other.relayPort << ", ";
+            file << "seed." << other.id << " = " << other.zone << "@" << loopback << ":" << other.relayPort << "\n";
     }
-    file << "\n[store]\naddress = " << loopback << "\nport = " << this->storePort << "\n"
+    file << "[store]\naddress = " << loopback << "\nport = " << this->storePort << "\n"
          << "[drain]\ngrace_ms = 300\n"
          << "[trust]\nthreshold = 1\nkey." << operatorName << " = " << this->operatorKey.publicKey << "\n";
 }
--- a/tools/lab/Demo.cpp
+++ b/tools/lab/Demo.cpp
@@ -11,59 +11,59 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds pollInterval { 50 };
-constexpr std::chrono::seconds forceLimit { 30 };
+    constexpr std::chrono::milliseconds pollInterval { 50 };
+    constexpr std::chrono::seconds forceLimit { 30 };
 
-nlohmann::json execute(const InstanceNode& node, const nlohmann::json& request)
-{
-    httplib::Client client("127.0.0.1", node.callerPort);
-    httplib::Result result = client.Post("/v1/execute", request.dump(), "application/json");
-    nlohmann::json answer = result ? nlohmann::json::parse(result->body, nullptr, false) : nlohmann::json();
-    std::cout << node.id << " <- " << request.dump() << "\n"
-              << node.id << " -> " << answer.dump() << "\n\n";
-    return answer;
-}
-
-std::string makeKey(const std::string& unique)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()) + ":" + unique;
-}
+    nlohmann::json execute(const InstanceNode& node, const nlohmann::json& request)
+    {
+        httplib::Client client("127.0.0.1", node.callerPort);
+        httplib::Result result = client.Post("/v1/execute", request.dump(), "application/json");
+        nlohmann::json answer = result ? nlohmann::json::parse(result->body, nullptr, false) : nlohmann::json();
+        std::cout << node.id << " <- " << request.dump() << "\n"
+                  << node.id << " -> " << answer.dump() << "\n\n";
+        return answer;
+    }
 
-bool bookAndRead(Cluster& cluster)
-{
-    const InstanceNode& first = cluster.getInstances().front();
-    const InstanceNode& last = cluster.getInstances().back();
-    execute(first, { { "id", "1" }, { "database", "db-a" }, { "statements", { "CREATE TABLE returns (clip TEXT, quantity INTEGER)" } }, { "deadline_ms", 5000 } });
+    std::string makeKey(const std::string& unique)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()) + ":" + unique;
+    }
 
-    nlohmann::json booking { { "id", "2" }, { "database", "db-a" }, { "rank", "urgent" }, { "statements", { "INSERT INTO returns VALUES ('coupler', 40)" } }, { "idempotency_key", makeKey("demo") }, { "deadline_ms", 5000 } };
-    nlohmann::json booked = execute(first, booking);
-    nlohmann::json repeated = execute(last, booking);
-    nlohmann::json read = execute(last, { { "id", "3" }, { "database", "db-a" }, { "statements", { "SELECT clip, quantity FROM returns" } }, { "session", booked.value("session", "") }, { "deadline_ms", 5000 } });
-    nlohmann::json refused = execute(first, { { "id", "4" }, { "database", "db-x" }, { "statements", { "SELECT 1" } } });
+    bool bookAndRead(Cluster& cluster)
+    {
+        const InstanceNode& first = cluster.getInstances().front();
+        const InstanceNode& last = cluster.getInstances().back();
+        execute(first, { { "id", "1" }, { "database", "db-a" }, { "statements", { "CREATE TABLE returns (clip TEXT, quantity INTEGER)" } }, { "deadline_ms", 5000 } });
 
-    bool isReadBack = read.value("outcome", "") == "completed" && read.at("results").at(0).at("rows").size() == 1;
-    return booked.value("outcome", "") == "completed" && repeated.value("outcome", "") == "completed" && isReadBack && refused.value("reason", "") == "unknown_database";
-}
+        nlohmann::json booking { { "id", "2" }, { "database", "db-a" }, { "rank", "urgent" }, { "statements", { "INSERT INTO returns VALUES ('coupler', 40)" } }, { "idempotency_key", makeKey("demo") }, { "deadline_ms", 5000 } };
+        nlohmann::json booked = execute(first, booking);
+        nlohmann::json repeated = execute(last, booking);
+        nlohmann::json read = execute(last, { { "id", "3" }, { "database", "db-a" }, { "statements", { "SELECT clip, quantity FROM returns" } }, { "session", booked.value("session", "") }, { "deadline_ms", 5000 } });
+        nlohmann::json refused = execute(first, { { "id", "4" }, { "database", "db-x" }, { "statements", { "SELECT 1" } } });
 
-bool rollAndWatch(Cluster& cluster)
-{
-    Failure failure;
-    if (!cluster.rollBundle(cluster.makeBundle(2), failure)) {
-        std::cout << "the bundle was not rolled: " << failure.reason << "\n";
-        return false;
+        bool isReadBack = read.value("outcome", "") == "completed" && read.at("results").at(0).at("rows").size() == 1;
+        return booked.value("outcome", "") == "completed" && repeated.value("outcome", "") == "completed" && isReadBack && refused.value("reason", "") == "unknown_database";
     }
 
-    std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
-    while (std::chrono::steady_clock::now() < startedAt + forceLimit) {
-        bool isEverywhere = std::all_of(cluster.getInstances().begin(), cluster.getInstances().end(), [&](const InstanceNode& node) { return cluster.getBundleVersion(node) == 2; });
-        if (isEverywhere) {
-            std::cout << "bundle version 2 is in force on all instances\n";
-            return true;
+    bool rollAndWatch(Cluster& cluster)
+    {
+        Failure failure;
+        if (!cluster.rollBundle(cluster.makeBundle(2), failure)) {
+            std::cout << "the bundle was not rolled: " << failure.reason << "\n";
+            return false;
         }
-        std::this_thread::sleep_for(pollInterval);
+
+        std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
+        while (std::chrono::steady_clock::now() < startedAt + forceLimit) {
+            bool isEverywhere = std::all_of(cluster.getInstances().begin(), cluster.getInstances().end(), [&](const InstanceNode& node) { return cluster.getBundleVersion(node) == 2; });
+            if (isEverywhere) {
+                std::cout << "bundle version 2 is in force on all instances\n";
+                return true;
+            }
+            std::this_thread::sleep_for(pollInterval);
+        }
+        return false;
     }
-    return false;
-}
 
 } // namespace
 
--- /dev/null
+++ b/tools/lab/Experiments.cpp
@@ -0,0 +1,289 @@
+#include "Experiments.h"
+
+#include "Load.h"
+
+#include <algorithm>
+#include <csignal>
+#include <httplib.h>
+#include <iostream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+namespace lentiljunction::lab {
+
+namespace {
+
+    constexpr std::chrono::milliseconds warmUp { 3000 };
+    constexpr std::chrono::milliseconds observed { 7000 };
+    constexpr double bookingsPerSecond = 100;
+    /// The share of the upstreams' capacity that each rank uses in quiet times.
+    constexpr double quietShare = 0.15;
+
+    nlohmann::json toJson(const BookingCheck& check)
+    {
+        return { { "is_read", check.isRead }, { "acknowledged", check.numAcknowledged }, { "lost", check.numLost }, { "doubled", check.numDoubled }, { "run_though_refused", check.numRunThoughRefused } };
+    }
+
+    nlohmann::json describeStream(const StreamResult& result, double from, double to)
+    {
+        return {
+            { "arrived", result.numArrived },
+            { "completed", result.countCompleted(from, to) },
+            { "p50_ms", result.getPercentile(0.5, from, to) },
+            { "p99_ms", result.getPercentile(0.99, from, to) },
+            { "repeats", result.numRepeats },
+            { "stale_reads", result.numStaleReads },
+            { "outcomes", result.outcomes },
+        };
+    }
+
+    /// @returns how many answers came in each 100 ms
+    nlohmann::json describeTimeline(const StreamResult& result, double from, double to)
+    {
+        constexpr double width = 100;
+        std::vector<int> counts(static_cast<std::size_t>((to - from) / width), 0);
+        for (const Completion& completion : result.completed) {
+            double time = completion.arrivedMilliseconds + completion.latencyMilliseconds;
+            if (time >= from && time < to)
+                counts[static_cast<std::size_t>((time - from) / width)]++;
+        }
+        return counts;
+    }
+
+    void injectFault(Cluster& cluster, PrimaryFault fault)
+    {
+        UpstreamNode* primary = cluster.findPrimary("db-a");
+        switch (fault) {
+        case PrimaryFault::Cut:
+            cluster.cutZones({ primary->zone });
+            break;
+        case PrimaryFault::Crash:
+            primary->process->signal(SIGKILL);
+            break;
+        case PrimaryFault::Freeze:
+            primary->process->signal(SIGSTOP);
+            break;
+        }
+    }
+
+    /// One fault on a fresh cluster with one database, so that the gap is that of its group.
+    nlohmann::json runFailoverRound(const ExperimentSetting& setting, PrimaryFault fault, bool isStoreDown, int round)
+    {
+        SitePlan site = setting.site;
+        site.numDatabases = 1;
+        Cluster cluster(site, setting.binaries, setting.folder + "/round-" + std::to_string(round));
+        Failure failure;
+        if (!cluster.start(failure))
+            return { { "error", failure.reason } };
+
+        Load load(cluster, { StreamPlan { "bookings", StreamKind::WriteThenRead, Rank::Urgent, bookingsPerSecond, 1000 } });
+        if (!load.prepare())
+            return { { "error", "the tables could not be made" } };
+
+        std::chrono::milliseconds storeDownAt = warmUp - std::chrono::milliseconds(500);
+        std::vector<ScriptedStep> steps;
+        if (isStoreDown)
+            steps.push_back({ storeDownAt, [&] { cluster.control(cluster.getStorePort(), { { "down", true } }); } });
+        steps.push_back({ warmUp, [&] { injectFault(cluster, fault); } });
+        std::chrono::milliseconds healAt = warmUp + std::chrono::milliseconds(5500);
+        steps.push_back({ healAt, [&] {
+                             if (fault == PrimaryFault::Cut)
+                                 cluster.cutZones({});
+                             for (UpstreamNode& node : cluster.getUpstreams())
+                                 node.process->signal(SIGCONT);
+                         } });
+        load.run(warmUp + observed, steps);
+
+        const StreamResult& result = load.getResult("bookings");
+        double faultAt = static_cast<double>(warmUp.count());
+        nlohmann::json report = describeStream(result, 0, 1e12);
+        report["gap_ms"] = result.getLongestGap(faultAt - 200, faultAt + 5500);
+        report["answers_per_100_ms"] = describeTimeline(result, faultAt - 500, faultAt + 3000);
+        report["quiet_gap_ms"] = result.getLongestGap(1000, faultAt - 200);
+        report["quiet_p50_ms"] = result.getPercentile(0.5, 1000, faultAt);
+        report["bookings"] = toJson(load.checkBookings());
+        for (const UpstreamNode& node : cluster.getUpstreams())
+            report["upstreams"][node.id] = cluster.describeUpstream(node);
+        return report;
+    }
+
+} // namespace
+
+std::optional<PrimaryFault> parsePrimaryFault(const std::string& text)
+{
+    if (text == "cut")
+        return PrimaryFault::Cut;
+    if (text == "crash")
+        return PrimaryFault::Crash;
+    if (text == "freeze")
+        return PrimaryFault::Freeze;
+    return std::nullopt;
+}
+
+double sumMetric(Cluster& cluster, const std::string& name, const std::string& text)
+{
+    double sum = 0;
+    for (const InstanceNode& node : cluster.getInstances()) {
+        httplib::Client client("127.0.0.1", node.callerPort);
+        httplib::Result result = client.Get("/metrics");
+        if (!result)
+            continue;
+        std::istringstream stream(result->body);
+        std::string line;
+        while (std::getline(stream, line)) {
+            bool isWanted = line.rfind(name, 0) == 0 && line.find(text) != std::string::npos;
+            if (isWanted)
+                sum += std::stod(line.substr(line.rfind(' ') + 1));
+        }
+    }
+    return sum;
+}
+
+nlohmann::json measureFailover(const ExperimentSetting& setting, PrimaryFault fault, bool isStoreDown, int rounds)
+{
+    nlohmann::json report { { "rounds", nlohmann::json::array() } };
+    std::vector<double> gaps;
+    for (int round = 0; round < rounds; round++) {
+        nlohmann::json result = runFailoverRound(setting, fault, isStoreDown, round);
+        if (result.contains("gap_ms"))
+            gaps.push_back(result.at("gap_ms").get<double>());
+        report["rounds"].push_back(result);
+    }
+    std::sort(gaps.begin(), gaps.end());
+    if (!gaps.empty())
+        report["gap_ms"] = { { "min", gaps.front() }, { "median", gaps[gaps.size() / 2] }, { "max", gaps.back() } };
+    return report;
+}
+
+nlohmann::json measureReads(const ExperimentSetting& setting)
+{
+    Cluster cluster(setting.site, setting.binaries, setting.folder);
+    Failure failure;
+    if (!cluster.start(failure))
+        return { { "error", failure.reason } };
+
+    std::vector<StreamPlan> streams {
+        { "bookings", StreamKind::WriteThenRead, Rank::Urgent, 60, 1000 },
+        { "lookups", StreamKind::Read, Rank::Normal, 300, 1000 },
+        { "reviews", StreamKind::AgedRead, Rank::Background, 120, 2000, 1000 },
+    };
+    Load load(cluster, streams);
+    if (!load.prepare())
+        return { { "error", "the tables could not be made" } };
+    load.run(std::chrono::seconds(15), {});
+
+    double replica = sumMetric(cluster, "lentiljunction_reads_total", "role=\"replica\"");
+    double primary = sumMetric(cluster, "lentiljunction_reads_total", "role=\"primary\"");
+    nlohmann::json report { { "reads_by_replicas", replica }, { "reads_by_primary", primary }, { "replica_share", replica / std::max(1.0, replica + primary) } };
+    for (const char* cause : { "drawn", "replica_behind", "age_not_proved", "replica_failed" })
+        report["primary_causes"][cause] = sumMetric(cluster, "lentiljunction_reads_total", std::string("cause=\"") + cause + "\"");
+    for (const StreamPlan& stream : streams)
+        report["streams"][stream.name] = describeStream(load.getResult(stream.name), 1000, 1e12);
+    report["bookings"] = toJson(load.checkBookings());
+    return report;
+}
+
+nlohmann::json measureFlood(const ExperimentSetting& setting, const std::string& floodRank, double factor)
+{
+    // Longer statements, so that the upstreams are the bottleneck and not this machine.
+    SitePlan site = setting.site;
+    site.serviceMicroseconds = 10000;
+    Cluster cluster(site, setting.binaries, setting.folder);
+    Failure failure;
+    if (!cluster.start(failure))
+        return { { "error", failure.reason } };
+
+    // What all upstreams together can do with statements of this length.
+    double capacity = 1e6 / site.serviceMicroseconds * site.slots * site.numDatabases * site.numUpstreams;
+    std::vector<StreamPlan> streams;
+    for (Rank rank : allRanks)
+        streams.push_back({ toString(rank), StreamKind::Read, rank, capacity * quietShare, 2000 });
+    StreamPlan flood { "flood", StreamKind::Read, *parseRank(floodRank), capacity * quietShare * factor, 1000 };
+    flood.begin = std::chrono::seconds(5);
+    flood.end = std::chrono::seconds(13);
+    flood.numCallers = 16;
+    streams.push_back(flood);
+
+    Load load(cluster, streams);
+    load.run(std::chrono::seconds(18), {});
+    nlohmann::json report { { "capacity_per_s", capacity }, { "flood_per_s", capacity * quietShare * factor } };
+    for (const StreamPlan& stream : streams) {
+        const StreamResult& result = load.getResult(stream.name);
+        report["streams"][stream.name] = {
+            { "quiet", { { "per_s", static_cast<double>(result.countCompleted(1000, 5000)) / 4 }, { "p50_ms", result.getPercentile(0.5, 1000, 5000) }, { "p99_ms", result.getPercentile(0.99, 1000, 5000) } } },
+            { "flood", { { "per_s", static_cast<double>(result.countCompleted(6000, 12500)) / 6.5 }, { "p50_ms", result.getPercentile(0.5, 6000, 12500) }, { "p99_ms", result.getPercentile(0.99, 6000, 12500) } } },
+            { "after", { { "per_s", static_cast<double>(result.countCompleted(15000, 18000)) / 3 }, { "p99_ms", result.getPercentile(0.99, 15000, 18000) } } },
+            { "outcomes", result.outcomes },
+        };
+    }
+    return report;
+}
+
+nlohmann::json measureChaos(const ExperimentSetting& setting, std::uint64_t seed, int seconds)
+{
+    SitePlan site = setting.site;
+    site.numDatabases = 1;
+    Cluster cluster(site, setting.binaries, setting.folder);
+    Failure failure;
+    if (!cluster.start(failure))
+        return { { "error", failure.reason } };
+
+    Load load(cluster, { StreamPlan { "bookings", StreamKind::WriteThenRead, Rank::Urgent, bookingsPerSecond, 1000 }, StreamPlan { "plain", StreamKind::PlainWrite, Rank::Normal, 30, 1000 } });
+    if (!load.prepare())
+        return { { "error", "the tables could not be made" } };
+
+    std::mt19937_64 random(seed);
+    std::vector<ScriptedStep> steps;
+    nlohmann::json script = nlohmann::json::array();
+    for (int at = 2000; at + 4000 < seconds * 1000; at += 3500) {
+        int choice = static_cast<int>(random() % 6);
+        std::size_t instance = random() % cluster.getInstances().size();
+        std::string zone = site.zones[random() % site.zones.size()].name;
+        script.push_back({ { "at_ms", at }, { "choice", choice }, { "instance", cluster.getInstances()[instance].id }, { "zone", zone } });
+        std::chrono::milliseconds begin(at);
+        std::chrono::milliseconds end(at + 2500);
+        switch (choice) {
+        case 0:
+            steps.push_back({ begin, [&cluster, zone] { cluster.cutZones({ zone }); } });
+            steps.push_back({ end, [&cluster] { cluster.cutZones({}); } });
+            break;
+        case 1:
+            steps.push_back({ begin, [&cluster] { injectFault(cluster, PrimaryFault::Freeze); } });
+            steps.push_back({ end, [&cluster] {
+                                 for (UpstreamNode& node : cluster.getUpstreams())
+                                     node.process->signal(SIGCONT);
+                             } });
+            break;
+        case 2:
+            steps.push_back({ begin, [&cluster, instance] { cluster.getInstances()[instance].process->signal(SIGKILL); } });
+            steps.push_back({ end, [&cluster, instance] { cluster.startInstance(cluster.getInstances()[instance]); } });
+            break;
+        case 3:
+            steps.push_back({ begin, [&cluster, instance] { cluster.getInstances()[instance].process->signal(SIGSTOP); } });
+            steps.push_back({ end, [&cluster, instance] { cluster.getInstances()[instance].process->signal(SIGCONT); } });
+            break;
+        case 4:
+            steps.push_back({ begin, [&cluster] {
+                                 cluster.control(cluster.getNetworkPort(), { { "silence_connections", true } });
+                                 for (UpstreamNode& node : cluster.getUpstreams())
+                                     cluster.control(node.controlPort, { { "silence_connections", true } });
+                             } });
+            break;
+        default:
+            steps.push_back({ begin, [&cluster] {
+                                 UpstreamNode* primary = cluster.findPrimary("db-a");
+                                 if (primary != nullptr)
+                                     cluster.control(primary->controlPort, { { "lose_answers", 3 } });
+                             } });
+            break;
+        }
+    }
+    load.run(std::chrono::seconds(seconds), steps);
+    nlohmann::json report { { "seed", seed }, { "script", script }, { "bookings", toJson(load.checkBookings()) } };
+    report["streams"]["bookings"] = describeStream(load.getResult("bookings"), 0, 1e12);
+    report["streams"]["plain"] = describeStream(load.getResult("plain"), 0, 1e12);
+    return report;
+}
+
+} // namespace lentiljunction::lab
--- /dev/null
+++ b/tools/lab/Load.cpp
@@ -0,0 +1,440 @@
+#include "Load.h"
+
+#include "../../src/execution/PostgresConnection.h"
+#include "../../src/net/WebSocketClient.h"
+#include "lentiljunction/core/Clock.h"
+#include "lentiljunction/core/EventLoop.h"
+
+#include <algorithm>
+#include <atomic>
+#include <future>
+#include <httplib.h>
+#include <random>
+#include <set>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+namespace lentiljunction::lab {
+
+namespace {
+
+    constexpr Duration tickInterval = std::chrono::milliseconds(1);
+    constexpr Duration reconnectDelay = std::chrono::milliseconds(100);
+    constexpr std::chrono::milliseconds stepInterval { 1 };
+    /// A booking is repeated until it has an answer, for at most this time.
+    constexpr double patienceMilliseconds = 15000;
+    /// A request without any answer is given up this long after its deadline.
+    constexpr double answerSlackMilliseconds = 500;
+    constexpr std::chrono::seconds finishLimit { 20 };
+    constexpr int prepareTries = 20;
+
+    std::string makeKey(const std::string& booking)
+    {
+        return std::to_string(toUnixMilliseconds(std::chrono::system_clock::now())) + ":" + booking;
+    }
+
+    bool isWrite(StreamKind kind)
+    {
+        return kind == StreamKind::KeyedWrite || kind == StreamKind::PlainWrite || kind == StreamKind::WriteThenRead;
+    }
+
+    bool isKeyed(StreamKind kind)
+    {
+        return kind == StreamKind::KeyedWrite || kind == StreamKind::WriteThenRead;
+    }
+
+} // namespace
+
+nlohmann::json sendRequest(const InstanceNode& node, const nlohmann::json& request)
+{
+    httplib::Client client("127.0.0.1", node.callerPort);
+    client.set_read_timeout(std::chrono::seconds(10));
+    httplib::Result result = client.Post("/v1/execute", request.dump(), "application/json");
+    return result ? nlohmann::json::parse(result->body, nullptr, false) : nlohmann::json();
+}
+
+/// Runs on one event loop: sessions, arrivals and answers.
+class Load::Implementation : private WebSocketClient::Listener {
+public:
+    Implementation(Cluster& cluster, std::vector<StreamPlan> plans)
+        : cluster(cluster)
+        , streams(std::move(plans))
+        , client(this->loop, *this)
+        , runName(std::to_string(std::random_device()()))
+    {
+        for (int index = 0; index < cluster.getSite().numDatabases; index++)
+            this->databases.push_back("db-" + std::string(1, static_cast<char>('a' + index)));
+    }
+
+    bool prepare()
+    {
+        for (const std::string& database : this->databases) {
+            nlohmann::json request { { "id", "prepare" }, { "database", database }, { "statements", { "CREATE TABLE IF NOT EXISTS bookings (id TEXT, quantity INTEGER)" } }, { "deadline_ms", 3000 } };
+            bool isDone = false;
+            for (int count = 0; count < prepareTries && !isDone; count++)
+                isDone = sendRequest(this->cluster.getInstances().front(), request).value("outcome", "") == "completed";
+            if (!isDone)
+                return false;
+        }
+        return true;
+    }
+
+    void run(std::chrono::milliseconds duration, std::vector<ScriptedStep> steps)
+    {
+        this->loop.start();
+        this->loop.post([this] { this->connectAll(); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        this->startedAt = this->clock.now();
+        this->duration = static_cast<double>(duration.count());
+        this->nextDue.assign(this->streams.size(), 0);
+        this->loop.repeat(tickInterval, [this] { this->onTick(); });
+
+        std::sort(steps.begin(), steps.end(), [](const ScriptedStep& left, const ScriptedStep& right) { return left.at < right.at; });
+        for (const ScriptedStep& step : steps) {
+            while (this->getElapsed() < static_cast<double>(step.at.count()))
+                std::this_thread::sleep_for(stepInterval);
+            step.action();
+        }
+        while (this->getElapsed() < this->duration)
+            std::this_thread::sleep_for(stepInterval);
+
+        std::chrono::steady_clock::time_point giveUpAt = std::chrono::steady_clock::now() + finishLimit;
+        while (this->numPending > 0 && std::chrono::steady_clock::now() < giveUpAt)
+            std::this_thread::sleep_for(stepInterval);
+        this->loop.stop();
+    }
+
+    const StreamResult& getResult(const std::string& stream) const { return this->results.at(stream); }
+
+    BookingCheck checkBookings()
+    {
+        std::map<std::string, int> found;
+        BookingCheck check;
+        for (const std::string& database : this->databases)
+            check.isRead = this->collectBookings(database, found) && check.isRead;
+
+        check.numAcknowledged = this->acknowledged.size();
+        for (const std::string& booking : this->acknowledged) {
+            if (found.count(booking) == 0)
+                check.numLost++;
+        }
+        for (const std::pair<const std::string, int>& entry : found) {
+            if (entry.second > 1)
+                check.numDoubled++;
+            if (this->refused.count(entry.first) > 0)
+                check.numRunThoughRefused++;
+        }
+        return check;
+    }
+
+private:
+    struct Pending {
+        std::size_t stream = 0;
+        double arrived = 0;
+        double sentAt = 0;
+        std::string booking;
+        std::string key;
+        std::string database;
+        std::size_t instance = 0;
+        bool isReadBack = false;
+        /// Whether an earlier try had no clear answer.
+        bool isUnclear = false;
+    };
+
+    struct Session {
+        WebSocketClient::Handle handle = 0;
+        bool isOpen = false;
+    };
+
+    void onConnected(WebSocketClient::Handle handle) override
+    {
+        for (Session& session : this->sessions) {
+            if (session.handle == handle)
+                session.isOpen = true;
+        }
+    }
+
+    void onDisconnected(WebSocketClient::Handle handle) override
+    {
+        for (std::size_t index = 0; index < this->sessions.size(); index++) {
+            if (this->sessions[index].handle != handle)
+                continue;
+            this->sessions[index].isOpen = false;
+            this->failSession(index);
+            this->loop.schedule(reconnectDelay, [this, index] { this->connect(index); });
+        }
+    }
+
+    void onMessage(WebSocketClient::Handle, const std::string& payload) override
+    {
+        nlohmann::json answer = nlohmann::json::parse(payload, nullptr, false);
+        std::string id = answer.value("id", "");
+        std::unordered_map<std::string, Pending>::iterator found = this->pending.find(id);
+        if (found == this->pending.end())
+            return;
+        Pending request = std::move(found->second);
+        this->pending.erase(found);
+        this->onAnswer(std::move(request), answer);
+    }
+
+    void connectAll()
+    {
+        this->sessions.resize(this->cluster.getInstances().size());
+        for (std::size_t index = 0; index < this->sessions.size(); index++)
+            this->connect(index);
+    }
+
+    void connect(std::size_t index)
+    {
+        Endpoint endpoint { "127.0.0.1", static_cast<std::uint16_t>(this->cluster.getInstances()[index].callerPort) };
+        this->sessions[index].handle = this->client.connect(endpoint, "/v1/session");
+    }
+
+    void onTick()
+    {
+        double now = this->getElapsed();
+        for (std::size_t index = 0; index < this->streams.size(); index++) {
+            const StreamPlan& plan = this->streams[index];
+            double end = std::min(this->duration, static_cast<double>(plan.end.count()));
+            double& due = this->nextDue[index];
+            due = std::max(due, static_cast<double>(plan.begin.count()));
+            while (due <= now && due < end) {
+                this->arrive(index, due);
+                due += 1000.0 / plan.perSecond;
+            }
+        }
+        this->expire(now);
+    }
+
+    void arrive(std::size_t stream, double due)
+    {
+        Pending request;
+        request.stream = stream;
+        request.arrived = due;
+        request.database = this->databases[this->nextBooking % this->databases.size()];
+        if (isWrite(this->streams[stream].kind)) {
+            request.booking = this->runName + "-" + std::to_string(this->nextBooking);
+            if (isKeyed(this->streams[stream].kind))
+                request.key = makeKey(request.booking);
+        }
+        this->nextBooking++;
+        this->results[this->streams[stream].name].numArrived++;
+        this->numPending++;
+        this->send(std::move(request), "");
+    }
+
+    /// @returns the next instance with an open session
+    std::optional<std::size_t> chooseInstance()
+    {
+        for (std::size_t count = 0; count < this->sessions.size(); count++) {
+            std::size_t index = this->nextInstance++ % this->sessions.size();
+            if (this->sessions[index].isOpen)
+                return index;
+        }
+        return std::nullopt;
+    }
+
+    void send(Pending request, const std::string& session)
+    {
+        const StreamPlan& plan = this->streams[request.stream];
+        std::optional<std::size_t> instance = this->chooseInstance();
+        if (!instance) {
+            this->loop.schedule(reconnectDelay, [this, request, session] { this->send(request, session); });
+            return;
+        }
+
+        std::string id = std::to_string(this->nextId++);
+        nlohmann::json message { { "id", id }, { "database", request.database }, { "rank", toString(plan.rank) }, { "deadline_ms", plan.deadlineMilliseconds },
+            { "caller", plan.name + "-" + std::to_string(this->nextId % static_cast<std::uint64_t>(plan.numCallers)) } };
+        bool isBooking = isWrite(plan.kind) && !request.isReadBack;
+        if (isBooking)
+            message["statements"] = { "INSERT INTO bookings VALUES ('" + request.booking + "', 1)" };
+        else if (request.isReadBack)
+            message["statements"] = { "SELECT count(*) FROM bookings WHERE id = '" + request.booking + "'" };
+        else
+            message["statements"] = { "SELECT 1" };
+        if (isBooking && !request.key.empty())
+            message["idempotency_key"] = request.key;
+        if (plan.kind == StreamKind::AgedRead)
+            message["max_staleness_ms"] = plan.maximumAgeMilliseconds;
+        if (!session.empty())
+            message["session"] = session;
+
+        request.instance = *instance;
+        request.sentAt = this->getElapsed();
+        this->client.send(this->sessions[*instance].handle, message.dump(), false);
+        this->pending[id] = std::move(request);
+    }
+
+    void onAnswer(Pending request, const nlohmann::json& answer)
+    {
+        std::string outcome = answer.value("outcome", "none");
+        const StreamPlan& plan = this->streams[request.stream];
+        if (outcome == "completed") {
+            this->onCompleted(std::move(request), answer);
+            return;
+        }
+
+        bool mayRepeat = !request.key.empty() && !request.isReadBack && outcome != "rejected" && this->getElapsed() - request.arrived < patienceMilliseconds;
+        if (!mayRepeat) {
+            if (outcome == "not_run" && !request.booking.empty() && !request.isReadBack && !request.isUnclear)
+                this->refused.insert(request.booking);
+            std::string name = outcome == "not_run" ? "not_run/" + answer.value("reason", "") : outcome;
+            this->results[plan.name].outcomes[request.isReadBack ? "read_back/" + name : name]++;
+            this->numPending--;
+            return;
+        }
+
+        request.isUnclear = request.isUnclear || outcome != "not_run";
+        this->results[plan.name].numRepeats++;
+        std::chrono::milliseconds delay(std::clamp<std::int64_t>(answer.value("retry_after_ms", 20), 5, 100));
+        this->loop.schedule(delay, [this, request] { this->send(request, ""); });
+    }
+
+    void onCompleted(Pending request, const nlohmann::json& answer)
+    {
+        const StreamPlan& plan = this->streams[request.stream];
+        StreamResult& result = this->results[plan.name];
+        if (request.isReadBack) {
+            bool isSeen = answer.at("results").at(0).at("rows").at(0).at(0) == "1";
+            result.numStaleReads += isSeen ? 0 : 1;
+            result.outcomes["read_back/completed"]++;
+            this->numPending--;
+            return;
+        }
+
+        result.completed.push_back({ request.arrived, this->getElapsed() - request.arrived });
+        result.outcomes["completed"]++;
+        if (!request.booking.empty())
+            this->acknowledged.insert(request.booking);
+        if (plan.kind != StreamKind::WriteThenRead) {
+            this->numPending--;
+            return;
+        }
+        request.isReadBack = true;
+        this->send(std::move(request), answer.value("session", ""));
+    }
+
+    void failSession(std::size_t instance)
+    {
+        std::vector<std::string> lost;
+        for (const std::pair<const std::string, Pending>& entry : this->pending) {
+            if (entry.second.instance == instance)
+                lost.push_back(entry.first);
+        }
+        for (const std::string& id : lost)
+            this->giveUp(id);
+    }
+
+    void expire(double now)
+    {
+        std::vector<std::string> expired;
+        for (const std::pair<const std::string, Pending>& entry : this->pending) {
+            double limit = this->streams[entry.second.stream].deadlineMilliseconds + answerSlackMilliseconds;
+            if (now - entry.second.sentAt > limit)
+                expired.push_back(entry.first);
+        }
+        for (const std::string& id : expired)
+            this->giveUp(id);
+    }
+
+    void giveUp(const std::string& id)
+    {
+        Pending request = std::move(this->pending.at(id));
+        this->pending.erase(id);
+        this->onAnswer(std::move(request), { { "outcome", "lost" } });
+    }
+
+    /// @returns whether the primary could be read
+    bool collectBookings(const std::string& database, std::map<std::string, int>& found)
+    {
+        const std::string sql = "SELECT id, count(*) FROM bookings WHERE id LIKE '" + this->runName + "-%' GROUP BY id";
+        for (int count = 0; count < prepareTries; count++) {
+            UpstreamNode* primary = this->cluster.findPrimary(database);
+            if (primary != nullptr && this->readDirectly(*primary, sql, found))
+                return true;
+            std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        }
+        return false;
+    }
+
+    /// Reads at the upstream itself, past the instances.
+    bool readDirectly(const UpstreamNode& node, const std::string& sql, std::map<std::string, int>& found)
+    {
+        constexpr Duration limit = std::chrono::seconds(5);
+        EventLoop checkLoop;
+        std::promise<SqlReply> promise;
+        PostgresConnection connection(checkLoop, { "127.0.0.1", static_cast<std::uint16_t>(node.port) }, { "lab", "main", "zone=" + node.zone + ";instance=lab" });
+        checkLoop.post([&] {
+            connection.open(limit, [&](bool isOpen) {
+                if (isOpen)
+                    connection.execute(sql, limit, [&](const SqlReply& reply) { promise.set_value(reply); });
+                else
+                    promise.set_value(SqlReply());
+            });
+        });
+        checkLoop.start();
+        SqlReply reply = promise.get_future().get();
+        checkLoop.stop();
+        if (reply.results.empty())
+            return false;
+        for (const std::vector<std::optional<std::string>>& row : reply.results.front().rows)
+            found[row[0].value_or("")] += std::stoi(row[1].value_or("0"));
+        return true;
+    }
+
+    double getElapsed() const
+    {
+        return std::chrono::duration<double, std::milli>(this->clock.now() - this->startedAt).count();
+    }
+
+    Cluster& cluster;
+    std::vector<StreamPlan> streams;
+    SystemClock clock;
+    EventLoop loop;
+    WebSocketClient client;
+    std::string runName;
+    std::vector<std::string> databases;
+    std::vector<Session> sessions;
+    std::vector<double> nextDue;
+    std::unordered_map<std::string, Pending> pending;
+    std::map<std::string, StreamResult> results;
+    std::set<std::string> acknowledged;
+    std::set<std::string> refused;
+    std::atomic<std::uint64_t> numPending { 0 };
+    std::uint64_t nextId = 1;
+    std::uint64_t nextBooking = 1;
+    std::size_t nextInstance = 0;
+    TimePoint startedAt;
+    double duration = 0;
+};
+
+Load::Load(Cluster& cluster, std::vector<StreamPlan> streams)
+    : implementation(std::make_unique<Implementation>(cluster, std::move(streams)))
+{
+}
+
+Load::~Load() = default;
+
+bool Load::prepare()
+{
+    return this->implementation->prepare();
+}
+
+void Load::run(std::chrono::milliseconds duration, std::vector<ScriptedStep> steps)
+{
+    this->implementation->run(duration, std::move(steps));
+}
+
+const StreamResult& Load::getResult(const std::string& stream) const
+{
+    return this->implementation->getResult(stream);
+}
+
+BookingCheck Load::checkBookings()
+{
+    return this->implementation->checkBookings();
+}
+
+} // namespace lentiljunction::lab
--- a/tools/lab/Process.cpp
+++ b/tools/lab/Process.cpp
@@ -12,13 +12,13 @@
 
 namespace {
 
-constexpr int signalBase = 128;
-constexpr mode_t logMode = 0644;
+    constexpr int signalBase = 128;
+    constexpr mode_t logMode = 0644;
 
-int toExitCode(int status)
-{
-    return WIFEXITED(status) ? WEXITSTATUS(status) : signalBase + WTERMSIG(status);
-}
+    int toExitCode(int status)
+    {
+        return WIFEXITED(status) ? WEXITSTATUS(status) : signalBase + WTERMSIG(status);
+    }
 
 } // namespace
 
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -1,26 +1,91 @@
 #include "Demo.h"
+#include "Experiments.h"
 
 #include <cxxopts.hpp>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <unistd.h>
 
-int main(int argc, char** argv)
+namespace {
+
+using namespace lentiljunction::lab;
+
+constexpr int usageCode = 2;
+
+std::optional<SitePlan> findSite(const std::string& name)
+{
+    if (name == "demo")
+        return makeDemoSite();
+    if (name == "spona")
+        return makeSponaSite();
+    if (name == "karadeniz")
+        return makeKaradenizSite();
+    return std::nullopt;
+}
+
+cxxopts::Options makeOptions()
 {
     cxxopts::Options options("lj-lab", "Starts whole sites on loopback, puts them under load and faults, and measures.");
-    options.add_options()("action", "demo", cxxopts::value<std::string>()->default_value("demo"));
+    options.positional_help("ACTION: demo, failover, reads, flood or chaos");
+    options.add_options()("action", "what to do", cxxopts::value<std::string>()->default_value("demo"));
+    options.add_options()("site", "demo, spona or karadeniz", cxxopts::value<std::string>()->default_value("spona"));
     options.add_options()("folder", "receives settings and logs", cxxopts::value<std::string>());
+    options.add_options()("fault", "failover: cut, crash or freeze", cxxopts::value<std::string>()->default_value("cut"));
+    options.add_options()("store", "failover: up or down", cxxopts::value<std::string>()->default_value("up"));
+    options.add_options()("rounds", "failover: how often", cxxopts::value<int>()->default_value("3"));
+    options.add_options()("rank", "flood: the rank that floods", cxxopts::value<std::string>()->default_value("background"));
+    options.add_options()("factor", "flood: multiple of the rank's quiet load", cxxopts::value<double>()->default_value("10"));
+    options.add_options()("durability", "replicated or primary", cxxopts::value<std::string>()->default_value("replicated"));
+    options.add_options()("seed", "chaos: the script", cxxopts::value<std::uint64_t>()->default_value("1"));
+    options.add_options()("seconds", "chaos: how long", cxxopts::value<int>()->default_value("30"));
+    options.add_options()("out", "receives the result as JSON", cxxopts::value<std::string>());
     options.add_options()("help", "this text");
     options.parse_positional({ "action" });
-    options.positional_help("ACTION");
+    return options;
+}
+
+std::optional<nlohmann::json> runExperiment(const cxxopts::ParseResult& arguments, const ExperimentSetting& setting)
+{
+    std::string action = arguments["action"].as<std::string>();
+    std::optional<PrimaryFault> fault = parsePrimaryFault(arguments["fault"].as<std::string>());
+    if (action == "failover" && fault)
+        return measureFailover(setting, *fault, arguments["store"].as<std::string>() == "down", arguments["rounds"].as<int>());
+    if (action == "reads")
+        return measureReads(setting);
+    if (action == "flood")
+        return measureFlood(setting, arguments["rank"].as<std::string>(), arguments["factor"].as<double>());
+    if (action == "chaos")
+        return measureChaos(setting, arguments["seed"].as<std::uint64_t>(), arguments["seconds"].as<int>());
+    return std::nullopt;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options = makeOptions();
     cxxopts::ParseResult arguments = options.parse(argc, argv);
-    if (arguments.count("help") > 0) {
+    std::optional<SitePlan> site = findSite(arguments["site"].as<std::string>());
+    if (arguments.count("help") > 0 || !site) {
         std::cout << options.help();
-        return 0;
+        return site ? 0 : usageCode;
     }
 
     std::string binaries = std::filesystem::path(argv[0]).parent_path().string();
     std::string defaultFolder = (std::filesystem::temp_directory_path() / ("lentiljunction-" + std::to_string(::getpid()))).string();
-    std::string folder = arguments.count("folder") > 0 ? arguments["folder"].as<std::string>() : defaultFolder;
-    return lentiljunction::lab::runDemo(binaries.empty() ? "." : binaries, folder) ? 0 : 1;
+    ExperimentSetting setting { *site, binaries.empty() ? "." : binaries, arguments.count("folder") > 0 ? arguments["folder"].as<std::string>() : defaultFolder };
+    setting.site.durability = arguments["durability"].as<std::string>();
+    if (arguments["action"].as<std::string>() == "demo")
+        return runDemo(setting.binaries, setting.folder) ? 0 : 1;
+
+    std::optional<nlohmann::json> report = runExperiment(arguments, setting);
+    if (!report) {
+        std::cerr << options.help();
+        return usageCode;
+    }
+    std::cout << report->dump(2) << "\n";
+    if (arguments.count("out") > 0)
+        std::ofstream(arguments["out"].as<std::string>()) << report->dump(2) << "\n";
+    return report->contains("error") ? 1 : 0;
 }
