--- a/include/lentiljunction/core/EventLoop.h
+++ b/include/lentiljunction/core/EventLoop.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "lentiljunction/core/Clock.h"
+#include "lentiljunction/core/Scheduler.h"
 
-#include <functional>
 #include <memory>
 
 namespace asio {
@@ -18,12 +17,10 @@
 /// loop.start();
 /// loop.post([] { doWork(); });
 /// @endcode
-class EventLoop {
+class EventLoop : public Scheduler {
 public:
-    using Task = std::function<void()>;
-
     EventLoop();
-    ~EventLoop();
+    ~EventLoop() override;
     EventLoop(const EventLoop&) = delete;
     EventLoop& operator=(const EventLoop&) = delete;
 
@@ -34,10 +31,10 @@
     void stop();
 
     /// Runs a task soon. Safe to call from any thread.
-    void post(Task task);
+    void post(Task task) override;
 
     /// Runs a task once after a delay. Safe to call from any thread.
-    void schedule(Duration delay, Task task);
+    void schedule(Duration delay, Task task) override;
 
     /// Runs a task again and again until the loop stops. Safe to call from any thread.
     void repeat(Duration interval, Task task);
--- a/include/lentiljunction/core/lj_core.h
+++ b/include/lentiljunction/core/lj_core.h
@@ -11,3 +11,4 @@
 #include "lentiljunction/core/Random.h"
 #include "lentiljunction/core/Rank.h"
 #include "lentiljunction/core/RendezvousHash.h"
+#include "lentiljunction/core/Scheduler.h"
--- a/src/server/GroupWatcher.cpp
+++ b/src/server/GroupWatcher.cpp
@@ -34,7 +34,7 @@
 
 } // namespace
 
-GroupWatcher::GroupWatcher(EventLoop& loop, const Clock& clock, SqlConnector& connector, Listener& listener, const DatabaseConfig& database, const ProfileConfig& profile, const UpstreamId& ownUpstream)
+GroupWatcher::GroupWatcher(Scheduler& loop, const Clock& clock, SqlConnector& connector, Listener& listener, const DatabaseConfig& database, const ProfileConfig& profile, const UpstreamId& ownUpstream)
     : loop(loop)
     , clock(clock)
     , connector(connector)
--- a/src/server/GroupWatcher.h
+++ b/src/server/GroupWatcher.h
@@ -46,7 +46,7 @@
     /// @param database the group
     /// @param profile the group's profile
     /// @param ownUpstream the upstream this instance is the gate of
-    GroupWatcher(EventLoop& loop, const Clock& clock, SqlConnector& connector, Listener& listener, const DatabaseConfig& database, const ProfileConfig& profile, const UpstreamId& ownUpstream);
+    GroupWatcher(Scheduler& loop, const Clock& clock, SqlConnector& connector, Listener& listener, const DatabaseConfig& database, const ProfileConfig& profile, const UpstreamId& ownUpstream);
     ~GroupWatcher();
     GroupWatcher(const GroupWatcher&) = delete;
     GroupWatcher& operator=(const GroupWatcher&) = delete;
@@ -106,7 +106,7 @@
     void onCommandReply(const Promotion::Command& command, const SqlReply& reply);
     void endPromotion();
 
-    EventLoop& loop;
+    Scheduler& loop;
     const Clock& clock;
     SqlConnector& connector;
     Listener& listener;
--- a/src/server/RequestFlow.cpp
+++ b/src/server/RequestFlow.cpp
@@ -1,7 +1,6 @@
 #include "RequestFlow.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace lentiljunction {
@@ -23,14 +22,14 @@
 
 } // namespace
 
-RequestFlow::RequestFlow(EventLoop& loop, const Clock& clock, Metrics& metrics, GateChannel& channel, ZoneId zone)
+RequestFlow::RequestFlow(Scheduler& loop, const Clock& clock, Metrics& metrics, GateChannel& channel, const ZoneId& zone, std::uint64_t seed)
     : loop(loop)
     , clock(clock)
     , metrics(metrics)
     , channel(channel)
-    , router(std::move(zone), static_cast<std::uint64_t>(std::random_device()()))
+    , router(zone, seed)
     , budget(initialRetryPercent)
-    , nextHop((static_cast<std::uint64_t>(std::random_device()()) << 24) + 1)
+    , nextHop((seed << 24) + 1)
 {
 }
 
--- a/src/server/RequestFlow.h
+++ b/src/server/RequestFlow.h
@@ -42,7 +42,8 @@
     /// @param metrics counts outcomes; must outlive this object
     /// @param channel carries requests; must outlive this object
     /// @param zone the zone of this instance
-    RequestFlow(EventLoop& loop, const Clock& clock, Metrics& metrics, GateChannel& channel, ZoneId zone);
+    /// @param seed for draws and for the numbers of hops; no two instances may share it
+    RequestFlow(Scheduler& loop, const Clock& clock, Metrics& metrics, GateChannel& channel, const ZoneId& zone, std::uint64_t seed);
 
     /// Takes a newer bundle.
     void setBundle(std::shared_ptr<const Bundle> newBundle);
@@ -116,7 +117,7 @@
     void learnHint(const DatabaseId& database, const PrimaryHint& hint);
     HopRequest makeHop(const Flow& flow) const;
 
-    EventLoop& loop;
+    Scheduler& loop;
     const Clock& clock;
     Metrics& metrics;
     GateChannel& channel;
--- a/src/server/UpstreamGate.h
+++ b/src/server/UpstreamGate.h
@@ -3,7 +3,7 @@
 #include "GroupState.h"
 #include "lentiljunction/admission/ConcurrencyLimit.h"
 #include "lentiljunction/admission/RankQueue.h"
-#include "lentiljunction/core/EventLoop.h"
+#include "lentiljunction/core/Scheduler.h"
 #include "lentiljunction/execution/SqlConnection.h"
 #include "lentiljunction/execution/TransactionRunner.h"
 #include "lentiljunction/metrics/Metrics.h"
@@ -35,7 +35,7 @@
 
     /// What the gate needs from its surroundings; all must outlive it.
     struct Environment {
-        EventLoop& loop;
+        Scheduler& loop;
         const Clock& clock;
         Metrics& metrics;
         SqlConnector& connector;
--- a/standins/database/DatabaseLog.cpp
+++ b/standins/database/DatabaseLog.cpp
@@ -97,7 +97,8 @@
 std::optional<ReplicationBatch> DatabaseLog::getBatch(Position after, std::chrono::milliseconds limit)
 {
     std::unique_lock<std::mutex> lock(this->mutex);
-    this->appended.wait_for(lock, limit, [&] { return this->isPrimary && this->entries.size() > after.value(); });
+    if (limit.count() > 0)
+        this->appended.wait_for(lock, limit, [&] { return this->isPrimary && this->entries.size() > after.value(); });
     if (!this->isPrimary)
         return std::nullopt;
 
--- /dev/null
+++ b/tests/unit/TransactionRunnerTests.cpp
@@ -0,0 +1,248 @@
+#include "../support/EngineConnection.h"
+#include "lentiljunction/execution/Statement.h"
+#include "lentiljunction/execution/TransactionRunner.h"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+using namespace lentiljunction::tests;
+
+namespace {
+
+constexpr int maximumBatches = 6;
+constexpr int maximumStatements = 7;
+
+/// The end of one run with what it left behind.
+struct RunEnd {
+    TransactionRunner::Step step;
+    bool isInDoubt = false;
+    bool isClean = false;
+    bool hasFaultHappened = false;
+};
+
+TransactionPlan makeBooking(bool isKeyed, const std::string& id = "b1")
+{
+    TransactionPlan plan;
+    plan.kind = TransactionPlan::Kind::Write;
+    plan.statements = { "INSERT INTO bookings VALUES ('" + id + "')" };
+    plan.statusSql = engineStatusSql;
+    if (isKeyed)
+        plan.key = IdempotencyKey { "1000:" + id, 1000 };
+    return plan;
+}
+
+RunEnd runPlan(standins::SqlEngine& engine, const TransactionPlan& plan, FaultPoint point)
+{
+    EngineConnection connection(engine, point);
+    TransactionRunner runner(plan);
+    RunEnd end;
+    end.step = runner.start();
+    while (end.step.kind == TransactionRunner::Step::Kind::Send)
+        end.step = runner.onReply(connection.execute(end.step.sql));
+    end.isInDoubt = runner.isInDoubt();
+    end.isClean = runner.isConnectionClean();
+    end.hasFaultHappened = connection.hasFaultHappened();
+    return end;
+}
+
+/// Calls the check with every fault at every statement of every batch.
+template <typename Check>
+int forEachFault(Check check)
+{
+    int numHappened = 0;
+    for (BatchFault fault : { BatchFault::LostBefore, BatchFault::LostMidway, BatchFault::LostAfter, BatchFault::FencedMidway }) {
+        for (int batch = 0; batch < maximumBatches; batch++) {
+            for (int statement = 0; statement < maximumStatements; statement++)
+                numHappened += check(FaultPoint { fault, batch, statement }) ? 1 : 0;
+        }
+    }
+    return numHappened;
+}
+
+std::string describe(FaultPoint point)
+{
+    return "fault " + std::to_string(static_cast<int>(point.fault)) + " at batch " + std::to_string(point.batch) + " statement " + std::to_string(point.statement);
+}
+
+/// Whether the promise of an outcome agrees with what stands in the database.
+bool isTruthful(const RunEnd& end, int numBookings)
+{
+    if (end.step.kind == TransactionRunner::Step::Kind::Confirm)
+        return numBookings == 1;
+    switch (end.step.outcome.kind) {
+    case OutcomeKind::NotRun:
+    case OutcomeKind::Rejected:
+        return numBookings == 0;
+    case OutcomeKind::Unknown:
+        return end.isInDoubt;
+    case OutcomeKind::Completed:
+        return false;
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_GROUP(TransactionRunner) {};
+
+TEST(TransactionRunner, everyFaultAtEveryStepOfAWriteIsToldTruthfully)
+{
+    for (bool isKeyed : { false, true }) {
+        int numHappened = forEachFault([&](FaultPoint point) {
+            std::unique_ptr<standins::SqlEngine> engine = makePrimaryEngine();
+            RunEnd end = runPlan(*engine, makeBooking(isKeyed), point);
+            if (!isTruthful(end, countBookings(*engine, "b1")))
+                FAIL((describe(point) + (isKeyed ? " keyed" : " plain")).c_str());
+            return end.hasFaultHappened;
+        });
+        CHECK(numHappened > 10);
+    }
+}
+
+TEST(TransactionRunner, aKeyedWriteRepeatedAfterAnyFaultRunsExactlyOnce)
+{
+    forEachFault([&](FaultPoint point) {
+        std::unique_ptr<standins::SqlEngine> engine = makePrimaryEngine();
+        RunEnd first = runPlan(*engine, makeBooking(true), point);
+        if (point.fault == BatchFault::FencedMidway && first.hasFaultHappened)
+            engine->getLog().promote(Term(50));
+        RunEnd second = runPlan(*engine, makeBooking(true), FaultPoint());
+        RunEnd third = runPlan(*engine, makeBooking(true), FaultPoint());
+
+        bool isDone = second.step.kind == TransactionRunner::Step::Kind::Confirm && third.step.kind == TransactionRunner::Step::Kind::Confirm;
+        if (!isDone || countBookings(*engine, "b1") != 1)
+            FAIL(describe(point).c_str());
+        return first.hasFaultHappened;
+    });
+}
+
+TEST(TransactionRunner, everyTwoFaultsInARowLeaveAtMostOneBooking)
+{
+    forEachFault([&](FaultPoint firstPoint) {
+        bool isFirstStatement = firstPoint.statement < 3;
+        if (!isFirstStatement)
+            return false;
+        forEachFault([&](FaultPoint secondPoint) {
+            std::unique_ptr<standins::SqlEngine> engine = makePrimaryEngine();
+            runPlan(*engine, makeBooking(true), firstPoint);
+            engine->getLog().promote(Term(50));
+            RunEnd second = runPlan(*engine, makeBooking(true), secondPoint);
+            if (countBookings(*engine, "b1") > 1)
+                FAIL((describe(firstPoint) + ", then " + describe(secondPoint)).c_str());
+            return second.hasFaultHappened;
+        });
+        return true;
+    });
+}
+
+TEST(TransactionRunner, aConnectionWithoutAProvenEndIsNeverClean)
+{
+    forEachFault([&](FaultPoint point) {
+        std::unique_ptr<standins::SqlEngine> engine = makePrimaryEngine();
+        RunEnd end = runPlan(*engine, makeBooking(true), point);
+        bool isLost = end.hasFaultHappened && point.fault != BatchFault::FencedMidway;
+        if (isLost && end.isClean)
+            FAIL(describe(point).c_str());
+        return end.hasFaultHappened;
+    });
+}
+
+TEST(TransactionRunner, aRepeatGetsTheStoredOutcome)
+{
+    std::unique_ptr<standins::SqlEngine> engine = makePrimaryEngine();
+    TransactionPlan plan = makeBooking(true);
+    plan.statements.push_back("SELECT 'receipt', NULL");
+    RunEnd first = runPlan(*engine, plan, FaultPoint());
+    RunEnd repeat = runPlan(*engine, plan, FaultPoint());
+    CHECK(repeat.step.kind == TransactionRunner::Step::Kind::Confirm);
+    CHECK(repeat.step.outcome.results.back().rows == first.step.outcome.results.back().rows);
+    CHECK_EQUAL(1, countBookings(*engine, "b1"));
+}
+
+TEST(TransactionRunner, aKeyUsedForOtherStatementsIsRefused)
+{
+    std::unique_ptr<standins::SqlEngine> engine = makePrimaryEngine();
+    runPlan(*engine, makeBooking(true), FaultPoint());
+    TransactionPlan other = makeBooking(true, "b2");
+    other.key = makeBooking(true).key;
+    RunEnd end = runPlan(*engine, other, FaultPoint());
+    CHECK(end.step.outcome.kind == OutcomeKind::NotRun);
+    CHECK(end.step.outcome.reason == NotRunReason::KeyReused);
+    CHECK_EQUAL(0, countBookings(*engine, "b2"));
+}
+
+TEST(TransactionRunner, aReadBehindTheSessionIsNotAnswered)
+{
+    std::unique_ptr<standins::SqlEngine> engine = makePrimaryEngine();
+    TransactionPlan plan;
+    plan.kind = TransactionPlan::Kind::Read;
+    plan.statements = { "SELECT count(*) FROM bookings" };
+    plan.statusSql = engineStatusSql;
+    LogPoint head = engine->getLog().getStatus().head;
+
+    plan.mustCover = LogPoint { head.term, head.position.next() };
+    CHECK(runPlan(*engine, plan, FaultPoint()).step.outcome.reason == NotRunReason::ReplicaBehind);
+    plan.mustCover = head;
+    CHECK(runPlan(*engine, plan, FaultPoint()).step.outcome.kind == OutcomeKind::Completed);
+
+    engine->getLog().fence(Term(7));
+    engine->getLog().promote(Term(7));
+    plan.mustCover = LogPoint { head.term, head.position.next() };
+    CHECK(runPlan(*engine, plan, FaultPoint()).step.outcome.reason == NotRunReason::SessionLost);
+}
+
+TEST(TransactionRunner, aFailedStatementIsRejectedWithItsSqlState)
+{
+    std::unique_ptr<standins::SqlEngine> engine = makePrimaryEngine();
+    for (bool isKeyed : { false, true }) {
+        TransactionPlan plan = makeBooking(isKeyed);
+        plan.statements.push_back("INSERT INTO missing VALUES (1)");
+        RunEnd end = runPlan(*engine, plan, FaultPoint());
+        CHECK(end.step.outcome.kind == OutcomeKind::Rejected);
+        STRCMP_EQUAL("42P01", end.step.outcome.sqlState.c_str());
+        CHECK(end.isClean);
+        CHECK_EQUAL(0, countBookings(*engine, "b1"));
+    }
+}
+
+TEST(TransactionRunner, anInteractiveTransactionKeepsItsConnectionUntilItsEnd)
+{
+    std::unique_ptr<standins::SqlEngine> engine = makePrimaryEngine();
+    EngineConnection connection(*engine, FaultPoint());
+    TransactionPlan plan = makeBooking(false);
+    for (TransactionPlan::Kind kind : { TransactionPlan::Kind::Begin, TransactionPlan::Kind::Continue, TransactionPlan::Kind::Commit }) {
+        plan.kind = kind;
+        TransactionRunner runner(plan);
+        TransactionRunner::Step step = runner.onReply(connection.execute(runner.start().sql));
+        bool isEnd = kind == TransactionPlan::Kind::Commit;
+        CHECK(runner.isTransactionOpen() != isEnd);
+        CHECK((step.kind == TransactionRunner::Step::Kind::Confirm) == isEnd);
+    }
+    CHECK_EQUAL(3, countBookings(*engine, "b1"));
+}
+
+TEST_GROUP(Statement) {};
+
+TEST(Statement, kindsAreToldByTheFirstWord)
+{
+    CHECK(classifyStatement("  select 1;") == StatementKind::Read);
+    CHECK(classifyStatement("SELECT * FROM t FOR UPDATE") == StatementKind::Write);
+    CHECK(classifyStatement("with x as (select 1) select * from x") == StatementKind::Write);
+    CHECK(classifyStatement("INSERT INTO t VALUES ('a;b')") == StatementKind::Write);
+    for (const char* control : { "BEGIN", "commit", "Rollback", "SAVEPOINT s", "START TRANSACTION", "END", "abort" })
+        CHECK(classifyStatement(control) == StatementKind::TransactionControl);
+    for (const char* malformed : { "", " ; ", "SELECT 1; COMMIT", "SELECT 1 -- x", "SELECT /* x */ 1", "SELECT 'open", "SELECT $$x$$" })
+        CHECK(classifyStatement(malformed) == StatementKind::Malformed);
+}
+
+TEST(Statement, aQuotedTextIsOneLiteral)
+{
+    CHECK(rc::check("no text ends its own literal", [](const std::string& text) {
+        std::string printable;
+        for (char character : text)
+            printable.push_back(character == 0 ? 'x' : character);
+        RC_ASSERT(standins::splitBatch("SELECT " + quoteLiteral(printable)).size() == 1);
+    }));
+}
