--- /dev/null
+++ b/tests/unit/CodecTests.cpp
@@ -0,0 +1,144 @@
+#include "lentiljunction/caller/RequestCodec.h"
+#include "lentiljunction/core/JsonFields.h"
+#include "lentiljunction/peer/PeerMessage.h"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+
+namespace {
+
+nlohmann::json makeRequest()
+{
+    return { { "id", "7" }, { "database", "db-a" }, { "rank", "urgent" }, { "statements", { "INSERT INTO t VALUES (1)" } }, { "idempotency_key", "1764820000000:x" }, { "deadline_ms", 500 } };
+}
+
+/// @returns a value of any kind, nested a little
+nlohmann::json drawJson(int depth)
+{
+    switch (*rc::gen::inRange(0, depth > 0 ? 7 : 5)) {
+    case 0:
+        return nullptr;
+    case 1:
+        return *rc::gen::arbitrary<bool>();
+    case 2:
+        return *rc::gen::arbitrary<std::int64_t>();
+    case 3:
+        return *rc::gen::element<std::string>("", "urgent", "begin", "SELECT 1", "1:x", "1.db~1~1", "x");
+    case 4:
+        return -0.5;
+    case 5:
+        return nlohmann::json::array({ drawJson(depth - 1), drawJson(depth - 1) });
+    default:
+        return { { "action", drawJson(depth - 1) }, { "id", drawJson(depth - 1) } };
+    }
+}
+
+} // namespace
+
+TEST_GROUP(RequestCodec)
+{
+    LimitsConfig limits;
+    Failure failure;
+};
+
+TEST(RequestCodec, everyFaultNamesItsField)
+{
+    struct Case {
+        const char* field;
+        nlohmann::json value;
+    };
+    const std::vector<Case> cases {
+        { "id", 7 }, { "database", nullptr }, { "rank", "high" }, { "statements", "SELECT 1" }, { "statements", { "SELECT 1; SELECT 2" } }, { "statements", { "COMMIT" } },
+        { "statements", nlohmann::json::array() }, { "idempotency_key", "x" }, { "session", "junk" }, { "deadline_ms", 0 }, { "deadline_ms", 1.5 },
+        { "max_staleness_ms", -1 }, { "transaction", { { "action", "commit" } } }, { "colour", "green" }, { "deadline_ms", 18446744073709551615ULL }
+    };
+    for (const Case& item : cases) {
+        nlohmann::json document = makeRequest();
+        document[item.field] = item.value;
+        CHECK_FALSE(parseRequest(document, limits, failure).has_value());
+        STRCMP_CONTAINS((std::string("request.") + item.field).c_str(), failure.reason.c_str());
+    }
+    CHECK(parseRequest(makeRequest(), limits, failure).has_value());
+}
+
+TEST(RequestCodec, anyJsonIsReadOrRefusedAndSurvivesTheWayToAGate)
+{
+    CHECK(rc::check("nothing crashes", [] {
+        nlohmann::json document = makeRequest();
+        for (const char* field : { "id", "database", "rank", "statements", "idempotency_key", "session", "deadline_ms", "max_staleness_ms", "transaction" }) {
+            int choice = *rc::gen::inRange(0, 4);
+            if (choice == 0)
+                document[field] = drawJson(2);
+            if (choice == 1)
+                document.erase(field);
+        }
+        Failure failure;
+        LimitsConfig limits;
+        std::optional<Request> request = parseRequest(document, limits, failure);
+        RC_ASSERT(request.has_value() || !failure.reason.empty());
+        if (request) {
+            std::optional<Request> again = parseRequest(toJson(*request), limits, failure);
+            RC_ASSERT(again.has_value());
+            RC_ASSERT(toJson(*again) == toJson(*request));
+        }
+    }));
+}
+
+TEST(RequestCodec, outcomesSurviveTheWayBack)
+{
+    ResultSet rows;
+    rows.columns = { "a", "b" };
+    rows.rows = { { "1", std::nullopt } };
+    for (const Outcome& outcome : { Outcome::completed({ rows }), Outcome::rejected("23505", "twice"), Outcome::notRun(NotRunReason::QueueFull, "full"), Outcome::unknown("?") }) {
+        std::optional<Outcome> again = parseOutcome(toJson(outcome));
+        CHECK(again.has_value());
+        CHECK(toJson(*again) == toJson(outcome));
+    }
+    CHECK_FALSE(parseOutcome({ { "outcome", "perhaps" } }).has_value());
+}
+
+TEST_GROUP(PeerCodec)
+{
+    Failure failure;
+};
+
+TEST(PeerCodec, everyKindOfMessageSurvives)
+{
+    MembershipMessage membership;
+    membership.kind = MembershipMessage::Kind::Sync;
+    membership.updates = { { InstanceId("a"), ZoneId("z"), { "127.0.0.1", 9 }, MemberState::Suspect, Incarnation(4) } };
+    membership.digests = { { ZoneId("z"), 77 } };
+    HopRequest hop;
+    hop.hop = 5;
+    hop.request = *parseRequest(makeRequest(), LimitsConfig(), failure);
+    hop.upstream = UpstreamId("u");
+    HopAnswer answer;
+    answer.outcome = Outcome::completed({});
+    answer.point = LogPoint { Term(2), Position(9) };
+    answer.hint = PrimaryHint { Term(2), UpstreamId("u") };
+    std::vector<PeerMessage> messages { membership, hop, answer, PrimaryNotice { DatabaseId("d"), { Term(1), UpstreamId("u") } }, OpinionRequest { 1, DatabaseId("d"), UpstreamId("u") },
+        OpinionReply { 1, true }, BundleNotice { BundleVersion(3) }, BundleRequest { BundleVersion(3), true }, BundleReply { { { "x", 1 } }, nullptr }, LeavingNotice { { UpstreamId("u") } }, Echo { 4, true } };
+    for (const PeerMessage& message : messages) {
+        std::optional<PeerMessage> again = decodePeerMessage(encodePeerMessage(message), failure);
+        CHECK(again.has_value());
+        CHECK(again->index() == message.index());
+        CHECK(encodePeerMessage(*again) == encodePeerMessage(message));
+    }
+}
+
+TEST(PeerCodec, damagedMessagesAreRefusedAndNothingCrashes)
+{
+    CHECK(rc::check("any bytes", [] {
+        std::string payload = encodePeerMessage(OpinionRequest { 1, DatabaseId("d"), UpstreamId("u") });
+        int numChanges = *rc::gen::inRange(1, 6);
+        for (int count = 0; count < numChanges; count++)
+            payload[static_cast<std::size_t>(*rc::gen::inRange<int>(0, static_cast<int>(payload.size())))] = *rc::gen::arbitrary<char>();
+        payload.resize(static_cast<std::size_t>(*rc::gen::inRange<int>(0, static_cast<int>(payload.size()) + 1)));
+        Failure failure;
+        std::optional<PeerMessage> message = decodePeerMessage(payload, failure);
+        RC_ASSERT(message.has_value() || !failure.reason.empty());
+    }));
+}
--- /dev/null
+++ b/tests/unit/PoolTests.cpp
@@ -0,0 +1,100 @@
+#include "lentiljunction/pool/ConnectionPool.h"
+
+#include <rapidcheck.h>
+
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+
+TEST_GROUP(ConnectionPool) {};
+
+TEST(ConnectionPool, noConnectionHasTwoOwnersAndNoDoubtfulOneReturns)
+{
+    CHECK(rc::check("for every sequence of events", [] {
+        constexpr int maximum = 6;
+        ManualClock clock;
+        ConnectionPool pool(maximum, 2);
+        std::set<ConnectionPool::Handle> opening;
+        std::set<ConnectionPool::Handle> owned;
+        std::set<ConnectionPool::Handle> gone;
+        for (int count = 0; count < 120; count++) {
+            clock.advance(std::chrono::milliseconds(*rc::gen::inRange(0, 400)));
+            pool.setDemand(*rc::gen::inRange(0, 5));
+            for (ConnectionPool::Handle handle : pool.takeOpenings(clock.now())) {
+                RC_ASSERT(gone.count(handle) == 0 && owned.count(handle) == 0);
+                opening.insert(handle);
+            }
+            for (ConnectionPool::Handle handle : pool.takeClosings(clock.now())) {
+                RC_ASSERT(owned.count(handle) == 0);
+                gone.insert(handle);
+            }
+            RC_ASSERT(pool.getNumConnections() <= maximum);
+
+            int choice = *rc::gen::inRange(0, 6);
+            if (choice == 0 && !opening.empty()) {
+                pool.onOpened(*opening.begin(), clock.now());
+                opening.erase(opening.begin());
+            } else if (choice == 1 && !opening.empty()) {
+                pool.onLost(*opening.begin(), clock.now());
+                gone.insert(*opening.begin());
+                opening.erase(opening.begin());
+            } else if (choice < 4) {
+                std::optional<ConnectionPool::Handle> handle = choice == 2 ? pool.acquire(clock.now()) : pool.takeProbe(clock.now());
+                if (handle) {
+                    RC_ASSERT(gone.count(*handle) == 0);
+                    RC_ASSERT(owned.insert(*handle).second);
+                }
+            } else if (!owned.empty()) {
+                ConnectionPool::Handle handle = *owned.begin();
+                owned.erase(owned.begin());
+                bool isDoubtful = choice == 5;
+                if (isDoubtful) {
+                    pool.onSilence(handle);
+                    gone.insert(handle);
+                }
+                pool.release(handle, isDoubtful ? ConnectionPool::Condition::Doubtful : ConnectionPool::Condition::Clean, clock.now());
+            }
+        }
+    }));
+}
+
+TEST(ConnectionPool, warmConnectionsAreOpenedAheadOfNeed)
+{
+    ManualClock clock;
+    ConnectionPool pool(8, 2);
+    CHECK_EQUAL(2, pool.takeOpenings(clock.now()).size());
+    CHECK_EQUAL(0, pool.takeOpenings(clock.now()).size());
+    pool.setDemand(3);
+    CHECK_EQUAL(3, pool.takeOpenings(clock.now()).size());
+}
+
+TEST(ConnectionPool, oneSilentConnectionCastsDoubtOnThoseAsOld)
+{
+    ManualClock clock;
+    ConnectionPool pool(8, 3);
+    for (ConnectionPool::Handle handle : pool.takeOpenings(clock.now()))
+        pool.onOpened(handle, clock.now());
+    ConnectionPool::Handle silent = *pool.acquire(clock.now());
+    pool.onSilence(silent);
+    pool.release(silent, ConnectionPool::Condition::Doubtful, clock.now());
+    CHECK_EQUAL(3, pool.takeClosings(clock.now()).size());
+    CHECK_FALSE(pool.acquire(clock.now()).has_value());
+}
+
+TEST(ConnectionPool, failedOpeningsAreSpacedOut)
+{
+    ManualClock clock;
+    ConnectionPool pool(8, 1);
+    int numTries = 0;
+    for (int count = 0; count < 1000; count++) {
+        clock.advance(std::chrono::milliseconds(10));
+        for (ConnectionPool::Handle handle : pool.takeOpenings(clock.now())) {
+            numTries++;
+            pool.onLost(handle, clock.now());
+        }
+    }
+    CHECK(numTries >= 10);
+    CHECK(numTries <= 20);
+}
--- /dev/null
+++ b/tests/unit/RankQueueTests.cpp
@@ -0,0 +1,138 @@
+#include "lentiljunction/admission/ConcurrencyLimit.h"
+#include "lentiljunction/admission/RankQueue.h"
+
+#include <rapidcheck.h>
+
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+
+namespace {
+
+constexpr Duration farAway = std::chrono::hours(1);
+
+std::array<RankConfig, numRanks> makeRanks()
+{
+    std::array<RankConfig, numRanks> ranks;
+    ranks[toIndex(Rank::Urgent)] = { std::chrono::hours(1), 0 };
+    ranks[toIndex(Rank::Normal)] = { std::chrono::hours(1), 10 };
+    ranks[toIndex(Rank::Background)] = { std::chrono::hours(1), 5 };
+    return ranks;
+}
+
+RankQueue::Request makeRequest(RankQueue::Ticket ticket, Rank rank, TimePoint now, const std::string& caller = "c")
+{
+    return { ticket, rank, CallerId(caller), now + farAway };
+}
+
+} // namespace
+
+TEST_GROUP(RankQueue)
+{
+    ManualClock clock;
+    RankQueue queue { makeRanks() };
+};
+
+TEST(RankQueue, everyRequestComesOutOnce)
+{
+    CHECK(rc::check("started, expired, removed or refused, but once", [] {
+        ManualClock clock;
+        RankQueue queue(makeRanks());
+        std::set<RankQueue::Ticket> waiting;
+        RankQueue::Ticket next = 1;
+        for (int count = 0; count < 100; count++) {
+            int choice = *rc::gen::inRange(0, 6);
+            if (choice < 3) {
+                Rank rank = allRanks[static_cast<std::size_t>(*rc::gen::inRange(0, 3))];
+                RankQueue::Request request { next++, rank, CallerId(std::to_string(*rc::gen::inRange(0, 4))), clock.now() + std::chrono::milliseconds(*rc::gen::inRange(1, 60)) };
+                if (!queue.offer(request, clock.now()))
+                    waiting.insert(request.ticket);
+            } else if (choice < 5) {
+                std::optional<RankQueue::Request> taken = queue.takeNext(clock.now());
+                RC_ASSERT(taken.has_value() == !waiting.empty());
+                RC_ASSERT(!taken || waiting.erase(taken->ticket) == 1);
+            } else {
+                clock.advance(std::chrono::milliseconds(*rc::gen::inRange(0, 30)));
+                for (const RankQueue::Request& expired : queue.takeExpired(clock.now())) {
+                    RC_ASSERT(expired.deadline <= clock.now());
+                    RC_ASSERT(waiting.erase(expired.ticket) == 1);
+                }
+                if (!waiting.empty())
+                    RC_ASSERT(queue.remove(*waiting.begin()) && waiting.erase(*waiting.begin()) == 1);
+            }
+        }
+        RC_ASSERT(queue.isEmpty() == waiting.empty());
+    }));
+}
+
+TEST(RankQueue, urgentGoesFirstAndTheOthersKeepTheirFloors)
+{
+    RankQueue::Ticket next = 1;
+    std::array<int, numRanks> started {};
+    for (int count = 0; count < 3000; count++) {
+        for (Rank rank : allRanks) {
+            while (queue.getNumWaiting(rank) < 20)
+                CHECK_FALSE(queue.offer(makeRequest(next++, rank, clock.now()), clock.now()).has_value());
+        }
+        started[toIndex(queue.takeNext(clock.now())->rank)]++;
+    }
+    CHECK(started[toIndex(Rank::Normal)] >= 299);
+    CHECK(started[toIndex(Rank::Background)] >= 149);
+    CHECK(started[toIndex(Rank::Urgent)] >= 2500);
+}
+
+TEST(RankQueue, aLoneUrgentRequestOvertakesAFlood)
+{
+    for (RankQueue::Ticket ticket = 1; ticket <= 500; ticket++)
+        queue.offer(makeRequest(ticket, Rank::Background, clock.now()), clock.now());
+    queue.takeNext(clock.now());
+    queue.offer(makeRequest(1000, Rank::Urgent, clock.now()), clock.now());
+    CHECK_EQUAL(1000, queue.takeNext(clock.now())->ticket);
+}
+
+TEST(RankQueue, callersOfARankTakeTurns)
+{
+    RankQueue::Ticket next = 1;
+    for (int count = 0; count < 50; count++)
+        queue.offer(makeRequest(next++, Rank::Normal, clock.now(), "greedy"), clock.now());
+    queue.offer(makeRequest(777, Rank::Normal, clock.now(), "modest"), clock.now());
+    queue.takeNext(clock.now());
+    CHECK_EQUAL(777, queue.takeNext(clock.now())->ticket);
+}
+
+TEST(RankQueue, aWaitPastTheTargetOrTheDeadlineIsRefusedAtOnce)
+{
+    std::array<RankConfig, numRanks> ranks = makeRanks();
+    ranks[toIndex(Rank::Normal)].target = std::chrono::milliseconds(50);
+    queue.setRanks(ranks);
+    for (int count = 0; count < 200; count++)
+        queue.onFinished(std::chrono::milliseconds(10));
+
+    RankQueue::Ticket next = 1;
+    std::optional<Outcome> refusal;
+    while (!refusal && next < 100)
+        refusal = queue.offer(makeRequest(next++, Rank::Normal, clock.now()), clock.now());
+    CHECK(refusal.has_value());
+    CHECK(refusal->reason == NotRunReason::QueueFull);
+    CHECK(next >= 5);
+    CHECK(next <= 8);
+
+    RankQueue::Request hurried { next, Rank::Background, CallerId("c"), clock.now() + std::chrono::milliseconds(20) };
+    CHECK(queue.offer(hurried, clock.now())->reason == NotRunReason::DeadlineTooShort);
+}
+
+TEST_GROUP(ConcurrencyLimit) {};
+
+TEST(ConcurrencyLimit, growsWhileQuickAndShrinksWhenSlow)
+{
+    ConcurrencyLimit limit(2);
+    for (int count = 0; count < 500; count++)
+        limit.onSample(std::chrono::milliseconds(2), limit.getLimit());
+    CHECK_EQUAL(4, limit.getLimit());
+    for (int count = 0; count < 500; count++)
+        limit.onSample(std::chrono::milliseconds(9), limit.getLimit());
+    CHECK(limit.getLimit() <= 2);
+    CHECK(limit.getLimit() >= 1);
+}
--- /dev/null
+++ b/tests/unit/SettingsTests.cpp
@@ -0,0 +1,122 @@
+#include "lentiljunction/audit/AuditTrail.h"
+#include "lentiljunction/core/LogEvents.h"
+#include "lentiljunction/settings/Settings.h"
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+
+namespace {
+
+const std::string good = "[instance]\nid = a\nzone = z\n[callers]\naddress = 127.0.0.1\nport = 8080\n[peers]\naddress = 127.0.0.1\nport = 9000\nseed.b = z@127.0.0.1:9001\n"
+                         "[store]\naddress = 127.0.0.1\nport = 7000\n[trust]\nthreshold = 1\nkey.ayse = "
+    + std::string(64, 'a') + "\n";
+
+/// A file that goes with the object.
+class TemporaryFile {
+public:
+    explicit TemporaryFile(const std::string& text)
+        : path((std::filesystem::temp_directory_path() / ("lj-settings-" + std::to_string(::getpid()) + ".ini")).string())
+    {
+        std::ofstream(this->path) << text;
+    }
+
+    ~TemporaryFile() { std::remove(this->path.c_str()); }
+    TemporaryFile(const TemporaryFile&) = delete;
+    TemporaryFile& operator=(const TemporaryFile&) = delete;
+
+    const std::string path;
+};
+
+std::string readAll(const std::string& path)
+{
+    std::ifstream stream(path);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+TEST_GROUP(Settings)
+{
+    Failure failure;
+};
+
+TEST(Settings, aGoodFileIsRead)
+{
+    TemporaryFile file(good);
+    std::optional<Settings> settings = loadSettings(file.path, failure);
+    CHECK(settings.has_value());
+    CHECK_EQUAL(1, settings->seeds.size());
+    CHECK_EQUAL(9000, settings->advertised.port);
+}
+
+TEST(Settings, everyFaultIsReportedAtOnce)
+{
+    std::string bad = good;
+    bad.replace(bad.find("port = 8080"), 11, "port = many");
+    bad.replace(bad.find("zone = z"), 8, "zone = a b");
+    bad.replace(bad.find("threshold = 1"), 13, "threshold = 4");
+    bad += "[store]\nport = 7001\n[kitchen]\nlamp = on\n";
+    TemporaryFile file(bad);
+    CHECK_FALSE(loadSettings(file.path, failure).has_value());
+    for (const char* part : { "[callers] port = \"many\"", "[instance] zone = \"a b\"", "[trust] threshold = \"4\"", "stands twice", "[kitchen] lamp", "65535" })
+        STRCMP_CONTAINS(part, failure.reason.c_str());
+}
+
+TEST(Settings, theExamplesOfTheManualAreGood)
+{
+    for (const char* name : { "spona-ba-1.ini", "karadeniz-bursa-1.ini" }) {
+        std::string path = std::string(LENTILJUNCTION_SOURCE_DIR) + "/docs/operating/examples/" + name;
+        if (!loadSettings(path, failure))
+            FAIL(failure.reason.c_str());
+    }
+}
+
+TEST_GROUP(LogEvents) {};
+
+TEST(LogEvents, theCatalogueInTheManualIsThatOfTheCode)
+{
+    std::string page = readAll(std::string(LENTILJUNCTION_SOURCE_DIR) + "/docs/EVENTS.md");
+    std::string expected;
+    int previous = 0;
+    for (const LogEvent& event : getAllLogEvents()) {
+        CHECK(event.number > previous);
+        previous = event.number;
+        expected += "| " + std::to_string(event.number) + " | " + event.name + " | " + event.meaning + " |\n";
+    }
+    if (page.find(expected) == std::string::npos)
+        FAIL(("docs/EVENTS.md must hold these rows:\n" + expected).c_str());
+}
+
+TEST_GROUP(AuditTrail) {};
+
+TEST(AuditTrail, recordsWaitThroughAnOutageAndAreWrittenOnce)
+{
+    ManualClock clock;
+    AuditTrail trail("a");
+    trail.add({ {}, AuditKind::Promotion, "", "db-a", "failed", "u1", "u2" }, clock.wallNow());
+    std::optional<AuditTrail::Batch> first = trail.makeBatch(clock.now(), clock.wallNow());
+    CHECK(first.has_value());
+    CHECK_FALSE(trail.makeBatch(clock.now(), clock.wallNow()).has_value());
+
+    trail.onWritten(false);
+    clock.advance(std::chrono::seconds(3));
+    trail.add({ {}, AuditKind::GateMove, "", "u1", "", "", "" }, clock.wallNow());
+    std::optional<AuditTrail::Batch> again = trail.makeBatch(clock.now(), clock.wallNow());
+    STRCMP_EQUAL(first->key.c_str(), again->key.c_str());
+    STRCMP_EQUAL(first->value.c_str(), again->value.c_str());
+
+    trail.onWritten(true);
+    clock.advance(std::chrono::seconds(3));
+    std::optional<AuditTrail::Batch> second = trail.makeBatch(clock.now(), clock.wallNow());
+    CHECK(second->key != first->key);
+    CHECK_EQUAL(1, nlohmann::json::parse(second->value).size());
+}
