--- a/standins/database/SqlEngine.cpp
+++ b/standins/database/SqlEngine.cpp
@@ -139,6 +139,12 @@
     this->rollBack(session);
 }
 
+bool SqlEngine::isDataLocked()
+{
+    std::lock_guard<std::mutex> lock(this->lockMutex);
+    return this->isLocked;
+}
+
 void SqlEngine::lockForApply()
 {
     std::unique_lock<std::mutex> lock(this->lockMutex);
--- a/standins/database/SqlEngine.h
+++ b/standins/database/SqlEngine.h
@@ -51,6 +51,9 @@
     /// @returns the member's log
     DatabaseLog& getLog() { return this->log; }
 
+    /// @returns whether a transaction holds the data's lock
+    bool isDataLocked();
+
     /// @returns statements executed so far, those for control not counted
     std::uint64_t getNumExecuted() const { return this->numExecuted; }
 
--- /dev/null
+++ b/tests/unit/TrafficTests.cpp
@@ -0,0 +1,220 @@
+#include "../support/TrafficBench.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+using namespace lentiljunction::tests;
+
+namespace {
+
+constexpr std::uint64_t numSeeds = 60;
+constexpr int bookingsPerSeed = 60;
+constexpr Duration betweenBookings = std::chrono::milliseconds(8);
+
+/// Books through all instances under faults, reads each completed booking back through another
+/// instance, and remembers every answer.
+class Bookings {
+public:
+    Bookings(std::uint64_t seed, BenchFaults faults)
+        : bench(seed, faults)
+    {
+        for (int count = 0; count < bookingsPerSeed; count++) {
+            this->book("b" + std::to_string(count), count % 2 == 0, static_cast<std::size_t>(count) % 3);
+            this->bench.advance(betweenBookings);
+            if (faults.changesPrimary && count == bookingsPerSeed / 2)
+                this->bench.changePrimary();
+        }
+        this->bench.advance(std::chrono::seconds(6));
+        this->bench.calm();
+    }
+
+    /// @returns what is wrong, or nothing
+    std::optional<std::string> findViolation()
+    {
+        if (!this->wrongAnswer.empty())
+            return this->wrongAnswer;
+        for (const std::pair<const std::string, Booked>& entry : this->booked) {
+            int count = this->bench.countAtPrimary(entry.first);
+            if (entry.second.numAnswers != 1)
+                return entry.first + " got " + std::to_string(entry.second.numAnswers) + " answers";
+            if (count > 1)
+                return entry.first + " stands twice";
+            if (entry.second.kind == OutcomeKind::Completed && count != 1)
+                return entry.first + " was acknowledged and is lost";
+            bool isRefused = entry.second.kind == OutcomeKind::NotRun || entry.second.kind == OutcomeKind::Rejected;
+            if (isRefused && count != 0)
+                return entry.first + " was refused and ran";
+        }
+        return std::nullopt;
+    }
+
+    int numCompleted = 0;
+    int numUnknown = 0;
+    int numReadBack = 0;
+
+private:
+    struct Booked {
+        int numAnswers = 0;
+        OutcomeKind kind = OutcomeKind::Unknown;
+    };
+
+    void book(const std::string& id, bool isKeyed, std::size_t instance)
+    {
+        this->booked[id];
+        this->bench.run(instance, makeBookingRequest(id, isKeyed), [this, id, instance](const Answer& answer) {
+            if (answer.id != RequestId(id))
+                this->wrongAnswer = id + " got the answer of " + answer.id.toString();
+            this->booked[id].numAnswers++;
+            this->booked[id].kind = answer.outcome.kind;
+            this->numUnknown += answer.outcome.kind == OutcomeKind::Unknown ? 1 : 0;
+            if (answer.outcome.kind != OutcomeKind::Completed)
+                return;
+            this->numCompleted++;
+            this->readBack(id, answer.session, (instance + 1) % 3);
+        });
+    }
+
+    void readBack(const std::string& id, const std::string& session, std::size_t instance)
+    {
+        this->bench.run(instance, makeCountRequest(id, session), [this, id](const Answer& answer) {
+            if (answer.outcome.kind != OutcomeKind::Completed)
+                return;
+            this->numReadBack++;
+            const std::vector<std::optional<std::string>>& row = answer.outcome.results.front().rows.front();
+            if (row[0] != id)
+                this->wrongAnswer = id + " got the rows of " + row[0].value_or("nobody");
+            if (row[1] != "1")
+                this->wrongAnswer = id + " was not seen by its own session";
+        });
+    }
+
+    TrafficBench bench;
+    std::map<std::string, Booked> booked;
+    std::string wrongAnswer;
+};
+
+/// Runs all seeds with the faults.
+///
+/// @returns completed bookings over all seeds
+int checkAllSeeds(BenchFaults faults)
+{
+    int numCompleted = 0;
+    int numReadBack = 0;
+    for (std::uint64_t seed = 1; seed <= numSeeds; seed++) {
+        Bookings bookings(seed, faults);
+        std::optional<std::string> violation = bookings.findViolation();
+        if (violation)
+            FAIL(("seed " + std::to_string(seed) + ": " + *violation).c_str());
+        numCompleted += bookings.numCompleted;
+        numReadBack += bookings.numReadBack;
+    }
+    CHECK(numReadBack > 0);
+    return numCompleted;
+}
+
+} // namespace
+
+TEST_GROUP(Traffic) {};
+
+TEST(Traffic, withoutFaultsEveryBookingCompletes)
+{
+    CHECK_EQUAL(static_cast<int>(numSeeds) * bookingsPerSeed, checkAllSeeds(BenchFaults()));
+}
+
+TEST(Traffic, answersThatAreLateLostOrRepeatedReachNobodyElse)
+{
+    BenchFaults faults;
+    faults.lostHops = 5;
+    faults.lostAnswers = 10;
+    faults.repeatedAnswers = 30;
+    CHECK(checkAllSeeds(faults) > 1000);
+}
+
+TEST(Traffic, brokenAndSilentConnectionsLoseAndDoubleNothing)
+{
+    BenchFaults faults;
+    faults.brokenConnections = 5;
+    faults.silentConnections = 10;
+    CHECK(checkAllSeeds(faults) > 1000);
+}
+
+TEST(Traffic, aChangeOfPrimaryLosesAndDoublesNothing)
+{
+    BenchFaults faults;
+    faults.changesPrimary = true;
+    CHECK(checkAllSeeds(faults) > 1000);
+}
+
+TEST(Traffic, allFaultsTogetherLoseAndDoubleNothing)
+{
+    BenchFaults faults { 5, 5, 10, 3, 5, true };
+    CHECK(checkAllSeeds(faults) > 500);
+}
+
+TEST(Traffic, aLeavingUpstreamGetsNoNewWork)
+{
+    TrafficBench bench(1, BenchFaults());
+    bench.setLeaving(1);
+    bench.advance(std::chrono::seconds(3));
+    std::uint64_t before = bench.getNumExecuted(1);
+    int numCompleted = 0;
+    for (int count = 0; count < 100; count++) {
+        bench.run(static_cast<std::size_t>(count) % 3, makeCountRequest("b", ""), [&](const Answer& answer) { numCompleted += answer.outcome.kind == OutcomeKind::Completed ? 1 : 0; });
+        bench.advance(std::chrono::milliseconds(5));
+    }
+    bench.advance(std::chrono::seconds(3));
+    CHECK_EQUAL(100, numCompleted);
+    CHECK_EQUAL(before, bench.getNumExecuted(1));
+}
+
+TEST(Traffic, anExpiredKeyIsRefused)
+{
+    TrafficBench bench(1, BenchFaults());
+    Request request = makeBookingRequest("old", true);
+    request.key->issuedAt -= std::chrono::milliseconds(std::chrono::hours(25)).count();
+    std::optional<Outcome> outcome;
+    bench.run(0, request, [&](const Answer& answer) { outcome = answer.outcome; });
+    bench.advance(std::chrono::seconds(1));
+    CHECK(outcome->reason == NotRunReason::KeyExpired);
+    CHECK_EQUAL(0, bench.countAtPrimary("old"));
+}
+
+TEST(Traffic, twoTransactionsNeverShareAConnection)
+{
+    TrafficBench bench(1, BenchFaults());
+    std::vector<TransactionId> ids(2);
+    std::vector<std::string> names { "x", "y" };
+    for (std::size_t index = 0; index < 2; index++) {
+        Request begin = makeBookingRequest(names[index], false);
+        begin.action = TransactionAction::Begin;
+        begin.statements = { "SELECT '" + names[index] + "'" };
+        bench.run(index, begin, [&, index](const Answer& answer) { ids[index] = answer.transaction; });
+        bench.advance(std::chrono::milliseconds(100));
+    }
+    CHECK(!ids[0].isEmpty());
+    CHECK(ids[0] != ids[1]);
+
+    // The first rolls back, the second commits: only the second's booking may stay.
+    std::vector<OutcomeKind> kinds(2, OutcomeKind::Unknown);
+    for (std::size_t index = 0; index < 2; index++) {
+        Request next = makeBookingRequest(names[index], false);
+        next.transaction = ids[index];
+        next.action = index == 0 ? TransactionAction::Rollback : TransactionAction::Commit;
+        if (index == 0)
+            next.statements.clear();
+        bench.run(2, next, [&, index](const Answer& answer) { kinds[index] = answer.outcome.kind; });
+        bench.advance(std::chrono::milliseconds(500));
+    }
+    CHECK(kinds[0] == OutcomeKind::Completed);
+    CHECK(kinds[1] == OutcomeKind::Completed);
+    CHECK_EQUAL(0, bench.countAtPrimary("x"));
+    CHECK_EQUAL(1, bench.countAtPrimary("y"));
+
+    std::optional<Outcome> late;
+    Request gone = makeBookingRequest("x", false);
+    gone.action = TransactionAction::Continue;
+    gone.transaction = ids[0];
+    bench.run(1, gone, [&](const Answer& answer) { late = answer.outcome; });
+    bench.advance(std::chrono::milliseconds(500));
+    CHECK(late->reason == NotRunReason::TransactionGone);
+}
