--- /dev/null
+++ b/src/platform/StoreDocuments.cpp
@@ -0,0 +1,90 @@
+#include "StoreDocuments.h"
+
+#include <cstdlib>
+
+namespace lentiljunction {
+
+std::set<UpstreamId> parseUpstreamIds(const std::string& text)
+{
+    std::set<UpstreamId> ids;
+    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_array())
+        return ids;
+    for (const nlohmann::json& element : document) {
+        if (element.is_string())
+            ids.insert(UpstreamId(element.get<std::string>()));
+    }
+    return ids;
+}
+
+std::vector<SeedPeer> parseInstances(const std::string& text)
+{
+    std::vector<SeedPeer> peers;
+    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_array())
+        return peers;
+    for (const nlohmann::json& element : document) {
+        if (!element.is_object() || element.value("state", "live") != "live")
+            continue;
+        Endpoint endpoint { element.value("address", ""), element.value("peer_port", std::uint16_t(0)) };
+        peers.push_back({ InstanceId(element.value("id", "")), ZoneId(element.value("zone", "")), endpoint });
+    }
+    return peers;
+}
+
+std::optional<BundleVersion> parseBundleVersion(const std::string& text)
+{
+    constexpr std::size_t maximumDigits = 15;
+    if (text.empty() || text.size() > maximumDigits || text.find_first_not_of("0123456789") != std::string::npos)
+        return std::nullopt;
+    return BundleVersion(std::strtoull(text.c_str(), nullptr, 10));
+}
+
+/// Reads a signed bundle from the store; without a version, the one in force.
+std::optional<SignedBundle> readBundle(PlatformStore& store, std::optional<BundleVersion> version, Failure& failure)
+{
+    if (!version) {
+        std::optional<StoreObject> pointer = store.get(storekeys::currentBundle, failure);
+        version = pointer ? parseBundleVersion(pointer->value) : std::nullopt;
+    }
+    if (!version)
+        return std::nullopt;
+
+    std::optional<StoreObject> object = store.get(storekeys::signedBundle(*version), failure);
+    if (!object)
+        return std::nullopt;
+    return parseSignedBundle(nlohmann::json::parse(object->value, nullptr, false), failure);
+}
+
+/// Takes a block of terms by conditional update. A lost answer is resolved by the nonce.
+std::optional<TermRecord::Grant> reserveTerms(PlatformStore& store, const DatabaseId& database, Term above, const std::string& nonce)
+{
+    constexpr int maximumTries = 5;
+    for (int count = 0; count < maximumTries; count++) {
+        Failure failure;
+        std::optional<StoreObject> object = store.get(storekeys::terms(database), failure);
+        if (!object && failure.kind != Failure::Kind::NotFound)
+            return std::nullopt;
+
+        TermRecord record;
+        if (object) {
+            std::optional<TermRecord> parsed = parseTermRecord(nlohmann::json::parse(object->value, nullptr, false));
+            if (!parsed)
+                return std::nullopt;
+            record = *parsed;
+        }
+        std::optional<TermRecord::Grant> earlier = record.find(nonce);
+        if (earlier)
+            return earlier;
+
+        TermRecord::Grant grant = record.grant(nonce, above);
+        StoreVersion expected = object ? object->version : StoreVersion();
+        if (store.put(storekeys::terms(database), expected, toJson(record).dump(), failure))
+            return grant;
+        if (failure.kind == Failure::Kind::Unavailable)
+            return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace lentiljunction
--- a/src/server/ControlPlane.cpp
+++ b/src/server/ControlPlane.cpp
@@ -1,5 +1,6 @@
 #include "ControlPlane.h"
 
+#include "../platform/StoreDocuments.h"
 #include "lentiljunction/core/LogEvents.h"
 
 #include <algorithm>
@@ -10,7 +11,6 @@
 namespace {
 
     constexpr Duration tickInterval = std::chrono::milliseconds(10);
-    constexpr Duration bundleRequestInterval = std::chrono::milliseconds(300);
     /// Without an answer of the store, a new instance trusts its peers' bundle after this time.
     constexpr Duration storeWait = std::chrono::milliseconds(1500);
     constexpr std::size_t spreadFanout = 3;
@@ -28,89 +28,6 @@
         return std::hash<InstanceId>()(settings.instance) ^ static_cast<std::uint64_t>(clock.now().time_since_epoch().count());
     }
 
-    std::set<UpstreamId> parseUpstreamIds(const std::string& text)
-    {
-        std::set<UpstreamId> ids;
-        nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
-        if (!document.is_array())
-            return ids;
-        for (const nlohmann::json& element : document) {
-            if (element.is_string())
-                ids.insert(UpstreamId(element.get<std::string>()));
-        }
-        return ids;
-    }
-
-    std::vector<SeedPeer> parseInstances(const std::string& text)
-    {
-        std::vector<SeedPeer> peers;
-        nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
-        if (!document.is_array())
-            return peers;
-        for (const nlohmann::json& element : document) {
-            if (!element.is_object() || element.value("state", "live") != "live")
-                continue;
-            Endpoint endpoint { element.value("address", ""), element.value("peer_port", std::uint16_t(0)) };
-            peers.push_back({ InstanceId(element.value("id", "")), ZoneId(element.value("zone", "")), endpoint });
-        }
-        return peers;
-    }
-
-    std::optional<BundleVersion> parseVersion(const std::string& text)
-    {
-        constexpr std::size_t maximumDigits = 15;
-        if (text.empty() || text.size() > maximumDigits || text.find_first_not_of("0123456789") != std::string::npos)
-            return std::nullopt;
-        return BundleVersion(std::strtoull(text.c_str(), nullptr, 10));
-    }
-
-    /// Reads a signed bundle from the store; without a version, the one in force.
-    std::optional<SignedBundle> readBundle(PlatformStore& store, std::optional<BundleVersion> version, Failure& failure)
-    {
-        if (!version) {
-            std::optional<StoreObject> pointer = store.get(storekeys::currentBundle, failure);
-            version = pointer ? parseVersion(pointer->value) : std::nullopt;
-        }
-        if (!version)
-            return std::nullopt;
-
-        std::optional<StoreObject> object = store.get(storekeys::signedBundle(*version), failure);
-        if (!object)
-            return std::nullopt;
-        return parseSignedBundle(nlohmann::json::parse(object->value, nullptr, false), failure);
-    }
-
-    /// Takes a block of terms by conditional update. A lost answer is resolved by the nonce.
-    std::optional<TermRecord::Grant> reserveTerms(PlatformStore& store, const DatabaseId& database, Term above, const std::string& nonce)
-    {
-        constexpr int maximumTries = 5;
-        for (int count = 0; count < maximumTries; count++) {
-            Failure failure;
-            std::optional<StoreObject> object = store.get(storekeys::terms(database), failure);
-            if (!object && failure.kind != Failure::Kind::NotFound)
-                return std::nullopt;
-
-            TermRecord record;
-            if (object) {
-                std::optional<TermRecord> parsed = parseTermRecord(nlohmann::json::parse(object->value, nullptr, false));
-                if (!parsed)
-                    return std::nullopt;
-                record = *parsed;
-            }
-            std::optional<TermRecord::Grant> earlier = record.find(nonce);
-            if (earlier)
-                return earlier;
-
-            TermRecord::Grant grant = record.grant(nonce, above);
-            StoreVersion expected = object ? object->version : StoreVersion();
-            if (store.put(storekeys::terms(database), expected, toJson(record).dump(), failure))
-                return grant;
-            if (failure.kind == Failure::Kind::Unavailable)
-                return std::nullopt;
-        }
-        return std::nullopt;
-    }
-
 } // namespace
 
 ControlPlane::ControlPlane(Environment environment, const Settings& settings, Listener& listener)
@@ -119,9 +36,10 @@
     , listener(listener)
     , random(makeSeed(settings, environment.clock))
     , membership(makeSelf(settings, environment.clock), settings.seeds, makeSeed(settings, environment.clock), environment.clock.now())
-    , keeper(settings.trust)
+    , bundles(environment.clock, settings.trust, *this)
     , worker(environment.store, environment.loop, *this)
     , audit(settings.instance.toString())
+    , watchers({ environment.loop, environment.clock, environment.connector, *this, settings.instance })
 {
     this->membership.setListener(this);
 }
@@ -151,23 +69,24 @@
 {
     if (const MembershipMessage* membershipMessage = std::get_if<MembershipMessage>(&message)) {
         this->sendAll(this->membership.onMessage(from, *membershipMessage, this->environment.clock.now()));
-        this->onHigherVersion(from, membershipMessage->bundleVersion);
+        this->bundles.onPeerVersion(from, membershipMessage->bundleVersion);
     } else if (const BundleNotice* notice = std::get_if<BundleNotice>(&message)) {
-        this->onHigherVersion(from, notice->version);
+        this->bundles.onPeerVersion(from, notice->version);
     } else if (const BundleRequest* request = std::get_if<BundleRequest>(&message)) {
-        this->onBundleRequest(from, *request);
+        this->bundles.onRequest(from, *request);
     } else if (const BundleReply* reply = std::get_if<BundleReply>(&message)) {
-        this->onBundleReply(from, *reply);
+        this->bundles.onReply(from, *reply);
     } else if (const PrimaryNotice* primary = std::get_if<PrimaryNotice>(&message)) {
         this->onPrimaryNotice(from, *primary);
     } else if (const OpinionRequest* question = std::get_if<OpinionRequest>(&message)) {
-        std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator watcher = this->watchers.find(question->database);
-        bool isReached = watcher != this->watchers.end() && watcher->second->reaches(question->upstream);
+        GroupWatcher* watcher = this->watchers.find(question->database);
+        bool isReached = watcher != nullptr && watcher->reaches(question->upstream);
         this->listener.sendToPeer(from, OpinionReply { question->question, isReached });
     } else if (const OpinionReply* opinion = std::get_if<OpinionReply>(&message)) {
         std::map<std::uint64_t, DatabaseId>::iterator asked = this->questions.find(opinion->question);
-        if (asked != this->questions.end() && this->watchers.count(asked->second) > 0)
-            this->watchers[asked->second]->onOpinion(opinion->isReached);
+        GroupWatcher* watcher = asked == this->questions.end() ? nullptr : this->watchers.find(asked->second);
+        if (watcher != nullptr)
+            watcher->onOpinion(opinion->isReached);
     } else if (const LeavingNotice* leavingNotice = std::get_if<LeavingNotice>(&message)) {
         std::set<UpstreamId> announcedLeaving(leavingNotice->upstreams.begin(), leavingNotice->upstreams.end());
         if (announcedLeaving != this->leaving) {
@@ -180,7 +99,7 @@
 void ControlPlane::setActive(const std::vector<DatabaseId>& databases)
 {
     for (const DatabaseId& database : databases) {
-        GroupWatcher* watcher = this->findOrMakeWatcher(database);
+        GroupWatcher* watcher = this->watchers.findOrMake(database, this->bundles.getBundle().get());
         if (watcher != nullptr)
             watcher->setActive();
     }
@@ -188,7 +107,7 @@
 
 void ControlPlane::setFast(const DatabaseId& database)
 {
-    GroupWatcher* watcher = this->findOrMakeWatcher(database);
+    GroupWatcher* watcher = this->watchers.findOrMake(database, this->bundles.getBundle().get());
     if (watcher != nullptr)
         watcher->setFast();
 }
@@ -200,7 +119,7 @@
         members.push_back({ { "id", member.id.toString() }, { "zone", member.zone.toString() }, { "state", toString(member.state) } });
 
     nlohmann::json groups = nlohmann::json::object();
-    for (const std::pair<const DatabaseId, std::unique_ptr<GroupWatcher>>& entry : this->watchers) {
+    for (const std::pair<const DatabaseId, std::unique_ptr<GroupWatcher>>& entry : this->watchers.getAll()) {
         std::optional<PrimaryHint> primary = entry.second->getPrimary();
         nlohmann::json group { { "terms_in_reserve", entry.second->getNumTerms() } };
         if (primary)
@@ -215,7 +134,7 @@
         { "instance", this->settings.instance.toString() },
         { "zone", this->settings.zone.toString() },
         { "ready", this->isReady },
-        { "bundle_version", this->keeper.getVersion().value() },
+        { "bundle_version", this->bundles.getVersion().value() },
         { "store_reached", this->isStoreReachable },
         { "members", members },
         { "gate_of", ownUpstreams },
@@ -252,7 +171,7 @@
 
 std::size_t ControlPlane::askOpinions(const DatabaseId& database, const std::optional<UpstreamId>& primary)
 {
-    const DatabaseConfig* config = this->keeper.getBundle()->findDatabase(database);
+    const DatabaseConfig* config = this->bundles.getBundle()->findDatabase(database);
     if (config == nullptr || !primary || this->gates == nullptr)
         return 0;
 
@@ -278,9 +197,9 @@
     this->worker.submit([this, database, above, nonce](PlatformStore& store) {
         std::optional<TermRecord::Grant> grant = reserveTerms(store, database, above, nonce);
         this->environment.loop.post([this, database, grant] {
-            std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator watcher = this->watchers.find(database);
-            if (watcher != this->watchers.end())
-                watcher->second->onTerms(grant);
+            GroupWatcher* watcher = this->watchers.find(database);
+            if (watcher != nullptr)
+                watcher->onTerms(grant);
         });
     });
 }
@@ -310,8 +229,8 @@
 {
     for (const StoreObject& object : changes.objects) {
         if (object.key == storekeys::currentBundle) {
-            std::optional<BundleVersion> version = parseVersion(object.value);
-            if (version && *version > this->keeper.getVersion())
+            std::optional<BundleVersion> version = parseBundleVersion(object.value);
+            if (version && *version > this->bundles.getVersion())
                 this->fetchBundle(version);
         } else if (object.key == storekeys::instances) {
             this->membership.addSeeds(parseInstances(object.value));
@@ -341,10 +260,8 @@
     this->worker.setWatching(this->membership.getZoneOwner(watchDuty) == this->settings.instance);
     if (this->areGatesStale)
         this->refreshGates();
-    for (std::pair<const DatabaseId, std::unique_ptr<GroupWatcher>>& entry : this->watchers)
-        entry.second->onTick();
-    if (this->keeper.getBundle() == nullptr && now >= this->nextBundleRequest)
-        this->askForBundle();
+    this->watchers.onTick();
+    this->bundles.askUntilFirst(*this->membership.getMembers(), this->settings.instance, this->random);
     this->checkReady();
     this->flushAudit();
 }
@@ -360,7 +277,7 @@
     this->areGatesStale = false;
     std::shared_ptr<const MemberList> members = this->membership.getMembers();
     this->listener.onMembers(members);
-    std::shared_ptr<const Bundle> bundle = this->keeper.getBundle();
+    std::shared_ptr<const Bundle> bundle = this->bundles.getBundle();
     if (bundle == nullptr)
         return;
 
@@ -368,57 +285,7 @@
     this->recordGateMoves(*bundle, *newGates);
     this->gates = newGates;
     this->listener.onGates(newGates);
-    this->refreshWatchers(*bundle, *newGates);
-}
-
-void ControlPlane::refreshWatchers(const Bundle& bundle, const GateMap& newGates)
-{
-    std::map<DatabaseId, std::unique_ptr<GroupWatcher>> kept;
-    for (const std::pair<const DatabaseId, DatabaseConfig>& entry : bundle.databases)
-        this->keepWatcher(bundle, newGates, entry.second, kept);
-    this->watchers = std::move(kept);
-}
-
-void ControlPlane::keepWatcher(const Bundle& bundle, const GateMap& newGates, const DatabaseConfig& database, std::map<DatabaseId, std::unique_ptr<GroupWatcher>>& kept)
-{
-    std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator existing = this->watchers.find(database.id);
-    const UpstreamConfig* own = nullptr;
-    bool isGate = false;
-    for (const UpstreamConfig& upstream : database.upstreams) {
-        bool isGateHere = newGates.isGate(this->settings.instance, upstream.id);
-        if (own == nullptr || (isGateHere && !isGate))
-            own = newGates.isCandidate(this->settings.instance, upstream.id) ? &upstream : own;
-        isGate = isGate || isGateHere;
-    }
-
-    // A second candidate watches only groups that it was asked to serve a moment ago.
-    bool isInUse = existing != this->watchers.end() && existing->second->isActive();
-    if (own == nullptr || (!isGate && !isInUse))
-        return;
-
-    const ProfileConfig& profile = bundle.getProfile(database);
-    bool isSame = existing != this->watchers.end() && existing->second->hasConfiguration(database, profile, own->id);
-    if (isSame)
-        kept[database.id] = std::move(existing->second);
-    else
-        kept[database.id] = std::make_unique<GroupWatcher>(this->environment.loop, this->environment.clock, this->environment.connector, static_cast<GroupWatcher::Listener&>(*this), database, profile, own->id);
-    kept[database.id]->setPromoting(isGate);
-}
-
-GroupWatcher* ControlPlane::findOrMakeWatcher(const DatabaseId& database)
-{
-    std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator found = this->watchers.find(database);
-    if (found != this->watchers.end())
-        return found->second.get();
-
-    std::shared_ptr<const Bundle> bundle = this->keeper.getBundle();
-    const DatabaseConfig* config = bundle == nullptr ? nullptr : bundle->findDatabase(database);
-    if (config == nullptr)
-        return nullptr;
-
-    const UpstreamId& any = config->upstreams.front().id;
-    this->watchers[database] = std::make_unique<GroupWatcher>(this->environment.loop, this->environment.clock, this->environment.connector, static_cast<GroupWatcher::Listener&>(*this), *config, bundle->getProfile(*config), any);
-    return this->watchers[database].get();
+    this->watchers.refresh(*bundle, *newGates);
 }
 
 void ControlPlane::recordGateMoves(const Bundle& bundle, const GateMap& newGates)
@@ -445,17 +312,6 @@
     this->ownGates = std::move(current);
 }
 
-void ControlPlane::askForBundle()
-{
-    this->nextBundleRequest = this->environment.clock.now() + bundleRequestInterval;
-    std::shared_ptr<const MemberList> members = this->membership.getMembers();
-    for (std::size_t count = 0; count < spreadFanout; count++) {
-        const Member& peer = (*members)[this->random.below(members->size())];
-        if (peer.id != this->settings.instance)
-            this->listener.sendToPeer(peer.id, BundleRequest { this->keeper.getVersion(), true });
-    }
-}
-
 void ControlPlane::fetchBundle(std::optional<BundleVersion> version)
 {
     this->worker.submit([this, version](PlatformStore& store) {
@@ -463,7 +319,7 @@
         std::optional<SignedBundle> bundle = readBundle(store, version, failure);
         this->environment.loop.post([this, bundle] {
             if (bundle)
-                this->offerBundle(*bundle, "store");
+                this->bundles.offer(*bundle, "store");
         });
     });
 }
@@ -479,82 +335,27 @@
         this->environment.loop.post([this, bundle, hasAnswered, leavingObject] {
             this->hasStoreAnswered = hasAnswered;
             if (bundle)
-                this->offerBundle(*bundle, "store");
+                this->bundles.offer(*bundle, "store");
             if (leavingObject)
                 this->setLeavingUpstreams(parseUpstreamIds(leavingObject->value));
         });
     });
 }
 
-void ControlPlane::offerBundle(const SignedBundle& bundle, const std::string& source)
-{
-    Failure failure;
-    BundleVersion before = this->keeper.getVersion();
-    this->onBundleOffer(this->keeper.offer(bundle, failure), failure, source, before);
-}
-
-void ControlPlane::onBundleOffer(BundleKeeper::Offer offer, const Failure& failure, const std::string& source, BundleVersion before)
+void ControlPlane::onBundleInForce(const std::string& source, BundleVersion before)
 {
-    if (offer == BundleKeeper::Offer::Refused)
-        logEvent(events::bundleRefused, "source=" + source + " reason=\"" + failure.reason + "\"");
-    if (offer != BundleKeeper::Offer::Accepted)
-        return;
-
-    BundleVersion version = this->keeper.getVersion();
-    logEvent(events::bundleInForce, "version=" + std::to_string(version.value()) + " source=" + source);
+    BundleVersion version = this->bundles.getVersion();
     this->audit.add({ {}, AuditKind::BundleInForce, "", "bundle", "received from " + source, std::to_string(before.value()), std::to_string(version.value()) }, this->environment.clock.wallNow());
     this->environment.metrics.setBundleVersion(static_cast<double>(version.value()));
     this->membership.setBundleVersion(version);
-    this->listener.onBundle(this->keeper.getBundle());
+    this->listener.onBundle(this->bundles.getBundle());
     this->refreshGates();
     this->spread(BundleNotice { version });
 }
 
-void ControlPlane::onBundleRequest(const InstanceId& from, const BundleRequest& request)
+void ControlPlane::sendBundleMessage(const InstanceId& to, PeerMessage message)
 {
-    if (this->keeper.getVersion() <= request.have)
-        return;
-
-    BundleReply reply;
-    std::optional<BundleDelta> delta;
-    if (!request.wantsFullCopy)
-        delta = this->keeper.makeDelta(request.have);
-    if (delta)
-        reply.delta = toJson(*delta);
-    else
-        reply.full = toJson(this->keeper.getSignedBundle());
-    this->listener.sendToPeer(from, reply);
-}
-
-void ControlPlane::onBundleReply(const InstanceId& from, const BundleReply& reply)
-{
-    Failure failure;
-    BundleVersion before = this->keeper.getVersion();
-    std::string source = "peer " + from.toString();
-    if (reply.delta.is_null()) {
-        std::optional<SignedBundle> bundle = parseSignedBundle(reply.full, failure);
-        if (bundle)
-            this->offerBundle(*bundle, source);
-        return;
-    }
-
-    std::optional<BundleDelta> delta = parseBundleDelta(reply.delta, failure);
-    if (!delta)
-        return;
-    BundleKeeper::Offer offer = this->keeper.offer(*delta, failure);
-    if (offer == BundleKeeper::Offer::NeedsFullCopy || offer == BundleKeeper::Offer::Refused)
-        this->listener.sendToPeer(from, BundleRequest { before, true });
-    this->onBundleOffer(offer, failure, source, before);
-}
-
-void ControlPlane::onHigherVersion(const InstanceId& from, BundleVersion version)
-{
-    TimePoint now = this->environment.clock.now();
-    if (version <= this->keeper.getVersion() || now < this->nextBundleRequest)
-        return;
-
-    this->nextBundleRequest = now + bundleRequestInterval;
-    this->listener.sendToPeer(from, BundleRequest { this->keeper.getVersion(), this->keeper.getBundle() == nullptr });
+    this->listener.sendToPeer(to, std::move(message));
 }
 
 void ControlPlane::spread(const PeerMessage& message)
@@ -608,9 +409,9 @@
     logEvent(events::primaryChanged, "database=" + notice.database.toString() + " primary=" + known.upstream.toString() + " term=" + std::to_string(known.term.value()));
     this->listener.onNewPrimary(notice.database, known);
     this->forwardInZone(from, notice);
-    std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator watcher = this->watchers.find(notice.database);
-    if (watcher != this->watchers.end())
-        watcher->second->setFast();
+    GroupWatcher* watcher = this->watchers.find(notice.database);
+    if (watcher != nullptr)
+        watcher->setFast();
 }
 
 void ControlPlane::setLeavingUpstreams(const std::set<UpstreamId>& newLeaving)
@@ -625,14 +426,14 @@
 
 void ControlPlane::checkReady()
 {
-    if (this->isReady || this->keeper.getBundle() == nullptr)
+    if (this->isReady || this->bundles.getBundle() == nullptr)
         return;
 
     bool isStoreGivenUp = this->environment.clock.now() >= this->startedAt + storeWait;
     if (!this->hasStoreAnswered && !isStoreGivenUp)
         return;
     this->isReady = true;
-    logEvent(events::instanceReady, "bundle=" + std::to_string(this->keeper.getVersion().value()));
+    logEvent(events::instanceReady, "bundle=" + std::to_string(this->bundles.getVersion().value()));
     this->listener.onReady();
 }
 
--- a/src/server/ControlPlane.h
+++ b/src/server/ControlPlane.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "../platform/StoreWorker.h"
-#include "GroupWatcher.h"
+#include "BundleExchange.h"
+#include "WatcherRegistry.h"
 #include "lentiljunction/audit/AuditTrail.h"
-#include "lentiljunction/bundle/BundleKeeper.h"
 #include "lentiljunction/membership/Membership.h"
 #include "lentiljunction/peer/PeerMessage.h"
 #include "lentiljunction/routing/GateMap.h"
@@ -17,7 +17,7 @@
 /// All control state of one instance: members, bundle, gates, groups and the audit trail.
 ///
 /// Belongs to the control thread. Hands immutable snapshots to its listener.
-class ControlPlane : private Membership::Listener, private GroupWatcher::Listener, private StoreWorker::Listener {
+class ControlPlane : private Membership::Listener, private GroupWatcher::Listener, private StoreWorker::Listener, private BundleExchange::Listener {
 public:
     /// Is told what traffic needs to know. Called on the control thread.
     class Listener {
@@ -78,22 +78,15 @@
     void onPromotionEnded(const DatabaseId& database, const PrimaryHint& primary, const std::string& failureReason) override;
     void onStoreChanged(const StoreWatchResult& changes) override;
     void onStoreReachable(bool isReachable) override;
+    void onBundleInForce(const std::string& source, BundleVersion before) override;
+    void sendBundleMessage(const InstanceId& to, PeerMessage message) override;
 
     void onTick();
     void sendAll(const std::vector<Membership::Outgoing>& messages);
     void refreshGates();
-    void refreshWatchers(const Bundle& bundle, const GateMap& newGates);
-    void keepWatcher(const Bundle& bundle, const GateMap& newGates, const DatabaseConfig& database, std::map<DatabaseId, std::unique_ptr<GroupWatcher>>& kept);
-    GroupWatcher* findOrMakeWatcher(const DatabaseId& database);
     void recordGateMoves(const Bundle& bundle, const GateMap& newGates);
-    void askForBundle();
     void fetchBundle(std::optional<BundleVersion> version);
     void fetchAtStart();
-    void offerBundle(const SignedBundle& bundle, const std::string& source);
-    void onBundleOffer(BundleKeeper::Offer offer, const Failure& failure, const std::string& source, BundleVersion before);
-    void onBundleRequest(const InstanceId& from, const BundleRequest& request);
-    void onBundleReply(const InstanceId& from, const BundleReply& reply);
-    void onHigherVersion(const InstanceId& from, BundleVersion version);
     void spread(const PeerMessage& message);
     void forwardInZone(const InstanceId& from, const PeerMessage& message);
     void onPrimaryNotice(const InstanceId& from, const PrimaryNotice& notice);
@@ -106,18 +99,17 @@
     ControlPlane::Listener& listener;
     Random random;
     Membership membership;
-    BundleKeeper keeper;
+    BundleExchange bundles;
     StoreWorker worker;
     AuditTrail audit;
     std::shared_ptr<const GateMap> gates;
     std::set<UpstreamId> ownGates;
-    std::map<DatabaseId, std::unique_ptr<GroupWatcher>> watchers;
+    WatcherRegistry watchers;
     std::map<DatabaseId, PrimaryHint> announced;
     std::map<std::uint64_t, DatabaseId> questions;
     std::uint64_t nextQuestion = 1;
     std::set<UpstreamId> leaving;
     TimePoint startedAt;
-    TimePoint nextBundleRequest;
     bool areGatesStale = true;
     bool hasStoreAnswered = false;
     bool isStoreReachable = true;
--- a/src/server/Instance.cpp
+++ b/src/server/Instance.cpp
@@ -19,7 +19,6 @@
 
 namespace {
 
-    constexpr Duration trafficTick = std::chrono::milliseconds(5);
     constexpr Duration peerTick = std::chrono::milliseconds(20);
     constexpr Duration activityTick = std::chrono::milliseconds(100);
     constexpr std::chrono::milliseconds drainPoll { 10 };
@@ -75,7 +74,7 @@
         if (!this->callers.listen(this->settings.callers, failure) || !this->peers.listen(this->settings.peers, failure))
             return false;
 
-        this->traffic.repeat(trafficTick, [this] { this->onTrafficTick(); });
+        this->traffic.repeat(RequestFlow::tickInterval, [this] { this->onTrafficTick(); });
         this->traffic.repeat(peerTick, [this] { this->onPeerTick(); });
         this->traffic.repeat(activityTick, [this] { this->reportActivity(); });
         this->control.post([this] { this->controlPlane.start(); });
--- a/src/server/RequestFlow.cpp
+++ b/src/server/RequestFlow.cpp
@@ -29,6 +29,7 @@
     , channel(channel)
     , router(zone, seed)
     , budget(initialRetryPercent)
+    , shedder(tickInterval)
     , nextHop((seed << 24) + 1)
 {
 }
@@ -64,6 +65,9 @@
     if (this->bundle == nullptr || this->gates == nullptr)
         return Outcome::notRun(NotRunReason::NotReady, "this instance has no bundle yet");
 
+    if (this->shedder.mustRefuse(request.rank))
+        return Outcome::notRun(NotRunReason::QueueFull, "this instance is overloaded", std::chrono::milliseconds(200));
+
     const DatabaseConfig* database = this->bundle->findDatabase(request.database);
     if (database == nullptr)
         return Outcome::notRun(NotRunReason::UnknownDatabase, "the bundle in force has no database " + request.database.toString());
@@ -295,6 +299,7 @@
 void RequestFlow::onTick()
 {
     TimePoint now = this->clock.now();
+    this->shedder.onTick(now);
     std::vector<FlowId> expired;
     for (const std::pair<const FlowId, std::unique_ptr<Flow>>& entry : this->flows) {
         if (now >= entry.second->deadline + answerSlack)
--- a/src/server/RequestFlow.h
+++ b/src/server/RequestFlow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "GateService.h"
+#include "lentiljunction/admission/LoadShedder.h"
 #include "lentiljunction/admission/RetryBudget.h"
 #include "lentiljunction/caller/Request.h"
 #include "lentiljunction/metrics/Metrics.h"
@@ -71,7 +72,10 @@
     /// Takes news of a primary; repeats keyed writes that wait for an older one.
     void onPrimaryNotice(const DatabaseId& database, const PrimaryHint& hint);
 
-    /// Answers requests whose deadline passed; call it every few milliseconds.
+    /// The interval at which onTick is to be called.
+    static constexpr Duration tickInterval = std::chrono::milliseconds(5);
+
+    /// Answers requests whose deadline passed, and notes how late the thread runs.
     void onTick();
 
     /// @returns the number of requests without an answer
@@ -123,6 +127,7 @@
     GateChannel& channel;
     ReadRouter router;
     RetryBudget budget;
+    LoadShedder shedder;
     std::shared_ptr<const Bundle> bundle;
     std::shared_ptr<const GateMap> gates;
     std::set<UpstreamId> leaving;
--- a/src/server/UpstreamGate.cpp
+++ b/src/server/UpstreamGate.cpp
@@ -1,7 +1,5 @@
 #include "UpstreamGate.h"
 
-#include "lentiljunction/core/LogEvents.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -9,8 +7,6 @@
 
 namespace {
 
-    constexpr Duration openTimeout = std::chrono::milliseconds(500);
-    constexpr Duration probeTimeout = std::chrono::milliseconds(250);
     /// A first try without an answer is given up after this time, when it may be repeated.
     constexpr Duration shortestSilence = std::chrono::milliseconds(250);
     constexpr int silenceFactor = 10;
@@ -20,6 +16,10 @@
     constexpr Duration primaryRelief = std::chrono::milliseconds(20);
     constexpr int waitFactor = 2;
     constexpr int memory = 8;
+    constexpr Duration pruneInterval = std::chrono::minutes(1);
+    constexpr Duration pruneDeadline = std::chrono::seconds(10);
+    /// Keys are kept this much longer than they are accepted, because clocks of instances differ.
+    constexpr std::chrono::seconds pruneMargin = std::chrono::hours(1);
 
     Duration blend(Duration mean, Duration sample)
     {
@@ -37,7 +37,7 @@
     , group(group)
     , queue(bundle.ranks)
     , limit(this->profile.slots)
-    , pool(this->profile.connections / 2, this->profile.warmConnections)
+    , connections({ this->environment.loop, this->environment.clock, this->environment.metrics, this->environment.connector }, upstream, this->profile, [this] { this->pump(); })
     , meanCatchUp(initialCatchUp)
     , meanStatement(initialStatement)
 {
@@ -103,7 +103,8 @@
         this->finish(work, Outcome::notRun(NotRunReason::DeadlinePassed, "the deadline passed in the queue"), false, std::nullopt);
     }
     this->expireTransactions();
-    this->probeIdleConnection();
+    this->pruneKeys();
+    this->connections.probeIdle();
     this->pump();
 }
 
@@ -184,7 +185,7 @@
     if (!isRepeat && this->queue.isEmpty())
         return false;
 
-    std::optional<ConnectionPool::Handle> connection = this->pool.acquire(this->environment.clock.now());
+    std::optional<ConnectionPool::Handle> connection = this->connections.acquire();
     if (!connection)
         return false;
 
@@ -204,7 +205,7 @@
         this->start(work, *connection);
         return true;
     }
-    this->pool.release(*connection, ConnectionPool::Condition::Clean, this->environment.clock.now());
+    this->connections.release(*connection, true, false);
     this->continueTransaction(work);
     return true;
 }
@@ -218,6 +219,7 @@
     work->connection = connection;
     work->startedAt = now;
     work->numRunningAtStart = ++this->numRunning;
+    this->hasKeyedWrites = this->hasKeyedWrites || work->hop.request.key;
     work->runner.emplace(this->makePlan(*work));
     this->sendStep(work, work->runner->start());
 }
@@ -235,13 +237,8 @@
 
 void UpstreamGate::sendStep(const std::shared_ptr<Work>& work, const TransactionRunner::Step& step)
 {
-    std::map<ConnectionPool::Handle, std::unique_ptr<SqlConnection>>::iterator connection = this->connections.find(work->connection);
-    if (connection == this->connections.end()) {
-        this->environment.loop.post([this, work] { this->onReply(work, SqlReply()); });
-        return;
-    }
     work->stepSentAt = this->environment.clock.now();
-    connection->second->execute(step.sql, this->getStepTimeout(*work), [this, work](const SqlReply& reply) { this->onReply(work, reply); });
+    this->connections.execute(work->connection, step.sql, this->getStepTimeout(*work), [this, work](const SqlReply& reply) { this->onReply(work, reply); });
 }
 
 void UpstreamGate::onReply(const std::shared_ptr<Work>& work, const SqlReply& reply)
@@ -282,21 +279,12 @@
 
 void UpstreamGate::releaseConnection(const std::shared_ptr<Work>& work, bool wasSilent)
 {
-    TimePoint now = this->environment.clock.now();
     if (work->runner->isTransactionOpen()) {
         this->keepTransaction(work);
         return;
     }
-
     this->transactions.erase(work->hop.request.transaction);
-    if (wasSilent)
-        this->pool.onSilence(work->connection);
-    bool isClean = work->runner->isConnectionClean();
-    if (!isClean) {
-        this->environment.metrics.onConnectionDiscarded();
-        logEvent(events::connectionDiscarded, "upstream=" + this->upstream.id.toString() + " silent=" + (wasSilent ? "yes" : "no"));
-    }
-    this->pool.release(work->connection, isClean ? ConnectionPool::Condition::Clean : ConnectionPool::Condition::Doubtful, now);
+    this->connections.release(work->connection, work->runner->isConnectionClean(), wasSilent);
 }
 
 void UpstreamGate::confirmWrite(const std::shared_ptr<Work>& work, const TransactionRunner::Step& step)
@@ -410,58 +398,33 @@
     return std::min(remaining, std::max(shortestSilence, this->meanStatement * silenceFactor));
 }
 
-void UpstreamGate::maintainPool()
+void UpstreamGate::pruneKeys()
 {
     TimePoint now = this->environment.clock.now();
-    std::size_t numQueued = this->queued.size() + this->repeats.size();
-    int numUseful = std::max(0, this->limit.getLimit() - this->numRunning);
-    this->pool.setDemand(std::min(static_cast<int>(numQueued), numUseful));
-    for (ConnectionPool::Handle handle : this->pool.takeClosings(now))
-        this->discard(handle);
-    for (ConnectionPool::Handle handle : this->pool.takeOpenings(now))
-        this->openConnection(handle);
-}
-
-void UpstreamGate::openConnection(ConnectionPool::Handle handle)
-{
-    this->connections[handle] = this->environment.connector.create(this->upstream);
-    this->connections[handle]->open(openTimeout, [this, handle](bool isOpen) {
-        TimePoint now = this->environment.clock.now();
-        if (isOpen) {
-            this->pool.onOpened(handle, now);
-        } else {
-            this->pool.onLost(handle, now);
-            this->discard(handle);
-        }
-        this->pump();
-    });
-}
-
-void UpstreamGate::discard(ConnectionPool::Handle handle)
-{
-    std::map<ConnectionPool::Handle, std::unique_ptr<SqlConnection>>::iterator found = this->connections.find(handle);
-    if (found == this->connections.end())
+    std::optional<PrimaryHint> primary = this->group.getPrimary();
+    bool isWriter = primary && primary->upstream == this->upstream.id;
+    if (!isWriter || !this->hasKeyedWrites || now < this->nextPrune)
         return;
 
-    // The connection may be running its own handler, so it is destroyed after that returns.
-    std::shared_ptr<SqlConnection> closing = std::move(found->second);
-    this->connections.erase(found);
-    this->environment.loop.post([closing] { closing->close(); });
+    this->nextPrune = now + pruneInterval;
+    this->hasKeyedWrites = false;
+    std::int64_t oldest = toUnixMilliseconds(this->environment.clock.wallNow() - this->profile.keyRetention - pruneMargin);
+    HopRequest prune;
+    prune.request.id = RequestId("prune");
+    prune.request.caller = CallerId("prune");
+    prune.request.database = this->database.id;
+    prune.request.rank = Rank::Background;
+    prune.request.statements = { getKeyPruneSql(oldest) };
+    prune.upstream = this->upstream.id;
+    prune.remaining = pruneDeadline;
+    this->execute(std::move(prune), [](const HopAnswer&) {});
 }
 
-void UpstreamGate::probeIdleConnection()
+void UpstreamGate::maintainPool()
 {
-    std::optional<ConnectionPool::Handle> handle = this->pool.takeProbe(this->environment.clock.now());
-    if (!handle)
-        return;
-
-    this->connections[*handle]->execute(this->profile.statusSql, probeTimeout, [this, probed = *handle](const SqlReply& reply) {
-        bool isAlive = reply.status == SqlReply::Status::Completed;
-        if (!isAlive && reply.isSilent)
-            this->pool.onSilence(probed);
-        this->pool.release(probed, isAlive ? ConnectionPool::Condition::Clean : ConnectionPool::Condition::Doubtful, this->environment.clock.now());
-        this->pump();
-    });
+    std::size_t numQueued = this->queued.size() + this->repeats.size();
+    int numUseful = std::max(0, this->limit.getLimit() - this->numRunning);
+    this->connections.maintain(std::min(static_cast<int>(numQueued), numUseful));
 }
 
 void UpstreamGate::expireTransactions()
@@ -473,7 +436,7 @@
             ++entry;
             continue;
         }
-        this->pool.release(entry->second.connection, ConnectionPool::Condition::Doubtful, now);
+        this->connections.release(entry->second.connection, false, false);
         entry = this->transactions.erase(entry);
     }
 }
--- a/src/server/UpstreamGate.h
+++ b/src/server/UpstreamGate.h
@@ -1,14 +1,12 @@
 #pragma once
 
+#include "GateConnections.h"
 #include "GroupState.h"
 #include "lentiljunction/admission/ConcurrencyLimit.h"
 #include "lentiljunction/admission/RankQueue.h"
-#include "lentiljunction/core/Scheduler.h"
-#include "lentiljunction/execution/SqlConnection.h"
 #include "lentiljunction/execution/TransactionRunner.h"
 #include "lentiljunction/metrics/Metrics.h"
 #include "lentiljunction/peer/PeerMessage.h"
-#include "lentiljunction/pool/ConnectionPool.h"
 
 #include <deque>
 #include <functional>
@@ -17,15 +15,6 @@
 
 namespace lentiljunction {
 
-/// Opens connections to one upstream. Tests put a fake in its place.
-class SqlConnector {
-public:
-    virtual ~SqlConnector() = default;
-
-    /// @returns a connection that is not open yet
-    virtual std::unique_ptr<SqlConnection> create(const UpstreamConfig& upstream) = 0;
-};
-
 /// The queue, the connections and the running statements of one upstream at its gate.
 ///
 /// Belongs to the traffic thread.
@@ -118,9 +107,7 @@
     TransactionPlan makePlan(const Work& work) const;
     Duration getStepTimeout(const Work& work) const;
     void maintainPool();
-    void openConnection(ConnectionPool::Handle handle);
-    void discard(ConnectionPool::Handle handle);
-    void probeIdleConnection();
+    void pruneKeys();
     void expireTransactions();
     void keepTransaction(const std::shared_ptr<Work>& work);
 
@@ -132,8 +119,7 @@
     GroupState& group;
     RankQueue queue;
     ConcurrencyLimit limit;
-    ConnectionPool pool;
-    std::map<ConnectionPool::Handle, std::unique_ptr<SqlConnection>> connections;
+    GateConnections connections;
     std::map<RankQueue::Ticket, std::shared_ptr<Work>> queued;
     std::deque<std::shared_ptr<Work>> repeats;
     std::vector<WaitingRead> waitingReads;
@@ -142,6 +128,8 @@
     std::uint64_t nextTransaction = 1;
     int numRunning = 0;
     bool isLeaving = false;
+    bool hasKeyedWrites = false;
+    TimePoint nextPrune;
     Duration meanCatchUp;
     Duration meanStatement;
 };
--- /dev/null
+++ b/src/server/WatcherRegistry.cpp
@@ -0,0 +1,77 @@
+#include "WatcherRegistry.h"
+
+#include <utility>
+
+namespace lentiljunction {
+
+WatcherRegistry::WatcherRegistry(Environment environment)
+    : environment(std::move(environment))
+{
+}
+
+void WatcherRegistry::refresh(const Bundle& bundle, const GateMap& gates)
+{
+    std::map<DatabaseId, std::unique_ptr<GroupWatcher>> kept;
+    for (const std::pair<const DatabaseId, DatabaseConfig>& entry : bundle.databases) {
+        std::unique_ptr<GroupWatcher> watcher = this->keepOrMake(bundle, gates, entry.second);
+        if (watcher != nullptr)
+            kept[entry.first] = std::move(watcher);
+    }
+    this->watchers = std::move(kept);
+}
+
+GroupWatcher* WatcherRegistry::findOrMake(const DatabaseId& database, const Bundle* bundle)
+{
+    GroupWatcher* existing = this->find(database);
+    if (existing != nullptr)
+        return existing;
+
+    const DatabaseConfig* config = bundle == nullptr ? nullptr : bundle->findDatabase(database);
+    if (config == nullptr)
+        return nullptr;
+    this->watchers[database] = this->make(*config, bundle->getProfile(*config), config->upstreams.front().id);
+    return this->watchers[database].get();
+}
+
+GroupWatcher* WatcherRegistry::find(const DatabaseId& database) const
+{
+    std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::const_iterator found = this->watchers.find(database);
+    return found == this->watchers.end() ? nullptr : found->second.get();
+}
+
+void WatcherRegistry::onTick()
+{
+    for (std::pair<const DatabaseId, std::unique_ptr<GroupWatcher>>& entry : this->watchers)
+        entry.second->onTick();
+}
+
+std::unique_ptr<GroupWatcher> WatcherRegistry::make(const DatabaseConfig& database, const ProfileConfig& profile, const UpstreamId& own) const
+{
+    return std::make_unique<GroupWatcher>(this->environment.loop, this->environment.clock, this->environment.connector, this->environment.listener, database, profile, own);
+}
+
+std::unique_ptr<GroupWatcher> WatcherRegistry::keepOrMake(const Bundle& bundle, const GateMap& gates, const DatabaseConfig& database)
+{
+    const UpstreamConfig* own = nullptr;
+    bool isGate = false;
+    for (const UpstreamConfig& upstream : database.upstreams) {
+        bool isGateHere = gates.isGate(this->environment.self, upstream.id);
+        bool isBetter = own == nullptr || (isGateHere && !isGate);
+        if (isBetter && gates.isCandidate(this->environment.self, upstream.id))
+            own = &upstream;
+        isGate = isGate || isGateHere;
+    }
+
+    GroupWatcher* existing = this->find(database.id);
+    bool isInUse = existing != nullptr && existing->isActive();
+    if (own == nullptr || (!isGate && !isInUse))
+        return nullptr;
+
+    const ProfileConfig& profile = bundle.getProfile(database);
+    bool isSame = existing != nullptr && existing->hasConfiguration(database, profile, own->id);
+    std::unique_ptr<GroupWatcher> watcher = isSame ? std::move(this->watchers[database.id]) : this->make(database, profile, own->id);
+    watcher->setPromoting(isGate);
+    return watcher;
+}
+
+} // namespace lentiljunction
--- a/tests/support/TrafficBench.cpp
+++ b/tests/support/TrafficBench.cpp
@@ -4,6 +4,7 @@
 #include "SampleBundle.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace lentiljunction::tests {
 
@@ -277,6 +278,13 @@
     return countBookings(*this->engines[this->findPrimary()], booking);
 }
 
+int TrafficBench::countKeys()
+{
+    standins::SessionState session;
+    standins::StatementResult result = this->engines[this->findPrimary()]->execute(session, "SELECT count(*) FROM lentiljunction_keys");
+    return std::atoi(result.rows.rows.front().front()->c_str());
+}
+
 void TrafficBench::setLeaving(std::size_t engine, bool areEntriesTold)
 {
     for (std::unique_ptr<Instance>& instance : this->instances) {
--- a/tests/support/TrafficBench.h
+++ b/tests/support/TrafficBench.h
@@ -49,6 +49,9 @@
     /// @returns how often a booking stands at the primary of the highest term
     int countAtPrimary(const std::string& booking);
 
+    /// @returns how many idempotency keys the primary remembers
+    int countKeys();
+
     /// @returns statements executed at one engine
     std::uint64_t getNumExecuted(std::size_t engine) const { return this->engines[engine]->getNumExecuted(); }
 
--- a/tests/unit/RankQueueTests.cpp
+++ b/tests/unit/RankQueueTests.cpp
@@ -1,4 +1,5 @@
 #include "lentiljunction/admission/ConcurrencyLimit.h"
+#include "lentiljunction/admission/LoadShedder.h"
 #include "lentiljunction/admission/RankQueue.h"
 
 #include <rapidcheck.h>
@@ -136,3 +137,27 @@
     CHECK(limit.getLimit() <= 2);
     CHECK(limit.getLimit() >= 1);
 }
+
+TEST_GROUP(LoadShedder) {};
+
+TEST(LoadShedder, aLateThreadRefusesTheLeastUrgentFirstAndRecovers)
+{
+    ManualClock clock;
+    LoadShedder shedder(std::chrono::milliseconds(5));
+    auto runFor = [&](int numTicks, std::chrono::milliseconds interval) {
+        for (int count = 0; count < numTicks; count++) {
+            clock.advance(interval);
+            shedder.onTick(clock.now());
+        }
+    };
+    runFor(20, std::chrono::milliseconds(6));
+    CHECK_FALSE(shedder.mustRefuse(Rank::Background));
+    runFor(20, std::chrono::milliseconds(30));
+    CHECK(shedder.mustRefuse(Rank::Background));
+    CHECK_FALSE(shedder.mustRefuse(Rank::Normal));
+    runFor(20, std::chrono::milliseconds(100));
+    CHECK(shedder.mustRefuse(Rank::Normal));
+    CHECK_FALSE(shedder.mustRefuse(Rank::Urgent));
+    runFor(40, std::chrono::milliseconds(5));
+    CHECK_FALSE(shedder.mustRefuse(Rank::Background));
+}
--- a/tests/unit/TrafficTests.cpp
+++ b/tests/unit/TrafficTests.cpp
@@ -190,6 +190,30 @@
     CHECK_EQUAL(0, bench.countAtPrimary("old"));
 }
 
+TEST(Traffic, keysArePrunedOnlyAfterTheyAreRefused)
+{
+    TrafficBench bench(1, BenchFaults());
+    Request first = makeBookingRequest("first", true);
+    bench.run(0, first, [](const Answer&) {});
+    bench.advance(std::chrono::minutes(2));
+    bench.run(0, makeBookingRequest("second", true), [](const Answer&) {});
+    bench.advance(std::chrono::minutes(2));
+    CHECK_EQUAL(2, bench.countKeys());
+
+    // Past the retention the first key is refused, and only later forgotten.
+    bench.clock.advance(std::chrono::hours(26));
+    std::optional<Outcome> repeat;
+    bench.run(0, first, [&](const Answer& answer) { repeat = answer.outcome; });
+    Request fresh = makeBookingRequest("fresh", true);
+    fresh.key->issuedAt = toUnixMilliseconds(bench.clock.wallNow());
+    fresh.key->text = std::to_string(fresh.key->issuedAt) + ":fresh";
+    bench.run(0, fresh, [](const Answer&) {});
+    bench.advance(std::chrono::minutes(2));
+    CHECK(repeat->reason == NotRunReason::KeyExpired);
+    CHECK_EQUAL(1, bench.countKeys());
+    CHECK_EQUAL(1, bench.countAtPrimary("first"));
+}
+
 TEST(Traffic, twoTransactionsNeverShareAConnection)
 {
     TrafficBench bench(1, BenchFaults());
--- a/tools/lab/Cluster.cpp
+++ b/tools/lab/Cluster.cpp
@@ -140,9 +140,23 @@
         database["durability"] = this->site.durability;
         database["upstreams"].push_back({ { "id", node.id }, { "zone", node.zone }, { "host", loopback }, { "port", node.port } });
     }
+    if (this->site.separatePools)
+        this->addSeparatePools(bundle);
     return bundle;
 }
 
+void Cluster::addSeparatePools(nlohmann::json& bundle) const
+{
+    for (const InstanceNode& node : this->instances) {
+        nlohmann::json database = bundle["databases"].at("db-a");
+        for (nlohmann::json& upstream : database["upstreams"]) {
+            upstream["id"] = node.id + "-" + upstream["id"].get<std::string>();
+            upstream["zone"] = node.zone;
+        }
+        bundle["databases"][node.id] = database;
+    }
+}
+
 bool Cluster::control(int port, const nlohmann::json& change)
 {
     httplib::Client client(loopback, port);
--- a/tools/lab/Cluster.h
+++ b/tools/lab/Cluster.h
@@ -101,6 +101,7 @@
     OperatorSet getTrust() const;
 
 private:
+    void addSeparatePools(nlohmann::json& bundle) const;
     void plan();
     void startStore();
     void startUpstreams();
--- a/tools/lab/Demo.cpp
+++ b/tools/lab/Demo.cpp
@@ -81,4 +81,23 @@
     return isDone;
 }
 
+bool serveSite(const SitePlan& site, const std::string& binaries, const std::string& folder)
+{
+    Cluster cluster(site, binaries, folder);
+    Failure failure;
+    if (!cluster.start(failure)) {
+        std::cout << "error: " << failure.reason << "\n";
+        return false;
+    }
+    for (const InstanceNode& node : cluster.getInstances())
+        std::cout << "instance " << node.id << " in zone " << node.zone << ": callers at 127.0.0.1:" << node.callerPort << ", settings " << node.settingsPath << "\n";
+    for (const UpstreamNode& node : cluster.getUpstreams())
+        std::cout << "upstream " << node.id << " in zone " << node.zone << ": faults at 127.0.0.1:" << node.controlPort << "\n";
+    std::cout << "store: 127.0.0.1:" << cluster.getStorePort() << "\nPress Enter to stop.\n"
+              << std::flush;
+    std::string line;
+    std::getline(std::cin, line);
+    return true;
+}
+
 } // namespace lentiljunction::lab
--- a/tools/lab/Demo.h
+++ b/tools/lab/Demo.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Site.h"
+
 #include <string>
 
 namespace lentiljunction::lab {
@@ -12,4 +14,10 @@
 /// @returns whether everything went as it should
 bool runDemo(const std::string& binaries, const std::string& folder);
 
+/// Starts a site, prints its ports and settings, and keeps it up until a line or the end of the
+/// input comes.
+///
+/// @returns whether the site started
+bool serveSite(const SitePlan& site, const std::string& binaries, const std::string& folder);
+
 } // namespace lentiljunction::lab
--- a/tools/lab/Experiments.h
+++ b/tools/lab/Experiments.h
@@ -49,6 +49,19 @@
 /// Kills, stops and cuts in turn under bookings, and checks that none was lost or doubled.
 nlohmann::json measureChaos(const ExperimentSetting& setting, std::uint64_t seed, int seconds);
 
+/// Compares each policy with its plain alternative, on the same machine in one run: ranks, reads by
+/// replicas, durability and gates.
+nlohmann::json comparePolicies(const ExperimentSetting& setting);
+
+/// Measures what failover by leases in the store would cost: the gap, the store's writes, and what
+/// happens when the store is down. The alternative that docs/design/failover.md weighs.
+nlohmann::json measureLease(const ExperimentSetting& setting);
+
+/// Floods two instances past what their processors can do, and measures urgent requests.
+///
+/// @param floodPerSecondAsked background requests per second
+nlohmann::json measureOverload(const ExperimentSetting& setting, double floodPerSecondAsked);
+
 /// @returns the sum of all samples of a metric over all instances, where the line holds the text
 double sumMetric(class Cluster& cluster, const std::string& name, const std::string& text);
 
--- a/tools/lab/Load.cpp
+++ b/tools/lab/Load.cpp
@@ -245,13 +245,17 @@
         }
 
         std::string id = std::to_string(this->nextId++);
-        nlohmann::json message { { "id", id }, { "database", request.database }, { "rank", toString(plan.rank) }, { "deadline_ms", plan.deadlineMilliseconds },
+        bool hasOwnName = this->cluster.getSite().separatePools;
+        std::string database = hasOwnName ? this->cluster.getInstances()[*instance].id : request.database;
+        nlohmann::json message { { "id", id }, { "database", database }, { "rank", toString(plan.rank) }, { "deadline_ms", plan.deadlineMilliseconds },
             { "caller", plan.name + "-" + std::to_string(this->nextId % static_cast<std::uint64_t>(plan.numCallers)) } };
         bool isBooking = isWrite(plan.kind) && !request.isReadBack;
         if (isBooking)
             message["statements"] = { "INSERT INTO bookings VALUES ('" + request.booking + "', 1)" };
         else if (request.isReadBack)
             message["statements"] = { "SELECT count(*) FROM bookings WHERE id = '" + request.booking + "'" };
+        else if (plan.kind == StreamKind::PrimaryRead)
+            message["statements"] = { "WITH one AS (SELECT 1) SELECT * FROM one" };
         else
             message["statements"] = { "SELECT 1" };
         if (isBooking && !request.key.empty())
--- a/tools/lab/Load.h
+++ b/tools/lab/Load.h
@@ -17,6 +17,8 @@
 enum class StreamKind {
     /// Reads without a token.
     Read,
+    /// Reads in a form that is routed like a write, to the primary.
+    PrimaryRead,
     /// Reads data of a stated age.
     AgedRead,
     /// Books with an idempotency key, and repeats it until it has an answer.
--- /dev/null
+++ b/tools/lab/Policies.cpp
@@ -0,0 +1,143 @@
+#include "Experiments.h"
+
+#include "Load.h"
+
+#include <algorithm>
+
+namespace lentiljunction::lab {
+
+namespace {
+
+    constexpr std::chrono::seconds runTime { 12 };
+    constexpr double from = 3000;
+    constexpr double to = 11000;
+    constexpr double floodPerSecond = 700;
+    constexpr double urgentPerSecond = 60;
+
+    /// One run of streams on a fresh cluster.
+    nlohmann::json runStreams(const ExperimentSetting& setting, const std::string& name, const std::vector<StreamPlan>& streams, const nlohmann::json& bundleChange)
+    {
+        Cluster cluster(setting.site, setting.binaries, setting.folder + "/" + name);
+        Failure failure;
+        if (!cluster.start(failure))
+            return { { "error", failure.reason } };
+        if (!bundleChange.is_null()) {
+            nlohmann::json bundle = cluster.makeBundle(2);
+            bundle.merge_patch(bundleChange);
+            if (!cluster.rollBundle(bundle, failure))
+                return { { "error", failure.reason } };
+        }
+
+        Load load(cluster, streams);
+        if (!load.prepare())
+            return { { "error", "the tables could not be made" } };
+        load.run(runTime, {});
+        nlohmann::json report;
+        for (const StreamPlan& stream : streams) {
+            const StreamResult& result = load.getResult(stream.name);
+            report[stream.name] = { { "per_s", static_cast<double>(result.countCompleted(from, to)) / (to - from) * 1000 }, { "p50_ms", result.getPercentile(0.5, from, to) }, { "p99_ms", result.getPercentile(0.99, from, to) }, { "outcomes", result.outcomes } };
+        }
+        double replica = sumMetric(cluster, "lentiljunction_reads_total", "role=\"replica\"");
+        double primary = sumMetric(cluster, "lentiljunction_reads_total", "role=\"primary\"");
+        report["replica_share"] = replica / std::max(1.0, replica + primary);
+        return report;
+    }
+
+    /// Ranks against first come, first served: the same arrivals, all of one rank.
+    nlohmann::json compareRanks(ExperimentSetting setting)
+    {
+        setting.site.serviceMicroseconds = 10000;
+        setting.site.numDatabases = 1;
+        std::vector<StreamPlan> ranked {
+            { "urgent", StreamKind::Read, Rank::Urgent, urgentPerSecond, 2000 },
+            { "flood", StreamKind::Read, Rank::Background, floodPerSecond, 2000 },
+        };
+        std::vector<StreamPlan> plain = ranked;
+        for (StreamPlan& stream : plain) {
+            stream.rank = Rank::Background;
+            stream.numCallers = 1;
+        }
+        return { { "ranks", runStreams(setting, "ranks", ranked, nullptr) }, { "one_rank", runStreams(setting, "one-rank", plain, nullptr) } };
+    }
+
+    /// Replica reads against reads at the primary only.
+    nlohmann::json compareReads(ExperimentSetting setting)
+    {
+        setting.site.numDatabases = 1;
+        std::vector<StreamPlan> streams {
+            { "lookups", StreamKind::Read, Rank::Normal, 900, 1000 },
+            { "bookings", StreamKind::KeyedWrite, Rank::Urgent, 40, 1000 },
+        };
+        std::vector<StreamPlan> plain = streams;
+        plain.front().kind = StreamKind::PrimaryRead;
+        return { { "replicas", runStreams(setting, "replicas", streams, nullptr) }, { "primary_only", runStreams(setting, "primary-only", plain, nullptr) } };
+    }
+
+    /// Durability by a majority against the primary alone.
+    nlohmann::json compareDurability(ExperimentSetting setting)
+    {
+        std::vector<StreamPlan> streams { { "bookings", StreamKind::KeyedWrite, Rank::Urgent, 60, 1000 } };
+        nlohmann::json replicated = runStreams(setting, "replicated", streams, nullptr);
+        setting.site.durability = "primary";
+        return { { "replicated", replicated }, { "primary", runStreams(setting, "primary", streams, nullptr) } };
+    }
+
+    /// One gate per upstream against a pool and a queue in each instance: each instance gets a name
+    /// of its own for the same group, whose gates are the instance itself.
+    nlohmann::json compareGates(ExperimentSetting setting)
+    {
+        setting.site.serviceMicroseconds = 10000;
+        setting.site.numDatabases = 1;
+        setting.site.zones.clear();
+        for (int index = 0; index < 7; index++)
+            setting.site.zones.push_back({ "z" + std::to_string(index), 1 });
+        std::vector<StreamPlan> streams {
+            { "urgent", StreamKind::Read, Rank::Urgent, urgentPerSecond, 2000 },
+            { "flood", StreamKind::Read, Rank::Background, floodPerSecond, 2000 },
+        };
+        nlohmann::json gates = runStreams(setting, "gates", streams, nullptr);
+        setting.site.separatePools = true;
+        return { { "gates", gates }, { "pool_per_instance", runStreams(setting, "pools", streams, nullptr) } };
+    }
+
+} // namespace
+
+nlohmann::json comparePolicies(const ExperimentSetting& setting)
+{
+    return {
+        { "ranks", compareRanks(setting) },
+        { "reads", compareReads(setting) },
+        { "durability", compareDurability(setting) },
+        { "gates", compareGates(setting) },
+    };
+}
+
+nlohmann::json measureOverload(const ExperimentSetting& setting, double floodPerSecondAsked)
+{
+    SitePlan site = setting.site;
+    site.zones = { { "west", 2 } };
+    site.serviceMicroseconds = 0;
+    site.slots = 64;
+    site.connections = 400;
+    site.numDatabases = 1;
+    Cluster cluster(site, setting.binaries, setting.folder);
+    Failure failure;
+    if (!cluster.start(failure))
+        return { { "error", failure.reason } };
+
+    StreamPlan urgent { "urgent", StreamKind::Read, Rank::Urgent, 100, 1000 };
+    StreamPlan flood { "flood", StreamKind::Read, Rank::Background, floodPerSecondAsked, 1000 };
+    flood.begin = std::chrono::seconds(4);
+    flood.end = std::chrono::seconds(12);
+    Load load(cluster, { urgent, flood });
+    load.run(std::chrono::seconds(14), {});
+    const StreamResult& result = load.getResult("urgent");
+    return {
+        { "urgent_quiet", { { "per_s", static_cast<double>(result.countCompleted(1000, 4000)) / 3 }, { "p99_ms", result.getPercentile(0.99, 1000, 4000) } } },
+        { "urgent_flood", { { "per_s", static_cast<double>(result.countCompleted(5000, 12000)) / 7 }, { "p50_ms", result.getPercentile(0.5, 5000, 12000) }, { "p99_ms", result.getPercentile(0.99, 5000, 12000) } } },
+        { "urgent_outcomes", result.outcomes },
+        { "flood_outcomes", load.getResult("flood").outcomes },
+    };
+}
+
+} // namespace lentiljunction::lab
--- a/tools/lab/Site.h
+++ b/tools/lab/Site.h
@@ -26,6 +26,9 @@
     /// One way between two zones.
     double zoneDelayMilliseconds = 0;
     std::string durability = "replicated";
+    /// Gives each instance a database of its own name, on the upstreams of the first group, with
+    /// itself as the only gate: one pool and one queue per instance.
+    bool separatePools = false;
     int urgentTargetMilliseconds = 100;
     int normalTargetMilliseconds = 500;
     int backgroundTargetMilliseconds = 2000;
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -27,7 +27,7 @@
 cxxopts::Options makeOptions()
 {
     cxxopts::Options options("lj-lab", "Starts whole sites on loopback, puts them under load and faults, and measures.");
-    options.positional_help("ACTION: demo, failover, reads, flood or chaos");
+    options.positional_help("ACTION: demo, serve, failover, reads, flood, overload, chaos, lease or policies");
     options.add_options()("action", "what to do", cxxopts::value<std::string>()->default_value("demo"));
     options.add_options()("site", "demo, spona or karadeniz", cxxopts::value<std::string>()->default_value("spona"));
     options.add_options()("folder", "receives settings and logs", cxxopts::value<std::string>());
@@ -36,6 +36,7 @@
     options.add_options()("rounds", "failover: how often", cxxopts::value<int>()->default_value("3"));
     options.add_options()("rank", "flood: the rank that floods", cxxopts::value<std::string>()->default_value("background"));
     options.add_options()("factor", "flood: multiple of the rank's quiet load", cxxopts::value<double>()->default_value("10"));
+    options.add_options()("rate", "overload: background requests per second", cxxopts::value<double>()->default_value("30000"));
     options.add_options()("durability", "replicated or primary", cxxopts::value<std::string>()->default_value("replicated"));
     options.add_options()("seed", "chaos: the script", cxxopts::value<std::uint64_t>()->default_value("1"));
     options.add_options()("seconds", "chaos: how long", cxxopts::value<int>()->default_value("30"));
@@ -55,6 +56,12 @@
         return measureReads(setting);
     if (action == "flood")
         return measureFlood(setting, arguments["rank"].as<std::string>(), arguments["factor"].as<double>());
+    if (action == "policies")
+        return comparePolicies(setting);
+    if (action == "lease")
+        return measureLease(setting);
+    if (action == "overload")
+        return measureOverload(setting, arguments["rate"].as<double>());
     if (action == "chaos")
         return measureChaos(setting, arguments["seed"].as<std::uint64_t>(), arguments["seconds"].as<int>());
     return std::nullopt;
@@ -78,6 +85,8 @@
     setting.site.durability = arguments["durability"].as<std::string>();
     if (arguments["action"].as<std::string>() == "demo")
         return runDemo(setting.binaries, setting.folder) ? 0 : 1;
+    if (arguments["action"].as<std::string>() == "serve")
+        return serveSite(setting.site, setting.binaries, setting.folder) ? 0 : 1;
 
     std::optional<nlohmann::json> report = runExperiment(arguments, setting);
     if (!report) {
