Treat a server error of the store as an answer lost after the effect

Cause: the new test of the commands lost the answer of one update; bundle create ended with exit code 4 (nothing changed), although the update had taken effect: a status of 500 was taken for an outage, so nothing was read back. Ruled out: a lost connection, which was already taken for doubt. Change: a server error on an update is in doubt, and putOnce and the roll read back. Before: Command.operatorsAreToldClearlyWhatBecameOfTheirBundles red, exit code 4. After: green. Also: a settings file that is missing ends with exit code 2; a graceful stop counts answers not yet handed to their sockets in place of a fixed pause.

--- a/src/caller/CallerServer.cpp
+++ b/src/caller/CallerServer.cpp
@@ -68,11 +68,8 @@
 
 void CallerServer::onSessionOpened(WebSocketServer::Handle handle, const std::string& resource)
 {
-    if (getPath(resource) != "/v1/session") {
+    if (getPath(resource) != "/v1/session")
         this->server.close(handle);
-        return;
-    }
-    this->sessions[handle] = true;
 }
 
 void CallerServer::onSessionMessage(WebSocketServer::Handle handle, const std::string& payload, bool isBinary)
@@ -83,9 +80,9 @@
     });
 }
 
-void CallerServer::onSessionClosed(WebSocketServer::Handle handle)
+void CallerServer::onSessionClosed(WebSocketServer::Handle)
 {
-    this->sessions.erase(handle);
+    // What the caller still has in flight is finished; its answers find no session.
 }
 
 void CallerServer::onHttpRequest(WebSocketServer::Handle handle, const HttpRequest& request)
@@ -132,6 +129,7 @@
         return;
     }
 
+    this->numUnanswered++;
     this->workers->arena.enqueue([this, payload, format, isCbor, caller, currentLimits = this->limits, reply = std::move(reply)] {
         nlohmann::json document = isCbor ? nlohmann::json::from_cbor(payload, true, false) : nlohmann::json::parse(payload, nullptr, false);
         Failure failure;
@@ -143,7 +141,7 @@
 
         if (!request) {
             std::string refusal = toPayload(toJson(makeInvalid(document, failure.reason)), isCbor);
-            this->loop.post([reply, refusal] { reply(refusal); });
+            this->loop.post([this, reply, refusal] { this->reply(reply, refusal); });
             return;
         }
         if (request->caller.isEmpty())
@@ -157,9 +155,15 @@
     this->listener.onRequest(std::move(request), [this, format, reply = std::move(reply)](const Answer& answer) {
         this->workers->arena.enqueue([this, format, reply, answer] {
             std::string payload = toPayload(toJson(answer), format == Format::Cbor);
-            this->loop.post([reply, payload] { reply(payload); });
+            this->loop.post([this, reply, payload] { this->reply(reply, payload); });
         });
     });
 }
 
+void CallerServer::reply(const ReplyHandler& handler, const std::string& payload)
+{
+    this->numUnanswered--;
+    handler(payload);
+}
+
 } // namespace lentiljunction
--- a/src/caller/CallerServer.h
+++ b/src/caller/CallerServer.h
@@ -5,7 +5,6 @@
 #include "lentiljunction/caller/Request.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 
@@ -47,6 +46,9 @@
     /// Opens the port.
     bool listen(const Endpoint& endpoint, Failure& failure);
 
+    /// @returns the requests that were read and whose answers were not handed to the socket yet
+    std::size_t getNumUnanswered() const { return this->numUnanswered; }
+
     /// Takes the limits of a newer bundle.
     void setLimits(const LimitsConfig& newLimits) { this->limits = newLimits; }
 
@@ -59,6 +61,8 @@
 
     using ReplyHandler = std::function<void(const std::string& payload)>;
 
+    void reply(const ReplyHandler& handler, const std::string& payload);
+
     void onSessionOpened(WebSocketServer::Handle handle, const std::string& resource) override;
     void onSessionMessage(WebSocketServer::Handle handle, const std::string& payload, bool isBinary) override;
     void onSessionClosed(WebSocketServer::Handle handle) override;
@@ -73,7 +77,7 @@
     LimitsConfig limits;
     class Workers;
     std::unique_ptr<Workers> workers;
-    std::map<WebSocketServer::Handle, bool> sessions;
+    std::size_t numUnanswered = 0;
     WebSocketServer server;
 };
 
--- a/src/platform/HttpPlatformStore.cpp
+++ b/src/platform/HttpPlatformStore.cpp
@@ -37,7 +37,8 @@
         if (result->status == expected)
             return true;
 
-        Failure::Kind kind = Failure::Kind::Unavailable;
+        // A server error may come after the effect, as a lost answer does.
+        Failure::Kind kind = lostKind;
         if (result->status == httpNotFound)
             kind = Failure::Kind::NotFound;
         if (result->status == httpConflict)
--- a/src/server/Instance.cpp
+++ b/src/server/Instance.cpp
@@ -22,6 +22,8 @@
     constexpr Duration peerTick = std::chrono::milliseconds(20);
     constexpr Duration activityTick = std::chrono::milliseconds(100);
     constexpr std::chrono::milliseconds drainPoll { 10 };
+    /// The last answers were handed to their sockets; this lets the sockets write them.
+    constexpr std::chrono::milliseconds socketFlushTime { 50 };
     constexpr const char* trafficUser = "lentiljunction";
     constexpr const char* controlUser = "lentiljunction_control";
 
@@ -97,7 +99,7 @@
             std::this_thread::sleep_for(drainPoll);
             isIdle = this->isTrafficIdle();
         }
-        std::this_thread::sleep_for(drainPoll * 5);
+        std::this_thread::sleep_for(socketFlushTime);
         this->shutDown();
         logEvent(events::instanceStopped, std::string("finished=") + (isIdle ? "yes" : "no"));
         return isIdle;
@@ -243,7 +245,7 @@
     {
         std::shared_ptr<std::promise<bool>> idle = std::make_shared<std::promise<bool>>();
         std::future<bool> result = idle->get_future();
-        this->traffic.post([this, idle] { idle->set_value(this->flow.getNumInFlight() == 0 && this->gates.isIdle()); });
+        this->traffic.post([this, idle] { idle->set_value(this->callers.getNumUnanswered() == 0 && this->flow.getNumInFlight() == 0 && this->gates.isIdle()); });
         return result.get();
     }
 
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -139,7 +139,7 @@
     IniDocument document;
     int malformedLine = document.read(path);
     if (malformedLine < 0) {
-        failure.set(Failure::Kind::NotFound, path + ": cannot be opened");
+        failure.set(Failure::Kind::InvalidInput, path + ": cannot be opened");
         return std::nullopt;
     }
     if (malformedLine > 0) {
--- a/tests/process/ClusterTests.cpp
+++ b/tests/process/ClusterTests.cpp
@@ -229,6 +229,22 @@
     CHECK_EQUAL(2, bench.cluster.getBundleVersion(restarted));
 }
 
+TEST(Cluster, aZoneThatIsCutOffGoesOnReading)
+{
+    Bench bench(makeThreeZones());
+    bench.start();
+    Load load(bench.cluster, makeBookings());
+    CHECK(load.prepare());
+    std::string away = bench.cluster.findPrimary("db-a")->zone == "east" ? "north" : "east";
+    bench.cluster.cutZones({ away });
+    const InstanceNode& inside = bench.findInstance(away + "-1");
+    nlohmann::json read { { "id", "1" }, { "database", "db-a" }, { "statements", { "SELECT count(*) FROM bookings" } }, { "deadline_ms", 2000 } };
+    CHECK(waitFor([&] { return sendRequest(inside, read).value("outcome", "") == "completed"; }));
+
+    nlohmann::json write { { "id", "2" }, { "database", "db-a" }, { "statements", { "INSERT INTO bookings VALUES ('cut', 1)" } }, { "deadline_ms", 2000 } };
+    CHECK(sendRequest(inside, write).value("outcome", "") != "completed");
+}
+
 TEST(Cluster, badInputGetsAClearErrorAndTheServiceGoesOn)
 {
     Bench bench;
