Spare the store and the network at the design size

Change: one instance per zone records bundles; audit writes and requests for terms back off, spread by instance; idle groups are probed every 2 s, bystanders every 10 s, all at once when the primary fails.

--- a/include/lentiljunction/audit/AuditTrail.h
+++ b/include/lentiljunction/audit/AuditTrail.h
@@ -78,6 +78,7 @@
     std::optional<Batch> underWay;
     std::size_t numUnderWay = 0;
     bool isWriting = false;
+    int numFailures = 0;
     TimePoint nextBatch;
     std::uint64_t numBatches = 0;
     std::uint64_t numDropped = 0;
--- a/src/audit/AuditTrail.cpp
+++ b/src/audit/AuditTrail.cpp
@@ -1,7 +1,9 @@
 #include "lentiljunction/audit/AuditTrail.h"
 
+#include "lentiljunction/core/RendezvousHash.h"
 #include "lentiljunction/platform/PlatformStore.h"
 
+#include <algorithm>
 #include <spdlog/spdlog.h>
 #include <utility>
 
@@ -10,6 +12,9 @@
 namespace {
 
     constexpr Duration batchInterval = std::chrono::seconds(2);
+    constexpr Duration maximumJitter = std::chrono::seconds(5);
+    /// After this many failures the time between writes grows no further.
+    constexpr int maximumBackOff = 6;
     constexpr std::size_t maximumWaiting = 5000;
     constexpr std::size_t maximumPerBatch = 500;
 
@@ -78,7 +83,9 @@
         return std::nullopt;
 
     this->isWriting = true;
-    this->nextBatch = now + batchInterval;
+    // Instances spread their writes, so that a store that comes back is not met by all at once.
+    Duration jitter(static_cast<Duration::rep>(stableHash(this->actor + std::to_string(this->numBatches + static_cast<std::uint64_t>(this->numFailures))) % maximumJitter.count()));
+    this->nextBatch = now + batchInterval + jitter * std::min(this->numFailures, maximumBackOff);
     if (this->underWay)
         return this->underWay;
 
@@ -94,6 +101,7 @@
 void AuditTrail::onWritten(bool isWritten)
 {
     this->isWriting = false;
+    this->numFailures = isWritten ? 0 : this->numFailures + 1;
     if (!isWritten)
         return;
 
--- a/src/server/ControlPlane.cpp
+++ b/src/server/ControlPlane.cpp
@@ -146,8 +146,7 @@
 {
     logEvent(events::memberChanged, "member=" + member.id.toString() + " state=" + toString(member.state));
     this->areGatesStale = true;
-    bool isRecorder = member.zone == this->settings.zone && this->membership.getZoneOwner(watchDuty) == this->settings.instance;
-    if (isRecorder)
+    if (member.zone == this->settings.zone && this->isRecorder())
         this->audit.add({ {}, AuditKind::Membership, "", member.id.toString(), "heartbeats and reports of peers", "", toString(member.state) }, this->environment.clock.wallNow());
 }
 
@@ -257,7 +256,7 @@
 {
     TimePoint now = this->environment.clock.now();
     this->sendAll(this->membership.onTick(now));
-    this->worker.setWatching(this->membership.getZoneOwner(watchDuty) == this->settings.instance);
+    this->worker.setWatching(this->isRecorder());
     if (this->areGatesStale)
         this->refreshGates();
     this->watchers.onTick();
@@ -266,6 +265,11 @@
     this->flushAudit();
 }
 
+bool ControlPlane::isRecorder() const
+{
+    return this->membership.getZoneOwner(watchDuty) == this->settings.instance;
+}
+
 void ControlPlane::sendAll(const std::vector<Membership::Outgoing>& messages)
 {
     for (const Membership::Outgoing& outgoing : messages)
@@ -345,7 +349,8 @@
 void ControlPlane::onBundleInForce(const std::string& source, BundleVersion before)
 {
     BundleVersion version = this->bundles.getVersion();
-    this->audit.add({ {}, AuditKind::BundleInForce, "", "bundle", "received from " + source, std::to_string(before.value()), std::to_string(version.value()) }, this->environment.clock.wallNow());
+    if (this->isRecorder())
+        this->audit.add({ {}, AuditKind::BundleInForce, "", "bundle", "received from " + source, std::to_string(before.value()), std::to_string(version.value()) }, this->environment.clock.wallNow());
     this->environment.metrics.setBundleVersion(static_cast<double>(version.value()));
     this->membership.setBundleVersion(version);
     this->listener.onBundle(this->bundles.getBundle());
--- a/src/server/ControlPlane.h
+++ b/src/server/ControlPlane.h
@@ -82,6 +82,10 @@
     void sendBundleMessage(const InstanceId& to, PeerMessage message) override;
 
     void onTick();
+
+    /// @returns whether this instance watches the store for its zone, and records what concerns the
+    /// zone as a whole
+    bool isRecorder() const;
     void sendAll(const std::vector<Membership::Outgoing>& messages);
     void refreshGates();
     void recordGateMoves(const Bundle& bundle, const GateMap& newGates);
--- a/src/server/GroupWatcher.cpp
+++ b/src/server/GroupWatcher.cpp
@@ -9,7 +9,9 @@
 
 namespace {
 
-    constexpr Duration idleInterval = std::chrono::seconds(1);
+    constexpr Duration idleInterval = std::chrono::seconds(2);
+    /// In an idle group, upstreams that are neither the own one nor the primary are probed seldom.
+    constexpr Duration bystanderInterval = std::chrono::seconds(10);
     constexpr Duration activeInterval = std::chrono::milliseconds(100);
     constexpr Duration fastInterval = std::chrono::milliseconds(1);
     /// After a failed probe the next follows quickly.
@@ -19,7 +21,8 @@
     constexpr Duration commandRetryDelay = std::chrono::milliseconds(20);
     constexpr Duration activeTime = std::chrono::seconds(5);
     constexpr Duration fastTime = std::chrono::milliseconds(100);
-    constexpr Duration termRetryDelay = std::chrono::seconds(1);
+    constexpr Duration firstTermRetryDelay = std::chrono::seconds(1);
+    constexpr Duration maximumTermRetryDelay = std::chrono::seconds(32);
     /// Terms are asked for again when fewer are left.
     constexpr std::size_t leastTerms = 4;
 
@@ -43,6 +46,7 @@
     , profile(profile)
     , ownUpstream(ownUpstream)
     , monitor(database, ownUpstream, static_cast<std::uint64_t>(clock.now().time_since_epoch().count()))
+    , termRetryDelay(firstTermRetryDelay)
     , lifetime(std::make_shared<bool>(true))
 {
     for (const UpstreamConfig& upstream : this->database.upstreams)
@@ -53,7 +57,11 @@
 
 void GroupWatcher::setActive()
 {
-    this->activeUntil = this->clock.now() + activeTime;
+    TimePoint now = this->clock.now();
+    bool wasActive = now < this->activeUntil;
+    this->activeUntil = now + activeTime;
+    if (!wasActive)
+        this->probeSoon();
 }
 
 bool GroupWatcher::isActive() const
@@ -70,11 +78,16 @@
     if (wasFast)
         return;
 
-    for (std::pair<const UpstreamId, Prober>& entry : this->probers)
-        entry.second.nextAt = now;
+    this->probeSoon();
     this->onTick();
 }
 
+void GroupWatcher::probeSoon()
+{
+    for (std::pair<const UpstreamId, Prober>& entry : this->probers)
+        entry.second.nextAt = std::min(entry.second.nextAt, this->clock.now());
+}
+
 void GroupWatcher::onTick()
 {
     TimePoint now = this->clock.now();
@@ -99,10 +112,13 @@
 void GroupWatcher::onTerms(const std::optional<TermRecord::Grant>& grant)
 {
     this->isRequestingTerms = false;
-    this->nextTermRequest = this->clock.now() + termRetryDelay;
-    if (!grant)
+    this->nextTermRequest = this->clock.now() + this->termRetryDelay;
+    if (!grant) {
+        this->termRetryDelay = std::min(this->termRetryDelay * 2, maximumTermRetryDelay);
         return;
+    }
 
+    this->termRetryDelay = firstTermRetryDelay;
     this->reserve.add(grant->first, grant->last);
     logEvent(events::termsReserved, "database=" + this->database.id.toString() + " first=" + std::to_string(grant->first.value()) + " last=" + std::to_string(grant->last.value()));
 }
@@ -174,10 +190,10 @@
     Prober& prober = this->probers[upstream.id];
     prober.isBusy = false;
     prober.numFailures = 0;
-    prober.nextAt = this->clock.now() + this->getInterval();
+    prober.nextAt = this->clock.now() + this->getInterval(upstream.id);
     this->monitor.onStatus(upstream.id, *status, this->clock.now());
     this->listener.onProbed(this->database.id, upstream.id, *status, prober.askedAt);
-    if (this->getInterval() == fastInterval) {
+    if (this->getInterval(upstream.id) == fastInterval) {
         std::weak_ptr<bool> alive = this->lifetime;
         this->loop.schedule(fastInterval, [this, alive] {
             if (!alive.expired())
@@ -195,18 +211,24 @@
     prober.isOpen = false;
     prober.isBusy = false;
     prober.numFailures++;
-    prober.nextAt = this->clock.now() + suspectInterval;
     this->monitor.onProbeFailed(upstream.id, this->clock.now());
+    // Whether a majority answers is asked at once, not when an idle group's turn comes.
+    if (!this->monitor.isPrimaryReachable())
+        this->probeSoon();
+    prober.nextAt = this->clock.now() + suspectInterval;
 }
 
-Duration GroupWatcher::getInterval() const
+Duration GroupWatcher::getInterval(const UpstreamId& upstream) const
 {
     TimePoint now = this->clock.now();
     if (now < this->fastUntil)
         return fastInterval;
     if (!this->monitor.isPrimaryReachable())
         return suspectInterval;
-    return now < this->activeUntil ? activeInterval : idleInterval;
+    if (now < this->activeUntil)
+        return activeInterval;
+    bool isBystander = upstream != this->ownUpstream && upstream != this->monitor.getPrimary();
+    return isBystander ? bystanderInterval : idleInterval;
 }
 
 void GroupWatcher::judge()
--- a/src/server/GroupWatcher.h
+++ b/src/server/GroupWatcher.h
@@ -98,7 +98,8 @@
     void sendProbe(const UpstreamConfig& upstream);
     void onProbeReply(const UpstreamConfig& upstream, const SqlReply& reply);
     void onProbeLost(const UpstreamConfig& upstream);
-    Duration getInterval() const;
+    Duration getInterval(const UpstreamId& upstream) const;
+    void probeSoon();
     void judge();
     void startPromotion();
     void drivePromotion();
@@ -122,6 +123,7 @@
     bool mayPromote = false;
     bool isRequestingTerms = false;
     TimePoint nextTermRequest;
+    Duration termRetryDelay;
     TimePoint activeUntil;
     TimePoint fastUntil;
     std::optional<bool> wasReachable;
--- a/tools/capacity/FleetModel.cpp
+++ b/tools/capacity/FleetModel.cpp
@@ -10,6 +10,8 @@
 
     constexpr Duration tick = std::chrono::milliseconds(100);
     constexpr std::size_t seedsPerRestart = 5;
+    /// Agreement is judged from every so many instances; a prime, so that all zones are seen.
+    constexpr std::size_t agreementStride = 17;
     /// The frame of a WebSocket message and the headers of the packet that carries it.
     constexpr double overheadBytes = 60;
 
@@ -129,7 +131,8 @@
 {
     std::size_t numRunning = 0;
     std::size_t numAgreeing = 0;
-    for (const Node& node : this->nodes) {
+    for (std::size_t index = 0; index < this->nodes.size(); index += agreementStride) {
+        const Node& node = this->nodes[index];
         if (node.isStopped)
             continue;
         numRunning++;
--- a/tools/capacity/FleetModel.h
+++ b/tools/capacity/FleetModel.h
@@ -45,7 +45,8 @@
     /// @returns the traffic of the busiest second of any instance since reset
     Traffic getPeakSecond() const { return this->peakSecond; }
 
-    /// @returns the share of running instances that see every running one alive and every stopped one dead
+    /// @returns the share of running instances, of every 17th, that see every running one alive and
+    /// every stopped one dead
     double getAgreement() const;
 
 private:
--- a/tools/capacity/Machine.cpp
+++ b/tools/capacity/Machine.cpp
@@ -41,6 +41,24 @@
     return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / 1e9;
 }
 
+double getLoopbackBytes()
+{
+    constexpr int sentField = 8;
+    std::ifstream file("/proc/net/dev");
+    std::string line;
+    while (std::getline(file, line)) {
+        std::size_t colon = line.find("lo:");
+        if (colon == std::string::npos)
+            continue;
+        std::istringstream fields(line.substr(colon + 3));
+        double value = 0;
+        for (int index = 0; index <= sentField; index++)
+            fields >> value;
+        return value;
+    }
+    return 0;
+}
+
 double getHeapBytes()
 {
     struct mallinfo2 information = ::mallinfo2();
--- a/tools/capacity/Machine.h
+++ b/tools/capacity/Machine.h
@@ -13,6 +13,9 @@
 /// @returns the processor time of the calling thread, in seconds
 double getThreadSeconds();
 
+/// @returns the bytes sent over loopback so far, packet headers included
+double getLoopbackBytes();
+
 /// @returns the memory this process has allocated and not given back, in bytes
 double getHeapBytes();
 
--- a/tools/capacity/MembershipMeasurement.cpp
+++ b/tools/capacity/MembershipMeasurement.cpp
@@ -11,6 +11,19 @@
     constexpr Duration settleTime = std::chrono::seconds(25);
     constexpr Duration watchTime = std::chrono::seconds(30);
 
+    /// Lets time pass until all agree, and describes the traffic meanwhile.
+    nlohmann::json watchStorm(FleetModel& fleet)
+    {
+        constexpr int limit = 120;
+        constexpr int step = 5;
+        int seconds = 0;
+        while (fleet.getAgreement() < 1 && seconds < limit) {
+            fleet.run(std::chrono::seconds(step));
+            seconds += step;
+        }
+        return { { "seconds_until_all_agree", seconds }, { "agreement", fleet.getAgreement() }, { "mean_bytes_per_s", fleet.getMean().bytes }, { "busiest_bytes_per_s", fleet.getBusiest().bytes }, { "peak_second_bytes", fleet.getPeakSecond().bytes } };
+    }
+
 } // namespace
 
 nlohmann::json measureMembership()
@@ -50,37 +63,23 @@
 {
     nlohmann::json report;
     FleetModel fleet(designInstances, designZones);
-    fleet.run(settleTime);
+    fleet.run(std::chrono::seconds(10));
 
     fleet.resetTraffic();
     fleet.stop([](const Member& member) { return member.zone == ZoneId("zone3"); });
-    int secondsToAgree = 0;
-    while (fleet.getAgreement() < 1 && secondsToAgree < 300) {
-        fleet.run(std::chrono::seconds(5));
-        secondsToAgree += 5;
-    }
-    report["zone_lost"] = { { "seconds_until_all_agree", secondsToAgree }, { "agreement", fleet.getAgreement() }, { "mean_bytes_per_s", fleet.getMean().bytes }, { "busiest_bytes_per_s", fleet.getBusiest().bytes }, { "peak_second_bytes", fleet.getPeakSecond().bytes } };
+    report["zone_lost"] = watchStorm(fleet);
 
     fleet.resetTraffic();
     fleet.restart();
-    secondsToAgree = 0;
-    while (fleet.getAgreement() < 1 && secondsToAgree < 300) {
-        fleet.run(std::chrono::seconds(5));
-        secondsToAgree += 5;
-    }
-    report["zone_back"] = { { "seconds_until_all_agree", secondsToAgree }, { "agreement", fleet.getAgreement() }, { "mean_bytes_per_s", fleet.getMean().bytes }, { "busiest_bytes_per_s", fleet.getBusiest().bytes }, { "peak_second_bytes", fleet.getPeakSecond().bytes } };
+    report["zone_back"] = watchStorm(fleet);
 
     fleet.resetTraffic();
     int number = 0;
     fleet.stop([&](const Member&) { return number++ % 5 == 0; });
     fleet.run(std::chrono::seconds(10));
     fleet.restart();
-    secondsToAgree = 10;
-    while (fleet.getAgreement() < 1 && secondsToAgree < 300) {
-        fleet.run(std::chrono::seconds(5));
-        secondsToAgree += 5;
-    }
-    report["restarts_at_once"] = { { "instances", designInstances / 5 }, { "seconds_until_all_agree", secondsToAgree }, { "agreement", fleet.getAgreement() }, { "mean_bytes_per_s", fleet.getMean().bytes }, { "busiest_bytes_per_s", fleet.getBusiest().bytes }, { "peak_second_bytes", fleet.getPeakSecond().bytes } };
+    report["restarts_at_once"] = watchStorm(fleet);
+    report["restarts_at_once"]["instances"] = designInstances / 5;
     return report;
 }
 
--- a/tools/capacity/ProcessMeasurements.cpp
+++ b/tools/capacity/ProcessMeasurements.cpp
@@ -142,7 +142,8 @@
 {
     std::vector<Sample> processor;
     std::vector<Sample> memory;
-    for (int size : { 1, 5, 10, 20, 40 }) {
+    std::vector<Sample> network;
+    for (int size : { 1, 10, 20, 40, 80 }) {
         SitePlan site = makeSmallSite(1);
         site.connections = 2000;
         Cluster cluster(site, binaries, folder + "/" + std::to_string(size));
@@ -154,7 +155,9 @@
         std::this_thread::sleep_for(settleTime);
         pid_t process = cluster.getInstances().front().process->getPid();
         double before = getProcessorSeconds(process);
+        double bytesBefore = getLoopbackBytes();
         std::this_thread::sleep_for(watchTime);
+        network.push_back({ static_cast<double>(size), (getLoopbackBytes() - bytesBefore) / getSeconds(watchTime) });
         processor.push_back({ static_cast<double>(size), (getProcessorSeconds(process) - before) / getSeconds(watchTime) * 100 });
         memory.push_back({ static_cast<double>(size), getResidentBytes(process) });
     }
@@ -162,6 +165,7 @@
     double groupsPerInstance = designDatabases * 3.0 / designInstances;
     return {
         { "processor_percent", describe(processor, "percent of a core of an instance that watches idle groups", groupsPerInstance) },
+        { "network_bytes_per_s", describe(network, "bytes per second on loopback, all packets of one instance with its upstreams", groupsPerInstance) },
         { "resident_bytes", describe(memory, "resident bytes of an instance that watches idle groups", groupsPerInstance) },
     };
 }
