Leave connections for control, and answer storms of members in bursts

Two candidates had opened half of the 16 connections each, and three gates' probes came on top; probes refused this way look like a failed primary. Change 1: a gate opens half of what remains after six for control, and a bundle whose warm connections do not fit is refused with the number allowed. Cause 2: at 512 members a lost zone took 80 s to be known, growing with the size, and 102 restarts at once cost 24 kB/s per instance: relays probed one member per second, news was limited to six changes a message, and every probe during a storm led to whole copies. Change 2: relays probe a failing zone in bursts that double; messages carry a quarter of the backlog; copies wait while news is under way, except for newcomers. Membership.cpp gives its table and its queue of news to classes of their own.

--- a/include/lentiljunction/bundle/Bundle.h
+++ b/include/lentiljunction/bundle/Bundle.h
@@ -40,7 +40,7 @@
 struct ProfileConfig {
     /// Statements an upstream executes at one time.
     int slots = 2;
-    /// Connections an upstream accepts.
+    /// Connections an upstream accepts, those for probes and promotions included.
     int connections = 16;
     /// Connections a gate keeps open ahead of need.
     int warmConnections = 2;
@@ -53,6 +53,13 @@
     /// SQL that promotes; "{term}" stands for the term.
     std::string promoteSql;
 
+    /// Connections kept free for the probes of three gates and for the commands of a promotion.
+    static constexpr int controlConnections = 6;
+
+    /// @returns how many connections one gate may open: two gates at once, and the control
+    /// connections, fit within what the upstream accepts
+    int getGateConnections() const { return (this->connections - controlConnections) / 2; }
+
     friend bool operator==(const ProfileConfig& left, const ProfileConfig& right)
     {
         return std::tie(left.slots, left.connections, left.warmConnections, left.keyRetention, left.statusSql, left.fenceSql, left.promoteSql)
--- a/include/lentiljunction/membership/Membership.h
+++ b/include/lentiljunction/membership/Membership.h
@@ -2,7 +2,9 @@
 
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/core/Random.h"
+#include "lentiljunction/membership/MemberTable.h"
 #include "lentiljunction/membership/MembershipMessage.h"
+#include "lentiljunction/membership/RumourQueue.h"
 
 #include <map>
 #include <memory>
@@ -12,9 +14,6 @@
 
 namespace lentiljunction {
 
-/// The members as seen at one instant. Immutable; may be read from any thread.
-using MemberList = std::vector<Member>;
-
 /// Keeps the list of members by probing, in the manner of SWIM.
 ///
 /// Each instance probes one member of its own availability zone per period, directly and then
@@ -76,10 +75,10 @@
     void setBundleVersion(BundleVersion version) { this->bundleVersion = version; }
 
     /// @returns every member, this instance included; the same object until something changes
-    std::shared_ptr<const MemberList> getMembers() const;
+    std::shared_ptr<const MemberList> getMembers() const { return this->table.getAll(); }
 
     /// @returns the member, or nullptr
-    const Member* find(const InstanceId& id) const;
+    const Member* find(const InstanceId& id) const { return this->table.find(id); }
 
     /// @returns whether this instance is a relay of its zone
     bool isRelay() const;
@@ -106,11 +105,6 @@
         TimePoint startedAt;
     };
 
-    struct Rumour {
-        Member member;
-        int remaining = 0;
-    };
-
     /// Whether news is passed on.
     enum class Spreading {
         None,
@@ -124,33 +118,29 @@
     void expireSuspicions(TimePoint now);
     void apply(const Member& update, TimePoint now, Spreading spreading);
     void refute(const Member& claim);
-    void store(const Member& member);
-    void forget(const InstanceId& id);
     void forgetDead(TimePoint now);
     void spread(const Member& member);
     void addDigests(MembershipMessage& message) const;
     void answerDigests(const InstanceId& from, const MembershipMessage& message, bool asksBack, std::vector<Outgoing>& out);
     std::optional<InstanceId> nextInZone();
     std::optional<InstanceId> nextInOtherZone();
+    std::vector<InstanceId> getSuspectZoneTargets();
     std::vector<InstanceId> getOthers(const ZoneId& zone) const;
-    std::uint64_t getDigest(const ZoneId& zone) const;
-    std::uint64_t getFleetDigest() const;
 
     Member self;
     Random random;
     Listener* listener = nullptr;
-    std::map<InstanceId, Member> members;
+    MemberTable table;
+    RumourQueue rumours;
     std::map<InstanceId, TimePoint> suspectedAt;
     std::map<InstanceId, TimePoint> diedAt;
-    std::map<ZoneId, std::set<InstanceId>> zones;
-    /// The digest of each zone, kept up to date with every change.
-    std::map<ZoneId, std::uint64_t> digests;
-    mutable std::shared_ptr<const MemberList> snapshot;
     std::vector<InstanceId> probeOrder;
     std::size_t nextZoneIndex = 0;
     std::vector<Probe> probes;
     std::map<std::uint64_t, Relayed> relayed;
-    std::vector<Rumour> rumours;
+    /// Failed probes in a row, by zone.
+    std::map<ZoneId, int> zoneFailures;
+    bool isIntroduced = false;
     std::uint64_t nextSequence = 1;
     TimePoint nextPeriod;
     BundleVersion bundleVersion;
--- a/src/bundle/Bundle.cpp
+++ b/src/bundle/Bundle.cpp
@@ -9,13 +9,15 @@
     constexpr std::int64_t maximumVersion = 1'000'000'000'000;
     constexpr std::int64_t maximumMilliseconds = 3'600'000;
     constexpr std::size_t publicKeyHexLength = 64;
+    /// One connection for each of two gates, beside those for control.
+    constexpr std::int64_t leastConnections = ProfileConfig::controlConnections + 2;
 
     ProfileConfig parseProfile(const nlohmann::json& document, const std::string& path, std::vector<std::string>& faults)
     {
         JsonFields fields(document, path, faults);
         ProfileConfig profile;
         profile.slots = static_cast<int>(fields.getInteger("slots", 1, 1024));
-        profile.connections = static_cast<int>(fields.getInteger("connections", 8, 10000));
+        profile.connections = static_cast<int>(fields.getInteger("connections", leastConnections, 10000));
         profile.warmConnections = static_cast<int>(fields.findInteger("warm_connections", 1, 1000).value_or(profile.warmConnections));
         profile.keyRetention = std::chrono::seconds(fields.findInteger("key_retention_s", 60, 31536000).value_or(profile.keyRetention.count()));
         profile.statusSql = fields.getText("status_sql");
@@ -27,8 +29,8 @@
             fields.addFault("fence_sql", "must contain {term}");
         if (profile.promoteSql.find("{term}") == std::string::npos)
             fields.addFault("promote_sql", "must contain {term}");
-        if (profile.warmConnections > profile.connections / 2)
-            fields.addFault("warm_connections", "must be at most half of connections");
+        if (profile.warmConnections > profile.getGateConnections())
+            fields.addFault("warm_connections", "must be at most " + std::to_string(profile.getGateConnections()) + ", what one gate may open of these connections");
         return profile;
     }
 
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -3,7 +3,6 @@
 #include "lentiljunction/core/RendezvousHash.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace lentiljunction {
@@ -18,18 +17,13 @@
     /// A dead member is remembered this long, so that late news of it is not taken for new.
     constexpr Duration deadMemory = std::chrono::hours(1);
     constexpr std::size_t indirectProbes = 3;
+    /// With more changes than this waiting to be passed on, differing digests are expected.
+    constexpr std::size_t newsUnderWay = 2;
+    /// After this many failed probes in a row in one other zone, a relay probes the zone's members
+    /// in bursts that double, until one answers.
+    constexpr int failuresBeforeZoneSuspicion = 2;
+    constexpr int maximumZoneFailures = 5;
     constexpr std::size_t relaysPerZone = 2;
-    constexpr std::size_t updatesPerMessage = 6;
-    /// A change is repeated this many times the logarithm of the zone's size.
-    constexpr double repeatFactor = 3;
-
-    /// Dead members do not count, so that instances may forget them at different times.
-    std::uint64_t hashMember(const Member& member)
-    {
-        if (member.state == MemberState::Dead)
-            return 0;
-        return stableHash(member.id.toString() + "/" + std::to_string(member.incarnation.value()) + "/" + toString(member.state));
-    }
 
 } // namespace
 
@@ -38,7 +32,7 @@
     , random(randomSeed)
     , nextPeriod(now)
 {
-    this->store(this->self);
+    this->table.store(this->self);
     this->addSeeds(seeds);
     this->spread(this->self);
 }
@@ -46,9 +40,9 @@
 void Membership::addSeeds(const std::vector<SeedPeer>& seeds)
 {
     for (const SeedPeer& seed : seeds) {
-        if (this->members.count(seed.id) > 0)
+        if (this->table.find(seed.id) != nullptr)
             continue;
-        this->store(Member { seed.id, seed.zone, seed.endpoint, MemberState::Alive, Incarnation() });
+        this->table.store(Member { seed.id, seed.zone, seed.endpoint, MemberState::Alive, Incarnation() });
     }
 }
 
@@ -64,8 +58,12 @@
     Duration jitter(static_cast<Duration::rep>(this->random.below(probePeriod.count() / 10)));
     this->nextPeriod = now + probePeriod + jitter;
     this->startProbe(this->nextInZone(), now, out);
-    if (this->isRelay())
-        this->startProbe(this->nextInOtherZone(), now, out);
+    if (!this->isRelay())
+        return out;
+
+    this->startProbe(this->nextInOtherZone(), now, out);
+    for (const InstanceId& target : this->getSuspectZoneTargets())
+        this->startProbe(target, now, out);
     return out;
 }
 
@@ -79,18 +77,22 @@
 
     switch (message.kind) {
     case MembershipMessage::Kind::Ping: {
+        // While news is under way, digests differ without need of an exchange.
         MembershipMessage ack = this->makeMessage(MembershipMessage::Kind::Ack, message.sequence);
-        bool isSame = !message.fleetDigest || *message.fleetDigest == this->getFleetDigest();
-        if (!isSame)
+        bool isSame = !message.fleetDigest || *message.fleetDigest == this->table.getFleetDigest();
+        if (!isSame && this->rumours.getNumWaiting() <= newsUnderWay)
             this->addDigests(ack);
         out.push_back({ from, ack });
+        this->answerDigests(from, message, false, out);
         break;
     }
     case MembershipMessage::Kind::Ack: {
         this->answerDigests(from, message, true, out);
         for (Probe& probe : this->probes) {
-            if (probe.sequence == message.sequence)
-                probe.isAcked = true;
+            if (probe.sequence != message.sequence)
+                continue;
+            probe.isAcked = true;
+            this->zoneFailures.erase(this->find(probe.target)->zone);
         }
         std::map<std::uint64_t, Relayed>::iterator found = this->relayed.find(message.sequence);
         if (found != this->relayed.end()) {
@@ -106,6 +108,7 @@
         break;
     }
     case MembershipMessage::Kind::Sync:
+        this->isIntroduced = true;
         this->answerDigests(from, message, false, out);
         break;
     case MembershipMessage::Kind::News:
@@ -118,12 +121,12 @@
 {
     this->self.state = MemberState::Leaving;
     this->self.incarnation = this->self.incarnation.next();
-    this->store(this->self);
+    this->table.store(this->self);
     this->spread(this->self);
 
     std::vector<Outgoing> out;
-    for (const std::pair<const ZoneId, std::set<InstanceId>>& zone : this->zones) {
-        std::vector<InstanceId> receivers = zone.first == this->self.zone ? this->getOthers(zone.first) : this->getRelays(zone.first);
+    for (const ZoneId& zone : this->table.getZones()) {
+        std::vector<InstanceId> receivers = zone == this->self.zone ? this->getOthers(zone) : this->getRelays(zone);
         for (const InstanceId& receiver : receivers) {
             MembershipMessage message = this->makeMessage(MembershipMessage::Kind::News, 0);
             message.updates = { this->self };
@@ -133,24 +136,6 @@
     return out;
 }
 
-std::shared_ptr<const MemberList> Membership::getMembers() const
-{
-    if (this->snapshot != nullptr)
-        return this->snapshot;
-
-    std::shared_ptr<MemberList> list = std::make_shared<MemberList>();
-    for (const std::pair<const InstanceId, Member>& entry : this->members)
-        list->push_back(entry.second);
-    this->snapshot = list;
-    return this->snapshot;
-}
-
-const Member* Membership::find(const InstanceId& id) const
-{
-    std::map<InstanceId, Member>::const_iterator found = this->members.find(id);
-    return found == this->members.end() ? nullptr : &found->second;
-}
-
 bool Membership::isRelay() const
 {
     std::vector<InstanceId> relays = this->getRelays(this->self.zone);
@@ -160,12 +145,8 @@
 std::vector<InstanceId> Membership::getRelays(const ZoneId& zone) const
 {
     std::vector<std::pair<std::uint64_t, InstanceId>> scored;
-    std::map<ZoneId, std::set<InstanceId>>::const_iterator found = this->zones.find(zone);
-    if (found == this->zones.end())
-        return {};
-
-    for (const InstanceId& id : found->second) {
-        if (this->members.at(id).canServe())
+    for (const InstanceId& id : this->table.getZone(zone)) {
+        if (this->table.find(id)->canServe())
             scored.emplace_back(rendezvousScore("relay/" + zone.toString(), id.toString()), id);
     }
     std::sort(scored.rbegin(), scored.rend());
@@ -180,9 +161,9 @@
 {
     InstanceId owner = this->self.id;
     std::uint64_t best = 0;
-    for (const InstanceId& id : this->zones.at(this->self.zone)) {
+    for (const InstanceId& id : this->table.getZone(this->self.zone)) {
         std::uint64_t score = rendezvousScore(duty, id.toString());
-        if (!this->members.at(id).canServe() || score <= best)
+        if (!this->table.find(id)->canServe() || score <= best)
             continue;
         owner = id;
         best = score;
@@ -196,14 +177,7 @@
     message.kind = kind;
     message.sequence = sequence;
     message.bundleVersion = this->bundleVersion;
-    std::stable_sort(this->rumours.begin(), this->rumours.end(), [](const Rumour& left, const Rumour& right) { return left.remaining > right.remaining; });
-    for (Rumour& rumour : this->rumours) {
-        if (message.updates.size() == updatesPerMessage)
-            break;
-        message.updates.push_back(rumour.member);
-        rumour.remaining--;
-    }
-    this->rumours.erase(std::remove_if(this->rumours.begin(), this->rumours.end(), [](const Rumour& rumour) { return rumour.remaining <= 0; }), this->rumours.end());
+    message.updates = this->rumours.take();
     return message;
 }
 
@@ -218,7 +192,10 @@
     probe.startedAt = now;
     this->probes.push_back(probe);
     MembershipMessage ping = this->makeMessage(MembershipMessage::Kind::Ping, probe.sequence);
-    ping.fleetDigest = this->getFleetDigest();
+    ping.fleetDigest = this->table.getFleetDigest();
+    // A newcomer asks for all members with its first probes.
+    if (!this->isIntroduced)
+        this->addDigests(ping);
     out.push_back({ *target, ping });
 }
 
@@ -236,7 +213,9 @@
     for (const Probe& probe : unanswered) {
         if (this->find(probe.target) == nullptr)
             continue;
-        Member suspect = this->members.at(probe.target);
+        Member suspect = *this->find(probe.target);
+        int& failures = this->zoneFailures[suspect.zone];
+        failures = std::min(failures + 1, maximumZoneFailures);
         if (suspect.state == MemberState::Alive) {
             suspect.state = MemberState::Suspect;
             this->apply(suspect, now, Spreading::ByProbes);
@@ -257,8 +236,8 @@
 {
     probe.isIndirect = true;
     std::vector<InstanceId> helpers;
-    for (const std::pair<const ZoneId, std::set<InstanceId>>& zone : this->zones) {
-        std::vector<InstanceId> candidates = zone.first == this->self.zone ? this->getOthers(zone.first) : this->getRelays(zone.first);
+    for (const ZoneId& zone : this->table.getZones()) {
+        std::vector<InstanceId> candidates = zone == this->self.zone ? this->getOthers(zone) : this->getRelays(zone);
         for (const InstanceId& candidate : candidates) {
             if (candidate != probe.target)
                 helpers.push_back(candidate);
@@ -278,7 +257,7 @@
 {
     std::vector<Member> dead;
     for (const std::pair<const InstanceId, TimePoint>& entry : this->suspectedAt) {
-        Member member = this->members.at(entry.first);
+        Member member = *this->find(entry.first);
         if (member.state != MemberState::Suspect || now < entry.second + suspicionTimeout)
             continue;
         member.state = MemberState::Dead;
@@ -295,15 +274,15 @@
         return;
     }
 
-    std::map<InstanceId, Member>::iterator known = this->members.find(update.id);
-    if (known != this->members.end() && !overrides(update, known->second))
+    const Member* known = this->find(update.id);
+    if (known != nullptr && !overrides(update, *known))
         return;
 
     // A dead member that was forgotten here is no news.
-    if (known == this->members.end() && update.state == MemberState::Dead)
+    if (known == nullptr && update.state == MemberState::Dead)
         return;
 
-    this->store(update);
+    this->table.store(update);
     this->suspectedAt.erase(update.id);
     this->diedAt.erase(update.id);
     if (update.state == MemberState::Suspect)
@@ -324,27 +303,19 @@
         return;
 
     this->self.incarnation = claim.incarnation.next();
-    this->store(this->self);
+    this->table.store(this->self);
     this->spread(this->self);
 }
 
 void Membership::spread(const Member& member)
 {
-    double zoneSize = static_cast<double>(this->zones[this->self.zone].size());
-    int repeats = static_cast<int>(std::ceil(repeatFactor * std::log2(zoneSize + 2)));
-    for (Rumour& rumour : this->rumours) {
-        if (rumour.member.id != member.id)
-            continue;
-        rumour = { member, repeats };
-        return;
-    }
-    this->rumours.push_back({ member, repeats });
+    this->rumours.add(member, this->table.getZone(this->self.zone).size());
 }
 
 void Membership::addDigests(MembershipMessage& message) const
 {
-    for (const std::pair<const ZoneId, std::set<InstanceId>>& zone : this->zones)
-        message.digests.push_back({ zone.first, this->getDigest(zone.first) });
+    for (const ZoneId& zone : this->table.getZones())
+        message.digests.push_back({ zone, this->table.getDigest(zone) });
 }
 
 void Membership::answerDigests(const InstanceId& from, const MembershipMessage& message, bool asksBack, std::vector<Outgoing>& out)
@@ -355,16 +326,16 @@
     MembershipMessage sync;
     sync.kind = MembershipMessage::Kind::Sync;
     sync.bundleVersion = this->bundleVersion;
-    for (const std::pair<const ZoneId, std::set<InstanceId>>& zone : this->zones) {
-        std::uint64_t own = this->getDigest(zone.first);
-        bool isSame = std::any_of(message.digests.begin(), message.digests.end(), [&](const MembershipMessage::ZoneDigest& digest) { return digest.zone == zone.first && digest.digest == own; });
+    for (const ZoneId& zone : this->table.getZones()) {
+        std::uint64_t own = this->table.getDigest(zone);
+        bool isSame = std::any_of(message.digests.begin(), message.digests.end(), [&](const MembershipMessage::ZoneDigest& digest) { return digest.zone == zone && digest.digest == own; });
         if (isSame)
             continue;
-        for (const InstanceId& id : zone.second)
-            sync.updates.push_back(this->members.at(id));
+        for (const InstanceId& id : this->table.getZone(zone))
+            sync.updates.push_back(*this->table.find(id));
     }
 
-    bool isSomeZoneUnknown = std::any_of(message.digests.begin(), message.digests.end(), [&](const MembershipMessage::ZoneDigest& digest) { return this->zones.count(digest.zone) == 0; });
+    bool isSomeZoneUnknown = std::any_of(message.digests.begin(), message.digests.end(), [&](const MembershipMessage::ZoneDigest& digest) { return this->table.getZone(digest.zone).empty(); });
     if (sync.updates.empty() && !isSomeZoneUnknown)
         return;
     if (asksBack)
@@ -393,66 +364,49 @@
 
 std::optional<InstanceId> Membership::nextInOtherZone()
 {
-    if (this->zones.size() < 2)
+    std::vector<ZoneId> others = this->table.getZones();
+    others.erase(std::remove(others.begin(), others.end(), this->self.zone), others.end());
+    if (others.empty())
         return std::nullopt;
 
-    std::map<ZoneId, std::set<InstanceId>>::const_iterator zone = this->zones.begin();
-    std::advance(zone, static_cast<std::ptrdiff_t>(this->nextZoneIndex++ % this->zones.size()));
-    if (zone->first == this->self.zone) {
-        zone = this->zones.begin();
-        std::advance(zone, static_cast<std::ptrdiff_t>(this->nextZoneIndex++ % this->zones.size()));
-    }
-
-    std::vector<InstanceId> candidates(zone->second.begin(), zone->second.end());
+    const std::set<InstanceId>& zone = this->table.getZone(others[this->nextZoneIndex++ % others.size()]);
+    std::vector<InstanceId> candidates(zone.begin(), zone.end());
     if (candidates.empty())
         return std::nullopt;
     return candidates[this->random.below(candidates.size())];
 }
 
+std::vector<InstanceId> Membership::getSuspectZoneTargets()
+{
+    std::vector<InstanceId> targets;
+    for (const std::pair<const ZoneId, int>& failures : this->zoneFailures) {
+        if (failures.first == this->self.zone || failures.second < failuresBeforeZoneSuspicion)
+            continue;
+        std::vector<InstanceId> alive;
+        for (const InstanceId& id : this->table.getZone(failures.first)) {
+            if (this->find(id)->state == MemberState::Alive)
+                alive.push_back(id);
+        }
+        int numWanted = 1 << failures.second;
+        for (int count = 0; count < numWanted && !alive.empty(); count++) {
+            std::size_t index = this->random.below(alive.size());
+            targets.push_back(alive[index]);
+            alive.erase(alive.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+    }
+    return targets;
+}
+
 std::vector<InstanceId> Membership::getOthers(const ZoneId& zone) const
 {
     std::vector<InstanceId> others;
-    for (const InstanceId& id : this->zones.at(zone)) {
-        if (id != this->self.id && this->members.at(id).state != MemberState::Dead)
+    for (const InstanceId& id : this->table.getZone(zone)) {
+        if (id != this->self.id && this->table.find(id)->state != MemberState::Dead)
             others.push_back(id);
     }
     return others;
 }
 
-std::uint64_t Membership::getFleetDigest() const
-{
-    std::uint64_t fleet = 0;
-    for (const std::pair<const ZoneId, std::uint64_t>& entry : this->digests)
-        fleet ^= entry.second;
-    return fleet;
-}
-
-std::uint64_t Membership::getDigest(const ZoneId& zone) const
-{
-    std::map<ZoneId, std::uint64_t>::const_iterator found = this->digests.find(zone);
-    return found == this->digests.end() ? 0 : found->second;
-}
-
-void Membership::store(const Member& member)
-{
-    std::map<InstanceId, Member>::iterator known = this->members.find(member.id);
-    if (known != this->members.end())
-        this->forget(member.id);
-    this->members[member.id] = member;
-    this->zones[member.zone].insert(member.id);
-    this->digests[member.zone] ^= hashMember(member);
-    this->snapshot = nullptr;
-}
-
-void Membership::forget(const InstanceId& id)
-{
-    std::map<InstanceId, Member>::iterator known = this->members.find(id);
-    this->digests[known->second.zone] ^= hashMember(known->second);
-    this->zones[known->second.zone].erase(id);
-    this->members.erase(known);
-    this->snapshot = nullptr;
-}
-
 void Membership::forgetDead(TimePoint now)
 {
     for (std::map<InstanceId, TimePoint>::iterator entry = this->diedAt.begin(); entry != this->diedAt.end();) {
@@ -460,7 +414,7 @@
             ++entry;
             continue;
         }
-        this->forget(entry->first);
+        this->table.forget(entry->first);
         this->suspectedAt.erase(entry->first);
         entry = this->diedAt.erase(entry);
     }
--- a/src/server/GateConnections.cpp
+++ b/src/server/GateConnections.cpp
@@ -18,7 +18,7 @@
     , upstream(upstream)
     , statusSql(profile.statusSql)
     , onFree(std::move(onFree))
-    , pool(profile.connections / 2, profile.warmConnections)
+    , pool(profile.getGateConnections(), profile.warmConnections)
 {
 }
 
--- a/src/server/UpstreamGate.cpp
+++ b/src/server/UpstreamGate.cpp
@@ -38,6 +38,7 @@
     , queue(bundle.ranks)
     , limit(this->profile.slots)
     , connections({ this->environment.loop, this->environment.clock, this->environment.metrics, this->environment.connector }, upstream, this->profile, [this] { this->pump(); })
+    , transactions(this->environment.self.toString() + "~" + upstream.id.toString())
     , meanCatchUp(initialCatchUp)
     , meanStatement(initialStatement)
 {
@@ -110,22 +111,15 @@
 
 bool UpstreamGate::isIdle() const
 {
-    return this->queue.isEmpty() && this->numRunning == 0 && this->transactions.empty() && this->waitingReads.empty() && this->repeats.empty();
+    return this->queue.isEmpty() && this->numRunning == 0 && this->transactions.isEmpty() && this->waitingReads.empty() && this->repeats.empty();
 }
 
 std::optional<Outcome> UpstreamGate::checkBeforeQueue(const Work& work)
 {
     const Request& request = work.hop.request;
     bool isOpenTransaction = request.action != TransactionAction::None && request.action != TransactionAction::Begin;
-    if (isOpenTransaction) {
-        std::map<TransactionId, OpenTransaction>::iterator found = this->transactions.find(request.transaction);
-        if (found == this->transactions.end())
-            return Outcome::notRun(NotRunReason::TransactionGone, "the transaction ended or was rolled back");
-        if (found->second.isBusy)
-            return Outcome::notRun(NotRunReason::InvalidRequest, "the transaction is running another request");
-        found->second.isBusy = true;
-        return std::nullopt;
-    }
+    if (isOpenTransaction)
+        return this->transactions.claim(request.transaction);
 
     if (this->isLeaving)
         return Outcome::notRun(NotRunReason::UpstreamLeaving, "the upstream leaves");
@@ -226,13 +220,11 @@
 
 void UpstreamGate::continueTransaction(const std::shared_ptr<Work>& work)
 {
-    std::map<TransactionId, OpenTransaction>::iterator found = this->transactions.find(work->hop.request.transaction);
-    if (found == this->transactions.end()) {
+    std::optional<ConnectionPool::Handle> connection = this->transactions.find(work->hop.request.transaction);
+    if (connection)
+        this->start(work, *connection);
+    else
         this->finish(work, Outcome::notRun(NotRunReason::TransactionGone, "the transaction ended or was rolled back"), false, std::nullopt);
-        return;
-    }
-    ConnectionPool::Handle connection = found->second.connection;
-    this->start(work, connection);
 }
 
 void UpstreamGate::sendStep(const std::shared_ptr<Work>& work, const TransactionRunner::Step& step)
@@ -283,7 +275,7 @@
         this->keepTransaction(work);
         return;
     }
-    this->transactions.erase(work->hop.request.transaction);
+    this->transactions.end(work->hop.request.transaction);
     this->connections.release(work->connection, work->runner->isConnectionClean(), wasSilent);
 }
 
@@ -335,10 +327,9 @@
     if (work->runner && work->runner->isTransactionOpen())
         answer.transaction = work->hop.request.transaction;
 
-    std::map<TransactionId, OpenTransaction>::iterator open = this->transactions.find(work->hop.request.transaction);
-    bool wasRefused = answer.outcome.kind == OutcomeKind::NotRun && answer.outcome.reason == NotRunReason::InvalidRequest;
-    if (open != this->transactions.end() && !wasRefused)
-        open->second.isBusy = false;
+    bool wasRefusedClaim = answer.outcome.kind == OutcomeKind::NotRun && answer.outcome.reason == NotRunReason::InvalidRequest;
+    if (!wasRefusedClaim)
+        this->transactions.unclaim(work->hop.request.transaction);
     AnswerHandler handler = std::exchange(work->handler, nullptr);
     handler(std::move(answer));
 }
@@ -429,24 +420,14 @@
 
 void UpstreamGate::expireTransactions()
 {
-    TimePoint now = this->environment.clock.now();
-    for (std::map<TransactionId, OpenTransaction>::iterator entry = this->transactions.begin(); entry != this->transactions.end();) {
-        bool isOver = !entry->second.isBusy && now - entry->second.lastUsed >= this->transactionIdle;
-        if (!isOver) {
-            ++entry;
-            continue;
-        }
-        this->connections.release(entry->second.connection, false, false);
-        entry = this->transactions.erase(entry);
-    }
+    for (ConnectionPool::Handle connection : this->transactions.takeIdle(this->environment.clock.now(), this->transactionIdle))
+        this->connections.release(connection, false, false);
 }
 
 void UpstreamGate::keepTransaction(const std::shared_ptr<Work>& work)
 {
     TransactionId& id = work->hop.request.transaction;
-    if (id.isEmpty())
-        id = TransactionId(this->environment.self.toString() + "~" + this->upstream.id.toString() + "~" + std::to_string(this->nextTransaction++));
-    this->transactions[id] = { work->connection, this->environment.clock.now(), false };
+    id = this->transactions.keep(id, work->connection, this->environment.clock.now());
 }
 
 } // namespace lentiljunction
--- a/src/server/UpstreamGate.h
+++ b/src/server/UpstreamGate.h
@@ -2,6 +2,7 @@
 
 #include "GateConnections.h"
 #include "GroupState.h"
+#include "TransactionTable.h"
 #include "lentiljunction/admission/ConcurrencyLimit.h"
 #include "lentiljunction/admission/RankQueue.h"
 #include "lentiljunction/execution/TransactionRunner.h"
@@ -83,12 +84,6 @@
         TimePoint giveUpAt;
     };
 
-    struct OpenTransaction {
-        ConnectionPool::Handle connection = 0;
-        TimePoint lastUsed;
-        bool isBusy = false;
-    };
-
     std::optional<Outcome> checkBeforeQueue(const Work& work);
     bool waitForReplica(const std::shared_ptr<Work>& work);
     void enqueue(const std::shared_ptr<Work>& work);
@@ -123,9 +118,8 @@
     std::map<RankQueue::Ticket, std::shared_ptr<Work>> queued;
     std::deque<std::shared_ptr<Work>> repeats;
     std::vector<WaitingRead> waitingReads;
-    std::map<TransactionId, OpenTransaction> transactions;
+    TransactionTable transactions;
     RankQueue::Ticket nextTicket = 1;
-    std::uint64_t nextTransaction = 1;
     int numRunning = 0;
     bool isLeaving = false;
     bool hasKeyedWrites = false;
--- a/tests/unit/BundleTests.cpp
+++ b/tests/unit/BundleTests.cpp
@@ -218,6 +218,22 @@
     CHECK(numHappened > 10);
 }
 
+TEST(BundleOffice, twoGatesAndControlFitWithinAnUpstreamsConnections)
+{
+    for (int connections = 8; connections <= 200; connections++) {
+        ProfileConfig profile;
+        profile.connections = connections;
+        CHECK(profile.getGateConnections() >= 1);
+        CHECK(2 * profile.getGateConnections() + ProfileConfig::controlConnections <= connections);
+    }
+    nlohmann::json document = office.makeBundle(1);
+    document["profiles"]["standard"]["connections"] = 8;
+    document["profiles"]["standard"]["warm_connections"] = 2;
+    BundleOffice desk(office.store, office.trust);
+    CHECK_FALSE(desk.create(document, failure).has_value());
+    STRCMP_CONTAINS("warm_connections must be at most 1", failure.reason.c_str());
+}
+
 TEST(BundleOffice, aBundleWithFaultsNamesThemAll)
 {
     nlohmann::json document = office.makeBundle(1);
--- a/tools/capacity/MembershipMeasurement.cpp
+++ b/tools/capacity/MembershipMeasurement.cpp
@@ -3,16 +3,22 @@
 #include "Machine.h"
 #include "Measurements.h"
 
+#include <functional>
+#include <map>
+
 namespace lentiljunction::capacity {
 
 namespace {
 
     const std::vector<int> sizes { 64, 256, 700, 1400, designInstances };
+    const std::vector<int> stormSizes { 64, 128, 256, 512 };
     constexpr Duration settleTime = std::chrono::seconds(25);
     constexpr Duration watchTime = std::chrono::seconds(30);
 
-    /// Lets time pass until all agree, and describes the traffic meanwhile.
-    nlohmann::json watchStorm(FleetModel& fleet)
+    /// Lets time pass until all agree.
+    ///
+    /// @returns the seconds that it took
+    double watchStorm(FleetModel& fleet)
     {
         constexpr int limit = 120;
         constexpr int step = 5;
@@ -21,7 +27,7 @@
             fleet.run(std::chrono::seconds(step));
             seconds += step;
         }
-        return { { "seconds_until_all_agree", seconds }, { "agreement", fleet.getAgreement() }, { "mean_bytes_per_s", fleet.getMean().bytes }, { "busiest_bytes_per_s", fleet.getBusiest().bytes }, { "peak_second_bytes", fleet.getPeakSecond().bytes } };
+        return seconds;
     }
 
 } // namespace
@@ -61,25 +67,42 @@
 
 nlohmann::json measureMembershipStorms()
 {
-    nlohmann::json report;
-    FleetModel fleet(designInstances, designZones);
-    fleet.run(std::chrono::seconds(10));
+    std::map<std::string, std::vector<Sample>> seconds;
+    std::map<std::string, std::vector<Sample>> bytes;
+    std::map<std::string, std::vector<Sample>> peaks;
+    std::function<void(const std::string&, int, FleetModel&)> record = [&](const std::string& storm, int size, FleetModel& fleet) {
+        double members = size;
+        seconds[storm].push_back({ members, watchStorm(fleet) });
+        bytes[storm].push_back({ members, fleet.getMean().bytes });
+        peaks[storm].push_back({ members, fleet.getPeakSecond().bytes });
+    };
+    for (int size : stormSizes) {
+        FleetModel fleet(size, designZones);
+        fleet.run(std::chrono::seconds(10));
+        fleet.resetTraffic();
+        fleet.stop([](const Member& member) { return member.zone == ZoneId("zone3"); });
+        record("zone_lost", size, fleet);
 
-    fleet.resetTraffic();
-    fleet.stop([](const Member& member) { return member.zone == ZoneId("zone3"); });
-    report["zone_lost"] = watchStorm(fleet);
+        fleet.resetTraffic();
+        fleet.restart();
+        record("zone_back", size, fleet);
 
-    fleet.resetTraffic();
-    fleet.restart();
-    report["zone_back"] = watchStorm(fleet);
+        fleet.resetTraffic();
+        int number = 0;
+        fleet.stop([&](const Member&) { return number++ % 5 == 0; });
+        fleet.run(std::chrono::seconds(10));
+        fleet.restart();
+        record("fifth_restarted_at_once", size, fleet);
+    }
 
-    fleet.resetTraffic();
-    int number = 0;
-    fleet.stop([&](const Member&) { return number++ % 5 == 0; });
-    fleet.run(std::chrono::seconds(10));
-    fleet.restart();
-    report["restarts_at_once"] = watchStorm(fleet);
-    report["restarts_at_once"]["instances"] = designInstances / 5;
+    nlohmann::json report;
+    for (const std::pair<const std::string, std::vector<Sample>>& storm : seconds) {
+        report[storm.first] = {
+            { "seconds_until_all_agree", describe(storm.second, "seconds", designInstances) },
+            { "mean_bytes_per_s", describe(bytes[storm.first], "bytes per second, mean instance, until all agree", designInstances) },
+            { "peak_second_bytes", describe(peaks[storm.first], "bytes in the busiest second of any instance", designInstances) },
+        };
+    }
     return report;
 }
 
--- /dev/null
+++ b/tools/lab/BookingInspector.cpp
@@ -0,0 +1,77 @@
+#include "BookingInspector.h"
+
+#include "../../src/execution/PostgresConnection.h"
+#include "lentiljunction/core/EventLoop.h"
+
+#include <future>
+#include <map>
+#include <thread>
+
+namespace lentiljunction::lab {
+
+namespace {
+
+    constexpr int numTries = 20;
+    constexpr std::chrono::milliseconds betweenTries { 500 };
+    constexpr Duration readLimit = std::chrono::seconds(5);
+
+    /// @returns the reply of one statement, run at the upstream itself
+    SqlReply readDirectly(const UpstreamNode& node, const std::string& sql)
+    {
+        EventLoop loop;
+        std::promise<SqlReply> promise;
+        PostgresConnection connection(loop, { "127.0.0.1", static_cast<std::uint16_t>(node.port) }, { "lab", "main", "zone=" + node.zone + ";instance=lab" });
+        loop.post([&] {
+            connection.open(readLimit, [&](bool isOpen) {
+                if (isOpen)
+                    connection.execute(sql, readLimit, [&](const SqlReply& reply) { promise.set_value(reply); });
+                else
+                    promise.set_value(SqlReply());
+            });
+        });
+        loop.start();
+        SqlReply reply = promise.get_future().get();
+        loop.stop();
+        return reply;
+    }
+
+    /// Counts the bookings of a run at the primary of a database.
+    ///
+    /// @returns whether the primary could be read
+    bool countBookings(Cluster& cluster, const std::string& database, const std::string& runName, std::map<std::string, int>& found)
+    {
+        const std::string sql = "SELECT id, count(*) FROM bookings WHERE id LIKE '" + runName + "-%' GROUP BY id";
+        for (int count = 0; count < numTries; count++) {
+            UpstreamNode* primary = cluster.findPrimary(database);
+            SqlReply reply = primary == nullptr ? SqlReply() : readDirectly(*primary, sql);
+            if (reply.results.empty()) {
+                std::this_thread::sleep_for(betweenTries);
+                continue;
+            }
+            for (const std::vector<std::optional<std::string>>& row : reply.results.front().rows)
+                found[row[0].value_or("")] += std::stoi(row[1].value_or("0"));
+            return true;
+        }
+        return false;
+    }
+
+} // namespace
+
+BookingCheck compareBookings(Cluster& cluster, const std::vector<std::string>& databases, const std::string& runName, const std::set<std::string>& acknowledged, const std::set<std::string>& refused)
+{
+    BookingCheck check;
+    std::map<std::string, int> found;
+    for (const std::string& database : databases)
+        check.isRead = countBookings(cluster, database, runName, found) && check.isRead;
+
+    check.numAcknowledged = acknowledged.size();
+    for (const std::string& booking : acknowledged)
+        check.numLost += found.count(booking) == 0 ? 1 : 0;
+    for (const std::pair<const std::string, int>& entry : found) {
+        check.numDoubled += entry.second > 1 ? 1 : 0;
+        check.numRunThoughRefused += refused.count(entry.first) > 0 ? 1 : 0;
+    }
+    return check;
+}
+
+} // namespace lentiljunction::lab
--- a/tools/lab/Load.cpp
+++ b/tools/lab/Load.cpp
@@ -1,13 +1,13 @@
 #include "Load.h"
 
-#include "../../src/execution/PostgresConnection.h"
+#include "BookingInspector.h"
+
 #include "../../src/net/WebSocketClient.h"
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/core/EventLoop.h"
 
 #include <algorithm>
 #include <atomic>
-#include <future>
 #include <httplib.h>
 #include <random>
 #include <set>
@@ -109,23 +109,7 @@
 
     BookingCheck checkBookings()
     {
-        std::map<std::string, int> found;
-        BookingCheck check;
-        for (const std::string& database : this->databases)
-            check.isRead = this->collectBookings(database, found) && check.isRead;
-
-        check.numAcknowledged = this->acknowledged.size();
-        for (const std::string& booking : this->acknowledged) {
-            if (found.count(booking) == 0)
-                check.numLost++;
-        }
-        for (const std::pair<const std::string, int>& entry : found) {
-            if (entry.second > 1)
-                check.numDoubled++;
-            if (this->refused.count(entry.first) > 0)
-                check.numRunThoughRefused++;
-        }
-        return check;
+        return compareBookings(this->cluster, this->databases, this->runName, this->acknowledged, this->refused);
     }
 
 private:
@@ -350,44 +334,6 @@
         this->onAnswer(std::move(request), { { "outcome", "lost" } });
     }
 
-    /// @returns whether the primary could be read
-    bool collectBookings(const std::string& database, std::map<std::string, int>& found)
-    {
-        const std::string sql = "SELECT id, count(*) FROM bookings WHERE id LIKE '" + this->runName + "-%' GROUP BY id";
-        for (int count = 0; count < prepareTries; count++) {
-            UpstreamNode* primary = this->cluster.findPrimary(database);
-            if (primary != nullptr && this->readDirectly(*primary, sql, found))
-                return true;
-            std::this_thread::sleep_for(std::chrono::milliseconds(500));
-        }
-        return false;
-    }
-
-    /// Reads at the upstream itself, past the instances.
-    bool readDirectly(const UpstreamNode& node, const std::string& sql, std::map<std::string, int>& found)
-    {
-        constexpr Duration limit = std::chrono::seconds(5);
-        EventLoop checkLoop;
-        std::promise<SqlReply> promise;
-        PostgresConnection connection(checkLoop, { "127.0.0.1", static_cast<std::uint16_t>(node.port) }, { "lab", "main", "zone=" + node.zone + ";instance=lab" });
-        checkLoop.post([&] {
-            connection.open(limit, [&](bool isOpen) {
-                if (isOpen)
-                    connection.execute(sql, limit, [&](const SqlReply& reply) { promise.set_value(reply); });
-                else
-                    promise.set_value(SqlReply());
-            });
-        });
-        checkLoop.start();
-        SqlReply reply = promise.get_future().get();
-        checkLoop.stop();
-        if (reply.results.empty())
-            return false;
-        for (const std::vector<std::optional<std::string>>& row : reply.results.front().rows)
-            found[row[0].value_or("")] += std::stoi(row[1].value_or("0"));
-        return true;
-    }
-
     double getElapsed() const
     {
         return std::chrono::duration<double, std::milli>(this->clock.now() - this->startedAt).count();
