--- a/include/lentiljunction/membership/Membership.h
+++ b/include/lentiljunction/membership/Membership.h
@@ -112,6 +112,8 @@
     };
 
     MembershipMessage makeMessage(MembershipMessage::Kind kind, std::uint64_t sequence);
+    void onPing(const InstanceId& from, const MembershipMessage& message, std::vector<Outgoing>& out);
+    void onAck(const InstanceId& from, const MembershipMessage& message, std::vector<Outgoing>& out);
     void startProbe(std::optional<InstanceId> target, TimePoint now, std::vector<Outgoing>& out);
     void progressProbes(TimePoint now, std::vector<Outgoing>& out);
     void askIndirectly(Probe& probe, std::vector<Outgoing>& out);
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -76,31 +76,12 @@
         this->apply(update, now, spreading);
 
     switch (message.kind) {
-    case MembershipMessage::Kind::Ping: {
-        // While news is under way, digests differ without need of an exchange.
-        MembershipMessage ack = this->makeMessage(MembershipMessage::Kind::Ack, message.sequence);
-        bool isSame = !message.fleetDigest || *message.fleetDigest == this->table.getFleetDigest();
-        if (!isSame && this->rumours.getNumWaiting() <= newsUnderWay)
-            this->addDigests(ack);
-        out.push_back({ from, ack });
-        this->answerDigests(from, message, false, out);
+    case MembershipMessage::Kind::Ping:
+        this->onPing(from, message, out);
         break;
-    }
-    case MembershipMessage::Kind::Ack: {
-        this->answerDigests(from, message, true, out);
-        for (Probe& probe : this->probes) {
-            if (probe.sequence != message.sequence)
-                continue;
-            probe.isAcked = true;
-            this->zoneFailures.erase(this->find(probe.target)->zone);
-        }
-        std::map<std::uint64_t, Relayed>::iterator found = this->relayed.find(message.sequence);
-        if (found != this->relayed.end()) {
-            out.push_back({ found->second.requester, this->makeMessage(MembershipMessage::Kind::Ack, found->second.requesterSequence) });
-            this->relayed.erase(found);
-        }
+    case MembershipMessage::Kind::Ack:
+        this->onAck(from, message, out);
         break;
-    }
     case MembershipMessage::Kind::PingRequest: {
         std::uint64_t sequence = this->nextSequence++;
         this->relayed[sequence] = { from, message.sequence, now };
@@ -117,6 +98,35 @@
     return out;
 }
 
+void Membership::onPing(const InstanceId& from, const MembershipMessage& message, std::vector<Outgoing>& out)
+{
+    // While news is under way, digests differ without need of an exchange.
+    MembershipMessage ack = this->makeMessage(MembershipMessage::Kind::Ack, message.sequence);
+    bool isSame = !message.fleetDigest || *message.fleetDigest == this->table.getFleetDigest();
+    if (!isSame && this->rumours.getNumWaiting() <= newsUnderWay)
+        this->addDigests(ack);
+    out.push_back({ from, ack });
+    this->answerDigests(from, message, false, out);
+}
+
+void Membership::onAck(const InstanceId& from, const MembershipMessage& message, std::vector<Outgoing>& out)
+{
+    this->answerDigests(from, message, true, out);
+    for (Probe& probe : this->probes) {
+        if (probe.sequence != message.sequence)
+            continue;
+        probe.isAcked = true;
+        if (this->find(probe.target) != nullptr)
+            this->zoneFailures.erase(this->find(probe.target)->zone);
+    }
+
+    std::map<std::uint64_t, Relayed>::iterator found = this->relayed.find(message.sequence);
+    if (found == this->relayed.end())
+        return;
+    out.push_back({ found->second.requester, this->makeMessage(MembershipMessage::Kind::Ack, found->second.requesterSequence) });
+    this->relayed.erase(found);
+}
+
 std::vector<Membership::Outgoing> Membership::leave()
 {
     this->self.state = MemberState::Leaving;
--- a/src/platform/StoreDocuments.cpp
+++ b/src/platform/StoreDocuments.cpp
@@ -1,6 +1,6 @@
 #include "StoreDocuments.h"
 
-#include <cstdlib>
+#include "lentiljunction/core/Numbers.h"
 
 namespace lentiljunction {
 
@@ -34,10 +34,10 @@
 
 std::optional<BundleVersion> parseBundleVersion(const std::string& text)
 {
-    constexpr std::size_t maximumDigits = 15;
-    if (text.empty() || text.size() > maximumDigits || text.find_first_not_of("0123456789") != std::string::npos)
+    std::optional<std::uint64_t> number = parseWholeNumber(text);
+    if (!number)
         return std::nullopt;
-    return BundleVersion(std::strtoull(text.c_str(), nullptr, 10));
+    return BundleVersion(*number);
 }
 
 /// Reads a signed bundle from the store; without a version, the one in force.
--- a/src/session/SessionToken.cpp
+++ b/src/session/SessionToken.cpp
@@ -1,6 +1,7 @@
 #include "lentiljunction/session/SessionToken.h"
 
-#include <cstdlib>
+#include "lentiljunction/core/Numbers.h"
+
 #include <sstream>
 #include <vector>
 
@@ -22,14 +23,6 @@
         return parts;
     }
 
-    std::optional<std::uint64_t> parseNumber(const std::string& text)
-    {
-        constexpr std::size_t maximumDigits = 18;
-        if (text.empty() || text.size() > maximumDigits || text.find_first_not_of("0123456789") != std::string::npos)
-            return std::nullopt;
-        return std::strtoull(text.c_str(), nullptr, 10);
-    }
-
 } // namespace
 
 std::optional<SessionToken> SessionToken::parse(const std::string& text, Failure& failure)
@@ -46,8 +39,8 @@
 
     for (std::size_t index = 1; index < entries.size(); index++) {
         std::vector<std::string> fields = split(entries[index], fieldSeparator);
-        std::optional<std::uint64_t> term = fields.size() == 3 ? parseNumber(fields[1]) : std::nullopt;
-        std::optional<std::uint64_t> position = fields.size() == 3 ? parseNumber(fields[2]) : std::nullopt;
+        std::optional<std::uint64_t> term = fields.size() == 3 ? parseWholeNumber(fields[1]) : std::nullopt;
+        std::optional<std::uint64_t> position = fields.size() == 3 ? parseWholeNumber(fields[2]) : std::nullopt;
         if (!term || !position || fields[0].empty()) {
             failure.set(Failure::Kind::InvalidInput, "session is not a token of this service");
             return std::nullopt;
--- a/src/session/TermHistory.cpp
+++ b/src/session/TermHistory.cpp
@@ -1,23 +1,12 @@
 #include "lentiljunction/session/TermHistory.h"
 
+#include "lentiljunction/core/Numbers.h"
+
 #include <cassert>
-#include <cstdlib>
 #include <sstream>
 
 namespace lentiljunction {
 
-namespace {
-
-    std::optional<std::uint64_t> parseNumber(const std::string& text)
-    {
-        constexpr std::size_t maximumDigits = 18;
-        if (text.empty() || text.size() > maximumDigits || text.find_first_not_of("0123456789") != std::string::npos)
-            return std::nullopt;
-        return std::strtoull(text.c_str(), nullptr, 10);
-    }
-
-} // namespace
-
 std::optional<TermHistory> TermHistory::parse(const std::string& text)
 {
     TermHistory history;
@@ -28,8 +17,8 @@
         if (colon == std::string::npos)
             return std::nullopt;
 
-        std::optional<std::uint64_t> term = parseNumber(item.substr(0, colon));
-        std::optional<std::uint64_t> position = parseNumber(item.substr(colon + 1));
+        std::optional<std::uint64_t> term = parseWholeNumber(item.substr(0, colon));
+        std::optional<std::uint64_t> position = parseWholeNumber(item.substr(colon + 1));
         if (!term || !position)
             return std::nullopt;
 
--- a/src/session/UpstreamStatus.cpp
+++ b/src/session/UpstreamStatus.cpp
@@ -1,7 +1,8 @@
 #include "lentiljunction/session/UpstreamStatus.h"
 
+#include "lentiljunction/core/Numbers.h"
+
 #include <algorithm>
-#include <cstdlib>
 
 namespace lentiljunction {
 
@@ -17,12 +18,10 @@
 
     std::uint64_t readNumber(const ResultSet& result, const std::string& name, Failure& failure)
     {
-        std::optional<std::string> text = findColumn(result, name);
-        if (!text || text->empty() || text->find_first_not_of("0123456789") != std::string::npos) {
+        std::optional<std::uint64_t> number = parseWholeNumber(findColumn(result, name).value_or(""));
+        if (!number)
             failure.set(Failure::Kind::InvalidInput, "status column " + name + " is missing or no whole number");
-            return 0;
-        }
-        return std::strtoull(text->c_str(), nullptr, 10);
+        return number.value_or(0);
     }
 
 } // namespace
--- a/standins/database/PostgresServer.cpp
+++ b/standins/database/PostgresServer.cpp
@@ -21,94 +21,98 @@
     constexpr int idleInTransactionMilliseconds = 2000;
     constexpr int forever = -1;
 
-    /// Reads and writes the messages of one connection.
-    class Wire {
-    public:
-        explicit Wire(int descriptor)
-            : descriptor(descriptor)
-        {
-        }
+} // namespace
 
-        ~Wire() { ::close(this->descriptor); }
-        Wire(const Wire&) = delete;
-        Wire& operator=(const Wire&) = delete;
+/// Reads and writes the messages of one connection.
+class Wire {
+public:
+    explicit Wire(int descriptor)
+        : descriptor(descriptor)
+    {
+    }
 
-        bool waitReadable(int milliseconds)
-        {
-            pollfd entry { this->descriptor, POLLIN, 0 };
-            return ::poll(&entry, 1, milliseconds) > 0;
-        }
+    ~Wire() { ::close(this->descriptor); }
+    Wire(const Wire&) = delete;
+    Wire& operator=(const Wire&) = delete;
 
-        bool read(std::string& bytes, std::size_t size)
-        {
-            bytes.resize(size);
-            std::size_t done = 0;
-            while (done < size) {
-                ssize_t count = ::recv(this->descriptor, &bytes[done], size - done, 0);
-                if (count <= 0)
-                    return false;
-                done += static_cast<std::size_t>(count);
-            }
-            return true;
-        }
+    bool waitReadable(int milliseconds)
+    {
+        pollfd entry { this->descriptor, POLLIN, 0 };
+        return ::poll(&entry, 1, milliseconds) > 0;
+    }
 
-        bool readNumber(std::int32_t& number)
-        {
-            std::string bytes;
-            if (!this->read(bytes, sizeof(number)))
+    bool read(std::string& bytes, std::size_t size)
+    {
+        bytes.resize(size);
+        std::size_t done = 0;
+        while (done < size) {
+            ssize_t count = ::recv(this->descriptor, &bytes[done], size - done, 0);
+            if (count <= 0)
                 return false;
-            std::uint32_t network = 0;
-            std::copy(bytes.begin(), bytes.end(), reinterpret_cast<char*>(&network));
-            number = static_cast<std::int32_t>(ntohl(network));
-            return true;
+            done += static_cast<std::size_t>(count);
         }
+        return true;
+    }
 
-        void begin(char kind)
-        {
-            this->out.push_back(kind);
-            this->lengthAt = this->out.size();
-            this->addNumber(0);
-        }
+    bool readNumber(std::int32_t& number)
+    {
+        std::string bytes;
+        if (!this->read(bytes, sizeof(number)))
+            return false;
+        std::uint32_t network = 0;
+        std::copy(bytes.begin(), bytes.end(), reinterpret_cast<char*>(&network));
+        number = static_cast<std::int32_t>(ntohl(network));
+        return true;
+    }
 
-        void end()
-        {
-            std::uint32_t length = htonl(static_cast<std::uint32_t>(this->out.size() - this->lengthAt));
-            this->out.replace(this->lengthAt, sizeof(length), reinterpret_cast<const char*>(&length), sizeof(length));
-        }
+    void begin(char kind)
+    {
+        this->out.push_back(kind);
+        this->lengthAt = this->out.size();
+        this->addNumber(0);
+    }
 
-        void addNumber(std::int32_t number)
-        {
-            std::uint32_t network = htonl(static_cast<std::uint32_t>(number));
-            this->out.append(reinterpret_cast<const char*>(&network), sizeof(network));
-        }
+    void end()
+    {
+        std::uint32_t length = htonl(static_cast<std::uint32_t>(this->out.size() - this->lengthAt));
+        this->out.replace(this->lengthAt, sizeof(length), reinterpret_cast<const char*>(&length), sizeof(length));
+    }
 
-        void addShort(std::int16_t number)
-        {
-            std::uint16_t network = htons(static_cast<std::uint16_t>(number));
-            this->out.append(reinterpret_cast<const char*>(&network), sizeof(network));
-        }
+    void addNumber(std::int32_t number)
+    {
+        std::uint32_t network = htonl(static_cast<std::uint32_t>(number));
+        this->out.append(reinterpret_cast<const char*>(&network), sizeof(network));
+    }
 
-        void addText(const std::string& text)
-        {
-            this->out += text;
-            this->out.push_back(0);
-        }
+    void addShort(std::int16_t number)
+    {
+        std::uint16_t network = htons(static_cast<std::uint16_t>(number));
+        this->out.append(reinterpret_cast<const char*>(&network), sizeof(network));
+    }
 
-        void addRaw(const std::string& bytes) { this->out += bytes; }
+    void addText(const std::string& text)
+    {
+        this->out += text;
+        this->out.push_back(0);
+    }
 
-        bool flush()
-        {
-            std::string bytes = std::exchange(this->out, {});
-            return ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
-        }
+    void addRaw(const std::string& bytes) { this->out += bytes; }
 
-        void discardOutput() { this->out.clear(); }
+    bool flush()
+    {
+        std::string bytes = std::exchange(this->out, {});
+        return ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+    }
 
-    private:
-        int descriptor;
-        std::string out;
-        std::size_t lengthAt = 0;
-    };
+    void discardOutput() { this->out.clear(); }
+
+private:
+    int descriptor;
+    std::string out;
+    std::size_t lengthAt = 0;
+};
+
+namespace {
 
     void addError(Wire& wire, const SqlError& error)
     {
@@ -195,6 +199,26 @@
         return applicationName.substr(begin, applicationName.find(';', begin) - begin);
     }
 
+    void addGreeting(Wire& wire, const SessionState& session)
+    {
+        wire.begin('R');
+        wire.addNumber(0);
+        wire.end();
+        addParameter(wire, "server_version", "15.0");
+        addParameter(wire, "client_encoding", "UTF8");
+        addParameter(wire, "standard_conforming_strings", "on");
+        addReady(wire, session);
+    }
+
+    bool readMessage(Wire& wire, std::string& kind, std::string& body)
+    {
+        constexpr std::int32_t lengthBytes = 4;
+        std::int32_t length = 0;
+        bool hasHeader = wire.read(kind, 1) && wire.readNumber(length);
+        bool isSane = hasHeader && length >= lengthBytes && length <= maximumMessage;
+        return isSane && wire.read(body, static_cast<std::size_t>(length - lengthBytes));
+    }
+
     void executeBatch(Wire& wire, SqlEngine& engine, SessionState& session, const std::string& batch)
     {
         std::vector<std::string> statements = splitBatch(batch);
@@ -256,37 +280,35 @@
 
     const std::string zone = findZone(findParameter(parameters, "application_name"));
     std::uint64_t generation = this->faults.getSilenceGeneration();
-    std::function<bool()> isSilenced = [&] { return generation != this->faults.getSilenceGeneration() || this->faults.isCut(zone); };
     std::this_thread::sleep_for(this->settings.openTime + 2 * this->faults.getDelay(zone));
     this->faults.waitWhileFrozen();
     if (++this->numConnections > this->settings.maximumConnections) {
-        this->numConnections--;
         addError(wire, { "53300", "too many connections" });
         wire.flush();
-        return;
+    } else {
+        SessionState session;
+        session.mayControl = findParameter(parameters, "user") == "lentiljunction_control";
+        this->serveSession(wire, session, zone, generation);
+        this->engine.abandon(session);
     }
+    this->numConnections--;
+}
 
-    SessionState session;
-    session.mayControl = findParameter(parameters, "user") == "lentiljunction_control";
-    wire.begin('R');
-    wire.addNumber(0);
-    wire.end();
-    addParameter(wire, "server_version", "15.0");
-    addParameter(wire, "client_encoding", "UTF8");
-    addParameter(wire, "standard_conforming_strings", "on");
-    addReady(wire, session);
+void PostgresServer::serveSession(Wire& wire, SessionState& session, const std::string& zone, std::uint64_t generation)
+{
+    std::function<bool()> isSilenced = [&] { return generation != this->faults.getSilenceGeneration() || this->faults.isCut(zone); };
+    addGreeting(wire, session);
     if (isSilenced())
         wire.discardOutput();
     bool isOpen = wire.flush();
 
+    std::string kind;
+    std::string body;
     while (isOpen) {
         bool hasInput = wire.waitReadable(session.isInTransaction ? idleInTransactionMilliseconds : forever);
-        std::string kind;
-        std::int32_t length = 0;
-        std::string body;
-        isOpen = hasInput && wire.read(kind, 1) && wire.readNumber(length) && length >= 4 && length <= maximumMessage && wire.read(body, static_cast<std::size_t>(length) - 4) && kind != "X";
+        isOpen = hasInput && readMessage(wire, kind, body) && kind != "X";
         if (!isOpen)
-            break;
+            return;
 
         std::this_thread::sleep_for(this->faults.getDelay(zone));
         this->faults.waitWhileFrozen();
@@ -296,14 +318,11 @@
             executeBatch(wire, this->engine, session, body.c_str());
         std::this_thread::sleep_for(this->faults.getDelay(zone));
         this->faults.waitWhileFrozen();
-        if (isSilenced() || this->faults.takeLostAnswer()) {
+        if (isSilenced() || this->faults.takeLostAnswer())
             wire.discardOutput();
-            continue;
-        }
-        isOpen = wire.flush();
+        else
+            isOpen = wire.flush();
     }
-    this->engine.abandon(session);
-    this->numConnections--;
 }
 
 } // namespace lentiljunction::standins
--- a/standins/database/PostgresServer.h
+++ b/standins/database/PostgresServer.h
@@ -4,10 +4,13 @@
 #include "SqlEngine.h"
 
 #include <atomic>
+#include <functional>
 #include <string>
 
 namespace lentiljunction::standins {
 
+class Wire;
+
 /// The server side of the PostgreSQL protocol, simple query only, one thread per connection.
 class PostgresServer {
 public:
@@ -31,6 +34,7 @@
 
 private:
     void serve(int descriptor);
+    void serveSession(Wire& wire, SessionState& session, const std::string& zone, std::uint64_t generation);
 
     Settings settings;
     SqlEngine& engine;
--- a/tests/support/GroupModel.cpp
+++ b/tests/support/GroupModel.cpp
@@ -15,15 +15,6 @@
 
 } // namespace
 
-/// The data is of no interest here, only the log.
-class GroupModel::NoData : public standins::DatabaseLog::Applier {
-public:
-    void lockForApply() override { }
-    void unlockAfterApply() override { }
-    void apply(const standins::LogEntry&) override { }
-    void rebuild(const std::vector<standins::LogEntry>&) override { }
-};
-
 struct GroupModel::Gate {
     explicit Gate(Durability durability)
         : tracker(majority, durability)
--- a/tests/support/GroupModel.h
+++ b/tests/support/GroupModel.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../../standins/database/DatabaseLog.h"
+#include "NoData.h"
 #include "lentiljunction/bundle/Bundle.h"
 #include "lentiljunction/confirmation/ConfirmationTracker.h"
 #include "lentiljunction/core/Random.h"
@@ -40,7 +40,6 @@
     std::size_t getNumPromotions() const { return this->numPromotions; }
 
 private:
-    class NoData;
     struct Gate;
 
     void step();
--- a/tests/unit/AgeHistoryTests.cpp
+++ b/tests/unit/AgeHistoryTests.cpp
@@ -1,4 +1,4 @@
-#include "../../standins/database/DatabaseLog.h"
+#include "../support/NoData.h"
 #include "lentiljunction/confirmation/AgeHistory.h"
 #include "lentiljunction/core/Random.h"
 
@@ -11,15 +11,6 @@
 constexpr std::uint64_t numSeeds = 1000;
 constexpr int numSteps = 200;
 
-/// The data is of no interest here.
-class NoData : public standins::DatabaseLog::Applier {
-public:
-    void lockForApply() override { }
-    void unlockAfterApply() override { }
-    void apply(const standins::LogEntry&) override { }
-    void rebuild(const std::vector<standins::LogEntry>&) override { }
-};
-
 /// A group whose primary changes while reports about it travel slowly. Remembers when each entry of
 /// the acting primary was written, and so the true age of every log.
 class AgeBench {
@@ -151,7 +142,7 @@
     };
 
     Random random;
-    NoData data;
+    tests::NoData data;
     AgeHistory history;
     std::vector<std::unique_ptr<standins::DatabaseLog>> logs;
     std::vector<Report> reports;
--- a/tools/lab/Experiments.cpp
+++ b/tools/lab/Experiments.cpp
@@ -1,12 +1,12 @@
 #include "Experiments.h"
 
 #include "Load.h"
+#include "Reports.h"
 
 #include <algorithm>
 #include <csignal>
 #include <httplib.h>
 #include <iostream>
-#include <random>
 #include <sstream>
 #include <thread>
 
@@ -20,24 +20,6 @@
     /// The share of the upstreams' capacity that each rank uses in quiet times.
     constexpr double quietShare = 0.15;
 
-    nlohmann::json toJson(const BookingCheck& check)
-    {
-        return { { "is_read", check.isRead }, { "acknowledged", check.numAcknowledged }, { "lost", check.numLost }, { "doubled", check.numDoubled }, { "run_though_refused", check.numRunThoughRefused } };
-    }
-
-    nlohmann::json describeStream(const StreamResult& result, double from, double to)
-    {
-        return {
-            { "arrived", result.numArrived },
-            { "completed", result.countCompleted(from, to) },
-            { "p50_ms", result.getPercentile(0.5, from, to) },
-            { "p99_ms", result.getPercentile(0.99, from, to) },
-            { "repeats", result.numRepeats },
-            { "stale_reads", result.numStaleReads },
-            { "outcomes", result.outcomes },
-        };
-    }
-
     /// @returns how many answers came in each 100 ms
     nlohmann::json describeTimeline(const StreamResult& result, double from, double to)
     {
@@ -51,22 +33,6 @@
         return counts;
     }
 
-    void injectFault(Cluster& cluster, PrimaryFault fault)
-    {
-        UpstreamNode* primary = cluster.findPrimary("db-a");
-        switch (fault) {
-        case PrimaryFault::Cut:
-            cluster.cutZones({ primary->zone });
-            break;
-        case PrimaryFault::Crash:
-            primary->process->signal(SIGKILL);
-            break;
-        case PrimaryFault::Freeze:
-            primary->process->signal(SIGSTOP);
-            break;
-        }
-    }
-
     /// One fault on a fresh cluster with one database, so that the gap is that of its group.
     nlohmann::json runFailoverRound(const ExperimentSetting& setting, PrimaryFault fault, bool isStoreDown, int round)
     {
@@ -220,70 +186,4 @@
     return report;
 }
 
-nlohmann::json measureChaos(const ExperimentSetting& setting, std::uint64_t seed, int seconds)
-{
-    SitePlan site = setting.site;
-    site.numDatabases = 1;
-    Cluster cluster(site, setting.binaries, setting.folder);
-    Failure failure;
-    if (!cluster.start(failure))
-        return { { "error", failure.reason } };
-
-    Load load(cluster, { StreamPlan { "bookings", StreamKind::WriteThenRead, Rank::Urgent, bookingsPerSecond, 1000 }, StreamPlan { "plain", StreamKind::PlainWrite, Rank::Normal, 30, 1000 } });
-    if (!load.prepare())
-        return { { "error", "the tables could not be made" } };
-
-    std::mt19937_64 random(seed);
-    std::vector<ScriptedStep> steps;
-    nlohmann::json script = nlohmann::json::array();
-    for (int at = 2000; at + 4000 < seconds * 1000; at += 3500) {
-        int choice = static_cast<int>(random() % 6);
-        std::size_t instance = random() % cluster.getInstances().size();
-        std::string zone = site.zones[random() % site.zones.size()].name;
-        script.push_back({ { "at_ms", at }, { "choice", choice }, { "instance", cluster.getInstances()[instance].id }, { "zone", zone } });
-        std::chrono::milliseconds begin(at);
-        std::chrono::milliseconds end(at + 2500);
-        switch (choice) {
-        case 0:
-            steps.push_back({ begin, [&cluster, zone] { cluster.cutZones({ zone }); } });
-            steps.push_back({ end, [&cluster] { cluster.cutZones({}); } });
-            break;
-        case 1:
-            steps.push_back({ begin, [&cluster] { injectFault(cluster, PrimaryFault::Freeze); } });
-            steps.push_back({ end, [&cluster] {
-                                 for (UpstreamNode& node : cluster.getUpstreams())
-                                     node.process->signal(SIGCONT);
-                             } });
-            break;
-        case 2:
-            steps.push_back({ begin, [&cluster, instance] { cluster.getInstances()[instance].process->signal(SIGKILL); } });
-            steps.push_back({ end, [&cluster, instance] { cluster.startInstance(cluster.getInstances()[instance]); } });
-            break;
-        case 3:
-            steps.push_back({ begin, [&cluster, instance] { cluster.getInstances()[instance].process->signal(SIGSTOP); } });
-            steps.push_back({ end, [&cluster, instance] { cluster.getInstances()[instance].process->signal(SIGCONT); } });
-            break;
-        case 4:
-            steps.push_back({ begin, [&cluster] {
-                                 cluster.control(cluster.getNetworkPort(), { { "silence_connections", true } });
-                                 for (UpstreamNode& node : cluster.getUpstreams())
-                                     cluster.control(node.controlPort, { { "silence_connections", true } });
-                             } });
-            break;
-        default:
-            steps.push_back({ begin, [&cluster] {
-                                 UpstreamNode* primary = cluster.findPrimary("db-a");
-                                 if (primary != nullptr)
-                                     cluster.control(primary->controlPort, { { "lose_answers", 3 } });
-                             } });
-            break;
-        }
-    }
-    load.run(std::chrono::seconds(seconds), steps);
-    nlohmann::json report { { "seed", seed }, { "script", script }, { "bookings", toJson(load.checkBookings()) } };
-    report["streams"]["bookings"] = describeStream(load.getResult("bookings"), 0, 1e12);
-    report["streams"]["plain"] = describeStream(load.getResult("plain"), 0, 1e12);
-    return report;
-}
-
 } // namespace lentiljunction::lab
--- /dev/null
+++ b/tools/lab/Reports.cpp
@@ -0,0 +1,41 @@
+#include "Reports.h"
+
+#include <csignal>
+
+namespace lentiljunction::lab {
+
+nlohmann::json toJson(const BookingCheck& check)
+{
+    return { { "is_read", check.isRead }, { "acknowledged", check.numAcknowledged }, { "lost", check.numLost }, { "doubled", check.numDoubled }, { "run_though_refused", check.numRunThoughRefused } };
+}
+
+nlohmann::json describeStream(const StreamResult& result, double from, double to)
+{
+    return {
+        { "arrived", result.numArrived },
+        { "completed", result.countCompleted(from, to) },
+        { "p50_ms", result.getPercentile(0.5, from, to) },
+        { "p99_ms", result.getPercentile(0.99, from, to) },
+        { "repeats", result.numRepeats },
+        { "stale_reads", result.numStaleReads },
+        { "outcomes", result.outcomes },
+    };
+}
+
+void injectFault(Cluster& cluster, PrimaryFault fault)
+{
+    UpstreamNode* primary = cluster.findPrimary("db-a");
+    switch (fault) {
+    case PrimaryFault::Cut:
+        cluster.cutZones({ primary->zone });
+        break;
+    case PrimaryFault::Crash:
+        primary->process->signal(SIGKILL);
+        break;
+    case PrimaryFault::Freeze:
+        primary->process->signal(SIGSTOP);
+        break;
+    }
+}
+
+} // namespace lentiljunction::lab
