--- a/src/caller/CallerServer.cpp
+++ b/src/caller/CallerServer.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+    /// A session that sends more without waiting for answers is refused.
+    constexpr std::size_t maximumInFlightPerSession = 4096;
     constexpr int httpOk = 200;
     constexpr int httpNotFound = 404;
     constexpr int httpMethodNotAllowed = 405;
@@ -68,21 +70,44 @@
 
 void CallerServer::onSessionOpened(WebSocketServer::Handle handle, const std::string& resource)
 {
-    if (getPath(resource) != "/v1/session")
+    if (getPath(resource) == "/v1/session")
+        this->sessions[handle] = 0;
+    else
         this->server.close(handle);
 }
 
 void CallerServer::onSessionMessage(WebSocketServer::Handle handle, const std::string& payload, bool isBinary)
 {
-    Format format = isBinary ? Format::Cbor : Format::Json;
-    this->decode(payload, format, "session-" + std::to_string(handle), [this, handle, isBinary](const std::string& reply) {
-        this->server.send(handle, reply, isBinary);
-    });
+    std::map<WebSocketServer::Handle, std::size_t>::iterator session = this->sessions.find(handle);
+    if (session == this->sessions.end())
+        return;
+
+    ReplyHandler reply = [this, handle, isBinary](const std::string& answer) {
+        std::map<WebSocketServer::Handle, std::size_t>::iterator open = this->sessions.find(handle);
+        if (open != this->sessions.end())
+            open->second--;
+        this->server.send(handle, answer, isBinary);
+    };
+    session->second++;
+    if (session->second > maximumInFlightPerSession)
+        this->refuse(payload, isBinary, reply);
+    else
+        this->decode(payload, isBinary ? Format::Cbor : Format::Json, "session-" + std::to_string(handle), reply);
+}
+
+void CallerServer::refuse(const std::string& payload, bool isCbor, const ReplyHandler& reply)
+{
+    nlohmann::json document = isCbor ? nlohmann::json::from_cbor(payload, true, false) : nlohmann::json::parse(payload, nullptr, false);
+    Answer refusal = makeInvalid(document, "the session has " + std::to_string(maximumInFlightPerSession) + " requests in flight");
+    refusal.outcome.reason = NotRunReason::QueueFull;
+    refusal.outcome.retryAfter = std::chrono::milliseconds(100);
+    reply(toPayload(toJson(refusal), isCbor));
 }
 
-void CallerServer::onSessionClosed(WebSocketServer::Handle)
+void CallerServer::onSessionClosed(WebSocketServer::Handle handle)
 {
     // What the caller still has in flight is finished; its answers find no session.
+    this->sessions.erase(handle);
 }
 
 void CallerServer::onHttpRequest(WebSocketServer::Handle handle, const HttpRequest& request)
--- a/src/caller/CallerServer.h
+++ b/src/caller/CallerServer.h
@@ -5,6 +5,7 @@
 #include "lentiljunction/caller/Request.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 
@@ -68,6 +69,7 @@
     void onSessionClosed(WebSocketServer::Handle handle) override;
     void onHttpRequest(WebSocketServer::Handle handle, const HttpRequest& request) override;
 
+    void refuse(const std::string& payload, bool isCbor, const ReplyHandler& reply);
     void onExecute(WebSocketServer::Handle handle, const HttpRequest& request);
     void decode(const std::string& payload, Format format, const std::string& caller, ReplyHandler reply);
     void runDecoded(Request request, Format format, ReplyHandler reply);
@@ -78,6 +80,8 @@
     class Workers;
     std::unique_ptr<Workers> workers;
     std::size_t numUnanswered = 0;
+    /// Requests in flight, by session.
+    std::map<WebSocketServer::Handle, std::size_t> sessions;
     WebSocketServer server;
 };
 
--- a/src/server/ControlPlane.cpp
+++ b/src/server/ControlPlane.cpp
@@ -13,7 +13,6 @@
     constexpr Duration tickInterval = std::chrono::milliseconds(10);
     /// Without an answer of the store, a new instance trusts its peers' bundle after this time.
     constexpr Duration storeWait = std::chrono::milliseconds(1500);
-    constexpr std::size_t spreadFanout = 3;
     constexpr std::size_t maximumQuestions = 1000;
     constexpr const char* watchDuty = "store-watch";
 
@@ -36,6 +35,7 @@
     , listener(listener)
     , random(makeSeed(settings, environment.clock))
     , membership(makeSelf(settings, environment.clock), settings.seeds, makeSeed(settings, environment.clock), environment.clock.now())
+    , spreader(this->membership, settings.instance, settings.zone, [this](const InstanceId& to, const PeerMessage& message) { this->listener.sendToPeer(to, message); })
     , bundles(environment.clock, settings.trust, *this)
     , worker(environment.store, environment.loop, *this)
     , audit(settings.instance.toString())
@@ -91,7 +91,7 @@
         std::set<UpstreamId> announcedLeaving(leavingNotice->upstreams.begin(), leavingNotice->upstreams.end());
         if (announcedLeaving != this->leaving) {
             this->setLeavingUpstreams(announcedLeaving);
-            this->forwardInZone(from, message);
+            this->spreader.forward(from, message);
         }
     }
 }
@@ -221,7 +221,7 @@
     if (known.term < primary.term)
         known = primary;
     this->listener.onNewPrimary(database, primary);
-    this->spread(PrimaryNotice { database, primary });
+    this->spreader.sendToAll(PrimaryNotice { database, primary });
 }
 
 void ControlPlane::onStoreChanged(const StoreWatchResult& changes)
@@ -239,7 +239,7 @@
             if (listed == this->leaving)
                 continue;
             this->setLeavingUpstreams(listed);
-            this->spread(LeavingNotice { std::vector<UpstreamId>(listed.begin(), listed.end()) });
+            this->spreader.sendToAll(LeavingNotice { std::vector<UpstreamId>(listed.begin(), listed.end()) });
         }
     }
 }
@@ -355,7 +355,7 @@
     this->membership.setBundleVersion(version);
     this->listener.onBundle(this->bundles.getBundle());
     this->refreshGates();
-    this->spread(BundleNotice { version });
+    this->spreader.sendToSome(BundleNotice { version }, this->random);
 }
 
 void ControlPlane::sendBundleMessage(const InstanceId& to, PeerMessage message)
@@ -363,47 +363,6 @@
     this->listener.sendToPeer(to, std::move(message));
 }
 
-void ControlPlane::spread(const PeerMessage& message)
-{
-    bool isNotice = std::holds_alternative<BundleNotice>(message);
-    std::vector<InstanceId> inZone;
-    std::set<ZoneId> otherZones;
-    for (const Member& member : *this->membership.getMembers()) {
-        if (member.id == this->settings.instance || member.state == MemberState::Dead)
-            continue;
-        if (member.zone == this->settings.zone)
-            inZone.push_back(member.id);
-        else
-            otherZones.insert(member.zone);
-    }
-
-    while (isNotice && inZone.size() > spreadFanout)
-        inZone.erase(inZone.begin() + static_cast<std::ptrdiff_t>(this->random.below(inZone.size())));
-    for (const InstanceId& instance : inZone)
-        this->listener.sendToPeer(instance, message);
-
-    bool reachesOut = !isNotice || this->membership.isRelay();
-    for (const ZoneId& zone : otherZones) {
-        std::vector<InstanceId> relays = this->membership.getRelays(zone);
-        for (const InstanceId& relay : relays) {
-            if (reachesOut)
-                this->listener.sendToPeer(relay, message);
-        }
-    }
-}
-
-void ControlPlane::forwardInZone(const InstanceId& from, const PeerMessage& message)
-{
-    const Member* sender = this->membership.find(from);
-    if (sender == nullptr || sender->zone == this->settings.zone)
-        return;
-    for (const Member& member : *this->membership.getMembers()) {
-        bool isReceiver = member.zone == this->settings.zone && member.id != this->settings.instance && member.state != MemberState::Dead;
-        if (isReceiver)
-            this->listener.sendToPeer(member.id, message);
-    }
-}
-
 void ControlPlane::onPrimaryNotice(const InstanceId& from, const PrimaryNotice& notice)
 {
     PrimaryHint& known = this->announced[notice.database];
@@ -413,7 +372,7 @@
     known = notice.hint;
     logEvent(events::primaryChanged, "database=" + notice.database.toString() + " primary=" + known.upstream.toString() + " term=" + std::to_string(known.term.value()));
     this->listener.onNewPrimary(notice.database, known);
-    this->forwardInZone(from, notice);
+    this->spreader.forward(from, notice);
     GroupWatcher* watcher = this->watchers.find(notice.database);
     if (watcher != nullptr)
         watcher->setFast();
--- a/src/server/ControlPlane.h
+++ b/src/server/ControlPlane.h
@@ -2,6 +2,7 @@
 
 #include "../platform/StoreWorker.h"
 #include "BundleExchange.h"
+#include "PeerSpreader.h"
 #include "WatcherRegistry.h"
 #include "lentiljunction/audit/AuditTrail.h"
 #include "lentiljunction/membership/Membership.h"
@@ -91,8 +92,6 @@
     void recordGateMoves(const Bundle& bundle, const GateMap& newGates);
     void fetchBundle(std::optional<BundleVersion> version);
     void fetchAtStart();
-    void spread(const PeerMessage& message);
-    void forwardInZone(const InstanceId& from, const PeerMessage& message);
     void onPrimaryNotice(const InstanceId& from, const PrimaryNotice& notice);
     void setLeavingUpstreams(const std::set<UpstreamId>& newLeaving);
     void checkReady();
@@ -103,6 +102,7 @@
     ControlPlane::Listener& listener;
     Random random;
     Membership membership;
+    PeerSpreader spreader;
     BundleExchange bundles;
     StoreWorker worker;
     AuditTrail audit;
--- a/src/server/GroupState.cpp
+++ b/src/server/GroupState.cpp
@@ -26,6 +26,11 @@
         known = status;
 }
 
+void GroupState::onCommitStatus(const UpstreamId& upstream, const UpstreamStatus& status, TimePoint committedAt)
+{
+    this->tracker.onStatus(upstream, status, committedAt);
+}
+
 void GroupState::confirm(LogPoint point, TimePoint committedAt, TimePoint deadline, ConfirmHandler handler)
 {
     ConfirmationTracker::Ticket ticket = this->nextTicket++;
--- a/src/server/GroupState.h
+++ b/src/server/GroupState.h
@@ -31,6 +31,14 @@
     /// @param askedAt when the report was asked for
     void onStatus(const UpstreamId& upstream, const UpstreamStatus& status, TimePoint askedAt);
 
+    /// Takes the status that was read after a commit, in the commit's own batch.
+    ///
+    /// It proves that the upstream still was the primary after the commit, but says nothing about
+    /// what was acknowledged since it was read, so it plays no part in the age of data.
+    ///
+    /// @param committedAt when the answer of the commit arrived
+    void onCommitStatus(const UpstreamId& upstream, const UpstreamStatus& status, TimePoint committedAt);
+
     /// Waits until a write is durable.
     ///
     /// @param point the entry
--- a/src/server/GroupWatcher.cpp
+++ b/src/server/GroupWatcher.cpp
@@ -10,8 +10,9 @@
 namespace {
 
     constexpr Duration idleInterval = std::chrono::seconds(2);
-    /// In an idle group, upstreams that are neither the own one nor the primary are probed seldom.
-    constexpr Duration bystanderInterval = std::chrono::seconds(10);
+    /// Upstreams that are neither the own one nor the primary are probed more seldom.
+    constexpr Duration idleBystanderInterval = std::chrono::seconds(10);
+    constexpr Duration activeBystanderInterval = std::chrono::seconds(1);
     constexpr Duration activeInterval = std::chrono::milliseconds(100);
     constexpr Duration fastInterval = std::chrono::milliseconds(1);
     /// After a failed probe the next follows quickly.
@@ -225,10 +226,10 @@
         return fastInterval;
     if (!this->monitor.isPrimaryReachable())
         return suspectInterval;
-    if (now < this->activeUntil)
-        return activeInterval;
     bool isBystander = upstream != this->ownUpstream && upstream != this->monitor.getPrimary();
-    return isBystander ? bystanderInterval : idleInterval;
+    if (now < this->activeUntil)
+        return isBystander ? activeBystanderInterval : activeInterval;
+    return isBystander ? idleBystanderInterval : idleInterval;
 }
 
 void GroupWatcher::judge()
--- a/src/server/UpstreamGate.cpp
+++ b/src/server/UpstreamGate.cpp
@@ -283,8 +283,7 @@
 {
     TimePoint now = this->environment.clock.now();
     LogPoint point = step.point;
-    // The status was read after the commit, within its batch, so it may count as asked for now.
-    this->group.onStatus(this->upstream.id, *step.status, now);
+    this->group.onCommitStatus(this->upstream.id, *step.status, now);
     this->group.confirm(point, now, work->deadline, [this, work, point, now, outcome = step.outcome](ConfirmationTracker::Verdict verdict) {
         this->environment.metrics.onConfirmation(std::chrono::duration_cast<Duration>(this->environment.clock.now() - now));
         switch (verdict) {
--- a/tests/process/ClusterTests.cpp
+++ b/tests/process/ClusterTests.cpp
@@ -97,6 +97,21 @@
     CHECK_EQUAL(load.getResult("bookings").numArrived, load.getResult("bookings").outcomes.at("completed"));
 }
 
+/// Lets an upstream leave under reads: three seconds later it gets no more work, and none is lost.
+void checkLeaving(Bench& bench, const std::function<void(const UpstreamNode&)>& leave)
+{
+    UpstreamNode& leaving = bench.cluster.getUpstreams().back();
+    StreamPlan reads { "reads", StreamKind::Read, Rank::Normal, 100, 1000 };
+    std::uint64_t afterThreeSeconds = 0;
+    Load load(bench.cluster, { reads });
+    load.run(std::chrono::seconds(6), {
+                                          { std::chrono::seconds(1), [&] { leave(leaving); } },
+                                          { std::chrono::seconds(4), [&] { afterThreeSeconds = bench.cluster.describeUpstream(leaving).at("executed"); } },
+                                      });
+    CHECK_EQUAL(afterThreeSeconds, bench.cluster.describeUpstream(leaving).at("executed").get<std::uint64_t>());
+    CHECK_EQUAL(load.getResult("reads").numArrived, load.getResult("reads").outcomes.at("completed"));
+}
+
 } // namespace
 
 TEST_GROUP(Cluster) {};
@@ -173,6 +188,8 @@
     bench.start();
     Load load(bench.cluster, makeBookings());
     CHECK(load.prepare());
+    // Also while the store does not answer.
+    bench.cluster.control(bench.cluster.getStorePort(), { { "down", true } });
     InstanceNode& stopping = bench.findInstance("west-1");
     int exitCode = -1;
     load.run(std::chrono::seconds(5), { { std::chrono::seconds(1), [&] {
@@ -190,16 +207,20 @@
 {
     Bench bench(makeThreeZones());
     bench.start();
-    UpstreamNode& leaving = bench.cluster.getUpstreams().back();
-    StreamPlan reads { "reads", StreamKind::Read, Rank::Normal, 100, 1000 };
-    std::uint64_t afterThreeSeconds = 0;
-    Load load(bench.cluster, { reads });
-    load.run(std::chrono::seconds(6), {
-                                          { std::chrono::seconds(1), [&] { bench.cluster.control(leaving.controlPort, { { "leaving", true } }); } },
-                                          { std::chrono::seconds(4), [&] { afterThreeSeconds = bench.cluster.describeUpstream(leaving).at("executed"); } },
-                                      });
-    CHECK_EQUAL(afterThreeSeconds, bench.cluster.describeUpstream(leaving).at("executed").get<std::uint64_t>());
-    CHECK_EQUAL(load.getResult("reads").numArrived, load.getResult("reads").outcomes.at("completed"));
+    checkLeaving(bench, [&](const UpstreamNode& leaving) { bench.cluster.control(leaving.controlPort, { { "leaving", true } }); });
+}
+
+TEST(Cluster, anUpstreamThatTheListCallsLeavingGetsNoNewWorkAfterThreeSeconds)
+{
+    Bench bench(makeThreeZones());
+    bench.start();
+    checkLeaving(bench, [&](const UpstreamNode& leaving) {
+        Failure failure;
+        CHECK(bench.cluster.listLeaving({ leaving.id }, failure));
+        // The store goes down once the zones' watchers could see the list.
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        bench.cluster.control(bench.cluster.getStorePort(), { { "down", true } });
+    });
 }
 
 TEST(Cluster, aBundleReachesAZoneThatIsCutOffFromTheStore)
--- a/tests/unit/AgeHistoryTests.cpp
+++ b/tests/unit/AgeHistoryTests.cpp
@@ -1,6 +1,7 @@
 #include "../support/NoData.h"
 #include "lentiljunction/confirmation/AgeHistory.h"
 #include "lentiljunction/core/Random.h"
+#include "server/GroupState.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -185,3 +186,26 @@
     history.onStatus(UpstreamId("u2"), replica, now - std::chrono::milliseconds(30));
     CHECK(*history.getAge(primary, now) == std::chrono::milliseconds(30));
 }
+
+TEST(AgeHistory, theStatusOfACommitMakesNoDataYounger)
+{
+    // Between the reading of that status and its arrival, another write may have been acknowledged.
+    DatabaseConfig database;
+    database.upstreams.resize(3);
+    GroupState group(database);
+    TimePoint sentAt(std::chrono::hours(1));
+    TimePoint arrivedAt = sentAt + std::chrono::milliseconds(20);
+    UpstreamStatus primary;
+    primary.isPrimary = true;
+    primary.fencedTerm = Term(1);
+    primary.head = { Term(1), Position(4) };
+    primary.history.append({ Term(1), Position(1) });
+    UpstreamStatus replica = primary;
+    replica.isPrimary = false;
+
+    group.onStatus(UpstreamId("u1"), primary, sentAt);
+    group.onStatus(UpstreamId("u2"), replica, arrivedAt);
+    group.onCommitStatus(UpstreamId("u1"), primary, arrivedAt);
+    group.onStatus(UpstreamId("u2"), replica, arrivedAt);
+    CHECK(*group.getAge(primary, arrivedAt) == std::chrono::milliseconds(20));
+}
--- a/tools/lab/Cluster.cpp
+++ b/tools/lab/Cluster.cpp
@@ -126,6 +126,14 @@
     return version && office.approve(*version, operatorName, this->operatorKey.privateKey, failure) && office.roll(*version, failure);
 }
 
+bool Cluster::listLeaving(const std::vector<std::string>& upstreamIds, Failure& failure)
+{
+    HttpPlatformStore platform({ loopback, static_cast<std::uint16_t>(this->storePort) }, "zone=;instance=lab", nullptr);
+    std::optional<StoreObject> before = platform.get(storekeys::leavingUpstreams, failure);
+    StoreVersion expected = before ? before->version : StoreVersion();
+    return platform.put(storekeys::leavingUpstreams, expected, nlohmann::json(upstreamIds).dump(), failure).has_value();
+}
+
 nlohmann::json Cluster::makeBundle(std::uint64_t version) const
 {
     nlohmann::json bundle {
--- a/tools/lab/Cluster.h
+++ b/tools/lab/Cluster.h
@@ -64,6 +64,9 @@
     /// Creates, approves and rolls a bundle.
     bool rollBundle(const nlohmann::json& document, Failure& failure);
 
+    /// Writes the platform's list of leaving upstreams.
+    bool listLeaving(const std::vector<std::string>& upstreamIds, Failure& failure);
+
     /// @returns the bundle of this site with a version
     nlohmann::json makeBundle(std::uint64_t version) const;
 
