Let former gates give their connections back

Change: a pool's retention follows the standing of its instance: the gate keeps its warm connections, a second candidate closes unused ones after 3 s, a former gate at once; probes are no use. Before: Cluster.gatesThatMovedBackLeaveNoConnectionsBehind red with the old program (11 connections at an upstream 12 s after the cut healed). After: green; ConnectionPool tests for both causes.

--- a/include/lentiljunction/pool/ConnectionPool.h
+++ b/include/lentiljunction/pool/ConnectionPool.h
@@ -40,6 +40,12 @@
     /// @param numWarm connections kept open ahead of need
     ConnectionPool(int maximum, int numWarm);
 
+    /// Sets how many idle connections are kept, for a gate whose standing changed.
+    ///
+    /// @param newNumWarm kept ahead of need
+    /// @param newSpareLifetime idle connections above these are closed when they were not used for this time
+    void setRetention(int newNumWarm, Duration newSpareLifetime);
+
     /// @param numWaiting requests that wait for a connection
     void setDemand(int numWaiting) { this->numWaiting = numWaiting; }
 
@@ -84,10 +90,14 @@
         State state = State::Opening;
         TimePoint openedAt;
         TimePoint lastProvenAt;
+        /// Probes do not count as use, so that an unused connection grows old.
+        TimePoint lastUsedAt;
+        bool isProbed = false;
     };
 
     int maximum;
     int numWarm;
+    Duration spareLifetime;
     int numWaiting = 0;
     Handle nextHandle = 1;
     std::map<Handle, Connection> connections;
--- a/src/pool/ConnectionPool.cpp
+++ b/src/pool/ConnectionPool.cpp
@@ -11,17 +11,24 @@
     constexpr Duration maximumOpenDelay = std::chrono::seconds(1);
     /// An idle connection is probed when it was not proven alive for this long.
     constexpr Duration probeInterval = std::chrono::seconds(1);
-    /// Idle connections above the warm ones are closed after this time.
-    constexpr Duration spareLifetime = std::chrono::seconds(30);
+    /// Idle connections above the warm ones are closed after this time, unless set otherwise.
+    constexpr Duration usualSpareLifetime = std::chrono::seconds(30);
 
 } // namespace
 
 ConnectionPool::ConnectionPool(int maximum, int numWarm)
     : maximum(maximum)
     , numWarm(numWarm)
+    , spareLifetime(usualSpareLifetime)
 {
 }
 
+void ConnectionPool::setRetention(int newNumWarm, Duration newSpareLifetime)
+{
+    this->numWarm = newNumWarm;
+    this->spareLifetime = newSpareLifetime;
+}
+
 std::vector<ConnectionPool::Handle> ConnectionPool::takeOpenings(TimePoint now)
 {
     std::vector<Handle> openings;
@@ -48,7 +55,7 @@
 {
     std::map<Handle, Connection>::iterator found = this->connections.find(handle);
     assert(found != this->connections.end() && found->second.state == State::Opening);
-    found->second = { State::Idle, now, now };
+    found->second = { State::Idle, now, now, now, false };
     this->openDelay = Duration(0);
 }
 
@@ -94,6 +101,9 @@
     }
     found->second.state = State::Idle;
     found->second.lastProvenAt = now;
+    if (!found->second.isProbed)
+        found->second.lastUsedAt = now;
+    found->second.isProbed = false;
 }
 
 void ConnectionPool::onSilence(Handle handle)
@@ -121,6 +131,7 @@
         if (!isDue)
             continue;
         entry.second.state = State::Owned;
+        entry.second.isProbed = true;
         return entry.first;
     }
     return std::nullopt;
@@ -130,7 +141,7 @@
 {
     int numSpare = this->getNumIdle() - this->numWarm;
     for (std::map<Handle, Connection>::iterator entry = this->connections.begin(); entry != this->connections.end() && numSpare > 0;) {
-        bool isOld = entry->second.state == State::Idle && now - entry->second.openedAt >= spareLifetime;
+        bool isOld = entry->second.state == State::Idle && now - entry->second.lastUsedAt >= this->spareLifetime;
         if (!isOld) {
             ++entry;
             continue;
--- a/src/server/GateConnections.h
+++ b/src/server/GateConnections.h
@@ -55,6 +55,9 @@
     /// Sends a batch on an owned connection. A connection that is gone answers Lost.
     void execute(Handle handle, const std::string& sql, Duration timeout, const SqlConnection::ReplyHandler& handler);
 
+    /// Sets how many idle connections are kept.
+    void setRetention(int numWarm, Duration spareLifetime) { this->pool.setRetention(numWarm, spareLifetime); }
+
     /// Opens and closes connections as needed.
     ///
     /// @param numWaiting requests that could run at once if there were connections
--- a/src/server/GateService.cpp
+++ b/src/server/GateService.cpp
@@ -25,6 +25,21 @@
     }
 }
 
+void GateService::setGates(std::shared_ptr<const GateMap> newGates)
+{
+    this->gates = std::move(newGates);
+    for (std::pair<const UpstreamId, std::unique_ptr<UpstreamGate>>& entry : this->upstreams)
+        entry.second->setStanding(this->getStanding(entry.first));
+}
+
+UpstreamGate::Standing GateService::getStanding(const UpstreamId& upstream) const
+{
+    if (this->gates->isGate(this->environment.self, upstream))
+        return UpstreamGate::Standing::Gate;
+    bool isCandidate = this->gates->isCandidate(this->environment.self, upstream);
+    return isCandidate ? UpstreamGate::Standing::Candidate : UpstreamGate::Standing::Former;
+}
+
 void GateService::setLeaving(std::set<UpstreamId> newLeaving)
 {
     this->leaving = std::move(newLeaving);
@@ -114,6 +129,7 @@
     if (gate == nullptr) {
         gate = std::make_unique<UpstreamGate>(this->environment, *this->bundle, database, upstream, this->getGroup(database));
         gate->setLeaving(this->leaving.count(upstream.id) > 0);
+        gate->setStanding(this->getStanding(upstream.id));
     }
     return *gate;
 }
--- a/src/server/GateService.h
+++ b/src/server/GateService.h
@@ -21,7 +21,7 @@
     void setBundle(std::shared_ptr<const Bundle> newBundle);
 
     /// Takes a newer member list.
-    void setGates(std::shared_ptr<const GateMap> newGates) { this->gates = std::move(newGates); }
+    void setGates(std::shared_ptr<const GateMap> newGates);
 
     /// Takes the upstreams that leave.
     void setLeaving(std::set<UpstreamId> newLeaving);
@@ -45,6 +45,7 @@
     std::vector<DatabaseId> takeActiveGroups();
 
 private:
+    UpstreamGate::Standing getStanding(const UpstreamId& upstream) const;
     GroupState& getGroup(const DatabaseConfig& database);
     UpstreamGate& getGate(const DatabaseConfig& database, const UpstreamConfig& upstream);
 
--- a/src/server/UpstreamGate.cpp
+++ b/src/server/UpstreamGate.cpp
@@ -16,6 +16,8 @@
     constexpr Duration primaryRelief = std::chrono::milliseconds(20);
     constexpr int waitFactor = 2;
     constexpr int memory = 8;
+    constexpr Duration gateSpareLifetime = std::chrono::seconds(30);
+    constexpr Duration candidateSpareLifetime = std::chrono::seconds(3);
     constexpr Duration pruneInterval = std::chrono::minutes(1);
     constexpr Duration pruneDeadline = std::chrono::seconds(10);
     /// Keys are kept this much longer than they are accepted, because clocks of instances differ.
@@ -71,6 +73,21 @@
     this->pump();
 }
 
+void UpstreamGate::setStanding(Standing standing)
+{
+    switch (standing) {
+    case Standing::Gate:
+        this->connections.setRetention(this->profile.warmConnections, gateSpareLifetime);
+        break;
+    case Standing::Candidate:
+        this->connections.setRetention(0, candidateSpareLifetime);
+        break;
+    case Standing::Former:
+        this->connections.setRetention(0, Duration(0));
+        break;
+    }
+}
+
 void UpstreamGate::onGroupChanged()
 {
     const UpstreamStatus* status = this->group.findStatus(this->upstream.id);
--- a/src/server/UpstreamGate.h
+++ b/src/server/UpstreamGate.h
@@ -23,6 +23,16 @@
 public:
     using AnswerHandler = std::function<void(HopAnswer answer)>;
 
+    /// How this instance stands to the upstream.
+    enum class Standing {
+        /// It is the gate, and keeps connections ready.
+        Gate,
+        /// It stands in for the gate, and lets unused connections go soon.
+        Candidate,
+        /// The gate moved away: it finishes what it has and lets connections go at once.
+        Former,
+    };
+
     /// What the gate needs from its surroundings; all must outlive it.
     struct Environment {
         Scheduler& loop;
@@ -53,6 +63,9 @@
     /// Notes that the upstream leaves, or stays: a leaving one gets no new work.
     void setLeaving(bool leaving) { this->isLeaving = leaving; }
 
+    /// Takes how this instance stands to the upstream now.
+    void setStanding(Standing standing);
+
     /// Takes news from the group's state: releases reads that waited for the replica.
     void onGroupChanged();
 
--- a/standins/database/PostgresServer.h
+++ b/standins/database/PostgresServer.h
@@ -32,6 +32,9 @@
     /// @returns false when the port cannot be opened
     bool run();
 
+    /// @returns connections that are open
+    int getNumConnections() const { return this->numConnections; }
+
 private:
     void serve(int descriptor);
     void serveSession(Wire& wire, SessionState& session, const std::string& zone, std::uint64_t generation);
--- a/standins/database/main.cpp
+++ b/standins/database/main.cpp
@@ -62,7 +62,7 @@
     response.set_content("{}", "application/json");
 }
 
-void describe(SqlEngine& engine, httplib::Response& response)
+void describe(SqlEngine& engine, const PostgresServer& server, httplib::Response& response)
 {
     UpstreamStatus status = engine.getLog().getStatus();
     nlohmann::json body {
@@ -72,6 +72,7 @@
         { "head_position", status.head.position.value() },
         { "history", status.history.toString() },
         { "executed", engine.getNumExecuted() },
+        { "connections", server.getNumConnections() },
     };
     response.set_content(body.dump(), "application/json");
 }
@@ -117,15 +118,15 @@
     for (const ReplicaAddress& replica : parseReplicas(arguments["replicas"].as<std::string>()))
         std::thread([&engine, &faults, zone, replica] { shipLog(engine.getLog(), faults, zone, replica); }).detach();
 
+    PostgresServer server({ address, arguments["port"].as<int>(), arguments["connections"].as<int>(), std::chrono::milliseconds(arguments["open-ms"].as<int>()) }, engine, faults);
     httplib::Server control;
     control.new_task_queue = [] { return new httplib::ThreadPool(numControlThreads); };
     control.set_tcp_nodelay(true);
     control.Post("/replicate", [&](const httplib::Request& request, httplib::Response& response) { onReplicate(engine, faults, request, response); });
     control.Post("/control", [&](const httplib::Request& request, httplib::Response& response) { onControl(engine, faults, request, response); });
-    control.Get("/control", [&](const httplib::Request&, httplib::Response& response) { describe(engine, response); });
+    control.Get("/control", [&](const httplib::Request&, httplib::Response& response) { describe(engine, server, response); });
     std::thread([&] { control.listen(address.c_str(), arguments["control-port"].as<int>()); }).detach();
 
-    PostgresServer server({ address, arguments["port"].as<int>(), arguments["connections"].as<int>(), std::chrono::milliseconds(arguments["open-ms"].as<int>()) }, engine, faults);
     if (server.run())
         return 0;
     std::cerr << "the port cannot be opened\n";
--- a/tests/process/ClusterTests.cpp
+++ b/tests/process/ClusterTests.cpp
@@ -266,6 +266,22 @@
     CHECK(sendRequest(inside, write).value("outcome", "") != "completed");
 }
 
+TEST(Cluster, gatesThatMovedBackLeaveNoConnectionsBehind)
+{
+    // Cut off, the two instances of one zone take themselves for the gates of every upstream.
+    Bench bench(makeSponaSite());
+    bench.start();
+    Load load(bench.cluster, { StreamPlan { "bookings", StreamKind::WriteThenRead, Rank::Urgent, 40, 1000 } });
+    CHECK(load.prepare());
+    load.run(std::chrono::seconds(9), { { std::chrono::seconds(1), [&] { bench.cluster.cutZones({ "ba" }); } }, { std::chrono::seconds(7), [&] { bench.cluster.cutZones({}); } } });
+    checkBookings(load, "bookings");
+
+    // One gate's share of sixteen, and the probes of three gates.
+    constexpr int most = 5 + 3;
+    for (const UpstreamNode& node : bench.cluster.getUpstreams())
+        CHECK(waitFor([&] { return bench.cluster.describeUpstream(node).value("connections", 100) <= most; }));
+}
+
 TEST(Cluster, badInputGetsAClearErrorAndTheServiceGoesOn)
 {
     Bench bench;
--- a/tests/unit/PoolTests.cpp
+++ b/tests/unit/PoolTests.cpp
@@ -98,3 +98,40 @@
     CHECK(numTries >= 10);
     CHECK(numTries <= 20);
 }
+
+TEST(ConnectionPool, aFormerGateLetsItsConnectionsGoAtOnce)
+{
+    ManualClock clock;
+    ConnectionPool pool(8, 2);
+    pool.setDemand(2);
+    for (ConnectionPool::Handle handle : pool.takeOpenings(clock.now()))
+        pool.onOpened(handle, clock.now());
+    ConnectionPool::Handle busy = *pool.acquire(clock.now());
+    pool.setDemand(0);
+    pool.setRetention(0, Duration(0));
+    CHECK_EQUAL(3, pool.takeClosings(clock.now()).size());
+    CHECK(pool.takeOpenings(clock.now()).empty());
+
+    pool.release(busy, ConnectionPool::Condition::Clean, clock.now());
+    CHECK_EQUAL(1, pool.takeClosings(clock.now()).size());
+    CHECK_EQUAL(0, pool.getNumConnections());
+}
+
+TEST(ConnectionPool, probesDoNotKeepAnUnusedConnectionOpen)
+{
+    ManualClock clock;
+    ConnectionPool pool(8, 1);
+    pool.setDemand(3);
+    for (ConnectionPool::Handle handle : pool.takeOpenings(clock.now()))
+        pool.onOpened(handle, clock.now());
+    pool.setDemand(0);
+    std::size_t numClosed = 0;
+    for (int second = 0; second < 40; second++) {
+        clock.advance(std::chrono::seconds(1));
+        while (std::optional<ConnectionPool::Handle> probed = pool.takeProbe(clock.now()))
+            pool.release(*probed, ConnectionPool::Condition::Clean, clock.now());
+        numClosed += pool.takeClosings(clock.now()).size();
+    }
+    CHECK_EQUAL(3, numClosed);
+    CHECK_EQUAL(1, pool.getNumConnections());
+}
