--- a/include/lentiljunction/routing/lj_routing.h
+++ b/include/lentiljunction/routing/lj_routing.h
@@ -4,5 +4,6 @@
 /// Module routing: gates, the order of reads, and what follows an attempt. Depends on bundle, membership and admission.
 
 #include "lentiljunction/routing/AttemptPolicy.h"
+#include "lentiljunction/routing/CatchUpEstimate.h"
 #include "lentiljunction/routing/GateMap.h"
 #include "lentiljunction/routing/ReadRouter.h"
--- a/src/server/UpstreamGate.cpp
+++ b/src/server/UpstreamGate.cpp
@@ -1,5 +1,7 @@
 #include "UpstreamGate.h"
 
+#include "TransactionPlans.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -10,11 +12,7 @@
     /// A first try without an answer is given up after this time, when it may be repeated.
     constexpr Duration shortestSilence = std::chrono::milliseconds(250);
     constexpr int silenceFactor = 10;
-    constexpr Duration initialCatchUp = std::chrono::milliseconds(10);
     constexpr Duration initialStatement = std::chrono::milliseconds(2);
-    /// How much longer than at the primary a read may take at a replica, to spare the primary.
-    constexpr Duration primaryRelief = std::chrono::milliseconds(20);
-    constexpr int waitFactor = 2;
     constexpr int memory = 8;
     constexpr Duration gateSpareLifetime = std::chrono::seconds(30);
     constexpr Duration candidateSpareLifetime = std::chrono::seconds(3);
@@ -41,7 +39,6 @@
     , limit(this->profile.slots)
     , connections({ this->environment.loop, this->environment.clock, this->environment.metrics, this->environment.connector }, upstream, this->profile, [this] { this->pump(); })
     , transactions(this->environment.self.toString() + "~" + upstream.id.toString())
-    , meanCatchUp(initialCatchUp)
     , meanStatement(initialStatement)
 {
 }
@@ -97,17 +94,17 @@
     TimePoint now = this->environment.clock.now();
     std::vector<WaitingRead> waiting = std::exchange(this->waitingReads, {});
     for (const WaitingRead& read : waiting) {
-        if (status->getCoverage(read.point) == Coverage::Behind && now < read.giveUpAt) {
+        Duration waited = std::chrono::duration_cast<Duration>(now - read.work->arrivedAt);
+        bool isBehind = status->getCoverage(read.point) == Coverage::Behind;
+        if (!isBehind) {
+            this->catchUp.onCaughtUp(waited);
+            this->enqueue(read.work);
+        } else if (now < read.giveUpAt) {
             this->waitingReads.push_back(read);
-            continue;
-        }
-        if (status->getCoverage(read.point) == Coverage::Behind) {
-            this->meanCatchUp = blend(this->meanCatchUp, 2 * std::chrono::duration_cast<Duration>(now - read.work->arrivedAt));
+        } else {
+            this->catchUp.onGivenUp(waited);
             this->finish(read.work, Outcome::notRun(NotRunReason::ReplicaBehind, "the replica did not catch up in time"), false, std::nullopt);
-            continue;
         }
-        this->meanCatchUp = blend(this->meanCatchUp, std::chrono::duration_cast<Duration>(now - read.work->arrivedAt));
-        this->enqueue(read.work);
     }
     this->pump();
 }
@@ -160,13 +157,13 @@
     if (!isBehind)
         return false;
 
-    Duration worth = work->hop.alternativeCost + primaryRelief;
-    if (this->meanCatchUp > worth) {
-        this->meanCatchUp = blend(this->meanCatchUp, initialCatchUp);
+    if (!this->catchUp.isWaitWorthwhile(work->hop.alternativeCost)) {
+        this->catchUp.onSkipped();
         this->finish(work, Outcome::notRun(NotRunReason::ReplicaBehind, "the primary is expected to answer sooner"), false, std::nullopt);
         return true;
     }
-    this->waitingReads.push_back({ work, *point, std::min(work->arrivedAt + worth * waitFactor, work->deadline) });
+    TimePoint giveUpAt = work->arrivedAt + this->catchUp.getLongestWait(work->hop.alternativeCost);
+    this->waitingReads.push_back({ work, *point, std::min(giveUpAt, work->deadline) });
     this->environment.requestFastProbes(this->database.id);
     return true;
 }
@@ -231,7 +228,7 @@
     work->startedAt = now;
     work->numRunningAtStart = ++this->numRunning;
     this->hasKeyedWrites = this->hasKeyedWrites || work->hop.request.key;
-    work->runner.emplace(this->makePlan(*work));
+    work->runner.emplace(makePlan(work->hop.request, this->profile.statusSql));
     this->sendStep(work, work->runner->start());
 }
 
@@ -366,35 +363,6 @@
     this->finish(work, outcome, work->runner->isInDoubt(), point);
 }
 
-TransactionPlan UpstreamGate::makePlan(const Work& work) const
-{
-    const Request& request = work.hop.request;
-    TransactionPlan plan;
-    plan.statements = request.statements;
-    plan.statusSql = this->profile.statusSql;
-    plan.key = request.key;
-    switch (request.action) {
-    case TransactionAction::None:
-        plan.kind = request.isRead() ? TransactionPlan::Kind::Read : TransactionPlan::Kind::Write;
-        break;
-    case TransactionAction::Begin:
-        plan.kind = TransactionPlan::Kind::Begin;
-        break;
-    case TransactionAction::Continue:
-        plan.kind = TransactionPlan::Kind::Continue;
-        break;
-    case TransactionAction::Commit:
-        plan.kind = TransactionPlan::Kind::Commit;
-        break;
-    case TransactionAction::Rollback:
-        plan.kind = TransactionPlan::Kind::Rollback;
-        break;
-    }
-    if (plan.kind == TransactionPlan::Kind::Read)
-        plan.mustCover = request.session.find(request.database);
-    return plan;
-}
-
 Duration UpstreamGate::getStepTimeout(const Work& work) const
 {
     const Request& request = work.hop.request;
--- a/src/server/UpstreamGate.h
+++ b/src/server/UpstreamGate.h
@@ -8,6 +8,7 @@
 #include "lentiljunction/execution/TransactionRunner.h"
 #include "lentiljunction/metrics/Metrics.h"
 #include "lentiljunction/peer/PeerMessage.h"
+#include "lentiljunction/routing/CatchUpEstimate.h"
 
 #include <deque>
 #include <functional>
@@ -112,7 +113,6 @@
     bool tryAgain(const std::shared_ptr<Work>& work, bool wasSilent);
     void finish(const std::shared_ptr<Work>& work, Outcome outcome, bool isInDoubt, std::optional<LogPoint> point);
     void finishRead(const std::shared_ptr<Work>& work, const TransactionRunner::Step& step);
-    TransactionPlan makePlan(const Work& work) const;
     Duration getStepTimeout(const Work& work) const;
     void maintainPool();
     void pruneKeys();
@@ -137,7 +137,7 @@
     bool isLeaving = false;
     bool hasKeyedWrites = false;
     TimePoint nextPrune;
-    Duration meanCatchUp;
+    CatchUpEstimate catchUp;
     Duration meanStatement;
 };
 
