Ask only replicas in quick succession while a write waits

Change: the primary is left out of the quick probes; lj-capacity measures writes; lj-lab prints a table.

--- a/src/server/GroupWatcher.cpp
+++ b/src/server/GroupWatcher.cpp
@@ -222,11 +222,13 @@
 Duration GroupWatcher::getInterval(const UpstreamId& upstream) const
 {
     TimePoint now = this->clock.now();
-    if (now < this->fastUntil)
+    // The primary's own status comes with each commit, so only replicas are asked in succession.
+    bool isPrimary = upstream == this->monitor.getPrimary();
+    if (now < this->fastUntil && !isPrimary)
         return fastInterval;
     if (!this->monitor.isPrimaryReachable())
         return suspectInterval;
-    bool isBystander = upstream != this->ownUpstream && upstream != this->monitor.getPrimary();
+    bool isBystander = upstream != this->ownUpstream && !isPrimary;
     if (now < this->activeUntil)
         return isBystander ? activeBystanderInterval : activeInterval;
     return isBystander ? idleBystanderInterval : idleInterval;
--- a/tools/capacity/Measurements.h
+++ b/tools/capacity/Measurements.h
@@ -25,6 +25,9 @@
 /// Processor time of an instance against statements per second, served here and forwarded.
 nlohmann::json measureStatements(const std::string& binaries, const std::string& folder);
 
+/// Processor time of all instances against bookings per second, with their confirmations.
+nlohmann::json measureWrites(const std::string& binaries, const std::string& folder);
+
 /// Processor time, memory and probes of an idle gate against groups.
 nlohmann::json measureGroups(const std::string& binaries, const std::string& folder);
 
--- a/tools/capacity/ProcessMeasurements.cpp
+++ b/tools/capacity/ProcessMeasurements.cpp
@@ -77,6 +77,15 @@
         return sum;
     }
 
+    /// @returns the processor time of all instances
+    double sumProcessorSeconds(Cluster& cluster)
+    {
+        double sum = 0;
+        for (const InstanceNode& node : cluster.getInstances())
+            sum += getProcessorSeconds(node.process->getPid());
+        return sum;
+    }
+
 } // namespace
 
 nlohmann::json measureSessions(const std::string& binaries, const std::string& folder)
@@ -122,13 +131,7 @@
             lab::Load load(cluster, { lab::StreamPlan { "reads", lab::StreamKind::Read, Rank::Normal, rate, 1000 } });
             double before = 0;
             double after = 0;
-            std::function<double()> total = [&] {
-                double sum = 0;
-                for (const InstanceNode& node : cluster.getInstances())
-                    sum += getProcessorSeconds(node.process->getPid());
-                return sum;
-            };
-            load.run(std::chrono::seconds(8), { { std::chrono::seconds(2), [&] { before = total(); } }, { std::chrono::milliseconds(7900), [&] { after = total(); } } });
+            load.run(std::chrono::seconds(8), { { std::chrono::seconds(2), [&] { before = sumProcessorSeconds(cluster); } }, { std::chrono::milliseconds(7900), [&] { after = sumProcessorSeconds(cluster); } } });
             processor.push_back({ rate, (after - before) / 5.9 * 100 });
             latency.push_back({ rate, load.getResult("reads").getPercentile(0.99, 2000, 7900) });
         }
@@ -138,6 +141,30 @@
     return report;
 }
 
+nlohmann::json measureWrites(const std::string& binaries, const std::string& folder)
+{
+    std::vector<Sample> processor;
+    std::vector<Sample> latency;
+    for (double rate : { 25.0, 50.0, 100.0, 150.0 }) {
+        SitePlan site = lab::makeDemoSite();
+        site.serviceMicroseconds = 0;
+        Cluster cluster(site, binaries, folder + "/" + std::to_string(static_cast<int>(rate)));
+        Failure failure;
+        if (!cluster.start(failure))
+            return { { "error", failure.reason } };
+
+        lab::Load load(cluster, { lab::StreamPlan { "bookings", lab::StreamKind::KeyedWrite, Rank::Urgent, rate, 1000 } });
+        if (!load.prepare())
+            return { { "error", "the tables could not be made" } };
+        double before = 0;
+        double after = 0;
+        load.run(std::chrono::seconds(8), { { std::chrono::seconds(2), [&] { before = sumProcessorSeconds(cluster); } }, { std::chrono::milliseconds(7900), [&] { after = sumProcessorSeconds(cluster); } } });
+        processor.push_back({ rate, (after - before) / 5.9 * 100 });
+        latency.push_back({ rate, load.getResult("bookings").getPercentile(0.5, 2000, 7900) });
+    }
+    return { { "processor_percent", describe(processor, "percent of a core of three instances, against keyed bookings per second at one group", 60) }, { "p50_ms", describe(latency, "p50 of a booking in milliseconds, replication lag 5 ms", 60) } };
+}
+
 nlohmann::json measureGroups(const std::string& binaries, const std::string& folder)
 {
     std::vector<Sample> processor;
--- a/tools/capacity/main.cpp
+++ b/tools/capacity/main.cpp
@@ -24,6 +24,8 @@
         return measureSessions(binaries, folder);
     if (what == "statements")
         return measureStatements(binaries, folder);
+    if (what == "writes")
+        return measureWrites(binaries, folder);
     if (what == "groups")
         return measureGroups(binaries, folder);
     if (what == "store")
@@ -36,7 +38,7 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options options("lj-capacity", "Measures slopes for docs/CAPACITY.md. Each has at least four sizes.");
-    options.positional_help("WHAT: membership, storms, bundle, sessions, statements, groups or store");
+    options.positional_help("WHAT: membership, storms, bundle, sessions, statements, writes, groups or store");
     options.add_options()("what", "what to measure", cxxopts::value<std::string>()->default_value(""));
     options.add_options()("out", "receives the result as JSON", cxxopts::value<std::string>());
     options.add_options()("help", "this text");
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -4,6 +4,7 @@
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <unistd.h>
 
@@ -40,12 +41,26 @@
     options.add_options()("durability", "replicated or primary", cxxopts::value<std::string>()->default_value("replicated"));
     options.add_options()("seed", "chaos: the script", cxxopts::value<std::uint64_t>()->default_value("1"));
     options.add_options()("seconds", "chaos: how long", cxxopts::value<int>()->default_value("30"));
+    options.add_options()("json", "print JSON in place of a table");
     options.add_options()("out", "receives the result as JSON", cxxopts::value<std::string>());
     options.add_options()("help", "this text");
     options.parse_positional({ "action" });
     return options;
 }
 
+/// Prints the numbers of a result, one a line, without the long lists.
+void printTable(const nlohmann::json& report)
+{
+    constexpr int width = 64;
+    const nlohmann::json flat = report.flatten();
+    for (nlohmann::json::const_iterator entry = flat.begin(); entry != flat.end(); ++entry) {
+        bool isList = entry.key().find("answers_per_100_ms") != std::string::npos || entry.key().find("/script/") != std::string::npos;
+        if (entry.value().is_structured() || isList)
+            continue;
+        std::cout << std::left << std::setw(width) << entry.key().substr(1) << " " << entry.value().dump() << "\n";
+    }
+}
+
 std::optional<nlohmann::json> runExperiment(const cxxopts::ParseResult& arguments, const ExperimentSetting& setting)
 {
     std::string action = arguments["action"].as<std::string>();
@@ -93,7 +108,10 @@
         std::cerr << options.help();
         return usageCode;
     }
-    std::cout << report->dump(2) << "\n";
+    if (arguments.count("json") > 0)
+        std::cout << report->dump(2) << "\n";
+    else
+        printTable(*report);
     if (arguments.count("out") > 0)
         std::ofstream(arguments["out"].as<std::string>()) << report->dump(2) << "\n";
     return report->contains("error") ? 1 : 0;
