Make the proof of inherited entries stricter

Cause: scripts/prove-guards proved 41 of 42 guards; the test of inherited entries passed without the rule that the promise and the log must be of one term, because only one of the three reports was of the old term. Change: two reports of the old term under a newer promise, which is a majority by position alone. Before: green without the guard. After: red without it (run by itself, with the guard taken out of ConfirmationTracker.cpp), green with it.

--- a/tests/unit/DurabilityTests.cpp
+++ b/tests/unit/DurabilityTests.cpp
@@ -53,6 +53,8 @@
     tracker.onStatus(UpstreamId("a"), makeStatus("1:1", 3, 1, 5), now);
     tracker.onStatus(UpstreamId("b"), makeStatus("1:1,3:6", 3, 3, 6), now);
     CHECK(tracker.takeResolved(now).empty());
+    tracker.onStatus(UpstreamId("c"), makeStatus("1:1", 3, 1, 5), now);
+    CHECK(tracker.takeResolved(now).empty());
 
     tracker.onStatus(UpstreamId("a"), makeStatus("1:1,3:6", 3, 3, 6), now);
     std::vector<ConfirmationTracker::Resolution> resolved = tracker.takeResolved(now);
