--- a/include/lentiljunction/bundle/BundleOffice.h
+++ b/include/lentiljunction/bundle/BundleOffice.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lentiljunction/bundle/SignedBundle.h"
-#include "lentiljunction/platform/PlatformStore.h"
+#include "lentiljunction/store/PlatformStore.h"
 
 #include <optional>
 #include <string>
--- a/include/lentiljunction/core/Clock.h
+++ b/include/lentiljunction/core/Clock.h
@@ -11,6 +11,18 @@
 /// A span of time, in microseconds.
 using Duration = std::chrono::microseconds;
 
+/// A clock that goes on while the machine is suspended.
+struct BootClock {
+    using duration = std::chrono::nanoseconds;
+    using time_point = std::chrono::time_point<BootClock>;
+
+    /// @returns the time since the machine started
+    static time_point now();
+};
+
+/// A point on the clock that goes on while the machine is suspended.
+using BootTime = BootClock::time_point;
+
 /// The source of time for every decision.
 ///
 /// Decision classes never read the system's clock themselves, so a test moves time by hand.
@@ -25,6 +37,12 @@
 
     /// @returns the civil time; safe to call from any thread
     virtual WallTime wallNow() const = 0;
+
+    /// Unlike now(), counts the time for which the machine was suspended. What another instance may
+    /// do after a span of time is measured with it.
+    ///
+    /// @returns the time since the machine started; safe to call from any thread
+    virtual BootTime bootNow() const = 0;
 };
 
 /// The clock of the machine.
@@ -32,6 +50,7 @@
 public:
     TimePoint now() const override { return std::chrono::steady_clock::now(); }
     WallTime wallNow() const override { return std::chrono::system_clock::now(); }
+    BootTime bootNow() const override { return BootClock::now(); }
 };
 
 /// A clock that a test moves by hand.
@@ -44,17 +63,27 @@
 public:
     TimePoint now() const override { return this->monotonic; }
     WallTime wallNow() const override { return this->wall; }
+    BootTime bootNow() const override { return this->boot; }
 
-    /// @param step how far both times move forward
+    /// @param step how far all times move forward
     void advance(Duration step)
     {
         this->monotonic += step;
         this->wall += step;
+        this->boot += step;
+    }
+
+    /// Suspends the machine: the monotonic time stands still, the others go on.
+    void suspend(Duration span)
+    {
+        this->wall += span;
+        this->boot += span;
     }
 
 private:
     TimePoint monotonic { std::chrono::hours(1) };
     WallTime wall { std::chrono::hours(500000) };
+    BootTime boot { std::chrono::hours(2) };
 };
 
 /// @returns milliseconds since the Unix epoch
--- a/include/lentiljunction/core/Ids.h
+++ b/include/lentiljunction/core/Ids.h
@@ -82,6 +82,8 @@
 using ZoneId = Name<struct ZoneTag>;
 /// A database group: one primary and its replicas.
 using DatabaseId = Name<struct DatabaseTag>;
+/// A group of upstreams that holds the data of one or more databases.
+using GroupId = Name<struct GroupTag>;
 /// One member of a database group.
 using UpstreamId = Name<struct UpstreamTag>;
 /// The caller's own number of a request.
@@ -99,6 +101,8 @@
 using BundleVersion = Number<struct BundleVersionTag>;
 /// The version of an object in the platform's store; zero means absent.
 using StoreVersion = Number<struct StoreVersionTag>;
+/// A number that grows with each holder of the duty to promote; the greatest one wins.
+using FencingToken = Number<struct FencingTokenTag>;
 /// A member's own counter that refutes suspicion.
 using Incarnation = Number<struct IncarnationTag>;
 
--- /dev/null
+++ b/include/lentiljunction/fleet/lj_fleet.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// @file
+/// Module fleet: what the instances share through the store. Depends on core, routes and leadership.
+
+#include "lentiljunction/fleet/FleetStore.h"
--- /dev/null
+++ b/include/lentiljunction/leadership/LeadCodec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "lentiljunction/core/Failure.h"
+#include "lentiljunction/leadership/LeadRecord.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace lentiljunction {
+
+/// @returns the record as it is kept in the store and sent to other instances
+nlohmann::json encodeLeadRecord(const LeadRecord& record);
+
+/// @param failure says which field is missing or malformed
+/// @returns the record, or nothing
+std::optional<LeadRecord> decodeLeadRecord(const nlohmann::json& document, Failure& failure);
+
+} // namespace lentiljunction
--- /dev/null
+++ b/include/lentiljunction/leadership/LeadView.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "lentiljunction/leadership/LeadRecord.h"
+#include "lentiljunction/routes/UpstreamEntry.h"
+
+#include <optional>
+
+namespace lentiljunction {
+
+/// A primary together with the generation under which it leads.
+struct Leader {
+    UpstreamId upstream;
+    std::uint64_t generation = 0;
+
+    friend bool operator==(const Leader& left, const Leader& right) { return left.upstream == right.upstream && left.generation == right.generation; }
+    friend bool operator!=(const Leader& left, const Leader& right) { return !(left == right); }
+};
+
+/// What one instance believes of the primaries, and until when it may act on it.
+///
+/// The belief comes from a linearizable read of the lead record, or from an instance that made one.
+/// Whoever replaces a primary first writes that to the record and then waits for at least
+/// `permitSpan`, or until each instance has confirmed that it took note. So a primary that is in
+/// force at a moment within the permit has not been replaced before that moment.
+///
+/// Immutable; the control thread makes a new view on each change, and the traffic thread reads it.
+///
+/// @see PermitBook
+struct LeadView {
+    VersionedLead lead;
+    /// The permit ends here, on the clock that counts suspensions.
+    BootTime permitEnd;
+
+    /// @returns whether the view may be acted upon
+    bool isPermitted(BootTime now) const { return this->lead.record != nullptr && now < this->permitEnd; }
+
+    /// @returns the primary of a group, whether or not the permit is valid; nothing while it changes
+    std::optional<Leader> findLeader(const GroupId& group, const UpstreamList& upstreams) const;
+
+    /// @returns how often the group's primary was replaced; the count rises when the new one is in force
+    std::uint64_t getGeneration(const GroupId& group) const;
+
+    /// @returns the head that the primary's log had when it took the lead, or nothing
+    std::optional<LogPoint> findBaseline(const GroupId& group) const;
+
+    /// @returns whether the group's primary is being replaced
+    bool isChanging(const GroupId& group) const;
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/include/lentiljunction/leadership/PermitBook.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "lentiljunction/leadership/LeadView.h"
+
+namespace lentiljunction {
+
+/// How long a read of the lead record may be acted upon. A true cut of an instance delays the next
+/// promotion by as much; a store that is away for less is not noticed by callers.
+constexpr std::chrono::milliseconds permitSpan { 2500 };
+/// What a promotion waits beyond the span: for clocks that run apart and for timers that fire late.
+constexpr std::chrono::milliseconds permitMargin { 100 };
+
+/// Keeps one instance's belief about the primaries and the permit to act on it.
+///
+/// Permits are measured on the clock that counts suspensions and begin when a read was sent, never
+/// when its answer came.
+///
+/// Not thread-safe; the control thread owns it.
+///
+/// @see LeadView
+class PermitBook {
+public:
+    /// Notes what a linearizable read, or a conditional write, gave.
+    ///
+    /// @param sentAt when the call was sent
+    /// @returns whether the record is another one than before
+    bool onStoreAnswer(const VersionedLead& lead, BootTime sentAt);
+
+    /// Notes what another instance believes.
+    ///
+    /// @param remaining how long its permit was valid when it answered
+    /// @param sentAt when it was asked
+    /// @returns whether the record is another one than before
+    bool onPeerAnswer(const VersionedLead& lead, Duration remaining, BootTime sentAt);
+
+    /// @returns how long the permit is valid, zero when it has run out
+    Duration getRemaining(BootTime now) const;
+
+    /// @returns the belief
+    const LeadView& getView() const { return this->view; }
+
+private:
+    bool take(const VersionedLead& lead, BootTime permitEnd);
+
+    LeadView view;
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/include/lentiljunction/routes/lj_routes.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/// @file
+/// Module routes: routes of databases and the upstreams behind them. Depends on core and settings.
+
+#include "lentiljunction/routes/RouteKeeper.h"
+#include "lentiljunction/routes/RouteTable.h"
+#include "lentiljunction/routes/UpstreamEntry.h"
+#include "lentiljunction/routes/UpstreamKeeper.h"
--- /dev/null
+++ b/include/lentiljunction/store/lj_store.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// @file
+/// Module store: the platform's store. Depends on core.
+
+#include "lentiljunction/store/PlatformStore.h"
--- a/src/audit/AuditTrail.cpp
+++ b/src/audit/AuditTrail.cpp
@@ -1,7 +1,7 @@
 #include "lentiljunction/audit/AuditTrail.h"
 
 #include "lentiljunction/core/RendezvousHash.h"
-#include "lentiljunction/platform/PlatformStore.h"
+#include "lentiljunction/store/PlatformStore.h"
 
 #include <algorithm>
 #include <spdlog/spdlog.h>
--- a/src/cli/BundleCommands.cpp
+++ b/src/cli/BundleCommands.cpp
@@ -1,6 +1,6 @@
 #include "BundleCommands.h"
 
-#include "../platform/HttpPlatformStore.h"
+#include "../store/HttpPlatformStore.h"
 #include "CommandLine.h"
 #include "lentiljunction/audit/AuditTrail.h"
 #include "lentiljunction/bundle/BundleOffice.h"
--- a/src/cli/Command.h
+++ b/src/cli/Command.h
@@ -5,6 +5,8 @@
 
 namespace lentiljunction {
 
+class GatewayAdapter;
+
 /// Exit codes of every command.
 namespace exitcodes {
     constexpr int ok = 0;
@@ -43,7 +45,8 @@
 /// Runs the program.
 ///
 /// @param arguments the command line without the program's name
+/// @param adapter the surroundings in which `serve` runs a gateway instance
 /// @returns the exit code
-int runProgram(const std::vector<std::string>& arguments);
+int runProgram(const std::vector<std::string>& arguments, const GatewayAdapter& adapter);
 
 } // namespace lentiljunction
--- a/src/cli/InstanceCommands.cpp
+++ b/src/cli/InstanceCommands.cpp
@@ -2,6 +2,7 @@
 
 #include "../server/Instance.h"
 #include "CommandLine.h"
+#include "GatewayServe.h"
 #include "lentiljunction/bundle/SignedBundle.h"
 #include "lentiljunction/core/LogEvents.h"
 
@@ -29,6 +30,11 @@
 
     class ServeCommand : public Command {
     public:
+        explicit ServeCommand(const GatewayAdapter& adapter)
+            : adapter(adapter)
+        {
+        }
+
         std::string getName() const override { return "serve"; }
         std::string getSummary() const override { return "run an entry instance"; }
 
@@ -42,6 +48,8 @@
     private:
         int serve(const std::string& path)
         {
+            if (isGatewayFile(path))
+                return serveGateway(path, this->adapter);
             Failure failure;
             std::optional<Settings> settings = loadSettings(path, failure);
             if (!settings)
@@ -62,6 +70,8 @@
             sigwait(&signals, &received);
             return instance.drain() ? exitcodes::ok : exitcodes::failed;
         }
+
+        const GatewayAdapter& adapter;
     };
 
     class CheckCommand : public Command {
@@ -95,7 +105,8 @@
         int checkSettings(const std::string& path)
         {
             Failure failure;
-            if (!loadSettings(path, failure))
+            bool isValid = isGatewayFile(path) ? loadGatewaySettings(path, failure).has_value() : loadSettings(path, failure).has_value();
+            if (!isValid)
                 return reportFailure(failure);
             std::cout << path << ": ok\n";
             return exitcodes::ok;
@@ -181,10 +192,10 @@
 
 } // namespace
 
-std::vector<std::unique_ptr<Command>> makeInstanceCommands()
+std::vector<std::unique_ptr<Command>> makeInstanceCommands(const GatewayAdapter& adapter)
 {
     std::vector<std::unique_ptr<Command>> commands;
-    commands.push_back(std::make_unique<ServeCommand>());
+    commands.push_back(std::make_unique<ServeCommand>(adapter));
     commands.push_back(std::make_unique<CheckCommand>());
     commands.push_back(std::make_unique<StatusCommand>());
     commands.push_back(std::make_unique<VersionCommand>());
--- a/src/cli/Program.cpp
+++ b/src/cli/Program.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-    std::vector<std::unique_ptr<Command>> makeAllCommands()
+    std::vector<std::unique_ptr<Command>> makeAllCommands(const GatewayAdapter& adapter)
     {
-        std::vector<std::unique_ptr<Command>> commands = makeInstanceCommands();
+        std::vector<std::unique_ptr<Command>> commands = makeInstanceCommands(adapter);
         std::vector<std::unique_ptr<Command>> more = makeBundleCommands();
         commands.insert(commands.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
         return commands;
@@ -41,9 +41,9 @@
 
 } // namespace
 
-int runProgram(const std::vector<std::string>& arguments)
+int runProgram(const std::vector<std::string>& arguments, const GatewayAdapter& adapter)
 {
-    std::vector<std::unique_ptr<Command>> commands = makeAllCommands();
+    std::vector<std::unique_ptr<Command>> commands = makeAllCommands(adapter);
     for (const std::unique_ptr<Command>& command : commands) {
         std::size_t count = matchName(command->getName(), arguments);
         if (count > 0)
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -1,5 +1,8 @@
 #include "lentiljunction/core/LogEvents.h"
 
+#include <chrono>
+#include <map>
+#include <mutex>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -20,6 +23,45 @@
         return spdlog::level::info;
     }
 
+    /// Lines of one event in one second. Successes are many and alike; each refusal counts for whoever
+    /// looks for its cause.
+    constexpr std::uint64_t informationPerSecond = 40;
+    constexpr std::uint64_t warningsPerSecond = 400;
+
+    /// Bounds the lines of each event. Safe to call from any thread.
+    class LineBudget {
+    public:
+        /// @param numOmitted set to the lines left out in the last second that had some, once
+        /// @returns whether the line may be written
+        bool take(const LogEvent& event, std::uint64_t& numOmitted)
+        {
+            std::lock_guard<std::mutex> lock(this->mutex);
+            Account& account = this->accounts[event.number];
+            std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+            if (now - account.since >= std::chrono::seconds(1)) {
+                numOmitted = account.numOmitted;
+                account = { now, 0, 0 };
+            }
+            std::uint64_t limit = event.level == LogLevel::Information ? informationPerSecond : warningsPerSecond;
+            if (account.numWritten < limit) {
+                account.numWritten++;
+                return true;
+            }
+            account.numOmitted++;
+            return false;
+        }
+
+    private:
+        struct Account {
+            std::chrono::steady_clock::time_point since;
+            std::uint64_t numWritten = 0;
+            std::uint64_t numOmitted = 0;
+        };
+
+        std::mutex mutex;
+        std::map<int, Account> accounts;
+    };
+
 } // namespace
 
 const std::vector<LogEvent>& getAllLogEvents()
@@ -31,10 +73,15 @@
         events::instanceStopped,
         events::settingsInvalid,
         events::portUnavailable,
+        events::settingsReloaded,
         events::bundleInForce,
         events::bundleRefused,
         events::storeUnavailable,
         events::storeBack,
+        events::routesInForce,
+        events::routesInvalid,
+        events::entryInvalid,
+        events::storeCallFailed,
         events::memberChanged,
         events::peerLinkOpened,
         events::peerLinkLost,
@@ -45,10 +92,23 @@
         events::promotionDone,
         events::promotionFailed,
         events::primaryChanged,
+        events::leadBelieved,
+        events::permitLost,
+        events::permitRegained,
+        events::failoverStep,
+        events::failoverAbandoned,
         events::gateOpened,
         events::gateClosed,
         events::connectionDiscarded,
         events::upstreamLeaving,
+        events::upstreamUnreachable,
+        events::upstreamListed,
+        events::statementRefused,
+        events::statementFailed,
+        events::statementServed,
+        events::statementRetried,
+        events::sessionRefused,
+        events::linesOmitted,
         events::auditWriteFailed,
     };
     return all;
@@ -56,12 +116,18 @@
 
 void logEvent(const LogEvent& event, const std::string& detail)
 {
+    static LineBudget budget;
+    std::uint64_t numOmitted = 0;
+    if (!budget.take(event, numOmitted))
+        return;
+    if (numOmitted > 0)
+        spdlog::log(spdlog::level::warn, "event={} name={} of={} lines={}", events::linesOmitted.number, events::linesOmitted.name, event.name, numOmitted);
     spdlog::log(toSpdlogLevel(event.level), "event={} name={} {}", event.number, event.name, detail);
 }
 
 void initialiseLog(const std::string& instance)
 {
-    std::shared_ptr<spdlog::logger> logger = spdlog::stderr_logger_mt("lentiljunction");
+    std::shared_ptr<spdlog::logger> logger = spdlog::stdout_logger_mt("lentiljunction");
     logger->set_pattern("%Y-%m-%dT%H:%M:%S.%fZ level=%l instance=" + instance + " %v", spdlog::pattern_time_type::utc);
     logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
--- /dev/null
+++ b/src/gateway/FailoverDriver.cpp
@@ -0,0 +1,383 @@
+#include "FailoverDriver.h"
+
+#include "lentiljunction/core/LogEvents.h"
+#include "lentiljunction/leadership/LeadCodec.h"
+
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// How often the steps that wait for time or for answers are looked at, while there are any.
+    constexpr std::chrono::milliseconds tickInterval { 20 };
+    /// For an answer of another instance: some round trips between availability zones.
+    constexpr std::chrono::milliseconds peerLimit { 150 };
+    /// Before a promotion call without an answer is made again.
+    constexpr std::chrono::milliseconds promoteRetryPause { 150 };
+    /// A promotion call is sent only when the duty is certain for this much longer, so that a late
+    /// call cannot meet the next holder's.
+    constexpr std::chrono::milliseconds dutyReserve { 400 };
+
+    /// A connection attempt that reports whether it was refused.
+    class GoneCheck : public ByteSocket::Listener, public std::enable_shared_from_this<GoneCheck> {
+    public:
+        void start(EventLoop& loop, const Endpoint& endpoint, std::function<void(bool)> newCallback)
+        {
+            this->callback = std::move(newCallback);
+            this->keeper = this->shared_from_this();
+            this->socket = ByteSocket::connect(loop, endpoint, *this);
+            loop.schedule(peerLimit, [self = this->shared_from_this()] { self->finish(false); });
+        }
+
+        void onSocketOpened() override { this->finish(false); }
+        void onSocketBytes(std::string& bytes) override { bytes.clear(); }
+        void onSocketClosed(const std::string&, bool isRefused) override { this->finish(isRefused); }
+
+    private:
+        void finish(bool isGone)
+        {
+            std::shared_ptr<GoneCheck> self = std::exchange(this->keeper, nullptr);
+            if (self == nullptr)
+                return;
+            this->socket->close();
+            this->callback(isGone);
+        }
+
+        std::unique_ptr<ByteSocket> socket;
+        std::function<void(bool)> callback;
+        std::shared_ptr<GoneCheck> keeper;
+    };
+
+} // namespace
+
+void checkProcessGone(EventLoop& loop, const Endpoint& endpoint, std::function<void(bool isGone)> callback)
+{
+    std::make_shared<GoneCheck>()->start(loop, endpoint, std::move(callback));
+}
+
+FailoverDriver::FailoverDriver(const Parts& parts)
+    : parts(parts)
+    , timer(parts.loop, parts.clock, [this] { this->tick(); })
+{
+}
+
+void FailoverDriver::start(const GroupId& group, const UpstreamId& primary, bool isPlanned, const std::string& cause)
+{
+    if (this->isActive(group))
+        return;
+    std::vector<UpstreamId> candidates = this->listCandidates(group, primary);
+    if (candidates.empty())
+        return;
+    logEvent(events::promotionStarted, "group=" + group.toString() + " primary=" + primary.toString() + " planned=" + std::to_string(isPlanned) + " cause=\"" + cause + "\" candidates=" + std::to_string(candidates.size()));
+    TimePoint now = this->parts.clock.now();
+    this->runs.emplace(group, Run { Failover(group, primary, candidates, isPlanned, now), {}, {}, cause, now, "", false });
+    this->advance(group);
+    this->timer.setTime(now + tickInterval);
+}
+
+std::vector<UpstreamId> FailoverDriver::listCandidates(const GroupId& group, const UpstreamId& primary) const
+{
+    std::vector<UpstreamId> candidates;
+    for (const std::pair<const UpstreamId, UpstreamEntry>& entry : this->parts.surroundings.getUpstreamList().entries) {
+        if (entry.second.group == group && !entry.second.isLeaving && entry.first != primary)
+            candidates.push_back(entry.first);
+    }
+    return candidates;
+}
+
+FailoverDriver::Run* FailoverDriver::find(const GroupId& group)
+{
+    std::map<GroupId, Run>::iterator found = this->runs.find(group);
+    return found == this->runs.end() ? nullptr : &found->second;
+}
+
+void FailoverDriver::tick()
+{
+    std::vector<GroupId> groups;
+    for (const std::pair<const GroupId, Run>& run : this->runs)
+        groups.push_back(run.first);
+    for (const GroupId& group : groups)
+        this->advance(group);
+    if (!this->runs.empty())
+        this->timer.setTime(this->parts.clock.now() + tickInterval);
+}
+
+void FailoverDriver::advance(const GroupId& group)
+{
+    Run* run = this->find(group);
+    if (run == nullptr)
+        return;
+    std::vector<Failover::Action> actions = run->failover.takeActions(this->parts.clock.bootNow(), this->parts.clock.now());
+    if (run->lastStep != run->failover.getStepName()) {
+        run->lastStep = run->failover.getStepName();
+        logEvent(events::failoverStep, "group=" + group.toString() + " step=" + run->lastStep + " after_ms=" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(this->parts.clock.now() - run->began).count()));
+    }
+    for (const Failover::Action& action : actions) {
+        run = this->find(group);
+        if (run == nullptr)
+            return;
+        this->carryOut(*run, action);
+    }
+    run = this->find(group);
+    if (run != nullptr && run->failover.isDone())
+        this->runs.erase(group);
+}
+
+void FailoverDriver::carryOut(Run& run, const Failover::Action& action)
+{
+    const GroupId& group = run.failover.getGroup();
+    switch (action.kind) {
+    case Failover::Action::Kind::WriteChanging:
+        return this->writeChanging(run);
+    case Failover::Action::Kind::AskInstances:
+        return this->askInstances(run);
+    case Failover::Action::Kind::AskStatus:
+    case Failover::Action::Kind::AskLead:
+        return this->askStatus(group, action.upstream);
+    case Failover::Action::Kind::DemoteOld:
+        return this->demoteOld(group, action.upstream);
+    case Failover::Action::Kind::Promote:
+        return this->promote(run, action.upstream);
+    case Failover::Action::Kind::WriteStable:
+        return this->writeStable(run, action.upstream);
+    }
+}
+
+void FailoverDriver::writeChanging(Run& run)
+{
+    GroupId group = run.failover.getGroup();
+    UpstreamId primary = run.failover.getOldPrimary();
+    LeadWriter::Change change = [this, group, primary](LeadRecord& record) {
+        const GroupLead* present = record.find(group);
+        // Another instance has replaced it, or is about to.
+        bool isOther = present != nullptr && (present->primary != primary);
+        if (isOther)
+            return false;
+        if (record.holder != this->parts.self) {
+            record.holder = this->parts.self;
+            record.epoch = record.epoch.next();
+        }
+        GroupLead& lead = record.groups[group];
+        lead.phase = LeadPhase::Changing;
+        lead.primary = primary;
+        return true;
+    };
+    this->parts.writer.submit(change, [this, group](bool isWritten, BootTime acknowledgedAt) {
+        Run* current = this->find(group);
+        if (current == nullptr)
+            return;
+        if (!isWritten)
+            return this->abandon(group, "another instance replaces the primary");
+        current->failover.onChangingWritten(acknowledgedAt, this->parts.clock.now());
+        this->advance(group);
+    });
+}
+
+void FailoverDriver::writeStable(Run& run, const UpstreamId& primary)
+{
+    GroupId group = run.failover.getGroup();
+    LeadStatus status = run.failover.getNewStatus();
+    LeadWriter::Change change = [this, group, primary, status](LeadRecord& record) {
+        if (record.holder != this->parts.self)
+            return false;
+        GroupLead& lead = record.groups[group];
+        // The write may have been done already and its answer lost.
+        if (lead.phase == LeadPhase::Changing)
+            lead.generation++;
+        lead.phase = LeadPhase::Stable;
+        lead.primary = primary;
+        lead.baseline = status.received;
+        lead.term = status.term;
+        return true;
+    };
+    this->parts.writer.submit(change, [this, group, status](bool isWritten, BootTime) {
+        Run* current = this->find(group);
+        if (current == nullptr)
+            return;
+        if (!isWritten)
+            return this->abandon(group, "another instance took the duty over");
+        current->failover.onStableWritten();
+        logEvent(events::promotionDone, "group=" + group.toString() + " primary=" + current->failover.getChosen()->toString() + " term=" + std::to_string(status.term.value()) + " took_ms=" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(this->parts.clock.now() - current->began).count()));
+        this->tellAll(*current);
+        const UpstreamEntry* old = this->parts.surroundings.getUpstreamList().find(current->failover.getOldPrimary());
+        if (old != nullptr)
+            this->parts.commander.demote(*old, status.term, [](const std::optional<LeadStatus>&, bool) {});
+        this->advance(group);
+    });
+}
+
+void FailoverDriver::askInstances(Run& run)
+{
+    GroupId group = run.failover.getGroup();
+    this->parts.store.listMembers(true, [this, group](const std::optional<std::vector<FleetMember>>& members, const Failure& failure) {
+        Run* current = this->find(group);
+        if (current == nullptr)
+            return;
+        if (!members) {
+            // Without the list nobody may be left out, so the permits have to run out.
+            logEvent(events::storeCallFailed, "call=list_members reason=\"" + failure.reason + "\"");
+            return;
+        }
+        std::set<InstanceId> awaited { this->parts.self };
+        for (const FleetMember& member : *members)
+            awaited.insert(member.id);
+        current->failover.onInstancesKnown(awaited);
+        this->parts.surroundings.confirmTraffic([this, group] {
+            if (Run* confirmed = this->find(group))
+                confirmed->failover.onInstanceStopped(this->parts.self);
+            this->advance(group);
+        });
+        for (const FleetMember& member : *members) {
+            current->members[member.id] = member;
+            if (member.id != this->parts.self)
+                this->askInstance(group, member);
+        }
+    });
+}
+
+void FailoverDriver::askInstance(const GroupId& group, const FleetMember& member)
+{
+    StoreVersion revision = this->parts.surroundings.getPermits().getView().lead.revision;
+    this->parts.peers.ask(member.peers, this->makeLeadMessage(), peerLimit, [this, group, member, revision](const std::optional<nlohmann::json>& answer) {
+        Run* current = this->find(group);
+        if (current == nullptr)
+            return;
+        if (answer && answer->is_object() && answer->value("applied", std::uint64_t(0)) >= revision.value()) {
+            current->failover.onInstanceStopped(member.id);
+            return this->advance(group);
+        }
+        this->checkGone(group, member);
+    });
+}
+
+void FailoverDriver::checkGone(const GroupId& group, const FleetMember& member)
+{
+    // A machine that refuses the connection runs no such process, so nothing there holds a permit.
+    checkProcessGone(this->parts.loop, member.peers, [this, group, member](bool isGone) {
+        Run* current = this->find(group);
+        if (current == nullptr)
+            return;
+        if (isGone) {
+            current->failover.onInstanceStopped(member.id);
+            return this->advance(group);
+        }
+        this->parts.loop.schedule(peerLimit, [this, group, member] {
+            if (this->find(group) != nullptr)
+                this->askInstance(group, member);
+        });
+    });
+}
+
+void FailoverDriver::askStatus(const GroupId& group, const UpstreamId& upstream)
+{
+    const UpstreamEntry* entry = this->parts.surroundings.getUpstreamList().find(upstream);
+    if (entry == nullptr)
+        return;
+    this->parts.commander.askStatus(*entry, [this, group, upstream](const std::optional<LeadStatus>& status, bool) {
+        Run* current = this->find(group);
+        if (current == nullptr || !status)
+            return;
+        current->failover.onStatus(upstream, *status);
+        this->advance(group);
+    });
+}
+
+void FailoverDriver::demoteOld(const GroupId& group, const UpstreamId& upstream)
+{
+    const UpstreamEntry* entry = this->parts.surroundings.getUpstreamList().find(upstream);
+    if (entry == nullptr)
+        return;
+    this->parts.commander.askStatus(*entry, [this, group, upstream, copy = *entry](const std::optional<LeadStatus>& status, bool) {
+        if (this->find(group) == nullptr || !status)
+            return;
+        this->parts.commander.demote(copy, status->term.next(), [this, group](const std::optional<LeadStatus>& demoted, bool) {
+            Run* current = this->find(group);
+            if (current == nullptr || !demoted)
+                return;
+            current->failover.onOldDemoted(*demoted);
+            this->advance(group);
+        });
+    });
+}
+
+bool FailoverDriver::isHolder() const
+{
+    const LeadView& view = this->parts.surroundings.getPermits().getView();
+    return view.lead.record != nullptr && view.lead.record->holder == this->parts.self;
+}
+
+void FailoverDriver::promote(Run& run, const UpstreamId& upstream)
+{
+    if (std::exchange(run.isPromoting, true))
+        return;
+    this->callPromote(run.failover.getGroup(), upstream);
+}
+
+void FailoverDriver::callPromote(const GroupId& group, const UpstreamId& upstream)
+{
+    if (this->find(group) == nullptr)
+        return;
+    if (!this->isHolder())
+        return this->abandon(group, "another instance holds the duty");
+    const PermitBook& permits = this->parts.surroundings.getPermits();
+    if (permits.getRemaining(this->parts.clock.bootNow()) < dutyReserve) {
+        this->parts.loop.schedule(tickInterval, [this, group, upstream] { this->callPromote(group, upstream); });
+        return;
+    }
+    FencingToken epoch = permits.getView().lead.record->epoch;
+    logEvent(events::failoverStep, "group=" + group.toString() + " step=call upstream=" + upstream.toString() + " epoch=" + std::to_string(epoch.value()));
+    this->parts.store.promote(group, upstream, this->parts.self, epoch, [this, group](const std::optional<bool>& isDone, const Failure& failure) {
+        this->onPromoted(group, isDone.has_value(), failure);
+    });
+}
+
+void FailoverDriver::onPromoted(const GroupId& group, bool isAnswered, const Failure& failure)
+{
+    Run* run = this->find(group);
+    if (run == nullptr)
+        return;
+    run->isPromoting = false;
+    TimePoint now = this->parts.clock.now();
+    if (isAnswered || failure.kind == Failure::Kind::Conflict) {
+        if (!isAnswered)
+            logEvent(events::promotionFailed, "group=" + group.toString() + " upstream=" + run->failover.getChosen()->toString() + " reason=\"" + failure.reason + "\"");
+        run->failover.onPromoteAnswer(isAnswered, now);
+        return this->advance(group);
+    }
+    logEvent(events::promotionFailed, "group=" + group.toString() + " reason=\"" + failure.reason + "\" again_in_ms=" + std::to_string(promoteRetryPause.count()));
+    this->parts.loop.schedule(promoteRetryPause, [this, group] {
+        if (Run* current = this->find(group)) {
+            current->failover.onPromoteUnanswered(this->parts.clock.now());
+            this->advance(group);
+        }
+    });
+}
+
+nlohmann::json FailoverDriver::makeLeadMessage() const
+{
+    const PermitBook& permits = this->parts.surroundings.getPermits();
+    const LeadView& view = permits.getView();
+    return {
+        { "ask", "take_lead" },
+        { "record", encodeLeadRecord(*view.lead.record) },
+        { "revision", view.lead.revision.value() },
+        { "permit_us", permits.getRemaining(this->parts.clock.bootNow()).count() },
+    };
+}
+
+void FailoverDriver::tellAll(const Run& run)
+{
+    for (const std::pair<const InstanceId, FleetMember>& member : run.members) {
+        if (member.first != this->parts.self)
+            this->parts.peers.ask(member.second.peers, this->makeLeadMessage(), peerLimit, [](const std::optional<nlohmann::json>&) {});
+    }
+}
+
+void FailoverDriver::abandon(const GroupId& group, const std::string& reason)
+{
+    logEvent(events::failoverAbandoned, "group=" + group.toString() + " reason=\"" + reason + "\"");
+    this->runs.erase(group);
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/gateway/FleetControl.cpp
@@ -0,0 +1,387 @@
+#include "FleetControl.h"
+
+#include "lentiljunction/core/LogEvents.h"
+#include "lentiljunction/core/RendezvousHash.h"
+#include "lentiljunction/leadership/LeadCodec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// Three tries fit into a permit, so one lost answer is not noticed.
+    constexpr std::chrono::milliseconds leadInterval { 800 };
+    /// After a call to the store failed.
+    constexpr std::chrono::milliseconds retryInterval { 200 };
+    /// A watch is renewed this often: an open connection may be silent for good, and a new
+    /// configuration has three seconds to come into force.
+    constexpr std::chrono::milliseconds watchSpan { 2000 };
+    /// Upstreams that leave have seconds until they must be spared.
+    constexpr std::chrono::milliseconds upstreamInterval { 1000 };
+    constexpr std::chrono::milliseconds memberInterval { 3000 };
+    /// For an answer of another instance: some round trips between availability zones.
+    constexpr std::chrono::milliseconds peerLimit { 250 };
+    /// A change of primary that is not over by then has lost its holder.
+    constexpr std::chrono::milliseconds stuckLimit { 4500 };
+    /// Between the instances that may take the duty over, so that the first is usually alone.
+    constexpr std::chrono::milliseconds takeoverStep { 120 };
+
+    std::int64_t toMilliseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    }
+
+} // namespace
+
+FleetControl::FleetControl(const Parts& parts, const GatewaySettings& settings)
+    : parts(parts)
+    , settings(settings)
+    , peers(parts.controlLoop, parts.clock, *this)
+    , writer(parts.store, parts.controlLoop, parts.clock, settings.instance, *this)
+    , commander(parts.controlLoop, parts.clock, parts.protocol, settings.instance)
+    , failovers({ parts.controlLoop, parts.clock, parts.store, this->peers, this->writer, this->commander, *this, settings.instance })
+{
+}
+
+bool FleetControl::start(Failure& failure)
+{
+    if (!this->peers.listen(this->settings.peers, failure))
+        return false;
+    this->parts.controlLoop.post([this] {
+        this->registerSelf();
+        this->readLead();
+        this->readRoutes();
+        this->listUpstreams();
+        this->listMembers();
+    });
+    return true;
+}
+
+void FleetControl::registerSelf()
+{
+    this->parts.store.registerMember({ this->settings.instance, this->settings.zone, this->settings.peers }, [this](const std::optional<bool>& isDone, const Failure& failure) {
+        if (isDone)
+            return;
+        logEvent(events::storeCallFailed, "call=register reason=\"" + failure.reason + "\"");
+        this->parts.controlLoop.schedule(retryInterval, [this] { this->registerSelf(); });
+    });
+}
+
+void FleetControl::readLead()
+{
+    BootTime sentAt = this->parts.clock.bootNow();
+    this->parts.store.readLead([this, sentAt](const std::optional<VersionedLead>& lead, const Failure& failure) { this->onLeadRead(lead, failure, sentAt); });
+}
+
+void FleetControl::onLeadRead(const std::optional<VersionedLead>& lead, const Failure& failure, BootTime sentAt)
+{
+    if (lead) {
+        this->writer.setBase(*lead);
+        this->onLeadSeen(*lead, sentAt);
+    } else if (failure.kind == Failure::Kind::NotFound) {
+        this->createLead();
+    } else {
+        logEvent(events::storeCallFailed, "call=read_lead reason=\"" + failure.reason + "\" permit_ms=" + std::to_string(toMilliseconds(this->permits.getRemaining(this->parts.clock.bootNow()))));
+        this->askPeersForLead();
+        this->publishLead(false);
+    }
+    this->parts.controlLoop.schedule(lead ? leadInterval : retryInterval, [this] { this->readLead(); });
+}
+
+void FleetControl::createLead()
+{
+    this->writer.submit(
+        [this](LeadRecord& record) {
+            if (!record.holder.isEmpty())
+                return false;
+            record.holder = this->settings.instance;
+            record.epoch = FencingToken(1);
+            return true;
+        },
+        [](bool, BootTime) {});
+}
+
+void FleetControl::onLeadSeen(const VersionedLead& lead, BootTime sentAt)
+{
+    this->publishLead(this->permits.onStoreAnswer(lead, sentAt));
+}
+
+void FleetControl::publishLead(bool isNewer)
+{
+    LeadView view = this->permits.getView();
+    bool isPermitted = view.isPermitted(this->parts.clock.bootNow());
+    if (isPermitted != this->wasPermitted)
+        logEvent(isPermitted ? events::permitRegained : events::permitLost, "lead_revision=" + std::to_string(view.lead.revision.value()));
+    this->wasPermitted = isPermitted;
+    if (view.lead.record == nullptr)
+        return;
+    if (isNewer) {
+        logEvent(events::leadBelieved, "lead_revision=" + std::to_string(view.lead.revision.value()) + " holder=" + view.lead.record->holder.toString() + " epoch=" + std::to_string(view.lead.record->epoch.value()) + " groups=" + encodeLeadRecord(*view.lead.record)["groups"].dump());
+        this->parts.trafficLoop.post([this, view] { this->parts.traffic.setLead(view); });
+        this->updateReady();
+        return this->checkStuckChanges();
+    }
+    this->parts.trafficLoop.post([this, view] { this->parts.traffic.extendPermit(view); });
+    this->checkStuckChanges();
+}
+
+void FleetControl::confirmTraffic(std::function<void()> callback)
+{
+    // Tasks run in order, so the belief that was posted before is in force when this one runs.
+    this->parts.trafficLoop.post([this, callback = std::move(callback)] { this->parts.controlLoop.post(callback); });
+}
+
+void FleetControl::askPeersForLead()
+{
+    std::vector<Endpoint> known;
+    for (const std::pair<const InstanceId, FleetMember>& member : this->members) {
+        if (member.first != this->settings.instance)
+            known.push_back(member.second.peers);
+    }
+    if (known.empty())
+        known = this->settings.seeds;
+    if (known.empty())
+        return;
+    // Another one each time, since the first may be cut off from the store as well.
+    const Endpoint& peer = known[this->nextPeer++ % known.size()];
+    BootTime sentAt = this->parts.clock.bootNow();
+    this->peers.ask(peer, { { "ask", "beliefs" } }, peerLimit, [this, sentAt](const std::optional<nlohmann::json>& answer) {
+        if (answer)
+            this->onPeerBelief(*answer, sentAt);
+    });
+}
+
+void FleetControl::onPeerBelief(const nlohmann::json& answer, BootTime sentAt)
+{
+    if (!answer.is_object() || !answer.contains("record") || !answer.contains("revision") || !answer.contains("permit_us"))
+        return;
+    Failure failure;
+    std::optional<LeadRecord> record = decodeLeadRecord(answer["record"], failure);
+    if (!record || !answer["revision"].is_number_unsigned() || !answer["permit_us"].is_number_integer())
+        return logEvent(events::peerMessageInvalid, "reason=\"" + failure.reason + "\"");
+    VersionedLead lead { std::make_shared<LeadRecord>(std::move(*record)), StoreVersion(answer["revision"].get<std::uint64_t>()) };
+    this->writer.setBase(lead);
+    this->publishLead(this->permits.onPeerAnswer(lead, Duration(answer["permit_us"].get<std::int64_t>()), sentAt));
+}
+
+void FleetControl::readRoutes()
+{
+    this->parts.store.readRoutes([this](const std::optional<VersionedRoutes>& read, const Failure& failure) {
+        if (read) {
+            this->takeRoutes(*read);
+            return this->watchRoutes();
+        }
+        logEvent(events::storeCallFailed, "call=read_routes reason=\"" + failure.reason + "\"");
+        this->parts.controlLoop.schedule(retryInterval, [this] { this->readRoutes(); });
+    });
+}
+
+void FleetControl::watchRoutes()
+{
+    this->parts.store.watchRoutes(this->routesRevision, watchSpan, [this](const std::optional<VersionedRoutes>& read, const Failure& failure) {
+        if (!read) {
+            logEvent(events::storeCallFailed, "call=watch_routes reason=\"" + failure.reason + "\"");
+            this->parts.controlLoop.schedule(retryInterval, [this] { this->readRoutes(); });
+            return;
+        }
+        this->takeRoutes(*read);
+        this->watchRoutes();
+    });
+}
+
+void FleetControl::takeRoutes(const VersionedRoutes& read)
+{
+    this->routesRevision = std::max(this->routesRevision, read.revision);
+    if (read.table == nullptr || !this->routes.offer(read.table))
+        return;
+    logEvent(events::routesInForce, "routes_version=" + std::to_string(read.table->version.value()) + " routes=" + std::to_string(read.table->routes.size()));
+    this->parts.trafficLoop.post([this, table = read.table] { this->parts.traffic.setRoutes(table); });
+    this->updateReady();
+}
+
+void FleetControl::listUpstreams()
+{
+    this->parts.store.listUpstreams([this](const std::optional<std::shared_ptr<const UpstreamList>>& list, const Failure& failure) {
+        if (list) {
+            std::vector<std::string> changes = this->upstreams.offer(**list, this->parts.clock.now());
+            for (const std::string& change : changes)
+                logEvent(events::upstreamListed, change);
+            if (!changes.empty())
+                this->parts.trafficLoop.post([this, kept = this->upstreams.getList()] { this->parts.traffic.setUpstreams(kept); });
+            this->hasListedUpstreams = true;
+            this->updateReady();
+            this->checkLeaders();
+        } else {
+            logEvent(events::storeCallFailed, "call=list_upstreams reason=\"" + failure.reason + "\"");
+        }
+        this->parts.controlLoop.schedule(list ? upstreamInterval : retryInterval, [this] { this->listUpstreams(); });
+    });
+}
+
+void FleetControl::listMembers()
+{
+    this->parts.store.listMembers(false, [this](const std::optional<std::vector<FleetMember>>& list, const Failure&) {
+        if (list) {
+            this->members.clear();
+            for (const FleetMember& member : *list)
+                this->members[member.id] = member;
+            std::size_t number = std::max<std::size_t>(1, this->members.size());
+            this->parts.trafficLoop.post([this, number] { this->parts.traffic.setNumInstances(number); });
+        }
+        this->parts.controlLoop.schedule(memberInterval, [this] { this->listMembers(); });
+    });
+}
+
+void FleetControl::updateReady()
+{
+    bool isComplete = this->routes.getTable() != nullptr && this->hasListedUpstreams && this->permits.getView().lead.record != nullptr;
+    if (isComplete && !this->ready.exchange(true))
+        logEvent(events::instanceReady, "routes_version=" + std::to_string(this->routes.getTable()->version.value()));
+}
+
+void FleetControl::checkLeaders()
+{
+    if (this->routes.getTable() == nullptr)
+        return;
+    const UpstreamList& list = *this->upstreams.getList();
+    for (const std::pair<const GroupId, GroupConfig>& group : this->routes.getTable()->groups) {
+        std::optional<Leader> leader = this->permits.getView().findLeader(group.first, list);
+        if (!leader)
+            continue;
+        const UpstreamEntry* entry = list.find(leader->upstream);
+        if (entry == nullptr || entry->isLeaving)
+            this->reportTrouble(group.first, leader->upstream, true);
+    }
+}
+
+void FleetControl::checkStuckChanges()
+{
+    const LeadView& view = this->permits.getView();
+    if (view.lead.record == nullptr)
+        return;
+    TimePoint now = this->parts.clock.now();
+    for (const std::pair<const GroupId, GroupLead>& group : view.lead.record->groups) {
+        if (group.second.phase == LeadPhase::Stable) {
+            this->changingSince.erase(group.first);
+            continue;
+        }
+        TimePoint since = this->changingSince.emplace(group.first, now).first->second;
+        bool isOwn = view.lead.record->holder == this->settings.instance;
+        // After its own restart a holder has forgotten the change that it began.
+        if ((isOwn || now - since >= stuckLimit) && !this->failovers.isActive(group.first))
+            this->failovers.start(group.first, group.second.primary, false, isOwn ? "resumed after a restart" : "its holder does not go on");
+    }
+}
+
+void FleetControl::onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary)
+{
+    this->parts.controlLoop.post([this, group, primary] { this->reportTrouble(group, primary, false); });
+}
+
+void FleetControl::reportTrouble(const GroupId& group, const UpstreamId& primary, bool isLeaving)
+{
+    const LeadView& view = this->permits.getView();
+    if (view.lead.record == nullptr || view.isChanging(group))
+        return;
+    if (view.lead.record->holder == this->settings.instance)
+        return this->consider(group, primary, this->settings.instance, isLeaving);
+
+    std::map<InstanceId, FleetMember>::const_iterator holder = this->members.find(view.lead.record->holder);
+    if (holder == this->members.end())
+        return this->onHolderSilent(group, primary, isLeaving);
+    nlohmann::json question { { "ask", "suspect" }, { "group", group.toString() }, { "primary", primary.toString() }, { "reporter", this->settings.instance.toString() }, { "is_leaving", isLeaving } };
+    this->peers.ask(holder->second.peers, question, peerLimit, [this, group, primary, isLeaving](const std::optional<nlohmann::json>& answer) {
+        bool isTaken = answer && answer->is_object() && answer->value("is_taken", false);
+        if (!isTaken)
+            this->onHolderSilent(group, primary, isLeaving);
+    });
+}
+
+void FleetControl::onHolderSilent(const GroupId& group, const UpstreamId& primary, bool isLeaving)
+{
+    // The instances go one after the other, in an order of their own for each group.
+    std::vector<InstanceId> all;
+    for (const std::pair<const InstanceId, FleetMember>& member : this->members)
+        all.push_back(member.first);
+    std::sort(all.begin(), all.end(), [&group](const InstanceId& left, const InstanceId& right) {
+        return rendezvousScore(group.toString(), left.toString()) > rendezvousScore(group.toString(), right.toString());
+    });
+    std::size_t order = static_cast<std::size_t>(std::distance(all.begin(), std::find(all.begin(), all.end(), this->settings.instance)));
+    this->parts.controlLoop.schedule(takeoverStep * static_cast<int>(order), [this, group, primary, isLeaving] {
+        const LeadView& view = this->permits.getView();
+        std::optional<Leader> leader = view.findLeader(group, *this->upstreams.getList());
+        if (!leader || leader->upstream != primary)
+            return;
+        this->consider(group, primary, this->settings.instance, isLeaving);
+    });
+}
+
+void FleetControl::consider(const GroupId& group, const UpstreamId& primary, const InstanceId& reporter, bool isLeaving)
+{
+    std::optional<Leader> leader = this->permits.getView().findLeader(group, *this->upstreams.getList());
+    if (!leader || leader->upstream != primary || this->failovers.isActive(group))
+        return;
+    const UpstreamEntry* entry = this->upstreams.getList()->find(primary);
+    if (isLeaving && (entry == nullptr || entry->isLeaving))
+        return this->failovers.start(group, primary, entry != nullptr, "the primary leaves");
+    if (isLeaving || entry == nullptr)
+        return;
+
+    this->suspicions.report(primary, reporter, this->parts.clock.now());
+    this->commander.askStatus(*entry, [this, group, primary](const std::optional<LeadStatus>& status, bool) {
+        TimePoint now = this->parts.clock.now();
+        bool isConfirmed = !status.has_value();
+        std::size_t numReporters = this->suspicions.countReporters(primary, now);
+        bool mustReplace = this->suspicions.mustReplace(primary, this->members.size(), isConfirmed, now);
+        logEvent(events::primarySuspected, "group=" + group.toString() + " primary=" + primary.toString() + " reporters=" + std::to_string(numReporters) + " instances=" + std::to_string(this->members.size()) + " own_check_failed=" + std::to_string(isConfirmed) + " replace=" + std::to_string(mustReplace));
+        std::optional<Leader> current = this->permits.getView().findLeader(group, *this->upstreams.getList());
+        if (mustReplace && current && current->upstream == primary)
+            this->failovers.start(group, primary, false, "the primary cannot be reached");
+    });
+}
+
+nlohmann::json FleetControl::makeBeliefAnswer() const
+{
+    const LeadView& view = this->permits.getView();
+    if (view.lead.record == nullptr)
+        return nlohmann::json::object();
+    return {
+        { "record", encodeLeadRecord(*view.lead.record) },
+        { "revision", view.lead.revision.value() },
+        { "permit_us", this->permits.getRemaining(this->parts.clock.bootNow()).count() },
+    };
+}
+
+void FleetControl::onTakeLead(const nlohmann::json& question, const PeerExchange::Responder& respond)
+{
+    // The sender's permit was measured before its message travelled, so it may not be counted from now.
+    nlohmann::json belief = question;
+    belief["permit_us"] = 0;
+    this->onPeerBelief(belief, this->parts.clock.bootNow());
+    this->confirmTraffic([this, respond] {
+        respond({ { "applied", this->permits.getView().lead.revision.value() } });
+    });
+}
+
+void FleetControl::onPeerQuestion(const nlohmann::json& question, const PeerExchange::Responder& respond)
+{
+    std::string ask = question.is_object() ? question.value("ask", "") : "";
+    if (ask == "beliefs")
+        return respond(this->makeBeliefAnswer());
+    if (ask == "take_lead")
+        return this->onTakeLead(question, respond);
+    if (ask == "suspect") {
+        bool isHolder = this->permits.getView().lead.record != nullptr && this->permits.getView().lead.record->holder == this->settings.instance;
+        // A holder without a valid permit may have lost the duty, so others have to look after it.
+        bool isTaken = isHolder && this->permits.getRemaining(this->parts.clock.bootNow()).count() > 0;
+        respond({ { "is_taken", isTaken } });
+        if (isTaken)
+            this->consider(GroupId(question.value("group", "")), UpstreamId(question.value("primary", "")), InstanceId(question.value("reporter", "")), question.value("is_leaving", false));
+        return;
+    }
+    logEvent(events::peerMessageInvalid, "reason=\"an unknown question\"");
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/gateway/FleetControl.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "../peer/PeerExchange.h"
+#include "../traffic/TrafficPlane.h"
+#include "FailoverDriver.h"
+#include "GatewaySettings.h"
+#include "LeadWriter.h"
+#include "UpstreamCommander.h"
+#include "lentiljunction/fleet/FleetStore.h"
+#include "lentiljunction/leadership/PermitBook.h"
+#include "lentiljunction/leadership/SuspicionLedger.h"
+#include "lentiljunction/routes/RouteKeeper.h"
+#include "lentiljunction/routes/UpstreamKeeper.h"
+
+#include <atomic>
+
+namespace lentiljunction {
+
+/// The control plane of one gateway instance: keeps its beliefs current and hands them to traffic.
+///
+/// Reads the routes, the upstreams and who leads from the store, renews the permit to act on that,
+/// and has primaries replaced. Where the store does not answer, other instances are asked.
+///
+/// Belongs to the control thread.
+///
+/// @see TrafficPlane
+class FleetControl : private PeerExchange::Listener, private LeadWriter::Listener, private FailoverDriver::Surroundings {
+public:
+    /// Must all outlive the control plane.
+    struct Parts {
+        EventLoop& controlLoop;
+        EventLoop& trafficLoop;
+        const Clock& clock;
+        const SessionProtocol& protocol;
+        FleetStore& store;
+        TrafficPlane& traffic;
+    };
+
+    FleetControl(const Parts& parts, const GatewaySettings& settings);
+
+    /// Opens the port for other instances and starts to read.
+    bool start(Failure& failure);
+
+    /// A fresh connection of the traffic thread to a primary failed.
+    void onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary);
+
+    /// @returns whether everything is known that serving needs; safe to call from any thread
+    bool isReady() const { return this->ready; }
+
+private:
+    void onPeerQuestion(const nlohmann::json& question, const PeerExchange::Responder& respond) override;
+    void onLeadSeen(const VersionedLead& lead, BootTime sentAt) override;
+    const UpstreamList& getUpstreamList() const override { return *this->upstreams.getList(); }
+    const PermitBook& getPermits() const override { return this->permits; }
+    void confirmTraffic(std::function<void()> callback) override;
+
+    void registerSelf();
+    void readLead();
+    void onLeadRead(const std::optional<VersionedLead>& lead, const Failure& failure, BootTime sentAt);
+    void createLead();
+    void publishLead(bool isNewer);
+    void askPeersForLead();
+    void onPeerBelief(const nlohmann::json& answer, BootTime sentAt);
+    void readRoutes();
+    void watchRoutes();
+    void takeRoutes(const VersionedRoutes& routes);
+    void listUpstreams();
+    void listMembers();
+    void checkLeaders();
+    void checkStuckChanges();
+    void reportTrouble(const GroupId& group, const UpstreamId& primary, bool isLeaving);
+    void consider(const GroupId& group, const UpstreamId& primary, const InstanceId& reporter, bool isLeaving);
+    void onHolderSilent(const GroupId& group, const UpstreamId& primary, bool isLeaving);
+    nlohmann::json makeBeliefAnswer() const;
+    void onTakeLead(const nlohmann::json& question, const PeerExchange::Responder& respond);
+    void updateReady();
+
+    Parts parts;
+    GatewaySettings settings;
+    PeerExchange peers;
+    LeadWriter writer;
+    UpstreamCommander commander;
+    FailoverDriver failovers;
+    PermitBook permits;
+    SuspicionLedger suspicions;
+    RouteKeeper routes;
+    UpstreamKeeper upstreams;
+    StoreVersion routesRevision;
+    std::map<InstanceId, FleetMember> members;
+    std::map<GroupId, TimePoint> changingSince;
+    std::size_t nextPeer = 0;
+    bool hasListedUpstreams = false;
+    bool wasPermitted = false;
+    std::atomic<bool> ready { false };
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/gateway/GatewayAdapter.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "GatewaySettings.h"
+#include "lentiljunction/core/EventLoop.h"
+#include "lentiljunction/fleet/FleetStore.h"
+#include "lentiljunction/interactive/SessionProtocol.h"
+
+#include <memory>
+
+namespace lentiljunction {
+
+/// The surroundings in which a gateway instance runs, behind the product's own interfaces.
+///
+/// @see GatewayInstance
+class GatewayAdapter {
+public:
+    virtual ~GatewayAdapter() = default;
+
+    /// @returns what callers and upstreams speak
+    virtual const SessionProtocol& getProtocol() const = 0;
+
+    /// @returns the store that the instances share
+    virtual std::unique_ptr<FleetStore> makeStore(EventLoop& controlLoop, const GatewaySettings& settings) const = 0;
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/gateway/GatewayInstance.cpp
@@ -0,0 +1,103 @@
+#include "GatewayInstance.h"
+
+#include "lentiljunction/core/LogEvents.h"
+
+#include <future>
+#include <thread>
+
+namespace lentiljunction {
+
+namespace {
+
+    constexpr int httpOk = 200;
+    constexpr int httpUnavailable = 503;
+    /// The balancer asks once a second and needs two misses; sessions that come until then are served.
+    constexpr std::chrono::milliseconds rotationDelay { 2300 };
+    /// Open transactions have the first half of the grace to end.
+    constexpr int transactionGraceDivisor = 2;
+    constexpr std::chrono::milliseconds drainPoll { 50 };
+
+} // namespace
+
+GatewayInstance::HttpPage::HttpPage(EventLoop& loop, Handler handler)
+    : server(loop, *this)
+    , handler(std::move(handler))
+{
+}
+
+GatewayInstance::GatewayInstance(const GatewaySettings& settings, const Clock& clock, const SessionProtocol& protocol, const StoreFactory& makeStore)
+    : settings(settings)
+    , store(makeStore(this->controlLoop, settings))
+    , traffic(this->trafficLoop, clock, protocol, this->metrics, settings.instance, settings.zone, *this)
+    , control({ this->controlLoop, this->trafficLoop, clock, protocol, *this->store, this->traffic }, settings)
+    , readiness(this->controlLoop, [this](const HttpRequest&) { return this->answerReadiness(); })
+    , metricsPage(this->controlLoop, [this](const HttpRequest&) { return HttpResponse { httpOk, "text/plain; version=0.0.4", this->metrics.render() }; })
+{
+}
+
+GatewayInstance::~GatewayInstance()
+{
+    this->controlLoop.stop();
+    this->trafficLoop.stop();
+}
+
+bool GatewayInstance::start(Failure& failure)
+{
+    bool isOpen = this->traffic.listen(this->settings.sessions, failure) && this->readiness.listen(this->settings.ready, failure)
+        && this->metricsPage.listen(this->settings.metrics, failure) && this->control.start(failure);
+    if (!isOpen)
+        return false;
+    this->controlLoop.start();
+    this->trafficLoop.start();
+    return true;
+}
+
+HttpResponse GatewayInstance::answerReadiness() const
+{
+    bool isReady = this->control.isReady() && !this->isDraining;
+    return { isReady ? httpOk : httpUnavailable, "text/plain", isReady ? "ready\n" : "not ready\n" };
+}
+
+void GatewayInstance::onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary)
+{
+    this->control.onPrimaryUnreachable(group, primary);
+}
+
+std::size_t GatewayInstance::countBusySessions()
+{
+    std::promise<std::size_t> counted;
+    this->trafficLoop.post([this, &counted] { counted.set_value(this->traffic.countBusySessions()); });
+    return counted.get_future().get();
+}
+
+void GatewayInstance::drain()
+{
+    logEvent(events::instanceDraining, "grace_ms=" + std::to_string(this->settings.shutdownGrace.count()));
+    this->isDraining = true;
+    std::this_thread::sleep_for(rotationDelay);
+    this->trafficLoop.post([this] { this->traffic.drain(); });
+
+    std::chrono::milliseconds waited = rotationDelay;
+    std::chrono::milliseconds limit = this->settings.shutdownGrace - this->settings.shutdownGrace / 6;
+    std::chrono::milliseconds transactionLimit = std::max(rotationDelay + drainPoll * 2, this->settings.shutdownGrace / transactionGraceDivisor + drainPoll * 2);
+    while (waited < limit) {
+        std::this_thread::sleep_for(drainPoll);
+        waited += drainPoll;
+        if (waited >= transactionLimit)
+            this->trafficLoop.post([this] { this->traffic.closeRestingTransactions(); });
+        if (this->countBusySessions() == 0)
+            break;
+    }
+    std::size_t numLeft = this->countBusySessions();
+    std::promise<void> stopped;
+    this->trafficLoop.post([this, &stopped] {
+        this->traffic.stop();
+        stopped.set_value();
+    });
+    stopped.get_future().wait();
+    // The last answers leave while the loop still runs.
+    std::this_thread::sleep_for(drainPoll);
+    logEvent(events::instanceStopped, "cut_off=" + std::to_string(numLeft));
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/gateway/GatewayInstance.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "../net/WebSocketServer.h"
+#include "../traffic/TrafficPlane.h"
+#include "FleetControl.h"
+#include "GatewaySettings.h"
+#include "lentiljunction/core/EventLoop.h"
+#include "lentiljunction/metrics/Metrics.h"
+
+#include <functional>
+#include <memory>
+
+namespace lentiljunction {
+
+/// One gateway instance: sessions of callers in front of groups of upstreams.
+///
+/// Two threads: one for control (store, other instances, replacement of primaries, readiness), one
+/// for the traffic of callers and upstreams.
+///
+/// @see Instance, which serves the product's own protocols
+class GatewayInstance : private TrafficPlane::Listener {
+public:
+    /// Makes the store; gets the control loop.
+    using StoreFactory = std::function<std::unique_ptr<FleetStore>(EventLoop& controlLoop, const GatewaySettings& settings)>;
+
+    /// @param protocol what callers and upstreams speak; must outlive this object
+    /// @param clock must outlive this object
+    GatewayInstance(const GatewaySettings& settings, const Clock& clock, const SessionProtocol& protocol, const StoreFactory& makeStore);
+    ~GatewayInstance() override;
+
+    /// Opens the ports and starts.
+    bool start(Failure& failure);
+
+    /// Takes itself out of rotation, lets what is under way end within the grace, and stops.
+    void drain();
+
+private:
+    /// Answers the balancer, or serves metrics.
+    class HttpPage : private WebSocketServer::Listener {
+    public:
+        using Handler = std::function<HttpResponse(const HttpRequest&)>;
+        HttpPage(EventLoop& loop, Handler handler);
+        bool listen(const Endpoint& endpoint, Failure& failure) { return this->server.listen(endpoint, failure); }
+
+    private:
+        void onSessionOpened(WebSocketServer::Handle handle, const std::string&) override { this->server.close(handle); }
+        void onSessionMessage(WebSocketServer::Handle, const std::string&, bool) override { }
+        void onSessionClosed(WebSocketServer::Handle) override { }
+        void onHttpRequest(WebSocketServer::Handle handle, const HttpRequest& request) override { this->server.respond(handle, this->handler(request)); }
+
+        WebSocketServer server;
+        Handler handler;
+    };
+
+    void onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary) override;
+    HttpResponse answerReadiness() const;
+    std::size_t countBusySessions();
+
+    GatewaySettings settings;
+    EventLoop controlLoop;
+    EventLoop trafficLoop;
+    Metrics metrics;
+    std::unique_ptr<FleetStore> store;
+    TrafficPlane traffic;
+    FleetControl control;
+    HttpPage readiness;
+    HttpPage metricsPage;
+    std::atomic<bool> isDraining { false };
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/gateway/GatewaySettings.cpp
@@ -0,0 +1,151 @@
+#include "GatewaySettings.h"
+
+#include "../settings/IniDocument.h"
+#include "lentiljunction/core/JsonFields.h"
+
+#include <charconv>
+#include <set>
+#include <sstream>
+
+namespace lentiljunction {
+
+namespace {
+
+    const std::set<std::string> knownKeys {
+        "instance.id", "instance.zone", "sessions.listen", "ready.listen", "peers.listen", "peers.seeds",
+        "metrics.listen", "store.endpoint", "promotion.endpoint", "drain.grace_s"
+    };
+    constexpr std::int64_t longestGraceSeconds = 600;
+
+    template <typename T>
+    std::optional<T> parseWhole(const std::string& text)
+    {
+        T number = 0;
+        std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (text.empty() || result.ec != std::errc() || result.ptr != text.data() + text.size())
+            return std::nullopt;
+        return number;
+    }
+
+    std::optional<Endpoint> parseAddress(const std::string& text)
+    {
+        std::size_t colon = text.rfind(':');
+        if (colon == std::string::npos || colon == 0)
+            return std::nullopt;
+        std::optional<std::uint16_t> port = parseWhole<std::uint16_t>(text.substr(colon + 1));
+        if (!port || *port == 0)
+            return std::nullopt;
+        return Endpoint { text.substr(0, colon), *port };
+    }
+
+    /// Reads keys and collects faults.
+    class Reader {
+    public:
+        Reader(const std::string& path, const IniDocument& document)
+            : path(path)
+            , document(document)
+        {
+        }
+
+        std::string getText(const std::string& section, const std::string& key)
+        {
+            std::string value = this->document.find(section, key).value_or("");
+            if (value.empty())
+                this->addFault(section, key, value, "a name");
+            return value;
+        }
+
+        Endpoint getEndpoint(const std::string& section, const std::string& key)
+        {
+            std::string value = this->document.find(section, key).value_or("");
+            std::optional<Endpoint> endpoint = parseAddress(value);
+            if (!endpoint)
+                this->addFault(section, key, value, "address:port");
+            return endpoint.value_or(Endpoint());
+        }
+
+        std::vector<Endpoint> getEndpoints(const std::string& section, const std::string& key)
+        {
+            std::vector<Endpoint> endpoints;
+            std::istringstream stream(this->document.find(section, key).value_or(""));
+            std::string item;
+            while (std::getline(stream, item, ',')) {
+                std::optional<Endpoint> endpoint = parseAddress(item);
+                if (endpoint)
+                    endpoints.push_back(*endpoint);
+                else
+                    this->addFault(section, key, item, "address:port, separated by commas");
+            }
+            return endpoints;
+        }
+
+        std::chrono::milliseconds getSeconds(const std::string& section, const std::string& key, std::chrono::milliseconds fallback)
+        {
+            std::optional<std::string> value = this->document.find(section, key);
+            if (!value)
+                return fallback;
+            std::optional<std::int64_t> number = parseWhole<std::int64_t>(*value);
+            if (number && *number >= 1 && *number <= longestGraceSeconds)
+                return std::chrono::seconds(*number);
+            this->addFault(section, key, *value, "a whole number of seconds from 1 to " + std::to_string(longestGraceSeconds));
+            return fallback;
+        }
+
+        void refuseUnknown()
+        {
+            for (const IniDocument::Entry& entry : this->document.getEntries()) {
+                if (knownKeys.count(entry.section + "." + entry.key) == 0)
+                    this->addFault(entry.section, entry.key, entry.value, "no key of this name");
+            }
+        }
+
+        const std::vector<std::string>& getFaults() const { return this->faults; }
+
+    private:
+        void addFault(const std::string& section, const std::string& key, const std::string& value, const std::string& allowed)
+        {
+            this->faults.push_back(this->path + " [" + section + "] " + key + " = \"" + value + "\": allowed is " + allowed);
+        }
+
+        const std::string& path;
+        const IniDocument& document;
+        std::vector<std::string> faults;
+    };
+
+} // namespace
+
+bool isGatewayFile(const std::string& path)
+{
+    IniDocument document;
+    return document.read(path) == 0 && document.find("sessions", "listen").has_value();
+}
+
+std::optional<GatewaySettings> loadGatewaySettings(const std::string& path, Failure& failure)
+{
+    IniDocument document;
+    int malformedLine = document.read(path);
+    if (malformedLine != 0) {
+        failure.set(Failure::Kind::InvalidInput, path + (malformedLine < 0 ? ": cannot be opened" : ": line " + std::to_string(malformedLine) + " is neither a section nor key = value"));
+        return std::nullopt;
+    }
+
+    Reader reader(path, document);
+    GatewaySettings settings;
+    settings.instance = InstanceId(reader.getText("instance", "id"));
+    settings.zone = ZoneId(reader.getText("instance", "zone"));
+    settings.sessions = reader.getEndpoint("sessions", "listen");
+    settings.ready = reader.getEndpoint("ready", "listen");
+    settings.peers = reader.getEndpoint("peers", "listen");
+    settings.seeds = reader.getEndpoints("peers", "seeds");
+    settings.metrics = reader.getEndpoint("metrics", "listen");
+    settings.store = reader.getEndpoint("store", "endpoint");
+    settings.promotion = reader.getEndpoint("promotion", "endpoint");
+    settings.shutdownGrace = reader.getSeconds("drain", "grace_s", settings.shutdownGrace);
+    reader.refuseUnknown();
+    if (reader.getFaults().empty())
+        return settings;
+    failure.set(Failure::Kind::InvalidInput, joinFaults(reader.getFaults()));
+    return std::nullopt;
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/gateway/LeadWriter.cpp
@@ -0,0 +1,95 @@
+#include "LeadWriter.h"
+
+#include "lentiljunction/core/LogEvents.h"
+
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// Before the record is read back after a lost answer: some round trips to the store.
+    constexpr std::chrono::milliseconds readBackPause { 60 };
+
+} // namespace
+
+LeadWriter::LeadWriter(FleetStore& store, Scheduler& scheduler, const Clock& clock, const InstanceId& self, Listener& listener)
+    : store(store)
+    , scheduler(scheduler)
+    , clock(clock)
+    , self(self)
+    , listener(listener)
+{
+}
+
+void LeadWriter::submit(Change change, Callback callback)
+{
+    this->jobs.push_back({ std::move(change), std::move(callback), "" });
+    this->startNext();
+}
+
+void LeadWriter::setBase(const VersionedLead& lead)
+{
+    if (this->base.record == nullptr || this->base.revision < lead.revision)
+        this->base = lead;
+}
+
+void LeadWriter::startNext()
+{
+    if (this->isBusy || this->jobs.empty())
+        return;
+    this->isBusy = true;
+    this->write();
+}
+
+void LeadWriter::write()
+{
+    Job& job = this->jobs.front();
+    LeadRecord record = this->base.record == nullptr ? LeadRecord() : *this->base.record;
+    if (!job.change(record))
+        return this->finish(false);
+    // The start time tells apart the nonces of two processes that bear one name after the other.
+    job.nonce = this->self.toString() + "-" + std::to_string(this->clock.bootNow().time_since_epoch().count()) + "-" + std::to_string(this->nextNonce++);
+    record.nonce = job.nonce;
+    BootTime sentAt = this->clock.bootNow();
+    this->store.writeLead(record, this->base.revision, [this, sentAt](const std::optional<VersionedLead>& lead, const Failure& failure) {
+        if (lead)
+            return this->onRead(lead, sentAt);
+        logEvent(events::storeCallFailed, "call=write_lead reason=\"" + failure.reason + "\"");
+        this->readBack(failure.kind == Failure::Kind::Conflict ? Duration(0) : Duration(readBackPause));
+    });
+}
+
+void LeadWriter::readBack(Duration delay)
+{
+    this->scheduler.schedule(delay, [this] {
+        BootTime sentAt = this->clock.bootNow();
+        this->store.readLead([this, sentAt](const std::optional<VersionedLead>& lead, const Failure& failure) {
+            if (!lead && failure.kind == Failure::Kind::NotFound)
+                return this->write();
+            if (!lead)
+                return this->readBack(readBackPause);
+            this->onRead(lead, sentAt);
+        });
+    });
+}
+
+void LeadWriter::onRead(const std::optional<VersionedLead>& lead, BootTime sentAt)
+{
+    this->setBase(*lead);
+    this->listener.onLeadSeen(*lead, sentAt);
+    if (lead->record->nonce == this->jobs.front().nonce)
+        return this->finish(true);
+    this->write();
+}
+
+void LeadWriter::finish(bool isWritten)
+{
+    Job job = std::move(this->jobs.front());
+    this->jobs.pop_front();
+    this->isBusy = false;
+    job.callback(isWritten, this->clock.bootNow());
+    this->startNext();
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/interactive/SessionContext.cpp
@@ -0,0 +1,52 @@
+#include "lentiljunction/interactive/SessionContext.h"
+
+#include <algorithm>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// A connection that holds more prepared statements than this is reset, so its memory is bounded.
+    constexpr std::size_t maximumPreparedNames = 256;
+
+} // namespace
+
+const PreparedShape* SessionContext::findPrepared(const std::string& name) const
+{
+    std::map<std::string, PreparedShape>::const_iterator found = this->prepared.find(name);
+    return found == this->prepared.end() ? nullptr : &found->second;
+}
+
+std::string SessionContext::getSharedName(const PreparedShape& shape)
+{
+    return (shape.mode == AccessMode::Read ? "r-" : "w-") + shape.shape;
+}
+
+bool SessionContext::hasLeftover(const LinkContext& link) const
+{
+    return std::any_of(link.values.begin(), link.values.end(), [this](const std::pair<const std::string, std::string>& entry) {
+        return this->values.count(entry.first) == 0;
+    });
+}
+
+std::vector<UpstreamCommand> SessionContext::planPreparation(LinkContext& link, const PreparedShape* needed, bool mayTidy) const
+{
+    std::vector<UpstreamCommand> commands;
+    // Values cannot be removed one by one, so another session's leftover needs a reset.
+    if (this->hasLeftover(link) || (mayTidy && link.preparedNames.size() > maximumPreparedNames)) {
+        commands.push_back({ UpstreamCommand::Kind::Reset, {}, "", "", AccessMode::Write, std::nullopt, Term() });
+        link = LinkContext();
+    }
+    for (const std::pair<const std::string, std::string>& value : this->values) {
+        std::map<std::string, std::string>::iterator present = link.values.find(value.first);
+        if (present != link.values.end() && present->second == value.second)
+            continue;
+        commands.push_back({ UpstreamCommand::Kind::SetValue, {}, value.first, value.second, AccessMode::Write, std::nullopt, Term() });
+        link.values[value.first] = value.second;
+    }
+    if (needed != nullptr && link.preparedNames.insert(getSharedName(*needed)).second)
+        commands.push_back({ UpstreamCommand::Kind::Prepare, {}, getSharedName(*needed), needed->shape, needed->mode, std::nullopt, Term() });
+    return commands;
+}
+
+} // namespace lentiljunction
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,8 @@
+#include "../platform/PlatformAdapter.h"
 #include "cli/Command.h"
 
 int main(int argc, char** argv)
 {
-    return lentiljunction::runProgram({ argv + 1, argv + argc });
+    lentiljunction::PlatformAdapter adapter;
+    return lentiljunction::runProgram({ argv + 1, argv + argc }, adapter);
 }
--- /dev/null
+++ b/src/net/HttpMessage.cpp
@@ -0,0 +1,81 @@
+#include "HttpMessage.h"
+
+#include <boost/beast/http.hpp>
+#include <sstream>
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+    namespace http = boost::beast::http;
+
+    /// Values are a megabyte at most, and a list holds about as much; this leaves room for both.
+    constexpr std::uint64_t bodyLimit = 8U << 20;
+    constexpr unsigned httpVersion = 11;
+
+} // namespace
+
+std::string encodeHttpRequest(const HttpCall& call, const Endpoint& server)
+{
+    http::request<http::string_body> message { http::string_to_verb(call.method), call.target, httpVersion };
+    message.set(http::field::host, server.host + ":" + std::to_string(server.port));
+    for (const std::pair<const std::string, std::string>& header : call.headers)
+        message.set(header.first, header.second);
+    message.body() = call.body;
+    message.prepare_payload();
+    std::ostringstream stream;
+    stream << message;
+    return stream.str();
+}
+
+class HttpAnswerReader::Implementation {
+public:
+    Implementation()
+    {
+        this->parser.body_limit(bodyLimit);
+        this->parser.eager(true);
+    }
+
+    http::response_parser<http::string_body> parser;
+};
+
+HttpAnswerReader::HttpAnswerReader()
+    : implementation(std::make_unique<Implementation>())
+{
+}
+
+HttpAnswerReader::~HttpAnswerReader() = default;
+
+bool HttpAnswerReader::take(std::string& bytes, Failure& failure)
+{
+    http::response_parser<http::string_body>& parser = this->implementation->parser;
+    boost::system::error_code error;
+    while (!bytes.empty() && !parser.is_done()) {
+        std::size_t used = parser.put(boost::asio::buffer(bytes), error);
+        bytes.erase(0, used);
+        if (error || used == 0)
+            break;
+    }
+    if (!parser.is_done() && error && error != http::error::need_more)
+        failure.set(Failure::Kind::InvalidInput, "the answer is no HTTP: " + error.message());
+    return parser.is_done();
+}
+
+bool HttpAnswerReader::hasBegun() const
+{
+    return this->implementation->parser.got_some();
+}
+
+bool HttpAnswerReader::mayKeepConnection() const
+{
+    return this->implementation->parser.get().keep_alive();
+}
+
+HttpAnswer HttpAnswerReader::release()
+{
+    http::response<http::string_body>& message = this->implementation->parser.get();
+    return { static_cast<int>(message.result_int()), std::move(message.body()) };
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/net/OneShotTimer.cpp
@@ -0,0 +1,85 @@
+#include "OneShotTimer.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <optional>
+
+namespace lentiljunction {
+
+class OneShotTimer::Implementation : public std::enable_shared_from_this<OneShotTimer::Implementation> {
+public:
+    Implementation(EventLoop& loop, const Clock& clock, std::function<void()> task)
+        : timer(loop.getContext())
+        , clock(clock)
+        , task(std::move(task))
+    {
+    }
+
+    void setTime(TimePoint time)
+    {
+        this->due = time;
+        if (this->armedFor && *this->armedFor <= time)
+            return;
+        this->arm(time);
+    }
+
+    void arm(TimePoint time)
+    {
+        this->armedFor = time;
+        this->timer.expires_at(time);
+        std::shared_ptr<Implementation> self = this->shared_from_this();
+        this->timer.async_wait([self](const asio::error_code& error) {
+            if (!error)
+                self->fire();
+        });
+    }
+
+    void fire()
+    {
+        this->armedFor.reset();
+        if (!this->due || !this->task)
+            return;
+        if (this->clock.now() < *this->due)
+            return this->arm(*this->due);
+        this->due.reset();
+        // The task may destroy this timer, and with it the function that runs.
+        std::function<void()> running = this->task;
+        running();
+    }
+
+    asio::steady_timer timer;
+    const Clock& clock;
+    std::function<void()> task;
+    std::optional<TimePoint> due;
+    std::optional<TimePoint> armedFor;
+};
+
+OneShotTimer::OneShotTimer(EventLoop& loop, const Clock& clock, std::function<void()> task)
+    : implementation(std::make_shared<Implementation>(loop, clock, std::move(task)))
+{
+}
+
+OneShotTimer::~OneShotTimer()
+{
+    this->implementation->due.reset();
+    this->implementation->task = nullptr;
+    this->implementation->timer.cancel();
+}
+
+void OneShotTimer::setTime(TimePoint time)
+{
+    this->implementation->setTime(time);
+}
+
+void OneShotTimer::setTimeAtLatest(TimePoint time)
+{
+    if (!this->implementation->due || time < *this->implementation->due)
+        this->implementation->setTime(time);
+}
+
+void OneShotTimer::clear()
+{
+    this->implementation->due.reset();
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/peer/PeerExchange.cpp
@@ -0,0 +1,149 @@
+#include "PeerExchange.h"
+
+#include "lentiljunction/core/LogEvents.h"
+
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+    constexpr const char* resource = "/peer";
+    constexpr int httpNotFound = 404;
+
+    std::string toKey(const Endpoint& endpoint)
+    {
+        return endpoint.host + ":" + std::to_string(endpoint.port);
+    }
+
+    std::string encode(const nlohmann::json& message)
+    {
+        std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(message);
+        return std::string(bytes.begin(), bytes.end());
+    }
+
+    /// @returns a message with its number, or nothing when the bytes cannot be read
+    std::optional<nlohmann::json> decode(const std::string& payload)
+    {
+        nlohmann::json message = nlohmann::json::from_cbor(payload, true, false);
+        if (message.is_object() && message.contains("number") && message["number"].is_number_unsigned() && message.contains("body"))
+            return message;
+        logEvent(events::peerMessageInvalid, "bytes=" + std::to_string(payload.size()));
+        return std::nullopt;
+    }
+
+} // namespace
+
+PeerExchange::PeerExchange(EventLoop& loop, const Clock& clock, Listener& listener)
+    : clock(clock)
+    , listener(listener)
+    , server(loop, *this)
+    , client(loop, *this)
+    , timer(loop, clock, [this] { this->expire(); })
+{
+}
+
+bool PeerExchange::listen(const Endpoint& endpoint, Failure& failure)
+{
+    return this->server.listen(endpoint, failure);
+}
+
+void PeerExchange::ask(const Endpoint& peer, nlohmann::json question, Duration timeout, AnswerCallback callback)
+{
+    std::string key = toKey(peer);
+    std::uint64_t number = this->nextQuestion++;
+    TimePoint deadline = this->clock.now() + timeout;
+    this->pending[number] = { std::move(callback), deadline, key };
+    this->timer.setTimeAtLatest(deadline);
+
+    std::string payload = encode({ { "number", number }, { "body", std::move(question) } });
+    Link& link = this->links[key];
+    if (link.isOpen)
+        return this->client.send(link.handle, payload, true);
+    link.waiting.push_back(std::move(payload));
+    if (link.handle == 0)
+        link.handle = this->client.connect(peer, resource);
+}
+
+void PeerExchange::onSessionMessage(WebSocketServer::Handle handle, const std::string& payload, bool)
+{
+    std::optional<nlohmann::json> message = decode(payload);
+    if (!message)
+        return;
+    std::uint64_t number = (*message)["number"];
+    this->listener.onPeerQuestion((*message)["body"], [this, handle, number](const nlohmann::json& answer) {
+        this->server.send(handle, encode({ { "number", number }, { "body", answer } }), true);
+    });
+}
+
+void PeerExchange::onHttpRequest(WebSocketServer::Handle handle, const HttpRequest&)
+{
+    this->server.respond(handle, { httpNotFound, "text/plain", "" });
+}
+
+void PeerExchange::onConnected(WebSocketClient::Handle handle)
+{
+    for (std::pair<const std::string, Link>& entry : this->links) {
+        if (entry.second.handle != handle)
+            continue;
+        entry.second.isOpen = true;
+        for (const std::string& payload : std::exchange(entry.second.waiting, {}))
+            this->client.send(handle, payload, true);
+    }
+}
+
+void PeerExchange::onMessage(WebSocketClient::Handle, const std::string& payload)
+{
+    std::optional<nlohmann::json> message = decode(payload);
+    if (!message)
+        return;
+    std::map<std::uint64_t, Pending>::iterator found = this->pending.find((*message)["number"]);
+    if (found == this->pending.end())
+        return;
+    AnswerCallback callback = std::move(found->second.callback);
+    this->pending.erase(found);
+    callback((*message)["body"]);
+}
+
+void PeerExchange::onDisconnected(WebSocketClient::Handle handle)
+{
+    std::string key;
+    for (std::map<std::string, Link>::iterator link = this->links.begin(); link != this->links.end(); ++link) {
+        if (link->second.handle != handle)
+            continue;
+        key = link->first;
+        this->links.erase(link);
+        break;
+    }
+    if (key.empty())
+        return;
+    std::vector<AnswerCallback> lost;
+    for (std::map<std::uint64_t, Pending>::iterator entry = this->pending.begin(); entry != this->pending.end();) {
+        if (entry->second.peer != key) {
+            ++entry;
+            continue;
+        }
+        lost.push_back(std::move(entry->second.callback));
+        entry = this->pending.erase(entry);
+    }
+    for (const AnswerCallback& callback : lost)
+        callback(std::nullopt);
+}
+
+void PeerExchange::expire()
+{
+    TimePoint now = this->clock.now();
+    std::vector<WebSocketClient::Handle> silent;
+    for (const std::pair<const std::uint64_t, Pending>& entry : this->pending) {
+        std::map<std::string, Link>::iterator link = this->links.find(entry.second.peer);
+        if (entry.second.deadline <= now && link != this->links.end())
+            silent.push_back(link->second.handle);
+    }
+    // Dropping a link ends all questions on it.
+    for (WebSocketClient::Handle handle : silent)
+        this->client.drop(handle);
+    for (const std::pair<const std::uint64_t, Pending>& entry : this->pending)
+        this->timer.setTimeAtLatest(entry.second.deadline);
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/routes/UpstreamKeeper.cpp
@@ -0,0 +1,47 @@
+#include "lentiljunction/routes/UpstreamKeeper.h"
+
+namespace lentiljunction {
+
+namespace {
+
+    std::string describe(const UpstreamEntry& entry)
+    {
+        return "upstream=" + entry.id.toString() + " group=" + entry.group.toString() + " zone=" + entry.zone.toString() + " address=" + entry.endpoint.host + ":" + std::to_string(entry.endpoint.port)
+            + " leaving=" + std::to_string(entry.isLeaving) + " claims_primary=" + std::to_string(entry.claimsPrimary);
+    }
+
+    bool isSame(const UpstreamEntry& left, const UpstreamEntry& right)
+    {
+        return left.group == right.group && left.endpoint.host == right.endpoint.host && left.endpoint.port == right.endpoint.port
+            && left.zone == right.zone && left.slots == right.slots && left.isLeaving == right.isLeaving && left.claimsPrimary == right.claimsPrimary;
+    }
+
+} // namespace
+
+std::vector<std::string> UpstreamKeeper::offer(const UpstreamList& reading, TimePoint now)
+{
+    std::vector<std::string> changes;
+    std::shared_ptr<UpstreamList> next = std::make_shared<UpstreamList>(reading);
+    for (const std::pair<const UpstreamId, UpstreamEntry>& entry : reading.entries) {
+        this->missingSince.erase(entry.first);
+        const UpstreamEntry* before = this->list->find(entry.first);
+        if (before == nullptr || !isSame(*before, entry.second))
+            changes.push_back(describe(entry.second));
+    }
+    for (const std::pair<const UpstreamId, UpstreamEntry>& entry : this->list->entries) {
+        if (reading.entries.count(entry.first) > 0)
+            continue;
+        TimePoint since = this->missingSince.emplace(entry.first, now).first->second;
+        if (now - since < missingGrace) {
+            next->entries.insert(entry);
+            continue;
+        }
+        this->missingSince.erase(entry.first);
+        changes.push_back(describe(entry.second) + " gone=1");
+    }
+    if (!changes.empty())
+        this->list = next;
+    return changes;
+}
+
+} // namespace lentiljunction
--- a/src/server/ControlPlane.cpp
+++ b/src/server/ControlPlane.cpp
@@ -1,6 +1,6 @@
 #include "ControlPlane.h"
 
-#include "../platform/StoreDocuments.h"
+#include "../store/StoreDocuments.h"
 #include "lentiljunction/core/LogEvents.h"
 
 #include <algorithm>
--- a/src/server/ControlPlane.h
+++ b/src/server/ControlPlane.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../platform/StoreWorker.h"
+#include "../store/StoreWorker.h"
 #include "BundleExchange.h"
 #include "PeerSpreader.h"
 #include "WatcherRegistry.h"
--- a/src/server/Instance.cpp
+++ b/src/server/Instance.cpp
@@ -3,7 +3,7 @@
 #include "../caller/CallerServer.h"
 #include "../execution/PostgresConnection.h"
 #include "../peer/PeerNetwork.h"
-#include "../platform/HttpPlatformStore.h"
+#include "../store/HttpPlatformStore.h"
 #include "ControlPlane.h"
 #include "GateService.h"
 #include "RequestFlow.h"
--- a/src/platform/HttpPlatformStore.h
+++ b/src/store/HttpPlatformStore.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "lentiljunction/metrics/Metrics.h"
-#include "lentiljunction/platform/PlatformStore.h"
 #include "lentiljunction/settings/Settings.h"
+#include "lentiljunction/store/PlatformStore.h"
 
 namespace lentiljunction {
 
--- a/src/platform/PlatformStore.cpp
+++ b/src/store/PlatformStore.cpp
@@ -1,4 +1,4 @@
-#include "lentiljunction/platform/PlatformStore.h"
+#include "lentiljunction/store/PlatformStore.h"
 
 namespace lentiljunction {
 
--- a/src/platform/StoreDocuments.h
+++ b/src/store/StoreDocuments.h
@@ -2,8 +2,8 @@
 
 #include "lentiljunction/bundle/SignedBundle.h"
 #include "lentiljunction/failover/TermReserve.h"
-#include "lentiljunction/platform/PlatformStore.h"
 #include "lentiljunction/settings/Settings.h"
+#include "lentiljunction/store/PlatformStore.h"
 
 #include <optional>
 #include <set>
--- a/src/platform/StoreWorker.h
+++ b/src/store/StoreWorker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lentiljunction/core/EventLoop.h"
-#include "lentiljunction/platform/PlatformStore.h"
+#include "lentiljunction/store/PlatformStore.h"
 
 #include <atomic>
 #include <condition_variable>
--- /dev/null
+++ b/src/traffic/PositionProofs.cpp
@@ -0,0 +1,54 @@
+#include "PositionProofs.h"
+
+#include <algorithm>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// Proofs closer together than this add nothing: the ages that routes allow are far longer.
+    constexpr std::chrono::milliseconds spacing { 25 };
+    /// Enough to cover several seconds, longer than the ages that routes allow.
+    constexpr std::size_t maximumProofs = 400;
+
+} // namespace
+
+void PositionProofs::add(const GroupId& group, std::uint64_t generation, BootTime askedAt, LogPoint head)
+{
+    History& history = this->histories[group];
+    if (generation < history.generation)
+        return;
+    if (history.generation < generation) {
+        history.generation = generation;
+        history.proofs.clear();
+    }
+    if (!history.proofs.empty() && askedAt < history.proofs.back().askedAt + spacing)
+        return;
+    history.proofs.push_back({ askedAt, head });
+    if (history.proofs.size() > maximumProofs)
+        history.proofs.pop_front();
+}
+
+std::optional<LogPoint> PositionProofs::findRequired(const GroupId& group, std::uint64_t generation, BootTime notBefore) const
+{
+    std::map<GroupId, History>::const_iterator found = this->histories.find(group);
+    if (found == this->histories.end() || found->second.generation != generation)
+        return std::nullopt;
+    const std::deque<Proof>& proofs = found->second.proofs;
+    std::deque<Proof>::const_iterator proof = std::lower_bound(proofs.begin(), proofs.end(), notBefore, [](const Proof& candidate, BootTime time) {
+        return candidate.askedAt < time;
+    });
+    if (proof == proofs.end())
+        return std::nullopt;
+    return proof->head;
+}
+
+std::optional<BootTime> PositionProofs::findNewest(const GroupId& group, std::uint64_t generation) const
+{
+    std::map<GroupId, History>::const_iterator found = this->histories.find(group);
+    if (found == this->histories.end() || found->second.generation != generation || found->second.proofs.empty())
+        return std::nullopt;
+    return found->second.proofs.back().askedAt;
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/traffic/PositionProofs.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "lentiljunction/core/Clock.h"
+#include "lentiljunction/core/Ids.h"
+#include "lentiljunction/session/TermHistory.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace lentiljunction {
+
+/// Proves how old the data of a log is.
+///
+/// The head of a primary's log, asked for at some moment, covers every commit that was acknowledged
+/// before that moment. So a replica whose log reaches the head has data at least as fresh as then.
+///
+/// Times are on the clock that counts suspensions. Not thread-safe; the traffic thread owns it.
+class PositionProofs {
+public:
+    /// Notes the head of a primary's log.
+    ///
+    /// @param askedAt when the question was sent, under a permit that was valid when the answer came
+    /// @param generation that of the primary; a newer one makes older proofs void
+    void add(const GroupId& group, std::uint64_t generation, BootTime askedAt, LogPoint head);
+
+    /// @param notBefore the proof must cover every commit acknowledged before this moment
+    /// @returns the least point that a log must reach for that, or nothing without a proof
+    std::optional<LogPoint> findRequired(const GroupId& group, std::uint64_t generation, BootTime notBefore) const;
+
+    /// @returns when the newest proof was asked for, or nothing
+    std::optional<BootTime> findNewest(const GroupId& group, std::uint64_t generation) const;
+
+private:
+    struct Proof {
+        BootTime askedAt;
+        LogPoint head;
+    };
+
+    struct History {
+        std::uint64_t generation = 0;
+        std::deque<Proof> proofs;
+    };
+
+    std::map<GroupId, History> histories;
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/traffic/SessionFlow.cpp
@@ -0,0 +1,288 @@
+#include "SessionFlow.h"
+
+#include "lentiljunction/core/LogEvents.h"
+
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+    bool isTransactionControl(SessionVerb verb)
+    {
+        return verb == SessionVerb::Begin || verb == SessionVerb::Rollback;
+    }
+
+} // namespace
+
+SessionFlow::SessionFlow(EventLoop& loop, TrafficState& state, const SessionProtocol& protocol, Listener& listener, std::unique_ptr<ByteSocket> socket)
+    : loop(loop)
+    , state(state)
+    , protocol(protocol)
+    , listener(listener)
+    , socket(std::move(socket))
+    , idleTimer(loop, state.getClock(), [this] { this->onIdleLimit(); })
+{
+}
+
+SessionFlow::~SessionFlow()
+{
+    if (this->run != nullptr)
+        this->run->cancel();
+}
+
+void SessionFlow::onBeliefsChanged()
+{
+    std::shared_ptr<StatementRun> current = this->run;
+    if (current != nullptr)
+        current->onBeliefsChanged();
+}
+
+void SessionFlow::closeWhenIdle()
+{
+    this->mustClose = true;
+    if (!this->isBusy())
+        this->closeNow();
+}
+
+void SessionFlow::closeNow()
+{
+    if (this->isOver)
+        return;
+    this->socket->closeAfterSending();
+    this->over();
+}
+
+void SessionFlow::over()
+{
+    if (std::exchange(this->isOver, true))
+        return;
+    std::shared_ptr<StatementRun> current = std::exchange(this->run, nullptr);
+    if (current != nullptr)
+        current->cancel();
+    this->held.rollBackAndRelease();
+    this->idleTimer.clear();
+    this->listener.onSessionOver(*this);
+}
+
+void SessionFlow::onSocketClosed(const std::string&, bool)
+{
+    this->over();
+}
+
+void SessionFlow::onSocketBytes(std::string& bytes)
+{
+    this->buffered += bytes;
+    bytes.clear();
+    this->processBuffered();
+}
+
+void SessionFlow::processBuffered()
+{
+    // One statement at a time; what came early waits for its turn.
+    if (this->isProcessing)
+        return;
+    this->isProcessing = true;
+    while (!this->isOver && this->run == nullptr && !this->buffered.empty()) {
+        this->arrivedAt = this->state.getClock().bootNow();
+        this->arrivedAtSteady = this->state.getClock().now();
+        Failure failure;
+        std::optional<CallerMessage> message = this->protocol.takeCallerMessage(this->buffered, failure);
+        if (!message && failure.kind == Failure::Kind::None)
+            break;
+        if (!message) {
+            logEvent(events::sessionRefused, "reason=\"" + failure.reason + "\"");
+            this->socket->send(this->protocol.encodeSessionRefused(ReplyCode::Malformed, failure.reason));
+            this->closeNow();
+        } else if (const SessionStatement* statement = std::get_if<SessionStatement>(&*message)) {
+            this->onStatement(*statement);
+        } else if (const SessionStartup* opened = std::get_if<SessionStartup>(&*message)) {
+            this->onStartup(*opened);
+        } else {
+            this->closeNow();
+        }
+    }
+    this->isProcessing = false;
+}
+
+void SessionFlow::onStartup(const SessionStartup& opened)
+{
+    std::shared_ptr<const RouteTable> routes = this->state.getRoutes();
+    bool isKnown = routes != nullptr && routes->find(opened.database) != nullptr;
+    if (this->startup || !isKnown) {
+        ReplyCode code = this->startup ? ReplyCode::Malformed : routes == nullptr ? ReplyCode::Busy
+                                                                                  : ReplyCode::NoDatabase;
+        std::string reason = this->startup ? "the session is open already" : "no route leads to the database";
+        logEvent(events::sessionRefused, "database=" + opened.database.toString() + " reason=\"" + reason + "\" routes_version=" + (routes == nullptr ? "none" : std::to_string(routes->version.value())));
+        this->socket->send(this->protocol.encodeSessionRefused(code, reason));
+        return this->closeNow();
+    }
+    this->startup = opened;
+    this->socket->send(this->protocol.encodeSessionReady());
+}
+
+void SessionFlow::onStatement(SessionStatement statement)
+{
+    if (!this->startup) {
+        this->socket->send(this->protocol.encodeSessionRefused(ReplyCode::Malformed, "the session is not open"));
+        return this->closeNow();
+    }
+    if (statement.verb == SessionVerb::Malformed)
+        return this->reply(ReplyCode::Malformed, this->transactionState, "the statement cannot be read");
+    if (isTransactionControl(statement.verb))
+        return this->onTransactionControl(statement);
+    if (this->transactionState == TransactionState::Failed) {
+        if (std::exchange(this->mustTellAborted, false))
+            return this->reply(ReplyCode::Aborted, statement.verb == SessionVerb::Commit ? TransactionState::Idle : TransactionState::Failed, "the transaction was idle for too long");
+        if (statement.verb != SessionVerb::Commit)
+            return this->reply(ReplyCode::Malformed, TransactionState::Failed, "the transaction has failed");
+        this->held.rollBackAndRelease();
+        return this->reply(ReplyCode::Aborted, TransactionState::Idle, "the transaction had failed");
+    }
+    std::optional<SessionReply> local = this->answerLocally(statement);
+    if (local)
+        return this->send(*local);
+    this->onUpstreamStatement(std::move(statement));
+}
+
+void SessionFlow::onTransactionControl(const SessionStatement& statement)
+{
+    if (statement.verb == SessionVerb::Rollback) {
+        if (this->transactionState == TransactionState::Idle)
+            return this->reply(ReplyCode::Malformed, TransactionState::Idle, "no transaction is open");
+        this->held.rollBackAndRelease();
+        return this->reply(ReplyCode::None, TransactionState::Idle, "");
+    }
+    if (this->transactionState != TransactionState::Idle)
+        return this->reply(ReplyCode::Malformed, this->transactionState, "a transaction is open already");
+    this->transactionMode = statement.mode;
+    this->transactionBegan = this->arrivedAt;
+    this->transactionRoutes = this->state.getRoutes();
+    this->hasTransactionWritten = false;
+    this->mustTellAborted = false;
+    if (this->transactionRoutes->find(this->startup->database) == nullptr)
+        return this->reply(ReplyCode::NoDatabase, TransactionState::Idle, "no route leads to the database");
+    this->reply(ReplyCode::None, TransactionState::Open, "");
+}
+
+std::optional<SessionReply> SessionFlow::answerLocally(const SessionStatement& statement)
+{
+    SessionReply answer;
+    answer.state = this->transactionState;
+    switch (statement.verb) {
+    case SessionVerb::SetValue:
+        this->context.setValue(statement.name, statement.argument);
+        return answer;
+    case SessionVerb::Prepare:
+        this->context.prepare(statement.name, { statement.mode, statement.argument });
+        return answer;
+    case SessionVerb::Deallocate:
+        if (!this->context.deallocate(statement.name))
+            answer.code = ReplyCode::NoSuchStatement;
+        answer.message = statement.name;
+        return answer;
+    default:
+        return std::nullopt;
+    }
+}
+
+std::optional<AccessMode> SessionFlow::findMode(const SessionStatement& statement) const
+{
+    if (statement.verb == SessionVerb::Read)
+        return AccessMode::Read;
+    if (statement.verb == SessionVerb::Write)
+        return AccessMode::Write;
+    if (statement.verb == SessionVerb::Commit)
+        return this->hasTransactionWritten ? AccessMode::Write : AccessMode::Read;
+    const PreparedShape* shape = this->context.findPrepared(statement.name);
+    if (shape == nullptr)
+        return std::nullopt;
+    return shape->mode;
+}
+
+void SessionFlow::onUpstreamStatement(SessionStatement statement)
+{
+    bool isInTransaction = this->transactionState == TransactionState::Open;
+    if (statement.verb == SessionVerb::Commit && !isInTransaction)
+        return this->reply(ReplyCode::Malformed, TransactionState::Idle, "no transaction is open");
+    std::optional<AccessMode> mode = this->findMode(statement);
+    if (!mode)
+        return this->reply(ReplyCode::NoSuchStatement, isInTransaction ? TransactionState::Failed : TransactionState::Idle, statement.name);
+    if (isInTransaction && this->transactionMode == AccessMode::Read && *mode == AccessMode::Write)
+        return this->reply(ReplyCode::NotPrimary, TransactionState::Failed, "the transaction only reads");
+
+    std::shared_ptr<const RouteTable> routes = isInTransaction ? this->transactionRoutes : this->state.getRoutes();
+    const Route* route = routes->find(this->startup->database);
+    if (route == nullptr)
+        return this->reply(ReplyCode::NoDatabase, this->transactionState, "no route leads to the database");
+    this->startRun(std::move(statement), *mode, routes, *route);
+}
+
+void SessionFlow::startRun(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route)
+{
+    StatementRequest request;
+    bool isInTransaction = this->transactionState == TransactionState::Open;
+    request.kind = { mode, isInTransaction, statement.verb == SessionVerb::Commit, !this->held.isHeld() };
+    request.statement = std::move(statement);
+    request.transactionMode = this->transactionMode;
+    request.routes = routes;
+    request.need = { &route, isInTransaction ? this->transactionBegan : this->arrivedAt, this->ownCommit, {} };
+    request.caller = this->startup->caller;
+    request.arrivedAt = this->arrivedAtSteady;
+    if (isInTransaction && mode == AccessMode::Write)
+        this->hasTransactionWritten = true;
+
+    this->idleTimer.clear();
+    this->run = std::make_shared<StatementRun>(this->loop, this->state, this->context, request, [this, request](StatementRun::Result result) {
+        this->onRunFinished(request, std::move(result));
+    });
+    std::shared_ptr<StatementRun> started = this->run;
+    if (this->held.isHeld())
+        started->startOn(std::exchange(this->held, HeldLink()));
+    else
+        started->start();
+}
+
+void SessionFlow::onRunFinished(const StatementRequest& request, StatementRun::Result result)
+{
+    this->run = nullptr;
+    this->held = result.held;
+    if (result.commit)
+        this->ownCommit = result.commit;
+    this->listener.onStatementAnswered(request.need.route, request, result);
+    this->send(result.reply);
+    if (this->held.isHeld() && request.routes->transactionIdleLimit.count() > 0)
+        this->idleTimer.setTime(this->state.getClock().now() + request.routes->transactionIdleLimit);
+    this->processBuffered();
+}
+
+void SessionFlow::onIdleLimit()
+{
+    if (!this->held.isHeld() || this->run != nullptr)
+        return;
+    logEvent(events::statementRefused, "database=" + this->startup->database.toString() + " upstream=" + this->held.link->getUpstream().toString() + " reason=\"the transaction was idle for too long\" code=aborted");
+    this->held.rollBackAndRelease();
+    this->transactionState = TransactionState::Failed;
+    this->mustTellAborted = true;
+}
+
+void SessionFlow::reply(ReplyCode code, TransactionState newState, const std::string& message)
+{
+    SessionReply answer;
+    answer.code = code;
+    answer.state = newState;
+    answer.message = message;
+    if (code != ReplyCode::None)
+        logEvent(events::statementRefused, "database=" + this->startup->database.toString() + " code=" + toString(code) + " reason=\"" + message + "\"");
+    this->send(answer);
+}
+
+void SessionFlow::send(const SessionReply& answer)
+{
+    this->transactionState = answer.state;
+    this->socket->send(this->protocol.encodeReply(answer));
+    if (this->mustClose && !this->isBusy())
+        this->closeNow();
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/traffic/StatementRun.cpp
@@ -0,0 +1,383 @@
+#include "StatementRun.h"
+
+#include "lentiljunction/core/LogEvents.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// A statement that finds no upstream is refused after this share of its time, so that the caller
+    /// can still try another instance.
+    constexpr double holdShare = 0.4;
+    /// More tries than there are upstreams in a group help nobody.
+    constexpr int maximumAttempts = 4;
+    /// Before an upstream that answered that it is busy, or not the primary, is asked again.
+    constexpr std::chrono::milliseconds retryPause { 15 };
+    /// A read is asked of another upstream when the first takes this many times its usual latency,
+    /// and at least the least wait: a slow statement takes five times the mean.
+    constexpr int readPatience = 8;
+    constexpr std::chrono::milliseconds leastReadWait { 200 };
+
+} // namespace
+
+void HeldLink::rollBackAndRelease()
+{
+    HeldLink ending = std::exchange(*this, HeldLink());
+    if (!ending.isHeld())
+        return;
+    UpstreamCommand command;
+    command.kind = UpstreamCommand::Kind::Rollback;
+    ending.link->send(command, [ending](const std::optional<SessionReply>& reply) {
+        if (reply && reply->state == TransactionState::Idle)
+            ending.pool->release(ending.link);
+        else
+            ending.pool->discard(ending.link);
+    });
+}
+
+StatementRun::StatementRun(EventLoop& loop, TrafficState& state, const SessionContext& context, StatementRequest request, Callback callback)
+    : state(state)
+    , context(context)
+    , request(std::move(request))
+    , callback(std::move(callback))
+    , timer(loop, state.getClock(), [this] { this->onTimer(); })
+{
+}
+
+void StatementRun::start()
+{
+    this->attempt();
+}
+
+void StatementRun::startOn(const HeldLink& newHeld)
+{
+    this->isOnHeldLink = true;
+    this->held = newHeld;
+    this->target.pool = newHeld.pool;
+    this->held.pool->activate(this->held.link);
+    this->attemptNumber++;
+    this->prepare();
+}
+
+void StatementRun::onBeliefsChanged()
+{
+    if (!this->isWaitingForBeliefs || this->isDone)
+        return;
+    this->isWaitingForBeliefs = false;
+    this->attempt();
+}
+
+void StatementRun::cancel()
+{
+    this->isDone = true;
+    if (this->ticket != 0)
+        this->target.pool->withdraw(this->ticket);
+    this->dropLink();
+}
+
+TimePoint StatementRun::getDeadline() const
+{
+    return this->request.arrivedAt + this->request.need.route->statementTimeout;
+}
+
+TimePoint StatementRun::getHoldLimit() const
+{
+    double span = static_cast<double>(this->request.need.route->statementTimeout.count()) * holdShare;
+    return this->request.arrivedAt + Duration(static_cast<Duration::rep>(span));
+}
+
+bool StatementRun::needsPrimary() const
+{
+    AccessMode mode = this->request.kind.isInTransaction ? this->request.transactionMode : this->request.kind.mode;
+    return mode == AccessMode::Write || this->request.need.route->consistency == Consistency::Primary;
+}
+
+bool StatementRun::mayRetry() const
+{
+    return !this->isOnHeldLink && this->numSent < maximumAttempts && this->state.getClock().now() < this->getHoldLimit();
+}
+
+const PreparedShape* StatementRun::findShape() const
+{
+    return this->request.statement.verb == SessionVerb::Execute ? this->context.findPrepared(this->request.statement.name) : nullptr;
+}
+
+void StatementRun::attempt()
+{
+    this->attemptNumber++;
+    this->isStatementSent = false;
+    std::optional<Target> found = this->needsPrimary() ? this->state.findPrimary(this->request.need.route->group) : this->state.findForRead(this->request.need);
+    if (!found)
+        return this->waitForBeliefs();
+
+    this->target = *found;
+    std::shared_ptr<StatementRun> self = this->shared_from_this();
+    UpstreamPool::Ticket given = this->target.pool->claim(this->request.need.route->rank, this->request.caller, this->getHoldLimit(), [self](UpstreamLink* link, UpstreamPool::Denial denial) {
+        self->ticket = 0;
+        if (!self->isDone)
+            self->onGranted(link, denial);
+        else if (link != nullptr)
+            self->target.pool->release(link);
+    });
+    if (given != 0)
+        this->ticket = given;
+}
+
+void StatementRun::waitForBeliefs()
+{
+    this->lastTrouble = this->needsPrimary() ? "no primary may be used" : "no upstream has data that is proved fresh enough";
+    if (this->state.getClock().now() >= this->getHoldLimit())
+        return this->conclude(AttemptEvent::NotSent, SessionReply(), false);
+    this->isWaitingForBeliefs = true;
+    this->request.need.tried.clear();
+    this->timer.setTime(this->getHoldLimit());
+}
+
+void StatementRun::onGranted(UpstreamLink* link, UpstreamPool::Denial denial)
+{
+    if (link != nullptr) {
+        this->held = { this->target.pool, link, this->target.leader };
+        return this->prepare();
+    }
+    if (denial == UpstreamPool::Denial::TooLong) {
+        this->lastTrouble = "the wait would be too long";
+        return this->conclude(AttemptEvent::NotSent, SessionReply(), false);
+    }
+    this->lastTrouble = "the upstream cannot be reached";
+    this->request.need.tried.insert(this->target.pool->getUpstream().id);
+    this->retry();
+}
+
+void StatementRun::prepare()
+{
+    std::shared_ptr<StatementRun> self = this->shared_from_this();
+    std::vector<UpstreamCommand> commands = this->context.planPreparation(this->held.link->context, this->findShape(), !this->isOnHeldLink);
+    bool mustBegin = this->request.kind.isInTransaction && !this->isOnHeldLink;
+    if (mustBegin) {
+        UpstreamCommand begin;
+        begin.kind = UpstreamCommand::Kind::Begin;
+        begin.mode = this->request.transactionMode;
+        begin.requiredPoint = this->target.required;
+        commands.push_back(begin);
+    }
+    if (commands.empty())
+        return this->send();
+
+    this->timer.setTime(this->getDeadline());
+    this->sentAt = this->state.getClock().bootNow();
+    for (std::size_t index = 0; index < commands.size(); index++) {
+        bool isLast = index + 1 == commands.size();
+        this->held.link->send(commands[index], [self, isLast, isBegin = mustBegin && isLast, number = this->attemptNumber](const std::optional<SessionReply>& reply) {
+            self->onPrepared(reply, isLast, isBegin, number);
+        });
+    }
+}
+
+void StatementRun::onPrepared(const std::optional<SessionReply>& reply, bool isLast, bool isBegin, std::size_t number)
+{
+    if (this->isDone || number != this->attemptNumber)
+        return;
+    if (reply && reply->isSuccess()) {
+        if (isBegin && reply->head)
+            this->state.onHead(this->held.link->getUpstream(), *reply->head, this->sentAt);
+        if (isLast)
+            this->send();
+        return;
+    }
+    this->attemptNumber++;
+    if (!reply) {
+        // Nothing of the statement was sent, whatever broke.
+        this->lastTrouble = "the connection broke before the statement was sent";
+        this->dropLink();
+        return this->conclude(this->isOnHeldLink ? AttemptEvent::LinkLost : AttemptEvent::NotSent, SessionReply());
+    }
+    this->lastTrouble = std::string("the upstream answered ") + toString(reply->code);
+    bool isClean = isBegin && reply->state == TransactionState::Idle && provesNotRun(reply->code);
+    if (isClean && !this->isOnHeldLink) {
+        HeldLink released = std::exchange(this->held, HeldLink());
+        released.pool->release(released.link);
+    } else {
+        this->dropLink();
+    }
+    this->conclude(this->isOnHeldLink ? AttemptEvent::LinkLost : AttemptEvent::NotRun, *reply);
+}
+
+void StatementRun::send()
+{
+    UpstreamCommand command;
+    command.id = this->request.statement.id;
+    command.kind = UpstreamCommand::Kind::Forward;
+    command.argument = this->request.statement.text;
+    if (const PreparedShape* shape = this->findShape()) {
+        command.kind = UpstreamCommand::Kind::Execute;
+        command.name = SessionContext::getSharedName(*shape);
+        command.argument = this->request.statement.argument;
+    }
+    if (!this->request.kind.isInTransaction)
+        command.requiredPoint = this->target.required;
+
+    this->isStatementSent = true;
+    this->numSent++;
+    this->sentAt = this->state.getClock().bootNow();
+    TimePoint limit = this->getDeadline();
+    if (!this->request.kind.isInTransaction && this->request.kind.mode == AccessMode::Read && this->numSent < maximumAttempts)
+        limit = std::min<TimePoint>(limit, this->state.getClock().now() + std::max<Duration>(leastReadWait, this->held.pool->getLatency() * readPatience));
+    this->timer.setTime(limit);
+    std::shared_ptr<StatementRun> self = this->shared_from_this();
+    this->held.link->send(command, [self, number = this->attemptNumber](std::optional<SessionReply> reply) {
+        if (!self->isDone && number == self->attemptNumber)
+            self->onReply(std::move(reply), number);
+    });
+}
+
+void StatementRun::onReply(std::optional<SessionReply> reply, std::size_t)
+{
+    this->attemptNumber++;
+    if (!reply) {
+        this->lastTrouble = "the connection broke after the statement was sent";
+        this->dropLink();
+        return this->conclude(AttemptEvent::LinkLost, SessionReply());
+    }
+    if (reply->head)
+        this->state.onHead(this->held.link->getUpstream(), *reply->head, this->sentAt);
+    AttemptEvent event = this->classify(*reply);
+    this->conclude(event, std::move(*reply));
+}
+
+AttemptEvent StatementRun::classify(const SessionReply& reply) const
+{
+    if (provesNotRun(reply.code))
+        return AttemptEvent::NotRun;
+    if (!reply.isSuccess())
+        return AttemptEvent::Error;
+    bool isProved = !this->held.leader || this->state.isStillLeading(this->request.need.route->group, *this->held.leader);
+    return isProved ? AttemptEvent::Success : AttemptEvent::SuccessUnproved;
+}
+
+bool StatementRun::mayResend(AttemptEvent event, const SessionReply& reply) const
+{
+    bool isBusy = event == AttemptEvent::NotRun && reply.code == ReplyCode::Busy && reply.state == TransactionState::Open;
+    return isBusy && this->request.kind.isInTransaction && this->held.isHeld() && this->state.getClock().now() + retryPause < this->getDeadline();
+}
+
+void StatementRun::conclude(AttemptEvent event, SessionReply reply, bool mayTryAgain)
+{
+    if (event == AttemptEvent::NotRun)
+        this->lastTrouble = std::string("the upstream answered ") + toString(reply.code);
+    if (event == AttemptEvent::SuccessUnproved)
+        this->lastTrouble = "the primary may have been replaced";
+    if (this->mayResend(event, reply)) {
+        this->isResendPending = true;
+        return this->timer.setTime(this->state.getClock().now() + retryPause);
+    }
+
+    ReplyVerdict verdict = decideReply(this->request.kind, event, mayTryAgain && this->mayRetry());
+    if (verdict.kind == ReplyVerdict::Kind::Deliver)
+        return this->deliver(std::move(reply));
+    if (verdict.kind == ReplyVerdict::Kind::Answer)
+        return this->answer(verdict);
+    if (this->held.isHeld()) {
+        this->request.need.tried.insert(this->held.link->getUpstream());
+        if (this->request.kind.isInTransaction)
+            this->held.rollBackAndRelease();
+        HeldLink released = std::exchange(this->held, HeldLink());
+        if (released.isHeld())
+            released.pool->release(released.link);
+    }
+    this->retry();
+}
+
+void StatementRun::retry()
+{
+    if (!this->mayRetry())
+        return this->conclude(AttemptEvent::NotSent, SessionReply(), false);
+    logEvent(events::statementRetried, "id=" + this->request.statement.id.toString() + " attempt=" + std::to_string(this->numSent) + " reason=\"" + this->lastTrouble + "\"");
+    // Another replica can be asked at once; the primary needs a moment.
+    if (!this->needsPrimary() && this->state.findForRead(this->request.need))
+        return this->attempt();
+    this->isWaitingForBeliefs = true;
+    this->request.need.tried.clear();
+    this->timer.setTime(this->state.getClock().now() + retryPause);
+}
+
+void StatementRun::onTimer()
+{
+    std::shared_ptr<StatementRun> self = this->shared_from_this();
+    if (this->isDone)
+        return;
+    if (this->isWaitingForBeliefs) {
+        this->isWaitingForBeliefs = false;
+        return this->attempt();
+    }
+    if (!this->held.isHeld())
+        return;
+    if (std::exchange(this->isResendPending, false))
+        return this->send();
+    this->attemptNumber++;
+    this->request.need.tried.insert(this->held.link->getUpstream());
+    this->lastTrouble = "no answer in time";
+    bool isOver = this->state.getClock().now() >= this->getDeadline();
+    this->dropLink();
+    if (!this->isStatementSent && isOver)
+        return this->conclude(this->isOnHeldLink ? AttemptEvent::LinkLost : AttemptEvent::NotSent, SessionReply(), false);
+    if (!this->isStatementSent)
+        return this->conclude(this->isOnHeldLink ? AttemptEvent::LinkLost : AttemptEvent::NotSent, SessionReply());
+    this->conclude(isOver ? AttemptEvent::TimedOut : AttemptEvent::LinkLost, SessionReply());
+}
+
+void StatementRun::answer(const ReplyVerdict& verdict)
+{
+    this->dropLink();
+    SessionReply reply;
+    reply.code = verdict.code;
+    reply.state = verdict.state;
+    reply.message = this->lastTrouble;
+    this->finish(std::move(reply));
+}
+
+void StatementRun::deliver(SessionReply reply)
+{
+    bool isOpen = this->request.kind.isInTransaction && reply.state != TransactionState::Idle;
+    if (isOpen && !this->request.kind.isCommit) {
+        if (this->held.isHeld())
+            this->held.pool->park(this->held.link);
+        return this->finish(std::move(reply));
+    }
+    // A commit ends the transaction for the caller, so nothing may stay open behind it.
+    if (isOpen)
+        this->held.rollBackAndRelease();
+    reply.state = TransactionState::Idle;
+    HeldLink released = std::exchange(this->held, HeldLink());
+    this->finish(std::move(reply));
+    if (released.isHeld())
+        released.pool->release(released.link);
+}
+
+void StatementRun::finish(SessionReply reply)
+{
+    this->isDone = true;
+    this->timer.clear();
+    Result result;
+    result.numAttempts = this->numSent;
+    if (this->target.pool != nullptr)
+        result.upstream = this->target.pool->getUpstream().id;
+    bool isCommitted = reply.isSuccess() && this->request.kind.mode == AccessMode::Write && (this->request.kind.isCommit || !this->request.kind.isInTransaction);
+    if (isCommitted && reply.head)
+        result.commit = OwnCommit { *reply.head, this->state.getView().getGeneration(this->request.need.route->group) };
+    result.held = this->held;
+    result.reply = std::move(reply);
+    Callback done = std::exchange(this->callback, nullptr);
+    done(std::move(result));
+}
+
+void StatementRun::dropLink()
+{
+    HeldLink dropped = std::exchange(this->held, HeldLink());
+    if (dropped.isHeld())
+        dropped.pool->discard(dropped.link);
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/traffic/StatementRun.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "TrafficState.h"
+#include "lentiljunction/interactive/ReplyPolicy.h"
+#include "lentiljunction/interactive/SessionContext.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lentiljunction {
+
+/// The hold that a transaction has on a connection.
+struct HeldLink {
+    std::shared_ptr<UpstreamPool> pool;
+    UpstreamLink* link = nullptr;
+    /// Set when the upstream counts as the primary.
+    std::optional<Leader> leader;
+
+    /// @returns whether there is a connection
+    bool isHeld() const { return this->link != nullptr; }
+
+    /// Rolls the open transaction back and gives the connection to others once that is answered.
+    void rollBackAndRelease();
+};
+
+/// What a session asks of the upstreams.
+struct StatementRequest {
+    SessionStatement statement;
+    StatementCase kind;
+    /// The mode of the transaction that the statement begins or belongs to.
+    AccessMode transactionMode = AccessMode::Write;
+    /// Keeps the route alive.
+    std::shared_ptr<const RouteTable> routes;
+    ReadNeed need;
+    CallerId caller;
+    TimePoint arrivedAt;
+};
+
+/// Runs one statement of a session on an upstream and decides what the caller is told.
+///
+/// Chooses an upstream, waits for a connection, brings it to the session's context, begins a
+/// transaction if need be, sends the statement, and tries again where that is safe.
+///
+/// @see decideReply
+class StatementRun : public std::enable_shared_from_this<StatementRun> {
+public:
+    /// What became of the statement.
+    struct Result {
+        SessionReply reply;
+        /// The connection that the transaction holds from now on; none after a single statement.
+        HeldLink held;
+        /// The upstream that answered last, for logs.
+        UpstreamId upstream;
+        /// Set after a commit that wrote.
+        std::optional<OwnCommit> commit;
+        int numAttempts = 0;
+    };
+
+    using Callback = std::function<void(Result)>;
+
+    /// @param loop the traffic loop
+    /// @param state must outlive this object
+    /// @param context the session's context; must outlive this object
+    StatementRun(EventLoop& loop, TrafficState& state, const SessionContext& context, StatementRequest request, Callback callback);
+
+    /// Starts a statement that needs a connection.
+    void start();
+
+    /// Runs a statement on the connection that its transaction holds.
+    void startOn(const HeldLink& newHeld);
+
+    /// Looks again for an upstream after the beliefs changed, if the statement waits for one.
+    void onBeliefsChanged();
+
+    /// Gives up because the caller left. The callback is not called.
+    void cancel();
+
+private:
+    void attempt();
+    void onGranted(UpstreamLink* link, UpstreamPool::Denial denial);
+    void prepare();
+    void onPrepared(const std::optional<SessionReply>& reply, bool isLast, bool isBegin, std::size_t attemptNumber);
+    void send();
+    void onReply(std::optional<SessionReply> reply, std::size_t attemptNumber);
+    AttemptEvent classify(const SessionReply& reply) const;
+    void conclude(AttemptEvent event, SessionReply reply, bool mayTryAgain = true);
+    bool mayResend(AttemptEvent event, const SessionReply& reply) const;
+    void retry();
+    void waitForBeliefs();
+    void onTimer();
+    void answer(const ReplyVerdict& verdict);
+    void deliver(SessionReply reply);
+    void finish(SessionReply reply);
+    void dropLink();
+    bool mayRetry() const;
+    TimePoint getDeadline() const;
+    TimePoint getHoldLimit() const;
+    bool needsPrimary() const;
+    const PreparedShape* findShape() const;
+
+    TrafficState& state;
+    const SessionContext& context;
+    StatementRequest request;
+    Callback callback;
+    Target target;
+    HeldLink held;
+    UpstreamPool::Ticket ticket = 0;
+    OneShotTimer timer;
+    std::size_t attemptNumber = 0;
+    int numSent = 0;
+    bool isStatementSent = false;
+    bool isWaitingForBeliefs = false;
+    bool isOnHeldLink = false;
+    bool isResendPending = false;
+    bool isDone = false;
+    BootTime sentAt;
+    std::string lastTrouble;
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/traffic/TrafficState.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "PositionProofs.h"
+#include "ReadPlanner.h"
+#include "UpstreamPool.h"
+#include "lentiljunction/leadership/LeadView.h"
+#include "lentiljunction/routes/RouteTable.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace lentiljunction {
+
+/// A commit that a session made, with the generation of the primary that took it.
+struct OwnCommit {
+    LogPoint point;
+    std::uint64_t generation = 0;
+};
+
+/// What a read must see.
+struct ReadNeed {
+    /// The route by which it goes.
+    const Route* route = nullptr;
+    /// When the first byte of the read, or of its transaction, arrived.
+    BootTime arrivedAt;
+    /// The session's last commit.
+    std::optional<OwnCommit> ownCommit;
+    /// Upstreams that were tried already.
+    std::set<UpstreamId> tried;
+};
+
+/// Where a statement goes.
+struct Target {
+    std::shared_ptr<UpstreamPool> pool;
+    /// Set when the upstream counts as the primary.
+    std::optional<Leader> leader;
+    /// The point that a replica's log must have reached.
+    std::optional<LogPoint> required;
+};
+
+/// What the traffic thread believes: routes, upstreams, primaries, connections, proofs of age.
+///
+/// Belongs to the traffic thread.
+class TrafficState {
+public:
+    TrafficState(const UpstreamPool::Surroundings& surroundings, ZoneId zone);
+
+    /// Takes a newer routing configuration.
+    void setRoutes(std::shared_ptr<const RouteTable> newer);
+
+    /// Takes a newer list of upstreams; pools of those that are gone are closed.
+    void setUpstreams(std::shared_ptr<const UpstreamList> newer);
+
+    /// Takes a newer belief of who leads.
+    void setLead(const LeadView& newer);
+
+    /// Takes the number of instances that share the upstreams' connections.
+    void setNumInstances(std::size_t number);
+
+    /// @returns the primary of a group with its pool, or nothing while it may not be used
+    std::optional<Target> findPrimary(const GroupId& group);
+
+    /// @returns the upstream that serves a read soonest, or nothing when none may
+    std::optional<Target> findForRead(const ReadNeed& need);
+
+    /// @returns whether a primary is still the one in force, and was until now
+    bool isStillLeading(const GroupId& group, const Leader& leader) const;
+
+    /// Notes the head of the log that an upstream told.
+    ///
+    /// @param askedAt when the question was sent
+    void onHead(const UpstreamId& upstream, const LogPoint& head, BootTime askedAt);
+
+    /// @returns the routing configuration, or nullptr before the first
+    const std::shared_ptr<const RouteTable>& getRoutes() const { return this->routes; }
+
+    const LeadView& getView() const { return this->view; }
+    const std::shared_ptr<const UpstreamList>& getUpstreams() const { return this->upstreams; }
+    const Clock& getClock() const { return this->surroundings.clock; }
+
+    /// @returns when the newest proof of a group's age was asked for, or nothing
+    std::optional<BootTime> findNewestProof(const GroupId& group) const;
+
+    /// @returns the pool of an upstream, made if need be; nullptr when the upstream is gone
+    std::shared_ptr<UpstreamPool> findPool(const UpstreamId& upstream);
+
+private:
+    struct SeenHead {
+        LogPoint head;
+        BootTime at;
+    };
+
+    struct Reign {
+        std::uint64_t generation = 0;
+        BootTime knownSince;
+    };
+
+    std::optional<LogPoint> findRequired(const ReadNeed& need, std::uint64_t generation, bool& isProved) const;
+    void applyShare(UpstreamPool& pool) const;
+
+    UpstreamPool::Surroundings surroundings;
+    ZoneId zone;
+    std::shared_ptr<const RouteTable> routes;
+    std::shared_ptr<const UpstreamList> upstreams = std::make_shared<UpstreamList>();
+    LeadView view;
+    std::size_t numInstances = 1;
+    std::map<UpstreamId, std::shared_ptr<UpstreamPool>> pools;
+    std::map<UpstreamId, SeenHead> seenHeads;
+    std::map<GroupId, Reign> reigns;
+    PositionProofs proofs;
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/traffic/UpstreamPool.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "UpstreamLink.h"
+#include "lentiljunction/admission/ConcurrencyLimit.h"
+#include "lentiljunction/admission/RankQueue.h"
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace lentiljunction {
+
+/// The connections of this instance to one upstream, and the queue in front of them.
+///
+/// A connection belongs to one session from the moment it is granted until it is released. It is
+/// `active` while a statement runs on it; between the statements of a transaction it is parked, so
+/// it does not count against the concurrency of the upstream.
+///
+/// All instances share the connections that an upstream accepts. Each may keep its share open; beyond
+/// it, connections are opened when something waits, and closed again soon after.
+///
+/// Belongs to the traffic thread. Callbacks may come before the call that causes them returns.
+class UpstreamPool : private UpstreamLink::Listener {
+public:
+    using Ticket = RankQueue::Ticket;
+
+    /// Why a claim was not granted.
+    enum class Denial {
+        /// The wait would pass, or has passed, the claim's deadline.
+        TooLong,
+        /// The upstream cannot be reached.
+        Unreachable,
+    };
+
+    /// @param link the granted connection, or nullptr with a denial
+    using Grant = std::function<void(UpstreamLink* link, Denial denial)>;
+
+    /// Is told what the pool learns of the upstream.
+    class Listener {
+    public:
+        virtual ~Listener() = default;
+
+        /// A fresh connection could not be opened.
+        virtual void onUpstreamUnreachable(const UpstreamEntry& upstream, UpstreamLink::Trouble trouble) = 0;
+    };
+
+    /// What the pool needs of its surroundings. All must outlive it.
+    struct Surroundings {
+        EventLoop& loop;
+        const Clock& clock;
+        const SessionProtocol& protocol;
+        InstanceId self;
+        Listener& listener;
+    };
+
+    UpstreamPool(const Surroundings& surroundings, UpstreamEntry upstream);
+    ~UpstreamPool() override;
+
+    /// Takes the shares that follow from the number of instances.
+    ///
+    /// @param maximumConnections what the upstream accepts from all instances together
+    void setShare(int maximumConnections, std::size_t numInstances);
+
+    /// Takes newer facts about the upstream.
+    void setUpstream(const UpstreamEntry& newer) { this->upstream = newer; }
+
+    /// Asks for a connection.
+    ///
+    /// @returns the ticket, or zero when the grant callback has been called already
+    Ticket claim(Rank rank, const CallerId& caller, TimePoint deadline, Grant grant);
+
+    /// Withdraws a claim; its callback is not called.
+    void withdraw(Ticket ticket);
+
+    /// Ends the use of a connection in a known, clean state.
+    void release(UpstreamLink* link);
+
+    /// Ends the use of a connection of unknown state, and closes it.
+    void discard(UpstreamLink* link);
+
+    /// Notes that a statement of a transaction is sent on a parked connection.
+    void activate(UpstreamLink* link);
+
+    /// Notes that the statement under way was answered and the transaction goes on.
+    void park(UpstreamLink* link);
+
+    /// @returns an idle connection to ask something that takes no slot, or nullptr
+    UpstreamLink* findIdle() const;
+
+    /// Opens a connection ahead of need, or to see whether the upstream can be reached.
+    void openOne();
+
+    /// Closes idle connections that left a question unanswered.
+    void dropSilentIdle(Duration span);
+
+    /// Closes everything. Claims that wait are denied.
+    void close();
+
+    /// @returns whether opening a connection failed a moment ago
+    bool isAvoided() const;
+
+    /// @returns the usual time from a grant to the end of a statement
+    Duration getLatency() const;
+
+    /// @returns statements under way and waiting, per statement that may run at one time
+    double getLoad() const;
+
+    /// @returns whether an answer is awaited for longer than a span on any connection
+    bool isOverdue(Duration span) const;
+
+    std::size_t getNumConnections() const { return this->links.size(); }
+    const UpstreamEntry& getUpstream() const { return this->upstream; }
+
+private:
+    struct Held {
+        std::unique_ptr<UpstreamLink> link;
+        bool isOpening = true;
+        bool isIdle = false;
+        bool isActive = false;
+        TimePoint since;
+    };
+
+    void onLinkReady(UpstreamLink& link) override;
+    void onLinkLost(UpstreamLink& link, UpstreamLink::Trouble trouble, const std::string& reason) override;
+    Held* find(const UpstreamLink* link);
+    Held* findIdleHeld();
+    void remove(const UpstreamLink* link);
+    void finishActive(Held& held);
+    void pump();
+    void openIfNeeded();
+    void denyAll(Denial denial);
+    void denyExpired();
+    void setQueueTimer();
+    void trim();
+
+    Surroundings surroundings;
+    UpstreamEntry upstream;
+    std::vector<Held> links;
+    RankQueue queue;
+    ConcurrencyLimit concurrency;
+    std::unordered_map<Ticket, Grant> grants;
+    Ticket nextTicket = 1;
+    int numActive = 0;
+    std::size_t numOpening = 0;
+    std::size_t share = 1;
+    std::size_t ceiling = 1;
+    TimePoint avoidUntil;
+    Duration backoff { 0 };
+    Duration meanLatency;
+    TimePoint latencyAt;
+    OneShotTimer queueTimer;
+    OneShotTimer trimTimer;
+    bool isClosed = false;
+    bool isPumping = false;
+};
+
+} // namespace lentiljunction
--- a/tests/support/MemoryStore.h
+++ b/tests/support/MemoryStore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lentiljunction/platform/PlatformStore.h"
+#include "lentiljunction/store/PlatformStore.h"
 
 #include <map>
 
--- a/tools/lab/Cluster.cpp
+++ b/tools/lab/Cluster.cpp
@@ -1,6 +1,6 @@
 #include "Cluster.h"
 
-#include "../../src/platform/HttpPlatformStore.h"
+#include "../../src/store/HttpPlatformStore.h"
 
 #include <arpa/inet.h>
 #include <csignal>
--- a/tools/lab/Lease.cpp
+++ b/tools/lab/Lease.cpp
@@ -1,6 +1,6 @@
 #include "Experiments.h"
 
-#include "../../src/platform/HttpPlatformStore.h"
+#include "../../src/store/HttpPlatformStore.h"
 #include "Cluster.h"
 
 #include <algorithm>
