Take no former primary for the new one

In a second replacement of a group, a primary of an earlier term that had not been demoted yet still said that it leads. It was chosen for that, the promotion was accepted, and its own claim, still of the old term, counted as the proof that the promotion had taken effect. Writes then ran in its old reign.

Ruled out: permits that overlap (measured on the clock that counts suspensions, the wait begins with the store's answer). Found on the way, by reading: a refused connection was taken for a process that is gone, but a cut may refuse too; that shortcut is removed, so only answers and time count.

Change: an upstream leads once it says so in a term above every term seen before the promotion. Tests (failed first): LeadFailover aFormerPrimaryThatDoesNotKnowItIsNotTakenForTheNewOne, aPromotedFormerPrimaryIsInForceOnlyInItsNewTerm.

--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -56,7 +56,8 @@
     /// @param oldPrimary the primary to be replaced
     /// @param candidates the other upstreams of the group that are not about to leave
     /// @param isPlanned the old primary still works and lets a replica catch up first
-    Failover(GroupId group, UpstreamId oldPrimary, std::vector<UpstreamId> candidates, bool isPlanned, TimePoint now);
+    /// @param knownTerm the greatest term that the record knows of the group
+    Failover(GroupId group, UpstreamId oldPrimary, std::vector<UpstreamId> candidates, bool isPlanned, Term knownTerm, TimePoint now);
 
     /// The store took the entry with LeadPhase::Changing.
     ///
@@ -66,7 +67,7 @@
     /// All instances that may hold a permit are known.
     void onInstancesKnown(const std::set<InstanceId>& instances);
 
-    /// An instance took note of the change, or its process is certainly gone.
+    /// An instance took note of the change.
     void onInstanceStopped(const InstanceId& instance);
 
     /// An upstream answered.
@@ -99,9 +100,6 @@
     /// @returns whether the new primary is in the record
     bool isDone() const { return this->step == Step::Done; }
 
-    /// @returns a term above every term that was seen
-    Term getNextTerm() const;
-
     /// @returns the step for logs
     const char* getStepName() const;
 
@@ -118,6 +116,7 @@
     void act(Action::Kind kind, const UpstreamId& upstream = UpstreamId()) { this->actions.push_back({ kind, upstream }); }
     bool areInstancesStopped(BootTime bootNow) const;
     bool isSurveyComplete(TimePoint now) const;
+    bool isLeadingNow(const UpstreamId& candidate) const;
     std::optional<UpstreamId> chooseBest() const;
     void survey(BootTime bootNow, TimePoint now);
     void confirm(TimePoint now);
@@ -126,6 +125,10 @@
     UpstreamId oldPrimary;
     std::vector<UpstreamId> candidates;
     bool isPlanned;
+    /// The greatest term that was seen of the group.
+    Term greatestTerm;
+    /// The chosen upstream leads once it says so in this term or a later one.
+    Term requiredTerm;
     Step step = Step::Announcing;
     std::vector<Action> actions;
     BootTime permitsEnd;
--- a/src/gateway/FailoverDriver.cpp
+++ b/src/gateway/FailoverDriver.cpp
@@ -19,43 +19,8 @@
     /// call cannot meet the next holder's.
     constexpr std::chrono::milliseconds dutyReserve { 400 };
 
-    /// A connection attempt that reports whether it was refused.
-    class GoneCheck : public ByteSocket::Listener, public std::enable_shared_from_this<GoneCheck> {
-    public:
-        void start(EventLoop& loop, const Endpoint& endpoint, std::function<void(bool)> newCallback)
-        {
-            this->callback = std::move(newCallback);
-            this->keeper = this->shared_from_this();
-            this->socket = ByteSocket::connect(loop, endpoint, *this);
-            loop.schedule(peerLimit, [self = this->shared_from_this()] { self->finish(false); });
-        }
-
-        void onSocketOpened() override { this->finish(false); }
-        void onSocketBytes(std::string& bytes) override { bytes.clear(); }
-        void onSocketClosed(const std::string&, bool isRefused) override { this->finish(isRefused); }
-
-    private:
-        void finish(bool isGone)
-        {
-            std::shared_ptr<GoneCheck> self = std::exchange(this->keeper, nullptr);
-            if (self == nullptr)
-                return;
-            this->socket->close();
-            this->callback(isGone);
-        }
-
-        std::unique_ptr<ByteSocket> socket;
-        std::function<void(bool)> callback;
-        std::shared_ptr<GoneCheck> keeper;
-    };
-
 } // namespace
 
-void checkProcessGone(EventLoop& loop, const Endpoint& endpoint, std::function<void(bool isGone)> callback)
-{
-    std::make_shared<GoneCheck>()->start(loop, endpoint, std::move(callback));
-}
-
 FailoverDriver::FailoverDriver(const Parts& parts)
     : parts(parts)
     , timer(parts.loop, parts.clock, [this] { this->tick(); })
@@ -71,7 +36,10 @@
         return;
     logEvent(events::promotionStarted, "group=" + group.toString() + " primary=" + primary.toString() + " planned=" + std::to_string(isPlanned) + " cause=\"" + cause + "\" candidates=" + std::to_string(candidates.size()));
     TimePoint now = this->parts.clock.now();
-    this->runs.emplace(group, Run { Failover(group, primary, candidates, isPlanned, now), {}, {}, cause, now, "", false });
+    const VersionedLead& lead = this->parts.surroundings.getPermits().getView().lead;
+    const GroupLead* known = lead.record == nullptr ? nullptr : lead.record->find(group);
+    Term knownTerm = known == nullptr ? Term() : known->term;
+    this->runs.emplace(group, Run { Failover(group, primary, candidates, isPlanned, knownTerm, now), {}, {}, cause, now, "", false });
     this->advance(group);
     this->timer.setTime(now + tickInterval);
 }
@@ -247,21 +215,7 @@
             current->failover.onInstanceStopped(member.id);
             return this->advance(group);
         }
-        this->checkGone(group, member);
-    });
-}
-
-void FailoverDriver::checkGone(const GroupId& group, const FleetMember& member)
-{
-    // A machine that refuses the connection runs no such process, so nothing there holds a permit.
-    checkProcessGone(this->parts.loop, member.peers, [this, group, member](bool isGone) {
-        Run* current = this->find(group);
-        if (current == nullptr)
-            return;
-        if (isGone) {
-            current->failover.onInstanceStopped(member.id);
-            return this->advance(group);
-        }
+        // Silence proves nothing, and neither does a refused connection: a cut may refuse as well.
         this->parts.loop.schedule(peerLimit, [this, group, member] {
             if (this->find(group) != nullptr)
                 this->askInstance(group, member);
--- a/src/gateway/FailoverDriver.h
+++ b/src/gateway/FailoverDriver.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "../net/ByteSocket.h"
 #include "../peer/PeerExchange.h"
 #include "LeadWriter.h"
 #include "UpstreamCommander.h"
@@ -74,7 +73,6 @@
     void writeStable(Run& run, const UpstreamId& primary);
     void askInstances(Run& run);
     void askInstance(const GroupId& group, const FleetMember& member);
-    void checkGone(const GroupId& group, const FleetMember& member);
     void askStatus(const GroupId& group, const UpstreamId& upstream);
     void demoteOld(const GroupId& group, const UpstreamId& upstream);
     void promote(Run& run, const UpstreamId& upstream);
@@ -92,9 +90,4 @@
     OneShotTimer timer;
 };
 
-/// Finds out whether a process listens at an address.
-///
-/// @param callback told whether the machine answered that none does
-void checkProcessGone(EventLoop& loop, const Endpoint& endpoint, std::function<void(bool isGone)> callback);
-
 } // namespace lentiljunction
--- a/src/leadership/Failover.cpp
+++ b/src/leadership/Failover.cpp
@@ -20,11 +20,12 @@
 
 } // namespace
 
-Failover::Failover(GroupId group, UpstreamId oldPrimary, std::vector<UpstreamId> candidates, bool isPlanned, TimePoint now)
+Failover::Failover(GroupId group, UpstreamId oldPrimary, std::vector<UpstreamId> candidates, bool isPlanned, Term knownTerm, TimePoint now)
     : group(std::move(group))
     , oldPrimary(std::move(oldPrimary))
     , candidates(std::move(candidates))
     , isPlanned(isPlanned)
+    , greatestTerm(knownTerm)
     , surveyBegan(now)
     , lastAsked(now - askInterval)
     , promotedAt(now)
@@ -58,7 +59,10 @@
 void Failover::onStatus(const UpstreamId& upstream, const LeadStatus& status)
 {
     this->statuses[upstream] = status;
-    if (this->step == Step::Confirming && upstream == this->chosen && status.isPrimary) {
+    this->greatestTerm = std::max(this->greatestTerm, status.term);
+    // A former primary may still take itself for one, in its old term.
+    bool isLeading = status.isPrimary && status.term >= this->requiredTerm;
+    if (this->step == Step::Confirming && upstream == this->chosen && isLeading) {
         this->newStatus = status;
         this->step = Step::Publishing;
         this->act(Action::Kind::WriteStable, upstream);
@@ -68,6 +72,7 @@
 void Failover::onOldDemoted(const LeadStatus& status)
 {
     this->oldStatus = status;
+    this->greatestTerm = std::max(this->greatestTerm, status.term);
 }
 
 void Failover::onPromoteAnswer(bool isAccepted, TimePoint now)
@@ -109,6 +114,7 @@
     if (this->areInstancesStopped(bootNow) && this->isSurveyComplete(now)) {
         this->chosen = this->chooseBest();
         if (this->chosen) {
+            this->requiredTerm = this->isLeadingNow(*this->chosen) ? this->greatestTerm : this->greatestTerm.next();
             this->step = Step::Promoting;
             this->act(Action::Kind::Promote, *this->chosen);
             return;
@@ -157,6 +163,12 @@
     return this->oldStatus && best && !(this->statuses.at(*best).received < this->oldStatus->received);
 }
 
+bool Failover::isLeadingNow(const UpstreamId& candidate) const
+{
+    const LeadStatus& status = this->statuses.at(candidate);
+    return status.isPrimary && status.term == this->greatestTerm;
+}
+
 std::optional<UpstreamId> Failover::chooseBest() const
 {
     std::optional<UpstreamId> best;
@@ -165,7 +177,7 @@
         if (status == this->statuses.end() || this->refused.count(candidate) > 0)
             continue;
         // A former holder may have promoted it already.
-        if (status->second.isPrimary)
+        if (this->isLeadingNow(candidate))
             return candidate;
         if (!best || this->statuses.at(*best).received < status->second.received)
             best = candidate;
@@ -173,14 +185,6 @@
     return best;
 }
 
-Term Failover::getNextTerm() const
-{
-    Term greatest = this->oldStatus ? this->oldStatus->term : Term();
-    for (const std::pair<const UpstreamId, LeadStatus>& status : this->statuses)
-        greatest = std::max(greatest, status.second.term);
-    return greatest.next();
-}
-
 const char* Failover::getStepName() const
 {
     switch (this->step) {
--- /dev/null
+++ b/tests/unit/LeadershipTests.cpp
@@ -0,0 +1,237 @@
+#include "lentiljunction/leadership/lj_leadership.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace lentiljunction;
+
+namespace {
+
+/// A failover with its clock, told what a test decides.
+struct FailoverBench {
+    ManualClock clock;
+    Failover failover { GroupId("g"), UpstreamId("old"), { UpstreamId("a"), UpstreamId("b") }, false, Term(2), clock.now() };
+
+    std::vector<Failover::Action> take() { return this->failover.takeActions(this->clock.bootNow(), this->clock.now()); }
+
+    bool takes(Failover::Action::Kind kind, const std::string& upstream)
+    {
+        std::vector<Failover::Action> actions = this->take();
+        return std::any_of(actions.begin(), actions.end(), [&](const Failover::Action& action) {
+            return action.kind == kind && action.upstream == UpstreamId(upstream);
+        });
+    }
+
+    void announce()
+    {
+        this->take();
+        this->failover.onChangingWritten(this->clock.bootNow(), this->clock.now());
+        this->take();
+    }
+
+    void stopAll()
+    {
+        this->failover.onInstancesKnown({ InstanceId("one") });
+        this->failover.onInstanceStopped(InstanceId("one"));
+    }
+
+    static LeadStatus replica(std::uint64_t term, std::uint64_t position) { return { false, Term(term), { Term(term), Position(position) } }; }
+    static LeadStatus primary(std::uint64_t term, std::uint64_t position) { return { true, Term(term), { Term(term), Position(position) } }; }
+};
+
+} // namespace
+
+TEST_GROUP(LeadFailover) { FailoverBench bench; };
+
+TEST(LeadFailover, theReplicaThatReceivedMostIsPromoted)
+{
+    bench.announce();
+    bench.stopAll();
+    bench.failover.onStatus(UpstreamId("a"), FailoverBench::replica(2, 40));
+    bench.failover.onStatus(UpstreamId("b"), FailoverBench::replica(2, 41));
+    CHECK(bench.takes(Failover::Action::Kind::Promote, "b"));
+}
+
+TEST(LeadFailover, nothingIsPromotedWhileAnInstanceMayHoldAPermit)
+{
+    bench.announce();
+    bench.failover.onInstancesKnown({ InstanceId("one"), InstanceId("two") });
+    bench.failover.onInstanceStopped(InstanceId("one"));
+    bench.failover.onStatus(UpstreamId("a"), FailoverBench::replica(2, 40));
+    bench.failover.onStatus(UpstreamId("b"), FailoverBench::replica(2, 40));
+    bench.clock.advance(permitSpan);
+    CHECK_FALSE(bench.takes(Failover::Action::Kind::Promote, "a"));
+    bench.clock.advance(permitMargin);
+    CHECK_TRUE(bench.takes(Failover::Action::Kind::Promote, "a"));
+}
+
+TEST(LeadFailover, aFormerPrimaryThatDoesNotKnowItIsNotTakenForTheNewOne)
+{
+    bench.announce();
+    bench.stopAll();
+    // "a" led term 1, was cut off, and still takes itself for the primary.
+    bench.failover.onStatus(UpstreamId("a"), FailoverBench::primary(1, 90));
+    bench.failover.onStatus(UpstreamId("b"), FailoverBench::replica(2, 40));
+    CHECK_TRUE(bench.takes(Failover::Action::Kind::Promote, "b"));
+}
+
+TEST(LeadFailover, aPromotedFormerPrimaryIsInForceOnlyInItsNewTerm)
+{
+    bench.announce();
+    bench.stopAll();
+    bench.failover.onStatus(UpstreamId("a"), FailoverBench::primary(1, 90));
+    bench.clock.advance(std::chrono::seconds(3));
+    CHECK_TRUE(bench.takes(Failover::Action::Kind::Promote, "a"));
+    bench.failover.onPromoteAnswer(true, bench.clock.now());
+    bench.failover.onStatus(UpstreamId("a"), FailoverBench::primary(1, 92));
+    CHECK_FALSE(bench.takes(Failover::Action::Kind::WriteStable, "a"));
+    bench.failover.onStatus(UpstreamId("a"), FailoverBench::primary(3, 92));
+    CHECK_TRUE(bench.takes(Failover::Action::Kind::WriteStable, "a"));
+}
+
+TEST(LeadFailover, anUnansweredPromotionIsRepeatedForTheSameUpstreamOnly)
+{
+    bench.announce();
+    bench.stopAll();
+    bench.failover.onStatus(UpstreamId("a"), FailoverBench::replica(2, 41));
+    bench.failover.onStatus(UpstreamId("b"), FailoverBench::replica(2, 40));
+    CHECK_TRUE(bench.takes(Failover::Action::Kind::Promote, "a"));
+    bench.failover.onStatus(UpstreamId("b"), FailoverBench::replica(2, 60));
+    bench.failover.onPromoteUnanswered(bench.clock.now());
+    CHECK_TRUE(bench.takes(Failover::Action::Kind::Promote, "a"));
+}
+
+TEST(LeadFailover, aRefusedUpstreamIsPassedOver)
+{
+    bench.announce();
+    bench.stopAll();
+    bench.failover.onStatus(UpstreamId("a"), FailoverBench::replica(2, 41));
+    bench.failover.onStatus(UpstreamId("b"), FailoverBench::replica(2, 40));
+    CHECK_TRUE(bench.takes(Failover::Action::Kind::Promote, "a"));
+    bench.failover.onPromoteAnswer(false, bench.clock.now());
+    CHECK_TRUE(bench.takes(Failover::Action::Kind::Promote, "b"));
+}
+
+TEST_GROUP(PermitBook)
+{
+    ManualClock clock;
+    PermitBook permits;
+
+    VersionedLead lead(std::uint64_t revision) { return { std::make_shared<LeadRecord>(), StoreVersion(revision) }; }
+};
+
+TEST(PermitBook, aPermitBeginsWhenTheReadWasSent)
+{
+    BootTime sentAt = clock.bootNow();
+    clock.advance(std::chrono::milliseconds(400));
+    CHECK_TRUE(permits.onStoreAnswer(lead(3), sentAt));
+    CHECK_TRUE(permits.getView().isPermitted(sentAt + permitSpan - std::chrono::milliseconds(1)));
+    CHECK_FALSE(permits.getView().isPermitted(sentAt + permitSpan));
+}
+
+TEST(PermitBook, aSuspensionCounts)
+{
+    permits.onStoreAnswer(lead(3), clock.bootNow());
+    clock.suspend(permitSpan);
+    CHECK_EQUAL(0, permits.getRemaining(clock.bootNow()).count());
+}
+
+TEST(PermitBook, anotherInstanceGivesNoMoreThanItHas)
+{
+    BootTime sentAt = clock.bootNow();
+    permits.onPeerAnswer(lead(3), std::chrono::milliseconds(300), sentAt);
+    CHECK_FALSE(permits.getView().isPermitted(sentAt + std::chrono::milliseconds(300)));
+}
+
+TEST(PermitBook, anOlderRecordDoesNotReplaceANewerOne)
+{
+    permits.onStoreAnswer(lead(5), clock.bootNow());
+    CHECK_FALSE(permits.onStoreAnswer(lead(4), clock.bootNow()));
+    CHECK_EQUAL(5, permits.getView().lead.revision.value());
+}
+
+TEST(PermitBook, aNewerRecordKeepsThePermitOfAnEarlierRead)
+{
+    permits.onStoreAnswer(lead(5), clock.bootNow());
+    permits.onPeerAnswer(lead(6), Duration(0), clock.bootNow());
+    CHECK_TRUE(permits.getView().isPermitted(clock.bootNow()));
+    CHECK_EQUAL(6, permits.getView().lead.revision.value());
+}
+
+TEST_GROUP(SuspicionLedger)
+{
+    ManualClock clock;
+    SuspicionLedger ledger;
+    UpstreamId primary { "p" };
+};
+
+TEST(SuspicionLedger, oneReportNeedsAConfirmation)
+{
+    ledger.report(primary, InstanceId("one"), clock.now());
+    CHECK_FALSE(ledger.mustReplace(primary, 7, false, clock.now()));
+    CHECK_TRUE(ledger.mustReplace(primary, 7, true, clock.now()));
+}
+
+TEST(SuspicionLedger, aThirdOfTheInstancesIsEnough)
+{
+    ledger.report(primary, InstanceId("one"), clock.now());
+    ledger.report(primary, InstanceId("two"), clock.now());
+    CHECK_FALSE(ledger.mustReplace(primary, 7, false, clock.now()));
+    ledger.report(primary, InstanceId("three"), clock.now());
+    CHECK_TRUE(ledger.mustReplace(primary, 7, false, clock.now()));
+}
+
+TEST(SuspicionLedger, oldReportsAreForgotten)
+{
+    ledger.report(primary, InstanceId("one"), clock.now());
+    clock.advance(std::chrono::seconds(2));
+    CHECK_FALSE(ledger.mustReplace(primary, 7, true, clock.now()));
+}
+
+TEST_GROUP(LeadView)
+{
+    UpstreamList upstreams;
+
+    void add(const std::string& id, bool claimsPrimary)
+    {
+        UpstreamEntry entry;
+        entry.id = UpstreamId(id);
+        entry.group = GroupId("g");
+        entry.claimsPrimary = claimsPrimary;
+        upstreams.entries[entry.id] = entry;
+    }
+};
+
+TEST(LeadView, withoutAChangeTheOnlyClaimCounts)
+{
+    LeadView view { { std::make_shared<LeadRecord>(), StoreVersion(1) }, BootTime() };
+    add("a", true);
+    add("b", false);
+    CHECK(view.findLeader(GroupId("g"), upstreams) == Leader({ UpstreamId("a"), 0 }));
+    add("c", true);
+    CHECK_FALSE(view.findLeader(GroupId("g"), upstreams).has_value());
+}
+
+TEST(LeadView, afterAChangeClaimsDoNotCount)
+{
+    std::shared_ptr<LeadRecord> record = std::make_shared<LeadRecord>();
+    record->groups[GroupId("g")] = { LeadPhase::Stable, UpstreamId("b"), 1, {}, Term(2) };
+    LeadView view { { record, StoreVersion(1) }, BootTime() };
+    add("a", true);
+    CHECK(view.findLeader(GroupId("g"), upstreams) == Leader({ UpstreamId("b"), 1 }));
+    record->groups[GroupId("g")].phase = LeadPhase::Changing;
+    CHECK_FALSE(view.findLeader(GroupId("g"), upstreams).has_value());
+    CHECK_TRUE(view.isChanging(GroupId("g")));
+}
+
+TEST(LeadView, aRecordSurvivesItsEncoding)
+{
+    LeadRecord record { InstanceId("one"), FencingToken(4), {}, "n" };
+    record.groups[GroupId("g")] = { LeadPhase::Changing, UpstreamId("b"), 7, { Term(3), Position(12) }, Term(3) };
+    Failure failure;
+    std::optional<LeadRecord> decoded = decodeLeadRecord(encodeLeadRecord(record), failure);
+    CHECK(decoded.has_value());
+    CHECK(encodeLeadRecord(*decoded) == encodeLeadRecord(record));
+    CHECK_FALSE(decodeLeadRecord(nlohmann::json::object(), failure).has_value());
+}
