Take the duty over only with a vote, and keep the turns of holders apart

In a cut of one zone an instance there lost its path to the holder and to most primaries, but not to the store. It took the duty over for healthy primaries, could not call the promotion service, and after the same time every other instance took the duty from it at once.

Ruled out: overlapping permits.

Change: TakeoverVote (most instances answer, a third has lost the primary), DutyTurn (3.1 s between holders' acts), announcements expire after 1 s, a holder without store or promotion service says so, registration before the first permit, connections given up are reset. Half of an upstream's connections stay free.

--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -59,6 +59,11 @@
     /// @param knownTerm the greatest term that the record knows of the group
     Failover(GroupId group, UpstreamId oldPrimary, std::vector<UpstreamId> candidates, bool isPlanned, Term knownTerm, TimePoint now);
 
+    /// A store that was away may take an announcement long after its reason is gone.
+    ///
+    /// @returns whether the change may still be announced
+    bool mayAnnounce(TimePoint now) const;
+
     /// The store took the entry with LeadPhase::Changing.
     ///
     /// @param acknowledgedAt when its answer came
@@ -132,6 +137,7 @@
     Step step = Step::Announcing;
     std::vector<Action> actions;
     BootTime permitsEnd;
+    TimePoint began;
     TimePoint surveyBegan;
     TimePoint lastAsked;
     TimePoint promotedAt;
--- a/include/lentiljunction/leadership/SuspicionLedger.h
+++ b/include/lentiljunction/leadership/SuspicionLedger.h
@@ -9,8 +9,8 @@
 
 /// Collects reports of instances that cannot reach a primary, and decides whether to replace it.
 ///
-/// One instance without a path is no failed primary. The ledger asks for a share of the instances,
-/// or for one report that the holder of the duty confirms with a check of its own.
+/// One instance without a path is no failed primary, and neither are a few that are cut off together,
+/// the holder of the duty among them. So the ledger asks for a share of all instances.
 ///
 /// Not thread-safe; the control thread owns it.
 class SuspicionLedger {
@@ -22,9 +22,8 @@
     void clear(const UpstreamId& primary) { this->reports.erase(primary); }
 
     /// @param numInstances the instances that are known
-    /// @param isConfirmed whether the holder's own check of the primary failed just now
     /// @returns whether the primary is to be replaced
-    bool mustReplace(const UpstreamId& primary, std::size_t numInstances, bool isConfirmed, TimePoint now) const;
+    bool mustReplace(const UpstreamId& primary, std::size_t numInstances, TimePoint now) const;
 
     /// @returns the instances with a recent report
     std::size_t countReporters(const UpstreamId& primary, TimePoint now) const;
--- a/src/gateway/FailoverDriver.cpp
+++ b/src/gateway/FailoverDriver.cpp
@@ -15,6 +15,8 @@
     constexpr std::chrono::milliseconds peerLimit { 150 };
     /// Before a promotion call without an answer is made again.
     constexpr std::chrono::milliseconds promoteRetryPause { 150 };
+    /// A holder whose promotion calls fail for longer leaves the duty to others.
+    constexpr std::chrono::milliseconds unfitLimit { 1000 };
     /// A promotion call is sent only when the duty is certain for this much longer, so that a late
     /// call cannot meet the next holder's.
     constexpr std::chrono::milliseconds dutyReserve { 400 };
@@ -118,6 +120,9 @@
     UpstreamId primary = run.failover.getOldPrimary();
     LeadWriter::Change change = [this, group, primary](LeadRecord& record) {
         const GroupLead* present = record.find(group);
+        const Run* announced = this->find(group);
+        if (announced == nullptr || !announced->failover.mayAnnounce(this->parts.clock.now()))
+            return false;
         // Another instance has replaced it, or is about to.
         bool isOther = present != nullptr && (present->primary != primary);
         if (isOther)
@@ -136,7 +141,7 @@
         if (current == nullptr)
             return;
         if (!isWritten)
-            return this->abandon(group, "another instance replaces the primary");
+            return this->abandon(group, "another instance replaces the primary, or the store took too long");
         current->failover.onChangingWritten(acknowledgedAt, this->parts.clock.now());
         this->advance(group);
     });
@@ -275,17 +280,44 @@
     if (!this->isHolder())
         return this->abandon(group, "another instance holds the duty");
     const PermitBook& permits = this->parts.surroundings.getPermits();
-    if (permits.getRemaining(this->parts.clock.bootNow()) < dutyReserve) {
+    if (permits.getRemaining(this->parts.clock.bootNow()) < dutyReserve || !this->parts.surroundings.mayAct()) {
         this->parts.loop.schedule(tickInterval, [this, group, upstream] { this->callPromote(group, upstream); });
         return;
     }
     FencingToken epoch = permits.getView().lead.record->epoch;
     logEvent(events::failoverStep, "group=" + group.toString() + " step=call upstream=" + upstream.toString() + " epoch=" + std::to_string(epoch.value()));
+    this->numCalls++;
     this->parts.store.promote(group, upstream, this->parts.self, epoch, [this, group](const std::optional<bool>& isDone, const Failure& failure) {
+        this->onCallEnded(isDone.has_value() || failure.kind == Failure::Kind::Conflict);
         this->onPromoted(group, isDone.has_value(), failure);
     });
 }
 
+void FailoverDriver::onCallEnded(bool isAnswered)
+{
+    if (isAnswered)
+        this->failingSince.reset();
+    else if (!this->failingSince)
+        this->failingSince = this->parts.clock.now();
+    this->numCalls--;
+    if (this->numCalls > 0)
+        return;
+    for (const std::function<void()>& callback : std::exchange(this->waitingForCalls, {}))
+        callback();
+}
+
+void FailoverDriver::whenCallsEnded(std::function<void()> callback)
+{
+    if (this->numCalls == 0)
+        return callback();
+    this->waitingForCalls.push_back(std::move(callback));
+}
+
+bool FailoverDriver::isUnfit() const
+{
+    return this->failingSince && this->parts.clock.now() - *this->failingSince > unfitLimit;
+}
+
 void FailoverDriver::onPromoted(const GroupId& group, bool isAnswered, const Failure& failure)
 {
     Run* run = this->find(group);
--- a/src/gateway/FailoverDriver.h
+++ b/src/gateway/FailoverDriver.h
@@ -30,6 +30,9 @@
         virtual const UpstreamList& getUpstreamList() const = 0;
         virtual const PermitBook& getPermits() const = 0;
 
+        /// @returns whether this instance may act on the duty if it holds it
+        virtual bool mayAct() const = 0;
+
         /// Calls back once the traffic thread goes by the belief in force.
         virtual void confirmTraffic(std::function<void()> callback) = 0;
     };
@@ -55,6 +58,13 @@
     /// @returns whether a replacement is under way in a group
     bool isActive(const GroupId& group) const { return this->runs.count(group) > 0; }
 
+    /// Calls back once no promotion call is under way. Whoever gives the duty up to another instance
+    /// must not have a call on its way that could arrive after the other's.
+    void whenCallsEnded(std::function<void()> callback);
+
+    /// @returns whether promotion calls have failed for so long that another instance should try
+    bool isUnfit() const;
+
 private:
     struct Run {
         Failover failover;
@@ -78,6 +88,7 @@
     void promote(Run& run, const UpstreamId& upstream);
     void callPromote(const GroupId& group, const UpstreamId& upstream);
     void onPromoted(const GroupId& group, bool isAnswered, const Failure& failure);
+    void onCallEnded(bool isAnswered);
     void tellAll(const Run& run);
     void abandon(const GroupId& group, const std::string& reason);
     bool isHolder() const;
@@ -87,6 +98,10 @@
 
     Parts parts;
     std::map<GroupId, Run> runs;
+    std::size_t numCalls = 0;
+    std::vector<std::function<void()>> waitingForCalls;
+    /// Since when promotion calls get no answer.
+    std::optional<TimePoint> failingSince;
     OneShotTimer timer;
 };
 
--- a/src/gateway/FleetControl.cpp
+++ b/src/gateway/FleetControl.cpp
@@ -24,9 +24,15 @@
     /// For an answer of another instance: some round trips between availability zones.
     constexpr std::chrono::milliseconds peerLimit { 250 };
     /// A change of primary that is not over by then has lost its holder.
-    constexpr std::chrono::milliseconds stuckLimit { 4500 };
+    constexpr std::chrono::milliseconds stuckLimit { 3500 };
+    /// A holder whose last answer of the store is older is taken to be cut off from it.
+    constexpr std::chrono::milliseconds storeContactLimit { 1300 };
+    /// For the answers of a vote to be handled after the last of them came in time.
+    constexpr std::chrono::milliseconds voteSlack { 20 };
+    /// A primary that could not be reached for longer ago counts as reached again.
+    constexpr std::chrono::milliseconds opinionLifetime { 1500 };
     /// Between the instances that may take the duty over, so that the first is usually alone.
-    constexpr std::chrono::milliseconds takeoverStep { 120 };
+    constexpr std::chrono::milliseconds takeoverStep { 300 };
 
     std::int64_t toMilliseconds(Duration duration)
     {
@@ -42,6 +48,7 @@
     , writer(parts.store, parts.controlLoop, parts.clock, settings.instance, *this)
     , commander(parts.controlLoop, parts.clock, parts.protocol, settings.instance)
     , failovers({ parts.controlLoop, parts.clock, parts.store, this->peers, this->writer, this->commander, *this, settings.instance })
+    , turn(settings.instance)
 {
 }
 
@@ -50,8 +57,8 @@
     if (!this->peers.listen(this->settings.peers, failure))
         return false;
     this->parts.controlLoop.post([this] {
+        // Whoever replaces a primary asks all that are registered, so nobody may hold a permit before.
         this->registerSelf();
-        this->readLead();
         this->readRoutes();
         this->listUpstreams();
         this->listMembers();
@@ -63,7 +70,7 @@
 {
     this->parts.store.registerMember({ this->settings.instance, this->settings.zone, this->settings.peers }, [this](const std::optional<bool>& isDone, const Failure& failure) {
         if (isDone)
-            return;
+            return this->readLead();
         logEvent(events::storeCallFailed, "call=register reason=\"" + failure.reason + "\"");
         this->parts.controlLoop.schedule(retryInterval, [this] { this->registerSelf(); });
     });
@@ -105,12 +112,15 @@
 
 void FleetControl::onLeadSeen(const VersionedLead& lead, BootTime sentAt)
 {
+    this->storeAnsweredAt = this->parts.clock.bootNow();
     this->publishLead(this->permits.onStoreAnswer(lead, sentAt));
 }
 
 void FleetControl::publishLead(bool isNewer)
 {
     LeadView view = this->permits.getView();
+    if (view.lead.record != nullptr)
+        this->turn.onRecord(*view.lead.record, view.lead.revision, this->parts.clock.bootNow());
     bool isPermitted = view.isPermitted(this->parts.clock.bootNow());
     if (isPermitted != this->wasPermitted)
         logEvent(isPermitted ? events::permitRegained : events::permitLost, "lead_revision=" + std::to_string(view.lead.revision.value()));
@@ -267,17 +277,25 @@
             this->changingSince.erase(group.first);
             continue;
         }
-        TimePoint since = this->changingSince.emplace(group.first, now).first->second;
-        bool isOwn = view.lead.record->holder == this->settings.instance;
+        std::pair<FencingToken, TimePoint>& since = this->changingSince.emplace(group.first, std::make_pair(view.lead.record->epoch, now)).first->second;
+        if (since.first != view.lead.record->epoch)
+            since = { view.lead.record->epoch, now };
+        if (this->failovers.isActive(group.first))
+            continue;
         // After its own restart a holder has forgotten the change that it began.
-        if ((isOwn || now - since >= stuckLimit) && !this->failovers.isActive(group.first))
-            this->failovers.start(group.first, group.second.primary, false, isOwn ? "resumed after a restart" : "its holder does not go on");
+        if (view.lead.record->holder == this->settings.instance)
+            this->failovers.start(group.first, group.second.primary, false, "resumed after a restart");
+        else if (now - since.second >= stuckLimit + this->getTakeoverDelay(group.first))
+            this->takeOver(group.first, group.second.primary, true);
     }
 }
 
 void FleetControl::onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary)
 {
-    this->parts.controlLoop.post([this, group, primary] { this->reportTrouble(group, primary, false); });
+    this->parts.controlLoop.post([this, group, primary] {
+        this->unreachableAt[primary] = this->parts.clock.now();
+        this->reportTrouble(group, primary, false);
+    });
 }
 
 void FleetControl::reportTrouble(const GroupId& group, const UpstreamId& primary, bool isLeaving)
@@ -299,47 +317,79 @@
     });
 }
 
-void FleetControl::onHolderSilent(const GroupId& group, const UpstreamId& primary, bool isLeaving)
+Duration FleetControl::getTakeoverDelay(const GroupId& group) const
 {
     // The instances go one after the other, in an order of their own for each group.
-    std::vector<InstanceId> all;
-    for (const std::pair<const InstanceId, FleetMember>& member : this->members)
-        all.push_back(member.first);
-    std::sort(all.begin(), all.end(), [&group](const InstanceId& left, const InstanceId& right) {
-        return rendezvousScore(group.toString(), left.toString()) > rendezvousScore(group.toString(), right.toString());
+    std::uint64_t own = rendezvousScore(group.toString(), this->settings.instance.toString());
+    std::ptrdiff_t order = std::count_if(this->members.begin(), this->members.end(), [&](const std::pair<const InstanceId, FleetMember>& member) {
+        return rendezvousScore(group.toString(), member.first.toString()) > own;
     });
-    std::size_t order = static_cast<std::size_t>(std::distance(all.begin(), std::find(all.begin(), all.end(), this->settings.instance)));
-    this->parts.controlLoop.schedule(takeoverStep * static_cast<int>(order), [this, group, primary, isLeaving] {
-        const LeadView& view = this->permits.getView();
-        std::optional<Leader> leader = view.findLeader(group, *this->upstreams.getList());
-        if (!leader || leader->upstream != primary)
-            return;
-        this->consider(group, primary, this->settings.instance, isLeaving);
+    return takeoverStep * static_cast<int>(order);
+}
+
+void FleetControl::onHolderSilent(const GroupId& group, const UpstreamId& primary, bool isLeaving)
+{
+    this->parts.controlLoop.schedule(this->getTakeoverDelay(group), [this, group, primary, isLeaving] {
+        std::optional<Leader> leader = this->permits.getView().findLeader(group, *this->upstreams.getList());
+        if (leader && leader->upstream == primary)
+            this->takeOver(group, primary, isLeaving);
     });
 }
 
+void FleetControl::takeOver(const GroupId& group, const UpstreamId& primary, bool isLeaving)
+{
+    bool hasStore = this->parts.clock.bootNow() - this->storeAnsweredAt < storeContactLimit;
+    if (!hasStore || this->failovers.isActive(group) || this->failovers.isUnfit() || !this->votes.insert(group).second)
+        return;
+    this->holdVote(group, primary, [this, group, primary, isLeaving](const TakeoverVote& vote) {
+        this->votes.erase(group);
+        logEvent(events::primarySuspected, "group=" + group.toString() + " primary=" + primary.toString() + " answers=" + std::to_string(vote.getNumAnswers()) + " agreeing=" + std::to_string(vote.getNumAgreeing()) + " instances=" + std::to_string(this->members.size()) + " take_over=" + std::to_string(vote.isWon()));
+        if (vote.isWon())
+            this->failovers.start(group, primary, isLeaving && this->upstreams.getList()->find(primary) != nullptr, "its holder is silent");
+    });
+}
+
+void FleetControl::holdVote(const GroupId& group, const UpstreamId& primary, std::function<void(const TakeoverVote& vote)> callback)
+{
+    std::shared_ptr<TakeoverVote> vote = std::make_shared<TakeoverVote>(std::max<std::size_t>(1, this->members.size()));
+    nlohmann::json question { { "ask", "opinion" }, { "group", group.toString() }, { "primary", primary.toString() } };
+    for (const std::pair<const InstanceId, FleetMember>& member : this->members) {
+        if (member.first == this->settings.instance)
+            continue;
+        this->peers.ask(member.second.peers, question, peerLimit, [vote](const std::optional<nlohmann::json>& answer) {
+            if (answer && answer->is_object())
+                vote->onAnswer(answer->value("has_lost", false));
+        });
+    }
+    this->parts.controlLoop.schedule(peerLimit + voteSlack, [vote, callback = std::move(callback)] { callback(*vote); });
+}
+
+bool FleetControl::hasLost(const GroupId& group, const UpstreamId& primary) const
+{
+    const UpstreamEntry* entry = this->upstreams.getList()->find(primary);
+    if (entry == nullptr || entry->isLeaving || this->permits.getView().isChanging(group))
+        return true;
+    std::map<UpstreamId, TimePoint>::const_iterator lost = this->unreachableAt.find(primary);
+    return lost != this->unreachableAt.end() && this->parts.clock.now() - lost->second < opinionLifetime;
+}
+
 void FleetControl::consider(const GroupId& group, const UpstreamId& primary, const InstanceId& reporter, bool isLeaving)
 {
     std::optional<Leader> leader = this->permits.getView().findLeader(group, *this->upstreams.getList());
     if (!leader || leader->upstream != primary || this->failovers.isActive(group))
         return;
-    const UpstreamEntry* entry = this->upstreams.getList()->find(primary);
-    if (isLeaving && (entry == nullptr || entry->isLeaving))
-        return this->failovers.start(group, primary, entry != nullptr, "the primary leaves");
-    if (isLeaving || entry == nullptr)
-        return;
+    // Whoever reports that it leaves has read a newer list.
+    if (isLeaving)
+        return this->failovers.start(group, primary, this->upstreams.getList()->find(primary) != nullptr, "the primary leaves");
 
-    this->suspicions.report(primary, reporter, this->parts.clock.now());
-    this->commander.askStatus(*entry, [this, group, primary](const std::optional<LeadStatus>& status, bool) {
-        TimePoint now = this->parts.clock.now();
-        bool isConfirmed = !status.has_value();
-        std::size_t numReporters = this->suspicions.countReporters(primary, now);
-        bool mustReplace = this->suspicions.mustReplace(primary, this->members.size(), isConfirmed, now);
-        logEvent(events::primarySuspected, "group=" + group.toString() + " primary=" + primary.toString() + " reporters=" + std::to_string(numReporters) + " instances=" + std::to_string(this->members.size()) + " own_check_failed=" + std::to_string(isConfirmed) + " replace=" + std::to_string(mustReplace));
-        std::optional<Leader> current = this->permits.getView().findLeader(group, *this->upstreams.getList());
-        if (mustReplace && current && current->upstream == primary)
-            this->failovers.start(group, primary, false, "the primary cannot be reached");
-    });
+    TimePoint now = this->parts.clock.now();
+    this->suspicions.report(primary, reporter, now);
+    bool mustReplace = this->suspicions.mustReplace(primary, this->members.size(), now);
+    logEvent(events::primarySuspected, "group=" + group.toString() + " primary=" + primary.toString() + " reporter=" + reporter.toString() + " reporters=" + std::to_string(this->suspicions.countReporters(primary, now)) + " instances=" + std::to_string(this->members.size()) + " replace=" + std::to_string(mustReplace));
+    if (!mustReplace)
+        return;
+    this->suspicions.clear(primary);
+    this->failovers.start(group, primary, false, "the primary cannot be reached");
 }
 
 nlohmann::json FleetControl::makeBeliefAnswer() const
@@ -360,11 +410,24 @@
     nlohmann::json belief = question;
     belief["permit_us"] = 0;
     this->onPeerBelief(belief, this->parts.clock.bootNow());
-    this->confirmTraffic([this, respond] {
-        respond({ { "applied", this->permits.getView().lead.revision.value() } });
+    std::uint64_t revision = this->permits.getView().lead.revision.value();
+    this->confirmTraffic([this, respond, revision] {
+        this->failovers.whenCallsEnded([respond, revision] { respond({ { "applied", revision } }); });
     });
 }
 
+void FleetControl::onSuspect(const nlohmann::json& question, const PeerExchange::Responder& respond)
+{
+    const VersionedLead& lead = this->permits.getView().lead;
+    bool isHolder = lead.record != nullptr && lead.record->holder == this->settings.instance;
+    // A holder that does not reach the store, or the promotion service, can replace nobody.
+    bool hasStore = this->parts.clock.bootNow() - this->storeAnsweredAt < storeContactLimit;
+    bool isTaken = isHolder && hasStore && !this->failovers.isUnfit();
+    respond({ { "is_taken", isTaken } });
+    if (isTaken)
+        this->consider(GroupId(question.value("group", "")), UpstreamId(question.value("primary", "")), InstanceId(question.value("reporter", "")), question.value("is_leaving", false));
+}
+
 void FleetControl::onPeerQuestion(const nlohmann::json& question, const PeerExchange::Responder& respond)
 {
     std::string ask = question.is_object() ? question.value("ask", "") : "";
@@ -372,15 +435,10 @@
         return respond(this->makeBeliefAnswer());
     if (ask == "take_lead")
         return this->onTakeLead(question, respond);
-    if (ask == "suspect") {
-        bool isHolder = this->permits.getView().lead.record != nullptr && this->permits.getView().lead.record->holder == this->settings.instance;
-        // A holder without a valid permit may have lost the duty, so others have to look after it.
-        bool isTaken = isHolder && this->permits.getRemaining(this->parts.clock.bootNow()).count() > 0;
-        respond({ { "is_taken", isTaken } });
-        if (isTaken)
-            this->consider(GroupId(question.value("group", "")), UpstreamId(question.value("primary", "")), InstanceId(question.value("reporter", "")), question.value("is_leaving", false));
-        return;
-    }
+    if (ask == "suspect")
+        return this->onSuspect(question, respond);
+    if (ask == "opinion")
+        return respond({ { "has_lost", this->hasLost(GroupId(question.value("group", "")), UpstreamId(question.value("primary", ""))) } });
     logEvent(events::peerMessageInvalid, "reason=\"an unknown question\"");
 }
 
--- a/src/gateway/FleetControl.h
+++ b/src/gateway/FleetControl.h
@@ -7,8 +7,10 @@
 #include "LeadWriter.h"
 #include "UpstreamCommander.h"
 #include "lentiljunction/fleet/FleetStore.h"
+#include "lentiljunction/leadership/DutyTurn.h"
 #include "lentiljunction/leadership/PermitBook.h"
 #include "lentiljunction/leadership/SuspicionLedger.h"
+#include "lentiljunction/leadership/TakeoverVote.h"
 #include "lentiljunction/routes/RouteKeeper.h"
 #include "lentiljunction/routes/UpstreamKeeper.h"
 
@@ -52,6 +54,7 @@
     void onLeadSeen(const VersionedLead& lead, BootTime sentAt) override;
     const UpstreamList& getUpstreamList() const override { return *this->upstreams.getList(); }
     const PermitBook& getPermits() const override { return this->permits; }
+    bool mayAct() const override { return this->turn.mayAct(this->parts.clock.bootNow()); }
     void confirmTraffic(std::function<void()> callback) override;
 
     void registerSelf();
@@ -71,6 +74,11 @@
     void reportTrouble(const GroupId& group, const UpstreamId& primary, bool isLeaving);
     void consider(const GroupId& group, const UpstreamId& primary, const InstanceId& reporter, bool isLeaving);
     void onHolderSilent(const GroupId& group, const UpstreamId& primary, bool isLeaving);
+    void holdVote(const GroupId& group, const UpstreamId& primary, std::function<void(const TakeoverVote& vote)> callback);
+    void takeOver(const GroupId& group, const UpstreamId& primary, bool isLeaving);
+    bool hasLost(const GroupId& group, const UpstreamId& primary) const;
+    Duration getTakeoverDelay(const GroupId& group) const;
+    void onSuspect(const nlohmann::json& question, const PeerExchange::Responder& respond);
     nlohmann::json makeBeliefAnswer() const;
     void onTakeLead(const nlohmann::json& question, const PeerExchange::Responder& respond);
     void updateReady();
@@ -87,7 +95,12 @@
     UpstreamKeeper upstreams;
     StoreVersion routesRevision;
     std::map<InstanceId, FleetMember> members;
-    std::map<GroupId, TimePoint> changingSince;
+    DutyTurn turn;
+    /// A change under way, by the epoch of its holder.
+    std::map<GroupId, std::pair<FencingToken, TimePoint>> changingSince;
+    std::set<GroupId> votes;
+    std::map<UpstreamId, TimePoint> unreachableAt;
+    BootTime storeAnsweredAt;
     std::size_t nextPeer = 0;
     bool hasListedUpstreams = false;
     bool wasPermitted = false;
--- a/src/gateway/UpstreamCommander.cpp
+++ b/src/gateway/UpstreamCommander.cpp
@@ -57,16 +57,16 @@
         std::optional<LeadStatus> status;
         if (reply && reply->isSuccess() && !reply->rows.empty())
             status = this->protocol.decodeLeadStatus(reply->rows.front());
-        this->finish(key, status, false);
+        this->finish(key, status, reply.has_value());
     });
 }
 
 void UpstreamCommander::onLinkLost(UpstreamLink& link, UpstreamLink::Trouble trouble, const std::string&)
 {
-    this->finish(&link, std::nullopt, trouble == UpstreamLink::Trouble::Refused);
+    this->finish(&link, std::nullopt, trouble == UpstreamLink::Trouble::Full);
 }
 
-void UpstreamCommander::finish(const UpstreamLink* link, std::optional<LeadStatus> status, bool isRefused)
+void UpstreamCommander::finish(const UpstreamLink* link, std::optional<LeadStatus> status, bool isReached)
 {
     std::map<const UpstreamLink*, Question>::iterator found = this->questions.find(link);
     if (found == this->questions.end())
@@ -76,7 +76,7 @@
     finished->link->close();
     // The link and its timer may be on the stack, so they are destroyed later.
     this->loop.post([finished] {});
-    finished->callback(std::move(status), isRefused);
+    finished->callback(std::move(status), isReached);
 }
 
 } // namespace lentiljunction
--- a/src/gateway/UpstreamCommander.h
+++ b/src/gateway/UpstreamCommander.h
@@ -16,9 +16,9 @@
 /// reached now. Runs on the control thread.
 class UpstreamCommander : private UpstreamLink::Listener {
 public:
-    /// @param status nothing when no answer came in time
-    /// @param isRefused whether nobody listens at the address
-    using Callback = std::function<void(std::optional<LeadStatus> status, bool isRefused)>;
+    /// @param status nothing when the upstream did not answer with one
+    /// @param isReached whether the upstream answered at all; one without a free slot does, but tells nothing
+    using Callback = std::function<void(std::optional<LeadStatus> status, bool isReached)>;
 
     UpstreamCommander(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, const InstanceId& self);
 
@@ -41,7 +41,7 @@
     void ask(const UpstreamEntry& upstream, UpstreamCommand command, Callback callback);
     void onLinkReady(UpstreamLink& link) override;
     void onLinkLost(UpstreamLink& link, UpstreamLink::Trouble trouble, const std::string& reason) override;
-    void finish(const UpstreamLink* link, std::optional<LeadStatus> status, bool isRefused);
+    void finish(const UpstreamLink* link, std::optional<LeadStatus> status, bool isReached);
 
     EventLoop& loop;
     const Clock& clock;
--- a/src/leadership/Failover.cpp
+++ b/src/leadership/Failover.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+    /// From the decision to its entry in the record: some calls to a slow store. A primary that could
+    /// not be reached may work again by then, and is looked at anew.
+    constexpr std::chrono::milliseconds announceLimit { 1000 };
     /// How long the replicas are given to answer, and in a planned change to catch up: ten round
     /// trips between availability zones and the usual replication lag.
     constexpr std::chrono::milliseconds surveyLimit { 400 };
@@ -26,6 +29,7 @@
     , candidates(std::move(candidates))
     , isPlanned(isPlanned)
     , greatestTerm(knownTerm)
+    , began(now)
     , surveyBegan(now)
     , lastAsked(now - askInterval)
     , promotedAt(now)
@@ -33,6 +37,11 @@
     this->act(Action::Kind::WriteChanging);
 }
 
+bool Failover::mayAnnounce(TimePoint now) const
+{
+    return this->step == Step::Announcing && now - this->began <= announceLimit;
+}
+
 void Failover::onChangingWritten(BootTime acknowledgedAt, TimePoint now)
 {
     if (this->step != Step::Announcing)
--- a/src/leadership/SuspicionLedger.cpp
+++ b/src/leadership/SuspicionLedger.cpp
@@ -1,5 +1,7 @@
 #include "lentiljunction/leadership/SuspicionLedger.h"
 
+#include "lentiljunction/leadership/TakeoverVote.h"
+
 #include <algorithm>
 
 namespace lentiljunction {
@@ -8,10 +10,6 @@
 
     /// A report older than this is forgotten: two intervals between checks of a primary in trouble.
     constexpr std::chrono::milliseconds reportLifetime { 1500 };
-    /// Replacing a primary costs every instance a gap of the same length as it spares those that are
-    /// cut off, so a third of them must have lost it.
-    constexpr std::size_t inverseShare = 3;
-    constexpr std::size_t leastReporters = 2;
 
 } // namespace
 
@@ -30,13 +28,9 @@
     }));
 }
 
-bool SuspicionLedger::mustReplace(const UpstreamId& primary, std::size_t numInstances, bool isConfirmed, TimePoint now) const
+bool SuspicionLedger::mustReplace(const UpstreamId& primary, std::size_t numInstances, TimePoint now) const
 {
-    std::size_t numReporters = this->countReporters(primary, now);
-    if (isConfirmed && numReporters > 0)
-        return true;
-    std::size_t needed = std::max(leastReporters, (numInstances + inverseShare - 1) / inverseShare);
-    return numReporters >= needed;
+    return this->countReporters(primary, now) >= getNeededReporters(numInstances);
 }
 
 } // namespace lentiljunction
--- a/src/net/ByteSocket.cpp
+++ b/src/net/ByteSocket.cpp
@@ -155,7 +155,9 @@
 
 void ByteSocket::close()
 {
-    this->implementation->closeNow();
+    this->implementation->listener = nullptr;
+    this->implementation->isOpen = false;
+    closeAbruptly(this->implementation->socket);
 }
 
 class ByteListener::Implementation : public std::enable_shared_from_this<ByteListener::Implementation> {
--- a/src/net/ByteSocket.h
+++ b/src/net/ByteSocket.h
@@ -47,7 +47,8 @@
     /// Closes the connection after the bytes that wait were sent.
     void closeAfterSending();
 
-    /// Closes the connection at once and forgets the listener.
+    /// Breaks the connection at once and forgets the listener. Bytes that were not delivered yet never
+    /// are.
     void close();
 
 private:
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -171,8 +171,8 @@
 
 void HttpClient::Exchange::fail(const std::string& reason)
 {
-    asio::error_code ignored;
-    this->socket.close(ignored);
+    // A call that was given up must not be carried out later.
+    closeAbruptly(this->socket);
     this->timer.cancel();
     Failure failure;
     failure.set(this->isSent ? Failure::Kind::InDoubt : Failure::Kind::Unavailable, reason);
--- a/src/net/SocketOptions.cpp
+++ b/src/net/SocketOptions.cpp
@@ -31,4 +31,12 @@
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
 }
 
+void closeAbruptly(asio::ip::tcp::socket& socket)
+{
+    asio::error_code ignored;
+    if (socket.is_open())
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
 } // namespace lentiljunction
--- a/src/net/SocketOptions.h
+++ b/src/net/SocketOptions.h
@@ -12,4 +12,8 @@
 /// Sends small messages at once, and notices a peer that is gone without a word.
 void setPromptAndMortal(asio::ip::tcp::socket& socket);
 
+/// Breaks the connection instead of ending it in order, so that bytes that were not delivered yet
+/// never are.
+void closeAbruptly(asio::ip::tcp::socket& socket);
+
 } // namespace lentiljunction
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -19,7 +19,7 @@
     /// The pause after an upstream took no further connection: about as long as others keep spare ones.
     constexpr std::chrono::milliseconds fullBackoff { 100 };
     /// A connection beyond the instance's share is closed when it was idle for this long.
-    constexpr std::chrono::milliseconds surplusIdle { 1000 };
+    constexpr std::chrono::milliseconds surplusIdle { 500 };
     /// How often claims that wait are looked through for passed deadlines.
     constexpr std::chrono::milliseconds expiryInterval { 25 };
     /// Connections left for the checks of whoever replaces a primary.
@@ -63,7 +63,8 @@
 void UpstreamPool::setShare(int maximumConnections, std::size_t numInstances)
 {
     this->ceiling = static_cast<std::size_t>(std::max(1, maximumConnections - controlConnections));
-    this->share = std::max<std::size_t>(1, this->ceiling / std::max<std::size_t>(1, numInstances));
+    // Half stays free, so that instances that start again find room beside connections that died silently.
+    this->share = std::max<std::size_t>(1, this->ceiling / (2 * std::max<std::size_t>(1, numInstances)));
 }
 
 UpstreamPool::Ticket UpstreamPool::claim(Rank rank, const CallerId& caller, TimePoint deadline, Grant grant)
@@ -235,7 +236,8 @@
     this->numOpening--;
     TimePoint now = this->surroundings.clock.now();
     if (trouble == UpstreamLink::Trouble::Full) {
-        this->avoidUntil = now + fullBackoff;
+        // Claims wait for a connection of this instance, or for another to give one back.
+        this->fullUntil = now + fullBackoff;
         return this->setQueueTimer();
     }
     this->backoff = std::clamp<Duration>(this->backoff * 2, firstBackoff, longestBackoff);
@@ -318,7 +320,8 @@
 void UpstreamPool::openIfNeeded()
 {
     std::size_t numWaiting = this->grants.size();
-    if (this->isAvoided() || this->numOpening >= numWaiting || this->links.size() >= this->ceiling)
+    bool isHeldBack = this->isAvoided() || this->surroundings.clock.now() < this->fullUntil;
+    if (isHeldBack || this->numOpening >= numWaiting || this->links.size() >= this->ceiling)
         return;
     this->openOne();
 }
--- a/src/traffic/UpstreamPool.h
+++ b/src/traffic/UpstreamPool.h
@@ -145,6 +145,7 @@
     std::size_t share = 1;
     std::size_t ceiling = 1;
     TimePoint avoidUntil;
+    TimePoint fullUntil;
     Duration backoff { 0 };
     Duration meanLatency;
     TimePoint latencyAt;
