Prove a lead by the upstreams while the store is away

Permits ran out after 2.5 s, and from then on every statement that needs a primary, and soon each read that needs a proof of age, was refused (599 and 393 refusals in two seconds). Ruled out: longer permits (each true cut would wait as much longer), permits among the instances alone (that is a consensus group by another name).

Change: without a permit, an answer of a primary is passed on once every other upstream of its group, asked after the answer came, still follows its term (LeadEvidence, EvidenceRounds). SharedLimit replaces the limit by best latency in the pools of sessions: with work that varies by a factor of five, that limit shrank to one.

Tests: LeadEvidence, SharedLimit.

--- a/include/lentiljunction/admission/lj_admission.h
+++ b/include/lentiljunction/admission/lj_admission.h
@@ -7,3 +7,4 @@
 #include "lentiljunction/admission/LoadShedder.h"
 #include "lentiljunction/admission/RankQueue.h"
 #include "lentiljunction/admission/RetryBudget.h"
+#include "lentiljunction/admission/SharedLimit.h"
--- a/include/lentiljunction/leadership/lj_leadership.h
+++ b/include/lentiljunction/leadership/lj_leadership.h
@@ -7,6 +7,7 @@
 #include "lentiljunction/leadership/DutyTurn.h"
 #include "lentiljunction/leadership/Failover.h"
 #include "lentiljunction/leadership/LeadCodec.h"
+#include "lentiljunction/leadership/LeadEvidence.h"
 #include "lentiljunction/leadership/LeadRecord.h"
 #include "lentiljunction/leadership/LeadView.h"
 #include "lentiljunction/leadership/PermitBook.h"
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -244,16 +244,39 @@
     if (reply->head)
         this->state.onHead(this->held.link->getUpstream(), *reply->head, this->sentAt);
     AttemptEvent event = this->classify(*reply);
+    bool mayBeProved = event == AttemptEvent::SuccessUnproved && !this->state.isPermitted()
+        && this->state.isBelievedLeader(this->request.need.route->group, *this->held.leader);
+    if (mayBeProved)
+        return this->seekEvidence(std::move(*reply));
     this->conclude(event, std::move(*reply));
 }
 
+void StatementRun::seekEvidence(SessionReply reply)
+{
+    this->isAwaitingEvidence = true;
+    // Nothing runs on the connection meanwhile, and the proof itself needs the upstreams.
+    this->held.pool->park(this->held.link);
+    this->timer.setTime(this->getDeadline());
+    std::shared_ptr<StatementRun> self = this->shared_from_this();
+    const GroupId group = this->request.need.route->group;
+    const Leader leader = *this->held.leader;
+    this->state.getEvidence().prove(group, leader, [self, group, leader, reply = std::move(reply)](bool isProved) {
+        if (self->isDone || !std::exchange(self->isAwaitingEvidence, false))
+            return;
+        bool isSound = isProved && self->state.isBelievedLeader(group, leader);
+        if (isSound && reply.head)
+            self->state.onProvedHead(group, leader, *reply.head, self->sentAt);
+        self->conclude(isSound ? AttemptEvent::Success : AttemptEvent::SuccessUnproved, reply);
+    });
+}
+
 AttemptEvent StatementRun::classify(const SessionReply& reply) const
 {
     if (provesNotRun(reply.code))
         return AttemptEvent::NotRun;
     if (!reply.isSuccess())
         return AttemptEvent::Error;
-    bool isProved = !this->held.leader || this->state.isStillLeading(this->request.need.route->group, *this->held.leader);
+    bool isProved = !this->held.leader || (this->state.isPermitted() && this->state.isBelievedLeader(this->request.need.route->group, *this->held.leader));
     return isProved ? AttemptEvent::Success : AttemptEvent::SuccessUnproved;
 }
 
@@ -265,6 +288,8 @@
 
 void StatementRun::conclude(AttemptEvent event, SessionReply reply, bool mayTryAgain)
 {
+    if (event == AttemptEvent::NotRun && reply.code == ReplyCode::Busy && this->held.isHeld())
+        this->held.pool->onRefused();
     if (event == AttemptEvent::NotRun)
         this->lastTrouble = std::string("the upstream answered ") + toString(reply.code);
     if (event == AttemptEvent::SuccessUnproved)
@@ -316,6 +341,8 @@
         return;
     if (std::exchange(this->isResendPending, false))
         return this->send();
+    if (std::exchange(this->isAwaitingEvidence, false))
+        return this->conclude(AttemptEvent::SuccessUnproved, SessionReply(), false);
     this->attemptNumber++;
     this->request.need.tried.insert(this->held.link->getUpstream());
     this->lastTrouble = "no answer in time";
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -84,6 +84,7 @@
     void send();
     void onReply(std::optional<SessionReply> reply, std::size_t attemptNumber);
     AttemptEvent classify(const SessionReply& reply) const;
+    void seekEvidence(SessionReply reply);
     void conclude(AttemptEvent event, SessionReply reply, bool mayTryAgain = true);
     bool mayResend(AttemptEvent event, const SessionReply& reply) const;
     void retry();
@@ -113,6 +114,7 @@
     bool isWaitingForBeliefs = false;
     bool isOnHeldLink = false;
     bool isResendPending = false;
+    bool isAwaitingEvidence = false;
     bool isDone = false;
     BootTime sentAt;
     std::string lastTrouble;
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -74,9 +74,11 @@
     , metrics(metrics)
     , listener(listener)
     , state({ loop, clock, protocol, self, *this }, zone)
+    , evidence(protocol, this->state)
     , port(loop)
     , checkTimer(loop, clock, [this] { this->checkPrimaries(); })
 {
+    this->state.setEvidence(this->evidence);
 }
 
 TrafficPlane::~TrafficPlane() = default;
@@ -198,29 +200,56 @@
 
 void TrafficPlane::checkPrimary(const GroupId& group)
 {
+    if (!this->state.isPermitted())
+        this->checkPrimaryWithoutPermit(group);
     std::optional<Target> primary = this->state.findPrimary(group);
     if (!primary || primary->pool == nullptr)
         return;
-    BootTime now = this->clock.bootNow();
     std::optional<BootTime> newest = this->state.findNewestProof(group);
-    if (newest && now - *newest < proofInterval)
+    if (newest && this->clock.bootNow() - *newest < proofInterval)
         return;
 
     std::shared_ptr<UpstreamPool> pool = primary->pool;
     pool->dropSilentIdle(overdueLimit);
     UpstreamLink* link = pool->findIdle();
-    if (link == nullptr) {
-        if (!pool->isAvoided() && (pool->getNumConnections() == 0 || pool->isOverdue(overdueLimit)))
-            pool->openOne();
+    if (link != nullptr)
+        return this->askHead(*link, group, *primary->leader);
+    if (!pool->isAvoided() && (pool->getNumConnections() == 0 || pool->isOverdue(overdueLimit)))
+        pool->openOne();
+}
+
+void TrafficPlane::checkPrimaryWithoutPermit(const GroupId& group)
+{
+    // The primary is used only once the upstreams have shown that it leads, so the first proof is
+    // sought before anybody needs it.
+    std::optional<Leader> leader = this->state.getView().findLeader(group, *this->state.getUpstreams());
+    if (!leader)
         return;
-    }
+    bool wasUsable = this->state.findPrimary(group).has_value();
+    this->evidence.prove(group, *leader, [this, wasUsable](bool isProved) {
+        if (isProved && !wasUsable)
+            this->tellBeliefs();
+    });
+}
+
+void TrafficPlane::askHead(UpstreamLink& link, const GroupId& group, const Leader& leader)
+{
+    // Of all that an upstream answers without a slot, only a reset works on every connection.
     UpstreamCommand reset;
-    link->context = SessionContext::LinkContext();
-    bool isFirst = !newest;
-    link->send(reset, [this, upstream = link->getUpstream(), now, isFirst](const std::optional<SessionReply>& reply) {
+    link.context = SessionContext::LinkContext();
+    BootTime askedAt = this->clock.bootNow();
+    bool isFirst = !this->state.findNewestProof(group).has_value();
+    link.send(reset, [this, group, leader, askedAt, isFirst](const std::optional<SessionReply>& reply) {
         if (!reply || !reply->head)
             return;
-        this->state.onHead(upstream, *reply->head, now);
+        if (!this->state.isPermitted()) {
+            this->evidence.prove(group, leader, [this, group, leader, askedAt, head = *reply->head](bool isProved) {
+                if (isProved)
+                    this->state.onProvedHead(group, leader, head, askedAt);
+            });
+            return;
+        }
+        this->state.onHead(leader.upstream, *reply->head, askedAt);
         if (isFirst)
             this->tellBeliefs();
     });
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "EvidenceRounds.h"
 #include "SessionFlow.h"
 #include "TrafficState.h"
 #include "lentiljunction/metrics/Metrics.h"
@@ -66,6 +67,8 @@
     void tellBeliefs();
     void checkPrimaries();
     void checkPrimary(const GroupId& group);
+    void checkPrimaryWithoutPermit(const GroupId& group);
+    void askHead(UpstreamLink& link, const GroupId& group, const Leader& leader);
     void countAnswer(const Route& route, const StatementRequest& request, const StatementRun::Result& result);
 
     EventLoop& loop;
@@ -74,6 +77,7 @@
     Metrics& metrics;
     Listener& listener;
     TrafficState state;
+    EvidenceRounds evidence;
     ByteListener port;
     OneShotTimer checkTimer;
     std::map<SessionFlow*, std::unique_ptr<SessionFlow>> sessions;
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -9,6 +9,9 @@
     /// Taken off the age that a route allows: acknowledgements travel between zones, and clocks of
     /// instances and callers do not run quite alike.
     constexpr std::chrono::milliseconds ageMargin { 100 };
+    /// A primary is used without a permit while a proof of its lead is at most this old; a new one is
+    /// sought several times within it.
+    constexpr std::chrono::milliseconds proofLifetime { 1200 };
     /// What an upstream accepts before the configuration says it.
     constexpr int assumedConnections = 8;
 
@@ -65,7 +68,7 @@
 std::optional<Target> TrafficState::findPrimary(const GroupId& group)
 {
     std::optional<Leader> leader = this->view.findLeader(group, *this->upstreams);
-    if (!leader || !this->view.isPermitted(this->getClock().bootNow()))
+    if (!leader || !this->mayUse(group, *leader))
         return std::nullopt;
     const UpstreamEntry* entry = this->upstreams->find(leader->upstream);
     if (entry == nullptr || entry->isLeaving)
@@ -122,14 +125,32 @@
     return required;
 }
 
-bool TrafficState::isStillLeading(const GroupId& group, const Leader& leader) const
+bool TrafficState::isBelievedLeader(const GroupId& group, const Leader& leader) const
 {
-    if (!this->view.isPermitted(this->getClock().bootNow()))
-        return false;
     std::optional<Leader> current = this->view.findLeader(group, *this->upstreams);
     return current && *current == leader;
 }
 
+bool TrafficState::mayUse(const GroupId& group, const Leader& leader) const
+{
+    if (this->isPermitted())
+        return true;
+    // Without a permit each answer has to be proved; a recent proof makes another one likely.
+    std::map<GroupId, Proof>::const_iterator proof = this->leadProofs.find(group);
+    return proof != this->leadProofs.end() && proof->second.leader == leader && this->getClock().bootNow() - proof->second.at < proofLifetime;
+}
+
+void TrafficState::onLeadProved(const GroupId& group, const Leader& leader)
+{
+    this->leadProofs[group] = { leader, this->getClock().bootNow() };
+}
+
+void TrafficState::onProvedHead(const GroupId& group, const Leader& leader, const LogPoint& head, BootTime askedAt)
+{
+    if (this->isBelievedLeader(group, leader))
+        this->proofs.add(group, leader.generation, askedAt, head);
+}
+
 void TrafficState::onHead(const UpstreamId& upstream, const LogPoint& head, BootTime askedAt)
 {
     const UpstreamEntry* entry = this->upstreams->find(upstream);
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -41,6 +41,17 @@
     std::optional<LogPoint> required;
 };
 
+/// Proves without the store that a primary has not been replaced.
+class EvidenceSource {
+public:
+    virtual ~EvidenceSource() = default;
+
+    /// Asks the upstreams of a group.
+    ///
+    /// @param callback told whether the leader had not been replaced when this was called
+    virtual void prove(const GroupId& group, const Leader& leader, std::function<void(bool isProved)> callback) = 0;
+};
+
 /// What the traffic thread believes: routes, upstreams, primaries, connections, proofs of age.
 ///
 /// Belongs to the traffic thread.
@@ -66,8 +77,25 @@
     /// @returns the upstream that serves a read soonest, or nothing when none may
     std::optional<Target> findForRead(const ReadNeed& need);
 
-    /// @returns whether a primary is still the one in force, and was until now
-    bool isStillLeading(const GroupId& group, const Leader& leader) const;
+    /// @returns whether a primary is the one in force as far as is known here, with or without a permit
+    bool isBelievedLeader(const GroupId& group, const Leader& leader) const;
+
+    /// @returns whether the permit to act on the belief is valid now
+    bool isPermitted() const { return this->view.isPermitted(this->getClock().bootNow()); }
+
+    /// Takes the source of proofs for the time without a permit.
+    void setEvidence(EvidenceSource& source) { this->evidence = &source; }
+
+    /// @returns the source of proofs
+    EvidenceSource& getEvidence() const { return *this->evidence; }
+
+    /// The upstreams of a group have shown that its primary was not replaced.
+    void onLeadProved(const GroupId& group, const Leader& leader);
+
+    /// Notes the head of a primary's log after its lead was proved.
+    ///
+    /// @param askedAt when the question was sent
+    void onProvedHead(const GroupId& group, const Leader& leader, const LogPoint& head, BootTime askedAt);
 
     /// Notes the head of the log that an upstream told.
     ///
@@ -98,6 +126,12 @@
         BootTime knownSince;
     };
 
+    struct Proof {
+        Leader leader;
+        BootTime at;
+    };
+
+    bool mayUse(const GroupId& group, const Leader& leader) const;
     std::optional<LogPoint> findRequired(const ReadNeed& need, std::uint64_t generation, bool& isProved) const;
     void applyShare(UpstreamPool& pool) const;
 
@@ -111,6 +145,8 @@
     std::map<UpstreamId, SeenHead> seenHeads;
     std::map<GroupId, Reign> reigns;
     PositionProofs proofs;
+    EvidenceSource* evidence = nullptr;
+    std::map<GroupId, Proof> leadProofs;
 };
 
 } // namespace lentiljunction
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -282,7 +282,7 @@
         return;
     TimePoint now = this->surroundings.clock.now();
     Duration latency = std::chrono::duration_cast<Duration>(now - held.since);
-    this->concurrency.onSample(latency, this->numActive);
+    this->concurrency.onAnswered(latency, this->numActive);
     this->queue.onFinished(latency);
     double weighted = static_cast<double>(this->meanLatency.count()) * (1 - latencyWeight) + static_cast<double>(latency.count()) * latencyWeight;
     this->meanLatency = Duration(static_cast<Duration::rep>(weighted));
--- a/src/traffic/UpstreamPool.h
+++ b/src/traffic/UpstreamPool.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "UpstreamLink.h"
-#include "lentiljunction/admission/ConcurrencyLimit.h"
 #include "lentiljunction/admission/RankQueue.h"
+#include "lentiljunction/admission/SharedLimit.h"
 
 #include <memory>
 #include <unordered_map>
@@ -78,6 +78,9 @@
     /// Ends the use of a connection of unknown state, and closes it.
     void discard(UpstreamLink* link);
 
+    /// Notes that the upstream had no room for a statement.
+    void onRefused() { this->concurrency.onRefused(); }
+
     /// Notes that a statement of a transaction is sent on a parked connection.
     void activate(UpstreamLink* link);
 
@@ -137,7 +140,7 @@
     UpstreamEntry upstream;
     std::vector<Held> links;
     RankQueue queue;
-    ConcurrencyLimit concurrency;
+    SharedLimit concurrency;
     std::unordered_map<Ticket, Grant> grants;
     Ticket nextTicket = 1;
     int numActive = 0;
--- /dev/null
+++ b/tests/unit/AdmissionTests.cpp
@@ -0,0 +1,38 @@
+#include "lentiljunction/admission/SharedLimit.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+
+TEST_GROUP(SharedLimit)
+{
+    SharedLimit limit { 2 };
+
+    void answer(int times, std::chrono::milliseconds latency)
+    {
+        for (int index = 0; index < times; index++)
+            limit.onAnswered(latency, limit.getLimit());
+    }
+};
+
+TEST(SharedLimit, workThatVariesDoesNotShrinkIt)
+{
+    for (int index = 0; index < 100; index++)
+        answer(1, std::chrono::milliseconds(index % 5 == 0 ? 60 : 5));
+    CHECK(limit.getLimit() >= 2);
+}
+
+TEST(SharedLimit, refusalsShrinkItAndQuickAnswersLetItGrow)
+{
+    limit.onRefused();
+    limit.onRefused();
+    CHECK_EQUAL(1, limit.getLimit());
+    answer(60, std::chrono::milliseconds(5));
+    CHECK_EQUAL(6, limit.getLimit());
+}
+
+TEST(SharedLimit, slowAnswersShrinkItToOne)
+{
+    answer(500, std::chrono::milliseconds(200));
+    CHECK_EQUAL(1, limit.getLimit());
+}
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -222,6 +222,31 @@
     CHECK_TRUE(TakeoverVote(1).isWon());
 }
 
+TEST_GROUP(LeadEvidence)
+{
+    LeadStatus primary = FailoverBench::primary(3, 9);
+    LeadStatus follower = FailoverBench::replica(3, 8);
+};
+
+TEST(LeadEvidence, aPrimaryWhoseReplicasFollowItsTermWasNotReplaced)
+{
+    CHECK_TRUE(isLeadProved(primary, { follower, follower }));
+}
+
+TEST(LeadEvidence, anUpstreamThatDoesNotAnswerMayHaveBeenPromoted)
+{
+    CHECK_FALSE(isLeadProved(primary, { follower, std::nullopt }));
+    CHECK_FALSE(isLeadProved(std::nullopt, { follower, follower }));
+    CHECK_FALSE(isLeadProved(primary, {}));
+}
+
+TEST(LeadEvidence, anotherPrimaryOrAHigherTermRefutesTheLead)
+{
+    CHECK_FALSE(isLeadProved(primary, { FailoverBench::primary(4, 8), follower }));
+    CHECK_FALSE(isLeadProved(primary, { FailoverBench::replica(5, 8), follower }));
+    CHECK_FALSE(isLeadProved(follower, { follower, follower }));
+}
+
 TEST_GROUP(DutyTurn)
 {
     ManualClock clock;
