Begin at the upstream while the caller's answer travels; notice silence sooner

Ruled out: sending the begin together with the first statement: if the begin is refused, the statement runs outside its transaction.

--- a/src/traffic/SessionFlow.cpp
+++ b/src/traffic/SessionFlow.cpp
@@ -15,13 +15,12 @@
 
 } // namespace
 
-SessionFlow::SessionFlow(EventLoop& loop, TrafficState& state, const SessionProtocol& protocol, Listener& listener, std::unique_ptr<ByteSocket> socket)
-    : loop(loop)
-    , state(state)
+SessionFlow::SessionFlow(TrafficState& state, const SessionProtocol& protocol, Listener& listener, std::unique_ptr<ByteSocket> socket)
+    : state(state)
     , protocol(protocol)
     , listener(listener)
     , socket(std::move(socket))
-    , idleTimer(loop, state.getClock(), [this] { this->onIdleLimit(); })
+    , idleTimer(state.getLoop(), state.getClock(), [this] { this->onIdleLimit(); })
 {
 }
 
@@ -72,6 +71,10 @@
 
 void SessionFlow::onSocketBytes(std::string& bytes)
 {
+    if (this->buffered.empty()) {
+        this->firstByteAt = this->state.getClock().bootNow();
+        this->firstByteAtSteady = this->state.getClock().now();
+    }
     this->buffered += bytes;
     bytes.clear();
     this->processBuffered();
@@ -84,12 +87,15 @@
         return;
     this->isProcessing = true;
     while (!this->isOver && this->run == nullptr && !this->buffered.empty()) {
-        this->arrivedAt = this->state.getClock().bootNow();
-        this->arrivedAtSteady = this->state.getClock().now();
+        this->arrivedAt = this->firstByteAt;
+        this->arrivedAtSteady = this->firstByteAtSteady;
         Failure failure;
         std::optional<CallerMessage> message = this->protocol.takeCallerMessage(this->buffered, failure);
         if (!message && failure.kind == Failure::Kind::None)
             break;
+        // What stands behind the message came with it, at the latest now.
+        this->firstByteAt = this->state.getClock().bootNow();
+        this->firstByteAtSteady = this->state.getClock().now();
         if (!message) {
             logEvent(events::sessionRefused, "reason=\"" + failure.reason + "\"");
             this->socket->send(this->protocol.encodeSessionRefused(ReplyCode::Malformed, failure.reason));
@@ -163,6 +169,25 @@
     if (this->transactionRoutes->find(this->startup->database) == nullptr)
         return this->reply(ReplyCode::NoDatabase, TransactionState::Idle, "no route leads to the database");
     this->reply(ReplyCode::None, TransactionState::Open, "");
+    this->openAhead(statement);
+}
+
+void SessionFlow::openAhead(const SessionStatement& begin)
+{
+    // The upstream begins while the answer travels to the caller and its first statement back.
+    if (this->isOver)
+        return;
+    const Route* route = this->transactionRoutes->find(this->startup->database);
+    StatementRequest request = this->makeRequest(begin, AccessMode::Read, this->transactionRoutes, *route);
+    this->run = std::make_shared<StatementRun>(this->state, this->context, request, [this](StatementRun::Result result) {
+        this->run = nullptr;
+        // Without a connection the first statement looks for one itself.
+        this->held = result.held;
+        this->restartIdleTimer();
+        this->processBuffered();
+    });
+    std::shared_ptr<StatementRun> started = this->run;
+    started->start();
 }
 
 std::optional<SessionReply> SessionFlow::answerLocally(const SessionStatement& statement)
@@ -218,10 +243,10 @@
     this->startRun(std::move(statement), *mode, routes, *route);
 }
 
-void SessionFlow::startRun(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route)
+StatementRequest SessionFlow::makeRequest(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route) const
 {
-    StatementRequest request;
     bool isInTransaction = this->transactionState == TransactionState::Open;
+    StatementRequest request;
     request.kind = { mode, isInTransaction, statement.verb == SessionVerb::Commit, !this->held.isHeld() };
     request.statement = std::move(statement);
     request.transactionMode = this->transactionMode;
@@ -229,11 +254,17 @@
     request.need = { &route, isInTransaction ? this->transactionBegan : this->arrivedAt, this->ownCommit, {} };
     request.caller = this->startup->caller;
     request.arrivedAt = this->arrivedAtSteady;
-    if (isInTransaction && mode == AccessMode::Write)
+    return request;
+}
+
+void SessionFlow::startRun(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route)
+{
+    StatementRequest request = this->makeRequest(std::move(statement), mode, routes, route);
+    if (request.kind.isInTransaction && mode == AccessMode::Write)
         this->hasTransactionWritten = true;
 
     this->idleTimer.clear();
-    this->run = std::make_shared<StatementRun>(this->loop, this->state, this->context, request, [this, request](StatementRun::Result result) {
+    this->run = std::make_shared<StatementRun>(this->state, this->context, request, [this, request](StatementRun::Result result) {
         this->onRunFinished(request, std::move(result));
     });
     std::shared_ptr<StatementRun> started = this->run;
@@ -251,11 +282,16 @@
         this->ownCommit = result.commit;
     this->listener.onStatementAnswered(request.need.route, request, result);
     this->send(result.reply);
-    if (this->held.isHeld() && request.routes->transactionIdleLimit.count() > 0)
-        this->idleTimer.setTime(this->state.getClock().now() + request.routes->transactionIdleLimit);
+    this->restartIdleTimer();
     this->processBuffered();
 }
 
+void SessionFlow::restartIdleTimer()
+{
+    if (this->held.isHeld() && this->transactionRoutes->transactionIdleLimit.count() > 0)
+        this->idleTimer.setTime(this->state.getClock().now() + this->transactionRoutes->transactionIdleLimit);
+}
+
 void SessionFlow::onIdleLimit()
 {
     if (!this->held.isHeld() || this->run != nullptr)
--- a/src/traffic/SessionFlow.h
+++ b/src/traffic/SessionFlow.h
@@ -32,7 +32,7 @@
         virtual void onStatementAnswered(const Route* route, const StatementRequest& request, const StatementRun::Result& result) = 0;
     };
 
-    SessionFlow(EventLoop& loop, TrafficState& state, const SessionProtocol& protocol, Listener& listener, std::unique_ptr<ByteSocket> socket);
+    SessionFlow(TrafficState& state, const SessionProtocol& protocol, Listener& listener, std::unique_ptr<ByteSocket> socket);
     ~SessionFlow() override;
 
     /// @returns the listener for the session's socket
@@ -66,6 +66,9 @@
     void onUpstreamStatement(SessionStatement statement);
     std::optional<SessionReply> answerLocally(const SessionStatement& statement);
     std::optional<AccessMode> findMode(const SessionStatement& statement) const;
+    StatementRequest makeRequest(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route) const;
+    void openAhead(const SessionStatement& begin);
+    void restartIdleTimer();
     void startRun(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route);
     void onRunFinished(const StatementRequest& request, StatementRun::Result result);
     void reply(ReplyCode code, TransactionState newState, const std::string& message);
@@ -74,7 +77,6 @@
     void onIdleLimit();
     void over();
 
-    EventLoop& loop;
     TrafficState& state;
     const SessionProtocol& protocol;
     Listener& listener;
@@ -92,6 +94,10 @@
     HeldLink held;
     std::shared_ptr<StatementRun> run;
     std::optional<OwnCommit> ownCommit;
+    /// When the first byte of what is buffered came.
+    BootTime firstByteAt;
+    TimePoint firstByteAtSteady;
+    /// When the first byte of the statement under way came.
     BootTime arrivedAt;
     TimePoint arrivedAtSteady;
     /// The transaction was ended while the caller rested, and the caller does not know yet.
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -12,6 +12,8 @@
     /// A statement that finds no upstream is refused after this share of its time, so that the caller
     /// can still try another instance.
     constexpr double holdShare = 0.4;
+    /// A transaction that has no connection by then gets one with its first statement.
+    constexpr std::chrono::milliseconds openAheadLimit { 60 };
     /// More tries than there are upstreams in a group help nobody.
     constexpr int maximumAttempts = 4;
     /// Before an upstream that answered that it is busy, or not the primary, is asked again.
@@ -38,12 +40,12 @@
     });
 }
 
-StatementRun::StatementRun(EventLoop& loop, TrafficState& state, const SessionContext& context, StatementRequest request, Callback callback)
+StatementRun::StatementRun(TrafficState& state, const SessionContext& context, StatementRequest request, Callback callback)
     : state(state)
     , context(context)
     , request(std::move(request))
     , callback(std::move(callback))
-    , timer(loop, state.getClock(), [this] { this->onTimer(); })
+    , timer(state.getLoop(), state.getClock(), [this] { this->onTimer(); })
 {
 }
 
@@ -85,6 +87,8 @@
 
 TimePoint StatementRun::getHoldLimit() const
 {
+    if (this->request.statement.verb == SessionVerb::Begin)
+        return this->request.arrivedAt + openAheadLimit;
     double span = static_cast<double>(this->request.need.route->statementTimeout.count()) * holdShare;
     return this->request.arrivedAt + Duration(static_cast<Duration::rep>(span));
 }
@@ -183,7 +187,9 @@
     if (reply && reply->isSuccess()) {
         if (isBegin && reply->head)
             this->state.onHead(this->held.link->getUpstream(), *reply->head, this->sentAt);
-        if (isLast)
+        if (isLast && this->request.statement.verb == SessionVerb::Begin)
+            this->deliver(*reply);
+        else if (isLast)
             this->send();
         return;
     }
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -59,10 +59,9 @@
 
     using Callback = std::function<void(Result)>;
 
-    /// @param loop the traffic loop
     /// @param state must outlive this object
     /// @param context the session's context; must outlive this object
-    StatementRun(EventLoop& loop, TrafficState& state, const SessionContext& context, StatementRequest request, Callback callback);
+    StatementRun(TrafficState& state, const SessionContext& context, StatementRequest request, Callback callback);
 
     /// Starts a statement that needs a connection.
     void start();
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -13,7 +13,7 @@
     /// allow is several times as long, so replicas can serve such reads all the time.
     constexpr std::chrono::milliseconds proofInterval { 400 };
     /// A primary that leaves a question unanswered for so long is tried with a fresh connection.
-    constexpr std::chrono::milliseconds overdueLimit { 500 };
+    constexpr std::chrono::milliseconds overdueLimit { 300 };
 
     const char* toString(Consistency consistency)
     {
@@ -93,7 +93,7 @@
 ByteSocket::Listener& TrafficPlane::accept(std::unique_ptr<ByteSocket> socket)
 {
     SessionFlow::Listener& self = *this;
-    std::unique_ptr<SessionFlow> session = std::make_unique<SessionFlow>(this->loop, this->state, this->protocol, self, std::move(socket));
+    std::unique_ptr<SessionFlow> session = std::make_unique<SessionFlow>(this->state, this->protocol, self, std::move(socket));
     SessionFlow* raw = session.get();
     this->sessions.emplace(raw, std::move(session));
     if (this->isDraining)
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -107,6 +107,7 @@
 
     const LeadView& getView() const { return this->view; }
     const std::shared_ptr<const UpstreamList>& getUpstreams() const { return this->upstreams; }
+    EventLoop& getLoop() const { return this->surroundings.loop; }
     const Clock& getClock() const { return this->surroundings.clock; }
 
     /// @returns when the newest proof of a group's age was asked for, or nothing
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     /// An upstream answers the start of a connection within a few tens of milliseconds.
-    constexpr std::chrono::milliseconds openLimit { 500 };
+    constexpr std::chrono::milliseconds openLimit { 400 };
     /// The pauses after an upstream could not be reached: the first, doubled up to the longest.
     constexpr std::chrono::milliseconds firstBackoff { 100 };
     constexpr std::chrono::milliseconds longestBackoff { 800 };
