--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -32,6 +32,12 @@
 
     void start(const HttpCall& call, Callback newCallback, bool isReused);
 
+    /// Notices when the server closes the connection while it is idle.
+    void watchIdle();
+
+    /// @returns whether the connection can be used again
+    bool isAlive() const { return this->socket.is_open(); }
+
 private:
     void connect();
     void write();
@@ -66,18 +72,23 @@
 
     void call(const HttpCall& call, Callback callback)
     {
-        bool isReused = !this->idle.empty();
         std::shared_ptr<Exchange> exchange;
-        if (isReused) {
-            exchange = this->idle.back();
+        while (exchange == nullptr && !this->idle.empty()) {
+            if (this->idle.back()->isAlive())
+                exchange = this->idle.back();
             this->idle.pop_back();
-        } else {
-            exchange = std::make_shared<Exchange>(this->loop.getContext(), this->server, this->weak_from_this());
         }
+        bool isReused = exchange != nullptr;
+        if (!isReused)
+            exchange = std::make_shared<Exchange>(this->loop.getContext(), this->server, this->weak_from_this());
         exchange->start(call, std::move(callback), isReused);
     }
 
-    void keep(std::shared_ptr<Exchange> exchange) { this->idle.push_back(std::move(exchange)); }
+    void keep(const std::shared_ptr<Exchange>& exchange)
+    {
+        this->idle.push_back(exchange);
+        exchange->watchIdle();
+    }
 
 private:
     EventLoop& loop;
@@ -101,10 +112,23 @@
         if (!error && self->callback && self->callNumber == number)
             self->fail("no answer in time");
     });
-    if (isReused)
-        this->write();
-    else
-        this->connect();
+    if (!isReused)
+        return this->connect();
+    asio::error_code ignored;
+    this->socket.cancel(ignored);
+    this->write();
+}
+
+void HttpClient::Exchange::watchIdle()
+{
+    std::shared_ptr<Exchange> self = this->shared_from_this();
+    this->socket.async_wait(asio::ip::tcp::socket::wait_read, [self](const asio::error_code& error) {
+        // Nothing is asked for, so whatever can be read is the end of the connection.
+        if (error || self->callback)
+            return;
+        asio::error_code ignored;
+        self->socket.close(ignored);
+    });
 }
 
 void HttpClient::Exchange::connect()
--- a/src/net/WebSocketServer.cpp
+++ b/src/net/WebSocketServer.cpp
@@ -138,6 +138,8 @@
     try {
         connection->set_status(static_cast<websocketpp::http::status_code::value>(response.status));
         connection->append_header("Content-Type", response.contentType);
+        // The library ends the connection after each response.
+        connection->append_header("Connection", "close");
         connection->set_body(response.body);
     } catch (const websocketpp::exception&) {
         // The caller closed the connection before its answer.
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -172,9 +172,11 @@
 
     this->timer.setTime(this->getDeadline());
     this->sentAt = this->state.getClock().bootNow();
-    for (std::size_t index = 0; index < commands.size(); index++) {
+    // A connection that is lost answers at once; the rest then belongs to nobody.
+    std::size_t number = this->attemptNumber;
+    for (std::size_t index = 0; index < commands.size() && number == this->attemptNumber; index++) {
         bool isLast = index + 1 == commands.size();
-        this->held.link->send(commands[index], [self, isLast, isBegin = mustBegin && isLast, number = this->attemptNumber](const std::optional<SessionReply>& reply) {
+        this->held.link->send(commands[index], [self, isLast, isBegin = mustBegin && isLast, number](const std::optional<SessionReply>& reply) {
             self->onPrepared(reply, isLast, isBegin, number);
         });
     }
@@ -250,7 +252,8 @@
     if (reply->head)
         this->state.onHead(this->held.link->getUpstream(), *reply->head, this->sentAt);
     AttemptEvent event = this->classify(*reply);
-    bool mayBeProved = event == AttemptEvent::SuccessUnproved && !this->state.isPermitted()
+    bool needsProof = decideReply(this->request.kind, event, false).kind != ReplyVerdict::Kind::Deliver;
+    bool mayBeProved = event == AttemptEvent::SuccessUnproved && needsProof && !this->state.isPermitted()
         && this->state.isBelievedLeader(this->request.need.route->group, *this->held.leader);
     if (mayBeProved)
         return this->seekEvidence(std::move(*reply));
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -192,6 +192,7 @@
 void TrafficPlane::checkPrimaries()
 {
     this->checkTimer.setTime(this->clock.now() + proofInterval);
+    this->state.dropSilentLinks();
     if (this->state.getRoutes() == nullptr)
         return;
     for (const std::pair<const GroupId, GroupConfig>& group : this->state.getRoutes()->groups)
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -172,6 +172,13 @@
     return this->proofs.findNewest(group, this->view.getGeneration(group));
 }
 
+void TrafficState::dropSilentLinks()
+{
+    std::map<UpstreamId, std::shared_ptr<UpstreamPool>> all = this->pools;
+    for (const std::pair<const UpstreamId, std::shared_ptr<UpstreamPool>>& pool : all)
+        pool.second->dropSilent();
+}
+
 std::shared_ptr<UpstreamPool> TrafficState::findPool(const UpstreamId& upstream)
 {
     std::map<UpstreamId, std::shared_ptr<UpstreamPool>>::iterator found = this->pools.find(upstream);
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -113,6 +113,9 @@
     /// @returns when the newest proof of a group's age was asked for, or nothing
     std::optional<BootTime> findNewestProof(const GroupId& group) const;
 
+    /// Breaks connections off that left a question unanswered for too long.
+    void dropSilentLinks();
+
     /// @returns the pool of an upstream, made if need be; nullptr when the upstream is gone
     std::shared_ptr<UpstreamPool> findPool(const UpstreamId& upstream);
 
--- a/src/traffic/UpstreamLink.h
+++ b/src/traffic/UpstreamLink.h
@@ -56,6 +56,9 @@
     /// Sends a command.
     void send(const UpstreamCommand& command, ReplyCallback callback);
 
+    /// Gives the connection up as silent; waiting callbacks get no answer.
+    void breakOff() { this->lose(Trouble::Silent, "an answer did not come"); }
+
     /// Closes the connection at once. No callback runs any more.
     void close();
 
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -13,6 +13,9 @@
 
     /// An upstream answers the start of a connection within a few tens of milliseconds.
     constexpr std::chrono::milliseconds openLimit { 400 };
+    /// Statements end by their own deadlines; this is for the proxy's own questions, whose answers may
+    /// be lost like any other.
+    constexpr std::chrono::milliseconds answerLimit { 2500 };
     /// The pauses after an upstream could not be reached: the first, doubled up to the longest.
     constexpr std::chrono::milliseconds firstBackoff { 100 };
     constexpr std::chrono::milliseconds longestBackoff { 800 };
@@ -171,6 +174,20 @@
     }
 }
 
+void UpstreamPool::dropSilent()
+{
+    TimePoint now = this->surroundings.clock.now();
+    std::vector<UpstreamLink*> silent;
+    for (const Held& held : this->links) {
+        std::optional<TimePoint> since = held.link->getWaitingSince();
+        if (since && now - *since > answerLimit)
+            silent.push_back(held.link.get());
+    }
+    // Whoever waits for an answer is told, and discards the connection.
+    for (UpstreamLink* link : silent)
+        link->breakOff();
+}
+
 void UpstreamPool::close()
 {
     this->isClosed = true;
--- a/src/traffic/UpstreamPool.h
+++ b/src/traffic/UpstreamPool.h
@@ -96,6 +96,9 @@
     /// Closes idle connections that left a question unanswered.
     void dropSilentIdle(Duration span);
 
+    /// Breaks connections off that left any question unanswered for longer than statements may take.
+    void dropSilent();
+
     /// Closes everything. Claims that wait are denied.
     void close();
 
--- /dev/null
+++ b/standins/platform/LineUpstream.cpp
@@ -0,0 +1,349 @@
+#include "LineUpstream.h"
+
+#include <future>
+#include <sstream>
+#include <utility>
+
+namespace lentiljunction::standin {
+
+/// One connection of a gateway instance.
+class LineUpstream::Connection : public ByteSocket::Listener {
+public:
+    Connection(LineUpstream& upstream, std::unique_ptr<ByteSocket> socket)
+        : upstream(upstream)
+        , socket(std::move(socket))
+    {
+    }
+
+    void onSocketOpened() override { }
+    void onSocketBytes(std::string& bytes) override
+    {
+        for (std::size_t end = bytes.find("\r\n"); end != std::string::npos; end = bytes.find("\r\n")) {
+            std::string line = bytes.substr(0, end);
+            bytes.erase(0, end + 2);
+            if (this->upstream.fault != Fault::Silent)
+                this->onLine(line);
+        }
+    }
+    void onSocketClosed(const std::string&, bool) override { this->leave(); }
+
+private:
+    void leave()
+    {
+        std::shared_ptr<Connection> buried(std::move(this->upstream.connections[this]));
+        this->upstream.connections.erase(this);
+        this->upstream.group.loop.post([buried] {});
+    }
+
+    void onLine(const std::string& line)
+    {
+        std::istringstream stream(line);
+        std::string word;
+        stream >> word;
+        if (word == "STARTUP")
+            return this->onStartup(stream);
+        if (word != "QUERY")
+            return;
+        std::string id;
+        stream >> id;
+        std::string text;
+        std::getline(stream >> std::ws, text);
+        this->onQuery(text);
+    }
+
+    void onStartup(std::istringstream& stream)
+    {
+        std::string group;
+        std::string caller;
+        std::string id;
+        stream >> group >> caller >> id;
+        if (group != this->upstream.group.getName() || (!id.empty() && id != this->upstream.id)) {
+            this->socket->send("ERR WRONGNODE " + this->upstream.id + "\r\n");
+            return;
+        }
+        this->ready();
+    }
+
+    void onQuery(std::string text)
+    {
+        if (text.rfind("WAITLSN ", 0) == 0) {
+            std::istringstream wait(text.substr(8));
+            std::uint64_t term = 0;
+            std::uint64_t number = 0;
+            char dot = '.';
+            wait >> term >> dot >> number;
+            if (this->upstream.headNumber < number)
+                return this->error("LAGGING " + this->upstream.id);
+            std::getline(wait >> std::ws, text);
+        }
+        std::istringstream stream(text);
+        std::string verb;
+        std::string name;
+        std::string data;
+        stream >> verb >> name;
+        std::getline(stream >> std::ws, data);
+        this->run(verb, name, data);
+    }
+
+    void run(const std::string& verb, const std::string& name, const std::string& data)
+    {
+        if (verb == "STATUS")
+            return this->status();
+        if (verb == "DEMOTE") {
+            if (std::stoull(name) > this->upstream.term)
+                this->upstream.isPrimary = false;
+            return this->status();
+        }
+        if (verb == "RESET") {
+            this->values.clear();
+            this->prepared.clear();
+            return this->done("-");
+        }
+        if (verb == "SET") {
+            this->values[name] = data;
+            return this->done("-");
+        }
+        if (verb == "PREPARE") {
+            this->prepared[name] = data.substr(0, data.find(' '));
+            return this->done("-");
+        }
+        if (verb == "ROLLBACK")
+            return this->end("-");
+        if (verb == "BEGIN")
+            return this->begin(name == "READ");
+        this->runSlotted(verb, name, data);
+    }
+
+    void begin(bool isReading)
+    {
+        if (!isReading && !this->upstream.isPrimary)
+            return this->error("READONLY " + this->upstream.id);
+        this->state = 'T';
+        this->isReadOnly = isReading;
+        this->done("-");
+    }
+
+    void runSlotted(const std::string& verb, const std::string& name, const std::string& data)
+    {
+        if (this->upstream.fault == Fault::Busy)
+            return this->error("BUSY no slot");
+        bool isExecuted = verb == "EXEC";
+        if (isExecuted && this->prepared.count(name) == 0)
+            return this->error("NOSUCHSTMT " + name);
+        std::string effective = isExecuted ? this->prepared[name] : verb;
+        std::string item = isExecuted ? data.substr(0, data.find(' ')) : name;
+        std::string value = isExecuted ? data.substr(std::min(data.size(), item.size() + 1)) : data;
+        bool mustLead = effective == "WRITE" || (this->state == 'T' && !this->isReadOnly);
+        if (mustLead && !this->upstream.isPrimary) {
+            this->state = this->state == 'T' ? 'E' : this->state;
+            return this->error("READONLY " + this->upstream.id);
+        }
+        if (effective == "READ") {
+            std::map<std::string, std::string>::const_iterator found = this->upstream.items.find(item);
+            this->socket->send("ROW " + (found == this->upstream.items.end() ? std::string("-") : found->second) + "\r\n");
+            return this->done("sig." + this->upstream.id);
+        }
+        if (effective == "WRITE")
+            this->writes[item] = value;
+        if (effective == "COMMIT" || this->state == 'I') {
+            this->upstream.group.commit(this->upstream, this->writes);
+            return this->end("sig." + this->upstream.id);
+        }
+        this->done("sig." + this->upstream.id);
+    }
+
+    void end(const std::string& signature)
+    {
+        bool isLost = this->upstream.fault == Fault::LosesAnswers && !this->writes.empty();
+        this->writes.clear();
+        this->state = 'I';
+        if (!isLost)
+            this->done(signature);
+    }
+
+    void status()
+    {
+        this->socket->send(std::string("ROW ") + (this->upstream.isPrimary ? "primary " : "replica ") + std::to_string(this->upstream.term) + " " + this->head() + " 0 0 0 1\r\n");
+        this->done("-");
+    }
+
+    void done(const std::string& signature)
+    {
+        this->socket->send("DONE " + signature + "\r\n");
+        this->ready();
+    }
+
+    void error(const std::string& what)
+    {
+        this->socket->send("ERR " + what + "\r\n");
+        this->ready();
+    }
+
+    void ready() { this->socket->send(std::string("READY ") + this->state + " " + this->head() + "\r\n"); }
+    std::string head() const { return std::to_string(this->upstream.headTerm) + "." + std::to_string(this->upstream.headNumber); }
+
+    LineUpstream& upstream;
+    std::unique_ptr<ByteSocket> socket;
+    std::map<std::string, std::string> values;
+    std::map<std::string, std::string> prepared;
+    std::map<std::string, std::string> writes;
+    char state = 'I';
+    bool isReadOnly = false;
+};
+
+LineUpstream::LineUpstream(LineGroup& group, std::string id, Endpoint endpoint)
+    : group(group)
+    , id(std::move(id))
+    , endpoint(std::move(endpoint))
+{
+}
+
+LineUpstream::~LineUpstream() = default;
+
+bool LineUpstream::listen(Failure& failure)
+{
+    this->port = std::make_unique<ByteListener>(this->group.loop);
+    this->isRunning = this->port->listen(
+        this->endpoint, [this](std::unique_ptr<ByteSocket> socket) -> ByteSocket::Listener& {
+            std::unique_ptr<Connection> connection = std::make_unique<Connection>(*this, std::move(socket));
+            Connection* raw = connection.get();
+            this->connections.emplace(raw, std::move(connection));
+            return *raw;
+        },
+        failure);
+    return this->isRunning;
+}
+
+void LineUpstream::crash()
+{
+    this->isRunning = false;
+    this->port->close();
+    this->connections.clear();
+}
+
+LineGroup::LineGroup(EventLoop& loop, std::string name)
+    : loop(loop)
+    , name(std::move(name))
+{
+}
+
+LineGroup::~LineGroup() = default;
+
+void LineGroup::runOnLoop(const std::function<void()>& task)
+{
+    std::promise<void> done;
+    this->loop.post([&] {
+        task();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+bool LineGroup::add(const std::string& id, const Endpoint& endpoint, Failure& failure)
+{
+    std::unique_ptr<LineUpstream> upstream = std::make_unique<LineUpstream>(*this, id, endpoint);
+    upstream->isPrimary = this->upstreams.empty();
+    bool isOpen = upstream->listen(failure);
+    this->upstreams.push_back(std::move(upstream));
+    return isOpen;
+}
+
+LineUpstream* LineGroup::find(const std::string& id)
+{
+    for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
+        if (upstream->id == id)
+            return upstream.get();
+    }
+    return nullptr;
+}
+
+void LineGroup::crash(const std::string& id)
+{
+    this->runOnLoop([&] { this->find(id)->crash(); });
+}
+
+void LineGroup::setFault(const std::string& id, LineUpstream::Fault fault)
+{
+    this->runOnLoop([&] { this->find(id)->fault = fault; });
+}
+
+int LineGroup::promote(const std::string& id)
+{
+    constexpr int taken = 200;
+    constexpr int refused = 409;
+    int status = refused;
+    LineUpstream* chosen = this->find(id);
+    if (chosen == nullptr || !chosen->isRunning)
+        return status;
+    std::uint64_t greatest = 0;
+    for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams)
+        greatest = std::max(greatest, upstream->term);
+    if (chosen->isPrimary && chosen->term == greatest)
+        return taken;
+    chosen->isPrimary = true;
+    chosen->term = greatest + 1;
+    // Those that can be reached follow the new primary and drop what it does not have.
+    for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
+        if (upstream->isRunning && upstream->fault != LineUpstream::Fault::Silent && upstream.get() != chosen) {
+            upstream->isPrimary = false;
+            upstream->term = chosen->term;
+            upstream->items = chosen->items;
+            upstream->headTerm = chosen->headTerm;
+            upstream->headNumber = chosen->headNumber;
+        }
+    }
+    return taken;
+}
+
+void LineGroup::commit(LineUpstream& primary, const std::map<std::string, std::string>& writes)
+{
+    if (writes.empty())
+        return;
+    for (const std::pair<const std::string, std::string>& write : writes) {
+        primary.items[write.first] = write.second;
+        this->committed.insert(write.first);
+    }
+    primary.headTerm = primary.term;
+    primary.headNumber++;
+    this->ship(primary, writes);
+}
+
+void LineGroup::ship(const LineUpstream& primary, const std::map<std::string, std::string>& writes)
+{
+    std::uint64_t term = primary.headTerm;
+    std::uint64_t number = primary.headNumber;
+    this->loop.schedule(this->lag, [this, &primary, writes, term, number] {
+        for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
+            if (upstream.get() == &primary || upstream->term != term || upstream->headNumber + 1 != number)
+                continue;
+            for (const std::pair<const std::string, std::string>& write : writes)
+                upstream->items[write.first] = write.second;
+            upstream->headTerm = term;
+            upstream->headNumber = number;
+        }
+    });
+}
+
+std::size_t LineGroup::countCommits(const std::string& item)
+{
+    std::size_t count = 0;
+    this->runOnLoop([&] { count = this->committed.count(item); });
+    return count;
+}
+
+std::string LineGroup::findPrimary()
+{
+    std::string found;
+    this->runOnLoop([&] {
+        std::uint64_t greatest = 0;
+        for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
+            if (upstream->isPrimary && upstream->term > greatest) {
+                greatest = upstream->term;
+                found = upstream->id;
+            }
+        }
+    });
+    return found;
+}
+
+} // namespace lentiljunction::standin
--- /dev/null
+++ b/standins/platform/LineUpstream.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "../../src/net/ByteSocket.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lentiljunction::standin {
+
+class LineGroup;
+
+/// One upstream that speaks the platform's line protocol over items in memory.
+///
+/// Runs on the thread of the group's event loop.
+///
+/// @see LineGroup
+class LineUpstream {
+public:
+    /// How it behaves.
+    enum class Fault {
+        None,
+        /// Takes connections and answers nothing.
+        Silent,
+        /// Runs statements and answers nothing to writes and commits.
+        LosesAnswers,
+        /// Answers that it has no free slot.
+        Busy,
+    };
+
+    LineUpstream(LineGroup& group, std::string id, Endpoint endpoint);
+    ~LineUpstream();
+    LineUpstream(const LineUpstream&) = delete;
+    LineUpstream& operator=(const LineUpstream&) = delete;
+
+    bool listen(Failure& failure);
+
+    /// Closes the port and every connection, as a process that ends.
+    void crash();
+
+    const std::string& getId() const { return this->id; }
+    const Endpoint& getEndpoint() const { return this->endpoint; }
+
+private:
+    friend class LineGroup;
+    class Connection;
+
+    LineGroup& group;
+    std::string id;
+    Endpoint endpoint;
+    std::unique_ptr<ByteListener> port;
+    std::map<Connection*, std::unique_ptr<Connection>> connections;
+    std::map<std::string, std::string> items;
+    std::uint64_t term = 1;
+    std::uint64_t headTerm = 1;
+    std::uint64_t headNumber = 0;
+    bool isPrimary = false;
+    bool isRunning = false;
+    Fault fault = Fault::None;
+};
+
+/// A group of upstreams: one primary whose commits reach the replicas after a delay.
+class LineGroup {
+public:
+    /// @param loop must outlive the group
+    /// @param name the group's name, as upstreams are asked for it
+    LineGroup(EventLoop& loop, std::string name);
+    ~LineGroup();
+
+    /// Adds an upstream; the first is the primary.
+    bool add(const std::string& id, const Endpoint& endpoint, Failure& failure);
+
+    /// Ends the process of an upstream. Runs on the loop and waits for it.
+    void crash(const std::string& id);
+
+    /// Changes how an upstream behaves.
+    void setFault(const std::string& id, LineUpstream::Fault fault);
+
+    /// How long replicas are behind.
+    void setLag(Duration newLag) { this->lag = newLag; }
+
+    /// Makes an upstream the primary of the next term.
+    ///
+    /// @returns the status of the promotion call
+    int promote(const std::string& id);
+
+    /// @returns how often a write of an item took effect
+    std::size_t countCommits(const std::string& item);
+
+    /// @returns the upstream that leads the highest term
+    std::string findPrimary();
+
+    const std::string& getName() const { return this->name; }
+
+private:
+    friend class LineUpstream;
+    friend class LineUpstream::Connection;
+
+    /// Runs a task on the loop and waits for it.
+    void runOnLoop(const std::function<void()>& task);
+    LineUpstream* find(const std::string& id);
+    void commit(LineUpstream& primary, const std::map<std::string, std::string>& writes);
+    void ship(const LineUpstream& primary, const std::map<std::string, std::string>& writes);
+
+    EventLoop& loop;
+    std::string name;
+    std::vector<std::unique_ptr<LineUpstream>> upstreams;
+    Duration lag { std::chrono::milliseconds(5) };
+    std::multiset<std::string> committed;
+};
+
+} // namespace lentiljunction::standin
--- /dev/null
+++ b/standins/platform/PlatformStore.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "../../src/net/WebSocketServer.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace lentiljunction::standin {
+
+/// The platform's object store and promotion call, as far as gateway instances use them.
+///
+/// Runs on the thread of an event loop; the public methods may be called from any thread.
+class PlatformStore : private WebSocketServer::Listener {
+public:
+    /// What is wrong with the store.
+    enum class Fault {
+        None,
+        /// Answers 503 and does nothing.
+        Unavailable,
+        /// Answers 429 and does nothing.
+        TooMany,
+        /// Does nothing and says nothing.
+        Silent,
+        /// Carries writes out and answers nothing.
+        LosesAnswers,
+    };
+
+    /// @returns the status of the answer
+    using Promoter = std::function<int(const std::string& group, const std::string& upstream)>;
+
+    /// @param loop must outlive this object
+    explicit PlatformStore(EventLoop& loop);
+
+    /// Opens the port.
+    bool listen(const Endpoint& endpoint, Failure& failure);
+
+    /// Writes an object as the operator or an upstream does.
+    void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+
+    /// Removes an object.
+    void remove(const std::string& kind, const std::string& name);
+
+    /// @returns the spec of an object, or null
+    nlohmann::json read(const std::string& kind, const std::string& name);
+
+    /// Drops the history, so that watches from before end with 410.
+    void compact();
+
+    void setFault(Fault newFault) { this->fault = newFault; }
+    void setPromoter(Promoter newPromoter) { this->promoter = std::move(newPromoter); }
+
+private:
+    struct Object {
+        std::uint64_t revision = 0;
+        nlohmann::json spec;
+    };
+
+    struct Event {
+        std::uint64_t revision;
+        std::string kind;
+        nlohmann::json content;
+    };
+
+    struct Watch {
+        WebSocketServer::Handle handle;
+        std::string kind;
+        std::uint64_t after;
+    };
+
+    void onSessionOpened(WebSocketServer::Handle, const std::string&) override { }
+    void onSessionMessage(WebSocketServer::Handle, const std::string&, bool) override { }
+    void onSessionClosed(WebSocketServer::Handle) override { }
+    void onHttpRequest(WebSocketServer::Handle handle, const HttpRequest& request) override;
+    HttpResponse answerRead(const std::string& kind, const std::string& name);
+    HttpResponse answerWrite(const HttpRequest& request, const std::string& kind, const std::string& name);
+    HttpResponse answerPromotion(const HttpRequest& request);
+    void startWatch(WebSocketServer::Handle handle, const std::string& kind, const std::string& query);
+    void store(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+    void answerWatches();
+    nlohmann::json describe(const std::string& name, const Object& object) const;
+    nlohmann::json listEvents(const std::string& kind, std::uint64_t after) const;
+
+    EventLoop& loop;
+    WebSocketServer server;
+    std::mutex mutex;
+    std::map<std::string, std::map<std::string, Object>> kinds;
+    std::vector<Event> history;
+    std::vector<Watch> watches;
+    std::uint64_t revision = 1;
+    std::uint64_t oldestKept = 1;
+    std::atomic<Fault> fault { Fault::None };
+    Promoter promoter;
+};
+
+} // namespace lentiljunction::standin
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -8,7 +8,8 @@
 {
     // Its operators new and delete are not safe with several threads.
     MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-    spdlog::set_level(spdlog::level::off);
+    if (std::getenv("LENTILJUNCTION_TEST_LOGS") == nullptr)
+        spdlog::set_level(spdlog::level::off);
 
     // The same verdict on every run; set RC_PARAMS to search elsewhere.
     constexpr int keepExisting = 0;
--- /dev/null
+++ b/tests/process/GatewayBench.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "../../platform/PlatformAdapter.h"
+#include "../../src/gateway/GatewayInstance.h"
+#include "../../standins/platform/LineUpstream.h"
+#include "../../standins/platform/PlatformStore.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lentiljunction {
+
+/// A caller's session over a plain blocking socket.
+class LineCaller {
+public:
+    /// Opens a session.
+    ///
+    /// @param port where the instance listens
+    LineCaller(std::uint16_t port, const std::string& database);
+    ~LineCaller();
+    LineCaller(const LineCaller&) = delete;
+    LineCaller& operator=(const LineCaller&) = delete;
+
+    /// Sends a statement and waits for its whole answer.
+    ///
+    /// @returns the lines of the answer joined by "|"; what came until the connection ended
+    std::string ask(const std::string& text);
+
+    /// Sends raw bytes and waits for an answer, or the end of the connection.
+    std::string exchange(const std::string& bytes);
+
+    /// @returns the answer to the start of the session
+    const std::string& getGreeting() const { return this->greeting; }
+
+private:
+    std::string readAnswer();
+
+    int descriptor = -1;
+    int nextId = 1;
+    std::string buffer;
+    std::string greeting;
+};
+
+/// Gateway instances in front of stand-ins, on loopback.
+///
+/// The group has the upstreams "u1" (the first primary), "u2" and "u3" in zones of their own.
+class GatewayBench {
+public:
+    /// @param numInstances how many gateway instances are started
+    explicit GatewayBench(int numInstances = 2);
+    ~GatewayBench();
+
+    /// Writes a configuration.
+    void configure(std::uint64_t version, const std::vector<std::string>& databases);
+
+    /// Waits until an instance serves a read of a database.
+    bool waitServed(const std::string& database);
+
+    /// Tells the store what an upstream says of itself.
+    void report(const std::string& id, bool isPrimary, bool isLeaving = false);
+
+    /// Stops an instance as a killed process.
+    void kill(std::size_t index) { this->instances[index].reset(); }
+
+    /// Drains an instance, then stops it.
+    void drain(std::size_t index);
+
+    std::uint16_t getPort(std::size_t index) const { return this->sessionPorts[index]; }
+    standin::PlatformStore& getStore() { return this->store; }
+    standin::LineGroup& getGroup() { return this->group; }
+
+private:
+    GatewaySettings makeSettings(std::size_t index);
+
+    SystemClock clock;
+    PlatformAdapter adapter;
+    EventLoop loop;
+    standin::PlatformStore store;
+    standin::LineGroup group;
+    std::uint16_t storePort;
+    std::map<std::string, Endpoint> endpoints;
+    std::vector<std::uint16_t> sessionPorts;
+    std::vector<std::unique_ptr<GatewayInstance>> instances;
+};
+
+/// Waits until a condition holds.
+///
+/// @returns whether it held within a limit far above what is needed
+bool waitUntil(const std::function<bool()>& condition);
+
+} // namespace lentiljunction
--- /dev/null
+++ b/tests/process/GatewayTests.cpp
@@ -0,0 +1,224 @@
+#include "GatewayBench.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+#include <thread>
+
+using namespace lentiljunction;
+
+namespace {
+
+/// @returns whether an answer is a success with an upstream's proof
+bool isServed(const std::string& answer)
+{
+    return answer.find("DONE sig.") != std::string::npos;
+}
+
+bool contains(const std::string& answer, const std::string& part)
+{
+    return answer.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_GROUP(Gateway) {};
+
+TEST(Gateway, aSessionReadsItsOwnWritesOnEveryRoute)
+{
+    GatewayBench bench;
+    bench.configure(2, { "bookings", "checks" });
+    CHECK_TRUE(bench.waitServed("bookings"));
+    CHECK_TRUE(bench.waitServed("checks"));
+    for (const char* database : { "bookings", "checks" }) {
+        LineCaller caller(bench.getPort(0), database);
+        for (int index = 0; index < 50; index++) {
+            std::string item = std::string(database) + std::to_string(index);
+            CHECK_TRUE(isServed(caller.ask("WRITE " + item + " value " + std::to_string(index))));
+            STRCMP_CONTAINS(("ROW value " + std::to_string(index)).c_str(), caller.ask("READ " + item).c_str());
+        }
+    }
+}
+
+TEST(Gateway, aTransactionIsKeptAsAWholeOrNotAtAll)
+{
+    GatewayBench bench;
+    CHECK_TRUE(bench.waitServed("bookings"));
+    LineCaller caller(bench.getPort(0), "bookings");
+    STRCMP_EQUAL("DONE -|READY T -", caller.ask("BEGIN").c_str());
+    CHECK_TRUE(isServed(caller.ask("WRITE a 1")));
+    CHECK_TRUE(isServed(caller.ask("WRITE b 2")));
+    STRCMP_CONTAINS("READY I", caller.ask("COMMIT").c_str());
+    STRCMP_EQUAL("DONE -|READY T -", caller.ask("BEGIN").c_str());
+    CHECK_TRUE(isServed(caller.ask("WRITE c 3")));
+    STRCMP_EQUAL("DONE -|READY I -", caller.ask("ROLLBACK").c_str());
+    CHECK_EQUAL(1, bench.getGroup().countCommits("a"));
+    CHECK_EQUAL(1, bench.getGroup().countCommits("b"));
+    CHECK_EQUAL(0, bench.getGroup().countCommits("c"));
+    STRCMP_CONTAINS("ROW -", caller.ask("READ c").c_str());
+}
+
+TEST(Gateway, valuesAndPreparedStatementsFollowTheSession)
+{
+    GatewayBench bench(1);
+    CHECK_TRUE(bench.waitServed("bookings"));
+    LineCaller first(bench.getPort(0), "bookings");
+    LineCaller second(bench.getPort(0), "bookings");
+    STRCMP_EQUAL("DONE -|READY I -", first.ask("SET tz utc").c_str());
+    STRCMP_EQUAL("DONE -|READY I -", first.ask("PREPARE s1 WRITE q1").c_str());
+    STRCMP_EQUAL("DONE -|READY I -", second.ask("PREPARE s1 READ q2").c_str());
+    CHECK_TRUE(isServed(first.ask("EXEC s1 item hello there")));
+    STRCMP_CONTAINS("ROW hello there", second.ask("EXEC s1 item").c_str());
+    STRCMP_EQUAL("DONE -|READY I -", second.ask("DEALLOC s1").c_str());
+    STRCMP_CONTAINS("ERR NOSUCHSTMT", second.ask("EXEC s1 item").c_str());
+}
+
+TEST(Gateway, badInputGetsAClearErrorAndHarmsNobody)
+{
+    GatewayBench bench(1);
+    CHECK_TRUE(bench.waitServed("bookings"));
+    LineCaller caller(bench.getPort(0), "bookings");
+    for (const char* text : { "", "FROB", "READ", "WRITE x", "COMMIT", "ROLLBACK", "PREPARE s READ", "WAITLSN 1.2 READ a", "BEGIN TWICE" })
+        STRCMP_CONTAINS("ERR MALFORMED", caller.ask(text).c_str());
+    CHECK_TRUE(isServed(caller.ask("READ a")));
+    STRCMP_CONTAINS("ERR NODB", LineCaller(bench.getPort(0), "nowhere").getGreeting().c_str());
+    STRCMP_CONTAINS("ERR MALFORMED", LineCaller(bench.getPort(0), "bookings").exchange("HELLO\r\n").c_str());
+    STRCMP_CONTAINS("ERR MALFORMED", LineCaller(bench.getPort(0), "bookings").exchange(std::string((1U << 20) + 10, 'x')).c_str());
+    CHECK_TRUE(isServed(caller.ask("READ a")));
+}
+
+TEST(Gateway, aCrashedPrimaryIsReplacedAndNothingRunsTwice)
+{
+    GatewayBench bench(3);
+    CHECK_TRUE(bench.waitServed("bookings"));
+    bench.getGroup().crash("u1");
+    LineCaller caller(bench.getPort(0), "bookings");
+    int numInDoubt = 0;
+    std::set<std::string> acknowledged;
+    int next = 0;
+    CHECK_TRUE(waitUntil([&] {
+        std::string item = "w" + std::to_string(next++);
+        std::string answer = caller.ask("WRITE " + item + " v");
+        if (isServed(answer))
+            acknowledged.insert(item);
+        numInDoubt += contains(answer, "INDOUBT") ? 1 : 0;
+        return acknowledged.size() >= 20;
+    }));
+    CHECK(bench.getGroup().findPrimary() != "u1");
+    for (const std::string& item : acknowledged)
+        CHECK_EQUAL(1, bench.getGroup().countCommits(item));
+}
+
+TEST(Gateway, aLeavingPrimaryHandsOver)
+{
+    GatewayBench bench;
+    CHECK_TRUE(bench.waitServed("bookings"));
+    bench.report("u1", true, true);
+    CHECK_TRUE(waitUntil([&] { return bench.getGroup().findPrimary() != "u1"; }));
+    LineCaller caller(bench.getPort(1), "bookings");
+    CHECK_TRUE(waitUntil([&] { return isServed(caller.ask("WRITE after v")); }));
+}
+
+TEST(Gateway, writesGoOnWhileTheStoreIsAway)
+{
+    GatewayBench bench;
+    CHECK_TRUE(bench.waitServed("bookings"));
+    bench.getStore().setFault(standin::PlatformStore::Fault::Silent);
+    // Longer than a permit lasts, so the last answers stand on the evidence of the upstreams.
+    TimePoint end = SystemClock().now() + permitSpan + std::chrono::seconds(2);
+    LineCaller caller(bench.getPort(0), "bookings");
+    int numServed = 0;
+    std::string last;
+    for (int index = 0; SystemClock().now() < end; index++) {
+        last = caller.ask("WRITE s" + std::to_string(index) + " v");
+        numServed += isServed(last) ? 1 : 0;
+    }
+    CHECK_TRUE(isServed(last));
+    CHECK(numServed > 50);
+    bench.getStore().setFault(standin::PlatformStore::Fault::None);
+    CHECK_TRUE(isServed(caller.ask("READ s1")));
+}
+
+TEST(Gateway, aLostAnswerToACommitIsInDoubtAndIsNotRepeated)
+{
+    GatewayBench bench(1);
+    CHECK_TRUE(bench.waitServed("bookings"));
+    bench.getGroup().setFault("u1", standin::LineUpstream::Fault::LosesAnswers);
+    LineCaller caller(bench.getPort(0), "bookings");
+    STRCMP_CONTAINS("ERR INDOUBT", caller.ask("WRITE once v").c_str());
+    CHECK_EQUAL(1, bench.getGroup().countCommits("once"));
+}
+
+TEST(Gateway, aBusyUpstreamIsNotAskedForever)
+{
+    GatewayBench bench(1);
+    CHECK_TRUE(bench.waitServed("bookings"));
+    bench.getGroup().setFault("u1", standin::LineUpstream::Fault::Busy);
+    LineCaller caller(bench.getPort(0), "bookings");
+    STRCMP_CONTAINS("ERR BUSY", caller.ask("WRITE x v").c_str());
+    CHECK_EQUAL(0, bench.getGroup().countCommits("x"));
+    bench.getGroup().setFault("u1", standin::LineUpstream::Fault::None);
+    CHECK_TRUE(isServed(caller.ask("WRITE x v")));
+}
+
+TEST(Gateway, aNewConfigurationComesIntoForceAlsoAfterALostHistory)
+{
+    GatewayBench bench;
+    CHECK_TRUE(bench.waitServed("bookings"));
+    bench.configure(2, { "bookings", "checks" });
+    CHECK_TRUE(bench.waitServed("checks"));
+    bench.getStore().compact();
+    bench.configure(3, { "bookings" });
+    CHECK_TRUE(waitUntil([&] { return contains(LineCaller(bench.getPort(0), "checks").getGreeting(), "ERR NODB"); }));
+    CHECK_TRUE(waitUntil([&] { return contains(LineCaller(bench.getPort(1), "checks").getGreeting(), "ERR NODB"); }));
+    // An older version never comes back.
+    bench.configure(2, { "bookings", "checks" });
+    CHECK_TRUE(isServed(LineCaller(bench.getPort(0), "bookings").ask("READ a")));
+    STRCMP_CONTAINS("ERR NODB", LineCaller(bench.getPort(0), "checks").getGreeting().c_str());
+}
+
+TEST(Gateway, entriesThatCannotBeReadNameNoUpstream)
+{
+    GatewayBench bench(1);
+    bench.getStore().put("servers", "broken", { { "service", 7 } });
+    bench.getStore().put("servers", "odd", "text");
+    bench.getStore().put("servers", "state", { { "service", "ledger" }, { "address", "127.0.0.1:9" }, { "zone", "z1" }, { "slots", 2 }, { "state", "dancing" }, { "db_role", "primary" } });
+    CHECK_TRUE(bench.waitServed("bookings"));
+    bench.getStore().put("config", "main", { { "version", 9 }, { "routes", "none" } });
+    LineCaller caller(bench.getPort(0), "bookings");
+    for (int index = 0; index < 20; index++)
+        CHECK_TRUE(isServed(caller.ask("READ a" + std::to_string(index))));
+}
+
+TEST(Gateway, aDrainCutsOffNoStatementAndNoTransaction)
+{
+    GatewayBench bench;
+    CHECK_TRUE(bench.waitServed("bookings"));
+    LineCaller caller(bench.getPort(0), "bookings");
+    CHECK_TRUE(isServed(caller.ask("WRITE a 1")));
+    std::thread draining([&] { bench.drain(0); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    STRCMP_CONTAINS("READY T", caller.ask("BEGIN").c_str());
+    CHECK_TRUE(isServed(caller.ask("WRITE b 1")));
+    STRCMP_CONTAINS("READY I", caller.ask("COMMIT").c_str());
+    draining.join();
+    CHECK_EQUAL(1, bench.getGroup().countCommits("b"));
+    CHECK_TRUE(isServed(LineCaller(bench.getPort(1), "bookings").ask("READ b")));
+}
+
+TEST(Gateway, aTransactionStaysOnItsConnectionWhenItsPermitRunsOut)
+{
+    GatewayBench bench;
+    CHECK_TRUE(bench.waitServed("bookings"));
+    LineCaller caller(bench.getPort(0), "bookings");
+    STRCMP_CONTAINS("READY T", caller.ask("BEGIN").c_str());
+    CHECK_TRUE(isServed(caller.ask("WRITE a 1")));
+    // Neither a permit nor the evidence of the upstreams can be had from now on.
+    bench.getStore().setFault(standin::PlatformStore::Fault::Silent);
+    bench.getGroup().setFault("u3", standin::LineUpstream::Fault::Silent);
+    std::this_thread::sleep_for(permitSpan + std::chrono::milliseconds(200));
+    std::string answer = caller.ask("WRITE b 1");
+    CHECK_TRUE(isServed(answer));
+    STRCMP_CONTAINS("READY T", answer.c_str());
+    STRCMP_CONTAINS("ERR INDOUBT", caller.ask("COMMIT").c_str());
+}
