Let the test of a transaction without permit fail with the old code

Run against it, it passed: the silent upstream had no open connection, so the evidence was refused at once instead of being waited for, and the statement's time was longer than the limit on unanswered questions. Run with the old condition put back: 1 failure, "READY T" missing at the second write; with the new one: passed. The finding itself was not replayed bit for bit, so the cause stands on this test and on the trace of what can release a connection.

--- a/tests/process/GatewayTests.cpp
+++ b/tests/process/GatewayTests.cpp
@@ -213,10 +213,11 @@
     LineCaller caller(bench.getPort(0), "bookings");
     STRCMP_CONTAINS("READY T", caller.ask("BEGIN").c_str());
     CHECK_TRUE(isServed(caller.ask("WRITE a 1")));
-    // Neither a permit nor the evidence of the upstreams can be had from now on.
     bench.getStore().setFault(standin::PlatformStore::Fault::Silent);
+    // Long enough for the permit to run out and for the upstreams to have been asked for evidence.
+    std::this_thread::sleep_for(permitSpan + std::chrono::milliseconds(1200));
+    // From now on the evidence does not come either, on connections that are open.
     bench.getGroup().setFault("u3", standin::LineUpstream::Fault::Silent);
-    std::this_thread::sleep_for(permitSpan + std::chrono::milliseconds(200));
     std::string answer = caller.ask("WRITE b 1");
     CHECK_TRUE(isServed(answer));
     STRCMP_CONTAINS("READY T", answer.c_str());
