--- /dev/null
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -0,0 +1,215 @@
+#include "../../src/gateway/GatewaySettings.h"
+#include "../../src/traffic/PositionProofs.h"
+#include "../../src/traffic/ReadPlanner.h"
+#include "lentiljunction/leadership/lj_leadership.h"
+#include "lentiljunction/routes/lj_routes.h"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
+using namespace lentiljunction;
+
+namespace {
+
+LogPoint point(std::uint64_t position)
+{
+    return { Term(1), Position(position) };
+}
+
+ReadCandidate candidate(const char* name, bool isLocal, bool isPrimary, std::chrono::milliseconds latency)
+{
+    return { UpstreamId(name), isLocal, isPrimary, latency, 0, std::nullopt, Duration(0) };
+}
+
+std::shared_ptr<const RouteTable> tableOf(std::uint64_t version)
+{
+    std::shared_ptr<RouteTable> table = std::make_shared<RouteTable>();
+    table->version = BundleVersion(version);
+    return table;
+}
+
+} // namespace
+
+TEST_GROUP(PositionProofs)
+{
+    ManualClock clock;
+    PositionProofs proofs;
+    GroupId group { "g" };
+};
+
+TEST(PositionProofs, theLeastPointThatCoversTheAgeIsRequired)
+{
+    BootTime begin = clock.bootNow();
+    for (std::uint64_t index = 0; index < 10; index++)
+        proofs.add(group, 0, begin + std::chrono::milliseconds(100 * index), point(index * 10));
+    CHECK(proofs.findRequired(group, 0, begin + std::chrono::milliseconds(250)) == point(30));
+    CHECK_FALSE(proofs.findRequired(group, 0, begin + std::chrono::seconds(1)).has_value());
+}
+
+TEST(PositionProofs, aNewPrimaryMakesOlderProofsVoid)
+{
+    proofs.add(group, 0, clock.bootNow(), point(5));
+    proofs.add(group, 1, clock.bootNow() + std::chrono::seconds(1), point(3));
+    CHECK_FALSE(proofs.findRequired(group, 0, clock.bootNow()).has_value());
+    CHECK(proofs.findRequired(group, 1, clock.bootNow()) == point(3));
+    proofs.add(group, 0, clock.bootNow() + std::chrono::seconds(2), point(99));
+    CHECK(proofs.findRequired(group, 1, clock.bootNow()) == point(3));
+}
+
+TEST_GROUP(ReadPlanner) {};
+
+TEST(ReadPlanner, aNearReplicaGoesBeforeAFarOneAndThePrimary)
+{
+    std::vector<ReadCandidate> all { candidate("far", false, false, std::chrono::milliseconds(20)), candidate("near", true, false, std::chrono::milliseconds(15)), candidate("primary", true, true, std::chrono::milliseconds(15)) };
+    CHECK(chooseReadTarget(all, std::nullopt) == UpstreamId("near"));
+}
+
+TEST(ReadPlanner, aBacklogSendsReadsElsewhere)
+{
+    std::vector<ReadCandidate> all { candidate("near", true, false, std::chrono::milliseconds(15)), candidate("far", false, false, std::chrono::milliseconds(20)) };
+    all[0].load = 4;
+    CHECK(chooseReadTarget(all, std::nullopt) == UpstreamId("far"));
+}
+
+TEST(ReadPlanner, aReplicaThatWasJustSeenBehindIsPassedOver)
+{
+    std::vector<ReadCandidate> all { candidate("near", true, false, std::chrono::milliseconds(15)), candidate("far", false, false, std::chrono::milliseconds(20)) };
+    all[0].seenHead = point(10);
+    CHECK(chooseReadTarget(all, point(11)) == UpstreamId("far"));
+    all[0].seenAge = std::chrono::seconds(1);
+    CHECK(chooseReadTarget(all, point(11)) == UpstreamId("near"));
+    CHECK_FALSE(chooseReadTarget({}, point(1)).has_value());
+}
+
+TEST_GROUP(RouteKeeper) {};
+
+TEST(RouteKeeper, aVersionNeverGoesBack)
+{
+    RouteKeeper keeper;
+    CHECK_TRUE(keeper.offer(tableOf(7)));
+    CHECK_FALSE(keeper.offer(tableOf(7)));
+    CHECK_FALSE(keeper.offer(tableOf(3)));
+    CHECK_TRUE(keeper.offer(tableOf(8)));
+    CHECK_EQUAL(8, keeper.getTable()->version.value());
+}
+
+TEST_GROUP(UpstreamKeeper)
+{
+    ManualClock clock;
+    UpstreamKeeper keeper;
+    UpstreamList list;
+
+    void setup() override { list.entries[UpstreamId("u")].id = UpstreamId("u"); }
+};
+
+TEST(UpstreamKeeper, anEntryThatLapsedIsKeptForAWhile)
+{
+    CHECK_EQUAL(1, keeper.offer(list, clock.now()).size());
+    CHECK_EQUAL(0, keeper.offer(UpstreamList(), clock.now()).size());
+    clock.advance(std::chrono::seconds(2));
+    CHECK_EQUAL(0, keeper.offer(list, clock.now()).size());
+    keeper.offer(UpstreamList(), clock.now());
+    clock.advance(std::chrono::seconds(3));
+    CHECK_EQUAL(1, keeper.offer(UpstreamList(), clock.now()).size());
+    CHECK(keeper.getList()->find(UpstreamId("u")) == nullptr);
+}
+
+TEST_GROUP(GatewaySettings)
+{
+    std::string path = "/tmp/lj-gateway-settings-" + std::to_string(::getpid()) + ".ini";
+    Failure failure;
+
+    void teardown() override { std::remove(path.c_str()); }
+
+    void write(const std::string& text) { std::ofstream(path) << text; }
+};
+
+TEST(GatewaySettings, theTemplateOfTheDeploymentFillsInToValidSettings)
+{
+    std::ifstream stream(std::string(LENTILJUNCTION_SOURCE_DIR) + "/deploy/node.ini");
+    std::string text((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
+    const std::vector<std::pair<std::string, std::string>> values {
+        { "{{node_name}}", "front-1" }, { "{{zone}}", "ba" }, { "{{listen.front}}", "10.1.0.8:8784" }, { "{{listen.ready}}", "10.1.0.8:8785" }, { "{{listen.control}}", "10.1.0.8:8782" },
+        { "{{seeds}}", "10.1.0.8:8782,10.2.0.6:8782" }, { "{{ip}}", "10.1.0.8" }, { "{{platform.address}}", "10.200.1.7:8783" }, { "{{cloud.address}}", "10.200.0.160:8783" }, { "{{bounds.grace_s}}", "6" }
+    };
+    for (const std::pair<std::string, std::string>& value : values) {
+        std::size_t at = text.find(value.first);
+        CHECK_TEXT(at != std::string::npos, value.first.c_str());
+        text.replace(at, value.first.size(), value.second);
+    }
+    STRCMP_EQUAL("", text.find("{{") == std::string::npos ? "" : text.c_str());
+    write(text);
+    CHECK_TRUE(isGatewayFile(path));
+    std::optional<GatewaySettings> settings = loadGatewaySettings(path, failure);
+    CHECK_TEXT(settings.has_value(), failure.reason.c_str());
+    CHECK_EQUAL(2, settings->seeds.size());
+    CHECK_EQUAL(6000, settings->shutdownGrace.count());
+}
+
+TEST(GatewaySettings, everyFaultIsNamedAtOnce)
+{
+    write("[instance]\nid = a\n[sessions]\nlisten = 10.1.0.8\n[drain]\ngrace_s = soon\n[odd]\nkey = 1\n");
+    CHECK_FALSE(loadGatewaySettings(path, failure).has_value());
+    for (const char* part : { "[instance] zone", "[sessions] listen = \"10.1.0.8\"", "[drain] grace_s = \"soon\"", "[odd] key", "[store] endpoint" })
+        STRCMP_CONTAINS(part, failure.reason.c_str());
+}
+
+TEST_GROUP(OnePrimary) {};
+
+// An instance reads the record, is suspended, cut off, or told of the change by the holder; the holder
+// replaces the primary. Whatever the order, no answer counts after the promotion was called for.
+TEST(OnePrimary, noAnswerOfAReplacedPrimaryCountsWhateverTheOrderOfEvents)
+{
+    bool isSound = rc::check("one primary", [] {
+        ManualClock clock;
+        PermitBook permits;
+        Failover failover(GroupId("g"), UpstreamId("old"), { UpstreamId("new") }, false, Term(1), clock.now());
+        failover.takeActions(clock.bootNow(), clock.now());
+        std::shared_ptr<LeadRecord> stable = std::make_shared<LeadRecord>();
+        std::shared_ptr<LeadRecord> changing = std::make_shared<LeadRecord>();
+        changing->groups[GroupId("g")] = { LeadPhase::Changing, UpstreamId("old"), 0, {}, Term(1) };
+        UpstreamList upstreams;
+        upstreams.entries[UpstreamId("old")] = { UpstreamId("old"), GroupId("g"), {}, ZoneId("z"), 2, false, true };
+        std::optional<std::pair<BootTime, bool>> readUnderWay;
+        bool isAnnounced = false;
+        bool isPromoted = false;
+        failover.onStatus(UpstreamId("new"), { false, Term(1), { Term(1), Position(4) } });
+
+        std::vector<int> steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 9));
+        for (int step : steps) {
+            if (step == 0 && !readUnderWay)
+                readUnderWay = { clock.bootNow(), isAnnounced };
+            if (step == 1 && readUnderWay) {
+                permits.onStoreAnswer({ readUnderWay->second ? changing : stable, StoreVersion(readUnderWay->second ? 2 : 1) }, readUnderWay->first);
+                readUnderWay.reset();
+            }
+            if (step == 2)
+                readUnderWay.reset();
+            if (step == 3 && !isAnnounced) {
+                isAnnounced = true;
+                failover.onChangingWritten(clock.bootNow(), clock.now());
+                failover.onInstancesKnown({ InstanceId("one") });
+            }
+            if (step == 4 && isAnnounced) {
+                permits.onPeerAnswer({ changing, StoreVersion(2) }, Duration(0), clock.bootNow());
+                failover.onInstanceStopped(InstanceId("one"));
+            }
+            if (step == 5)
+                clock.advance(std::chrono::milliseconds(900));
+            if (step == 6)
+                clock.suspend(std::chrono::milliseconds(900));
+            if (step == 7)
+                clock.advance(std::chrono::milliseconds(20));
+            for (const Failover::Action& action : failover.takeActions(clock.bootNow(), clock.now()))
+                isPromoted = isPromoted || action.kind == Failover::Action::Kind::Promote;
+            bool counts = permits.getView().isPermitted(clock.bootNow()) && permits.getView().findLeader(GroupId("g"), upstreams).has_value();
+            RC_ASSERT(!(isPromoted && counts));
+        }
+    });
+    CHECK_TRUE(isSound);
+}
--- /dev/null
+++ b/tests/unit/PlatformTests.cpp
@@ -0,0 +1,204 @@
+#include "../../platform/LineProtocol.h"
+#include "../../platform/PlatformCodec.h"
+#include "../../src/net/HttpMessage.h"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+
+namespace {
+
+SessionStatement decodeStatement(const std::string& text)
+{
+    LineProtocol protocol;
+    Failure failure;
+    std::string buffer = "QUERY q1 " + text + "\r\n";
+    std::optional<CallerMessage> message = protocol.takeCallerMessage(buffer, failure);
+    CHECK_TRUE(message.has_value());
+    return std::get<SessionStatement>(*message);
+}
+
+nlohmann::json makeEntry()
+{
+    return { { "service", "s" }, { "address", "10.1.2.3:80" }, { "zone", "z" }, { "slots", 2 }, { "state", "ready" }, { "db_role", "replica" } };
+}
+
+} // namespace
+
+TEST_GROUP(LineProtocol)
+{
+    LineProtocol protocol;
+    Failure failure;
+};
+
+TEST(LineProtocol, everyStatementIsDecodedOnceAndKeptWordForWord)
+{
+    SessionStatement execute = decodeStatement("EXEC s1 1a4 some data");
+    CHECK(execute.verb == SessionVerb::Execute);
+    STRCMP_EQUAL("s1", execute.name.c_str());
+    STRCMP_EQUAL("1a4 some data", execute.argument.c_str());
+    STRCMP_EQUAL("EXEC s1 1a4 some data", execute.text.c_str());
+    CHECK(decodeStatement("BEGIN").mode == AccessMode::Write);
+    CHECK(decodeStatement("BEGIN READ").mode == AccessMode::Read);
+    CHECK(decodeStatement("PREPARE s WRITE q2c").mode == AccessMode::Write);
+    CHECK(decodeStatement("SET a b c").verb == SessionVerb::SetValue);
+    CHECK(decodeStatement("WRITE x").verb == SessionVerb::Malformed);
+    CHECK(decodeStatement("WAITLSN 1.2 READ x").verb == SessionVerb::Malformed);
+}
+
+TEST(LineProtocol, aMessageIsTakenOnlyWhenItIsWhole)
+{
+    std::string buffer = "QUERY q1 READ a\r";
+    CHECK_FALSE(protocol.takeCallerMessage(buffer, failure).has_value());
+    CHECK(failure.kind == Failure::Kind::None);
+    buffer += "\nTERMI";
+    CHECK_TRUE(protocol.takeCallerMessage(buffer, failure).has_value());
+    STRCMP_EQUAL("TERMI", buffer.c_str());
+}
+
+TEST(LineProtocol, anAnswerIsReadPartByPart)
+{
+    std::string buffer = "ROW a b\r\nDONE sig\r\nREADY T 3.1209\r\n";
+    SessionReply reply;
+    bool isComplete = false;
+    while (protocol.takeUpstreamPart(buffer, reply, isComplete, failure) && !isComplete) { }
+    CHECK_TRUE(isComplete);
+    STRCMP_EQUAL("a b", reply.rows.front().c_str());
+    STRCMP_EQUAL("sig", reply.signature.c_str());
+    CHECK(reply.state == TransactionState::Open);
+    CHECK(reply.head == (LogPoint { Term(3), Position(1209) }));
+    STRCMP_EQUAL("ROW a b\r\nDONE sig\r\nREADY T -\r\n", protocol.encodeReply(reply).c_str());
+}
+
+TEST(LineProtocol, anUnknownCodeProvesNothing)
+{
+    std::string buffer = "ERR STRANGE text\r\n";
+    SessionReply reply;
+    bool isComplete = false;
+    protocol.takeUpstreamPart(buffer, reply, isComplete, failure);
+    CHECK(reply.code == ReplyCode::Failed);
+    CHECK_FALSE(provesNotRun(reply.code));
+}
+
+TEST(LineProtocol, commandsOfTheProxyCarryNoNumber)
+{
+    UpstreamCommand begin;
+    begin.kind = UpstreamCommand::Kind::Begin;
+    begin.mode = AccessMode::Read;
+    begin.requiredPoint = LogPoint { Term(3), Position(12) };
+    STRCMP_EQUAL("QUERY - WAITLSN 3.12 BEGIN READ\r\n", protocol.encodeCommand(begin).c_str());
+}
+
+TEST(LineProtocol, theStatusRowOfAnUpstream)
+{
+    std::optional<LeadStatus> status = protocol.decodeLeadStatus("replica 3 3.1209 0 12 2 17");
+    CHECK_TRUE(status.has_value());
+    CHECK_FALSE(status->isPrimary);
+    CHECK(status->received == (LogPoint { Term(3), Position(1209) }));
+    CHECK_FALSE(protocol.decodeLeadStatus("leader 3 3.1 0").has_value());
+    CHECK_FALSE(protocol.decodeLeadStatus("").has_value());
+}
+
+TEST(LineProtocol, noBytesEndTheProcessOrLoopForever)
+{
+    bool isSound = rc::check("any bytes are taken, waited for or refused", [this](const std::string& bytes) {
+        std::string fromCaller = bytes;
+        std::string fromUpstream = bytes;
+        Failure callerFailure;
+        Failure upstreamFailure;
+        std::size_t limit = bytes.size() + 1;
+        while (limit-- > 0 && this->protocol.takeCallerMessage(fromCaller, callerFailure)) { }
+        SessionReply reply;
+        bool isComplete = false;
+        limit = bytes.size() + 1;
+        while (limit-- > 0 && this->protocol.takeUpstreamPart(fromUpstream, reply, isComplete, upstreamFailure)) { }
+        RC_ASSERT(fromCaller.size() <= bytes.size());
+        this->protocol.decodeLeadStatus(bytes);
+    });
+    CHECK_TRUE(isSound);
+}
+
+TEST(LineProtocol, wordsInAnyOrderAreTakenOrRefused)
+{
+    const std::vector<std::string> words { "QUERY", "STARTUP", "READ", "WRITE", "BEGIN", "EXEC", "PREPARE", "SET", "ERR", "READY", "I", "3.1", "-", " ", "  ", "\r\n", "DONE", "ROW" };
+    bool isSound = rc::check("lines of known words", [&] {
+        std::vector<std::string> chosen = *rc::gen::container<std::vector<std::string>>(rc::gen::elementOf(words));
+        std::string buffer;
+        for (const std::string& word : chosen)
+            buffer += word + " ";
+        Failure callerFailure;
+        std::size_t limit = buffer.size() + 1;
+        while (limit-- > 0 && this->protocol.takeCallerMessage(buffer, callerFailure)) { }
+        RC_ASSERT(limit < buffer.max_size());
+    });
+    CHECK_TRUE(isSound);
+}
+
+TEST_GROUP(PlatformCodec)
+{
+    Failure failure;
+};
+
+TEST(PlatformCodec, anEntryWithoutItsFieldsNamesNoUpstream)
+{
+    CHECK_TRUE(decodeUpstreamEntry("u", makeEntry(), failure).has_value());
+    for (const char* field : { "service", "address", "zone", "slots", "state", "db_role" }) {
+        nlohmann::json missing = makeEntry();
+        missing.erase(field);
+        CHECK_FALSE(decodeUpstreamEntry("u", missing, failure).has_value());
+        nlohmann::json strange = makeEntry();
+        strange[field] = nlohmann::json::array({ 1 });
+        CHECK_FALSE(decodeUpstreamEntry("u", strange, failure).has_value());
+    }
+    nlohmann::json unknown = makeEntry();
+    unknown["state"] = "dancing";
+    CHECK_FALSE(decodeUpstreamEntry("u", unknown, failure).has_value());
+    CHECK_FALSE(decodeUpstreamEntry("u", "text", failure).has_value());
+}
+
+TEST(PlatformCodec, aConfigurationIsReadAsAWholeOrNotAtAll)
+{
+    nlohmann::json route { { "host", "db" }, { "service", "s" }, { "route_type", "read_your_writes" }, { "timeout_ms", 800.5 }, { "target_latency_ms", 120 }, { "priority", 7 }, { "max_staleness_ms", 2500 } };
+    nlohmann::json services = nlohmann::json::array({ { { "name", "s" }, { "max_conns", 16 } } });
+    nlohmann::json document { { "version", 7 }, { "routes", { route } }, { "services", services }, { "limits", { { "tx_idle_ms", 3000 } } }, { "new_field", 1 } };
+    std::optional<RouteTable> table = decodeRouteTable(document, failure);
+    CHECK_TRUE(table.has_value());
+    const Route* found = table->find(DatabaseId("db"));
+    CHECK(found->consistency == Consistency::ReadYourWrites);
+    CHECK(found->rank == Rank::Background);
+    CHECK_EQUAL(800500, found->statementTimeout.count());
+    CHECK_EQUAL(16, table->groups[GroupId("s")].maximumConnections);
+    document["routes"][0]["route_type"] = "eventual";
+    CHECK_FALSE(decodeRouteTable(document, failure).has_value());
+    STRCMP_CONTAINS("route_type", failure.reason.c_str());
+}
+
+TEST_GROUP(HttpMessage) {};
+
+TEST(HttpMessage, anAnswerInPiecesIsReadOnce)
+{
+    std::string whole = "HTTP/1.1 409 Conflict\r\nContent-Length: 5\r\n\r\nhello";
+    HttpAnswerReader reader;
+    Failure failure;
+    std::string bytes;
+    bool isWhole = false;
+    for (char piece : whole) {
+        bytes += piece;
+        isWhole = reader.take(bytes, failure);
+    }
+    CHECK_TRUE(isWhole);
+    HttpAnswer answer = reader.release();
+    CHECK_EQUAL(409, answer.status);
+    STRCMP_EQUAL("hello", answer.body.c_str());
+}
+
+TEST(HttpMessage, whatIsNoHttpIsRefused)
+{
+    HttpAnswerReader reader;
+    Failure failure;
+    std::string bytes = "SSH-2.0-nothing\r\n\r\n";
+    CHECK_FALSE(reader.take(bytes, failure));
+    CHECK(failure.kind == Failure::Kind::InvalidInput);
+}
