Shorten permits, and let nothing wait for an upstream that cannot be reached

Ruled out: load (12 of 18 slots are left, 6.2 are needed). Change: permits of 1.5 s, renewed every 0.5 s; an upstream that could not be reached gets probes and no claims until it answers; a read changes to another upstream's queue after 80 ms.

--- a/include/lentiljunction/leadership/PermitBook.h
+++ b/include/lentiljunction/leadership/PermitBook.h
@@ -5,8 +5,9 @@
 namespace lentiljunction {
 
 /// How long a read of the lead record may be acted upon. A true cut of an instance delays the next
-/// promotion by as much; a store that is away for less is not noticed by callers.
-constexpr std::chrono::milliseconds permitSpan { 2500 };
+/// promotion by as much, and reads of a bounded age have to do without a primary meanwhile; a store that
+/// is away for longer is made up for by evidence from the upstreams.
+constexpr std::chrono::milliseconds permitSpan { 1500 };
 /// What a promotion waits beyond the span: for clocks that run apart and for timers that fire late.
 constexpr std::chrono::milliseconds permitMargin { 100 };
 
--- a/src/gateway/FleetControl.cpp
+++ b/src/gateway/FleetControl.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     /// Three tries fit into a permit, so one lost answer is not noticed.
-    constexpr std::chrono::milliseconds leadInterval { 800 };
+    constexpr std::chrono::milliseconds leadInterval { 500 };
     /// After a call to the store failed.
     constexpr std::chrono::milliseconds retryInterval { 200 };
     /// A watch is renewed this often: an open connection may be silent for good, and a new
@@ -26,13 +26,13 @@
     /// A change of primary that is not over by then has lost its holder.
     constexpr std::chrono::milliseconds stuckLimit { 3500 };
     /// A holder whose last answer of the store is older is taken to be cut off from it.
-    constexpr std::chrono::milliseconds storeContactLimit { 1300 };
+    constexpr std::chrono::milliseconds storeContactLimit { 1000 };
     /// For the answers of a vote to be handled after the last of them came in time.
     constexpr std::chrono::milliseconds voteSlack { 20 };
     /// A primary that could not be reached for longer ago counts as reached again.
     constexpr std::chrono::milliseconds opinionLifetime { 1500 };
     /// Between the instances that may take the duty over, so that the first is usually alone.
-    constexpr std::chrono::milliseconds takeoverStep { 300 };
+    constexpr std::chrono::milliseconds takeoverStep { 150 };
 
     std::int64_t toMilliseconds(Duration duration)
     {
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -14,6 +14,8 @@
     constexpr double holdShare = 0.4;
     /// A transaction that has no connection by then gets one with its first statement.
     constexpr std::chrono::milliseconds openAheadLimit { 60 };
+    /// A read that waits longer for one upstream goes to another, which may have a shorter queue.
+    constexpr std::chrono::milliseconds readClaimLimit { 80 };
     /// More tries than there are upstreams in a group help nobody.
     constexpr int maximumAttempts = 4;
     /// Before an upstream that answered that it is busy, or not the primary, is asked again.
@@ -93,6 +95,13 @@
     return this->request.arrivedAt + Duration(static_cast<Duration::rep>(span));
 }
 
+TimePoint StatementRun::getClaimLimit() const
+{
+    if (this->needsPrimary())
+        return this->getHoldLimit();
+    return std::min<TimePoint>(this->getHoldLimit(), this->state.getClock().now() + readClaimLimit);
+}
+
 bool StatementRun::needsPrimary() const
 {
     AccessMode mode = this->request.kind.isInTransaction ? this->request.transactionMode : this->request.kind.mode;
@@ -119,7 +128,7 @@
 
     this->target = *found;
     std::shared_ptr<StatementRun> self = this->shared_from_this();
-    UpstreamPool::Ticket given = this->target.pool->claim(this->request.need.route->rank, this->request.caller, this->getHoldLimit(), [self](UpstreamLink* link, UpstreamPool::Denial denial) {
+    UpstreamPool::Ticket given = this->target.pool->claim(this->request.need.route->rank, this->request.caller, this->getClaimLimit(), [self](UpstreamLink* link, UpstreamPool::Denial denial) {
         self->ticket = 0;
         if (!self->isDone)
             self->onGranted(link, denial);
@@ -148,7 +157,10 @@
     }
     if (denial == UpstreamPool::Denial::TooLong) {
         this->lastTrouble = "the wait would be too long";
-        return this->conclude(AttemptEvent::NotSent, SessionReply(), false);
+        this->request.need.tried.insert(this->target.pool->getUpstream().id);
+        // A read has other upstreams to go to; a write would only queue again behind the same work.
+        bool hasOther = !this->needsPrimary() && this->mayRetry() && this->state.findForRead(this->request.need);
+        return hasOther ? this->attempt() : this->conclude(AttemptEvent::NotSent, SessionReply(), false);
     }
     this->lastTrouble = "the upstream cannot be reached";
     this->request.need.tried.insert(this->target.pool->getUpstream().id);
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -96,6 +96,7 @@
     bool mayRetry() const;
     TimePoint getDeadline() const;
     TimePoint getHoldLimit() const;
+    TimePoint getClaimLimit() const;
     bool needsPrimary() const;
     const PreparedShape* findShape() const;
 
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -215,6 +215,7 @@
     UpstreamLink* link = pool->findIdle();
     if (link != nullptr)
         return this->askHead(*link, group, *primary->leader);
+    pool->probeIfDue();
     if (!pool->isAvoided() && (pool->getNumConnections() == 0 || pool->isOverdue(overdueLimit)))
         pool->openOne();
 }
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -91,6 +91,7 @@
             continue;
         bool isPrimary = primary && primary->leader->upstream == entry.first;
         std::shared_ptr<UpstreamPool> pool = this->findPool(entry.first);
+        pool->probeIfDue();
         if (pool->isAvoided() || (!isPrimary && !isProved))
             continue;
         ReadCandidate candidate { entry.first, entry.second.zone == this->zone, isPrimary, pool->getLatency(), pool->getLoad(), std::nullopt, Duration(0) };
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -73,7 +73,8 @@
 UpstreamPool::Ticket UpstreamPool::claim(Rank rank, const CallerId& caller, TimePoint deadline, Grant grant)
 {
     TimePoint now = this->surroundings.clock.now();
-    if (this->isClosed || (this->isAvoided() && this->findIdleHeld() == nullptr)) {
+    this->probeIfDue();
+    if (this->isClosed || (this->isSuspect && this->findIdleHeld() == nullptr)) {
         grant(nullptr, Denial::Unreachable);
         return 0;
     }
@@ -194,9 +195,10 @@
     this->denyAll(Denial::Unreachable);
 }
 
-bool UpstreamPool::isAvoided() const
+void UpstreamPool::probeIfDue()
 {
-    return this->surroundings.clock.now() < this->avoidUntil;
+    if (this->isSuspect && this->numOpening == 0 && this->surroundings.clock.now() >= this->probeAt)
+        this->openOne();
 }
 
 Duration UpstreamPool::getLatency() const
@@ -228,7 +230,7 @@
     this->numOpening--;
     held->isOpening = false;
     this->backoff = Duration(0);
-    this->avoidUntil = TimePoint();
+    this->isSuspect = false;
     held->isIdle = true;
     held->since = this->surroundings.clock.now();
     if (this->links.size() > this->share)
@@ -258,7 +260,8 @@
         return this->setQueueTimer();
     }
     this->backoff = std::clamp<Duration>(this->backoff * 2, firstBackoff, longestBackoff);
-    this->avoidUntil = now + this->backoff;
+    this->isSuspect = true;
+    this->probeAt = now + this->backoff;
     logEvent(events::upstreamUnreachable, "upstream=" + this->upstream.id.toString() + " group=" + this->upstream.group.toString() + " reason=\"" + reason + "\" again_in_ms=" + std::to_string(this->backoff.count() / 1000));
     this->denyAll(Denial::Unreachable);
     this->surroundings.listener.onUpstreamUnreachable(this->upstream, trouble);
@@ -337,7 +340,7 @@
 void UpstreamPool::openIfNeeded()
 {
     std::size_t numWaiting = this->grants.size();
-    bool isHeldBack = this->isAvoided() || this->surroundings.clock.now() < this->fullUntil;
+    bool isHeldBack = this->isSuspect || this->surroundings.clock.now() < this->fullUntil;
     if (isHeldBack || this->numOpening >= numWaiting || this->links.size() >= this->ceiling)
         return;
     this->openOne();
--- a/src/traffic/UpstreamPool.h
+++ b/src/traffic/UpstreamPool.h
@@ -90,6 +90,9 @@
     /// @returns an idle connection to ask something that takes no slot, or nullptr
     UpstreamLink* findIdle() const;
 
+    /// Looks, from time to time, whether an upstream that could not be reached can be now.
+    void probeIfDue();
+
     /// Opens a connection ahead of need, or to see whether the upstream can be reached.
     void openOne();
 
@@ -102,8 +105,8 @@
     /// Closes everything. Claims that wait are denied.
     void close();
 
-    /// @returns whether opening a connection failed a moment ago
-    bool isAvoided() const;
+    /// @returns whether the last attempt to open a connection failed
+    bool isAvoided() const { return this->isSuspect; }
 
     /// @returns the usual time from a grant to the end of a statement
     Duration getLatency() const;
@@ -150,7 +153,10 @@
     std::size_t numOpening = 0;
     std::size_t share = 1;
     std::size_t ceiling = 1;
-    TimePoint avoidUntil;
+    /// The upstream could not be reached. Until it can, nothing waits for it, and from time to time a
+    /// connection is opened ahead of need.
+    bool isSuspect = false;
+    TimePoint probeAt;
     TimePoint fullUntil;
     Duration backoff { 0 };
     Duration meanLatency;
