Retire instances that do not answer, and keep one order for the duty

Two instances took the duty over for two groups within 0.2 s, since each group had an order of its own; the second disturbed the first, and then had to wait for the former holder's turn to be over. A machine that had been replaced for good still counted in the vote (6 answers of 11) and was waited for in each change of primary. Ruled out: removing the registration of silent instances: one that is cut off but alive would come back with a permit that nobody asks it for.

Change: the lead record names the instances that did not answer; a retired instance gets no permit until it has removed itself there, so it is waited for only as long as an old permit of it may last. One order for the duty; a report goes to the new holder when the holder changed meanwhile; a vote ends when it is won; 150 ms for other instances, 300 ms to open a connection. Tests: PermitBook aRetiredInstanceGetsNoPermit.

--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -53,6 +53,7 @@
     constexpr LogEvent permitRegained { 412, LogLevel::Information, "permit_regained", "Who leads is confirmed again." };
     constexpr LogEvent failoverStep { 413, LogLevel::Information, "failover_step", "The replacement of a primary reached another step." };
     constexpr LogEvent failoverAbandoned { 414, LogLevel::Warning, "failover_abandoned", "Another instance holds the duty to replace primaries." };
+    constexpr LogEvent instanceReturned { 415, LogLevel::Information, "instance_returned", "This instance had been silent and asks for permits again." };
     constexpr LogEvent gateOpened { 500, LogLevel::Information, "gate_opened", "This instance became the gate of an upstream." };
     constexpr LogEvent gateClosed { 501, LogLevel::Information, "gate_closed", "This instance is no longer the gate of an upstream." };
     constexpr LogEvent connectionDiscarded { 510, LogLevel::Warning, "connection_discarded", "A connection of unknown state was closed." };
--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -75,6 +75,9 @@
     /// An instance took note of the change.
     void onInstanceStopped(const InstanceId& instance);
 
+    /// @returns the instances that have not answered so far
+    std::set<InstanceId> getSilentInstances() const { return this->awaited.value_or(std::set<InstanceId>()); }
+
     /// An upstream answered.
     void onStatus(const UpstreamId& upstream, const LeadStatus& status);
 
--- a/include/lentiljunction/leadership/LeadRecord.h
+++ b/include/lentiljunction/leadership/LeadRecord.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace lentiljunction {
@@ -41,6 +42,9 @@
     /// Grows with each holder.
     FencingToken epoch;
     std::map<GroupId, GroupLead> groups;
+    /// Instances that did not answer the holder. They get no permit until they have removed themselves
+    /// from here, so nobody has to wait for them.
+    std::set<InstanceId> retired;
     /// Drawn anew for each write, so that a write whose answer was lost can be recognised.
     std::string nonce;
 
--- a/include/lentiljunction/leadership/PermitBook.h
+++ b/include/lentiljunction/leadership/PermitBook.h
@@ -21,6 +21,12 @@
 /// @see LeadView
 class PermitBook {
 public:
+    /// @param self this instance, which gets no permit while the record has it as retired
+    explicit PermitBook(InstanceId self)
+        : self(std::move(self))
+    {
+    }
+
     /// Notes what a linearizable read, or a conditional write, gave.
     ///
     /// @param sentAt when the call was sent
@@ -37,12 +43,16 @@
     /// @returns how long the permit is valid, zero when it has run out
     Duration getRemaining(BootTime now) const;
 
+    /// @returns whether this instance has to remove itself from the retired ones
+    bool isRetired() const;
+
     /// @returns the belief
     const LeadView& getView() const { return this->view; }
 
 private:
     bool take(const VersionedLead& lead, BootTime permitEnd);
 
+    InstanceId self;
     LeadView view;
 };
 
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -97,6 +97,7 @@
         events::permitRegained,
         events::failoverStep,
         events::failoverAbandoned,
+        events::instanceReturned,
         events::gateOpened,
         events::gateClosed,
         events::connectionDiscarded,
--- a/src/gateway/FailoverDriver.cpp
+++ b/src/gateway/FailoverDriver.cpp
@@ -151,9 +151,11 @@
 {
     GroupId group = run.failover.getGroup();
     LeadStatus status = run.failover.getNewStatus();
-    LeadWriter::Change change = [this, group, primary, status](LeadRecord& record) {
+    std::set<InstanceId> silent = run.failover.getSilentInstances();
+    LeadWriter::Change change = [this, group, primary, status, silent](LeadRecord& record) {
         if (record.holder != this->parts.self)
             return false;
+        record.retired.insert(silent.begin(), silent.end());
         GroupLead& lead = record.groups[group];
         // The write may have been done already and its answer lost.
         if (lead.phase == LeadPhase::Changing)
@@ -193,8 +195,10 @@
             return;
         }
         std::set<InstanceId> awaited { this->parts.self };
-        for (const FleetMember& member : *members)
-            awaited.insert(member.id);
+        for (const FleetMember& member : *members) {
+            if (!this->parts.surroundings.isLongRetired(member.id))
+                awaited.insert(member.id);
+        }
         current->failover.onInstancesKnown(awaited);
         this->parts.surroundings.confirmTraffic([this, group] {
             if (Run* confirmed = this->find(group))
--- a/src/gateway/FailoverDriver.h
+++ b/src/gateway/FailoverDriver.h
@@ -33,6 +33,9 @@
         /// @returns whether this instance may act on the duty if it holds it
         virtual bool mayAct() const = 0;
 
+        /// @returns whether an instance is retired for so long that no permit of it can be left
+        virtual bool isLongRetired(const InstanceId& instance) const = 0;
+
         /// Calls back once the traffic thread goes by the belief in force.
         virtual void confirmTraffic(std::function<void()> callback) = 0;
     };
--- a/src/gateway/FleetControl.cpp
+++ b/src/gateway/FleetControl.cpp
@@ -22,7 +22,7 @@
     constexpr std::chrono::milliseconds upstreamInterval { 1000 };
     constexpr std::chrono::milliseconds memberInterval { 3000 };
     /// For an answer of another instance: some round trips between availability zones.
-    constexpr std::chrono::milliseconds peerLimit { 250 };
+    constexpr std::chrono::milliseconds peerLimit { 150 };
     /// A change of primary that is not over by then has lost its holder.
     constexpr std::chrono::milliseconds stuckLimit { 3500 };
     /// A holder whose last answer of the store is older is taken to be cut off from it.
@@ -34,6 +34,9 @@
     /// Between the instances that may take the duty over, so that the first is usually alone.
     constexpr std::chrono::milliseconds takeoverStep { 150 };
 
+    /// What instances are ordered by for the duty to replace primaries.
+    const std::string dutyName = "duty";
+
     std::int64_t toMilliseconds(Duration duration)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -48,6 +51,7 @@
     , writer(parts.store, parts.controlLoop, parts.clock, settings.instance, *this)
     , commander(parts.controlLoop, parts.clock, parts.protocol, settings.instance)
     , failovers({ parts.controlLoop, parts.clock, parts.store, this->peers, this->writer, this->commander, *this, settings.instance })
+    , permits(settings.instance)
     , turn(settings.instance)
 {
 }
@@ -120,7 +124,7 @@
 {
     LeadView view = this->permits.getView();
     if (view.lead.record != nullptr)
-        this->turn.onRecord(*view.lead.record, view.lead.revision, this->parts.clock.bootNow());
+        this->noteRetired();
     bool isPermitted = view.isPermitted(this->parts.clock.bootNow());
     if (isPermitted != this->wasPermitted)
         logEvent(isPermitted ? events::permitRegained : events::permitLost, "lead_revision=" + std::to_string(view.lead.revision.value()));
@@ -137,6 +141,45 @@
     this->checkStuckChanges();
 }
 
+void FleetControl::noteRetired()
+{
+    const VersionedLead& lead = this->permits.getView().lead;
+    BootTime now = this->parts.clock.bootNow();
+    this->turn.onRecord(*lead.record, lead.revision, now);
+    for (std::map<InstanceId, BootTime>::iterator known = this->retiredSince.begin(); known != this->retiredSince.end();)
+        known = lead.record->retired.count(known->first) > 0 ? std::next(known) : this->retiredSince.erase(known);
+    for (const InstanceId& instance : lead.record->retired)
+        this->retiredSince.emplace(instance, now);
+    if (this->permits.isRetired())
+        this->returnToService();
+}
+
+void FleetControl::returnToService()
+{
+    if (std::exchange(this->isReturning, true))
+        return;
+    this->writer.submit([this](LeadRecord& record) { return record.retired.erase(this->settings.instance) > 0; }, [this](bool isWritten, BootTime) {
+        this->isReturning = false;
+        logEvent(events::instanceReturned, "written=" + std::to_string(isWritten) + " lead_revision=" + std::to_string(this->permits.getView().lead.revision.value()));
+    });
+}
+
+bool FleetControl::isLongRetired(const InstanceId& instance) const
+{
+    std::map<InstanceId, BootTime>::const_iterator since = this->retiredSince.find(instance);
+    return since != this->retiredSince.end() && this->parts.clock.bootNow() - since->second >= permitSpan + permitMargin;
+}
+
+std::vector<FleetMember> FleetControl::listActiveMembers() const
+{
+    std::vector<FleetMember> active;
+    for (const std::pair<const InstanceId, FleetMember>& member : this->members) {
+        if (this->retiredSince.count(member.first) == 0)
+            active.push_back(member.second);
+    }
+    return active;
+}
+
 void FleetControl::confirmTraffic(std::function<void()> callback)
 {
     // Tasks run in order, so the belief that was posted before is in force when this one runs.
@@ -285,7 +328,7 @@
         // After its own restart a holder has forgotten the change that it began.
         if (view.lead.record->holder == this->settings.instance)
             this->failovers.start(group.first, group.second.primary, false, "resumed after a restart");
-        else if (now - since.second >= stuckLimit + this->getTakeoverDelay(group.first))
+        else if (now - since.second >= stuckLimit + this->getTakeoverDelay())
             this->takeOver(group.first, group.second.primary, true);
     }
 }
@@ -317,22 +360,27 @@
     });
 }
 
-Duration FleetControl::getTakeoverDelay(const GroupId& group) const
+Duration FleetControl::getTakeoverDelay() const
 {
-    // The instances go one after the other, in an order of their own for each group.
-    std::uint64_t own = rendezvousScore(group.toString(), this->settings.instance.toString());
-    std::ptrdiff_t order = std::count_if(this->members.begin(), this->members.end(), [&](const std::pair<const InstanceId, FleetMember>& member) {
-        return rendezvousScore(group.toString(), member.first.toString()) > own;
+    // One order for all groups: the duty is one, and two that take it for two groups disturb each other.
+    std::uint64_t own = rendezvousScore(dutyName, this->settings.instance.toString());
+    std::vector<FleetMember> active = this->listActiveMembers();
+    std::ptrdiff_t order = std::count_if(active.begin(), active.end(), [own](const FleetMember& member) {
+        return rendezvousScore(dutyName, member.id.toString()) > own;
     });
     return takeoverStep * static_cast<int>(order);
 }
 
 void FleetControl::onHolderSilent(const GroupId& group, const UpstreamId& primary, bool isLeaving)
 {
-    this->parts.controlLoop.schedule(this->getTakeoverDelay(group), [this, group, primary, isLeaving] {
+    InstanceId silent = this->permits.getView().lead.record->holder;
+    this->parts.controlLoop.schedule(this->getTakeoverDelay(), [this, group, primary, isLeaving, silent] {
         std::optional<Leader> leader = this->permits.getView().findLeader(group, *this->upstreams.getList());
-        if (leader && leader->upstream == primary)
-            this->takeOver(group, primary, isLeaving);
+        if (!leader || leader->upstream != primary)
+            return;
+        if (this->permits.getView().lead.record->holder != silent)
+            return this->reportTrouble(group, primary, isLeaving);
+        this->takeOver(group, primary, isLeaving);
     });
 }
 
@@ -341,8 +389,11 @@
     bool hasStore = this->parts.clock.bootNow() - this->storeAnsweredAt < storeContactLimit;
     if (!hasStore || this->failovers.isActive(group) || this->failovers.isUnfit() || !this->votes.insert(group).second)
         return;
-    this->holdVote(group, primary, [this, group, primary, isLeaving](const TakeoverVote& vote) {
+    InstanceId former = this->permits.getView().lead.record->holder;
+    this->holdVote(group, primary, [this, group, primary, isLeaving, former](const TakeoverVote& vote) {
         this->votes.erase(group);
+        if (this->permits.getView().lead.record->holder != former)
+            return;
         logEvent(events::primarySuspected, "group=" + group.toString() + " primary=" + primary.toString() + " answers=" + std::to_string(vote.getNumAnswers()) + " agreeing=" + std::to_string(vote.getNumAgreeing()) + " instances=" + std::to_string(this->members.size()) + " take_over=" + std::to_string(vote.isWon()));
         if (vote.isWon())
             this->failovers.start(group, primary, isLeaving && this->upstreams.getList()->find(primary) != nullptr, "its holder is silent");
@@ -351,17 +402,26 @@
 
 void FleetControl::holdVote(const GroupId& group, const UpstreamId& primary, std::function<void(const TakeoverVote& vote)> callback)
 {
-    std::shared_ptr<TakeoverVote> vote = std::make_shared<TakeoverVote>(std::max<std::size_t>(1, this->members.size()));
+    std::vector<FleetMember> active = this->listActiveMembers();
+    std::shared_ptr<TakeoverVote> vote = std::make_shared<TakeoverVote>(std::max<std::size_t>(1, active.size()));
+    std::shared_ptr<std::function<void(const TakeoverVote&)>> pending = std::make_shared<std::function<void(const TakeoverVote&)>>(std::move(callback));
+    auto close = [vote, pending] {
+        std::function<void(const TakeoverVote&)> done = std::exchange(*pending, nullptr);
+        if (done)
+            done(*vote);
+    };
     nlohmann::json question { { "ask", "opinion" }, { "group", group.toString() }, { "primary", primary.toString() } };
-    for (const std::pair<const InstanceId, FleetMember>& member : this->members) {
-        if (member.first == this->settings.instance)
+    for (const FleetMember& member : active) {
+        if (member.id == this->settings.instance)
             continue;
-        this->peers.ask(member.second.peers, question, peerLimit, [vote](const std::optional<nlohmann::json>& answer) {
+        this->peers.ask(member.peers, question, peerLimit, [vote, close](const std::optional<nlohmann::json>& answer) {
             if (answer && answer->is_object())
                 vote->onAnswer(answer->value("has_lost", false));
+            if (vote->isWon())
+                close();
         });
     }
-    this->parts.controlLoop.schedule(peerLimit + voteSlack, [vote, callback = std::move(callback)] { callback(*vote); });
+    this->parts.controlLoop.schedule(peerLimit + voteSlack, close);
 }
 
 bool FleetControl::hasLost(const GroupId& group, const UpstreamId& primary) const
@@ -384,7 +444,7 @@
 
     TimePoint now = this->parts.clock.now();
     this->suspicions.report(primary, reporter, now);
-    bool mustReplace = this->suspicions.mustReplace(primary, this->members.size(), now);
+    bool mustReplace = this->suspicions.mustReplace(primary, this->listActiveMembers().size(), now);
     logEvent(events::primarySuspected, "group=" + group.toString() + " primary=" + primary.toString() + " reporter=" + reporter.toString() + " reporters=" + std::to_string(this->suspicions.countReporters(primary, now)) + " instances=" + std::to_string(this->members.size()) + " replace=" + std::to_string(mustReplace));
     if (!mustReplace)
         return;
--- a/src/gateway/FleetControl.h
+++ b/src/gateway/FleetControl.h
@@ -55,6 +55,7 @@
     const UpstreamList& getUpstreamList() const override { return *this->upstreams.getList(); }
     const PermitBook& getPermits() const override { return this->permits; }
     bool mayAct() const override { return this->turn.mayAct(this->parts.clock.bootNow()); }
+    bool isLongRetired(const InstanceId& instance) const override;
     void confirmTraffic(std::function<void()> callback) override;
 
     void registerSelf();
@@ -77,7 +78,10 @@
     void holdVote(const GroupId& group, const UpstreamId& primary, std::function<void(const TakeoverVote& vote)> callback);
     void takeOver(const GroupId& group, const UpstreamId& primary, bool isLeaving);
     bool hasLost(const GroupId& group, const UpstreamId& primary) const;
-    Duration getTakeoverDelay(const GroupId& group) const;
+    Duration getTakeoverDelay() const;
+    std::vector<FleetMember> listActiveMembers() const;
+    void noteRetired();
+    void returnToService();
     void onSuspect(const nlohmann::json& question, const PeerExchange::Responder& respond);
     nlohmann::json makeBeliefAnswer() const;
     void onTakeLead(const nlohmann::json& question, const PeerExchange::Responder& respond);
@@ -96,6 +100,9 @@
     StoreVersion routesRevision;
     std::map<InstanceId, FleetMember> members;
     DutyTurn turn;
+    /// Since when this instance knows of each retired one.
+    std::map<InstanceId, BootTime> retiredSince;
+    bool isReturning = false;
     /// A change under way, by the epoch of its holder.
     std::map<GroupId, std::pair<FencingToken, TimePoint>> changingSince;
     std::set<GroupId> votes;
--- a/src/leadership/LeadCodec.cpp
+++ b/src/leadership/LeadCodec.cpp
@@ -44,7 +44,10 @@
             { "term", lead.term.value() },
         };
     }
-    return { { "holder", record.holder.toString() }, { "epoch", record.epoch.value() }, { "nonce", record.nonce }, { "groups", groups } };
+    nlohmann::json retired = nlohmann::json::array();
+    for (const InstanceId& instance : record.retired)
+        retired.push_back(instance.toString());
+    return { { "holder", record.holder.toString() }, { "epoch", record.epoch.value() }, { "nonce", record.nonce }, { "groups", groups }, { "retired", retired } };
 }
 
 std::optional<LeadRecord> decodeLeadRecord(const nlohmann::json& document, Failure& failure)
@@ -55,6 +58,8 @@
     record.holder = InstanceId(fields.getText("holder"));
     record.epoch = FencingToken(static_cast<std::uint64_t>(fields.getInteger("epoch", 0, noLimit)));
     record.nonce = fields.getText("nonce");
+    for (const std::string& instance : fields.getTexts("retired"))
+        record.retired.insert(InstanceId(instance));
     const nlohmann::json& groups = fields.getValue("groups");
     if (!groups.is_object())
         fields.addFault("groups", "must be an object");
--- a/src/leadership/PermitBook.cpp
+++ b/src/leadership/PermitBook.cpp
@@ -33,7 +33,16 @@
     bool isNewer = this->view.lead.record == nullptr || this->view.lead.revision < lead.revision;
     if (isNewer)
         this->view.lead = lead;
+    // Nobody waits for a retired instance any more.
+    if (this->isRetired())
+        this->view.permitEnd = BootTime();
     return isNewer;
 }
 
+bool PermitBook::isRetired() const
+{
+    const LeadRecord* record = this->view.lead.record.get();
+    return record != nullptr && record->retired.count(this->self) > 0;
+}
+
 } // namespace lentiljunction
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     /// An upstream answers the start of a connection within a few tens of milliseconds.
-    constexpr std::chrono::milliseconds openLimit { 400 };
+    constexpr std::chrono::milliseconds openLimit { 300 };
     /// Statements end by their own deadlines; this is for the proxy's own questions, whose answers may
     /// be lost like any other.
     constexpr std::chrono::milliseconds answerLimit { 2500 };
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -167,7 +167,7 @@
 {
     bool isSound = rc::check("one primary", [] {
         ManualClock clock;
-        PermitBook permits;
+        PermitBook permits { InstanceId("one") };
         Failover failover(GroupId("g"), UpstreamId("old"), { UpstreamId("new") }, false, Term(1), clock.now());
         failover.takeActions(clock.bootNow(), clock.now());
         std::shared_ptr<LeadRecord> stable = std::make_shared<LeadRecord>();
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -123,7 +123,7 @@
 TEST_GROUP(PermitBook)
 {
     ManualClock clock;
-    PermitBook permits;
+    PermitBook permits { InstanceId("one") };
 
     VersionedLead lead(std::uint64_t revision) { return { std::make_shared<LeadRecord>(), StoreVersion(revision) }; }
 };
@@ -166,6 +166,20 @@
     CHECK_EQUAL(6, permits.getView().lead.revision.value());
 }
 
+TEST(PermitBook, aRetiredInstanceGetsNoPermit)
+{
+    std::shared_ptr<LeadRecord> record = std::make_shared<LeadRecord>();
+    record->retired.insert(InstanceId("one"));
+    permits.onStoreAnswer(lead(3), clock.bootNow());
+    permits.onStoreAnswer({ record, StoreVersion(4) }, clock.bootNow());
+    CHECK_TRUE(permits.isRetired());
+    CHECK_FALSE(permits.getView().isPermitted(clock.bootNow()));
+    permits.onPeerAnswer({ record, StoreVersion(4) }, permitSpan, clock.bootNow());
+    CHECK_FALSE(permits.getView().isPermitted(clock.bootNow()));
+    permits.onStoreAnswer(lead(5), clock.bootNow());
+    CHECK_TRUE(permits.getView().isPermitted(clock.bootNow()));
+}
+
 TEST_GROUP(SuspicionLedger)
 {
     ManualClock clock;
@@ -316,7 +330,7 @@
 
 TEST(LeadView, aRecordSurvivesItsEncoding)
 {
-    LeadRecord record { InstanceId("one"), FencingToken(4), {}, "n" };
+    LeadRecord record { InstanceId("one"), FencingToken(4), {}, { InstanceId("two") }, "n" };
     record.groups[GroupId("g")] = { LeadPhase::Changing, UpstreamId("b"), 7, { Term(3), Position(12) }, Term(3) };
     Failure failure;
     std::optional<LeadRecord> decoded = decodeLeadRecord(encodeLeadRecord(record), failure);
