Keep proofs of age through a promotion, cut at the fork

Ruled out: load of the group before the crash. Change: what was acknowledged before a promotion and survived it is at or before the head with which the new primary began, so older proofs stay valid up to there. The test that dropped them in the same case (aNewPrimaryMakesOlderProofsVoid) still holds where the fork is not known; two tests are added for the case where it is, one of them for reigns further back.

--- a/src/traffic/PositionProofs.cpp
+++ b/src/traffic/PositionProofs.cpp
@@ -13,6 +13,18 @@
 
 } // namespace
 
+void PositionProofs::onNewPrimary(const GroupId& group, std::uint64_t generation, LogPoint baseline)
+{
+    History& history = this->histories[group];
+    if (generation <= history.generation)
+        return;
+    if (generation > history.generation + 1)
+        history.proofs.clear();
+    history.generation = generation;
+    for (Proof& proof : history.proofs)
+        proof.head = std::min(proof.head, baseline);
+}
+
 void PositionProofs::add(const GroupId& group, std::uint64_t generation, BootTime askedAt, LogPoint head)
 {
     History& history = this->histories[group];
--- a/src/traffic/PositionProofs.h
+++ b/src/traffic/PositionProofs.h
@@ -18,10 +18,18 @@
 /// Times are on the clock that counts suspensions. Not thread-safe; the traffic thread owns it.
 class PositionProofs {
 public:
+    /// Takes note that a group has a new primary.
+    ///
+    /// Whatever was acknowledged before and survived is at or before the head with which it began, so
+    /// proofs from the reign before stay valid up to there. Those from earlier reigns are dropped.
+    ///
+    /// @param baseline the head of the new primary's log when it took the lead
+    void onNewPrimary(const GroupId& group, std::uint64_t generation, LogPoint baseline);
+
     /// Notes the head of a primary's log.
     ///
     /// @param askedAt when the question was sent, under a permit that was valid when the answer came
-    /// @param generation that of the primary; a newer one makes older proofs void
+    /// @param generation that of the primary
     void add(const GroupId& group, std::uint64_t generation, BootTime askedAt, LogPoint head);
 
     /// @param notBefore the proof must cover every commit acknowledged before this moment
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -62,6 +62,8 @@
         Reign& reign = this->reigns[group.first];
         if (reign.generation != group.second.generation)
             reign = { group.second.generation, this->getClock().bootNow() };
+        if (group.second.phase == LeadPhase::Stable)
+            this->proofs.onNewPrimary(group.first, group.second.generation, group.second.baseline);
     }
 }
 
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -61,6 +61,23 @@
     CHECK(proofs.findRequired(group, 1, clock.bootNow()) == point(3));
 }
 
+TEST(PositionProofs, proofsFromBeforeAPromotionAreCutAtTheFork)
+{
+    BootTime begin = clock.bootNow();
+    proofs.add(group, 0, begin, point(5));
+    proofs.add(group, 0, begin + std::chrono::milliseconds(100), point(9));
+    proofs.onNewPrimary(group, 1, point(7));
+    CHECK(proofs.findRequired(group, 1, begin) == point(5));
+    CHECK(proofs.findRequired(group, 1, begin + std::chrono::milliseconds(50)) == point(7));
+}
+
+TEST(PositionProofs, proofsFromTwoReignsAgoAreDropped)
+{
+    proofs.add(group, 0, clock.bootNow(), point(5));
+    proofs.onNewPrimary(group, 2, point(7));
+    CHECK_FALSE(proofs.findRequired(group, 2, clock.bootNow()).has_value());
+}
+
 TEST_GROUP(ReadPlanner) {};
 
 TEST(ReadPlanner, aNearReplicaGoesBeforeAFarOneAndThePrimary)
