Let one instance of each zone read the lead record

Cause: each instance read the record twice a second; 279 store calls in 10 s at rest, and at 2,100 instances more than the store takes. Ruled out: watching it (a watch tells nothing while nothing changes, so it proves no permit). Change: one instance of each zone, and the holder of the duty, read it every 0.4 s; the others ask the zone's reader, and the store when it does not answer or has less than 0.8 s to give.

--- a/src/gateway/FleetControl.cpp
+++ b/src/gateway/FleetControl.cpp
@@ -12,7 +12,11 @@
 namespace {
 
     /// Three tries fit into a permit, so one lost answer is not noticed.
-    constexpr std::chrono::milliseconds leadInterval { 500 };
+    constexpr std::chrono::milliseconds leadInterval { 400 };
+    /// One instance of each zone reads the record from the store, and the others ask it. What it hands
+    /// on must last until the next time; else the store is asked.
+    constexpr std::chrono::milliseconds leastRelayedPermit { 800 };
+    constexpr std::chrono::milliseconds readerAvoidance { 2000 };
     /// After a call to the store failed.
     constexpr std::chrono::milliseconds retryInterval { 200 };
     /// A watch is renewed this often: an open connection may be silent for good, and a new
@@ -74,12 +78,59 @@
 {
     this->parts.store.registerMember({ this->settings.instance, this->settings.zone, this->settings.peers }, [this](const std::optional<bool>& isDone, const Failure& failure) {
         if (isDone)
-            return this->readLead();
+            return this->renewLead();
         logEvent(events::storeCallFailed, "call=register reason=\"" + failure.reason + "\"");
         this->parts.controlLoop.schedule(retryInterval, [this] { this->registerSelf(); });
     });
 }
 
+std::optional<FleetMember> FleetControl::findZoneReader() const
+{
+    const VersionedLead& lead = this->permits.getView().lead;
+    // The holder acts on what it reads, so it reads itself.
+    if (lead.record == nullptr || lead.record->holder == this->settings.instance)
+        return std::nullopt;
+    std::optional<FleetMember> reader;
+    std::uint64_t best = 0;
+    for (const FleetMember& member : this->listActiveMembers()) {
+        std::uint64_t score = rendezvousScore(this->settings.zone.toString(), member.id.toString());
+        if (member.zone != this->settings.zone || score < best)
+            continue;
+        best = score;
+        reader = member;
+    }
+    if (reader && reader->id == this->settings.instance)
+        return std::nullopt;
+    return reader;
+}
+
+void FleetControl::scheduleRenewal(Duration delay)
+{
+    if (std::exchange(this->isRenewalScheduled, true))
+        return;
+    this->parts.controlLoop.schedule(delay, [this] {
+        this->isRenewalScheduled = false;
+        this->renewLead();
+    });
+}
+
+void FleetControl::renewLead()
+{
+    std::optional<FleetMember> reader = this->findZoneReader();
+    if (!reader || this->parts.clock.now() < this->readerAvoidedUntil)
+        return this->readLead();
+    BootTime sentAt = this->parts.clock.bootNow();
+    this->peers.ask(reader->peers, { { "ask", "beliefs" } }, peerLimit, [this, sentAt](const std::optional<nlohmann::json>& answer) {
+        if (answer)
+            this->onPeerBelief(*answer, sentAt);
+        else
+            this->readerAvoidedUntil = this->parts.clock.now() + readerAvoidance;
+        if (!answer || this->permits.getRemaining(this->parts.clock.bootNow()) < leastRelayedPermit)
+            return this->readLead();
+        this->scheduleRenewal(leadInterval);
+    });
+}
+
 void FleetControl::readLead()
 {
     BootTime sentAt = this->parts.clock.bootNow();
@@ -98,7 +149,7 @@
         this->askPeersForLead();
         this->publishLead(false);
     }
-    this->parts.controlLoop.schedule(lead ? leadInterval : retryInterval, [this] { this->readLead(); });
+    this->scheduleRenewal(lead ? leadInterval : retryInterval);
 }
 
 void FleetControl::createLead()
@@ -374,6 +425,8 @@
 void FleetControl::onHolderSilent(const GroupId& group, const UpstreamId& primary, bool isLeaving)
 {
     InstanceId silent = this->permits.getView().lead.record->holder;
+    // Whoever takes the duty over needs the store, and the newest record.
+    this->readLead();
     this->parts.controlLoop.schedule(this->getTakeoverDelay(), [this, group, primary, isLeaving, silent] {
         std::optional<Leader> leader = this->permits.getView().findLeader(group, *this->upstreams.getList());
         if (!leader || leader->upstream != primary)
--- a/src/gateway/FleetControl.h
+++ b/src/gateway/FleetControl.h
@@ -59,6 +59,9 @@
     void confirmTraffic(std::function<void()> callback) override;
 
     void registerSelf();
+    void renewLead();
+    void scheduleRenewal(Duration delay);
+    std::optional<FleetMember> findZoneReader() const;
     void readLead();
     void onLeadRead(const std::optional<VersionedLead>& lead, const Failure& failure, BootTime sentAt);
     void createLead();
@@ -109,6 +112,9 @@
     std::map<UpstreamId, TimePoint> unreachableAt;
     BootTime storeAnsweredAt;
     std::size_t nextPeer = 0;
+    /// The zone's reader did not answer; the store is asked directly until then.
+    TimePoint readerAvoidedUntil;
+    bool isRenewalScheduled = false;
     bool hasListedUpstreams = false;
     bool wasPermitted = false;
     std::atomic<bool> ready { false };
