Refuse at once what cannot be served before the primary is back

Ruled out: refusing all of them: a change of primary is over in 0.4 s to 1.3 s, so what arrives near its end can be served. Change: ChangeForecast learns how long primaries are missed; a statement waits only if the primary is expected back within its time, and the refusal says when to come again. Tests: ChangeForecast.

--- a/include/lentiljunction/leadership/lj_leadership.h
+++ b/include/lentiljunction/leadership/lj_leadership.h
@@ -4,6 +4,7 @@
 /// Module leadership: who leads each group, permits to rely on it, and the replacement of a primary.
 /// Depends on core, routes and session.
 
+#include "lentiljunction/leadership/ChangeForecast.h"
 #include "lentiljunction/leadership/DutyTurn.h"
 #include "lentiljunction/leadership/Failover.h"
 #include "lentiljunction/leadership/LeadCodec.h"
--- /dev/null
+++ b/src/leadership/ChangeForecast.cpp
@@ -0,0 +1,43 @@
+#include "lentiljunction/leadership/ChangeForecast.h"
+
+#include <algorithm>
+
+namespace lentiljunction {
+
+namespace {
+
+    constexpr double gapWeight = 0.3;
+    /// A longer gap was a cut or an outage, which says nothing about the next change.
+    constexpr std::chrono::milliseconds longestCounted { 2500 };
+    /// Shorter ones were no change of primary.
+    constexpr std::chrono::milliseconds shortestCounted { 200 };
+
+} // namespace
+
+void ChangeForecast::onLost(const GroupId& group, TimePoint now)
+{
+    this->lostSince.emplace(group, now);
+}
+
+void ChangeForecast::onUsable(const GroupId& group, TimePoint now)
+{
+    std::map<GroupId, TimePoint>::iterator lost = this->lostSince.find(group);
+    if (lost == this->lostSince.end())
+        return;
+    Duration gap = std::chrono::duration_cast<Duration>(now - lost->second);
+    this->lostSince.erase(lost);
+    if (gap < shortestCounted || gap > longestCounted)
+        return;
+    double mean = static_cast<double>(this->meanGap.count()) * (1 - gapWeight) + static_cast<double>(gap.count()) * gapWeight;
+    this->meanGap = Duration(static_cast<Duration::rep>(mean));
+}
+
+std::optional<TimePoint> ChangeForecast::getExpectedReturn(const GroupId& group) const
+{
+    std::map<GroupId, TimePoint>::const_iterator lost = this->lostSince.find(group);
+    if (lost == this->lostSince.end())
+        return std::nullopt;
+    return lost->second + this->meanGap;
+}
+
+} // namespace lentiljunction
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -142,13 +142,24 @@
 void StatementRun::waitForBeliefs()
 {
     this->lastTrouble = this->needsPrimary() ? "no primary may be used" : "no upstream has data that is proved fresh enough";
-    if (this->state.getClock().now() >= this->getHoldLimit())
+    if (this->needsPrimary())
+        this->state.notePrimary(this->request.need.route->group, false);
+    if (!this->isWaitWorthwhile())
         return this->conclude(AttemptEvent::NotSent, SessionReply(), false);
     this->isWaitingForBeliefs = true;
     this->request.need.tried.clear();
     this->timer.setTime(this->getHoldLimit());
 }
 
+bool StatementRun::isWaitWorthwhile() const
+{
+    TimePoint now = this->state.getClock().now();
+    if (now >= this->getHoldLimit())
+        return false;
+    std::optional<TimePoint> expected = this->state.getExpectedReturn(this->request.need.route->group);
+    return !expected || std::max(*expected, now) < this->getHoldLimit();
+}
+
 void StatementRun::onGranted(UpstreamLink* link, UpstreamPool::Denial denial)
 {
     if (link != nullptr) {
@@ -163,6 +174,8 @@
         return hasOther ? this->attempt() : this->conclude(AttemptEvent::NotSent, SessionReply(), false);
     }
     this->lastTrouble = "the upstream cannot be reached";
+    if (this->needsPrimary())
+        this->state.notePrimary(this->request.need.route->group, false);
     this->request.need.tried.insert(this->target.pool->getUpstream().id);
     this->retry();
 }
@@ -261,6 +274,8 @@
         this->dropLink();
         return this->conclude(AttemptEvent::LinkLost, SessionReply());
     }
+    if (this->held.leader && !provesNotRun(reply->code))
+        this->state.notePrimary(this->request.need.route->group, true);
     if (reply->head)
         this->state.onHead(this->held.link->getUpstream(), *reply->head, this->sentAt);
     AttemptEvent event = this->classify(*reply);
@@ -338,7 +353,7 @@
 
 void StatementRun::retry()
 {
-    if (!this->mayRetry())
+    if (!this->mayRetry() || (this->needsPrimary() && !this->isWaitWorthwhile()))
         return this->conclude(AttemptEvent::NotSent, SessionReply(), false);
     logEvent(events::statementRetried, "id=" + this->request.statement.id.toString() + " attempt=" + std::to_string(this->numSent) + " reason=\"" + this->lastTrouble + "\"");
     // Another replica can be asked at once; the primary needs a moment.
@@ -382,10 +397,19 @@
     SessionReply reply;
     reply.code = verdict.code;
     reply.state = verdict.state;
-    reply.message = this->lastTrouble;
+    reply.message = this->lastTrouble + this->describeReturn();
     this->finish(std::move(reply));
 }
 
+std::string StatementRun::describeReturn() const
+{
+    std::optional<TimePoint> expected = this->state.getExpectedReturn(this->request.need.route->group);
+    if (!expected || !this->needsPrimary())
+        return "";
+    Duration wait = std::max(Duration(0), std::chrono::duration_cast<Duration>(*expected - this->state.getClock().now()));
+    return ", again in " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(wait).count()) + " ms";
+}
+
 void StatementRun::deliver(SessionReply reply)
 {
     bool isOpen = this->request.kind.isInTransaction && reply.state != TransactionState::Idle;
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -88,8 +88,10 @@
     bool mayResend(AttemptEvent event, const SessionReply& reply) const;
     void retry();
     void waitForBeliefs();
+    bool isWaitWorthwhile() const;
     void onTimer();
     void answer(const ReplyVerdict& verdict);
+    std::string describeReturn() const;
     void deliver(SessionReply reply);
     void finish(SessionReply reply);
     void dropLink();
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -78,6 +78,14 @@
     return Target { this->findPool(leader->upstream), leader, std::nullopt };
 }
 
+void TrafficState::notePrimary(const GroupId& group, bool isUsable)
+{
+    if (isUsable)
+        this->forecast.onUsable(group, this->getClock().now());
+    else
+        this->forecast.onLost(group, this->getClock().now());
+}
+
 std::optional<Target> TrafficState::findForRead(const ReadNeed& need)
 {
     BootTime now = this->getClock().bootNow();
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -3,6 +3,7 @@
 #include "PositionProofs.h"
 #include "ReadPlanner.h"
 #include "UpstreamPool.h"
+#include "lentiljunction/leadership/ChangeForecast.h"
 #include "lentiljunction/leadership/LeadView.h"
 #include "lentiljunction/routes/RouteTable.h"
 
@@ -110,6 +111,12 @@
     EventLoop& getLoop() const { return this->surroundings.loop; }
     const Clock& getClock() const { return this->surroundings.clock; }
 
+    /// The primary of a group answers, or cannot be used any more.
+    void notePrimary(const GroupId& group, bool isUsable);
+
+    /// @returns when a missing primary is expected back, or nothing when none is missing
+    std::optional<TimePoint> getExpectedReturn(const GroupId& group) const { return this->forecast.getExpectedReturn(group); }
+
     /// @returns when the newest proof of a group's age was asked for, or nothing
     std::optional<BootTime> findNewestProof(const GroupId& group) const;
 
@@ -149,6 +156,7 @@
     std::map<UpstreamId, SeenHead> seenHeads;
     std::map<GroupId, Reign> reigns;
     PositionProofs proofs;
+    ChangeForecast forecast;
     EvidenceSource* evidence = nullptr;
     std::map<GroupId, Proof> leadProofs;
 };
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -261,6 +261,37 @@
     CHECK_FALSE(isLeadProved(follower, { follower, follower }));
 }
 
+TEST_GROUP(ChangeForecast)
+{
+    ManualClock clock;
+    ChangeForecast forecast;
+    GroupId group { "g" };
+};
+
+TEST(ChangeForecast, theGapsThatWereSeenAreExpectedAgain)
+{
+    CHECK_FALSE(forecast.getExpectedReturn(group).has_value());
+    for (int index = 0; index < 20; index++) {
+        forecast.onLost(group, clock.now());
+        clock.advance(std::chrono::milliseconds(400));
+        forecast.onUsable(group, clock.now());
+    }
+    forecast.onLost(group, clock.now());
+    Duration expected = std::chrono::duration_cast<Duration>(*forecast.getExpectedReturn(group) - clock.now());
+    CHECK(expected > std::chrono::milliseconds(390) && expected < std::chrono::milliseconds(420));
+}
+
+TEST(ChangeForecast, anOutageTeachesNothing)
+{
+    forecast.onLost(group, clock.now());
+    TimePoint before = *forecast.getExpectedReturn(group);
+    clock.advance(std::chrono::seconds(20));
+    CHECK(*forecast.getExpectedReturn(group) == before);
+    forecast.onUsable(group, clock.now());
+    forecast.onLost(group, clock.now());
+    CHECK(*forecast.getExpectedReturn(group) - clock.now() == std::chrono::milliseconds(900));
+}
+
 TEST_GROUP(DutyTurn)
 {
     ManualClock clock;
