Keep no idle connections where they are scarce; hand proofs of age on

Ruled out: slots (the upstreams were idle), processor time (0.7 % of a core each). Change: the share of an upstream's connections follows from the instances that are expected to use it, and may be none; a read stays where a connection is open; the zone's reader hands its proofs of age on with the lead record, counted from when they were asked for. Tests: ReadPlanner.aReadStaysWhereAConnectionIsOpen, PositionProofs.theNewestProofsCanBeHandedOn.

--- a/src/gateway/FleetControl.cpp
+++ b/src/gateway/FleetControl.cpp
@@ -121,10 +121,12 @@
         return this->readLead();
     BootTime sentAt = this->parts.clock.bootNow();
     this->peers.ask(reader->peers, { { "ask", "beliefs" } }, peerLimit, [this, sentAt](const std::optional<nlohmann::json>& answer) {
-        if (answer)
+        if (answer) {
             this->onPeerBelief(*answer, sentAt);
-        else
+            this->takeProofs(*answer, sentAt);
+        } else {
             this->readerAvoidedUntil = this->parts.clock.now() + readerAvoidance;
+        }
         if (!answer || this->permits.getRemaining(this->parts.clock.bootNow()) < leastRelayedPermit)
             return this->readLead();
         this->scheduleRenewal(leadInterval);
@@ -211,8 +213,7 @@
         return;
     this->writer.submit([this](LeadRecord& record) { return record.retired.erase(this->settings.instance) > 0; }, [this](bool isWritten, BootTime) {
         this->isReturning = false;
-        logEvent(events::instanceReturned, "written=" + std::to_string(isWritten) + " lead_revision=" + std::to_string(this->permits.getView().lead.revision.value()));
-    });
+        logEvent(events::instanceReturned, "written=" + std::to_string(isWritten) + " lead_revision=" + std::to_string(this->permits.getView().lead.revision.value())); });
 }
 
 bool FleetControl::isLongRetired(const InstanceId& instance) const
@@ -517,6 +518,41 @@
     };
 }
 
+void FleetControl::answerBeliefs(const PeerExchange::Responder& respond)
+{
+    this->parts.trafficLoop.post([this, respond] {
+        std::vector<PositionProofs::Newest> proofs = this->parts.traffic.listNewestProofs();
+        this->parts.controlLoop.post([this, respond, proofs = std::move(proofs)] {
+            nlohmann::json answer = this->makeBeliefAnswer();
+            BootTime now = this->parts.clock.bootNow();
+            answer["proofs"] = nlohmann::json::array();
+            for (const PositionProofs::Newest& proof : proofs) {
+                Duration age = std::chrono::duration_cast<Duration>(now - proof.askedAt);
+                answer["proofs"].push_back({ proof.group.toString(), proof.generation, age.count(), proof.head.term.value(), proof.head.position.value() });
+            }
+            respond(answer);
+        });
+    });
+}
+
+void FleetControl::takeProofs(const nlohmann::json& answer, BootTime sentAt)
+{
+    if (!answer.is_object() || !answer.contains("proofs") || !answer["proofs"].is_array())
+        return;
+    constexpr std::size_t numFields = 5;
+    std::vector<PositionProofs::Newest> proofs;
+    for (const nlohmann::json& proof : answer["proofs"]) {
+        bool isWhole = proof.is_array() && proof.size() == numFields && proof[0].is_string()
+            && std::all_of(proof.begin() + 1, proof.end(), [](const nlohmann::json& field) { return field.is_number_unsigned(); });
+        if (!isWhole)
+            return logEvent(events::peerMessageInvalid, "reason=\"a proof of age cannot be read\"");
+        // The answer was made after the question was sent, so this is no later than the proof's time.
+        BootTime askedAt = sentAt - Duration(proof[2].get<Duration::rep>());
+        proofs.push_back({ GroupId(proof[0].get<std::string>()), proof[1].get<std::uint64_t>(), askedAt, { Term(proof[3].get<std::uint64_t>()), Position(proof[4].get<std::uint64_t>()) } });
+    }
+    this->parts.trafficLoop.post([this, proofs = std::move(proofs)] { this->parts.traffic.takeProofs(proofs); });
+}
+
 void FleetControl::onTakeLead(const nlohmann::json& question, const PeerExchange::Responder& respond)
 {
     // The sender's permit was measured before its message travelled, so it may not be counted from now.
@@ -545,7 +581,7 @@
 {
     std::string ask = question.is_object() ? question.value("ask", "") : "";
     if (ask == "beliefs")
-        return respond(this->makeBeliefAnswer());
+        return this->answerBeliefs(respond);
     if (ask == "take_lead")
         return this->onTakeLead(question, respond);
     if (ask == "suspect")
--- a/src/gateway/FleetControl.h
+++ b/src/gateway/FleetControl.h
@@ -87,6 +87,8 @@
     void returnToService();
     void onSuspect(const nlohmann::json& question, const PeerExchange::Responder& respond);
     nlohmann::json makeBeliefAnswer() const;
+    void answerBeliefs(const PeerExchange::Responder& respond);
+    void takeProofs(const nlohmann::json& answer, BootTime sentAt);
     void onTakeLead(const nlohmann::json& question, const PeerExchange::Responder& respond);
     void updateReady();
 
--- a/src/traffic/PositionProofs.cpp
+++ b/src/traffic/PositionProofs.cpp
@@ -63,4 +63,15 @@
     return found->second.proofs.back().askedAt;
 }
 
+std::vector<PositionProofs::Newest> PositionProofs::listNewest() const
+{
+    std::vector<Newest> all;
+    for (const std::pair<const GroupId, History>& entry : this->histories) {
+        const std::deque<Proof>& proofs = entry.second.proofs;
+        if (!proofs.empty())
+            all.push_back({ entry.first, entry.second.generation, proofs.back().askedAt, proofs.back().head });
+    }
+    return all;
+}
+
 } // namespace lentiljunction
--- a/src/traffic/PositionProofs.h
+++ b/src/traffic/PositionProofs.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace lentiljunction {
 
@@ -18,6 +19,14 @@
 /// Times are on the clock that counts suspensions. Not thread-safe; the traffic thread owns it.
 class PositionProofs {
 public:
+    /// The newest proof of one group.
+    struct Newest {
+        GroupId group;
+        std::uint64_t generation = 0;
+        BootTime askedAt;
+        LogPoint head;
+    };
+
     /// Takes note that a group has a new primary.
     ///
     /// Whatever was acknowledged before and survived is at or before the head with which it began, so
@@ -39,6 +48,9 @@
     /// @returns when the newest proof was asked for, or nothing
     std::optional<BootTime> findNewest(const GroupId& group, std::uint64_t generation) const;
 
+    /// @returns the newest proof of each group, to be handed on to other instances
+    std::vector<Newest> listNewest() const;
+
 private:
     struct Proof {
         BootTime askedAt;
--- a/src/traffic/ReadPlanner.cpp
+++ b/src/traffic/ReadPlanner.cpp
@@ -11,6 +11,8 @@
     constexpr std::chrono::milliseconds primaryCharge { 12 };
     /// About what a crossing costs by its bytes against the worth of an answer some milliseconds sooner.
     constexpr std::chrono::milliseconds crossingCharge { 8 };
+    /// A new connection takes about this long, and a slot of the upstream meanwhile.
+    constexpr std::chrono::milliseconds openingCharge { 14 };
     /// What a read waits, or a second try costs, at a replica that was just seen behind.
     constexpr std::chrono::milliseconds behindCharge { 25 };
     /// A position seen longer ago says little: replicas follow within tens of milliseconds.
@@ -19,6 +21,8 @@
     Duration estimateFinish(const ReadCandidate& candidate, const std::optional<LogPoint>& required)
     {
         Duration estimate(static_cast<Duration::rep>(static_cast<double>(candidate.latency.count()) * (1 + candidate.load)));
+        if (!candidate.hasIdleConnection)
+            estimate += openingCharge;
         if (candidate.isPrimary)
             return estimate + primaryCharge + (candidate.isLocal ? Duration(0) : Duration(crossingCharge));
         if (!candidate.isLocal)
--- a/src/traffic/ReadPlanner.h
+++ b/src/traffic/ReadPlanner.h
@@ -14,6 +14,8 @@
     UpstreamId upstream;
     bool isLocal = false;
     bool isPrimary = false;
+    /// Whether a connection is open and free.
+    bool hasIdleConnection = true;
     /// The usual time from a grant to the answer.
     Duration latency { 0 };
     /// Statements under way and waiting, per slot.
@@ -27,7 +29,8 @@
 ///
 /// A replica that was just seen behind the required point is expected to take longer by its lag. The
 /// primary is charged a little, because writes have no other place to go; another availability zone
-/// is charged for the bytes that cross between zones.
+/// is charged for the bytes that cross between zones, and a connection that has to be opened first for
+/// what that takes. So an instance stays with few upstreams, and the upstreams with few connections.
 ///
 /// @param required the point that the log must reach, or nothing
 /// @returns the choice, or nothing without candidates
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -12,6 +12,8 @@
     /// The head of each primary's log is known at least this fresh. The shortest age that routes
     /// allow is several times as long, so replicas can serve such reads all the time.
     constexpr std::chrono::milliseconds proofInterval { 400 };
+    /// Proofs from another instance come twice within this time.
+    constexpr std::chrono::milliseconds relayedProofPatience { 1000 };
     /// A primary that leaves a question unanswered for so long is tried with a fresh connection.
     constexpr std::chrono::milliseconds overdueLimit { 300 };
 
@@ -133,6 +135,12 @@
     return all;
 }
 
+void TrafficPlane::takeProofs(const std::vector<PositionProofs::Newest>& proofs)
+{
+    this->state.takeProofs(proofs);
+    this->tellBeliefs();
+}
+
 void TrafficPlane::tellBeliefs()
 {
     for (SessionFlow* session : this->listSessions()) {
@@ -207,7 +215,9 @@
     if (!primary || primary->pool == nullptr)
         return;
     std::optional<BootTime> newest = this->state.findNewestProof(group);
-    if (newest && this->clock.bootNow() - *newest < proofInterval)
+    // Where connections are too scarce to keep one for this, another instance hands its proofs on.
+    Duration patience = primary->pool->mayKeepIdle() ? proofInterval : relayedProofPatience;
+    if (newest && this->clock.bootNow() - *newest < patience)
         return;
 
     std::shared_ptr<UpstreamPool> pool = primary->pool;
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -46,6 +46,12 @@
     /// Takes a longer permit for the belief in force.
     void extendPermit(const LeadView& view) { this->state.setLead(view); }
 
+    /// @returns the newest proof of age of each group, to be handed on to other instances
+    std::vector<PositionProofs::Newest> listNewestProofs() const { return this->state.listNewestProofs(); }
+
+    /// Takes proofs of age from another instance.
+    void takeProofs(const std::vector<PositionProofs::Newest>& proofs);
+
     /// Closes sessions as they become idle, and lets the others go on.
     void drain();
 
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -2,6 +2,8 @@
 
 #include "lentiljunction/core/LogEvents.h"
 
+#include <algorithm>
+
 namespace lentiljunction {
 
 namespace {
@@ -55,7 +57,11 @@
 
 void TrafficState::setLead(const LeadView& newer)
 {
+    bool isChanged = this->view.lead.revision != newer.lead.revision;
     this->view = newer;
+    if (isChanged)
+        for (const std::pair<const UpstreamId, std::shared_ptr<UpstreamPool>>& pool : this->pools)
+            this->applyShare(*pool.second);
     if (newer.lead.record == nullptr)
         return;
     for (const std::pair<const GroupId, GroupLead>& group : newer.lead.record->groups) {
@@ -104,7 +110,7 @@
         pool->probeIfDue();
         if (pool->isAvoided() || (!isPrimary && !isProved))
             continue;
-        ReadCandidate candidate { entry.first, entry.second.zone == this->zone, isPrimary, pool->getLatency(), pool->getLoad(), std::nullopt, Duration(0) };
+        ReadCandidate candidate { entry.first, entry.second.zone == this->zone, isPrimary, pool->findIdle() != nullptr, pool->getLatency(), pool->getLoad(), std::nullopt, Duration(0) };
         std::map<UpstreamId, SeenHead>::const_iterator seen = this->seenHeads.find(entry.first);
         if (seen != this->seenHeads.end()) {
             candidate.seenHead = seen->second.head;
@@ -212,7 +218,28 @@
         if (group != this->routes->groups.end() && group->second.maximumConnections > 0)
             maximum = group->second.maximumConnections;
     }
-    pool.setShare(maximum, this->numInstances);
+    pool.setShare(maximum, this->countUsers(pool.getUpstream()));
+}
+
+std::size_t TrafficState::countUsers(const UpstreamEntry& upstream) const
+{
+    // Each instance stays with one replica of a group where it can, and writes go to the primary.
+    std::optional<Leader> leader = this->view.findLeader(upstream.group, *this->upstreams);
+    if (!leader || leader->upstream == upstream.id)
+        return this->numInstances;
+    std::ptrdiff_t numReplicas = std::count_if(this->upstreams->entries.begin(), this->upstreams->entries.end(), [&](const std::pair<const UpstreamId, UpstreamEntry>& entry) {
+        return entry.second.group == upstream.group && entry.first != leader->upstream && !entry.second.isLeaving;
+    });
+    std::size_t divisor = static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, numReplicas));
+    return (this->numInstances + divisor - 1) / divisor;
+}
+
+void TrafficState::takeProofs(const std::vector<PositionProofs::Newest>& others)
+{
+    for (const PositionProofs::Newest& proof : others) {
+        if (proof.generation == this->view.getGeneration(proof.group))
+            this->proofs.add(proof.group, proof.generation, proof.askedAt, proof.head);
+    }
 }
 
 } // namespace lentiljunction
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -120,6 +120,12 @@
     /// @returns when the newest proof of a group's age was asked for, or nothing
     std::optional<BootTime> findNewestProof(const GroupId& group) const;
 
+    /// @returns the newest proof of age of each group
+    std::vector<PositionProofs::Newest> listNewestProofs() const { return this->proofs.listNewest(); }
+
+    /// Takes proofs of age from another instance.
+    void takeProofs(const std::vector<PositionProofs::Newest>& others);
+
     /// Breaks connections off that left a question unanswered for too long.
     void dropSilentLinks();
 
@@ -145,6 +151,7 @@
     bool mayUse(const GroupId& group, const Leader& leader) const;
     std::optional<LogPoint> findRequired(const ReadNeed& need, std::uint64_t generation, bool& isProved) const;
     void applyShare(UpstreamPool& pool) const;
+    std::size_t countUsers(const UpstreamEntry& upstream) const;
 
     UpstreamPool::Surroundings surroundings;
     ZoneId zone;
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -23,6 +23,8 @@
     constexpr std::chrono::milliseconds fullBackoff { 100 };
     /// A connection beyond the instance's share is closed when it was idle for this long.
     constexpr std::chrono::milliseconds surplusIdle { 500 };
+    /// The same where no connection may be kept: a statement that follows at once still finds it.
+    constexpr std::chrono::milliseconds scarceIdle { 120 };
     /// How often claims that wait are looked through for passed deadlines.
     constexpr std::chrono::milliseconds expiryInterval { 25 };
     /// Connections left for the checks of whoever replaces a primary.
@@ -63,11 +65,15 @@
         held.link->close();
 }
 
-void UpstreamPool::setShare(int maximumConnections, std::size_t numInstances)
+void UpstreamPool::setShare(int maximumConnections, std::size_t numUsers)
 {
     this->ceiling = static_cast<std::size_t>(std::max(1, maximumConnections - controlConnections));
-    // Half stays free, so that instances that start again find room beside connections that died silently.
-    this->share = std::max<std::size_t>(1, this->ceiling / (2 * std::max<std::size_t>(1, numInstances)));
+    // Half stays free, so that instances that start again find room beside connections that died
+    // silently. Where there are more instances than connections, none is kept.
+    std::size_t users = std::max<std::size_t>(1, numUsers);
+    this->share = this->ceiling / (2 * users);
+    if (this->share == 0 && users * 4 <= this->ceiling * 3)
+        this->share = 1;
 }
 
 UpstreamPool::Ticket UpstreamPool::claim(Rank rank, const CallerId& caller, TimePoint deadline, Grant grant)
@@ -107,7 +113,7 @@
     held->isIdle = true;
     held->since = this->surroundings.clock.now();
     if (this->links.size() > this->share)
-        this->trimTimer.setTimeAtLatest(held->since + surplusIdle);
+        this->trimTimer.setTimeAtLatest(held->since + this->getSurplusIdle());
     this->pump();
 }
 
@@ -234,7 +240,7 @@
     held->isIdle = true;
     held->since = this->surroundings.clock.now();
     if (this->links.size() > this->share)
-        this->trimTimer.setTimeAtLatest(held->since + surplusIdle);
+        this->trimTimer.setTimeAtLatest(held->since + this->getSurplusIdle());
     this->pump();
 }
 
@@ -369,6 +375,11 @@
     this->setQueueTimer();
 }
 
+Duration UpstreamPool::getSurplusIdle() const
+{
+    return this->share > 0 ? surplusIdle : scarceIdle;
+}
+
 void UpstreamPool::setQueueTimer()
 {
     if (!this->queue.isEmpty())
@@ -381,16 +392,16 @@
     std::optional<TimePoint> next;
     for (std::size_t index = 0; index < this->links.size() && this->links.size() > this->share;) {
         const Held& held = this->links[index];
-        if (held.isIdle && now - held.since >= surplusIdle && held.link->isQuiet()) {
+        if (held.isIdle && now - held.since >= this->getSurplusIdle() && held.link->isQuiet()) {
             this->remove(held.link.get());
             continue;
         }
         if (held.isIdle)
-            next = next ? std::min(*next, held.since + surplusIdle) : held.since + surplusIdle;
+            next = std::min(next.value_or(TimePoint::max()), TimePoint(held.since + this->getSurplusIdle()));
         index++;
     }
     if (next && this->links.size() > this->share)
-        this->trimTimer.setTimeAtLatest(std::max(*next, now + surplusIdle / 4));
+        this->trimTimer.setTimeAtLatest(std::max(*next, now + this->getSurplusIdle() / 4));
 }
 
 } // namespace lentiljunction
--- a/src/traffic/UpstreamPool.h
+++ b/src/traffic/UpstreamPool.h
@@ -59,7 +59,11 @@
     /// Takes the shares that follow from the number of instances.
     ///
     /// @param maximumConnections what the upstream accepts from all instances together
-    void setShare(int maximumConnections, std::size_t numInstances);
+    /// @param numUsers the instances that are expected to use it at one time
+    void setShare(int maximumConnections, std::size_t numUsers);
+
+    /// @returns whether this instance may keep a connection open while nothing needs it
+    bool mayKeepIdle() const { return this->share > 0; }
 
     /// Takes newer facts about the upstream.
     void setUpstream(const UpstreamEntry& newer) { this->upstream = newer; }
@@ -140,6 +144,7 @@
     void denyAll(Denial denial);
     void denyExpired();
     void setQueueTimer();
+    Duration getSurplusIdle() const;
     void trim();
 
     Surroundings surroundings;
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -23,7 +23,7 @@
 
 ReadCandidate candidate(const char* name, bool isLocal, bool isPrimary, std::chrono::milliseconds latency)
 {
-    return { UpstreamId(name), isLocal, isPrimary, latency, 0, std::nullopt, Duration(0) };
+    return { UpstreamId(name), isLocal, isPrimary, true, latency, 0, std::nullopt, Duration(0) };
 }
 
 std::shared_ptr<const RouteTable> tableOf(std::uint64_t version)
@@ -78,6 +78,16 @@
     CHECK_FALSE(proofs.findRequired(group, 2, clock.bootNow()).has_value());
 }
 
+TEST(PositionProofs, theNewestProofsCanBeHandedOn)
+{
+    proofs.add(group, 2, clock.bootNow(), point(5));
+    proofs.add(group, 2, clock.bootNow() + std::chrono::milliseconds(100), point(9));
+    std::vector<PositionProofs::Newest> all = proofs.listNewest();
+    CHECK_EQUAL(1, all.size());
+    CHECK(all.front().head == point(9));
+    CHECK_EQUAL(2, all.front().generation);
+}
+
 TEST_GROUP(ReadPlanner) {};
 
 TEST(ReadPlanner, aNearReplicaGoesBeforeAFarOneAndThePrimary)
@@ -93,6 +103,13 @@
     CHECK(chooseReadTarget(all, std::nullopt) == UpstreamId("far"));
 }
 
+TEST(ReadPlanner, aReadStaysWhereAConnectionIsOpen)
+{
+    std::vector<ReadCandidate> all { candidate("a", false, false, std::chrono::milliseconds(15)), candidate("b", false, false, std::chrono::milliseconds(20)) };
+    all[0].hasIdleConnection = false;
+    CHECK(chooseReadTarget(all, std::nullopt) == UpstreamId("b"));
+}
+
 TEST(ReadPlanner, aReplicaThatWasJustSeenBehindIsPassedOver)
 {
     std::vector<ReadCandidate> all { candidate("near", true, false, std::chrono::milliseconds(15)), candidate("far", false, false, std::chrono::milliseconds(20)) };
