Part the duty from the beliefs, and long files by their jobs

DutyKeeper (reports, votes, taking the duty over) leaves FleetControl (what is believed and where it comes from); StatementLimits, HeldLink, LatencyMemory, ProofCodec and ZoneReader get places and tests of their own. No behaviour is meant to change.

--- /dev/null
+++ b/src/fleet/ZoneReader.cpp
@@ -0,0 +1,21 @@
+#include "lentiljunction/fleet/ZoneReader.h"
+
+#include "lentiljunction/core/RendezvousHash.h"
+
+namespace lentiljunction {
+
+std::optional<FleetMember> chooseZoneReader(const std::vector<FleetMember>& members, const ZoneId& zone)
+{
+    std::optional<FleetMember> reader;
+    std::uint64_t best = 0;
+    for (const FleetMember& member : members) {
+        std::uint64_t score = rendezvousScore(zone.toString(), member.id.toString());
+        if (member.zone != zone || (reader && score < best))
+            continue;
+        best = score;
+        reader = member;
+    }
+    return reader;
+}
+
+} // namespace lentiljunction
--- a/src/gateway/FleetControl.cpp
+++ b/src/gateway/FleetControl.cpp
@@ -1,7 +1,9 @@
 #include "FleetControl.h"
 
+#include "ProofCodec.h"
+
 #include "lentiljunction/core/LogEvents.h"
-#include "lentiljunction/core/RendezvousHash.h"
+#include "lentiljunction/fleet/ZoneReader.h"
 #include "lentiljunction/leadership/LeadCodec.h"
 
 #include <algorithm>
@@ -27,19 +29,8 @@
     constexpr std::chrono::milliseconds memberInterval { 3000 };
     /// For an answer of another instance: some round trips between availability zones.
     constexpr std::chrono::milliseconds peerLimit { 150 };
-    /// A change of primary that is not over by then has lost its holder.
-    constexpr std::chrono::milliseconds stuckLimit { 3500 };
     /// A holder whose last answer of the store is older is taken to be cut off from it.
     constexpr std::chrono::milliseconds storeContactLimit { 1000 };
-    /// For the answers of a vote to be handled after the last of them came in time.
-    constexpr std::chrono::milliseconds voteSlack { 20 };
-    /// A primary that could not be reached for longer ago counts as reached again.
-    constexpr std::chrono::milliseconds opinionLifetime { 1500 };
-    /// Between the instances that may take the duty over, so that the first is usually alone.
-    constexpr std::chrono::milliseconds takeoverStep { 150 };
-
-    /// What instances are ordered by for the duty to replace primaries.
-    const std::string dutyName = "duty";
 
     std::int64_t toMilliseconds(Duration duration)
     {
@@ -55,6 +46,7 @@
     , writer(parts.store, parts.controlLoop, parts.clock, settings.instance, *this)
     , commander(parts.controlLoop, parts.clock, parts.protocol, settings.instance)
     , failovers({ parts.controlLoop, parts.clock, parts.store, this->peers, this->writer, this->commander, *this, settings.instance })
+    , duty({ parts.controlLoop, parts.clock, this->peers, this->failovers, settings.instance }, *this)
     , permits(settings.instance)
     , turn(settings.instance)
 {
@@ -84,24 +76,14 @@
     });
 }
 
-std::optional<FleetMember> FleetControl::findZoneReader() const
+std::optional<FleetMember> FleetControl::findOtherReader() const
 {
     const VersionedLead& lead = this->permits.getView().lead;
     // The holder acts on what it reads, so it reads itself.
     if (lead.record == nullptr || lead.record->holder == this->settings.instance)
         return std::nullopt;
-    std::optional<FleetMember> reader;
-    std::uint64_t best = 0;
-    for (const FleetMember& member : this->listActiveMembers()) {
-        std::uint64_t score = rendezvousScore(this->settings.zone.toString(), member.id.toString());
-        if (member.zone != this->settings.zone || score < best)
-            continue;
-        best = score;
-        reader = member;
-    }
-    if (reader && reader->id == this->settings.instance)
-        return std::nullopt;
-    return reader;
+    std::optional<FleetMember> reader = chooseZoneReader(this->listActiveMembers(), this->settings.zone);
+    return reader && reader->id != this->settings.instance ? reader : std::nullopt;
 }
 
 void FleetControl::scheduleRenewal(Duration delay)
@@ -116,7 +98,7 @@
 
 void FleetControl::renewLead()
 {
-    std::optional<FleetMember> reader = this->findZoneReader();
+    std::optional<FleetMember> reader = this->findOtherReader();
     if (!reader || this->parts.clock.now() < this->readerAvoidedUntil)
         return this->readLead();
     BootTime sentAt = this->parts.clock.bootNow();
@@ -167,12 +149,6 @@
         [](bool, BootTime) {});
 }
 
-void FleetControl::onLeadSeen(const VersionedLead& lead, BootTime sentAt)
-{
-    this->storeAnsweredAt = this->parts.clock.bootNow();
-    this->publishLead(this->permits.onStoreAnswer(lead, sentAt));
-}
-
 void FleetControl::publishLead(bool isNewer)
 {
     LeadView view = this->permits.getView();
@@ -188,10 +164,10 @@
         logEvent(events::leadBelieved, "lead_revision=" + std::to_string(view.lead.revision.value()) + " holder=" + view.lead.record->holder.toString() + " epoch=" + std::to_string(view.lead.record->epoch.value()) + " groups=" + encodeLeadRecord(*view.lead.record)["groups"].dump());
         this->parts.trafficLoop.post([this, view] { this->parts.traffic.setLead(view); });
         this->updateReady();
-        return this->checkStuckChanges();
+        return this->duty.checkStuckChanges();
     }
     this->parts.trafficLoop.post([this, view] { this->parts.traffic.extendPermit(view); });
-    this->checkStuckChanges();
+    this->duty.checkStuckChanges();
 }
 
 void FleetControl::noteRetired()
@@ -222,6 +198,17 @@
     return since != this->retiredSince.end() && this->parts.clock.bootNow() - since->second >= permitSpan + permitMargin;
 }
 
+std::optional<FleetMember> FleetControl::findMember(const InstanceId& instance) const
+{
+    std::map<InstanceId, FleetMember>::const_iterator found = this->members.find(instance);
+    return found == this->members.end() ? std::nullopt : std::optional<FleetMember>(found->second);
+}
+
+bool FleetControl::hasStore() const
+{
+    return this->parts.clock.bootNow() - this->storeAnsweredAt < storeContactLimit;
+}
+
 std::vector<FleetMember> FleetControl::listActiveMembers() const
 {
     std::vector<FleetMember> active;
@@ -317,7 +304,7 @@
                 this->parts.trafficLoop.post([this, kept = this->upstreams.getList()] { this->parts.traffic.setUpstreams(kept); });
             this->hasListedUpstreams = true;
             this->updateReady();
-            this->checkLeaders();
+            this->duty.checkLeaders();
         } else {
             logEvent(events::storeCallFailed, "call=list_upstreams reason=\"" + failure.reason + "\"");
         }
@@ -346,166 +333,6 @@
         logEvent(events::instanceReady, "routes_version=" + std::to_string(this->routes.getTable()->version.value()));
 }
 
-void FleetControl::checkLeaders()
-{
-    if (this->routes.getTable() == nullptr)
-        return;
-    const UpstreamList& list = *this->upstreams.getList();
-    for (const std::pair<const GroupId, GroupConfig>& group : this->routes.getTable()->groups) {
-        std::optional<Leader> leader = this->permits.getView().findLeader(group.first, list);
-        if (!leader)
-            continue;
-        const UpstreamEntry* entry = list.find(leader->upstream);
-        if (entry == nullptr || entry->isLeaving)
-            this->reportTrouble(group.first, leader->upstream, true);
-    }
-}
-
-void FleetControl::checkStuckChanges()
-{
-    const LeadView& view = this->permits.getView();
-    if (view.lead.record == nullptr)
-        return;
-    TimePoint now = this->parts.clock.now();
-    for (const std::pair<const GroupId, GroupLead>& group : view.lead.record->groups) {
-        if (group.second.phase == LeadPhase::Stable) {
-            this->changingSince.erase(group.first);
-            continue;
-        }
-        std::pair<FencingToken, TimePoint>& since = this->changingSince.emplace(group.first, std::make_pair(view.lead.record->epoch, now)).first->second;
-        if (since.first != view.lead.record->epoch)
-            since = { view.lead.record->epoch, now };
-        if (this->failovers.isActive(group.first))
-            continue;
-        // After its own restart a holder has forgotten the change that it began.
-        if (view.lead.record->holder == this->settings.instance)
-            this->failovers.start(group.first, group.second.primary, false, "resumed after a restart");
-        else if (now - since.second >= stuckLimit + this->getTakeoverDelay())
-            this->takeOver(group.first, group.second.primary, true);
-    }
-}
-
-void FleetControl::onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary)
-{
-    this->parts.controlLoop.post([this, group, primary] {
-        this->unreachableAt[primary] = this->parts.clock.now();
-        this->reportTrouble(group, primary, false);
-    });
-}
-
-void FleetControl::reportTrouble(const GroupId& group, const UpstreamId& primary, bool isLeaving)
-{
-    const LeadView& view = this->permits.getView();
-    if (view.lead.record == nullptr || view.isChanging(group))
-        return;
-    if (view.lead.record->holder == this->settings.instance)
-        return this->consider(group, primary, this->settings.instance, isLeaving);
-
-    std::map<InstanceId, FleetMember>::const_iterator holder = this->members.find(view.lead.record->holder);
-    if (holder == this->members.end())
-        return this->onHolderSilent(group, primary, isLeaving);
-    nlohmann::json question { { "ask", "suspect" }, { "group", group.toString() }, { "primary", primary.toString() }, { "reporter", this->settings.instance.toString() }, { "is_leaving", isLeaving } };
-    this->peers.ask(holder->second.peers, question, peerLimit, [this, group, primary, isLeaving](const std::optional<nlohmann::json>& answer) {
-        bool isTaken = answer && answer->is_object() && answer->value("is_taken", false);
-        if (!isTaken)
-            this->onHolderSilent(group, primary, isLeaving);
-    });
-}
-
-Duration FleetControl::getTakeoverDelay() const
-{
-    // One order for all groups: the duty is one, and two that take it for two groups disturb each other.
-    std::uint64_t own = rendezvousScore(dutyName, this->settings.instance.toString());
-    std::vector<FleetMember> active = this->listActiveMembers();
-    std::ptrdiff_t order = std::count_if(active.begin(), active.end(), [own](const FleetMember& member) {
-        return rendezvousScore(dutyName, member.id.toString()) > own;
-    });
-    return takeoverStep * static_cast<int>(order);
-}
-
-void FleetControl::onHolderSilent(const GroupId& group, const UpstreamId& primary, bool isLeaving)
-{
-    InstanceId silent = this->permits.getView().lead.record->holder;
-    // Whoever takes the duty over needs the store, and the newest record.
-    this->readLead();
-    this->parts.controlLoop.schedule(this->getTakeoverDelay(), [this, group, primary, isLeaving, silent] {
-        std::optional<Leader> leader = this->permits.getView().findLeader(group, *this->upstreams.getList());
-        if (!leader || leader->upstream != primary)
-            return;
-        if (this->permits.getView().lead.record->holder != silent)
-            return this->reportTrouble(group, primary, isLeaving);
-        this->takeOver(group, primary, isLeaving);
-    });
-}
-
-void FleetControl::takeOver(const GroupId& group, const UpstreamId& primary, bool isLeaving)
-{
-    bool hasStore = this->parts.clock.bootNow() - this->storeAnsweredAt < storeContactLimit;
-    if (!hasStore || this->failovers.isActive(group) || this->failovers.isUnfit() || !this->votes.insert(group).second)
-        return;
-    InstanceId former = this->permits.getView().lead.record->holder;
-    this->holdVote(group, primary, [this, group, primary, isLeaving, former](const TakeoverVote& vote) {
-        this->votes.erase(group);
-        if (this->permits.getView().lead.record->holder != former)
-            return;
-        logEvent(events::primarySuspected, "group=" + group.toString() + " primary=" + primary.toString() + " answers=" + std::to_string(vote.getNumAnswers()) + " agreeing=" + std::to_string(vote.getNumAgreeing()) + " instances=" + std::to_string(this->members.size()) + " take_over=" + std::to_string(vote.isWon()));
-        if (vote.isWon())
-            this->failovers.start(group, primary, isLeaving && this->upstreams.getList()->find(primary) != nullptr, "its holder is silent");
-    });
-}
-
-void FleetControl::holdVote(const GroupId& group, const UpstreamId& primary, std::function<void(const TakeoverVote& vote)> callback)
-{
-    std::vector<FleetMember> active = this->listActiveMembers();
-    std::shared_ptr<TakeoverVote> vote = std::make_shared<TakeoverVote>(std::max<std::size_t>(1, active.size()));
-    std::shared_ptr<std::function<void(const TakeoverVote&)>> pending = std::make_shared<std::function<void(const TakeoverVote&)>>(std::move(callback));
-    auto close = [vote, pending] {
-        std::function<void(const TakeoverVote&)> done = std::exchange(*pending, nullptr);
-        if (done)
-            done(*vote);
-    };
-    nlohmann::json question { { "ask", "opinion" }, { "group", group.toString() }, { "primary", primary.toString() } };
-    for (const FleetMember& member : active) {
-        if (member.id == this->settings.instance)
-            continue;
-        this->peers.ask(member.peers, question, peerLimit, [vote, close](const std::optional<nlohmann::json>& answer) {
-            if (answer && answer->is_object())
-                vote->onAnswer(answer->value("has_lost", false));
-            if (vote->isWon())
-                close();
-        });
-    }
-    this->parts.controlLoop.schedule(peerLimit + voteSlack, close);
-}
-
-bool FleetControl::hasLost(const GroupId& group, const UpstreamId& primary) const
-{
-    const UpstreamEntry* entry = this->upstreams.getList()->find(primary);
-    if (entry == nullptr || entry->isLeaving || this->permits.getView().isChanging(group))
-        return true;
-    std::map<UpstreamId, TimePoint>::const_iterator lost = this->unreachableAt.find(primary);
-    return lost != this->unreachableAt.end() && this->parts.clock.now() - lost->second < opinionLifetime;
-}
-
-void FleetControl::consider(const GroupId& group, const UpstreamId& primary, const InstanceId& reporter, bool isLeaving)
-{
-    std::optional<Leader> leader = this->permits.getView().findLeader(group, *this->upstreams.getList());
-    if (!leader || leader->upstream != primary || this->failovers.isActive(group))
-        return;
-    // Whoever reports that it leaves has read a newer list.
-    if (isLeaving)
-        return this->failovers.start(group, primary, this->upstreams.getList()->find(primary) != nullptr, "the primary leaves");
-
-    TimePoint now = this->parts.clock.now();
-    this->suspicions.report(primary, reporter, now);
-    bool mustReplace = this->suspicions.mustReplace(primary, this->listActiveMembers().size(), now);
-    logEvent(events::primarySuspected, "group=" + group.toString() + " primary=" + primary.toString() + " reporter=" + reporter.toString() + " reporters=" + std::to_string(this->suspicions.countReporters(primary, now)) + " instances=" + std::to_string(this->members.size()) + " replace=" + std::to_string(mustReplace));
-    if (!mustReplace)
-        return;
-    this->suspicions.clear(primary);
-    this->failovers.start(group, primary, false, "the primary cannot be reached");
-}
-
 nlohmann::json FleetControl::makeBeliefAnswer() const
 {
     const LeadView& view = this->permits.getView();
@@ -524,12 +351,7 @@
         std::vector<PositionProofs::Newest> proofs = this->parts.traffic.listNewestProofs();
         this->parts.controlLoop.post([this, respond, proofs = std::move(proofs)] {
             nlohmann::json answer = this->makeBeliefAnswer();
-            BootTime now = this->parts.clock.bootNow();
-            answer["proofs"] = nlohmann::json::array();
-            for (const PositionProofs::Newest& proof : proofs) {
-                Duration age = std::chrono::duration_cast<Duration>(now - proof.askedAt);
-                answer["proofs"].push_back({ proof.group.toString(), proof.generation, age.count(), proof.head.term.value(), proof.head.position.value() });
-            }
+            answer["proofs"] = encodeProofs(proofs, this->parts.clock.bootNow());
             respond(answer);
         });
     });
@@ -537,20 +359,12 @@
 
 void FleetControl::takeProofs(const nlohmann::json& answer, BootTime sentAt)
 {
-    if (!answer.is_object() || !answer.contains("proofs") || !answer["proofs"].is_array())
+    if (!answer.is_object() || !answer.contains("proofs"))
         return;
-    constexpr std::size_t numFields = 5;
-    std::vector<PositionProofs::Newest> proofs;
-    for (const nlohmann::json& proof : answer["proofs"]) {
-        bool isWhole = proof.is_array() && proof.size() == numFields && proof[0].is_string()
-            && std::all_of(proof.begin() + 1, proof.end(), [](const nlohmann::json& field) { return field.is_number_unsigned(); });
-        if (!isWhole)
-            return logEvent(events::peerMessageInvalid, "reason=\"a proof of age cannot be read\"");
-        // The answer was made after the question was sent, so this is no later than the proof's time.
-        BootTime askedAt = sentAt - Duration(proof[2].get<Duration::rep>());
-        proofs.push_back({ GroupId(proof[0].get<std::string>()), proof[1].get<std::uint64_t>(), askedAt, { Term(proof[3].get<std::uint64_t>()), Position(proof[4].get<std::uint64_t>()) } });
-    }
-    this->parts.trafficLoop.post([this, proofs = std::move(proofs)] { this->parts.traffic.takeProofs(proofs); });
+    std::optional<std::vector<PositionProofs::Newest>> proofs = decodeProofs(answer["proofs"], sentAt);
+    if (!proofs)
+        return logEvent(events::peerMessageInvalid, "reason=\"proofs of age cannot be read\"");
+    this->parts.trafficLoop.post([this, taken = std::move(*proofs)] { this->parts.traffic.takeProofs(taken); });
 }
 
 void FleetControl::onTakeLead(const nlohmann::json& question, const PeerExchange::Responder& respond)
@@ -565,18 +379,6 @@
     });
 }
 
-void FleetControl::onSuspect(const nlohmann::json& question, const PeerExchange::Responder& respond)
-{
-    const VersionedLead& lead = this->permits.getView().lead;
-    bool isHolder = lead.record != nullptr && lead.record->holder == this->settings.instance;
-    // A holder that does not reach the store, or the promotion service, can replace nobody.
-    bool hasStore = this->parts.clock.bootNow() - this->storeAnsweredAt < storeContactLimit;
-    bool isTaken = isHolder && hasStore && !this->failovers.isUnfit();
-    respond({ { "is_taken", isTaken } });
-    if (isTaken)
-        this->consider(GroupId(question.value("group", "")), UpstreamId(question.value("primary", "")), InstanceId(question.value("reporter", "")), question.value("is_leaving", false));
-}
-
 void FleetControl::onPeerQuestion(const nlohmann::json& question, const PeerExchange::Responder& respond)
 {
     std::string ask = question.is_object() ? question.value("ask", "") : "";
@@ -585,9 +387,9 @@
     if (ask == "take_lead")
         return this->onTakeLead(question, respond);
     if (ask == "suspect")
-        return this->onSuspect(question, respond);
+        return this->duty.onSuspect(question, respond);
     if (ask == "opinion")
-        return respond({ { "has_lost", this->hasLost(GroupId(question.value("group", "")), UpstreamId(question.value("primary", ""))) } });
+        return respond(this->duty.giveOpinion(question));
     logEvent(events::peerMessageInvalid, "reason=\"an unknown question\"");
 }
 
--- a/src/gateway/FleetControl.h
+++ b/src/gateway/FleetControl.h
@@ -2,6 +2,7 @@
 
 #include "../peer/PeerExchange.h"
 #include "../traffic/TrafficPlane.h"
+#include "DutyKeeper.h"
 #include "FailoverDriver.h"
 #include "GatewaySettings.h"
 #include "LeadWriter.h"
@@ -9,8 +10,6 @@
 #include "lentiljunction/fleet/FleetStore.h"
 #include "lentiljunction/leadership/DutyTurn.h"
 #include "lentiljunction/leadership/PermitBook.h"
-#include "lentiljunction/leadership/SuspicionLedger.h"
-#include "lentiljunction/leadership/TakeoverVote.h"
 #include "lentiljunction/routes/RouteKeeper.h"
 #include "lentiljunction/routes/UpstreamKeeper.h"
 
@@ -26,7 +25,7 @@
 /// Belongs to the control thread.
 ///
 /// @see TrafficPlane
-class FleetControl : private PeerExchange::Listener, private LeadWriter::Listener, private FailoverDriver::Surroundings {
+class FleetControl : private PeerExchange::Listener, private LeadWriter::Listener, private FailoverDriver::Surroundings, private DutyKeeper::Beliefs {
 public:
     /// Must all outlive the control plane.
     struct Parts {
@@ -44,24 +43,36 @@
     bool start(Failure& failure);
 
     /// A fresh connection of the traffic thread to a primary failed.
-    void onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary);
+    void onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary)
+    {
+        this->parts.controlLoop.post([this, group, primary] { this->duty.onPrimaryUnreachable(group, primary); });
+    }
 
     /// @returns whether everything is known that serving needs; safe to call from any thread
     bool isReady() const { return this->ready; }
 
 private:
     void onPeerQuestion(const nlohmann::json& question, const PeerExchange::Responder& respond) override;
-    void onLeadSeen(const VersionedLead& lead, BootTime sentAt) override;
+    void onLeadSeen(const VersionedLead& lead, BootTime sentAt) override
+    {
+        this->storeAnsweredAt = this->parts.clock.bootNow();
+        this->publishLead(this->permits.onStoreAnswer(lead, sentAt));
+    }
     const UpstreamList& getUpstreamList() const override { return *this->upstreams.getList(); }
     const PermitBook& getPermits() const override { return this->permits; }
     bool mayAct() const override { return this->turn.mayAct(this->parts.clock.bootNow()); }
     bool isLongRetired(const InstanceId& instance) const override;
+    const std::shared_ptr<const RouteTable>& getRoutes() const override { return this->routes.getTable(); }
+    std::vector<FleetMember> listActiveMembers() const override;
+    std::optional<FleetMember> findMember(const InstanceId& instance) const override;
+    bool hasStore() const override;
+    void refreshLead() override { this->readLead(); }
     void confirmTraffic(std::function<void()> callback) override;
 
     void registerSelf();
     void renewLead();
     void scheduleRenewal(Duration delay);
-    std::optional<FleetMember> findZoneReader() const;
+    std::optional<FleetMember> findOtherReader() const;
     void readLead();
     void onLeadRead(const std::optional<VersionedLead>& lead, const Failure& failure, BootTime sentAt);
     void createLead();
@@ -73,19 +84,8 @@
     void takeRoutes(const VersionedRoutes& routes);
     void listUpstreams();
     void listMembers();
-    void checkLeaders();
-    void checkStuckChanges();
-    void reportTrouble(const GroupId& group, const UpstreamId& primary, bool isLeaving);
-    void consider(const GroupId& group, const UpstreamId& primary, const InstanceId& reporter, bool isLeaving);
-    void onHolderSilent(const GroupId& group, const UpstreamId& primary, bool isLeaving);
-    void holdVote(const GroupId& group, const UpstreamId& primary, std::function<void(const TakeoverVote& vote)> callback);
-    void takeOver(const GroupId& group, const UpstreamId& primary, bool isLeaving);
-    bool hasLost(const GroupId& group, const UpstreamId& primary) const;
-    Duration getTakeoverDelay() const;
-    std::vector<FleetMember> listActiveMembers() const;
     void noteRetired();
     void returnToService();
-    void onSuspect(const nlohmann::json& question, const PeerExchange::Responder& respond);
     nlohmann::json makeBeliefAnswer() const;
     void answerBeliefs(const PeerExchange::Responder& respond);
     void takeProofs(const nlohmann::json& answer, BootTime sentAt);
@@ -98,8 +98,8 @@
     LeadWriter writer;
     UpstreamCommander commander;
     FailoverDriver failovers;
+    DutyKeeper duty;
     PermitBook permits;
-    SuspicionLedger suspicions;
     RouteKeeper routes;
     UpstreamKeeper upstreams;
     StoreVersion routesRevision;
@@ -108,10 +108,6 @@
     /// Since when this instance knows of each retired one.
     std::map<InstanceId, BootTime> retiredSince;
     bool isReturning = false;
-    /// A change under way, by the epoch of its holder.
-    std::map<GroupId, std::pair<FencingToken, TimePoint>> changingSince;
-    std::set<GroupId> votes;
-    std::map<UpstreamId, TimePoint> unreachableAt;
     BootTime storeAnsweredAt;
     std::size_t nextPeer = 0;
     /// The zone's reader did not answer; the store is asked directly until then.
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -9,53 +9,21 @@
 
 namespace {
 
-    /// A statement that finds no upstream is refused after this share of its time, so that the caller
-    /// can still try another instance.
-    constexpr double holdShare = 0.4;
-    /// A transaction that has no connection by then gets one with its first statement.
-    constexpr std::chrono::milliseconds openAheadLimit { 60 };
-    /// A read that waits longer for one upstream goes to another, which may have a shorter queue.
-    constexpr std::chrono::milliseconds readClaimLimit { 80 };
-    /// More tries than there are upstreams in a group help nobody.
-    constexpr int maximumAttempts = 4;
     /// Before an upstream that answered that it is busy, or not the primary, is asked again.
     constexpr std::chrono::milliseconds retryPause { 15 };
-    /// A read is asked of another upstream when the first takes this many times its usual latency,
-    /// and at least the least wait: a slow statement takes five times the mean.
-    constexpr int readPatience = 8;
-    constexpr std::chrono::milliseconds leastReadWait { 200 };
 
 } // namespace
 
-void HeldLink::rollBackAndRelease()
-{
-    HeldLink ending = std::exchange(*this, HeldLink());
-    if (!ending.isHeld())
-        return;
-    UpstreamCommand command;
-    command.kind = UpstreamCommand::Kind::Rollback;
-    ending.link->send(command, [ending](const std::optional<SessionReply>& reply) {
-        if (reply && reply->state == TransactionState::Idle)
-            ending.pool->release(ending.link);
-        else
-            ending.pool->discard(ending.link);
-    });
-}
-
 StatementRun::StatementRun(TrafficState& state, const SessionContext& context, StatementRequest request, Callback callback)
     : state(state)
     , context(context)
     , request(std::move(request))
     , callback(std::move(callback))
+    , limits(*this->request.need.route, this->request.statement.verb, this->request.arrivedAt)
     , timer(state.getLoop(), state.getClock(), [this] { this->onTimer(); })
 {
 }
 
-void StatementRun::start()
-{
-    this->attempt();
-}
-
 void StatementRun::startOn(const HeldLink& newHeld)
 {
     this->isOnHeldLink = true;
@@ -82,26 +50,6 @@
     this->dropLink();
 }
 
-TimePoint StatementRun::getDeadline() const
-{
-    return this->request.arrivedAt + this->request.need.route->statementTimeout;
-}
-
-TimePoint StatementRun::getHoldLimit() const
-{
-    if (this->request.statement.verb == SessionVerb::Begin)
-        return this->request.arrivedAt + openAheadLimit;
-    double span = static_cast<double>(this->request.need.route->statementTimeout.count()) * holdShare;
-    return this->request.arrivedAt + Duration(static_cast<Duration::rep>(span));
-}
-
-TimePoint StatementRun::getClaimLimit() const
-{
-    if (this->needsPrimary())
-        return this->getHoldLimit();
-    return std::min<TimePoint>(this->getHoldLimit(), this->state.getClock().now() + readClaimLimit);
-}
-
 bool StatementRun::needsPrimary() const
 {
     AccessMode mode = this->request.kind.isInTransaction ? this->request.transactionMode : this->request.kind.mode;
@@ -110,12 +58,7 @@
 
 bool StatementRun::mayRetry() const
 {
-    return !this->isOnHeldLink && this->numSent < maximumAttempts && this->state.getClock().now() < this->getHoldLimit();
-}
-
-const PreparedShape* StatementRun::findShape() const
-{
-    return this->request.statement.verb == SessionVerb::Execute ? this->context.findPrepared(this->request.statement.name) : nullptr;
+    return !this->isOnHeldLink && this->numSent < maximumAttempts && this->state.getClock().now() < this->limits.getHoldLimit();
 }
 
 void StatementRun::attempt()
@@ -127,8 +70,9 @@
         return this->waitForBeliefs();
 
     this->target = *found;
+    TimePoint claimLimit = this->needsPrimary() ? this->limits.getHoldLimit() : this->limits.getReadClaimLimit(this->state.getClock().now());
     std::shared_ptr<StatementRun> self = this->shared_from_this();
-    UpstreamPool::Ticket given = this->target.pool->claim(this->request.need.route->rank, this->request.caller, this->getClaimLimit(), [self](UpstreamLink* link, UpstreamPool::Denial denial) {
+    UpstreamPool::Ticket given = this->target.pool->claim(this->request.need.route->rank, this->request.caller, claimLimit, [self](UpstreamLink* link, UpstreamPool::Denial denial) {
         self->ticket = 0;
         if (!self->isDone)
             self->onGranted(link, denial);
@@ -148,16 +92,16 @@
         return this->conclude(AttemptEvent::NotSent, SessionReply(), false);
     this->isWaitingForBeliefs = true;
     this->request.need.tried.clear();
-    this->timer.setTime(this->getHoldLimit());
+    this->timer.setTime(this->limits.getHoldLimit());
 }
 
 bool StatementRun::isWaitWorthwhile() const
 {
     TimePoint now = this->state.getClock().now();
-    if (now >= this->getHoldLimit())
+    if (now >= this->limits.getHoldLimit())
         return false;
     std::optional<TimePoint> expected = this->state.getExpectedReturn(this->request.need.route->group);
-    return !expected || std::max(*expected, now) < this->getHoldLimit();
+    return !expected || std::max(*expected, now) < this->limits.getHoldLimit();
 }
 
 void StatementRun::onGranted(UpstreamLink* link, UpstreamPool::Denial denial)
@@ -195,7 +139,7 @@
     if (commands.empty())
         return this->send();
 
-    this->timer.setTime(this->getDeadline());
+    this->timer.setTime(this->limits.getDeadline());
     this->sentAt = this->state.getClock().bootNow();
     // A connection that is lost answers at once; the rest then belongs to nobody.
     std::size_t number = this->attemptNumber;
@@ -255,18 +199,18 @@
     this->isStatementSent = true;
     this->numSent++;
     this->sentAt = this->state.getClock().bootNow();
-    TimePoint limit = this->getDeadline();
+    TimePoint limit = this->limits.getDeadline();
     if (!this->request.kind.isInTransaction && this->request.kind.mode == AccessMode::Read && this->numSent < maximumAttempts)
-        limit = std::min<TimePoint>(limit, this->state.getClock().now() + std::max<Duration>(leastReadWait, this->held.pool->getLatency() * readPatience));
+        limit = this->limits.getReadPatience(this->state.getClock().now(), this->held.pool->getLatency());
     this->timer.setTime(limit);
     std::shared_ptr<StatementRun> self = this->shared_from_this();
     this->held.link->send(command, [self, number = this->attemptNumber](std::optional<SessionReply> reply) {
         if (!self->isDone && number == self->attemptNumber)
-            self->onReply(std::move(reply), number);
+            self->onReply(std::move(reply));
     });
 }
 
-void StatementRun::onReply(std::optional<SessionReply> reply, std::size_t)
+void StatementRun::onReply(std::optional<SessionReply> reply)
 {
     this->attemptNumber++;
     if (!reply) {
@@ -292,7 +236,7 @@
     this->isAwaitingEvidence = true;
     // Nothing runs on the connection meanwhile, and the proof itself needs the upstreams.
     this->held.pool->park(this->held.link);
-    this->timer.setTime(this->getDeadline());
+    this->timer.setTime(this->limits.getDeadline());
     std::shared_ptr<StatementRun> self = this->shared_from_this();
     const GroupId group = this->request.need.route->group;
     const Leader leader = *this->held.leader;
@@ -319,7 +263,7 @@
 bool StatementRun::mayResend(AttemptEvent event, const SessionReply& reply) const
 {
     bool isBusy = event == AttemptEvent::NotRun && reply.code == ReplyCode::Busy && reply.state == TransactionState::Open;
-    return isBusy && this->request.kind.isInTransaction && this->held.isHeld() && this->state.getClock().now() + retryPause < this->getDeadline();
+    return isBusy && this->request.kind.isInTransaction && this->held.isHeld() && this->state.getClock().now() + retryPause < this->limits.getDeadline();
 }
 
 void StatementRun::conclude(AttemptEvent event, SessionReply reply, bool mayTryAgain)
@@ -382,7 +326,7 @@
     this->attemptNumber++;
     this->request.need.tried.insert(this->held.link->getUpstream());
     this->lastTrouble = "no answer in time";
-    bool isOver = this->state.getClock().now() >= this->getDeadline();
+    bool isOver = this->state.getClock().now() >= this->limits.getDeadline();
     this->dropLink();
     if (!this->isStatementSent && isOver)
         return this->conclude(this->isOnHeldLink ? AttemptEvent::LinkLost : AttemptEvent::NotSent, SessionReply(), false);
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "HeldLink.h"
+#include "StatementLimits.h"
 #include "TrafficState.h"
 #include "lentiljunction/interactive/ReplyPolicy.h"
 #include "lentiljunction/interactive/SessionContext.h"
@@ -10,20 +12,6 @@
 
 namespace lentiljunction {
 
-/// The hold that a transaction has on a connection.
-struct HeldLink {
-    std::shared_ptr<UpstreamPool> pool;
-    UpstreamLink* link = nullptr;
-    /// Set when the upstream counts as the primary.
-    std::optional<Leader> leader;
-
-    /// @returns whether there is a connection
-    bool isHeld() const { return this->link != nullptr; }
-
-    /// Rolls the open transaction back and gives the connection to others once that is answered.
-    void rollBackAndRelease();
-};
-
 /// What a session asks of the upstreams.
 struct StatementRequest {
     SessionStatement statement;
@@ -64,7 +52,7 @@
     StatementRun(TrafficState& state, const SessionContext& context, StatementRequest request, Callback callback);
 
     /// Starts a statement that needs a connection.
-    void start();
+    void start() { this->attempt(); }
 
     /// Runs a statement on the connection that its transaction holds.
     void startOn(const HeldLink& newHeld);
@@ -81,7 +69,7 @@
     void prepare();
     void onPrepared(const std::optional<SessionReply>& reply, bool isLast, bool isBegin, std::size_t attemptNumber);
     void send();
-    void onReply(std::optional<SessionReply> reply, std::size_t attemptNumber);
+    void onReply(std::optional<SessionReply> reply);
     AttemptEvent classify(const SessionReply& reply) const;
     void seekEvidence(SessionReply reply);
     void conclude(AttemptEvent event, SessionReply reply, bool mayTryAgain = true);
@@ -96,16 +84,17 @@
     void finish(SessionReply reply);
     void dropLink();
     bool mayRetry() const;
-    TimePoint getDeadline() const;
-    TimePoint getHoldLimit() const;
-    TimePoint getClaimLimit() const;
     bool needsPrimary() const;
-    const PreparedShape* findShape() const;
+    const PreparedShape* findShape() const
+    {
+        return this->request.statement.verb == SessionVerb::Execute ? this->context.findPrepared(this->request.statement.name) : nullptr;
+    }
 
     TrafficState& state;
     const SessionContext& context;
     StatementRequest request;
     Callback callback;
+    StatementLimits limits;
     Target target;
     HeldLink held;
     UpstreamPool::Ticket ticket = 0;
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -29,11 +29,6 @@
     constexpr std::chrono::milliseconds expiryInterval { 25 };
     /// Connections left for the checks of whoever replaces a primary.
     constexpr int controlConnections = 1;
-    /// Latency that is assumed of an upstream that was not used lately.
-    constexpr std::chrono::milliseconds assumedLatency { 8 };
-    /// A measured latency loses its weight within this time without a new one.
-    constexpr std::chrono::seconds latencyMemory { 2 };
-    constexpr double latencyWeight = 0.15;
     /// The least share of an upstream that a rank keeps while more urgent ranks flood, in percent.
     constexpr int normalFloorPercent = 10;
     constexpr int backgroundFloorPercent = 5;
@@ -52,7 +47,6 @@
     , upstream(std::move(upstream))
     , queue(makeRanks())
     , concurrency(this->upstream.slots)
-    , meanLatency(assumedLatency)
     , queueTimer(surroundings.loop, surroundings.clock, [this] { this->denyExpired(); })
     , trimTimer(surroundings.loop, surroundings.clock, [this] { this->trim(); })
 {
@@ -207,11 +201,6 @@
         this->openOne();
 }
 
-Duration UpstreamPool::getLatency() const
-{
-    return this->surroundings.clock.now() - this->latencyAt > latencyMemory ? std::min<Duration>(this->meanLatency, assumedLatency) : this->meanLatency;
-}
-
 double UpstreamPool::getLoad() const
 {
     std::size_t numWaiting = 0;
@@ -307,12 +296,10 @@
     if (!held.isActive)
         return;
     TimePoint now = this->surroundings.clock.now();
-    Duration latency = std::chrono::duration_cast<Duration>(now - held.since);
-    this->concurrency.onAnswered(latency, this->numActive);
-    this->queue.onFinished(latency);
-    double weighted = static_cast<double>(this->meanLatency.count()) * (1 - latencyWeight) + static_cast<double>(latency.count()) * latencyWeight;
-    this->meanLatency = Duration(static_cast<Duration::rep>(weighted));
-    this->latencyAt = now;
+    Duration taken = std::chrono::duration_cast<Duration>(now - held.since);
+    this->concurrency.onAnswered(taken, this->numActive);
+    this->queue.onFinished(taken);
+    this->latency.onSample(taken, now);
     held.isActive = false;
     this->numActive--;
 }
--- a/src/traffic/UpstreamPool.h
+++ b/src/traffic/UpstreamPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LatencyMemory.h"
 #include "UpstreamLink.h"
 #include "lentiljunction/admission/RankQueue.h"
 #include "lentiljunction/admission/SharedLimit.h"
@@ -113,7 +114,7 @@
     bool isAvoided() const { return this->isSuspect; }
 
     /// @returns the usual time from a grant to the end of a statement
-    Duration getLatency() const;
+    Duration getLatency() const { return this->latency.get(this->surroundings.clock.now()); }
 
     /// @returns statements under way and waiting, per statement that may run at one time
     double getLoad() const;
@@ -164,8 +165,7 @@
     TimePoint probeAt;
     TimePoint fullUntil;
     Duration backoff { 0 };
-    Duration meanLatency;
-    TimePoint latencyAt;
+    LatencyMemory latency;
     OneShotTimer queueTimer;
     OneShotTimer trimTimer;
     bool isClosed = false;
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -1,6 +1,8 @@
 #include "../../src/gateway/GatewaySettings.h"
+#include "../../src/gateway/ProofCodec.h"
 #include "../../src/traffic/PositionProofs.h"
 #include "../../src/traffic/ReadPlanner.h"
+#include "lentiljunction/fleet/lj_fleet.h"
 #include "lentiljunction/leadership/lj_leadership.h"
 #include "lentiljunction/routes/lj_routes.h"
 
@@ -8,6 +10,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <unistd.h>
@@ -88,6 +91,22 @@
     CHECK_EQUAL(2, all.front().generation);
 }
 
+TEST(PositionProofs, proofsThatAreHandedOnNeverBecomeYounger)
+{
+    BootTime askedAt = clock.bootNow();
+    proofs.add(group, 2, askedAt, point(5));
+    clock.advance(std::chrono::milliseconds(300));
+    BootTime sentAt = clock.bootNow();
+    clock.advance(std::chrono::milliseconds(40));
+    nlohmann::json document = encodeProofs(proofs.listNewest(), clock.bootNow());
+    std::optional<std::vector<PositionProofs::Newest>> taken = decodeProofs(document, sentAt);
+    CHECK_TRUE(taken.has_value());
+    CHECK(taken->front().askedAt <= askedAt);
+    CHECK(taken->front().head == point(5));
+    CHECK_FALSE(decodeProofs("text", sentAt).has_value());
+    CHECK_FALSE(decodeProofs(nlohmann::json::array({ { "g", -1, 2, 3, 4 } }), sentAt).has_value());
+}
+
 TEST_GROUP(ReadPlanner) {};
 
 TEST(ReadPlanner, aNearReplicaGoesBeforeAFarOneAndThePrimary)
@@ -120,6 +139,22 @@
     CHECK_FALSE(chooseReadTarget({}, point(1)).has_value());
 }
 
+TEST_GROUP(ZoneReader) {};
+
+TEST(ZoneReader, everyInstanceOfAZoneChoosesTheSameOne)
+{
+    std::vector<FleetMember> members;
+    for (const char* name : { "a1", "a2", "a3", "b1" })
+        members.push_back({ InstanceId(name), ZoneId(std::string(name).substr(0, 1)), {} });
+    std::optional<FleetMember> chosen = chooseZoneReader(members, ZoneId("a"));
+    CHECK_TRUE(chosen.has_value());
+    CHECK(chosen->zone == ZoneId("a"));
+    std::reverse(members.begin(), members.end());
+    CHECK(chooseZoneReader(members, ZoneId("a"))->id == chosen->id);
+    CHECK(chooseZoneReader(members, ZoneId("b"))->id == InstanceId("b1"));
+    CHECK_FALSE(chooseZoneReader(members, ZoneId("c")).has_value());
+}
+
 TEST_GROUP(RouteKeeper) {};
 
 TEST(RouteKeeper, aVersionNeverGoesBack)
