--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -1,10 +1,12 @@
 #include "lentiljunction/core/LogEvents.h"
 
+#include "NonBlockingSink.h"
+
 #include <chrono>
 #include <map>
 #include <mutex>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace lentiljunction {
 
@@ -128,9 +130,8 @@
 
 void initialiseLog(const std::string& instance)
 {
-    std::shared_ptr<spdlog::logger> logger = spdlog::stdout_logger_mt("lentiljunction");
+    std::shared_ptr<spdlog::logger> logger = std::make_shared<spdlog::logger>("lentiljunction", std::make_shared<NonBlockingSink>(STDOUT_FILENO));
     logger->set_pattern("%Y-%m-%dT%H:%M:%S.%fZ level=%l instance=" + instance + " %v", spdlog::pattern_time_type::utc);
-    logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
 }
 
--- /dev/null
+++ b/src/core/NonBlockingSink.cpp
@@ -0,0 +1,43 @@
+#include "NonBlockingSink.h"
+
+#include "lentiljunction/core/LogEvents.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace lentiljunction {
+
+NonBlockingSink::NonBlockingSink(int descriptor)
+    : descriptor(descriptor)
+{
+    int flags = ::fcntl(descriptor, F_GETFL);
+    if (flags >= 0)
+        ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+bool NonBlockingSink::writeWaiting()
+{
+    if (this->waiting.empty())
+        return true;
+    ssize_t written = ::write(this->descriptor, this->waiting.data(), this->waiting.size());
+    if (written > 0)
+        this->waiting.erase(0, static_cast<std::size_t>(written));
+    return this->waiting.empty();
+}
+
+void NonBlockingSink::sink_it_(const spdlog::details::log_msg& message)
+{
+    if (!this->writeWaiting()) {
+        this->numOmitted++;
+        return;
+    }
+    spdlog::memory_buf_t formatted;
+    this->formatter_->format(message, formatted);
+    if (this->numOmitted > 0)
+        this->waiting = "event=" + std::to_string(events::linesOmitted.number) + " name=" + events::linesOmitted.name + " of=all lines=" + std::to_string(this->numOmitted) + "\n";
+    this->numOmitted = 0;
+    this->waiting.append(formatted.data(), formatted.size());
+    this->writeWaiting();
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/tests/unit/LogTests.cpp
@@ -0,0 +1,55 @@
+#include "../../src/core/NonBlockingSink.h"
+
+#include <spdlog/logger.h>
+#include <string>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+
+namespace {
+
+std::string drain(int descriptor)
+{
+    std::string text;
+    char bytes[65536];
+    for (ssize_t size = ::read(descriptor, bytes, sizeof bytes); size > 0; size = ::read(descriptor, bytes, sizeof bytes)) {
+        text.append(bytes, static_cast<std::size_t>(size));
+        if (size < static_cast<ssize_t>(sizeof bytes))
+            break;
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_GROUP(NonBlockingSink)
+{
+    int ends[2] { -1, -1 };
+
+    void setup() override { CHECK_EQUAL(0, ::pipe(ends)); }
+    void teardown() override
+    {
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+};
+
+TEST(NonBlockingSink, aReaderThatStopsReadingHoldsNobodyUp)
+{
+    spdlog::logger logger("test", std::make_shared<NonBlockingSink>(ends[1]));
+    logger.set_level(spdlog::level::trace);
+    logger.set_pattern("%v");
+    std::string line(1000, 'x');
+    // Far more than a pipe holds; with a blocking write this would never end.
+    for (int index = 0; index < 2000; index++)
+        logger.info(line);
+    std::string seen = drain(ends[0]);
+    CHECK(seen.size() < 2000 * 1001);
+    logger.info("after");
+    logger.info("last");
+    std::string later = drain(ends[0]);
+    STRCMP_CONTAINS("name=lines_omitted of=all lines=", later.c_str());
+    STRCMP_CONTAINS("last\n", later.c_str());
+}
