Start sites on the platform's stand-ins, and find the other instances sooner

Cause: a new process test, anInstanceThatTheStoreRefusesGoesByTheOthers, failed: an instance that lost the store in its first three seconds knew nobody to ask for a permit, since it had read the list of instances once, before the others were in it. Ruled out: the permits among instances (later in the same situation they were renewed every 0.2 s). Change: the list is read three times more in the first 1.2 s. The bench gives seeds as the platform does. The stand-in store has doors with faults of their own; `lj-lab gateway` and `lj-lab rest` start instances as processes in front of it. The guard "most instances must answer a takeover" was not proved by its test (it passed without it); the test is stricter now and fails without the guard.

--- a/src/gateway/FleetControl.cpp
+++ b/src/gateway/FleetControl.cpp
@@ -27,6 +27,9 @@
     /// Upstreams that leave have seconds until they must be spared.
     constexpr std::chrono::milliseconds upstreamInterval { 1000 };
     constexpr std::chrono::milliseconds memberInterval { 3000 };
+    /// The same after the start, for the time in which a fleet that starts as a whole is complete.
+    constexpr std::chrono::milliseconds quickMemberInterval { 400 };
+    constexpr int quickMemberLists = 3;
     /// For an answer of another instance: some round trips between availability zones.
     constexpr std::chrono::milliseconds peerLimit { 150 };
     /// A holder whose last answer of the store is older is taken to be cut off from it.
@@ -232,8 +235,7 @@
         if (member.first != this->settings.instance)
             known.push_back(member.second.peers);
     }
-    if (known.empty())
-        known = this->settings.seeds;
+    known = known.empty() ? this->settings.seeds : known;
     if (known.empty())
         return;
     // Another one each time, since the first may be cut off from the store as well.
@@ -322,7 +324,9 @@
             std::size_t number = std::max<std::size_t>(1, this->members.size());
             this->parts.trafficLoop.post([this, number] { this->parts.traffic.setNumInstances(number); });
         }
-        this->parts.controlLoop.schedule(memberInterval, [this] { this->listMembers(); });
+        // Instances that start together do not find each other in the first list.
+        Duration next = this->numMemberLists++ < quickMemberLists ? Duration(quickMemberInterval) : Duration(memberInterval);
+        this->parts.controlLoop.schedule(next, [this] { this->listMembers(); });
     });
 }
 
--- a/src/gateway/FleetControl.h
+++ b/src/gateway/FleetControl.h
@@ -110,6 +110,7 @@
     bool isReturning = false;
     BootTime storeAnsweredAt;
     std::size_t nextPeer = 0;
+    int numMemberLists = 0;
     /// The zone's reader did not answer; the store is asked directly until then.
     TimePoint readerAvoidedUntil;
     bool isRenewalScheduled = false;
--- /dev/null
+++ b/standins/platform/PlatformSite.cpp
@@ -0,0 +1,70 @@
+#include "PlatformSite.h"
+
+namespace lentiljunction::standin {
+
+namespace {
+
+    constexpr const char* loopback = "127.0.0.1";
+    constexpr const char* groupName = "ledger";
+    constexpr int promoted = 200;
+    constexpr int noSuchGroup = 404;
+
+} // namespace
+
+PlatformSite::PlatformSite(const std::function<std::uint16_t()>& takePort)
+    : takePort(takePort)
+    , store(this->loop)
+    , group(this->loop, groupName)
+{
+}
+
+PlatformSite::~PlatformSite()
+{
+    this->loop.stop();
+}
+
+bool PlatformSite::start(Failure& failure)
+{
+    this->store.setPromoter([this](const std::string& name, const std::string& id) {
+        int status = name == groupName ? this->group.promote(id) : noSuchGroup;
+        if (status == promoted)
+            for (const std::pair<const std::string, Endpoint>& upstream : this->endpoints)
+                this->report(upstream.first, upstream.first == id);
+        return status;
+    });
+    for (const char* id : { "u1", "u2", "u3" }) {
+        this->endpoints[id] = { loopback, this->takePort() };
+        if (!this->group.add(id, this->endpoints[id], failure))
+            return false;
+        this->report(id, std::string(id) == "u1");
+    }
+    this->loop.start();
+    return true;
+}
+
+Endpoint PlatformSite::openDoor(Failure& failure)
+{
+    Endpoint door { loopback, this->takePort() };
+    this->store.listen(door, failure);
+    return door;
+}
+
+void PlatformSite::configure(std::uint64_t version, const std::vector<std::string>& databases)
+{
+    nlohmann::json routes = nlohmann::json::array();
+    for (const std::string& database : databases) {
+        std::string type = database == "bookings" ? "primary" : "read_your_writes";
+        routes.push_back({ { "name", "r-" + database }, { "host", database }, { "path_prefix", "/" }, { "route_type", type }, { "timeout_ms", 1500 }, { "target_latency_ms", 250 }, { "priority", 0 }, { "service", groupName }, { "attempts", 2 }, { "max_staleness_ms", 2500 } });
+    }
+    nlohmann::json services = nlohmann::json::array();
+    services.push_back({ { "name", groupName }, { "health_path", "/health" }, { "max_conns", 16 }, { "sync_replicas", 0 } });
+    this->store.put("config", "main", { { "version", version }, { "routes", routes }, { "services", services }, { "limits", { { "tx_idle_ms", 10000 } } } });
+}
+
+void PlatformSite::report(const std::string& id, bool isPrimary, bool isLeaving)
+{
+    const Endpoint& endpoint = this->endpoints[id];
+    this->store.put("servers", id, { { "service", groupName }, { "address", endpoint.host + ":" + std::to_string(endpoint.port) }, { "zone", "z" + id.substr(1) }, { "version", "v1" }, { "slots", 2 }, { "state", isLeaving ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "db_role", isPrimary ? "primary" : "replica" }, { "seq_no", 1 } });
+}
+
+} // namespace lentiljunction::standin
--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -1,6 +1,7 @@
 #include "PlatformStore.h"
 
 #include <algorithm>
+#include <atomic>
 #include <utility>
 
 namespace lentiljunction::standin {
@@ -33,15 +34,49 @@
 
 } // namespace
 
+/// One port of the store.
+class PlatformStore::Door : private WebSocketServer::Listener {
+public:
+    Door(EventLoop& loop, PlatformStore& store)
+        : server(loop, *this)
+        , store(store)
+    {
+    }
+
+    WebSocketServer server;
+    std::atomic<Fault> fault { Fault::None };
+
+private:
+    void onSessionOpened(WebSocketServer::Handle, const std::string&) override { }
+    void onSessionMessage(WebSocketServer::Handle, const std::string&, bool) override { }
+    void onSessionClosed(WebSocketServer::Handle) override { }
+    void onHttpRequest(WebSocketServer::Handle handle, const HttpRequest& request) override { this->store.onRequest(*this, handle, request); }
+
+    PlatformStore& store;
+};
+
 PlatformStore::PlatformStore(EventLoop& loop)
     : loop(loop)
-    , server(loop, *this)
 {
 }
 
+PlatformStore::~PlatformStore() = default;
+
 bool PlatformStore::listen(const Endpoint& endpoint, Failure& failure)
 {
-    return this->server.listen(endpoint, failure);
+    this->doors.push_back(std::make_unique<Door>(this->loop, *this));
+    return this->doors.back()->server.listen(endpoint, failure);
+}
+
+void PlatformStore::setFault(Fault fault)
+{
+    for (const std::unique_ptr<Door>& door : this->doors)
+        door->fault = fault;
+}
+
+void PlatformStore::setDoorFault(std::size_t door, Fault fault)
+{
+    this->doors[door]->fault = fault;
 }
 
 void PlatformStore::put(const std::string& kind, const std::string& name, const nlohmann::json& spec)
@@ -73,7 +108,7 @@
     std::vector<Watch> cut = std::exchange(this->watches, {});
     this->loop.post([this, cut] {
         for (const Watch& watch : cut)
-            this->server.respond(watch.handle, respondWith(gone));
+            watch.door->server.respond(watch.handle, respondWith(gone));
     });
 }
 
@@ -102,38 +137,38 @@
 
 void PlatformStore::answerWatches()
 {
-    std::vector<std::pair<WebSocketServer::Handle, HttpResponse>> answers;
+    std::vector<std::pair<Watch, HttpResponse>> answers;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         std::vector<Watch>::iterator waiting = std::partition(this->watches.begin(), this->watches.end(), [this](const Watch& watch) {
             return this->listEvents(watch.kind, watch.after).empty();
         });
         for (std::vector<Watch>::iterator watch = waiting; watch != this->watches.end(); ++watch)
-            answers.emplace_back(watch->handle, respondWith(ok, { { "events", this->listEvents(watch->kind, watch->after) }, { "at_rev", this->revision } }));
+            answers.emplace_back(*watch, respondWith(ok, { { "events", this->listEvents(watch->kind, watch->after) }, { "at_rev", this->revision } }));
         this->watches.erase(waiting, this->watches.end());
     }
-    for (const std::pair<WebSocketServer::Handle, HttpResponse>& answer : answers)
-        this->server.respond(answer.first, answer.second);
+    for (const std::pair<Watch, HttpResponse>& answer : answers)
+        answer.first.door->server.respond(answer.first.handle, answer.second);
 }
 
-void PlatformStore::startWatch(WebSocketServer::Handle handle, const std::string& kind, const std::string& query)
+void PlatformStore::startWatch(Door& door, WebSocketServer::Handle handle, const std::string& kind, const std::string& query)
 {
     std::uint64_t after = std::stoull(findParameter(query, "watch"));
     std::chrono::milliseconds wait(std::stoll("0" + findParameter(query, "wait_ms")));
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         if (after + 1 < this->oldestKept)
-            return this->server.respond(handle, respondWith(gone));
-        this->watches.push_back({ handle, kind, after });
+            return door.server.respond(handle, respondWith(gone));
+        this->watches.push_back({ &door, handle, kind, after });
     }
     this->answerWatches();
-    this->loop.schedule(wait, [this, handle] {
+    this->loop.schedule(wait, [this, &door, handle] {
         std::lock_guard<std::mutex> lock(this->mutex);
-        std::vector<Watch>::iterator found = std::find_if(this->watches.begin(), this->watches.end(), [handle](const Watch& watch) { return watch.handle == handle; });
+        std::vector<Watch>::iterator found = std::find_if(this->watches.begin(), this->watches.end(), [&door, handle](const Watch& watch) { return watch.door == &door && watch.handle == handle; });
         if (found == this->watches.end())
             return;
         this->watches.erase(found);
-        this->server.respond(handle, respondWith(ok, { { "events", nlohmann::json::array() }, { "at_rev", this->revision } }));
+        door.server.respond(handle, respondWith(ok, { { "events", nlohmann::json::array() }, { "at_rev", this->revision } }));
     });
 }
 
@@ -179,28 +214,28 @@
     return respondWith(this->promoter(body.value("service", ""), body.value("id", "")));
 }
 
-void PlatformStore::onHttpRequest(WebSocketServer::Handle handle, const HttpRequest& request)
+void PlatformStore::onRequest(Door& door, WebSocketServer::Handle handle, const HttpRequest& request)
 {
-    Fault now = this->fault;
+    Fault now = door.fault;
     if (now == Fault::Silent)
         return;
     if (now == Fault::Unavailable || now == Fault::TooMany)
-        return this->server.respond(handle, respondWith(now == Fault::TooMany ? tooMany : unavailable));
+        return door.server.respond(handle, respondWith(now == Fault::TooMany ? tooMany : unavailable));
     std::string path = request.path.substr(0, request.path.find('?'));
     std::string query = request.path.substr(std::min(request.path.size(), path.size() + 1));
     if (path == "/promotion")
-        return this->server.respond(handle, this->answerPromotion(request));
+        return door.server.respond(handle, this->answerPromotion(request));
     if (path.rfind(objectsPrefix, 0) != 0)
-        return this->server.respond(handle, respondWith(notFound));
+        return door.server.respond(handle, respondWith(notFound));
 
     std::string rest = path.substr(objectsPrefix.size());
     std::string kind = rest.substr(0, rest.find('/'));
     std::string name = rest.size() > kind.size() ? rest.substr(kind.size() + 1) : "";
     if (request.method == "GET" && !findParameter(query, "watch").empty())
-        return this->startWatch(handle, kind, query);
+        return this->startWatch(door, handle, kind, query);
     HttpResponse response = request.method == "GET" ? this->answerRead(kind, name) : this->answerWrite(request, kind, name);
     if (now != Fault::LosesAnswers || request.method == "GET")
-        this->server.respond(handle, response);
+        door.server.respond(handle, response);
 }
 
 } // namespace lentiljunction::standin
--- a/standins/platform/PlatformStore.h
+++ b/standins/platform/PlatformStore.h
@@ -2,9 +2,9 @@
 
 #include "../../src/net/WebSocketServer.h"
 
-#include <atomic>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -15,7 +15,7 @@
 /// The platform's object store and promotion call, as far as gateway instances use them.
 ///
 /// Runs on the thread of an event loop; the public methods may be called from any thread.
-class PlatformStore : private WebSocketServer::Listener {
+class PlatformStore {
 public:
     /// What is wrong with the store.
     enum class Fault {
@@ -36,7 +36,10 @@
     /// @param loop must outlive this object
     explicit PlatformStore(EventLoop& loop);
 
-    /// Opens the port.
+    ~PlatformStore();
+
+    /// Opens a port. Each port is a door with a fault of its own, so a store can refuse some instances
+    /// and serve others.
     bool listen(const Endpoint& endpoint, Failure& failure);
 
     /// Writes an object as the operator or an upstream does.
@@ -51,7 +54,11 @@
     /// Drops the history, so that watches from before end with 410.
     void compact();
 
-    void setFault(Fault newFault) { this->fault = newFault; }
+    /// Changes what is wrong at every door.
+    void setFault(Fault fault);
+
+    /// Changes what is wrong at one door, in the order in which they were opened.
+    void setDoorFault(std::size_t door, Fault fault);
     void setPromoter(Promoter newPromoter) { this->promoter = std::move(newPromoter); }
 
 private:
@@ -66,34 +73,33 @@
         nlohmann::json content;
     };
 
+    class Door;
+
     struct Watch {
+        Door* door;
         WebSocketServer::Handle handle;
         std::string kind;
         std::uint64_t after;
     };
 
-    void onSessionOpened(WebSocketServer::Handle, const std::string&) override { }
-    void onSessionMessage(WebSocketServer::Handle, const std::string&, bool) override { }
-    void onSessionClosed(WebSocketServer::Handle) override { }
-    void onHttpRequest(WebSocketServer::Handle handle, const HttpRequest& request) override;
+    void onRequest(Door& door, WebSocketServer::Handle handle, const HttpRequest& request);
     HttpResponse answerRead(const std::string& kind, const std::string& name);
     HttpResponse answerWrite(const HttpRequest& request, const std::string& kind, const std::string& name);
     HttpResponse answerPromotion(const HttpRequest& request);
-    void startWatch(WebSocketServer::Handle handle, const std::string& kind, const std::string& query);
+    void startWatch(Door& door, WebSocketServer::Handle handle, const std::string& kind, const std::string& query);
     void store(const std::string& kind, const std::string& name, const nlohmann::json& spec);
     void answerWatches();
     nlohmann::json describe(const std::string& name, const Object& object) const;
     nlohmann::json listEvents(const std::string& kind, std::uint64_t after) const;
 
     EventLoop& loop;
-    WebSocketServer server;
+    std::vector<std::unique_ptr<Door>> doors;
     std::mutex mutex;
     std::map<std::string, std::map<std::string, Object>> kinds;
     std::vector<Event> history;
     std::vector<Watch> watches;
     std::uint64_t revision = 1;
     std::uint64_t oldestKept = 1;
-    std::atomic<Fault> fault { Fault::None };
     Promoter promoter;
 };
 
--- a/tests/process/GatewayBench.cpp
+++ b/tests/process/GatewayBench.cpp
@@ -12,7 +12,6 @@
 namespace {
 
     constexpr const char* loopback = "127.0.0.1";
-    constexpr const char* groupName = "ledger";
     constexpr std::chrono::seconds patience { 30 };
 
     std::uint16_t takePort()
@@ -85,25 +84,10 @@
 }
 
 GatewayBench::GatewayBench(int numInstances)
-    : store(this->loop)
-    , group(this->loop, groupName)
-    , storePort(takePort())
+    : site(takePort)
 {
     Failure failure;
-    this->store.listen({ loopback, this->storePort }, failure);
-    this->store.setPromoter([this](const std::string& name, const std::string& id) {
-        int status = name == groupName ? this->group.promote(id) : 404;
-        if (status == 200)
-            for (const std::pair<const std::string, Endpoint>& upstream : this->endpoints)
-                this->report(upstream.first, upstream.first == id);
-        return status;
-    });
-    for (const char* id : { "u1", "u2", "u3" }) {
-        this->endpoints[id] = { loopback, takePort() };
-        this->group.add(id, this->endpoints[id], failure);
-        this->report(id, std::string(id) == "u1");
-    }
-    this->loop.start();
+    this->site.start(failure);
     this->configure(1, { "bookings" });
     for (int index = 0; index < numInstances; index++) {
         GatewaySettings settings = this->makeSettings(static_cast<std::size_t>(index));
@@ -117,11 +101,11 @@
 GatewayBench::~GatewayBench()
 {
     this->instances.clear();
-    this->loop.stop();
 }
 
 GatewaySettings GatewayBench::makeSettings(std::size_t index)
 {
+    Failure failure;
     GatewaySettings settings;
     settings.instance = InstanceId("front-" + std::to_string(index + 1));
     settings.zone = ZoneId("z" + std::to_string(index % 3 + 1));
@@ -129,30 +113,15 @@
     settings.sessions = { loopback, this->sessionPorts.back() };
     settings.ready = { loopback, takePort() };
     settings.peers = { loopback, takePort() };
+    this->peerEndpoints.push_back(settings.peers);
+    // As on the platform, the first instances are known to those that come after them.
+    settings.seeds = this->peerEndpoints;
     settings.metrics = { loopback, takePort() };
-    settings.store = { loopback, this->storePort };
+    settings.store = this->site.openDoor(failure);
     settings.promotion = settings.store;
     return settings;
 }
 
-void GatewayBench::configure(std::uint64_t version, const std::vector<std::string>& databases)
-{
-    nlohmann::json routes = nlohmann::json::array();
-    for (const std::string& database : databases) {
-        std::string type = database == "bookings" ? "primary" : "read_your_writes";
-        routes.push_back({ { "name", "r-" + database }, { "host", database }, { "path_prefix", "/" }, { "route_type", type }, { "timeout_ms", 1500 }, { "target_latency_ms", 250 }, { "priority", 0 }, { "service", groupName }, { "attempts", 2 }, { "max_staleness_ms", 2500 } });
-    }
-    nlohmann::json services = nlohmann::json::array();
-    services.push_back({ { "name", groupName }, { "health_path", "/health" }, { "max_conns", 16 }, { "sync_replicas", 0 } });
-    this->store.put("config", "main", { { "version", version }, { "routes", routes }, { "services", services }, { "limits", { { "tx_idle_ms", 10000 } } } });
-}
-
-void GatewayBench::report(const std::string& id, bool isPrimary, bool isLeaving)
-{
-    const Endpoint& endpoint = this->endpoints[id];
-    this->store.put("servers", id, { { "service", groupName }, { "address", endpoint.host + ":" + std::to_string(endpoint.port) }, { "zone", "z" + id.substr(1) }, { "version", "v1" }, { "slots", 2 }, { "state", isLeaving ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "db_role", isPrimary ? "primary" : "replica" }, { "seq_no", 1 } });
-}
-
 bool GatewayBench::waitServed(const std::string& database)
 {
     return waitUntil([&] {
--- a/tests/process/GatewayBench.h
+++ b/tests/process/GatewayBench.h
@@ -2,8 +2,7 @@
 
 #include "../../platform/PlatformAdapter.h"
 #include "../../src/gateway/GatewayInstance.h"
-#include "../../standins/platform/LineUpstream.h"
-#include "../../standins/platform/PlatformStore.h"
+#include "../../standins/platform/PlatformSite.h"
 
 #include <functional>
 #include <memory>
@@ -43,9 +42,9 @@
     std::string greeting;
 };
 
-/// Gateway instances in front of stand-ins, on loopback.
+/// Gateway instances in front of stand-ins, on loopback. Each has a door of its own to the store.
 ///
-/// The group has the upstreams "u1" (the first primary), "u2" and "u3" in zones of their own.
+/// @see standin::PlatformSite
 class GatewayBench {
 public:
     /// @param numInstances how many gateway instances are started
@@ -53,13 +52,13 @@
     ~GatewayBench();
 
     /// Writes a configuration.
-    void configure(std::uint64_t version, const std::vector<std::string>& databases);
+    void configure(std::uint64_t version, const std::vector<std::string>& databases) { this->site.configure(version, databases); }
 
     /// Waits until an instance serves a read of a database.
     bool waitServed(const std::string& database);
 
     /// Tells the store what an upstream says of itself.
-    void report(const std::string& id, bool isPrimary, bool isLeaving = false);
+    void report(const std::string& id, bool isPrimary, bool isLeaving = false) { this->site.report(id, isPrimary, isLeaving); }
 
     /// Stops an instance as a killed process.
     void kill(std::size_t index) { this->instances[index].reset(); }
@@ -68,20 +67,17 @@
     void drain(std::size_t index);
 
     std::uint16_t getPort(std::size_t index) const { return this->sessionPorts[index]; }
-    standin::PlatformStore& getStore() { return this->store; }
-    standin::LineGroup& getGroup() { return this->group; }
+    standin::PlatformStore& getStore() { return this->site.getStore(); }
+    standin::LineGroup& getGroup() { return this->site.getGroup(); }
 
 private:
     GatewaySettings makeSettings(std::size_t index);
 
     SystemClock clock;
     PlatformAdapter adapter;
-    EventLoop loop;
-    standin::PlatformStore store;
-    standin::LineGroup group;
-    std::uint16_t storePort;
-    std::map<std::string, Endpoint> endpoints;
+    standin::PlatformSite site;
     std::vector<std::uint16_t> sessionPorts;
+    std::vector<Endpoint> peerEndpoints;
     std::vector<std::unique_ptr<GatewayInstance>> instances;
 };
 
--- a/tests/process/GatewayTests.cpp
+++ b/tests/process/GatewayTests.cpp
@@ -223,3 +223,22 @@
     STRCMP_CONTAINS("READY T", answer.c_str());
     STRCMP_CONTAINS("ERR INDOUBT", caller.ask("COMMIT").c_str());
 }
+
+TEST(Gateway, anInstanceThatTheStoreRefusesGoesByTheOthers)
+{
+    GatewayBench bench(3);
+    CHECK_TRUE(bench.waitServed("bookings"));
+    // No evidence can be had either, so only another instance's permit is left. The last instance knows
+    // the others as seeds.
+    constexpr std::size_t refused = 2;
+    bench.getStore().setDoorFault(refused, standin::PlatformStore::Fault::Unavailable);
+    bench.getGroup().crash("u3");
+    TimePoint end = SystemClock().now() + permitSpan + std::chrono::seconds(2);
+    LineCaller caller(bench.getPort(refused), "bookings");
+    std::string last;
+    for (int index = 0; SystemClock().now() < end; index++) {
+        last = caller.ask("WRITE p" + std::to_string(index) + " v");
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CHECK_TRUE(isServed(last));
+}
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -216,6 +216,8 @@
 TEST(TakeoverVote, aFewThatAreCutOffTogetherTakeNothingOver)
 {
     TakeoverVote vote(7);
+    // With this instance three of seven: enough to have lost the primary, too few to speak for all.
+    vote.onAnswer(true);
     vote.onAnswer(true);
     CHECK_FALSE(vote.isWon());
 }
--- /dev/null
+++ b/tools/lab/GatewaySite.cpp
@@ -0,0 +1,146 @@
+#include "GatewaySite.h"
+
+#include "Cluster.h"
+
+#include <filesystem>
+#include <fstream>
+#include <httplib.h>
+#include <iostream>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+namespace lentiljunction::lab {
+
+namespace {
+
+    constexpr const char* loopback = "127.0.0.1";
+    constexpr int numInstances = 3;
+    constexpr int httpOk = 200;
+    constexpr std::chrono::seconds readyLimit { 20 };
+    constexpr std::chrono::milliseconds pollInterval { 50 };
+
+    std::uint16_t takePort()
+    {
+        return static_cast<std::uint16_t>(findFreePort());
+    }
+
+    bool isReady(int port)
+    {
+        httplib::Client client(loopback, port);
+        httplib::Result result = client.Get("/readiness");
+        return result && result->status == httpOk;
+    }
+
+    /// What the kernel counted for a process.
+    struct Usage {
+        double processorSeconds = 0;
+        std::uint64_t numWakeUps = 0;
+    };
+
+    Usage readUsage(pid_t process)
+    {
+        Usage usage;
+        std::string folder = "/proc/" + std::to_string(process);
+        for (const std::filesystem::directory_entry& task : std::filesystem::directory_iterator(folder + "/task")) {
+            std::ifstream status(task.path() / "status");
+            for (std::string line; std::getline(status, line);) {
+                if (line.rfind("voluntary_ctxt_switches:", 0) == 0)
+                    usage.numWakeUps += std::stoull(line.substr(line.find(':') + 1));
+            }
+        }
+        std::ifstream stat(folder + "/stat");
+        std::string text((std::istreambuf_iterator<char>(stat)), std::istreambuf_iterator<char>());
+        // User and system time are the 12th and 13th field after the name in brackets.
+        constexpr int fieldsBefore = 11;
+        std::istringstream fields(text.substr(text.rfind(')') + 2));
+        std::string skipped;
+        for (int index = 0; index < fieldsBefore; index++)
+            fields >> skipped;
+        double user = 0;
+        double system = 0;
+        fields >> user >> system;
+        usage.processorSeconds = (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+        return usage;
+    }
+
+} // namespace
+
+GatewaySite::GatewaySite(std::string binaries, std::string folder)
+    : binaries(std::move(binaries))
+    , folder(std::move(folder))
+    , site(takePort)
+{
+    std::filesystem::create_directories(this->folder);
+}
+
+std::string GatewaySite::writeSettings(int index, const Endpoint& store)
+{
+    std::string path = this->folder + "/front-" + std::to_string(index) + ".ini";
+    this->sessionPorts.push_back(findFreePort());
+    this->readyPorts.push_back(findFreePort());
+    std::ofstream(path) << "[instance]\nid = front-" << index << "\nzone = z" << index % 3 + 1 << "\n[sessions]\nlisten = " << loopback << ":" << this->sessionPorts.back()
+                        << "\n[ready]\nlisten = " << loopback << ":" << this->readyPorts.back() << "\n[peers]\nlisten = " << loopback << ":" << findFreePort()
+                        << "\n[metrics]\nlisten = " << loopback << ":" << findFreePort() << "\n[store]\nendpoint = " << store.host << ":" << store.port
+                        << "\n[promotion]\nendpoint = " << store.host << ":" << store.port << "\n";
+    return path;
+}
+
+bool GatewaySite::start(int number, Failure& failure)
+{
+    if (!this->site.start(failure))
+        return false;
+    this->site.configure(1, { "bookings", "checks" });
+    for (int index = 1; index <= number; index++) {
+        std::string settings = this->writeSettings(index, this->site.openDoor(failure));
+        std::string log = this->folder + "/front-" + std::to_string(index) + ".log";
+        this->processes.push_back(std::make_unique<Process>(this->binaries + "/lentiljunction", std::vector<std::string> { "serve", "--settings", settings }, log));
+    }
+    std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + readyLimit;
+    for (int port : this->readyPorts) {
+        while (!isReady(port)) {
+            if (std::chrono::steady_clock::now() > end) {
+                failure.set(Failure::Kind::Unavailable, "an instance did not become ready; its log is in " + this->folder);
+                return false;
+            }
+            std::this_thread::sleep_for(pollInterval);
+        }
+    }
+    return true;
+}
+
+bool serveGatewaySite(const std::string& binaries, const std::string& folder)
+{
+    GatewaySite site(binaries, folder);
+    Failure failure;
+    if (!site.start(numInstances, failure)) {
+        std::cerr << "error: " << failure.reason << "\n";
+        return false;
+    }
+    for (int port : site.getSessionPorts())
+        std::cout << "sessions at " << loopback << ":" << port << "\n";
+    std::cout << "databases: bookings (primary), checks (read your writes); logs in " << folder << "\npress Enter to stop\n";
+    std::cin.get();
+    return true;
+}
+
+nlohmann::json measureGatewayRest(const std::string& binaries, const std::string& folder, int seconds)
+{
+    GatewaySite site(binaries, folder);
+    Failure failure;
+    if (!site.start(numInstances, failure))
+        return { { "error", failure.reason } };
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    nlohmann::json report { { "seconds", seconds }, { "instances", nlohmann::json::array() } };
+    std::vector<Usage> before;
+    for (const std::unique_ptr<Process>& process : site.getProcesses())
+        before.push_back(readUsage(process->getPid()));
+    std::this_thread::sleep_for(std::chrono::seconds(seconds));
+    for (std::size_t index = 0; index < before.size(); index++) {
+        Usage after = readUsage(site.getProcesses()[index]->getPid());
+        report["instances"].push_back({ { "wake_ups_per_second", static_cast<double>(after.numWakeUps - before[index].numWakeUps) / seconds }, { "percent_of_a_core", 100 * (after.processorSeconds - before[index].processorSeconds) / seconds } });
+    }
+    return report;
+}
+
+} // namespace lentiljunction::lab
--- /dev/null
+++ b/tools/lab/GatewaySite.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "../../standins/platform/PlatformSite.h"
+#include "Process.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace lentiljunction::lab {
+
+/// Gateway instances as processes of their own, in front of the stand-ins of the users' platform.
+///
+/// @see standin::PlatformSite
+class GatewaySite {
+public:
+    /// @param binaries the folder with the programs
+    /// @param folder receives settings and logs; made when missing
+    GatewaySite(std::string binaries, std::string folder);
+
+    /// Starts the stand-ins and the instances, and waits until all are ready.
+    bool start(int numInstances, Failure& failure);
+
+    /// @returns where callers reach each instance
+    const std::vector<int>& getSessionPorts() const { return this->sessionPorts; }
+
+    /// @returns the processes, in the order of the ports
+    const std::vector<std::unique_ptr<Process>>& getProcesses() const { return this->processes; }
+
+private:
+    std::string writeSettings(int index, const Endpoint& store);
+
+    std::string binaries;
+    std::string folder;
+    standin::PlatformSite site;
+    std::vector<int> sessionPorts;
+    std::vector<int> readyPorts;
+    std::vector<std::unique_ptr<Process>> processes;
+};
+
+/// Starts a site and keeps it until Enter is pressed.
+bool serveGatewaySite(const std::string& binaries, const std::string& folder);
+
+/// Measures what an instance costs while nobody uses it.
+///
+/// @param seconds how long
+nlohmann::json measureGatewayRest(const std::string& binaries, const std::string& folder, int seconds);
+
+} // namespace lentiljunction::lab
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -1,5 +1,6 @@
 #include "Demo.h"
 #include "Experiments.h"
+#include "GatewaySite.h"
 
 #include <cxxopts.hpp>
 #include <filesystem>
@@ -28,7 +29,7 @@
 cxxopts::Options makeOptions()
 {
     cxxopts::Options options("lj-lab", "Starts whole sites on loopback, puts them under load and faults, and measures.");
-    options.positional_help("ACTION: demo, serve, failover, reads, flood, overload, chaos, lease or policies");
+    options.positional_help("ACTION: demo, serve, failover, reads, flood, overload, chaos, lease or policies; on the users' platform: gateway (serve) or rest");
     options.add_options()("action", "what to do", cxxopts::value<std::string>()->default_value("demo"));
     options.add_options()("site", "demo, spona or karadeniz", cxxopts::value<std::string>()->default_value("spona"));
     options.add_options()("folder", "receives settings and logs", cxxopts::value<std::string>());
@@ -40,7 +41,7 @@
     options.add_options()("rate", "overload: background requests per second", cxxopts::value<double>()->default_value("30000"));
     options.add_options()("durability", "replicated or primary", cxxopts::value<std::string>()->default_value("replicated"));
     options.add_options()("seed", "chaos: the script", cxxopts::value<std::uint64_t>()->default_value("1"));
-    options.add_options()("seconds", "chaos: how long", cxxopts::value<int>()->default_value("30"));
+    options.add_options()("seconds", "chaos, rest: how long", cxxopts::value<int>()->default_value("30"));
     options.add_options()("json", "print JSON in place of a table");
     options.add_options()("out", "receives the result as JSON", cxxopts::value<std::string>());
     options.add_options()("help", "this text");
@@ -77,6 +78,8 @@
         return measureLease(setting);
     if (action == "overload")
         return measureOverload(setting, arguments["rate"].as<double>());
+    if (action == "rest")
+        return measureGatewayRest(setting.binaries, setting.folder, arguments["seconds"].as<int>());
     if (action == "chaos")
         return measureChaos(setting, arguments["seed"].as<std::uint64_t>(), arguments["seconds"].as<int>());
     return std::nullopt;
@@ -103,6 +106,9 @@
     if (arguments["action"].as<std::string>() == "serve")
         return serveSite(setting.site, setting.binaries, setting.folder) ? 0 : 1;
 
+    if (arguments["action"].as<std::string>() == "gateway")
+        return serveGatewaySite(setting.binaries, setting.folder) ? 0 : 1;
+
     std::optional<nlohmann::json> report = runExperiment(arguments, setting);
     if (!report) {
         std::cerr << options.help();
