Survive messages of other instances whose fields have other types

Change: the handling of such a message ends with event 312; an answer of that kind counts as none. Test: Gateway.messagesOfOtherInstancesThatCannotBeReadHarmNobody (with the old code the process was terminated by type_error.302).

--- a/src/peer/PeerExchange.cpp
+++ b/src/peer/PeerExchange.cpp
@@ -71,9 +71,14 @@
     if (!message)
         return;
     std::uint64_t number = (*message)["number"];
-    this->listener.onPeerQuestion((*message)["body"], [this, handle, number](const nlohmann::json& answer) {
-        this->server.send(handle, encode({ { "number", number }, { "body", answer } }), true);
-    });
+    // A field of another type than expected ends the handling of the message, and nothing else.
+    try {
+        this->listener.onPeerQuestion((*message)["body"], [this, handle, number](const nlohmann::json& answer) {
+            this->server.send(handle, encode({ { "number", number }, { "body", answer } }), true);
+        });
+    } catch (const nlohmann::json::exception& error) {
+        logEvent(events::peerMessageInvalid, std::string("reason=\"") + error.what() + "\"");
+    }
 }
 
 void PeerExchange::onHttpRequest(WebSocketServer::Handle handle, const HttpRequest&)
@@ -102,7 +107,12 @@
         return;
     AnswerCallback callback = std::move(found->second.callback);
     this->pending.erase(found);
-    callback((*message)["body"]);
+    try {
+        callback((*message)["body"]);
+    } catch (const nlohmann::json::exception& error) {
+        logEvent(events::peerMessageInvalid, std::string("reason=\"") + error.what() + "\"");
+        callback(std::nullopt);
+    }
 }
 
 void PeerExchange::onDisconnected(WebSocketClient::Handle handle)
--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -106,7 +106,7 @@
     this->history.clear();
     this->oldestKept = this->revision + 1;
     std::vector<Watch> cut = std::exchange(this->watches, {});
-    this->loop.post([this, cut] {
+    this->loop.post([cut] {
         for (const Watch& watch : cut)
             watch.door->server.respond(watch.handle, respondWith(gone));
     });
--- a/tests/process/GatewayBench.h
+++ b/tests/process/GatewayBench.h
@@ -66,6 +66,9 @@
     /// Drains an instance, then stops it.
     void drain(std::size_t index);
 
+    /// @returns where other instances reach an instance
+    const Endpoint& getPeerEndpoint(std::size_t index) const { return this->peerEndpoints[index]; }
+
     std::uint16_t getPort(std::size_t index) const { return this->sessionPorts[index]; }
     standin::PlatformStore& getStore() { return this->site.getStore(); }
     standin::LineGroup& getGroup() { return this->site.getGroup(); }
--- a/tests/process/GatewayTests.cpp
+++ b/tests/process/GatewayTests.cpp
@@ -1,7 +1,9 @@
+#include "../../src/net/WebSocketClient.h"
 #include "GatewayBench.h"
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
 #include <set>
 #include <thread>
 
@@ -22,6 +24,44 @@
 
 } // namespace
 
+namespace {
+
+/// Sends messages to an instance as another instance would.
+class OddPeer : public WebSocketClient::Listener {
+public:
+    explicit OddPeer(const Endpoint& endpoint)
+        : client(this->loop, *this)
+    {
+        this->loop.start();
+        this->loop.post([this, endpoint] { this->client.connect(endpoint, "/peer"); });
+    }
+
+    ~OddPeer() override { this->loop.stop(); }
+
+    void onConnected(WebSocketClient::Handle handle) override
+    {
+        const std::vector<nlohmann::json> bodies { 7, "text", nlohmann::json::array(), { { "ask", 7 } }, { { "ask", "take_lead" }, { "record", 1 } }, { { "ask", "suspect" }, { "group", 7 }, { "is_leaving", "yes" } }, { { "ask", "opinion" }, { "group", nlohmann::json::array() } } };
+        std::uint64_t number = 1;
+        for (const nlohmann::json& body : bodies) {
+            std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor({ { "number", number++ }, { "body", body } });
+            this->client.send(handle, std::string(bytes.begin(), bytes.end()), true);
+        }
+        this->client.send(handle, "no cbor at all", true);
+        this->isSent = true;
+    }
+
+    void onMessage(WebSocketClient::Handle, const std::string&) override { }
+    void onDisconnected(WebSocketClient::Handle) override { }
+
+    std::atomic<bool> isSent { false };
+
+private:
+    EventLoop loop;
+    WebSocketClient client;
+};
+
+} // namespace
+
 TEST_GROUP(Gateway) {};
 
 TEST(Gateway, aSessionReadsItsOwnWritesOnEveryRoute)
@@ -242,3 +282,13 @@
     }
     CHECK_TRUE(isServed(last));
 }
+
+TEST(Gateway, messagesOfOtherInstancesThatCannotBeReadHarmNobody)
+{
+    GatewayBench bench(1);
+    CHECK_TRUE(bench.waitServed("bookings"));
+    OddPeer peer(bench.getPeerEndpoint(0));
+    CHECK_TRUE(waitUntil([&] { return peer.isSent.load(); }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    CHECK_TRUE(isServed(LineCaller(bench.getPort(0), "bookings").ask("WRITE still here")));
+}
