--- a/standins/platform/LineUpstream.cpp
+++ b/standins/platform/LineUpstream.cpp
@@ -6,6 +6,14 @@
 
 namespace lentiljunction::standin {
 
+namespace {
+
+    /// As on the users' sites.
+    constexpr int slots = 2;
+    constexpr std::size_t maximumQueue = 16;
+
+} // namespace
+
 /// One connection of a gateway instance.
 class LineUpstream::Connection : public ByteSocket::Listener {
 public:
@@ -94,6 +102,11 @@
                 this->upstream.isPrimary = false;
             return this->status();
         }
+        if (verb == "PAUSE" || verb == "RESUME") {
+            // Only a term above the newest one is a reason to stop receiving.
+            this->upstream.isPaused = verb == "PAUSE" && !name.empty() && std::stoull(name) > this->upstream.term;
+            return this->status();
+        }
         if (verb == "RESET") {
             this->values.clear();
             this->prepared.clear();
@@ -125,8 +138,18 @@
 
     void runSlotted(const std::string& verb, const std::string& name, const std::string& data)
     {
-        if (this->upstream.fault == Fault::Busy)
-            return this->error("BUSY no slot");
+        std::weak_ptr<bool> alive = this->isAlive;
+        bool isTaken = this->upstream.fault != Fault::Busy && this->upstream.takeSlot([this, alive, verb, name, data] {
+            // A connection that is gone has rolled back.
+            if (!alive.expired())
+                this->execute(verb, name, data);
+        });
+        if (!isTaken)
+            this->error("BUSY no slot");
+    }
+
+    void execute(const std::string& verb, const std::string& name, const std::string& data)
+    {
         bool isExecuted = verb == "EXEC";
         if (isExecuted && this->prepared.count(name) == 0)
             return this->error("NOSUCHSTMT " + name);
@@ -189,6 +212,7 @@
     std::map<std::string, std::string> writes;
     char state = 'I';
     bool isReadOnly = false;
+    std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
 
 LineUpstream::LineUpstream(LineGroup& group, std::string id, Endpoint endpoint)
@@ -200,6 +224,33 @@
 
 LineUpstream::~LineUpstream() = default;
 
+bool LineUpstream::takeSlot(std::function<void()> statement)
+{
+    if (this->group.work.count() == 0) {
+        statement();
+        return true;
+    }
+    if (this->queue.size() >= maximumQueue)
+        return false;
+    this->queue.push_back(std::move(statement));
+    this->startNext();
+    return true;
+}
+
+void LineUpstream::startNext()
+{
+    if (this->numExecuting >= slots || this->queue.empty())
+        return;
+    this->numExecuting++;
+    std::function<void()> statement = std::move(this->queue.front());
+    this->queue.pop_front();
+    this->group.loop.schedule(this->group.work, [this, statement = std::move(statement)] {
+        statement();
+        this->numExecuting--;
+        this->startNext();
+    });
+}
+
 bool LineUpstream::listen(Failure& failure)
 {
     this->port = std::make_unique<ByteListener>(this->group.loop);
@@ -281,6 +332,7 @@
     if (chosen->isPrimary && chosen->term == greatest)
         return taken;
     chosen->isPrimary = true;
+    chosen->isPaused = false;
     chosen->term = greatest + 1;
     // Those that can be reached follow the new primary and drop what it does not have.
     for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
@@ -314,7 +366,7 @@
     std::uint64_t number = primary.headNumber;
     this->loop.schedule(this->lag, [this, &primary, writes, term, number] {
         for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
-            if (upstream.get() == &primary || upstream->term != term || upstream->headNumber + 1 != number)
+            if (upstream.get() == &primary || upstream->isPaused || upstream->term != term || upstream->headNumber + 1 != number)
                 continue;
             for (const std::pair<const std::string, std::string>& write : writes)
                 upstream->items[write.first] = write.second;
--- a/standins/platform/LineUpstream.h
+++ b/standins/platform/LineUpstream.h
@@ -3,6 +3,8 @@
 #include "../../src/net/ByteSocket.h"
 
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -49,6 +51,12 @@
     friend class LineGroup;
     class Connection;
 
+    /// Runs a statement when a slot is free, for as long as the group's work takes.
+    ///
+    /// @returns false when the queue is full
+    bool takeSlot(std::function<void()> statement);
+    void startNext();
+
     LineGroup& group;
     std::string id;
     Endpoint endpoint;
@@ -60,7 +68,12 @@
     std::uint64_t headNumber = 0;
     bool isPrimary = false;
     bool isRunning = false;
+    /// Receives nothing until it is resumed or promoted.
+    bool isPaused = false;
     Fault fault = Fault::None;
+    int numExecuting = 0;
+    /// Statements that wait for a slot.
+    std::deque<std::function<void()>> queue;
 };
 
 /// A group of upstreams: one primary whose commits reach the replicas after a delay.
@@ -83,6 +96,9 @@
     /// How long replicas are behind.
     void setLag(Duration newLag) { this->lag = newLag; }
 
+    /// How long a read, write or commit takes one of the slots.
+    void setWork(Duration newWork) { this->work = newWork; }
+
     /// Makes an upstream the primary of the next term.
     ///
     /// @returns the status of the promotion call
@@ -110,6 +126,7 @@
     std::string name;
     std::vector<std::unique_ptr<LineUpstream>> upstreams;
     Duration lag { std::chrono::milliseconds(5) };
+    Duration work { 0 };
     std::multiset<std::string> committed;
 };
 
--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -15,6 +15,7 @@
     constexpr int gone = 410;
     constexpr int tooMany = 429;
     constexpr int unavailable = 503;
+    constexpr std::chrono::seconds lateness { 1 };
     const std::string objectsPrefix = "/objects/";
 
     HttpResponse respondWith(int status, const nlohmann::json& body = nlohmann::json::object())
@@ -233,6 +234,10 @@
     std::string name = rest.size() > kind.size() ? rest.substr(kind.size() + 1) : "";
     if (request.method == "GET" && !findParameter(query, "watch").empty())
         return this->startWatch(door, handle, kind, query);
+    if (now == Fault::LateWrites && request.method != "GET") {
+        this->loop.schedule(lateness, [this, request, kind, name] { this->answerWrite(request, kind, name); });
+        return;
+    }
     HttpResponse response = request.method == "GET" ? this->answerRead(kind, name) : this->answerWrite(request, kind, name);
     if (now != Fault::LosesAnswers || request.method == "GET")
         door.server.respond(handle, response);
--- a/standins/platform/PlatformStore.h
+++ b/standins/platform/PlatformStore.h
@@ -28,6 +28,8 @@
         Silent,
         /// Carries writes out and answers nothing.
         LosesAnswers,
+        /// Carries writes out a second later, if their condition still holds, and answers nothing.
+        LateWrites,
     };
 
     /// @returns the status of the answer
--- a/tests/process/GatewayTests.cpp
+++ b/tests/process/GatewayTests.cpp
@@ -4,6 +4,8 @@
 #include <CppUTest/TestHarness.h>
 
 #include <atomic>
+#include <map>
+#include <mutex>
 #include <set>
 #include <thread>
 
@@ -292,3 +294,54 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
     CHECK_TRUE(isServed(LineCaller(bench.getPort(0), "bookings").ask("WRITE still here")));
 }
+
+TEST(Gateway, aChangeOfPrimarySurvivesWritesThatAreDoneLate)
+{
+    GatewayBench bench(3);
+    CHECK_TRUE(bench.waitServed("bookings"));
+    bench.getStore().setFault(standin::PlatformStore::Fault::LateWrites);
+    bench.getGroup().crash("u1");
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    bench.getStore().setFault(standin::PlatformStore::Fault::None);
+    LineCaller caller(bench.getPort(0), "bookings");
+    std::set<std::string> acknowledged;
+    int next = 0;
+    CHECK_TRUE(waitUntil([&] {
+        std::string item = "l" + std::to_string(next++);
+        if (isServed(caller.ask("WRITE " + item + " v")))
+            acknowledged.insert(item);
+        return acknowledged.size() >= 10;
+    }));
+    for (const std::string& item : acknowledged)
+        CHECK_EQUAL(1, bench.getGroup().countCommits(item));
+}
+
+TEST(Gateway, moreWorkThanSlotsIsServedOrRefusedTruthfully)
+{
+    GatewayBench bench;
+    CHECK_TRUE(bench.waitServed("bookings"));
+    bench.getGroup().setWork(std::chrono::milliseconds(5));
+    std::vector<std::thread> callers;
+    std::mutex mutex;
+    std::map<std::string, bool> outcomes;
+    for (int number = 0; number < 24; number++) {
+        callers.emplace_back([&, number] {
+            LineCaller caller(bench.getPort(static_cast<std::size_t>(number % 2)), "bookings");
+            for (int index = 0; index < 20; index++) {
+                std::string item = "m" + std::to_string(number) + "-" + std::to_string(index);
+                std::string answer = caller.ask("WRITE " + item + " v");
+                std::lock_guard<std::mutex> lock(mutex);
+                if (isServed(answer) || contains(answer, "ERR BUSY"))
+                    outcomes[item] = isServed(answer);
+            }
+        });
+    }
+    for (std::thread& caller : callers)
+        caller.join();
+    std::size_t numServed = 0;
+    for (const std::pair<const std::string, bool>& outcome : outcomes) {
+        CHECK_EQUAL(outcome.second ? 1 : 0, bench.getGroup().countCommits(outcome.first));
+        numServed += outcome.second ? 1 : 0;
+    }
+    CHECK(numServed > 0);
+}
