--- a/tools/lab/GatewaySite.cpp
+++ b/tools/lab/GatewaySite.cpp
@@ -28,7 +28,7 @@
     bool isReady(int port)
     {
         httplib::Client client(loopback, port);
-        httplib::Result result = client.Get("/readiness");
+        httplib::Result result = client.Get("/");
         return result && result->status == httpOk;
     }
 
