Read addresses in one place

Cause: "address:port" was read by three functions (command line, settings of the gateway, the codec in platform/) with three sets of limits; the first took an empty host. One function in the core module is left, with the strictest limits, and a test of its edges.

Ruled out: keeping Endpoint in the settings module; platform/ and the command line need it without settings.

Before: three copies, ":80" accepted as the address of an instance by `status`. After: one copy, refused.

--- a/include/lentiljunction/core/lj_core.h
+++ b/include/lentiljunction/core/lj_core.h
@@ -4,6 +4,7 @@
 /// Module core: ids, units, time, outcomes, schedulers and log events. Depends on the standard library, nlohmann-json and spdlog.
 
 #include "lentiljunction/core/Clock.h"
+#include "lentiljunction/core/Endpoint.h"
 #include "lentiljunction/core/EventLoop.h"
 #include "lentiljunction/core/Failure.h"
 #include "lentiljunction/core/Ids.h"
--- a/include/lentiljunction/settings/Settings.h
+++ b/include/lentiljunction/settings/Settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lentiljunction/bundle/Bundle.h"
+#include "lentiljunction/core/Endpoint.h"
 #include "lentiljunction/core/Failure.h"
 #include "lentiljunction/core/Ids.h"
 
@@ -10,12 +11,6 @@
 
 namespace lentiljunction {
 
-/// An address of IP number and port.
-struct Endpoint {
-    std::string host;
-    std::uint16_t port = 0;
-};
-
 /// A peer that is known before any membership message arrived.
 struct SeedPeer {
     InstanceId id;
--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -57,18 +57,6 @@
     }
 }
 
-std::optional<Endpoint> parseEndpoint(const std::string& text, Failure& failure)
-{
-    std::size_t colon = text.rfind(':');
-    std::string port = colon == std::string::npos ? "" : text.substr(colon + 1);
-    bool isNumber = !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos;
-    if (isNumber && std::stoi(port) >= 1 && std::stoi(port) <= 65535)
-        return Endpoint { text.substr(0, colon), static_cast<std::uint16_t>(std::stoi(port)) };
-
-    failure.set(Failure::Kind::InvalidInput, "\"" + text + "\" is no address:port");
-    return std::nullopt;
-}
-
 std::optional<std::string> readFile(const std::string& path, Failure& failure)
 {
     std::ifstream stream(path);
--- a/src/cli/CommandLine.h
+++ b/src/cli/CommandLine.h
@@ -39,10 +39,6 @@
 /// @returns the exit code that belongs to its kind
 int reportFailure(const Failure& failure);
 
-/// @param text "address:port"
-/// @returns the endpoint, or nothing with the reason in `failure`
-std::optional<Endpoint> parseEndpoint(const std::string& text, Failure& failure);
-
 /// @returns the file's text, or nothing with the reason in `failure`
 std::optional<std::string> readFile(const std::string& path, Failure& failure);
 
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -27,17 +27,6 @@
         return number;
     }
 
-    std::optional<Endpoint> parseAddress(const std::string& text)
-    {
-        std::size_t colon = text.rfind(':');
-        if (colon == std::string::npos || colon == 0)
-            return std::nullopt;
-        std::optional<std::uint16_t> port = parseWhole<std::uint16_t>(text.substr(colon + 1));
-        if (!port || *port == 0)
-            return std::nullopt;
-        return Endpoint { text.substr(0, colon), *port };
-    }
-
     /// Reads keys and collects faults.
     class Reader {
     public:
@@ -58,7 +47,8 @@
         Endpoint getEndpoint(const std::string& section, const std::string& key)
         {
             std::string value = this->document.find(section, key).value_or("");
-            std::optional<Endpoint> endpoint = parseAddress(value);
+            Failure failure;
+            std::optional<Endpoint> endpoint = parseEndpoint(value, failure);
             if (!endpoint)
                 this->addFault(section, key, value, "address:port");
             return endpoint.value_or(Endpoint());
@@ -70,7 +60,8 @@
             std::istringstream stream(this->document.find(section, key).value_or(""));
             std::string item;
             while (std::getline(stream, item, ',')) {
-                std::optional<Endpoint> endpoint = parseAddress(item);
+                Failure failure;
+                std::optional<Endpoint> endpoint = parseEndpoint(item, failure);
                 if (endpoint)
                     endpoints.push_back(*endpoint);
                 else
--- a/tests/unit/SettingsTests.cpp
+++ b/tests/unit/SettingsTests.cpp
@@ -80,6 +80,21 @@
     }
 }
 
+TEST_GROUP(Endpoints) {};
+
+TEST(Endpoints, anAddressNeedsAHostAndAPortInRange)
+{
+    Failure failure;
+    std::optional<Endpoint> good = parseEndpoint("10.1.0.8:65535", failure);
+    CHECK_TRUE(good.has_value());
+    STRCMP_EQUAL("10.1.0.8", good->host.c_str());
+    CHECK_EQUAL(65535, good->port);
+    for (const char* bad : { "", ":", ":80", "10.1.0.8", "10.1.0.8:", "10.1.0.8:0", "10.1.0.8:65536", "10.1.0.8:+8", "10.1.0.8:8x", "10.1.0.8: 8" }) {
+        CHECK_FALSE_TEXT(parseEndpoint(bad, failure).has_value(), bad);
+        STRCMP_CONTAINS(("\"" + std::string(bad) + "\"").c_str(), failure.reason.c_str());
+    }
+}
+
 TEST_GROUP(LogEvents) {};
 
 TEST(LogEvents, theCatalogueInTheManualIsThatOfTheCode)
