--- a/include/lentiljunction/audit/AuditTrail.h
+++ b/include/lentiljunction/audit/AuditTrail.h
@@ -69,6 +69,9 @@
     /// Notes the end of the write of the last batch.
     void onWritten(bool isWritten);
 
+    /// @returns whether records wait for the store
+    bool isWaiting() const { return !this->waiting.empty(); }
+
     /// @returns records dropped because too many waited
     std::uint64_t getNumDropped() const { return this->numDropped; }
 
--- a/include/lentiljunction/fleet/FleetStore.h
+++ b/include/lentiljunction/fleet/FleetStore.h
@@ -68,6 +68,12 @@
     /// @param isLinearizable whether the list must hold every instance that registered before the call
     virtual void listMembers(bool isLinearizable, Callback<std::vector<FleetMember>> callback) = 0;
 
+    /// Keeps records of changes for good; a Conflict means that they are there already.
+    ///
+    /// @param key names the records among those of all instances
+    /// @param records a JSON array
+    virtual void writeAudit(const std::string& key, const std::string& records, Callback<bool> callback) = 0;
+
     /// Asks for a new primary of a group. Checks no epoch: the caller must be sure to hold the duty.
     ///
     /// A Conflict means that this upstream cannot lead.
--- a/include/lentiljunction/interactive/lj_interactive.h
+++ b/include/lentiljunction/interactive/lj_interactive.h
@@ -10,4 +10,5 @@
 #include "lentiljunction/interactive/SessionProtocol.h"
 #include "lentiljunction/interactive/SessionReply.h"
 #include "lentiljunction/interactive/SessionStatement.h"
+#include "lentiljunction/interactive/StatementTrouble.h"
 #include "lentiljunction/interactive/UpstreamCommand.h"
--- a/include/lentiljunction/session/TermHistory.h
+++ b/include/lentiljunction/session/TermHistory.h
@@ -25,6 +25,12 @@
     }
 };
 
+/// @returns "term:position", for logs
+inline std::string toString(LogPoint point)
+{
+    return std::to_string(point.term.value()) + ":" + std::to_string(point.position.value());
+}
+
 /// Whether a log contains an entry.
 enum class Coverage {
     /// The entry is in the log.
--- /dev/null
+++ b/src/cli/LogCommands.cpp
@@ -0,0 +1,116 @@
+#include "LogCommands.h"
+
+#include "CommandLine.h"
+#include "lentiljunction/logbook/FleetReport.h"
+#include "lentiljunction/logbook/RequestHistory.h"
+
+#include <fstream>
+#include <iostream>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// Reads the named files, or the standard input when there are none.
+    std::optional<LogCollection> readLogs(const std::vector<std::string>& paths, Failure& failure)
+    {
+        LogCollection collection;
+        if (paths.empty())
+            readLog(std::cin, collection);
+        for (const std::string& path : paths) {
+            std::ifstream stream(path);
+            if (!stream) {
+                failure.set(Failure::Kind::InvalidInput, path + ": cannot be opened");
+                return std::nullopt;
+            }
+            readLog(stream, collection);
+        }
+        if (collection.records.empty()) {
+            failure.set(Failure::Kind::InvalidInput, "no line of a log was found among " + std::to_string(collection.numOtherLines) + " lines");
+            return std::nullopt;
+        }
+        sortByTime(collection);
+        return collection;
+    }
+
+    class ExplainCommand : public Command {
+    public:
+        std::string getName() const override { return "explain"; }
+        std::string getSummary() const override { return "follow one request through the logs of all instances"; }
+
+        int run(const std::vector<std::string>& arguments) override
+        {
+            CommandLine line(this->getName(), this->getSummary());
+            line.getOptions().add_options()("id", "the request's id", cxxopts::value<std::string>());
+            line.getOptions().add_options()("logs", "log files; the standard input when none is named", cxxopts::value<std::vector<std::string>>()->default_value(""));
+            line.getOptions().parse_positional({ "id", "logs" });
+            line.getOptions().positional_help("ID [FILE...]");
+            return line.run(arguments, [](const cxxopts::ParseResult& parsed) { return explain(parsed); });
+        }
+
+    private:
+        static int explain(const cxxopts::ParseResult& parsed)
+        {
+            if (parsed.count("id") == 0) {
+                std::cerr << "error: name the request's id\n";
+                return exitcodes::usage;
+            }
+            Failure failure;
+            std::optional<LogCollection> collection = readLogs(parsed.count("logs") > 0 ? parsed["logs"].as<std::vector<std::string>>() : std::vector<std::string>(), failure);
+            if (!collection)
+                return reportFailure(failure);
+            RequestHistory history = RequestHistory::build(*collection, parsed["id"].as<std::string>());
+            std::cout << history.render();
+            return history.isEmpty() ? exitcodes::failed : exitcodes::ok;
+        }
+    };
+
+    class ReportCommand : public Command {
+    public:
+        std::string getName() const override { return "report"; }
+        std::string getSummary() const override { return "sum up the logs of all instances as text or as a page"; }
+
+        int run(const std::vector<std::string>& arguments) override
+        {
+            CommandLine line(this->getName(), this->getSummary());
+            line.getOptions().add_options()("html", "write one HTML page to this file as well", cxxopts::value<std::string>());
+            line.getOptions().add_options()("logs", "log files; the standard input when none is named", cxxopts::value<std::vector<std::string>>()->default_value(""));
+            line.getOptions().parse_positional({ "logs" });
+            line.getOptions().positional_help("[FILE...]");
+            return line.run(arguments, [](const cxxopts::ParseResult& parsed) { return report(parsed); });
+        }
+
+    private:
+        static int report(const cxxopts::ParseResult& parsed)
+        {
+            Failure failure;
+            std::optional<LogCollection> collection = readLogs(parsed.count("logs") > 0 ? parsed["logs"].as<std::vector<std::string>>() : std::vector<std::string>(), failure);
+            if (!collection)
+                return reportFailure(failure);
+            FleetReport report = FleetReport::build(*collection);
+            std::cout << report.renderText();
+            if (parsed.count("html") == 0)
+                return exitcodes::ok;
+            std::string path = parsed["html"].as<std::string>();
+            std::ofstream page(path);
+            page << renderHtml(report);
+            page.close();
+            if (!page) {
+                failure.set(Failure::Kind::Unavailable, path + ": cannot be written");
+                return reportFailure(failure);
+            }
+            return exitcodes::ok;
+        }
+    };
+
+} // namespace
+
+std::vector<std::unique_ptr<Command>> makeLogCommands()
+{
+    std::vector<std::unique_ptr<Command>> commands;
+    commands.push_back(std::make_unique<ExplainCommand>());
+    commands.push_back(std::make_unique<ReportCommand>());
+    return commands;
+}
+
+} // namespace lentiljunction
--- a/src/cli/Program.cpp
+++ b/src/cli/Program.cpp
@@ -1,6 +1,7 @@
 #include "BundleCommands.h"
 #include "Command.h"
 #include "InstanceCommands.h"
+#include "LogCommands.h"
 
 #include <iostream>
 #include <iterator>
@@ -13,7 +14,9 @@
     std::vector<std::unique_ptr<Command>> makeAllCommands(const GatewayAdapter& adapter)
     {
         std::vector<std::unique_ptr<Command>> commands = makeInstanceCommands(adapter);
-        std::vector<std::unique_ptr<Command>> more = makeBundleCommands();
+        std::vector<std::unique_ptr<Command>> logs = makeLogCommands();
+    commands.insert(commands.end(), std::make_move_iterator(logs.begin()), std::make_move_iterator(logs.end()));
+    std::vector<std::unique_ptr<Command>> more = makeBundleCommands();
         commands.insert(commands.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
         return commands;
     }
--- /dev/null
+++ b/src/fleet/MeteredFleetStore.cpp
@@ -0,0 +1,51 @@
+#include "MeteredFleetStore.h"
+
+#include "lentiljunction/core/LogEvents.h"
+
+namespace lentiljunction {
+
+namespace {
+
+    /// A single refused call is common under load and says nothing about the store as a whole.
+    constexpr int failuresUntilLost = 2;
+
+} // namespace
+
+MeteredFleetStore::MeteredFleetStore(std::unique_ptr<FleetStore> inner, const Clock& clock, GatewayMetrics& metrics)
+    : inner(std::move(inner))
+    , clock(clock)
+    , metrics(metrics)
+    , lastContact(clock.now())
+{
+}
+
+void MeteredFleetStore::promote(const GroupId& group, const UpstreamId& upstream, const InstanceId& holder, FencingToken epoch, Callback<bool> callback)
+{
+    this->inner->promote(group, upstream, holder, epoch, [this, began = this->clock.now(), callback = std::move(callback)](std::optional<bool> value, const Failure& failure) {
+        this->count("promote", value.has_value(), failure, began);
+        callback(value, failure);
+    });
+}
+
+void MeteredFleetStore::count(const std::string& operation, bool isDone, const Failure& failure, TimePoint began)
+{
+    const char* result = isDone ? "done" : isAnswer(failure) ? "refused"
+                                                             : "unanswered";
+    this->metrics.onStoreCall(operation, result, std::chrono::duration_cast<Duration>(this->clock.now() - began));
+}
+
+void MeteredFleetStore::noteContact(const std::string& operation, bool isInContact, const Failure& failure)
+{
+    std::string silence = std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - this->lastContact).count());
+    if (!isInContact) {
+        if (++this->numFailuresInARow == failuresUntilLost)
+            logEvent(events::storeUnavailable, "call=" + operation + " last_answer_ms=" + silence + " reason=\"" + failure.reason + "\"");
+        return;
+    }
+    if (this->numFailuresInARow >= failuresUntilLost)
+        logEvent(events::storeBack, "call=" + operation + " after_ms=" + silence);
+    this->numFailuresInARow = 0;
+    this->lastContact = this->clock.now();
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/fleet/MeteredFleetStore.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "lentiljunction/core/Clock.h"
+#include "lentiljunction/fleet/FleetStore.h"
+#include "lentiljunction/metrics/GatewayMetrics.h"
+
+#include <memory>
+#include <string>
+
+namespace lentiljunction {
+
+/// Counts the calls of another store, and logs when it is lost and regained.
+///
+/// Belongs to the control thread.
+///
+/// @see FleetStore
+class MeteredFleetStore : public FleetStore {
+public:
+    /// @param clock must outlive this object, as must `metrics`
+    MeteredFleetStore(std::unique_ptr<FleetStore> inner, const Clock& clock, GatewayMetrics& metrics);
+
+    void readRoutes(Callback<VersionedRoutes> callback) override { this->inner->readRoutes(this->meter("read_routes", std::move(callback))); }
+    void watchRoutes(StoreVersion after, Duration wait, Callback<VersionedRoutes> callback) override { this->inner->watchRoutes(after, wait, this->meter("watch_routes", std::move(callback))); }
+    void listUpstreams(Callback<std::shared_ptr<const UpstreamList>> callback) override { this->inner->listUpstreams(this->meter("list_upstreams", std::move(callback))); }
+    void readLead(Callback<VersionedLead> callback) override { this->inner->readLead(this->meter("read_lead", std::move(callback))); }
+    void writeLead(const LeadRecord& record, StoreVersion expected, Callback<VersionedLead> callback) override { this->inner->writeLead(record, expected, this->meter("write_lead", std::move(callback))); }
+    void registerMember(const FleetMember& member, Callback<bool> callback) override { this->inner->registerMember(member, this->meter("register", std::move(callback))); }
+    void removeMember(const InstanceId& member, Callback<bool> callback) override { this->inner->removeMember(member, this->meter("remove", std::move(callback))); }
+    void listMembers(bool isLinearizable, Callback<std::vector<FleetMember>> callback) override { this->inner->listMembers(isLinearizable, this->meter("list_members", std::move(callback))); }
+    void writeAudit(const std::string& key, const std::string& records, Callback<bool> callback) override { this->inner->writeAudit(key, records, this->meter("write_audit", std::move(callback))); }
+    /// Promotions are another service's; they say nothing about the store.
+    void promote(const GroupId& group, const UpstreamId& upstream, const InstanceId& holder, FencingToken epoch, Callback<bool> callback) override;
+
+private:
+    template <typename T>
+    Callback<T> meter(const std::string& operation, Callback<T> callback)
+    {
+        return [this, operation, began = this->clock.now(), callback = std::move(callback)](std::optional<T> value, const Failure& failure) {
+            this->count(operation, value.has_value(), failure, began);
+            this->noteContact(operation, value.has_value() || isAnswer(failure), failure);
+            callback(std::move(value), failure);
+        };
+    }
+
+    /// @returns whether a failure is the store's own answer about what it holds
+    static bool isAnswer(const Failure& failure) { return failure.kind == Failure::Kind::NotFound || failure.kind == Failure::Kind::Conflict; }
+    void count(const std::string& operation, bool isDone, const Failure& failure, TimePoint began);
+    void noteContact(const std::string& operation, bool isInContact, const Failure& failure);
+
+    std::unique_ptr<FleetStore> inner;
+    const Clock& clock;
+    GatewayMetrics& metrics;
+    int numFailuresInARow = 0;
+    TimePoint lastContact;
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/gateway/AuditWriter.cpp
@@ -0,0 +1,57 @@
+#include "AuditWriter.h"
+
+#include "lentiljunction/core/LogEvents.h"
+
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// Changes that come together go into one write; the trail itself spaces further ones.
+    constexpr std::chrono::milliseconds writeDelay { 1000 };
+
+} // namespace
+
+AuditWriter::AuditWriter(EventLoop& loop, const Clock& clock, FleetStore& store, const InstanceId& self)
+    : loop(loop)
+    , clock(clock)
+    , store(store)
+    , trail(self.toString())
+{
+}
+
+void AuditWriter::add(AuditRecord record)
+{
+    this->trail.add(std::move(record), this->clock.wallNow());
+    this->scheduleWrite();
+}
+
+void AuditWriter::scheduleWrite()
+{
+    if (std::exchange(this->isScheduled, true))
+        return;
+    this->loop.schedule(writeDelay, [this] {
+        this->isScheduled = false;
+        this->write();
+    });
+}
+
+void AuditWriter::write()
+{
+    if (!this->trail.isWaiting())
+        return;
+    std::optional<AuditTrail::Batch> batch = this->trail.makeBatch(this->clock.now(), this->clock.wallNow());
+    if (!batch)
+        return this->scheduleWrite();
+    this->store.writeAudit(batch->key, batch->value, [this](const std::optional<bool>& isWritten, const Failure& failure) {
+        // A write whose answer was lost is found under its name the next time.
+        bool isThere = isWritten.has_value() || failure.kind == Failure::Kind::Conflict;
+        if (!isThere)
+            logEvent(events::auditWriteFailed, "reason=\"" + failure.reason + "\"");
+        this->trail.onWritten(isThere);
+        this->scheduleWrite();
+    });
+}
+
+} // namespace lentiljunction
--- a/src/gateway/FailoverDriver.cpp
+++ b/src/gateway/FailoverDriver.cpp
@@ -41,7 +41,7 @@
     const VersionedLead& lead = this->parts.surroundings.getPermits().getView().lead;
     const GroupLead* known = lead.record == nullptr ? nullptr : lead.record->find(group);
     Term knownTerm = known == nullptr ? Term() : known->term;
-    this->runs.emplace(group, Run { Failover(group, primary, candidates, isPlanned, knownTerm, now), {}, {}, cause, now, "", false });
+    this->runs.emplace(group, Run { Failover(group, primary, candidates, isPlanned, knownTerm, now), {}, cause, now, "", false });
     this->advance(group);
     this->timer.setTime(now + tickInterval);
 }
@@ -174,6 +174,7 @@
             return this->abandon(group, "another instance took the duty over");
         current->failover.onStableWritten();
         logEvent(events::promotionDone, "group=" + group.toString() + " primary=" + current->failover.getChosen()->toString() + " term=" + std::to_string(status.term.value()) + " took_ms=" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(this->parts.clock.now() - current->began).count()));
+        this->recordChange(*current, status);
         this->tellAll(*current);
         const UpstreamEntry* old = this->parts.surroundings.getUpstreamList().find(current->failover.getOldPrimary());
         if (old != nullptr)
@@ -356,6 +357,17 @@
     };
 }
 
+void FailoverDriver::recordChange(const Run& run, const LeadStatus& status)
+{
+    AuditRecord record;
+    record.kind = AuditKind::Promotion;
+    record.subject = run.failover.getGroup().toString();
+    record.reason = run.cause;
+    record.before = run.failover.getOldPrimary().toString();
+    record.after = run.failover.getChosen()->toString() + " term " + std::to_string(status.term.value());
+    this->parts.surroundings.recordChange(std::move(record));
+}
+
 void FailoverDriver::tellAll(const Run& run)
 {
     for (const std::pair<const InstanceId, FleetMember>& member : run.members) {
--- a/src/gateway/FailoverDriver.h
+++ b/src/gateway/FailoverDriver.h
@@ -3,6 +3,7 @@
 #include "../peer/PeerExchange.h"
 #include "LeadWriter.h"
 #include "UpstreamCommander.h"
+#include "lentiljunction/audit/AuditTrail.h"
 #include "lentiljunction/leadership/Failover.h"
 #include "lentiljunction/leadership/PermitBook.h"
 #include "lentiljunction/routes/UpstreamKeeper.h"
@@ -38,6 +39,9 @@
 
         /// Calls back once the traffic thread goes by the belief in force.
         virtual void confirmTraffic(std::function<void()> callback) = 0;
+
+        /// Puts a change into the audit trail.
+        virtual void recordChange(AuditRecord record) = 0;
     };
 
     struct Parts {
@@ -71,7 +75,6 @@
 private:
     struct Run {
         Failover failover;
-        std::set<InstanceId> asked;
         std::map<InstanceId, FleetMember> members;
         std::string cause;
         TimePoint began;
@@ -92,6 +95,7 @@
     void callPromote(const GroupId& group, const UpstreamId& upstream);
     void onPromoted(const GroupId& group, bool isAnswered, const Failure& failure);
     void onCallEnded(bool isAnswered);
+    void recordChange(const Run& run, const LeadStatus& status);
     void tellAll(const Run& run);
     void abandon(const GroupId& group, const std::string& reason);
     bool isHolder() const;
--- a/src/gateway/FleetControl.cpp
+++ b/src/gateway/FleetControl.cpp
@@ -51,6 +51,7 @@
     , failovers({ parts.controlLoop, parts.clock, parts.store, this->peers, this->writer, this->commander, *this, settings.instance })
     , duty({ parts.controlLoop, parts.clock, this->peers, this->failovers, settings.instance }, *this)
     , permits(settings.instance)
+    , audit(parts.controlLoop, parts.clock, parts.store, settings.instance)
     , turn(settings.instance)
 {
 }
@@ -178,10 +179,7 @@
     const VersionedLead& lead = this->permits.getView().lead;
     BootTime now = this->parts.clock.bootNow();
     this->turn.onRecord(*lead.record, lead.revision, now);
-    for (std::map<InstanceId, BootTime>::iterator known = this->retiredSince.begin(); known != this->retiredSince.end();)
-        known = lead.record->retired.count(known->first) > 0 ? std::next(known) : this->retiredSince.erase(known);
-    for (const InstanceId& instance : lead.record->retired)
-        this->retiredSince.emplace(instance, now);
+    this->members.noteRetired(lead.record->retired, now);
     if (this->permits.isRetired())
         this->returnToService();
 }
@@ -195,33 +193,11 @@
         logEvent(events::instanceReturned, "written=" + std::to_string(isWritten) + " lead_revision=" + std::to_string(this->permits.getView().lead.revision.value())); });
 }
 
-bool FleetControl::isLongRetired(const InstanceId& instance) const
-{
-    std::map<InstanceId, BootTime>::const_iterator since = this->retiredSince.find(instance);
-    return since != this->retiredSince.end() && this->parts.clock.bootNow() - since->second >= permitSpan + permitMargin;
-}
-
-std::optional<FleetMember> FleetControl::findMember(const InstanceId& instance) const
-{
-    std::map<InstanceId, FleetMember>::const_iterator found = this->members.find(instance);
-    return found == this->members.end() ? std::nullopt : std::optional<FleetMember>(found->second);
-}
-
 bool FleetControl::hasStore() const
 {
     return this->parts.clock.bootNow() - this->storeAnsweredAt < storeContactLimit;
 }
 
-std::vector<FleetMember> FleetControl::listActiveMembers() const
-{
-    std::vector<FleetMember> active;
-    for (const std::pair<const InstanceId, FleetMember>& member : this->members) {
-        if (this->retiredSince.count(member.first) == 0)
-            active.push_back(member.second);
-    }
-    return active;
-}
-
 void FleetControl::confirmTraffic(std::function<void()> callback)
 {
     // Tasks run in order, so the belief that was posted before is in force when this one runs.
@@ -230,11 +206,7 @@
 
 void FleetControl::askPeersForLead()
 {
-    std::vector<Endpoint> known;
-    for (const std::pair<const InstanceId, FleetMember>& member : this->members) {
-        if (member.first != this->settings.instance)
-            known.push_back(member.second.peers);
-    }
+    std::vector<Endpoint> known = this->members.listOthers(this->settings.instance);
     known = known.empty() ? this->settings.seeds : known;
     if (known.empty())
         return;
@@ -316,12 +288,12 @@
 
 void FleetControl::listMembers()
 {
-    this->parts.store.listMembers(false, [this](const std::optional<std::vector<FleetMember>>& list, const Failure&) {
+    this->parts.store.listMembers(false, [this](const std::optional<std::vector<FleetMember>>& list, const Failure& failure) {
+        if (!list)
+            logEvent(events::storeCallFailed, "call=list_members reason=\"" + failure.reason + "\"");
         if (list) {
-            this->members.clear();
-            for (const FleetMember& member : *list)
-                this->members[member.id] = member;
-            std::size_t number = std::max<std::size_t>(1, this->members.size());
+            this->members.setMembers(*list);
+            std::size_t number = std::max<std::size_t>(1, this->members.getSize());
             this->parts.trafficLoop.post([this, number] { this->parts.traffic.setNumInstances(number); });
         }
         // Instances that start together do not find each other in the first list.
@@ -337,6 +309,24 @@
         logEvent(events::instanceReady, "routes_version=" + std::to_string(this->routes.getTable()->version.value()));
 }
 
+GatewayMetrics::Beliefs FleetControl::getBeliefs() const
+{
+    GatewayMetrics::Beliefs beliefs;
+    const LeadView& view = this->permits.getView();
+    if (this->routes.getTable() != nullptr)
+        beliefs.routesVersion = this->routes.getTable()->version.value();
+    if (view.lead.record != nullptr) {
+        beliefs.leadRevision = view.lead.revision.value();
+        beliefs.epoch = view.lead.record->epoch.value();
+        beliefs.holdsDuty = view.lead.record->holder == this->settings.instance;
+    }
+    beliefs.permit = this->permits.getRemaining(this->parts.clock.bootNow());
+    beliefs.numInstances = this->members.getSize();
+    beliefs.numUpstreams = this->upstreams.getList()->entries.size();
+    beliefs.numPeerBytes = this->peers.getNumBytesSent();
+    return beliefs;
+}
+
 nlohmann::json FleetControl::makeBeliefAnswer() const
 {
     const LeadView& view = this->permits.getView();
--- a/src/gateway/FleetControl.h
+++ b/src/gateway/FleetControl.h
@@ -2,10 +2,12 @@
 
 #include "../peer/PeerExchange.h"
 #include "../traffic/TrafficPlane.h"
+#include "AuditWriter.h"
 #include "DutyKeeper.h"
 #include "FailoverDriver.h"
 #include "GatewaySettings.h"
 #include "LeadWriter.h"
+#include "MemberDirectory.h"
 #include "UpstreamCommander.h"
 #include "lentiljunction/fleet/FleetStore.h"
 #include "lentiljunction/leadership/DutyTurn.h"
@@ -48,6 +50,9 @@
         this->parts.controlLoop.post([this, group, primary] { this->duty.onPrimaryUnreachable(group, primary); });
     }
 
+    /// @returns what this instance believes, for metrics
+    GatewayMetrics::Beliefs getBeliefs() const;
+
     /// @returns whether everything is known that serving needs; safe to call from any thread
     bool isReady() const { return this->ready; }
 
@@ -61,13 +66,14 @@
     const UpstreamList& getUpstreamList() const override { return *this->upstreams.getList(); }
     const PermitBook& getPermits() const override { return this->permits; }
     bool mayAct() const override { return this->turn.mayAct(this->parts.clock.bootNow()); }
-    bool isLongRetired(const InstanceId& instance) const override;
+    bool isLongRetired(const InstanceId& instance) const override { return this->members.isLongRetired(instance, this->parts.clock.bootNow()); }
     const std::shared_ptr<const RouteTable>& getRoutes() const override { return this->routes.getTable(); }
-    std::vector<FleetMember> listActiveMembers() const override;
-    std::optional<FleetMember> findMember(const InstanceId& instance) const override;
+    std::vector<FleetMember> listActiveMembers() const override { return this->members.listActive(); }
+    std::optional<FleetMember> findMember(const InstanceId& instance) const override { return this->members.find(instance); }
     bool hasStore() const override;
     void refreshLead() override { this->readLead(); }
     void confirmTraffic(std::function<void()> callback) override;
+    void recordChange(AuditRecord record) override { this->audit.add(std::move(record)); }
 
     void registerSelf();
     void renewLead();
@@ -103,10 +109,9 @@
     RouteKeeper routes;
     UpstreamKeeper upstreams;
     StoreVersion routesRevision;
-    std::map<InstanceId, FleetMember> members;
+    MemberDirectory members;
+    AuditWriter audit;
     DutyTurn turn;
-    /// Since when this instance knows of each retired one.
-    std::map<InstanceId, BootTime> retiredSince;
     bool isReturning = false;
     BootTime storeAnsweredAt;
     std::size_t nextPeer = 0;
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -1,5 +1,7 @@
 #include "GatewayInstance.h"
 
+#include "../fleet/MeteredFleetStore.h"
+
 #include "lentiljunction/core/LogEvents.h"
 
 #include <future>
@@ -27,11 +29,11 @@
 
 GatewayInstance::GatewayInstance(const GatewaySettings& settings, const Clock& clock, const SessionProtocol& protocol, const StoreFactory& makeStore)
     : settings(settings)
-    , store(makeStore(this->controlLoop, settings))
+    , store(std::make_unique<MeteredFleetStore>(makeStore(this->controlLoop, settings), clock, this->metrics))
     , traffic(this->trafficLoop, clock, protocol, this->metrics, settings.instance, settings.zone, *this)
     , control({ this->controlLoop, this->trafficLoop, clock, protocol, *this->store, this->traffic }, settings)
-    , readiness(this->controlLoop, [this](const HttpRequest&) { return this->answerReadiness(); })
-    , metricsPage(this->controlLoop, [this](const HttpRequest&) { return HttpResponse { httpOk, "text/plain; version=0.0.4", this->metrics.render() }; })
+    , readiness(this->controlLoop, [this](const HttpPage::Responder& respond) { respond(this->answerReadiness()); })
+    , metricsPage(this->controlLoop, [this](const HttpPage::Responder& respond) { this->answerMetrics(respond); })
 {
 }
 
@@ -58,6 +60,15 @@
     return { isReady ? httpOk : httpUnavailable, "text/plain", isReady ? "ready\n" : "not ready\n" };
 }
 
+void GatewayInstance::answerMetrics(const HttpPage::Responder& respond)
+{
+    this->metrics.setBeliefs(this->control.getBeliefs());
+    this->trafficLoop.post([this, respond] {
+        this->traffic.exportFigures();
+        this->controlLoop.post([this, respond] { respond({ httpOk, "text/plain; version=0.0.4", this->metrics.render() }); });
+    });
+}
+
 void GatewayInstance::onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary)
 {
     this->control.onPrimaryUnreachable(group, primary);
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -5,7 +5,7 @@
 #include "FleetControl.h"
 #include "GatewaySettings.h"
 #include "lentiljunction/core/EventLoop.h"
-#include "lentiljunction/metrics/Metrics.h"
+#include "lentiljunction/metrics/GatewayMetrics.h"
 
 #include <functional>
 #include <memory>
@@ -38,7 +38,9 @@
     /// Answers the balancer, or serves metrics.
     class HttpPage : private WebSocketServer::Listener {
     public:
-        using Handler = std::function<HttpResponse(const HttpRequest&)>;
+        /// May be called later, once.
+        using Responder = std::function<void(const HttpResponse&)>;
+        using Handler = std::function<void(const Responder& respond)>;
         HttpPage(EventLoop& loop, Handler handler);
         bool listen(const Endpoint& endpoint, Failure& failure) { return this->server.listen(endpoint, failure); }
 
@@ -46,7 +48,10 @@
         void onSessionOpened(WebSocketServer::Handle handle, const std::string&) override { this->server.close(handle); }
         void onSessionMessage(WebSocketServer::Handle, const std::string&, bool) override { }
         void onSessionClosed(WebSocketServer::Handle) override { }
-        void onHttpRequest(WebSocketServer::Handle handle, const HttpRequest& request) override { this->server.respond(handle, this->handler(request)); }
+        void onHttpRequest(WebSocketServer::Handle handle, const HttpRequest&) override
+        {
+            this->handler([this, handle](const HttpResponse& response) { this->server.respond(handle, response); });
+        }
 
         WebSocketServer server;
         Handler handler;
@@ -54,12 +59,13 @@
 
     void onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary) override;
     HttpResponse answerReadiness() const;
+    void answerMetrics(const HttpPage::Responder& respond);
     std::size_t countBusySessions();
 
     GatewaySettings settings;
     EventLoop controlLoop;
     EventLoop trafficLoop;
-    Metrics metrics;
+    GatewayMetrics metrics;
     std::unique_ptr<FleetStore> store;
     TrafficPlane traffic;
     FleetControl control;
--- a/src/gateway/UpstreamCommander.h
+++ b/src/gateway/UpstreamCommander.h
@@ -40,6 +40,7 @@
 
     void ask(const UpstreamEntry& upstream, UpstreamCommand command, Callback callback);
     void onLinkReady(UpstreamLink& link) override;
+    void onLinkBytes(std::size_t) override { }
     void onLinkLost(UpstreamLink& link, UpstreamLink::Trouble trouble, const std::string& reason) override;
     void finish(const UpstreamLink* link, std::optional<LeadStatus> status, bool isReached);
 
--- /dev/null
+++ b/src/metrics/CurrentGauges.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <set>
+#include <string>
+
+namespace lentiljunction {
+
+/// Gauges of things that come and go, such as upstreams. Not safe to call from several threads at once.
+///
+/// @code
+/// gauges.begin();
+/// for (const Upstream& upstream : upstreams)
+///     gauges.set({ { "upstream", upstream.id } }, upstream.numConnections);
+/// gauges.end();
+/// @endcode
+class CurrentGauges {
+public:
+    CurrentGauges(prometheus::Registry& registry, const std::string& name, const std::string& help)
+        : family(prometheus::BuildGauge().Name(name).Help(help).Register(registry))
+    {
+    }
+
+    /// Starts a new set of values.
+    void begin() { this->current.clear(); }
+
+    /// Sets one value of the set.
+    void set(const prometheus::Labels& labels, double value)
+    {
+        prometheus::Gauge& gauge = this->family.Add(labels);
+        gauge.Set(value);
+        this->current.insert(&gauge);
+    }
+
+    /// Takes out every gauge that is not in the set.
+    void end()
+    {
+        for (prometheus::Gauge* gauge : this->former) {
+            if (this->current.count(gauge) == 0)
+                this->family.Remove(gauge);
+        }
+        this->former = this->current;
+    }
+
+private:
+    prometheus::Family<prometheus::Gauge>& family;
+    std::set<prometheus::Gauge*> former;
+    std::set<prometheus::Gauge*> current;
+};
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/metrics/GatewayMetrics.cpp
@@ -0,0 +1,136 @@
+#include "lentiljunction/metrics/GatewayMetrics.h"
+
+#include "CurrentGauges.h"
+
+#include <mutex>
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/text_serializer.h>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// From a local answer to the longest time that routes give a statement.
+    const prometheus::Histogram::BucketBoundaries secondsBuckets {
+        0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5
+    };
+
+    double toSeconds(Duration duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
+
+} // namespace
+
+class GatewayMetrics::Implementation {
+public:
+    prometheus::Family<prometheus::Counter>& addCounter(const std::string& name, const std::string& help)
+    {
+        return prometheus::BuildCounter().Name(name).Help(help).Register(this->registry);
+    }
+
+    prometheus::Family<prometheus::Histogram>& addHistogram(const std::string& name, const std::string& help)
+    {
+        return prometheus::BuildHistogram().Name(name).Help(help).Register(this->registry);
+    }
+
+    prometheus::Registry registry;
+    std::mutex gaugesMutex;
+    prometheus::Family<prometheus::Counter>& statements = this->addCounter("lentiljunction_statements_total", "Statements answered, by kind of route, rank, code and upstream");
+    prometheus::Family<prometheus::Counter>& failures = this->addCounter("lentiljunction_statement_failures_total", "Statements that did not succeed, by rank and cause");
+    prometheus::Family<prometheus::Counter>& retries = this->addCounter("lentiljunction_retries_total", "Statements that went to an upstream again");
+    prometheus::Family<prometheus::Counter>& storeCalls = this->addCounter("lentiljunction_store_calls_total", "Calls to what the instances share, by operation and result");
+    prometheus::Family<prometheus::Histogram>& statementTime = this->addHistogram("lentiljunction_statement_seconds", "From the first byte of a statement to its answer, by kind of route and rank");
+    prometheus::Family<prometheus::Histogram>& storeTime = this->addHistogram("lentiljunction_store_seconds", "Time of calls to what the instances share, by operation");
+    CurrentGauges beliefs { this->registry, "lentiljunction_belief", "What the instance believes, by fact" };
+    CurrentGauges connections { this->registry, "lentiljunction_upstream_connections", "Open connections to an upstream" };
+    CurrentGauges running { this->registry, "lentiljunction_upstream_running", "Statements under way at an upstream" };
+    CurrentGauges waiting { this->registry, "lentiljunction_upstream_waiting", "Statements in the queue in front of an upstream" };
+    CurrentGauges latency { this->registry, "lentiljunction_upstream_latency_seconds", "Usual time of a statement at an upstream" };
+    CurrentGauges lag { this->registry, "lentiljunction_upstream_lag_positions", "Positions from an upstream's log to the newest proved head of its group" };
+    CurrentGauges bytes { this->registry, "lentiljunction_upstream_bytes", "Bytes to and from an upstream since the start" };
+    CurrentGauges proofAge { this->registry, "lentiljunction_proof_age_seconds", "Age of the newest proof of a group's log" };
+};
+
+GatewayMetrics::GatewayMetrics()
+    : implementation(std::make_unique<Implementation>())
+{
+}
+
+GatewayMetrics::~GatewayMetrics() = default;
+
+void GatewayMetrics::onStatement(const Statement& statement)
+{
+    Implementation& all = *this->implementation;
+    std::string rank = toString(statement.rank);
+    all.statements.Add({ { "kind", statement.kind }, { "rank", rank }, { "code", statement.code }, { "upstream", statement.upstream } }).Increment();
+    all.statementTime.Add({ { "kind", statement.kind }, { "rank", rank } }, secondsBuckets).Observe(toSeconds(statement.total));
+    if (!statement.isSuccess)
+        all.failures.Add({ { "rank", rank }, { "cause", statement.cause } }).Increment();
+    if (statement.numRetries > 0)
+        all.retries.Add({}).Increment(statement.numRetries);
+}
+
+void GatewayMetrics::onRefusedLocally(const std::string& cause)
+{
+    this->implementation->failures.Add({ { "rank", "" }, { "cause", cause } }).Increment();
+}
+
+void GatewayMetrics::onStoreCall(const std::string& operation, const std::string& result, Duration took)
+{
+    this->implementation->storeCalls.Add({ { "operation", operation }, { "result", result } }).Increment();
+    this->implementation->storeTime.Add({ { "operation", operation } }, secondsBuckets).Observe(toSeconds(took));
+}
+
+void GatewayMetrics::setBeliefs(const Beliefs& beliefs)
+{
+    std::lock_guard<std::mutex> lock(this->implementation->gaugesMutex);
+    CurrentGauges& gauges = this->implementation->beliefs;
+    gauges.begin();
+    gauges.set({ { "fact", "routes_version" } }, static_cast<double>(beliefs.routesVersion));
+    gauges.set({ { "fact", "lead_revision" } }, static_cast<double>(beliefs.leadRevision));
+    gauges.set({ { "fact", "epoch" } }, static_cast<double>(beliefs.epoch));
+    gauges.set({ { "fact", "holds_duty" } }, beliefs.holdsDuty ? 1 : 0);
+    gauges.set({ { "fact", "permit_seconds" } }, toSeconds(beliefs.permit));
+    gauges.set({ { "fact", "instances" } }, static_cast<double>(beliefs.numInstances));
+    gauges.set({ { "fact", "upstreams" } }, static_cast<double>(beliefs.numUpstreams));
+    gauges.set({ { "fact", "peer_bytes_sent" } }, static_cast<double>(beliefs.numPeerBytes));
+    gauges.end();
+}
+
+void GatewayMetrics::setUpstreams(const std::vector<Upstream>& upstreams)
+{
+    Implementation& all = *this->implementation;
+    std::lock_guard<std::mutex> lock(all.gaugesMutex);
+    for (CurrentGauges* gauges : { &all.connections, &all.running, &all.waiting, &all.latency, &all.lag, &all.bytes })
+        gauges->begin();
+    for (const Upstream& upstream : upstreams) {
+        prometheus::Labels labels { { "upstream", upstream.id }, { "group", upstream.group }, { "zone", upstream.isInOwnZone ? "own" : "other" } };
+        all.connections.set(labels, static_cast<double>(upstream.numConnections));
+        all.running.set(labels, static_cast<double>(upstream.numRunning));
+        all.waiting.set(labels, static_cast<double>(upstream.numWaiting));
+        all.latency.set(labels, toSeconds(upstream.latency));
+        all.lag.set(labels, static_cast<double>(upstream.lag));
+        all.bytes.set(labels, static_cast<double>(upstream.numBytes));
+    }
+    for (CurrentGauges* gauges : { &all.connections, &all.running, &all.waiting, &all.latency, &all.lag, &all.bytes })
+        gauges->end();
+}
+
+void GatewayMetrics::setProofAges(const std::map<std::string, Duration>& ages)
+{
+    std::lock_guard<std::mutex> lock(this->implementation->gaugesMutex);
+    CurrentGauges& gauges = this->implementation->proofAge;
+    gauges.begin();
+    for (const std::pair<const std::string, Duration>& age : ages)
+        gauges.set({ { "group", age.first } }, toSeconds(age.second));
+    gauges.end();
+}
+
+std::string GatewayMetrics::render() const
+{
+    return prometheus::TextSerializer().Serialize(this->implementation->registry.Collect());
+}
+
+} // namespace lentiljunction
--- a/src/peer/PeerExchange.cpp
+++ b/src/peer/PeerExchange.cpp
@@ -57,6 +57,7 @@
     this->timer.setTimeAtLatest(deadline);
 
     std::string payload = encode({ { "number", number }, { "body", std::move(question) } });
+    this->numBytesSent += payload.size();
     Link& link = this->links[key];
     if (link.isOpen)
         return this->client.send(link.handle, payload, true);
@@ -74,7 +75,9 @@
     // A field of another type than expected ends the handling of the message, and nothing else.
     try {
         this->listener.onPeerQuestion((*message)["body"], [this, handle, number](const nlohmann::json& answer) {
-            this->server.send(handle, encode({ { "number", number }, { "body", answer } }), true);
+            std::string answered = encode({ { "number", number }, { "body", answer } });
+            this->numBytesSent += answered.size();
+            this->server.send(handle, answered, true);
         });
     } catch (const nlohmann::json::exception& error) {
         logEvent(events::peerMessageInvalid, std::string("reason=\"") + error.what() + "\"");
@@ -92,6 +95,8 @@
         if (entry.second.handle != handle)
             continue;
         entry.second.isOpen = true;
+        if (this->reachable.insert(entry.first).second)
+            logEvent(events::peerLinkOpened, "peer=" + entry.first);
         for (const std::string& payload : std::exchange(entry.second.waiting, {}))
             this->client.send(handle, payload, true);
     }
@@ -127,6 +132,8 @@
     }
     if (key.empty())
         return;
+    if (this->reachable.erase(key) > 0)
+        logEvent(events::peerLinkLost, "peer=" + key);
     std::vector<AnswerCallback> lost;
     for (std::map<std::uint64_t, Pending>::iterator entry = this->pending.begin(); entry != this->pending.end();) {
         if (entry->second.peer != key) {
--- a/src/peer/PeerExchange.h
+++ b/src/peer/PeerExchange.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace lentiljunction {
@@ -43,6 +44,9 @@
     /// Asks another instance.
     void ask(const Endpoint& peer, nlohmann::json question, Duration timeout, AnswerCallback callback);
 
+    /// @returns the payload sent to other instances since the start
+    std::uint64_t getNumBytesSent() const { return this->numBytesSent; }
+
 private:
     struct Pending {
         AnswerCallback callback;
@@ -71,8 +75,11 @@
     WebSocketClient client;
     OneShotTimer timer;
     std::map<std::string, Link> links;
+    /// Peers whose loss would be news.
+    std::set<std::string> reachable;
     std::map<std::uint64_t, Pending> pending;
     std::uint64_t nextQuestion = 1;
+    std::uint64_t numBytesSent = 0;
 };
 
 } // namespace lentiljunction
--- a/src/traffic/SessionFlow.cpp
+++ b/src/traffic/SessionFlow.cpp
@@ -133,13 +133,14 @@
         this->socket->send(this->protocol.encodeSessionRefused(ReplyCode::Malformed, "the session is not open"));
         return this->closeNow();
     }
+    this->statementId = statement.id;
     if (statement.verb == SessionVerb::Malformed)
         return this->reply(ReplyCode::Malformed, this->transactionState, "the statement cannot be read");
     if (isTransactionControl(statement.verb))
         return this->onTransactionControl(statement);
     if (this->transactionState == TransactionState::Failed) {
         if (std::exchange(this->mustTellAborted, false))
-            return this->reply(ReplyCode::Aborted, statement.verb == SessionVerb::Commit ? TransactionState::Idle : TransactionState::Failed, "the transaction was idle for too long");
+            return this->reply(ReplyCode::Aborted, statement.verb == SessionVerb::Commit ? TransactionState::Idle : TransactionState::Failed, "the transaction was idle for too long", StatementTrouble::IdleTooLong);
         if (statement.verb != SessionVerb::Commit)
             return this->reply(ReplyCode::Malformed, TransactionState::Failed, "the transaction has failed");
         this->held.rollBackAndRelease();
@@ -167,7 +168,7 @@
     this->hasTransactionWritten = false;
     this->mustTellAborted = false;
     if (this->transactionRoutes->find(this->startup->database) == nullptr)
-        return this->reply(ReplyCode::NoDatabase, TransactionState::Idle, "no route leads to the database");
+        return this->reply(ReplyCode::NoDatabase, TransactionState::Idle, "no route leads to the database", StatementTrouble::NoRoute);
     this->reply(ReplyCode::None, TransactionState::Open, "");
     this->openAhead(statement);
 }
@@ -239,7 +240,7 @@
     std::shared_ptr<const RouteTable> routes = isInTransaction ? this->transactionRoutes : this->state.getRoutes();
     const Route* route = routes->find(this->startup->database);
     if (route == nullptr)
-        return this->reply(ReplyCode::NoDatabase, this->transactionState, "no route leads to the database");
+        return this->reply(ReplyCode::NoDatabase, this->transactionState, "no route leads to the database", StatementTrouble::NoRoute);
     this->startRun(std::move(statement), *mode, routes, *route);
 }
 
@@ -296,20 +297,22 @@
 {
     if (!this->held.isHeld() || this->run != nullptr)
         return;
-    logEvent(events::statementRefused, "database=" + this->startup->database.toString() + " upstream=" + this->held.link->getUpstream().toString() + " reason=\"the transaction was idle for too long\" code=aborted");
+    logEvent(events::statementRefused, "id=" + this->statementId.toString() + " database=" + this->startup->database.toString() + " cause=" + toString(StatementTrouble::IdleTooLong) + " upstream=" + this->held.link->getUpstream().toString() + " reason=\"the transaction was idle for too long\" code=aborted");
     this->held.rollBackAndRelease();
     this->transactionState = TransactionState::Failed;
     this->mustTellAborted = true;
 }
 
-void SessionFlow::reply(ReplyCode code, TransactionState newState, const std::string& message)
+void SessionFlow::reply(ReplyCode code, TransactionState newState, const std::string& message, StatementTrouble trouble)
 {
     SessionReply answer;
     answer.code = code;
     answer.state = newState;
     answer.message = message;
-    if (code != ReplyCode::None)
-        logEvent(events::statementRefused, "database=" + this->startup->database.toString() + " code=" + toString(code) + " reason=\"" + message + "\"");
+    if (code != ReplyCode::None) {
+        this->listener.onRefusedLocally(trouble);
+        logEvent(events::statementRefused, "id=" + this->statementId.toString() + " database=" + this->startup->database.toString() + " code=" + toString(code) + " cause=" + toString(trouble) + " reason=\"" + message + "\"");
+    }
     this->send(answer);
 }
 
--- a/src/traffic/SessionFlow.h
+++ b/src/traffic/SessionFlow.h
@@ -30,6 +30,9 @@
         ///
         /// @param route the session's route, or nullptr
         virtual void onStatementAnswered(const Route* route, const StatementRequest& request, const StatementRun::Result& result) = 0;
+
+        /// Counts a statement that was refused without asking an upstream.
+        virtual void onRefusedLocally(StatementTrouble trouble) = 0;
     };
 
     SessionFlow(TrafficState& state, const SessionProtocol& protocol, Listener& listener, std::unique_ptr<ByteSocket> socket);
@@ -71,7 +74,7 @@
     void restartIdleTimer();
     void startRun(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route);
     void onRunFinished(const StatementRequest& request, StatementRun::Result result);
-    void reply(ReplyCode code, TransactionState newState, const std::string& message);
+    void reply(ReplyCode code, TransactionState newState, const std::string& message, StatementTrouble trouble = StatementTrouble::NotAllowed);
     void send(const SessionReply& answer);
     void processBuffered();
     void onIdleLimit();
@@ -94,6 +97,8 @@
     HeldLink held;
     std::shared_ptr<StatementRun> run;
     std::optional<OwnCommit> ownCommit;
+    /// The id of the last statement, for logs.
+    RequestId statementId;
     /// When the first byte of what is buffered came.
     BootTime firstByteAt;
     TimePoint firstByteAtSteady;
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -85,7 +85,7 @@
 
 void StatementRun::waitForBeliefs()
 {
-    this->lastTrouble = this->needsPrimary() ? "no primary may be used" : "no upstream has data that is proved fresh enough";
+    this->trouble.set(this->needsPrimary() ? StatementTrouble::NoPrimary : StatementTrouble::NoFreshData);
     if (this->needsPrimary())
         this->state.notePrimary(this->request.need.route->group, false);
     if (!this->isWaitWorthwhile())
@@ -111,13 +111,13 @@
         return this->prepare();
     }
     if (denial == UpstreamPool::Denial::TooLong) {
-        this->lastTrouble = "the wait would be too long";
+        this->trouble.set(StatementTrouble::WaitTooLong);
         this->request.need.tried.insert(this->target.pool->getUpstream().id);
         // A read has other upstreams to go to; a write would only queue again behind the same work.
         bool hasOther = !this->needsPrimary() && this->mayRetry() && this->state.findForRead(this->request.need);
         return hasOther ? this->attempt() : this->conclude(AttemptEvent::NotSent, SessionReply(), false);
     }
-    this->lastTrouble = "the upstream cannot be reached";
+    this->trouble.set(StatementTrouble::Unreachable);
     if (this->needsPrimary())
         this->state.notePrimary(this->request.need.route->group, false);
     this->request.need.tried.insert(this->target.pool->getUpstream().id);
@@ -167,11 +167,11 @@
     this->attemptNumber++;
     if (!reply) {
         // Nothing of the statement was sent, whatever broke.
-        this->lastTrouble = "the connection broke before the statement was sent";
+        this->trouble.set(StatementTrouble::BrokeBefore);
         this->dropLink();
         return this->conclude(this->isOnHeldLink ? AttemptEvent::LinkLost : AttemptEvent::NotSent, SessionReply());
     }
-    this->lastTrouble = std::string("the upstream answered ") + toString(reply->code);
+    this->trouble.set(StatementTrouble::UpstreamAnswered, toString(reply->code));
     bool isClean = isBegin && reply->state == TransactionState::Idle && provesNotRun(reply->code);
     if (isClean && !this->isOnHeldLink) {
         HeldLink released = std::exchange(this->held, HeldLink());
@@ -214,7 +214,7 @@
 {
     this->attemptNumber++;
     if (!reply) {
-        this->lastTrouble = "the connection broke after the statement was sent";
+        this->trouble.set(StatementTrouble::BrokeAfter);
         this->dropLink();
         return this->conclude(AttemptEvent::LinkLost, SessionReply());
     }
@@ -271,9 +271,9 @@
     if (event == AttemptEvent::NotRun && reply.code == ReplyCode::Busy && this->held.isHeld())
         this->held.pool->onRefused();
     if (event == AttemptEvent::NotRun)
-        this->lastTrouble = std::string("the upstream answered ") + toString(reply.code);
+        this->trouble.set(StatementTrouble::UpstreamAnswered, toString(reply.code));
     if (event == AttemptEvent::SuccessUnproved)
-        this->lastTrouble = "the primary may have been replaced";
+        this->trouble.set(StatementTrouble::MayBeReplaced);
     if (this->mayResend(event, reply)) {
         this->isResendPending = true;
         return this->timer.setTime(this->state.getClock().now() + retryPause);
@@ -299,7 +299,7 @@
 {
     if (!this->mayRetry() || (this->needsPrimary() && !this->isWaitWorthwhile()))
         return this->conclude(AttemptEvent::NotSent, SessionReply(), false);
-    logEvent(events::statementRetried, "id=" + this->request.statement.id.toString() + " attempt=" + std::to_string(this->numSent) + " reason=\"" + this->lastTrouble + "\"");
+    this->trouble.logRetry(this->state, this->target, this->request.statement.id, this->numSent);
     // Another replica can be asked at once; the primary needs a moment.
     if (!this->needsPrimary() && this->state.findForRead(this->request.need))
         return this->attempt();
@@ -325,7 +325,7 @@
         return this->conclude(AttemptEvent::SuccessUnproved, SessionReply(), false);
     this->attemptNumber++;
     this->request.need.tried.insert(this->held.link->getUpstream());
-    this->lastTrouble = "no answer in time";
+    this->trouble.set(StatementTrouble::NoAnswer);
     bool isOver = this->state.getClock().now() >= this->limits.getDeadline();
     this->dropLink();
     if (!this->isStatementSent && isOver)
@@ -341,7 +341,7 @@
     SessionReply reply;
     reply.code = verdict.code;
     reply.state = verdict.state;
-    reply.message = this->lastTrouble + this->describeReturn();
+    reply.message = this->trouble.describe() + this->describeReturn();
     this->finish(std::move(reply));
 }
 
@@ -384,6 +384,7 @@
     if (isCommitted && reply.head)
         result.commit = OwnCommit { *reply.head, this->state.getView().getGeneration(this->request.need.route->group) };
     result.held = this->held;
+    result.trouble = reply.isSuccess() ? StatementTrouble::None : this->trouble.get();
     result.reply = std::move(reply);
     Callback done = std::exchange(this->callback, nullptr);
     done(std::move(result));
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -3,6 +3,7 @@
 #include "HeldLink.h"
 #include "StatementLimits.h"
 #include "TrafficState.h"
+#include "TroubleNote.h"
 #include "lentiljunction/interactive/ReplyPolicy.h"
 #include "lentiljunction/interactive/SessionContext.h"
 
@@ -36,6 +37,8 @@
     /// What became of the statement.
     struct Result {
         SessionReply reply;
+        /// What went wrong last, when the statement did not succeed.
+        StatementTrouble trouble = StatementTrouble::None;
         /// The connection that the transaction holds from now on; none after a single statement.
         HeldLink held;
         /// The upstream that answered last, for logs.
@@ -108,7 +111,7 @@
     bool isAwaitingEvidence = false;
     bool isDone = false;
     BootTime sentAt;
-    std::string lastTrouble;
+    TroubleNote trouble;
 };
 
 } // namespace lentiljunction
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -43,33 +43,9 @@
         return isPromise ? events::statementRefused : events::statementFailed;
     }
 
-    Outcome toOutcome(const SessionReply& reply)
-    {
-        switch (reply.code) {
-        case ReplyCode::None:
-            return Outcome::completed({});
-        case ReplyCode::Failed:
-        case ReplyCode::Malformed:
-            return Outcome::rejected("", reply.message);
-        case ReplyCode::InDoubt:
-        case ReplyCode::TimedOut:
-            return Outcome::unknown(reply.message);
-        case ReplyCode::NoDatabase:
-            return Outcome::notRun(NotRunReason::UnknownDatabase, reply.message);
-        case ReplyCode::Behind:
-            return Outcome::notRun(NotRunReason::ReplicaBehind, reply.message);
-        case ReplyCode::NotPrimary:
-            return Outcome::notRun(NotRunReason::NotPrimary, reply.message);
-        case ReplyCode::Aborted:
-            return Outcome::notRun(NotRunReason::TransactionGone, reply.message);
-        default:
-            return Outcome::notRun(NotRunReason::UpstreamUnavailable, reply.message);
-        }
-    }
-
 } // namespace
 
-TrafficPlane::TrafficPlane(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, Metrics& metrics, const InstanceId& self, const ZoneId& zone, Listener& listener)
+TrafficPlane::TrafficPlane(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, GatewayMetrics& metrics, const InstanceId& self, const ZoneId& zone, Listener& listener)
     : loop(loop)
     , clock(clock)
     , protocol(protocol)
@@ -280,16 +256,22 @@
         + " routes_version=" + std::to_string(request.routes->version.value()) + " lead_revision=" + std::to_string(view.lead.revision.value())
         + " permit_ms=" + std::to_string(toMilliseconds(permit));
     if (!result.reply.isSuccess())
-        detail += " reason=\"" + result.reply.message + "\"";
+        detail += std::string(" cause=") + lentiljunction::toString(result.trouble) + " reason=\"" + result.reply.message + "\"";
     logEvent(chooseEvent(result.reply.code), detail);
 }
 
 void TrafficPlane::countAnswer(const Route& route, const StatementRequest& request, const StatementRun::Result& result)
 {
-    Duration took = std::chrono::duration_cast<Duration>(this->clock.now() - request.arrivedAt);
-    this->metrics.onAnswered(route.rank, toOutcome(result.reply), took);
-    for (int retry = 1; retry < result.numAttempts; retry++)
-        this->metrics.onRetry();
+    GatewayMetrics::Statement counted;
+    counted.kind = toString(route.consistency);
+    counted.rank = route.rank;
+    counted.code = lentiljunction::toString(result.reply.code);
+    counted.upstream = result.upstream.toString();
+    counted.cause = lentiljunction::toString(result.trouble);
+    counted.isSuccess = result.reply.isSuccess();
+    counted.numRetries = std::max(0, result.numAttempts - 1);
+    counted.total = std::chrono::duration_cast<Duration>(this->clock.now() - request.arrivedAt);
+    this->metrics.onStatement(counted);
 }
 
 } // namespace lentiljunction
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -3,7 +3,7 @@
 #include "EvidenceRounds.h"
 #include "SessionFlow.h"
 #include "TrafficState.h"
-#include "lentiljunction/metrics/Metrics.h"
+#include "lentiljunction/metrics/GatewayMetrics.h"
 
 #include <functional>
 #include <memory>
@@ -29,7 +29,7 @@
     };
 
     /// @param self this instance, as upstreams are told it
-    TrafficPlane(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, Metrics& metrics, const InstanceId& self, const ZoneId& zone, Listener& listener);
+    TrafficPlane(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, GatewayMetrics& metrics, const InstanceId& self, const ZoneId& zone, Listener& listener);
     ~TrafficPlane() override;
 
     /// Opens the port for callers.
@@ -52,6 +52,9 @@
     /// Takes proofs of age from another instance.
     void takeProofs(const std::vector<PositionProofs::Newest>& proofs);
 
+    /// Sets the gauges of the upstreams and of the age of the groups' logs.
+    void exportFigures() const { this->state.exportFigures(this->metrics); }
+
     /// Closes sessions as they become idle, and lets the others go on.
     void drain();
 
@@ -68,6 +71,7 @@
     void onUpstreamUnreachable(const UpstreamEntry& upstream, UpstreamLink::Trouble trouble) override;
     void onSessionOver(SessionFlow& session) override;
     void onStatementAnswered(const Route* route, const StatementRequest& request, const StatementRun::Result& result) override;
+    void onRefusedLocally(StatementTrouble trouble) override { this->metrics.onRefusedLocally(lentiljunction::toString(trouble)); }
     ByteSocket::Listener& accept(std::unique_ptr<ByteSocket> socket);
     std::vector<SessionFlow*> listSessions() const;
     void tellBeliefs();
@@ -80,7 +84,7 @@
     EventLoop& loop;
     const Clock& clock;
     const SessionProtocol& protocol;
-    Metrics& metrics;
+    GatewayMetrics& metrics;
     Listener& listener;
     TrafficState state;
     EvidenceRounds evidence;
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -184,6 +184,34 @@
         this->proofs.add(entry->group, leader->generation, askedAt, head);
 }
 
+void TrafficState::exportFigures(GatewayMetrics& metrics) const
+{
+    std::map<GroupId, LogPoint> heads;
+    std::map<std::string, Duration> ages;
+    for (const PositionProofs::Newest& proof : this->proofs.listNewest()) {
+        heads[proof.group] = proof.head;
+        ages[proof.group.toString()] = std::chrono::duration_cast<Duration>(this->getClock().bootNow() - proof.askedAt);
+    }
+    std::vector<GatewayMetrics::Upstream> figures;
+    for (const std::pair<const UpstreamId, std::shared_ptr<UpstreamPool>>& entry : this->pools) {
+        const UpstreamPool& pool = *entry.second;
+        GatewayMetrics::Upstream figure { entry.first.toString(), pool.getUpstream().group.toString(), pool.getUpstream().zone == this->zone, pool.getNumConnections(), pool.getNumRunning(), pool.getNumWaiting(), pool.getLatency(), 0, pool.getNumBytes() };
+        std::optional<LogPoint> seen = this->findSeenHead(entry.first);
+        std::map<GroupId, LogPoint>::const_iterator head = heads.find(pool.getUpstream().group);
+        if (seen && head != heads.end() && seen->position < head->second.position)
+            figure.lag = head->second.position.value() - seen->position.value();
+        figures.push_back(std::move(figure));
+    }
+    metrics.setUpstreams(figures);
+    metrics.setProofAges(ages);
+}
+
+std::optional<LogPoint> TrafficState::findSeenHead(const UpstreamId& upstream) const
+{
+    std::map<UpstreamId, SeenHead>::const_iterator seen = this->seenHeads.find(upstream);
+    return seen == this->seenHeads.end() ? std::nullopt : std::optional<LogPoint>(seen->second.head);
+}
+
 std::optional<BootTime> TrafficState::findNewestProof(const GroupId& group) const
 {
     return this->proofs.findNewest(group, this->view.getGeneration(group));
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -5,6 +5,7 @@
 #include "UpstreamPool.h"
 #include "lentiljunction/leadership/ChangeForecast.h"
 #include "lentiljunction/leadership/LeadView.h"
+#include "lentiljunction/metrics/GatewayMetrics.h"
 #include "lentiljunction/routes/RouteTable.h"
 
 #include <functional>
@@ -93,6 +94,9 @@
     /// The upstreams of a group have shown that its primary was not replaced.
     void onLeadProved(const GroupId& group, const Leader& leader);
 
+    /// The upstreams of a group could not show that its primary was not replaced.
+    void onLeadUnproved(const GroupId& group) { this->leadProofs.erase(group); }
+
     /// Notes the head of a primary's log after its lead was proved.
     ///
     /// @param askedAt when the question was sent
@@ -103,6 +107,9 @@
     /// @param askedAt when the question was sent
     void onHead(const UpstreamId& upstream, const LogPoint& head, BootTime askedAt);
 
+    /// @returns the head of an upstream's log when it last told one
+    std::optional<LogPoint> findSeenHead(const UpstreamId& upstream) const;
+
     /// @returns the routing configuration, or nullptr before the first
     const std::shared_ptr<const RouteTable>& getRoutes() const { return this->routes; }
 
@@ -117,6 +124,9 @@
     /// @returns when a missing primary is expected back, or nothing when none is missing
     std::optional<TimePoint> getExpectedReturn(const GroupId& group) const { return this->forecast.getExpectedReturn(group); }
 
+    /// Adds what is known of the upstreams and of the age of the groups' logs to the metrics.
+    void exportFigures(GatewayMetrics& metrics) const;
+
     /// @returns when the newest proof of a group's age was asked for, or nothing
     std::optional<BootTime> findNewestProof(const GroupId& group) const;
 
--- a/src/traffic/UpstreamLink.cpp
+++ b/src/traffic/UpstreamLink.cpp
@@ -1,5 +1,6 @@
 #include "UpstreamLink.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lentiljunction {
@@ -27,7 +28,9 @@
     if (this->stage == Stage::Lost)
         return callback(std::nullopt);
     this->callbacks.push_back({ std::move(callback), this->clock.now() });
-    this->socket->send(this->protocol.encodeCommand(command));
+    std::string encoded = this->protocol.encodeCommand(command);
+    this->listener.onLinkBytes(encoded.size());
+    this->socket->send(encoded);
 }
 
 void UpstreamLink::close()
@@ -57,11 +60,15 @@
     std::shared_ptr<bool> alive = this->isAlive;
     Failure failure;
     bool isComplete = false;
+    // What is left of an answer that is not complete was counted when it came.
+    this->listener.onLinkBytes(bytes.size() - std::min(bytes.size(), this->numBytesLeft));
     while (*alive && this->protocol.takeUpstreamPart(bytes, this->partial, isComplete, failure)) {
         if (isComplete)
             this->onAnswer(std::exchange(this->partial, SessionReply()));
         isComplete = false;
     }
+    if (*alive)
+        this->numBytesLeft = bytes.size();
     if (*alive && failure.kind != Failure::Kind::None)
         this->lose(Trouble::Silent, failure.reason);
 }
--- a/src/traffic/UpstreamLink.h
+++ b/src/traffic/UpstreamLink.h
@@ -42,6 +42,9 @@
         virtual ~Listener() = default;
         virtual void onLinkReady(UpstreamLink& link) = 0;
 
+        /// Bytes were sent or received.
+        virtual void onLinkBytes(std::size_t number) = 0;
+
         /// The link is of no further use. Its waiting callbacks have run.
         virtual void onLinkLost(UpstreamLink& link, Trouble trouble, const std::string& reason) = 0;
     };
@@ -104,6 +107,8 @@
     std::unique_ptr<ByteSocket> socket;
     std::unique_ptr<OneShotTimer> openTimer;
     std::deque<Awaited> callbacks;
+    /// Bytes received of an answer that is not complete.
+    std::size_t numBytesLeft = 0;
     SessionReply partial;
     /// Shared with code that calls back, which may destroy this object.
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -201,12 +201,17 @@
         this->openOne();
 }
 
-double UpstreamPool::getLoad() const
+std::size_t UpstreamPool::getNumWaiting() const
 {
-    std::size_t numWaiting = 0;
+    std::size_t number = 0;
     for (Rank rank : allRanks)
-        numWaiting += this->queue.getNumWaiting(rank);
-    return static_cast<double>(static_cast<std::size_t>(this->numActive) + numWaiting) / this->upstream.slots;
+        number += this->queue.getNumWaiting(rank);
+    return number;
+}
+
+double UpstreamPool::getLoad() const
+{
+    return static_cast<double>(this->getNumRunning() + this->getNumWaiting()) / this->upstream.slots;
 }
 
 bool UpstreamPool::isOverdue(Duration span) const
--- a/src/traffic/UpstreamPool.h
+++ b/src/traffic/UpstreamPool.h
@@ -5,6 +5,7 @@
 #include "lentiljunction/admission/RankQueue.h"
 #include "lentiljunction/admission/SharedLimit.h"
 
+#include <algorithm>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -123,6 +124,14 @@
     bool isOverdue(Duration span) const;
 
     std::size_t getNumConnections() const { return this->links.size(); }
+    std::size_t getNumRunning() const { return static_cast<std::size_t>(std::max(0, this->numActive)); }
+
+    /// @returns statements in the queue
+    std::size_t getNumWaiting() const;
+
+    /// @returns bytes sent and received since the start
+    std::uint64_t getNumBytes() const { return this->numBytes; }
+
     const UpstreamEntry& getUpstream() const { return this->upstream; }
 
 private:
@@ -135,6 +144,7 @@
     };
 
     void onLinkReady(UpstreamLink& link) override;
+    void onLinkBytes(std::size_t number) override { this->numBytes += number; }
     void onLinkLost(UpstreamLink& link, UpstreamLink::Trouble trouble, const std::string& reason) override;
     Held* find(const UpstreamLink* link);
     Held* findIdleHeld();
@@ -156,6 +166,7 @@
     std::unordered_map<Ticket, Grant> grants;
     Ticket nextTicket = 1;
     int numActive = 0;
+    std::uint64_t numBytes = 0;
     std::size_t numOpening = 0;
     std::size_t share = 1;
     std::size_t ceiling = 1;
--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -101,6 +101,15 @@
     return found == objects.end() ? nlohmann::json() : found->second.spec;
 }
 
+std::vector<nlohmann::json> PlatformStore::list(const std::string& kind)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    std::vector<nlohmann::json> specs;
+    for (const std::pair<const std::string, Object>& object : this->kinds[kind])
+        specs.push_back(object.second.spec);
+    return specs;
+}
+
 void PlatformStore::compact()
 {
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/standins/platform/PlatformStore.h
+++ b/standins/platform/PlatformStore.h
@@ -53,6 +53,9 @@
     /// @returns the spec of an object, or null
     nlohmann::json read(const std::string& kind, const std::string& name);
 
+    /// @returns the specs of all objects of a kind, by name
+    std::vector<nlohmann::json> list(const std::string& kind);
+
     /// Drops the history, so that watches from before end with 410.
     void compact();
 
--- a/tests/process/GatewayBench.cpp
+++ b/tests/process/GatewayBench.cpp
@@ -2,6 +2,7 @@
 
 #include "../../tools/lab/Cluster.h"
 
+#include <httplib.h>
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <thread>
@@ -117,11 +118,19 @@
     // As on the platform, the first instances are known to those that come after them.
     settings.seeds = this->peerEndpoints;
     settings.metrics = { loopback, takePort() };
+    this->metricsEndpoints.push_back(settings.metrics);
     settings.store = this->site.openDoor(failure);
     settings.promotion = settings.store;
     return settings;
 }
 
+std::string GatewayBench::readMetrics(std::size_t index) const
+{
+    httplib::Client client(loopback, this->metricsEndpoints[index].port);
+    httplib::Result result = client.Get("/metrics");
+    return result ? result->body : "";
+}
+
 bool GatewayBench::waitServed(const std::string& database)
 {
     return waitUntil([&] {
--- a/tests/process/GatewayBench.h
+++ b/tests/process/GatewayBench.h
@@ -69,6 +69,9 @@
     /// @returns where other instances reach an instance
     const Endpoint& getPeerEndpoint(std::size_t index) const { return this->peerEndpoints[index]; }
 
+    /// @returns an instance's metrics page
+    std::string readMetrics(std::size_t index) const;
+
     std::uint16_t getPort(std::size_t index) const { return this->sessionPorts[index]; }
     standin::PlatformStore& getStore() { return this->site.getStore(); }
     standin::LineGroup& getGroup() { return this->site.getGroup(); }
@@ -81,6 +84,7 @@
     standin::PlatformSite site;
     std::vector<std::uint16_t> sessionPorts;
     std::vector<Endpoint> peerEndpoints;
+    std::vector<Endpoint> metricsEndpoints;
     std::vector<std::unique_ptr<GatewayInstance>> instances;
 };
 
--- /dev/null
+++ b/tests/unit/FleetTests.cpp
@@ -0,0 +1,181 @@
+#include "../../src/fleet/MeteredFleetStore.h"
+#include "../../src/gateway/AuditWriter.h"
+#include "../../src/gateway/MemberDirectory.h"
+#include "lentiljunction/leadership/PermitBook.h"
+
+#include <future>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+
+namespace {
+
+/// Answers every call at once, as it is told to.
+class ScriptedStore : public FleetStore {
+public:
+    explicit ScriptedStore(Failure& answer)
+        : answer(answer)
+    {
+    }
+
+    void readRoutes(Callback<VersionedRoutes> callback) override { this->respond(callback, VersionedRoutes()); }
+    void watchRoutes(StoreVersion, Duration, Callback<VersionedRoutes> callback) override { this->respond(callback, VersionedRoutes()); }
+    void listUpstreams(Callback<std::shared_ptr<const UpstreamList>> callback) override { this->respond(callback, std::shared_ptr<const UpstreamList>()); }
+    void readLead(Callback<VersionedLead> callback) override { this->respond(callback, VersionedLead()); }
+    void writeLead(const LeadRecord&, StoreVersion, Callback<VersionedLead> callback) override { this->respond(callback, VersionedLead()); }
+    void registerMember(const FleetMember&, Callback<bool> callback) override { this->respond(callback, true); }
+    void removeMember(const InstanceId&, Callback<bool> callback) override { this->respond(callback, true); }
+    void listMembers(bool, Callback<std::vector<FleetMember>> callback) override { this->respond(callback, std::vector<FleetMember>()); }
+    void writeAudit(const std::string& key, const std::string& records, Callback<bool> callback) override
+    {
+        this->written.emplace_back(key, records);
+        this->respond(callback, true);
+    }
+    void promote(const GroupId&, const UpstreamId&, const InstanceId&, FencingToken, Callback<bool> callback) override { this->respond(callback, true); }
+
+    std::vector<std::pair<std::string, std::string>> written;
+
+private:
+    template <typename T>
+    void respond(const Callback<T>& callback, T value)
+    {
+        if (this->answer.kind == Failure::Kind::None)
+            callback(std::move(value), Failure());
+        else
+            callback(std::nullopt, this->answer);
+    }
+
+    Failure& answer;
+};
+
+FleetMember makeMember(const std::string& id, std::uint16_t port)
+{
+    return { InstanceId(id), ZoneId("z"), { "10.0.0.1", port } };
+}
+
+} // namespace
+
+TEST_GROUP(MeteredFleetStore)
+{
+    ManualClock clock;
+    GatewayMetrics metrics;
+    Failure answer;
+    MeteredFleetStore store { std::make_unique<ScriptedStore>(answer), clock, metrics };
+
+    void read()
+    {
+        store.readLead([](const std::optional<VersionedLead>&, const Failure&) {});
+    }
+};
+
+TEST(MeteredFleetStore, callsAreCountedByOperationAndResult)
+{
+    read();
+    answer.set(Failure::Kind::Conflict, "another revision");
+    store.writeLead(LeadRecord(), StoreVersion(1), [](const std::optional<VersionedLead>& lead, const Failure& failure) {
+        CHECK_FALSE(lead.has_value());
+        CHECK(failure.kind == Failure::Kind::Conflict);
+    });
+    answer.set(Failure::Kind::Unavailable, "no answer");
+    read();
+    store.promote(GroupId("g"), UpstreamId("u"), InstanceId("a"), FencingToken(1), [](const std::optional<bool>&, const Failure&) {});
+    std::string page = metrics.render();
+    for (const char* line : { "operation=\"read_lead\",result=\"done\"} 1", "operation=\"write_lead\",result=\"refused\"} 1", "operation=\"read_lead\",result=\"unanswered\"} 1", "operation=\"promote\",result=\"unanswered\"} 1" })
+        STRCMP_CONTAINS(line, page.c_str());
+}
+
+TEST_GROUP(GatewayMetrics)
+{
+    GatewayMetrics metrics;
+};
+
+TEST(GatewayMetrics, aStatementCountsUnderItsLabelsAndAFailureUnderItsCause)
+{
+    GatewayMetrics::Statement statement { "primary", Rank::Urgent, "busy", "u1", "no_primary", false, 2, std::chrono::milliseconds(3) };
+    metrics.onStatement(statement);
+    std::string page = metrics.render();
+    STRCMP_CONTAINS("lentiljunction_statements_total{code=\"busy\",kind=\"primary\",rank=\"urgent\",upstream=\"u1\"} 1", page.c_str());
+    STRCMP_CONTAINS("lentiljunction_statement_failures_total{cause=\"no_primary\",rank=\"urgent\"} 1", page.c_str());
+    STRCMP_CONTAINS("lentiljunction_retries_total 2", page.c_str());
+    STRCMP_CONTAINS("lentiljunction_statement_seconds_count{kind=\"primary\",rank=\"urgent\"} 1", page.c_str());
+}
+
+TEST(GatewayMetrics, anUpstreamThatIsGoneLeavesThePage)
+{
+    GatewayMetrics::Upstream upstream;
+    upstream.id = "u1";
+    upstream.group = "g";
+    upstream.numWaiting = 4;
+    metrics.setUpstreams({ upstream });
+    STRCMP_CONTAINS("lentiljunction_upstream_waiting{group=\"g\",upstream=\"u1\",zone=\"other\"} 4", metrics.render().c_str());
+    metrics.setUpstreams({});
+    CHECK(metrics.render().find("u1") == std::string::npos);
+}
+
+TEST_GROUP(MemberDirectory)
+{
+    ManualClock clock;
+    MemberDirectory members;
+
+    void setup() override { members.setMembers({ makeMember("a", 1), makeMember("b", 2), makeMember("c", 3) }); }
+};
+
+TEST(MemberDirectory, aRetiredInstanceIsNotActiveAndCountsAsGoneOnlyAfterItsPermit)
+{
+    members.noteRetired({ InstanceId("b") }, clock.bootNow());
+    CHECK_EQUAL(2, members.listActive().size());
+    CHECK_FALSE(members.isLongRetired(InstanceId("b"), clock.bootNow()));
+    clock.advance(permitSpan + permitMargin);
+    CHECK_TRUE(members.isLongRetired(InstanceId("b"), clock.bootNow()));
+    // Seen again as retired, it is retired since the first time; back in service, it starts anew.
+    members.noteRetired({ InstanceId("b") }, clock.bootNow());
+    CHECK_TRUE(members.isLongRetired(InstanceId("b"), clock.bootNow()));
+    members.noteRetired({}, clock.bootNow());
+    CHECK_FALSE(members.isLongRetired(InstanceId("b"), clock.bootNow()));
+    CHECK_EQUAL(3, members.listActive().size());
+}
+
+TEST(MemberDirectory, othersAreAllButOneself)
+{
+    std::vector<Endpoint> others = members.listOthers(InstanceId("a"));
+    CHECK_EQUAL(2, others.size());
+    CHECK_EQUAL(2, others.front().port);
+    CHECK_TRUE(members.find(InstanceId("c")).has_value());
+    CHECK_FALSE(members.find(InstanceId("d")).has_value());
+}
+
+TEST_GROUP(AuditWriter) {};
+
+TEST(AuditWriter, aRecordIsWrittenOnceTheStoreTakesIt)
+{
+    SystemClock clock;
+    EventLoop loop;
+    Failure answer;
+    answer.set(Failure::Kind::Unavailable, "no answer");
+    ScriptedStore store(answer);
+    AuditWriter writer(loop, clock, store, InstanceId("a"));
+    std::promise<void> isWritten;
+    std::function<void()> watch = [&] {
+        bool isTried = !store.written.empty();
+        if (isTried && answer.kind == Failure::Kind::None && store.written.size() > 1)
+            return isWritten.set_value();
+        if (isTried)
+            answer = Failure();
+        loop.schedule(std::chrono::milliseconds(20), watch);
+    };
+    loop.start();
+    loop.post([&] {
+        AuditRecord record;
+        record.kind = AuditKind::Promotion;
+        record.subject = "g";
+        writer.add(record);
+        watch();
+    });
+    CHECK(isWritten.get_future().wait_for(std::chrono::seconds(30)) == std::future_status::ready);
+    loop.stop();
+    // The same records under the same name, so that a write whose answer was lost is not doubled.
+    STRCMP_EQUAL(store.written[0].first.c_str(), store.written[1].first.c_str());
+    STRCMP_EQUAL(store.written[0].second.c_str(), store.written[1].second.c_str());
+    STRCMP_CONTAINS("\"kind\":\"promotion\"", store.written[0].second.c_str());
+}
--- /dev/null
+++ b/tests/unit/LogbookTests.cpp
@@ -0,0 +1,148 @@
+#include "lentiljunction/core/LogEvents.h"
+#include "lentiljunction/interactive/StatementTrouble.h"
+#include "lentiljunction/logbook/FleetReport.h"
+#include "lentiljunction/logbook/RequestHistory.h"
+
+#include <rapidcheck.h>
+
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+
+namespace {
+
+std::string makeLine(const std::string& second, const std::string& instance, const LogEvent& event, const std::string& detail)
+{
+    return "2026-06-11T04:14:" + second + "Z level=info instance=" + instance + " event=" + std::to_string(event.number) + " name=" + event.name + " " + detail + "\n";
+}
+
+LogCollection collect(const std::string& text)
+{
+    LogCollection collection;
+    std::istringstream stream(text);
+    readLog(stream, collection);
+    sortByTime(collection);
+    return collection;
+}
+
+/// A request that was refused while the group's primary was replaced, as two instances log it.
+std::string makeFailover()
+{
+    return makeLine("01.000000", "a", events::routesInForce, "routes_version=3 routes=2")
+        + makeLine("02.000000", "a", events::permitLost, "lead_revision=6")
+        + makeLine("02.500000", "a", events::statementRetried, "id=r1 attempt=1 upstream=u1 required=1:7 had=1:5 cause=upstream_answered reason=\"the upstream answered behind\"")
+        + makeLine("03.000000", "a", events::statementRefused, "id=r1 group=g upstream=u1 code=busy cause=no_primary reason=\"no primary may be used\"")
+        + makeLine("02.900000", "b", events::primarySuspected, "group=g primary=u1 reporters=2")
+        + makeLine("03.100000", "b", events::promotionStarted, "group=g primary=u1 cause=\"the primary cannot be reached\"")
+        + makeLine("04.400000", "b", events::promotionDone, "group=g primary=u2 term=2 took_ms=1300")
+        + makeLine("04.500000", "a", events::permitRegained, "lead_revision=7")
+        + makeLine("05.000000", "a", events::statementServed, "id=r2 group=g upstream=u2 code=success")
+        + makeLine("03.600000", "a", events::linesOmitted, "of=statement_served lines=12");
+}
+
+} // namespace
+
+TEST_GROUP(LogRecord) {};
+
+TEST(LogRecord, aLineIsReadBackWithWhatStandsBeforeIt)
+{
+    std::optional<LogRecord> record = parseLogLine("   0.0339 front-2 2026-06-11T04:14:05.033817Z level=warning instance=front-2 event=520 name=statement_refused id=8f upstream= reason=\"\"x\" is no address\" took_ms=17");
+    CHECK_TRUE(record.has_value());
+    STRCMP_EQUAL("front-2", record->instance.c_str());
+    CHECK_EQUAL(520, record->event);
+    STRCMP_EQUAL("statement_refused", record->name.c_str());
+    STRCMP_EQUAL("8f", record->get("id").c_str());
+    STRCMP_EQUAL("", record->get("upstream").c_str());
+    STRCMP_EQUAL("\"x\" is no address", record->get("reason").c_str());
+    CHECK_EQUAL(17, record->getNumber("took_ms"));
+    STRCMP_EQUAL("04:14:05.033", formatTimeOfDay(record->time).c_str());
+}
+
+TEST(LogRecord, otherLinesAreCountedAndLeftOut)
+{
+    LogCollection collection = collect("built in 3 s\n\n2026-06-11T04:14:05.033817Z level=info instance=a audit {}\n" + makeLine("01.000000", "a", events::instanceReady, ""));
+    CHECK_EQUAL(1, collection.records.size());
+    CHECK_EQUAL(2, collection.numOtherLines);
+}
+
+TEST(LogRecord, noBytesEndTheReading)
+{
+    bool isSound = rc::check("any line", [](const std::string& noise) {
+        std::string line = makeLine("01.000000", "a", events::statementRefused, noise);
+        line.pop_back();
+        std::optional<LogRecord> record = parseLogLine(line);
+        RC_ASSERT(record.has_value());
+        RC_ASSERT(record->event == events::statementRefused.number);
+        parseLogLine(noise);
+        parseLogLine(line.substr(0, line.size() / 2) + noise);
+    });
+    CHECK_TRUE(isSound);
+}
+
+TEST_GROUP(RequestHistory) {};
+
+TEST(RequestHistory, aRefusalIsShownWithWhatWasBelievedAndWhatWentOn)
+{
+    RequestHistory history = RequestHistory::build(collect(makeFailover()), "r1");
+    CHECK_EQUAL(2, history.getSteps().size());
+    std::string text = history.render();
+    for (const char* part : { "required=1:7", "had=1:5", "believed, routes (-2.000 s): routes_in_force", "believed, permit (-1.000 s): permit_lost", "meanwhile (+0.100 s): b promotion_started", "outcome: busy, because no primary may be used", "look next: Either the instance could not confirm who leads", "12 lines" })
+        STRCMP_CONTAINS(part, text.c_str());
+    // What came after the step was not believed at it.
+    CHECK(text.find("permit_regained") == std::string::npos);
+}
+
+TEST(RequestHistory, anUnknownRequestIsSaidToBeUnknown)
+{
+    RequestHistory history = RequestHistory::build(collect(makeFailover()), "r9");
+    CHECK_TRUE(history.isEmpty());
+    STRCMP_EQUAL("no line names the request r9\n", history.render().c_str());
+}
+
+TEST_GROUP(FleetReport) {};
+
+TEST(FleetReport, countsOutcomesCausesChangesAndLosses)
+{
+    FleetReport report = FleetReport::build(collect(makeFailover()));
+    CHECK_EQUAL(1, report.getOutcomes().at("busy"));
+    CHECK_EQUAL(1, report.getOutcomes().at("success"));
+    CHECK_EQUAL(1, report.getCauses().at("no_primary"));
+    CHECK_EQUAL(12, report.getOmitted().at("statement_served"));
+    CHECK_EQUAL(1, report.getChanges().size());
+    DOUBLES_EQUAL(1.5, *report.getChanges().front().gapSeconds, 0.001);
+    STRCMP_EQUAL("u2", report.getChanges().front().to.c_str());
+    CHECK_EQUAL(1, report.getLosses().size());
+    DOUBLES_EQUAL(2.5, *report.getLosses().front().seconds, 0.001);
+    CHECK_EQUAL(1, report.getSeconds()[2].numRefused);
+}
+
+TEST(FleetReport, anEarlierSuspicionThatCameToNothingIsNotPartOfTheGap)
+{
+    FleetReport report = FleetReport::build(collect(makeLine("01.000000", "b", events::primarySuspected, "group=g primary=u1")
+        + makeLine("30.000000", "b", events::promotionStarted, "group=g primary=u1 cause=c") + makeLine("31.000000", "b", events::promotionDone, "group=g primary=u2")));
+    DOUBLES_EQUAL(1.0, *report.getChanges().front().gapSeconds, 0.001);
+}
+
+TEST(FleetReport, thePageNeedsNoOtherFileAndEscapesWhatItShows)
+{
+    std::string page = renderHtml(FleetReport::build(collect(makeFailover() + makeLine("06.000000", "<script>", events::storeUnavailable, ""))));
+    STRCMP_CONTAINS("<svg", page.c_str());
+    STRCMP_CONTAINS("&lt;script&gt;", page.c_str());
+    for (const char* outside : { "<script", "http://", "https://", "src=" })
+        CHECK_TEXT(page.find(outside) == std::string::npos, outside);
+}
+
+TEST_GROUP(StatementTrouble) {};
+
+TEST(StatementTrouble, everyNameIsReadBackAndHasAdvice)
+{
+    for (int index = 0; index <= static_cast<int>(StatementTrouble::NoRoute); index++) {
+        StatementTrouble trouble = static_cast<StatementTrouble>(index);
+        CHECK(parseStatementTrouble(toString(trouble)) == trouble);
+        CHECK(std::string(adviseOperator(trouble)).size() > 10);
+        CHECK(trouble == StatementTrouble::None || std::string(describe(trouble)).size() > 10);
+    }
+    CHECK(parseStatementTrouble("nonsense") == StatementTrouble::None);
+}
