Tell callers at once that an answer cannot be proved

Cause: while the store is away an answer of a primary waits for evidence from all upstreams of its group. A round had no end of its own: with one upstream silent it lasted until its connection was broken off, and every answer waited to the end of its statement's time.

Now a round ends after 300 ms, and after two failed rounds in a row the primary is not used until a round succeeds, so that nothing more is sent whose answer could not be passed on.

Ruled out: withdrawing after one failed round; a busy replica that refuses one status would close the group.

--- a/src/traffic/EvidenceRounds.cpp
+++ b/src/traffic/EvidenceRounds.cpp
@@ -10,12 +10,19 @@
 
     /// A question that waits longer for a connection proves nothing in time.
     constexpr std::chrono::milliseconds claimLimit { 150 };
+    /// An upstream that has not answered by then is silent: a full wait for a connection, and as much
+    /// again for the answer.
+    constexpr std::chrono::milliseconds roundLimit { 300 };
+    /// One failed round may be due to a busy upstream. After as many in a row the primary is not used
+    /// until a round succeeds.
+    constexpr int failuresUntilWithdrawn = 2;
 
 } // namespace
 
 EvidenceRounds::EvidenceRounds(const SessionProtocol& protocol, TrafficState& state)
     : protocol(protocol)
     , state(state)
+    , timer(state.getLoop(), state.getClock(), [this] { this->expire(); })
 {
 }
 
@@ -46,6 +53,8 @@
             asked.push_back(entry.first);
     }
     round->numAwaited = asked.size() + 1;
+    round->deadline = this->state.getClock().now() + roundLimit;
+    this->timer.setTimeAtLatest(round->deadline);
     for (const UpstreamId& upstream : asked)
         this->ask(group, round, upstream);
     // Counts for the loop itself, so that answers that come at once do not end the round early.
@@ -88,12 +97,37 @@
     if (status)
         round->answers[upstream] = std::move(status);
     round->numAwaited--;
-    if (round->numAwaited > 0)
+    if (round->numAwaited == 0)
+        this->finish(group, round);
+}
+
+void EvidenceRounds::expire()
+{
+    TimePoint now = this->state.getClock().now();
+    std::vector<std::pair<GroupId, std::shared_ptr<Round>>> late;
+    for (const std::pair<const GroupId, GroupRounds>& rounds : this->groups) {
+        const std::shared_ptr<Round>& current = rounds.second.current;
+        if (current != nullptr && current->deadline <= now)
+            late.emplace_back(rounds.first, current);
+        else if (current != nullptr)
+            this->timer.setTimeAtLatest(current->deadline);
+    }
+    for (const std::pair<GroupId, std::shared_ptr<Round>>& round : late)
+        this->finish(round.first, round.second);
+}
+
+void EvidenceRounds::finish(const GroupId& group, const std::shared_ptr<Round>& round)
+{
+    // An answer that comes after the deadline belongs to no round any more.
+    if (std::exchange(round->isOver, true))
         return;
     bool isProved = this->judge(*round);
+    GroupRounds& rounds = this->groups[group];
+    rounds.numFailuresInARow = isProved ? 0 : rounds.numFailuresInARow + 1;
     if (isProved)
         this->state.onLeadProved(group, round->leader);
-    GroupRounds& rounds = this->groups[group];
+    else if (rounds.numFailuresInARow >= failuresUntilWithdrawn)
+        this->state.onLeadUnproved(group);
     rounds.current = nullptr;
     for (const std::function<void(bool)>& asker : std::exchange(round->askers, {}))
         asker(isProved);
--- a/src/traffic/EvidenceRounds.h
+++ b/src/traffic/EvidenceRounds.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../net/OneShotTimer.h"
 #include "TrafficState.h"
 #include "lentiljunction/interactive/LeadStatus.h"
 
@@ -31,6 +32,8 @@
         std::vector<std::function<void(bool)>> askers;
         std::map<UpstreamId, std::optional<LeadStatus>> answers;
         std::size_t numAwaited = 0;
+        TimePoint deadline;
+        bool isOver = false;
     };
 
     struct KnownPrimary {
@@ -41,11 +44,14 @@
     struct GroupRounds {
         std::shared_ptr<Round> current;
         std::shared_ptr<Round> next;
+        int numFailuresInARow = 0;
     };
 
     void start(const GroupId& group);
     void ask(const GroupId& group, const std::shared_ptr<Round>& round, const UpstreamId& upstream);
     void onAnswer(const GroupId& group, const std::shared_ptr<Round>& round, const UpstreamId& upstream, std::optional<LeadStatus> status);
+    void finish(const GroupId& group, const std::shared_ptr<Round>& round);
+    void expire();
     bool judge(const Round& round);
     std::optional<LeadStatus> findPrimaryStatus(const Leader& leader) const;
 
@@ -54,6 +60,7 @@
     std::map<GroupId, GroupRounds> groups;
     /// What a primary last said of itself, which stays true as long as it leads.
     std::map<UpstreamId, KnownPrimary> primaries;
+    OneShotTimer timer;
 };
 
 } // namespace lentiljunction
--- a/tests/process/GatewayTests.cpp
+++ b/tests/process/GatewayTests.cpp
@@ -151,6 +151,32 @@
         CHECK_EQUAL(1, bench.getGroup().countCommits(item));
 }
 
+TEST(Gateway, aChangeOfPrimaryIsKeptInTheAuditTrail)
+{
+    GatewayBench bench;
+    CHECK_TRUE(bench.waitServed("bookings"));
+    bench.report("u1", true, true);
+    CHECK_TRUE(waitUntil([&] { return !bench.getStore().list("lentiljunction-audit").empty(); }));
+    nlohmann::json record = bench.getStore().list("lentiljunction-audit").front()["records"][0];
+    STRCMP_EQUAL("promotion", record.value("kind", "").c_str());
+    STRCMP_EQUAL(bench.getGroup().getName().c_str(), record.value("subject", "").c_str());
+    STRCMP_EQUAL("u1", record.value("before", "").c_str());
+    STRCMP_CONTAINS(bench.getGroup().findPrimary().c_str(), record.value("after", "").c_str());
+    STRCMP_CONTAINS("front-", record.value("actor", "").c_str());
+}
+
+TEST(Gateway, theMetricsPageShowsStatementsBeliefsUpstreamsAndStoreCalls)
+{
+    GatewayBench bench(1);
+    CHECK_TRUE(bench.waitServed("bookings"));
+    LineCaller caller(bench.getPort(0), "bookings");
+    CHECK_TRUE(isServed(caller.ask("WRITE m v")));
+    STRCMP_CONTAINS("ERR", caller.ask("COMMIT").c_str());
+    std::string page = bench.readMetrics(0);
+    for (const char* line : { "lentiljunction_statements_total{code=\"success\",kind=\"primary\",rank=\"urgent\",upstream=\"u1\"}", "lentiljunction_statement_failures_total{cause=\"not_allowed\"", "lentiljunction_belief{fact=\"holds_duty\"} 1", "lentiljunction_belief{fact=\"permit_seconds\"}", "lentiljunction_upstream_connections{group=", "lentiljunction_upstream_lag_positions{", "lentiljunction_proof_age_seconds{", "lentiljunction_store_calls_total{operation=\"write_lead\",result=\"done\"}", "lentiljunction_statement_seconds_bucket{" })
+        STRCMP_CONTAINS(line, page.c_str());
+}
+
 TEST(Gateway, aLeavingPrimaryHandsOver)
 {
     GatewayBench bench;
@@ -266,6 +292,32 @@
     STRCMP_CONTAINS("ERR INDOUBT", caller.ask("COMMIT").c_str());
 }
 
+// Without the store a silent upstream leaves no proof of who leads. The caller is told so at once, not at
+// the end of the statement's time, and what comes next is not sent.
+TEST(Gateway, anAnswerThatCannotBeProvedIsNotHeldBack)
+{
+    constexpr std::chrono::milliseconds routeTime { 1500 };
+    GatewayBench bench;
+    CHECK_TRUE(bench.waitServed("bookings"));
+    LineCaller caller(bench.getPort(0), "bookings");
+    bench.getStore().setFault(standin::PlatformStore::Fault::Silent);
+    TimePoint end = SystemClock().now() + permitSpan + std::chrono::milliseconds(1200);
+    while (SystemClock().now() < end)
+        caller.ask("WRITE before v");
+    CHECK_TRUE(isServed(caller.ask("WRITE before v")));
+
+    bench.getGroup().setFault("u3", standin::LineUpstream::Fault::Silent);
+    TimePoint began = SystemClock().now();
+    STRCMP_CONTAINS("ERR INDOUBT", caller.ask("WRITE unproved v").c_str());
+    CHECK(SystemClock().now() - began < routeTime / 2);
+    std::string last;
+    CHECK_TRUE(waitUntil([&] {
+        last = caller.ask("WRITE later v");
+        return last.find("ERR BUSY") != std::string::npos;
+    }));
+    CHECK(SystemClock().now() - began < routeTime);
+}
+
 TEST(Gateway, anInstanceThatTheStoreRefusesGoesByTheOthers)
 {
     GatewayBench bench(3);
