Go by the zone's reader for the routing configuration

Cause: each instance watched the configuration itself, one call to the store every 2 s. At 2,100 instances it would be 1,050 watches a second.

So whoever relays says how long ago the store showed it that nothing newer is there, nothing while its calls fail; the age is counted from the question; whoever has no news for 2.5 s reads the store itself. A newer table comes from the reader, so instances that the store refuses get it too.

The stand-in store answered watches that had waited since before a fault at their door; they meet the fault now, as strict or stricter for every test.

Mended beside it: RouteWatcher is taken out of FleetControl; RelayTrust and the codec are pure. Ruled out: one reader for all zones (bytes between zones, a cut); pushing (the receiver cannot bound the age).

Tests: RelayTrust, RelayedRoutes, Gateway.anInstanceThatTheStoreTurnsAwayKeepsNoOtherFromANewConfiguration, which fails when the age is not told (mutant tried).

--- a/src/gateway/FleetControl.cpp
+++ b/src/gateway/FleetControl.cpp
@@ -21,9 +21,6 @@
     constexpr std::chrono::milliseconds readerAvoidance { 2000 };
     /// After a call to the store failed.
     constexpr std::chrono::milliseconds retryInterval { 200 };
-    /// A watch is renewed this often: an open connection may be silent for good, and a new
-    /// configuration has three seconds to come into force.
-    constexpr std::chrono::milliseconds watchSpan { 2000 };
     /// Upstreams that leave have seconds until they must be spared.
     constexpr std::chrono::milliseconds upstreamInterval { 1000 };
     constexpr std::chrono::milliseconds memberInterval { 3000 };
@@ -51,6 +48,7 @@
     , failovers({ parts.controlLoop, parts.clock, parts.store, this->peers, this->writer, this->commander, *this, settings.instance })
     , duty({ parts.controlLoop, parts.clock, this->peers, this->failovers, settings.instance }, *this)
     , permits(settings.instance)
+    , routes(parts.controlLoop, parts.clock, parts.store, *this)
     , audit(parts.controlLoop, parts.clock, parts.store, settings.instance)
     , turn(settings.instance)
 {
@@ -63,7 +61,7 @@
     this->parts.controlLoop.post([this] {
         // Whoever replaces a primary asks all that are registered, so nobody may hold a permit before.
         this->registerSelf();
-        this->readRoutes();
+        this->routes.start();
         this->listUpstreams();
         this->listMembers();
     });
@@ -106,10 +104,11 @@
     if (!reader || this->parts.clock.now() < this->readerAvoidedUntil)
         return this->readLead();
     BootTime sentAt = this->parts.clock.bootNow();
-    this->peers.ask(reader->peers, { { "ask", "beliefs" } }, peerLimit, [this, sentAt](const std::optional<nlohmann::json>& answer) {
+    this->peers.ask(reader->peers, { { "ask", "beliefs" } }, peerLimit, [this, sentAt, endpoint = reader->peers](const std::optional<nlohmann::json>& answer) {
         if (answer) {
             this->onPeerBelief(*answer, sentAt);
             this->takeProofs(*answer, sentAt);
+            this->onRelayedCurrency(*answer, endpoint, sentAt);
         } else {
             this->readerAvoidedUntil = this->parts.clock.now() + readerAvoidance;
         }
@@ -232,41 +231,28 @@
     this->publishLead(this->permits.onPeerAnswer(lead, Duration(answer["permit_us"].get<std::int64_t>()), sentAt));
 }
 
-void FleetControl::readRoutes()
+void FleetControl::onRoutesInForce(const std::shared_ptr<const RouteTable>& table)
 {
-    this->parts.store.readRoutes([this](const std::optional<VersionedRoutes>& read, const Failure& failure) {
-        if (read) {
-            this->takeRoutes(*read);
-            return this->watchRoutes();
-        }
-        logEvent(events::storeCallFailed, "call=read_routes reason=\"" + failure.reason + "\"");
-        this->parts.controlLoop.schedule(retryInterval, [this] { this->readRoutes(); });
-    });
+    this->parts.trafficLoop.post([this, table] { this->parts.traffic.setRoutes(table); });
+    this->updateReady();
 }
 
-void FleetControl::watchRoutes()
+void FleetControl::onRelayedCurrency(const nlohmann::json& answer, const Endpoint& reader, BootTime sentAt)
 {
-    this->parts.store.watchRoutes(this->routesRevision, watchSpan, [this](const std::optional<VersionedRoutes>& read, const Failure& failure) {
-        if (!read) {
-            logEvent(events::storeCallFailed, "call=watch_routes reason=\"" + failure.reason + "\"");
-            this->parts.controlLoop.schedule(retryInterval, [this] { this->readRoutes(); });
+    std::optional<RouteCurrency> currency = decodeCurrency(answer);
+    if (!currency || !this->routes.onRelayed(*currency, sentAt))
+        return;
+    this->peers.ask(reader, { { "ask", "routes" } }, peerLimit, [this](const std::optional<nlohmann::json>& relayed) {
+        if (!relayed)
             return;
-        }
-        this->takeRoutes(*read);
-        this->watchRoutes();
+        Failure failure;
+        std::optional<RouteTable> table = decodeRelayedRoutes(*relayed, failure);
+        if (!table)
+            return logEvent(events::peerMessageInvalid, "reason=\"" + failure.reason + "\"");
+        this->routes.offer(std::make_shared<RouteTable>(std::move(*table)));
     });
 }
 
-void FleetControl::takeRoutes(const VersionedRoutes& read)
-{
-    this->routesRevision = std::max(this->routesRevision, read.revision);
-    if (read.table == nullptr || !this->routes.offer(read.table))
-        return;
-    logEvent(events::routesInForce, "routes_version=" + std::to_string(read.table->version.value()) + " routes=" + std::to_string(read.table->routes.size()));
-    this->parts.trafficLoop.post([this, table = read.table] { this->parts.traffic.setRoutes(table); });
-    this->updateReady();
-}
-
 void FleetControl::listUpstreams()
 {
     this->parts.store.listUpstreams([this](const std::optional<std::shared_ptr<const UpstreamList>>& list, const Failure& failure) {
@@ -329,14 +315,16 @@
 
 nlohmann::json FleetControl::makeBeliefAnswer() const
 {
+    nlohmann::json answer = nlohmann::json::object();
+    if (std::optional<RouteCurrency> currency = this->routes.getCurrency())
+        answer["routes"] = encodeCurrency(*currency);
     const LeadView& view = this->permits.getView();
     if (view.lead.record == nullptr)
-        return nlohmann::json::object();
-    return {
-        { "record", encodeLeadRecord(*view.lead.record) },
-        { "revision", view.lead.revision.value() },
-        { "permit_us", this->permits.getRemaining(this->parts.clock.bootNow()).count() },
-    };
+        return answer;
+    answer["record"] = encodeLeadRecord(*view.lead.record);
+    answer["revision"] = view.lead.revision.value();
+    answer["permit_us"] = this->permits.getRemaining(this->parts.clock.bootNow()).count();
+    return answer;
 }
 
 void FleetControl::answerBeliefs(const PeerExchange::Responder& respond)
@@ -378,6 +366,8 @@
     std::string ask = question.is_object() ? question.value("ask", "") : "";
     if (ask == "beliefs")
         return this->answerBeliefs(respond);
+    if (ask == "routes" && this->routes.getTable() != nullptr)
+        return respond(encodeRelayedRoutes(*this->routes.getTable()));
     if (ask == "take_lead")
         return this->onTakeLead(question, respond);
     if (ask == "suspect")
--- a/src/gateway/FleetControl.h
+++ b/src/gateway/FleetControl.h
@@ -8,11 +8,11 @@
 #include "GatewaySettings.h"
 #include "LeadWriter.h"
 #include "MemberDirectory.h"
+#include "RouteWatcher.h"
 #include "UpstreamCommander.h"
 #include "lentiljunction/fleet/FleetStore.h"
 #include "lentiljunction/leadership/DutyTurn.h"
 #include "lentiljunction/leadership/PermitBook.h"
-#include "lentiljunction/routes/RouteKeeper.h"
 #include "lentiljunction/routes/UpstreamKeeper.h"
 
 #include <atomic>
@@ -27,7 +27,7 @@
 /// Belongs to the control thread.
 ///
 /// @see TrafficPlane
-class FleetControl : private PeerExchange::Listener, private LeadWriter::Listener, private FailoverDriver::Surroundings, private DutyKeeper::Beliefs {
+class FleetControl : private PeerExchange::Listener, private LeadWriter::Listener, private FailoverDriver::Surroundings, private DutyKeeper::Beliefs, private RouteWatcher::Listener {
 public:
     /// Must all outlive the control plane.
     struct Parts {
@@ -63,6 +63,7 @@
         this->storeAnsweredAt = this->parts.clock.bootNow();
         this->publishLead(this->permits.onStoreAnswer(lead, sentAt));
     }
+    void onRoutesInForce(const std::shared_ptr<const RouteTable>& table) override;
     const UpstreamList& getUpstreamList() const override { return *this->upstreams.getList(); }
     const PermitBook& getPermits() const override { return this->permits; }
     bool mayAct() const override { return this->turn.mayAct(this->parts.clock.bootNow()); }
@@ -85,9 +86,7 @@
     void publishLead(bool isNewer);
     void askPeersForLead();
     void onPeerBelief(const nlohmann::json& answer, BootTime sentAt);
-    void readRoutes();
-    void watchRoutes();
-    void takeRoutes(const VersionedRoutes& routes);
+    void onRelayedCurrency(const nlohmann::json& answer, const Endpoint& reader, BootTime sentAt);
     void listUpstreams();
     void listMembers();
     void noteRetired();
@@ -106,9 +105,8 @@
     FailoverDriver failovers;
     DutyKeeper duty;
     PermitBook permits;
-    RouteKeeper routes;
+    RouteWatcher routes;
     UpstreamKeeper upstreams;
-    StoreVersion routesRevision;
     MemberDirectory members;
     AuditWriter audit;
     DutyTurn turn;
--- /dev/null
+++ b/src/routes/RelayedRoutes.cpp
@@ -0,0 +1,129 @@
+#include "lentiljunction/routes/RelayedRoutes.h"
+
+#include "lentiljunction/core/JsonFields.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// An instance that watches the store has news of it every 2 s, and is asked every 0.4 s. Operators
+    /// expect a change in force after 3 s, and reading it from the store takes the rest.
+    constexpr std::chrono::milliseconds relayPatience { 2500 };
+    constexpr std::int64_t noLimit = std::numeric_limits<std::int64_t>::max();
+    constexpr std::int64_t numConsistencies = 3;
+
+    Duration getDuration(JsonFields& fields, const std::string& name)
+    {
+        return Duration(fields.getInteger(name, 0, noLimit));
+    }
+
+    Route decodeRoute(const nlohmann::json& object, const std::string& path, std::vector<std::string>& faults)
+    {
+        JsonFields fields(object, path, faults);
+        Route route;
+        route.database = DatabaseId(fields.getText("database"));
+        route.group = GroupId(fields.getText("group"));
+        route.consistency = static_cast<Consistency>(fields.getInteger("consistency", 0, numConsistencies - 1));
+        route.rank = allRanks[static_cast<std::size_t>(fields.getInteger("rank", 0, static_cast<std::int64_t>(allRanks.size()) - 1))];
+        route.statementTimeout = getDuration(fields, "timeout_us");
+        route.targetLatency = getDuration(fields, "target_us");
+        route.maximumStaleness = getDuration(fields, "staleness_us");
+        return route;
+    }
+
+    std::int64_t findIndex(Rank rank)
+    {
+        return std::distance(allRanks.begin(), std::find(allRanks.begin(), allRanks.end(), rank));
+    }
+
+} // namespace
+
+void RelayTrust::onCurrency(const RouteCurrency& currency, BootTime askedAt)
+{
+    BootTime confirmed = askedAt - currency.age;
+    if (!this->confirmedAt || confirmed > *this->confirmedAt)
+        this->confirmedAt = confirmed;
+}
+
+bool RelayTrust::isSufficient(BootTime now) const
+{
+    return this->confirmedAt && now - *this->confirmedAt < relayPatience;
+}
+
+std::optional<BootTime> RelayTrust::getEnd() const
+{
+    return this->confirmedAt ? std::optional<BootTime>(*this->confirmedAt + relayPatience) : std::nullopt;
+}
+
+nlohmann::json encodeCurrency(const RouteCurrency& currency)
+{
+    return { { "version", currency.version.value() }, { "age_us", currency.age.count() } };
+}
+
+std::optional<RouteCurrency> decodeCurrency(const nlohmann::json& answer)
+{
+    if (!answer.is_object() || !answer.contains("routes"))
+        return std::nullopt;
+    std::vector<std::string> faults;
+    JsonFields fields(answer["routes"], "routes", faults);
+    RouteCurrency currency { BundleVersion(static_cast<std::uint64_t>(fields.getInteger("version", 0, noLimit))), getDuration(fields, "age_us") };
+    return faults.empty() ? std::optional<RouteCurrency>(currency) : std::nullopt;
+}
+
+nlohmann::json encodeRelayedRoutes(const RouteTable& table)
+{
+    nlohmann::json routes = nlohmann::json::array();
+    for (const std::pair<const DatabaseId, Route>& entry : table.routes) {
+        const Route& route = entry.second;
+        routes.push_back({
+            { "database", route.database.toString() },
+            { "group", route.group.toString() },
+            { "consistency", static_cast<std::int64_t>(route.consistency) },
+            { "rank", findIndex(route.rank) },
+            { "timeout_us", route.statementTimeout.count() },
+            { "target_us", route.targetLatency.count() },
+            { "staleness_us", route.maximumStaleness.count() },
+        });
+    }
+    nlohmann::json groups = nlohmann::json::object();
+    for (const std::pair<const GroupId, GroupConfig>& group : table.groups)
+        groups[group.first.toString()] = group.second.maximumConnections;
+    return { { "version", table.version.value() }, { "routes", routes }, { "groups", groups }, { "idle_limit_us", table.transactionIdleLimit.count() } };
+}
+
+std::optional<RouteTable> decodeRelayedRoutes(const nlohmann::json& document, Failure& failure)
+{
+    std::vector<std::string> faults;
+    JsonFields fields(document, "relayed routes", faults);
+    RouteTable table;
+    table.version = BundleVersion(static_cast<std::uint64_t>(fields.getInteger("version", 0, noLimit)));
+    table.transactionIdleLimit = getDuration(fields, "idle_limit_us");
+    const nlohmann::json& routes = fields.getValue("routes");
+    if (!routes.is_array())
+        fields.addFault("routes", "must be an array");
+    else
+        for (std::size_t index = 0; index < routes.size(); index++) {
+            Route route = decodeRoute(routes[index], fields.pathOf("routes[" + std::to_string(index) + "]"), faults);
+            table.routes[route.database] = route;
+        }
+    const nlohmann::json& groups = fields.getValue("groups");
+    if (!groups.is_object())
+        fields.addFault("groups", "must be an object");
+    else
+        for (nlohmann::json::const_iterator group = groups.begin(); group != groups.end(); ++group) {
+            bool isNumber = group.value().is_number_integer() && group.value() >= 0 && group.value() <= std::numeric_limits<int>::max();
+            if (isNumber)
+                table.groups[GroupId(group.key())].maximumConnections = group.value().get<int>();
+            else
+                fields.addFault("groups." + group.key(), "must be a number of connections");
+        }
+    if (faults.empty())
+        return table;
+    failure.set(Failure::Kind::InvalidInput, joinFaults(faults));
+    return std::nullopt;
+}
+
+} // namespace lentiljunction
--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -158,7 +158,16 @@
         this->watches.erase(waiting, this->watches.end());
     }
     for (const std::pair<Watch, HttpResponse>& answer : answers)
-        answer.first.door->server.respond(answer.first.handle, answer.second);
+        this->answerThroughDoor(*answer.first.door, answer.first.handle, answer.second);
+}
+
+void PlatformStore::answerThroughDoor(Door& door, WebSocketServer::Handle handle, const HttpResponse& response)
+{
+    Fault now = door.fault;
+    if (now == Fault::Silent)
+        return;
+    bool isRefused = now == Fault::Unavailable || now == Fault::TooMany;
+    door.server.respond(handle, isRefused ? respondWith(now == Fault::TooMany ? tooMany : unavailable) : response);
 }
 
 void PlatformStore::startWatch(Door& door, WebSocketServer::Handle handle, const std::string& kind, const std::string& query)
@@ -178,7 +187,7 @@
         if (found == this->watches.end())
             return;
         this->watches.erase(found);
-        door.server.respond(handle, respondWith(ok, { { "events", nlohmann::json::array() }, { "at_rev", this->revision } }));
+        this->answerThroughDoor(door, handle, respondWith(ok, { { "events", nlohmann::json::array() }, { "at_rev", this->revision } }));
     });
 }
 
@@ -227,10 +236,8 @@
 void PlatformStore::onRequest(Door& door, WebSocketServer::Handle handle, const HttpRequest& request)
 {
     Fault now = door.fault;
-    if (now == Fault::Silent)
-        return;
-    if (now == Fault::Unavailable || now == Fault::TooMany)
-        return door.server.respond(handle, respondWith(now == Fault::TooMany ? tooMany : unavailable));
+    if (now == Fault::Silent || now == Fault::Unavailable || now == Fault::TooMany)
+        return this->answerThroughDoor(door, handle, HttpResponse());
     std::string path = request.path.substr(0, request.path.find('?'));
     std::string query = request.path.substr(std::min(request.path.size(), path.size() + 1));
     if (path == "/promotion")
--- a/standins/platform/PlatformStore.h
+++ b/standins/platform/PlatformStore.h
@@ -88,6 +88,8 @@
     };
 
     void onRequest(Door& door, WebSocketServer::Handle handle, const HttpRequest& request);
+    /// Answers as the door's fault lets it, also to those that have waited since before the fault.
+    void answerThroughDoor(Door& door, WebSocketServer::Handle handle, const HttpResponse& response);
     HttpResponse answerRead(const std::string& kind, const std::string& name);
     HttpResponse answerWrite(const HttpRequest& request, const std::string& kind, const std::string& name);
     HttpResponse answerPromotion(const HttpRequest& request);
--- a/tests/process/GatewayTests.cpp
+++ b/tests/process/GatewayTests.cpp
@@ -245,6 +245,35 @@
     STRCMP_CONTAINS("ERR NODB", LineCaller(bench.getPort(0), "checks").getGreeting().c_str());
 }
 
+// One instance of an availability zone watches the configuration for the others. Whichever it is, and however
+// the store turns it away, the others have a new configuration in time, and it has it from them.
+TEST(Gateway, anInstanceThatTheStoreTurnsAwayKeepsNoOtherFromANewConfiguration)
+{
+    constexpr std::chrono::milliseconds expectedInForce { 3000 };
+    // Three instances share an availability zone, so at least one goes by another, whoever holds the duty.
+    const std::vector<std::size_t> neighbours { 0, 3, 6 };
+    GatewayBench bench(7);
+    CHECK_TRUE(bench.waitServed("bookings"));
+    std::this_thread::sleep_for(expectedInForce);
+    std::uint64_t version = 2;
+    for (standin::PlatformStore::Fault fault : { standin::PlatformStore::Fault::Silent, standin::PlatformStore::Fault::Unavailable }) {
+        for (std::size_t refused : neighbours) {
+            std::string database = "v" + std::to_string(version);
+            bench.getStore().setDoorFault(refused, fault);
+            bench.configure(version++, { "bookings", database });
+            TimePoint end = SystemClock().now() + expectedInForce;
+            std::set<std::size_t> waiting(neighbours.begin(), neighbours.end());
+            waiting.erase(refused);
+            while (!waiting.empty() && SystemClock().now() < end) {
+                if (LineCaller(bench.getPort(*waiting.begin()), database).getGreeting() == "READY I -")
+                    waiting.erase(waiting.begin());
+            }
+            CHECK_TRUE(waiting.empty());
+            bench.getStore().setDoorFault(refused, standin::PlatformStore::Fault::None);
+        }
+    }
+}
+
 TEST(Gateway, entriesThatCannotBeReadNameNoUpstream)
 {
     GatewayBench bench(1);
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -2,6 +2,9 @@
 #include "../../src/gateway/AuditWriter.h"
 #include "../../src/gateway/MemberDirectory.h"
 #include "lentiljunction/leadership/PermitBook.h"
+#include "lentiljunction/routes/RelayedRoutes.h"
+
+#include <rapidcheck.h>
 
 #include <future>
 
@@ -145,6 +148,70 @@
     CHECK_FALSE(members.find(InstanceId("d")).has_value());
 }
 
+TEST_GROUP(RelayTrust)
+{
+    ManualClock clock;
+    RelayTrust trust;
+};
+
+TEST(RelayTrust, whatAnotherInstanceTellsIsAsOldAsItSaysCountedFromTheQuestion)
+{
+    CHECK_FALSE(trust.isSufficient(clock.bootNow()));
+    BootTime askedAt = clock.bootNow();
+    clock.advance(std::chrono::milliseconds(400));
+    trust.onCurrency({ BundleVersion(3), std::chrono::milliseconds(2000) }, askedAt);
+    CHECK_TRUE(trust.isSufficient(clock.bootNow()));
+    clock.advance(std::chrono::milliseconds(101));
+    CHECK_FALSE(trust.isSufficient(clock.bootNow()));
+    CHECK(*trust.getEnd() <= clock.bootNow());
+}
+
+// The instance that is asked may be the one that the store turns away: its age grows, and its answers do not
+// make this instance current again.
+TEST(RelayTrust, anInstanceThatTheStoreTurnsAwayIsNotGoneBy)
+{
+    trust.onCurrency({ BundleVersion(3), Duration(0) }, clock.bootNow());
+    BootTime confirmed = clock.bootNow();
+    for (int ask = 0; ask < 10; ask++) {
+        clock.advance(std::chrono::milliseconds(400));
+        trust.onCurrency({ BundleVersion(3), std::chrono::duration_cast<Duration>(clock.bootNow() - confirmed) }, clock.bootNow());
+    }
+    CHECK_FALSE(trust.isSufficient(clock.bootNow()));
+}
+
+TEST_GROUP(RelayedRoutes) {};
+
+TEST(RelayedRoutes, aTableSurvivesTheWayBetweenInstances)
+{
+    bool isSound = rc::check("any table", [] {
+        RouteTable table;
+        table.version = BundleVersion(*rc::gen::inRange<std::uint64_t>(0, 1000000));
+        table.transactionIdleLimit = Duration(*rc::gen::inRange<std::int64_t>(0, 100000000));
+        for (int index = 0; index < *rc::gen::inRange(0, 5); index++) {
+            Route route { DatabaseId("d" + std::to_string(index)), GroupId("g" + std::to_string(index % 2)), static_cast<Consistency>(*rc::gen::inRange(0, 3)), allRanks[static_cast<std::size_t>(*rc::gen::inRange(0, 3))], Duration(*rc::gen::inRange(0, 9000000)), Duration(*rc::gen::inRange(0, 9000000)), Duration(*rc::gen::inRange(0, 9000000)) };
+            table.routes[route.database] = route;
+            table.groups[route.group].maximumConnections = *rc::gen::inRange(1, 100);
+        }
+        Failure failure;
+        nlohmann::json sent = nlohmann::json::from_cbor(nlohmann::json::to_cbor(encodeRelayedRoutes(table)));
+        std::optional<RouteTable> read = decodeRelayedRoutes(sent, failure);
+        RC_ASSERT(read.has_value());
+        RC_ASSERT(encodeRelayedRoutes(*read) == encodeRelayedRoutes(table));
+    });
+    CHECK_TRUE(isSound);
+}
+
+TEST(RelayedRoutes, whatCannotBeReadIsNamedAndLeftOut)
+{
+    Failure failure;
+    CHECK_FALSE(decodeRelayedRoutes(nlohmann::json::parse(R"({"version":"x","routes":[{"rank":9}],"groups":{"g":-1}})"), failure).has_value());
+    for (const char* part : { "version", "routes[0].rank", "routes[0].database", "groups.g", "idle_limit_us" })
+        STRCMP_CONTAINS(part, failure.reason.c_str());
+    for (const char* text : { "null", "[]", "{\"routes\":7}", "{\"routes\":{\"version\":-1,\"age_us\":1}}" })
+        CHECK_FALSE_TEXT(decodeCurrency(nlohmann::json::parse(text)).has_value(), text);
+    CHECK_EQUAL(4, decodeCurrency({ { "routes", encodeCurrency({ BundleVersion(4), Duration(7) }) } })->version.value());
+}
+
 TEST_GROUP(AuditWriter) {};
 
 TEST(AuditWriter, aRecordIsWrittenOnceTheStoreTakesIt)
