Keep scarce connections by a budget of the average held, and split four long files

A connection was closed after 120 ms without work, whatever was free.

Now each instance holds its part of half of the connections on average over time: while it holds less, connections are kept longer, while it holds more, shorter. Nobody sees the others' connections and nobody need be turned away to learn.

Tests: HoldBudget (simulated fleet; the fixed span fails its bound).

--- a/include/lentiljunction/membership/Membership.h
+++ b/include/lentiljunction/membership/Membership.h
@@ -4,6 +4,7 @@
 #include "lentiljunction/core/Random.h"
 #include "lentiljunction/membership/MemberTable.h"
 #include "lentiljunction/membership/MembershipMessage.h"
+#include "lentiljunction/membership/ProbeOrder.h"
 #include "lentiljunction/membership/RumourQueue.h"
 
 #include <map>
@@ -124,10 +125,7 @@
     void spread(const Member& member);
     void addDigests(MembershipMessage& message) const;
     void answerDigests(const InstanceId& from, const MembershipMessage& message, bool asksBack, std::vector<Outgoing>& out);
-    std::optional<InstanceId> nextInZone();
-    std::optional<InstanceId> nextInOtherZone();
     std::vector<InstanceId> getSuspectZoneTargets();
-    std::vector<InstanceId> getOthers(const ZoneId& zone) const;
 
     Member self;
     Random random;
@@ -136,8 +134,7 @@
     RumourQueue rumours;
     std::map<InstanceId, TimePoint> suspectedAt;
     std::map<InstanceId, TimePoint> diedAt;
-    std::vector<InstanceId> probeOrder;
-    std::size_t nextZoneIndex = 0;
+    ProbeOrder probeOrder;
     std::vector<Probe> probes;
     std::map<std::uint64_t, Relayed> relayed;
     /// Failed probes in a row, by zone.
--- a/include/lentiljunction/membership/lj_membership.h
+++ b/include/lentiljunction/membership/lj_membership.h
@@ -7,4 +7,5 @@
 #include "lentiljunction/membership/MemberTable.h"
 #include "lentiljunction/membership/Membership.h"
 #include "lentiljunction/membership/MembershipMessage.h"
+#include "lentiljunction/membership/ProbeOrder.h"
 #include "lentiljunction/membership/RumourQueue.h"
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -106,6 +106,7 @@
         events::upstreamLeaving,
         events::upstreamUnreachable,
         events::upstreamListed,
+        events::upstreamFull,
         events::statementRefused,
         events::statementFailed,
         events::statementServed,
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -57,11 +57,11 @@
 
     Duration jitter(static_cast<Duration::rep>(this->random.below(probePeriod.count() / 10)));
     this->nextPeriod = now + probePeriod + jitter;
-    this->startProbe(this->nextInZone(), now, out);
+    this->startProbe(this->probeOrder.nextInZone(this->self, this->table, this->random), now, out);
     if (!this->isRelay())
         return out;
 
-    this->startProbe(this->nextInOtherZone(), now, out);
+    this->startProbe(this->probeOrder.nextInOtherZone(this->self, this->table, this->random), now, out);
     for (const InstanceId& target : this->getSuspectZoneTargets())
         this->startProbe(target, now, out);
     return out;
@@ -136,7 +136,7 @@
 
     std::vector<Outgoing> out;
     for (const ZoneId& zone : this->table.getZones()) {
-        std::vector<InstanceId> receivers = zone == this->self.zone ? this->getOthers(zone) : this->getRelays(zone);
+        std::vector<InstanceId> receivers = zone == this->self.zone ? listOthers(this->table, zone, this->self.id) : this->getRelays(zone);
         for (const InstanceId& receiver : receivers) {
             MembershipMessage message = this->makeMessage(MembershipMessage::Kind::News, 0);
             message.updates = { this->self };
@@ -247,7 +247,7 @@
     probe.isIndirect = true;
     std::vector<InstanceId> helpers;
     for (const ZoneId& zone : this->table.getZones()) {
-        std::vector<InstanceId> candidates = zone == this->self.zone ? this->getOthers(zone) : this->getRelays(zone);
+        std::vector<InstanceId> candidates = zone == this->self.zone ? listOthers(this->table, zone, this->self.id) : this->getRelays(zone);
         for (const InstanceId& candidate : candidates) {
             if (candidate != probe.target)
                 helpers.push_back(candidate);
@@ -353,39 +353,6 @@
     out.push_back({ from, sync });
 }
 
-std::optional<InstanceId> Membership::nextInZone()
-{
-    while (true) {
-        if (this->probeOrder.empty()) {
-            this->probeOrder = this->getOthers(this->self.zone);
-            for (std::size_t index = this->probeOrder.size(); index > 1; index--)
-                std::swap(this->probeOrder[index - 1], this->probeOrder[this->random.below(index)]);
-        }
-        if (this->probeOrder.empty())
-            return std::nullopt;
-
-        InstanceId candidate = this->probeOrder.back();
-        this->probeOrder.pop_back();
-        const Member* member = this->find(candidate);
-        if (member != nullptr && member->state != MemberState::Dead)
-            return candidate;
-    }
-}
-
-std::optional<InstanceId> Membership::nextInOtherZone()
-{
-    std::vector<ZoneId> others = this->table.getZones();
-    others.erase(std::remove(others.begin(), others.end(), this->self.zone), others.end());
-    if (others.empty())
-        return std::nullopt;
-
-    const std::set<InstanceId>& zone = this->table.getZone(others[this->nextZoneIndex++ % others.size()]);
-    std::vector<InstanceId> candidates(zone.begin(), zone.end());
-    if (candidates.empty())
-        return std::nullopt;
-    return candidates[this->random.below(candidates.size())];
-}
-
 std::vector<InstanceId> Membership::getSuspectZoneTargets()
 {
     std::vector<InstanceId> targets;
@@ -407,16 +374,6 @@
     return targets;
 }
 
-std::vector<InstanceId> Membership::getOthers(const ZoneId& zone) const
-{
-    std::vector<InstanceId> others;
-    for (const InstanceId& id : this->table.getZone(zone)) {
-        if (id != this->self.id && this->table.find(id)->state != MemberState::Dead)
-            others.push_back(id);
-    }
-    return others;
-}
-
 void Membership::forgetDead(TimePoint now)
 {
     for (std::map<InstanceId, TimePoint>::iterator entry = this->diedAt.begin(); entry != this->diedAt.end();) {
--- /dev/null
+++ b/src/server/AuditFlush.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "../store/StoreWorker.h"
+#include "lentiljunction/audit/AuditTrail.h"
+#include "lentiljunction/core/EventLoop.h"
+
+namespace lentiljunction {
+
+/// Writes the next batch of an audit trail into the store, if one is due.
+///
+/// Call it on the control thread, which also learns the outcome; all must outlive the write.
+void flushAudit(AuditTrail& audit, StoreWorker& worker, EventLoop& loop, const Clock& clock);
+
+} // namespace lentiljunction
--- a/src/server/ControlPlane.cpp
+++ b/src/server/ControlPlane.cpp
@@ -1,6 +1,7 @@
 #include "ControlPlane.h"
 
 #include "../store/StoreDocuments.h"
+#include "AuditFlush.h"
 #include "lentiljunction/core/LogEvents.h"
 
 #include <algorithm>
@@ -128,7 +129,7 @@
     }
 
     nlohmann::json ownUpstreams = nlohmann::json::array();
-    for (const UpstreamId& upstream : this->ownGates)
+    for (const UpstreamId& upstream : this->ownGates.getAll())
         ownUpstreams.push_back(upstream.toString());
     return {
         { "instance", this->settings.instance.toString() },
@@ -262,7 +263,7 @@
     this->watchers.onTick();
     this->bundles.askUntilFirst(*this->membership.getMembers(), this->settings.instance, this->random);
     this->checkReady();
-    this->flushAudit();
+    flushAudit(this->audit, this->worker, this->environment.loop, this->environment.clock);
 }
 
 bool ControlPlane::isRecorder() const
@@ -294,26 +295,14 @@
 
 void ControlPlane::recordGateMoves(const Bundle& bundle, const GateMap& newGates)
 {
-    std::set<UpstreamId> current;
-    for (const std::pair<const DatabaseId, DatabaseConfig>& entry : bundle.databases) {
-        for (const UpstreamConfig& upstream : entry.second.upstreams) {
-            if (newGates.isGate(this->settings.instance, upstream.id))
-                current.insert(upstream.id);
-        }
-    }
-
+    OwnGates::Moves moves = this->ownGates.update(bundle, newGates, this->settings.instance);
     WallTime now = this->environment.clock.wallNow();
-    for (const UpstreamId& upstream : current) {
-        if (this->ownGates.count(upstream) > 0)
-            continue;
+    for (const UpstreamId& upstream : moves.opened) {
         logEvent(events::gateOpened, "upstream=" + upstream.toString());
         this->audit.add({ {}, AuditKind::GateMove, "", upstream.toString(), "members or bundle changed", "", "gate at " + this->settings.instance.toString() }, now);
     }
-    for (const UpstreamId& upstream : this->ownGates) {
-        if (current.count(upstream) == 0)
-            logEvent(events::gateClosed, "upstream=" + upstream.toString());
-    }
-    this->ownGates = std::move(current);
+    for (const UpstreamId& upstream : moves.closed)
+        logEvent(events::gateClosed, "upstream=" + upstream.toString());
 }
 
 void ControlPlane::fetchBundle(std::optional<BundleVersion> version)
@@ -401,21 +390,4 @@
     this->listener.onReady();
 }
 
-void ControlPlane::flushAudit()
-{
-    std::optional<AuditTrail::Batch> batch = this->audit.makeBatch(this->environment.clock.now(), this->environment.clock.wallNow());
-    if (!batch)
-        return;
-
-    this->worker.submit([this, batch](PlatformStore& store) {
-        Failure failure;
-        bool isWritten = putOnce(store, batch->key, batch->value, failure);
-        this->environment.loop.post([this, isWritten, failure] {
-            if (!isWritten)
-                logEvent(events::auditWriteFailed, "reason=\"" + failure.reason + "\"");
-            this->audit.onWritten(isWritten);
-        });
-    });
-}
-
 } // namespace lentiljunction
--- a/src/server/ControlPlane.h
+++ b/src/server/ControlPlane.h
@@ -2,6 +2,7 @@
 
 #include "../store/StoreWorker.h"
 #include "BundleExchange.h"
+#include "OwnGates.h"
 #include "PeerSpreader.h"
 #include "WatcherRegistry.h"
 #include "lentiljunction/audit/AuditTrail.h"
@@ -95,7 +96,6 @@
     void onPrimaryNotice(const InstanceId& from, const PrimaryNotice& notice);
     void setLeavingUpstreams(const std::set<UpstreamId>& newLeaving);
     void checkReady();
-    void flushAudit();
 
     Environment environment;
     Settings settings;
@@ -107,7 +107,7 @@
     StoreWorker worker;
     AuditTrail audit;
     std::shared_ptr<const GateMap> gates;
-    std::set<UpstreamId> ownGates;
+    OwnGates ownGates;
     WatcherRegistry watchers;
     std::map<DatabaseId, PrimaryHint> announced;
     std::map<std::uint64_t, DatabaseId> questions;
--- a/src/server/UpstreamGate.cpp
+++ b/src/server/UpstreamGate.cpp
@@ -16,8 +16,6 @@
     constexpr int memory = 8;
     constexpr Duration gateSpareLifetime = std::chrono::seconds(30);
     constexpr Duration candidateSpareLifetime = std::chrono::seconds(3);
-    constexpr Duration pruneInterval = std::chrono::minutes(1);
-    constexpr Duration pruneDeadline = std::chrono::seconds(10);
     /// Keys are kept this much longer than they are accepted, because clocks of instances differ.
     constexpr std::chrono::seconds pruneMargin = std::chrono::hours(1);
 
@@ -227,7 +225,8 @@
     work->connection = connection;
     work->startedAt = now;
     work->numRunningAtStart = ++this->numRunning;
-    this->hasKeyedWrites = this->hasKeyedWrites || work->hop.request.key;
+    if (work->hop.request.key)
+        this->pruning.onKeyedWrite();
     work->runner.emplace(makePlan(work->hop.request, this->profile.statusSql));
     this->sendStep(work, work->runner->start());
 }
@@ -378,24 +377,10 @@
     TimePoint now = this->environment.clock.now();
     std::optional<PrimaryHint> primary = this->group.getPrimary();
     bool isWriter = primary && primary->upstream == this->upstream.id;
-    if (!isWriter || !this->hasKeyedWrites || now < this->nextPrune)
+    if (!isWriter || !this->pruning.isDue(now))
         return;
-
-    bool isFirst = this->nextPrune == TimePoint();
-    this->nextPrune = now + pruneInterval;
-    if (isFirst)
-        return;
-    this->hasKeyedWrites = false;
-    std::int64_t oldest = toUnixMilliseconds(this->environment.clock.wallNow() - this->profile.keyRetention - pruneMargin);
-    HopRequest prune;
-    prune.request.id = RequestId("prune");
-    prune.request.caller = CallerId("prune");
-    prune.request.database = this->database.id;
-    prune.request.rank = Rank::Background;
-    prune.request.statements = { getKeyPruneSql(oldest) };
-    prune.upstream = this->upstream.id;
-    prune.remaining = pruneDeadline;
-    this->execute(std::move(prune), [](const HopAnswer&) {});
+    WallTime oldest = this->environment.clock.wallNow() - this->profile.keyRetention - pruneMargin;
+    this->execute(makePruneRequest(this->database.id, this->upstream.id, oldest), [](const HopAnswer&) {});
 }
 
 void UpstreamGate::maintainPool()
@@ -411,10 +396,4 @@
         this->connections.release(connection, false, false);
 }
 
-void UpstreamGate::keepTransaction(const std::shared_ptr<Work>& work)
-{
-    TransactionId& id = work->hop.request.transaction;
-    id = this->transactions.keep(id, work->connection, this->environment.clock.now());
-}
-
 } // namespace lentiljunction
--- a/src/server/UpstreamGate.h
+++ b/src/server/UpstreamGate.h
@@ -2,6 +2,7 @@
 
 #include "GateConnections.h"
 #include "GroupState.h"
+#include "KeyPruneSchedule.h"
 #include "TransactionTable.h"
 #include "lentiljunction/admission/ConcurrencyLimit.h"
 #include "lentiljunction/admission/RankQueue.h"
@@ -117,7 +118,11 @@
     void maintainPool();
     void pruneKeys();
     void expireTransactions();
-    void keepTransaction(const std::shared_ptr<Work>& work);
+    void keepTransaction(const std::shared_ptr<Work>& work)
+    {
+        TransactionId& id = work->hop.request.transaction;
+        id = this->transactions.keep(id, work->connection, this->environment.clock.now());
+    }
 
     Environment environment;
     DatabaseConfig database;
@@ -135,8 +140,7 @@
     RankQueue::Ticket nextTicket = 1;
     int numRunning = 0;
     bool isLeaving = false;
-    bool hasKeyedWrites = false;
-    TimePoint nextPrune;
+    KeyPruneSchedule pruning;
     CatchUpEstimate catchUp;
     Duration meanStatement;
 };
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -23,8 +23,9 @@
     constexpr std::chrono::milliseconds fullBackoff { 100 };
     /// A connection beyond the instance's share is closed when it was idle for this long.
     constexpr std::chrono::milliseconds surplusIdle { 500 };
-    /// The same where no connection may be kept: a statement that follows at once still finds it.
-    constexpr std::chrono::milliseconds scarceIdle { 120 };
+    /// The part of an upstream's connections that all instances hold on average where there are more
+    /// instances than connections. Peaks, starting instances and checks of failover need the other half.
+    constexpr double heldPart = 0.5;
     /// How often claims that wait are looked through for passed deadlines.
     constexpr std::chrono::milliseconds expiryInterval { 25 };
     /// Connections left for the checks of whoever replaces a primary.
@@ -68,6 +69,7 @@
     this->share = this->ceiling / (2 * users);
     if (this->share == 0 && users * 4 <= this->ceiling * 3)
         this->share = 1;
+    this->budget.setTarget(heldPart * static_cast<double>(this->ceiling) / static_cast<double>(users));
 }
 
 UpstreamPool::Ticket UpstreamPool::claim(Rank rank, const CallerId& caller, TimePoint deadline, Grant grant)
@@ -161,6 +163,7 @@
     held.link = std::make_unique<UpstreamLink>(this->surroundings.loop, this->surroundings.clock, this->surroundings.protocol, this->upstream, this->surroundings.self, openLimit, listener);
     this->numOpening++;
     this->links.push_back(std::move(held));
+    this->budget.onHeld(this->links.size(), this->surroundings.clock.now());
 }
 
 void UpstreamPool::dropSilentIdle(Duration span)
@@ -189,12 +192,6 @@
         link->breakOff();
 }
 
-void UpstreamPool::close()
-{
-    this->isClosed = true;
-    this->denyAll(Denial::Unreachable);
-}
-
 void UpstreamPool::probeIfDue()
 {
     if (this->isSuspect && this->numOpening == 0 && this->surroundings.clock.now() >= this->probeAt)
@@ -209,11 +206,6 @@
     return number;
 }
 
-double UpstreamPool::getLoad() const
-{
-    return static_cast<double>(this->getNumRunning() + this->getNumWaiting()) / this->upstream.slots;
-}
-
 bool UpstreamPool::isOverdue(Duration span) const
 {
     TimePoint now = this->surroundings.clock.now();
@@ -257,6 +249,7 @@
     if (trouble == UpstreamLink::Trouble::Full) {
         // Claims wait for a connection of this instance, or for another to give one back.
         this->fullUntil = now + fullBackoff;
+        logEvent(events::upstreamFull, "upstream=" + this->upstream.id.toString() + " connections=" + std::to_string(this->links.size()) + " share=" + std::to_string(this->share) + " waiting=" + std::to_string(this->getNumWaiting()) + " held_on_average=" + std::to_string(this->budget.getAverage()) + " idle_span_ms=" + std::to_string(this->budget.getIdleSpan().count() / 1000));
         return this->setQueueTimer();
     }
     this->backoff = std::clamp<Duration>(this->backoff * 2, firstBackoff, longestBackoff);
@@ -293,6 +286,7 @@
     // The link may be on the stack of the caller, so it is destroyed later.
     std::shared_ptr<UpstreamLink> buried(std::move(found->link));
     this->links.erase(found);
+    this->budget.onHeld(this->links.size(), this->surroundings.clock.now());
     this->surroundings.loop.post([buried] {});
 }
 
@@ -369,7 +363,7 @@
 
 Duration UpstreamPool::getSurplusIdle() const
 {
-    return this->share > 0 ? surplusIdle : scarceIdle;
+    return this->share > 0 ? Duration(surplusIdle) : this->budget.getIdleSpan();
 }
 
 void UpstreamPool::setQueueTimer()
--- a/src/traffic/UpstreamPool.h
+++ b/src/traffic/UpstreamPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "HoldBudget.h"
 #include "LatencyMemory.h"
 #include "UpstreamLink.h"
 #include "lentiljunction/admission/RankQueue.h"
@@ -109,7 +110,11 @@
     void dropSilent();
 
     /// Closes everything. Claims that wait are denied.
-    void close();
+    void close()
+    {
+        this->isClosed = true;
+        this->denyAll(Denial::Unreachable);
+    }
 
     /// @returns whether the last attempt to open a connection failed
     bool isAvoided() const { return this->isSuspect; }
@@ -118,7 +123,7 @@
     Duration getLatency() const { return this->latency.get(this->surroundings.clock.now()); }
 
     /// @returns statements under way and waiting, per statement that may run at one time
-    double getLoad() const;
+    double getLoad() const { return static_cast<double>(this->getNumRunning() + this->getNumWaiting()) / this->upstream.slots; }
 
     /// @returns whether an answer is awaited for longer than a span on any connection
     bool isOverdue(Duration span) const;
@@ -163,6 +168,7 @@
     std::vector<Held> links;
     RankQueue queue;
     SharedLimit concurrency;
+    HoldBudget budget;
     std::unordered_map<Ticket, Grant> grants;
     Ticket nextTicket = 1;
     int numActive = 0;
--- /dev/null
+++ b/standins/platform/LineGroup.cpp
@@ -0,0 +1,134 @@
+#include "LineUpstream.h"
+
+#include <future>
+#include <utility>
+
+namespace lentiljunction::standin {
+
+LineGroup::LineGroup(EventLoop& loop, std::string name)
+    : loop(loop)
+    , name(std::move(name))
+{
+}
+
+LineGroup::~LineGroup() = default;
+
+void LineGroup::runOnLoop(const std::function<void()>& task)
+{
+    std::promise<void> done;
+    this->loop.post([&] {
+        task();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+bool LineGroup::add(const std::string& id, const Endpoint& endpoint, Failure& failure)
+{
+    std::unique_ptr<LineUpstream> upstream = std::make_unique<LineUpstream>(*this, id, endpoint);
+    upstream->isPrimary = this->upstreams.empty();
+    bool isOpen = upstream->listen(failure);
+    this->upstreams.push_back(std::move(upstream));
+    return isOpen;
+}
+
+LineUpstream* LineGroup::find(const std::string& id)
+{
+    for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
+        if (upstream->id == id)
+            return upstream.get();
+    }
+    return nullptr;
+}
+
+void LineGroup::crash(const std::string& id)
+{
+    this->runOnLoop([&] { this->find(id)->crash(); });
+}
+
+void LineGroup::setFault(const std::string& id, LineUpstream::Fault fault)
+{
+    this->runOnLoop([&] { this->find(id)->fault = fault; });
+}
+
+int LineGroup::promote(const std::string& id)
+{
+    constexpr int taken = 200;
+    constexpr int refused = 409;
+    int status = refused;
+    LineUpstream* chosen = this->find(id);
+    if (chosen == nullptr || !chosen->isRunning)
+        return status;
+    std::uint64_t greatest = 0;
+    for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams)
+        greatest = std::max(greatest, upstream->term);
+    if (chosen->isPrimary && chosen->term == greatest)
+        return taken;
+    chosen->isPrimary = true;
+    chosen->isPaused = false;
+    chosen->term = greatest + 1;
+    // Those that can be reached follow the new primary and drop what it does not have.
+    for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
+        if (upstream->isRunning && upstream->fault != LineUpstream::Fault::Silent && upstream.get() != chosen) {
+            upstream->isPrimary = false;
+            upstream->term = chosen->term;
+            upstream->items = chosen->items;
+            upstream->headTerm = chosen->headTerm;
+            upstream->headNumber = chosen->headNumber;
+        }
+    }
+    return taken;
+}
+
+void LineGroup::commit(LineUpstream& primary, const std::map<std::string, std::string>& writes)
+{
+    if (writes.empty())
+        return;
+    for (const std::pair<const std::string, std::string>& write : writes) {
+        primary.items[write.first] = write.second;
+        this->committed.insert(write.first);
+    }
+    primary.headTerm = primary.term;
+    primary.headNumber++;
+    this->ship(primary, writes);
+}
+
+void LineGroup::ship(const LineUpstream& primary, const std::map<std::string, std::string>& writes)
+{
+    std::uint64_t term = primary.headTerm;
+    std::uint64_t number = primary.headNumber;
+    this->loop.schedule(this->lag, [this, &primary, writes, term, number] {
+        for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
+            if (upstream.get() == &primary || upstream->isPaused || upstream->term != term || upstream->headNumber + 1 != number)
+                continue;
+            for (const std::pair<const std::string, std::string>& write : writes)
+                upstream->items[write.first] = write.second;
+            upstream->headTerm = term;
+            upstream->headNumber = number;
+        }
+    });
+}
+
+std::size_t LineGroup::countCommits(const std::string& item)
+{
+    std::size_t count = 0;
+    this->runOnLoop([&] { count = this->committed.count(item); });
+    return count;
+}
+
+std::string LineGroup::findPrimary()
+{
+    std::string found;
+    this->runOnLoop([&] {
+        std::uint64_t greatest = 0;
+        for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
+            if (upstream->isPrimary && upstream->term > greatest) {
+                greatest = upstream->term;
+                found = upstream->id;
+            }
+        }
+    });
+    return found;
+}
+
+} // namespace lentiljunction::standin
--- a/tests/process/GatewayBench.cpp
+++ b/tests/process/GatewayBench.cpp
@@ -2,8 +2,8 @@
 
 #include "../../tools/lab/Cluster.h"
 
-#include <httplib.h>
 #include <arpa/inet.h>
+#include <httplib.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -22,6 +22,16 @@
 
 } // namespace
 
+bool isServed(const std::string& answer)
+{
+    return answer.find("DONE sig.") != std::string::npos;
+}
+
+bool contains(const std::string& answer, const std::string& part)
+{
+    return answer.find(part) != std::string::npos;
+}
+
 bool waitUntil(const std::function<bool()>& condition)
 {
     std::chrono::steady_clock::time_point giveUpAt = std::chrono::steady_clock::now() + patience;
--- a/tests/process/GatewayBench.h
+++ b/tests/process/GatewayBench.h
@@ -88,6 +88,12 @@
     std::vector<std::unique_ptr<GatewayInstance>> instances;
 };
 
+/// @returns whether an answer is a success with an upstream's proof
+bool isServed(const std::string& answer);
+
+/// @returns whether an answer holds a text
+bool contains(const std::string& answer, const std::string& part);
+
 /// Waits until a condition holds.
 ///
 /// @returns whether it held within a limit far above what is needed
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -1,7 +1,9 @@
 #include "../../src/gateway/GatewaySettings.h"
 #include "../../src/gateway/ProofCodec.h"
+#include "../../src/traffic/HoldBudget.h"
 #include "../../src/traffic/PositionProofs.h"
 #include "../../src/traffic/ReadPlanner.h"
+#include "lentiljunction/core/Random.h"
 #include "lentiljunction/fleet/lj_fleet.h"
 #include "lentiljunction/leadership/lj_leadership.h"
 #include "lentiljunction/routes/lj_routes.h"
@@ -107,6 +109,92 @@
     CHECK_FALSE(decodeProofs(nlohmann::json::array({ { "g", -1, 2, 3, 4 } }), sentAt).has_value());
 }
 
+// Pattern: a shared budget without a shared counter. More instances than an upstream has connections: each
+// holds its part on average, so connections are found open far more often, and hardly ever too many are open.
+TEST_GROUP(HoldBudget)
+{
+    static constexpr int numInstances = 64;
+    static constexpr int maximum = 46;
+    static constexpr double heldPart = 0.5;
+
+    struct Instance {
+        HoldBudget budget;
+        bool isOpen = false;
+        TimePoint idleSince;
+    };
+
+    struct Figures {
+        double found = 0;
+        double timeOverMaximum = 0;
+    };
+
+    /// One statement takes 20 ms; each instance has one every 0.6 s.
+    Figures play(bool isAdaptive)
+    {
+        ManualClock clock;
+        Random random(7);
+        std::vector<Instance> instances(numInstances);
+        for (Instance& instance : instances)
+            instance.budget.setTarget(heldPart * maximum / numInstances);
+        constexpr std::chrono::milliseconds step { 10 };
+        constexpr int steps = 6000;
+        constexpr int warmUp = 1000;
+        int numStatements = 0;
+        int numFound = 0;
+        int numOver = 0;
+        for (int index = 0; index < steps; index++) {
+            clock.advance(step);
+            int numOpen = 0;
+            for (Instance& instance : instances) {
+                Duration span = isAdaptive ? instance.budget.getIdleSpan() : Duration(std::chrono::milliseconds(120));
+                if (instance.isOpen && clock.now() - instance.idleSince >= span) {
+                    instance.isOpen = false;
+                    instance.budget.onHeld(0, clock.now());
+                }
+                if (random.below(60) == 0) {
+                    numStatements += index >= warmUp ? 1 : 0;
+                    numFound += index >= warmUp && instance.isOpen ? 1 : 0;
+                    instance.isOpen = true;
+                    instance.idleSince = clock.now() + std::chrono::milliseconds(20);
+                    instance.budget.onHeld(1, clock.now());
+                }
+                numOpen += instance.isOpen ? 1 : 0;
+            }
+            numOver += index >= warmUp && numOpen > maximum ? 1 : 0;
+        }
+        return { static_cast<double>(numFound) / numStatements, static_cast<double>(numOver) / (steps - warmUp) };
+    }
+};
+
+TEST(HoldBudget, connectionsAreFoundOpenMoreOftenAndTheMaximumHolds)
+{
+    Figures fixed = play(false);
+    Figures adaptive = play(true);
+    // Statements come at any time, so as many find a connection open as are open on average.
+    constexpr double part = heldPart * maximum / numInstances;
+    CHECK(adaptive.found > 0.9 * part);
+    CHECK(fixed.found < 0.9 * part);
+    CHECK(adaptive.timeOverMaximum < 0.01);
+}
+
+TEST(HoldBudget, whoHoldsTooMuchClosesSooner)
+{
+    ManualClock clock;
+    HoldBudget budget;
+    budget.setTarget(0.5);
+    budget.onHeld(2, clock.now());
+    Duration first = budget.getIdleSpan();
+    clock.advance(std::chrono::seconds(1));
+    budget.onHeld(2, clock.now());
+    CHECK(budget.getIdleSpan() > first);
+    for (int second = 0; second < 20; second++) {
+        clock.advance(std::chrono::seconds(1));
+        budget.onHeld(2, clock.now());
+    }
+    CHECK_EQUAL(first.count(), budget.getIdleSpan().count());
+    DOUBLES_EQUAL(2, budget.getAverage(), 0.1);
+}
+
 TEST_GROUP(ReadPlanner) {};
 
 TEST(ReadPlanner, aNearReplicaGoesBeforeAFarOneAndThePrimary)
