Refuse at once when a change of primary takes longer than changes take

Reads without fresh data never asked the forecast.

Now a gap that is longer than usual is expected to last as long again; reads go by it too while there is no primary.

--- a/src/leadership/ChangeForecast.cpp
+++ b/src/leadership/ChangeForecast.cpp
@@ -32,12 +32,13 @@
     this->meanGap = Duration(static_cast<Duration::rep>(mean));
 }
 
-std::optional<TimePoint> ChangeForecast::getExpectedReturn(const GroupId& group) const
+std::optional<TimePoint> ChangeForecast::getExpectedReturn(const GroupId& group, TimePoint now) const
 {
     std::map<GroupId, TimePoint>::const_iterator lost = this->lostSince.find(group);
     if (lost == this->lostSince.end())
         return std::nullopt;
-    return lost->second + this->meanGap;
+    TimePoint usual = lost->second + this->meanGap;
+    return now <= usual ? usual : now + (now - usual);
 }
 
 } // namespace lentiljunction
--- a/src/logbook/HtmlReport.cpp
+++ b/src/logbook/HtmlReport.cpp
@@ -93,8 +93,8 @@
                 std::int64_t number = this->highest * line / numGridLines;
                 double y = bottom - this->toHeight(number);
                 page << "<line x1=\"" << plotMargin << "\" x2=\"" << plotWidth - plotMargin << "\" y1=\"" << y << "\" y2=\"" << y << "\" stroke=\"#ddd\"/><text x=\"" << plotMargin - 6 << "\" y=\"" << y + 4 << "\" text-anchor=\"end\">" << number << "</text>\n";
-                double second = static_cast<double>(this->report.getSeconds().size()) * line / numGridLines;
-                page << "<text x=\"" << this->toX(second) << "\" y=\"" << bottom + 16 << "\" text-anchor=\"middle\">" << std::round(second) << " s</text>\n";
+                double second = std::round(static_cast<double>(this->report.getSeconds().size()) * line / numGridLines);
+                page << "<text x=\"" << this->toX(second) << "\" y=\"" << bottom + 16 << "\" text-anchor=\"middle\">" << second << " s</text>\n";
             }
         }
 
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -56,11 +56,6 @@
     return mode == AccessMode::Write || this->request.need.route->consistency == Consistency::Primary;
 }
 
-bool StatementRun::mayRetry() const
-{
-    return !this->isOnHeldLink && this->numSent < maximumAttempts && this->state.getClock().now() < this->limits.getHoldLimit();
-}
-
 void StatementRun::attempt()
 {
     this->attemptNumber++;
@@ -86,7 +81,8 @@
 void StatementRun::waitForBeliefs()
 {
     this->trouble.set(this->needsPrimary() ? StatementTrouble::NoPrimary : StatementTrouble::NoFreshData);
-    if (this->needsPrimary())
+    // Proofs of freshness come from the primary, so reads wait for its return as well.
+    if (!this->state.findPrimary(this->request.need.route->group))
         this->state.notePrimary(this->request.need.route->group, false);
     if (!this->isWaitWorthwhile())
         return this->conclude(AttemptEvent::NotSent, SessionReply(), false);
@@ -100,6 +96,9 @@
     TimePoint now = this->state.getClock().now();
     if (now >= this->limits.getHoldLimit())
         return false;
+    // With a primary in use, a proof of freshness is on its way.
+    if (!this->needsPrimary() && this->state.findPrimary(this->request.need.route->group))
+        return true;
     std::optional<TimePoint> expected = this->state.getExpectedReturn(this->request.need.route->group);
     return !expected || std::max(*expected, now) < this->limits.getHoldLimit();
 }
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -86,7 +86,7 @@
     void deliver(SessionReply reply);
     void finish(SessionReply reply);
     void dropLink();
-    bool mayRetry() const;
+    bool mayRetry() const { return !this->isOnHeldLink && this->numSent < maximumAttempts && this->state.getClock().now() < this->limits.getHoldLimit(); }
     bool needsPrimary() const;
     const PreparedShape* findShape() const
     {
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -122,7 +122,7 @@
     void notePrimary(const GroupId& group, bool isUsable);
 
     /// @returns when a missing primary is expected back, or nothing when none is missing
-    std::optional<TimePoint> getExpectedReturn(const GroupId& group) const { return this->forecast.getExpectedReturn(group); }
+    std::optional<TimePoint> getExpectedReturn(const GroupId& group) const { return this->forecast.getExpectedReturn(group, this->getClock().now()); }
 
     /// Adds what is known of the upstreams and of the age of the groups' logs to the metrics.
     void exportFigures(GatewayMetrics& metrics) const;
