Add a soak of real processes, and models of sessions and outcomes

First runs found faults of the lab alone: children held its ports open (closed now), and a leaving primary was asked for while there was none.

SessionModel (rapidcheck): sessions that share connections which break at any step never run in another's context; whatever becomes of attempts, a write takes effect once at most, refusals are true, later statements are not tried again.

Stand-ins: upstreams start again, catch up after a gap, can be cut off from their group; commits at a replaced primary are counted.

Ruled out: the existing network relay, which reads zones from the other protocol's bytes.

--- a/standins/platform/LineGroup.cpp
+++ b/standins/platform/LineGroup.cpp
@@ -57,7 +57,7 @@
     constexpr int refused = 409;
     int status = refused;
     LineUpstream* chosen = this->find(id);
-    if (chosen == nullptr || !chosen->isRunning)
+    if (chosen == nullptr || !chosen->isRunning || chosen->isIsolated)
         return status;
     std::uint64_t greatest = 0;
     for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams)
@@ -69,17 +69,72 @@
     chosen->term = greatest + 1;
     // Those that can be reached follow the new primary and drop what it does not have.
     for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
-        if (upstream->isRunning && upstream->fault != LineUpstream::Fault::Silent && upstream.get() != chosen) {
-            upstream->isPrimary = false;
-            upstream->term = chosen->term;
-            upstream->items = chosen->items;
-            upstream->headTerm = chosen->headTerm;
-            upstream->headNumber = chosen->headNumber;
-        }
+        if (upstream->isRunning && upstream->fault != LineUpstream::Fault::Silent && upstream.get() != chosen)
+            this->follow(*upstream);
     }
     return taken;
 }
 
+LineUpstream* LineGroup::findLeader()
+{
+    LineUpstream* leader = nullptr;
+    for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
+        if (upstream->isPrimary && (leader == nullptr || upstream->term > leader->term))
+            leader = upstream.get();
+    }
+    return leader;
+}
+
+void LineGroup::follow(LineUpstream& upstream)
+{
+    const LineUpstream* leader = this->findLeader();
+    if (leader == nullptr || leader == &upstream || leader->isIsolated || upstream.isIsolated || upstream.term > leader->term)
+        return;
+    upstream.isPrimary = false;
+    upstream.term = leader->term;
+    upstream.items = leader->items;
+    upstream.headTerm = leader->headTerm;
+    upstream.headNumber = leader->headNumber;
+}
+
+bool LineGroup::restart(const std::string& id, Failure& failure)
+{
+    bool isOpen = false;
+    this->runOnLoop([&] {
+        LineUpstream* upstream = this->find(id);
+        this->follow(*upstream);
+        isOpen = upstream->isRunning || upstream->listen(failure);
+    });
+    return isOpen;
+}
+
+void LineGroup::setIsolated(const std::string& id, bool isIsolated)
+{
+    this->runOnLoop([&] {
+        LineUpstream* upstream = this->find(id);
+        upstream->isIsolated = isIsolated;
+        if (!isIsolated && upstream->isRunning)
+            this->follow(*upstream);
+    });
+}
+
+bool LineGroup::isCommittedByDeposed(const std::string& item)
+{
+    bool isDeposed = false;
+    this->runOnLoop([&] { isDeposed = this->committedByDeposed.count(item) > 0; });
+    return isDeposed;
+}
+
+std::uint64_t LineGroup::findTerm()
+{
+    std::uint64_t greatest = 0;
+    this->runOnLoop([&] {
+        for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams)
+            greatest = std::max(greatest, upstream->term);
+    });
+    return greatest;
+}
+
 void LineGroup::commit(LineUpstream& primary, const std::map<std::string, std::string>& writes)
 {
     if (writes.empty())
@@ -87,6 +142,8 @@
     for (const std::pair<const std::string, std::string>& write : writes) {
         primary.items[write.first] = write.second;
         this->committed.insert(write.first);
+        if (this->findLeader() != &primary)
+            this->committedByDeposed.insert(write.first);
     }
     primary.headTerm = primary.term;
     primary.headNumber++;
@@ -99,8 +156,14 @@
     std::uint64_t number = primary.headNumber;
     this->loop.schedule(this->lag, [this, &primary, writes, term, number] {
         for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
-            if (upstream.get() == &primary || upstream->isPaused || upstream->term != term || upstream->headNumber + 1 != number)
+            bool isCutOff = upstream->isPaused || upstream->isIsolated || primary.isIsolated || !upstream->isRunning;
+            if (upstream.get() == &primary || isCutOff || upstream->term != term || upstream->headNumber >= number)
                 continue;
+            // What it missed while it was cut off comes with the next change.
+            if (upstream->headNumber + 1 != number) {
+                this->follow(*upstream);
+                continue;
+            }
             for (const std::pair<const std::string, std::string>& write : writes)
                 upstream->items[write.first] = write.second;
             upstream->headTerm = term;
--- a/standins/platform/LineUpstream.h
+++ b/standins/platform/LineUpstream.h
@@ -68,6 +68,8 @@
     std::uint64_t headNumber = 0;
     bool isPrimary = false;
     bool isRunning = false;
+    /// Nothing passes between it and the others of its group.
+    bool isIsolated = false;
     /// Receives nothing until it is resumed or promoted.
     bool isPaused = false;
     Fault fault = Fault::None;
@@ -90,6 +92,20 @@
     /// Ends the process of an upstream. Runs on the loop and waits for it.
     void crash(const std::string& id);
 
+    /// Starts the process of an upstream again, with what it held. If another leads a higher term, it
+    /// follows that one.
+    bool restart(const std::string& id, Failure& failure);
+
+    /// Cuts an upstream off from the others of its group and from promotions of others, or joins it to
+    /// them again, where it follows the highest term.
+    void setIsolated(const std::string& id, bool isIsolated);
+
+    /// @returns whether a write took effect at an upstream after another had been promoted
+    bool isCommittedByDeposed(const std::string& item);
+
+    /// @returns the highest term of all upstreams
+    std::uint64_t findTerm();
+
     /// Changes how an upstream behaves.
     void setFault(const std::string& id, LineUpstream::Fault fault);
 
@@ -120,6 +136,8 @@
     void runOnLoop(const std::function<void()>& task);
     LineUpstream* find(const std::string& id);
     void commit(LineUpstream& primary, const std::map<std::string, std::string>& writes);
+    void follow(LineUpstream& upstream);
+    LineUpstream* findLeader();
     void ship(const LineUpstream& primary, const std::map<std::string, std::string>& writes);
 
     EventLoop& loop;
@@ -128,6 +146,7 @@
     Duration lag { std::chrono::milliseconds(5) };
     Duration work { 0 };
     std::multiset<std::string> committed;
+    std::set<std::string> committedByDeposed;
 };
 
 } // namespace lentiljunction::standin
--- a/standins/platform/PlatformSite.cpp
+++ b/standins/platform/PlatformSite.cpp
@@ -1,5 +1,7 @@
 #include "PlatformSite.h"
 
+#include <utility>
+
 namespace lentiljunction::standin {
 
 namespace {
@@ -61,6 +63,13 @@
     this->store.put("config", "main", { { "version", version }, { "routes", routes }, { "services", services }, { "limits", { { "tx_idle_ms", 10000 } } } });
 }
 
+Endpoint PlatformSite::publishAt(const std::string& id, const Endpoint& address)
+{
+    Endpoint own = std::exchange(this->endpoints[id], address);
+    this->report(id, id == this->group.findPrimary());
+    return own;
+}
+
 void PlatformSite::report(const std::string& id, bool isPrimary, bool isLeaving)
 {
     const Endpoint& endpoint = this->endpoints[id];
--- a/standins/platform/PlatformSite.h
+++ b/standins/platform/PlatformSite.h
@@ -39,6 +39,11 @@
     /// Tells the store what an upstream says of itself.
     void report(const std::string& id, bool isPrimary, bool isLeaving = false);
 
+    /// Publishes another address for an upstream, such as that of a relay in front of it.
+    ///
+    /// @returns where the upstream itself listens
+    Endpoint publishAt(const std::string& id, const Endpoint& address);
+
     PlatformStore& getStore() { return this->store; }
     LineGroup& getGroup() { return this->group; }
 
--- a/tests/process/GatewayBench.cpp
+++ b/tests/process/GatewayBench.cpp
@@ -2,14 +2,13 @@
 
 #include "../../tools/lab/Cluster.h"
 
-#include <arpa/inet.h>
 #include <httplib.h>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 namespace lentiljunction {
 
+using lab::LineCaller;
+
 namespace {
 
     constexpr const char* loopback = "127.0.0.1";
@@ -22,16 +21,6 @@
 
 } // namespace
 
-bool isServed(const std::string& answer)
-{
-    return answer.find("DONE sig.") != std::string::npos;
-}
-
-bool contains(const std::string& answer, const std::string& part)
-{
-    return answer.find(part) != std::string::npos;
-}
-
 bool waitUntil(const std::function<bool()>& condition)
 {
     std::chrono::steady_clock::time_point giveUpAt = std::chrono::steady_clock::now() + patience;
@@ -43,57 +32,6 @@
     return false;
 }
 
-LineCaller::LineCaller(std::uint16_t port, const std::string& database)
-{
-    this->descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    timeval limit { patience.count(), 0 };
-    ::setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    ::inet_pton(AF_INET, loopback, &address.sin_addr);
-    if (::connect(this->descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0)
-        this->greeting = this->exchange("STARTUP " + database + " tester\r\n");
-}
-
-LineCaller::~LineCaller()
-{
-    ::close(this->descriptor);
-}
-
-std::string LineCaller::ask(const std::string& text)
-{
-    return this->exchange("QUERY q" + std::to_string(this->nextId++) + " " + text + "\r\n");
-}
-
-std::string LineCaller::exchange(const std::string& bytes)
-{
-    if (::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0)
-        return "";
-    return this->readAnswer();
-}
-
-std::string LineCaller::readAnswer()
-{
-    std::string answer;
-    for (;;) {
-        std::size_t end = this->buffer.find("\r\n");
-        if (end == std::string::npos) {
-            char received[4096];
-            ssize_t size = ::recv(this->descriptor, received, sizeof received, 0);
-            if (size <= 0)
-                return answer;
-            this->buffer.append(received, static_cast<std::size_t>(size));
-            continue;
-        }
-        std::string line = this->buffer.substr(0, end);
-        this->buffer.erase(0, end + 2);
-        answer += answer.empty() ? line : "|" + line;
-        if (line.rfind("READY", 0) == 0)
-            return answer;
-    }
-}
-
 GatewayBench::GatewayBench(int numInstances)
     : site(takePort)
 {
--- a/tests/process/GatewayBench.h
+++ b/tests/process/GatewayBench.h
@@ -3,6 +3,7 @@
 #include "../../platform/PlatformAdapter.h"
 #include "../../src/gateway/GatewayInstance.h"
 #include "../../standins/platform/PlatformSite.h"
+#include "../../tools/lab/LineCaller.h"
 
 #include <functional>
 #include <memory>
@@ -11,37 +12,6 @@
 
 namespace lentiljunction {
 
-/// A caller's session over a plain blocking socket.
-class LineCaller {
-public:
-    /// Opens a session.
-    ///
-    /// @param port where the instance listens
-    LineCaller(std::uint16_t port, const std::string& database);
-    ~LineCaller();
-    LineCaller(const LineCaller&) = delete;
-    LineCaller& operator=(const LineCaller&) = delete;
-
-    /// Sends a statement and waits for its whole answer.
-    ///
-    /// @returns the lines of the answer joined by "|"; what came until the connection ended
-    std::string ask(const std::string& text);
-
-    /// Sends raw bytes and waits for an answer, or the end of the connection.
-    std::string exchange(const std::string& bytes);
-
-    /// @returns the answer to the start of the session
-    const std::string& getGreeting() const { return this->greeting; }
-
-private:
-    std::string readAnswer();
-
-    int descriptor = -1;
-    int nextId = 1;
-    std::string buffer;
-    std::string greeting;
-};
-
 /// Gateway instances in front of stand-ins, on loopback. Each has a door of its own to the store.
 ///
 /// @see standin::PlatformSite
@@ -88,12 +58,6 @@
     std::vector<std::unique_ptr<GatewayInstance>> instances;
 };
 
-/// @returns whether an answer is a success with an upstream's proof
-bool isServed(const std::string& answer);
-
-/// @returns whether an answer holds a text
-bool contains(const std::string& answer, const std::string& part);
-
 /// Waits until a condition holds.
 ///
 /// @returns whether it held within a limit far above what is needed
--- a/tests/process/GatewayConfigurationTests.cpp
+++ b/tests/process/GatewayConfigurationTests.cpp
@@ -6,6 +6,9 @@
 #include <thread>
 
 using namespace lentiljunction;
+using lab::LineCaller;
+using lab::isServed;
+using lab::contains;
 
 TEST_GROUP(GatewayConfiguration) {};
 
--- a/tests/process/GatewayTests.cpp
+++ b/tests/process/GatewayTests.cpp
@@ -10,6 +10,9 @@
 #include <thread>
 
 using namespace lentiljunction;
+using lab::LineCaller;
+using lab::isServed;
+using lab::contains;
 
 namespace {
 
--- /dev/null
+++ b/tests/unit/SessionModelTests.cpp
@@ -0,0 +1,265 @@
+#include "lentiljunction/interactive/lj_interactive.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+
+namespace {
+
+/// What an upstream itself holds for one connection.
+struct UpstreamSide {
+    std::map<std::string, std::string> values;
+    std::map<std::string, PreparedShape> prepared;
+    bool isInTransaction = false;
+
+    void apply(const UpstreamCommand& command)
+    {
+        switch (command.kind) {
+        case UpstreamCommand::Kind::Reset:
+            // A reset would end the transaction of the session that holds the connection.
+            RC_ASSERT(!this->isInTransaction);
+            this->values.clear();
+            this->prepared.clear();
+            return;
+        case UpstreamCommand::Kind::SetValue:
+            this->values[command.name] = command.argument;
+            return;
+        case UpstreamCommand::Kind::Prepare:
+            this->prepared[command.name] = { command.mode, command.argument };
+            return;
+        default:
+            RC_FAIL("the preparation of a connection runs nothing");
+        }
+    }
+};
+
+/// One connection as both sides see it.
+struct ModelLink {
+    SessionContext::LinkContext believed;
+    UpstreamSide actual;
+    /// The session whose transaction holds it.
+    std::optional<int> owner;
+};
+
+struct ModelSession {
+    SessionContext context;
+    std::map<std::string, std::string> values;
+    std::map<std::string, PreparedShape> prepared;
+    std::optional<std::size_t> held;
+};
+
+/// Sessions that share connections which break at any step.
+class SharingModel {
+public:
+    void step()
+    {
+        int number = *rc::gen::inRange(0, static_cast<int>(this->sessions.size()));
+        ModelSession& session = this->sessions[static_cast<std::size_t>(number)];
+        switch (*rc::gen::inRange(0, 6)) {
+        case 0:
+            return this->setValue(session);
+        case 1:
+            return this->prepare(session);
+        case 2:
+            return this->deallocate(session);
+        case 3:
+            return this->endTransaction(session);
+        default:
+            return this->run(number, session, *rc::gen::inRange(0, 3) == 0);
+        }
+    }
+
+private:
+    static std::string drawName(const std::string& prefix) { return prefix + std::to_string(*rc::gen::inRange(0, 3)); }
+
+    void setValue(ModelSession& session)
+    {
+        std::string name = drawName("v");
+        std::string value = drawName("x");
+        session.context.setValue(name, value);
+        session.values[name] = value;
+    }
+
+    void prepare(ModelSession& session)
+    {
+        std::string name = drawName("p");
+        PreparedShape shape { *rc::gen::inRange(0, 2) == 0 ? AccessMode::Read : AccessMode::Write, drawName("shape") };
+        session.context.prepare(name, shape);
+        session.prepared[name] = shape;
+    }
+
+    void deallocate(ModelSession& session)
+    {
+        std::string name = drawName("p");
+        RC_ASSERT(session.context.deallocate(name) == (session.prepared.erase(name) > 0));
+    }
+
+    void endTransaction(ModelSession& session)
+    {
+        if (!session.held)
+            return;
+        this->links[*session.held].owner.reset();
+        this->links[*session.held].actual.isInTransaction = false;
+        session.held.reset();
+    }
+
+    void breakLink(std::size_t index)
+    {
+        if (this->links[index].owner)
+            this->sessions[static_cast<std::size_t>(*this->links[index].owner)].held.reset();
+        this->links[index] = ModelLink();
+    }
+
+    std::optional<std::size_t> chooseLink(const ModelSession& session) const
+    {
+        if (session.held)
+            return session.held;
+        std::vector<std::size_t> free;
+        for (std::size_t index = 0; index < this->links.size(); index++) {
+            if (!this->links[index].owner)
+                free.push_back(index);
+        }
+        if (free.empty())
+            return std::nullopt;
+        return free[static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(free.size())))];
+    }
+
+    void run(int number, ModelSession& session, bool isBeginning)
+    {
+        std::optional<std::size_t> index = this->chooseLink(session);
+        if (!index)
+            return;
+        ModelLink& link = this->links[*index];
+        const PreparedShape* needed = session.context.findPrepared(drawName("p"));
+        bool isFirst = !session.held;
+        for (const UpstreamCommand& command : session.context.planPreparation(link.believed, needed, isFirst)) {
+            // The connection may break before or after any command; either way it is of no further use.
+            if (*rc::gen::inRange(0, 12) == 0)
+                return this->breakLink(*index);
+            link.actual.apply(command);
+        }
+        RC_ASSERT(!link.owner || *link.owner == number);
+        RC_ASSERT(link.actual.values == session.values);
+        if (needed != nullptr) {
+            const PreparedShape& there = link.actual.prepared.at(SessionContext::getSharedName(*needed));
+            RC_ASSERT(there.mode == needed->mode);
+            RC_ASSERT(there.shape == needed->shape);
+        }
+        if (*rc::gen::inRange(0, 12) == 0)
+            return this->breakLink(*index);
+        if (isFirst && isBeginning) {
+            link.owner = number;
+            link.actual.isInTransaction = true;
+            session.held = index;
+        }
+    }
+
+    std::vector<ModelSession> sessions = std::vector<ModelSession>(3);
+    std::vector<ModelLink> links = std::vector<ModelLink>(2);
+};
+
+/// How one attempt of a single write may go, from the upstream's side and from this one.
+struct Attempt {
+    AttemptEvent event;
+    /// Whether the write took effect, and stays.
+    bool takesEffect;
+};
+
+Attempt drawAttempt()
+{
+    static const std::vector<Attempt> all {
+        { AttemptEvent::NotSent, false },
+        { AttemptEvent::NotRun, false },
+        { AttemptEvent::Error, false },
+        // A connection breaks on the way there or on the way back, and an answer comes late or never.
+        { AttemptEvent::LinkLost, false },
+        { AttemptEvent::LinkLost, true },
+        { AttemptEvent::TimedOut, false },
+        { AttemptEvent::TimedOut, true },
+        { AttemptEvent::Success, true },
+        // A primary that had been replaced: what it took is rolled back or, if the proof only failed, stands.
+        { AttemptEvent::SuccessUnproved, false },
+        { AttemptEvent::SuccessUnproved, true },
+    };
+    return all[static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(all.size())))];
+}
+
+bool promisesNothingKept(ReplyCode code)
+{
+    return code != ReplyCode::None && code != ReplyCode::InDoubt && code != ReplyCode::TimedOut;
+}
+
+/// Runs one statement through attempts until it is answered.
+///
+/// @param numEffects counts how often it took effect
+/// @param isError set when the upstream's own error was passed on
+ReplyVerdict runStatement(const StatementCase& statement, int& numEffects, AttemptEvent& last)
+{
+    constexpr int maximum = 6;
+    for (int attempt = 1;; attempt++) {
+        Attempt drawn = drawAttempt();
+        numEffects += drawn.takesEffect ? 1 : 0;
+        last = drawn.event;
+        ReplyVerdict verdict = decideReply(statement, drawn.event, attempt<maximum&& * rc::gen::inRange(0, 3)> 0);
+        if (verdict.kind != ReplyVerdict::Kind::Retry)
+            return verdict;
+    }
+}
+
+} // namespace
+
+TEST_GROUP(SessionModel) {};
+
+// MIXED and PINNED: whatever sessions do and whenever connections break, a statement runs with exactly the
+// values and the prepared statement of its own session, and never on a connection that another holds.
+TEST(SessionModel, noStatementRunsInTheContextOfAnotherSession)
+{
+    CHECK(rc::check("sharing connections", [] {
+        SharingModel model;
+        int numSteps = *rc::gen::inRange(0, 120);
+        for (int step = 0; step < numSteps; step++)
+            model.step();
+    }));
+}
+
+// TWICE and REFUSED: whatever becomes of each attempt, a write takes effect once at most, a promise that nothing
+// is kept is true, and a success that is passed on took effect.
+TEST(SessionModel, aWriteTakesEffectOnceAtMostAndRefusalsAreTrue)
+{
+    CHECK(rc::check("single writes and commits", [] {
+        bool isCommit = *rc::gen::inRange(0, 2) == 0;
+        StatementCase statement { AccessMode::Write, isCommit, isCommit, !isCommit };
+        int numEffects = 0;
+        AttemptEvent last = AttemptEvent::NotSent;
+        ReplyVerdict verdict = runStatement(statement, numEffects, last);
+        RC_ASSERT(numEffects <= 1);
+        if (verdict.kind == ReplyVerdict::Kind::Answer && promisesNothingKept(verdict.code))
+            RC_ASSERT(numEffects == 0);
+        if (verdict.kind == ReplyVerdict::Kind::Deliver && last == AttemptEvent::Success)
+            RC_ASSERT(numEffects == 1);
+        // What the upstream itself says of a statement that failed is true; an unproved success is not passed on.
+        if (verdict.kind == ReplyVerdict::Kind::Deliver)
+            RC_ASSERT(last == AttemptEvent::Success || last == AttemptEvent::Error || last == AttemptEvent::NotRun);
+    }));
+}
+
+// A transaction that has begun stays where it is: no attempt of a later statement is made elsewhere, and after
+// any loss nothing of it is promised to be kept.
+TEST(SessionModel, aLaterStatementIsNeverTriedAgain)
+{
+    CHECK(rc::check("later statements", [] {
+        AccessMode mode = *rc::gen::inRange(0, 2) == 0 ? AccessMode::Read : AccessMode::Write;
+        StatementCase statement { mode, true, *rc::gen::inRange(0, 2) == 0, false };
+        Attempt drawn = drawAttempt();
+        ReplyVerdict verdict = decideReply(statement, drawn.event, true);
+        RC_ASSERT(verdict.kind != ReplyVerdict::Kind::Retry);
+        if (verdict.kind == ReplyVerdict::Kind::Answer && !statement.isCommit)
+            RC_ASSERT(verdict.state == TransactionState::Failed);
+        if (verdict.kind == ReplyVerdict::Kind::Answer && statement.isCommit)
+            RC_ASSERT(verdict.state == TransactionState::Idle);
+    }));
+}
--- a/tools/lab/GatewaySite.cpp
+++ b/tools/lab/GatewaySite.cpp
@@ -86,15 +86,27 @@
     return path;
 }
 
+std::unique_ptr<Process> GatewaySite::launch(std::size_t index)
+{
+    // Each start has a log of its own, so that those of a killed process stay.
+    std::string log = this->folder + "/front-" + std::to_string(index + 1) + "." + std::to_string(++this->numStarts[index]) + ".log";
+    return std::make_unique<Process>(this->binaries + "/lentiljunction", std::vector<std::string> { "serve", "--settings", this->settingsPaths[index] }, log);
+}
+
+void GatewaySite::restart(std::size_t index)
+{
+    this->processes[index] = this->launch(index);
+}
+
 bool GatewaySite::start(int number, Failure& failure)
 {
     if (!this->site.start(failure))
         return false;
     this->site.configure(1, { "bookings", "checks" });
     for (int index = 1; index <= number; index++) {
-        std::string settings = this->writeSettings(index, this->site.openDoor(failure));
-        std::string log = this->folder + "/front-" + std::to_string(index) + ".log";
-        this->processes.push_back(std::make_unique<Process>(this->binaries + "/lentiljunction", std::vector<std::string> { "serve", "--settings", settings }, log));
+        this->settingsPaths.push_back(this->writeSettings(index, this->site.openDoor(failure)));
+        this->numStarts.push_back(0);
+        this->processes.push_back(this->launch(this->settingsPaths.size() - 1));
     }
     std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + readyLimit;
     for (int port : this->readyPorts) {
--- a/tools/lab/GatewaySite.h
+++ b/tools/lab/GatewaySite.h
@@ -19,16 +19,24 @@
     /// @param folder receives settings and logs; made when missing
     GatewaySite(std::string binaries, std::string folder);
 
-    /// Starts the stand-ins and the instances, and waits until all are ready.
+    /// Starts the stand-ins and the instances, each with a door of its own to the store, and waits until
+    /// all are ready.
     bool start(int numInstances, Failure& failure);
 
     /// @returns where callers reach each instance
     const std::vector<int>& getSessionPorts() const { return this->sessionPorts; }
 
+    /// Starts an instance again after its process has ended.
+    void restart(std::size_t index);
+
+    /// @returns the stand-ins of the platform
+    standin::PlatformSite& getSite() { return this->site; }
+
     /// @returns the processes, in the order of the ports
     const std::vector<std::unique_ptr<Process>>& getProcesses() const { return this->processes; }
 
 private:
+    std::unique_ptr<Process> launch(std::size_t index);
     std::string writeSettings(int index, const Endpoint& store);
 
     std::string binaries;
@@ -37,6 +45,8 @@
     std::vector<int> sessionPorts;
     std::vector<int> readyPorts;
     std::vector<std::unique_ptr<Process>> processes;
+    std::vector<std::string> settingsPaths;
+    std::vector<int> numStarts;
 };
 
 /// Starts a site and keeps it until Enter is pressed.
--- /dev/null
+++ b/tools/lab/LineCaller.cpp
@@ -0,0 +1,79 @@
+#include "LineCaller.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace lentiljunction::lab {
+
+namespace {
+
+    constexpr const char* loopback = "127.0.0.1";
+
+} // namespace
+
+LineCaller::LineCaller(std::uint16_t port, const std::string& database, std::chrono::seconds patience)
+{
+    this->descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    timeval limit { patience.count(), 0 };
+    ::setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    ::inet_pton(AF_INET, loopback, &address.sin_addr);
+    if (::connect(this->descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0)
+        this->greeting = this->exchange("STARTUP " + database + " tester\r\n");
+}
+
+LineCaller::~LineCaller()
+{
+    ::close(this->descriptor);
+}
+
+std::string LineCaller::ask(const std::string& text)
+{
+    return this->exchange("QUERY q" + std::to_string(this->nextId++) + " " + text + "\r\n");
+}
+
+std::string LineCaller::exchange(const std::string& bytes)
+{
+    if (::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0)
+        return "";
+    return this->readAnswer();
+}
+
+std::string LineCaller::readAnswer()
+{
+    std::string answer;
+    for (;;) {
+        std::size_t end = this->buffer.find("\r\n");
+        if (end == std::string::npos) {
+            char received[4096];
+            ssize_t size = ::recv(this->descriptor, received, sizeof received, 0);
+            if (size <= 0) {
+                this->isTimedOut = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+                return answer;
+            }
+            this->buffer.append(received, static_cast<std::size_t>(size));
+            continue;
+        }
+        std::string line = this->buffer.substr(0, end);
+        this->buffer.erase(0, end + 2);
+        answer += answer.empty() ? line : "|" + line;
+        if (line.rfind("READY", 0) == 0)
+            return answer;
+    }
+}
+
+bool isServed(const std::string& answer)
+{
+    return answer.find("DONE sig.") != std::string::npos;
+}
+
+bool contains(const std::string& answer, const std::string& part)
+{
+    return answer.find(part) != std::string::npos;
+}
+
+} // namespace lentiljunction::lab
--- /dev/null
+++ b/tools/lab/LineCaller.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace lentiljunction::lab {
+
+/// A caller's session over a plain blocking socket.
+class LineCaller {
+public:
+    /// Opens a session.
+    ///
+    /// @param port where the instance listens
+    /// @param patience how long an answer is waited for
+    LineCaller(std::uint16_t port, const std::string& database, std::chrono::seconds patience = std::chrono::seconds(30));
+    ~LineCaller();
+    LineCaller(const LineCaller&) = delete;
+    LineCaller& operator=(const LineCaller&) = delete;
+
+    /// Sends a statement and waits for its whole answer.
+    ///
+    /// @returns the lines of the answer joined by "|"; what came until the connection ended
+    std::string ask(const std::string& text);
+
+    /// Sends raw bytes and waits for an answer, or the end of the connection.
+    std::string exchange(const std::string& bytes);
+
+    /// @returns whether the last answer did not come in time while the connection stayed open
+    bool hasTimedOut() const { return this->isTimedOut; }
+
+    /// @returns the answer to the start of the session
+    const std::string& getGreeting() const { return this->greeting; }
+
+private:
+    std::string readAnswer();
+
+    int descriptor = -1;
+    int nextId = 1;
+    bool isTimedOut = false;
+    std::string buffer;
+    std::string greeting;
+};
+
+/// @returns whether an answer is a success with an upstream's proof
+bool isServed(const std::string& answer);
+
+/// @returns whether an answer holds a text
+bool contains(const std::string& answer, const std::string& part);
+
+} // namespace lentiljunction::lab
--- a/tools/lab/Process.cpp
+++ b/tools/lab/Process.cpp
@@ -36,6 +36,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logPath.c_str(), O_CREAT | O_WRONLY | O_APPEND, logMode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A port of this process that a child holds open could not be opened again.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     if (posix_spawn(&this->pid, program.c_str(), &actions, nullptr, raw.data(), environ) != 0)
         this->isReaped = true;
     posix_spawn_file_actions_destroy(&actions);
--- /dev/null
+++ b/tools/lab/Soak.cpp
@@ -0,0 +1,140 @@
+#include "Soak.h"
+
+#include "Cluster.h"
+#include "GatewaySite.h"
+#include "SoakCaller.h"
+#include "SoakFaults.h"
+
+#include <thread>
+
+namespace lentiljunction::lab {
+
+namespace {
+
+    constexpr const char* loopback = "127.0.0.1";
+    /// After the last fault: a restart, a change of primary and a permit, several times over.
+    constexpr std::chrono::seconds recoveryLimit { 20 };
+    constexpr std::chrono::milliseconds callerPause { 5 };
+    constexpr std::uint64_t longestLanePause = 1200;
+
+    /// The site with a relay in front of each upstream.
+    class RelayedSite {
+    public:
+        RelayedSite(const std::string& binaries, const std::string& folder)
+            : site(binaries, folder)
+        {
+        }
+
+        ~RelayedSite() { this->loop.stop(); }
+
+        bool start(int numInstances, Failure& failure)
+        {
+            if (!this->site.start(numInstances, failure))
+                return false;
+            this->loop.start();
+            for (const char* id : { "u1", "u2", "u3" }) {
+                Endpoint port { loopback, static_cast<std::uint16_t>(findFreePort()) };
+                this->relays.push_back(std::make_unique<SoakRelay>(this->loop, this->site.getSite().publishAt(id, port)));
+                if (!this->relays.back()->listen(port, failure))
+                    return false;
+            }
+            return true;
+        }
+
+        GatewaySite site;
+        EventLoop loop;
+        std::vector<std::unique_ptr<SoakRelay>> relays;
+    };
+
+    bool isServing(int port)
+    {
+        LineCaller caller(static_cast<std::uint16_t>(port), "bookings", std::chrono::seconds(2));
+        return isServed(caller.ask("READ probe"));
+    }
+
+    void checkRecovery(const std::vector<int>& ports, SoakRecord& record)
+    {
+        std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + recoveryLimit;
+        for (std::size_t index = 0; index < ports.size(); index++) {
+            while (!isServing(ports[index])) {
+                if (std::chrono::steady_clock::now() > end)
+                    return record.addViolation("not recovered: instance " + std::to_string(index + 1) + " serves no read after the last fault");
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            }
+        }
+    }
+
+    void checkWrites(standin::LineGroup& group, SoakRecord& record)
+    {
+        for (const std::pair<const std::string, SoakRecord::Told>& write : record.getWrites()) {
+            std::size_t number = group.countCommits(write.first);
+            if (number > 1)
+                record.addViolation("twice: " + write.first + " took effect " + std::to_string(number) + " times");
+            if (write.second == SoakRecord::Told::Refused && number > 0)
+                record.addViolation("untrue refusal: " + write.first + " took effect");
+            if (write.second != SoakRecord::Told::Acknowledged)
+                continue;
+            if (number == 0)
+                record.addViolation("lost: " + write.first + " was acknowledged and took no effect");
+            if (group.isCommittedByDeposed(write.first))
+                record.addViolation("two primaries: " + write.first + " was acknowledged by one that had been replaced");
+        }
+    }
+
+    nlohmann::json makeReport(const SoakPlan& plan, SoakRecord& record, SoakFaults& faults, std::uint64_t numSteps, std::uint64_t term)
+    {
+        std::map<SoakRecord::Told, std::size_t> told;
+        for (const std::pair<const std::string, SoakRecord::Told>& write : record.getWrites())
+            told[write.second]++;
+        return { { "seed", plan.seed }, { "seconds", plan.seconds }, { "steps", numSteps }, { "acknowledged", told[SoakRecord::Told::Acknowledged] },
+            { "refused", told[SoakRecord::Told::Refused] }, { "unknown", told[SoakRecord::Told::Unknown] }, { "changes_of_primary", term - 1 },
+            { "script", faults.getScript() }, { "violations", record.getViolations() } };
+    }
+
+} // namespace
+
+nlohmann::json runSoak(const SoakPlan& plan, const std::string& binaries, const std::string& folder)
+{
+    RelayedSite relayed(binaries, folder);
+    Failure failure;
+    if (!relayed.start(plan.numInstances, failure))
+        return { { "violations", { "not started: " + failure.reason } } };
+    standin::LineGroup& group = relayed.site.getSite().getGroup();
+    SoakRecord record;
+    checkRecovery(relayed.site.getSessionPorts(), record);
+
+    SoakFaults faults(relayed.site, relayed.relays);
+    std::atomic<bool> isOver { false };
+    std::atomic<std::uint64_t> numSteps { 0 };
+    std::vector<std::thread> threads;
+    for (int number = 0; number < plan.numCallers; number++) {
+        threads.emplace_back([&, number] {
+            SoakCaller caller(number, plan.seed, { relayed.site.getSessionPorts(), [&group] { return group.findTerm(); } }, record);
+            while (!isOver) {
+                caller.step();
+                std::this_thread::sleep_for(callerPause);
+            }
+            numSteps += caller.getNumSteps();
+        });
+    }
+    for (int lane = 0; lane < plan.numLanes; lane++) {
+        threads.emplace_back([&, lane] {
+            Random random(plan.seed * 100 + static_cast<std::uint64_t>(lane));
+            while (!isOver) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(random.below(longestLanePause)));
+                if (!isOver)
+                    faults.strike(random, isOver);
+            }
+        });
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(plan.seconds));
+    isOver = true;
+    for (std::thread& thread : threads)
+        thread.join();
+    faults.heal();
+    checkRecovery(relayed.site.getSessionPorts(), record);
+    checkWrites(group, record);
+    return makeReport(plan, record, faults, numSteps, group.findTerm());
+}
+
+} // namespace lentiljunction::lab
--- /dev/null
+++ b/tools/lab/SoakRelay.cpp
@@ -0,0 +1,114 @@
+#include "SoakRelay.h"
+
+#include <utility>
+
+namespace lentiljunction::lab {
+
+namespace {
+
+    /// Long against a round trip on loopback, short against the time of a statement.
+    constexpr std::chrono::milliseconds pieceDelay { 60 };
+
+} // namespace
+
+/// Two connections, of which each hands its bytes to the other.
+class SoakRelay::Pipe : public std::enable_shared_from_this<SoakRelay::Pipe> {
+public:
+    Pipe(SoakRelay& relay, std::unique_ptr<ByteSocket> accepted)
+        : relay(relay)
+        , caller(*this, Mode::MuteRequests)
+        , upstream(*this, Mode::MuteAnswers)
+    {
+        this->caller.socket = std::move(accepted);
+        this->upstream.socket = ByteSocket::connect(relay.loop, relay.target, this->upstream);
+    }
+
+    ByteSocket::Listener& getCallerListener() { return this->caller; }
+
+    void close()
+    {
+        this->caller.socket->close();
+        this->upstream.socket->close();
+        std::shared_ptr<Pipe> buried = std::move(this->relay.pipes[this]);
+        this->relay.pipes.erase(this);
+        this->relay.loop.post([buried] {});
+    }
+
+private:
+    struct End : public ByteSocket::Listener {
+        End(Pipe& pipe, Mode muted)
+            : pipe(pipe)
+            , muted(muted)
+        {
+        }
+
+        void onSocketOpened() override { }
+        void onSocketBytes(std::string& bytes) override { this->pipe.pass(*this, std::exchange(bytes, "")); }
+        void onSocketClosed(const std::string&, bool) override { this->pipe.close(); }
+
+        Pipe& pipe;
+        Mode muted;
+        std::unique_ptr<ByteSocket> socket;
+    };
+
+    void pass(End& from, std::string bytes)
+    {
+        End& to = &from == &this->caller ? this->upstream : this->caller;
+        if (this->relay.mode == from.muted || this->relay.mode == Mode::Silent)
+            return;
+        bool isDelayed = this->relay.mode == Mode::Delayed || this->numDelayed > 0;
+        if (!isDelayed)
+            return to.socket->send(bytes);
+        // Pieces behind a delayed one wait as well, so that they stay in order.
+        this->numDelayed++;
+        std::weak_ptr<Pipe> alive = this->weak_from_this();
+        this->relay.loop.schedule(pieceDelay, [alive, &to, bytes = std::move(bytes)] {
+            std::shared_ptr<Pipe> self = alive.lock();
+            if (self == nullptr)
+                return;
+            self->numDelayed--;
+            to.socket->send(bytes);
+        });
+    }
+
+    SoakRelay& relay;
+    End caller;
+    End upstream;
+    int numDelayed = 0;
+};
+
+SoakRelay::SoakRelay(EventLoop& loop, Endpoint target)
+    : loop(loop)
+    , target(std::move(target))
+    , port(loop)
+{
+}
+
+SoakRelay::~SoakRelay() = default;
+
+bool SoakRelay::listen(const Endpoint& endpoint, Failure& failure)
+{
+    return this->port.listen(
+        endpoint, [this](std::unique_ptr<ByteSocket> accepted) -> ByteSocket::Listener& {
+            std::shared_ptr<Pipe> pipe = std::make_shared<Pipe>(*this, std::move(accepted));
+            this->pipes.emplace(pipe.get(), pipe);
+            return pipe->getCallerListener();
+        },
+        failure);
+}
+
+void SoakRelay::setMode(Mode newMode)
+{
+    this->loop.post([this, newMode] { this->mode = newMode; });
+}
+
+void SoakRelay::reset()
+{
+    this->loop.post([this] {
+        std::map<Pipe*, std::shared_ptr<Pipe>> open = this->pipes;
+        for (const std::pair<Pipe* const, std::shared_ptr<Pipe>>& pipe : open)
+            pipe.second->close();
+    });
+}
+
+} // namespace lentiljunction::lab
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -1,6 +1,7 @@
 #include "Demo.h"
 #include "Experiments.h"
 #include "GatewaySite.h"
+#include "Soak.h"
 
 #include <cxxopts.hpp>
 #include <filesystem>
@@ -29,7 +30,7 @@
 cxxopts::Options makeOptions()
 {
     cxxopts::Options options("lj-lab", "Starts whole sites on loopback, puts them under load and faults, and measures.");
-    options.positional_help("ACTION: demo, serve, failover, reads, flood, overload, chaos, lease or policies; on the users' platform: gateway (serve) or rest");
+    options.positional_help("ACTION: demo, serve, failover, reads, flood, overload, chaos, lease or policies; on the users' platform: gateway (serve), rest or soak");
     options.add_options()("action", "what to do", cxxopts::value<std::string>()->default_value("demo"));
     options.add_options()("site", "demo, spona or karadeniz", cxxopts::value<std::string>()->default_value("spona"));
     options.add_options()("folder", "receives settings and logs", cxxopts::value<std::string>());
@@ -40,8 +41,9 @@
     options.add_options()("factor", "flood: multiple of the rank's quiet load", cxxopts::value<double>()->default_value("10"));
     options.add_options()("rate", "overload: background requests per second", cxxopts::value<double>()->default_value("30000"));
     options.add_options()("durability", "replicated or primary", cxxopts::value<std::string>()->default_value("replicated"));
-    options.add_options()("seed", "chaos: the script", cxxopts::value<std::uint64_t>()->default_value("1"));
-    options.add_options()("seconds", "chaos, rest: how long", cxxopts::value<int>()->default_value("30"));
+    options.add_options()("seed", "chaos, soak: the script", cxxopts::value<std::uint64_t>()->default_value("1"));
+    options.add_options()("seconds", "chaos, rest, soak: how long", cxxopts::value<int>()->default_value("30"));
+    options.add_options()("instances", "soak: how many", cxxopts::value<int>()->default_value("5"));
     options.add_options()("json", "print JSON in place of a table");
     options.add_options()("out", "receives the result as JSON", cxxopts::value<std::string>());
     options.add_options()("help", "this text");
@@ -80,6 +82,8 @@
         return measureOverload(setting, arguments["rate"].as<double>());
     if (action == "rest")
         return measureGatewayRest(setting.binaries, setting.folder, arguments["seconds"].as<int>());
+    if (action == "soak")
+        return runSoak({ arguments["seed"].as<std::uint64_t>(), arguments["seconds"].as<int>(), arguments["instances"].as<int>() }, setting.binaries, setting.folder);
     if (action == "chaos")
         return measureChaos(setting, arguments["seed"].as<std::uint64_t>(), arguments["seconds"].as<int>());
     return std::nullopt;
@@ -120,5 +124,6 @@
         printTable(*report);
     if (arguments.count("out") > 0)
         std::ofstream(arguments["out"].as<std::string>()) << report->dump(2) << "\n";
-    return report->contains("error") ? 1 : 0;
+    bool hasViolations = report->contains("violations") && !(*report)["violations"].empty();
+    return report->contains("error") || hasViolations ? 1 : 0;
 }
