Fuzz what the store and other instances send, and make metrics in one place

Now documents are damaged anywhere (fields of other kinds, missing, nested) and are read or refused with a reason; parts of HTTP answers come in any order.

Before: no such tests.

--- a/src/metrics/GatewayMetrics.cpp
+++ b/src/metrics/GatewayMetrics.cpp
@@ -1,56 +1,30 @@
 #include "lentiljunction/metrics/GatewayMetrics.h"
 
 #include "CurrentGauges.h"
+#include "MetricsRegistry.h"
 
 #include <mutex>
-#include <prometheus/counter.h>
-#include <prometheus/histogram.h>
-#include <prometheus/text_serializer.h>
 
 namespace lentiljunction {
 
-namespace {
-
-    /// From a local answer to the longest time that routes give a statement.
-    const prometheus::Histogram::BucketBoundaries secondsBuckets {
-        0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5
-    };
-
-    double toSeconds(Duration duration)
-    {
-        return std::chrono::duration<double>(duration).count();
-    }
-
-} // namespace
-
 class GatewayMetrics::Implementation {
 public:
-    prometheus::Family<prometheus::Counter>& addCounter(const std::string& name, const std::string& help)
-    {
-        return prometheus::BuildCounter().Name(name).Help(help).Register(this->registry);
-    }
-
-    prometheus::Family<prometheus::Histogram>& addHistogram(const std::string& name, const std::string& help)
-    {
-        return prometheus::BuildHistogram().Name(name).Help(help).Register(this->registry);
-    }
-
-    prometheus::Registry registry;
+    MetricsRegistry registry;
     std::mutex gaugesMutex;
-    prometheus::Family<prometheus::Counter>& statements = this->addCounter("lentiljunction_statements_total", "Statements answered, by kind of route, rank, code and upstream");
-    prometheus::Family<prometheus::Counter>& failures = this->addCounter("lentiljunction_statement_failures_total", "Statements that did not succeed, by rank and cause");
-    prometheus::Family<prometheus::Counter>& retries = this->addCounter("lentiljunction_retries_total", "Statements that went to an upstream again");
-    prometheus::Family<prometheus::Counter>& storeCalls = this->addCounter("lentiljunction_store_calls_total", "Calls to what the instances share, by operation and result");
-    prometheus::Family<prometheus::Histogram>& statementTime = this->addHistogram("lentiljunction_statement_seconds", "From the first byte of a statement to its answer, by kind of route and rank");
-    prometheus::Family<prometheus::Histogram>& storeTime = this->addHistogram("lentiljunction_store_seconds", "Time of calls to what the instances share, by operation");
-    CurrentGauges beliefs { this->registry, "lentiljunction_belief", "What the instance believes, by fact" };
-    CurrentGauges connections { this->registry, "lentiljunction_upstream_connections", "Open connections to an upstream" };
-    CurrentGauges running { this->registry, "lentiljunction_upstream_running", "Statements under way at an upstream" };
-    CurrentGauges waiting { this->registry, "lentiljunction_upstream_waiting", "Statements in the queue in front of an upstream" };
-    CurrentGauges latency { this->registry, "lentiljunction_upstream_latency_seconds", "Usual time of a statement at an upstream" };
-    CurrentGauges lag { this->registry, "lentiljunction_upstream_lag_positions", "Positions from an upstream's log to the newest proved head of its group" };
-    CurrentGauges bytes { this->registry, "lentiljunction_upstream_bytes", "Bytes to and from an upstream since the start" };
-    CurrentGauges proofAge { this->registry, "lentiljunction_proof_age_seconds", "Age of the newest proof of a group's log" };
+    prometheus::Family<prometheus::Counter>& statements = this->registry.addCounter("lentiljunction_statements_total", "Statements answered, by kind of route, rank, code and upstream");
+    prometheus::Family<prometheus::Counter>& failures = this->registry.addCounter("lentiljunction_statement_failures_total", "Statements that did not succeed, by rank and cause");
+    prometheus::Family<prometheus::Counter>& retries = this->registry.addCounter("lentiljunction_retries_total", "Statements that went to an upstream again");
+    prometheus::Family<prometheus::Counter>& storeCalls = this->registry.addCounter("lentiljunction_store_calls_total", "Calls to what the instances share, by operation and result");
+    prometheus::Family<prometheus::Histogram>& statementTime = this->registry.addHistogram("lentiljunction_statement_seconds", "From the first byte of a statement to its answer, by kind of route and rank");
+    prometheus::Family<prometheus::Histogram>& storeTime = this->registry.addHistogram("lentiljunction_store_seconds", "Time of calls to what the instances share, by operation");
+    CurrentGauges beliefs { this->registry.get(), "lentiljunction_belief", "What the instance believes, by fact" };
+    CurrentGauges connections { this->registry.get(), "lentiljunction_upstream_connections", "Open connections to an upstream" };
+    CurrentGauges running { this->registry.get(), "lentiljunction_upstream_running", "Statements under way at an upstream" };
+    CurrentGauges waiting { this->registry.get(), "lentiljunction_upstream_waiting", "Statements in the queue in front of an upstream" };
+    CurrentGauges latency { this->registry.get(), "lentiljunction_upstream_latency_seconds", "Usual time of a statement at an upstream" };
+    CurrentGauges lag { this->registry.get(), "lentiljunction_upstream_lag_positions", "Positions from an upstream's log to the newest proved head of its group" };
+    CurrentGauges bytes { this->registry.get(), "lentiljunction_upstream_bytes", "Bytes to and from an upstream since the start" };
+    CurrentGauges proofAge { this->registry.get(), "lentiljunction_proof_age_seconds", "Age of the newest proof of a group's log" };
 };
 
 GatewayMetrics::GatewayMetrics()
@@ -130,7 +104,7 @@
 
 std::string GatewayMetrics::render() const
 {
-    return prometheus::TextSerializer().Serialize(this->implementation->registry.Collect());
+    return this->implementation->registry.render();
 }
 
 } // namespace lentiljunction
--- a/src/metrics/Metrics.cpp
+++ b/src/metrics/Metrics.cpp
@@ -1,57 +1,25 @@
 #include "lentiljunction/metrics/Metrics.h"
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/histogram.h>
-#include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
+#include "MetricsRegistry.h"
 
 namespace lentiljunction {
 
-namespace {
-
-    const prometheus::Histogram::BucketBoundaries secondsBuckets {
-        0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5
-    };
-
-    double toSeconds(Duration duration)
-    {
-        return std::chrono::duration<double>(duration).count();
-    }
-
-} // namespace
-
 class Metrics::Implementation {
 public:
-    prometheus::Family<prometheus::Counter>& addCounter(const std::string& name, const std::string& help)
-    {
-        return prometheus::BuildCounter().Name(name).Help(help).Register(this->registry);
-    }
-
-    prometheus::Family<prometheus::Gauge>& addGauge(const std::string& name, const std::string& help)
-    {
-        return prometheus::BuildGauge().Name(name).Help(help).Register(this->registry);
-    }
-
-    prometheus::Family<prometheus::Histogram>& addHistogram(const std::string& name, const std::string& help)
-    {
-        return prometheus::BuildHistogram().Name(name).Help(help).Register(this->registry);
-    }
-
-    prometheus::Registry registry;
-    prometheus::Family<prometheus::Counter>& requests = this->addCounter("lentiljunction_requests_total", "Answered requests by rank and outcome");
-    prometheus::Family<prometheus::Counter>& notRun = this->addCounter("lentiljunction_not_run_total", "Requests not run, by rank and reason");
-    prometheus::Family<prometheus::Counter>& reads = this->addCounter("lentiljunction_reads_total", "Reads by role and, at the primary, by cause");
-    prometheus::Family<prometheus::Counter>& storeCalls = this->addCounter("lentiljunction_store_calls_total", "Calls to the platform's store");
-    prometheus::Family<prometheus::Counter>& promotions = this->addCounter("lentiljunction_promotions_total", "Promotions carried out by this instance");
-    prometheus::Family<prometheus::Counter>& retries = this->addCounter("lentiljunction_retries_total", "Retries inside the service");
-    prometheus::Family<prometheus::Counter>& discarded = this->addCounter("lentiljunction_connections_discarded_total", "Connections closed because their state was unknown");
-    prometheus::Family<prometheus::Gauge>& bundle = this->addGauge("lentiljunction_bundle_version", "The bundle version in force");
-    prometheus::Family<prometheus::Gauge>& inFlight = this->addGauge("lentiljunction_requests_in_flight", "Requests in flight");
-    prometheus::Family<prometheus::Gauge>& controlBytes = this->addGauge("lentiljunction_control_bytes_sent", "Bytes sent to peers for control");
-    prometheus::Family<prometheus::Histogram>& latency = this->addHistogram("lentiljunction_request_seconds", "Time from arrival to answer, by rank");
-    prometheus::Family<prometheus::Histogram>& queueWait = this->addHistogram("lentiljunction_queue_wait_seconds", "Wait in a gate's queue, by rank");
-    prometheus::Family<prometheus::Histogram>& confirmation = this->addHistogram("lentiljunction_confirmation_seconds", "Wait of a write for its confirmation");
+    MetricsRegistry registry;
+    prometheus::Family<prometheus::Counter>& requests = this->registry.addCounter("lentiljunction_requests_total", "Answered requests by rank and outcome");
+    prometheus::Family<prometheus::Counter>& notRun = this->registry.addCounter("lentiljunction_not_run_total", "Requests not run, by rank and reason");
+    prometheus::Family<prometheus::Counter>& reads = this->registry.addCounter("lentiljunction_reads_total", "Reads by role and, at the primary, by cause");
+    prometheus::Family<prometheus::Counter>& storeCalls = this->registry.addCounter("lentiljunction_store_calls_total", "Calls to the platform's store");
+    prometheus::Family<prometheus::Counter>& promotions = this->registry.addCounter("lentiljunction_promotions_total", "Promotions carried out by this instance");
+    prometheus::Family<prometheus::Counter>& retries = this->registry.addCounter("lentiljunction_retries_total", "Retries inside the service");
+    prometheus::Family<prometheus::Counter>& discarded = this->registry.addCounter("lentiljunction_connections_discarded_total", "Connections closed because their state was unknown");
+    prometheus::Family<prometheus::Gauge>& bundle = this->registry.addGauge("lentiljunction_bundle_version", "The bundle version in force");
+    prometheus::Family<prometheus::Gauge>& inFlight = this->registry.addGauge("lentiljunction_requests_in_flight", "Requests in flight");
+    prometheus::Family<prometheus::Gauge>& controlBytes = this->registry.addGauge("lentiljunction_control_bytes_sent", "Bytes sent to peers for control");
+    prometheus::Family<prometheus::Histogram>& latency = this->registry.addHistogram("lentiljunction_request_seconds", "Time from arrival to answer, by rank");
+    prometheus::Family<prometheus::Histogram>& queueWait = this->registry.addHistogram("lentiljunction_queue_wait_seconds", "Wait in a gate's queue, by rank");
+    prometheus::Family<prometheus::Histogram>& confirmation = this->registry.addHistogram("lentiljunction_confirmation_seconds", "Wait of a write for its confirmation");
 };
 
 Metrics::Metrics()
@@ -126,8 +94,7 @@
 
 std::string Metrics::render() const
 {
-    prometheus::TextSerializer serializer;
-    return serializer.Serialize(this->implementation->registry.Collect());
+    return this->implementation->registry.render();
 }
 
 } // namespace lentiljunction
--- a/tests/unit/CodecTests.cpp
+++ b/tests/unit/CodecTests.cpp
@@ -1,3 +1,4 @@
+#include "../support/RandomJson.h"
 #include "lentiljunction/caller/RequestCodec.h"
 #include "lentiljunction/core/JsonFields.h"
 #include "lentiljunction/peer/PeerMessage.h"
@@ -7,6 +8,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace lentiljunction;
+using tests::drawJson;
 
 namespace {
 
@@ -15,27 +17,6 @@
     return { { "id", "7" }, { "database", "db-a" }, { "rank", "urgent" }, { "statements", { "INSERT INTO t VALUES (1)" } }, { "idempotency_key", "1764820000000:x" }, { "deadline_ms", 500 } };
 }
 
-/// @returns a value of any kind, nested a little
-nlohmann::json drawJson(int depth)
-{
-    switch (*rc::gen::inRange(0, depth > 0 ? 7 : 5)) {
-    case 0:
-        return nullptr;
-    case 1:
-        return *rc::gen::arbitrary<bool>();
-    case 2:
-        return *rc::gen::arbitrary<std::int64_t>();
-    case 3:
-        return *rc::gen::element<std::string>("", "urgent", "begin", "SELECT 1", "1:x", "1.db~1~1", "x");
-    case 4:
-        return -0.5;
-    case 5:
-        return nlohmann::json::array({ drawJson(depth - 1), drawJson(depth - 1) });
-    default:
-        return { { "action", drawJson(depth - 1) }, { "id", drawJson(depth - 1) } };
-    }
-}
-
 } // namespace
 
 TEST_GROUP(RequestCodec)
--- a/tests/unit/PlatformTests.cpp
+++ b/tests/unit/PlatformTests.cpp
@@ -1,6 +1,10 @@
 #include "../../platform/LineProtocol.h"
 #include "../../platform/PlatformCodec.h"
+#include "../../src/gateway/ProofCodec.h"
 #include "../../src/net/HttpMessage.h"
+#include "../support/RandomJson.h"
+#include "lentiljunction/leadership/LeadCodec.h"
+#include "lentiljunction/routes/RelayedRoutes.h"
 
 #include <rapidcheck.h>
 
@@ -202,3 +206,43 @@
     CHECK_FALSE(reader.take(bytes, failure));
     CHECK(failure.kind == Failure::Kind::InvalidInput);
 }
+
+TEST(HttpMessage, noBytesOfAServerEndTheProcessOrLoopForever)
+{
+    const std::vector<std::string> parts { "HTTP/1.1 200 OK\r\n", "Content-Length: 5\r\n", "Content-Length: -1\r\n", "Content-Length: 99999999999999999999\r\n", "Transfer-Encoding: chunked\r\n", "\r\n", "5\r\nhello\r\n", "0\r\n\r\n", "ffffffffffffffff\r\n", "hello", ": \r\n" };
+    CHECK(rc::check("parts in any order", [&] {
+        std::string bytes;
+        for (const std::string& part : *rc::gen::container<std::vector<std::string>>(rc::gen::elementOf(parts)))
+            bytes += part;
+        bytes += *rc::gen::arbitrary<std::string>();
+        HttpAnswerReader reader;
+        Failure failure;
+        std::size_t before = bytes.size();
+        bool isWhole = reader.take(bytes, failure);
+        RC_ASSERT(bytes.size() <= before);
+        RC_ASSERT(!isWhole || failure.kind == Failure::Kind::None);
+    }));
+}
+
+TEST_GROUP(StoredDocuments) {};
+
+// What the store and other instances send may be damaged anywhere: it is read, or refused with a reason.
+TEST(StoredDocuments, damagedOnesAreReadOrRefusedWithAReason)
+{
+    const nlohmann::json routes { { "version", 3 }, { "routes", { { { "host", "db" }, { "service", "g" }, { "route_type", "primary" }, { "timeout_ms", 800 }, { "target_latency_ms", 120 }, { "priority", 0 }, { "max_staleness_ms", 100 } } } }, { "services", { { { "name", "g" }, { "max_conns", 8 } } } }, { "limits", { { "tx_idle_ms", 500 } } } };
+    const nlohmann::json lead = nlohmann::json::parse(R"({"holder":"a","epoch":4,"nonce":"n","retired":["b"],"groups":{"g":{"phase":"stable","primary":"u","generation":1,"baseline_term":1,"baseline_position":2,"term":3}}})");
+    const nlohmann::json member { { "zone", "z" }, { "peers", "10.0.0.1:80" } };
+    Failure failure;
+    CHECK_TRUE(decodeRouteTable(routes, failure).has_value());
+    CHECK_TRUE(decodeLeadRecord(lead, failure).has_value());
+    CHECK_TRUE(decodeMember("a", member, failure).has_value());
+    CHECK(rc::check("damaged documents", [&] {
+        Failure reasons[5];
+        RC_ASSERT(decodeRouteTable(tests::damage(routes), reasons[0]).has_value() || !reasons[0].reason.empty());
+        RC_ASSERT(decodeLeadRecord(tests::damage(lead), reasons[1]).has_value() || !reasons[1].reason.empty());
+        RC_ASSERT(decodeMember("a", tests::damage(member), reasons[2]).has_value() || !reasons[2].reason.empty());
+        RC_ASSERT(decodeUpstreamEntry("u", tests::damage(makeEntry()), reasons[3]).has_value() || !reasons[3].reason.empty());
+        RC_ASSERT(decodeRelayedRoutes(tests::damage(nlohmann::json { { "version", 1 }, { "routes", nlohmann::json::array() }, { "groups", { { "g", 1 } } }, { "idle_limit_us", 1 } }), reasons[4]).has_value() || !reasons[4].reason.empty());
+        decodeProofs(tests::damage(nlohmann::json::array({ { "g", 1, 2, 3, 4 } })), BootTime());
+    }));
+}
