--- a/src/cli/Program.cpp
+++ b/src/cli/Program.cpp
@@ -15,8 +15,8 @@
     {
         std::vector<std::unique_ptr<Command>> commands = makeInstanceCommands(adapter);
         std::vector<std::unique_ptr<Command>> logs = makeLogCommands();
-    commands.insert(commands.end(), std::make_move_iterator(logs.begin()), std::make_move_iterator(logs.end()));
-    std::vector<std::unique_ptr<Command>> more = makeBundleCommands();
+        commands.insert(commands.end(), std::make_move_iterator(logs.begin()), std::make_move_iterator(logs.end()));
+        std::vector<std::unique_ptr<Command>> more = makeBundleCommands();
         commands.insert(commands.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
         return commands;
     }
--- a/tests/process/GatewayConfigurationTests.cpp
+++ b/tests/process/GatewayConfigurationTests.cpp
@@ -6,9 +6,9 @@
 #include <thread>
 
 using namespace lentiljunction;
-using lab::LineCaller;
-using lab::isServed;
 using lab::contains;
+using lab::isServed;
+using lab::LineCaller;
 
 TEST_GROUP(GatewayConfiguration) {};
 
--- a/tests/process/GatewayTests.cpp
+++ b/tests/process/GatewayTests.cpp
@@ -10,9 +10,9 @@
 #include <thread>
 
 using namespace lentiljunction;
-using lab::LineCaller;
-using lab::isServed;
 using lab::contains;
+using lab::isServed;
+using lab::LineCaller;
 
 namespace {
 
