Log an upstream that can be reached again, and report how long it was lost

Now event 515 tells the return, and `report` shows the time between, once for each instance however often it was tried. Ruled out: deriving the return from the first statement that is served, whose lines are bounded. Test: FleetReport.anUpstreamIsLostOnceHoweverOftenItIsTried.

--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -61,6 +61,7 @@
     constexpr LogEvent upstreamUnreachable { 512, LogLevel::Warning, "upstream_unreachable", "A fresh connection to an upstream could not be opened." };
     constexpr LogEvent upstreamListed { 513, LogLevel::Information, "upstream_listed", "An upstream appeared, changed its role or state, or is gone." };
     constexpr LogEvent upstreamFull { 514, LogLevel::Information, "upstream_full", "An upstream accepts no further connection; claims wait for one that is open." };
+    constexpr LogEvent upstreamReachable { 515, LogLevel::Information, "upstream_reachable", "An upstream that could not be reached can be again." };
     constexpr LogEvent statementRefused { 520, LogLevel::Warning, "statement_refused", "A statement was refused; nothing of it is kept." };
     constexpr LogEvent statementFailed { 521, LogLevel::Warning, "statement_failed", "A statement ran and failed, or may have run." };
     constexpr LogEvent statementServed { 522, LogLevel::Information, "statement_served", "A statement or the end of a transaction succeeded." };
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -107,6 +107,7 @@
         events::upstreamUnreachable,
         events::upstreamListed,
         events::upstreamFull,
+        events::upstreamReachable,
         events::statementRefused,
         events::statementFailed,
         events::statementServed,
--- a/src/logbook/FleetReport.cpp
+++ b/src/logbook/FleetReport.cpp
@@ -26,6 +26,7 @@
         { events::storeUnavailable.number, events::storeBack.number, "store" },
         { events::permitLost.number, events::permitRegained.number, "permit" },
         { events::peerLinkLost.number, events::peerLinkOpened.number, "peer " },
+        { events::upstreamUnreachable.number, events::upstreamReachable.number, "upstream " },
     };
 
     std::string renderSeconds(const std::optional<double>& seconds)
@@ -137,8 +138,10 @@
 {
     double at = toSeconds(this->begin, record.time);
     for (const Dependency& dependency : dependencies) {
-        std::string name = dependency.name + record.get("peer");
-        if (record.event == dependency.lost)
+        std::string name = dependency.name + record.get("peer") + (std::string(dependency.name) == "upstream " ? record.get("upstream") : "");
+        bool isOpen = std::any_of(this->losses.begin(), this->losses.end(), [&](const Loss& loss) { return !loss.seconds && loss.instance == record.instance && loss.dependency == name; });
+        // An upstream that stays unreachable is found so again and again.
+        if (record.event == dependency.lost && !isOpen)
             this->losses.push_back({ record.instance, name, at, std::nullopt });
         if (record.event != dependency.regained)
             continue;
--- a/src/logbook/RequestHistory.cpp
+++ b/src/logbook/RequestHistory.cpp
@@ -32,6 +32,7 @@
             return "store";
         case events::upstreamListed.number:
         case events::upstreamUnreachable.number:
+        case events::upstreamReachable.number:
         case events::upstreamLeaving.number:
             return !step.get("upstream").empty() && record.get("upstream") == step.get("upstream") ? "upstream" : "";
         default:
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -222,7 +222,8 @@
     this->numOpening--;
     held->isOpening = false;
     this->backoff = Duration(0);
-    this->isSuspect = false;
+    if (std::exchange(this->isSuspect, false))
+        logEvent(events::upstreamReachable, "upstream=" + this->upstream.id.toString() + " group=" + this->upstream.group.toString());
     held->isIdle = true;
     held->since = this->surroundings.clock.now();
     if (this->links.size() > this->share)
--- a/tests/unit/LogbookTests.cpp
+++ b/tests/unit/LogbookTests.cpp
@@ -118,6 +118,16 @@
     CHECK_EQUAL(1, report.getSeconds()[2].numRefused);
 }
 
+TEST(FleetReport, anUpstreamIsLostOnceHoweverOftenItIsTried)
+{
+    FleetReport report = FleetReport::build(collect(makeLine("01.000000", "a", events::upstreamUnreachable, "upstream=u1 group=g") + makeLine("02.000000", "a", events::upstreamUnreachable, "upstream=u1 group=g")
+        + makeLine("02.000000", "b", events::upstreamUnreachable, "upstream=u1 group=g") + makeLine("03.500000", "a", events::upstreamReachable, "upstream=u1 group=g")));
+    CHECK_EQUAL(2, report.getLosses().size());
+    STRCMP_EQUAL("upstream u1", report.getLosses()[0].dependency.c_str());
+    DOUBLES_EQUAL(2.5, *report.getLosses()[0].seconds, 0.001);
+    CHECK_FALSE(report.getLosses()[1].seconds.has_value());
+}
+
 TEST(FleetReport, anEarlierSuspicionThatCameToNothingIsNotPartOfTheGap)
 {
     FleetReport report = FleetReport::build(collect(makeLine("01.000000", "b", events::primarySuspected, "group=g primary=u1")
