Refuse CBOR whose declared length is excessive instead of stopping

Symptom: the new test of loan messages stopped the test program on random bytes with json.exception.out_of_range.408 "excessive array size". Cause: nlohmann::json::from_cbor throws for an array or object whose declared length exceeds memory, even with exceptions disabled. PeerRpc and CallerServer call it outside of any handler, so nine bytes of another instance or of a caller ended the process. Ruled out: PeerCodec, which catches; the line protocol, which has no declared lengths. Change: one decoder, parseCbor(), which throws for no input, used by all receivers. Tests: Cbor.refusesExcessiveLength, Cbor.neverThrowsForRandomBytes, and the same message in Gateway.malformedPeerMessagesAreIgnored.

--- a/src/caller/CallerServer.cpp
+++ b/src/caller/CallerServer.cpp
@@ -1,6 +1,7 @@
 #include "CallerServer.h"
 
 #include "lentiljunction/caller/RequestCodec.h"
+#include "lentiljunction/core/Cbor.h"
 
 #include <oneapi/tbb/task_arena.h>
 #include <utility>
@@ -97,7 +98,7 @@
 
 void CallerServer::rejectMessage(const std::string& payload, bool isCbor, const ReplyHandler& reply)
 {
-    nlohmann::json document = isCbor ? nlohmann::json::from_cbor(payload, true, false) : nlohmann::json::parse(payload, nullptr, false);
+    nlohmann::json document = isCbor ? parseCbor(payload) : nlohmann::json::parse(payload, nullptr, false);
     CallerResponse rejection = makeInvalidRequestResponse(document, "the session has " + std::to_string(maximumInFlightPerSession) + " requests in flight");
     rejection.outcome.reason = NotRunReason::QueueFull;
     rejection.outcome.retryAfter = std::chrono::milliseconds(100);
@@ -156,7 +157,7 @@
 
     this->numUnanswered++;
     this->workers->arena.enqueue([this, payload, format, isCbor, caller, currentLimits = this->limits, reply = std::move(reply)] {
-        nlohmann::json document = isCbor ? nlohmann::json::from_cbor(payload, true, false) : nlohmann::json::parse(payload, nullptr, false);
+        nlohmann::json document = isCbor ? parseCbor(payload) : nlohmann::json::parse(payload, nullptr, false);
         Failure failure;
         std::optional<Request> request;
         if (document.is_discarded())
--- a/src/peer/PeerCodec.cpp
+++ b/src/peer/PeerCodec.cpp
@@ -1,4 +1,5 @@
 #include "lentiljunction/caller/RequestCodec.h"
+#include "lentiljunction/core/Cbor.h"
 #include "lentiljunction/peer/PeerMessage.h"
 
 #include <utility>
@@ -215,7 +216,7 @@
 std::optional<PeerMessage> decodePeerMessage(const std::string& payload, Failure& failure)
 {
     try {
-        nlohmann::json document = nlohmann::json::from_cbor(payload);
+        nlohmann::json document = parseCbor(payload);
         if (document.at(0).get<int>() != formatVersion) {
             failure.set(Failure::Kind::InvalidInput, "the format version of the message is not supported");
             return std::nullopt;
--- a/src/peer/PeerRpc.cpp
+++ b/src/peer/PeerRpc.cpp
@@ -1,5 +1,6 @@
 #include "PeerRpc.h"
 
+#include "lentiljunction/core/Cbor.h"
 #include "lentiljunction/core/LogEvents.h"
 
 #include <utility>
@@ -16,16 +17,10 @@
         return endpoint.host + ":" + std::to_string(endpoint.port);
     }
 
-    std::string encode(const nlohmann::json& message)
-    {
-        std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(message);
-        return std::string(bytes.begin(), bytes.end());
-    }
-
     /// @returns a message with a number and a body, or nothing when the bytes are malformed
     std::optional<nlohmann::json> decode(const std::string& payload)
     {
-        nlohmann::json message = nlohmann::json::from_cbor(payload, true, false);
+        nlohmann::json message = parseCbor(payload);
         if (message.is_object() && message.contains("number") && message["number"].is_number_unsigned() && message.contains("body"))
             return message;
         logEvent(events::peerMessageInvalid, "bytes=" + std::to_string(payload.size()));
@@ -56,7 +51,7 @@
     this->pending[number] = { std::move(callback), deadline, key };
     this->timer.setTimeIfEarlier(deadline);
 
-    std::string payload = encode({ { "number", number }, { "body", std::move(request) } });
+    std::string payload = toCbor({ { "number", number }, { "body", std::move(request) } });
     this->numBytesSent += payload.size();
     Link& link = this->links[key];
     if (link.isOpen)
@@ -75,7 +70,7 @@
     // A field of an unexpected type throws; the malformed request is dropped and the link stays open.
     try {
         this->listener.onPeerRequest((*message)["body"], [this, handle, number](const nlohmann::json& response) {
-            std::string responsePayload = encode({ { "number", number }, { "body", response } });
+            std::string responsePayload = toCbor({ { "number", number }, { "body", response } });
             this->numBytesSent += responsePayload.size();
             this->server.send(handle, responsePayload, true);
         });
--- a/tests/process/GatewayTests.cpp
+++ b/tests/process/GatewayTests.cpp
@@ -37,6 +37,8 @@
             this->client.send(handle, std::string(bytes.begin(), bytes.end()), true);
         }
         this->client.send(handle, "no cbor at all", true);
+        // An array that declares more elements than fit into memory.
+        this->client.send(handle, "\x9b\x6a\x6b\x6c\x6d\x6e\x6f\x70\x71", true);
         this->isSent = true;
     }
 
--- a/tests/unit/CodecTests.cpp
+++ b/tests/unit/CodecTests.cpp
@@ -1,6 +1,8 @@
 #include "../support/RandomJson.h"
 #include "lentiljunction/caller/RequestCodec.h"
+#include "lentiljunction/core/Cbor.h"
 #include "lentiljunction/core/JsonFields.h"
+#include "lentiljunction/core/Random.h"
 #include "lentiljunction/peer/PeerMessage.h"
 
 #include <rapidcheck.h>
@@ -123,3 +125,28 @@
         RC_ASSERT(message.has_value() || !failure.reason.empty());
     }));
 }
+
+TEST_GROUP(Cbor) {};
+
+// A caller or another instance sends an array that declares more elements than fit into memory, on which the library
+// throws. Guards against one message that stops the process.
+TEST(Cbor, refusesExcessiveLength)
+{
+    CHECK_TRUE(parseCbor(std::string("\x9b\x6a\x6b\x6c\x6d\x6e\x6f\x70\x71", 9)).is_discarded());
+    CHECK_TRUE(parseCbor(std::string("\xbb\xff\xff\xff\xff\xff\xff\xff\xff", 9)).is_discarded());
+    Failure failure;
+    CHECK_FALSE(decodePeerMessage(std::string("\x9b\x6a\x6b\x6c\x6d\x6e\x6f\x70\x71", 9), failure).has_value());
+}
+
+TEST(Cbor, neverThrowsForRandomBytes)
+{
+    Random random(5);
+    for (int count = 0; count < 50000; count++) {
+        std::string bytes;
+        for (std::uint64_t length = random.below(24); length > 0; length--)
+            bytes.push_back(static_cast<char>(random.below(256)));
+        parseCbor(bytes);
+    }
+    nlohmann::json document { { "a", { 1, 2, 3 } }, { "b", "text" } };
+    CHECK(parseCbor(toCbor(document)) == document);
+}
