--- a/include/lentiljunction/core/Endpoint.h
+++ b/include/lentiljunction/core/Endpoint.h
@@ -12,6 +12,9 @@
 struct Endpoint {
     std::string host;
     std::uint16_t port = 0;
+
+    friend bool operator==(const Endpoint& left, const Endpoint& right) { return left.host == right.host && left.port == right.port; }
+    friend bool operator!=(const Endpoint& left, const Endpoint& right) { return !(left == right); }
 };
 
 /// Parses "address:port".
--- a/include/lentiljunction/fleet/FleetStore.h
+++ b/include/lentiljunction/fleet/FleetStore.h
@@ -18,6 +18,8 @@
     ZoneId zone;
     /// The address where it listens for other instances.
     Endpoint peers;
+    /// The address where it lends connections to upstreams; empty when it lends none.
+    std::optional<Endpoint> lending = std::nullopt;
 };
 
 /// The routing configuration and its revision in the store.
--- a/include/lentiljunction/interactive/SessionContext.h
+++ b/include/lentiljunction/interactive/SessionContext.h
@@ -24,6 +24,9 @@
 /// Not thread-safe.
 class SessionContext {
 public:
+    /// A connection with more prepared statements is reset, to limit its memory on the upstream.
+    static constexpr std::size_t maximumPreparedNames = 256;
+
     /// The session values and prepared statements that exist on one connection to an upstream.
     struct ConnectionContext {
         std::map<std::string, std::string> values;
@@ -50,6 +53,9 @@
     /// @returns the commands to send, in order
     std::vector<UpstreamCommand> planPreparation(ConnectionContext& connection, const PreparedShape* needed, bool mayReset = true) const;
 
+    /// @returns the names under which the session's statements are prepared on connections
+    std::set<std::string> listSharedNames() const;
+
     /// @returns the name under which a shape is prepared on connections
     static std::string getSharedName(const PreparedShape& shape);
 
--- a/include/lentiljunction/metrics/GatewayMetrics.h
+++ b/include/lentiljunction/metrics/GatewayMetrics.h
@@ -90,6 +90,9 @@
     /// Sets the gauges of all upstreams and removes those of upstreams that are not listed.
     void setUpstreams(const std::vector<Upstream>& upstreams);
 
+    /// Sets the gauges of the connections lent to and borrowed from other instances.
+    void setLoans(std::size_t numLent, std::size_t numBorrowed);
+
     /// Sets the age of the newest freshness proof of each group and removes groups that are not listed.
     void setFreshnessProofAges(const std::map<std::string, Duration>& ages);
 
--- a/src/cli/LogCommands.cpp
+++ b/src/cli/LogCommands.cpp
@@ -51,7 +51,7 @@
     private:
         static int explain(const cxxopts::ParseResult& parsed)
         {
-            if (parsed.count("id") == 0) {
+            if (parsed.count("id") == 0 || parsed["id"].as<std::string>().empty()) {
                 std::cerr << "error: name the request's id\n";
                 return exitcodes::usage;
             }
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -110,6 +110,7 @@
         events::upstreamListed,
         events::upstreamFull,
         events::upstreamReachable,
+        events::lenderSilent,
         events::statementRefused,
         events::statementFailed,
         events::statementServed,
--- /dev/null
+++ b/src/gateway/FleetLists.cpp
@@ -0,0 +1,161 @@
+#include "FleetLists.h"
+
+#include "ListCodec.h"
+#include "lentiljunction/core/Cbor.h"
+#include "lentiljunction/core/LogEvents.h"
+#include "lentiljunction/core/RendezvousHash.h"
+
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// Leaving upstreams announce this several seconds in advance.
+    constexpr std::chrono::milliseconds upstreamListInterval { 1000 };
+    constexpr std::chrono::milliseconds memberListInterval { 3000 };
+    /// Shorter interval after the start, so that instances that start together find each other.
+    constexpr std::chrono::milliseconds startupMemberListInterval { 400 };
+    constexpr int numStartupMemberLists = 3;
+    constexpr std::chrono::milliseconds storeRetryInterval { 200 };
+    /// A zone reader lists at the intervals above, and the others query it every 0.4 s.
+    constexpr std::chrono::milliseconds upstreamListLifetime { 2500 };
+    constexpr std::chrono::milliseconds memberListLifetime { 6000 };
+    /// Time for a list of some hundred entries from an instance in the same availability zone.
+    constexpr std::chrono::milliseconds peerTimeout { 400 };
+
+    std::uint64_t computeVersion(const nlohmann::json& content)
+    {
+        return stableHash(toCbor(content));
+    }
+
+    nlohmann::json makeVersion(const RelayedList& list, BootTime now)
+    {
+        std::optional<Duration> age = list.getAge(now);
+        return age ? nlohmann::json { { "version", list.getVersion() }, { "age_us", age->count() } } : nlohmann::json();
+    }
+
+    /// @returns whether the list has the version that the response names, or the response names none
+    bool confirm(RelayedList& list, const nlohmann::json& versions, const char* what, BootTime sentAt)
+    {
+        if (!versions.contains(what) || !versions[what].is_object())
+            return true;
+        return list.onReported(versions[what].value("version", std::uint64_t(0)), Duration(versions[what].value("age_us", std::int64_t(0))), sentAt);
+    }
+
+} // namespace
+
+FleetLists::FleetLists(EventLoop& loop, const Clock& clock, FleetStore& store, PeerRpc& peers, Listener& listener)
+    : loop(loop)
+    , clock(clock)
+    , store(store)
+    , peers(peers)
+    , listener(listener)
+    , upstreams(upstreamListLifetime)
+    , members(memberListLifetime)
+{
+}
+
+void FleetLists::start()
+{
+    this->listUpstreams();
+    this->listMembers();
+}
+
+nlohmann::json FleetLists::makeUpstreams() const
+{
+    return { { "version", this->upstreams.getVersion() }, { "content", encodeUpstreamList(*this->upstreamList) } };
+}
+
+nlohmann::json FleetLists::makeMembers() const
+{
+    return { { "version", this->members.getVersion() }, { "content", encodeMemberList(this->memberList) } };
+}
+
+void FleetLists::onZoneReaderResponse(const nlohmann::json& response, const Endpoint& reader, BootTime sentAt)
+{
+    if (!response.contains("lists") || !response["lists"].is_object())
+        return;
+    if (!confirm(this->upstreams, response["lists"], "upstreams", sentAt))
+        this->requestUpstreams(reader);
+    if (!confirm(this->members, response["lists"], "members", sentAt))
+        this->requestMembers(reader);
+}
+
+void FleetLists::requestUpstreams(const Endpoint& reader)
+{
+    this->peers.ask(reader, { { "ask", "upstreams" } }, peerTimeout, [this](const std::optional<nlohmann::json>& response) {
+        if (!response || !response->is_object() || !response->contains("content"))
+            return;
+        std::optional<UpstreamList> list = decodeUpstreamList((*response)["content"]);
+        if (!list)
+            return logEvent(events::peerMessageInvalid, "reason=\"the list of upstreams cannot be read\"");
+        this->upstreamList = std::make_shared<UpstreamList>(std::move(*list));
+        this->upstreams.onReceived(response->value("version", std::uint64_t(0)));
+        this->listener.onUpstreamList(this->upstreamList);
+    });
+}
+
+void FleetLists::requestMembers(const Endpoint& reader)
+{
+    this->peers.ask(reader, { { "ask", "members" } }, peerTimeout, [this](const std::optional<nlohmann::json>& response) {
+        if (!response || !response->is_object() || !response->contains("content"))
+            return;
+        std::optional<std::vector<FleetMember>> list = decodeMemberList((*response)["content"]);
+        if (!list)
+            return logEvent(events::peerMessageInvalid, "reason=\"the list of instances cannot be read\"");
+        this->memberList = std::move(*list);
+        this->members.onReceived(response->value("version", std::uint64_t(0)));
+        this->listener.onMemberList(this->memberList);
+    });
+}
+
+nlohmann::json FleetLists::makeVersions() const
+{
+    BootTime now = this->clock.bootNow();
+    return { { "upstreams", makeVersion(this->upstreams, now) }, { "members", makeVersion(this->members, now) } };
+}
+
+void FleetLists::listUpstreams()
+{
+    BootTime sentAt = this->clock.bootNow();
+    if (this->upstreams.isRelayed(sentAt)) {
+        // Upstreams that are missing from a snapshot for long enough are removed only by another snapshot.
+        this->listener.onUpstreamList(this->upstreamList);
+        this->loop.schedule(upstreamListInterval, [this] { this->listUpstreams(); });
+        return;
+    }
+    this->store.listUpstreams([this, sentAt](const std::optional<std::shared_ptr<const UpstreamList>>& list, const Failure& failure) {
+        if (list) {
+            this->upstreamList = *list;
+            this->upstreams.onListed(computeVersion(encodeUpstreamList(**list)), sentAt);
+            this->listener.onUpstreamList(*list);
+        } else {
+            logEvent(events::storeCallFailed, "call=list_upstreams reason=\"" + failure.reason + "\"");
+        }
+        this->loop.schedule(list ? upstreamListInterval : storeRetryInterval, [this] { this->listUpstreams(); });
+    });
+}
+
+void FleetLists::listMembers()
+{
+    // Instances that start together are not all in the first list.
+    Duration next = this->numMemberLists++ < numStartupMemberLists ? Duration(startupMemberListInterval) : Duration(memberListInterval);
+    BootTime sentAt = this->clock.bootNow();
+    if (this->members.isRelayed(sentAt)) {
+        this->loop.schedule(next, [this] { this->listMembers(); });
+        return;
+    }
+    this->store.listMembers(false, [this, sentAt, next](const std::optional<std::vector<FleetMember>>& list, const Failure& failure) {
+        if (list) {
+            this->memberList = *list;
+            this->members.onListed(computeVersion(encodeMemberList(*list)), sentAt);
+            this->listener.onMemberList(*list);
+        } else {
+            logEvent(events::storeCallFailed, "call=list_members reason=\"" + failure.reason + "\"");
+        }
+        this->loop.schedule(next, [this] { this->listMembers(); });
+    });
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/gateway/FleetLists.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "../peer/PeerRpc.h"
+#include "lentiljunction/core/Clock.h"
+#include "lentiljunction/fleet/FleetStore.h"
+#include "lentiljunction/fleet/RelayedList.h"
+
+#include <memory>
+#include <vector>
+
+namespace lentiljunction {
+
+/// Keeps the lists of upstreams and of instances up to date.
+///
+/// In each availability zone the zone reader lists them from the store. The others learn from it which versions are
+/// current and how old that knowledge is, and request a list from it when its version changes. When this knowledge
+/// gets old, they list from the store themselves.
+///
+/// Not thread-safe; the control thread owns it.
+///
+/// @see chooseZoneReader
+class FleetLists {
+public:
+    /// Receives each snapshot, also when it is the same as the one before.
+    class Listener {
+    public:
+        virtual ~Listener() = default;
+        virtual void onUpstreamList(const std::shared_ptr<const UpstreamList>& list) = 0;
+        virtual void onMemberList(const std::vector<FleetMember>& members) = 0;
+    };
+
+    /// All must outlive this object.
+    FleetLists(EventLoop& loop, const Clock& clock, FleetStore& store, PeerRpc& peers, Listener& listener);
+
+    /// Starts to list.
+    void start();
+
+    /// Handles the response of the zone reader to a request that was sent at `sentAt`.
+    void onZoneReaderResponse(const nlohmann::json& response, const Endpoint& reader, BootTime sentAt);
+
+    /// @returns the versions of both lists and the age of that knowledge, for other instances
+    nlohmann::json makeVersions() const;
+
+    /// @returns the list of upstreams or of instances, for other instances
+    nlohmann::json makeUpstreams() const;
+    nlohmann::json makeMembers() const;
+
+private:
+    void listUpstreams();
+    void listMembers();
+    void requestUpstreams(const Endpoint& reader);
+    void requestMembers(const Endpoint& reader);
+
+    EventLoop& loop;
+    const Clock& clock;
+    FleetStore& store;
+    PeerRpc& peers;
+    Listener& listener;
+    RelayedList upstreams;
+    RelayedList members;
+    std::shared_ptr<const UpstreamList> upstreamList = std::make_shared<UpstreamList>();
+    std::vector<FleetMember> memberList;
+    int numMemberLists = 0;
+};
+
+} // namespace lentiljunction
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -20,12 +20,6 @@
     constexpr std::chrono::milliseconds minimumRelayedLease { 800 };
     constexpr std::chrono::milliseconds zoneReaderRetryDelay { 2000 };
     constexpr std::chrono::milliseconds storeRetryInterval { 200 };
-    /// Leaving upstreams announce this several seconds in advance.
-    constexpr std::chrono::milliseconds upstreamListInterval { 1000 };
-    constexpr std::chrono::milliseconds memberListInterval { 3000 };
-    /// Shorter interval after the start, so that instances that start together find each other.
-    constexpr std::chrono::milliseconds startupMemberListInterval { 400 };
-    constexpr int numStartupMemberLists = 3;
     /// Allows several round trips between availability zones.
     constexpr std::chrono::milliseconds peerTimeout { 150 };
     /// The store counts as unreachable when its last response is older.
@@ -48,6 +42,7 @@
     , coordination({ dependencies.controlLoop, dependencies.clock, this->peers, this->executor, settings.instance }, *this)
     , leaseTracker(settings.instance)
     , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, *this)
+    , lists(dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, *this)
     , audit(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance)
     , handover(settings.instance)
 {
@@ -61,15 +56,14 @@
         // A failover waits for all registered instances, so an instance must register before it gets a lease.
         this->registerSelf();
         this->routes.start();
-        this->listUpstreams();
-        this->listMembers();
+        this->lists.start();
     });
     return true;
 }
 
 void GatewayControl::registerSelf()
 {
-    this->dependencies.store.registerMember({ this->settings.instance, this->settings.zone, this->settings.peers }, [this](const std::optional<bool>& isDone, const Failure& failure) {
+    this->dependencies.store.registerMember({ this->settings.instance, this->settings.zone, this->settings.peers, this->settings.lending }, [this](const std::optional<bool>& isDone, const Failure& failure) {
         if (isDone)
             return this->renewLease();
         logEvent(events::storeCallFailed, "call=register reason=\"" + failure.reason + "\"");
@@ -108,6 +102,7 @@
             this->onPeerState(*response, sentAt);
             this->applyProofs(*response, sentAt);
             this->onZoneReaderFreshness(*response, endpoint, sentAt);
+            this->lists.onZoneReaderResponse(*response, endpoint, sentAt);
         } else {
             this->zoneReaderAvoidedUntil = this->dependencies.clock.now() + zoneReaderRetryDelay;
         }
@@ -252,39 +247,29 @@
     });
 }
 
-void GatewayControl::listUpstreams()
+void GatewayControl::onUpstreamList(const std::shared_ptr<const UpstreamList>& list)
 {
-    this->dependencies.store.listUpstreams([this](const std::optional<std::shared_ptr<const UpstreamList>>& list, const Failure& failure) {
-        if (list) {
-            std::vector<std::string> changes = this->upstreams.offer(**list, this->dependencies.clock.now());
-            for (const std::string& change : changes)
-                logEvent(events::upstreamListed, change);
-            if (!changes.empty())
-                this->dependencies.trafficLoop.post([this, current = this->upstreams.getList()] { this->dependencies.traffic.setUpstreams(current); });
-            this->hasListedUpstreams = true;
-            this->updateReady();
-            this->coordination.checkPrimaries();
-        } else {
-            logEvent(events::storeCallFailed, "call=list_upstreams reason=\"" + failure.reason + "\"");
-        }
-        this->dependencies.controlLoop.schedule(list ? upstreamListInterval : storeRetryInterval, [this] { this->listUpstreams(); });
-    });
+    std::vector<std::string> changes = this->upstreams.offer(*list, this->dependencies.clock.now());
+    for (const std::string& change : changes)
+        logEvent(events::upstreamListed, change);
+    if (!changes.empty())
+        this->dependencies.trafficLoop.post([this, current = this->upstreams.getList()] { this->dependencies.traffic.setUpstreams(current); });
+    this->hasListedUpstreams = true;
+    this->updateReady();
+    this->coordination.checkPrimaries();
 }
 
-void GatewayControl::listMembers()
+void GatewayControl::onMemberList(const std::vector<FleetMember>& list)
 {
-    this->dependencies.store.listMembers(false, [this](const std::optional<std::vector<FleetMember>>& list, const Failure& failure) {
-        if (!list)
-            logEvent(events::storeCallFailed, "call=list_members reason=\"" + failure.reason + "\"");
-        if (list) {
-            this->members.setMembers(*list);
-            std::size_t number = std::max<std::size_t>(1, this->members.getSize());
-            this->dependencies.trafficLoop.post([this, number] { this->dependencies.traffic.setNumInstances(number); });
-        }
-        // Instances that start together are not all in the first list.
-        Duration next = this->numMemberListCalls++ < numStartupMemberLists ? Duration(startupMemberListInterval) : Duration(memberListInterval);
-        this->dependencies.controlLoop.schedule(next, [this] { this->listMembers(); });
-    });
+    this->members.setMembers(list);
+    this->publishMembers();
+}
+
+void GatewayControl::publishMembers()
+{
+    std::vector<FleetMember> active = this->listActiveMembers();
+    bool relaysProofs = !this->findZoneReader();
+    this->dependencies.trafficLoop.post([this, active = std::move(active), number = this->members.getSize(), relaysProofs] { this->dependencies.traffic.setMembers(active, number, relaysProofs); });
 }
 
 void GatewayControl::updateReady()
@@ -317,6 +302,7 @@
     nlohmann::json response = nlohmann::json::object();
     if (std::optional<RouteFreshness> freshness = this->routes.getFreshness())
         response["routes"] = encodeRouteFreshness(*freshness);
+    response["lists"] = this->lists.makeVersions();
     const PrimaryView& view = this->leaseTracker.getView();
     if (view.latest.record == nullptr)
         return response;
@@ -368,6 +354,10 @@
         return this->respondWithState(respond);
     if (kind == "routes" && this->routes.getTable() != nullptr)
         return respond(encodeRelayedRoutes(*this->routes.getTable()));
+    if (kind == "upstreams")
+        return respond(this->lists.makeUpstreams());
+    if (kind == "members")
+        return respond(this->lists.makeMembers());
     if (kind == "take_lead")
         return this->onPrimaryRecordMessage(request, respond);
     if (kind == "suspect")
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -5,6 +5,7 @@
 #include "AuditWriter.h"
 #include "FailoverCoordination.h"
 #include "FailoverExecutor.h"
+#include "FleetLists.h"
 #include "GatewaySettings.h"
 #include "MemberDirectory.h"
 #include "PrimaryRecordWriter.h"
@@ -29,7 +30,7 @@
 /// Not thread-safe except where noted; the control thread owns it.
 ///
 /// @see TrafficPlane
-class GatewayControl : private PeerRpc::Listener, private PrimaryRecordWriter::Listener, private FailoverExecutor::Context, private FailoverCoordination::KnownState, private RouteWatcher::Listener {
+class GatewayControl : private PeerRpc::Listener, private PrimaryRecordWriter::Listener, private FailoverExecutor::Context, private FailoverCoordination::KnownState, private RouteWatcher::Listener, private FleetLists::Listener {
 public:
     /// All must outlive the control plane.
     struct Dependencies {
@@ -68,6 +69,8 @@
         this->storeAnsweredAt = this->dependencies.clock.bootNow();
         this->publishPrimaryView(this->leaseTracker.onStoreResponse(versioned, sentAt));
     }
+    void onUpstreamList(const std::shared_ptr<const UpstreamList>& list) override;
+    void onMemberList(const std::vector<FleetMember>& list) override;
     void onRoutesInForce(const std::shared_ptr<const RouteTable>& table) override;
     const UpstreamList& getUpstreamList() const override { return *this->upstreams.getList(); }
     const LeaseTracker& getLeaseTracker() const override { return this->leaseTracker; }
@@ -99,8 +102,8 @@
     void requestPeerState();
     void onPeerState(const nlohmann::json& response, BootTime sentAt);
     void onZoneReaderFreshness(const nlohmann::json& response, const Endpoint& reader, BootTime sentAt);
-    void listUpstreams();
-    void listMembers();
+    /// Passes the active instances to the traffic thread.
+    void publishMembers();
     /// Processes the coordinator and the retired instances of the newest record.
     void updateRetired();
     /// Removes this instance from the retired ones in the primary record.
@@ -120,6 +123,7 @@
     FailoverCoordination coordination;
     LeaseTracker leaseTracker;
     RouteWatcher routes;
+    FleetLists lists;
     UpstreamRegistry upstreams;
     MemberDirectory members;
     AuditWriter audit;
@@ -129,7 +133,6 @@
     BootTime storeAnsweredAt;
     /// Index of the instance to which the next request for known state is sent.
     std::size_t nextPeer = 0;
-    int numMemberListCalls = 0;
     /// Until this time the store is read directly, since the zone reader did not respond.
     TimePoint zoneReaderAvoidedUntil;
     bool isRenewalScheduled = false;
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -46,7 +46,8 @@
 
 bool GatewayInstance::start(Failure& failure)
 {
-    bool isOpen = this->traffic.listen(this->settings.sessions, failure) && this->readiness.listen(this->settings.ready, failure)
+    bool isLending = !this->settings.lending || this->traffic.listenForBorrowers(*this->settings.lending, failure);
+    bool isOpen = isLending && this->traffic.listen(this->settings.sessions, failure) && this->readiness.listen(this->settings.ready, failure)
         && this->metricsPage.listen(this->settings.metrics, failure) && this->control.start(failure);
     if (!isOpen)
         return false;
@@ -75,10 +76,10 @@
     this->control.onPrimaryUnreachable(group, primary);
 }
 
-std::size_t GatewayInstance::countBusySessions()
+std::size_t GatewayInstance::countBusy()
 {
     std::promise<std::size_t> counted;
-    this->trafficLoop.post([this, &counted] { counted.set_value(this->traffic.countBusySessions()); });
+    this->trafficLoop.post([this, &counted] { counted.set_value(this->traffic.countBusy()); });
     return counted.get_future().get();
 }
 
@@ -86,6 +87,7 @@
 {
     logEvent(events::instanceDraining, "grace_ms=" + std::to_string(this->settings.shutdownGrace.count()));
     this->isDraining = true;
+    this->trafficLoop.post([this] { this->traffic.stopLending(); });
     std::this_thread::sleep_for(balancerRemovalDelay);
     this->trafficLoop.post([this] { this->traffic.drain(); });
 
@@ -98,10 +100,10 @@
         waited += drainPollInterval;
         if (waited >= transactionLimit)
             this->trafficLoop.post([this] { this->traffic.closeIdleTransactions(); });
-        if (this->countBusySessions() == 0)
+        if (this->countBusy() == 0)
             break;
     }
-    std::size_t numLeft = this->countBusySessions();
+    std::size_t numLeft = this->countBusy();
     std::promise<void> stopped;
     this->trafficLoop.post([this, &stopped] {
         this->traffic.stop();
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -63,7 +63,7 @@
     void onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary) override;
     HttpResponse makeReadinessResponse() const;
     void respondWithMetrics(const HttpPage::Responder& respond);
-    std::size_t countBusySessions();
+    std::size_t countBusy();
 
     GatewaySettings settings;
     EventLoop controlLoop;
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     const std::set<std::string> knownKeys {
-        "instance.id", "instance.zone", "sessions.listen", "ready.listen", "peers.listen", "peers.seeds",
+        "instance.id", "instance.zone", "sessions.listen", "ready.listen", "peers.listen", "peers.seeds", "lending.listen",
         "metrics.listen", "store.endpoint", "promotion.endpoint", "drain.grace_s"
     };
     constexpr std::int64_t longestGraceSeconds = 600;
@@ -128,6 +128,8 @@
     settings.ready = reader.getEndpoint("ready", "listen");
     settings.peers = reader.getEndpoint("peers", "listen");
     settings.seeds = reader.getEndpoints("peers", "seeds");
+    if (document.find("lending", "listen"))
+        settings.lending = reader.getEndpoint("lending", "listen");
     settings.metrics = reader.getEndpoint("metrics", "listen");
     settings.store = reader.getEndpoint("store", "endpoint");
     settings.promotion = reader.getEndpoint("promotion", "endpoint");
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -23,6 +23,8 @@
     Endpoint ready;
     /// Where other instances connect.
     Endpoint peers;
+    /// Where other instances borrow connections to upstreams; empty when this instance neither lends nor borrows.
+    std::optional<Endpoint> lending;
     /// Instances to contact until the list of instances has been read from the store.
     std::vector<Endpoint> seeds;
     /// Where metrics are served.
--- a/src/interactive/SessionContext.cpp
+++ b/src/interactive/SessionContext.cpp
@@ -4,19 +4,20 @@
 
 namespace lentiljunction {
 
-namespace {
-
-    /// A connection with more prepared statements is reset, to limit its memory on the upstream.
-    constexpr std::size_t maximumPreparedNames = 256;
-
-} // namespace
-
 const PreparedShape* SessionContext::findPrepared(const std::string& name) const
 {
     std::map<std::string, PreparedShape>::const_iterator found = this->prepared.find(name);
     return found == this->prepared.end() ? nullptr : &found->second;
 }
 
+std::set<std::string> SessionContext::listSharedNames() const
+{
+    std::set<std::string> names;
+    for (const std::pair<const std::string, PreparedShape>& entry : this->prepared)
+        names.insert(getSharedName(entry.second));
+    return names;
+}
+
 std::string SessionContext::getSharedName(const PreparedShape& shape)
 {
     return (shape.mode == AccessMode::Read ? "r-" : "w-") + shape.shape;
@@ -33,7 +34,7 @@
 {
     std::vector<UpstreamCommand> commands;
     // Single values cannot be removed, so values of another session require a reset.
-    if (this->hasForeignValues(connection) || (mayReset && connection.preparedNames.size() > maximumPreparedNames)) {
+    if (this->hasForeignValues(connection) || (mayReset && connection.preparedNames.size() > SessionContext::maximumPreparedNames)) {
         commands.push_back({ UpstreamCommand::Kind::Reset, {}, "", "", AccessMode::Write, std::nullopt, Term() });
         connection = ConnectionContext();
     }
--- a/src/metrics/GatewayMetrics.cpp
+++ b/src/metrics/GatewayMetrics.cpp
@@ -24,6 +24,7 @@
     LabeledGauges latency { this->registry.get(), "lentiljunction_upstream_latency_seconds", "Usual time of a statement at an upstream" };
     LabeledGauges lag { this->registry.get(), "lentiljunction_upstream_lag_positions", "Positions from an upstream's log to the newest proved head of its group" };
     LabeledGauges bytes { this->registry.get(), "lentiljunction_upstream_bytes", "Bytes to and from an upstream since the start" };
+    LabeledGauges loans { this->registry.get(), "lentiljunction_loans", "Connections to upstreams lent to or borrowed from other instances" };
     LabeledGauges freshnessProofAge { this->registry.get(), "lentiljunction_proof_age_seconds", "Age of the newest proof of a group's log" };
 };
 
@@ -102,6 +103,16 @@
     gauges.endUpdate();
 }
 
+void GatewayMetrics::setLoans(std::size_t numLent, std::size_t numBorrowed)
+{
+    std::lock_guard<std::mutex> lock(this->implementation->gaugesMutex);
+    LabeledGauges& gauges = this->implementation->loans;
+    gauges.beginUpdate();
+    gauges.set({ { "direction", "lent" } }, static_cast<double>(numLent));
+    gauges.set({ { "direction", "borrowed" } }, static_cast<double>(numBorrowed));
+    gauges.endUpdate();
+}
+
 std::string GatewayMetrics::render() const
 {
     return this->implementation->registry.render();
--- a/src/net/WebSocketClient.cpp
+++ b/src/net/WebSocketClient.cpp
@@ -1,5 +1,7 @@
 #include "WebSocketClient.h"
 
+#include "SocketOptions.h"
+
 #include <asio/io_context.hpp>
 #include <unordered_map>
 #include <websocketpp/client.hpp>
@@ -69,8 +71,7 @@
         ClientConnection connection = this->find(handle);
         if (connection == nullptr)
             return;
-        asio::error_code ignored;
-        connection->get_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        setNoDelayAndKeepAlive(connection->get_socket());
         this->listener.onConnected(handle);
     }
 
--- a/src/net/WebSocketServer.cpp
+++ b/src/net/WebSocketServer.cpp
@@ -1,5 +1,7 @@
 #include "WebSocketServer.h"
 
+#include "SocketOptions.h"
+
 #include <asio/io_context.hpp>
 #include <unordered_map>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -50,8 +52,7 @@
     void onOpen(const websocketpp::connection_hdl& weak)
     {
         ServerConnection connection = this->server.get_con_from_hdl(weak);
-        asio::error_code ignored;
-        connection->get_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        setNoDelayAndKeepAlive(connection->get_socket());
         Handle handle = this->add(connection);
         this->listener.onSessionOpened(handle, connection->get_resource());
     }
--- a/src/traffic/HeldConnection.cpp
+++ b/src/traffic/HeldConnection.cpp
@@ -13,9 +13,9 @@
     command.kind = UpstreamCommand::Kind::Rollback;
     released.connection->send(command, [released](const std::optional<SessionReply>& reply) {
         if (reply && reply->state == TransactionState::Idle)
-            released.pool->release(released.connection);
+            released.source->release(released.connection);
         else
-            released.pool->discard(released.connection);
+            released.source->discard(released.connection);
     });
 }
 
--- a/src/traffic/HeldConnection.h
+++ b/src/traffic/HeldConnection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "UpstreamPool.h"
+#include "ConnectionSource.h"
 #include "lentiljunction/leadership/PrimaryView.h"
 
 #include <memory>
@@ -8,10 +8,10 @@
 
 namespace lentiljunction {
 
-/// A connection that a statement or transaction has acquired from a pool.
+/// A connection that a statement or transaction has acquired.
 struct HeldConnection {
-    std::shared_ptr<UpstreamPool> pool;
-    UpstreamConnection* connection = nullptr;
+    std::shared_ptr<ConnectionSource> source;
+    StatementConnection* connection = nullptr;
     /// Set when the upstream is used as the primary.
     std::optional<PrimaryTenure> primary;
 
--- /dev/null
+++ b/src/traffic/Lender.cpp
@@ -0,0 +1,240 @@
+#include "Lender.h"
+
+#include "lentiljunction/core/LogEvents.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// A request may not wait for longer, whatever the borrower asks for.
+    constexpr std::chrono::seconds longestWait { 10 };
+    /// A borrower sends its first command within a few milliseconds.
+    constexpr std::chrono::milliseconds idleTimeout { 300 };
+
+} // namespace
+
+Lender::Lender(const Clock& clock, Transport& transport, SourceFinder& sources)
+    : clock(clock)
+    , transport(transport)
+    , sources(sources)
+{
+}
+
+void Lender::onMessage(LinkId link, const LendingMessage& message)
+{
+    LoanId id { link, message.loan };
+    switch (message.kind) {
+    case LendingMessage::Kind::Borrow:
+        return this->onBorrow(id, message);
+    case LendingMessage::Kind::Command:
+        return this->onCommand(id, message.command);
+    case LendingMessage::Kind::Return:
+        return this->onReturn(id, message);
+    case LendingMessage::Kind::Drop:
+        return this->end(id);
+    default:
+        logEvent(events::peerMessageInvalid, "reason=\"a lender's message was sent to a lender\"");
+    }
+}
+
+void Lender::onBorrow(const LoanId& id, const LendingMessage& message)
+{
+    if (this->loans.count(id) > 0)
+        return logEvent(events::peerMessageInvalid, "reason=\"the number of the loan is in use\"");
+    std::shared_ptr<ConnectionSource> source = this->isStopping ? nullptr : this->sources.findOwnSource(message.upstream);
+    if (source == nullptr)
+        return this->deny(id, LendingMessage::Denial::Unavailable);
+
+    Loan loan;
+    loan.source = source;
+    loan.wantedNames = message.context.preparedNames;
+    this->loans.emplace(id, std::move(loan));
+    Duration wait = std::clamp<Duration>(message.wait, Duration(0), longestWait);
+    ConnectionSource::Request request { message.rank, message.caller, this->clock.now() + wait, nullptr };
+    ConnectionSource::Ticket ticket = source->acquire(request, [this, id, source](StatementConnection* connection, ConnectionSource::Denial denial) {
+        this->onConnection(id, source, connection, denial);
+    });
+    if (ticket == 0)
+        return;
+    this->loans.at(id).ticket = ticket;
+    LendingMessage queued;
+    queued.kind = LendingMessage::Kind::Queued;
+    queued.loan = id.second;
+    this->transport.sendToBorrower(id.first, queued);
+}
+
+void Lender::onConnection(const LoanId& id, const std::shared_ptr<ConnectionSource>& source, StatementConnection* connection, ConnectionSource::Denial denial)
+{
+    if (connection == nullptr) {
+        this->loans.erase(id);
+        return this->deny(id, denial == ConnectionSource::Denial::TooLong ? LendingMessage::Denial::TooLong : LendingMessage::Denial::Unreachable);
+    }
+    Loan& loan = this->loans.at(id);
+    loan.ticket = 0;
+    loan.connection = connection;
+    loan.isActive = true;
+    loan.usedAt = this->clock.now();
+    this->resetIfCrowded(id, *connection);
+    if (this->loans.count(id) == 0)
+        return;
+    LendingMessage granted;
+    granted.kind = LendingMessage::Kind::Granted;
+    granted.loan = id.second;
+    granted.context.values = connection->context.values;
+    for (const std::string& name : loan.wantedNames) {
+        if (connection->context.preparedNames.count(name) > 0)
+            granted.context.preparedNames.insert(name);
+    }
+    granted.latency = source->getLatency();
+    granted.load = source->getLoad();
+    this->transport.sendToBorrower(id.first, granted);
+}
+
+void Lender::resetIfCrowded(const LoanId& id, StatementConnection& connection)
+{
+    // The borrower does not learn the names that it does not need, so it cannot tell.
+    if (connection.context.preparedNames.size() <= SessionContext::maximumPreparedNames)
+        return;
+    connection.context = SessionContext::ConnectionContext();
+    connection.send(UpstreamCommand(), [this, id](const std::optional<SessionReply>& reply) {
+        if (!reply)
+            this->onReply(id, std::nullopt);
+    });
+}
+
+void Lender::onCommand(const LoanId& id, const std::string& command)
+{
+    std::map<LoanId, Loan>::iterator found = this->loans.find(id);
+    // The connection may have been lost, of which the borrower has been told.
+    if (found == this->loans.end() || found->second.connection == nullptr)
+        return;
+    Loan& loan = found->second;
+    if (!loan.isActive)
+        loan.source->activate(loan.connection);
+    loan.isActive = true;
+    loan.numPending++;
+    loan.usedAt = this->clock.now();
+    loan.connection->sendEncoded(command, [this, id](std::optional<SessionReply> reply) { this->onReply(id, std::move(reply)); });
+}
+
+void Lender::onReply(const LoanId& id, std::optional<SessionReply> reply)
+{
+    std::map<LoanId, Loan>::iterator found = this->loans.find(id);
+    if (found == this->loans.end())
+        return;
+    if (!reply) {
+        this->end(id);
+        LendingMessage lost;
+        lost.kind = LendingMessage::Kind::Lost;
+        lost.loan = id.second;
+        return this->transport.sendToBorrower(id.first, lost);
+    }
+    Loan& loan = found->second;
+    loan.numPending--;
+    loan.state = reply->state;
+    loan.usedAt = this->clock.now();
+    LendingMessage message;
+    message.kind = LendingMessage::Kind::Reply;
+    message.loan = id.second;
+    message.reply = std::move(*reply);
+    this->transport.sendToBorrower(id.first, message);
+    if (message.reply.code == ReplyCode::Busy)
+        loan.source->onRefused(loan.connection);
+    if (loan.numPending > 0)
+        return;
+    loan.isActive = false;
+    loan.source->deactivate(loan.connection);
+}
+
+void Lender::onReturn(const LoanId& id, const LendingMessage& message)
+{
+    std::map<LoanId, Loan>::iterator found = this->loans.find(id);
+    if (found == this->loans.end() || found->second.connection == nullptr)
+        return this->end(id);
+    Loan loan = found->second;
+    bool isClean = loan.numPending == 0 && loan.state == TransactionState::Idle;
+    if (!isClean)
+        return this->end(id);
+    this->loans.erase(found);
+    SessionContext::ConnectionContext& context = loan.connection->context;
+    context.values = message.context.values;
+    if (message.wasReset)
+        context.preparedNames.clear();
+    context.preparedNames.insert(message.context.preparedNames.begin(), message.context.preparedNames.end());
+    loan.source->release(loan.connection);
+}
+
+void Lender::end(const LoanId& id)
+{
+    std::map<LoanId, Loan>::iterator found = this->loans.find(id);
+    if (found == this->loans.end())
+        return;
+    Loan loan = found->second;
+    this->loans.erase(found);
+    if (loan.ticket != 0)
+        loan.source->cancelAcquire(loan.ticket);
+    if (loan.connection != nullptr)
+        loan.source->discard(loan.connection);
+}
+
+void Lender::deny(const LoanId& id, LendingMessage::Denial denial)
+{
+    LendingMessage denied;
+    denied.kind = LendingMessage::Kind::Denied;
+    denied.loan = id.second;
+    denied.denial = denial;
+    this->transport.sendToBorrower(id.first, denied);
+}
+
+void Lender::onLinkLost(LinkId link)
+{
+    std::vector<LoanId> lost;
+    for (const std::pair<const LoanId, Loan>& loan : this->loans) {
+        if (loan.first.first == link)
+            lost.push_back(loan.first);
+    }
+    for (const LoanId& id : lost)
+        this->end(id);
+}
+
+void Lender::stop()
+{
+    this->isStopping = true;
+    std::vector<LoanId> waiting;
+    for (const std::pair<const LoanId, Loan>& loan : this->loans) {
+        if (loan.second.connection == nullptr)
+            waiting.push_back(loan.first);
+    }
+    for (const LoanId& id : waiting) {
+        this->end(id);
+        this->deny(id, LendingMessage::Denial::Unavailable);
+    }
+}
+
+void Lender::checkIdle()
+{
+    TimePoint now = this->clock.now();
+    std::vector<LoanId> idle;
+    for (const std::pair<const LoanId, Loan>& loan : this->loans) {
+        bool isUnused = loan.second.isActive && loan.second.numPending == 0 && now - loan.second.usedAt > idleTimeout;
+        if (isUnused)
+            idle.push_back(loan.first);
+    }
+    for (const LoanId& id : idle) {
+        std::map<LoanId, Loan>::iterator found = this->loans.find(id);
+        if (found == this->loans.end())
+            continue;
+        found->second.isActive = false;
+        found->second.source->deactivate(found->second.connection);
+    }
+}
+
+std::size_t Lender::countLent() const
+{
+    return static_cast<std::size_t>(std::count_if(this->loans.begin(), this->loans.end(), [](const std::pair<const LoanId, Loan>& loan) { return loan.second.connection != nullptr; }));
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/traffic/LendingMessage.cpp
@@ -0,0 +1,132 @@
+#include "LendingMessage.h"
+
+#include "lentiljunction/core/Cbor.h"
+
+namespace lentiljunction {
+
+namespace {
+
+    using Kind = LendingMessage::Kind;
+    using Denial = LendingMessage::Denial;
+
+    /// @returns the value of an enumeration
+    /// @throws std::out_of_range when the number is not one of its values
+    template <typename Enumeration>
+    Enumeration toEnumeration(const nlohmann::json& number, Enumeration last)
+    {
+        std::uint64_t value = number.get<std::uint64_t>();
+        if (!number.is_number_unsigned() || value > static_cast<std::uint64_t>(last))
+            throw std::out_of_range("not a value of the enumeration");
+        return static_cast<Enumeration>(value);
+    }
+
+    template <typename Enumeration>
+    std::uint64_t toNumber(Enumeration value)
+    {
+        return static_cast<std::uint64_t>(value);
+    }
+
+    nlohmann::json encodeReply(const SessionReply& reply)
+    {
+        nlohmann::json encoded { { "code", toNumber(reply.code) }, { "state", toNumber(reply.state) } };
+        if (!reply.rows.empty())
+            encoded["rows"] = reply.rows;
+        if (!reply.signature.empty())
+            encoded["signature"] = reply.signature;
+        if (!reply.message.empty())
+            encoded["message"] = reply.message;
+        if (reply.head)
+            encoded["head"] = { reply.head->term.value(), reply.head->position.value() };
+        return encoded;
+    }
+
+    SessionReply decodeReply(const nlohmann::json& encoded)
+    {
+        SessionReply reply;
+        reply.code = toEnumeration(encoded.at("code"), ReplyCode::Malformed);
+        reply.state = toEnumeration(encoded.at("state"), TransactionState::Failed);
+        reply.rows = encoded.value("rows", std::vector<std::string>());
+        reply.signature = encoded.value("signature", std::string());
+        reply.message = encoded.value("message", std::string());
+        if (encoded.contains("head"))
+            reply.head = LogPoint { Term(encoded["head"].at(0).get<std::uint64_t>()), Position(encoded["head"].at(1).get<std::uint64_t>()) };
+        return reply;
+    }
+
+    void encodeContext(nlohmann::json& encoded, const SessionContext::ConnectionContext& context)
+    {
+        if (!context.values.empty())
+            encoded["values"] = context.values;
+        if (!context.preparedNames.empty())
+            encoded["prepared"] = context.preparedNames;
+    }
+
+    LendingMessage decode(const nlohmann::json& encoded)
+    {
+        LendingMessage message;
+        message.kind = toEnumeration(encoded.at("kind"), Kind::Drop);
+        message.loan = encoded.at("loan").get<std::uint64_t>();
+        message.context.values = encoded.value("values", std::map<std::string, std::string>());
+        message.context.preparedNames = encoded.value("prepared", std::set<std::string>());
+        if (message.kind == Kind::Borrow) {
+            message.upstream = UpstreamId(encoded.at("upstream").get<std::string>());
+            message.rank = toEnumeration(encoded.at("rank"), Rank::Background);
+            message.caller = CallerId(encoded.at("caller").get<std::string>());
+            message.wait = Duration(encoded.at("wait_us").get<std::int64_t>());
+        }
+        if (message.kind == Kind::Granted) {
+            message.latency = Duration(encoded.at("latency_us").get<std::int64_t>());
+            message.load = encoded.at("load").get<double>();
+        }
+        if (message.kind == Kind::Denied)
+            message.denial = toEnumeration(encoded.at("denial"), Denial::Unavailable);
+        if (message.kind == Kind::Command)
+            message.command = encoded.at("command").get<std::string>();
+        if (message.kind == Kind::Reply)
+            message.reply = decodeReply(encoded.at("reply"));
+        message.wasReset = encoded.value("was_reset", false);
+        return message;
+    }
+
+} // namespace
+
+std::string encodeLendingMessage(const LendingMessage& message)
+{
+    nlohmann::json encoded { { "kind", toNumber(message.kind) }, { "loan", message.loan } };
+    encodeContext(encoded, message.context);
+    if (message.kind == Kind::Borrow) {
+        encoded["upstream"] = message.upstream.toString();
+        encoded["rank"] = toNumber(message.rank);
+        encoded["caller"] = message.caller.toString();
+        encoded["wait_us"] = message.wait.count();
+    }
+    if (message.kind == Kind::Granted) {
+        encoded["latency_us"] = message.latency.count();
+        encoded["load"] = message.load;
+    }
+    if (message.kind == Kind::Denied)
+        encoded["denial"] = toNumber(message.denial);
+    if (message.kind == Kind::Command)
+        encoded["command"] = message.command;
+    if (message.kind == Kind::Reply)
+        encoded["reply"] = encodeReply(message.reply);
+    if (message.wasReset)
+        encoded["was_reset"] = true;
+    return toCbor(encoded);
+}
+
+std::optional<LendingMessage> decodeLendingMessage(const std::string& bytes)
+{
+    nlohmann::json encoded = parseCbor(bytes);
+    if (!encoded.is_object())
+        return std::nullopt;
+    try {
+        return decode(encoded);
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    } catch (const std::out_of_range&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace lentiljunction
--- a/src/traffic/PrimaryVerificationRounds.cpp
+++ b/src/traffic/PrimaryVerificationRounds.cpp
@@ -72,21 +72,21 @@
 void PrimaryVerificationRounds::requestStatus(const GroupId& group, const std::shared_ptr<Round>& round, const UpstreamId& upstream)
 {
     round->responses[upstream] = std::nullopt;
-    std::shared_ptr<UpstreamPool> pool = this->state.findPool(upstream);
+    std::shared_ptr<ConnectionSource> source = this->state.findSource(upstream);
     TimePoint deadline = this->state.getClock().now() + connectionTimeout;
-    pool->acquire(Rank::Urgent, CallerId(), deadline, [this, group, round, upstream, pool](UpstreamConnection* connection, UpstreamPool::Denial) {
+    source->acquire({ Rank::Urgent, CallerId(), deadline, nullptr }, [this, group, round, upstream, source](StatementConnection* connection, ConnectionSource::Denial) {
         if (connection == nullptr)
             return this->onResponse(group, round, upstream, std::nullopt);
         UpstreamCommand command;
         command.kind = UpstreamCommand::Kind::Status;
-        connection->send(command, [this, group, round, upstream, pool, connection](const std::optional<SessionReply>& reply) {
+        connection->send(command, [this, group, round, upstream, source, connection](const std::optional<SessionReply>& reply) {
             std::optional<ReplicationStatus> status;
             if (reply && !reply->rows.empty())
                 status = this->protocol.decodeReplicationStatus(reply->rows.front());
             if (reply)
-                pool->release(connection);
+                source->release(connection);
             else
-                pool->discard(connection);
+                source->discard(connection);
             this->onResponse(group, round, upstream, status);
         });
     });
--- a/src/traffic/StatementFailure.cpp
+++ b/src/traffic/StatementFailure.cpp
@@ -12,10 +12,10 @@
 void StatementFailure::logRetry(const TrafficState& state, const Target& last, const RequestId& id, int numSent) const
 {
     std::string line = "id=" + id.toString() + " attempt=" + std::to_string(numSent);
-    if (last.pool != nullptr)
-        line += " upstream=" + last.pool->getUpstream().id.toString();
+    if (last.source != nullptr)
+        line += " upstream=" + last.source->getUpstream().id.toString();
     if (last.required) {
-        std::optional<LogPoint> seen = state.findLastKnownHead(last.pool->getUpstream().id);
+        std::optional<LogPoint> seen = state.findLastKnownHead(last.source->getUpstream().id);
         line += " required=" + toString(*last.required) + " had=" + (seen ? toString(*seen) : "unknown");
     }
     logEvent(events::statementRetried, line + " cause=" + toString(this->cause) + " reason=\"" + this->describe() + "\"");
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -28,8 +28,8 @@
 {
     this->isOnHeldConnection = true;
     this->held = newHeld;
-    this->target.pool = newHeld.pool;
-    this->held.pool->activate(this->held.connection);
+    this->target.source = newHeld.source;
+    this->held.source->activate(this->held.connection);
     this->attemptNumber++;
     this->prepare();
 }
@@ -46,7 +46,7 @@
 {
     this->isDone = true;
     if (this->ticket != 0)
-        this->target.pool->cancelAcquire(this->ticket);
+        this->target.source->cancelAcquire(this->ticket);
     this->discardConnection();
 }
 
@@ -67,12 +67,13 @@
     this->target = *found;
     TimePoint acquireDeadline = this->needsPrimary() ? this->deadlines.getUpstreamWaitDeadline() : this->deadlines.getReadQueueDeadline(this->state.getClock().now());
     std::shared_ptr<StatementRun> self = this->shared_from_this();
-    UpstreamPool::Ticket pendingTicket = this->target.pool->acquire(this->request.requirement.route->rank, this->request.caller, acquireDeadline, [self](UpstreamConnection* connection, UpstreamPool::Denial denial) {
+    ConnectionSource::Request needed { this->request.requirement.route->rank, this->request.caller, acquireDeadline, &this->context };
+    ConnectionSource::Ticket pendingTicket = this->target.source->acquire(needed, [self](StatementConnection* connection, ConnectionSource::Denial denial) {
         self->ticket = 0;
         if (!self->isDone)
             self->onGranted(connection, denial);
         else if (connection != nullptr)
-            self->target.pool->release(connection);
+            self->target.source->release(connection);
     });
     if (pendingTicket != 0)
         this->ticket = pendingTicket;
@@ -103,15 +104,15 @@
     return !expected || std::max(*expected, now) < this->deadlines.getUpstreamWaitDeadline();
 }
 
-void StatementRun::onGranted(UpstreamConnection* connection, UpstreamPool::Denial denial)
+void StatementRun::onGranted(StatementConnection* connection, ConnectionSource::Denial denial)
 {
     if (connection != nullptr) {
-        this->held = { this->target.pool, connection, this->target.primary };
+        this->held = { this->target.source, connection, this->target.primary };
         return this->prepare();
     }
-    if (denial == UpstreamPool::Denial::TooLong) {
+    if (denial == ConnectionSource::Denial::TooLong) {
         this->failure.set(FailureCause::WaitTooLong);
-        this->request.requirement.tried.insert(this->target.pool->getUpstream().id);
+        this->request.requirement.tried.insert(this->target.source->getUpstream().id);
         // A read can use another upstream; a write would only queue again at the same one.
         bool hasOther = !this->needsPrimary() && this->mayRetry() && this->state.findReadTarget(this->request.requirement);
         return hasOther ? this->attempt() : this->concludeAttempt(AttemptOutcome::NotSent, SessionReply(), false);
@@ -119,7 +120,7 @@
     this->failure.set(FailureCause::Unreachable);
     if (this->needsPrimary())
         this->state.setPrimaryUsable(this->request.requirement.route->group, false);
-    this->request.requirement.tried.insert(this->target.pool->getUpstream().id);
+    this->request.requirement.tried.insert(this->target.source->getUpstream().id);
     this->retry();
 }
 
@@ -174,7 +175,7 @@
     bool isClean = isBegin && reply->state == TransactionState::Idle && provesNotRun(reply->code);
     if (isClean && !this->isOnHeldConnection) {
         HeldConnection released = std::exchange(this->held, HeldConnection());
-        released.pool->release(released.connection);
+        released.source->release(released.connection);
     } else {
         this->discardConnection();
     }
@@ -200,7 +201,7 @@
     this->sentAt = this->state.getClock().bootNow();
     TimePoint limit = this->deadlines.getDeadline();
     if (!this->request.traits.isInTransaction && this->request.traits.mode == AccessMode::Read && this->numSent < maximumAttempts)
-        limit = this->deadlines.getReadAnswerDeadline(this->state.getClock().now(), this->held.pool->getLatency());
+        limit = this->deadlines.getReadAnswerDeadline(this->state.getClock().now(), this->held.source->getLatency());
     this->timer.setTime(limit);
     std::shared_ptr<StatementRun> self = this->shared_from_this();
     this->held.connection->send(command, [self, number = this->attemptNumber](std::optional<SessionReply> reply) {
@@ -234,7 +235,7 @@
 {
     this->isAwaitingVerification = true;
     // No statement runs on the connection meanwhile, and the verification needs slots of the upstreams.
-    this->held.pool->deactivate(this->held.connection);
+    this->held.source->deactivate(this->held.connection);
     this->timer.setTime(this->deadlines.getDeadline());
     std::shared_ptr<StatementRun> self = this->shared_from_this();
     const GroupId group = this->request.requirement.route->group;
@@ -268,7 +269,7 @@
 void StatementRun::concludeAttempt(AttemptOutcome outcome, SessionReply reply, bool mayTryAgain)
 {
     if (outcome == AttemptOutcome::NotRun && reply.code == ReplyCode::Busy && this->held.isHeld())
-        this->held.pool->onRefused();
+        this->held.source->onRefused(this->held.connection);
     if (outcome == AttemptOutcome::NotRun)
         this->failure.set(FailureCause::RefusedByUpstream, toString(reply.code));
     if (outcome == AttemptOutcome::SuccessUnverified)
@@ -289,7 +290,7 @@
             this->held.rollBackAndRelease();
         HeldConnection released = std::exchange(this->held, HeldConnection());
         if (released.isHeld())
-            released.pool->release(released.connection);
+            released.source->release(released.connection);
     }
     this->retry();
 }
@@ -358,7 +359,7 @@
     bool isOpen = this->request.traits.isInTransaction && reply.state != TransactionState::Idle;
     if (isOpen && !this->request.traits.isCommit) {
         if (this->held.isHeld())
-            this->held.pool->deactivate(this->held.connection);
+            this->held.source->deactivate(this->held.connection);
         return this->finish(std::move(reply));
     }
     // A commit ends the transaction for the caller, so no transaction may stay open on the upstream.
@@ -368,7 +369,7 @@
     HeldConnection released = std::exchange(this->held, HeldConnection());
     this->finish(std::move(reply));
     if (released.isHeld())
-        released.pool->release(released.connection);
+        released.source->release(released.connection);
 }
 
 void StatementRun::finish(SessionReply reply)
@@ -377,8 +378,8 @@
     this->timer.clear();
     Result result;
     result.numAttempts = this->numSent;
-    if (this->target.pool != nullptr)
-        result.upstream = this->target.pool->getUpstream().id;
+    if (this->target.source != nullptr)
+        result.upstream = this->target.source->getUpstream().id;
     bool isCommitted = reply.isSuccess() && this->request.traits.mode == AccessMode::Write && (this->request.traits.isCommit || !this->request.traits.isInTransaction);
     if (isCommitted && reply.head)
         result.commit = OwnCommit { *reply.head, this->state.getView().getGeneration(this->request.requirement.route->group) };
@@ -393,7 +394,7 @@
 {
     HeldConnection dropped = std::exchange(this->held, HeldConnection());
     if (dropped.isHeld())
-        dropped.pool->discard(dropped.connection);
+        dropped.source->discard(dropped.connection);
 }
 
 } // namespace lentiljunction
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -68,7 +68,7 @@
 
 private:
     void attempt();
-    void onGranted(UpstreamConnection* connection, UpstreamPool::Denial denial);
+    void onGranted(StatementConnection* connection, ConnectionSource::Denial denial);
     void prepare();
     void onPrepared(const std::optional<SessionReply>& reply, bool isLast, bool isBegin, std::size_t attemptNumber);
     void send();
@@ -100,7 +100,7 @@
     StatementDeadlines deadlines;
     Target target;
     HeldConnection held;
-    UpstreamPool::Ticket ticket = 0;
+    ConnectionSource::Ticket ticket = 0;
     OneShotTimer timer;
     /// Changes whenever an attempt starts or ends, so that late replies to it are ignored.
     std::size_t attemptNumber = 0;
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -15,6 +15,8 @@
     /// How old a proof may be when the instance relies on the proofs of another instance, which arrive twice within
     /// this time.
     constexpr std::chrono::milliseconds relayedProofTimeout { 1000 };
+    /// The same for an instance on whose proofs others rely. They receive a proof at most two intervals later.
+    constexpr std::chrono::milliseconds relayingProofTimeout { 200 };
     /// A primary that does not answer a command within this time is tested with a new connection.
     constexpr std::chrono::milliseconds primaryAnswerTimeout { 300 };
 
@@ -53,6 +55,7 @@
     , metrics(metrics)
     , listener(listener)
     , state({ loop, clock, protocol, self, *this }, zone)
+    , lending(loop, clock, protocol, self, this->state)
     , verifier(protocol, this->state)
     , callerServer(loop)
     , checkTimer(loop, clock, [this] { this->checkPrimaries(); })
@@ -92,9 +95,16 @@
     this->notifySessions();
 }
 
-void TrafficPlane::setNumInstances(std::size_t number)
+void TrafficPlane::setMembers(const std::vector<FleetMember>& members, std::size_t numInstances, bool newRelaysProofs)
 {
-    this->state.setNumInstances(number);
+    this->relaysProofs = newRelaysProofs;
+    this->state.setMembers(members, numInstances);
+}
+
+bool TrafficPlane::listenForBorrowers(const Endpoint& endpoint, Failure& failure)
+{
+    this->state.setBorrower(this->lending.getBorrower());
+    return this->lending.listen(endpoint, failure);
 }
 
 void TrafficPlane::setPrimaryView(const PrimaryView& view)
@@ -149,9 +159,9 @@
         session->closeNow();
 }
 
-std::size_t TrafficPlane::countBusySessions() const
+std::size_t TrafficPlane::countBusy() const
 {
-    return static_cast<std::size_t>(std::count_if(this->sessions.begin(), this->sessions.end(), [](const std::pair<CallerSession* const, std::unique_ptr<CallerSession>>& session) {
+    return this->lending.countLent() + static_cast<std::size_t>(std::count_if(this->sessions.begin(), this->sessions.end(), [](const std::pair<CallerSession* const, std::unique_ptr<CallerSession>>& session) {
         return session.first->isBusy();
     }));
 }
@@ -178,6 +188,7 @@
 {
     this->checkTimer.setTime(this->clock.now() + proofInterval);
     this->state.failUnresponsiveConnections();
+    this->lending.checkIdle();
     if (this->state.getRoutes() == nullptr)
         return;
     for (const std::pair<const GroupId, GroupConfig>& group : this->state.getRoutes()->groups)
@@ -189,24 +200,47 @@
     if (!this->state.hasValidLease())
         this->checkPrimaryWithoutLease(group);
     std::optional<Target> primaryTarget = this->state.findPrimary(group);
-    if (!primaryTarget || primaryTarget->pool == nullptr)
+    if (!primaryTarget || primaryTarget->source == nullptr)
         return;
-    std::optional<BootTime> newest = this->state.findNewestProof(group);
+    std::shared_ptr<UpstreamPool> pool = this->state.findPool(primaryTarget->primary->upstream);
+    bool mustBorrow = !pool->mayKeepIdle() && this->state.mustBorrow(primaryTarget->primary->upstream);
     // When connections are too scarce to keep one for this check, another instance sends its proofs.
-    Duration maximumProofAge = primaryTarget->pool->mayKeepIdle() ? proofInterval : relayedProofTimeout;
+    Duration maximumProofAge = pool->mayKeepIdle() ? proofInterval : relayedProofTimeout;
+    if (mustBorrow && this->relaysProofs)
+        maximumProofAge = relayingProofTimeout;
+    std::optional<BootTime> newest = this->state.findNewestProof(group);
     if (newest && this->clock.bootNow() - *newest < maximumProofAge)
         return;
+    if (mustBorrow)
+        return this->checkBorrowedPrimary(group, *primaryTarget);
 
-    std::shared_ptr<UpstreamPool> pool = primaryTarget->pool;
     pool->closeUnresponsiveIdle(primaryAnswerTimeout);
     UpstreamConnection* connection = pool->findIdle();
     if (connection != nullptr)
-        return this->requestHead(*connection, group, *primaryTarget->primary);
+        return this->requestHead(*connection, group, *primaryTarget->primary, [](bool) {});
     pool->probeIfDue();
     if (!pool->isUnreachable() && (pool->getNumConnections() == 0 || pool->isOverdue(primaryAnswerTimeout)))
         pool->openConnection();
 }
 
+void TrafficPlane::checkBorrowedPrimary(const GroupId& group, const Target& primaryTarget)
+{
+    if (!this->groupsChecking.insert(group).second)
+        return;
+    ConnectionSource::Request request { Rank::Urgent, CallerId(), this->clock.now() + primaryAnswerTimeout, nullptr };
+    primaryTarget.source->acquire(request, [this, group, target = primaryTarget](StatementConnection* connection, ConnectionSource::Denial) {
+        this->groupsChecking.erase(group);
+        if (connection == nullptr)
+            return;
+        this->requestHead(*connection, group, *target.primary, [source = target.source, connection](bool hasReply) {
+            if (hasReply)
+                source->release(connection);
+            else
+                source->discard(connection);
+        });
+    });
+}
+
 void TrafficPlane::checkPrimaryWithoutLease(const GroupId& group)
 {
     // Without a lease the primary is usable only after a verification, so the first one starts before a
@@ -221,29 +255,34 @@
     });
 }
 
-void TrafficPlane::requestHead(UpstreamConnection& connection, const GroupId& group, const PrimaryTenure& primary)
+void TrafficPlane::requestHead(StatementConnection& connection, const GroupId& group, const PrimaryTenure& primary, std::function<void(bool hasReply)> callback)
 {
     // Reset is the only command that takes no slot and that every connection accepts. Its reply carries the log head.
     UpstreamCommand reset;
     connection.context = SessionContext::ConnectionContext();
     BootTime requestedAt = this->clock.bootNow();
     bool isFirst = !this->state.findNewestProof(group).has_value();
-    connection.send(reset, [this, group, primary, requestedAt, isFirst](const std::optional<SessionReply>& reply) {
-        if (!reply || !reply->head)
-            return;
-        if (!this->state.hasValidLease()) {
-            this->verifier.verify(group, primary, [this, group, primary, requestedAt, head = *reply->head](bool isVerified) {
-                if (isVerified)
-                    this->state.addVerifiedHead(group, primary, head, requestedAt);
-            });
-            return;
-        }
-        this->state.onHead(primary.upstream, *reply->head, requestedAt);
-        if (isFirst)
-            this->notifySessions();
+    connection.send(reset, [this, group, primary, requestedAt, isFirst, callback = std::move(callback)](const std::optional<SessionReply>& reply) {
+        callback(reply.has_value());
+        if (reply && reply->head)
+            this->onHeadReported(group, primary, *reply, requestedAt, isFirst);
     });
 }
 
+void TrafficPlane::onHeadReported(const GroupId& group, const PrimaryTenure& primary, const SessionReply& reply, BootTime requestedAt, bool isFirst)
+{
+    if (!this->state.hasValidLease()) {
+        this->verifier.verify(group, primary, [this, group, primary, requestedAt, head = *reply.head](bool isVerified) {
+            if (isVerified)
+                this->state.addVerifiedHead(group, primary, head, requestedAt);
+        });
+        return;
+    }
+    this->state.onHead(primary.upstream, *reply.head, requestedAt);
+    if (isFirst)
+        this->notifySessions();
+}
+
 void TrafficPlane::onStatementAnswered(const Route* route, const StatementRequest& request, const StatementRun::Result& result)
 {
     this->countAnswer(*route, request, result);
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CallerSession.h"
+#include "LendingService.h"
 #include "PrimaryVerificationRounds.h"
 #include "TrafficState.h"
 #include "lentiljunction/metrics/GatewayMetrics.h"
@@ -37,7 +38,19 @@
 
     void setRoutes(std::shared_ptr<const RouteTable> routes);
     void setUpstreams(std::shared_ptr<const UpstreamList> upstreams);
-    void setNumInstances(std::size_t number);
+
+    /// Sets the instances that share the upstreams' connections.
+    ///
+    /// @param members the active instances
+    /// @param numInstances the number of registered instances, of which some may be inactive
+    /// @param relaysProofs whether other instances rely on the freshness proofs of this one
+    void setMembers(const std::vector<FleetMember>& members, std::size_t numInstances, bool relaysProofs);
+
+    /// Opens the port at which other instances borrow connections.
+    bool listenForBorrowers(const Endpoint& endpoint, Failure& failure);
+
+    /// Lends no more connections to other instances.
+    void stopLending() { this->lending.stopLending(); }
 
     /// Sets a newer view of the primary record. After this returns, no answer of a replaced primary is
     /// forwarded as a success.
@@ -52,8 +65,12 @@
     /// Adds freshness proofs from another instance.
     void addFreshnessProofs(const std::vector<FreshnessProofs::Newest>& proofs);
 
-    /// Updates the gauges of the upstreams and of the age of the freshness proofs.
-    void updateMetrics() const { this->state.updateMetrics(this->metrics); }
+    /// Updates the gauges of the upstreams, of the loans and of the age of the freshness proofs.
+    void updateMetrics() const
+    {
+        this->state.updateMetrics(this->metrics);
+        this->metrics.setLoans(this->lending.countLent(), this->lending.countBorrowed());
+    }
 
     /// Closes idle sessions now and the others when they become idle.
     void drain();
@@ -64,8 +81,9 @@
     /// Closes the port and all remaining sessions.
     void stop();
 
-    /// @returns the number of sessions with a running statement or an open transaction
-    std::size_t countBusySessions() const;
+    /// @returns the number of sessions with a running statement or an open transaction, and of connections that
+    /// are lent to other instances
+    std::size_t countBusy() const;
 
 private:
     void onUpstreamUnreachable(const UpstreamEntry& upstream, UpstreamConnection::LossCause cause) override;
@@ -78,7 +96,9 @@
     void checkPrimaries();
     void checkPrimary(const GroupId& group);
     void checkPrimaryWithoutLease(const GroupId& group);
-    void requestHead(UpstreamConnection& connection, const GroupId& group, const PrimaryTenure& primary);
+    void checkBorrowedPrimary(const GroupId& group, const Target& primaryTarget);
+    void requestHead(StatementConnection& connection, const GroupId& group, const PrimaryTenure& primary, std::function<void(bool hasReply)> callback);
+    void onHeadReported(const GroupId& group, const PrimaryTenure& primary, const SessionReply& reply, BootTime requestedAt, bool isFirst);
     void countAnswer(const Route& route, const StatementRequest& request, const StatementRun::Result& result);
 
     EventLoop& loop;
@@ -87,11 +107,15 @@
     GatewayMetrics& metrics;
     Listener& listener;
     TrafficState state;
+    LendingService lending;
     PrimaryVerificationRounds verifier;
     TcpServer callerServer;
     OneShotTimer checkTimer;
     std::map<CallerSession*, std::unique_ptr<CallerSession>> sessions;
     bool isDraining = false;
+    bool relaysProofs = false;
+    /// Groups for whose check a connection is being borrowed.
+    std::set<GroupId> groupsChecking;
 };
 
 } // namespace lentiljunction
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -28,8 +28,7 @@
 void TrafficState::setRoutes(std::shared_ptr<const RouteTable> newer)
 {
     this->routes = std::move(newer);
-    for (const std::pair<const UpstreamId, std::shared_ptr<UpstreamPool>>& pool : this->pools)
-        this->applyShare(*pool.second);
+    this->applyShares();
 }
 
 void TrafficState::setUpstreams(std::shared_ptr<const UpstreamList> newer)
@@ -44,15 +43,17 @@
         }
         pool->second->close();
         this->lastKnownHeads.erase(pool->first);
+        this->borrowingSources.erase(pool->first);
         pool = this->pools.erase(pool);
     }
+    this->applyShares();
 }
 
-void TrafficState::setNumInstances(std::size_t number)
+void TrafficState::setMembers(const std::vector<FleetMember>& members, std::size_t newNumInstances)
 {
-    this->numInstances = number;
-    for (const std::pair<const UpstreamId, std::shared_ptr<UpstreamPool>>& pool : this->pools)
-        this->applyShare(*pool.second);
+    this->numInstances = std::max<std::size_t>(1, newNumInstances);
+    this->lendingPlan = LendingPlan(members, this->zone);
+    this->applyShares();
 }
 
 void TrafficState::setPrimaryView(const PrimaryView& newer)
@@ -60,8 +61,7 @@
     bool isChanged = this->view.latest.revision != newer.latest.revision;
     this->view = newer;
     if (isChanged)
-        for (const std::pair<const UpstreamId, std::shared_ptr<UpstreamPool>>& pool : this->pools)
-            this->applyShare(*pool.second);
+        this->applyShares();
     if (newer.latest.record == nullptr)
         return;
     for (const std::pair<const GroupId, PrimaryEntry>& group : newer.latest.record->groups) {
@@ -81,7 +81,7 @@
     const UpstreamEntry* entry = this->upstreams->find(primary->upstream);
     if (entry == nullptr || entry->isLeaving)
         return std::nullopt;
-    return Target { this->findPool(primary->upstream), primary, std::nullopt };
+    return Target { this->findSource(primary->upstream), primary, std::nullopt };
 }
 
 void TrafficState::setPrimaryUsable(const GroupId& group, bool isUsable)
@@ -106,11 +106,11 @@
         if (entry.second.group != requirement.route->group || entry.second.isLeaving || requirement.tried.count(entry.first) > 0)
             continue;
         bool isPrimary = primaryTarget && primaryTarget->primary->upstream == entry.first;
-        std::shared_ptr<UpstreamPool> pool = this->findPool(entry.first);
-        pool->probeIfDue();
-        if (pool->isUnreachable() || (!isPrimary && !hasProof))
+        std::shared_ptr<ConnectionSource> source = this->findSource(entry.first);
+        source->probeIfDue();
+        if (source->isUnreachable() || (!isPrimary && !hasProof))
             continue;
-        ReadCandidate candidate { entry.first, entry.second.zone == this->zone, isPrimary, pool->findIdle() != nullptr, pool->getLatency(), pool->getLoad(), std::nullopt, Duration(0) };
+        ReadCandidate candidate { entry.first, entry.second.zone == this->zone, isPrimary, source->hasIdle(), source->getLatency(), source->getLoad(), std::nullopt, Duration(0) };
         std::map<UpstreamId, KnownHead>::const_iterator seen = this->lastKnownHeads.find(entry.first);
         if (seen != this->lastKnownHeads.end()) {
             candidate.lastKnownHead = seen->second.head;
@@ -123,7 +123,7 @@
         return std::nullopt;
     if (primaryTarget && primaryTarget->primary->upstream == *chosen)
         return primaryTarget;
-    return Target { this->findPool(*chosen), std::nullopt, required };
+    return Target { this->findSource(*chosen), std::nullopt, required };
 }
 
 std::optional<LogPoint> TrafficState::findRequired(const ReadRequirement& requirement, std::uint64_t generation, bool& hasProof) const
@@ -232,21 +232,55 @@
     const UpstreamEntry* entry = this->upstreams->find(upstream);
     if (entry == nullptr)
         return nullptr;
-    std::shared_ptr<UpstreamPool> created = std::make_shared<UpstreamPool>(this->dependencies, *entry);
-    this->applyShare(*created);
-    this->pools.emplace(upstream, created);
-    return created;
+    this->pools.emplace(upstream, std::make_shared<UpstreamPool>(this->dependencies, *entry));
+    this->applyShare(*entry);
+    return this->pools.at(upstream);
 }
 
-void TrafficState::applyShare(UpstreamPool& pool) const
+std::shared_ptr<ConnectionSource> TrafficState::findSource(const UpstreamId& upstream)
 {
-    int maximum = defaultMaximumConnections;
-    if (this->routes != nullptr) {
-        std::map<GroupId, GroupConfig>::const_iterator group = this->routes->groups.find(pool.getUpstream().group);
-        if (group != this->routes->groups.end() && group->second.maximumConnections > 0)
-            maximum = group->second.maximumConnections;
+    std::map<UpstreamId, std::shared_ptr<BorrowingSource>>::const_iterator borrowing = this->borrowingSources.find(upstream);
+    if (borrowing != this->borrowingSources.end())
+        return borrowing->second;
+    std::shared_ptr<UpstreamPool> pool = this->findPool(upstream);
+    // The decision on borrowing is made with the pool.
+    borrowing = this->borrowingSources.find(upstream);
+    return borrowing == this->borrowingSources.end() ? std::shared_ptr<ConnectionSource>(pool) : borrowing->second;
+}
+
+int TrafficState::findMaximumConnections(const GroupId& group) const
+{
+    if (this->routes == nullptr)
+        return defaultMaximumConnections;
+    std::map<GroupId, GroupConfig>::const_iterator found = this->routes->groups.find(group);
+    bool isKnown = found != this->routes->groups.end() && found->second.maximumConnections > 0;
+    return isKnown ? found->second.maximumConnections : defaultMaximumConnections;
+}
+
+void TrafficState::applyShares()
+{
+    for (const std::pair<const UpstreamId, std::shared_ptr<UpstreamPool>>& pool : this->pools)
+        this->applyShare(pool.second->getUpstream());
+}
+
+void TrafficState::applyShare(const UpstreamEntry& upstream)
+{
+    const std::shared_ptr<UpstreamPool>& pool = this->pools.at(upstream.id);
+    int maximum = this->findMaximumConnections(upstream.group);
+    pool->setShare(maximum, this->countUsers(upstream));
+    std::vector<FleetMember> lenders = this->lendingPlan.chooseLenders(upstream.id);
+    bool mustNotBorrow = this->borrower == nullptr || lenders.empty() || pool->mayKeepIdle();
+    if (mustNotBorrow) {
+        this->borrowingSources.erase(upstream.id);
+        return;
     }
-    pool.setShare(maximum, this->countUsers(pool.getUpstream()));
+    bool isLender = std::any_of(lenders.begin(), lenders.end(), [this](const FleetMember& lender) { return lender.id == this->dependencies.self; });
+    if (isLender)
+        pool->setShare(maximum, this->lendingPlan.countLenders());
+    std::shared_ptr<BorrowingSource>& source = this->borrowingSources[upstream.id];
+    if (source == nullptr)
+        source = std::make_shared<BorrowingSource>(*this->borrower, pool);
+    source->setLenders(std::move(lenders));
 }
 
 std::size_t TrafficState::countUsers(const UpstreamEntry& upstream) const
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "BorrowingSource.h"
 #include "FreshnessProofs.h"
+#include "Lender.h"
 #include "ReadPlanner.h"
 #include "UpstreamPool.h"
+#include "lentiljunction/fleet/LendingPlan.h"
 #include "lentiljunction/leadership/FailoverForecast.h"
 #include "lentiljunction/leadership/PrimaryView.h"
 #include "lentiljunction/metrics/GatewayMetrics.h"
@@ -36,7 +39,7 @@
 
 /// The upstream chosen for a statement.
 struct Target {
-    std::shared_ptr<UpstreamPool> pool;
+    std::shared_ptr<ConnectionSource> source;
     /// Set when the upstream is used as the primary.
     std::optional<PrimaryTenure> primary;
     /// The log point that a replica must have reached.
@@ -57,7 +60,7 @@
 /// The state known to the traffic thread: routes, upstreams, primaries, connection pools and freshness proofs.
 ///
 /// Not thread-safe; the traffic thread owns it.
-class TrafficState {
+class TrafficState : public Lender::SourceFinder {
 public:
     TrafficState(const UpstreamPool::Dependencies& dependencies, ZoneId zone);
 
@@ -70,8 +73,15 @@
     /// Sets a newer view of the primary record.
     void setPrimaryView(const PrimaryView& newer);
 
-    /// Sets the number of instances that share the upstreams' connections.
-    void setNumInstances(std::size_t number);
+    /// Sets the instances that share the upstreams' connections.
+    ///
+    /// @param members the active instances
+    /// @param numInstances the number of registered instances, of which some may be inactive
+    void setMembers(const std::vector<FleetMember>& members, std::size_t numInstances);
+
+    /// Sets the borrower that is used for upstreams with too few connections. Without one, this instance uses only
+    /// its own connections.
+    void setBorrower(Borrower& newBorrower) { this->borrower = &newBorrower; }
 
     /// @returns the primary of a group with its pool, or nothing when it must not be used now
     std::optional<Target> findPrimary(const GroupId& group);
@@ -139,9 +149,17 @@
     /// Fails connections with a command that is unanswered for too long.
     void failUnresponsiveConnections();
 
-    /// @returns the pool of an upstream, created if needed; nullptr when the upstream is unknown
+    /// @returns this instance's own connections to an upstream, created if needed; nullptr when the upstream is unknown
     std::shared_ptr<UpstreamPool> findPool(const UpstreamId& upstream);
 
+    /// @returns where statements for an upstream get their connections; nullptr when the upstream is unknown
+    std::shared_ptr<ConnectionSource> findSource(const UpstreamId& upstream);
+
+    /// @returns whether connections to an upstream are so scarce that this instance borrows them
+    bool mustBorrow(const UpstreamId& upstream) const { return this->borrowingSources.count(upstream) > 0; }
+
+    std::shared_ptr<ConnectionSource> findOwnSource(const UpstreamId& upstream) override { return this->findPool(upstream); }
+
 private:
     /// The log head that an upstream reported, and when the report arrived.
     struct KnownHead {
@@ -167,7 +185,10 @@
     /// @param hasProof set to whether a freshness proof exists; without one only the primary may serve the read
     /// @returns the log point that a replica must have reached, or nothing
     std::optional<LogPoint> findRequired(const ReadRequirement& requirement, std::uint64_t generation, bool& hasProof) const;
-    void applyShare(UpstreamPool& pool) const;
+    /// Decides for all upstreams whether connections are borrowed, and by whom they are kept open.
+    void applyShares();
+    void applyShare(const UpstreamEntry& upstream);
+    int findMaximumConnections(const GroupId& group) const;
     /// @returns the number of instances that are expected to use an upstream at the same time
     std::size_t countUsers(const UpstreamEntry& upstream) const;
 
@@ -177,7 +198,11 @@
     std::shared_ptr<const UpstreamList> upstreams = std::make_shared<UpstreamList>();
     PrimaryView view;
     std::size_t numInstances = 1;
+    LendingPlan lendingPlan;
+    Borrower* borrower = nullptr;
     std::map<UpstreamId, std::shared_ptr<UpstreamPool>> pools;
+    /// Upstreams whose connections are borrowed.
+    std::map<UpstreamId, std::shared_ptr<BorrowingSource>> borrowingSources;
     std::map<UpstreamId, KnownHead> lastKnownHeads;
     std::map<GroupId, Tenure> tenures;
     FreshnessProofs proofs;
--- a/src/traffic/UpstreamConnection.cpp
+++ b/src/traffic/UpstreamConnection.cpp
@@ -24,11 +24,15 @@
 }
 
 void UpstreamConnection::send(const UpstreamCommand& command, ReplyCallback callback)
+{
+    this->sendEncoded(this->protocol.encodeCommand(command), std::move(callback));
+}
+
+void UpstreamConnection::sendEncoded(const std::string& encoded, ReplyCallback callback)
 {
     if (this->stage == Stage::Lost)
         return callback(std::nullopt);
     this->pendingReplies.push_back({ std::move(callback), this->clock.now() });
-    std::string encoded = this->protocol.encodeCommand(command);
     this->listener.onConnectionBytes(encoded.size());
     this->socket->send(encoded);
 }
--- a/src/traffic/UpstreamConnection.h
+++ b/src/traffic/UpstreamConnection.h
@@ -2,13 +2,12 @@
 
 #include "../net/OneShotTimer.h"
 #include "../net/TcpConnection.h"
+#include "StatementConnection.h"
 #include "lentiljunction/core/Clock.h"
-#include "lentiljunction/interactive/SessionContext.h"
 #include "lentiljunction/interactive/SessionProtocol.h"
 #include "lentiljunction/routes/UpstreamEntry.h"
 
 #include <deque>
-#include <functional>
 #include <memory>
 #include <optional>
 
@@ -19,11 +18,8 @@
 /// The upstream replies to commands in the order in which they were sent; several commands may be in flight.
 ///
 /// Not thread-safe; used on the thread of the event loop. No callback runs after destruction.
-class UpstreamConnection : private TcpConnection::Listener {
+class UpstreamConnection : public StatementConnection, private TcpConnection::Listener {
 public:
-    /// @param reply empty when the connection was lost before the complete reply arrived
-    using ReplyCallback = std::function<void(std::optional<SessionReply> reply)>;
-
     /// Why a connection was lost.
     enum class LossCause {
         /// The address refuses connections.
@@ -56,8 +52,8 @@
 
     ~UpstreamConnection() override;
 
-    /// Sends a command.
-    void send(const UpstreamCommand& command, ReplyCallback callback);
+    void send(const UpstreamCommand& command, ReplyCallback callback) override;
+    void sendEncoded(const std::string& encoded, ReplyCallback callback) override;
 
     /// Fails the connection with LossCause::Silent; pending callbacks receive no reply.
     void failAsSilent() { this->fail(LossCause::Silent, "the upstream did not reply in time"); }
@@ -74,10 +70,7 @@
     /// @returns when the oldest unanswered command was sent, or nothing when all were answered
     std::optional<TimePoint> getPendingSince() const;
 
-    const UpstreamId& getUpstream() const { return this->upstream; }
-
-    /// Session values and prepared statements that earlier sessions left on the connection.
-    SessionContext::ConnectionContext context;
+    const UpstreamId& getUpstream() const override { return this->upstream; }
 
 private:
     enum class Stage {
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -1,6 +1,7 @@
 #include "UpstreamPool.h"
 
 #include "lentiljunction/core/LogEvents.h"
+#include "lentiljunction/fleet/LendingPlan.h"
 
 #include <algorithm>
 #include <array>
@@ -64,17 +65,12 @@
 void UpstreamPool::setShare(int maximumConnections, std::size_t numUsers)
 {
     this->connectionLimit = static_cast<std::size_t>(std::max(1, maximumConnections - reservedConnections));
-    // Half of the connections stay free for restarted instances, because an upstream still counts connections
-    // that were lost without being closed. An instance whose share is below one keeps one connection if the
-    // instances number at most three quarters of the connections, and otherwise none.
     std::size_t users = std::max<std::size_t>(1, numUsers);
-    this->share = this->connectionLimit / (2 * users);
-    if (this->share == 0 && users * 4 <= this->connectionLimit * 3)
-        this->share = 1;
+    this->share = computeConnectionShare(this->connectionLimit, users);
     this->idleController.setTarget(averageShare * static_cast<double>(this->connectionLimit) / static_cast<double>(users));
 }
 
-UpstreamPool::Ticket UpstreamPool::acquire(Rank rank, const CallerId& caller, TimePoint deadline, Grant grant)
+UpstreamPool::Ticket UpstreamPool::acquire(const Request& request, Grant grant)
 {
     TimePoint now = this->dependencies.clock.now();
     this->probeIfDue();
@@ -84,7 +80,7 @@
     }
     this->queue.setConcurrency(this->concurrency.getLimit());
     Ticket ticket = this->nextTicket++;
-    if (this->queue.offer({ ticket, rank, caller, deadline }, now)) {
+    if (this->queue.offer({ ticket, request.rank, request.caller, request.deadline }, now)) {
         grant(nullptr, Denial::TooLong);
         return 0;
     }
@@ -102,7 +98,7 @@
         this->queue.remove(ticket);
 }
 
-void UpstreamPool::release(UpstreamConnection* connection)
+void UpstreamPool::release(StatementConnection* connection)
 {
     PooledConnection* pooled = this->find(connection);
     if (pooled == nullptr)
@@ -115,7 +111,7 @@
     this->grantWaiting();
 }
 
-void UpstreamPool::discard(UpstreamConnection* connection)
+void UpstreamPool::discard(StatementConnection* connection)
 {
     PooledConnection* pooled = this->find(connection);
     if (pooled == nullptr)
@@ -126,7 +122,7 @@
     this->grantWaiting();
 }
 
-void UpstreamPool::activate(UpstreamConnection* connection)
+void UpstreamPool::activate(StatementConnection* connection)
 {
     PooledConnection* pooled = this->find(connection);
     assert(pooled != nullptr && !pooled->isIdle);
@@ -137,7 +133,7 @@
     this->numActive++;
 }
 
-void UpstreamPool::deactivate(UpstreamConnection* connection)
+void UpstreamPool::deactivate(StatementConnection* connection)
 {
     PooledConnection* pooled = this->find(connection);
     if (pooled == nullptr)
@@ -263,7 +259,7 @@
     this->dependencies.listener.onUpstreamUnreachable(this->upstream, cause);
 }
 
-UpstreamPool::PooledConnection* UpstreamPool::find(const UpstreamConnection* connection)
+UpstreamPool::PooledConnection* UpstreamPool::find(const StatementConnection* connection)
 {
     std::vector<PooledConnection>::iterator found = std::find_if(this->connections.begin(), this->connections.end(), [connection](const PooledConnection& pooled) { return pooled.connection.get() == connection; });
     return found == this->connections.end() ? nullptr : &*found;
@@ -280,7 +276,7 @@
     return best;
 }
 
-void UpstreamPool::remove(const UpstreamConnection* connection)
+void UpstreamPool::remove(const StatementConnection* connection)
 {
     std::vector<PooledConnection>::iterator found = std::find_if(this->connections.begin(), this->connections.end(), [connection](const PooledConnection& pooled) { return pooled.connection.get() == connection; });
     if (found == this->connections.end())
--- a/src/traffic/UpstreamPool.h
+++ b/src/traffic/UpstreamPool.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "ConnectionSource.h"
 #include "IdleTimeoutController.h"
 #include "LatencyEstimate.h"
 #include "UpstreamConnection.h"
-#include "lentiljunction/admission/RankQueue.h"
 #include "lentiljunction/admission/SharedConcurrencyLimit.h"
 
 #include <algorithm>
@@ -15,29 +15,12 @@
 
 /// The connections of this instance to one upstream, and the queue in front of them.
 ///
-/// A connection belongs to one session from its grant until its release. It is `active` while a
-/// statement runs on it. Between the statements of a transaction it is held but not active, so that it
-/// does not count against the concurrency of the upstream.
-///
 /// All instances share the connections that an upstream accepts. Each may keep its share open. More
 /// connections are opened while statements wait, and are closed again soon after.
 ///
 /// Not thread-safe; the traffic thread owns it. Callbacks may run before the call that causes them returns.
-class UpstreamPool : private UpstreamConnection::Listener {
+class UpstreamPool : public ConnectionSource, private UpstreamConnection::Listener {
 public:
-    using Ticket = RankQueue::Ticket;
-
-    /// Why no connection was granted.
-    enum class Denial {
-        /// The wait would exceed, or has exceeded, the deadline.
-        TooLong,
-        /// The upstream cannot be reached.
-        Unreachable,
-    };
-
-    /// @param connection the granted connection, or nullptr with a denial
-    using Grant = std::function<void(UpstreamConnection* connection, Denial denial)>;
-
     /// Receives what the pool detects about the upstream.
     class Listener {
     public:
@@ -71,34 +54,18 @@
     /// Updates the description of the upstream.
     void setUpstream(const UpstreamEntry& newer) { this->upstream = newer; }
 
-    /// Requests a connection.
-    ///
-    /// @returns the ticket of the request, or zero when the callback was already called
-    Ticket acquire(Rank rank, const CallerId& caller, TimePoint deadline, Grant grant);
-
-    /// Cancels a request for a connection; its callback is not called.
-    void cancelAcquire(Ticket ticket);
-
-    /// Returns a connection without an open transaction to the pool.
-    void release(UpstreamConnection* connection);
-
-    /// Closes a connection whose state is unknown.
-    void discard(UpstreamConnection* connection);
-
-    /// Reports that the upstream refused a statement because it was busy.
-    void onRefused() { this->concurrency.onRefused(); }
-
-    /// Counts a held connection as active, because a statement is sent on it.
-    void activate(UpstreamConnection* connection);
-
-    /// Counts a held connection as inactive: its statement was answered and the transaction continues.
-    void deactivate(UpstreamConnection* connection);
+    Ticket acquire(const Request& request, Grant grant) override;
+    void cancelAcquire(Ticket ticket) override;
+    void release(StatementConnection* connection) override;
+    void discard(StatementConnection* connection) override;
+    void onRefused(StatementConnection*) override { this->concurrency.onRefused(); }
+    void activate(StatementConnection* connection) override;
+    void deactivate(StatementConnection* connection) override;
 
     /// @returns an idle connection for a command that takes no slot of the upstream, or nullptr
     UpstreamConnection* findIdle() const;
 
-    /// Tries to reach an unreachable upstream again when its backoff is over.
-    void probeIfDue();
+    void probeIfDue() override;
 
     /// Opens a connection in advance, or to test whether the upstream is reachable.
     void openConnection();
@@ -116,14 +83,10 @@
         this->denyAll(Denial::Unreachable);
     }
 
-    /// @returns whether the last attempt to open a connection failed
-    bool isUnreachable() const { return this->hasFailedToOpen; }
-
-    /// @returns the expected time from a grant to the end of the statement
-    Duration getLatency() const { return this->latency.get(this->dependencies.clock.now()); }
-
-    /// @returns running and queued statements per slot of the upstream
-    double getLoad() const { return static_cast<double>(this->getNumRunning() + this->getNumWaiting()) / this->upstream.slots; }
+    bool isUnreachable() const override { return this->hasFailedToOpen; }
+    bool hasIdle() const override { return this->findIdle() != nullptr; }
+    Duration getLatency() const override { return this->latency.get(this->dependencies.clock.now()); }
+    double getLoad() const override { return static_cast<double>(this->getNumRunning() + this->getNumWaiting()) / this->upstream.slots; }
 
     /// @returns whether any connection has a command that is unanswered for longer than the timeout
     bool isOverdue(Duration timeout) const;
@@ -137,7 +100,7 @@
     /// @returns bytes sent and received since the start
     std::uint64_t getNumBytes() const { return this->numBytes; }
 
-    const UpstreamEntry& getUpstream() const { return this->upstream; }
+    const UpstreamEntry& getUpstream() const override { return this->upstream; }
 
 private:
     struct PooledConnection {
@@ -152,9 +115,9 @@
     void onConnectionReady(UpstreamConnection& connection) override;
     void onConnectionBytes(std::size_t number) override { this->numBytes += number; }
     void onConnectionLost(UpstreamConnection& connection, UpstreamConnection::LossCause cause, const std::string& reason) override;
-    PooledConnection* find(const UpstreamConnection* connection);
+    PooledConnection* find(const StatementConnection* connection);
     PooledConnection* findIdlePooled();
-    void remove(const UpstreamConnection* connection);
+    void remove(const StatementConnection* connection);
     void finishActive(PooledConnection& pooled);
     void grantWaiting();
     void openIfNeeded();
--- a/standins/platform/PlatformSite.cpp
+++ b/standins/platform/PlatformSite.cpp
@@ -59,7 +59,7 @@
         routes.push_back({ { "name", "r-" + database }, { "host", database }, { "path_prefix", "/" }, { "route_type", type }, { "timeout_ms", 1500 }, { "target_latency_ms", 250 }, { "priority", 0 }, { "service", groupName }, { "attempts", 2 }, { "max_staleness_ms", 2500 } });
     }
     nlohmann::json services = nlohmann::json::array();
-    services.push_back({ { "name", groupName }, { "health_path", "/health" }, { "max_conns", 16 }, { "sync_replicas", 0 } });
+    services.push_back({ { "name", groupName }, { "health_path", "/health" }, { "max_conns", this->maximumConnections }, { "sync_replicas", 0 } });
     this->store.put("config", "main", { { "version", version }, { "routes", routes }, { "services", services }, { "limits", { { "tx_idle_ms", 10000 } } } });
 }
 
--- a/standins/platform/PlatformSite.h
+++ b/standins/platform/PlatformSite.h
@@ -36,6 +36,9 @@
     /// read-your-writes route.
     void configure(std::uint64_t version, const std::vector<std::string>& databases);
 
+    /// Sets how many connections an upstream accepts according to later configurations.
+    void setMaximumConnections(int number) { this->maximumConnections = number; }
+
     /// Writes the state that an upstream reports of itself to the store.
     void report(const std::string& id, bool isPrimary, bool isLeaving = false);
 
@@ -53,6 +56,7 @@
     PlatformStore store;
     LineGroup group;
     std::map<std::string, Endpoint> endpoints;
+    int maximumConnections = 16;
 };
 
 } // namespace lentiljunction::standin
--- a/tests/process/SoakTests.cpp
+++ b/tests/process/SoakTests.cpp
@@ -7,6 +7,19 @@
 
 using namespace lentiljunction;
 
+namespace {
+
+void checkSoak(const lab::SoakPlan& plan, const std::string& folder)
+{
+    nlohmann::json report = lab::runSoak(plan, ".", folder);
+    CHECK_TEXT(report["violations"].empty(), report["violations"].dump(2).c_str());
+    CHECK(report["acknowledged"] > 100);
+    CHECK(report["script"].size() > 3);
+    std::filesystem::remove_all(folder);
+}
+
+} // namespace
+
 TEST_GROUP(Soak) {};
 
 // Runs real processes under injected faults. For longer runs or other seeds use lj-lab soak.
@@ -16,9 +29,17 @@
     lab::SoakPlan plan;
     plan.seed = 1;
     plan.seconds = 10;
-    nlohmann::json report = lab::runSoak(plan, ".", folder);
-    CHECK_TEXT(report["violations"].empty(), report["violations"].dump(2).c_str());
-    CHECK(report["acknowledged"] > 100);
-    CHECK(report["script"].size() > 3);
-    std::filesystem::remove_all(folder);
+    checkSoak(plan, folder);
+}
+
+// As above, with fewer connections than instances, so that statements run on connections of other instances.
+TEST(Soak, findsNoViolationWhereInstancesBorrowConnections)
+{
+    std::string folder = (std::filesystem::temp_directory_path() / ("lj-soak-lending-" + std::to_string(::getpid()))).string();
+    lab::SoakPlan plan;
+    plan.seed = 2;
+    plan.seconds = 10;
+    plan.numZones = 1;
+    plan.maximumConnections = 4;
+    checkSoak(plan, folder);
 }
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -1,6 +1,8 @@
 #include "../../src/fleet/MeteredFleetStore.h"
 #include "../../src/gateway/AuditWriter.h"
+#include "../../src/gateway/ListCodec.h"
 #include "../../src/gateway/MemberDirectory.h"
+#include "lentiljunction/fleet/RelayedList.h"
 #include "lentiljunction/leadership/LeaseTracker.h"
 #include "lentiljunction/routes/RelayedRoutes.h"
 
@@ -246,3 +248,89 @@
     STRCMP_EQUAL(store.written[0].second.c_str(), store.written[1].second.c_str());
     STRCMP_CONTAINS("\"kind\":\"promotion\"", store.written[0].second.c_str());
 }
+
+TEST_GROUP(RelayedList) {};
+
+// The zone reader loses the store. Guards against relying on what it read long ago, also through a third instance.
+TEST(RelayedList, expiresWhenReaderLosesStore)
+{
+    ManualClock clock;
+    RelayedList reader { std::chrono::milliseconds(2500) };
+    RelayedList second { std::chrono::milliseconds(2500) };
+    RelayedList third { std::chrono::milliseconds(2500) };
+    reader.onListed(7, clock.bootNow());
+    second.onReceived(7);
+    third.onReceived(7);
+    for (int count = 0; count < 10; count++) {
+        CHECK_TRUE(second.onReported(reader.getVersion(), *reader.getAge(clock.bootNow()), clock.bootNow()));
+        CHECK_TRUE(third.onReported(second.getVersion(), *second.getAge(clock.bootNow()), clock.bootNow()));
+        bool isRecent = count < 7;
+        CHECK_EQUAL(isRecent, second.isRelayed(clock.bootNow()));
+        CHECK_EQUAL(isRecent, third.isRelayed(clock.bootNow()));
+        clock.advance(std::chrono::milliseconds(400));
+    }
+}
+
+// Guards against an instance that keeps an old list because the report of a newer version counts as confirmation.
+TEST(RelayedList, newerVersionDoesNotConfirmOldList)
+{
+    ManualClock clock;
+    RelayedList list { std::chrono::milliseconds(2500) };
+    CHECK_FALSE(list.onReported(7, Duration(0), clock.bootNow()));
+    list.onReceived(7);
+    CHECK_FALSE(list.isRelayed(clock.bootNow()));
+    CHECK_TRUE(list.onReported(7, Duration(0), clock.bootNow()));
+    CHECK_TRUE(list.isRelayed(clock.bootNow()));
+    clock.advance(std::chrono::seconds(3));
+    CHECK_FALSE(list.onReported(8, Duration(0), clock.bootNow()));
+    CHECK_FALSE(list.isRelayed(clock.bootNow()));
+}
+
+// An instance's own list from the store is no report of another instance: all instances of a zone would stop listing.
+TEST(RelayedList, ownListDoesNotCountAsRelayed)
+{
+    ManualClock clock;
+    RelayedList list { std::chrono::milliseconds(2500) };
+    list.onListed(7, clock.bootNow());
+    CHECK_FALSE(list.isRelayed(clock.bootNow()));
+    CHECK(list.getAge(clock.bootNow()) == Duration(0));
+}
+
+TEST_GROUP(ListCodec) {};
+
+TEST(ListCodec, encodesListsAndRefusesMalformedOnes)
+{
+    UpstreamList upstreams;
+    UpstreamEntry entry;
+    entry.id = UpstreamId("u1");
+    entry.group = GroupId("g1");
+    entry.endpoint = { "10.0.0.1", 7000 };
+    entry.zone = ZoneId("z1");
+    entry.slots = 4;
+    entry.isLeaving = true;
+    entry.claimsPrimary = true;
+    upstreams.entries.emplace(entry.id, entry);
+    nlohmann::json encoded = encodeUpstreamList(upstreams);
+    std::optional<UpstreamList> decoded = decodeUpstreamList(encoded);
+    CHECK(decoded.has_value());
+    const UpstreamEntry& copy = decoded->entries.at(UpstreamId("u1"));
+    CHECK(copy.group == entry.group && copy.endpoint == entry.endpoint && copy.zone == entry.zone);
+    CHECK(copy.slots == 4 && copy.isLeaving && copy.claimsPrimary);
+
+    std::vector<FleetMember> members { { InstanceId("i1"), ZoneId("z1"), { "10.0.0.2", 7001 }, Endpoint { "10.0.0.2", 7002 } }, { InstanceId("i2"), ZoneId("z1"), { "10.0.0.3", 7001 }, std::nullopt } };
+    std::optional<std::vector<FleetMember>> list = decodeMemberList(encodeMemberList(members));
+    CHECK(list.has_value());
+    CHECK_EQUAL(2, list->size());
+    CHECK(list->front().lending == members.front().lending);
+    CHECK_FALSE(list->back().lending.has_value());
+
+    for (const char* field : { "id", "group", "endpoint", "zone", "slots", "leaving", "claims_primary" }) {
+        nlohmann::json malformed = encoded;
+        malformed[0][field] = nlohmann::json::object();
+        CHECK_FALSE(decodeUpstreamList(malformed).has_value());
+        malformed[0].erase(field);
+        CHECK_FALSE(decodeUpstreamList(malformed).has_value());
+    }
+    CHECK_FALSE(decodeUpstreamList(7).has_value());
+    CHECK_FALSE(decodeMemberList({ { { "id", "i1" }, { "zone", "z" }, { "peers", { "h", 70000 } } } }).has_value());
+}
--- a/tools/lab/GatewaySite.cpp
+++ b/tools/lab/GatewaySite.cpp
@@ -66,9 +66,10 @@
 
 } // namespace
 
-GatewaySite::GatewaySite(std::string binaries, std::string folder)
+GatewaySite::GatewaySite(std::string binaries, std::string folder, int numZones)
     : binaries(std::move(binaries))
     , folder(std::move(folder))
+    , numZones(numZones)
     , site(takePort)
 {
     std::filesystem::create_directories(this->folder);
@@ -79,8 +80,9 @@
     std::string path = this->folder + "/front-" + std::to_string(index) + ".ini";
     this->sessionPorts.push_back(findFreePort());
     this->readyPorts.push_back(findFreePort());
-    std::ofstream(path) << "[instance]\nid = front-" << index << "\nzone = z" << index % 3 + 1 << "\n[sessions]\nlisten = " << loopback << ":" << this->sessionPorts.back()
+    std::ofstream(path) << "[instance]\nid = front-" << index << "\nzone = z" << index % this->numZones + 1 << "\n[sessions]\nlisten = " << loopback << ":" << this->sessionPorts.back()
                         << "\n[ready]\nlisten = " << loopback << ":" << this->readyPorts.back() << "\n[peers]\nlisten = " << loopback << ":" << findFreePort()
+                        << "\n[lending]\nlisten = " << loopback << ":" << findFreePort()
                         << "\n[metrics]\nlisten = " << loopback << ":" << findFreePort() << "\n[store]\nendpoint = " << store.host << ":" << store.port
                         << "\n[promotion]\nendpoint = " << store.host << ":" << store.port << "\n";
     return path;
--- a/tools/lab/GatewaySite.h
+++ b/tools/lab/GatewaySite.h
@@ -17,7 +17,8 @@
 public:
     /// @param binaries folder of the executables
     /// @param folder folder for settings and logs; created when missing
-    GatewaySite(std::string binaries, std::string folder);
+    /// @param numZones the number of availability zones over which the instances are spread
+    GatewaySite(std::string binaries, std::string folder, int numZones = 3);
 
     /// Starts the stand-ins and the instances and waits until all instances are ready. Each instance has its
     /// own port of the store, so that the store can fail for one instance only.
@@ -43,6 +44,7 @@
 
     std::string binaries;
     std::string folder;
+    int numZones;
     standin::PlatformSite site;
     std::vector<int> sessionPorts;
     std::vector<int> readyPorts;
--- a/tools/lab/Soak.cpp
+++ b/tools/lab/Soak.cpp
@@ -21,9 +21,10 @@
     /// A gateway site with a relay in front of each upstream.
     class RelayedSite {
     public:
-        RelayedSite(const std::string& binaries, const std::string& folder)
-            : site(binaries, folder)
+        RelayedSite(const SoakPlan& plan, const std::string& binaries, const std::string& folder)
+            : site(binaries, folder, plan.numZones)
         {
+            this->site.getSite().setMaximumConnections(plan.maximumConnections);
         }
 
         ~RelayedSite() { this->loop.stop(); }
@@ -96,7 +97,7 @@
 
 nlohmann::json runSoak(const SoakPlan& plan, const std::string& binaries, const std::string& folder)
 {
-    RelayedSite relayed(binaries, folder);
+    RelayedSite relayed(plan, binaries, folder);
     Failure failure;
     if (!relayed.start(plan.numInstances, failure))
         return { { "violations", { "not started: " + failure.reason } } };
--- a/tools/lab/Soak.h
+++ b/tools/lab/Soak.h
@@ -11,6 +11,10 @@
     std::uint64_t seed = 1;
     int seconds = 30;
     int numInstances = 5;
+    int numZones = 3;
+    /// Connections that each upstream accepts. With fewer than there are instances, the instances of a zone lend
+    /// them to each other.
+    int maximumConnections = 16;
     int numCallers = 8;
     /// Number of threads that inject faults; as many faults may overlap.
     int numFaultThreads = 3;
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -44,6 +44,8 @@
     options.add_options()("seed", "chaos, soak: seed of the random faults", cxxopts::value<std::uint64_t>()->default_value("1"));
     options.add_options()("seconds", "chaos, rest, soak: duration in seconds", cxxopts::value<int>()->default_value("30"));
     options.add_options()("instances", "soak: number of instances", cxxopts::value<int>()->default_value("5"));
+    options.add_options()("zones", "soak: number of availability zones", cxxopts::value<int>()->default_value("3"));
+    options.add_options()("connections", "soak: connections that each upstream accepts", cxxopts::value<int>()->default_value("16"));
     options.add_options()("json", "print JSON in place of a table");
     options.add_options()("out", "receives the result as JSON", cxxopts::value<std::string>());
     options.add_options()("help", "print this help");
@@ -60,10 +62,22 @@
         bool isList = entry.key().find("answers_per_100_ms") != std::string::npos || entry.key().find("/script/") != std::string::npos;
         if (entry.value().is_structured() || isList)
             continue;
-        std::cout << std::left << std::setw(width) << entry.key().substr(1) << " " << entry.value().dump() << "\n";
+        // An empty list is flattened to null.
+        std::cout << std::left << std::setw(width) << entry.key().substr(1) << " " << (entry.value().is_null() ? "none" : entry.value().dump()) << "\n";
     }
 }
 
+SoakPlan makeSoakPlan(const cxxopts::ParseResult& arguments)
+{
+    SoakPlan plan;
+    plan.seed = arguments["seed"].as<std::uint64_t>();
+    plan.seconds = arguments["seconds"].as<int>();
+    plan.numInstances = arguments["instances"].as<int>();
+    plan.numZones = arguments["zones"].as<int>();
+    plan.maximumConnections = arguments["connections"].as<int>();
+    return plan;
+}
+
 std::optional<nlohmann::json> runExperiment(const cxxopts::ParseResult& arguments, const ExperimentConfig& setting)
 {
     std::string action = arguments["action"].as<std::string>();
@@ -83,7 +97,7 @@
     if (action == "rest")
         return measureIdleGateway(setting.binaries, setting.folder, arguments["seconds"].as<int>());
     if (action == "soak")
-        return runSoak({ arguments["seed"].as<std::uint64_t>(), arguments["seconds"].as<int>(), arguments["instances"].as<int>() }, setting.binaries, setting.folder);
+        return runSoak(makeSoakPlan(arguments), setting.binaries, setting.folder);
     if (action == "chaos")
         return measureChaos(setting, arguments["seed"].as<std::uint64_t>(), arguments["seconds"].as<int>());
     return std::nullopt;
