Return a lent connection with its last command, and cap own connections while borrowing

Besides, each statement took five messages, one of them only to return the connection. Ruled out: a slow lender (front-laval-c-8 served all the time while a borrower counted it as silent): the network loses 0.05 % of the packets, and a resend takes about 0.2 s. So silence for 0.1 s is common and must stay cheap. Change: the last command of a loan returns the connection; one own connection to an upstream at most while others are borrowed; 0.3 s for a lender whose link is being opened; ready once the instances are known. Tests: Lending.lastCommandReturnsConnectionUnlessTransactionIsOpen; the others give connections back in both ways.

--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -263,6 +263,8 @@
 {
     this->members.setMembers(list);
     this->publishMembers();
+    this->hasListedMembers = true;
+    this->updateReady();
 }
 
 void GatewayControl::publishMembers()
@@ -274,7 +276,7 @@
 
 void GatewayControl::updateReady()
 {
-    bool isComplete = this->routes.getTable() != nullptr && this->hasListedUpstreams && this->leaseTracker.getView().latest.record != nullptr;
+    bool isComplete = this->routes.getTable() != nullptr && this->hasListedUpstreams && this->hasListedMembers && this->leaseTracker.getView().latest.record != nullptr;
     if (isComplete && !this->ready.exchange(true))
         logEvent(events::instanceReady, "routes_version=" + std::to_string(this->routes.getTable()->version.value()));
 }
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -137,6 +137,8 @@
     TimePoint zoneReaderAvoidedUntil;
     bool isRenewalScheduled = false;
     bool hasListedUpstreams = false;
+    /// Whether it is known which instances lend connections.
+    bool hasListedMembers = false;
     bool hadValidLease = false;
     std::atomic<bool> ready { false };
 };
--- a/src/traffic/BorrowedConnection.cpp
+++ b/src/traffic/BorrowedConnection.cpp
@@ -15,21 +15,28 @@
 void BorrowedConnection::send(const UpstreamCommand& command, ReplyCallback callback)
 {
     this->wasReset = this->wasReset || command.kind == UpstreamCommand::Kind::Reset;
-    this->sendEncoded(this->protocol.encodeCommand(command), std::move(callback));
+    this->sendToLender(this->protocol.encodeCommand(command), false, std::move(callback));
 }
 
-void BorrowedConnection::sendEncoded(const std::string& encoded, ReplyCallback callback)
+void BorrowedConnection::sendLast(const UpstreamCommand& command, ReplyCallback callback)
 {
-    if (this->hasBeenLost)
+    this->wasReset = this->wasReset || command.kind == UpstreamCommand::Kind::Reset;
+    this->sendToLender(this->protocol.encodeCommand(command), true, std::move(callback));
+}
+
+void BorrowedConnection::sendToLender(const std::string& encoded, bool isLast, ReplyCallback callback)
+{
+    if (this->isEnded)
         return callback(std::nullopt);
     this->pending.push_back(std::move(callback));
-    this->channel.sendCommand(this->loan, encoded);
+    this->channel.sendCommand(*this, encoded, isLast);
 }
 
-void BorrowedConnection::onReply(SessionReply reply)
+void BorrowedConnection::onReply(SessionReply reply, bool hasEnded)
 {
     if (this->pending.empty())
         return this->onLost();
+    this->isEnded = hasEnded;
     ReplyCallback callback = std::move(this->pending.front());
     this->pending.pop_front();
     callback(std::move(reply));
@@ -37,7 +44,7 @@
 
 void BorrowedConnection::onLost()
 {
-    this->hasBeenLost = true;
+    this->isEnded = true;
     for (const ReplyCallback& callback : std::exchange(this->pending, {}))
         callback(std::nullopt);
 }
--- a/src/traffic/BorrowedConnection.h
+++ b/src/traffic/BorrowedConnection.h
@@ -20,18 +20,23 @@
     class Channel {
     public:
         virtual ~Channel() = default;
-        virtual void sendCommand(std::uint64_t loan, const std::string& encoded) = 0;
+
+        /// @param isLast whether the lender takes the connection back after the reply if no transaction is open
+        virtual void sendCommand(const BorrowedConnection& connection, const std::string& encoded, bool isLast) = 0;
     };
 
     /// @param loan the number of the loan
     BorrowedConnection(Channel& channel, const SessionProtocol& protocol, std::uint64_t loan, const UpstreamId& upstream);
 
     void send(const UpstreamCommand& command, ReplyCallback callback) override;
-    void sendEncoded(const std::string& encoded, ReplyCallback callback) override;
+    void sendLast(const UpstreamCommand& command, ReplyCallback callback) override;
+    void sendEncoded(const std::string& encoded, ReplyCallback callback) override { this->sendToLender(encoded, false, std::move(callback)); }
     const UpstreamId& getUpstream() const override { return this->upstream; }
 
     /// Passes a reply to the oldest command without one.
-    void onReply(SessionReply reply);
+    ///
+    /// @param hasEnded whether the lender took the connection back
+    void onReply(SessionReply reply, bool hasEnded);
 
     /// Fails all commands without a reply, and all later ones.
     void onLost();
@@ -41,19 +46,22 @@
     /// @returns whether every command was answered
     bool hasNoPendingReply() const { return this->pending.empty(); }
 
-    bool isLost() const { return this->hasBeenLost; }
+    /// @returns whether the lender lost the connection or took it back, so that it needs no message about it
+    bool hasEnded() const { return this->isEnded; }
 
     /// @returns whether the connection was reset since it was lent
     bool hasBeenReset() const { return this->wasReset; }
 
 private:
+    void sendToLender(const std::string& encoded, bool isLast, ReplyCallback callback);
+
     Channel& channel;
     const SessionProtocol& protocol;
     std::uint64_t loan;
     UpstreamId upstream;
     std::deque<ReplyCallback> pending;
     bool wasReset = false;
-    bool hasBeenLost = false;
+    bool isEnded = false;
 };
 
 } // namespace lentiljunction
--- a/src/traffic/Borrower.cpp
+++ b/src/traffic/Borrower.cpp
@@ -12,6 +12,8 @@
     /// A lender in the same availability zone responds within a few milliseconds. One that has used up its
     /// processor allowance responds in the next tenth of a second.
     constexpr std::chrono::milliseconds responseTimeout { 100 };
+    /// The same when the link must be opened first, which many instances do at once after a restart of the fleet.
+    constexpr std::chrono::milliseconds openingTimeout { 300 };
     /// The lender itself ends the wait at the deadline; this much later the borrower does.
     constexpr std::chrono::milliseconds deadlineGrace { 50 };
     constexpr std::chrono::seconds reportLifetime { 2 };
@@ -50,6 +52,7 @@
     entry.tried.insert(lender->id);
     entry.sentAt = now;
     entry.hasResponse = false;
+    entry.responseDeadline = now + (this->transport.isLinkOpen(lender->id) ? responseTimeout : openingTimeout);
 
     LendingMessage message;
     message.kind = LendingMessage::Kind::Borrow;
@@ -76,13 +79,18 @@
     this->sendSimple(lender, LendingMessage::Kind::Drop, number);
 }
 
-void Borrower::sendCommand(std::uint64_t loan, const std::string& encoded)
+void Borrower::sendCommand(const BorrowedConnection& connection, const std::string& encoded, bool isLast)
 {
     LendingMessage message;
     message.kind = LendingMessage::Kind::Command;
-    message.loan = loan;
+    message.loan = connection.getLoan();
     message.command = encoded;
-    FleetMember lender = this->loans.at(loan).lender;
+    message.isLast = isLast;
+    if (isLast) {
+        message.context = connection.context;
+        message.wasReset = connection.hasBeenReset();
+    }
+    FleetMember lender = this->loans.at(connection.getLoan()).lender;
     this->transport.sendToLender(lender, message);
 }
 
@@ -92,7 +100,7 @@
     if (found == this->loans.end())
         return;
     const BorrowedConnection& borrowed = *found->second.connection;
-    if (borrowed.isLost() || !borrowed.hasNoPendingReply())
+    if (borrowed.hasEnded() || !borrowed.hasNoPendingReply())
         return this->discard(connection);
     LendingMessage message;
     message.kind = LendingMessage::Kind::Return;
@@ -114,7 +122,7 @@
     Loan ended = std::move(found->second);
     this->connections.erase(connection);
     this->loans.erase(found);
-    if (!ended.connection->isLost())
+    if (!ended.connection->hasEnded())
         this->sendSimple(ended.lender, LendingMessage::Kind::Drop, number);
 }
 
@@ -154,7 +162,7 @@
     if (message.kind != LendingMessage::Kind::Reply)
         return;
     std::shared_ptr<BorrowedConnection> connection = found->second.connection;
-    connection->onReply(message.reply);
+    connection->onReply(message.reply, message.isLast);
 }
 
 void Borrower::onResponse(Waiting& entry)
@@ -227,7 +235,7 @@
 TimePoint Borrower::getDeadline(const Waiting& entry) const
 {
     TimePoint end = entry.what.deadline + deadlineGrace;
-    return entry.hasResponse ? end : std::min<TimePoint>(end, entry.sentAt + responseTimeout);
+    return entry.hasResponse ? end : std::min(end, entry.responseDeadline);
 }
 
 std::optional<TimePoint> Borrower::getNextDeadline() const
--- a/src/traffic/Borrower.h
+++ b/src/traffic/Borrower.h
@@ -31,6 +31,9 @@
     public:
         virtual ~Transport() = default;
         virtual void sendToLender(const FleetMember& lender, const LendingMessage& message) = 0;
+
+        /// @returns whether messages reach the lender without a link being opened first
+        virtual bool isLinkOpen(const InstanceId& lender) const = 0;
     };
 
     /// Why no connection was granted.
@@ -109,6 +112,8 @@
         std::set<InstanceId> tried;
         TimePoint sentAt;
         bool hasResponse = false;
+        /// When the lender counts as silent.
+        TimePoint responseDeadline;
     };
 
     struct Loan {
@@ -116,7 +121,7 @@
         std::shared_ptr<BorrowedConnection> connection;
     };
 
-    void sendCommand(std::uint64_t loan, const std::string& encoded) override;
+    void sendCommand(const BorrowedConnection& connection, const std::string& encoded, bool isLast) override;
     void sendRequest(Waiting waiting);
     void onResponse(Waiting& waiting);
     void onGranted(std::uint64_t number, const LendingMessage& message);
--- a/src/traffic/HeldConnection.cpp
+++ b/src/traffic/HeldConnection.cpp
@@ -11,7 +11,7 @@
         return;
     UpstreamCommand command;
     command.kind = UpstreamCommand::Kind::Rollback;
-    released.connection->send(command, [released](const std::optional<SessionReply>& reply) {
+    released.connection->sendLast(command, [released](const std::optional<SessionReply>& reply) {
         if (reply && reply->state == TransactionState::Idle)
             released.source->release(released.connection);
         else
--- a/src/traffic/Lender.cpp
+++ b/src/traffic/Lender.cpp
@@ -30,7 +30,7 @@
     case LendingMessage::Kind::Borrow:
         return this->onBorrow(id, message);
     case LendingMessage::Kind::Command:
-        return this->onCommand(id, message.command);
+        return this->onCommand(id, message);
     case LendingMessage::Kind::Return:
         return this->onReturn(id, message);
     case LendingMessage::Kind::Drop:
@@ -105,7 +105,7 @@
     });
 }
 
-void Lender::onCommand(const LoanId& id, const std::string& command)
+void Lender::onCommand(const LoanId& id, const LendingMessage& message)
 {
     std::map<LoanId, Loan>::iterator found = this->loans.find(id);
     // The connection may have been lost, of which the borrower has been told.
@@ -117,7 +117,9 @@
     loan.isActive = true;
     loan.numPending++;
     loan.usedAt = this->clock.now();
-    loan.connection->sendEncoded(command, [this, id](std::optional<SessionReply> reply) { this->onReply(id, std::move(reply)); });
+    if (message.isLast)
+        loan.last = message;
+    loan.connection->sendEncoded(message.command, [this, id](std::optional<SessionReply> reply) { this->onReply(id, std::move(reply)); });
 }
 
 void Lender::onReply(const LoanId& id, std::optional<SessionReply> reply)
@@ -140,9 +142,14 @@
     message.kind = LendingMessage::Kind::Reply;
     message.loan = id.second;
     message.reply = std::move(*reply);
+    message.isLast = loan.last && loan.numPending == 0 && loan.state == TransactionState::Idle;
     this->transport.sendToBorrower(id.first, message);
     if (message.reply.code == ReplyCode::Busy)
         loan.source->onRefused(loan.connection);
+    if (message.isLast) {
+        LendingMessage last = *loan.last;
+        return this->takeBack(id, last);
+    }
     if (loan.numPending > 0)
         return;
     loan.isActive = false;
@@ -154,11 +161,16 @@
     std::map<LoanId, Loan>::iterator found = this->loans.find(id);
     if (found == this->loans.end() || found->second.connection == nullptr)
         return this->end(id);
-    Loan loan = found->second;
-    bool isClean = loan.numPending == 0 && loan.state == TransactionState::Idle;
+    bool isClean = found->second.numPending == 0 && found->second.state == TransactionState::Idle;
     if (!isClean)
         return this->end(id);
-    this->loans.erase(found);
+    this->takeBack(id, message);
+}
+
+void Lender::takeBack(const LoanId& id, const LendingMessage& message)
+{
+    Loan loan = this->loans.at(id);
+    this->loans.erase(id);
     SessionContext::ConnectionContext& context = loan.connection->context;
     context.values = message.context.values;
     if (message.wasReset)
--- a/src/traffic/Lender.h
+++ b/src/traffic/Lender.h
@@ -70,12 +70,15 @@
         std::size_t numPending = 0;
         bool isActive = false;
         TransactionState state = TransactionState::Idle;
+        /// The last command, with the context that it leaves on the connection.
+        std::optional<LendingMessage> last;
         TimePoint usedAt;
     };
 
     void onBorrow(const LoanId& id, const LendingMessage& message);
     void onConnection(const LoanId& id, const std::shared_ptr<ConnectionSource>& source, StatementConnection* connection, ConnectionSource::Denial denial);
-    void onCommand(const LoanId& id, const std::string& command);
+    void onCommand(const LoanId& id, const LendingMessage& message);
+    void takeBack(const LoanId& id, const LendingMessage& message);
     void onReply(const LoanId& id, std::optional<SessionReply> reply);
     void onReturn(const LoanId& id, const LendingMessage& message);
     void resetIfCrowded(const LoanId& id, StatementConnection& connection);
--- a/src/traffic/LendingLinks.cpp
+++ b/src/traffic/LendingLinks.cpp
@@ -60,6 +60,12 @@
         found->second.unsentPayloads.push_back(std::move(payload));
 }
 
+bool LendingLinks::isLinkOpen(const InstanceId& lender) const
+{
+    std::map<InstanceId, Link>::const_iterator found = this->links.find(lender);
+    return found != this->links.end() && found->second.isOpen;
+}
+
 void LendingLinks::onSessionMessage(WebSocketServer::Handle handle, const std::string& payload, bool)
 {
     if (std::optional<LendingMessage> message = decode(payload))
--- a/src/traffic/LendingLinks.h
+++ b/src/traffic/LendingLinks.h
@@ -41,6 +41,7 @@
 
     void sendToBorrower(std::uint64_t link, const LendingMessage& message);
     void sendToLender(const FleetMember& lender, const LendingMessage& message);
+    bool isLinkOpen(const InstanceId& lender) const;
 
 private:
     struct Link {
--- a/src/traffic/LendingMessage.cpp
+++ b/src/traffic/LendingMessage.cpp
@@ -85,6 +85,7 @@
         if (message.kind == Kind::Reply)
             message.reply = decodeReply(encoded.at("reply"));
         message.wasReset = encoded.value("was_reset", false);
+        message.isLast = encoded.value("last", false);
         return message;
     }
 
@@ -112,6 +113,8 @@
         encoded["reply"] = encodeReply(message.reply);
     if (message.wasReset)
         encoded["was_reset"] = true;
+    if (message.isLast)
+        encoded["last"] = true;
     return toCbor(encoded);
 }
 
--- a/src/traffic/LendingMessage.h
+++ b/src/traffic/LendingMessage.h
@@ -14,8 +14,8 @@
 
 /// A message between an instance that borrows a connection and the one that lends it.
 ///
-/// A loan begins with Borrow and ends with Return, Drop, Denied or Lost. Messages of one loan arrive in the order
-/// in which they were sent.
+/// A loan begins with Borrow and ends with Return, Drop, Denied, Lost or the Reply to its last command. Messages of
+/// one loan arrive in the order in which they were sent.
 struct LendingMessage {
     enum class Kind {
         /// To the lender: requests a connection to `upstream`.
@@ -60,6 +60,9 @@
     /// For Borrow the prepared statements that the session may use, for Granted and Return those on the
     /// connection, with the session values.
     SessionContext::ConnectionContext context;
+    /// For Command: the connection is returned after the reply, unless a transaction is open then; `context` and
+    /// `wasReset` are set as for Return. For Reply: the lender took the connection back.
+    bool isLast = false;
     /// For Return: the connection was reset, so it holds no other context than `context`.
     bool wasReset = false;
     /// For Denied.
--- a/src/traffic/LendingService.h
+++ b/src/traffic/LendingService.h
@@ -41,6 +41,7 @@
     void onLenderLost(const InstanceId& lender) override { this->borrower.onLinkLost(lender); }
     void sendToBorrower(std::uint64_t link, const LendingMessage& message) override { this->links.sendToBorrower(link, message); }
     void sendToLender(const FleetMember& lender, const LendingMessage& message) override;
+    bool isLinkOpen(const InstanceId& lender) const override { return this->links.isLinkOpen(lender); }
     void setTimer();
 
     const Clock& clock;
--- a/src/traffic/PrimaryVerificationRounds.cpp
+++ b/src/traffic/PrimaryVerificationRounds.cpp
@@ -79,7 +79,7 @@
             return this->onResponse(group, round, upstream, std::nullopt);
         UpstreamCommand command;
         command.kind = UpstreamCommand::Kind::Status;
-        connection->send(command, [this, group, round, upstream, source, connection](const std::optional<SessionReply>& reply) {
+        connection->sendLast(command, [this, group, round, upstream, source, connection](const std::optional<SessionReply>& reply) {
             std::optional<ReplicationStatus> status;
             if (reply && !reply->rows.empty())
                 status = this->protocol.decodeReplicationStatus(reply->rows.front());
--- a/src/traffic/StatementConnection.h
+++ b/src/traffic/StatementConnection.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace lentiljunction {
 
@@ -27,6 +28,10 @@
     /// callback runs immediately, without a reply.
     virtual void send(const UpstreamCommand& command, ReplyCallback callback) = 0;
 
+    /// Sends a command after whose reply the connection is given back or closed, unless a transaction is open then. A
+    /// lender takes the connection back without being told.
+    virtual void sendLast(const UpstreamCommand& command, ReplyCallback callback) { this->send(command, std::move(callback)); }
+
     /// Sends the encoded bytes of one command, as send() does.
     virtual void sendEncoded(const std::string& encoded, ReplyCallback callback) = 0;
 
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -205,10 +205,14 @@
         limit = this->deadlines.getReadAnswerDeadline(this->state.getClock().now(), this->held.source->getLatency());
     this->timer.setTime(limit);
     std::shared_ptr<StatementRun> self = this->shared_from_this();
-    this->held.connection->send(command, [self, number = this->attemptNumber](std::optional<SessionReply> reply) {
+    StatementConnection::ReplyCallback callback = [self, number = this->attemptNumber](std::optional<SessionReply> reply) {
         if (!self->isDone && number == self->attemptNumber)
             self->onReply(std::move(reply));
-    });
+    };
+    if (this->request.traits.isInTransaction && !this->request.traits.isCommit)
+        this->held.connection->send(command, std::move(callback));
+    else
+        this->held.connection->sendLast(command, std::move(callback));
 }
 
 void StatementRun::onReply(std::optional<SessionReply> reply)
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -262,7 +262,7 @@
     connection.context = SessionContext::ConnectionContext();
     BootTime requestedAt = this->clock.bootNow();
     bool isFirst = !this->state.findNewestProof(group).has_value();
-    connection.send(reset, [this, group, primary, requestedAt, isFirst, callback = std::move(callback)](const std::optional<SessionReply>& reply) {
+    connection.sendLast(reset, [this, group, primary, requestedAt, isFirst, callback = std::move(callback)](const std::optional<SessionReply>& reply) {
         callback(reply.has_value());
         if (reply && reply->head)
             this->onHeadReported(group, primary, *reply, requestedAt, isFirst);
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -14,6 +14,9 @@
     /// Without a lease a primary is used while its last verification is at most this old. A new verification
     /// starts several times within this time.
     constexpr std::chrono::milliseconds verificationLifetime { 1200 };
+    /// Connections to an upstream that an instance may open itself while it borrows others. They are used when no
+    /// lender responds, as after a restart of the fleet, when the upstream also counts the lost connections.
+    constexpr std::size_t maximumWhenBorrowing = 1;
     /// Connections that an upstream accepts, as long as no routing configuration is known.
     constexpr int defaultMaximumConnections = 8;
 
@@ -277,6 +280,8 @@
     bool isLender = std::any_of(lenders.begin(), lenders.end(), [this](const FleetMember& lender) { return lender.id == this->dependencies.self; });
     if (isLender)
         pool->setShare(maximum, this->lendingPlan.countLenders());
+    else
+        pool->setMaximum(maximumWhenBorrowing);
     std::shared_ptr<BorrowingSource>& source = this->borrowingSources[upstream.id];
     if (source == nullptr)
         source = std::make_shared<BorrowingSource>(*this->borrower, pool);
--- a/src/traffic/UpstreamPool.h
+++ b/src/traffic/UpstreamPool.h
@@ -48,6 +48,9 @@
     /// @param numUsers instances that are expected to use the upstream at the same time
     void setShare(int maximumConnections, std::size_t numUsers);
 
+    /// Limits the connections of this instance, below the limit of the upstream.
+    void setMaximum(std::size_t maximum) { this->connectionLimit = std::min(this->connectionLimit, maximum); }
+
     /// @returns whether this instance may keep an idle connection open
     bool mayKeepIdle() const { return this->share > 0; }
 
--- a/tests/support/LendingBench.cpp
+++ b/tests/support/LendingBench.cpp
@@ -232,6 +232,8 @@
         this->bench.deliver(this->index, to, [this, to, message = *decoded] { this->bench.instances[to]->lender.onMessage(this->index, message); });
     }
 
+    bool isLinkOpen(const InstanceId&) const override { return true; }
+
     std::shared_ptr<ConnectionSource> findOwnSource(const UpstreamId&) override { return this->own; }
 
     LendingBench& bench;
--- a/tests/unit/LendingTests.cpp
+++ b/tests/unit/LendingTests.cpp
@@ -56,7 +56,7 @@
             else if (isTransaction)
                 this->begin(*connection, text);
             else
-                this->send(*connection, text, UpstreamCommand::Kind::Forward, [this, connection] { this->bench.getSource(this->instance).release(connection); });
+                this->send(*connection, text, UpstreamCommand::Kind::Forward, this->numStarted % 2 == 0, [this, connection] { this->bench.getSource(this->instance).release(connection); });
         });
     }
 
@@ -72,22 +72,22 @@
 private:
     void begin(StatementConnection& connection, const std::string& text)
     {
-        this->send(connection, text + "-begin", UpstreamCommand::Kind::Begin, [this, &connection, text] {
+        this->send(connection, text + "-begin", UpstreamCommand::Kind::Begin, false, [this, &connection, text] {
             this->bench.scheduler.schedule(std::chrono::milliseconds(30), [this, &connection, text] {
-                this->send(connection, text, UpstreamCommand::Kind::Forward, [this, &connection, text] {
-                    this->send(connection, text + "-end", UpstreamCommand::Kind::Rollback, [this, &connection] { this->bench.getSource(this->instance).release(&connection); });
+                this->send(connection, text, UpstreamCommand::Kind::Forward, false, [this, &connection, text] {
+                    this->send(connection, text + "-end", UpstreamCommand::Kind::Rollback, true, [this, &connection] { this->bench.getSource(this->instance).release(&connection); });
                 });
             });
         });
     }
 
-    void send(StatementConnection& connection, const std::string& text, UpstreamCommand::Kind kind, std::function<void()> next)
+    void send(StatementConnection& connection, const std::string& text, UpstreamCommand::Kind kind, bool isLast, std::function<void()> next)
     {
         UpstreamCommand command;
         command.kind = kind;
         command.id = RequestId(text);
         command.argument = "READ " + text;
-        connection.send(command, [this, &connection, text, kind, next = std::move(next)](const std::optional<SessionReply>& reply) {
+        StatementConnection::ReplyCallback callback = [this, &connection, text, kind, next = std::move(next)](const std::optional<SessionReply>& reply) {
             if (!reply) {
                 this->lost.insert(text);
                 return this->bench.getSource(this->instance).discard(&connection);
@@ -96,7 +96,12 @@
             this->hasWrongReply = this->hasWrongReply || !isOwnReply;
             this->succeeded.insert(text);
             next();
-        });
+        };
+        // A connection is given back with the last command, or with a message of its own.
+        if (isLast)
+            connection.sendLast(command, std::move(callback));
+        else
+            connection.send(command, std::move(callback));
     }
 
     LendingBench& bench;
@@ -321,6 +326,34 @@
     CHECK(bench.getSource(2).isUnreachable());
 }
 
+// Guards against a connection that is kept from others until the message that returns it arrives, and against lending
+// it while a transaction is open.
+TEST(Lending, lastCommandReturnsConnectionUnlessTransactionIsOpen)
+{
+    LendingBench bench(3, 2);
+    StatementConnection* connection = nullptr;
+    bench.getSource(2).acquire(makeConnectionRequest(bench.clock.now() + std::chrono::milliseconds(100)), [&connection](StatementConnection* granted, ConnectionSource::Denial) { connection = granted; });
+    bench.advance(std::chrono::milliseconds(1));
+    CHECK(connection != nullptr);
+    UpstreamCommand command;
+    command.kind = UpstreamCommand::Kind::Begin;
+    connection->sendLast(command, [](const std::optional<SessionReply>&) {});
+    bench.advance(std::chrono::milliseconds(10));
+    CHECK_EQUAL(1, bench.getLender(0).countLent() + bench.getLender(1).countLent());
+    command.kind = UpstreamCommand::Kind::Rollback;
+    connection->sendLast(command, [](const std::optional<SessionReply>&) {});
+    bench.advance(std::chrono::milliseconds(10));
+    CHECK_EQUAL(0, bench.getLender(0).countLent() + bench.getLender(1).countLent());
+    CHECK_EQUAL(1, bench.getBorrower(2).countConnections());
+    bool isRefused = false;
+    connection->send(command, [&isRefused](const std::optional<SessionReply>& reply) { isRefused = !reply; });
+    CHECK_TRUE(isRefused);
+    bench.getSource(2).release(connection);
+    bench.advance(std::chrono::milliseconds(10));
+    CHECK_EQUAL(0, bench.getBorrower(2).countConnections());
+    CHECK_EQUAL(0, bench.getOwn(0).numClosed + bench.getOwn(1).numClosed);
+}
+
 // A borrower is lost in the middle of a transaction. Guards against a connection that stays lent, and against
 // lending it to another session with the transaction still open.
 TEST(Lending, connectionOfLostBorrowerIsClosed)
