Keep hundreds of instances from retrying at a busy store, and fail over without asking all of them

(2) A failover asked 294 instances for a confirmation, for each group, from a machine with 0.12 cores; those that did not confirm within 1.6 s were marked as retired, got no lease, and each wrote the record to return, in competition with the others. (3) A takeover asked all instances for their vote within 0.15 s. Ruled out: (2) as a matter of safety: without confirmations a failover waits until every lease has expired, as it already does when the list of instances cannot be read. Change: Backoff (0.2 s to 1.6 s) for lists, routes, registration and, at instances that have a zone reader, the primary record; zone readers and the coordinator keep 0.2 s, and their lease reaches the others with the next renewal. Above 100 instances a failover waits for the leases, marks nobody and tells the zone readers. Tests: Backoff, Voters.partitionedZoneWinsNoVoteByItsSample (each of 295 instances), Voters.smallFleetAsksAllOthers.

--- a/include/lentiljunction/fleet/ZoneReader.h
+++ b/include/lentiljunction/fleet/ZoneReader.h
@@ -14,4 +14,7 @@
 /// @returns the zone reader, or nothing when the list has no instance of the zone
 std::optional<FleetMember> chooseZoneReader(const std::vector<FleetMember>& members, const ZoneId& zone);
 
+/// @returns the zone readers of all availability zones
+std::vector<FleetMember> chooseZoneReaders(const std::vector<FleetMember>& members);
+
 } // namespace lentiljunction
--- a/include/lentiljunction/fleet/lj_fleet.h
+++ b/include/lentiljunction/fleet/lj_fleet.h
@@ -6,4 +6,5 @@
 #include "lentiljunction/fleet/FleetStore.h"
 #include "lentiljunction/fleet/LendingPlan.h"
 #include "lentiljunction/fleet/RelayedList.h"
+#include "lentiljunction/fleet/Voters.h"
 #include "lentiljunction/fleet/ZoneReader.h"
--- a/src/fleet/ZoneReader.cpp
+++ b/src/fleet/ZoneReader.cpp
@@ -2,6 +2,8 @@
 
 #include "lentiljunction/core/RendezvousHash.h"
 
+#include <set>
+
 namespace lentiljunction {
 
 std::optional<FleetMember> chooseZoneReader(const std::vector<FleetMember>& members, const ZoneId& zone)
@@ -18,4 +20,15 @@
     return reader;
 }
 
+std::vector<FleetMember> chooseZoneReaders(const std::vector<FleetMember>& members)
+{
+    std::set<ZoneId> zones;
+    for (const FleetMember& member : members)
+        zones.insert(member.zone);
+    std::vector<FleetMember> readers;
+    for (const ZoneId& zone : zones)
+        readers.push_back(*chooseZoneReader(members, zone));
+    return readers;
+}
+
 } // namespace lentiljunction
--- a/src/gateway/FailoverCoordination.cpp
+++ b/src/gateway/FailoverCoordination.cpp
@@ -2,6 +2,7 @@
 
 #include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/core/RendezvousHash.h"
+#include "lentiljunction/fleet/Voters.h"
 
 #include <algorithm>
 #include <utility>
@@ -145,8 +146,8 @@
 
 void FailoverCoordination::collectVotes(const GroupId& group, const UpstreamId& primary, std::function<void(const TakeoverVote& vote)> callback)
 {
-    std::vector<FleetMember> active = this->state.listActiveMembers();
-    std::shared_ptr<TakeoverVote> vote = std::make_shared<TakeoverVote>(std::max<std::size_t>(1, active.size()));
+    std::vector<FleetMember> voters = chooseVoters(this->state.listActiveMembers(), this->dependencies.self);
+    std::shared_ptr<TakeoverVote> vote = std::make_shared<TakeoverVote>(voters.size() + 1);
     std::shared_ptr<std::function<void(const TakeoverVote&)>> pendingCallback = std::make_shared<std::function<void(const TakeoverVote&)>>(std::move(callback));
     auto finishVote = [vote, pendingCallback] {
         std::function<void(const TakeoverVote&)> done = std::exchange(*pendingCallback, nullptr);
@@ -154,9 +155,7 @@
             done(*vote);
     };
     nlohmann::json request { { "ask", "opinion" }, { "group", group.toString() }, { "primary", primary.toString() } };
-    for (const FleetMember& member : active) {
-        if (member.id == this->dependencies.self)
-            continue;
+    for (const FleetMember& member : voters) {
         this->dependencies.peers.ask(member.peers, request, peerTimeout, [vote, finishVote](const std::optional<nlohmann::json>& response) {
             if (response && response->is_object())
                 vote->addVote(response->value("has_lost", false));
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -1,6 +1,7 @@
 #include "FailoverExecutor.h"
 
 #include "lentiljunction/core/LogEvents.h"
+#include "lentiljunction/fleet/ZoneReader.h"
 #include "lentiljunction/leadership/PrimaryRecordCodec.h"
 
 #include <utility>
@@ -16,6 +17,9 @@
     constexpr std::chrono::milliseconds promotionRetryDelay { 150 };
     /// A coordinator whose promotion calls fail for longer lets another instance take over.
     constexpr std::chrono::milliseconds promotionFailureTimeout { 1000 };
+    /// With more instances, requesting the confirmations of all takes one small machine longer than the leases need to
+    /// expire, and those that are late would be retired. Then a failover waits until all leases have expired.
+    constexpr std::size_t maximumConfirmations = 100;
     /// Remaining lease that a promotion call requires, so that a late call cannot collide with a call of
     /// the next coordinator.
     constexpr std::chrono::milliseconds minimumPromotionLease { 400 };
@@ -185,6 +189,8 @@
 void FailoverExecutor::requestConfirmations(Run& run)
 {
     GroupId group = run.failover.getGroup();
+    if (this->dependencies.context.listActiveMembers().size() > maximumConfirmations)
+        return;
     this->dependencies.store.listMembers(true, [this, group](const std::optional<std::vector<FleetMember>>& members, const Failure& failure) {
         Run* current = this->findRun(group);
         if (current == nullptr)
@@ -369,9 +375,15 @@
 
 void FailoverExecutor::notifyInstances(const Run& run)
 {
-    for (const std::pair<const InstanceId, FleetMember>& member : run.members) {
-        if (member.first != this->dependencies.self)
-            this->dependencies.peers.ask(member.second.peers, this->makePrimaryRecordMessage(), peerTimeout, [](const std::optional<nlohmann::json>&) {});
+    std::vector<FleetMember> notified;
+    for (const std::pair<const InstanceId, FleetMember>& member : run.members)
+        notified.push_back(member.second);
+    // The other instances request the record from the zone readers.
+    if (notified.empty())
+        notified = chooseZoneReaders(this->dependencies.context.listActiveMembers());
+    for (const FleetMember& member : notified) {
+        if (member.id != this->dependencies.self)
+            this->dependencies.peers.ask(member.peers, this->makePrimaryRecordMessage(), peerTimeout, [](const std::optional<nlohmann::json>&) {});
     }
 }
 
--- a/src/gateway/FailoverExecutor.h
+++ b/src/gateway/FailoverExecutor.h
@@ -31,6 +31,9 @@
         virtual const UpstreamList& getUpstreamList() const = 0;
         virtual const LeaseTracker& getLeaseTracker() const = 0;
 
+        /// @returns the active instances
+        virtual std::vector<FleetMember> listActiveMembers() const = 0;
+
         /// @returns whether this instance may act if it is the failover coordinator
         virtual bool mayAct() const = 0;
 
--- a/src/gateway/FleetLists.cpp
+++ b/src/gateway/FleetLists.cpp
@@ -17,7 +17,9 @@
     /// Shorter interval after the start, so that instances that start together find each other.
     constexpr std::chrono::milliseconds startupMemberListInterval { 400 };
     constexpr int numStartupMemberLists = 3;
-    constexpr std::chrono::milliseconds storeRetryInterval { 200 };
+    constexpr std::chrono::milliseconds firstStoreRetry { 200 };
+    /// Hundreds of instances must not keep a busy store busy, and it is used again within two seconds.
+    constexpr std::chrono::milliseconds longestStoreRetry { 1600 };
     /// A zone reader lists at the intervals above, and the others query it every 0.4 s.
     constexpr std::chrono::milliseconds upstreamListLifetime { 2500 };
     constexpr std::chrono::milliseconds memberListLifetime { 6000 };
@@ -53,6 +55,7 @@
     , listener(listener)
     , upstreams(upstreamListLifetime)
     , members(memberListLifetime)
+    , upstreamRetries(firstStoreRetry, longestStoreRetry)
 {
 }
 
@@ -133,7 +136,10 @@
         } else {
             logEvent(events::storeCallFailed, "call=list_upstreams reason=\"" + failure.reason + "\"");
         }
-        this->loop.schedule(list ? upstreamListInterval : storeRetryInterval, [this] { this->listUpstreams(); });
+        if (list)
+            this->upstreamRetries.onSuccess();
+        Duration next = list ? Duration(upstreamListInterval) : this->upstreamRetries.onFailure();
+        this->loop.schedule(next, [this] { this->listUpstreams(); });
     });
 }
 
--- a/src/gateway/FleetLists.h
+++ b/src/gateway/FleetLists.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../peer/PeerRpc.h"
+#include "lentiljunction/core/Backoff.h"
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/fleet/FleetStore.h"
 #include "lentiljunction/fleet/RelayedList.h"
@@ -60,6 +61,7 @@
     RelayedList members;
     std::shared_ptr<const UpstreamList> upstreamList = std::make_shared<UpstreamList>();
     std::vector<FleetMember> memberList;
+    Backoff upstreamRetries;
     int numMemberLists = 0;
 };
 
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -20,6 +20,9 @@
     constexpr std::chrono::milliseconds minimumRelayedLease { 800 };
     constexpr std::chrono::milliseconds zoneReaderRetryDelay { 2000 };
     constexpr std::chrono::milliseconds storeRetryInterval { 200 };
+    /// Hundreds of instances must not keep a busy store busy. The zone readers retry at the interval above, and their
+    /// leases reach the others with the next renewal.
+    constexpr std::chrono::milliseconds longestStoreRetry { 1600 };
     /// Allows several round trips between availability zones.
     constexpr std::chrono::milliseconds peerTimeout { 150 };
     /// The store counts as unreachable when its last response is older.
@@ -45,6 +48,8 @@
     , lists(dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, *this)
     , audit(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance)
     , handover(settings.instance)
+    , recordRetries(storeRetryInterval, longestStoreRetry)
+    , registrationRetries(storeRetryInterval, longestStoreRetry)
 {
 }
 
@@ -67,7 +72,7 @@
         if (isDone)
             return this->renewLease();
         logEvent(events::storeCallFailed, "call=register reason=\"" + failure.reason + "\"");
-        this->dependencies.controlLoop.schedule(storeRetryInterval, [this] { this->registerSelf(); });
+        this->dependencies.controlLoop.schedule(this->registrationRetries.onFailure(), [this] { this->registerSelf(); });
     });
 }
 
@@ -94,8 +99,10 @@
 void GatewayControl::renewLease()
 {
     std::optional<FleetMember> reader = this->findZoneReader();
-    if (!reader || this->dependencies.clock.now() < this->zoneReaderAvoidedUntil)
+    if (!reader)
         return this->readPrimaryRecord();
+    if (this->dependencies.clock.now() < this->zoneReaderAvoidedUntil)
+        return this->readPrimaryRecordUnlessAvoided();
     BootTime sentAt = this->dependencies.clock.bootNow();
     this->peers.ask(reader->peers, { { "ask", "beliefs" } }, peerTimeout, [this, sentAt, endpoint = reader->peers](const std::optional<nlohmann::json>& response) {
         if (response) {
@@ -107,11 +114,20 @@
             this->zoneReaderAvoidedUntil = this->dependencies.clock.now() + zoneReaderRetryDelay;
         }
         if (!response || this->leaseTracker.getRemaining(this->dependencies.clock.bootNow()) < minimumRelayedLease)
-            return this->readPrimaryRecord();
+            return this->readPrimaryRecordUnlessAvoided();
         this->scheduleLeaseRenewal(leaseRenewalInterval);
     });
 }
 
+void GatewayControl::readPrimaryRecordUnlessAvoided()
+{
+    if (this->dependencies.clock.now() >= this->recordReadAvoidedUntil)
+        return this->readPrimaryRecord();
+    this->requestPeerState();
+    this->publishPrimaryView(false);
+    this->scheduleLeaseRenewal(storeRetryInterval);
+}
+
 void GatewayControl::readPrimaryRecord()
 {
     BootTime sentAt = this->dependencies.clock.bootNow();
@@ -121,12 +137,14 @@
 void GatewayControl::onPrimaryRecordRead(const std::optional<VersionedPrimaryRecord>& versioned, const Failure& failure, BootTime sentAt)
 {
     if (versioned) {
+        this->recordRetries.onSuccess();
         this->writer.setBase(*versioned);
         this->onPrimaryRecord(*versioned, sentAt);
     } else if (failure.kind == Failure::Kind::NotFound) {
         this->createPrimaryRecord();
     } else {
         logEvent(events::storeCallFailed, "call=read_lead reason=\"" + failure.reason + "\" permit_ms=" + std::to_string(toMilliseconds(this->leaseTracker.getRemaining(this->dependencies.clock.bootNow()))));
+        this->recordReadAvoidedUntil = this->dependencies.clock.now() + this->recordRetries.onFailure();
         this->requestPeerState();
         this->publishPrimaryView(false);
     }
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -11,6 +11,7 @@
 #include "PrimaryRecordWriter.h"
 #include "RouteWatcher.h"
 #include "UpstreamCommander.h"
+#include "lentiljunction/core/Backoff.h"
 #include "lentiljunction/fleet/FleetStore.h"
 #include "lentiljunction/leadership/CoordinatorHandover.h"
 #include "lentiljunction/leadership/LeaseTracker.h"
@@ -92,6 +93,8 @@
     /// @returns the zone reader, or nothing when this instance reads the store itself
     std::optional<FleetMember> findZoneReader() const;
     void readPrimaryRecord();
+    /// Reads the primary record for an instance whose zone reader does not provide a sufficient lease.
+    void readPrimaryRecordUnlessAvoided();
     void onPrimaryRecordRead(const std::optional<VersionedPrimaryRecord>& versioned, const Failure& failure, BootTime sentAt);
     void createPrimaryRecord();
     /// Passes the known primaries and the lease to the traffic thread.
@@ -135,6 +138,10 @@
     std::size_t nextPeer = 0;
     /// Until this time the store is read directly, since the zone reader did not respond.
     TimePoint zoneReaderAvoidedUntil;
+    /// Limits the reads of the primary record that fail, where the zone reader reads it as well.
+    Backoff recordRetries;
+    TimePoint recordReadAvoidedUntil;
+    Backoff registrationRetries;
     bool isRenewalScheduled = false;
     bool hasListedUpstreams = false;
     /// Whether it is known which instances lend connections.
--- a/src/gateway/RouteWatcher.cpp
+++ b/src/gateway/RouteWatcher.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds storeRetryInterval { 200 };
+    constexpr std::chrono::milliseconds firstStoreRetry { 200 };
+    constexpr std::chrono::milliseconds longestStoreRetry { 1600 };
     /// A watch is renewed after this time, since its connection may be dead without an error, and a new
     /// configuration must be in force within three seconds.
     constexpr std::chrono::milliseconds watchTimeout { 2000 };
@@ -21,6 +22,7 @@
     , clock(clock)
     , store(store)
     , listener(listener)
+    , storeRetries(firstStoreRetry, longestStoreRetry)
     , timer(loop, clock, [this] { this->watchUnlessRelayed(); })
 {
 }
@@ -98,11 +100,21 @@
     logEvent(events::storeCallFailed, "call=" + call + " reason=\"" + failure.reason + "\"");
     // Other instances must not rely on this one while it cannot reach the store.
     this->confirmedAt.reset();
-    this->loop.schedule(storeRetryInterval, [this] { this->read(); });
+    this->loop.schedule(this->storeRetries.onFailure(), [this] { this->retryUnlessRelayed(); });
+}
+
+void RouteWatcher::retryUnlessRelayed()
+{
+    if (!this->relayedFreshness.isFresh(this->clock.bootNow()))
+        return this->read();
+    // The next call to the store reads the routes, since the watch may have missed a change.
+    this->isRelyingOnPeer = true;
+    this->onCallFinished();
 }
 
 void RouteWatcher::applyRoutes(const VersionedRoutes& versioned)
 {
+    this->storeRetries.onSuccess();
     this->revision = std::max(this->revision, versioned.revision);
     if (versioned.table != nullptr)
         this->offer(versioned.table);
--- a/src/gateway/RouteWatcher.h
+++ b/src/gateway/RouteWatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../net/OneShotTimer.h"
+#include "lentiljunction/core/Backoff.h"
 #include "lentiljunction/core/EventLoop.h"
 #include "lentiljunction/fleet/FleetStore.h"
 #include "lentiljunction/routes/ActiveRoutes.h"
@@ -53,6 +54,8 @@
     void onCallFinished();
     void applyRoutes(const VersionedRoutes& versioned);
     void retry(const std::string& call, const Failure& failure);
+    /// Reads the store again after a failure, unless another instance relays the routes.
+    void retryUnlessRelayed();
     /// Watches the store, unless the version reported by another instance is fresh enough.
     void watchUnlessRelayed();
 
@@ -69,6 +72,7 @@
     bool isCallPending = false;
     /// This instance relies on another one, so the revision from which to watch the store is out of date.
     bool isRelyingOnPeer = false;
+    Backoff storeRetries;
     OneShotTimer timer;
 };
 
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -2,8 +2,11 @@
 #include "../../src/gateway/AuditWriter.h"
 #include "../../src/gateway/ListCodec.h"
 #include "../../src/gateway/MemberDirectory.h"
+#include "lentiljunction/core/Backoff.h"
 #include "lentiljunction/fleet/RelayedList.h"
+#include "lentiljunction/fleet/Voters.h"
 #include "lentiljunction/leadership/LeaseTracker.h"
+#include "lentiljunction/leadership/TakeoverVote.h"
 #include "lentiljunction/routes/RelayedRoutes.h"
 
 #include <rapidcheck.h>
@@ -334,3 +337,46 @@
     CHECK_FALSE(decodeUpstreamList(7).has_value());
     CHECK_FALSE(decodeMemberList({ { { "id", "i1" }, { "zone", "z" }, { "peers", { "h", 70000 } } } }).has_value());
 }
+
+TEST_GROUP(Backoff) {};
+
+// The store refuses hundreds of instances for seconds. Guards against retries that keep it busy, and against a delay
+// that stays long after it responds again.
+TEST(Backoff, growsToLongestDelayAndStartsAgainAfterSuccess)
+{
+    Backoff backoff(std::chrono::milliseconds(200), std::chrono::milliseconds(1600));
+    for (int expected : { 200, 400, 800, 1600, 1600 })
+        CHECK(backoff.onFailure() == std::chrono::milliseconds(expected));
+    backoff.onSuccess();
+    CHECK(backoff.onFailure() == std::chrono::milliseconds(200));
+}
+
+TEST_GROUP(Voters) {};
+
+// A zone of a large fleet is cut off, with a sixth of the instances. Guards against one of them that takes over because
+// its sample happens to lie in its own zone, and against an instance outside that cannot win.
+TEST(Voters, partitionedZoneWinsNoVoteByItsSample)
+{
+    std::vector<FleetMember> fleet;
+    for (int index = 0; index < 295; index++)
+        fleet.push_back({ InstanceId("front-" + std::to_string(index)), ZoneId("z" + std::to_string(index % 6)), { "10.0.0.1", 1 } });
+    for (const FleetMember& member : fleet) {
+        std::vector<FleetMember> voters = chooseVoters(fleet, member.id);
+        CHECK(voters.size() < 100);
+        TakeoverVote vote(voters.size() + 1);
+        for (const FleetMember& voter : voters) {
+            bool isReachable = (voter.zone == ZoneId("z0")) == (member.zone == ZoneId("z0"));
+            if (isReachable)
+                vote.addVote(true);
+        }
+        CHECK_EQUAL(member.zone != ZoneId("z0"), vote.isWon());
+    }
+}
+
+TEST(Voters, smallFleetAsksAllOthers)
+{
+    std::vector<FleetMember> fleet;
+    for (int index = 0; index < 75; index++)
+        fleet.push_back({ InstanceId("front-" + std::to_string(index)), ZoneId("z"), { "10.0.0.1", 1 } });
+    CHECK_EQUAL(74, chooseVoters(fleet, fleet.front().id).size());
+}
