--- a/tests/unit/LendingTests.cpp
+++ b/tests/unit/LendingTests.cpp
@@ -305,6 +305,8 @@
         CHECK_EQUAL(2, session->numGranted);
     }
     CHECK_EQUAL(0, bench.getLender(stopping).countLent());
+    for (std::size_t count = 0; count < sessions.size(); count++)
+        CHECK_EQUAL(0, countExecuted(bench.getOwn(stopping), "s" + std::to_string(count) + "-1"));
 }
 
 // No lender reaches the upstream, or none responds. Guards against refusals while this instance reaches it itself.
