--- a/src/traffic/BorrowingSource.h
+++ b/src/traffic/BorrowingSource.h
@@ -56,7 +56,7 @@
     std::vector<FleetMember> lenders;
     std::map<Ticket, Pending> pending;
     Ticket nextTicket = 1;
-    /// The last request was not granted by a lender.
+    /// The lenders could not lend a connection when last asked, or were not asked yet.
     bool isBorrowingDenied = true;
 };
 
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -114,7 +114,7 @@
     std::map<CallerSession*, std::unique_ptr<CallerSession>> sessions;
     bool isDraining = false;
     bool relaysProofs = false;
-    /// Groups for whose check a connection is being borrowed.
+    /// Groups whose primary is being checked on a borrowed connection.
     std::set<GroupId> groupsChecking;
 };
 
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -14,8 +14,8 @@
     /// Without a lease a primary is used while its last verification is at most this old. A new verification
     /// starts several times within this time.
     constexpr std::chrono::milliseconds verificationLifetime { 1200 };
-    /// Connections to an upstream that an instance may open itself while it borrows others. They are used when no
-    /// lender responds, as after a restart of the fleet, when the upstream also counts the lost connections.
+    /// Connections to an upstream that an instance which borrows may open itself. After a restart of the fleet the
+    /// upstream still counts the lost connections, while lenders are slow to respond: more would exceed its limit.
     constexpr std::size_t maximumWhenBorrowing = 1;
     /// Connections that an upstream accepts, as long as no routing configuration is known.
     constexpr int defaultMaximumConnections = 8;
@@ -278,6 +278,7 @@
         return;
     }
     bool isLender = std::any_of(lenders.begin(), lenders.end(), [this](const FleetMember& lender) { return lender.id == this->dependencies.self; });
+    // The lenders share the connections among themselves. The other instances open one only when no lender lends.
     if (isLender)
         pool->setShare(maximum, this->lendingPlan.countLenders());
     else
