--- a/tests/unit/LendingTests.cpp
+++ b/tests/unit/LendingTests.cpp
@@ -1,9 +1,6 @@
 #include "../support/LendingBench.h"
-#include "lentiljunction/fleet/LendingPlan.h"
 
 #include <algorithm>
-#include <iterator>
-#include <map>
 #include <set>
 
 #include <CppUTest/TestHarness.h>
@@ -13,24 +10,8 @@
 
 namespace {
 
-constexpr std::size_t numZones = 6;
-constexpr std::size_t numUpstreams = 60;
-constexpr std::size_t connectionLimit = 88;
 constexpr std::uint64_t numSeeds = 80;
 
-std::vector<FleetMember> makeFleet(std::size_t number)
-{
-    std::vector<FleetMember> members;
-    for (std::size_t index = 0; index < number; index++)
-        members.push_back({ InstanceId("front-" + std::to_string(index)), ZoneId("z" + std::to_string(index % numZones)), { "10.0.0.1", 1 }, Endpoint { "10.0.0.1", 2 } });
-    return members;
-}
-
-UpstreamId makeUpstreamId(std::size_t index)
-{
-    return UpstreamId("u-" + std::to_string(index));
-}
-
 /// A session that runs single statements and short transactions on borrowed connections, and records what happened
 /// to each.
 class BorrowingSession {
@@ -118,112 +99,6 @@
 
 } // namespace
 
-TEST_GROUP(LendingPlan) {};
-
-// A fleet of hundreds of instances in front of upstreams that accept fewer connections than there are instances.
-// Guards against lenders that together keep more than half of an upstream's connections, and against lenders that
-// cannot keep any.
-TEST(LendingPlan, lendersOfLargeFleetShareHalfOfConnections)
-{
-    std::vector<FleetMember> fleet = makeFleet(295);
-    LendingPlan plan(fleet, ZoneId("z0"));
-    CHECK_EQUAL(0, computeConnectionShare(connectionLimit, fleet.size()));
-    std::size_t share = computeConnectionShare(connectionLimit, plan.countLenders());
-    CHECK(share >= 1);
-    CHECK(share * plan.countLenders() <= connectionLimit / 2);
-    for (std::size_t index = 0; index < numUpstreams; index++)
-        CHECK_EQUAL(2, plan.chooseLenders(makeUpstreamId(index)).size());
-}
-
-// Guards against a few instances that lend most of the connections, and with them carry most of the statements.
-TEST(LendingPlan, spreadsUpstreamsOverInstances)
-{
-    std::vector<FleetMember> fleet = makeFleet(295);
-    LendingPlan plan(fleet, ZoneId("z0"));
-    std::map<InstanceId, std::size_t> numLent;
-    for (std::size_t index = 0; index < numUpstreams; index++) {
-        for (const FleetMember& lender : plan.chooseLenders(makeUpstreamId(index)))
-            numLent[lender.id]++;
-    }
-    // 120 loans over 50 instances.
-    for (const std::pair<const InstanceId, std::size_t>& entry : numLent)
-        CHECK(entry.second <= 8);
-    CHECK(numLent.size() >= 35);
-}
-
-// An instance is lost or joins. Guards against a plan that moves the connections of other lenders as well.
-TEST(LendingPlan, lostInstanceMovesOnlyItsOwnUpstreams)
-{
-    std::vector<FleetMember> fleet = makeFleet(295);
-    LendingPlan before(fleet, ZoneId("z0"));
-    InstanceId lost = before.chooseLenders(makeUpstreamId(0)).front().id;
-    std::vector<FleetMember> remaining;
-    std::copy_if(fleet.begin(), fleet.end(), std::back_inserter(remaining), [&lost](const FleetMember& member) { return member.id != lost; });
-    LendingPlan after(remaining, ZoneId("z0"));
-    for (std::size_t index = 0; index < numUpstreams; index++) {
-        std::vector<FleetMember> previous = before.chooseLenders(makeUpstreamId(index));
-        std::vector<FleetMember> next = after.chooseLenders(makeUpstreamId(index));
-        for (const FleetMember& lender : previous) {
-            bool isKept = std::any_of(next.begin(), next.end(), [&lender](const FleetMember& member) { return member.id == lender.id; });
-            CHECK_EQUAL(lender.id != lost, isKept);
-        }
-    }
-}
-
-// Instances of an earlier version register no address for loans. Guards against borrowing from them.
-TEST(LendingPlan, ignoresInstancesThatDoNotLend)
-{
-    std::vector<FleetMember> fleet = makeFleet(12);
-    for (FleetMember& member : fleet)
-        member.lending.reset();
-    LendingPlan plan(fleet, ZoneId("z0"));
-    CHECK_EQUAL(0, plan.countLenders());
-    CHECK(plan.chooseLenders(makeUpstreamId(0)).empty());
-}
-
-TEST_GROUP(LenderSelector) {};
-
-// A slow instance. Guards against waiting for it while the other lender responds at once, and against never
-// returning to it.
-TEST(LenderSelector, leavesSlowLenderAndReturns)
-{
-    ManualClock clock;
-    LenderSelector selector(InstanceId("borrower"));
-    std::vector<FleetMember> lenders = makeFleet(2);
-    InstanceId preferred = selector.choose(lenders, {}, clock.now())->id;
-    InstanceId other = lenders[lenders[0].id == preferred ? 1 : 0].id;
-    selector.onResponse(other, std::chrono::milliseconds(1), clock.now());
-    for (int count = 0; count < 10; count++)
-        selector.onResponse(preferred, std::chrono::milliseconds(60), clock.now());
-    CHECK(other == selector.choose(lenders, {}, clock.now())->id);
-    clock.advance(std::chrono::seconds(3));
-    CHECK(preferred == selector.choose(lenders, {}, clock.now())->id);
-}
-
-// Guards against asking a silent lender again at once, and against asking no lender when both were silent for long.
-TEST(LenderSelector, avoidsSilentLenderForBackoff)
-{
-    ManualClock clock;
-    LenderSelector selector(InstanceId("borrower"));
-    std::vector<FleetMember> lenders = makeFleet(2);
-    InstanceId preferred = selector.choose(lenders, {}, clock.now())->id;
-    selector.onSilence(preferred, clock.now());
-    CHECK(preferred != selector.choose(lenders, {}, clock.now())->id);
-    selector.onSilence(selector.choose(lenders, {}, clock.now())->id, clock.now());
-    CHECK_FALSE(selector.choose(lenders, {}, clock.now()).has_value());
-    clock.advance(std::chrono::seconds(1));
-    CHECK(selector.choose(lenders, {}, clock.now()).has_value());
-}
-
-// A lender uses its own connections. Guards against borrowing from the other lender.
-TEST(LenderSelector, lenderUsesOwnConnections)
-{
-    ManualClock clock;
-    std::vector<FleetMember> lenders = makeFleet(2);
-    for (const FleetMember& lender : lenders)
-        CHECK_FALSE(LenderSelector(lender.id).choose(lenders, {}, clock.now()).has_value());
-}
-
 TEST_GROUP(Lending) {};
 
 // Many instances with few statements each, as in a large fleet. Guards against a new connection for each statement.
@@ -454,59 +329,3 @@
         }
     }
 }
-
-TEST_GROUP(LendingMessage) {};
-
-TEST(LendingMessage, encodesAllFields)
-{
-    LendingMessage message;
-    message.kind = LendingMessage::Kind::Borrow;
-    message.loan = 7;
-    message.upstream = UpstreamId("u1");
-    message.rank = Rank::Background;
-    message.caller = CallerId("driver");
-    message.wait = std::chrono::milliseconds(80);
-    message.context.values["zone"] = std::string("a\xff\x00b", 4);
-    message.context.preparedNames = { "r-x", "w-y" };
-    std::optional<LendingMessage> decoded = decodeLendingMessage(encodeLendingMessage(message));
-    CHECK(decoded.has_value());
-    CHECK(decoded->upstream == message.upstream);
-    CHECK(decoded->rank == message.rank);
-    CHECK(decoded->caller == message.caller);
-    CHECK(decoded->wait == message.wait);
-    CHECK(decoded->context.values == message.context.values);
-    CHECK(decoded->context.preparedNames == message.context.preparedNames);
-
-    LendingMessage reply;
-    reply.kind = LendingMessage::Kind::Reply;
-    reply.reply.rows = { "a", "" };
-    reply.reply.signature = "7.1f3";
-    reply.reply.code = ReplyCode::Busy;
-    reply.reply.message = "no slot";
-    reply.reply.state = TransactionState::Failed;
-    reply.reply.head = LogPoint { Term(3), Position(9) };
-    decoded = decodeLendingMessage(encodeLendingMessage(reply));
-    CHECK(decoded.has_value());
-    CHECK(decoded->reply.rows == reply.reply.rows);
-    STRCMP_EQUAL("7.1f3", decoded->reply.signature.c_str());
-    CHECK(decoded->reply.code == ReplyCode::Busy);
-    CHECK(decoded->reply.state == TransactionState::Failed);
-    CHECK(decoded->reply.head == reply.reply.head);
-}
-
-// Guards against a malformed message of another instance that throws or is taken for a valid one.
-TEST(LendingMessage, refusesMalformedBytes)
-{
-    LendingMessage message;
-    message.kind = LendingMessage::Kind::Granted;
-    std::string valid = encodeLendingMessage(message);
-    CHECK(decodeLendingMessage(valid).has_value());
-    for (std::size_t length = 0; length < valid.size(); length++)
-        CHECK_FALSE(decodeLendingMessage(valid.substr(0, length)).has_value());
-    Random random(3);
-    for (int count = 0; count < 20000; count++) {
-        std::string changed = valid;
-        changed[random.below(changed.size())] = static_cast<char>(random.below(256));
-        decodeLendingMessage(changed);
-    }
-}
