Log and measure which era of the store an instance has seen

Cause: the era in the store's responses was ignored, and neither log nor metrics told from which revision the routes are watched and in which era the primary record was read. The three hypotheses on the restored store could not be told apart from one instance's logs: only calls that fail are logged.

Events 224 (store_restored) and 225 (routes_position_lost), store_era on 410 to 412, gauges store_era, lead_era, routes_revision.

--- a/include/lentiljunction/core/Ids.h
+++ b/include/lentiljunction/core/Ids.h
@@ -102,6 +102,9 @@
 using BundleVersion = Number<struct BundleVersionTag>;
 /// The version of an object in the platform's store; zero means absent.
 using StoreVersion = Number<struct StoreVersionTag>;
+/// Increases each time the platform's store was restored from an older copy. Versions of its objects compare only
+/// within one era, because a restored store issues the lost ones again.
+using StoreEra = Number<struct StoreEraTag>;
 /// A number that increases with each change of the failover coordinator; the greatest number belongs
 /// to the current one.
 using FencingToken = Number<struct FencingTokenTag>;
--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -39,6 +39,8 @@
     constexpr LogEvent routesInvalid { 221, LogLevel::Warning, "routes_invalid", "The routes in the store are invalid; the active routes stay in use." };
     constexpr LogEvent entryInvalid { 222, LogLevel::Warning, "entry_invalid", "An entry in the store is invalid and is ignored." };
     constexpr LogEvent storeCallFailed { 223, LogLevel::Warning, "store_call_failed", "A call to the store was rejected or got no response." };
+    constexpr LogEvent storeRestored { 224, LogLevel::Warning, "store_restored", "The platform's store was restored from an older copy: what was written to it shortly before is lost." };
+    constexpr LogEvent routesPositionLost { 225, LogLevel::Warning, "routes_position_lost", "The watch of the routes cannot continue from its revision; the routes are read again." };
     constexpr LogEvent settingsReloaded { 106, LogLevel::Information, "settings_reloaded", "The settings were read again after a signal." };
     constexpr LogEvent memberChanged { 300, LogLevel::Information, "member_changed", "The state of another instance changed." };
     constexpr LogEvent peerLinkOpened { 310, LogLevel::Information, "peer_link_opened", "A link to another instance is open." };
--- a/include/lentiljunction/fleet/FleetStore.h
+++ b/include/lentiljunction/fleet/FleetStore.h
@@ -26,6 +26,8 @@
 struct VersionedRoutes {
     std::shared_ptr<const RouteTable> table;
     StoreVersion revision;
+    /// The era of the store to which the revision belongs.
+    StoreEra era = StoreEra();
 };
 
 /// The state that all instances share: routing configuration, upstreams, primary record and instances.
@@ -40,6 +42,9 @@
 
     virtual ~FleetStore() = default;
 
+    /// @returns the newest era of the store that a response named, zero before the first
+    virtual StoreEra getEra() const = 0;
+
     /// Reads the routing configuration, linearizable.
     virtual void readRoutes(Callback<VersionedRoutes> callback) = 0;
 
--- a/include/lentiljunction/leadership/PrimaryRecord.h
+++ b/include/lentiljunction/leadership/PrimaryRecord.h
@@ -61,6 +61,8 @@
 struct VersionedPrimaryRecord {
     std::shared_ptr<const PrimaryRecord> record;
     StoreVersion revision;
+    /// The era of the store in which the record was read or written.
+    StoreEra storeEra = StoreEra();
 };
 
 } // namespace lentiljunction
--- a/include/lentiljunction/metrics/GatewayMetrics.h
+++ b/include/lentiljunction/metrics/GatewayMetrics.h
@@ -42,7 +42,13 @@
     /// The state known to an instance at one moment.
     struct KnownState {
         std::uint64_t routesVersion = 0;
+        /// The revision of the store from which the routes are watched.
+        std::uint64_t routesRevision = 0;
+        /// The newest era of the store.
+        std::uint64_t storeEra = 0;
         std::uint64_t primaryRevision = 0;
+        /// The era in which the known primary record was read.
+        std::uint64_t primaryRecordEra = 0;
         std::uint64_t epoch = 0;
         bool isFailoverCoordinator = false;
         /// The remaining time of the lease on the primary record; zero when it has expired.
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -86,6 +86,8 @@
         events::routesInvalid,
         events::entryInvalid,
         events::storeCallFailed,
+        events::storeRestored,
+        events::routesPositionLost,
         events::memberChanged,
         events::peerLinkOpened,
         events::peerLinkLost,
--- a/src/fleet/MeteredFleetStore.h
+++ b/src/fleet/MeteredFleetStore.h
@@ -19,6 +19,7 @@
     /// @param clock must outlive this object, as must `metrics`
     MeteredFleetStore(std::unique_ptr<FleetStore> inner, const Clock& clock, GatewayMetrics& metrics);
 
+    StoreEra getEra() const override { return this->inner->getEra(); }
     void readRoutes(Callback<VersionedRoutes> callback) override { this->inner->readRoutes(this->meter("read_routes", std::move(callback))); }
     void watchRoutes(StoreVersion after, Duration wait, Callback<VersionedRoutes> callback) override { this->inner->watchRoutes(after, wait, this->meter("watch_routes", std::move(callback))); }
     void listUpstreams(Callback<std::shared_ptr<const UpstreamList>> callback) override { this->inner->listUpstreams(this->meter("list_upstreams", std::move(callback))); }
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -171,12 +171,12 @@
         this->updateRetired();
     bool hasValidLease = view.hasValidLease(this->dependencies.clock.bootNow());
     if (hasValidLease != this->hadValidLease)
-        logEvent(hasValidLease ? events::leaseRegained : events::leaseLost, "lead_revision=" + std::to_string(view.latest.revision.value()));
+        logEvent(hasValidLease ? events::leaseRegained : events::leaseLost, "lead_revision=" + std::to_string(view.latest.revision.value()) + " store_era=" + std::to_string(this->dependencies.store.getEra().value()));
     this->hadValidLease = hasValidLease;
     if (view.latest.record == nullptr)
         return;
     if (isNewer) {
-        logEvent(events::primaryRecordUpdated, "lead_revision=" + std::to_string(view.latest.revision.value()) + " holder=" + view.latest.record->coordinator.toString() + " epoch=" + std::to_string(view.latest.record->epoch.value()) + " groups=" + encodePrimaryRecord(*view.latest.record)["groups"].dump());
+        logEvent(events::primaryRecordUpdated, "lead_revision=" + std::to_string(view.latest.revision.value()) + " store_era=" + std::to_string(view.latest.storeEra.value()) + " holder=" + view.latest.record->coordinator.toString() + " epoch=" + std::to_string(view.latest.record->epoch.value()) + " groups=" + encodePrimaryRecord(*view.latest.record)["groups"].dump());
         this->dependencies.trafficLoop.post([this, view] { this->dependencies.traffic.setPrimaryView(view); });
         this->updateReady();
         return this->coordination.checkStalledFailovers();
@@ -238,7 +238,7 @@
     std::optional<PrimaryRecord> record = decodePrimaryRecord(response["record"], failure);
     if (!record || !response["revision"].is_number_unsigned() || !response["permit_us"].is_number_integer())
         return logEvent(events::peerMessageInvalid, "reason=\"" + failure.reason + "\"");
-    VersionedPrimaryRecord versioned { std::make_shared<PrimaryRecord>(std::move(*record)), StoreVersion(response["revision"].get<std::uint64_t>()) };
+    VersionedPrimaryRecord versioned { std::make_shared<PrimaryRecord>(std::move(*record)), StoreVersion(response["revision"].get<std::uint64_t>()), StoreEra() };
     this->writer.setBase(versioned);
     this->publishPrimaryView(this->leaseTracker.onPeerResponse(versioned, Duration(response["permit_us"].get<std::int64_t>()), sentAt));
 }
@@ -307,9 +307,12 @@
         state.routesVersion = this->routes.getTable()->version.value();
     if (view.latest.record != nullptr) {
         state.primaryRevision = view.latest.revision.value();
+        state.primaryRecordEra = view.latest.storeEra.value();
         state.epoch = view.latest.record->epoch.value();
         state.isFailoverCoordinator = view.latest.record->coordinator == this->settings.instance;
     }
+    state.routesRevision = this->routes.getRevision().value();
+    state.storeEra = this->dependencies.store.getEra().value();
     state.lease = this->leaseTracker.getRemaining(this->dependencies.clock.bootNow());
     state.numInstances = this->members.getSize();
     state.numUpstreams = this->upstreams.getList()->entries.size();
--- a/src/gateway/RouteWatcher.cpp
+++ b/src/gateway/RouteWatcher.cpp
@@ -115,6 +115,8 @@
 void RouteWatcher::applyRoutes(const VersionedRoutes& versioned)
 {
     this->storeRetries.onSuccess();
+    if (versioned.revision < this->revision)
+        logEvent(events::routesPositionLost, "revision=" + std::to_string(this->revision.value()) + " read=" + std::to_string(versioned.revision.value()) + " store_era=" + std::to_string(versioned.era.value()));
     this->revision = std::max(this->revision, versioned.revision);
     if (versioned.table != nullptr)
         this->offer(versioned.table);
--- a/src/gateway/RouteWatcher.h
+++ b/src/gateway/RouteWatcher.h
@@ -49,6 +49,9 @@
     /// @returns the configuration in force, or nullptr before the first
     const std::shared_ptr<const RouteTable>& getTable() const { return this->routes.getTable(); }
 
+    /// @returns the revision of the store from which the routes are watched
+    StoreVersion getRevision() const { return this->revision; }
+
 private:
     void read();
     void onCallFinished();
--- a/src/metrics/GatewayMetrics.cpp
+++ b/src/metrics/GatewayMetrics.cpp
@@ -64,6 +64,9 @@
     LabeledGauges& gauges = this->implementation->knownState;
     gauges.beginUpdate();
     gauges.set({ { "fact", "routes_version" } }, static_cast<double>(knownState.routesVersion));
+    gauges.set({ { "fact", "routes_revision" } }, static_cast<double>(knownState.routesRevision));
+    gauges.set({ { "fact", "store_era" } }, static_cast<double>(knownState.storeEra));
+    gauges.set({ { "fact", "lead_era" } }, static_cast<double>(knownState.primaryRecordEra));
     gauges.set({ { "fact", "lead_revision" } }, static_cast<double>(knownState.primaryRevision));
     gauges.set({ { "fact", "epoch" } }, static_cast<double>(knownState.epoch));
     gauges.set({ { "fact", "holds_duty" } }, knownState.isFailoverCoordinator ? 1 : 0);
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -28,6 +28,8 @@
 struct HttpClientResponse {
     int status = 0;
     std::string body;
+    /// By name in lower case.
+    std::map<std::string, std::string> headers;
 };
 
 /// Sends requests to one HTTP server without blocking.
--- a/src/net/HttpMessage.cpp
+++ b/src/net/HttpMessage.cpp
@@ -1,6 +1,8 @@
 #include "HttpMessage.h"
 
+#include <algorithm>
 #include <boost/beast/http.hpp>
+#include <cctype>
 #include <sstream>
 #include <utility>
 
@@ -75,7 +77,13 @@
 HttpClientResponse HttpResponseParser::releaseResponse()
 {
     http::response<http::string_body>& message = this->implementation->parser.get();
-    return { static_cast<int>(message.result_int()), std::move(message.body()) };
+    HttpClientResponse response { static_cast<int>(message.result_int()), std::move(message.body()), {} };
+    for (http::fields::const_iterator field = message.begin(); field != message.end(); ++field) {
+        std::string name(field->name_string());
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+        response.headers[name] = std::string(field->value());
+    }
+    return response;
 }
 
 } // namespace lentiljunction
--- a/src/net/WebSocketServer.cpp
+++ b/src/net/WebSocketServer.cpp
@@ -140,6 +140,8 @@
     try {
         connection->set_status(static_cast<websocketpp::http::status_code::value>(response.status));
         connection->append_header("Content-Type", response.contentType);
+        for (const std::pair<const std::string, std::string>& header : response.headers)
+            connection->append_header(header.first, header.second);
         // websocketpp closes the connection after each response.
         connection->append_header("Connection", "close");
         connection->set_body(response.body);
--- a/src/net/WebSocketServer.h
+++ b/src/net/WebSocketServer.h
@@ -5,6 +5,7 @@
 #include "lentiljunction/settings/Settings.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -22,6 +23,7 @@
     int status = 200;
     std::string contentType = "application/json";
     std::string body;
+    std::map<std::string, std::string> headers = {};
 };
 
 /// Serves WebSocket sessions and plain HTTP requests on one port.
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -27,6 +27,7 @@
     {
     }
 
+    StoreEra getEra() const override { return StoreEra(1); }
     void readRoutes(Callback<VersionedRoutes> callback) override { this->respond(callback, VersionedRoutes()); }
     void watchRoutes(StoreVersion, Duration, Callback<VersionedRoutes> callback) override { this->respond(callback, VersionedRoutes()); }
     void listUpstreams(Callback<std::shared_ptr<const UpstreamList>> callback) override { this->respond(callback, std::shared_ptr<const UpstreamList>()); }
