--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -44,6 +44,12 @@
     {
     }
 
+    void respond(WebSocketServer::Handle handle, HttpResponse response)
+    {
+        response.headers["Store-Era"] = std::to_string(this->store.era);
+        this->server.respond(handle, response);
+    }
+
     WebSocketServer server;
     std::atomic<Fault> fault { Fault::None };
 
@@ -113,12 +119,33 @@
 void PlatformStore::compact()
 {
     std::lock_guard<std::mutex> lock(this->mutex);
+    this->endWatches();
+}
+
+void PlatformStore::saveCopy()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->copiedKinds = this->kinds;
+    this->copiedRevision = this->revision;
+}
+
+void PlatformStore::restoreCopy()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->kinds = this->copiedKinds;
+    this->revision = this->copiedRevision;
+    this->era++;
+    this->endWatches();
+}
+
+void PlatformStore::endWatches()
+{
     this->history.clear();
     this->oldestRevisionKept = this->revision + 1;
     std::vector<Watch> cancelledWatches = std::exchange(this->watches, {});
     this->loop.post([cancelledWatches] {
         for (const Watch& watch : cancelledWatches)
-            watch.port->server.respond(watch.handle, respondWith(gone));
+            watch.port->respond(watch.handle, respondWith(gone));
     });
 }
 
@@ -167,7 +194,7 @@
     if (currentFault == Fault::Silent)
         return;
     bool isRefused = currentFault == Fault::Unavailable || currentFault == Fault::TooManyRequests;
-    port.server.respond(handle, isRefused ? respondWith(currentFault == Fault::TooManyRequests ? tooMany : unavailable) : response);
+    port.respond(handle, isRefused ? respondWith(currentFault == Fault::TooManyRequests ? tooMany : unavailable) : response);
 }
 
 void PlatformStore::startWatch(Port& port, WebSocketServer::Handle handle, const std::string& kind, const std::string& query)
@@ -176,8 +203,8 @@
     std::chrono::milliseconds wait(std::stoll("0" + findParameter(query, "wait_ms")));
     {
         std::lock_guard<std::mutex> lock(this->mutex);
-        if (after + 1 < this->oldestRevisionKept)
-            return port.server.respond(handle, respondWith(gone));
+        if (after + 1 < this->oldestRevisionKept || after > this->revision)
+            return port.respond(handle, respondWith(gone));
         this->watches.push_back({ &port, handle, kind, after });
     }
     this->completeWatches();
@@ -241,9 +268,9 @@
     std::string path = request.path.substr(0, request.path.find('?'));
     std::string query = request.path.substr(std::min(request.path.size(), path.size() + 1));
     if (path == "/promotion")
-        return port.server.respond(handle, this->handlePromotion(request));
+        return port.respond(handle, this->handlePromotion(request));
     if (path.rfind(objectsPrefix, 0) != 0)
-        return port.server.respond(handle, respondWith(notFound));
+        return port.respond(handle, respondWith(notFound));
 
     std::string rest = path.substr(objectsPrefix.size());
     std::string kind = rest.substr(0, rest.find('/'));
@@ -256,7 +283,7 @@
     }
     HttpResponse response = request.method == "GET" ? this->handleRead(kind, name) : this->handleWrite(request, kind, name);
     if (currentFault != Fault::DropsResponses || request.method == "GET")
-        port.server.respond(handle, response);
+        port.respond(handle, response);
 }
 
 } // namespace lentiljunction::standin
--- a/standins/platform/PlatformStore.h
+++ b/standins/platform/PlatformStore.h
@@ -2,6 +2,7 @@
 
 #include "../../src/net/WebSocketServer.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -59,6 +60,13 @@
     /// Discards the history, so that open watches and those of older revisions end with 410.
     void compact();
 
+    /// Keeps a copy of all objects and of the revision.
+    void saveCopy();
+
+    /// Returns to the last copy, or to an empty store without one, and begins a new era. Revisions issued since then
+    /// are issued again, and open watches end.
+    void restoreCopy();
+
     /// Sets the fault of every port.
     void setFault(Fault fault);
 
@@ -99,6 +107,8 @@
     void startWatch(Port& port, WebSocketServer::Handle handle, const std::string& kind, const std::string& query);
     void store(const std::string& kind, const std::string& name, const nlohmann::json& spec);
     void completeWatches();
+    /// Discards the history and ends all watches. The mutex must be held.
+    void endWatches();
     nlohmann::json describe(const std::string& name, const Object& object) const;
     nlohmann::json listEvents(const std::string& kind, std::uint64_t after) const;
 
@@ -106,6 +116,9 @@
     std::vector<std::unique_ptr<Port>> ports;
     std::mutex mutex;
     std::map<std::string, std::map<std::string, Object>> kinds;
+    std::map<std::string, std::map<std::string, Object>> copiedKinds;
+    std::uint64_t copiedRevision = 1;
+    std::atomic<std::uint64_t> era { 1 };
     std::vector<Event> history;
     std::vector<Watch> watches;
     std::uint64_t revision = 1;
--- a/tests/process/GatewayFixture.cpp
+++ b/tests/process/GatewayFixture.cpp
@@ -38,13 +38,20 @@
     Failure failure;
     this->site.start(failure);
     this->configure(1, { "bookings" });
-    for (int index = 0; index < numInstances; index++) {
-        GatewaySettings settings = this->makeSettings(static_cast<std::size_t>(index));
-        this->instances.push_back(std::make_unique<GatewayInstance>(settings, this->clock, this->adapter.getProtocol(), [this](EventLoop& controlLoop, const GatewaySettings& given) {
-            return this->adapter.makeStore(controlLoop, given);
-        }));
-        this->instances.back()->start(failure);
-    }
+    for (int index = 0; index < numInstances; index++)
+        this->startInstance();
+}
+
+std::size_t GatewayFixture::startInstance()
+{
+    Failure failure;
+    std::size_t index = this->instances.size();
+    GatewaySettings settings = this->makeSettings(index);
+    this->instances.push_back(std::make_unique<GatewayInstance>(settings, this->clock, this->adapter.getProtocol(), [this](EventLoop& controlLoop, const GatewaySettings& given) {
+        return this->adapter.makeStore(controlLoop, given);
+    }));
+    this->instances.back()->start(failure);
+    return index;
 }
 
 GatewayFixture::~GatewayFixture()
--- a/tests/process/GatewayFixture.h
+++ b/tests/process/GatewayFixture.h
@@ -36,6 +36,11 @@
     /// Stops an instance without draining it, like a killed process.
     void kill(std::size_t index) { this->instances[index].reset(); }
 
+    /// Starts another instance, which knows only what the store and the other instances tell it.
+    ///
+    /// @returns its index
+    std::size_t startInstance();
+
     /// Drains an instance, then stops it.
     void drain(std::size_t index);
 
--- /dev/null
+++ b/tests/support/QueuedFleetStore.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "lentiljunction/fleet/FleetStore.h"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+namespace lentiljunction {
+
+/// A store whose calls for routes wait until a test answers them; all other calls stay unanswered.
+class QueuedFleetStore : public FleetStore {
+public:
+    /// A read or a watch of the routes.
+    struct RouteCall {
+        /// The revision to watch from; nothing for a read.
+        std::optional<StoreVersion> watchedFrom;
+        Callback<VersionedRoutes> callback;
+    };
+
+    /// Waits for a call.
+    RouteCall peekRouteCall()
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        this->isAdded.wait(lock, [this] { return !this->routeCalls.empty(); });
+        return this->routeCalls.front();
+    }
+
+    /// Waits for a call and removes it.
+    RouteCall takeRouteCall()
+    {
+        RouteCall call = this->peekRouteCall();
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->routeCalls.pop_front();
+        return call;
+    }
+
+    StoreEra getEra() const override { return StoreEra(); }
+    void readRoutes(Callback<VersionedRoutes> callback) override { this->add({ std::nullopt, std::move(callback) }); }
+    void watchRoutes(StoreVersion after, Duration, Callback<VersionedRoutes> callback) override { this->add({ after, std::move(callback) }); }
+    void listUpstreams(Callback<std::shared_ptr<const UpstreamList>>) override { }
+    void readPrimaryRecord(Callback<VersionedPrimaryRecord>) override { }
+    void writePrimaryRecord(const PrimaryRecord&, StoreVersion, Callback<VersionedPrimaryRecord>) override { }
+    void registerMember(const FleetMember&, Callback<bool>) override { }
+    void removeMember(const InstanceId&, Callback<bool>) override { }
+    void listMembers(bool, Callback<std::vector<FleetMember>>) override { }
+    void writeAudit(const std::string&, const std::string&, Callback<bool>) override { }
+    void promote(const GroupId&, const UpstreamId&, const InstanceId&, FencingToken, Callback<bool>) override { }
+
+private:
+    void add(RouteCall call)
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->routeCalls.push_back(std::move(call));
+        this->isAdded.notify_all();
+    }
+
+    std::mutex mutex;
+    std::condition_variable isAdded;
+    std::deque<RouteCall> routeCalls;
+};
+
+} // namespace lentiljunction
