Continue the watch of the routes from the revision of a restored store

Cause: the watch continued from the greatest revision ever seen. A restored store issues revisions again: it refused that watch with 410 until it had reached the revision, and then skipped whatever was written at or below it; each empty response confirmed the old version to the other instances of the zone. Why this works: a position is now the revision of the last response with its era. Reads replace it also by a lower one, and a watch that is answered in another era leads to a read. Ruled out: a slow relay between instances (both readers of the zone had the old version).

--- a/include/lentiljunction/fleet/FleetStore.h
+++ b/include/lentiljunction/fleet/FleetStore.h
@@ -48,7 +48,8 @@
     /// Reads the routing configuration, linearizable.
     virtual void readRoutes(Callback<VersionedRoutes> callback) = 0;
 
-    /// Waits for a routing configuration later than a revision.
+    /// Waits for a routing configuration later than a revision. A response of a newer era than that of the revision does
+    /// not show what was written in between.
     ///
     /// @param wait maximum time to wait; afterwards the callback receives the current revision and no table
     virtual void watchRoutes(StoreVersion after, Duration wait, Callback<VersionedRoutes> callback) = 0;
--- a/src/gateway/RouteWatcher.cpp
+++ b/src/gateway/RouteWatcher.cpp
@@ -2,7 +2,6 @@
 
 #include "lentiljunction/core/LogEvents.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace lentiljunction {
@@ -89,6 +88,10 @@
     this->store.watchRoutes(this->revision, watchTimeout, [this](const std::optional<VersionedRoutes>& versioned, const Failure& failure) {
         if (!versioned)
             return this->retry("watch_routes", failure);
+        if (versioned->era != this->era) {
+            logEvent(events::routesPositionLost, "revision=" + std::to_string(this->revision.value()) + " era=" + std::to_string(this->era.value()) + " store_era=" + std::to_string(versioned->era.value()));
+            return this->read();
+        }
         this->confirmedAt = this->clock.bootNow();
         this->applyRoutes(*versioned);
         this->onCallFinished();
@@ -117,7 +120,9 @@
     this->storeRetries.onSuccess();
     if (versioned.revision < this->revision)
         logEvent(events::routesPositionLost, "revision=" + std::to_string(this->revision.value()) + " read=" + std::to_string(versioned.revision.value()) + " store_era=" + std::to_string(versioned.era.value()));
-    this->revision = std::max(this->revision, versioned.revision);
+    // Responses arrive in the order of the calls, so a lower revision is that of a restored store.
+    this->revision = versioned.revision;
+    this->era = versioned.era;
     if (versioned.table != nullptr)
         this->offer(versioned.table);
 }
--- a/src/gateway/RouteWatcher.h
+++ b/src/gateway/RouteWatcher.h
@@ -67,8 +67,9 @@
     FleetStore& store;
     Listener& listener;
     ActiveRoutes routes;
-    /// Newest revision read from the store; the watch reports revisions after it.
+    /// The revision of the last response, and the era of the store that issued it; the watch reports later ones.
     StoreVersion revision;
+    StoreEra era;
     RelayedFreshness relayedFreshness;
     /// When the store last confirmed that there is no newer configuration.
     std::optional<BootTime> confirmedAt;
