Recover the primary record in the new era of a restored store

Cause: leases, the order of primary records, conditions of writes, confirmations and registrations relied on revisions that never go back. An instance that knew the lost record ignored the restored one but extended its lease by reading it; one that did not know it got a lease on a primary that had been replaced; the coordinator repeated its write on condition of a lost revision (1,641 times). Class: knowledge taken from a store is ordered and trusted by a number that the store may issue again. Why it works: a record carries the era in which it was written and grants a lease only when read in that era, to an instance that registered in it. After a restore nobody has a lease until the record was written again, which waits until the leases of the previous era and promotions called within them have ended; then each group's primary is confirmed by all its upstreams, or replaced. Epochs and generations of different eras are apart. A missing record is created at once only at the first start of the system (store.first_start).

--- a/include/lentiljunction/fleet/FleetStore.h
+++ b/include/lentiljunction/fleet/FleetStore.h
@@ -65,8 +65,9 @@
     /// @param expected the expected revision; zero when the record must not exist yet
     virtual void writePrimaryRecord(const PrimaryRecord& record, StoreVersion expected, Callback<VersionedPrimaryRecord> callback) = 0;
 
-    /// Registers an instance, replacing an earlier entry of the same id.
-    virtual void registerMember(const FleetMember& member, Callback<bool> callback) = 0;
+    /// Registers an instance, replacing an earlier entry of the same id. The callback receives the era of the store in
+    /// which it is registered.
+    virtual void registerMember(const FleetMember& member, Callback<StoreEra> callback) = 0;
 
     /// Removes the entry of an instance that stops permanently.
     virtual void removeMember(const InstanceId& member, Callback<bool> callback) = 0;
--- a/include/lentiljunction/leadership/CoordinatorHandover.h
+++ b/include/lentiljunction/leadership/CoordinatorHandover.h
@@ -31,12 +31,13 @@
     void onRecord(const PrimaryRecord& record, StoreVersion revision, BootTime now)
     {
         // While a failover is in progress, its coordinator may act until a newer record is read.
-        if (this->lastRevision && *this->lastRevision == revision && !this->isChanging)
+        if (this->lastRevision && *this->lastRevision == revision && this->lastEra == record.era && !this->isChanging)
             return;
         this->isChanging = false;
         for (const std::pair<const GroupId, PrimaryEntry>& group : record.groups)
             this->isChanging = this->isChanging || group.second.phase == PrimaryPhase::Changing;
         this->lastRevision = revision;
+        this->lastEra = record.era;
         if (record.coordinator != this->self && !record.groups.empty())
             this->otherActedAt = now;
     }
@@ -47,6 +48,8 @@
 private:
     InstanceId self;
     std::optional<StoreVersion> lastRevision;
+    /// The era of the store to which the revision belongs.
+    StoreEra lastEra;
     std::optional<BootTime> otherActedAt;
     bool isChanging = false;
 };
--- a/include/lentiljunction/leadership/LeaseTracker.h
+++ b/include/lentiljunction/leadership/LeaseTracker.h
@@ -2,6 +2,8 @@
 
 #include "lentiljunction/leadership/PrimaryView.h"
 
+#include <set>
+
 namespace lentiljunction {
 
 /// How long an instance may act on a read of the primary record. When an instance is partitioned, the
@@ -27,7 +29,13 @@
     {
     }
 
-    /// Processes the result of a linearizable read or a conditional write.
+    /// This instance was registered in an era of the store. Failovers of that era wait for its confirmation, so it may
+    /// get leases on records that were written in it.
+    void onRegistered(StoreEra era) { this->registeredEras.insert(era); }
+
+    /// Processes the result of a linearizable read or a conditional write. A record that was written in an earlier era of
+    /// the store than it was read in grants no lease, since failovers may be missing from it.
+    ///
     ///
     /// @param sentAt when the call was sent
     /// @returns whether the record is newer than the known one
@@ -53,6 +61,7 @@
     bool update(const VersionedPrimaryRecord& versioned, BootTime leaseEnd);
 
     InstanceId self;
+    std::set<StoreEra> registeredEras;
     PrimaryView view;
 };
 
--- a/include/lentiljunction/leadership/PrimaryRecord.h
+++ b/include/lentiljunction/leadership/PrimaryRecord.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 
 namespace lentiljunction {
 
@@ -31,12 +32,16 @@
     LogPoint baseline;
     /// The greatest known term of the group.
     Term term;
+    /// The era of the store in which the entry was written, or last confirmed by the upstreams of the group.
+    StoreEra era = StoreEra();
 };
 
 /// The primary of each group and the failover coordinator. All instances share this one object in the
 /// store.
 ///
-/// A group without an entry has never had a failover.
+/// A group without an entry has never had a failover, unless the record was restored from an older copy.
+///
+/// @see PrimaryRecordRecovery
 struct PrimaryRecord {
     /// The failover coordinator: the only instance that may promote.
     InstanceId coordinator;
@@ -48,6 +53,10 @@
     std::set<InstanceId> retired;
     /// Unique for each write, so that the writer recognises its write after a lost response.
     std::string nonce;
+    /// The era of the store in which the record was written. In a later era it is a copy that may lack failovers.
+    StoreEra era = StoreEra();
+    /// The era in which the record was created; its groups without an entry have had no failover since.
+    StoreEra createdIn = StoreEra();
 
     /// @returns the entry of a group, or nullptr
     const PrimaryEntry* find(const GroupId& group) const
@@ -55,6 +64,13 @@
         std::map<GroupId, PrimaryEntry>::const_iterator found = this->groups.find(group);
         return found == this->groups.end() ? nullptr : &found->second;
     }
+
+    /// @returns whether the primary of a group is known in the era of the record; otherwise a failover may have been lost
+    bool isConfirmed(const GroupId& group) const
+    {
+        const PrimaryEntry* entry = this->find(group);
+        return (entry == nullptr ? this->createdIn : entry->era) == this->era;
+    }
 };
 
 /// A primary record with its revision in the store.
@@ -63,6 +79,17 @@
     StoreVersion revision;
     /// The era of the store in which the record was read or written.
     StoreEra storeEra = StoreEra();
+
+    /// @returns whether the record was written in the era in which it was read
+    bool isCurrent() const { return this->record != nullptr && this->record->era == this->storeEra; }
+
+    /// @returns whether this record was written later, in whatever era either was read
+    bool isNewerThan(const VersionedPrimaryRecord& other) const
+    {
+        if (this->record == nullptr || other.record == nullptr)
+            return other.record == nullptr && this->record != nullptr;
+        return std::tie(other.record->era, other.revision) < std::tie(this->record->era, this->revision);
+    }
 };
 
 } // namespace lentiljunction
--- a/include/lentiljunction/leadership/PrimaryView.h
+++ b/include/lentiljunction/leadership/PrimaryView.h
@@ -34,6 +34,9 @@
     /// @returns whether the instance may act on this view
     bool hasValidLease(BootTime now) const { return this->latest.record != nullptr && now < this->leaseEnd; }
 
+    /// @returns whether the instance may use the primary of a group without verification
+    bool hasValidLease(const GroupId& group, BootTime now) const { return this->hasValidLease(now) && this->latest.record->isConfirmed(group); }
+
     /// @param upstreams consulted for groups that have never had a failover
     /// @returns the primary of a group, regardless of the lease; nothing during a failover
     std::optional<PrimaryTenure> findPrimaryTenure(const GroupId& group, const UpstreamList& upstreams) const;
--- a/src/gateway/FailoverCoordination.h
+++ b/src/gateway/FailoverCoordination.h
@@ -76,6 +76,9 @@
     /// @returns the response to a vote request: whether this instance has lost a primary as well
     nlohmann::json makeVoteResponse(const nlohmann::json& request) const;
 
+    /// @returns the delay of this instance's takeover attempt, which differs between instances
+    Duration getTakeoverDelay() const;
+
 private:
     /// Reports a primary that is lost or leaving to the coordinator.
     ///
@@ -89,8 +92,6 @@
     /// Holds a vote. If this instance wins, it becomes the coordinator and starts the failover.
     void tryTakeover(const GroupId& group, const UpstreamId& primary, bool isLeaving);
     bool hasLostPrimary(const GroupId& group, const UpstreamId& primary) const;
-    /// @returns the delay of this instance's takeover attempt, which differs between instances
-    Duration getTakeoverDelay() const;
 
     Dependencies dependencies;
     KnownState& state;
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -3,6 +3,7 @@
 #include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/fleet/ZoneReader.h"
 #include "lentiljunction/leadership/PrimaryRecordCodec.h"
+#include "lentiljunction/leadership/RecordRecovery.h"
 
 #include <utility>
 
@@ -34,17 +35,16 @@
 
 void FailoverExecutor::start(const GroupId& group, const UpstreamId& primary, bool isPlanned, const std::string& cause)
 {
-    if (this->isActive(group))
-        return;
+    const VersionedPrimaryRecord& latest = this->dependencies.context.getLeaseTracker().getView().latest;
     std::vector<UpstreamId> candidates = this->listCandidates(group, primary);
-    if (candidates.empty())
+    // Until a restored record is recovered, no change can be based on it.
+    bool isRecordCurrent = latest.record != nullptr && latest.record->era == this->dependencies.store.getEra();
+    if (this->isActive(group) || candidates.empty() || !isRecordCurrent)
         return;
     logEvent(events::promotionStarted, "group=" + group.toString() + " primary=" + primary.toString() + " planned=" + std::to_string(isPlanned) + " cause=\"" + cause + "\" candidates=" + std::to_string(candidates.size()));
     TimePoint now = this->dependencies.clock.now();
-    const VersionedPrimaryRecord& latest = this->dependencies.context.getLeaseTracker().getView().latest;
-    const PrimaryEntry* known = latest.record == nullptr ? nullptr : latest.record->find(group);
-    Term knownTerm = known == nullptr ? Term() : known->term;
-    this->runs.emplace(group, Run { Failover(group, primary, candidates, isPlanned, knownTerm, now), {}, cause, now, "", false });
+    const PrimaryEntry* known = latest.record->find(group);
+    this->runs.emplace(group, Run { Failover(group, primary, candidates, isPlanned, known == nullptr ? Term() : known->term, now), {}, cause, now, "", false });
     this->advance(group);
     this->timer.setTime(now + tickInterval);
 }
@@ -162,11 +162,12 @@
         PrimaryEntry& entry = record.groups[group];
         // The record may already hold this change if the response to an earlier write was lost.
         if (entry.phase == PrimaryPhase::Changing)
-            entry.generation++;
+            entry.generation = computeNextGeneration(record, entry);
         entry.phase = PrimaryPhase::Stable;
         entry.primary = primary;
         entry.baseline = status.received;
         entry.term = status.term;
+        entry.era = record.era;
         return true;
     };
     this->dependencies.writer.submit(change, [this, group, status](bool isWritten, BootTime) {
@@ -195,11 +196,12 @@
         Run* current = this->findRun(group);
         if (current == nullptr)
             return;
-        if (!members) {
-            // Without the list, all leases must expire before the promotion.
-            logEvent(events::storeCallFailed, "call=list_members reason=\"" + failure.reason + "\"");
+        // Without the list, all leases must expire before the promotion.
+        if (!members)
+            return logEvent(events::storeCallFailed, "call=list_members reason=\"" + failure.reason + "\"");
+        // Instances that got leases on the record may be missing from the list of a restored store.
+        if (this->dependencies.context.getLeaseTracker().getView().latest.record->era != this->dependencies.store.getEra())
             return;
-        }
         std::set<InstanceId> registered { this->dependencies.self };
         for (const FleetMember& member : *members) {
             if (!this->dependencies.context.isRetiredPastLease(member.id))
@@ -221,12 +223,13 @@
 
 void FailoverExecutor::requestConfirmation(const GroupId& group, const FleetMember& member)
 {
-    StoreVersion revision = this->dependencies.context.getLeaseTracker().getView().latest.revision;
-    this->dependencies.peers.ask(member.peers, this->makePrimaryRecordMessage(), peerTimeout, [this, group, member, revision](const std::optional<nlohmann::json>& response) {
+    const VersionedPrimaryRecord& latest = this->dependencies.context.getLeaseTracker().getView().latest;
+    std::pair<std::uint64_t, std::uint64_t> required(latest.record->era.value(), latest.revision.value());
+    this->dependencies.peers.ask(member.peers, this->makePrimaryRecordMessage(), peerTimeout, [this, group, member, required](const std::optional<nlohmann::json>& response) {
         Run* current = this->findRun(group);
         if (current == nullptr)
             return;
-        if (response && response->is_object() && response->value("applied", std::uint64_t(0)) >= revision.value()) {
+        if (response && response->is_object() && std::make_pair(response->value("era", std::uint64_t(0)), response->value("applied", std::uint64_t(0))) >= required) {
             current->failover.onInstanceConfirmed(member.id);
             return this->advance(group);
         }
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -43,13 +43,14 @@
     , commander(dependencies.controlLoop, dependencies.clock, dependencies.protocol, settings.instance)
     , executor({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, *this, settings.instance })
     , coordination({ dependencies.controlLoop, dependencies.clock, this->peers, this->executor, settings.instance }, *this)
+    , recovery({ dependencies.clock, dependencies.store, this->writer, this->commander, this->executor, this->coordination, *this, settings.instance }, settings.isFirstStart)
+    , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, settings.lending }, [this](StoreEra era) { this->onRegistered(era); })
     , leaseTracker(settings.instance)
     , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, *this)
     , lists(dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, *this)
     , audit(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance)
     , handover(settings.instance)
     , recordRetries(storeRetryInterval, longestStoreRetry)
-    , registrationRetries(storeRetryInterval, longestStoreRetry)
 {
 }
 
@@ -59,21 +60,18 @@
         return false;
     this->dependencies.controlLoop.post([this] {
         // A failover waits for all registered instances, so an instance must register before it gets a lease.
-        this->registerSelf();
+        this->registration.start();
         this->routes.start();
         this->lists.start();
     });
     return true;
 }
 
-void GatewayControl::registerSelf()
+void GatewayControl::onRegistered(StoreEra era)
 {
-    this->dependencies.store.registerMember({ this->settings.instance, this->settings.zone, this->settings.peers, this->settings.lending }, [this](const std::optional<bool>& isDone, const Failure& failure) {
-        if (isDone)
-            return this->renewLease();
-        logEvent(events::storeCallFailed, "call=register reason=\"" + failure.reason + "\"");
-        this->dependencies.controlLoop.schedule(this->registrationRetries.onFailure(), [this] { this->registerSelf(); });
-    });
+    this->leaseTracker.onRegistered(era);
+    if (!std::exchange(this->isRenewing, true))
+        this->renewLease();
 }
 
 std::optional<FleetMember> GatewayControl::findZoneReader() const
@@ -136,12 +134,18 @@
 
 void GatewayControl::onPrimaryRecordRead(const std::optional<VersionedPrimaryRecord>& versioned, const Failure& failure, BootTime sentAt)
 {
+    this->registration.renewInNewEra();
     if (versioned) {
-        this->recordRetries.onSuccess();
         this->writer.setBase(*versioned);
         this->onPrimaryRecord(*versioned, sentAt);
-    } else if (failure.kind == Failure::Kind::NotFound) {
-        this->createPrimaryRecord();
+    }
+    if (versioned || failure.kind == Failure::Kind::NotFound) {
+        this->recovery.onRecordRead(versioned);
+        // Until the record is recovered, only those that may recover it need to read it often.
+        if (versioned && versioned->isCurrent())
+            this->recordRetries.onSuccess();
+        else
+            this->recordReadAvoidedUntil = this->dependencies.clock.now() + this->recordRetries.onFailure();
     } else {
         logEvent(events::storeCallFailed, "call=read_lead reason=\"" + failure.reason + "\" permit_ms=" + std::to_string(toMilliseconds(this->leaseTracker.getRemaining(this->dependencies.clock.bootNow()))));
         this->recordReadAvoidedUntil = this->dependencies.clock.now() + this->recordRetries.onFailure();
@@ -151,19 +155,6 @@
     this->scheduleLeaseRenewal(versioned ? leaseRenewalInterval : storeRetryInterval);
 }
 
-void GatewayControl::createPrimaryRecord()
-{
-    this->writer.submit(
-        [this](PrimaryRecord& record) {
-            if (!record.coordinator.isEmpty())
-                return false;
-            record.coordinator = this->settings.instance;
-            record.epoch = FencingToken(1);
-            return true;
-        },
-        [](bool, BootTime) {});
-}
-
 void GatewayControl::publishPrimaryView(bool isNewer)
 {
     PrimaryView view = this->leaseTracker.getView();
@@ -191,7 +182,7 @@
     BootTime now = this->dependencies.clock.bootNow();
     this->handover.onRecord(*latest.record, latest.revision, now);
     this->members.updateRetired(latest.record->retired, now);
-    if (this->leaseTracker.isRetired())
+    if (this->leaseTracker.isRetired() && this->recovery.isRecordCurrent())
         this->returnToService();
 }
 
@@ -238,7 +229,8 @@
     std::optional<PrimaryRecord> record = decodePrimaryRecord(response["record"], failure);
     if (!record || !response["revision"].is_number_unsigned() || !response["permit_us"].is_number_integer())
         return logEvent(events::peerMessageInvalid, "reason=\"" + failure.reason + "\"");
-    VersionedPrimaryRecord versioned { std::make_shared<PrimaryRecord>(std::move(*record)), StoreVersion(response["revision"].get<std::uint64_t>()), StoreEra() };
+    StoreEra era = record->era;
+    VersionedPrimaryRecord versioned { std::make_shared<PrimaryRecord>(std::move(*record)), StoreVersion(response["revision"].get<std::uint64_t>()), era };
     this->writer.setBase(versioned);
     this->publishPrimaryView(this->leaseTracker.onPeerResponse(versioned, Duration(response["permit_us"].get<std::int64_t>()), sentAt));
 }
@@ -364,9 +356,10 @@
     nlohmann::json message = request;
     message["permit_us"] = 0;
     this->onPeerState(message, this->dependencies.clock.bootNow());
-    std::uint64_t revision = this->leaseTracker.getView().latest.revision.value();
-    this->confirmTrafficUpdate([this, respond, revision] {
-        this->executor.runAfterPromotionCalls([respond, revision] { respond({ { "applied", revision } }); });
+    const VersionedPrimaryRecord& latest = this->leaseTracker.getView().latest;
+    nlohmann::json confirmation { { "applied", latest.revision.value() }, { "era", latest.record == nullptr ? 0 : latest.record->era.value() } };
+    this->confirmTrafficUpdate([this, respond, confirmation] {
+        this->executor.runAfterPromotionCalls([respond, confirmation] { respond(confirmation); });
     });
 }
 
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -8,6 +8,8 @@
 #include "FleetLists.h"
 #include "GatewaySettings.h"
 #include "MemberDirectory.h"
+#include "MemberRegistration.h"
+#include "PrimaryRecordRecovery.h"
 #include "PrimaryRecordWriter.h"
 #include "RouteWatcher.h"
 #include "UpstreamCommander.h"
@@ -85,7 +87,7 @@
     void confirmTrafficUpdate(std::function<void()> callback) override;
     void recordChange(AuditRecord record) override { this->audit.add(std::move(record)); }
 
-    void registerSelf();
+    void onRegistered(StoreEra era);
     /// Requests the primary record from the zone reader or reads it from the store.
     void renewLease();
     void scheduleLeaseRenewal(Duration delay);
@@ -96,7 +98,6 @@
     /// Reads the primary record for an instance whose zone reader does not provide a sufficient lease.
     void readPrimaryRecordUnlessAvoided();
     void onPrimaryRecordRead(const std::optional<VersionedPrimaryRecord>& versioned, const Failure& failure, BootTime sentAt);
-    void createPrimaryRecord();
     /// Passes the known primaries and the lease to the traffic thread.
     ///
     /// @param isNewer whether the record is newer than the one that the traffic thread has
@@ -124,6 +125,8 @@
     UpstreamCommander commander;
     FailoverExecutor executor;
     FailoverCoordination coordination;
+    PrimaryRecordRecovery recovery;
+    MemberRegistration registration;
     LeaseTracker leaseTracker;
     RouteWatcher routes;
     FleetLists lists;
@@ -141,7 +144,8 @@
     /// Limits the reads of the primary record that fail, where the zone reader reads it as well.
     Backoff recordRetries;
     TimePoint recordReadAvoidedUntil;
-    Backoff registrationRetries;
+    /// Whether leases are being renewed, which starts with the first registration.
+    bool isRenewing = false;
     bool isRenewalScheduled = false;
     bool hasListedUpstreams = false;
     /// Whether it is known which instances lend connections.
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -13,7 +13,7 @@
 
     const std::set<std::string> knownKeys {
         "instance.id", "instance.zone", "sessions.listen", "ready.listen", "peers.listen", "peers.seeds", "lending.listen",
-        "metrics.listen", "store.endpoint", "promotion.endpoint", "drain.grace_s"
+        "metrics.listen", "store.endpoint", "store.first_start", "promotion.endpoint", "drain.grace_s"
     };
     constexpr std::int64_t longestGraceSeconds = 600;
 
@@ -82,6 +82,15 @@
             return fallback;
         }
 
+        bool getFlag(const std::string& section, const std::string& key, bool fallback)
+        {
+            std::optional<std::string> value = this->document.find(section, key);
+            if (!value || *value == "true" || *value == "false")
+                return value ? *value == "true" : fallback;
+            this->addFault(section, key, *value, "true or false");
+            return fallback;
+        }
+
         void rejectUnknownKeys()
         {
             for (const IniDocument::Entry& entry : this->document.getEntries()) {
@@ -132,6 +141,7 @@
         settings.lending = reader.getEndpoint("lending", "listen");
     settings.metrics = reader.getEndpoint("metrics", "listen");
     settings.store = reader.getEndpoint("store", "endpoint");
+    settings.isFirstStart = reader.getFlag("store", "first_start", settings.isFirstStart);
     settings.promotion = reader.getEndpoint("promotion", "endpoint");
     settings.shutdownGrace = reader.getSeconds("drain", "grace_s", settings.shutdownGrace);
     reader.rejectUnknownKeys();
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -31,6 +31,9 @@
     Endpoint metrics;
     /// The store that all instances share.
     Endpoint store;
+    /// Whether the whole system starts for the first time. Only then is a missing primary record created as that of groups
+    /// without a failover; otherwise it is taken for lost.
+    bool isFirstStart = false;
     /// The platform service that promotes upstreams.
     Endpoint promotion;
     /// Time from the termination signal until the process is killed.
--- /dev/null
+++ b/src/gateway/MemberRegistration.cpp
@@ -0,0 +1,48 @@
+#include "MemberRegistration.h"
+
+#include "lentiljunction/core/LogEvents.h"
+
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+    constexpr std::chrono::milliseconds firstRetry { 200 };
+    /// Hundreds of instances must not keep a busy store busy.
+    constexpr std::chrono::milliseconds longestRetry { 1600 };
+
+} // namespace
+
+MemberRegistration::MemberRegistration(EventLoop& loop, FleetStore& store, FleetMember self, Callback onRegistered)
+    : loop(loop)
+    , store(store)
+    , self(std::move(self))
+    , onRegistered(std::move(onRegistered))
+    , retries(firstRetry, longestRetry)
+{
+}
+
+void MemberRegistration::start()
+{
+    this->isPending = true;
+    this->store.registerMember(this->self, [this](const std::optional<StoreEra>& era, const Failure& failure) {
+        if (!era) {
+            logEvent(events::storeCallFailed, "call=register reason=\"" + failure.reason + "\"");
+            return this->loop.schedule(this->retries.onFailure(), [this] { this->start(); });
+        }
+        this->isPending = false;
+        this->retries.onSuccess();
+        this->registeredIn = era;
+        this->onRegistered(*era);
+        this->renewInNewEra();
+    });
+}
+
+void MemberRegistration::renewInNewEra()
+{
+    if (!this->isPending && this->registeredIn && *this->registeredIn < this->store.getEra())
+        this->start();
+}
+
+} // namespace lentiljunction
--- a/src/gateway/PrimaryRecordWriter.cpp
+++ b/src/gateway/PrimaryRecordWriter.cpp
@@ -22,15 +22,17 @@
 {
 }
 
-void PrimaryRecordWriter::submit(Change change, Callback callback)
+void PrimaryRecordWriter::enqueue(Job job)
 {
-    this->jobs.push_back({ std::move(change), std::move(callback), "" });
+    this->jobs.push_back(std::move(job));
     this->startNext();
 }
 
 void PrimaryRecordWriter::setBase(const VersionedPrimaryRecord& versioned)
 {
-    if (this->base.record == nullptr || this->base.revision < versioned.revision)
+    // Unlike the content, the revision that a write expects is the one in the present era of the store.
+    bool isLater = this->base.storeEra == versioned.storeEra ? this->base.revision < versioned.revision : this->base.storeEra < versioned.storeEra;
+    if (isLater)
         this->base = versioned;
 }
 
@@ -46,7 +48,8 @@
 {
     Job& job = this->jobs.front();
     PrimaryRecord record = this->base.record == nullptr ? PrimaryRecord() : *this->base.record;
-    if (!job.change(record))
+    bool isBaseCurrent = this->base.isCurrent() && this->base.storeEra == this->store.getEra();
+    if ((job.needsCurrentRecord && !isBaseCurrent) || !job.change(record))
         return this->finish(false);
     // The boot time keeps the nonces of successive processes with the same instance ID apart.
     job.nonce = this->self.toString() + "-" + std::to_string(this->clock.bootNow().time_since_epoch().count()) + "-" + std::to_string(this->nextNonce++);
@@ -65,8 +68,10 @@
     this->scheduler.schedule(delay, [this] {
         BootTime sentAt = this->clock.bootNow();
         this->store.readPrimaryRecord([this, sentAt](const std::optional<VersionedPrimaryRecord>& versioned, const Failure& failure) {
-            if (!versioned && failure.kind == Failure::Kind::NotFound)
+            if (!versioned && failure.kind == Failure::Kind::NotFound) {
+                this->onRecordMissing();
                 return this->write();
+            }
             if (!versioned)
                 return this->readBackRecord(readBackDelay);
             this->onRecordRead(versioned, sentAt);
--- a/src/gateway/PrimaryRecordWriter.h
+++ b/src/gateway/PrimaryRecordWriter.h
@@ -40,13 +40,21 @@
     /// @param self part of the nonces, which makes them unique among the instances
     PrimaryRecordWriter(FleetStore& store, Scheduler& scheduler, const Clock& clock, const InstanceId& self, Listener& listener);
 
-    /// Queues a change.
-    void submit(Change change, Callback callback);
+    /// Queues a change. It is not written while the record in the store is missing or from an earlier era of the store.
+    void submit(Change change, Callback callback) { this->enqueue({ std::move(change), std::move(callback), "", true }); }
 
-    /// Sets the record that the next change is applied to, unless a newer one is known. Without a call, the
-    /// first change creates the record.
+    /// Queues a change that is also written when the record in the store is missing or from an earlier era.
+    void submitRecovery(Change change, Callback callback) { this->enqueue({ std::move(change), std::move(callback), "", false }); }
+
+    /// Sets the record that the next change is applied to, unless a newer one is known.
     void setBase(const VersionedPrimaryRecord& versioned);
 
+    /// @returns the record that the next change is applied to, with the era of the store in which it was read
+    const VersionedPrimaryRecord& getBase() const { return this->base; }
+
+    /// The store has no record in its newest era.
+    void onRecordMissing() { this->base = { nullptr, StoreVersion(), this->store.getEra() }; }
+
 private:
     /// A queued change.
     struct Job {
@@ -54,8 +62,10 @@
         Callback callback;
         /// Nonce of the last write; empty before the first.
         std::string nonce;
+        bool needsCurrentRecord = true;
     };
 
+    void enqueue(Job job);
     void startNext();
     void write();
     void readBackRecord(Duration delay);
--- a/src/leadership/LeaseTracker.cpp
+++ b/src/leadership/LeaseTracker.cpp
@@ -29,8 +29,13 @@
     // A failover that this instance does not know of was written after every read that did not show it,
     // so its coordinator waits until the lease of each such read has expired. The longest lease is
     // therefore valid for the newest record, even if they come from different reads.
-    this->view.leaseEnd = std::max(this->view.leaseEnd, leaseEnd);
-    bool isNewer = this->view.latest.record == nullptr || this->view.latest.revision < versioned.revision;
+    bool isNewer = versioned.isNewerThan(this->view.latest);
+    bool isNewerEra = isNewer && this->view.latest.record != nullptr && this->view.latest.record->era != versioned.record->era;
+    if (isNewerEra)
+        this->view.leaseEnd = BootTime();
+    bool isSameEra = isNewer || versioned.record->era == this->view.latest.record->era;
+    if (isSameEra && versioned.isCurrent() && this->registeredEras.count(versioned.record->era) > 0)
+        this->view.leaseEnd = std::max(this->view.leaseEnd, leaseEnd);
     if (isNewer)
         this->view.latest = versioned;
     // Failovers do not wait for the lease of a retired instance.
--- a/src/leadership/PrimaryRecordCodec.cpp
+++ b/src/leadership/PrimaryRecordCodec.cpp
@@ -12,6 +12,13 @@
     constexpr const char* changingPhase = "changing";
     constexpr const char* stablePhase = "stable";
 
+    /// Records of earlier releases have no era, so they count as restored.
+    StoreEra decodeEra(JsonFields& fields, const nlohmann::json& object, const std::string& name)
+    {
+        bool isPresent = object.is_object() && object.contains(name);
+        return StoreEra(isPresent ? static_cast<std::uint64_t>(fields.getInteger(name, 0, maxInteger)) : 0);
+    }
+
     PrimaryEntry decodeGroup(const nlohmann::json& object, const std::string& path, std::vector<std::string>& faults)
     {
         JsonFields fields(object, path, faults);
@@ -25,6 +32,7 @@
         entry.baseline.term = Term(static_cast<std::uint64_t>(fields.getInteger("baseline_term", 0, maxInteger)));
         entry.baseline.position = Position(static_cast<std::uint64_t>(fields.getInteger("baseline_position", 0, maxInteger)));
         entry.term = Term(static_cast<std::uint64_t>(fields.getInteger("term", 0, maxInteger)));
+        entry.era = decodeEra(fields, object, "era");
         return entry;
     }
 
@@ -42,12 +50,13 @@
             { "baseline_term", entry.baseline.term.value() },
             { "baseline_position", entry.baseline.position.value() },
             { "term", entry.term.value() },
+            { "era", entry.era.value() },
         };
     }
     nlohmann::json retired = nlohmann::json::array();
     for (const InstanceId& instance : record.retired)
         retired.push_back(instance.toString());
-    return { { "holder", record.coordinator.toString() }, { "epoch", record.epoch.value() }, { "nonce", record.nonce }, { "groups", groups }, { "retired", retired } };
+    return { { "holder", record.coordinator.toString() }, { "epoch", record.epoch.value() }, { "nonce", record.nonce }, { "groups", groups }, { "retired", retired }, { "era", record.era.value() }, { "created_in", record.createdIn.value() } };
 }
 
 std::optional<PrimaryRecord> decodePrimaryRecord(const nlohmann::json& document, Failure& failure)
@@ -58,6 +67,8 @@
     record.coordinator = InstanceId(fields.getText("holder"));
     record.epoch = FencingToken(static_cast<std::uint64_t>(fields.getInteger("epoch", 0, maxInteger)));
     record.nonce = fields.getText("nonce");
+    record.era = decodeEra(fields, document, "era");
+    record.createdIn = decodeEra(fields, document, "created_in");
     for (const std::string& instance : fields.getTexts("retired"))
         record.retired.insert(InstanceId(instance));
     const nlohmann::json& groups = fields.getValue("groups");
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -229,7 +229,7 @@
         this->state.onHead(this->held.connection->getUpstream(), *reply->head, this->sentAt);
     AttemptOutcome outcome = this->classify(*reply);
     bool needsVerification = decideReply(this->request.traits, outcome, false).kind != ReplyDecision::Kind::Deliver;
-    bool mayBeVerified = outcome == AttemptOutcome::SuccessUnverified && needsVerification && !this->state.hasValidLease()
+    bool mayBeVerified = outcome == AttemptOutcome::SuccessUnverified && needsVerification && !this->state.hasValidLease(this->request.requirement.route->group)
         && this->state.isKnownPrimary(this->request.requirement.route->group, *this->held.primary);
     if (mayBeVerified)
         return this->verifyPrimary(std::move(*reply));
@@ -261,7 +261,7 @@
         return AttemptOutcome::NotRun;
     if (!reply.isSuccess())
         return AttemptOutcome::Error;
-    bool isVerified = !this->held.primary || (this->state.hasValidLease() && this->state.isKnownPrimary(this->request.requirement.route->group, *this->held.primary));
+    bool isVerified = !this->held.primary || (this->state.hasValidLease(this->request.requirement.route->group) && this->state.isKnownPrimary(this->request.requirement.route->group, *this->held.primary));
     return isVerified ? AttemptOutcome::Success : AttemptOutcome::SuccessUnverified;
 }
 
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -197,7 +197,7 @@
 
 void TrafficPlane::checkPrimary(const GroupId& group)
 {
-    if (!this->state.hasValidLease())
+    if (!this->state.hasValidLease(group))
         this->checkPrimaryWithoutLease(group);
     std::optional<Target> primaryTarget = this->state.findPrimary(group);
     if (!primaryTarget || primaryTarget->source == nullptr)
@@ -271,7 +271,7 @@
 
 void TrafficPlane::onHeadReported(const GroupId& group, const PrimaryTenure& primary, const SessionReply& reply, BootTime requestedAt, bool isFirst)
 {
-    if (!this->state.hasValidLease()) {
+    if (!this->state.hasValidLease(group)) {
         this->verifier.verify(group, primary, [this, group, primary, requestedAt, head = *reply.head](bool isVerified) {
             if (isVerified)
                 this->state.addVerifiedHead(group, primary, head, requestedAt);
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -61,7 +61,7 @@
 
 void TrafficState::setPrimaryView(const PrimaryView& newer)
 {
-    bool isChanged = this->view.latest.revision != newer.latest.revision;
+    bool isChanged = newer.latest.isNewerThan(this->view.latest);
     this->view = newer;
     if (isChanged)
         this->applyShares();
@@ -153,7 +153,7 @@
 
 bool TrafficState::mayUsePrimary(const GroupId& group, const PrimaryTenure& primary) const
 {
-    if (this->hasValidLease())
+    if (this->hasValidLease(group))
         return true;
     // Without a lease each answer needs a verification, which probably succeeds if a recent one did.
     std::map<GroupId, VerifiedPrimary>::const_iterator verified = this->verifiedPrimaries.find(group);
@@ -178,7 +178,7 @@
         return;
     this->lastKnownHeads[upstream] = { head, this->getClock().bootNow() };
     std::optional<PrimaryTenure> primary = this->view.findPrimaryTenure(entry->group, *this->upstreams);
-    if (!primary || primary->upstream != upstream || !this->view.hasValidLease(this->getClock().bootNow()))
+    if (!primary || primary->upstream != upstream || !this->hasValidLease(entry->group))
         return;
     // The response to a request from before the promotion may show the log of a replica.
     std::map<GroupId, Tenure>::const_iterator tenure = this->tenures.find(entry->group);
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -92,8 +92,8 @@
     /// @returns whether this is the primary in the known primary record; does not check the lease
     bool isKnownPrimary(const GroupId& group, const PrimaryTenure& primary) const;
 
-    /// @returns whether the lease on the primary record is valid now
-    bool hasValidLease() const { return this->view.hasValidLease(this->getClock().bootNow()); }
+    /// @returns whether the lease on the primary record covers the primary of a group now
+    bool hasValidLease(const GroupId& group) const { return this->view.hasValidLease(group, this->getClock().bootNow()); }
 
     /// Sets the verifier that is used without a valid lease.
     void setVerifier(PrimaryVerifier& source) { this->verifier = &source; }
--- a/tests/process/GatewayFixture.cpp
+++ b/tests/process/GatewayFixture.cpp
@@ -40,6 +40,7 @@
     this->configure(1, { "bookings" });
     for (int index = 0; index < numInstances; index++)
         this->startInstance();
+    this->isRunning = true;
 }
 
 std::size_t GatewayFixture::startInstance()
@@ -76,6 +77,7 @@
     this->metricsEndpoints.push_back(settings.metrics);
     settings.store = this->site.openStorePort(failure);
     settings.promotion = settings.store;
+    settings.isFirstStart = !this->isRunning;
     return settings;
 }
 
--- a/tests/process/GatewayFixture.h
+++ b/tests/process/GatewayFixture.h
@@ -58,6 +58,8 @@
     GatewaySettings makeSettings(std::size_t index);
 
     SystemClock clock;
+    /// Whether the instances of the first start are running.
+    bool isRunning = false;
     PlatformAdapter adapter;
     standin::PlatformSite site;
     std::vector<std::uint16_t> sessionPorts;
--- a/tests/support/QueuedFleetStore.h
+++ b/tests/support/QueuedFleetStore.h
@@ -41,7 +41,7 @@
     void listUpstreams(Callback<std::shared_ptr<const UpstreamList>>) override { }
     void readPrimaryRecord(Callback<VersionedPrimaryRecord>) override { }
     void writePrimaryRecord(const PrimaryRecord&, StoreVersion, Callback<VersionedPrimaryRecord>) override { }
-    void registerMember(const FleetMember&, Callback<bool>) override { }
+    void registerMember(const FleetMember&, Callback<StoreEra>) override { }
     void removeMember(const InstanceId&, Callback<bool>) override { }
     void listMembers(bool, Callback<std::vector<FleetMember>>) override { }
     void writeAudit(const std::string&, const std::string&, Callback<bool>) override { }
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -303,7 +303,7 @@
     std::string text((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
     const std::vector<std::pair<std::string, std::string>> values {
         { "{{node_name}}", "front-1" }, { "{{zone}}", "ba" }, { "{{listen.front}}", "10.1.0.8:8784" }, { "{{listen.ready}}", "10.1.0.8:8785" }, { "{{listen.control}}", "10.1.0.8:8782" },
-        { "{{seeds}}", "10.1.0.8:8782,10.2.0.6:8782" }, { "{{ip}}", "10.1.0.8" }, { "{{platform.address}}", "10.200.1.7:8783" }, { "{{cloud.address}}", "10.200.0.160:8783" }, { "{{bounds.grace_s}}", "6" }, { "{{internal_ports.0}}", "7440" }
+        { "{{seeds}}", "10.1.0.8:8782,10.2.0.6:8782" }, { "{{ip}}", "10.1.0.8" }, { "{{platform.address}}", "10.200.1.7:8783" }, { "{{bootstrap}}", "true" }, { "{{cloud.address}}", "10.200.0.160:8783" }, { "{{bounds.grace_s}}", "6" }, { "{{internal_ports.0}}", "7440" }
     };
     for (const std::pair<std::string, std::string>& value : values) {
         std::size_t at = text.find(value.first);
@@ -317,6 +317,7 @@
     std::optional<GatewaySettings> settings = loadGatewaySettings(path, failure);
     CHECK_TEXT(settings.has_value(), failure.reason.c_str());
     CHECK_EQUAL(2, settings->seeds.size());
+    CHECK_TRUE(settings->isFirstStart);
     CHECK_EQUAL(6000, settings->shutdownGrace.count());
     CHECK_EQUAL(7440, settings->lending->port);
 }
@@ -339,6 +340,7 @@
     bool isSound = rc::check("one primary", [] {
         ManualClock clock;
         LeaseTracker tracker { InstanceId("one") };
+        tracker.onRegistered(StoreEra());
         Failover failover(GroupId("g"), UpstreamId("old"), { UpstreamId("new") }, false, Term(1), clock.now());
         failover.takeActions(clock.bootNow(), clock.now());
         std::shared_ptr<PrimaryRecord> stable = std::make_shared<PrimaryRecord>();
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -125,7 +125,16 @@
     ManualClock clock;
     LeaseTracker tracker { InstanceId("one") };
 
+    void setup() override { this->tracker.onRegistered(StoreEra()); }
+
     VersionedPrimaryRecord makeRecord(std::uint64_t revision) { return { std::make_shared<PrimaryRecord>(), StoreVersion(revision) }; }
+
+    VersionedPrimaryRecord makeRecordOfEra(std::uint64_t revision, StoreEra writtenIn, StoreEra readIn)
+    {
+        std::shared_ptr<PrimaryRecord> record = std::make_shared<PrimaryRecord>();
+        record->era = writtenIn;
+        return { record, StoreVersion(revision), readIn };
+    }
 };
 
 TEST(LeaseTracker, leaseBeginsWhenReadIsSent)
@@ -180,6 +189,41 @@
     CHECK_TRUE(tracker.getView().hasValidLease(clock.bootNow()));
 }
 
+// A restored record may lack the failover that replaced its primary, so it must not grant or extend a lease.
+TEST(LeaseTracker, restoredRecordGrantsNoLease)
+{
+    tracker.onRegistered(StoreEra(1));
+    tracker.onRegistered(StoreEra(2));
+    tracker.onStoreResponse(makeRecordOfEra(5, StoreEra(1), StoreEra(2)), clock.bootNow());
+    CHECK_FALSE(tracker.getView().hasValidLease(clock.bootNow()));
+    tracker.onStoreResponse(makeRecordOfEra(9, StoreEra(1), StoreEra(1)), clock.bootNow());
+    clock.advance(leaseDuration);
+    tracker.onStoreResponse(makeRecordOfEra(5, StoreEra(1), StoreEra(2)), clock.bootNow());
+    CHECK_FALSE(tracker.getView().hasValidLease(clock.bootNow()));
+}
+
+// Revisions are issued again after a restore, so a recovered record has a lower one than the record that was lost.
+TEST(LeaseTracker, recoveredRecordReplacesLostOneOfHigherRevision)
+{
+    tracker.onRegistered(StoreEra(1));
+    tracker.onRegistered(StoreEra(2));
+    tracker.onStoreResponse(makeRecordOfEra(9, StoreEra(1), StoreEra(1)), clock.bootNow());
+    CHECK_TRUE(tracker.onStoreResponse(makeRecordOfEra(6, StoreEra(2), StoreEra(2)), clock.bootNow()));
+    CHECK_TRUE(tracker.getView().hasValidLease(clock.bootNow()));
+    CHECK_FALSE(tracker.onPeerResponse(makeRecordOfEra(9, StoreEra(1), StoreEra(1)), leaseDuration, clock.bootNow()));
+}
+
+// The restored store lost the registration, so a failover would not wait for the instance.
+TEST(LeaseTracker, instanceGetsNoLeaseInEraInWhichItIsNotRegistered)
+{
+    tracker.onRegistered(StoreEra(1));
+    tracker.onStoreResponse(makeRecordOfEra(6, StoreEra(2), StoreEra(2)), clock.bootNow());
+    CHECK_FALSE(tracker.getView().hasValidLease(clock.bootNow()));
+    tracker.onRegistered(StoreEra(2));
+    tracker.onStoreResponse(makeRecordOfEra(6, StoreEra(2), StoreEra(2)), clock.bootNow());
+    CHECK_TRUE(tracker.getView().hasValidLease(clock.bootNow()));
+}
+
 TEST_GROUP(SuspicionTracker)
 {
     ManualClock clock;
--- a/tools/lab/GatewaySite.cpp
+++ b/tools/lab/GatewaySite.cpp
@@ -83,7 +83,7 @@
     std::ofstream(path) << "[instance]\nid = front-" << index << "\nzone = z" << index % this->numZones + 1 << "\n[sessions]\nlisten = " << loopback << ":" << this->sessionPorts.back()
                         << "\n[ready]\nlisten = " << loopback << ":" << this->readyPorts.back() << "\n[peers]\nlisten = " << loopback << ":" << findFreePort()
                         << "\n[lending]\nlisten = " << loopback << ":" << findFreePort()
-                        << "\n[metrics]\nlisten = " << loopback << ":" << findFreePort() << "\n[store]\nendpoint = " << store.host << ":" << store.port
+                        << "\n[metrics]\nlisten = " << loopback << ":" << findFreePort() << "\n[store]\nfirst_start = true\nendpoint = " << store.host << ":" << store.port
                         << "\n[promotion]\nendpoint = " << store.host << ":" << store.port << "\n";
     return path;
 }
