Do not use a leaving upstream again before it was restarted

What callers could see: statements at an upstream that stops, because a restored store, or a read that may be old, shows its entry from before it announced that it leaves (DRAIN). Evidence: UpstreamRegistry.leavingUpstreamIsUsedAgainOnlyAfterRestart fails without the rule. Why it works: an upstream names when it started; leaving ends only with a later start, and is remembered for 5 minutes.

--- a/include/lentiljunction/core/Clock.h
+++ b/include/lentiljunction/core/Clock.h
@@ -86,6 +86,9 @@
     BootTime boot { std::chrono::hours(2) };
 };
 
+/// The latest time that WallTime can hold, in milliseconds since the Unix epoch.
+constexpr std::int64_t latestUnixMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(WallTime::max().time_since_epoch()).count();
+
 /// @returns milliseconds since the Unix epoch
 inline std::int64_t toUnixMilliseconds(WallTime time)
 {
--- a/include/lentiljunction/routes/UpstreamEntry.h
+++ b/include/lentiljunction/routes/UpstreamEntry.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "lentiljunction/core/Clock.h"
 #include "lentiljunction/core/Ids.h"
 #include "lentiljunction/settings/Settings.h"
 
 #include <map>
+#include <optional>
 
 namespace lentiljunction {
 
@@ -19,6 +21,8 @@
     bool isLeaving = false;
     /// It reports itself as the primary. This may be outdated when it is partitioned from the others.
     bool claimsPrimary = false;
+    /// When its process started, as it reports; tells a restarted upstream from the one before under the same id.
+    std::optional<WallTime> startedAt = std::nullopt;
 };
 
 /// All known upstreams at one time. Immutable.
--- a/include/lentiljunction/routes/UpstreamRegistry.h
+++ b/include/lentiljunction/routes/UpstreamRegistry.h
@@ -13,8 +13,15 @@
 /// while the store is unavailable; running upstreams register again within two seconds of its return.
 constexpr std::chrono::milliseconds missingUpstreamRetention { 2500 };
 
+/// How long an upstream that was leaving is remembered after it is gone. Longer than a copy from which the store is
+/// restored, or a snapshot, is old.
+constexpr std::chrono::minutes leavingUpstreamRetention { 5 };
+
 /// Holds the list of upstreams in force. Upstreams that are missing from a snapshot stay in it for a short time.
 ///
+/// An upstream that was leaving is used again only after it was restarted: an entry that does not show it as leaving is
+/// older, from a snapshot that is out of date or from a store that was restored.
+///
 /// Not thread-safe; the control thread owns it.
 class UpstreamRegistry {
 public:
@@ -28,7 +35,18 @@
 
 private:
     std::shared_ptr<const UpstreamList> list = std::make_shared<UpstreamList>();
+    /// An upstream that was leaving, and when a snapshot last contained it.
+    struct LeavingUpstream {
+        WallTime startedAt;
+        TimePoint seenAt;
+    };
+
+    /// Sets an entry to leaving if the upstream was leaving before and was not restarted.
+    void keepLeaving(UpstreamEntry& entry, TimePoint now);
+    void forgetLeaving(TimePoint now);
+
     std::map<UpstreamId, TimePoint> missingSince;
+    std::map<UpstreamId, LeavingUpstream> leaving;
 };
 
 } // namespace lentiljunction
--- a/src/gateway/ListCodec.cpp
+++ b/src/gateway/ListCodec.cpp
@@ -21,6 +21,15 @@
         return { document.at(0).get<std::string>(), static_cast<std::uint16_t>(port) };
     }
 
+    /// @throws std::exception when the value is malformed
+    WallTime decodeTime(const nlohmann::json& document)
+    {
+        std::uint64_t milliseconds = document.get<std::uint64_t>();
+        if (!document.is_number_unsigned() || milliseconds > static_cast<std::uint64_t>(latestUnixMilliseconds))
+            throw std::out_of_range("not a time");
+        return WallTime(std::chrono::milliseconds(milliseconds));
+    }
+
     UpstreamEntry decodeUpstream(const nlohmann::json& document)
     {
         UpstreamEntry entry;
@@ -31,6 +40,8 @@
         entry.slots = document.at("slots").get<int>();
         entry.isLeaving = document.at("leaving").get<bool>();
         entry.claimsPrimary = document.at("claims_primary").get<bool>();
+        if (document.contains("started_at_ms"))
+            entry.startedAt = decodeTime(document["started_at_ms"]);
         if (entry.slots < 1)
             throw std::out_of_range("not a number of slots");
         return entry;
@@ -49,7 +60,7 @@
 nlohmann::json encodeUpstreamList(const UpstreamList& list)
 {
     nlohmann::json document = nlohmann::json::array();
-    for (const std::pair<const UpstreamId, UpstreamEntry>& entry : list.entries)
+    for (const std::pair<const UpstreamId, UpstreamEntry>& entry : list.entries) {
         document.push_back({
             { "id", entry.first.toString() },
             { "group", entry.second.group.toString() },
@@ -59,6 +70,9 @@
             { "leaving", entry.second.isLeaving },
             { "claims_primary", entry.second.claimsPrimary },
         });
+        if (entry.second.startedAt)
+            document.back()["started_at_ms"] = toUnixMilliseconds(*entry.second.startedAt);
+    }
     return document;
 }
 
--- a/src/routes/UpstreamRegistry.cpp
+++ b/src/routes/UpstreamRegistry.cpp
@@ -1,5 +1,7 @@
 #include "lentiljunction/routes/UpstreamRegistry.h"
 
+#include <iterator>
+
 namespace lentiljunction {
 
 namespace {
@@ -18,11 +20,30 @@
 
 } // namespace
 
+void UpstreamRegistry::keepLeaving(UpstreamEntry& entry, TimePoint now)
+{
+    if (!entry.startedAt)
+        return;
+    std::map<UpstreamId, LeavingUpstream>::iterator known = this->leaving.find(entry.id);
+    if (known != this->leaving.end() && known->second.startedAt == *entry.startedAt)
+        entry.isLeaving = true;
+    if (entry.isLeaving)
+        this->leaving[entry.id] = { *entry.startedAt, now };
+}
+
+void UpstreamRegistry::forgetLeaving(TimePoint now)
+{
+    for (std::map<UpstreamId, LeavingUpstream>::iterator known = this->leaving.begin(); known != this->leaving.end();)
+        known = now - known->second.seenAt >= leavingUpstreamRetention ? this->leaving.erase(known) : std::next(known);
+}
+
 std::vector<std::string> UpstreamRegistry::offer(const UpstreamList& snapshot, TimePoint now)
 {
     std::vector<std::string> changes;
     std::shared_ptr<UpstreamList> next = std::make_shared<UpstreamList>(snapshot);
-    for (const std::pair<const UpstreamId, UpstreamEntry>& entry : snapshot.entries) {
+    this->forgetLeaving(now);
+    for (std::pair<const UpstreamId, UpstreamEntry>& entry : next->entries) {
+        this->keepLeaving(entry.second, now);
         this->missingSince.erase(entry.first);
         const UpstreamEntry* before = this->list->find(entry.first);
         if (before == nullptr || !isSame(*before, entry.second))
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -314,6 +314,7 @@
     entry.isLeaving = true;
     entry.claimsPrimary = true;
     upstreams.entries.emplace(entry.id, entry);
+    upstreams.entries.begin()->second.startedAt = WallTime(std::chrono::milliseconds(1790000000000));
     nlohmann::json encoded = encodeUpstreamList(upstreams);
     std::optional<UpstreamList> decoded = decodeUpstreamList(encoded);
     CHECK(decoded.has_value());
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -287,6 +287,26 @@
     CHECK(registry.getList()->find(UpstreamId("u")) == nullptr);
 }
 
+// A restored store shows an upstream as it was before it announced that it leaves, and must not get it new work.
+TEST(UpstreamRegistry, leavingUpstreamIsUsedAgainOnlyAfterRestart)
+{
+    UpstreamEntry& entry = list.entries[UpstreamId("u")];
+    entry.startedAt = clock.wallNow();
+    entry.isLeaving = true;
+    registry.offer(list, clock.now());
+    entry.isLeaving = false;
+    registry.offer(list, clock.now());
+    CHECK_TRUE(registry.getList()->find(UpstreamId("u"))->isLeaving);
+    registry.offer(UpstreamList(), clock.now());
+    clock.advance(std::chrono::seconds(3));
+    registry.offer(UpstreamList(), clock.now());
+    registry.offer(list, clock.now());
+    CHECK_TRUE(registry.getList()->find(UpstreamId("u"))->isLeaving);
+    entry.startedAt = clock.wallNow();
+    registry.offer(list, clock.now());
+    CHECK_FALSE(registry.getList()->find(UpstreamId("u"))->isLeaving);
+}
+
 TEST_GROUP(GatewaySettings)
 {
     std::string path = "/tmp/lj-gateway-settings-" + std::to_string(::getpid()) + ".ini";
