Write audit records again that a restored store has lost

What operators saw: changes of primary shortly before a restore were missing from the audit trail, although the store had acknowledged them. Cause: the writer forgot a batch once it was acknowledged; the same trust in what the store said before it was restored. Evidence: AuditWriter.writesLastRecordsAgainToRestoredStore did not compile or hold before (nothing was written again).

--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -135,6 +135,7 @@
 void GatewayControl::onPrimaryRecordRead(const std::optional<VersionedPrimaryRecord>& versioned, const Failure& failure, BootTime sentAt)
 {
     this->registration.renewInNewEra();
+    this->audit.rewriteInNewEra();
     if (versioned) {
         this->writer.setBase(*versioned);
         this->onPrimaryRecord(*versioned, sentAt);
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -27,7 +27,7 @@
     {
     }
 
-    StoreEra getEra() const override { return StoreEra(1); }
+    StoreEra getEra() const override { return this->era; }
     void readRoutes(Callback<VersionedRoutes> callback) override { this->respond(callback, VersionedRoutes()); }
     void watchRoutes(StoreVersion, Duration, Callback<VersionedRoutes> callback) override { this->respond(callback, VersionedRoutes()); }
     void listUpstreams(Callback<std::shared_ptr<const UpstreamList>> callback) override { this->respond(callback, std::shared_ptr<const UpstreamList>()); }
@@ -44,6 +44,7 @@
     void promote(const GroupId&, const UpstreamId&, const InstanceId&, FencingToken, Callback<bool> callback) override { this->respond(callback, true); }
 
     std::vector<std::pair<std::string, std::string>> written;
+    StoreEra era { 1 };
 
 private:
     template <typename T>
@@ -253,6 +254,39 @@
     STRCMP_CONTAINS("\"kind\":\"promotion\"", store.written[0].second.c_str());
 }
 
+// A restored store loses records that it had acknowledged.
+TEST(AuditWriter, writesLastRecordsAgainToRestoredStore)
+{
+    SystemClock clock;
+    EventLoop loop;
+    Failure storeFailure;
+    ScriptedStore store(storeFailure);
+    AuditWriter writer(loop, clock, store, InstanceId("a"));
+    std::promise<void> isWritten;
+    std::function<void()> watch = [&] {
+        if (!store.written.empty())
+            return isWritten.set_value();
+        loop.schedule(std::chrono::milliseconds(20), watch);
+    };
+    loop.start();
+    loop.post([&] {
+        writer.rewriteInNewEra();
+        AuditRecord record;
+        record.subject = "g";
+        writer.add(record);
+        watch();
+    });
+    CHECK(isWritten.get_future().wait_for(std::chrono::seconds(30)) == std::future_status::ready);
+    loop.stop();
+    writer.rewriteInNewEra();
+    CHECK_EQUAL(1, store.written.size());
+    store.era = StoreEra(2);
+    writer.rewriteInNewEra();
+    CHECK_EQUAL(2, store.written.size());
+    STRCMP_EQUAL(store.written[0].first.c_str(), store.written[1].first.c_str());
+    STRCMP_EQUAL(store.written[0].second.c_str(), store.written[1].second.c_str());
+}
+
 TEST_GROUP(RelayedList) {};
 
 // The zone reader loses the store. Guards against relying on what it read long ago, also through a third instance.
