--- a/tests/process/SoakTests.cpp
+++ b/tests/process/SoakTests.cpp
@@ -43,3 +43,14 @@
     plan.maximumConnections = 4;
     checkSoak(plan, folder);
 }
+
+// As above, with a store that returns again and again from a copy without the last failovers and registrations.
+TEST(Soak, findsNoViolationWhileStoreIsRestored)
+{
+    std::string folder = (std::filesystem::temp_directory_path() / ("lj-soak-restore-" + std::to_string(::getpid()))).string();
+    lab::SoakPlan plan;
+    plan.seed = 3;
+    plan.seconds = 15;
+    plan.restoresStore = true;
+    checkSoak(plan, folder);
+}
--- a/tools/lab/Soak.cpp
+++ b/tools/lab/Soak.cpp
@@ -129,6 +129,13 @@
             }
         });
     }
+    if (plan.restoresStore) {
+        threads.emplace_back([&] {
+            Random random(plan.seed * 100 + static_cast<std::uint64_t>(plan.numFaultThreads));
+            while (!isStopping)
+                faults.restoreStore(random, isStopping);
+        });
+    }
     std::this_thread::sleep_for(std::chrono::seconds(plan.seconds));
     isStopping = true;
     for (std::thread& thread : threads)
--- a/tools/lab/Soak.h
+++ b/tools/lab/Soak.h
@@ -18,6 +18,8 @@
     int numCallers = 8;
     /// Number of threads that inject faults; as many faults may overlap.
     int numFaultThreads = 3;
+    /// Whether the store also returns from copies that are up to seconds old.
+    bool restoresStore = false;
 };
 
 /// Runs instances as processes under random faults and checks the responses to callers against the commits
--- a/tools/lab/SoakFaults.cpp
+++ b/tools/lab/SoakFaults.cpp
@@ -12,6 +12,8 @@
     /// Faults last from less than the lease of an instance to more than a change of primary.
     constexpr std::uint64_t minimumDurationMilliseconds = 100;
     constexpr std::uint64_t durationRangeMilliseconds = 3900;
+    constexpr std::uint64_t maximumOutageMilliseconds = 2500;
+    constexpr std::uint64_t maximumRewriteMilliseconds = 1500;
     constexpr std::chrono::milliseconds pollInterval { 20 };
     constexpr std::chrono::seconds exitTimeout { 10 };
     const std::vector<std::string> upstreams { "u1", "u2", "u3" };
@@ -144,10 +146,33 @@
     this->site.getSite().report(primary, primary == this->site.getSite().getGroup().findPrimary());
 }
 
-void SoakFaults::clearFaults()
+void SoakFaults::restoreStore(Random& random, const std::atomic<bool>& isStopping)
+{
+    standin::PlatformStore& store = this->site.getSite().getStore();
+    std::chrono::milliseconds age(minimumDurationMilliseconds + random.below(durationRangeMilliseconds));
+    std::chrono::milliseconds outage(random.below(maximumOutageMilliseconds));
+    store.saveCopy();
+    wait(age, isStopping);
+    this->recordFault("store restored after " + std::to_string(outage.count()) + " ms from a copy of " + std::to_string(age.count()) + " ms before");
+    store.setFault(Fault::Unavailable);
+    wait(outage, isStopping);
+    store.restoreCopy();
+    store.setFault(Fault::None);
+    wait(std::chrono::milliseconds(random.below(maximumRewriteMilliseconds)), isStopping);
+    std::lock_guard<std::mutex> lock(this->groupMutex);
+    this->site.getSite().configure(1, { "bookings", "checks" });
+    this->reportUpstreams();
+}
+
+void SoakFaults::reportUpstreams()
 {
     for (const std::string& upstream : upstreams)
         this->site.getSite().report(upstream, upstream == this->site.getSite().getGroup().findPrimary());
+}
+
+void SoakFaults::clearFaults()
+{
+    this->reportUpstreams();
     this->site.getSite().getStore().setFault(Fault::None);
 }
 
--- a/tools/lab/SoakFaults.h
+++ b/tools/lab/SoakFaults.h
@@ -27,6 +27,10 @@
     /// @param isStopping ends the wait early when set
     void injectRandomFault(Random& random, const std::atomic<bool>& isStopping);
 
+    /// Copies the store, makes it unavailable after a random time, and returns from the copy. Blocks. What operators and
+    /// upstreams wrote is written again, possibly a little later.
+    void restoreStore(Random& random, const std::atomic<bool>& isStopping);
+
     /// Removes the faults of the store and reports the upstreams to it as not leaving. injectRandomFault() must
     /// have returned in all threads.
     void clearFaults();
@@ -41,6 +45,7 @@
     void impairUpstream(std::size_t index, SoakRelay::Mode mode, std::chrono::milliseconds duration, const std::atomic<bool>& isStopping);
     void crashUpstream(std::size_t index, std::chrono::milliseconds duration, const std::atomic<bool>& isStopping);
     void changePrimary();
+    void reportUpstreams();
     void recordFault(const std::string& what);
 
     GatewaySite& site;
