Count only votes of one era for the continuation of a record

Cause: in the era between, another instance may have recovered the record, which takes no votes; the list of instances whose majority counts may come from the restored store and be short; and the delay of the recovery was counted from the first of the two restores. Why this works: the vote needs a record of the era directly before, counts the instances known at the last current read, holds for the era in which it was asked, and each new era starts the delay again.

--- a/src/gateway/PrimaryRecordRecovery.cpp
+++ b/src/gateway/PrimaryRecordRecovery.cpp
@@ -83,12 +83,15 @@
     if (this->seenEra != this->dependencies.store.getEra()) {
         this->seenEra = this->dependencies.store.getEra();
         this->eraSeenAt = this->dependencies.clock.bootNow();
+        // Another instance may have recovered the record in the era between.
+        this->outdatedSince.reset();
     }
     if (!versioned)
         this->dependencies.writer.onRecordMissing();
     if (versioned && versioned->isCurrent()) {
         this->outdatedSince.reset();
         this->confirmedAt = versioned->record->coordinator == this->dependencies.self ? std::optional<BootTime>(sentAt) : std::nullopt;
+        this->electors = this->dependencies.state.listActiveMembers();
         return this->confirmGroups();
     }
     bool isKnown = this->dependencies.state.getLeaseTracker().getView().latest.record != nullptr;
@@ -100,11 +103,20 @@
         logEvent(events::primaryRecordOutdated, "store_era=" + std::to_string(this->dependencies.store.getEra().value()) + " written_in=" + (versioned ? std::to_string(versioned->record->era.value()) : "none"));
     }
     if (this->mayRecover(now))
-        this->recover(false);
-    else if (this->confirmedAt && this->isKnownCoordinator())
+        this->recover(std::nullopt);
+    else if (this->mayContinue())
         this->requestVersions();
 }
 
+bool PrimaryRecordRecovery::mayContinue() const
+{
+    if (!this->confirmedAt || !this->isKnownCoordinator())
+        return false;
+    // In an era between, another instance may have recovered the record, which takes no votes.
+    const PrimaryRecord& record = *this->dependencies.state.getLeaseTracker().getView().latest.record;
+    return record.era.next() == this->dependencies.store.getEra();
+}
+
 void PrimaryRecordRecovery::create()
 {
     this->dependencies.writer.submitRecovery(
@@ -128,15 +140,16 @@
 
 void PrimaryRecordRecovery::requestVersions()
 {
-    std::vector<FleetMember> active = this->dependencies.state.listActiveMembers();
     // In a larger fleet a takeover needs the votes of a sample only, which a majority of all may miss.
-    if (chooseVoters(active, this->dependencies.self).size() + 1 < active.size() || std::exchange(this->isVoting, true))
+    bool isSampled = chooseVoters(this->electors, this->dependencies.self).size() + 1 < this->electors.size();
+    if (isSampled || std::exchange(this->isVoting, true))
         return;
+    StoreEra era = this->dependencies.store.getEra();
     RecordVersion version = this->getKnownVersion();
     BootTime startedAt = this->dependencies.clock.bootNow();
-    std::shared_ptr<RecoveryVote> vote = std::make_shared<RecoveryVote>(active.size(), std::chrono::duration_cast<Duration>(startedAt - *this->confirmedAt));
+    std::shared_ptr<RecoveryVote> vote = std::make_shared<RecoveryVote>(this->electors.size(), std::chrono::duration_cast<Duration>(startedAt - *this->confirmedAt));
     vote->addResponse(this->dependencies.coordination.getTimeSinceVote(), false, Duration(0));
-    for (const FleetMember& member : active) {
+    for (const FleetMember& member : this->electors) {
         if (member.id == this->dependencies.self)
             continue;
         this->dependencies.peers.ask(member.peers, { { "ask", "record_version" } }, peerTimeout, [this, vote, version, startedAt](const std::optional<nlohmann::json>& response) {
@@ -145,22 +158,22 @@
                 vote->addResponse(decoded->sinceVote, decoded->version > version, std::chrono::duration_cast<Duration>(this->dependencies.clock.bootNow() - startedAt));
         });
     }
-    this->dependencies.loop.schedule(peerTimeout + voteGracePeriod, [this, vote, version] { this->finishVote(*vote, version); });
+    this->dependencies.loop.schedule(peerTimeout + voteGracePeriod, [this, vote, version, era] { this->finishVote(*vote, version, era); });
 }
 
-void PrimaryRecordRecovery::finishVote(const RecoveryVote& vote, const RecordVersion& version)
+void PrimaryRecordRecovery::finishVote(const RecoveryVote& vote, const RecordVersion& version, StoreEra era)
 {
     this->isVoting = false;
     if (vote.isWon() && this->outdatedSince && this->getKnownVersion() == version)
-        this->recover(true);
+        this->recover(era);
 }
 
-void PrimaryRecordRecovery::recover(bool isComplete)
+void PrimaryRecordRecovery::recover(std::optional<StoreEra> completeIn)
 {
     if (std::exchange(this->isRecoveryPending, true))
         return;
     this->dependencies.writer.submitRecovery(
-        [this, isComplete](PrimaryRecord& record) {
+        [this, completeIn](PrimaryRecord& record) {
             StoreEra era = this->dependencies.store.getEra();
             const VersionedPrimaryRecord& stored = this->dependencies.writer.getBase();
             bool isRecovered = stored.isCurrent();
@@ -169,13 +182,13 @@
             const VersionedPrimaryRecord& latest = this->dependencies.state.getLeaseTracker().getView().latest;
             if (!this->isKnownCoordinator())
                 this->promotionsFrom = this->outdatedSince.value_or(this->dependencies.clock.bootNow()) + promotionDelayAfterRecovery;
-            bool isContinued = isComplete && this->isKnownCoordinator();
+            bool isContinued = completeIn == era && this->isKnownCoordinator();
             record = isContinued ? makeContinuedRecord(*latest.record, era) : makeRecoveredRecord(latest.record == nullptr ? record : *latest.record, this->dependencies.self, era);
             return true;
         },
-        [this, isComplete](bool isWritten, BootTime) {
+        [this, completeIn](bool isWritten, BootTime) {
             this->isRecoveryPending = false;
-            logEvent(events::primaryRecordRecovered, "written=" + std::to_string(isWritten) + " complete=" + std::to_string(isComplete) + " store_era=" + std::to_string(this->dependencies.store.getEra().value()));
+            logEvent(events::primaryRecordRecovered, "written=" + std::to_string(isWritten) + " complete=" + std::to_string(completeIn.has_value()) + " store_era=" + std::to_string(this->dependencies.store.getEra().value()));
         });
 }
 
--- a/src/gateway/PrimaryRecordRecovery.h
+++ b/src/gateway/PrimaryRecordRecovery.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace lentiljunction {
 
@@ -81,10 +82,12 @@
     bool isKnownCoordinator() const;
     void create();
     bool mayRecover(BootTime now) const;
+    /// @returns whether a vote can show that no failover is missing from the known record
+    bool mayContinue() const;
     void requestVersions();
-    void finishVote(const RecoveryVote& vote, const RecordVersion& version);
-    /// @param isComplete whether no failover can be missing from the known record
-    void recover(bool isComplete);
+    void finishVote(const RecoveryVote& vote, const RecordVersion& version, StoreEra era);
+    /// @param completeIn the era in which a vote showed that no failover is missing from the known record
+    void recover(std::optional<StoreEra> completeIn);
     void confirmGroups();
     void requestStatuses(const GroupId& group);
     void onStatus(const GroupId& group, const UpstreamId& upstream, const std::optional<ReplicationStatus>& status);
@@ -100,6 +103,8 @@
     BootTime eraSeenAt;
     /// When the last read was sent that returned a current record with this instance as the coordinator.
     std::optional<BootTime> confirmedAt;
+    /// The active instances at that time; the list of a restored store may lack some.
+    std::vector<FleetMember> electors;
     /// When this instance may promote after it recovered the record of another coordinator.
     std::optional<BootTime> promotionsFrom;
     bool isVoting = false;
--- a/src/leadership/LeaseTracker.cpp
+++ b/src/leadership/LeaseTracker.cpp
@@ -33,6 +33,7 @@
     bool isNewerEra = isNewer && this->view.latest.record != nullptr && this->view.latest.record->era != versioned.record->era;
     if (isNewerEra)
         this->view.leaseEnd = BootTime();
+    // A restored record is older than the known one and does not show whether that one is still valid.
     bool isSameEra = isNewer || versioned.record->era == this->view.latest.record->era;
     if (isSameEra && versioned.isCurrent() && this->registeredEras.count(versioned.record->era) > 0)
         this->view.leaseEnd = std::max(this->view.leaseEnd, leaseEnd);
