Encode the start of an upstream as the unsigned number that the decoder expects

Between processes CBOR makes any number of this kind unsigned, so the bytes on the wire, and what instances did, are the same before and after. Evidence: the test failed, passes now; all 246 unit tests.

--- a/src/gateway/ListCodec.cpp
+++ b/src/gateway/ListCodec.cpp
@@ -71,7 +71,7 @@
             { "claims_primary", entry.second.claimsPrimary },
         });
         if (entry.second.startedAt)
-            document.back()["started_at_ms"] = toUnixMilliseconds(*entry.second.startedAt);
+            document.back()["started_at_ms"] = static_cast<std::uint64_t>(toUnixMilliseconds(*entry.second.startedAt));
     }
     return document;
 }
