Do not take a failover back with what the upstreams said before it

What callers could see: after a restore, a primary in use again while its replacement is being promoted (ONE). Cause: the confirmation of a group was written whatever the record said by then, also over a failover that had begun meanwhile. Evidence: RecordRecovery.groupIsNotConfirmedOnceItsFailoverHasBegun; the rule is a function of its own, which the record is checked with when it is written. Why this works: writes are conditional, so a failover that begins later is applied to the confirmed record.

--- a/include/lentiljunction/leadership/RecordRecovery.h
+++ b/include/lentiljunction/leadership/RecordRecovery.h
@@ -38,6 +38,9 @@
 /// @returns the primary, or nothing when an upstream that did not respond, or one in a higher term, might be it
 std::optional<UpstreamId> findConfirmedPrimary(const std::map<UpstreamId, std::optional<ReplicationStatus>>& statuses);
 
+/// @returns whether the coordinator may write the confirmed primary of a group: not once a failover of it has begun
+bool mayConfirm(const PrimaryRecord& record, const GroupId& group, const InstanceId& coordinator);
+
 /// Makes the entry of a primary that the upstreams have confirmed.
 ///
 /// @param record the record that the entry is for
--- a/src/gateway/PrimaryRecordRecovery.cpp
+++ b/src/gateway/PrimaryRecordRecovery.cpp
@@ -250,7 +250,7 @@
     this->confirmations.at(group).isWriting = true;
     this->dependencies.writer.submit(
         [this, group, primary, status](PrimaryRecord& record) {
-            if (record.coordinator != this->dependencies.self || record.isConfirmed(group))
+            if (!mayConfirm(record, group, this->dependencies.self))
                 return false;
             record.groups[group] = makeConfirmedEntry(record, group, primary, status);
             return true;
--- a/src/leadership/RecordRecovery.cpp
+++ b/src/leadership/RecordRecovery.cpp
@@ -62,6 +62,13 @@
     return primary && primaryTerm == greatestTerm ? primary : std::nullopt;
 }
 
+bool mayConfirm(const PrimaryRecord& record, const GroupId& group, const InstanceId& coordinator)
+{
+    const PrimaryEntry* entry = record.find(group);
+    bool isChanging = entry != nullptr && entry->phase == PrimaryPhase::Changing;
+    return record.coordinator == coordinator && !record.isConfirmed(group) && !isChanging;
+}
+
 PrimaryEntry makeConfirmedEntry(const PrimaryRecord& record, const GroupId& group, const UpstreamId& primary, const ReplicationStatus& status)
 {
     const PrimaryEntry* known = record.find(group);
--- a/tests/unit/RecordRecoveryTests.cpp
+++ b/tests/unit/RecordRecoveryTests.cpp
@@ -75,6 +75,16 @@
     CHECK_FALSE(findConfirmedPrimary({}).has_value());
 }
 
+// A failover that begins while the upstreams are asked must not be taken back by what they said before it.
+TEST(RecordRecovery, groupIsNotConfirmedOnceItsFailoverHasBegun)
+{
+    PrimaryRecord record = makeRecoveredRecord(makeRecord(), InstanceId("two"), StoreEra(2));
+    CHECK_TRUE(mayConfirm(record, group, InstanceId("two")));
+    CHECK_FALSE(mayConfirm(record, group, InstanceId("one")));
+    record.groups[group].phase = PrimaryPhase::Changing;
+    CHECK_FALSE(mayConfirm(record, group, InstanceId("two")));
+}
+
 TEST(RecordRecovery, failoverInProgressStaysInProgress)
 {
     PrimaryRecord record = makeRecord();
