--- a/include/lentiljunction/leadership/PrimaryRecord.h
+++ b/include/lentiljunction/leadership/PrimaryRecord.h
@@ -55,7 +55,8 @@
     std::string nonce;
     /// The era of the store in which the record was written. In a later era it is a copy that may lack failovers.
     StoreEra era = StoreEra();
-    /// The era in which the record was created; its groups without an entry have had no failover since.
+    /// The era in which groups without an entry are known to have had no failover: that of the record's creation, or of a
+    /// later continuation; zero when failovers may be missing.
     StoreEra createdIn = StoreEra();
 
     /// @returns the entry of a group, or nullptr
--- a/tests/unit/RankQueueTests.cpp
+++ b/tests/unit/RankQueueTests.cpp
@@ -161,3 +161,21 @@
     runFor(40, std::chrono::milliseconds(5));
     CHECK_FALSE(shedder.mustRefuse(Rank::Background));
 }
+
+TEST_GROUP(RankQueueEstimate) {};
+
+// A process that was stopped counts the pause as service time. Its mean must not refuse every request from then on, since
+// only a request that runs lowers it again.
+TEST(RankQueueEstimate, emptyQueueAcceptsRequestAgainAfterOverlongServiceTimes)
+{
+    ManualClock clock;
+    RankQueue queue(makeRanks());
+    for (int finished = 0; finished < 20; finished++)
+        queue.onFinished(std::chrono::seconds(3));
+    bool isAccepted = false;
+    for (int second = 0; second < 60 && !isAccepted; second++) {
+        clock.advance(std::chrono::seconds(1));
+        isAccepted = !queue.offer({ 1, Rank::Urgent, CallerId("c"), clock.now() + std::chrono::milliseconds(1500) }, clock.now());
+    }
+    CHECK_TRUE(isAccepted);
+}
