Give a group a primary when a lost failover has left it without one

Cause: a failover demoted the former primary, its record was lost with the copy, and those that knew of it had ended. All upstreams were replicas; without an entry and without an upstream that claims to be the primary, the recovery had nothing to replace and started over. Why it works: a failover needs an upstream to replace only to leave it out of the candidates; one that does not respond, or the one whose log is furthest behind, is left out.

--- a/include/lentiljunction/leadership/RecordRecovery.h
+++ b/include/lentiljunction/leadership/RecordRecovery.h
@@ -38,6 +38,16 @@
 /// @returns the primary, or nothing when an upstream that did not respond, or one in a higher term, might be it
 std::optional<UpstreamId> findConfirmedPrimary(const std::map<UpstreamId, std::optional<ReplicationStatus>>& statuses);
 
+/// Chooses the upstream that a failover replaces when the upstreams of a group do not confirm a primary.
+///
+/// A failover whose record was lost may have left the group without any primary. An upstream that would not be promoted
+/// anyway is then replaced.
+///
+/// @param known the entry of the group; nullptr when there is none
+/// @param statuses of all upstreams of the group; nothing for one that did not respond
+/// @returns nothing when no upstream responded
+std::optional<UpstreamId> chooseUpstreamToReplace(const PrimaryEntry* known, const std::map<UpstreamId, std::optional<ReplicationStatus>>& statuses);
+
 /// @returns whether the coordinator may write the confirmed primary of a group: not once a failover of it has begun
 bool mayConfirm(const PrimaryRecord& record, const GroupId& group, const InstanceId& coordinator);
 
--- a/src/gateway/PrimaryRecordRecovery.cpp
+++ b/src/gateway/PrimaryRecordRecovery.cpp
@@ -264,15 +264,7 @@
 void PrimaryRecordRecovery::replaceUnconfirmed(const GroupId& group, const Statuses& statuses)
 {
     const PrimaryEntry* known = this->dependencies.state.getLeaseTracker().getView().latest.record->find(group);
-    std::optional<UpstreamId> primary = known == nullptr ? std::nullopt : std::optional<UpstreamId>(known->primary);
-    Term greatestTerm;
-    for (const std::pair<const UpstreamId, std::optional<ReplicationStatus>>& status : statuses) {
-        bool isLaterPrimary = status.second && status.second->isPrimary && greatestTerm < status.second->term;
-        if (known != nullptr || !isLaterPrimary)
-            continue;
-        primary = status.first;
-        greatestTerm = status.second->term;
-    }
+    std::optional<UpstreamId> primary = chooseUpstreamToReplace(known, statuses);
     this->confirmations.erase(group);
     if (!primary)
         return logEvent(events::primaryConfirmed, "group=" + group.toString() + " primary=none written=0");
--- a/src/leadership/RecordRecovery.cpp
+++ b/src/leadership/RecordRecovery.cpp
@@ -62,6 +62,28 @@
     return primary && primaryTerm == greatestTerm ? primary : std::nullopt;
 }
 
+std::optional<UpstreamId> chooseUpstreamToReplace(const PrimaryEntry* known, const std::map<UpstreamId, std::optional<ReplicationStatus>>& statuses)
+{
+    if (known != nullptr)
+        return known->primary;
+    std::optional<UpstreamId> primary;
+    std::optional<UpstreamId> silent;
+    std::optional<UpstreamId> leastAdvanced;
+    for (const std::pair<const UpstreamId, std::optional<ReplicationStatus>>& status : statuses) {
+        if (!status.second) {
+            silent = status.first;
+            continue;
+        }
+        if (status.second->isPrimary && (!primary || statuses.at(*primary)->term < status.second->term))
+            primary = status.first;
+        if (!leastAdvanced || status.second->received < statuses.at(*leastAdvanced)->received)
+            leastAdvanced = status.first;
+    }
+    if (primary || !leastAdvanced)
+        return primary;
+    return silent ? silent : leastAdvanced;
+}
+
 bool mayConfirm(const PrimaryRecord& record, const GroupId& group, const InstanceId& coordinator)
 {
     const PrimaryEntry* entry = record.find(group);
--- a/tests/unit/RecordRecoveryTests.cpp
+++ b/tests/unit/RecordRecoveryTests.cpp
@@ -75,6 +75,21 @@
     CHECK_FALSE(findConfirmedPrimary({}).has_value());
 }
 
+// The lost failover had turned its former primary into a replica, and nobody knows of it.
+TEST(RecordRecovery, groupWithoutAnyPrimaryGetsOne)
+{
+    ReplicationStatus behind { false, Term(2), { Term(2), Position(30) } };
+    std::map<UpstreamId, std::optional<ReplicationStatus>> statuses { { UpstreamId("u1"), makeStatus(false, 2) }, { UpstreamId("u2"), behind }, { UpstreamId("u3"), makeStatus(false, 2) } };
+    CHECK(chooseUpstreamToReplace(nullptr, statuses) == UpstreamId("u2"));
+    statuses[UpstreamId("u3")] = std::nullopt;
+    CHECK(chooseUpstreamToReplace(nullptr, statuses) == UpstreamId("u3"));
+    statuses[UpstreamId("u1")] = makeStatus(true, 2);
+    CHECK(chooseUpstreamToReplace(nullptr, statuses) == UpstreamId("u1"));
+    PrimaryRecord record = makeRecord();
+    CHECK(chooseUpstreamToReplace(record.find(group), statuses) == UpstreamId("u2"));
+    CHECK_FALSE(chooseUpstreamToReplace(nullptr, { { UpstreamId("u1"), std::nullopt } }).has_value());
+}
+
 // A failover that begins while the upstreams are asked must not be taken back by what they said before it.
 TEST(RecordRecovery, groupIsNotConfirmedOnceItsFailoverHasBegun)
 {
