Accept a request at an empty queue whatever the service-time estimate says

Cause: RankQueue added the mean service time to the wait even when nothing was waiting. A process that was stopped counts the pause as service time, so the mean could exceed every deadline; each request was refused, and only a request that runs lowers the mean again.

Change: with nothing waiting only an expired deadline refuses. The other estimates were checked for the same lock: LatencyEstimate and Borrower::findReport expire, both concurrency limits stay at 1 or more, LenderSelector forgets after its back-off.

--- a/src/admission/RankQueue.cpp
+++ b/src/admission/RankQueue.cpp
@@ -38,7 +38,9 @@
     if (wait > target)
         return Outcome::notRun(NotRunReason::QueueFull, "the expected wait exceeds the target of rank " + toString(request.rank), retryAfter);
 
-    if (now + wait + this->meanServiceTime > request.deadline)
+    // The estimate must not refuse the work that would correct it: with nothing waiting, only an expired deadline refuses.
+    Duration service = this->isEmpty() ? Duration(0) : this->meanServiceTime;
+    if (now + wait + service > request.deadline)
         return Outcome::notRun(NotRunReason::DeadlineTooShort, "the expected wait exceeds the request's deadline", retryAfter);
 
     Lane& lane = this->lanes[toIndex(request.rank)];
