--- a/include/lentiljunction/interactive/SessionProtocol.h
+++ b/include/lentiljunction/interactive/SessionProtocol.h
@@ -62,8 +62,9 @@
     /// @returns the bytes of an error that refuses a session
     virtual std::string encodeSessionRefused(ReplyCode code, const std::string& message) const = 0;
 
+    /// @param user the name under which the connection is opened; the upstream accepts any without blanks
     /// @returns the bytes of the startup message to one upstream of a group
-    virtual std::string encodeUpstreamStartup(const GroupId& group, const InstanceId& self, const UpstreamId& upstream) const = 0;
+    virtual std::string encodeUpstreamStartup(const GroupId& group, const std::string& user, const UpstreamId& upstream) const = 0;
 
     /// @returns the bytes of one command
     virtual std::string encodeCommand(const UpstreamCommand& command) const = 0;
--- a/include/lentiljunction/interactive/SessionReply.h
+++ b/include/lentiljunction/interactive/SessionReply.h
@@ -34,6 +34,8 @@
     InDoubt,
     /// No route is configured for the database.
     NoDatabase,
+    /// The caller's key belongs to no workspace.
+    Unauthenticated,
     /// The statement is malformed, or not allowed in the state of the session.
     Malformed,
 };
--- a/src/interactive/SessionReply.cpp
+++ b/src/interactive/SessionReply.cpp
@@ -29,6 +29,8 @@
         return "in_doubt";
     case ReplyCode::NoDatabase:
         return "no_database";
+    case ReplyCode::Unauthenticated:
+        return "unauthenticated";
     case ReplyCode::Malformed:
         return "malformed";
     }
--- a/src/traffic/ConnectionSource.h
+++ b/src/traffic/ConnectionSource.h
@@ -6,6 +6,7 @@
 #include "lentiljunction/core/Ids.h"
 #include "lentiljunction/core/Rank.h"
 #include "lentiljunction/routes/UpstreamEntry.h"
+#include "lentiljunction/workspaces/WorkspaceId.h"
 
 #include <functional>
 
@@ -42,6 +43,8 @@
         TimePoint deadline;
         /// The context of the session, or nullptr for a command of the proxy itself. Used only during acquire().
         const SessionContext* context = nullptr;
+        /// The workspace for which the statement runs; empty in a deployment without workspaces.
+        WorkspaceId workspace = WorkspaceId();
     };
 
     virtual ~ConnectionSource() = default;
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -67,7 +67,7 @@
     this->target = *found;
     TimePoint acquireDeadline = this->needsPrimary() ? this->deadlines.getUpstreamWaitDeadline() : this->deadlines.getReadQueueDeadline(this->state.getClock().now());
     std::shared_ptr<StatementRun> self = this->shared_from_this();
-    ConnectionSource::Request needed { this->request.requirement.route->rank, this->request.caller, acquireDeadline, &this->context };
+    ConnectionSource::Request needed { this->request.requirement.route->rank, this->request.caller, acquireDeadline, &this->context, this->request.workspace };
     ConnectionSource::Ticket pendingTicket = this->target.source->acquire(needed, [self](StatementConnection* connection, ConnectionSource::Denial denial) {
         self->ticket = 0;
         if (!self->isDone)
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -23,6 +23,8 @@
     std::shared_ptr<const RouteTable> routes;
     ReadRequirement requirement;
     CallerId caller;
+    /// Empty in a deployment without workspaces.
+    WorkspaceId workspace;
     TimePoint arrivedAt;
 };
 
--- a/src/traffic/UpstreamConnection.cpp
+++ b/src/traffic/UpstreamConnection.cpp
@@ -56,7 +56,7 @@
 
 void UpstreamConnection::onSocketOpened()
 {
-    this->socket->send(this->protocol.encodeUpstreamStartup(this->group, this->self, this->upstream));
+    this->socket->send(this->protocol.encodeUpstreamStartup(this->group, this->self.toString(), this->upstream));
 }
 
 void UpstreamConnection::onSocketBytes(std::string& bytes)
