Move connection lending into a module of its own

The classes move to src/lending and LendingPlan, which the traffic module uses as well, to include/lentiljunction/lending.

Checked: the moved sources and their users in src/traffic compile; the tests were not run for this commit.

--- a/include/lentiljunction/fleet/lj_fleet.h
+++ b/include/lentiljunction/fleet/lj_fleet.h
@@ -4,7 +4,6 @@
 /// Module fleet: what the instances share through the store. Depends on core, routes and leadership.
 
 #include "lentiljunction/fleet/FleetStore.h"
-#include "lentiljunction/fleet/LendingPlan.h"
 #include "lentiljunction/fleet/RelayedList.h"
 #include "lentiljunction/fleet/Voters.h"
 #include "lentiljunction/fleet/ZoneReader.h"
--- a/src/traffic/BorrowedConnection.h
+++ b/src/lending/BorrowedConnection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "StatementConnection.h"
+#include "../traffic/StatementConnection.h"
 #include "lentiljunction/interactive/SessionProtocol.h"
 
 #include <cstdint>
--- a/src/traffic/BorrowingSource.h
+++ b/src/lending/BorrowingSource.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "../traffic/ConnectionSource.h"
 #include "Borrower.h"
-#include "ConnectionSource.h"
 
 #include <map>
 #include <memory>
--- a/src/traffic/Lender.h
+++ b/src/lending/Lender.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ConnectionSource.h"
+#include "../traffic/ConnectionSource.h"
 #include "LendingMessage.h"
 
 #include <cstdint>
--- a/src/traffic/LenderSelector.h
+++ b/src/lending/LenderSelector.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LatencyEstimate.h"
+#include "../traffic/LatencyEstimate.h"
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/fleet/FleetStore.h"
 
--- a/src/fleet/LendingPlan.cpp
+++ b/src/lending/LendingPlan.cpp
@@ -1,4 +1,4 @@
-#include "lentiljunction/fleet/LendingPlan.h"
+#include "lentiljunction/lending/LendingPlan.h"
 
 #include "lentiljunction/core/RendezvousHash.h"
 
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "../lending/LendingService.h"
 #include "CallerSession.h"
-#include "LendingService.h"
 #include "PrimaryVerificationRounds.h"
 #include "TrafficState.h"
 #include "lentiljunction/metrics/GatewayMetrics.h"
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "BorrowingSource.h"
+#include "../lending/BorrowingSource.h"
+#include "../lending/Lender.h"
 #include "FreshnessProofs.h"
-#include "Lender.h"
 #include "ReadPlanner.h"
 #include "UpstreamPool.h"
-#include "lentiljunction/fleet/LendingPlan.h"
 #include "lentiljunction/leadership/FailoverForecast.h"
 #include "lentiljunction/leadership/PrimaryView.h"
+#include "lentiljunction/lending/LendingPlan.h"
 #include "lentiljunction/metrics/GatewayMetrics.h"
 #include "lentiljunction/routes/RouteTable.h"
 
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -1,7 +1,7 @@
 #include "UpstreamPool.h"
 
 #include "lentiljunction/core/LogEvents.h"
-#include "lentiljunction/fleet/LendingPlan.h"
+#include "lentiljunction/lending/LendingPlan.h"
 
 #include <algorithm>
 #include <array>
--- a/tests/support/LendingBench.h
+++ b/tests/support/LendingBench.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "../../platform/LineProtocol.h"
+#include "lending/BorrowingSource.h"
+#include "lending/Lender.h"
 #include "lentiljunction/core/Random.h"
 #include "lentiljunction/core/Scheduler.h"
-#include "traffic/BorrowingSource.h"
-#include "traffic/Lender.h"
 
 #include <map>
 #include <memory>
--- a/tests/unit/LendingMessageTests.cpp
+++ b/tests/unit/LendingMessageTests.cpp
@@ -1,5 +1,5 @@
+#include "lending/LendingMessage.h"
 #include "lentiljunction/core/Random.h"
-#include "traffic/LendingMessage.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/unit/LendingPlanTests.cpp
+++ b/tests/unit/LendingPlanTests.cpp
@@ -1,5 +1,5 @@
-#include "lentiljunction/fleet/LendingPlan.h"
-#include "traffic/LenderSelector.h"
+#include "lending/LenderSelector.h"
+#include "lentiljunction/lending/LendingPlan.h"
 
 #include <algorithm>
 #include <iterator>
