Accept callers by the keys of workspaces

Cause: two kinds of deployment give callers API keys. A key that a configuration removes must be refused everywhere 5 s later, also on open connections and after a pause of the process, and no statement may run under the name of another workspace.

Change: RouteTable::workspaces and Route::isPublic, from the platform's list of tenants and relayed as digests. A key is checked at the startup, at each statement and before each message of a statement to an upstream. How long a configuration may be relied on is measured from a time at which no newer one existed; with workspaces a watch of the routes therefore lasts 0.7 s and confirms from its begin. An instance without the store asks one instance of each zone; if no zone has contact, known keys stay accepted. StatementRequest::workspace is set, and caller is the workspace's name. Without the list nothing is checked and watches last 2 s as before.

--- a/include/lentiljunction/core/Failure.h
+++ b/include/lentiljunction/core/Failure.h
@@ -28,6 +28,8 @@
     Kind kind = Kind::None;
     /// A sentence for logs and users.
     std::string reason;
+    /// Whether the failure is a response of the other side. Otherwise it may be out of reach.
+    bool isResponse = false;
 
     /// Sets both fields.
     void set(Kind newKind, std::string newReason)
--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -76,6 +76,7 @@
     constexpr LogEvent statementRetried { 523, LogLevel::Information, "statement_retried", "A statement that did not run is sent to an upstream again." };
     constexpr LogEvent sessionRefused { 524, LogLevel::Warning, "session_refused", "A session was not opened, or its caller sent malformed data." };
     constexpr LogEvent linesOmitted { 530, LogLevel::Warning, "lines_omitted", "Log lines were omitted to limit the log volume." };
+    constexpr LogEvent keyRefused { 540, LogLevel::Warning, "key_refused", "The key of a caller was not accepted; its statements are not run." };
     constexpr LogEvent auditWriteFailed { 600, LogLevel::Warning, "audit_write_failed", "Audit records could not be written to the store; they are kept and written later." };
 
 } // namespace events
--- a/include/lentiljunction/interactive/FailureCause.h
+++ b/include/lentiljunction/interactive/FailureCause.h
@@ -31,6 +31,10 @@
     NotAllowed,
     /// No route is configured for the session's database.
     NoRoute,
+    /// No workspace holds the caller's key.
+    KeyUnknown,
+    /// The routing configuration is not confirmed as current, so the caller's key cannot be decided on.
+    KeyUnconfirmed,
 };
 
 /// @returns the name of a cause for logs and metrics
--- a/include/lentiljunction/metrics/GatewayMetrics.h
+++ b/include/lentiljunction/metrics/GatewayMetrics.h
@@ -85,6 +85,11 @@
     /// Counts a statement that was refused without being sent to an upstream.
     void onRefusedLocally(const std::string& cause);
 
+    /// Counts a caller's key that was not accepted.
+    ///
+    /// @param reason "unknown" or "unconfirmed"
+    void onKeyRefused(const std::string& reason);
+
     /// Counts a call to the store that the instances share.
     ///
     /// @param result "done", "refused" or "unanswered"
--- a/include/lentiljunction/routes/RouteTable.h
+++ b/include/lentiljunction/routes/RouteTable.h
@@ -3,6 +3,7 @@
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/core/Ids.h"
 #include "lentiljunction/core/Rank.h"
+#include "lentiljunction/workspaces/WorkspaceTable.h"
 
 #include <map>
 #include <optional>
@@ -31,6 +32,8 @@
     Duration targetLatency { 0 };
     /// Maximum age of the data of a read. Ignored for Consistency::Primary.
     Duration maximumStaleness { 0 };
+    /// Whether callers need no key.
+    bool isPublic = false;
 };
 
 /// The configuration of one group of upstreams.
@@ -48,6 +51,8 @@
     std::map<GroupId, GroupConfig> groups;
     /// A transaction that is idle for longer may be rolled back. Zero means no limit.
     Duration transactionIdleLimit { 0 };
+    /// The workspaces; nothing in a deployment without workspaces, where callers need no key.
+    std::optional<WorkspaceTable> workspaces;
 
     /// @returns the route of a database, or nullptr when there is none
     const Route* find(const DatabaseId& database) const
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -122,6 +122,7 @@
         events::statementRetried,
         events::sessionRefused,
         events::linesOmitted,
+        events::keyRefused,
         events::auditWriteFailed,
     };
     return all;
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -47,6 +47,7 @@
     , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, settings.lending }, [this](StoreEra era) { this->onRegistered(era); })
     , leaseTracker(settings.instance)
     , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, *this)
+    , peerConfirmation(this->peers, dependencies.clock, this->routes, settings.instance)
     , lists(dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, *this)
     , audit(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance)
     , handover(settings.instance)
@@ -96,6 +97,7 @@
 
 void GatewayControl::renewLease()
 {
+    this->peerConfirmation.askIfNeeded();
     std::optional<FleetMember> reader = this->findZoneReader();
     if (!reader)
         return this->readPrimaryRecord();
@@ -238,24 +240,15 @@
 
 void GatewayControl::onRoutesInForce(const std::shared_ptr<const RouteTable>& table)
 {
-    this->dependencies.trafficLoop.post([this, table] { this->dependencies.traffic.setRoutes(table); });
+    this->dependencies.trafficLoop.post([this, table, confirmation = this->routes.getConfirmation()] { this->dependencies.traffic.setRoutes(table, confirmation); });
     this->updateReady();
 }
 
 void GatewayControl::onZoneReaderFreshness(const nlohmann::json& response, const Endpoint& reader, BootTime sentAt)
 {
     std::optional<RouteFreshness> freshness = decodeRouteFreshness(response);
-    if (!freshness || !this->routes.onRelayedFreshness(*freshness, sentAt))
-        return;
-    this->peers.ask(reader, { { "ask", "routes" } }, peerTimeout, [this](const std::optional<nlohmann::json>& relayed) {
-        if (!relayed)
-            return;
-        Failure failure;
-        std::optional<RouteTable> table = decodeRelayedRoutes(*relayed, failure);
-        if (!table)
-            return logEvent(events::peerMessageInvalid, "reason=\"" + failure.reason + "\"");
-        this->routes.offer(std::make_shared<RouteTable>(std::move(*table)));
-    });
+    if (freshness && this->routes.onRelayedFreshness(*freshness, sentAt))
+        this->peerConfirmation.requestRoutes(reader);
 }
 
 void GatewayControl::onUpstreamList(const std::shared_ptr<const UpstreamList>& list)
@@ -273,6 +266,7 @@
 void GatewayControl::onMemberList(const std::vector<FleetMember>& list)
 {
     this->members.setMembers(list);
+    this->peerConfirmation.setMembers(this->listActiveMembers());
     this->publishMembers();
     this->hasListedMembers = true;
     this->updateReady();
@@ -313,11 +307,15 @@
     return state;
 }
 
+nlohmann::json GatewayControl::makeRoutesVersionResponse() const
+{
+    std::optional<RouteFreshness> freshness = this->routes.getFreshness();
+    return freshness ? nlohmann::json { { "routes", encodeRouteFreshness(*freshness) } } : nlohmann::json::object();
+}
+
 nlohmann::json GatewayControl::makeStateResponse() const
 {
-    nlohmann::json response = nlohmann::json::object();
-    if (std::optional<RouteFreshness> freshness = this->routes.getFreshness())
-        response["routes"] = encodeRouteFreshness(*freshness);
+    nlohmann::json response = this->makeRoutesVersionResponse();
     response["lists"] = this->lists.makeVersions();
     const PrimaryView& view = this->leaseTracker.getView();
     if (view.latest.record == nullptr)
@@ -371,6 +369,8 @@
         return this->respondWithState(respond);
     if (kind == "routes" && this->routes.getTable() != nullptr)
         return respond(encodeRelayedRoutes(*this->routes.getTable()));
+    if (kind == "routes_version")
+        return respond(this->makeRoutesVersionResponse());
     if (kind == "upstreams")
         return respond(this->lists.makeUpstreams());
     if (kind == "members")
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -9,6 +9,7 @@
 #include "GatewaySettings.h"
 #include "MemberDirectory.h"
 #include "MemberRegistration.h"
+#include "PeerConfirmation.h"
 #include "PrimaryRecordRecovery.h"
 #include "PrimaryRecordWriter.h"
 #include "RouteWatcher.h"
@@ -107,6 +108,7 @@
     void requestPeerState();
     void onPeerState(const nlohmann::json& response, BootTime sentAt);
     void onZoneReaderFreshness(const nlohmann::json& response, const Endpoint& reader, BootTime sentAt);
+    nlohmann::json makeRoutesVersionResponse() const;
     /// Passes the active instances to the traffic thread.
     void publishMembers();
     /// Processes the coordinator and the retired instances of the newest record.
@@ -130,6 +132,7 @@
     MemberRegistration registration;
     LeaseTracker leaseTracker;
     RouteWatcher routes;
+    PeerConfirmation peerConfirmation;
     FleetLists lists;
     UpstreamRegistry upstreams;
     MemberDirectory members;
--- a/src/gateway/RouteWatcher.cpp
+++ b/src/gateway/RouteWatcher.cpp
@@ -13,6 +13,9 @@
     /// A watch is renewed after this time, since its connection may be dead without an error, and a new
     /// configuration must be in force within three seconds.
     constexpr std::chrono::milliseconds watchTimeout { 2000 };
+    /// With workspaces a confirmation counts from the start of the watch, since its response may have waited while this
+    /// process did not run. Short watches keep that time recent, also at the instances that rely on this one.
+    constexpr std::chrono::milliseconds workspacesWatchTimeout { 700 };
 
 } // namespace
 
@@ -32,6 +35,16 @@
     if (table == nullptr || freshness.version > table->version)
         return true;
     this->relayedFreshness.onFreshness(freshness, sentAt);
+    this->keyFreshness.onCurrentAt(*this->relayedFreshness.getConfirmedAt());
+    return false;
+}
+
+bool RouteWatcher::onPeerFreshness(const RouteFreshness& freshness, BootTime sentAt)
+{
+    const std::shared_ptr<const RouteTable>& table = this->routes.getTable();
+    if (table == nullptr || freshness.version > table->version)
+        return true;
+    this->keyFreshness.onCurrentAt(sentAt - freshness.age);
     return false;
 }
 
@@ -39,6 +52,7 @@
 {
     if (!this->routes.offer(table))
         return;
+    this->keyFreshness.onTableInForce();
     logEvent(events::routesInForce, "routes_version=" + std::to_string(table->version.value()) + " routes=" + std::to_string(table->routes.size()));
     this->listener.onRoutesInForce(table);
 }
@@ -62,6 +76,7 @@
             return this->retry("read_routes", failure);
         this->confirmedAt = sentAt;
         this->applyRoutes(*versioned);
+        this->onConfirmedByStore(sentAt);
         this->onCallFinished();
     });
 }
@@ -85,15 +100,17 @@
     if (std::exchange(this->isRelyingOnPeer, false))
         return this->read();
     this->isCallPending = true;
-    this->store.watchRoutes(this->revision, watchTimeout, [this](const std::optional<VersionedRoutes>& versioned, const Failure& failure) {
+    BootTime sentAt = this->clock.bootNow();
+    this->store.watchRoutes(this->revision, this->hasWorkspaces() ? workspacesWatchTimeout : watchTimeout, [this, sentAt](const std::optional<VersionedRoutes>& versioned, const Failure& failure) {
         if (!versioned)
             return this->retry("watch_routes", failure);
         if (versioned->era != this->era) {
             logEvent(events::routesPositionLost, "revision=" + std::to_string(this->revision.value()) + " era=" + std::to_string(this->era.value()) + " store_era=" + std::to_string(versioned->era.value()));
             return this->read();
         }
-        this->confirmedAt = this->clock.bootNow();
         this->applyRoutes(*versioned);
+        this->confirmedAt = this->hasWorkspaces() ? sentAt : this->clock.bootNow();
+        this->onConfirmedByStore(sentAt);
         this->onCallFinished();
     });
 }
@@ -103,6 +120,7 @@
     logEvent(events::storeCallFailed, "call=" + call + " reason=\"" + failure.reason + "\"");
     // Other instances must not rely on this one while it cannot reach the store.
     this->confirmedAt.reset();
+    this->keyFreshness.onStoreFailed(failure.isResponse);
     this->loop.schedule(this->storeRetries.onFailure(), [this] { this->retryUnlessRelayed(); });
 }
 
@@ -115,6 +133,13 @@
     this->onCallFinished();
 }
 
+void RouteWatcher::onConfirmedByStore(BootTime sentAt)
+{
+    // Called when the response is in force: it shows that no newer configuration existed, not that no other one did.
+    this->keyFreshness.onStoreAnswered();
+    this->keyFreshness.onCurrentAt(sentAt);
+}
+
 void RouteWatcher::applyRoutes(const VersionedRoutes& versioned)
 {
     this->storeRetries.onSuccess();
--- a/src/gateway/RouteWatcher.h
+++ b/src/gateway/RouteWatcher.h
@@ -5,6 +5,7 @@
 #include "lentiljunction/core/EventLoop.h"
 #include "lentiljunction/fleet/FleetStore.h"
 #include "lentiljunction/routes/ActiveRoutes.h"
+#include "lentiljunction/routes/KeyFreshnessTracker.h"
 #include "lentiljunction/routes/RelayedRoutes.h"
 
 namespace lentiljunction {
@@ -49,6 +50,27 @@
     /// @returns the configuration in force, or nullptr before the first
     const std::shared_ptr<const RouteTable>& getTable() const { return this->routes.getTable(); }
 
+    /// @returns how long keys may be decided with the configuration in force; nullptr before the first
+    std::shared_ptr<const RouteConfirmation> getConfirmation() const { return this->keyFreshness.getConfirmation(); }
+
+    /// @returns whether the configuration has workspaces and needs a confirmation by another instance
+    bool needsPeerConfirmation() const { return this->hasWorkspaces() && this->keyFreshness.needsConfirmation(this->clock.bootNow()); }
+
+    /// Processes the configuration version of an instance of any zone. Unlike after onRelayedFreshness(), this instance
+    /// goes on to read the store.
+    ///
+    /// @param sentAt when the request was sent
+    /// @returns whether that instance has a newer version, which should be requested
+    bool onPeerFreshness(const RouteFreshness& freshness, BootTime sentAt);
+
+    /// Sets the zones in which other instances run.
+    void setZones(std::set<ZoneId> others) { this->keyFreshness.setZones(std::move(others)); }
+
+    /// Another instance of a zone reported that it has no contact with the store.
+    ///
+    /// @param sentAt when the request was sent
+    void onZoneWithoutStore(const ZoneId& zone, BootTime sentAt) { this->keyFreshness.onZoneWithoutStore(zone, sentAt); }
+
     /// @returns the revision of the store from which the routes are watched
     StoreVersion getRevision() const { return this->revision; }
 
@@ -61,6 +83,8 @@
     void retryUnlessRelayed();
     /// Watches the store, unless the version reported by another instance is fresh enough.
     void watchUnlessRelayed();
+    bool hasWorkspaces() const { return this->routes.getTable() != nullptr && this->routes.getTable()->workspaces; }
+    void onConfirmedByStore(BootTime sentAt);
 
     EventLoop& loop;
     const Clock& clock;
@@ -73,6 +97,7 @@
     RelayedFreshness relayedFreshness;
     /// When the store last confirmed that there is no newer configuration.
     std::optional<BootTime> confirmedAt;
+    KeyFreshnessTracker keyFreshness;
     bool isCallPending = false;
     /// This instance relies on another one, so the revision from which to watch the store is out of date.
     bool isRelyingOnPeer = false;
--- a/src/interactive/FailureCause.cpp
+++ b/src/interactive/FailureCause.cpp
@@ -14,7 +14,7 @@
         const char* forOperator;
     };
 
-    constexpr std::array<Description, 13> descriptions { {
+    constexpr std::array<Description, 15> descriptions { {
         { FailureCause::None, "none", "", "The statement did not fail." },
         { FailureCause::NoPrimary, "no_primary", "no primary may be used",
             "Either the instance could not confirm who leads (events 411, 223), or the group's primary was being replaced (401 to 403, 413)." },
@@ -40,6 +40,10 @@
             "The caller sent a statement that the state of its session does not allow; see the reason." },
         { FailureCause::NoRoute, "no_route", "no route leads to the database",
             "Compare routes_version with the version that the operators published, and look for event 220." },
+        { FailureCause::KeyUnknown, "key_unknown", "no workspace holds the key",
+            "Look for event 540: compare its digest with that of the caller's key and its routes_version with the version that the operators published." },
+        { FailureCause::KeyUnconfirmed, "key_unconfirmed", "the configuration is not confirmed as current",
+            "The instance could not confirm its configuration with the store or another instance: look for events 223 and 311." },
     } };
 
     const Description& find(FailureCause cause)
--- a/src/metrics/GatewayMetrics.cpp
+++ b/src/metrics/GatewayMetrics.cpp
@@ -14,6 +14,7 @@
     prometheus::Family<prometheus::Counter>& statements = this->registry.addCounter("lentiljunction_statements_total", "Statements answered, by kind of route, rank, code and upstream");
     prometheus::Family<prometheus::Counter>& failures = this->registry.addCounter("lentiljunction_statement_failures_total", "Statements that did not succeed, by rank and cause");
     prometheus::Family<prometheus::Counter>& retries = this->registry.addCounter("lentiljunction_retries_total", "Statements that went to an upstream again");
+    prometheus::Family<prometheus::Counter>& keyRefusals = this->registry.addCounter("lentiljunction_key_refusals_total", "Keys of callers that were not accepted, by reason");
     prometheus::Family<prometheus::Counter>& storeCalls = this->registry.addCounter("lentiljunction_store_calls_total", "Calls to what the instances share, by operation and result");
     prometheus::Family<prometheus::Histogram>& statementTime = this->registry.addHistogram("lentiljunction_statement_seconds", "From the first byte of a statement to its answer, by kind of route and rank");
     prometheus::Family<prometheus::Histogram>& storeTime = this->registry.addHistogram("lentiljunction_store_seconds", "Time of calls to what the instances share, by operation");
@@ -52,6 +53,11 @@
     this->implementation->failures.Add({ { "rank", "" }, { "cause", cause } }).Increment();
 }
 
+void GatewayMetrics::onKeyRefused(const std::string& reason)
+{
+    this->implementation->keyRefusals.Add({ { "reason", reason } }).Increment();
+}
+
 void GatewayMetrics::onStoreCall(const std::string& operation, const std::string& result, Duration took)
 {
     this->implementation->storeCalls.Add({ { "operation", operation }, { "result", result } }).Increment();
--- a/src/routes/RelayedRoutes.cpp
+++ b/src/routes/RelayedRoutes.cpp
@@ -31,9 +31,75 @@
         route.statementTimeout = getDuration(fields, "timeout_us");
         route.targetLatency = getDuration(fields, "target_us");
         route.maximumStaleness = getDuration(fields, "staleness_us");
+        const nlohmann::json* isPublic = fields.findValue("public");
+        if (isPublic != nullptr && !isPublic->is_boolean())
+            fields.addFault("public", "must be true or false");
+        else
+            route.isPublic = isPublic != nullptr && isPublic->get<bool>();
         return route;
     }
 
+    double findLimit(JsonFields& fields, const std::string& name)
+    {
+        const nlohmann::json* value = fields.findValue(name);
+        if (value == nullptr)
+            return std::numeric_limits<double>::infinity();
+        if (value->is_number() && value->get<double>() >= 0)
+            return value->get<double>();
+        fields.addFault(name, "must be a number that is not negative");
+        return 0;
+    }
+
+    WorkspaceConfig decodeWorkspace(const nlohmann::json& object, const std::string& path, std::vector<std::string>& faults)
+    {
+        JsonFields fields(object, path, faults);
+        WorkspaceConfig workspace;
+        workspace.name = WorkspaceId(fields.getText("name"));
+        workspace.ratePerSecond = findLimit(fields, "rate_per_s");
+        workspace.burst = findLimit(fields, "burst");
+        for (const std::string& text : fields.getTexts("keys")) {
+            std::optional<KeyDigest> digest = parseKeyDigest(text);
+            if (digest)
+                workspace.keys.insert(*digest);
+            else
+                fields.addFault("keys", "must be digests");
+        }
+        return workspace;
+    }
+
+    /// Decodes the list of workspaces, unless the configuration has none.
+    void decodeWorkspaces(JsonFields& fields, RouteTable& table, std::vector<std::string>& faults)
+    {
+        const nlohmann::json* workspaces = fields.findValue("workspaces");
+        if (workspaces == nullptr)
+            return;
+        if (!workspaces->is_array())
+            return fields.addFault("workspaces", "must be an array");
+        table.workspaces.emplace();
+        for (std::size_t index = 0; index < workspaces->size(); index++) {
+            std::string path = fields.pathOf("workspaces[" + std::to_string(index) + "]");
+            WorkspaceConfig workspace = decodeWorkspace((*workspaces)[index], path, faults);
+            if (table.workspaces->add(std::move(workspace)) != WorkspaceTable::Conflict::None)
+                faults.push_back(path + ": the name or a key exists already");
+        }
+    }
+
+    nlohmann::json encodeWorkspaces(const WorkspaceTable& table)
+    {
+        nlohmann::json workspaces = nlohmann::json::array();
+        for (const std::pair<const WorkspaceId, WorkspaceConfig>& entry : table.getAll()) {
+            nlohmann::json workspace { { "name", entry.first.toString() }, { "keys", nlohmann::json::array() } };
+            for (const KeyDigest& key : entry.second.keys)
+                workspace["keys"].push_back(key.toString());
+            if (std::isfinite(entry.second.ratePerSecond))
+                workspace["rate_per_s"] = entry.second.ratePerSecond;
+            if (std::isfinite(entry.second.burst))
+                workspace["burst"] = entry.second.burst;
+            workspaces.push_back(std::move(workspace));
+        }
+        return workspaces;
+    }
+
     std::int64_t findIndex(Rank rank)
     {
         return std::distance(allRanks.begin(), std::find(allRanks.begin(), allRanks.end(), rank));
@@ -87,11 +153,16 @@
             { "target_us", route.targetLatency.count() },
             { "staleness_us", route.maximumStaleness.count() },
         });
+        if (route.isPublic)
+            routes.back()["public"] = true;
     }
     nlohmann::json groups = nlohmann::json::object();
     for (const std::pair<const GroupId, GroupConfig>& group : table.groups)
         groups[group.first.toString()] = group.second.maximumConnections;
-    return { { "version", table.version.value() }, { "routes", routes }, { "groups", groups }, { "idle_limit_us", table.transactionIdleLimit.count() } };
+    nlohmann::json document { { "version", table.version.value() }, { "routes", routes }, { "groups", groups }, { "idle_limit_us", table.transactionIdleLimit.count() } };
+    if (table.workspaces)
+        document["workspaces"] = encodeWorkspaces(*table.workspaces);
+    return document;
 }
 
 std::optional<RouteTable> decodeRelayedRoutes(const nlohmann::json& document, Failure& failure)
@@ -120,6 +191,7 @@
             else
                 fields.addFault("groups." + group.key(), "must be a number of connections");
         }
+    decodeWorkspaces(fields, table, faults);
     if (faults.empty())
         return table;
     failure.set(Failure::Kind::InvalidInput, joinFaults(faults));
--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -1,5 +1,7 @@
 #include "CallerSession.h"
 
+#include "LocalStatements.h"
+
 #include "lentiljunction/core/LogEvents.h"
 
 #include <utility>
@@ -20,6 +22,7 @@
     , protocol(protocol)
     , listener(listener)
     , socket(std::move(socket))
+    , key(state)
     , idleTimer(state.getLoop(), state.getClock(), [this] { this->onIdleLimit(); })
 {
 }
@@ -112,19 +115,61 @@
 }
 
 void CallerSession::onStartup(const SessionStartup& opened)
+{
+    if (this->refuseStartup(opened))
+        return;
+    this->startup = opened;
+    this->key.set(opened.database, opened.caller.toString());
+    // Only the digest of a key is kept. Without workspaces the field is a name by which queues tell callers apart.
+    if (this->state.getRoutes()->workspaces)
+        this->startup->caller = CallerId();
+    KeyVerdict verdict = this->key.check(false);
+    if (mayRun(verdict)) {
+        this->socket->send(this->protocol.encodeSessionReady());
+        return;
+    }
+    this->reportKeyRefused(verdict);
+    this->socket->send(this->protocol.encodeSessionRefused(decideKeyRefusal(verdict, false, false).code, describe(toFailureCause(verdict))));
+    this->closeNow();
+}
+
+void CallerSession::reportKeyRefused(KeyVerdict verdict)
+{
+    this->listener.onKeyRefused(verdict);
+    this->key.logRefusal(verdict);
+}
+
+bool CallerSession::refuseInvalidKey(const SessionStatement& statement)
+{
+    bool isInTransaction = this->transactionState != TransactionState::Idle;
+    KeyVerdict verdict = this->key.check(isInTransaction);
+    // A rollback runs nothing, so it needs no confirmed configuration.
+    if (mayRun(verdict) || (verdict == KeyVerdict::Unconfirmed && statement.verb == SessionVerb::Rollback))
+        return false;
+    this->held.rollBackAndRelease();
+    this->idleTimer.clear();
+    this->mustReportAbort = false;
+    this->reportKeyRefused(verdict);
+    ReplyDecision decision = decideKeyRefusal(verdict, isInTransaction, statement.verb == SessionVerb::Commit);
+    this->reply(decision.code, decision.state, describe(toFailureCause(verdict)), toFailureCause(verdict));
+    if (verdict == KeyVerdict::Unknown)
+        this->closeNow();
+    return true;
+}
+
+bool CallerSession::refuseStartup(const SessionStartup& opened)
 {
     std::shared_ptr<const RouteTable> routes = this->state.getRoutes();
     bool isKnown = routes != nullptr && routes->find(opened.database) != nullptr;
-    if (this->startup || !isKnown) {
-        ReplyCode code = this->startup ? ReplyCode::Malformed : routes == nullptr ? ReplyCode::Busy
-                                                                                  : ReplyCode::NoDatabase;
-        std::string reason = this->startup ? "the session is already open" : "no route leads to the database";
-        logEvent(events::sessionRefused, "database=" + opened.database.toString() + " reason=\"" + reason + "\" routes_version=" + (routes == nullptr ? "none" : std::to_string(routes->version.value())));
-        this->socket->send(this->protocol.encodeSessionRefused(code, reason));
-        return this->closeNow();
-    }
-    this->startup = opened;
-    this->socket->send(this->protocol.encodeSessionReady());
+    if (!this->startup && isKnown)
+        return false;
+    ReplyCode code = this->startup ? ReplyCode::Malformed : routes == nullptr ? ReplyCode::Busy
+                                                                              : ReplyCode::NoDatabase;
+    std::string reason = this->startup ? "the session is already open" : "no route leads to the database";
+    logEvent(events::sessionRefused, "database=" + opened.database.toString() + " reason=\"" + reason + "\" routes_version=" + (routes == nullptr ? "none" : std::to_string(routes->version.value())));
+    this->socket->send(this->protocol.encodeSessionRefused(code, reason));
+    this->closeNow();
+    return true;
 }
 
 void CallerSession::onStatement(SessionStatement statement)
@@ -134,6 +179,8 @@
         return this->closeNow();
     }
     this->statementId = statement.id;
+    if (this->refuseInvalidKey(statement))
+        return;
     if (statement.verb == SessionVerb::Malformed)
         return this->reply(ReplyCode::Malformed, this->transactionState, "the statement is malformed");
     if (isTransactionControl(statement.verb))
@@ -146,7 +193,7 @@
         this->held.rollBackAndRelease();
         return this->reply(ReplyCode::Aborted, TransactionState::Idle, "the transaction had failed");
     }
-    std::optional<SessionReply> local = this->answerLocally(statement);
+    std::optional<SessionReply> local = answerLocally(this->context, statement, this->transactionState);
     if (local)
         return this->send(*local);
     this->onUpstreamStatement(std::move(statement));
@@ -162,15 +209,31 @@
     }
     if (this->transactionState != TransactionState::Idle)
         return this->reply(ReplyCode::Malformed, this->transactionState, "a transaction is already open");
-    this->transactionMode = statement.mode;
+    std::shared_ptr<const RouteTable> routes = this->state.getRoutes();
+    const Route* route = routes->find(this->startup->database);
+    if (route == nullptr)
+        return this->reply(ReplyCode::NoDatabase, TransactionState::Idle, "no route leads to the database", FailureCause::NoRoute);
+    this->beginOperation(statement, statement.mode, routes, *route);
+}
+
+void CallerSession::beginOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route)
+{
+    this->key.beginOperation();
+    if (statement.verb == SessionVerb::Begin)
+        this->beginTransaction(statement, routes);
+    else
+        this->startRun(std::move(statement), mode, routes, route);
+}
+
+void CallerSession::beginTransaction(const SessionStatement& begin, const std::shared_ptr<const RouteTable>& routes)
+{
+    this->transactionMode = begin.mode;
     this->transactionBegan = this->arrivedAt;
-    this->transactionRoutes = this->state.getRoutes();
+    this->transactionRoutes = routes;
     this->hasTransactionWritten = false;
     this->mustReportAbort = false;
-    if (this->transactionRoutes->find(this->startup->database) == nullptr)
-        return this->reply(ReplyCode::NoDatabase, TransactionState::Idle, "no route leads to the database", FailureCause::NoRoute);
     this->reply(ReplyCode::None, TransactionState::Open, "");
-    this->beginEarly(statement);
+    this->beginEarly(begin);
 }
 
 void CallerSession::beginEarly(const SessionStatement& begin)
@@ -191,47 +254,12 @@
     started->start();
 }
 
-std::optional<SessionReply> CallerSession::answerLocally(const SessionStatement& statement)
-{
-    SessionReply answer;
-    answer.state = this->transactionState;
-    switch (statement.verb) {
-    case SessionVerb::SetValue:
-        this->context.setValue(statement.name, statement.argument);
-        return answer;
-    case SessionVerb::Prepare:
-        this->context.prepare(statement.name, { statement.mode, statement.argument });
-        return answer;
-    case SessionVerb::Deallocate:
-        if (!this->context.deallocate(statement.name))
-            answer.code = ReplyCode::NoSuchStatement;
-        answer.message = statement.name;
-        return answer;
-    default:
-        return std::nullopt;
-    }
-}
-
-std::optional<AccessMode> CallerSession::findMode(const SessionStatement& statement) const
-{
-    if (statement.verb == SessionVerb::Read)
-        return AccessMode::Read;
-    if (statement.verb == SessionVerb::Write)
-        return AccessMode::Write;
-    if (statement.verb == SessionVerb::Commit)
-        return this->hasTransactionWritten ? AccessMode::Write : AccessMode::Read;
-    const PreparedShape* shape = this->context.findPrepared(statement.name);
-    if (shape == nullptr)
-        return std::nullopt;
-    return shape->mode;
-}
-
 void CallerSession::onUpstreamStatement(SessionStatement statement)
 {
     bool isInTransaction = this->transactionState == TransactionState::Open;
     if (statement.verb == SessionVerb::Commit && !isInTransaction)
         return this->reply(ReplyCode::Malformed, TransactionState::Idle, "no transaction is open");
-    std::optional<AccessMode> mode = this->findMode(statement);
+    std::optional<AccessMode> mode = findMode(this->context, statement, this->hasTransactionWritten);
     if (!mode)
         return this->reply(ReplyCode::NoSuchStatement, isInTransaction ? TransactionState::Failed : TransactionState::Idle, statement.name);
     if (isInTransaction && this->transactionMode == AccessMode::Read && *mode == AccessMode::Write)
@@ -241,7 +269,10 @@
     const Route* route = routes->find(this->startup->database);
     if (route == nullptr)
         return this->reply(ReplyCode::NoDatabase, this->transactionState, "no route leads to the database", FailureCause::NoRoute);
-    this->startRun(std::move(statement), *mode, routes, *route);
+    if (isInTransaction)
+        this->startRun(std::move(statement), *mode, routes, *route);
+    else
+        this->beginOperation(std::move(statement), *mode, routes, *route);
 }
 
 StatementRequest CallerSession::makeRequest(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route) const
@@ -253,7 +284,10 @@
     request.transactionMode = this->transactionMode;
     request.routes = routes;
     request.requirement = { &route, isInTransaction ? this->transactionBegan : this->arrivedAt, this->ownCommit, {} };
-    request.caller = this->startup->caller;
+    request.workspace = this->key.getWorkspace();
+    request.key = this->key.getDigest();
+    // Queues share among workspaces where there are some. A key must not get there: others than this session see it.
+    request.caller = routes->workspaces ? CallerId(request.workspace.toString()) : this->startup->caller;
     request.arrivedAt = this->arrivedAtSteady;
     return request;
 }
@@ -282,7 +316,11 @@
     if (result.commit)
         this->ownCommit = result.commit;
     this->listener.onStatementAnswered(request.requirement.route, request, result);
+    if (result.cause == FailureCause::KeyUnknown || result.cause == FailureCause::KeyUnconfirmed)
+        this->reportKeyRefused(result.cause == FailureCause::KeyUnknown ? KeyVerdict::Unknown : KeyVerdict::Unconfirmed);
     this->send(result.reply);
+    if (result.cause == FailureCause::KeyUnknown)
+        return this->closeNow();
     this->restartIdleTimer();
     this->processBuffered();
 }
--- a/src/traffic/CallerSession.h
+++ b/src/traffic/CallerSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../net/TcpConnection.h"
+#include "SessionKey.h"
 #include "StatementRun.h"
 #include "lentiljunction/interactive/SessionContext.h"
 #include "lentiljunction/interactive/SessionProtocol.h"
@@ -31,6 +32,9 @@
         /// @param route the session's route, or nullptr
         virtual void onStatementAnswered(const Route* route, const StatementRequest& request, const StatementRun::Result& result) = 0;
 
+        /// A startup or a statement was refused because of the caller's key.
+        virtual void onKeyRefused(KeyVerdict verdict) = 0;
+
         /// A statement was refused without contacting an upstream.
         virtual void onRefusedLocally(FailureCause cause) = 0;
     };
@@ -64,11 +68,19 @@
     void onSocketBytes(std::string& bytes) override;
     void onSocketClosed(const std::string& reason, bool isRefused) override;
     void onStartup(const SessionStartup& startup);
+    bool refuseStartup(const SessionStartup& opened);
     void onStatement(SessionStatement statement);
+    /// Refuses a statement if the caller's key is no longer accepted.
+    ///
+    /// @returns whether the statement was refused
+    bool refuseInvalidKey(const SessionStatement& statement);
+    void reportKeyRefused(KeyVerdict verdict);
     void onTransactionControl(const SessionStatement& statement);
     void onUpstreamStatement(SessionStatement statement);
-    std::optional<SessionReply> answerLocally(const SessionStatement& statement);
-    std::optional<AccessMode> findMode(const SessionStatement& statement) const;
+    /// Starts an operation: a single statement, or the transaction of a BEGIN. Nothing of the operation was sent to an
+    /// upstream before, and the caller has no reply yet.
+    void beginOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route);
+    void beginTransaction(const SessionStatement& begin, const std::shared_ptr<const RouteTable>& routes);
     StatementRequest makeRequest(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route) const;
     void beginEarly(const SessionStatement& begin);
     void restartIdleTimer();
@@ -84,6 +96,7 @@
     const SessionProtocol& protocol;
     Listener& listener;
     std::unique_ptr<TcpConnection> socket;
+    SessionKey key;
     OneShotTimer idleTimer;
     /// Received bytes that are not decoded yet.
     std::string buffered;
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -1,5 +1,7 @@
 #include "StatementRun.h"
 
+#include "SessionKey.h"
+
 #include "lentiljunction/core/LogEvents.h"
 
 #include <algorithm>
@@ -56,8 +58,21 @@
     return lentiljunction::needsPrimary(*this->request.requirement.route, mode);
 }
 
+bool StatementRun::refuseInvalidKey()
+{
+    KeyVerdict verdict = this->state.checkRunningKey(this->request.requirement.route->database, this->request.key, this->request.workspace);
+    if (mayRun(verdict))
+        return false;
+    this->attemptNumber++;
+    this->failure.set(toFailureCause(verdict));
+    this->replyToCaller(decideKeyRefusal(verdict, this->request.traits.isInTransaction, this->request.traits.isCommit));
+    return true;
+}
+
 void StatementRun::attempt()
 {
+    if (this->refuseInvalidKey())
+        return;
     this->attemptNumber++;
     this->isStatementSent = false;
     std::optional<Target> found = this->needsPrimary() ? this->state.findPrimary(this->request.requirement.route->group) : this->state.findReadTarget(this->request.requirement);
@@ -122,6 +137,8 @@
 
 void StatementRun::prepare()
 {
+    if (this->refuseInvalidKey())
+        return;
     std::shared_ptr<StatementRun> self = this->shared_from_this();
     std::vector<UpstreamCommand> commands = this->context.planPreparation(this->held.connection->context, this->findPreparedShape(), !this->isOnHeldConnection);
     bool mustBegin = this->request.traits.isInTransaction && !this->isOnHeldConnection;
@@ -181,6 +198,9 @@
 
 void StatementRun::send()
 {
+    // The commands that prepare the connection, or the wait for a slot, take time.
+    if (this->refuseInvalidKey())
+        return;
     UpstreamCommand command;
     command.id = this->request.statement.id;
     command.kind = UpstreamCommand::Kind::Forward;
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -23,8 +23,10 @@
     std::shared_ptr<const RouteTable> routes;
     ReadRequirement requirement;
     CallerId caller;
-    /// Empty in a deployment without workspaces.
+    /// Empty in a deployment without workspaces, and for a caller without a key on a public route.
     WorkspaceId workspace;
+    /// The key of the caller, which is checked again before each message to an upstream.
+    KeyDigest key;
     TimePoint arrivedAt;
 };
 
@@ -70,6 +72,10 @@
 
 private:
     void attempt();
+    /// Refuses the statement if its caller's key is no longer accepted.
+    ///
+    /// @returns whether the statement was refused
+    bool refuseInvalidKey();
     void onGranted(StatementConnection* connection, ConnectionSource::Denial denial);
     void prepare();
     void onPrepared(const std::optional<SessionReply>& reply, bool isLast, bool isBegin, std::size_t attemptNumber);
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -83,9 +83,9 @@
     return raw->getSocketListener();
 }
 
-void TrafficPlane::setRoutes(std::shared_ptr<const RouteTable> routes)
+void TrafficPlane::setRoutes(std::shared_ptr<const RouteTable> routes, std::shared_ptr<const RouteConfirmation> confirmation)
 {
-    this->state.setRoutes(std::move(routes));
+    this->state.setRoutes(std::move(routes), std::move(confirmation));
     this->notifySessions();
 }
 
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -36,7 +36,8 @@
     /// Opens the port for callers.
     bool listen(const Endpoint& endpoint, Failure& failure);
 
-    void setRoutes(std::shared_ptr<const RouteTable> routes);
+    /// @param confirmation how long keys may be decided with the routes; unused without workspaces
+    void setRoutes(std::shared_ptr<const RouteTable> routes, std::shared_ptr<const RouteConfirmation> confirmation = nullptr);
     void setUpstreams(std::shared_ptr<const UpstreamList> upstreams);
 
     /// Sets the instances that share the upstreams' connections.
@@ -89,6 +90,7 @@
     void onUpstreamUnreachable(const UpstreamEntry& upstream, UpstreamConnection::LossCause cause) override;
     void onSessionEnded(CallerSession& session) override;
     void onStatementAnswered(const Route* route, const StatementRequest& request, const StatementRun::Result& result) override;
+    void onKeyRefused(KeyVerdict verdict) override { this->metrics.onKeyRefused(lentiljunction::toString(verdict)); }
     void onRefusedLocally(FailureCause cause) override { this->metrics.onRefusedLocally(lentiljunction::toString(cause)); }
     TcpConnection::Listener& accept(std::unique_ptr<TcpConnection> socket);
     std::vector<CallerSession*> listSessions() const;
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -10,6 +10,7 @@
 #include "lentiljunction/leadership/PrimaryView.h"
 #include "lentiljunction/lending/LendingPlan.h"
 #include "lentiljunction/metrics/GatewayMetrics.h"
+#include "lentiljunction/routes/RouteConfirmation.h"
 #include "lentiljunction/routes/RouteTable.h"
 
 #include <functional>
@@ -97,7 +98,17 @@
     TrafficState(const UpstreamPool::Dependencies& dependencies, ZoneId zone);
 
     /// Sets a newer routing configuration.
-    void setRoutes(std::shared_ptr<const RouteTable> newer);
+    ///
+    /// @param newerConfirmation how long keys may be decided with it; unused for one without workspaces
+    void setRoutes(std::shared_ptr<const RouteTable> newer, std::shared_ptr<const RouteConfirmation> newerConfirmation = nullptr);
+
+    /// Decides on the key of a caller with the routing configuration in force.
+    KeyDecision checkKey(const DatabaseId& database, const KeyDigest& key) const;
+
+    /// Decides whether a statement or transaction that began for a workspace may go on.
+    ///
+    /// @param workspace the workspace for which it began; empty for none
+    KeyVerdict checkRunningKey(const DatabaseId& database, const KeyDigest& key, const WorkspaceId& workspace) const;
 
     /// Sets a newer list of upstreams and closes the pools of removed ones.
     void setUpstreams(std::shared_ptr<const UpstreamList> newer);
@@ -248,6 +259,9 @@
     /// @param pool this instance's own connections, with their share set
     /// @returns whether the own connections are too scarce, so that the lenders are asked
     bool needsLenders(const UpstreamPool& pool, const std::vector<FleetMember>& lenders) const { return this->borrower != nullptr && !lenders.empty() && !pool.mayKeepIdle(); }
+    /// @returns whether callers of a database need no key; a missing database is reported elsewhere
+    bool isPublicRoute(const DatabaseId& database) const;
+    KeyFreshness getKeyFreshness() const { return this->confirmation == nullptr ? KeyFreshness() : this->confirmation->get(); }
     int findMaximumConnections(const GroupId& group) const;
     /// @returns the number of instances that are expected to use an upstream at the same time
     std::size_t countUsers(const UpstreamEntry& upstream) const;
@@ -255,6 +269,7 @@
     UpstreamPool::Dependencies dependencies;
     ZoneId zone;
     std::shared_ptr<const RouteTable> routes;
+    std::shared_ptr<const RouteConfirmation> confirmation;
     std::shared_ptr<const UpstreamList> upstreams = std::make_shared<UpstreamList>();
     PrimaryView view;
     std::size_t numInstances = 1;
--- a/tests/support/QueuedFleetStore.h
+++ b/tests/support/QueuedFleetStore.h
@@ -15,6 +15,8 @@
     struct RouteCall {
         /// The revision to watch from; nothing for a read.
         std::optional<StoreVersion> watchedFrom;
+        /// How long a watch waits.
+        Duration wait { 0 };
         Callback<VersionedRoutes> callback;
     };
 
@@ -36,8 +38,8 @@
     }
 
     StoreEra getEra() const override { return StoreEra(); }
-    void readRoutes(Callback<VersionedRoutes> callback) override { this->add({ std::nullopt, std::move(callback) }); }
-    void watchRoutes(StoreVersion after, Duration, Callback<VersionedRoutes> callback) override { this->add({ after, std::move(callback) }); }
+    void readRoutes(Callback<VersionedRoutes> callback) override { this->add({ std::nullopt, Duration(0), std::move(callback) }); }
+    void watchRoutes(StoreVersion after, Duration wait, Callback<VersionedRoutes> callback) override { this->add({ after, wait, std::move(callback) }); }
     void listUpstreams(Callback<std::shared_ptr<const UpstreamList>>) override { }
     void readPrimaryRecord(Callback<VersionedPrimaryRecord>) override { }
     void writePrimaryRecord(const PrimaryRecord&, StoreVersion, Callback<VersionedPrimaryRecord>) override { }
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -197,13 +197,26 @@
         for (int index = 0; index < *rc::gen::inRange(0, 5); index++) {
             Route route { DatabaseId("d" + std::to_string(index)), GroupId("g" + std::to_string(index % 2)), static_cast<Consistency>(*rc::gen::inRange(0, 3)), allRanks[static_cast<std::size_t>(*rc::gen::inRange(0, 3))], Duration(*rc::gen::inRange(0, 9000000)), Duration(*rc::gen::inRange(0, 9000000)), Duration(*rc::gen::inRange(0, 9000000)) };
             table.routes[route.database] = route;
+            table.routes[route.database].isPublic = *rc::gen::arbitrary<bool>();
             table.groups[route.group].maximumConnections = *rc::gen::inRange(1, 100);
         }
+        int numWorkspaces = *rc::gen::inRange(-1, 4);
+        if (numWorkspaces >= 0)
+            table.workspaces.emplace();
+        for (int index = 0; index < numWorkspaces; index++) {
+            WorkspaceConfig workspace { WorkspaceId("w" + std::to_string(index)), { computeKeyDigest(std::to_string(index)), computeKeyDigest("k" + std::to_string(index)) } };
+            if (*rc::gen::arbitrary<bool>())
+                workspace.ratePerSecond = *rc::gen::inRange(0, 1000) / 8.0;
+            if (*rc::gen::arbitrary<bool>())
+                workspace.burst = *rc::gen::inRange(0, 1000);
+            table.workspaces->add(workspace);
+        }
         Failure failure;
         nlohmann::json sent = nlohmann::json::from_cbor(nlohmann::json::to_cbor(encodeRelayedRoutes(table)));
         std::optional<RouteTable> read = decodeRelayedRoutes(sent, failure);
         RC_ASSERT(read.has_value());
         RC_ASSERT(encodeRelayedRoutes(*read) == encodeRelayedRoutes(table));
+        RC_ASSERT(read->workspaces.has_value() == table.workspaces.has_value());
     });
     CHECK_TRUE(isEqual);
 }
--- a/tests/unit/PlatformTests.cpp
+++ b/tests/unit/PlatformTests.cpp
@@ -179,6 +179,31 @@
     STRCMP_CONTAINS("route_type", failure.reason.c_str());
 }
 
+// A list that is read half would accept keys or names that the operators did not mean, so it is refused as a whole.
+TEST(PlatformCodec, decodesWorkspacesAndRejectsAmbiguousOnes)
+{
+    nlohmann::json document = nlohmann::json::parse(R"({"version":7,"routes":[{"host":"db","service":"s","route_type":"primary","timeout_ms":8,"target_latency_ms":1,"priority":0,"public":true}],"services":[]})");
+    CHECK_FALSE(decodeRouteTable(document, failure)->workspaces.has_value());
+    CHECK_TRUE(decodeRouteTable(document, failure)->routes.begin()->second.isPublic);
+    document["tenants"] = nlohmann::json::parse(R"([{"name":"a","api_keys":["k1","k2"],"rate_per_s":2.5,"burst":7,"priority":3},{"name":"b","api_keys":["k3"]}])");
+    std::optional<RouteTable> table = decodeRouteTable(document, failure);
+    const WorkspaceConfig* found = table->workspaces->find(computeKeyDigest("k2"));
+    STRCMP_EQUAL("a", found->name.toString().c_str());
+    DOUBLES_EQUAL(2.5, found->ratePerSecond, 0);
+    DOUBLES_EQUAL(7, found->burst, 0);
+    CHECK_FALSE(table->workspaces->find(WorkspaceId("b"))->hasLimit());
+    for (const char* change : { R"({"name":"a b"})", R"({"name":"b"})", R"({"name":""})", R"({"api_keys":["k3"]})", R"({"api_keys":[""]})", R"({"api_keys":"k1"})", R"({"rate_per_s":-1})", R"({"burst":"x"})" }) {
+        nlohmann::json invalid = document;
+        invalid["tenants"][0].merge_patch(nlohmann::json::parse(change));
+        failure = Failure();
+        CHECK_FALSE_TEXT(decodeRouteTable(invalid, failure).has_value(), change);
+        // Faults are logged, and keys must not be.
+        CHECK_TEXT(failure.reason.find("k3") == std::string::npos, failure.reason.c_str());
+    }
+    document["tenants"] = "none";
+    CHECK_FALSE(decodeRouteTable(document, failure).has_value());
+}
+
 TEST_GROUP(HttpMessage) {};
 
 TEST(HttpMessage, parsesResponseReceivedByteByByte)
@@ -230,7 +255,7 @@
 // decoded or rejected with a reason, and none crashes the process.
 TEST(StoredDocuments, corruptDocumentsAreDecodedOrRejectedWithReason)
 {
-    const nlohmann::json routes { { "version", 3 }, { "routes", { { { "host", "db" }, { "service", "g" }, { "route_type", "primary" }, { "timeout_ms", 800 }, { "target_latency_ms", 120 }, { "priority", 0 }, { "max_staleness_ms", 100 } } } }, { "services", { { { "name", "g" }, { "max_conns", 8 } } } }, { "limits", { { "tx_idle_ms", 500 } } } };
+    const nlohmann::json routes { { "version", 3 }, { "routes", { { { "host", "db" }, { "service", "g" }, { "route_type", "primary" }, { "timeout_ms", 800 }, { "target_latency_ms", 120 }, { "priority", 0 }, { "max_staleness_ms", 100 } } } }, { "services", { { { "name", "g" }, { "max_conns", 8 } } } }, { "tenants", { { { "name", "a" }, { "api_keys", { "k" } }, { "rate_per_s", 3 } } } }, { "limits", { { "tx_idle_ms", 500 } } } };
     const nlohmann::json primaryRecord = nlohmann::json::parse(R"({"holder":"a","epoch":4,"nonce":"n","retired":["b"],"groups":{"g":{"phase":"stable","primary":"u","generation":1,"baseline_term":1,"baseline_position":2,"term":3}}})");
     const nlohmann::json member { { "zone", "z" }, { "peers", "10.0.0.1:80" } };
     Failure failure;
--- a/tests/unit/RouteWatcherTests.cpp
+++ b/tests/unit/RouteWatcherTests.cpp
@@ -1,16 +1,21 @@
 #include "../../src/gateway/RouteWatcher.h"
 #include "../support/QueuedFleetStore.h"
 
+#include <future>
+#include <thread>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace lentiljunction;
 
 namespace {
 
-std::shared_ptr<const RouteTable> makeTable(std::uint64_t version)
+std::shared_ptr<const RouteTable> makeTable(std::uint64_t version, bool hasWorkspaces = false)
 {
     std::shared_ptr<RouteTable> table = std::make_shared<RouteTable>();
     table->version = BundleVersion(version);
+    if (hasWorkspaces)
+        table->workspaces.emplace();
     return table;
 }
 
@@ -41,6 +46,18 @@
     /// @returns the revision that the next call watches from, or nothing when it is a read
     std::optional<StoreVersion> getNextPosition() { return this->store.peekRouteCall().watchedFrom; }
 
+    /// @returns how long the next call, a watch, waits
+    Duration getNextWait() { return this->store.peekRouteCall().wait; }
+
+    /// @returns how long keys may be decided, once all answers given so far are processed
+    KeyFreshness getKeyFreshness()
+    {
+        this->store.peekRouteCall();
+        std::promise<KeyFreshness> found;
+        this->loop.post([this, &found] { found.set_value(this->watcher.getConfirmation()->get()); });
+        return found.get_future().get();
+    }
+
 private:
     void onRoutesInForce(const std::shared_ptr<const RouteTable>&) override { }
 
@@ -73,3 +90,29 @@
     bench.answer(VersionedRoutes { nullptr, StoreVersion(31), StoreEra(2) });
     CHECK_FALSE(bench.getNextPosition().has_value());
 }
+
+// The process may have been frozen before it processed the answer of a watch, so the answer confirms the configuration
+// only for the time at which the watch began.
+TEST(RouteWatcher, watchConfirmsConfigurationFromItsBegin)
+{
+    RouteWatcherBench bench;
+    bench.answer(VersionedRoutes { makeTable(1, true), StoreVersion(1), StoreEra(1) });
+    KeyFreshness afterRead = bench.getKeyFreshness();
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    BootTime answeredAt = BootClock::now();
+    bench.answer(VersionedRoutes { nullptr, StoreVersion(1), StoreEra(1) });
+    KeyFreshness afterWatch = bench.getKeyFreshness();
+    CHECK(afterWatch.currentUntil > afterRead.currentUntil);
+    CHECK(afterWatch.currentUntil < answeredAt + std::chrono::milliseconds(2500));
+}
+
+// Confirmations that count from the begin of a watch of 2 s would be too old for the instances that rely on them.
+TEST(RouteWatcher, watchesAreShorterWithWorkspacesOnly)
+{
+    RouteWatcherBench bench;
+    bench.answer(VersionedRoutes { makeTable(1), StoreVersion(1), StoreEra(1) });
+    CHECK(bench.getNextWait() == std::chrono::seconds(2));
+    bench.answer(VersionedRoutes { makeTable(2, true), StoreVersion(2), StoreEra(1) });
+    bench.getKeyFreshness();
+    CHECK(bench.getNextWait() < std::chrono::seconds(1));
+}
