Check workspaces with the stand-ins and in the soak

Cause: keys are checked by several instances, a store that fails and open sessions together, which unit tests do not show.

Change: the stand-in of the store writes workspaces and public routes; upstreams record under which name a connection was opened, and report a statement whose id names another workspace.

--- a/standins/platform/LineGroup.cpp
+++ b/standins/platform/LineGroup.cpp
@@ -179,6 +179,41 @@
     return count;
 }
 
+void LineGroup::checkName(const std::string& connectionName, const std::string& statementId, const std::string& text)
+{
+    std::size_t endOfWorkspace = statementId.find('/');
+    if (endOfWorkspace == std::string::npos)
+        return;
+    this->lastArrivals[statementId.substr(0, statementId.rfind('/') + 1)] = SystemClock().now();
+    if (statementId.substr(0, endOfWorkspace) != connectionName)
+        this->wrongNames.push_back(statementId + " \"" + text + "\" on a connection of " + connectionName);
+}
+
+std::vector<std::string> LineGroup::listWrongNames()
+{
+    std::vector<std::string> found;
+    this->runOnLoop([&] { found = this->wrongNames; });
+    return found;
+}
+
+std::optional<TimePoint> LineGroup::findLastArrival(const std::string& idPrefix)
+{
+    std::optional<TimePoint> found;
+    this->runOnLoop([&] {
+        std::map<std::string, TimePoint>::const_iterator last = this->lastArrivals.find(idPrefix);
+        if (last != this->lastArrivals.end())
+            found = last->second;
+    });
+    return found;
+}
+
+std::set<std::string> LineGroup::listNames()
+{
+    std::set<std::string> found;
+    this->runOnLoop([&] { found = this->names; });
+    return found;
+}
+
 std::string LineGroup::findPrimary()
 {
     std::string found;
--- a/standins/platform/LineUpstream.cpp
+++ b/standins/platform/LineUpstream.cpp
@@ -56,15 +56,16 @@
         stream >> id;
         std::string text;
         std::getline(stream >> std::ws, text);
+        this->upstream.group.checkName(this->name, id, text);
         this->onQuery(text);
     }
 
     void onStartup(std::istringstream& stream)
     {
         std::string group;
-        std::string caller;
         std::string id;
-        stream >> group >> caller >> id;
+        stream >> group >> this->name >> id;
+        this->upstream.group.names.insert(this->name);
         if (group != this->upstream.group.getName() || (!id.empty() && id != this->upstream.id)) {
             this->socket->send("ERR WRONGNODE " + this->upstream.id + "\r\n");
             return;
@@ -209,6 +210,8 @@
 
     LineUpstream& upstream;
     std::unique_ptr<TcpConnection> socket;
+    /// The name under which the connection was opened.
+    std::string name;
     std::map<std::string, std::string> sessionVariables;
     std::map<std::string, std::string> preparedStatements;
     std::map<std::string, std::string> writes;
--- a/standins/platform/LineUpstream.h
+++ b/standins/platform/LineUpstream.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -127,6 +128,19 @@
     /// @returns how often an upstream replied that its log does not reach the required position
     std::size_t countBehindReplies() const { return this->numBehindReplies; }
 
+    /// @returns the prefix for the ids of statements by which upstreams check that each runs on a connection opened
+    /// under its workspace's name, and tell when a key was last used
+    static std::string makeIdPrefix(const std::string& workspace, const std::string& key) { return workspace + "/" + key + "/"; }
+
+    /// @returns a description of each statement that arrived on a connection opened under another name
+    std::vector<std::string> listWrongNames();
+
+    /// @returns when the last statement with a prefix arrived, or nothing
+    std::optional<TimePoint> findLastArrival(const std::string& idPrefix);
+
+    /// @returns the names under which connections were opened
+    std::set<std::string> listNames();
+
     /// @returns the id of the primary with the highest term
     std::string findPrimary();
 
@@ -142,6 +156,8 @@
     void commit(LineUpstream& primary, const std::map<std::string, std::string>& writes);
     void copyFromPrimary(LineUpstream& upstream);
     LineUpstream* findCurrentPrimary();
+    /// Checks a statement against the name under which its connection was opened.
+    void checkName(const std::string& name, const std::string& statementId, const std::string& text);
     void replicate(const LineUpstream& primary, const std::map<std::string, std::string>& writes);
 
     EventLoop& loop;
@@ -152,6 +168,9 @@
     std::atomic<std::size_t> numBehindReplies { 0 };
     std::multiset<std::string> committedItems;
     std::set<std::string> itemsCommittedByFormerPrimary;
+    std::set<std::string> names;
+    std::vector<std::string> wrongNames;
+    std::map<std::string, TimePoint> lastArrivals;
 };
 
 } // namespace lentiljunction::standin
--- a/standins/platform/PlatformSite.cpp
+++ b/standins/platform/PlatformSite.cpp
@@ -57,10 +57,22 @@
     for (const std::string& database : databases) {
         std::string type = database == "bookings" ? "primary" : "read_your_writes";
         routes.push_back({ { "name", "r-" + database }, { "host", database }, { "path_prefix", "/" }, { "route_type", type }, { "timeout_ms", 1500 }, { "target_latency_ms", 250 }, { "priority", 0 }, { "service", groupName }, { "attempts", 2 }, { "max_staleness_ms", 2500 } });
+        if (this->publicDatabases.count(database) > 0)
+            routes.back()["public"] = true;
     }
     nlohmann::json services = nlohmann::json::array();
     services.push_back({ { "name", groupName }, { "health_path", "/health" }, { "max_conns", this->maximumConnections }, { "sync_replicas", 0 } });
-    this->store.put("config", "main", { { "version", version }, { "routes", routes }, { "services", services }, { "limits", { { "tx_idle_ms", 10000 } } } });
+    nlohmann::json configuration { { "version", version }, { "routes", routes }, { "services", services }, { "limits", { { "tx_idle_ms", 10000 } } } };
+    if (!this->workspaces.is_null())
+        configuration["tenants"] = this->workspaces;
+    this->store.put("config", "main", configuration);
+}
+
+void PlatformSite::setWorkspaces(const std::map<std::string, std::vector<std::string>>& keys)
+{
+    this->workspaces = nlohmann::json::array();
+    for (const std::pair<const std::string, std::vector<std::string>>& workspace : keys)
+        this->workspaces.push_back({ { "name", workspace.first }, { "api_keys", workspace.second }, { "rate_per_s", 1000 }, { "burst", 1000 }, { "priority", 0 } });
 }
 
 Endpoint PlatformSite::publishAddress(const std::string& id, const Endpoint& address)
--- a/standins/platform/PlatformSite.h
+++ b/standins/platform/PlatformSite.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,12 @@
     /// @returns its address
     Endpoint openStorePort(Failure& failure);
 
+    /// Sets the workspaces of later configurations: the API keys by name. Before, configurations have no list of them.
+    void setWorkspaces(const std::map<std::string, std::vector<std::string>>& keys);
+
+    /// Sets the databases that need no key according to later configurations.
+    void setPublicDatabases(const std::set<std::string>& databases) { this->publicDatabases = databases; }
+
     /// Writes a configuration. The database "bookings" gets a primary route, every other database a
     /// read-your-writes route.
     void configure(std::uint64_t version, const std::vector<std::string>& databases);
@@ -57,6 +64,9 @@
     LineGroup group;
     std::map<std::string, Endpoint> endpoints;
     int maximumConnections = 16;
+    /// Null without workspaces.
+    nlohmann::json workspaces;
+    std::set<std::string> publicDatabases;
 };
 
 } // namespace lentiljunction::standin
--- a/tests/process/GatewayFixture.h
+++ b/tests/process/GatewayFixture.h
@@ -51,6 +51,7 @@
     std::string readMetrics(std::size_t index) const;
 
     std::uint16_t getPort(std::size_t index) const { return this->sessionPorts[index]; }
+    standin::PlatformSite& getSite() { return this->site; }
     standin::PlatformStore& getStore() { return this->site.getStore(); }
     standin::LineGroup& getGroup() { return this->site.getGroup(); }
 
--- a/tools/lab/LineCaller.cpp
+++ b/tools/lab/LineCaller.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-LineCaller::LineCaller(std::uint16_t port, const std::string& database, std::chrono::seconds timeout)
+LineCaller::LineCaller(std::uint16_t port, const std::string& database, std::chrono::seconds timeout, const std::string& key)
 {
     this->descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
     timeval limit { timeout.count(), 0 };
@@ -23,7 +23,7 @@
     address.sin_port = htons(port);
     ::inet_pton(AF_INET, loopback, &address.sin_addr);
     if (::connect(this->descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0)
-        this->startupResponse = this->sendRaw("STARTUP " + database + " tester\r\n");
+        this->startupResponse = this->sendRaw("STARTUP " + database + " " + key + "\r\n");
 }
 
 LineCaller::~LineCaller()
@@ -33,7 +33,7 @@
 
 std::string LineCaller::execute(const std::string& text)
 {
-    return this->sendRaw("QUERY q" + std::to_string(this->nextId++) + " " + text + "\r\n");
+    return this->sendRaw("QUERY " + this->idPrefix + std::to_string(this->nextId++) + " " + text + "\r\n");
 }
 
 std::string LineCaller::sendRaw(const std::string& bytes)
--- a/tools/lab/LineCaller.h
+++ b/tools/lab/LineCaller.h
@@ -13,7 +13,8 @@
     ///
     /// @param port session port of the instance
     /// @param timeout longest wait for received bytes; see hasTimedOut()
-    LineCaller(std::uint16_t port, const std::string& database, std::chrono::seconds timeout = std::chrono::seconds(30));
+    /// @param key the second field of the first message: an API key where the site has workspaces
+    LineCaller(std::uint16_t port, const std::string& database, std::chrono::seconds timeout = std::chrono::seconds(30), const std::string& key = "tester");
     ~LineCaller();
     LineCaller(const LineCaller&) = delete;
     LineCaller& operator=(const LineCaller&) = delete;
@@ -24,6 +25,9 @@
     /// the wait timed out
     std::string execute(const std::string& text);
 
+    /// Sets the text before the number in the ids of statements; upstreams check that of LineGroup::makeIdPrefix().
+    void setIdPrefix(const std::string& prefix) { this->idPrefix = prefix; }
+
     /// Sends raw bytes and waits for a response, the end of the connection, or the timeout.
     std::string sendRaw(const std::string& bytes);
 
@@ -38,6 +42,7 @@
 
     int descriptor = -1;
     int nextId = 1;
+    std::string idPrefix = "q";
     bool isTimedOut = false;
     std::string buffer;
     std::string startupResponse;
--- a/tools/lab/Soak.cpp
+++ b/tools/lab/Soak.cpp
@@ -50,7 +50,7 @@
 
     bool isServing(int port)
     {
-        LineCaller caller(static_cast<std::uint16_t>(port), "bookings", std::chrono::seconds(2));
+        LineCaller caller(static_cast<std::uint16_t>(port), "bookings", std::chrono::seconds(2), SoakKeys::probeKey);
         return isServed(caller.execute("READ probe"));
     }
 
@@ -98,11 +98,12 @@
 nlohmann::json runSoak(const SoakPlan& plan, const std::string& binaries, const std::string& folder)
 {
     RelayedSite relayed(plan, binaries, folder);
+    SoakHistory history;
+    std::unique_ptr<SoakKeys> keys = plan.hasWorkspaces ? std::make_unique<SoakKeys>(relayed.site.getSite(), history) : nullptr;
     Failure failure;
     if (!relayed.start(plan.numInstances, failure))
         return { { "violations", { "not started: " + failure.reason } } };
     standin::LineGroup& group = relayed.site.getSite().getGroup();
-    SoakHistory history;
     checkRecovery(relayed.site.getSessionPorts(), history);
 
     SoakFaults faults(relayed.site, relayed.relays);
@@ -111,7 +112,7 @@
     std::vector<std::thread> threads;
     for (int number = 0; number < plan.numCallers; number++) {
         threads.emplace_back([&, number] {
-            SoakCaller caller(number, plan.seed, { relayed.site.getSessionPorts(), [&group] { return group.findHighestTerm(); } }, history);
+            SoakCaller caller(number, plan.seed, { relayed.site.getSessionPorts(), [&group] { return group.findHighestTerm(); }, keys.get() }, history);
             while (!isStopping) {
                 caller.step();
                 std::this_thread::sleep_for(callerPause);
@@ -136,6 +137,13 @@
                 faults.restoreStore(random, isStopping);
         });
     }
+    if (keys != nullptr) {
+        threads.emplace_back([&] {
+            Random random(plan.seed * 100 + static_cast<std::uint64_t>(plan.numFaultThreads) + 1);
+            while (!isStopping)
+                keys->replaceKey(random, isStopping);
+        });
+    }
     std::this_thread::sleep_for(std::chrono::seconds(plan.seconds));
     isStopping = true;
     for (std::thread& thread : threads)
@@ -143,6 +151,8 @@
     faults.clearFaults();
     checkRecovery(relayed.site.getSessionPorts(), history);
     checkWrites(group, history);
+    if (keys != nullptr)
+        keys->checkArrivals();
     return makeReport(plan, history, faults, numSteps, group.findHighestTerm());
 }
 
--- a/tools/lab/Soak.h
+++ b/tools/lab/Soak.h
@@ -20,6 +20,9 @@
     int numFaultThreads = 3;
     /// Whether the store also returns from copies that are up to seconds old.
     bool restoresStore = false;
+    /// Whether callers have keys of workspaces, which are replaced all the time. Not together with restoresStore, which
+    /// publishes an earlier configuration again.
+    bool hasWorkspaces = false;
 };
 
 /// Runs instances as processes under random faults and checks the responses to callers against the commits
--- a/tools/lab/SoakCaller.cpp
+++ b/tools/lab/SoakCaller.cpp
@@ -54,7 +54,14 @@
 {
     this->isPrimaryRoute = this->random.below(2) == 0;
     int port = this->dependencies.ports[this->random.below(this->dependencies.ports.size())];
-    this->session = std::make_unique<LineCaller>(static_cast<std::uint16_t>(port), this->isPrimaryRoute ? "bookings" : "checks", responseTimeout);
+    if (this->dependencies.keys != nullptr)
+        this->key = this->dependencies.keys->chooseKey(this->random);
+    TimePoint sentAt = SystemClock().now();
+    this->session = std::make_unique<LineCaller>(static_cast<std::uint16_t>(port), this->isPrimaryRoute ? "bookings" : "checks", responseTimeout, this->dependencies.keys == nullptr ? "tester" : this->key.text);
+    if (this->dependencies.keys != nullptr) {
+        this->session->setIdPrefix(this->key.makeIdPrefix());
+        this->dependencies.keys->checkResponse(this->key, sentAt, this->session->getStartupResponse());
+    }
     this->preparedKind.clear();
     if (!contains(this->session->getStartupResponse(), "READY"))
         this->session.reset();
@@ -64,7 +71,10 @@
 {
     if (this->session == nullptr)
         return "";
+    TimePoint sentAt = SystemClock().now();
     std::string response = this->session->execute(text);
+    if (this->dependencies.keys != nullptr)
+        this->dependencies.keys->checkResponse(this->key, sentAt, response);
     if (this->session->hasTimedOut())
         this->history.addViolation("silent: no response to \"" + text + "\" of caller " + std::to_string(this->number));
     // Without READY the response is missing or incomplete and the state of the session is unknown.
--- a/tools/lab/SoakCaller.h
+++ b/tools/lab/SoakCaller.h
@@ -2,6 +2,7 @@
 
 #include "LineCaller.h"
 #include "SoakHistory.h"
+#include "SoakKeys.h"
 #include "lentiljunction/core/Random.h"
 
 #include <functional>
@@ -22,6 +23,8 @@
         std::vector<int> ports;
         /// Returns the term of the group's newest primary. A change of the term may lose writes.
         std::function<std::uint64_t()> findTerm;
+        /// The keys of the callers; nullptr without workspaces.
+        SoakKeys* keys = nullptr;
     };
 
     SoakCaller(int number, std::uint64_t seed, Dependencies dependencies, SoakHistory& history);
@@ -48,6 +51,8 @@
     Dependencies dependencies;
     SoakHistory& history;
     std::unique_ptr<LineCaller> session;
+    /// The key of the session, where there are workspaces.
+    SoakKeys::Key key;
     /// Whether the session uses the database with the primary route ("bookings"). Only such a session may hold an
     /// open transaction, and only its reads are checked for stale values.
     bool isPrimaryRoute = true;
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -45,7 +45,7 @@
     options.add_options()("seconds", "chaos, rest, soak: duration in seconds", cxxopts::value<int>()->default_value("30"));
     options.add_options()("instances", "soak: number of instances", cxxopts::value<int>()->default_value("5"));
     options.add_options()("zones", "soak: number of availability zones", cxxopts::value<int>()->default_value("3"));
-    options.add_options()("restores", "soak: whether the store also returns from older copies")("connections", "soak: connections that each upstream accepts", cxxopts::value<int>()->default_value("16"));
+    options.add_options()("restores", "soak: whether the store also returns from older copies")("workspaces", "soak: whether callers have keys of workspaces, which are replaced; not with --restores")("connections", "soak: connections that each upstream accepts", cxxopts::value<int>()->default_value("16"));
     options.add_options()("json", "print JSON in place of a table");
     options.add_options()("out", "receives the result as JSON", cxxopts::value<std::string>());
     options.add_options()("help", "print this help");
@@ -76,6 +76,7 @@
     plan.numZones = arguments["zones"].as<int>();
     plan.maximumConnections = arguments["connections"].as<int>();
     plan.restoresStore = arguments.count("restores") > 0;
+    plan.hasWorkspaces = arguments.count("workspaces") > 0;
     return plan;
 }
 
