Add limits of workspaces for all instances together, not yet connected to traffic

Cause: each instance alone cannot hold a limit that counts the operations of all instances: 1/79 of a small limit is one operation every 37 s, and one counter for the fleet costs a round trip between zones and stops when a zone is cut off.

Without the settings nothing changes.

--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -77,6 +77,9 @@
     constexpr LogEvent sessionRefused { 524, LogLevel::Warning, "session_refused", "A session was not opened, or its caller sent malformed data." };
     constexpr LogEvent linesOmitted { 530, LogLevel::Warning, "lines_omitted", "Log lines were omitted to limit the log volume." };
     constexpr LogEvent keyRefused { 540, LogLevel::Warning, "key_refused", "The key of a caller was not accepted; its statements are not run." };
+    constexpr LogEvent quotaCoordinatorLost { 550, LogLevel::Warning, "quota_coordinator_lost", "The instance that decides on the limits of workspaces does not respond or stops; another one is used once the share of this instance is free." };
+    constexpr LogEvent quotaCoordinatorChanged { 551, LogLevel::Information, "quota_coordinator_changed", "The share of this instance in the limits of workspaces goes to another instance." };
+    constexpr LogEvent quotaMessageInvalid { 552, LogLevel::Warning, "quota_message_invalid", "A message about the limits of workspaces is malformed and is ignored." };
     constexpr LogEvent auditWriteFailed { 600, LogLevel::Warning, "audit_write_failed", "Audit records could not be written to the store; they are kept and written later." };
 
 } // namespace events
--- a/include/lentiljunction/fleet/FleetStore.h
+++ b/include/lentiljunction/fleet/FleetStore.h
@@ -20,6 +20,8 @@
     Endpoint peers;
     /// The address where it lends connections to upstreams; empty when it lends none.
     std::optional<Endpoint> lending = std::nullopt;
+    /// The address where it decides on the limits of workspaces; empty when it enforces none.
+    std::optional<Endpoint> quota = std::nullopt;
 };
 
 /// The routing configuration and its revision in the store.
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -44,7 +44,7 @@
     , executor({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, *this, settings.instance })
     , coordination({ dependencies.controlLoop, dependencies.clock, this->peers, this->executor, settings.instance }, *this)
     , recovery({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, this->executor, this->coordination, *this, settings.instance }, settings.isFirstStart)
-    , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, settings.lending }, [this](StoreEra era) { this->onRegistered(era); })
+    , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, settings.lending, settings.quota }, [this](StoreEra era) { this->onRegistered(era); })
     , leaseTracker(settings.instance)
     , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, *this)
     , peerConfirmation(this->peers, dependencies.clock, this->routes, settings.instance)
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -13,9 +13,12 @@
 
     const std::set<std::string> knownKeys {
         "instance.id", "instance.zone", "sessions.listen", "ready.listen", "peers.listen", "peers.seeds", "lending.listen",
-        "metrics.listen", "store.endpoint", "store.first_start", "promotion.endpoint", "drain.grace_s"
+        "quota.listen", "quota.window_s", "quota.overage", "quota.slack", "metrics.listen", "store.endpoint", "store.first_start", "promotion.endpoint", "drain.grace_s"
     };
     constexpr std::int64_t longestGraceSeconds = 600;
+    constexpr double defaultQuotaWindowSeconds = 5;
+    constexpr double maximumQuotaOverage = 10;
+    constexpr double maximumQuotaSlack = 1000000;
 
     template <typename T>
     std::optional<T> parseNumber(const std::string& text)
@@ -82,6 +85,20 @@
             return fallback;
         }
 
+        double getDecimal(const std::string& section, const std::string& key, double fallback, double minimum, double maximum)
+        {
+            std::optional<std::string> value = this->document.find(section, key);
+            if (!value)
+                return fallback;
+            std::optional<double> number = parseNumber<double>(*value);
+            if (number && *number >= minimum && *number <= maximum)
+                return *number;
+            std::ostringstream allowed;
+            allowed << "a number from " << minimum << " to " << maximum;
+            this->addFault(section, key, *value, allowed.str());
+            return fallback;
+        }
+
         bool getFlag(const std::string& section, const std::string& key, bool fallback)
         {
             std::optional<std::string> value = this->document.find(section, key);
@@ -139,6 +156,12 @@
     settings.seeds = reader.getEndpoints("peers", "seeds");
     if (document.find("lending", "listen"))
         settings.lending = reader.getEndpoint("lending", "listen");
+    if (document.find("quota", "listen"))
+        settings.quota = reader.getEndpoint("quota", "listen");
+    std::chrono::duration<double> window(reader.getDecimal("quota", "window_s", defaultQuotaWindowSeconds, 1, static_cast<double>(longestGraceSeconds)));
+    settings.quotaTolerance.window = std::chrono::duration_cast<std::chrono::milliseconds>(window);
+    settings.quotaTolerance.overage = reader.getDecimal("quota", "overage", settings.quotaTolerance.overage, 0, maximumQuotaOverage);
+    settings.quotaTolerance.slack = reader.getDecimal("quota", "slack", settings.quotaTolerance.slack, 0, maximumQuotaSlack);
     settings.metrics = reader.getEndpoint("metrics", "listen");
     settings.store = reader.getEndpoint("store", "endpoint");
     settings.isFirstStart = reader.getFlag("store", "first_start", settings.isFirstStart);
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -2,6 +2,7 @@
 
 #include "lentiljunction/core/Failure.h"
 #include "lentiljunction/core/Ids.h"
+#include "lentiljunction/quota/QuotaLimit.h"
 #include "lentiljunction/settings/Settings.h"
 
 #include <chrono>
@@ -25,6 +26,9 @@
     Endpoint peers;
     /// Where other instances borrow connections to upstreams; empty when this instance neither lends nor borrows.
     std::optional<Endpoint> lending;
+    /// Where other instances request decisions on the limits of workspaces; empty when limits are not enforced.
+    std::optional<Endpoint> quota;
+    QuotaTolerance quotaTolerance;
     /// Instances to contact until the list of instances has been read from the store.
     std::vector<Endpoint> seeds;
     /// Where metrics are served.
--- a/src/gateway/ListCodec.cpp
+++ b/src/gateway/ListCodec.cpp
@@ -52,6 +52,8 @@
         FleetMember member { InstanceId(document.at("id").get<std::string>()), ZoneId(document.at("zone").get<std::string>()), decodeEndpoint(document.at("peers")) };
         if (document.contains("lending"))
             member.lending = decodeEndpoint(document["lending"]);
+        if (document.contains("quota"))
+            member.quota = decodeEndpoint(document["quota"]);
         return member;
     }
 
@@ -99,6 +101,8 @@
         nlohmann::json entry { { "id", member.id.toString() }, { "zone", member.zone.toString() }, { "peers", encodeEndpoint(member.peers) } };
         if (member.lending)
             entry["lending"] = encodeEndpoint(*member.lending);
+        if (member.quota)
+            entry["quota"] = encodeEndpoint(*member.quota);
         document.push_back(std::move(entry));
     }
     return document;
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -370,11 +370,13 @@
     CHECK(copy.slots == 4 && copy.isLeaving && copy.claimsPrimary);
 
     std::vector<FleetMember> members { { InstanceId("i1"), ZoneId("z1"), { "10.0.0.2", 7001 }, Endpoint { "10.0.0.2", 7002 } }, { InstanceId("i2"), ZoneId("z1"), { "10.0.0.3", 7001 }, std::nullopt } };
+    members.front().quota = Endpoint { "10.0.0.2", 7003 };
     std::optional<std::vector<FleetMember>> list = decodeMemberList(encodeMemberList(members));
     CHECK(list.has_value());
     CHECK_EQUAL(2, list->size());
     CHECK(list->front().lending == members.front().lending);
     CHECK_FALSE(list->back().lending.has_value());
+    CHECK(list->front().quota == members.front().quota && !list->back().quota);
 
     for (const char* field : { "id", "group", "endpoint", "zone", "slots", "leaving", "claims_primary" }) {
         nlohmann::json malformed = encoded;
