--- a/include/lentiljunction/admission/RankQueue.h
+++ b/include/lentiljunction/admission/RankQueue.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <list>
 #include <optional>
 #include <vector>
@@ -19,7 +20,8 @@
 ///
 /// Requests start in order of rank, the most urgent first. In addition, each rank with waiting requests
 /// earns credit towards its guaranteed share (its floor) with every start, so that a flood of urgent
-/// requests does not starve it. Within a rank, callers are served round-robin. The queue is bounded by
+/// requests does not starve it. Within a rank, callers are served by deficit round-robin: in proportion to
+/// their weights, and in plain turns when the weights are equal. The queue is bounded by
 /// time: a request whose expected wait exceeds its rank's target or its own deadline is refused at once.
 ///
 /// Not thread-safe; one traffic thread owns it.
@@ -39,8 +41,13 @@
         Rank rank = Rank::Normal;
         CallerId caller;
         TimePoint deadline;
+        /// The caller's share of the starts, in proportion to those of the other waiting callers of the rank.
+        double weight = 1;
     };
 
+    /// Decides which of the waiting requests are considered; an empty one stands for all of them.
+    using Filter = std::function<bool(const Request&)>;
+
     /// @param ranks the current targets and floors
     explicit RankQueue(const std::array<RankConfig, numRanks>& ranks);
 
@@ -50,13 +57,26 @@
     /// @param concurrency the number of requests that run concurrently, at least 1
     void setConcurrency(int concurrency) { this->concurrency = concurrency; }
 
+    /// Sets whether the expected wait of a request depends on its caller's part of the starts. Otherwise all requests of
+    /// the rank count as ahead of it, so that a flood of one caller has those of the others refused.
+    void setEstimatesByCaller(bool areByCaller) { this->areEstimatesByCaller = areByCaller; }
+
     /// Queues a request or refuses it.
     ///
     /// @returns nothing when the request was queued, or the refusal
     std::optional<Outcome> offer(const Request& request, TimePoint now);
 
     /// @returns the next request to start, or nothing when none waits
-    std::optional<Request> takeNext(TimePoint now);
+    std::optional<Request> takeNext(TimePoint now) { return this->takeNext(now, nullptr); }
+
+    /// @param isReady whether a request can start; only the oldest request of each caller is considered. A caller
+    ///     that is passed over keeps its turn.
+    /// @returns the next request to start among those that are ready, or nothing
+    std::optional<Request> takeNext(TimePoint now, const Filter& isReady);
+
+    /// @param filter decides about the oldest request of each caller
+    /// @returns the first matching request by rank and turn, or nullptr; valid until the queue changes
+    const Request* findFirst(const Filter& filter) const;
 
     /// Removes the requests whose deadline expired while they waited.
     ///
@@ -74,6 +94,9 @@
     /// @returns the expected wait of a request of this rank that arrives now
     Duration estimateWait(Rank rank) const;
 
+    /// @returns the expected wait of a request that arrives now
+    Duration estimateWait(const Request& request) const;
+
     /// @returns the number of waiting requests of a rank
     std::size_t getNumWaiting(Rank rank) const;
 
@@ -84,6 +107,8 @@
     struct CallerQueue {
         CallerId caller;
         std::deque<Request> requests;
+        /// Starts that the caller has earned, at most one. A new caller may start at its first turn.
+        double credit = 1;
     };
 
     struct Lane {
@@ -95,13 +120,17 @@
         double share = 1;
     };
 
-    std::optional<Rank> chooseRank();
+    Duration estimateWait(Rank rank, double numAheadInLane) const;
+    static double countAhead(const Lane& lane, const Request& request);
+    static bool hasReady(const Lane& lane, const Filter& isReady);
+    std::optional<Rank> chooseRank(const Filter& isReady);
     void updateShares(Rank started);
-    static Request takeFromLane(Lane& lane);
+    static Request takeFromLane(Lane& lane, const Filter& isReady);
 
     std::array<RankConfig, numRanks> ranks;
     std::array<Lane, numRanks> lanes;
     int concurrency = 1;
+    bool areEstimatesByCaller = false;
     Duration meanServiceTime;
 };
 
--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -70,6 +70,7 @@
     constexpr LogEvent upstreamFull { 514, LogLevel::Information, "upstream_full", "An upstream accepts no further connections; statements wait for an open connection." };
     constexpr LogEvent upstreamReachable { 515, LogLevel::Information, "upstream_reachable", "An upstream that was unreachable can be reached again." };
     constexpr LogEvent lenderSilent { 516, LogLevel::Warning, "lender_silent", "An instance that lends connections did not respond in time; another one is asked for a while." };
+    constexpr LogEvent loanOfOtherWorkspace { 517, LogLevel::Warning, "loan_of_other_workspace", "An instance lent a connection of another workspace; it was not used." };
     constexpr LogEvent statementRefused { 520, LogLevel::Warning, "statement_refused", "A statement was refused; it has no effect." };
     constexpr LogEvent statementFailed { 521, LogLevel::Warning, "statement_failed", "A statement ran and failed, or it may have run." };
     constexpr LogEvent statementServed { 522, LogLevel::Information, "statement_served", "A statement or the end of a transaction succeeded." };
--- a/include/lentiljunction/lending/LendingPlan.h
+++ b/include/lentiljunction/lending/LendingPlan.h
@@ -53,4 +53,14 @@
 /// @returns zero when the connections do not suffice for one per user
 std::size_t computeConnectionShare(std::size_t connectionLimit, std::size_t numUsers);
 
+/// Computes how many connections to an upstream each of its lenders keeps open while they are idle, where
+/// connections belong to workspaces and every other instance borrows.
+///
+/// A quarter of the connections stays free for peaks, restarted lenders and instances that find no lender.
+///
+/// @param connectionLimit connections that the upstream accepts from all instances together
+/// @param numLenders lenders of the upstream in all availability zones
+/// @returns at least one
+std::size_t computeLenderShare(std::size_t connectionLimit, std::size_t numLenders);
+
 } // namespace lentiljunction
--- a/src/admission/RankQueue.cpp
+++ b/src/admission/RankQueue.cpp
@@ -16,6 +16,11 @@
     constexpr double maximumCredit = 2.0;
     /// The share that is assumed in wait estimates for a rank without a floor.
     constexpr double minimumShare = 0.01;
+    /// Smallest part of a start that a caller earns with each turn, whatever its weight. Rates differ by a factor of more
+    /// than 200, and several requests of a small caller that arrive together would wait for as many turns.
+    constexpr double minimumTurn = 0.125;
+    /// Absorbs rounding errors of the added parts.
+    constexpr double fullTurn = 1 - 1e-9;
 
     Duration scale(Duration duration, double factor)
     {
@@ -32,7 +37,7 @@
 
 std::optional<Outcome> RankQueue::offer(const Request& request, TimePoint now)
 {
-    Duration wait = this->estimateWait(request.rank);
+    Duration wait = this->estimateWait(request);
     Duration target = this->ranks[toIndex(request.rank)].target;
     std::chrono::milliseconds retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(wait) + std::chrono::milliseconds(1);
     if (wait > target)
@@ -46,22 +51,33 @@
     Lane& lane = this->lanes[toIndex(request.rank)];
     std::list<CallerQueue>::iterator callerQueue = std::find_if(lane.callerQueues.begin(), lane.callerQueues.end(), [&](const CallerQueue& candidate) { return candidate.caller == request.caller; });
     if (callerQueue == lane.callerQueues.end())
-        callerQueue = lane.callerQueues.insert(lane.callerQueues.end(), CallerQueue { request.caller, {} });
+        callerQueue = lane.callerQueues.insert(lane.callerQueues.end(), CallerQueue { request.caller, {}, 1 });
 
     callerQueue->requests.push_back(request);
     lane.numWaiting++;
     return std::nullopt;
 }
 
-std::optional<RankQueue::Request> RankQueue::takeNext(TimePoint now)
+std::optional<RankQueue::Request> RankQueue::takeNext(TimePoint now, const Filter& isReady)
 {
     (void)now;
-    std::optional<Rank> rank = this->chooseRank();
+    std::optional<Rank> rank = this->chooseRank(isReady);
     if (!rank)
         return std::nullopt;
 
     this->updateShares(*rank);
-    return takeFromLane(this->lanes[toIndex(*rank)]);
+    return takeFromLane(this->lanes[toIndex(*rank)], isReady);
+}
+
+const RankQueue::Request* RankQueue::findFirst(const Filter& filter) const
+{
+    for (const Lane& lane : this->lanes) {
+        for (const CallerQueue& callerQueue : lane.callerQueues) {
+            if (!filter || filter(callerQueue.requests.front()))
+                return &callerQueue.requests.front();
+        }
+    }
+    return nullptr;
 }
 
 std::vector<RankQueue::Request> RankQueue::takeExpired(TimePoint now)
@@ -103,17 +119,49 @@
 }
 
 Duration RankQueue::estimateWait(Rank rank) const
+{
+    return this->estimateWait(rank, static_cast<double>(this->lanes[toIndex(rank)].numWaiting));
+}
+
+Duration RankQueue::estimateWait(const Request& request) const
+{
+    if (!this->areEstimatesByCaller)
+        return this->estimateWait(request.rank);
+    return this->estimateWait(request.rank, countAhead(this->lanes[toIndex(request.rank)], request));
+}
+
+double RankQueue::countAhead(const Lane& lane, const Request& request)
+{
+    double largest = request.weight;
+    double numOwn = 0;
+    for (const CallerQueue& callerQueue : lane.callerQueues) {
+        largest = std::max(largest, callerQueue.requests.front().weight);
+        if (callerQueue.caller == request.caller)
+            numOwn = static_cast<double>(callerQueue.requests.size());
+    }
+    double part = largest > 0 ? std::max(request.weight / largest, minimumTurn) : 1;
+    // Each other caller starts at most once in each turn.
+    double numTurns = 1 + numOwn / part;
+    double number = numOwn;
+    for (const CallerQueue& callerQueue : lane.callerQueues) {
+        if (callerQueue.caller != request.caller)
+            number += std::min(static_cast<double>(callerQueue.requests.size()), numTurns);
+    }
+    return number;
+}
+
+Duration RankQueue::estimateWait(Rank rank, double numAheadInLane) const
 {
     const Lane& lane = this->lanes[toIndex(rank)];
-    std::size_t numAhead = lane.numWaiting;
+    double numAhead = numAheadInLane;
     for (std::size_t index = 0; index < toIndex(rank); index++)
-        numAhead += this->lanes[index].numWaiting;
+        numAhead += static_cast<double>(this->lanes[index].numWaiting);
 
     double floorShare = std::max(this->ranks[toIndex(rank)].floorPercent / 100.0, minimumShare);
     double share = std::max(lane.share, floorShare);
-    Duration strictWait = scale(this->meanServiceTime, static_cast<double>(numAhead) / this->concurrency);
-    Duration sharedWait = scale(this->meanServiceTime, static_cast<double>(lane.numWaiting) / this->concurrency / share);
-    Duration floorWait = scale(this->meanServiceTime, static_cast<double>(lane.numWaiting + 1) / this->concurrency / floorShare);
+    Duration strictWait = scale(this->meanServiceTime, numAhead / this->concurrency);
+    Duration sharedWait = scale(this->meanServiceTime, numAheadInLane / this->concurrency / share);
+    Duration floorWait = scale(this->meanServiceTime, (numAheadInLane + 1) / this->concurrency / floorShare);
     return std::min(std::max(strictWait, sharedWait), floorWait);
 }
 
@@ -127,11 +175,20 @@
     return std::all_of(this->lanes.begin(), this->lanes.end(), [](const Lane& lane) { return lane.numWaiting == 0; });
 }
 
-std::optional<Rank> RankQueue::chooseRank()
+bool RankQueue::hasReady(const Lane& lane, const Filter& isReady)
 {
+    if (!isReady)
+        return lane.numWaiting > 0;
+    return std::any_of(lane.callerQueues.begin(), lane.callerQueues.end(), [&isReady](const CallerQueue& callerQueue) { return isReady(callerQueue.requests.front()); });
+}
+
+std::optional<Rank> RankQueue::chooseRank(const Filter& isReady)
+{
+    std::array<bool, numRanks> areReady {};
     std::optional<Rank> strict;
     for (Rank rank : allRanks) {
-        if (!strict && this->lanes[toIndex(rank)].numWaiting > 0)
+        areReady[toIndex(rank)] = hasReady(this->lanes[toIndex(rank)], isReady);
+        if (!strict && areReady[toIndex(rank)])
             strict = rank;
     }
     if (!strict)
@@ -145,7 +202,7 @@
             continue;
         }
         lane.credit = std::min(lane.credit + this->ranks[toIndex(rank)].floorPercent / 100.0, maximumCredit);
-        if (!earned && lane.credit >= 1)
+        if (!earned && lane.credit >= 1 && areReady[toIndex(rank)])
             earned = rank;
     }
 
@@ -168,19 +225,27 @@
     }
 }
 
-RankQueue::Request RankQueue::takeFromLane(Lane& lane)
+RankQueue::Request RankQueue::takeFromLane(Lane& lane, const Filter& isReady)
 {
-    assert(!lane.callerQueues.empty());
-    CallerQueue& callerQueue = lane.callerQueues.front();
-    Request request = callerQueue.requests.front();
-    callerQueue.requests.pop_front();
-    lane.numWaiting--;
-
-    if (callerQueue.requests.empty())
-        lane.callerQueues.pop_front();
-    else
-        lane.callerQueues.splice(lane.callerQueues.end(), lane.callerQueues, lane.callerQueues.begin());
-    return request;
+    double largest = 0;
+    for (const CallerQueue& callerQueue : lane.callerQueues)
+        largest = std::max(largest, callerQueue.requests.front().weight);
+    for (;;) {
+        std::list<CallerQueue>::iterator turn = std::find_if(lane.callerQueues.begin(), lane.callerQueues.end(), [&isReady](const CallerQueue& callerQueue) { return !isReady || isReady(callerQueue.requests.front()); });
+        assert(turn != lane.callerQueues.end());
+        double part = largest > 0 ? turn->requests.front().weight / largest : 1;
+        turn->credit = std::min(turn->credit + std::max(part, minimumTurn), 1.0);
+        lane.callerQueues.splice(lane.callerQueues.end(), lane.callerQueues, turn);
+        if (turn->credit < fullTurn)
+            continue;
+        turn->credit -= 1;
+        Request request = turn->requests.front();
+        turn->requests.pop_front();
+        lane.numWaiting--;
+        if (turn->requests.empty())
+            lane.callerQueues.erase(turn);
+        return request;
+    }
 }
 
 } // namespace lentiljunction
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -116,6 +116,7 @@
         events::upstreamFull,
         events::upstreamReachable,
         events::lenderSilent,
+        events::loanOfOtherWorkspace,
         events::statementRefused,
         events::statementFailed,
         events::statementServed,
--- a/src/gateway/UpstreamCommander.cpp
+++ b/src/gateway/UpstreamCommander.cpp
@@ -39,7 +39,7 @@
 {
     PendingCommand pending;
     UpstreamConnection::Listener& listener = *this;
-    pending.connection = std::make_unique<UpstreamConnection>(this->loop, this->clock, this->protocol, upstream, this->self, responseTimeout, listener);
+    pending.connection = std::make_unique<TcpUpstreamConnection>(this->loop, this->clock, this->protocol, upstream, this->self.toString(), responseTimeout, listener);
     const UpstreamConnection* key = pending.connection.get();
     pending.timer = std::make_unique<OneShotTimer>(this->loop, this->clock, [this, key] { this->finish(key, std::nullopt, false); });
     pending.timer->setTime(this->clock.now() + responseTimeout);
--- a/src/gateway/UpstreamCommander.h
+++ b/src/gateway/UpstreamCommander.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../traffic/UpstreamConnection.h"
+#include "../traffic/TcpUpstreamConnection.h"
 #include "lentiljunction/interactive/ReplicationStatus.h"
 
 #include <functional>
--- a/src/lending/Borrower.cpp
+++ b/src/lending/Borrower.cpp
@@ -45,7 +45,7 @@
     this->requests.erase(entry.request);
     if (now >= entry.what.deadline)
         return entry.grant(nullptr, Denial::TooLong);
-    std::optional<FleetMember> lender = this->selector.choose(entry.what.lenders, entry.tried, now);
+    std::optional<FleetMember> lender = entry.what.workspace.isEmpty() ? this->selector.choose(entry.what.lenders, entry.tried, now) : this->selector.chooseForWorkspace(entry.what.lenders, entry.what.upstream, entry.what.workspace, entry.tried, now);
     if (!lender)
         return entry.grant(nullptr, Denial::Unavailable);
     entry.lender = *lender;
@@ -60,6 +60,8 @@
     message.upstream = entry.what.upstream;
     message.rank = entry.what.rank;
     message.caller = entry.what.caller;
+    message.workspace = entry.what.workspace;
+    message.acceptsAnyWorkspace = entry.what.acceptsAnyWorkspace;
     message.wait = std::chrono::duration_cast<Duration>(entry.what.deadline - now);
     message.context.preparedNames = entry.what.preparedNames;
     this->requests[entry.request] = message.loan;
@@ -150,7 +152,7 @@
         if (message.kind == LendingMessage::Kind::Granted)
             return this->onGranted(message.loan, message);
         if (message.kind == LendingMessage::Kind::Denied)
-            return this->onDenied(message.loan, message.denial);
+            return this->onDenied(message.loan, message);
         return;
     }
     std::map<std::uint64_t, Loan>::iterator found = this->loans.find(message.loan);
@@ -176,6 +178,11 @@
 {
     Waiting entry = std::move(this->waiting.at(number));
     this->waiting.erase(number);
+    if (!entry.what.acceptsAnyWorkspace && message.workspace != entry.what.workspace) {
+        logEvent(events::loanOfOtherWorkspace, "lender=" + entry.lender.id.toString() + " upstream=" + entry.what.upstream.toString());
+        this->sendSimple(entry.lender, LendingMessage::Kind::Drop, number);
+        return this->sendRequest(std::move(entry));
+    }
     this->requests.erase(entry.request);
     this->reports[entry.what.upstream] = { message.latency, message.load, this->clock.now() };
     BorrowedConnection::Channel& channel = *this;
@@ -187,8 +194,9 @@
     entry.grant(connection, Denial::TooLong);
 }
 
-void Borrower::onDenied(std::uint64_t number, LendingMessage::Denial denial)
+void Borrower::onDenied(std::uint64_t number, const LendingMessage& message)
 {
+    LendingMessage::Denial denial = message.denial;
     Waiting entry = std::move(this->waiting.at(number));
     this->waiting.erase(number);
     if (denial == LendingMessage::Denial::Unavailable) {
@@ -196,6 +204,7 @@
         return this->sendRequest(std::move(entry));
     }
     this->requests.erase(entry.request);
+    this->expectedWaits[entry.what.upstream] = message.retryAfter;
     entry.grant(nullptr, denial == LendingMessage::Denial::TooLong ? Denial::TooLong : Denial::Unavailable);
 }
 
@@ -270,6 +279,12 @@
     }
 }
 
+Duration Borrower::findExpectedWait(const UpstreamId& upstream) const
+{
+    std::map<UpstreamId, Duration>::const_iterator found = this->expectedWaits.find(upstream);
+    return found == this->expectedWaits.end() ? Duration(0) : found->second;
+}
+
 std::optional<Borrower::UpstreamReport> Borrower::findReport(const UpstreamId& upstream) const
 {
     std::map<UpstreamId, UpstreamReport>::const_iterator found = this->reports.find(upstream);
--- a/src/lending/Borrower.h
+++ b/src/lending/Borrower.h
@@ -56,6 +56,10 @@
         TimePoint deadline;
         /// The prepared statements that the session may use.
         std::set<std::string> preparedNames;
+        /// The workspace to which the connection must belong; empty in a deployment without workspaces.
+        WorkspaceId workspace = WorkspaceId();
+        /// A connection of any workspace serves the request.
+        bool acceptsAnyWorkspace = false;
     };
 
     /// What a lender last reported about an upstream.
@@ -99,6 +103,10 @@
     /// @returns what a lender reported about an upstream, or nothing when the report is old
     std::optional<UpstreamReport> findReport(const UpstreamId& upstream) const;
 
+    /// @returns when a request for an upstream should be repeated, as the lender that refused the last one expects;
+    ///     zero when that is not known
+    Duration findExpectedWait(const UpstreamId& upstream) const;
+
     /// @returns the number of borrowed connections
     std::size_t countConnections() const { return this->connections.size(); }
 
@@ -125,7 +133,7 @@
     void sendRequest(Waiting waiting);
     void onResponse(Waiting& waiting);
     void onGranted(std::uint64_t number, const LendingMessage& message);
-    void onDenied(std::uint64_t number, LendingMessage::Denial denial);
+    void onDenied(std::uint64_t number, const LendingMessage& message);
     void onLoanLost(std::uint64_t number);
     TimePoint getDeadline(const Waiting& waiting) const;
     void sendSimple(const FleetMember& lender, LendingMessage::Kind kind, std::uint64_t loan);
@@ -142,6 +150,7 @@
     std::map<std::uint64_t, Loan> loans;
     std::map<const StatementConnection*, std::uint64_t> connections;
     std::map<UpstreamId, UpstreamReport> reports;
+    std::map<UpstreamId, Duration> expectedWaits;
     std::uint64_t nextNumber = 1;
 };
 
--- a/src/lending/BorrowingSource.cpp
+++ b/src/lending/BorrowingSource.cpp
@@ -17,7 +17,7 @@
     // The session may end while the request waits.
     entry.request.context = nullptr;
     this->pending.emplace(ticket, std::move(entry));
-    Borrower::Request wanted { this->lenders, this->getUpstream().id, request.rank, request.caller, request.deadline, {} };
+    Borrower::Request wanted { this->lenders, this->getUpstream().id, request.rank, request.caller, request.deadline, {}, request.workspace, request.acceptsAnyWorkspace };
     if (request.context != nullptr)
         wanted.preparedNames = request.context->listSharedNames();
     std::uint64_t borrowing = this->borrower.borrow(std::move(wanted), [self = this->shared_from_this(), ticket](StatementConnection* connection, Borrower::Denial denial) {
@@ -114,6 +114,11 @@
     return report ? report->latency : this->own->getLatency();
 }
 
+Duration BorrowingSource::getExpectedWait(Rank rank) const
+{
+    return this->isBorrowingDenied ? this->own->getExpectedWait(rank) : this->borrower.findExpectedWait(this->getUpstream().id);
+}
+
 double BorrowingSource::getLoad() const
 {
     std::optional<Borrower::UpstreamReport> report = this->borrower.findReport(this->getUpstream().id);
--- a/src/lending/BorrowingSource.h
+++ b/src/lending/BorrowingSource.h
@@ -36,6 +36,7 @@
     bool hasIdle() const override { return !this->lenders.empty() || this->own->hasIdle(); }
     Duration getLatency() const override;
     double getLoad() const override;
+    Duration getExpectedWait(Rank rank) const override;
     const UpstreamEntry& getUpstream() const override { return this->own->getUpstream(); }
 
 private:
--- a/src/lending/Lender.cpp
+++ b/src/lending/Lender.cpp
@@ -50,10 +50,12 @@
 
     Loan loan;
     loan.source = source;
+    loan.rank = message.rank;
+    loan.workspace = message.workspace;
     loan.wantedNames = message.context.preparedNames;
     this->loans.emplace(id, std::move(loan));
     Duration wait = std::clamp<Duration>(message.wait, Duration(0), longestWait);
-    ConnectionSource::Request request { message.rank, message.caller, this->clock.now() + wait, nullptr };
+    ConnectionSource::Request request { message.rank, message.caller, this->clock.now() + wait, nullptr, message.workspace, message.acceptsAnyWorkspace };
     ConnectionSource::Ticket ticket = source->acquire(request, [this, id, source](StatementConnection* connection, ConnectionSource::Denial denial) {
         this->onConnection(id, source, connection, denial);
     });
@@ -69,8 +71,10 @@
 void Lender::onConnection(const LoanId& id, const std::shared_ptr<ConnectionSource>& source, StatementConnection* connection, ConnectionSource::Denial denial)
 {
     if (connection == nullptr) {
+        Rank rank = this->loans.at(id).rank;
         this->loans.erase(id);
-        return this->deny(id, denial == ConnectionSource::Denial::TooLong ? LendingMessage::Denial::TooLong : LendingMessage::Denial::Unreachable);
+        bool isTooLong = denial == ConnectionSource::Denial::TooLong;
+        return this->deny(id, isTooLong ? LendingMessage::Denial::TooLong : LendingMessage::Denial::Unreachable, isTooLong ? source->getExpectedWait(rank) : Duration(0));
     }
     Loan& loan = this->loans.at(id);
     loan.ticket = 0;
@@ -88,6 +92,7 @@
         if (connection->context.preparedNames.count(name) > 0)
             granted.context.preparedNames.insert(name);
     }
+    granted.workspace = loan.workspace;
     granted.latency = source->getLatency();
     granted.load = source->getLoad();
     this->transport.sendToBorrower(id.first, granted);
@@ -192,12 +197,13 @@
         loan.source->discard(loan.connection);
 }
 
-void Lender::deny(const LoanId& id, LendingMessage::Denial denial)
+void Lender::deny(const LoanId& id, LendingMessage::Denial denial, Duration retryAfter)
 {
     LendingMessage denied;
     denied.kind = LendingMessage::Kind::Denied;
     denied.loan = id.second;
     denied.denial = denial;
+    denied.retryAfter = retryAfter;
     this->transport.sendToBorrower(id.first, denied);
 }
 
--- a/src/lending/Lender.h
+++ b/src/lending/Lender.h
@@ -65,6 +65,8 @@
         /// Not zero while the request waits for a connection.
         ConnectionSource::Ticket ticket = 0;
         StatementConnection* connection = nullptr;
+        Rank rank = Rank::Normal;
+        WorkspaceId workspace;
         /// The prepared statements that the borrower may use.
         std::set<std::string> wantedNames;
         std::size_t numPending = 0;
@@ -83,7 +85,7 @@
     void onReturn(const LoanId& id, const LendingMessage& message);
     void resetIfCrowded(const LoanId& id, StatementConnection& connection);
     void end(const LoanId& id);
-    void deny(const LoanId& id, LendingMessage::Denial denial);
+    void deny(const LoanId& id, LendingMessage::Denial denial, Duration retryAfter = Duration(0));
 
     const Clock& clock;
     Transport& transport;
--- a/src/lending/LenderSelector.cpp
+++ b/src/lending/LenderSelector.cpp
@@ -17,6 +17,10 @@
     /// and the difference exceeds the minimum.
     constexpr int slowResponseMultiple = 2;
     constexpr std::chrono::milliseconds minimumDifference { 5 };
+    /// How long a lender is left because it responded slowly.
+    constexpr std::chrono::seconds responseTimeLifetime { 2 };
+    /// Over about how many responses their times are averaged.
+    constexpr int responseTimeSamples = 6;
 
 } // namespace
 
@@ -42,10 +46,34 @@
     return best == nullptr ? std::nullopt : std::optional<FleetMember>(*best);
 }
 
+std::optional<FleetMember> LenderSelector::chooseForWorkspace(std::vector<FleetMember> lenders, const UpstreamId& upstream, const WorkspaceId& workspace, const std::set<InstanceId>& tried, TimePoint now) const
+{
+    std::uint64_t key = combineHashes(stableHash(upstream.toString()), stableHash(workspace.toString()));
+    std::sort(lenders.begin(), lenders.end(), [key](const FleetMember& left, const FleetMember& right) {
+        std::uint64_t leftScore = combineHashes(key, stableHash(left.id.toString()));
+        std::uint64_t rightScore = combineHashes(key, stableHash(right.id.toString()));
+        return leftScore != rightScore ? leftScore > rightScore : left.id < right.id;
+    });
+    const FleetMember* best = nullptr;
+    for (const FleetMember& lender : lenders) {
+        bool isOwn = lender.id == this->self;
+        if (!isOwn && (tried.count(lender.id) > 0 || this->isAvoided(lender.id, now)))
+            continue;
+        Duration responseTime = isOwn ? Duration(0) : this->getResponseTime(lender.id, now);
+        bool isMuchFaster = best != nullptr && responseTime * slowResponseMultiple + minimumDifference < this->getRecentResponseTime(best->id, now);
+        if (best == nullptr || isMuchFaster)
+            best = &lender;
+    }
+    return best == nullptr || best->id == this->self ? std::nullopt : std::optional<FleetMember>(*best);
+}
+
 void LenderSelector::onResponse(const InstanceId& lender, Duration took, TimePoint now)
 {
     Lender& entry = this->known[lender];
     entry.responseTime.onSample(took, now);
+    bool isFirst = entry.respondedAt == TimePoint() || now - entry.respondedAt > responseTimeLifetime;
+    entry.recentResponseTime = isFirst ? took : (entry.recentResponseTime * (responseTimeSamples - 1) + took) / responseTimeSamples;
+    entry.respondedAt = now;
     entry.backoff = Duration(0);
 }
 
@@ -76,4 +104,11 @@
     return found == this->known.end() ? LatencyEstimate().get(now) : found->second.responseTime.get(now);
 }
 
+Duration LenderSelector::getRecentResponseTime(const InstanceId& lender, TimePoint now) const
+{
+    std::map<InstanceId, Lender>::const_iterator found = this->known.find(lender);
+    bool isRecent = found != this->known.end() && now - found->second.respondedAt <= responseTimeLifetime;
+    return isRecent ? found->second.recentResponseTime : Duration(0);
+}
+
 } // namespace lentiljunction
--- a/src/lending/LenderSelector.h
+++ b/src/lending/LenderSelector.h
@@ -3,6 +3,7 @@
 #include "../traffic/LatencyEstimate.h"
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/fleet/FleetStore.h"
+#include "lentiljunction/workspaces/WorkspaceId.h"
 
 #include <map>
 #include <optional>
@@ -28,6 +29,14 @@
     /// @returns the lender to ask, or nothing when this instance must use its own connections
     std::optional<FleetMember> choose(const std::vector<FleetMember>& lenders, const std::set<InstanceId>& tried, TimePoint now) const;
 
+    /// Chooses by workspace, so that each lender keeps connections of some workspaces only. A lender that is not the
+    /// first choice for a workspace borrows from the one that is.
+    ///
+    /// @param lenders the lenders of the upstream
+    /// @param tried lenders that were already asked for this connection
+    /// @returns the lender to ask, or nothing when this instance must use its own connections
+    std::optional<FleetMember> chooseForWorkspace(std::vector<FleetMember> lenders, const UpstreamId& upstream, const WorkspaceId& workspace, const std::set<InstanceId>& tried, TimePoint now) const;
+
     /// Records that a lender responded to a request.
     ///
     /// @param took time from the request to the first response, which does not include the wait for a connection
@@ -45,11 +54,16 @@
 private:
     struct Lender {
         LatencyEstimate responseTime;
+        /// The average since the lender was last not asked for a while.
+        Duration recentResponseTime { 0 };
+        TimePoint respondedAt;
         Duration backoff { 0 };
         TimePoint avoidedUntil;
     };
 
     Duration getResponseTime(const InstanceId& lender, TimePoint now) const;
+    /// @returns zero when the lender did not respond recently, so that it is asked again
+    Duration getRecentResponseTime(const InstanceId& lender, TimePoint now) const;
 
     InstanceId self;
     /// Decides which lender this instance prefers.
--- a/src/lending/LendingMessage.cpp
+++ b/src/lending/LendingMessage.cpp
@@ -73,13 +73,18 @@
             message.rank = toEnumeration(encoded.at("rank"), Rank::Background);
             message.caller = CallerId(encoded.at("caller").get<std::string>());
             message.wait = Duration(encoded.at("wait_us").get<std::int64_t>());
+            message.acceptsAnyWorkspace = encoded.value("any_workspace", false);
         }
+        if (message.kind == Kind::Borrow || message.kind == Kind::Granted)
+            message.workspace = WorkspaceId(encoded.value("workspace", std::string()));
         if (message.kind == Kind::Granted) {
             message.latency = Duration(encoded.at("latency_us").get<std::int64_t>());
             message.load = encoded.at("load").get<double>();
         }
-        if (message.kind == Kind::Denied)
+        if (message.kind == Kind::Denied) {
             message.denial = toEnumeration(encoded.at("denial"), Denial::Unavailable);
+            message.retryAfter = Duration(encoded.value("retry_us", std::int64_t(0)));
+        }
         if (message.kind == Kind::Command)
             message.command = encoded.at("command").get<std::string>();
         if (message.kind == Kind::Reply)
@@ -100,13 +105,21 @@
         encoded["rank"] = toNumber(message.rank);
         encoded["caller"] = message.caller.toString();
         encoded["wait_us"] = message.wait.count();
+        if (message.acceptsAnyWorkspace)
+            encoded["any_workspace"] = true;
     }
+    bool hasWorkspace = message.kind == Kind::Borrow || message.kind == Kind::Granted;
+    if (hasWorkspace && !message.workspace.isEmpty())
+        encoded["workspace"] = message.workspace.toString();
     if (message.kind == Kind::Granted) {
         encoded["latency_us"] = message.latency.count();
         encoded["load"] = message.load;
     }
-    if (message.kind == Kind::Denied)
+    if (message.kind == Kind::Denied) {
         encoded["denial"] = toNumber(message.denial);
+        if (message.retryAfter > Duration(0))
+            encoded["retry_us"] = message.retryAfter.count();
+    }
     if (message.kind == Kind::Command)
         encoded["command"] = message.command;
     if (message.kind == Kind::Reply)
--- a/src/lending/LendingMessage.h
+++ b/src/lending/LendingMessage.h
@@ -5,6 +5,7 @@
 #include "lentiljunction/core/Rank.h"
 #include "lentiljunction/interactive/SessionContext.h"
 #include "lentiljunction/interactive/SessionReply.h"
+#include "lentiljunction/workspaces/WorkspaceId.h"
 
 #include <cstdint>
 #include <optional>
@@ -55,6 +56,11 @@
     UpstreamId upstream;
     Rank rank = Rank::Normal;
     CallerId caller;
+    /// For Borrow and Granted: the workspace of the connection; empty in a deployment without workspaces. A borrower
+    /// does not use a connection of another one, which an instance of an earlier version may grant.
+    WorkspaceId workspace;
+    /// For Borrow: a connection of any workspace serves the request.
+    bool acceptsAnyWorkspace = false;
     /// For Borrow: how long the request may wait for a connection.
     Duration wait { 0 };
     /// For Borrow the prepared statements that the session may use, for Granted and Return those on the
@@ -67,6 +73,8 @@
     bool wasReset = false;
     /// For Denied.
     Denial denial = Denial::Unavailable;
+    /// For Denied: when the request should be repeated; zero when that is not known.
+    Duration retryAfter { 0 };
     /// For Command: encoded for the upstream.
     std::string command;
     /// For Reply.
--- a/src/lending/LendingPlan.cpp
+++ b/src/lending/LendingPlan.cpp
@@ -54,4 +54,9 @@
     return share;
 }
 
+std::size_t computeLenderShare(std::size_t connectionLimit, std::size_t numLenders)
+{
+    return std::max<std::size_t>(1, connectionLimit * 3 / 4 / std::max<std::size_t>(1, numLenders));
+}
+
 } // namespace lentiljunction
--- a/src/traffic/ConnectionSource.h
+++ b/src/traffic/ConnectionSource.h
@@ -46,6 +46,8 @@
         const SessionContext* context = nullptr;
         /// The workspace for which the statement runs; empty in a deployment without workspaces.
         WorkspaceId workspace = WorkspaceId();
+        /// The request is for a command of the proxy that runs no statement, so a connection of any workspace serves it.
+        bool acceptsAnyWorkspace = false;
     };
 
     /// What is expected of a request.
@@ -101,6 +103,9 @@
     /// @returns nothing when another instance decides
     virtual std::optional<Forecast> forecast(const Request&) const { return std::nullopt; }
 
+    /// @returns how long a request that is refused now should wait before it is repeated; zero when that is not known
+    virtual Duration getExpectedWait(Rank) const { return Duration(0); }
+
     virtual const UpstreamEntry& getUpstream() const = 0;
 };
 
--- a/src/traffic/PrimaryVerificationRounds.cpp
+++ b/src/traffic/PrimaryVerificationRounds.cpp
@@ -74,7 +74,7 @@
     round->responses[upstream] = std::nullopt;
     std::shared_ptr<ConnectionSource> source = this->state.findSource(upstream);
     TimePoint deadline = this->state.getClock().now() + connectionTimeout;
-    source->acquire({ Rank::Urgent, CallerId(), deadline, nullptr }, [this, group, round, upstream, source](StatementConnection* connection, ConnectionSource::Denial) {
+    source->acquire({ Rank::Urgent, CallerId(), deadline, nullptr, WorkspaceId(), true }, [this, group, round, upstream, source](StatementConnection* connection, ConnectionSource::Denial) {
         if (connection == nullptr)
             return this->onResponse(group, round, upstream, std::nullopt);
         UpstreamCommand command;
--- a/src/traffic/StatementFailure.cpp
+++ b/src/traffic/StatementFailure.cpp
@@ -9,6 +9,12 @@
     return std::string(lentiljunction::describe(this->cause)) + (this->detail.empty() ? "" : " " + this->detail);
 }
 
+void StatementFailure::setWaitTooLong(Duration wait)
+{
+    std::int64_t milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    this->set(FailureCause::WaitTooLong, wait > Duration(0) ? "expected again in " + std::to_string(milliseconds) + " ms" : "");
+}
+
 void StatementFailure::logRetry(const TrafficState& state, const Target& last, const RequestId& id, int numSent) const
 {
     std::string line = "id=" + id.toString() + " attempt=" + std::to_string(numSent);
--- a/src/traffic/StatementFailure.h
+++ b/src/traffic/StatementFailure.h
@@ -17,6 +17,9 @@
         this->detail = newDetail;
     }
 
+    /// @param wait until capacity is expected; zero when that is not known
+    void setWaitTooLong(Duration wait);
+
     FailureCause get() const { return this->cause; }
 
     /// @returns the cause and its detail as text for the caller
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -122,7 +122,7 @@
         return this->prepare();
     }
     if (denial == ConnectionSource::Denial::TooLong) {
-        this->failure.set(FailureCause::WaitTooLong);
+        this->failure.setWaitTooLong(this->target.source->getExpectedWait(this->request.requirement.route->rank));
         this->request.requirement.tried.insert(this->target.source->getUpstream().id);
         // A read can use another upstream; a write would only queue again at the same one.
         bool hasOther = !this->needsPrimary() && this->mayRetry() && this->state.findReadTarget(this->request.requirement);
--- a/src/traffic/UpstreamConnection.cpp
+++ b/src/traffic/TcpUpstreamConnection.cpp
@@ -1,16 +1,16 @@
-#include "UpstreamConnection.h"
+#include "TcpUpstreamConnection.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace lentiljunction {
 
-UpstreamConnection::UpstreamConnection(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, const UpstreamEntry& upstream, const InstanceId& self, Duration openTimeout, Listener& listener)
+TcpUpstreamConnection::TcpUpstreamConnection(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, const UpstreamEntry& upstream, std::string user, Duration openTimeout, UpstreamConnection::Listener& listener)
     : clock(clock)
     , protocol(protocol)
     , upstream(upstream.id)
     , group(upstream.group)
-    , self(self)
+    , user(std::move(user))
     , listener(listener)
     , socket(TcpConnection::connect(loop, upstream.endpoint, *this))
     , openTimer(std::make_unique<OneShotTimer>(loop, clock, [this] { this->fail(LossCause::Silent, "the upstream did not answer the startup message in time"); }))
@@ -18,17 +18,17 @@
     this->openTimer->setTime(clock.now() + openTimeout);
 }
 
-UpstreamConnection::~UpstreamConnection()
+TcpUpstreamConnection::~TcpUpstreamConnection()
 {
     *this->isAlive = false;
 }
 
-void UpstreamConnection::send(const UpstreamCommand& command, ReplyCallback callback)
+void TcpUpstreamConnection::send(const UpstreamCommand& command, ReplyCallback callback)
 {
     this->sendEncoded(this->protocol.encodeCommand(command), std::move(callback));
 }
 
-void UpstreamConnection::sendEncoded(const std::string& encoded, ReplyCallback callback)
+void TcpUpstreamConnection::sendEncoded(const std::string& encoded, ReplyCallback callback)
 {
     if (this->stage == Stage::Lost)
         return callback(std::nullopt);
@@ -37,7 +37,7 @@
     this->socket->send(encoded);
 }
 
-void UpstreamConnection::close()
+void TcpUpstreamConnection::close()
 {
     this->stage = Stage::Lost;
     *this->isAlive = false;
@@ -47,19 +47,19 @@
     this->socket->close();
 }
 
-std::optional<TimePoint> UpstreamConnection::getPendingSince() const
+std::optional<TimePoint> TcpUpstreamConnection::getPendingSince() const
 {
     if (this->pendingReplies.empty())
         return std::nullopt;
     return this->pendingReplies.front().sentAt;
 }
 
-void UpstreamConnection::onSocketOpened()
+void TcpUpstreamConnection::onSocketOpened()
 {
-    this->socket->send(this->protocol.encodeUpstreamStartup(this->group, this->self.toString(), this->upstream));
+    this->socket->send(this->protocol.encodeUpstreamStartup(this->group, this->user, this->upstream));
 }
 
-void UpstreamConnection::onSocketBytes(std::string& bytes)
+void TcpUpstreamConnection::onSocketBytes(std::string& bytes)
 {
     std::shared_ptr<bool> alive = this->isAlive;
     Failure failure;
@@ -77,7 +77,7 @@
         this->fail(LossCause::Silent, failure.reason);
 }
 
-void UpstreamConnection::onReply(SessionReply reply)
+void TcpUpstreamConnection::onReply(SessionReply reply)
 {
     if (this->stage == Stage::Opening) {
         if (reply.code == ReplyCode::ConnectionLimit)
@@ -98,7 +98,7 @@
     callback(std::move(reply));
 }
 
-void UpstreamConnection::onSocketClosed(const std::string& reason, bool isRefused)
+void TcpUpstreamConnection::onSocketClosed(const std::string& reason, bool isRefused)
 {
     // An upstream that rejects the connection sends the reason and closes it.
     if (this->stage == Stage::Opening && !this->partialReply.isSuccess())
@@ -106,7 +106,7 @@
     this->fail(isRefused ? LossCause::Refused : LossCause::Silent, reason);
 }
 
-void UpstreamConnection::fail(LossCause cause, const std::string& reason)
+void TcpUpstreamConnection::fail(LossCause cause, const std::string& reason)
 {
     if (this->stage == Stage::Lost)
         return;
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -227,7 +227,7 @@
 {
     if (!this->groupsChecking.insert(group).second)
         return;
-    ConnectionSource::Request request { Rank::Urgent, CallerId(), this->clock.now() + primaryAnswerTimeout, nullptr };
+    ConnectionSource::Request request { Rank::Urgent, CallerId(), this->clock.now() + primaryAnswerTimeout, nullptr, WorkspaceId(), true };
     primaryTarget.source->acquire(request, [this, group, target = primaryTarget](StatementConnection* connection, ConnectionSource::Denial) {
         this->groupsChecking.erase(group);
         if (connection == nullptr)
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -32,6 +32,7 @@
 {
     this->routes = std::move(newer);
     this->confirmation = std::move(newerConfirmation);
+    this->workspaceWeights = makeWorkspaceWeights(this->routes->workspaces);
     this->applyShares();
 }
 
@@ -335,6 +336,7 @@
         return found->second;
     std::shared_ptr<UpstreamPool> pool = std::make_shared<UpstreamPool>(this->dependencies, upstream);
     pool->setShare(this->findMaximumConnections(upstream.group), this->countUsers(upstream));
+    pool->setWorkspaces(this->workspaceWeights);
     std::vector<FleetMember> lenders = this->lendingPlan.chooseLenders(upstream.id);
     if (!this->needsLenders(*pool, lenders))
         return pool;
@@ -363,6 +365,7 @@
     const std::shared_ptr<UpstreamPool>& pool = this->pools.at(upstream.id);
     int maximum = this->findMaximumConnections(upstream.group);
     pool->setShare(maximum, this->countUsers(upstream));
+    pool->setWorkspaces(this->workspaceWeights);
     std::vector<FleetMember> lenders = this->lendingPlan.chooseLenders(upstream.id);
     if (!this->needsLenders(*pool, lenders)) {
         this->borrowingSources.erase(upstream.id);
@@ -374,6 +377,9 @@
         pool->setShare(maximum, this->lendingPlan.countLenders());
     else
         pool->setMaximum(maximumWhenBorrowing);
+    // Connections by workspace do not suffice for every instance, whatever its share.
+    if (this->workspaceWeights != nullptr)
+        pool->setIdleShare(isLender ? computeLenderShare(static_cast<std::size_t>(std::max(1, maximum - 1)), this->lendingPlan.countLenders()) : 0);
     std::shared_ptr<BorrowingSource>& source = this->borrowingSources[upstream.id];
     if (source == nullptr)
         source = std::make_shared<BorrowingSource>(*this->borrower, pool);
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -258,7 +258,7 @@
     void applyShare(const UpstreamEntry& upstream);
     /// @param pool this instance's own connections, with their share set
     /// @returns whether the own connections are too scarce, so that the lenders are asked
-    bool needsLenders(const UpstreamPool& pool, const std::vector<FleetMember>& lenders) const { return this->borrower != nullptr && !lenders.empty() && !pool.mayKeepIdle(); }
+    bool needsLenders(const UpstreamPool& pool, const std::vector<FleetMember>& lenders) const { return this->borrower != nullptr && !lenders.empty() && (!pool.mayKeepIdle() || this->workspaceWeights != nullptr); }
     /// @returns whether callers of a database need no key; a missing database is reported elsewhere
     bool isPublicRoute(const DatabaseId& database) const;
     KeyFreshness getKeyFreshness() const { return this->confirmation == nullptr ? KeyFreshness() : this->confirmation->get(); }
@@ -274,6 +274,8 @@
     PrimaryView view;
     std::size_t numInstances = 1;
     LendingPlan lendingPlan;
+    /// Empty when the deployment has no workspaces.
+    std::shared_ptr<const WorkspaceWeights> workspaceWeights;
     Borrower* borrower = nullptr;
     std::map<UpstreamId, std::shared_ptr<UpstreamPool>> pools;
     /// Upstreams whose connections are borrowed.
--- a/src/traffic/UpstreamConnection.h
+++ b/src/traffic/UpstreamConnection.h
@@ -1,24 +1,17 @@
 #pragma once
 
-#include "../net/OneShotTimer.h"
-#include "../net/TcpConnection.h"
 #include "StatementConnection.h"
 #include "lentiljunction/core/Clock.h"
-#include "lentiljunction/interactive/SessionProtocol.h"
-#include "lentiljunction/routes/UpstreamEntry.h"
 
-#include <deque>
-#include <memory>
 #include <optional>
+#include <string>
 
 namespace lentiljunction {
 
-/// One connection to an upstream.
+/// One connection of this instance to an upstream.
 ///
-/// The upstream replies to commands in the order in which they were sent; several commands may be in flight.
-///
-/// Not thread-safe; used on the thread of the event loop. No callback runs after destruction.
-class UpstreamConnection : public StatementConnection, private TcpConnection::Listener {
+/// @see TcpUpstreamConnection
+class UpstreamConnection : public StatementConnection {
 public:
     /// Why a connection was lost.
     enum class LossCause {
@@ -45,66 +38,17 @@
         virtual void onConnectionLost(UpstreamConnection& connection, LossCause cause, const std::string& reason) = 0;
     };
 
-    /// Starts to open a connection.
-    ///
-    /// @param openTimeout time for the upstream to accept the startup message; then the connection is lost
-    UpstreamConnection(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, const UpstreamEntry& upstream, const InstanceId& self, Duration openTimeout, Listener& listener);
-
-    ~UpstreamConnection() override;
-
-    void send(const UpstreamCommand& command, ReplyCallback callback) override;
-    void sendEncoded(const std::string& encoded, ReplyCallback callback) override;
-
     /// Fails the connection with LossCause::Silent; pending callbacks receive no reply.
-    void failAsSilent() { this->fail(LossCause::Silent, "the upstream did not reply in time"); }
+    virtual void failAsSilent() = 0;
 
     /// Closes the connection immediately. No further callback runs.
-    void close();
-
-    /// @returns whether the upstream accepted the startup message
-    bool isReady() const { return this->stage == Stage::Ready; }
+    virtual void close() = 0;
 
     /// @returns whether every command was answered
-    bool hasNoPendingReply() const { return this->pendingReplies.empty(); }
+    virtual bool hasNoPendingReply() const = 0;
 
     /// @returns when the oldest unanswered command was sent, or nothing when all were answered
-    std::optional<TimePoint> getPendingSince() const;
-
-    const UpstreamId& getUpstream() const override { return this->upstream; }
-
-private:
-    enum class Stage {
-        Opening,
-        Ready,
-        Lost,
-    };
-
-    struct PendingReply {
-        ReplyCallback callback;
-        TimePoint sentAt;
-    };
-
-    void onSocketOpened() override;
-    void onSocketBytes(std::string& bytes) override;
-    void onSocketClosed(const std::string& reason, bool isRefused) override;
-    void onReply(SessionReply reply);
-    void fail(LossCause cause, const std::string& reason);
-
-    const Clock& clock;
-    const SessionProtocol& protocol;
-    UpstreamId upstream;
-    GroupId group;
-    InstanceId self;
-    Listener& listener;
-    Stage stage = Stage::Opening;
-    std::unique_ptr<TcpConnection> socket;
-    std::unique_ptr<OneShotTimer> openTimer;
-    std::deque<PendingReply> pendingReplies;
-    /// Bytes received of an incomplete reply.
-    std::size_t numBufferedBytes = 0;
-    SessionReply partialReply;
-    /// Lets a method detect that a callback destroyed this object.
-    std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
+    virtual std::optional<TimePoint> getPendingSince() const = 0;
 };
 
 } // namespace lentiljunction
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -1,10 +1,10 @@
 #include "UpstreamPool.h"
 
+#include "TcpUpstreamConnection.h"
 #include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/lending/LendingPlan.h"
 
 #include <algorithm>
-#include <array>
 #include <cassert>
 #include <utility>
 
@@ -32,23 +32,15 @@
     constexpr std::chrono::milliseconds expiryInterval { 25 };
     /// Connections reserved for the checks of the failover coordinator.
     constexpr int reservedConnections = 1;
-    /// Minimum share of an upstream for a rank while more urgent ranks overload it, in percent.
-    constexpr int normalFloorPercent = 10;
-    constexpr int backgroundFloorPercent = 5;
-    /// Target wait of each rank's queue. Long enough to have no effect: the deadlines of the requests limit the wait.
-    constexpr std::chrono::milliseconds unboundedTarget { 60000 };
-
-    std::array<RankConfig, numRanks> makeRanks()
-    {
-        return { RankConfig { unboundedTarget, 0 }, RankConfig { unboundedTarget, normalFloorPercent }, RankConfig { unboundedTarget, backgroundFloorPercent } };
-    }
+    /// An upstream has one slot for a connection that is being opened for each this many slots, for all workspaces of
+    /// an instance.
+    constexpr int slotsPerOpening = 2;
 
 } // namespace
 
 UpstreamPool::UpstreamPool(const Dependencies& dependencies, UpstreamEntry upstream)
     : dependencies(dependencies)
     , upstream(std::move(upstream))
-    , queue(makeRanks())
     , concurrency(this->upstream.slots)
     , queueTimer(dependencies.loop, dependencies.clock, [this] { this->denyExpired(); })
     , surplusTimer(dependencies.loop, dependencies.clock, [this] { this->closeSurplus(); })
@@ -74,19 +66,18 @@
 {
     TimePoint now = this->dependencies.clock.now();
     this->probeIfDue();
-    if (this->isClosed || (this->hasFailedToOpen && this->findIdlePooled() == nullptr)) {
+    if (this->isClosed || (this->hasFailedToOpen && !this->connections.hasIdle({ request.workspace, request.acceptsAnyWorkspace }))) {
         grant(nullptr, Denial::Unreachable);
         return 0;
     }
     this->queue.setConcurrency(this->concurrency.getLimit());
-    Ticket ticket = this->nextTicket++;
-    if (this->queue.offer({ ticket, request.rank, request.caller, request.deadline }, now)) {
+    Ticket ticket = this->queue.offer(request, this->connections, grant, now);
+    if (ticket == 0) {
         grant(nullptr, Denial::TooLong);
         return 0;
     }
-    this->grants.emplace(ticket, std::move(grant));
     this->grantWaiting();
-    if (this->grants.count(ticket) == 0)
+    if (!this->queue.contains(ticket))
         return 0;
     this->setQueueTimer();
     return ticket;
@@ -94,25 +85,14 @@
 
 std::optional<ConnectionSource::Forecast> UpstreamPool::forecast(const Request& request) const
 {
-    if (this->isClosed || (this->hasFailedToOpen && this->findIdle() == nullptr))
+    if (this->isClosed || (this->hasFailedToOpen && !this->connections.hasIdle({ request.workspace, request.acceptsAnyWorkspace })))
         return Forecast { Denial::Unreachable, Duration(0) };
-    RankQueue copy = this->queue;
-    copy.setConcurrency(this->concurrency.getLimit());
-    Forecast expected { std::nullopt, copy.estimateWait(request.rank) };
-    if (copy.offer({ 0, request.rank, request.caller, request.deadline }, this->dependencies.clock.now()))
-        expected.denial = Denial::TooLong;
-    return expected;
-}
-
-void UpstreamPool::cancelAcquire(Ticket ticket)
-{
-    if (this->grants.erase(ticket) > 0)
-        this->queue.remove(ticket);
+    return this->queue.forecast(request, this->concurrency.getLimit(), this->dependencies.clock.now());
 }
 
 void UpstreamPool::release(StatementConnection* connection)
 {
-    PooledConnection* pooled = this->find(connection);
+    PooledConnection* pooled = this->connections.find(connection);
     if (pooled == nullptr)
         return;
     this->finishActive(*pooled);
@@ -125,7 +105,7 @@
 
 void UpstreamPool::discard(StatementConnection* connection)
 {
-    PooledConnection* pooled = this->find(connection);
+    PooledConnection* pooled = this->connections.find(connection);
     if (pooled == nullptr)
         return;
     if (pooled->isActive)
@@ -136,7 +116,7 @@
 
 void UpstreamPool::activate(StatementConnection* connection)
 {
-    PooledConnection* pooled = this->find(connection);
+    PooledConnection* pooled = this->connections.find(connection);
     assert(pooled != nullptr && !pooled->isIdle);
     if (pooled->isActive)
         return;
@@ -147,58 +127,49 @@
 
 void UpstreamPool::deactivate(StatementConnection* connection)
 {
-    PooledConnection* pooled = this->find(connection);
+    PooledConnection* pooled = this->connections.find(connection);
     if (pooled == nullptr)
         return;
     this->finishActive(*pooled);
     this->grantWaiting();
 }
 
-UpstreamConnection* UpstreamPool::findIdle() const
+void UpstreamPool::openConnection()
 {
-    for (const PooledConnection& pooled : this->connections) {
-        if (pooled.isIdle && pooled.connection->hasNoPendingReply())
-            return pooled.connection.get();
-    }
-    return nullptr;
+    this->openConnection(WorkspaceId());
 }
 
-void UpstreamPool::openConnection()
+void UpstreamPool::openConnection(const WorkspaceId& workspace)
 {
     if (this->isClosed || this->connections.size() >= this->connectionLimit)
         return;
     PooledConnection pooled;
+    pooled.workspace = workspace;
     pooled.since = this->dependencies.clock.now();
     UpstreamConnection::Listener& listener = *this;
-    pooled.connection = std::make_unique<UpstreamConnection>(this->dependencies.loop, this->dependencies.clock, this->dependencies.protocol, this->upstream, this->dependencies.self, openTimeout, listener);
+    std::string user = workspace.isEmpty() ? this->dependencies.self.toString() : workspace.toString();
+    if (this->dependencies.connector != nullptr)
+        pooled.connection = this->dependencies.connector->open(this->upstream, user, openTimeout, listener);
+    else
+        pooled.connection = std::make_unique<TcpUpstreamConnection>(this->dependencies.loop, this->dependencies.clock, this->dependencies.protocol, this->upstream, user, openTimeout, listener);
     this->numOpening++;
-    this->connections.push_back(std::move(pooled));
+    this->counters.numOpened++;
+    this->connections.add(std::move(pooled));
     this->idleController.onConnectionCount(this->connections.size(), this->dependencies.clock.now());
 }
 
 void UpstreamPool::closeUnresponsiveIdle(Duration timeout)
 {
-    TimePoint now = this->dependencies.clock.now();
-    for (std::size_t index = 0; index < this->connections.size();) {
-        std::optional<TimePoint> since = this->connections[index].connection->getPendingSince();
-        if (this->connections[index].isIdle && since && now - *since > timeout)
-            this->remove(this->connections[index].connection.get());
-        else
-            index++;
+    for (UpstreamConnection* connection : this->connections.listUnanswered(this->dependencies.clock.now() - timeout)) {
+        if (this->connections.find(connection)->isIdle)
+            this->remove(connection);
     }
 }
 
 void UpstreamPool::failUnresponsive()
 {
-    TimePoint now = this->dependencies.clock.now();
-    std::vector<UpstreamConnection*> unresponsive;
-    for (const PooledConnection& pooled : this->connections) {
-        std::optional<TimePoint> since = pooled.connection->getPendingSince();
-        if (since && now - *since > answerTimeout)
-            unresponsive.push_back(pooled.connection.get());
-    }
     // The pending callbacks run without a reply, and their owners discard the connection.
-    for (UpstreamConnection* connection : unresponsive)
+    for (UpstreamConnection* connection : this->connections.listUnanswered(this->dependencies.clock.now() - answerTimeout))
         connection->failAsSilent();
 }
 
@@ -208,26 +179,9 @@
         this->openConnection();
 }
 
-std::size_t UpstreamPool::getNumWaiting() const
-{
-    std::size_t number = 0;
-    for (Rank rank : allRanks)
-        number += this->queue.getNumWaiting(rank);
-    return number;
-}
-
-bool UpstreamPool::isOverdue(Duration timeout) const
-{
-    TimePoint now = this->dependencies.clock.now();
-    return std::any_of(this->connections.begin(), this->connections.end(), [&](const PooledConnection& pooled) {
-        std::optional<TimePoint> since = pooled.connection->getPendingSince();
-        return since && now - *since > timeout;
-    });
-}
-
 void UpstreamPool::onConnectionReady(UpstreamConnection& connection)
 {
-    PooledConnection* pooled = this->find(&connection);
+    PooledConnection* pooled = this->connections.find(&connection);
     assert(pooled != nullptr);
     this->numOpening--;
     pooled->isOpening = false;
@@ -243,7 +197,7 @@
 
 void UpstreamPool::onConnectionLost(UpstreamConnection& connection, UpstreamConnection::LossCause cause, const std::string& reason)
 {
-    PooledConnection* pooled = this->find(&connection);
+    PooledConnection* pooled = this->connections.find(&connection);
     if (pooled == nullptr)
         return;
     bool wasIdle = pooled->isIdle;
@@ -257,12 +211,8 @@
         return;
     this->numOpening--;
     TimePoint now = this->dependencies.clock.now();
-    if (cause == UpstreamConnection::LossCause::Full) {
-        // Requests wait until this instance releases a connection or another instance closes one.
-        this->fullUntil = now + fullBackoff;
-        logEvent(events::upstreamFull, "upstream=" + this->upstream.id.toString() + " connections=" + std::to_string(this->connections.size()) + " share=" + std::to_string(this->share) + " waiting=" + std::to_string(this->getNumWaiting()) + " held_on_average=" + std::to_string(this->idleController.getAverage()) + " idle_span_ms=" + std::to_string(this->idleController.getIdleTimeout().count() / 1000));
-        return this->setQueueTimer();
-    }
+    if (cause == UpstreamConnection::LossCause::Full)
+        return this->onUpstreamFull();
     this->backoff = std::clamp<Duration>(this->backoff * 2, firstBackoff, longestBackoff);
     this->hasFailedToOpen = true;
     this->probeAt = now + this->backoff;
@@ -271,32 +221,26 @@
     this->dependencies.listener.onUpstreamUnreachable(this->upstream, cause);
 }
 
-UpstreamPool::PooledConnection* UpstreamPool::find(const StatementConnection* connection)
+void UpstreamPool::onUpstreamFull()
 {
-    std::vector<PooledConnection>::iterator found = std::find_if(this->connections.begin(), this->connections.end(), [connection](const PooledConnection& pooled) { return pooled.connection.get() == connection; });
-    return found == this->connections.end() ? nullptr : &*found;
-}
-
-UpstreamPool::PooledConnection* UpstreamPool::findIdlePooled()
-{
-    // The most recently used connection most likely works, and the others can reach their idle timeout.
-    PooledConnection* best = nullptr;
-    for (PooledConnection& pooled : this->connections) {
-        if (pooled.isIdle && pooled.connection->hasNoPendingReply() && (best == nullptr || best->since < pooled.since))
-            best = &pooled;
-    }
-    return best;
+    // Requests wait until this instance releases a connection or another instance closes one.
+    this->fullUntil = this->dependencies.clock.now() + fullBackoff;
+    logEvent(events::upstreamFull, "upstream=" + this->upstream.id.toString() + " connections=" + std::to_string(this->connections.size()) + " share=" + std::to_string(this->share) + " waiting=" + std::to_string(this->getNumWaiting()) + " held_on_average=" + std::to_string(this->idleController.getAverage()) + " idle_span_ms=" + std::to_string(this->idleController.getIdleTimeout().count() / 1000));
+    // The connections of other workspaces that are not needed now would otherwise keep this instance from opening one.
+    const ConnectionQueue::Waiting* next = this->queue.findFirst(nullptr);
+    PooledConnection* unneeded = !this->queue.hasWorkspaces() || next == nullptr ? nullptr : this->findReplaceable(next->need.workspace, false);
+    if (unneeded != nullptr)
+        this->remove(unneeded->connection.get());
+    this->setQueueTimer();
 }
 
 void UpstreamPool::remove(const StatementConnection* connection)
 {
-    std::vector<PooledConnection>::iterator found = std::find_if(this->connections.begin(), this->connections.end(), [connection](const PooledConnection& pooled) { return pooled.connection.get() == connection; });
-    if (found == this->connections.end())
-        return;
-    found->connection->close();
     // The connection may be on the call stack, so it is destroyed later.
-    std::shared_ptr<UpstreamConnection> retired(std::move(found->connection));
-    this->connections.erase(found);
+    std::shared_ptr<UpstreamConnection> retired = this->connections.take(connection);
+    if (retired == nullptr)
+        return;
+    retired->close();
     this->idleController.onConnectionCount(this->connections.size(), this->dependencies.clock.now());
     this->dependencies.loop.post([retired] {});
 }
@@ -321,53 +265,98 @@
         return;
     this->isGranting = true;
     while (!this->queue.isEmpty() && this->numActive < this->concurrency.getLimit()) {
-        PooledConnection* pooled = this->findIdlePooled();
-        if (pooled == nullptr) {
-            this->openIfNeeded();
+        this->openIfNeeded();
+        if (!this->connections.hasIdle({ WorkspaceId(), true }))
             break;
-        }
-        std::optional<RankQueue::Request> request = this->queue.takeNext(this->dependencies.clock.now());
-        std::unordered_map<Ticket, Grant>::iterator found = this->grants.find(request->ticket);
-        assert(found != this->grants.end());
-        Grant grant = std::move(found->second);
-        this->grants.erase(found);
+        std::optional<ConnectionQueue::Waiting> next = this->queue.takeNext(this->connections, this->dependencies.clock.now());
+        if (!next)
+            break;
+        PooledConnection* pooled = this->connections.findIdle(next->need);
         pooled->isIdle = false;
         pooled->isActive = true;
         pooled->since = this->dependencies.clock.now();
         this->numActive++;
-        grant(pooled->connection.get(), Denial::TooLong);
+        this->counters.numGrants++;
+        this->counters.numGrantsOfIdle += next->foundIdle ? 1 : 0;
+        next->grant(pooled->connection.get(), Denial::TooLong);
     }
     this->isGranting = false;
 }
 
 void UpstreamPool::openIfNeeded()
 {
-    std::size_t numWaiting = this->grants.size();
-    bool isOpeningPaused = this->hasFailedToOpen || this->dependencies.clock.now() < this->fullUntil;
-    if (isOpeningPaused || this->numOpening >= numWaiting || this->connections.size() >= this->connectionLimit)
+    bool hasNoRoom = !this->queue.hasWorkspaces() && this->connections.size() >= this->connectionLimit;
+    if (hasNoRoom || this->hasFailedToOpen || this->dependencies.clock.now() < this->fullUntil)
+        return;
+    const ConnectionQueue::Waiting* request = this->queue.findFirst([this](const ConnectionQueue::Waiting& candidate) { return this->mustOpenFor(candidate.need); });
+    if (request == nullptr)
         return;
-    this->openConnection();
+    // The next request of the queue may take a connection whose workspace has requests waiting behind it.
+    bool isNext = request == this->queue.findFirst(nullptr);
+    if (this->makeRoomFor(request->need.workspace, isNext))
+        this->openConnection(request->need.workspace);
+}
+
+bool UpstreamPool::mustOpenFor(const PooledConnections::Need& need) const
+{
+    if (this->connections.hasIdle(need))
+        return false;
+    if (need.acceptsAnyWorkspace || !this->queue.hasWorkspaces())
+        return this->numOpening < this->queue.size();
+    return this->mayOpenMore(need.workspace);
+}
+
+bool UpstreamPool::mayOpenMore(const WorkspaceId& workspace) const
+{
+    // Opening occupies a slot for longer than most statements.
+    if (this->numOpening >= static_cast<std::size_t>(std::max(1, this->upstream.slots / slotsPerOpening)))
+        return false;
+    // A connection that is being opened or on which a statement runs is available sooner than one more.
+    std::size_t numExpected = this->countExpected(workspace);
+    if (numExpected == 0)
+        return true;
+    // More connections for a workspace than statements may run would only take those of the others.
+    return this->queue.count(workspace) > numExpected && this->numActive + static_cast<int>(this->numOpening) < this->concurrency.getLimit();
+}
+
+bool UpstreamPool::makeRoomFor(const WorkspaceId& workspace, bool isNext)
+{
+    bool hasRoom = this->connections.size() < this->connectionLimit;
+    if (!this->queue.hasWorkspaces() || (hasRoom && this->connections.size() < this->share))
+        return hasRoom;
+    // A workspace under load would otherwise close the connections of the others, which then open theirs again.
+    if (this->countExpected(workspace) >= std::max<std::size_t>(1, this->share / 2))
+        return false;
+    PooledConnection* replaced = this->findReplaceable(workspace, false);
+    if (replaced == nullptr && !hasRoom && isNext)
+        replaced = this->findReplaceable(workspace, true);
+    if (replaced == nullptr)
+        return hasRoom;
+    this->remove(replaced->connection.get());
+    this->counters.numReplaced++;
+    return true;
+}
+
+std::size_t UpstreamPool::countExpected(const WorkspaceId& workspace) const
+{
+    return this->connections.count(workspace, [](const PooledConnection& pooled) { return pooled.isOpening || pooled.isActive; });
+}
+
+UpstreamPool::PooledConnection* UpstreamPool::findReplaceable(const WorkspaceId& newcomer, bool includesWanted)
+{
+    return this->connections.findLongestIdle([&](const WorkspaceId& workspace) { return workspace == newcomer || (!includesWanted && this->queue.count(workspace) > 0); });
 }
 
 void UpstreamPool::denyAll(Denial denial)
 {
-    std::unordered_map<Ticket, Grant> denied = std::exchange(this->grants, {});
-    for (std::pair<const Ticket, Grant>& entry : denied)
-        this->queue.remove(entry.first);
-    for (std::pair<const Ticket, Grant>& entry : denied)
-        entry.second(nullptr, denial);
+    for (const Grant& grant : this->queue.takeAll())
+        grant(nullptr, denial);
 }
 
 void UpstreamPool::denyExpired()
 {
-    for (const RankQueue::Request& request : this->queue.takeExpired(this->dependencies.clock.now())) {
-        std::unordered_map<Ticket, Grant>::iterator found = this->grants.find(request.ticket);
-        if (found == this->grants.end())
-            continue;
-        Grant grant = std::move(found->second);
-        this->grants.erase(found);
+    for (const Grant& grant : this->queue.takeExpired(this->dependencies.clock.now()))
         grant(nullptr, Denial::TooLong);
-    }
     this->grantWaiting();
     this->setQueueTimer();
 }
@@ -387,6 +376,9 @@
 {
     TimePoint now = this->dependencies.clock.now();
     std::optional<TimePoint> next;
+    // Which connections are left decides which workspaces find one.
+    if (this->queue.hasWorkspaces())
+        this->connections.sortByAge();
     for (std::size_t index = 0; index < this->connections.size() && this->connections.size() > this->share;) {
         const PooledConnection& pooled = this->connections[index];
         if (pooled.isIdle && now - pooled.since >= this->getSurplusIdleTimeout() && pooled.connection->hasNoPendingReply()) {
--- a/src/traffic/UpstreamPool.h
+++ b/src/traffic/UpstreamPool.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "ConnectionSource.h"
+#include "../net/OneShotTimer.h"
+#include "ConnectionQueue.h"
 #include "IdleTimeoutController.h"
 #include "LatencyEstimate.h"
-#include "UpstreamConnection.h"
 #include "lentiljunction/admission/SharedConcurrencyLimit.h"
+#include "lentiljunction/interactive/SessionProtocol.h"
 
 #include <algorithm>
 #include <memory>
-#include <unordered_map>
-#include <vector>
+#include <string>
 
 namespace lentiljunction {
 
@@ -18,6 +18,11 @@
 /// All instances share the connections that an upstream accepts. Each may keep its share open. More
 /// connections are opened while statements wait, and are closed again soon after.
 ///
+/// Where the deployment has workspaces, each connection is opened under the name of one and serves only its
+/// requests. A request without an idle connection of its workspace keeps its turn in the queue while one is opened,
+/// and others start meanwhile. Beyond the share of this instance, the connection that was idle for longest is closed
+/// first.
+///
 /// Not thread-safe; the traffic thread owns it. Callbacks may run before the call that causes them returns.
 class UpstreamPool : public ConnectionSource, private UpstreamConnection::Listener {
 public:
@@ -30,6 +35,17 @@
         virtual void onUpstreamUnreachable(const UpstreamEntry& upstream, UpstreamConnection::LossCause cause) = 0;
     };
 
+    /// Opens connections; tests replace it.
+    class Connector {
+    public:
+        virtual ~Connector() = default;
+
+        /// Starts to open a connection.
+        ///
+        /// @param user the name under which the connection is opened
+        virtual std::unique_ptr<UpstreamConnection> open(const UpstreamEntry& upstream, const std::string& user, Duration timeout, UpstreamConnection::Listener& listener) = 0;
+    };
+
     /// The objects that the pool uses. All must outlive it.
     struct Dependencies {
         EventLoop& loop;
@@ -37,6 +53,18 @@
         const SessionProtocol& protocol;
         InstanceId self;
         Listener& listener;
+        /// Opens the connections; they are opened over TCP when it is nullptr.
+        Connector* connector = nullptr;
+    };
+
+    /// What became of requests and connections since the start.
+    struct Counters {
+        std::uint64_t numOpened = 0;
+        std::uint64_t numGrants = 0;
+        /// Grants of requests that found an idle connection when they arrived.
+        std::uint64_t numGrantsOfIdle = 0;
+        /// Idle connections that were closed to make room for one of another workspace.
+        std::uint64_t numReplaced = 0;
     };
 
     UpstreamPool(const Dependencies& dependencies, UpstreamEntry upstream);
@@ -51,6 +79,12 @@
     /// Limits the connections of this instance, below the limit of the upstream.
     void setMaximum(std::size_t maximum) { this->connectionLimit = std::min(this->connectionLimit, maximum); }
 
+    /// Sets the connections that this instance may keep open while they are idle, whatever the others need.
+    void setIdleShare(std::size_t number) { this->share = number; }
+
+    /// Sets the workspaces among which the requests share; nullptr when the deployment has none.
+    void setWorkspaces(std::shared_ptr<const WorkspaceWeights> newer) { this->queue.setWorkspaces(std::move(newer)); }
+
     /// @returns whether this instance may keep an idle connection open
     bool mayKeepIdle() const { return this->share > 0; }
 
@@ -58,7 +92,7 @@
     void setUpstream(const UpstreamEntry& newer) { this->upstream = newer; }
 
     Ticket acquire(const Request& request, Grant grant) override;
-    void cancelAcquire(Ticket ticket) override;
+    void cancelAcquire(Ticket ticket) override { this->queue.cancel(ticket); }
     void release(StatementConnection* connection) override;
     void discard(StatementConnection* connection) override;
     void onRefused(StatementConnection*) override { this->concurrency.onRefused(); }
@@ -66,7 +100,7 @@
     void deactivate(StatementConnection* connection) override;
 
     /// @returns an idle connection for a command that takes no slot of the upstream, or nullptr
-    UpstreamConnection* findIdle() const;
+    UpstreamConnection* findIdle() const { return this->connections.findFirstIdle(); }
 
     void probeIfDue() override;
 
@@ -86,6 +120,14 @@
         this->denyAll(Denial::Unreachable);
     }
 
+    /// Denies the requests whose deadline is over. Call this several times a second while requests wait.
+    void denyExpired();
+
+    /// Closes idle connections beyond the share of this instance.
+    void closeSurplus();
+
+    const Counters& getCounters() const { return this->counters; }
+
     bool isUnreachable() const override { return this->hasFailedToOpen; }
     bool hasIdle() const override { return this->findIdle() != nullptr; }
     Duration getLatency() const override { return this->latency.get(this->dependencies.clock.now()); }
@@ -94,53 +136,50 @@
     std::optional<Forecast> forecast(const Request& request) const override;
 
     /// @returns whether any connection has a command that is unanswered for longer than the timeout
-    bool isOverdue(Duration timeout) const;
+    bool isOverdue(Duration timeout) const { return !this->connections.listUnanswered(this->dependencies.clock.now() - timeout).empty(); }
 
     std::size_t getNumConnections() const { return this->connections.size(); }
     std::size_t getNumRunning() const { return static_cast<std::size_t>(std::max(0, this->numActive)); }
 
     /// @returns requests in the queue
-    std::size_t getNumWaiting() const;
+    std::size_t getNumWaiting() const { return this->queue.size(); }
 
     /// @returns bytes sent and received since the start
     std::uint64_t getNumBytes() const { return this->numBytes; }
 
+    Duration getExpectedWait(Rank rank) const override { return this->queue.getExpectedWait(rank, this->getLatency()); }
+
     const UpstreamEntry& getUpstream() const override { return this->upstream; }
 
 private:
-    struct PooledConnection {
-        std::unique_ptr<UpstreamConnection> connection;
-        bool isOpening = true;
-        bool isIdle = false;
-        bool isActive = false;
-        /// When it started to open, became idle or became active.
-        TimePoint since;
-    };
+    using PooledConnection = PooledConnections::Entry;
 
     void onConnectionReady(UpstreamConnection& connection) override;
     void onConnectionBytes(std::size_t number) override { this->numBytes += number; }
     void onConnectionLost(UpstreamConnection& connection, UpstreamConnection::LossCause cause, const std::string& reason) override;
-    PooledConnection* find(const StatementConnection* connection);
-    PooledConnection* findIdlePooled();
+    PooledConnection* findReplaceable(const WorkspaceId& newcomer, bool includesWanted);
+    void openConnection(const WorkspaceId& workspace);
+    bool mustOpenFor(const PooledConnections::Need& need) const;
+    bool mayOpenMore(const WorkspaceId& workspace) const;
+    /// @returns the connections of a workspace that will be available soon: an open transaction is not expected to end
+    std::size_t countExpected(const WorkspaceId& workspace) const;
+    bool makeRoomFor(const WorkspaceId& workspace, bool isNext);
+    void onUpstreamFull();
     void remove(const StatementConnection* connection);
     void finishActive(PooledConnection& pooled);
     void grantWaiting();
     void openIfNeeded();
     void denyAll(Denial denial);
-    void denyExpired();
     void setQueueTimer();
     Duration getSurplusIdleTimeout() const;
-    void closeSurplus();
 
     Dependencies dependencies;
     UpstreamEntry upstream;
-    std::vector<PooledConnection> connections;
-    RankQueue queue;
+    PooledConnections connections;
+    ConnectionQueue queue;
     SharedConcurrencyLimit concurrency;
     IdleTimeoutController idleController;
-    /// The callbacks of waiting requests.
-    std::unordered_map<Ticket, Grant> grants;
-    Ticket nextTicket = 1;
+    Counters counters;
     int numActive = 0;
     std::uint64_t numBytes = 0;
     std::size_t numOpening = 0;
--- a/tests/support/LendingBench.cpp
+++ b/tests/support/LendingBench.cpp
@@ -31,12 +31,15 @@
 /// A connection that runs its commands in order, one at a time.
 class FakeSource::Connection : public StatementConnection, public std::enable_shared_from_this<Connection> {
 public:
-    Connection(FakeSource& source, UpstreamId upstream)
-        : source(source)
+    Connection(FakeSource& source, UpstreamId upstream, WorkspaceId workspace)
+        : workspace(std::move(workspace))
+        , source(source)
         , upstream(std::move(upstream))
     {
     }
 
+    const WorkspaceId workspace;
+
     void send(const UpstreamCommand& command, ReplyCallback callback) override
     {
         this->sendEncoded(LineProtocol().encodeCommand(command), std::move(callback));
@@ -73,6 +76,9 @@
         if (this->source.used.count(this) == 0 && this->source.misuse.empty())
             this->source.misuse = encoded;
         this->source.executed.push_back(encoded);
+        std::size_t name = encoded.find("ws-");
+        if (name != std::string::npos)
+            this->source.workspacesRun[this->workspace.toString()].insert(encoded.substr(name, encoded.find('-', name + 3) - name));
         SessionReply reply;
         reply.signature = "s";
         reply.rows = { encoded };
@@ -114,7 +120,7 @@
         return 0;
     }
     Ticket ticket = this->nextTicket++;
-    this->waiting.emplace(ticket, Waiting { std::move(grant) });
+    this->waiting.emplace(ticket, Waiting { std::move(grant), request.workspace });
     this->grantWaiting();
     if (this->waiting.count(ticket) == 0)
         return 0;
@@ -128,14 +134,9 @@
 void FakeSource::grantWaiting()
 {
     while (!this->waiting.empty()) {
-        if (this->idle.empty() && this->used.size() >= this->limit)
+        std::shared_ptr<Connection> connection = this->takeIdle(this->waiting.begin()->second.workspace);
+        if (connection == nullptr)
             return;
-        if (this->idle.empty()) {
-            this->idle.push_back(std::make_shared<Connection>(*this, this->upstream.id));
-            this->numOpened++;
-        }
-        std::shared_ptr<Connection> connection = this->idle.back();
-        this->idle.pop_back();
         Waiting first = std::move(this->waiting.begin()->second);
         this->waiting.erase(this->waiting.begin());
         this->used.emplace(connection.get(), connection);
@@ -144,6 +145,22 @@
     }
 }
 
+std::shared_ptr<FakeSource::Connection> FakeSource::takeIdle(const WorkspaceId& workspace)
+{
+    std::vector<std::shared_ptr<Connection>>::reverse_iterator found = std::find_if(this->idle.rbegin(), this->idle.rend(), [&workspace](const std::shared_ptr<Connection>& candidate) { return candidate->workspace == workspace; });
+    if (found != this->idle.rend()) {
+        std::shared_ptr<Connection> connection = *found;
+        this->idle.erase(std::next(found).base());
+        return connection;
+    }
+    if (this->idle.size() + this->used.size() >= this->limit && this->idle.empty())
+        return nullptr;
+    if (this->idle.size() + this->used.size() >= this->limit)
+        this->idle.erase(this->idle.begin());
+    this->numOpened++;
+    return std::make_shared<Connection>(*this, this->upstream.id, workspace);
+}
+
 void FakeSource::expire(Ticket ticket)
 {
     std::map<Ticket, Waiting>::iterator found = this->waiting.find(ticket);
@@ -225,6 +242,8 @@
     {
         std::optional<LendingMessage> decoded = decodeLendingMessage(encodeLendingMessage(message));
         std::size_t to = toIndex(member.id);
+        if (this->bench.instances[to]->isEarlierVersion)
+            decoded->workspace = WorkspaceId();
         if (this->bench.instances[to]->isKilled) {
             this->bench.scheduler.schedule(linkDelay, [this, id = member.id] { this->borrower.onLinkLost(id); });
             return;
@@ -244,6 +263,7 @@
     std::shared_ptr<BorrowingSource> source;
     bool isKilled = false;
     bool isFrozen = false;
+    bool isEarlierVersion = false;
 };
 
 LendingBench::LendingBench(std::size_t numInstances, std::size_t numLenders)
@@ -307,6 +327,11 @@
     return this->instances[instance]->borrower;
 }
 
+void LendingBench::setEarlierVersion(std::size_t instance)
+{
+    this->instances[instance]->isEarlierVersion = true;
+}
+
 void LendingBench::freeze(std::size_t instance)
 {
     this->instances[instance]->isFrozen = true;
--- a/tests/support/LendingBench.h
+++ b/tests/support/LendingBench.h
@@ -15,7 +15,7 @@
 namespace lentiljunction::tests {
 
 /// The connections of one instance to one upstream: opens connections on demand up to a limit, and runs each
-/// command after a fixed time.
+/// command after a fixed time. Closes an idle connection of another workspace at the limit.
 class FakeSource : public ConnectionSource {
 public:
     FakeSource(const Clock& clock, ManualScheduler& scheduler, UpstreamEntry upstream);
@@ -33,6 +33,7 @@
     bool hasIdle() const override { return !this->idle.empty(); }
     Duration getLatency() const override { return std::chrono::milliseconds(8); }
     double getLoad() const override { return 0; }
+    Duration getExpectedWait(Rank) const override { return std::chrono::milliseconds(70); }
     const UpstreamEntry& getUpstream() const override { return this->upstream; }
 
     /// Loses the connections that are in use.
@@ -47,14 +48,18 @@
     std::vector<std::string> executed;
     /// The first command that ran on a connection which its session had returned or closed.
     std::string misuse;
+    /// The workspaces whose commands ran, by the workspace of the connection.
+    std::map<std::string, std::set<std::string>> workspacesRun;
 
 private:
     class Connection;
     struct Waiting {
         Grant grant;
+        WorkspaceId workspace;
     };
 
     void grantWaiting();
+    std::shared_ptr<Connection> takeIdle(const WorkspaceId& workspace);
     void expire(Ticket ticket);
 
     const Clock& clock;
@@ -84,6 +89,9 @@
     Lender& getLender(std::size_t instance);
     Borrower& getBorrower(std::size_t instance);
 
+    /// Lets an instance lend without regard to workspaces, as an earlier version does.
+    void setEarlierVersion(std::size_t instance);
+
     /// Holds back all messages to and from an instance until thaw().
     void freeze(std::size_t instance);
     void thaw(std::size_t instance);
--- a/tests/unit/LendingMessageTests.cpp
+++ b/tests/unit/LendingMessageTests.cpp
@@ -15,6 +15,8 @@
     message.upstream = UpstreamId("u1");
     message.rank = Rank::Background;
     message.caller = CallerId("driver");
+    message.workspace = WorkspaceId("w1");
+    message.acceptsAnyWorkspace = true;
     message.wait = std::chrono::milliseconds(80);
     message.context.values["zone"] = std::string("a\xff\x00b", 4);
     message.context.preparedNames = { "r-x", "w-y" };
@@ -23,10 +25,20 @@
     CHECK(decoded->upstream == message.upstream);
     CHECK(decoded->rank == message.rank);
     CHECK(decoded->caller == message.caller);
+    CHECK(decoded->workspace == message.workspace);
+    CHECK(decoded->acceptsAnyWorkspace);
     CHECK(decoded->wait == message.wait);
     CHECK(decoded->context.values == message.context.values);
     CHECK(decoded->context.preparedNames == message.context.preparedNames);
 
+    LendingMessage denied;
+    denied.kind = LendingMessage::Kind::Denied;
+    denied.denial = LendingMessage::Denial::TooLong;
+    denied.retryAfter = std::chrono::milliseconds(40);
+    decoded = decodeLendingMessage(encodeLendingMessage(denied));
+    CHECK(decoded->denial == denied.denial);
+    CHECK(decoded->retryAfter == denied.retryAfter);
+
     LendingMessage reply;
     reply.kind = LendingMessage::Kind::Reply;
     reply.reply.rows = { "a", "" };
--- a/tests/unit/LendingPlanTests.cpp
+++ b/tests/unit/LendingPlanTests.cpp
@@ -135,3 +135,45 @@
     for (const FleetMember& lender : lenders)
         CHECK_FALSE(LenderSelector(lender.id).choose(lenders, {}, clock.now()).has_value());
 }
+
+// Connections by workspace. Guards against instances that ask different lenders for the same workspace, against one
+// lender that gets all workspaces, and against a silent or slow lender that is still asked.
+TEST(LenderSelector, choosesLenderByWorkspaceUnlessItIsSilentOrSlow)
+{
+    ManualClock clock;
+    LenderSelector selector(InstanceId("borrower"));
+    std::vector<FleetMember> lenders = makeFleet(2);
+    std::map<InstanceId, int> numChosen;
+    for (int index = 0; index < 82; index++) {
+        WorkspaceId workspace("w" + std::to_string(index));
+        InstanceId chosen = selector.chooseForWorkspace(lenders, makeUpstreamId(0), workspace, {}, clock.now())->id;
+        numChosen[chosen]++;
+        CHECK(chosen == LenderSelector(InstanceId("other")).chooseForWorkspace(lenders, makeUpstreamId(0), workspace, {}, clock.now())->id);
+        // A lender that is not the first choice borrows too; the other one uses its own connections.
+        for (const FleetMember& lender : lenders)
+            CHECK_EQUAL(lender.id != chosen, LenderSelector(lender.id).chooseForWorkspace(lenders, makeUpstreamId(0), workspace, {}, clock.now()).has_value());
+    }
+    CHECK(numChosen[lenders[0].id] > 25);
+    CHECK(numChosen[lenders[1].id] > 25);
+
+    WorkspaceId workspace("w0");
+    InstanceId first = selector.chooseForWorkspace(lenders, makeUpstreamId(0), workspace, {}, clock.now())->id;
+    InstanceId second = lenders[lenders[0].id == first ? 1 : 0].id;
+    selector.onResponse(second, std::chrono::milliseconds(1), clock.now());
+    CHECK(first == selector.chooseForWorkspace(lenders, makeUpstreamId(0), workspace, {}, clock.now())->id);
+    for (int count = 0; count < 10; count++)
+        selector.onResponse(first, std::chrono::milliseconds(60), clock.now());
+    CHECK(second == selector.chooseForWorkspace(lenders, makeUpstreamId(0), workspace, {}, clock.now())->id);
+    clock.advance(std::chrono::seconds(3));
+    CHECK(first == selector.chooseForWorkspace(lenders, makeUpstreamId(0), workspace, {}, clock.now())->id);
+    selector.onSilence(first, clock.now());
+    CHECK(second == selector.chooseForWorkspace(lenders, makeUpstreamId(0), workspace, {}, clock.now())->id);
+}
+
+// Guards against lenders that together keep more than three quarters of an upstream's connections.
+TEST(LendingPlan, lendersShareThreeQuartersOfConnectionsByWorkspace)
+{
+    CHECK_EQUAL(8, computeLenderShare(69, 6));
+    CHECK_EQUAL(1, computeLenderShare(5, 12));
+    CHECK_EQUAL(51, computeLenderShare(69, 0));
+}
--- a/tests/unit/LendingTests.cpp
+++ b/tests/unit/LendingTests.cpp
@@ -16,10 +16,11 @@
 /// to each.
 class BorrowingSession {
 public:
-    BorrowingSession(LendingBench& bench, std::size_t instance, std::string name)
+    BorrowingSession(LendingBench& bench, std::size_t instance, std::string name, std::string workspace = "")
         : bench(bench)
         , instance(instance)
         , name(std::move(name))
+        , workspace(std::move(workspace))
     {
     }
 
@@ -28,7 +29,9 @@
     {
         std::string text = this->name + "-" + std::to_string(this->numStarted++);
         std::shared_ptr<int> numAnswers = std::make_shared<int>(0);
-        this->bench.getSource(this->instance).acquire(makeConnectionRequest(this->bench.clock.now() + std::chrono::milliseconds(400)), [this, text, isTransaction, numAnswers](StatementConnection* connection, ConnectionSource::Denial) {
+        ConnectionSource::Request request = makeConnectionRequest(this->bench.clock.now() + std::chrono::milliseconds(400));
+        request.workspace = WorkspaceId(this->workspace);
+        this->bench.getSource(this->instance).acquire(request, [this, text, isTransaction, numAnswers](StatementConnection* connection, ConnectionSource::Denial) {
             this->hasDoubleAnswer = this->hasDoubleAnswer || ++*numAnswers > 1;
             this->numGranted += connection != nullptr ? 1 : 0;
             this->numDenied += connection == nullptr ? 1 : 0;
@@ -88,6 +91,7 @@
     LendingBench& bench;
     std::size_t instance;
     std::string name;
+    std::string workspace;
 };
 
 std::size_t countExecuted(const FakeSource& source, const std::string& text)
@@ -262,8 +266,9 @@
 }
 
 // Lenders are frozen, killed and cut off from the upstream at random, while sessions run statements and
-// transactions. Guards against a command that runs twice or after its request was denied, against a reply to
-// another statement, and against a command on a connection that its session has given back.
+// transactions, with and without workspaces. Guards against a command that runs twice or after its request was denied,
+// against a reply to another statement, and against a command on a connection that its session has given back or that
+// belongs to another workspace.
 TEST(Lending, runsEachCommandAtMostOnceForAnyOrderOfFaults)
 {
     for (std::uint64_t seed = 1; seed <= numSeeds; seed++) {
@@ -271,7 +276,7 @@
         LendingBench bench(6, 3);
         std::vector<std::unique_ptr<BorrowingSession>> sessions;
         for (std::size_t index = 0; index < 6; index++)
-            sessions.push_back(std::make_unique<BorrowingSession>(bench, index, "s" + std::to_string(index)));
+            sessions.push_back(std::make_unique<BorrowingSession>(bench, index, "ws-" + std::to_string(index % 3) + "-s" + std::to_string(index), seed % 2 == 0 ? "ws-" + std::to_string(index % 3) : ""));
         std::set<std::size_t> killed;
         for (int step = 0; step < 150; step++) {
             std::size_t instance = random.below(6);
@@ -308,6 +313,8 @@
         bench.advance(std::chrono::seconds(3));
         for (std::size_t owner = 0; owner < 6; owner++) {
             STRCMP_EQUAL("", bench.getOwn(owner).misuse.c_str());
+            for (const std::pair<const std::string, std::set<std::string>>& ran : bench.getOwn(owner).workspacesRun)
+                CHECK(ran.first.empty() || ran.second == std::set<std::string> { ran.first });
             if (killed.count(owner) == 0)
                 CHECK_EQUAL(0, bench.getLender(owner).countLent());
         }
@@ -316,7 +323,7 @@
             CHECK_FALSE(session.hasDoubleAnswer);
             CHECK_FALSE(session.hasWrongReply);
             for (int number = 0; number < session.numStarted; number++) {
-                std::string text = "s" + std::to_string(index) + "-" + std::to_string(number);
+                std::string text = "ws-" + std::to_string(index % 3) + "-s" + std::to_string(index) + "-" + std::to_string(number);
                 std::size_t numRuns = 0;
                 for (std::size_t owner = 0; owner < 6; owner++)
                     numRuns += countExecuted(bench.getOwn(owner), text);
@@ -329,3 +336,51 @@
         }
     }
 }
+
+// An instance of an earlier version lends without regard to workspaces. Guards against a statement on a connection that
+// was opened under the name of the lender.
+TEST(Lending, loanOfOtherWorkspaceIsNotUsed)
+{
+    LendingBench bench(3, 2);
+    BorrowingSession session(bench, 2, "ws-0-s", "ws-0");
+    bench.setEarlierVersion(0);
+    bench.setEarlierVersion(1);
+    session.run(false);
+    bench.advance(std::chrono::milliseconds(50));
+    CHECK_EQUAL(1, session.succeeded.size());
+    CHECK_EQUAL(1, bench.getOwn(2).executed.size());
+    CHECK_EQUAL(0, bench.getLender(0).countLent() + bench.getLender(1).countLent());
+}
+
+// Guards against both lenders keeping connections of every workspace, of which they then need twice as many.
+TEST(Lending, allBorrowersAskTheSameLenderForAWorkspace)
+{
+    LendingBench bench(12, 2);
+    std::vector<std::unique_ptr<BorrowingSession>> sessions;
+    for (std::size_t workspace = 0; workspace < 4; workspace++) {
+        std::string name = "ws-" + std::to_string(workspace);
+        for (std::size_t index = 0; index < 12; index++) {
+            sessions.push_back(std::make_unique<BorrowingSession>(bench, index, name + "-s" + std::to_string(index), name));
+            sessions.back()->run(false);
+            bench.advance(std::chrono::milliseconds(20));
+            CHECK_EQUAL(1, sessions.back()->succeeded.size());
+        }
+    }
+    CHECK_EQUAL(4, bench.getOwn(0).numOpened + bench.getOwn(1).numOpened);
+    for (std::size_t index = 2; index < 12; index++)
+        CHECK_EQUAL(0, bench.getOwn(index).numOpened);
+}
+
+// All connections of the lender are in use. Guards against a refusal that does not say when capacity is expected.
+TEST(Lending, refusalCarriesExpectedWait)
+{
+    LendingBench bench(3, 2);
+    bench.getOwn(0).limit = 0;
+    bench.getOwn(1).limit = 0;
+    BorrowingSession session(bench, 2, "s");
+    session.run(false);
+    bench.advance(std::chrono::milliseconds(500));
+    CHECK_EQUAL(1, session.numDenied);
+    CHECK(bench.getSource(2).getExpectedWait(Rank::Normal) == bench.getOwn(0).getExpectedWait(Rank::Normal));
+    CHECK(bench.getSource(2).getExpectedWait(Rank::Normal) > Duration(0));
+}
--- a/tests/unit/RankQueueTests.cpp
+++ b/tests/unit/RankQueueTests.cpp
@@ -4,6 +4,11 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <cstdlib>
+#include <deque>
+#include <list>
+#include <map>
 #include <set>
 
 #include <CppUTest/TestHarness.h>
@@ -179,3 +184,91 @@
     }
     CHECK_TRUE(isAccepted);
 }
+
+TEST_GROUP(RankQueueWeights)
+{
+    ManualClock clock;
+    RankQueue queue { makeRanks() };
+    RankQueue::Ticket next = 1;
+
+    void fill(const std::string& caller, double weight, int number)
+    {
+        for (int count = 0; count < number; count++)
+            queue.offer({ next++, Rank::Normal, CallerId(caller), clock.now() + distantDeadline, weight }, clock.now());
+    }
+};
+
+// Workspaces with limits share an upstream by what they may send. Guards against equal turns for unequal limits.
+TEST(RankQueueWeights, servesCallersInProportionToWeights)
+{
+    this->fill("large", 40, 1000);
+    this->fill("medium", 20, 1000);
+    this->fill("small", 10, 1000);
+    std::map<CallerId, int> started;
+    for (int count = 0; count < 700; count++)
+        started[queue.takeNext(clock.now())->caller]++;
+    CHECK(std::abs(started[CallerId("large")] - 400) <= 2);
+    CHECK(std::abs(started[CallerId("medium")] - 200) <= 2);
+    CHECK(std::abs(started[CallerId("small")] - 100) <= 2);
+}
+
+// Guards against a small workspace that waits for as many turns of a large one as their limits differ.
+TEST(RankQueueWeights, smallCallerStartsAtItsFirstTurnAndSoonAgain)
+{
+    this->fill("large", 450, 1000);
+    for (int count = 0; count < 10; count++)
+        queue.takeNext(clock.now());
+    this->fill("small", 2, 2);
+    std::vector<int> positions;
+    for (int position = 1; positions.size() < 2 && position < 100; position++) {
+        if (queue.takeNext(clock.now())->caller == CallerId("small"))
+            positions.push_back(position);
+    }
+    CHECK(positions.at(0) <= 2);
+    CHECK(positions.at(1) <= 12);
+}
+
+// A request that cannot start yet. Guards against holding up the others, and against losing its turn.
+TEST(RankQueueWeights, callerThatIsPassedOverKeepsItsTurn)
+{
+    this->fill("blocked", 1, 1);
+    this->fill("a", 1, 3);
+    this->fill("b", 1, 3);
+    RankQueue::Filter isReady = [](const RankQueue::Request& request) { return request.caller != CallerId("blocked"); };
+    CHECK(queue.takeNext(clock.now(), isReady)->caller == CallerId("a"));
+    CHECK(queue.takeNext(clock.now(), isReady)->caller == CallerId("b"));
+    CHECK(queue.findFirst(nullptr)->caller == CallerId("blocked"));
+    CHECK(queue.takeNext(clock.now())->caller == CallerId("blocked"));
+    CHECK_FALSE(queue.takeNext(clock.now(), [](const RankQueue::Request&) { return false; }).has_value());
+    CHECK_EQUAL(4, queue.getNumWaiting(Rank::Normal));
+}
+
+// Deployments without workspaces. Guards against an order that differs from plain turns when all weights are equal.
+TEST(RankQueueWeights, equalWeightsAreServedInTurns)
+{
+    CHECK(rc::check("callers with equal weights take turns", [] {
+        ManualClock clock;
+        RankQueue queue(makeRanks());
+        std::list<std::pair<std::string, std::deque<RankQueue::Ticket>>> turns;
+        for (RankQueue::Ticket ticket = 1; ticket <= 150; ticket++) {
+            if (*rc::gen::inRange(0, 2) == 0) {
+                std::string caller = std::to_string(*rc::gen::inRange(0, 5));
+                queue.offer(makeRequest(ticket, Rank::Normal, clock.now(), caller), clock.now());
+                auto found = std::find_if(turns.begin(), turns.end(), [&caller](const std::pair<std::string, std::deque<RankQueue::Ticket>>& entry) { return entry.first == caller; });
+                if (found == turns.end())
+                    found = turns.insert(turns.end(), { caller, {} });
+                found->second.push_back(ticket);
+                continue;
+            }
+            std::optional<RankQueue::Request> taken = queue.takeNext(clock.now());
+            RC_ASSERT(taken.has_value() == !turns.empty());
+            if (!taken)
+                continue;
+            RC_ASSERT(taken->ticket == turns.front().second.front());
+            turns.front().second.pop_front();
+            if (!turns.front().second.empty())
+                turns.push_back(turns.front());
+            turns.pop_front();
+        }
+    }));
+}
--- /dev/null
+++ b/tests/unit/UpstreamPoolTests.cpp
@@ -0,0 +1,260 @@
+#include "../support/PoolBench.h"
+#include "lending/LenderSelector.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+using namespace lentiljunction::tests;
+
+namespace {
+
+constexpr std::uint64_t numSeeds = 150;
+constexpr std::size_t numWorkspaces = 82;
+
+std::string makeName(std::size_t index)
+{
+    return "w" + std::to_string(index);
+}
+
+/// @returns workspaces whose sizes follow a power law with exponent 1.2
+std::map<std::string, double> makePowerLaw()
+{
+    std::map<std::string, double> sizes;
+    for (std::size_t index = 0; index < numWorkspaces; index++)
+        sizes[makeName(index)] = std::pow(static_cast<double>(index + 1), -1.2);
+    return sizes;
+}
+
+const std::string& draw(const std::map<std::string, double>& sizes, Random& random)
+{
+    double total = 0;
+    for (const std::pair<const std::string, double>& entry : sizes)
+        total += entry.second;
+    double drawn = static_cast<double>(random.below(1000000)) / 1000000 * total;
+    for (const std::pair<const std::string, double>& entry : sizes) {
+        drawn -= entry.second;
+        if (drawn < 0)
+            return entry.first;
+    }
+    return sizes.begin()->first;
+}
+
+Duration findPercentile(std::vector<Duration> times, std::size_t percent)
+{
+    CHECK(!times.empty());
+    std::sort(times.begin(), times.end());
+    return times[(times.size() - 1) * percent / 100];
+}
+
+/// What became of the statements of one workspace.
+struct Outcomes {
+    std::vector<Duration> times;
+    int numDenied = 0;
+
+    std::function<void(std::optional<Duration>)> record()
+    {
+        return [this](std::optional<Duration> took) {
+            if (took)
+                this->times.push_back(*took);
+            else
+                this->numDenied++;
+        };
+    }
+};
+
+/// @returns the index of the lender that borrowers ask first for a workspace
+std::size_t chooseLender(const std::string& workspace)
+{
+    std::vector<FleetMember> lenders;
+    for (const char* name : { "i0", "i1" })
+        lenders.push_back({ InstanceId(name), ZoneId("z"), { "127.0.0.1", 1 }, Endpoint { "127.0.0.1", 2 } });
+    LenderSelector selector { InstanceId("borrower") };
+    return selector.chooseForWorkspace(lenders, UpstreamId("u1"), WorkspaceId(workspace), {}, TimePoint())->id == InstanceId("i1") ? 1 : 0;
+}
+
+} // namespace
+
+TEST_GROUP(UpstreamPool) {};
+
+// Requests of several workspaces, transactions, lost connections and a full upstream in random order. Guards against a
+// statement on a connection of another workspace, and against a request that is answered twice or never.
+TEST(UpstreamPool, runsNoStatementOnConnectionOfOtherWorkspace)
+{
+    for (std::uint64_t seed = 1; seed <= numSeeds; seed++) {
+        Random random(seed);
+        PoolBench bench;
+        bench.connectionLimit = 3 + random.below(6);
+        bench.getPool().setShare(static_cast<int>(bench.connectionLimit + random.below(2)), 1);
+        bench.setWorkspaces({ { "w0", 10 }, { "w1", 3 }, { "w2", 1 } }, 1 + random.below(6));
+        int numAnswered = 0;
+        for (int step = 0; step < 200; step++) {
+            std::size_t drawn = random.below(6);
+            std::string workspace = drawn == 5 ? std::string() : makeName(drawn);
+            bench.run(workspace, std::chrono::milliseconds(5 + random.below(200)), std::chrono::milliseconds(random.below(3) == 0 ? 40 : 0), [&numAnswered](std::optional<Duration>) { numAnswered++; });
+            if (random.below(40) == 0)
+                bench.breakConnections();
+            if (random.below(60) == 0)
+                bench.getPool().setIdleShare(random.below(6));
+            bench.advance(std::chrono::microseconds(random.below(15000)));
+        }
+        bench.advance(std::chrono::seconds(2));
+        CHECK_EQUAL(200, numAnswered);
+        CHECK_EQUAL(0, bench.numMisused);
+        CHECK_EQUAL(0, bench.getPool().getNumRunning());
+        CHECK_EQUAL(0, bench.getPool().getNumWaiting());
+    }
+}
+
+// The stated mix of workspaces at the two lenders of a zone. Guards against a connection for nearly every statement,
+// which occupies the upstream for longer than the statement.
+TEST(UpstreamPool, lendersFindIdleConnectionForMostStatements)
+{
+    // Connections of a lender with the part that must find one idle.
+    for (const std::pair<std::size_t, double>& expected : std::vector<std::pair<std::size_t, double>> { { 8, 0.6 }, { 11, 0.65 }, { 22, 0.83 } }) {
+        std::array<PoolBench, 2> lenders;
+        std::map<std::string, double> sizes = makePowerLaw();
+        for (PoolBench& lender : lenders)
+            lender.setWorkspaces(sizes, expected.first);
+        Random random(expected.first);
+        Outcomes outcomes;
+        // 937 statements a second before 24 upstreams, of which each serves mainly its own zone.
+        constexpr int numSeconds = 100;
+        constexpr int numPerSecond = 39;
+        for (int count = 0; count < numSeconds * numPerSecond; count++) {
+            const std::string& workspace = draw(sizes, random);
+            lenders.at(chooseLender(workspace)).run(workspace, std::chrono::milliseconds(500), std::chrono::milliseconds(count % 5 == 0 ? 30 : 0), outcomes.record());
+            Duration pause = std::chrono::microseconds(random.below(2 * 1000000 / numPerSecond));
+            for (PoolBench& lender : lenders)
+                lender.advance(pause);
+        }
+        UpstreamPool::Counters total;
+        for (PoolBench& lender : lenders) {
+            total.numOpened += lender.getPool().getCounters().numOpened;
+            total.numGrants += lender.getPool().getCounters().numGrants;
+            total.numGrantsOfIdle += lender.getPool().getCounters().numGrantsOfIdle;
+            CHECK_EQUAL(0, lender.numMisused);
+        }
+        double found = static_cast<double>(total.numGrantsOfIdle) / static_cast<double>(total.numGrants);
+        std::printf("connections=%zu opened_per_second=%.2f found_idle=%.3f p50_us=%lld p99_us=%lld\n", expected.first, static_cast<double>(total.numOpened) / numSeconds, found, static_cast<long long>(findPercentile(outcomes.times, 50).count()), static_cast<long long>(findPercentile(outcomes.times, 99).count()));
+        CHECK_EQUAL(0, outcomes.numDenied);
+        CHECK(found >= expected.second);
+    }
+}
+
+// One workspace sends seven times its usual load, more than the upstream serves. Guards against small ones that wait
+// behind it, for a slot or for a connection.
+TEST(UpstreamPool, hotWorkspaceWaitsAndSmallOnesDoNot)
+{
+    PoolBench bench;
+    std::map<std::string, double> weights { { "hot", 450 } };
+    for (std::size_t index = 0; index < 10; index++)
+        weights[makeName(index)] = 5;
+    bench.setWorkspaces(weights, 8);
+    Random random(1);
+    Outcomes hot;
+    Outcomes small;
+    for (int count = 0; count < 20000; count++) {
+        bench.run("hot", std::chrono::milliseconds(300), Duration(0), hot.record());
+        if (count % 40 == 0)
+            bench.run(makeName(random.below(10)), std::chrono::milliseconds(300), Duration(0), small.record());
+        bench.advance(std::chrono::milliseconds(1));
+    }
+    bench.advance(std::chrono::seconds(1));
+    std::printf("hot: served=%zu denied=%d p50_us=%lld; small: served=%zu denied=%d p50_us=%lld p99_us=%lld opened=%llu\n", hot.times.size(), hot.numDenied, static_cast<long long>(findPercentile(hot.times, 50).count()), small.times.size(), small.numDenied, static_cast<long long>(findPercentile(small.times, 50).count()), static_cast<long long>(findPercentile(small.times, 99).count()), static_cast<unsigned long long>(bench.getPool().getCounters().numOpened));
+    CHECK(hot.numDenied > 0);
+    CHECK_EQUAL(0, small.numDenied);
+    CHECK(findPercentile(small.times, 99) < std::chrono::milliseconds(100));
+    CHECK(hot.times.size() > 5000);
+}
+
+// All connections are in use by others that keep asking. Guards against a request that waits until its deadline
+// because each connection goes to the next request of the workspace that it belongs to.
+TEST(UpstreamPool, requestWithoutConnectionIsServedWhileOthersKeepAllInUse)
+{
+    PoolBench bench;
+    bench.getPool().setShare(4, 1);
+    bench.setWorkspaces({ { "busy", 1 }, { "rare", 1 } }, 3);
+    Outcomes busy;
+    for (int count = 0; count < 200; count++) {
+        bench.run("busy", std::chrono::milliseconds(400), Duration(0), busy.record());
+        bench.run("busy", std::chrono::milliseconds(400), Duration(0), busy.record());
+        bench.advance(std::chrono::milliseconds(2));
+    }
+    Outcomes rare;
+    bench.run("rare", std::chrono::milliseconds(400), Duration(0), rare.record());
+    for (int count = 0; count < 60; count++) {
+        bench.run("busy", std::chrono::milliseconds(400), Duration(0), busy.record());
+        bench.advance(std::chrono::milliseconds(2));
+    }
+    CHECK_EQUAL(1, rare.times.size());
+    CHECK(rare.times.front() < std::chrono::milliseconds(60));
+    CHECK(bench.numOpenAtMost <= 4);
+}
+
+// All connections are held by open transactions. Guards against a wait beyond the deadline, and against a refusal that
+// does not say when to return.
+TEST(UpstreamPool, requestIsDeniedAtItsDeadlineWhenAllConnectionsAreHeld)
+{
+    PoolBench bench;
+    bench.getPool().setShare(4, 1);
+    bench.setWorkspaces({ { "a", 1 }, { "b", 1 } }, 3);
+    Outcomes held;
+    for (int count = 0; count < 3; count++)
+        bench.run("a", std::chrono::milliseconds(300), std::chrono::seconds(5), held.record());
+    bench.advance(std::chrono::milliseconds(200));
+    Outcomes denied;
+    bench.run("b", std::chrono::milliseconds(100), Duration(0), denied.record());
+    bench.advance(std::chrono::milliseconds(140));
+    CHECK_EQUAL(1, denied.numDenied);
+    CHECK(bench.getPool().getExpectedWait(Rank::Normal) > Duration(0));
+    bench.advance(std::chrono::seconds(5));
+    bench.run("b", std::chrono::milliseconds(100), Duration(0), denied.record());
+    bench.advance(std::chrono::milliseconds(100));
+    CHECK_EQUAL(1, denied.times.size());
+}
+
+// The proxy's own commands run no statement. Guards against opening a connection for them while one of any workspace is
+// idle.
+TEST(UpstreamPool, ownCommandUsesIdleConnectionOfAnyWorkspace)
+{
+    PoolBench bench;
+    bench.setWorkspaces({ { "a", 1 } }, 3);
+    Outcomes served;
+    bench.run("a", std::chrono::milliseconds(300), Duration(0), served.record());
+    bench.advance(std::chrono::milliseconds(100));
+    StatementConnection* granted = nullptr;
+    ConnectionSource::Request request = bench.makeRequest("", std::chrono::milliseconds(100));
+    request.acceptsAnyWorkspace = true;
+    bench.getPool().acquire(request, [&granted](StatementConnection* connection, ConnectionSource::Denial) { granted = connection; });
+    CHECK(granted != nullptr);
+    CHECK_EQUAL(1, bench.getPool().getNumConnections());
+    bench.getPool().release(granted);
+    // A statement without a workspace, as on a public route, needs a connection of its own.
+    bench.run("", std::chrono::milliseconds(300), Duration(0), served.record());
+    bench.advance(std::chrono::milliseconds(100));
+    CHECK_EQUAL(2, bench.getPool().getNumConnections());
+    CHECK_EQUAL(0, bench.numMisused);
+}
+
+// Deployments without workspaces. Guards against connections that are opened under another name than the instance's, or
+// more often than before.
+TEST(UpstreamPool, sharesAllConnectionsWithoutWorkspaces)
+{
+    PoolBench bench;
+    Random random(1);
+    Outcomes outcomes;
+    for (int count = 0; count < 500; count++) {
+        bench.run("", std::chrono::milliseconds(300), Duration(0), outcomes.record());
+        bench.advance(std::chrono::microseconds(random.below(10000)));
+    }
+    bench.advance(std::chrono::seconds(1));
+    CHECK_EQUAL(500, outcomes.times.size());
+    CHECK_EQUAL(0, bench.numMisused);
+    CHECK(bench.getPool().getCounters().numOpened <= 12);
+    CHECK_EQUAL(0, bench.getPool().getExpectedWait(Rank::Normal).count());
+}
