Keep decisions on keys out of TrafficState

Change: checkKey and checkRunningKey for a session are functions beside SessionKey.

Result: moved code only; the tests that run it are StatementKey and GatewayWorkspaces.

--- a/src/traffic/SessionKey.cpp
+++ b/src/traffic/SessionKey.cpp
@@ -4,6 +4,33 @@
 
 namespace lentiljunction {
 
+namespace {
+
+    /// A missing database is reported elsewhere.
+    bool isPublicRoute(const RouteTable& routes, const DatabaseId& database)
+    {
+        const Route* route = routes.find(database);
+        return route == nullptr || route->isPublic;
+    }
+
+} // namespace
+
+KeyDecision checkKey(const TrafficState& state, const DatabaseId& database, const KeyDigest& key)
+{
+    const RouteTable& routes = *state.getRoutes();
+    if (!routes.workspaces)
+        return { KeyVerdict::Public, WorkspaceId() };
+    return checkKey(*routes.workspaces, key, isPublicRoute(routes, database), state.getKeyFreshness(), state.getClock().bootNow());
+}
+
+KeyVerdict checkRunningKey(const TrafficState& state, const DatabaseId& database, const KeyDigest& key, const WorkspaceId& workspace)
+{
+    const RouteTable& routes = *state.getRoutes();
+    if (!routes.workspaces)
+        return workspace.isEmpty() ? KeyVerdict::Public : KeyVerdict::Unconfirmed;
+    return checkRunningKey(*routes.workspaces, key, isPublicRoute(routes, database), workspace, state.getKeyFreshness(), state.getClock().bootNow());
+}
+
 FailureCause toFailureCause(KeyVerdict verdict)
 {
     return verdict == KeyVerdict::Unknown ? FailureCause::KeyUnknown : FailureCause::KeyUnconfirmed;
@@ -27,7 +54,7 @@
 
 KeyVerdict SessionKey::check(bool isInTransaction) const
 {
-    return isInTransaction ? this->state.checkRunningKey(this->database, this->digest, this->workspace) : this->state.checkKey(this->database, this->digest).verdict;
+    return isInTransaction ? checkRunningKey(this->state, this->database, this->digest, this->workspace) : checkKey(this->state, this->database, this->digest).verdict;
 }
 
 void SessionKey::logRefusal(KeyVerdict verdict) const
--- a/src/traffic/SessionKey.h
+++ b/src/traffic/SessionKey.h
@@ -16,6 +16,14 @@
 /// rolled back.
 ReplyDecision decideKeyRefusal(KeyVerdict verdict, bool isInTransaction, bool isCommit);
 
+/// Decides on the key of a caller with the routing configuration in force.
+KeyDecision checkKey(const TrafficState& state, const DatabaseId& database, const KeyDigest& key);
+
+/// Decides whether a statement or transaction that began for a workspace may go on.
+///
+/// @param workspace the workspace for which it began; empty for none
+KeyVerdict checkRunningKey(const TrafficState& state, const DatabaseId& database, const KeyDigest& key, const WorkspaceId& workspace);
+
 /// The key of one caller's session, of which only the digest is kept, and the workspace of its current operation.
 ///
 /// Not thread-safe; the traffic thread owns it.
@@ -31,7 +39,7 @@
     void set(const DatabaseId& newDatabase, const std::string& key);
 
     /// Determines the workspace of an operation that begins.
-    void beginOperation() { this->workspace = this->state.checkKey(this->database, this->digest).workspace; }
+    void beginOperation() { this->workspace = checkKey(this->state, this->database, this->digest).workspace; }
 
     /// @param isInTransaction whether the workspace of the current operation must still hold the key
     KeyVerdict check(bool isInTransaction) const;
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -60,7 +60,7 @@
 
 bool StatementRun::refuseInvalidKey()
 {
-    KeyVerdict verdict = this->state.checkRunningKey(this->request.requirement.route->database, this->request.key, this->request.workspace);
+    KeyVerdict verdict = checkRunningKey(this->state, this->request.requirement.route->database, this->request.key, this->request.workspace);
     if (mayRun(verdict))
         return false;
     this->attemptNumber++;
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -36,26 +36,6 @@
     this->applyShares();
 }
 
-bool TrafficState::isPublicRoute(const DatabaseId& database) const
-{
-    const Route* route = this->routes->find(database);
-    return route == nullptr || route->isPublic;
-}
-
-KeyDecision TrafficState::checkKey(const DatabaseId& database, const KeyDigest& key) const
-{
-    if (!this->routes->workspaces)
-        return { KeyVerdict::Public, WorkspaceId() };
-    return lentiljunction::checkKey(*this->routes->workspaces, key, this->isPublicRoute(database), this->getKeyFreshness(), this->getClock().bootNow());
-}
-
-KeyVerdict TrafficState::checkRunningKey(const DatabaseId& database, const KeyDigest& key, const WorkspaceId& workspace) const
-{
-    if (!this->routes->workspaces)
-        return workspace.isEmpty() ? KeyVerdict::Public : KeyVerdict::Unconfirmed;
-    return lentiljunction::checkRunningKey(*this->routes->workspaces, key, this->isPublicRoute(database), workspace, this->getKeyFreshness(), this->getClock().bootNow());
-}
-
 void TrafficState::setUpstreams(std::shared_ptr<const UpstreamList> newer)
 {
     this->upstreams = std::move(newer);
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -102,13 +102,8 @@
     /// @param newerConfirmation how long keys may be decided with it; unused for one without workspaces
     void setRoutes(std::shared_ptr<const RouteTable> newer, std::shared_ptr<const RouteConfirmation> newerConfirmation = nullptr);
 
-    /// Decides on the key of a caller with the routing configuration in force.
-    KeyDecision checkKey(const DatabaseId& database, const KeyDigest& key) const;
-
-    /// Decides whether a statement or transaction that began for a workspace may go on.
-    ///
-    /// @param workspace the workspace for which it began; empty for none
-    KeyVerdict checkRunningKey(const DatabaseId& database, const KeyDigest& key, const WorkspaceId& workspace) const;
+    /// @returns how long keys may be decided with the routing configuration
+    KeyFreshness getKeyFreshness() const { return this->confirmation == nullptr ? KeyFreshness() : this->confirmation->get(); }
 
     /// Sets a newer list of upstreams and closes the pools of removed ones.
     void setUpstreams(std::shared_ptr<const UpstreamList> newer);
@@ -259,9 +254,6 @@
     /// @param pool this instance's own connections, with their share set
     /// @returns whether the own connections are too scarce, so that the lenders are asked
     bool needsLenders(const UpstreamPool& pool, const std::vector<FleetMember>& lenders) const { return this->borrower != nullptr && !lenders.empty() && (!pool.mayKeepIdle() || this->workspaceWeights != nullptr); }
-    /// @returns whether callers of a database need no key; a missing database is reported elsewhere
-    bool isPublicRoute(const DatabaseId& database) const;
-    KeyFreshness getKeyFreshness() const { return this->confirmation == nullptr ? KeyFreshness() : this->confirmation->get(); }
     int findMaximumConnections(const GroupId& group) const;
     /// @returns the number of instances that are expected to use an upstream at the same time
     std::size_t countUsers(const UpstreamEntry& upstream) const;
