Let the outage test of keys begin when the instances know each other

Cause: the test failed in 2 of 6 runs: within 0.3 s of its start an instance may not have read the list of instances. It then asks none, cannot tell an outage of the store from being cut off, and refuses keys, as designed.

Change: the test waits until both instances know each other.

--- a/tests/process/GatewayWorkspacesTests.cpp
+++ b/tests/process/GatewayWorkspacesTests.cpp
@@ -151,6 +151,9 @@
 {
     WorkspaceSite site;
     LineCaller caller(site.fixture.getPort(0), "checks", callerTimeout, "alpha-new");
+    // An instance that knows no other one cannot tell an outage of the store from its own.
+    for (std::size_t index : { 0U, 1U })
+        CHECK_TRUE(waitUntil([&] { return contains(site.fixture.readMetrics(index), "fact=\"instances\"} 2"); }));
     site.fixture.getStore().setFault(PlatformStore::Fault::Silent);
     TimePoint end = SystemClock().now() + std::chrono::seconds(9);
     while (SystemClock().now() < end) {
