--- a/include/lentiljunction/admission/SharedConcurrencyLimit.h
+++ b/include/lentiljunction/admission/SharedConcurrencyLimit.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lentiljunction/core/Clock.h"
+#include "lentiljunction/admission/ConcurrencyPolicy.h"
 
 namespace lentiljunction {
 
@@ -13,7 +13,7 @@
 /// about equal shares. Single latencies vary with the work, so the mean latency decides.
 ///
 /// Not thread-safe; one traffic thread owns it.
-class SharedConcurrencyLimit {
+class SharedConcurrencyLimit : public ConcurrencyPolicy {
 public:
     /// @param slots the statements an upstream executes at one time, at least 1
     explicit SharedConcurrencyLimit(int slots);
@@ -24,11 +24,11 @@
     /// @param numRunning the statements that ran when it was answered, itself included
     void onAnswered(Duration latency, int numRunning);
 
-    /// Records that the upstream refused a statement because its queue was full.
-    void onRefused();
+    void onAnswer(const Answer& answer) override { this->onAnswered(answer.heldTime, answer.numRunning); }
+    void onRefused() override;
 
     /// @returns the limit, from 1 to a small multiple of the slots
-    int getLimit() const { return static_cast<int>(this->limit); }
+    int getLimit() const override { return static_cast<int>(this->limit); }
 
 private:
     double maximum;
