--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -81,6 +81,9 @@
     constexpr LogEvent quotaCoordinatorLost { 550, LogLevel::Warning, "quota_coordinator_lost", "The instance that decides on the limits of workspaces does not respond or stops; another one is used once the share of this instance is free." };
     constexpr LogEvent quotaCoordinatorChanged { 551, LogLevel::Information, "quota_coordinator_changed", "The share of this instance in the limits of workspaces goes to another instance." };
     constexpr LogEvent quotaMessageInvalid { 552, LogLevel::Warning, "quota_message_invalid", "A message about the limits of workspaces is malformed and is ignored." };
+    constexpr LogEvent upstreamEjected { 560, LogLevel::Warning, "upstream_ejected", "An upstream fails much of its work; it is the last choice for reads for a while." };
+    constexpr LogEvent upstreamRestored { 561, LogLevel::Information, "upstream_restored", "An ejected upstream served its probes and is used again." };
+    constexpr LogEvent capacityChanged { 562, LogLevel::Information, "capacity_changed", "The discovered number of concurrent statements of an upstream changed by half or more." };
     constexpr LogEvent auditWriteFailed { 600, LogLevel::Warning, "audit_write_failed", "Audit records could not be written to the store; they are kept and written later." };
 
 } // namespace events
--- a/include/lentiljunction/interactive/ReplyPolicy.h
+++ b/include/lentiljunction/interactive/ReplyPolicy.h
@@ -22,6 +22,8 @@
     NotRun,
     /// The upstream ran the statement and replied with an error.
     Error,
+    /// The upstream ran a read outside a transaction and replied with an error that another upstream may not give.
+    ErrorOfUpstream,
     /// The connection broke after the statement was sent.
     ConnectionLost,
     /// The statement was sent and its deadline passed.
--- a/include/lentiljunction/metrics/GatewayMetrics.h
+++ b/include/lentiljunction/metrics/GatewayMetrics.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,15 @@
         std::uint64_t numPeerBytes = 0;
     };
 
+    /// How many concurrent statements of this instance an upstream handles well, as discovered.
+    struct Capacity {
+        double limit = 0;
+        /// Answers on which the estimate is based.
+        std::size_t numSamples = 0;
+        /// Time since the last of them.
+        Duration age { 0 };
+    };
+
     /// The state of one upstream, as known to the instance at one moment.
     struct Upstream {
         std::string id;
@@ -72,6 +82,10 @@
         std::uint64_t lag = 0;
         /// Bytes sent to and received from the upstream since the start.
         std::uint64_t numBytes = 0;
+        /// Whether reads avoid the upstream because it failed much of its work.
+        bool isEjected = false;
+        /// The discovered number of concurrent statements, with its evidence; empty when it is not discovered.
+        std::optional<Capacity> capacity = std::nullopt;
     };
 
     GatewayMetrics();
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -124,6 +124,9 @@
         events::sessionRefused,
         events::linesOmitted,
         events::keyRefused,
+        events::upstreamEjected,
+        events::upstreamRestored,
+        events::capacityChanged,
         events::auditWriteFailed,
     };
     return all;
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -46,6 +46,10 @@
 
 bool GatewayInstance::start(Failure& failure)
 {
+    if (this->settings.ejectsUpstreams)
+        this->traffic.ejectFailingUpstreams();
+    if (this->settings.discoversCapacity)
+        this->traffic.discoverCapacity();
     bool isLending = !this->settings.lending || this->traffic.listenForBorrowers(*this->settings.lending, failure);
     bool isOpen = isLending && this->traffic.listen(this->settings.sessions, failure) && this->readiness.listen(this->settings.ready, failure)
         && this->metricsPage.listen(this->settings.metrics, failure) && this->control.start(failure);
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -13,7 +13,7 @@
 
     const std::set<std::string> knownKeys {
         "instance.id", "instance.zone", "sessions.listen", "ready.listen", "peers.listen", "peers.seeds", "lending.listen",
-        "quota.listen", "quota.window_s", "quota.overage", "quota.slack", "metrics.listen", "store.endpoint", "store.first_start", "promotion.endpoint", "drain.grace_s"
+        "quota.listen", "quota.window_s", "quota.overage", "quota.slack", "capacity.discover", "upstream_health.eject", "metrics.listen", "store.endpoint", "store.first_start", "promotion.endpoint", "drain.grace_s"
     };
     constexpr std::int64_t longestGraceSeconds = 600;
     constexpr double defaultQuotaWindowSeconds = 5;
@@ -166,6 +166,8 @@
     settings.store = reader.getEndpoint("store", "endpoint");
     settings.isFirstStart = reader.getFlag("store", "first_start", settings.isFirstStart);
     settings.promotion = reader.getEndpoint("promotion", "endpoint");
+    settings.discoversCapacity = reader.getFlag("capacity", "discover", settings.discoversCapacity);
+    settings.ejectsUpstreams = reader.getFlag("upstream_health", "eject", settings.ejectsUpstreams);
     settings.shutdownGrace = reader.getSeconds("drain", "grace_s", settings.shutdownGrace);
     reader.rejectUnknownKeys();
     if (reader.getFaults().empty())
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -40,6 +40,10 @@
     bool isFirstStart = false;
     /// The platform service that promotes upstreams.
     Endpoint promotion;
+    /// Whether the concurrent statements that each upstream handles well are discovered from its answers.
+    bool discoversCapacity = false;
+    /// Whether reads avoid upstreams that fail much of their work.
+    bool ejectsUpstreams = false;
     /// Time from the termination signal until the process is killed.
     std::chrono::milliseconds shutdownGrace { 6000 };
 };
--- a/src/interactive/ReplyPolicy.cpp
+++ b/src/interactive/ReplyPolicy.cpp
@@ -56,6 +56,8 @@
     case AttemptOutcome::Success:
     case AttemptOutcome::Error:
         return {};
+    case AttemptOutcome::ErrorOfUpstream:
+        return retryOr(mayRetry && !statement.isInTransaction && statement.mode == AccessMode::Read, {});
     case AttemptOutcome::NotSent:
         return retryOr(mayRetry && isStart, answer(ReplyCode::Busy, stateAfterFailure(statement)));
     case AttemptOutcome::NotRun:
--- a/src/lending/Borrower.cpp
+++ b/src/lending/Borrower.cpp
@@ -17,6 +17,8 @@
     /// The lender itself ends the wait at the deadline; this much later the borrower does.
     constexpr std::chrono::milliseconds deadlineGrace { 50 };
     constexpr std::chrono::seconds reportLifetime { 2 };
+    /// No lender ejects an upstream for longer.
+    constexpr std::chrono::seconds longestAvoidance { 4 };
 
 } // namespace
 
@@ -64,6 +66,8 @@
     message.acceptsAnyWorkspace = entry.what.acceptsAnyWorkspace;
     message.wait = std::chrono::duration_cast<Duration>(entry.what.deadline - now);
     message.context.preparedNames = entry.what.preparedNames;
+    message.mode = entry.what.mode;
+    message.mayDecline = entry.what.mayDecline;
     this->requests[entry.request] = message.loan;
     this->waiting.emplace(message.loan, std::move(entry));
     this->transport.sendToLender(*lender, message);
@@ -204,6 +208,10 @@
         return this->sendRequest(std::move(entry));
     }
     this->requests.erase(entry.request);
+    if (denial == LendingMessage::Denial::Avoided) {
+        this->avoidedUntil[entry.what.upstream] = this->clock.now() + std::clamp<Duration>(message.retryAfter, Duration(0), longestAvoidance);
+        return entry.grant(nullptr, Denial::Avoided);
+    }
     this->expectedWaits[entry.what.upstream] = message.retryAfter;
     entry.grant(nullptr, denial == LendingMessage::Denial::TooLong ? Denial::TooLong : Denial::Unavailable);
 }
@@ -285,6 +293,12 @@
     return found == this->expectedWaits.end() ? Duration(0) : found->second;
 }
 
+bool Borrower::isAvoided(const UpstreamId& upstream) const
+{
+    std::map<UpstreamId, TimePoint>::const_iterator found = this->avoidedUntil.find(upstream);
+    return found != this->avoidedUntil.end() && this->clock.now() < found->second;
+}
+
 std::optional<Borrower::UpstreamReport> Borrower::findReport(const UpstreamId& upstream) const
 {
     std::map<UpstreamId, UpstreamReport>::const_iterator found = this->reports.find(upstream);
--- a/src/lending/Borrower.h
+++ b/src/lending/Borrower.h
@@ -42,6 +42,8 @@
         TooLong,
         /// The lender cannot reach the upstream, or no lender responds.
         Unavailable,
+        /// The lender avoids the upstream, which failed much of its work.
+        Avoided,
     };
 
     /// @param connection the granted connection, or nullptr with a denial
@@ -60,6 +62,9 @@
         WorkspaceId workspace = WorkspaceId();
         /// A connection of any workspace serves the request.
         bool acceptsAnyWorkspace = false;
+        AccessMode mode = AccessMode::Write;
+        /// Whether another upstream can serve the statement.
+        bool mayDecline = false;
     };
 
     /// What a lender last reported about an upstream.
@@ -107,6 +112,9 @@
     ///     zero when that is not known
     Duration findExpectedWait(const UpstreamId& upstream) const;
 
+    /// @returns whether a lender reported that it avoids the upstream now
+    bool isAvoided(const UpstreamId& upstream) const;
+
     /// @returns the number of borrowed connections
     std::size_t countConnections() const { return this->connections.size(); }
 
@@ -151,6 +159,8 @@
     std::map<const StatementConnection*, std::uint64_t> connections;
     std::map<UpstreamId, UpstreamReport> reports;
     std::map<UpstreamId, Duration> expectedWaits;
+    /// Until when the lender avoids an upstream.
+    std::map<UpstreamId, TimePoint> avoidedUntil;
     std::uint64_t nextNumber = 1;
 };
 
--- a/src/lending/BorrowingSource.cpp
+++ b/src/lending/BorrowingSource.cpp
@@ -17,7 +17,7 @@
     // The session may end while the request waits.
     entry.request.context = nullptr;
     this->pending.emplace(ticket, std::move(entry));
-    Borrower::Request wanted { this->lenders, this->getUpstream().id, request.rank, request.caller, request.deadline, {}, request.workspace, request.acceptsAnyWorkspace };
+    Borrower::Request wanted { this->lenders, this->getUpstream().id, request.rank, request.caller, request.deadline, {}, request.workspace, request.acceptsAnyWorkspace, request.mode, request.mayDecline };
     if (request.context != nullptr)
         wanted.preparedNames = request.context->listSharedNames();
     std::uint64_t borrowing = this->borrower.borrow(std::move(wanted), [self = this->shared_from_this(), ticket](StatementConnection* connection, Borrower::Denial denial) {
@@ -36,7 +36,7 @@
     this->isBorrowingDenied = connection == nullptr && denial == Borrower::Denial::Unavailable;
     if (this->isBorrowingDenied)
         return this->acquireOwn(ticket);
-    this->finish(ticket, connection, Denial::TooLong);
+    this->finish(ticket, connection, denial == Borrower::Denial::Avoided ? Denial::Avoided : Denial::TooLong);
 }
 
 void BorrowingSource::acquireOwn(Ticket ticket)
--- a/src/lending/BorrowingSource.h
+++ b/src/lending/BorrowingSource.h
@@ -33,6 +33,8 @@
 
     /// @returns whether neither a lender nor this instance could reach the upstream
     bool isUnreachable() const override { return this->own->isUnreachable() && this->isBorrowingDenied; }
+    bool isOwn(const StatementConnection* connection) const override { return !this->borrower.isBorrowed(connection); }
+    bool isAvoidedByLender() const override { return this->borrower.isAvoided(this->getUpstream().id); }
     bool hasIdle() const override { return !this->lenders.empty() || this->own->hasIdle(); }
     Duration getLatency() const override;
     double getLoad() const override;
--- a/src/lending/Lender.cpp
+++ b/src/lending/Lender.cpp
@@ -1,5 +1,6 @@
 #include "Lender.h"
 
+#include "../traffic/UpstreamHealth.h"
 #include "lentiljunction/core/LogEvents.h"
 
 #include <algorithm>
@@ -13,6 +14,8 @@
     constexpr std::chrono::seconds longestWait { 10 };
     /// A borrower sends its first command within a few milliseconds.
     constexpr std::chrono::milliseconds idleTimeout { 300 };
+    /// A borrower waits for at least 200 ms for the answer to a read before it uses another upstream.
+    constexpr std::chrono::milliseconds noAnswerTimeout { 150 };
 
 } // namespace
 
@@ -47,15 +50,22 @@
     std::shared_ptr<ConnectionSource> source = this->isStopping ? nullptr : this->sources.findOwnSource(message.upstream);
     if (source == nullptr)
         return this->deny(id, LendingMessage::Denial::Unavailable);
+    if (message.mayDecline && this->sources.getAvoidedFor(message.upstream) > Duration(0))
+        return this->deny(id, LendingMessage::Denial::Avoided, this->sources.getAvoidedFor(message.upstream));
+    if (!message.acceptsAnyWorkspace)
+        this->sources.onLentStarted(message.upstream);
 
     Loan loan;
     loan.source = source;
     loan.rank = message.rank;
     loan.workspace = message.workspace;
+    loan.mode = message.mode;
+    loan.takesSlot = !message.acceptsAnyWorkspace;
     loan.wantedNames = message.context.preparedNames;
     this->loans.emplace(id, std::move(loan));
     Duration wait = std::clamp<Duration>(message.wait, Duration(0), longestWait);
     ConnectionSource::Request request { message.rank, message.caller, this->clock.now() + wait, nullptr, message.workspace, message.acceptsAnyWorkspace };
+    request.mode = message.mode;
     ConnectionSource::Ticket ticket = source->acquire(request, [this, id, source](StatementConnection* connection, ConnectionSource::Denial denial) {
         this->onConnection(id, source, connection, denial);
     });
@@ -120,8 +130,9 @@
     if (!loan.isActive)
         loan.source->activate(loan.connection);
     loan.isActive = true;
-    loan.numPending++;
     loan.usedAt = this->clock.now();
+    if (loan.numPending++ == 0)
+        loan.pendingSince = loan.usedAt;
     if (message.isLast)
         loan.last = message;
     loan.connection->sendEncoded(message.command, [this, id](std::optional<SessionReply> reply) { this->onReply(id, std::move(reply)); });
@@ -132,7 +143,10 @@
     std::map<LoanId, Loan>::iterator found = this->loans.find(id);
     if (found == this->loans.end())
         return;
+    this->recordReply(found->second, reply);
     if (!reply) {
+        // The lost connection is one result, not also an unanswered command.
+        found->second.numPending = 0;
         this->end(id);
         LendingMessage lost;
         lost.kind = LendingMessage::Kind::Lost;
@@ -143,6 +157,7 @@
     loan.numPending--;
     loan.state = reply->state;
     loan.usedAt = this->clock.now();
+    loan.pendingSince = loan.usedAt;
     LendingMessage message;
     message.kind = LendingMessage::Kind::Reply;
     message.loan = id.second;
@@ -190,11 +205,25 @@
     if (found == this->loans.end())
         return;
     Loan loan = found->second;
+    UpstreamId upstream = loan.source->getUpstream().id;
     this->loans.erase(found);
     if (loan.ticket != 0)
         loan.source->cancelAcquire(loan.ticket);
     if (loan.connection != nullptr)
         loan.source->discard(loan.connection);
+    // A borrower that drops a connection soon after its command has lost its caller.
+    if (loan.numPending > 0 && this->clock.now() - loan.pendingSince >= noAnswerTimeout)
+        this->sources.onLentResult({ upstream, UpstreamResult::NoAnswer, loan.pendingSince });
+}
+
+void Lender::recordReply(const Loan& loan, const std::optional<SessionReply>& reply)
+{
+    UpstreamId upstream = loan.source->getUpstream().id;
+    std::optional<UpstreamResult> result = reply ? classifyReply(reply->code, loan.mode) : UpstreamResult::Reset;
+    // The commands that prepare a connection take no slot, so their success shows little.
+    bool isPreparation = result == UpstreamResult::Success && (!loan.takesSlot || !loan.last || loan.numPending > 1);
+    if (result && !isPreparation)
+        this->sources.onLentResult({ upstream, *result, loan.pendingSince });
 }
 
 void Lender::deny(const LoanId& id, LendingMessage::Denial denial, Duration retryAfter)
--- a/src/lending/Lender.h
+++ b/src/lending/Lender.h
@@ -2,6 +2,7 @@
 
 #include "../traffic/ConnectionSource.h"
 #include "LendingMessage.h"
+#include "lentiljunction/upstreamhealth/OutlierDetector.h"
 
 #include <cstdint>
 #include <map>
@@ -38,6 +39,15 @@
 
         /// @returns this instance's own connections to an upstream, or nullptr when the upstream is unknown
         virtual std::shared_ptr<ConnectionSource> findOwnSource(const UpstreamId& upstream) = 0;
+
+        /// Records the result of a statement on a lent connection.
+        virtual void onLentResult(const OutlierDetector::Sample&) { }
+
+        /// Records that a connection is lent for a statement.
+        virtual void onLentStarted(const UpstreamId&) { }
+
+        /// @returns for how long statements that another upstream can serve should avoid this one
+        virtual Duration getAvoidedFor(const UpstreamId&) const { return Duration(0); }
     };
 
     Lender(const Clock& clock, Transport& transport, SourceFinder& sources);
@@ -75,6 +85,10 @@
         /// The last command, with the context that it leaves on the connection.
         std::optional<LendingMessage> last;
         TimePoint usedAt;
+        AccessMode mode = AccessMode::Write;
+        bool takesSlot = true;
+        /// When the oldest command without a reply was sent.
+        TimePoint pendingSince;
     };
 
     void onBorrow(const LoanId& id, const LendingMessage& message);
@@ -85,6 +99,7 @@
     void onReturn(const LoanId& id, const LendingMessage& message);
     void resetIfCrowded(const LoanId& id, StatementConnection& connection);
     void end(const LoanId& id);
+    void recordReply(const Loan& loan, const std::optional<SessionReply>& reply);
     void deny(const LoanId& id, LendingMessage::Denial denial, Duration retryAfter = Duration(0));
 
     const Clock& clock;
--- a/src/lending/LendingMessage.cpp
+++ b/src/lending/LendingMessage.cpp
@@ -74,6 +74,8 @@
             message.caller = CallerId(encoded.at("caller").get<std::string>());
             message.wait = Duration(encoded.at("wait_us").get<std::int64_t>());
             message.acceptsAnyWorkspace = encoded.value("any_workspace", false);
+            message.mode = encoded.value("reads", false) ? AccessMode::Read : AccessMode::Write;
+            message.mayDecline = encoded.value("may_decline", false);
         }
         if (message.kind == Kind::Borrow || message.kind == Kind::Granted)
             message.workspace = WorkspaceId(encoded.value("workspace", std::string()));
@@ -82,7 +84,7 @@
             message.load = encoded.at("load").get<double>();
         }
         if (message.kind == Kind::Denied) {
-            message.denial = toEnumeration(encoded.at("denial"), Denial::Unavailable);
+            message.denial = toEnumeration(encoded.at("denial"), Denial::Avoided);
             message.retryAfter = Duration(encoded.value("retry_us", std::int64_t(0)));
         }
         if (message.kind == Kind::Command)
@@ -107,6 +109,10 @@
         encoded["wait_us"] = message.wait.count();
         if (message.acceptsAnyWorkspace)
             encoded["any_workspace"] = true;
+        if (message.mode == AccessMode::Read)
+            encoded["reads"] = true;
+        if (message.mayDecline)
+            encoded["may_decline"] = true;
     }
     bool hasWorkspace = message.kind == Kind::Borrow || message.kind == Kind::Granted;
     if (hasWorkspace && !message.workspace.isEmpty())
--- a/src/lending/LendingMessage.h
+++ b/src/lending/LendingMessage.h
@@ -47,6 +47,8 @@
         Unreachable,
         /// The lender is stopping, or does not know the upstream.
         Unavailable,
+        /// The lender avoids the upstream, which failed much of its work.
+        Avoided,
     };
 
     Kind kind = Kind::Drop;
@@ -63,6 +65,10 @@
     bool acceptsAnyWorkspace = false;
     /// For Borrow: how long the request may wait for a connection.
     Duration wait { 0 };
+    /// For Borrow: whether the statement or its transaction may write.
+    AccessMode mode = AccessMode::Write;
+    /// For Borrow: whether another upstream can serve the statement.
+    bool mayDecline = false;
     /// For Borrow the prepared statements that the session may use, for Granted and Return those on the
     /// connection, with the session values.
     SessionContext::ConnectionContext context;
--- a/src/metrics/GatewayMetrics.cpp
+++ b/src/metrics/GatewayMetrics.cpp
@@ -25,6 +25,10 @@
     LabeledGauges latency { this->registry.get(), "lentiljunction_upstream_latency_seconds", "Usual time of a statement at an upstream" };
     LabeledGauges lag { this->registry.get(), "lentiljunction_upstream_lag_positions", "Positions from an upstream's log to the newest proved head of its group" };
     LabeledGauges bytes { this->registry.get(), "lentiljunction_upstream_bytes", "Bytes to and from an upstream since the start" };
+    LabeledGauges ejected { this->registry.get(), "lentiljunction_upstream_ejected", "Whether reads avoid an upstream because it failed much of its work" };
+    LabeledGauges capacity { this->registry.get(), "lentiljunction_upstream_capacity", "Concurrent statements of this instance that an upstream handles well, as discovered" };
+    LabeledGauges capacitySamples { this->registry.get(), "lentiljunction_upstream_capacity_samples", "Recent answers on which the discovered capacity is based" };
+    LabeledGauges capacityAge { this->registry.get(), "lentiljunction_upstream_capacity_age_seconds", "Time since the last answer on which the discovered capacity is based" };
     LabeledGauges loans { this->registry.get(), "lentiljunction_loans", "Connections to upstreams lent to or borrowed from other instances" };
     LabeledGauges freshnessProofAge { this->registry.get(), "lentiljunction_proof_age_seconds", "Age of the newest proof of a group's log" };
 };
@@ -87,7 +91,7 @@
 {
     Implementation& metrics = *this->implementation;
     std::lock_guard<std::mutex> lock(metrics.gaugesMutex);
-    for (LabeledGauges* gauges : { &metrics.connections, &metrics.running, &metrics.waiting, &metrics.latency, &metrics.lag, &metrics.bytes })
+    for (LabeledGauges* gauges : { &metrics.connections, &metrics.running, &metrics.waiting, &metrics.latency, &metrics.lag, &metrics.bytes, &metrics.ejected, &metrics.capacity, &metrics.capacitySamples, &metrics.capacityAge })
         gauges->beginUpdate();
     for (const Upstream& upstream : upstreams) {
         prometheus::Labels labels { { "upstream", upstream.id }, { "group", upstream.group }, { "zone", upstream.isInOwnZone ? "own" : "other" } };
@@ -97,8 +101,15 @@
         metrics.latency.set(labels, toSeconds(upstream.latency));
         metrics.lag.set(labels, static_cast<double>(upstream.lag));
         metrics.bytes.set(labels, static_cast<double>(upstream.numBytes));
+        if (upstream.isEjected)
+            metrics.ejected.set(labels, 1);
+        if (!upstream.capacity)
+            continue;
+        metrics.capacity.set(labels, upstream.capacity->limit);
+        metrics.capacitySamples.set(labels, static_cast<double>(upstream.capacity->numSamples));
+        metrics.capacityAge.set(labels, toSeconds(upstream.capacity->age));
     }
-    for (LabeledGauges* gauges : { &metrics.connections, &metrics.running, &metrics.waiting, &metrics.latency, &metrics.lag, &metrics.bytes })
+    for (LabeledGauges* gauges : { &metrics.connections, &metrics.running, &metrics.waiting, &metrics.latency, &metrics.lag, &metrics.bytes, &metrics.ejected, &metrics.capacity, &metrics.capacitySamples, &metrics.capacityAge })
         gauges->endUpdate();
 }
 
--- a/src/traffic/ConnectionSource.h
+++ b/src/traffic/ConnectionSource.h
@@ -32,6 +32,8 @@
         TooLong,
         /// The upstream cannot be reached.
         Unreachable,
+        /// The lender avoids the upstream, which failed much of its work, and the request may be declined.
+        Avoided,
     };
 
     /// @param connection the granted connection, or nullptr with a denial
@@ -48,6 +50,10 @@
         WorkspaceId workspace = WorkspaceId();
         /// The request is for a command of the proxy that runs no statement, so a connection of any workspace serves it.
         bool acceptsAnyWorkspace = false;
+        /// Whether the statement, or its transaction, may write.
+        AccessMode mode = AccessMode::Write;
+        /// Whether another upstream can serve the statement, so that an ejected one may decline it.
+        bool mayDecline = false;
     };
 
     /// What is expected of a request.
@@ -77,6 +83,12 @@
     /// Reports that the upstream refused a statement on a connection because it was busy.
     virtual void onRefused(StatementConnection* connection) = 0;
 
+    /// @returns whether the connection is this instance's own and not borrowed
+    virtual bool isOwn(const StatementConnection*) const { return true; }
+
+    /// @returns whether the lender of the connections reported that it avoids the upstream
+    virtual bool isAvoidedByLender() const { return false; }
+
     /// Counts a held connection as active, because a statement is sent on it.
     virtual void activate(StatementConnection* connection) = 0;
 
--- a/src/traffic/PooledConnections.h
+++ b/src/traffic/PooledConnections.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "UpstreamConnection.h"
+#include "lentiljunction/admission/ConcurrencyPolicy.h"
 #include "lentiljunction/workspaces/WorkspaceId.h"
 
 #include <functional>
@@ -22,6 +23,8 @@
         bool isOpening = true;
         bool isIdle = false;
         bool isActive = false;
+        /// The kind of the statements for which it was granted; empty for a command of the proxy itself.
+        std::optional<StatementKind> kind;
         /// When it started to open, became idle or became active.
         TimePoint since;
 
--- a/src/traffic/ReadPlanner.cpp
+++ b/src/traffic/ReadPlanner.cpp
@@ -18,6 +18,11 @@
     /// An older head is ignored: replicas catch up within tens of milliseconds.
     constexpr std::chrono::milliseconds lastKnownHeadLifetime { 60 };
 
+    bool isProbe(const ReadCandidate& candidate)
+    {
+        return candidate.isProbeDue && !candidate.isPrimary;
+    }
+
 } // namespace
 
 ReadEstimate estimateRead(const ReadCandidate& candidate, const std::optional<LogPoint>& required)
@@ -41,6 +46,10 @@
     if (candidates.empty())
         return std::nullopt;
     std::vector<ReadCandidate>::const_iterator best = std::min_element(candidates.begin(), candidates.end(), [&](const ReadCandidate& left, const ReadCandidate& right) {
+        if (left.isAvoided != right.isAvoided)
+            return right.isAvoided;
+        if (isProbe(left) != isProbe(right))
+            return isProbe(left);
         return estimateRead(left, required).getTotal() < estimateRead(right, required).getTotal();
     });
     return best->upstream;
--- a/src/traffic/ReadPlanner.h
+++ b/src/traffic/ReadPlanner.h
@@ -24,6 +24,10 @@
     /// The last known log head, and how long ago it was reported.
     std::optional<LogPoint> lastKnownHead;
     Duration lastKnownHeadAge { 0 };
+    /// Whether it failed much of its work recently, so that it is the last choice.
+    bool isAvoided = false;
+    /// Whether it was ejected and the next read may probe it.
+    bool isProbeDue = false;
 };
 
 /// The estimated completion time of a read at one upstream, by its parts.
@@ -82,6 +86,8 @@
 /// Chooses the upstream with the lowest estimated completion time.
 ///
 /// The penalties of the estimate let an instance use few upstreams, so that each upstream serves few connections.
+/// Upstreams to avoid come after all others, and a replica whose probe is due comes first, since it would otherwise stay
+/// ejected while others are faster.
 ///
 /// @param required the point that the upstream's log must reach, or nothing
 /// @returns the chosen upstream, or nothing without candidates
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -23,6 +23,7 @@
     , callback(std::move(callback))
     , deadlines(*this->request.requirement.route, this->request.statement.verb, this->request.arrivedAt)
     , timer(state.getLoop(), state.getClock(), [this] { this->onTimer(); })
+    , health(state)
 {
 }
 
@@ -80,9 +81,12 @@
         return this->waitForTarget();
 
     this->target = *found;
+    this->state.getHealth().onStarted(found->source->getUpstream().id);
     TimePoint acquireDeadline = this->deadlines.getAcquireDeadline(this->needsPrimary(), this->state.getClock().now());
     std::shared_ptr<StatementRun> self = this->shared_from_this();
     ConnectionSource::Request needed { this->request.requirement.route->rank, this->request.caller, acquireDeadline, &this->context, this->request.workspace };
+    needed.mode = this->request.traits.isInTransaction ? this->request.transactionMode : this->request.traits.mode;
+    needed.mayDecline = !this->needsPrimary() && found->hasAlternative && this->state.getHealth().isEnabled();
     ConnectionSource::Ticket pendingTicket = this->target.source->acquire(needed, [self](StatementConnection* connection, ConnectionSource::Denial denial) {
         self->ticket = 0;
         if (!self->isDone)
@@ -121,7 +125,7 @@
         this->held = { this->target.source, connection, this->target.primary };
         return this->prepare();
     }
-    if (denial == ConnectionSource::Denial::TooLong) {
+    if (denial != ConnectionSource::Denial::Unreachable) {
         this->failure.setWaitTooLong(this->target.source->getExpectedWait(this->request.requirement.route->rank));
         this->request.requirement.tried.insert(this->target.source->getUpstream().id);
         // A read can use another upstream; a write would only queue again at the same one.
@@ -154,6 +158,7 @@
 
     this->timer.setTime(this->deadlines.getDeadline());
     this->sentAt = this->state.getClock().bootNow();
+    this->health.onSent();
     // A lost connection runs the callback immediately, which ends this attempt; the remaining commands are not sent.
     std::size_t number = this->attemptNumber;
     for (std::size_t index = 0; index < commands.size() && number == this->attemptNumber; index++) {
@@ -178,6 +183,7 @@
         return;
     }
     this->attemptNumber++;
+    this->health.report(this->held, reply ? classifyReply(reply->code, AccessMode::Write) : UpstreamResult::Reset);
     if (!reply) {
         // The statement itself was not sent.
         this->failure.set(FailureCause::ConnectionLostBeforeSend);
@@ -216,6 +222,7 @@
     this->isStatementSent = true;
     this->numSent++;
     this->sentAt = this->state.getClock().bootNow();
+    this->health.onSent();
     TimePoint limit = this->deadlines.getDeadline();
     if (!this->request.traits.isInTransaction && this->request.traits.mode == AccessMode::Read && this->numSent < maximumAttempts)
         limit = this->deadlines.getReadAnswerDeadline(this->state.getClock().now(), this->held.source->getLatency());
@@ -235,6 +242,7 @@
 {
     this->attemptNumber++;
     if (!reply) {
+        this->health.report(this->held, UpstreamResult::Reset);
         this->failure.set(FailureCause::ConnectionLostAfterSend);
         this->discardConnection();
         return this->concludeAttempt(AttemptOutcome::ConnectionLost, SessionReply());
@@ -244,6 +252,7 @@
     if (reply->head)
         this->state.onHead(this->held.connection->getUpstream(), *reply->head, this->sentAt);
     AttemptOutcome outcome = this->classify(*reply);
+    this->health.onReply(this->held, *reply, this->request.traits, outcome);
     bool needsVerification = decideReply(this->request.traits, outcome, false).kind != ReplyDecision::Kind::Deliver;
     bool mayBeVerified = outcome == AttemptOutcome::SuccessUnverified && needsVerification && !this->state.hasValidLease(this->request.requirement.route->group)
         && this->state.isKnownPrimary(this->request.requirement.route->group, *this->held.primary);
@@ -275,6 +284,8 @@
 {
     if (provesNotRun(reply.code))
         return AttemptOutcome::NotRun;
+    if (reply.code == ReplyCode::Failed && !this->needsPrimary() && this->health.mayCompareError(this->request.traits, this->target))
+        return AttemptOutcome::ErrorOfUpstream;
     if (!reply.isSuccess())
         return AttemptOutcome::Error;
     bool isVerified = !this->held.primary || (this->state.hasValidLease(this->request.requirement.route->group) && this->state.isKnownPrimary(this->request.requirement.route->group, *this->held.primary));
@@ -303,6 +314,11 @@
     ReplyDecision decision = decideReply(this->request.traits, outcome, mayTryAgain && this->mayRetry());
     if (decision.kind == ReplyDecision::Kind::Deliver)
         return this->forwardReply(std::move(reply));
+    // The read did run at one upstream, so its error is the answer when no other upstream gives one.
+    if (decision.kind == ReplyDecision::Kind::Answer && this->health.getComparedError()) {
+        this->discardConnection();
+        return this->forwardReply(std::move(*this->health.getComparedError()));
+    }
     if (decision.kind == ReplyDecision::Kind::Answer)
         return this->replyToCaller(decision);
     if (this->held.isHeld()) {
@@ -346,6 +362,7 @@
         return this->concludeAttempt(AttemptOutcome::SuccessUnverified, SessionReply(), false);
     this->attemptNumber++;
     this->request.requirement.tried.insert(this->held.connection->getUpstream());
+    this->health.report(this->held, UpstreamResult::NoAnswer);
     this->failure.set(FailureCause::NoAnswer);
     bool isOver = this->state.getClock().now() >= this->deadlines.getDeadline();
     this->discardConnection();
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -3,6 +3,7 @@
 #include "HeldConnection.h"
 #include "StatementDeadlines.h"
 #include "StatementFailure.h"
+#include "StatementHealth.h"
 #include "TrafficState.h"
 #include "lentiljunction/interactive/ReplyPolicy.h"
 #include "lentiljunction/interactive/SessionContext.h"
@@ -122,6 +123,7 @@
     bool isAwaitingVerification = false;
     bool isDone = false;
     BootTime sentAt;
+    StatementHealth health;
     StatementFailure failure;
 };
 
--- a/src/traffic/TcpUpstreamConnection.cpp
+++ b/src/traffic/TcpUpstreamConnection.cpp
@@ -93,6 +93,8 @@
     if (this->pendingReplies.empty())
         return this->fail(LossCause::Silent, "the upstream sent a reply without a pending command");
 
+    TimePoint sentAt = this->pendingReplies.front().sentAt;
+    this->lastAnswered = Answered { sentAt, std::chrono::duration_cast<Duration>(this->clock.now() - sentAt) };
     ReplyCallback callback = std::move(this->pendingReplies.front().callback);
     this->pendingReplies.pop_front();
     callback(std::move(reply));
--- a/src/traffic/TcpUpstreamConnection.h
+++ b/src/traffic/TcpUpstreamConnection.h
@@ -37,6 +37,7 @@
     void close() override;
     bool hasNoPendingReply() const override { return this->pendingReplies.empty(); }
     std::optional<TimePoint> getPendingSince() const override;
+    std::optional<Answered> getLastAnswered() const override { return this->lastAnswered; }
 
     const UpstreamId& getUpstream() const override { return this->upstream; }
 
@@ -68,6 +69,7 @@
     std::unique_ptr<TcpConnection> socket;
     std::unique_ptr<OneShotTimer> openTimer;
     std::deque<PendingReply> pendingReplies;
+    std::optional<Answered> lastAnswered;
     /// Bytes received of an incomplete reply.
     std::size_t numBufferedBytes = 0;
     SessionReply partialReply;
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -59,12 +59,31 @@
     , verifier(protocol, this->state)
     , callerServer(loop)
     , checkTimer(loop, clock, [this] { this->checkPrimaries(); })
+    , pauseTimer(loop, clock, [this] { this->tick(); })
 {
     this->state.setVerifier(this->verifier);
 }
 
 TrafficPlane::~TrafficPlane() = default;
 
+void TrafficPlane::ejectFailingUpstreams()
+{
+    this->state.getHealth().enable();
+    this->tick();
+}
+
+void TrafficPlane::discoverCapacity()
+{
+    this->state.discoverCapacity();
+    this->tick();
+}
+
+void TrafficPlane::tick()
+{
+    this->state.getHealth().onTick();
+    this->pauseTimer.setTime(this->clock.now() + UpstreamHealth::tickInterval);
+}
+
 bool TrafficPlane::listen(const Endpoint& endpoint, Failure& failure)
 {
     this->checkTimer.setTime(this->clock.now() + proofInterval);
@@ -155,6 +174,7 @@
 {
     this->callerServer.close();
     this->checkTimer.clear();
+    this->pauseTimer.clear();
     for (CallerSession* session : this->listSessions())
         session->closeNow();
 }
@@ -179,6 +199,7 @@
 
 void TrafficPlane::onUpstreamUnreachable(const UpstreamEntry& upstream, UpstreamConnection::LossCause)
 {
+    this->state.onResult({ upstream.id, UpstreamResult::NotOpened, this->clock.now() });
     std::optional<PrimaryTenure> primary = this->state.getView().findPrimaryTenure(upstream.group, *this->state.getUpstreams());
     if (primary && primary->upstream == upstream.id)
         this->listener.onPrimaryUnreachable(upstream.group, upstream.id);
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -33,6 +33,12 @@
     TrafficPlane(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, GatewayMetrics& metrics, const InstanceId& self, const ZoneId& zone, Listener& listener);
     ~TrafficPlane() override;
 
+    /// Lets reads avoid upstreams that fail much of their work. Call it before listen().
+    void ejectFailingUpstreams();
+
+    /// Lets the limits on concurrent statements follow what the upstreams handle well. Call it before listen().
+    void discoverCapacity();
+
     /// Opens the port for callers.
     bool listen(const Endpoint& endpoint, Failure& failure);
 
@@ -96,6 +102,7 @@
     std::vector<CallerSession*> listSessions() const;
     void notifySessions();
     void checkPrimaries();
+    void tick();
     void checkPrimary(const GroupId& group);
     void checkPrimaryWithoutLease(const GroupId& group);
     void checkBorrowedPrimary(const GroupId& group, const Target& primaryTarget);
@@ -113,6 +120,7 @@
     PrimaryVerificationRounds verifier;
     TcpServer callerServer;
     OneShotTimer checkTimer;
+    OneShotTimer pauseTimer;
     std::map<CallerSession*, std::unique_ptr<CallerSession>> sessions;
     bool isDraining = false;
     bool relaysProofs = false;
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -1,5 +1,6 @@
 #include "TrafficState.h"
 
+#include "DiscoveredConcurrency.h"
 #include "lentiljunction/core/LogEvents.h"
 
 #include <algorithm>
@@ -25,6 +26,7 @@
 TrafficState::TrafficState(const UpstreamPool::Dependencies& dependencies, ZoneId zone)
     : dependencies(dependencies)
     , zone(std::move(zone))
+    , health(dependencies.clock)
 {
 }
 
@@ -68,6 +70,7 @@
         }
         pool->second->close();
         this->lastKnownHeads.erase(pool->first);
+        this->health.remove(pool->first);
         this->borrowingSources.erase(pool->first);
         pool = this->pools.erase(pool);
     }
@@ -153,9 +156,12 @@
         nullptr);
     if (!plan.chosen)
         return std::nullopt;
-    if (primary.isUsable() && primary.primary->upstream == *plan.chosen)
-        return Target { this->findSource(*plan.chosen), primary.primary, std::nullopt };
-    return Target { this->findSource(*plan.chosen), std::nullopt, plan.required };
+    bool isPrimary = primary.isUsable() && primary.primary->upstream == *plan.chosen;
+    Target target { this->findSource(*plan.chosen), std::nullopt, plan.required };
+    if (isPrimary)
+        target = { target.source, primary.primary, std::nullopt };
+    target.hasAlternative = std::any_of(plan.candidates.begin(), plan.candidates.end(), [&](const ReadCandidate& candidate) { return candidate.upstream != *plan.chosen && !candidate.isAvoided; });
+    return target;
 }
 
 ReadPlan TrafficState::planRead(const ReadRequirement& requirement, const PrimaryDecision& primary, const SourceLookup& lookup, std::vector<ExcludedUpstream>* excluded) const
@@ -201,9 +207,24 @@
         candidate.lastKnownHead = seen->second.head;
         candidate.lastKnownHeadAge = std::chrono::duration_cast<Duration>(this->getClock().bootNow() - seen->second.at);
     }
+    candidate.isAvoided = this->health.getAvoidedFor(upstream.id) > Duration(0) || source.isAvoidedByLender();
+    candidate.isProbeDue = !candidate.isAvoided && this->health.isEjected(upstream.id);
     return candidate;
 }
 
+void TrafficState::onResult(const OutlierDetector::Sample& sample)
+{
+    const UpstreamEntry* upstream = this->health.isEnabled() ? this->upstreams->find(sample.upstream) : nullptr;
+    if (upstream == nullptr)
+        return;
+    std::vector<UpstreamId> members;
+    for (const std::pair<const UpstreamId, UpstreamEntry>& entry : this->upstreams->entries) {
+        if (entry.second.group == upstream->group && !entry.second.isLeaving && !this->findSource(entry.first)->isUnreachable())
+            members.push_back(entry.first);
+    }
+    this->health.onResult(sample, members);
+}
+
 std::optional<LogPoint> TrafficState::findRequired(const ReadRequirement& requirement, std::uint64_t generation, bool& hasProof) const
 {
     std::optional<LogPoint> required = this->proofs.findRequired(requirement.route->group, generation, requirement.arrivedAt - requirement.route->maximumStaleness + stalenessMargin);
@@ -278,6 +299,9 @@
         std::map<GroupId, LogPoint>::const_iterator head = heads.find(pool.getUpstream().group);
         if (seen && head != heads.end() && seen->position < head->second.position)
             gauges.lag = head->second.position.value() - seen->position.value();
+        gauges.isEjected = this->health.isEjected(entry.first);
+        if (std::optional<ConcurrencyPolicy::Evidence> evidence = pool.getCapacityEvidence())
+            gauges.capacity = { evidence->limit, evidence->numSamples, evidence->age };
         upstreamGauges.push_back(std::move(gauges));
     }
     metrics.setUpstreams(upstreamGauges);
@@ -310,7 +334,10 @@
     const UpstreamEntry* entry = this->upstreams->find(upstream);
     if (entry == nullptr)
         return nullptr;
-    this->pools.emplace(upstream, std::make_shared<UpstreamPool>(this->dependencies, *entry));
+    std::shared_ptr<UpstreamPool> pool = std::make_shared<UpstreamPool>(this->dependencies, *entry);
+    if (this->discoversCapacity)
+        pool->setConcurrencyPolicy(std::make_unique<DiscoveredConcurrency>(upstream, entry->slots, this->getClock(), this->health.getPauses()));
+    this->pools.emplace(upstream, std::move(pool));
     this->applyShare(*entry);
     return this->pools.at(upstream);
 }
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -4,6 +4,7 @@
 #include "../lending/Lender.h"
 #include "FreshnessProofs.h"
 #include "ReadPlanner.h"
+#include "UpstreamHealth.h"
 #include "UpstreamPool.h"
 #include "lentiljunction/interactive/SessionStatement.h"
 #include "lentiljunction/leadership/FailoverForecast.h"
@@ -53,6 +54,8 @@
     std::optional<PrimaryTenure> primary;
     /// The log point that a replica must have reached.
     std::optional<LogPoint> required;
+    /// Whether another upstream that is not to be avoided can serve the read.
+    bool hasAlternative = false;
 };
 
 /// Why the primary of a group must not be used now.
@@ -225,6 +228,18 @@
     bool mustBorrow(const UpstreamId& upstream) const { return this->borrowingSources.count(upstream) > 0; }
 
     std::shared_ptr<ConnectionSource> findOwnSource(const UpstreamId& upstream) override { return this->findPool(upstream); }
+    void onLentResult(const OutlierDetector::Sample& sample) override { this->onResult(sample); }
+    void onLentStarted(const UpstreamId& upstream) override { this->health.onStarted(upstream); }
+    Duration getAvoidedFor(const UpstreamId& upstream) const override { return this->health.getAvoidedFor(upstream); }
+
+    /// Records the result of a statement, if failing upstreams are to be ejected.
+    void onResult(const OutlierDetector::Sample& sample);
+
+    /// Lets pools discover how many concurrent statements their upstreams handle well. Call it before any pool exists.
+    void discoverCapacity() { this->discoversCapacity = true; }
+
+    /// @returns the detector of upstreams that fail much of their work
+    UpstreamHealth& getHealth() { return this->health; }
 
 private:
     /// The log head that an upstream reported, and when the report arrived.
@@ -277,6 +292,9 @@
     /// Empty when the deployment has no workspaces.
     std::shared_ptr<const WorkspaceWeights> workspaceWeights;
     Borrower* borrower = nullptr;
+    /// The pools refer to it.
+    UpstreamHealth health;
+    bool discoversCapacity = false;
     std::map<UpstreamId, std::shared_ptr<UpstreamPool>> pools;
     /// Upstreams whose connections are borrowed.
     std::map<UpstreamId, std::shared_ptr<BorrowingSource>> borrowingSources;
--- a/src/traffic/UpstreamConnection.h
+++ b/src/traffic/UpstreamConnection.h
@@ -38,6 +38,13 @@
         virtual void onConnectionLost(UpstreamConnection& connection, LossCause cause, const std::string& reason) = 0;
     };
 
+    /// A command that was answered.
+    struct Answered {
+        TimePoint sentAt;
+        /// From sending it to its answer.
+        Duration took { 0 };
+    };
+
     /// Fails the connection with LossCause::Silent; pending callbacks receive no reply.
     virtual void failAsSilent() = 0;
 
@@ -49,6 +56,9 @@
 
     /// @returns when the oldest unanswered command was sent, or nothing when all were answered
     virtual std::optional<TimePoint> getPendingSince() const = 0;
+
+    /// @returns the command that was answered last, or nothing when it is not known
+    virtual std::optional<Answered> getLastAnswered() const { return std::nullopt; }
 };
 
 } // namespace lentiljunction
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -41,7 +41,7 @@
 UpstreamPool::UpstreamPool(const Dependencies& dependencies, UpstreamEntry upstream)
     : dependencies(dependencies)
     , upstream(std::move(upstream))
-    , concurrency(this->upstream.slots)
+    , concurrency(std::make_unique<SharedConcurrencyLimit>(this->upstream.slots))
     , queueTimer(dependencies.loop, dependencies.clock, [this] { this->denyExpired(); })
     , surplusTimer(dependencies.loop, dependencies.clock, [this] { this->closeSurplus(); })
 {
@@ -70,7 +70,8 @@
         grant(nullptr, Denial::Unreachable);
         return 0;
     }
-    this->queue.setConcurrency(this->concurrency.getLimit());
+    this->queue.setConcurrency(this->concurrency->getLimit());
+    grant = this->rememberKind(request, std::move(grant));
     Ticket ticket = this->queue.offer(request, this->connections, grant, now);
     if (ticket == 0) {
         grant(nullptr, Denial::TooLong);
@@ -87,7 +88,17 @@
 {
     if (this->isClosed || (this->hasFailedToOpen && !this->connections.hasIdle({ request.workspace, request.acceptsAnyWorkspace })))
         return Forecast { Denial::Unreachable, Duration(0) };
-    return this->queue.forecast(request, this->concurrency.getLimit(), this->dependencies.clock.now());
+    return this->queue.forecast(request, this->concurrency->getLimit(), this->dependencies.clock.now());
+}
+
+UpstreamPool::Grant UpstreamPool::rememberKind(const Request& request, Grant grant)
+{
+    std::optional<StatementKind> kind = !request.acceptsAnyWorkspace ? std::optional<StatementKind>({ request.rank, request.mode == AccessMode::Write }) : std::nullopt;
+    return [this, kind, grant = std::move(grant)](StatementConnection* connection, Denial denial) {
+        if (connection != nullptr)
+            this->connections.find(connection)->kind = kind;
+        grant(connection, denial);
+    };
 }
 
 void UpstreamPool::release(StatementConnection* connection)
@@ -251,7 +262,13 @@
         return;
     TimePoint now = this->dependencies.clock.now();
     Duration taken = std::chrono::duration_cast<Duration>(now - pooled.since);
-    this->concurrency.onAnswered(taken, this->numActive);
+    ConcurrencyPolicy::Answer answer { taken, std::nullopt, Duration(0), pooled.kind, this->numActive };
+    std::optional<UpstreamConnection::Answered> last = pooled.connection->getLastAnswered();
+    if (last && last->sentAt >= pooled.since) {
+        answer.sentAt = last->sentAt;
+        answer.answerTime = last->took;
+    }
+    this->concurrency->onAnswer(answer);
     this->queue.onFinished(taken);
     this->latency.onSample(taken, now);
     pooled.isActive = false;
@@ -264,7 +281,7 @@
     if (this->isGranting || this->isClosed)
         return;
     this->isGranting = true;
-    while (!this->queue.isEmpty() && this->numActive < this->concurrency.getLimit()) {
+    while (!this->queue.isEmpty() && this->numActive < this->concurrency->getLimit()) {
         this->openIfNeeded();
         if (!this->connections.hasIdle({ WorkspaceId(), true }))
             break;
@@ -316,7 +333,7 @@
     if (numExpected == 0)
         return true;
     // More connections for a workspace than statements may run would only take those of the others.
-    return this->queue.count(workspace) > numExpected && this->numActive + static_cast<int>(this->numOpening) < this->concurrency.getLimit();
+    return this->queue.count(workspace) > numExpected && this->numActive + static_cast<int>(this->numOpening) < this->concurrency->getLimit();
 }
 
 bool UpstreamPool::makeRoomFor(const WorkspaceId& workspace, bool isNext)
--- a/src/traffic/UpstreamPool.h
+++ b/src/traffic/UpstreamPool.h
@@ -85,6 +85,12 @@
     /// Sets the workspaces among which the requests share; nullptr when the deployment has none.
     void setWorkspaces(std::shared_ptr<const WorkspaceWeights> newer) { this->queue.setWorkspaces(std::move(newer)); }
 
+    /// Replaces the limit on concurrent statements.
+    void setConcurrencyPolicy(std::unique_ptr<ConcurrencyPolicy> policy) { this->concurrency = std::move(policy); }
+
+    /// @returns what the limit on concurrent statements is based on, or nothing when it is not discovered
+    std::optional<ConcurrencyPolicy::Evidence> getCapacityEvidence() const { return this->concurrency->getEvidence(); }
+
     /// @returns whether this instance may keep an idle connection open
     bool mayKeepIdle() const { return this->share > 0; }
 
@@ -95,7 +101,7 @@
     void cancelAcquire(Ticket ticket) override { this->queue.cancel(ticket); }
     void release(StatementConnection* connection) override;
     void discard(StatementConnection* connection) override;
-    void onRefused(StatementConnection*) override { this->concurrency.onRefused(); }
+    void onRefused(StatementConnection*) override { this->concurrency->onRefused(); }
     void activate(StatementConnection* connection) override;
     void deactivate(StatementConnection* connection) override;
 
@@ -166,6 +172,7 @@
     bool makeRoomFor(const WorkspaceId& workspace, bool isNext);
     void onUpstreamFull();
     void remove(const StatementConnection* connection);
+    Grant rememberKind(const Request& request, Grant grant);
     void finishActive(PooledConnection& pooled);
     void grantWaiting();
     void openIfNeeded();
@@ -177,7 +184,7 @@
     UpstreamEntry upstream;
     PooledConnections connections;
     ConnectionQueue queue;
-    SharedConcurrencyLimit concurrency;
+    std::unique_ptr<ConcurrencyPolicy> concurrency;
     IdleTimeoutController idleController;
     Counters counters;
     int numActive = 0;
--- a/standins/platform/LineUpstream.cpp
+++ b/standins/platform/LineUpstream.cpp
@@ -164,6 +164,8 @@
             this->state = this->state == 'T' ? 'E' : this->state;
             return this->sendError("READONLY " + this->upstream.id);
         }
+        if (effective == "READ" && this->upstream.fault == Fault::FailsReads)
+            return this->sendError("FAILED disk");
         if (effective == "READ") {
             std::map<std::string, std::string>::const_iterator found = this->upstream.items.find(item);
             this->socket->send("ROW " + (found == this->upstream.items.end() ? std::string("-") : found->second) + "\r\n");
--- a/standins/platform/LineUpstream.h
+++ b/standins/platform/LineUpstream.h
@@ -34,6 +34,8 @@
         DropsResponses,
         /// Responds that no slot is free.
         Busy,
+        /// Reports errors for reads, while its status is good.
+        FailsReads,
     };
 
     LineUpstream(LineGroup& group, std::string id, Endpoint endpoint);
--- a/tests/process/GatewayFixture.cpp
+++ b/tests/process/GatewayFixture.cpp
@@ -32,8 +32,9 @@
     return false;
 }
 
-GatewayFixture::GatewayFixture(int numInstances)
-    : site(findPort)
+GatewayFixture::GatewayFixture(int numInstances, bool ejectsUpstreams)
+    : ejectsUpstreams(ejectsUpstreams)
+    , site(findPort)
 {
     Failure failure;
     this->site.start(failure);
@@ -65,6 +66,8 @@
     Failure failure;
     GatewaySettings settings;
     settings.instance = InstanceId("front-" + std::to_string(index + 1));
+    settings.ejectsUpstreams = this->ejectsUpstreams;
+    settings.discoversCapacity = this->ejectsUpstreams;
     settings.zone = ZoneId("z" + std::to_string(index % 3 + 1));
     this->sessionPorts.push_back(findPort());
     settings.sessions = { loopback, this->sessionPorts.back() };
--- a/tests/process/GatewayFixture.h
+++ b/tests/process/GatewayFixture.h
@@ -19,7 +19,8 @@
 class GatewayFixture {
 public:
     /// @param numInstances the number of gateway instances to start
-    explicit GatewayFixture(int numInstances = 2);
+    /// @param ejectsUpstreams whether reads avoid upstreams that fail
+    explicit GatewayFixture(int numInstances = 2, bool ejectsUpstreams = false);
     ~GatewayFixture();
 
     /// Writes a configuration to the store.
@@ -61,6 +62,7 @@
     SystemClock clock;
     /// Whether the instances of the first start are running.
     bool isRunning = false;
+    bool ejectsUpstreams;
     PlatformAdapter adapter;
     standin::PlatformSite site;
     std::vector<std::uint16_t> sessionPorts;
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -361,6 +361,11 @@
     CHECK_EQUAL(7441, settings->quota->port);
     CHECK_EQUAL(5000, settings->quotaTolerance.window.count());
     DOUBLES_EQUAL(20, settings->quotaTolerance.slack, 0);
+    CHECK_FALSE(settings->discoversCapacity);
+    CHECK_FALSE(settings->ejectsUpstreams);
+    write(text + "\n[capacity]\ndiscover = true\n[upstream_health]\neject = true\n");
+    settings = loadGatewaySettings(path, failure);
+    CHECK_TRUE(settings && settings->discoversCapacity && settings->ejectsUpstreams);
 }
 
 // Guards against limits that are enforced in a deployment without them, because a section of the template stays.
@@ -377,9 +382,9 @@
 
 TEST(GatewaySettings, reportsAllFaultsTogether)
 {
-    write("[instance]\nid = a\n[sessions]\nlisten = 10.1.0.8\n[drain]\ngrace_s = soon\n[quota]\noverage = -1\nslack = all\n[odd]\nkey = 1\n");
+    write("[instance]\nid = a\n[sessions]\nlisten = 10.1.0.8\n[drain]\ngrace_s = soon\n[quota]\noverage = -1\nslack = all\n[odd]\nkey = 1\n[capacity]\ndiscover = 3\n[upstream_health]\neject = yes\n");
     CHECK_FALSE(loadGatewaySettings(path, failure).has_value());
-    for (const char* part : { "[instance] zone", "[sessions] listen = \"10.1.0.8\"", "[drain] grace_s = \"soon\"", "[quota] overage = \"-1\"", "[quota] slack = \"all\"", "[odd] key", "[store] endpoint" })
+    for (const char* part : { "[instance] zone", "[sessions] listen = \"10.1.0.8\"", "[drain] grace_s = \"soon\"", "[quota] overage = \"-1\"", "[quota] slack = \"all\"", "[odd] key", "[store] endpoint", "[capacity] discover = \"3\"", "[upstream_health] eject = \"yes\"" })
         STRCMP_CONTAINS(part, failure.reason.c_str());
 }
 
--- a/tests/unit/InteractiveTests.cpp
+++ b/tests/unit/InteractiveTests.cpp
@@ -35,6 +35,10 @@
 const std::vector<TableRow> table {
     { "success", singleWrite, AttemptOutcome::Success, false, Kind::Deliver, ReplyCode::None, idle },
     { "error", laterWrite, AttemptOutcome::Error, true, Kind::Deliver, ReplyCode::None, idle },
+    { "single read, error that may be the upstream's, time left", singleRead, AttemptOutcome::ErrorOfUpstream, true, Kind::Retry, ReplyCode::None, idle },
+    { "single read, error that may be the upstream's, no time", singleRead, AttemptOutcome::ErrorOfUpstream, false, Kind::Deliver, ReplyCode::None, idle },
+    { "single write, error that may be the upstream's", singleWrite, AttemptOutcome::ErrorOfUpstream, true, Kind::Deliver, ReplyCode::None, idle },
+    { "first read, error that may be the upstream's", firstRead, AttemptOutcome::ErrorOfUpstream, true, Kind::Deliver, ReplyCode::None, idle },
     { "single, not sent, time left", singleWrite, AttemptOutcome::NotSent, true, Kind::Retry, ReplyCode::None, idle },
     { "single, not sent, no time", singleWrite, AttemptOutcome::NotSent, false, Kind::Answer, ReplyCode::Busy, idle },
     { "first, not sent, no time", firstRead, AttemptOutcome::NotSent, false, Kind::Answer, ReplyCode::Busy, failed },
@@ -62,7 +66,7 @@
 };
 
 const std::vector<StatementTraits> allCases { singleRead, singleWrite, firstRead, laterRead, laterWrite, emptyCommit, writingCommit };
-const std::vector<AttemptOutcome> allOutcomes { AttemptOutcome::NotSent, AttemptOutcome::NotRun, AttemptOutcome::Error, AttemptOutcome::ConnectionLost, AttemptOutcome::TimedOut, AttemptOutcome::Success, AttemptOutcome::SuccessUnverified };
+const std::vector<AttemptOutcome> allOutcomes { AttemptOutcome::NotSent, AttemptOutcome::NotRun, AttemptOutcome::Error, AttemptOutcome::ErrorOfUpstream, AttemptOutcome::ConnectionLost, AttemptOutcome::TimedOut, AttemptOutcome::Success, AttemptOutcome::SuccessUnverified };
 
 } // namespace
 
--- a/tests/unit/SessionModelTests.cpp
+++ b/tests/unit/SessionModelTests.cpp
@@ -175,6 +175,7 @@
         { AttemptOutcome::NotSent, false },
         { AttemptOutcome::NotRun, false },
         { AttemptOutcome::Error, false },
+        { AttemptOutcome::ErrorOfUpstream, false },
         // A connection is lost before or after the write ran, or a reply is late or lost.
         { AttemptOutcome::ConnectionLost, false },
         { AttemptOutcome::ConnectionLost, true },
@@ -243,7 +244,7 @@
             RC_ASSERT(numApplied == 1);
         // Errors and refusals of the upstream itself are forwarded; an unverified success is not.
         if (decision.kind == ReplyDecision::Kind::Deliver)
-            RC_ASSERT(last == AttemptOutcome::Success || last == AttemptOutcome::Error || last == AttemptOutcome::NotRun);
+            RC_ASSERT(last == AttemptOutcome::Success || last == AttemptOutcome::Error || last == AttemptOutcome::ErrorOfUpstream || last == AttemptOutcome::NotRun);
     }));
 }
 
