--- a/src/metrics/GatewayMetrics.cpp
+++ b/src/metrics/GatewayMetrics.cpp
@@ -29,6 +29,10 @@
     LabeledGauges replaced { this->registry.get(), "lentiljunction_upstream_replaced", "Idle connections closed since the start to make room for one of another workspace" };
     LabeledGauges grants { this->registry.get(), "lentiljunction_upstream_grants", "Requests that got a connection since the start" };
     LabeledGauges grantsOfIdle { this->registry.get(), "lentiljunction_upstream_grants_of_idle", "Requests that found an idle connection when they arrived, since the start" };
+    LabeledGauges ejected { this->registry.get(), "lentiljunction_upstream_ejected", "Whether reads avoid an upstream because it failed much of its work" };
+    LabeledGauges capacity { this->registry.get(), "lentiljunction_upstream_capacity", "Concurrent statements of this instance that an upstream handles well, as discovered" };
+    LabeledGauges capacitySamples { this->registry.get(), "lentiljunction_upstream_capacity_samples", "Recent answers on which the discovered capacity is based" };
+    LabeledGauges capacityAge { this->registry.get(), "lentiljunction_upstream_capacity_age_seconds", "Time since the last answer on which the discovered capacity is based" };
     LabeledGauges loans { this->registry.get(), "lentiljunction_loans", "Connections to upstreams lent to or borrowed from other instances" };
     LabeledGauges freshnessProofAge { this->registry.get(), "lentiljunction_proof_age_seconds", "Age of the newest proof of a group's log" };
 };
@@ -91,7 +95,7 @@
 {
     Implementation& metrics = *this->implementation;
     std::lock_guard<std::mutex> lock(metrics.gaugesMutex);
-    for (LabeledGauges* gauges : { &metrics.connections, &metrics.running, &metrics.waiting, &metrics.latency, &metrics.lag, &metrics.bytes, &metrics.opened, &metrics.replaced, &metrics.grants, &metrics.grantsOfIdle })
+    for (LabeledGauges* gauges : { &metrics.connections, &metrics.running, &metrics.waiting, &metrics.latency, &metrics.lag, &metrics.bytes, &metrics.opened, &metrics.replaced, &metrics.grants, &metrics.grantsOfIdle, &metrics.ejected, &metrics.capacity, &metrics.capacitySamples, &metrics.capacityAge })
         gauges->beginUpdate();
     for (const Upstream& upstream : upstreams) {
         prometheus::Labels labels { { "upstream", upstream.id }, { "group", upstream.group }, { "zone", upstream.isInOwnZone ? "own" : "other" } };
@@ -105,8 +109,15 @@
         metrics.replaced.set(labels, static_cast<double>(upstream.numReplaced));
         metrics.grants.set(labels, static_cast<double>(upstream.numGrants));
         metrics.grantsOfIdle.set(labels, static_cast<double>(upstream.numGrantsOfIdle));
+        if (upstream.isEjected)
+            metrics.ejected.set(labels, 1);
+        if (!upstream.capacity)
+            continue;
+        metrics.capacity.set(labels, upstream.capacity->limit);
+        metrics.capacitySamples.set(labels, static_cast<double>(upstream.capacity->numSamples));
+        metrics.capacityAge.set(labels, toSeconds(upstream.capacity->age));
     }
-    for (LabeledGauges* gauges : { &metrics.connections, &metrics.running, &metrics.waiting, &metrics.latency, &metrics.lag, &metrics.bytes, &metrics.opened, &metrics.replaced, &metrics.grants, &metrics.grantsOfIdle })
+    for (LabeledGauges* gauges : { &metrics.connections, &metrics.running, &metrics.waiting, &metrics.latency, &metrics.lag, &metrics.bytes, &metrics.opened, &metrics.replaced, &metrics.grants, &metrics.grantsOfIdle, &metrics.ejected, &metrics.capacity, &metrics.capacitySamples, &metrics.capacityAge })
         gauges->endUpdate();
 }
 
