Show where a statement would go with `lentiljunction route`

When a statement is slow or refused, operators see the outcome in logs and numbers in metrics, but not the decision.

`GET /explain-route` on the address of the metrics answers where the first statement of a session would go now, and why: the route, the workspace with its configured limit, the primary or the obstacle to its use, and each upstream of the group with zone, role, latency, load, lag, the parts of its estimate, or the reason why it is left out. RouteExplainer asks the functions that route statements; it creates no pool, probes nothing and records nothing. The answer is computed in one task of the traffic thread. The command prints it as text or JSON; exit codes: 1 for an unknown database, 2 for wrong arguments, 4 for an instance that does not answer. Keys and their digests are not shown.

--- a/src/cli/Program.cpp
+++ b/src/cli/Program.cpp
@@ -2,6 +2,7 @@
 #include "Command.h"
 #include "InstanceCommands.h"
 #include "LogCommands.h"
+#include "RouteCommand.h"
 
 #include <iostream>
 #include <iterator>
@@ -14,6 +15,7 @@
     std::vector<std::unique_ptr<Command>> makeAllCommands(const GatewayAdapter& adapter)
     {
         std::vector<std::unique_ptr<Command>> commands = makeInstanceCommands(adapter);
+        commands.push_back(makeRouteCommand());
         std::vector<std::unique_ptr<Command>> logCommands = makeLogCommands();
         commands.insert(commands.end(), std::make_move_iterator(logCommands.begin()), std::make_move_iterator(logCommands.end()));
         std::vector<std::unique_ptr<Command>> bundleCommands = makeBundleCommands();
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -1,6 +1,7 @@
 #include "GatewayInstance.h"
 
 #include "../fleet/MeteredFleetStore.h"
+#include "RouteExplanationCodec.h"
 
 #include "lentiljunction/core/LogEvents.h"
 
@@ -12,6 +13,8 @@
 namespace {
 
     constexpr int httpOk = 200;
+    constexpr int httpBadRequest = 400;
+    constexpr int httpNotFound = 404;
     constexpr int httpUnavailable = 503;
     /// The load balancer probes once a second and removes an instance after two failures. The instance serves
     /// sessions that arrive before that.
@@ -20,6 +23,24 @@
     constexpr int transactionGraceDivisor = 2;
     constexpr std::chrono::milliseconds drainPollInterval { 50 };
 
+    bool isRouteQuestion(const HttpRequest& request)
+    {
+        return request.path.substr(0, request.path.find('?')) == routeExplanationPath;
+    }
+
+    /// A database's name in a question may be invalid as UTF-8, for which dump() throws by default.
+    std::string toText(const nlohmann::json& document)
+    {
+        return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    }
+
+    HttpResponse makeFailureResponse(const Failure& failure)
+    {
+        int status = failure.kind == Failure::Kind::NotFound ? httpNotFound : failure.kind == Failure::Kind::Unavailable ? httpUnavailable
+                                                                                                                         : httpBadRequest;
+        return { status, "application/json", toText({ { "error", failure.reason } }) };
+    }
+
 } // namespace
 
 GatewayInstance::HttpPage::HttpPage(EventLoop& loop, Handler handler)
@@ -33,8 +54,13 @@
     , store(std::make_unique<MeteredFleetStore>(makeStore(this->controlLoop, settings), clock, this->metrics))
     , traffic(this->trafficLoop, clock, protocol, this->metrics, settings.instance, settings.zone, *this)
     , control({ this->controlLoop, this->trafficLoop, clock, protocol, *this->store, this->traffic }, settings)
-    , readiness(this->controlLoop, [this](const HttpPage::Responder& respond) { respond(this->makeReadinessResponse()); })
-    , metricsPage(this->controlLoop, [this](const HttpPage::Responder& respond) { this->respondWithMetrics(respond); })
+    , readiness(this->controlLoop, [this](const HttpRequest&, const HttpPage::Responder& respond) { respond(this->makeReadinessResponse()); })
+    , metricsPage(this->controlLoop, [this](const HttpRequest& request, const HttpPage::Responder& respond) {
+        if (isRouteQuestion(request))
+            this->respondWithRoute(request, respond);
+        else
+            this->respondWithMetrics(respond);
+    })
 {
 }
 
@@ -71,6 +97,25 @@
     });
 }
 
+void GatewayInstance::respondWithRoute(const HttpRequest& request, const HttpPage::Responder& respond)
+{
+    Failure failure;
+    std::optional<RouteQuestion> question = parseRouteQuestion(request.path, failure);
+    if (!question)
+        return respond(makeFailureResponse(failure));
+    this->trafficLoop.post([this, question = *question, respond] {
+        Failure unanswered;
+        std::optional<RouteExplanation> answer = this->traffic.explainRoute(question, unanswered);
+        this->controlLoop.post([this, answer, unanswered, respond] {
+            if (!answer)
+                return respond(makeFailureResponse(unanswered));
+            nlohmann::json document = toJson(*answer);
+            document["instance"] = this->settings.instance.toString();
+            respond({ httpOk, "application/json", toText(document) });
+        });
+    });
+}
+
 void GatewayInstance::onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary)
 {
     this->control.onPrimaryUnreachable(group, primary);
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -38,12 +38,12 @@
     void drain();
 
 private:
-    /// Serves one HTTP page: readiness or metrics.
+    /// Serves HTTP requests: for readiness, or for metrics and explanations of routes.
     class HttpPage : private WebSocketServer::Listener {
     public:
         /// Sends the response; may be called later, exactly once.
         using Responder = std::function<void(const HttpResponse&)>;
-        using Handler = std::function<void(const Responder& respond)>;
+        using Handler = std::function<void(const HttpRequest& request, const Responder& respond)>;
         HttpPage(EventLoop& loop, Handler handler);
         bool listen(const Endpoint& endpoint, Failure& failure) { return this->server.listen(endpoint, failure); }
 
@@ -51,9 +51,9 @@
         void onSessionOpened(WebSocketServer::Handle handle, const std::string&) override { this->server.close(handle); }
         void onSessionMessage(WebSocketServer::Handle, const std::string&, bool) override { }
         void onSessionClosed(WebSocketServer::Handle) override { }
-        void onHttpRequest(WebSocketServer::Handle handle, const HttpRequest&) override
+        void onHttpRequest(WebSocketServer::Handle handle, const HttpRequest& request) override
         {
-            this->handler([this, handle](const HttpResponse& response) { this->server.respond(handle, response); });
+            this->handler(request, [this, handle](const HttpResponse& response) { this->server.respond(handle, response); });
         }
 
         WebSocketServer server;
@@ -63,6 +63,7 @@
     void onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary) override;
     HttpResponse makeReadinessResponse() const;
     void respondWithMetrics(const HttpPage::Responder& respond);
+    void respondWithRoute(const HttpRequest& request, const HttpPage::Responder& respond);
     std::size_t countBusy();
 
     GatewaySettings settings;
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -20,19 +20,6 @@
     /// A primary that does not answer a command within this time is tested with a new connection.
     constexpr std::chrono::milliseconds primaryAnswerTimeout { 300 };
 
-    const char* toString(Consistency consistency)
-    {
-        switch (consistency) {
-        case Consistency::Primary:
-            return "primary";
-        case Consistency::ReadYourWrites:
-            return "read_your_writes";
-        case Consistency::BoundedStaleness:
-            return "bounded_staleness";
-        }
-        return "unknown";
-    }
-
     std::int64_t toMilliseconds(Duration duration)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -101,6 +88,11 @@
     this->state.setMembers(members, numInstances);
 }
 
+std::optional<RouteExplanation> TrafficPlane::explainRoute(const RouteQuestion& question, Failure& failure) const
+{
+    return RouteExplainer(this->state, [this](const UpstreamEntry& upstream) { return this->state.peekSource(upstream); }).explain(question, failure);
+}
+
 bool TrafficPlane::listenForBorrowers(const Endpoint& endpoint, Failure& failure)
 {
     this->state.setBorrower(this->lending.getBorrower());
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -3,6 +3,7 @@
 #include "../lending/LendingService.h"
 #include "CallerSession.h"
 #include "PrimaryVerificationRounds.h"
+#include "RouteExplanation.h"
 #include "TrafficState.h"
 #include "lentiljunction/metrics/GatewayMetrics.h"
 
@@ -73,6 +74,11 @@
         this->metrics.setLoans(this->lending.countLent(), this->lending.countBorrowed());
     }
 
+    /// Explains where a statement would go now. Sends nothing and changes no state.
+    ///
+    /// @see RouteExplainer
+    std::optional<RouteExplanation> explainRoute(const RouteQuestion& question, Failure& failure) const;
+
     /// Closes idle sessions now and the others when they become idle.
     void drain();
 
--- a/tests/process/GatewayFixture.h
+++ b/tests/process/GatewayFixture.h
@@ -50,6 +50,9 @@
     /// @returns the metrics page of an instance
     std::string readMetrics(std::size_t index) const;
 
+    /// @returns the endpoint of the metrics page of an instance
+    const Endpoint& getMetricsEndpoint(std::size_t index) const { return this->metricsEndpoints[index]; }
+
     std::uint16_t getPort(std::size_t index) const { return this->sessionPorts[index]; }
     standin::PlatformSite& getSite() { return this->site; }
     standin::PlatformStore& getStore() { return this->site.getStore(); }
