Enforce the limits of workspaces in callers' sessions

Cause: the module quota decided on limits, but no session asked it.

Change: a session requests the admission of each operation before its single statement, or before the reply to BEGIN; over the limit it answers BUSY with the time to retry after. A statement that was never sent gives its admission back. The traffic plane passes limits and the list of instances on, and an instance reports ready once its share is delegated.

--- a/include/lentiljunction/interactive/FailureCause.h
+++ b/include/lentiljunction/interactive/FailureCause.h
@@ -35,6 +35,10 @@
     KeyUnknown,
     /// The routing configuration is not confirmed as current, so the caller's key cannot be decided on.
     KeyUnconfirmed,
+    /// The workspace is over its limit.
+    OverLimit,
+    /// No instance that decides on the workspace's limit responded in time.
+    LimitUndecided,
 };
 
 /// @returns the name of a cause for logs and metrics
--- a/include/lentiljunction/metrics/GatewayMetrics.h
+++ b/include/lentiljunction/metrics/GatewayMetrics.h
@@ -126,6 +126,21 @@
     /// Sets the gauges of the connections lent to and borrowed from other instances.
     void setLoans(std::size_t numLent, std::size_t numBorrowed);
 
+    /// Decisions on the limits of workspaces.
+    struct Quota {
+        std::uint64_t numAdmitted = 0;
+        std::uint64_t numRefused = 0;
+        std::uint64_t numUndecided = 0;
+        std::size_t numWaiting = 0;
+        std::size_t numGiven = 0;
+        std::size_t numReceived = 0;
+        /// Refused operations, by workspace.
+        std::map<std::string, std::uint64_t> numRefusedOf;
+    };
+
+    /// Sets the gauges of the decisions on limits.
+    void setQuota(const Quota& quota);
+
     /// Sets the age of the newest freshness proof of each group and removes groups that are not listed.
     void setFreshnessProofAges(const std::map<std::string, Duration>& ages);
 
--- a/include/lentiljunction/quota/QuotaClient.h
+++ b/include/lentiljunction/quota/QuotaClient.h
@@ -2,6 +2,7 @@
 
 #include "lentiljunction/quota/LocalAdmissions.h"
 #include "lentiljunction/quota/QuotaCoordinator.h"
+#include "lentiljunction/quota/QuotaCounts.h"
 #include "lentiljunction/quota/QuotaMessage.h"
 #include "lentiljunction/quota/QuotaPlan.h"
 
@@ -40,16 +41,6 @@
 
     using Callback = std::function<void(const QuotaDecision& decision)>;
 
-    /// What this instance decided, for metrics.
-    struct Counts {
-        std::uint64_t numAdmitted = 0;
-        std::uint64_t numRefused = 0;
-        std::uint64_t numUndecided = 0;
-        std::size_t numWaiting = 0;
-        /// The number of partitions that are delegated.
-        std::size_t numDelegated = 0;
-    };
-
     QuotaClient(const Clock& clock, const QuotaTolerance& tolerance, const InstanceId& self, Transport& transport);
 
     /// Sets the limits; a workspace that is not listed has none.
@@ -78,7 +69,10 @@
     /// Sends heartbeats, and handles requests and coordinators without an answer. Call this every 50 ms.
     void tick();
 
-    Counts getCounts() const;
+    QuotaCounts getCounts() const;
+
+    /// @returns whether this instance has delegated its share of all partitions to coordinators that responded
+    bool hasDelegatedAll() const;
 
 private:
     struct Partition {
@@ -126,7 +120,6 @@
     void onStopping(QuotaCoordinator& coordinator, const QuotaMessage& message);
     void onDecision(const InstanceId& coordinator, const QuotaMessage& message);
     void decide(std::uint64_t number, const QuotaDecision& decision);
-    QuotaDecision count(const QuotaDecision& decision);
 
     const Clock& clock;
     const InstanceId self;
@@ -148,7 +141,7 @@
     LocalAdmissions localAdmissions;
     BootTime lastTick;
     std::uint64_t nextNumber = 1;
-    Counts counts;
+    QuotaCounts counts;
 };
 
 } // namespace lentiljunction
--- a/include/lentiljunction/quota/lj_quota.h
+++ b/include/lentiljunction/quota/lj_quota.h
@@ -8,6 +8,7 @@
 #include "lentiljunction/quota/QuotaAccountant.h"
 #include "lentiljunction/quota/QuotaClient.h"
 #include "lentiljunction/quota/QuotaCoordinator.h"
+#include "lentiljunction/quota/QuotaCounts.h"
 #include "lentiljunction/quota/QuotaLimit.h"
 #include "lentiljunction/quota/QuotaMessage.h"
 #include "lentiljunction/quota/QuotaPlan.h"
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -77,7 +77,8 @@
     if (this->settings.discoversCapacity)
         this->traffic.discoverCapacity();
     bool isLending = !this->settings.lending || this->traffic.listenForBorrowers(*this->settings.lending, failure);
-    bool isOpen = isLending && this->traffic.listen(this->settings.sessions, failure) && this->readiness.listen(this->settings.ready, failure)
+    bool isDeciding = !this->settings.quota || this->traffic.listenForQuota(*this->settings.quota, this->settings.quotaTolerance, this->settings.instance, this->settings.zone, failure);
+    bool isOpen = isLending && isDeciding && this->traffic.listen(this->settings.sessions, failure) && this->readiness.listen(this->settings.ready, failure)
         && this->metricsPage.listen(this->settings.metrics, failure) && this->control.start(failure);
     if (!isOpen)
         return false;
@@ -88,7 +89,7 @@
 
 HttpResponse GatewayInstance::makeReadinessResponse() const
 {
-    bool isReady = this->control.isReady() && !this->isDraining;
+    bool isReady = this->control.isReady() && this->traffic.isQuotaReady() && !this->isDraining;
     return { isReady ? httpOk : httpUnavailable, "text/plain", isReady ? "ready\n" : "not ready\n" };
 }
 
@@ -136,7 +137,10 @@
 {
     logEvent(events::instanceDraining, "grace_ms=" + std::to_string(this->settings.shutdownGrace.count()));
     this->isDraining = true;
-    this->trafficLoop.post([this] { this->traffic.stopLending(); });
+    this->trafficLoop.post([this] {
+        this->traffic.stopLending();
+        this->traffic.stopDecidingQuota();
+    });
     std::this_thread::sleep_for(balancerRemovalDelay);
     this->trafficLoop.post([this] { this->traffic.drain(); });
 
--- a/src/interactive/FailureCause.cpp
+++ b/src/interactive/FailureCause.cpp
@@ -14,7 +14,7 @@
         const char* forOperator;
     };
 
-    constexpr std::array<Description, 15> descriptions { {
+    constexpr std::array<Description, 17> descriptions { {
         { FailureCause::None, "none", "", "The statement did not fail." },
         { FailureCause::NoPrimary, "no_primary", "no primary may be used",
             "Either the instance could not confirm who leads (events 411, 223), or the group's primary was being replaced (401 to 403, 413)." },
@@ -44,6 +44,10 @@
             "Look for event 540: compare its digest with that of the caller's key and its routes_version with the version that the operators published." },
         { FailureCause::KeyUnconfirmed, "key_unconfirmed", "the configuration is not confirmed as current",
             "The instance could not confirm its configuration with the store or another instance: look for events 223 and 311." },
+        { FailureCause::OverLimit, "over_limit", "the workspace is over its limit",
+            "The workspace sent more operations than its limit in the routing configuration allows: compare lentiljunction_quota_refused at all instances." },
+        { FailureCause::LimitUndecided, "limit_undecided", "the limit of the workspace could not be checked in time",
+            "The instance that decides on the limit did not respond: look for events 550 and 551." },
     } };
 
     const Description& find(FailureCause cause)
--- a/src/metrics/GatewayMetrics.cpp
+++ b/src/metrics/GatewayMetrics.cpp
@@ -34,6 +34,10 @@
     LabeledGauges capacitySamples { this->registry.get(), "lentiljunction_upstream_capacity_samples", "Recent answers on which the discovered capacity is based" };
     LabeledGauges capacityAge { this->registry.get(), "lentiljunction_upstream_capacity_age_seconds", "Time since the last answer on which the discovered capacity is based" };
     LabeledGauges loans { this->registry.get(), "lentiljunction_loans", "Connections to upstreams lent to or borrowed from other instances" };
+    LabeledGauges quotaOperations { this->registry.get(), "lentiljunction_quota_operations", "Operations of limited workspaces since the start, by decision" };
+    LabeledGauges quotaRefused { this->registry.get(), "lentiljunction_quota_refused", "Refused operations of a workspace since the start" };
+    LabeledGauges quotaWaiting { this->registry.get(), "lentiljunction_quota_waiting", "Operations that wait for a decision on their limit" };
+    LabeledGauges quotaDelegations { this->registry.get(), "lentiljunction_quota_delegations", "Shares of partitions given to coordinators or received from instances" };
     LabeledGauges freshnessProofAge { this->registry.get(), "lentiljunction_proof_age_seconds", "Age of the newest proof of a group's log" };
 };
 
@@ -131,6 +135,24 @@
     gauges.endUpdate();
 }
 
+void GatewayMetrics::setQuota(const Quota& quota)
+{
+    Implementation& metrics = *this->implementation;
+    std::lock_guard<std::mutex> lock(metrics.gaugesMutex);
+    for (LabeledGauges* gauges : { &metrics.quotaOperations, &metrics.quotaRefused, &metrics.quotaWaiting, &metrics.quotaDelegations })
+        gauges->beginUpdate();
+    metrics.quotaOperations.set({ { "result", "admitted" } }, static_cast<double>(quota.numAdmitted));
+    metrics.quotaOperations.set({ { "result", "refused" } }, static_cast<double>(quota.numRefused));
+    metrics.quotaOperations.set({ { "result", "undecided" } }, static_cast<double>(quota.numUndecided));
+    for (const std::pair<const std::string, std::uint64_t>& workspace : quota.numRefusedOf)
+        metrics.quotaRefused.set({ { "workspace", workspace.first } }, static_cast<double>(workspace.second));
+    metrics.quotaWaiting.set({}, static_cast<double>(quota.numWaiting));
+    metrics.quotaDelegations.set({ { "direction", "given" } }, static_cast<double>(quota.numGiven));
+    metrics.quotaDelegations.set({ { "direction", "received" } }, static_cast<double>(quota.numReceived));
+    for (LabeledGauges* gauges : { &metrics.quotaOperations, &metrics.quotaRefused, &metrics.quotaWaiting, &metrics.quotaDelegations })
+        gauges->endUpdate();
+}
+
 void GatewayMetrics::setLoans(std::size_t numLent, std::size_t numBorrowed)
 {
     std::lock_guard<std::mutex> lock(this->implementation->gaugesMutex);
--- a/src/quota/QuotaClient.cpp
+++ b/src/quota/QuotaClient.cpp
@@ -58,23 +58,20 @@
     return this->numInstances > 0 && this->clock.bootNow() - this->startedAt >= joinDelay;
 }
 
-QuotaDecision QuotaClient::count(const QuotaDecision& decision)
+QuotaCounts QuotaClient::getCounts() const
 {
-    bool isRefused = decision.kind == QuotaDecision::Kind::Refused;
-    (decision.isAdmitted() ? this->counts.numAdmitted : isRefused ? this->counts.numRefused
-                                                                  : this->counts.numUndecided)++;
-    return decision;
-}
-
-QuotaClient::Counts QuotaClient::getCounts() const
-{
-    Counts current = this->counts;
+    QuotaCounts current = this->counts;
     current.numWaiting = this->requests.size();
     for (const Partition& partition : this->partitions)
         current.numDelegated += partition.delegatedUntil > this->clock.bootNow() ? 1 : 0;
     return current;
 }
 
+bool QuotaClient::hasDelegatedAll() const
+{
+    return std::all_of(this->partitions.begin(), this->partitions.end(), [](const Partition& partition) { return partition.isDelegated; });
+}
+
 std::uint64_t QuotaClient::admit(const WorkspaceId& workspace, Callback callback)
 {
     BootTime now = this->clock.bootNow();
@@ -83,7 +80,7 @@
         return 0;
     }
     if (std::optional<QuotaDecision> decision = this->localAdmissions.take(workspace, now)) {
-        callback(this->count(*decision));
+        callback(this->counts.count(workspace, *decision));
         return 0;
     }
     std::uint64_t number = this->nextNumber++;
@@ -323,7 +320,7 @@
     this->requests.erase(found);
     this->sentRequests.erase(request.message);
     if (request.callback)
-        request.callback(this->count(decision));
+        request.callback(this->counts.count(request.workspace, decision));
     else if (decision.isAdmitted())
         this->giveBack(request.workspace);
 }
--- a/src/quota/QuotaService.cpp
+++ b/src/quota/QuotaService.cpp
@@ -43,6 +43,8 @@
 {
     this->timer.setTime(this->clock.now() + tickInterval);
     this->client.tick();
+    if (!this->hasBeenReady && this->client.hasDelegatedAll())
+        this->hasBeenReady = true;
 }
 
 void QuotaService::setLimits(const std::vector<QuotaLimit>& limits)
--- a/src/quota/QuotaService.h
+++ b/src/quota/QuotaService.h
@@ -5,6 +5,9 @@
 #include "lentiljunction/quota/QuotaAccountant.h"
 #include "lentiljunction/quota/QuotaClient.h"
 
+#include <atomic>
+#include <memory>
+
 namespace lentiljunction {
 
 /// Enforces the limits of workspaces together with the other instances: connects QuotaClient and QuotaAccountant to
@@ -34,6 +37,9 @@
     /// @returns the number of live delegations to this instance
     std::size_t countDelegations() const { return this->accountant.countDelegations(); }
 
+    /// @returns whether operations of limited workspaces can be admitted since some time; safe to call from any thread
+    bool isReady() const { return this->hasBeenReady; }
+
     /// Leaves the decisions to other instances, if there are others.
     void stopDeciding();
 
@@ -56,6 +62,7 @@
     QuotaAccountant accountant;
     QuotaClient client;
     OneShotTimer timer;
+    std::atomic<bool> hasBeenReady { false };
     /// Tasks that were posted hold a weak reference to it and do nothing after destruction.
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -62,6 +62,7 @@
     std::shared_ptr<StatementRun> current = std::exchange(this->run, nullptr);
     if (current != nullptr)
         current->cancel();
+    this->admission.cancel();
     this->held.rollBackAndRelease();
     this->idleTimer.clear();
     this->listener.onSessionEnded(*this);
@@ -89,7 +90,7 @@
     if (this->isProcessing)
         return;
     this->isProcessing = true;
-    while (!this->hasEnded && this->run == nullptr && !this->buffered.empty()) {
+    while (!this->hasEnded && !this->isRunning() && !this->buffered.empty()) {
         this->arrivedAt = this->firstByteAt;
         this->arrivedAtSteady = this->firstByteAtSteady;
         Failure failure;
@@ -219,6 +220,21 @@
 void CallerSession::beginOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route)
 {
     this->key.beginOperation();
+    this->admission.cancel();
+    QuotaClient* quota = this->state.getQuota();
+    if (quota == nullptr || this->key.getWorkspace().isEmpty())
+        return this->startOperation(std::move(statement), mode, routes, route);
+    this->admission.request(*quota, this->key.getWorkspace(), [this, statement = std::move(statement), mode, routes, &route](const std::optional<AdmissionRefusal>& refusal) {
+        if (refusal)
+            this->reply(ReplyCode::Busy, TransactionState::Idle, refusal->message, refusal->cause);
+        else
+            this->startOperation(statement, mode, routes, route);
+        this->processBuffered();
+    });
+}
+
+void CallerSession::startOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route)
+{
     if (statement.verb == SessionVerb::Begin)
         this->beginTransaction(statement, routes);
     else
@@ -313,6 +329,8 @@
 {
     this->run = nullptr;
     this->held = result.held;
+    if (!request.traits.isInTransaction && result.numAttempts == 0)
+        this->admission.giveBack();
     if (result.commit)
         this->ownCommit = result.commit;
     this->listener.onStatementAnswered(request.requirement.route, request, result);
--- a/src/traffic/CallerSession.h
+++ b/src/traffic/CallerSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../net/TcpConnection.h"
+#include "OperationAdmission.h"
 #include "SessionKey.h"
 #include "StatementRun.h"
 #include "lentiljunction/interactive/SessionContext.h"
@@ -58,10 +59,10 @@
     void closeNow();
 
     /// @returns whether a statement runs or a transaction is open
-    bool isBusy() const { return this->run != nullptr || this->transactionState != TransactionState::Idle; }
+    bool isBusy() const { return this->isRunning() || this->transactionState != TransactionState::Idle; }
 
-    /// @returns whether a statement runs
-    bool isRunning() const { return this->run != nullptr; }
+    /// @returns whether a statement runs or waits for its admission
+    bool isRunning() const { return this->run != nullptr || this->admission.isWaiting(); }
 
 private:
     void onSocketOpened() override { }
@@ -80,6 +81,7 @@
     /// Starts an operation: a single statement, or the transaction of a BEGIN. Nothing of the operation was sent to an
     /// upstream before, and the caller has no reply yet.
     void beginOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route);
+    void startOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route);
     void beginTransaction(const SessionStatement& begin, const std::shared_ptr<const RouteTable>& routes);
     StatementRequest makeRequest(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route) const;
     void beginEarly(const SessionStatement& begin);
@@ -97,6 +99,7 @@
     Listener& listener;
     std::unique_ptr<TcpConnection> socket;
     SessionKey key;
+    OperationAdmission admission;
     OneShotTimer idleTimer;
     /// Received bytes that are not decoded yet.
     std::string buffered;
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -25,6 +25,18 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
     }
 
+    std::vector<QuotaLimit> listLimits(const RouteTable& routes)
+    {
+        std::vector<QuotaLimit> limits;
+        if (!routes.workspaces)
+            return limits;
+        for (const std::pair<const WorkspaceId, WorkspaceConfig>& workspace : routes.workspaces->getAll()) {
+            if (workspace.second.hasLimit())
+                limits.push_back({ workspace.first, workspace.second.ratePerSecond, workspace.second.burst });
+        }
+        return limits;
+    }
+
     const LogEvent& chooseEvent(ReplyCode code)
     {
         if (code == ReplyCode::None)
@@ -91,6 +103,8 @@
 
 void TrafficPlane::setRoutes(std::shared_ptr<const RouteTable> routes, std::shared_ptr<const RouteConfirmation> confirmation)
 {
+    if (this->quota != nullptr)
+        this->quota->setLimits(listLimits(*routes));
     this->state.setRoutes(std::move(routes), std::move(confirmation));
     this->notifySessions();
 }
@@ -105,6 +119,8 @@
 {
     this->relaysProofs = newRelaysProofs;
     this->state.setMembers(members, numInstances);
+    if (this->quota != nullptr)
+        this->quota->setMembers(members, numInstances);
 }
 
 std::optional<RouteExplanation> TrafficPlane::explainRoute(const RouteQuestion& question, Failure& failure) const
@@ -118,6 +134,32 @@
     return this->lending.listen(endpoint, failure);
 }
 
+bool TrafficPlane::listenForQuota(const Endpoint& endpoint, const QuotaTolerance& tolerance, const InstanceId& self, const ZoneId& zone, Failure& failure)
+{
+    this->quota = std::make_unique<QuotaService>(this->loop, this->clock, tolerance, self, zone);
+    this->state.setQuota(this->quota->getClient());
+    return this->quota->listen(endpoint, failure);
+}
+
+void TrafficPlane::stopDecidingQuota()
+{
+    if (this->quota != nullptr)
+        this->quota->stopDeciding();
+}
+
+void TrafficPlane::updateMetrics() const
+{
+    this->state.updateMetrics(this->metrics);
+    this->metrics.setLoans(this->lending.countLent(), this->lending.countBorrowed());
+    if (this->quota == nullptr)
+        return;
+    QuotaCounts counts = this->quota->getClient().getCounts();
+    GatewayMetrics::Quota quotaMetrics { counts.numAdmitted, counts.numRefused, counts.numUndecided, counts.numWaiting, counts.numDelegated, this->quota->countDelegations(), {} };
+    for (const std::pair<const WorkspaceId, std::uint64_t>& workspace : counts.numRefusedOf)
+        quotaMetrics.numRefusedOf[workspace.first.toString()] = workspace.second;
+    this->metrics.setQuota(quotaMetrics);
+}
+
 void TrafficPlane::setPrimaryView(const PrimaryView& view)
 {
     this->state.setPrimaryView(view);
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../lending/LendingService.h"
+#include "../quota/QuotaService.h"
 #include "CallerSession.h"
 #include "PrimaryVerificationRounds.h"
 #include "RouteExplanation.h"
@@ -57,6 +58,19 @@
     /// Opens the port at which other instances borrow connections.
     bool listenForBorrowers(const Endpoint& endpoint, Failure& failure);
 
+    /// Enforces the limits of workspaces, and opens the port at which other instances request decisions on them.
+    /// Call this before the routes are set.
+    ///
+    /// @param self this instance
+    /// @param zone the availability zone of this instance
+    bool listenForQuota(const Endpoint& endpoint, const QuotaTolerance& tolerance, const InstanceId& self, const ZoneId& zone, Failure& failure);
+
+    /// @returns whether operations of limited workspaces can be admitted; safe to call from any thread
+    bool isQuotaReady() const { return this->quota == nullptr || this->quota->isReady(); }
+
+    /// Leaves decisions on the limits of workspaces to other instances.
+    void stopDecidingQuota();
+
     /// Lends no more connections to other instances.
     void stopLending() { this->lending.stopLending(); }
 
@@ -74,11 +88,7 @@
     void addFreshnessProofs(const std::vector<FreshnessProofs::Newest>& proofs);
 
     /// Updates the gauges of the upstreams, of the loans and of the age of the freshness proofs.
-    void updateMetrics() const
-    {
-        this->state.updateMetrics(this->metrics);
-        this->metrics.setLoans(this->lending.countLent(), this->lending.countBorrowed());
-    }
+    void updateMetrics() const;
 
     /// Explains where a statement would go now. Sends nothing and changes no state.
     ///
@@ -123,6 +133,8 @@
     Listener& listener;
     TrafficState state;
     LendingService lending;
+    /// Empty when limits are not enforced.
+    std::unique_ptr<QuotaService> quota;
     PrimaryVerificationRounds verifier;
     TcpServer callerServer;
     OneShotTimer checkTimer;
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -22,6 +22,8 @@
 
 namespace lentiljunction {
 
+class QuotaClient;
+
 /// A commit of a session, with the generation of the primary that executed it.
 struct OwnCommit {
     LogPoint point;
@@ -124,6 +126,12 @@
     /// its own connections.
     void setBorrower(Borrower& newBorrower) { this->borrower = &newBorrower; }
 
+    /// Sets the client that decides on the limits of workspaces. Without one, limits are not enforced.
+    void setQuota(QuotaClient& newQuota) { this->quota = &newQuota; }
+
+    /// @returns the client that decides on the limits of workspaces, or nullptr
+    QuotaClient* getQuota() const { return this->quota; }
+
     /// Finds the source of an upstream for a plan; never returns nullptr.
     using SourceLookup = std::function<std::shared_ptr<const ConnectionSource>(const UpstreamEntry& upstream)>;
 
@@ -287,6 +295,7 @@
     /// The pools refer to it.
     UpstreamHealth health;
     bool discoversCapacity = false;
+    QuotaClient* quota = nullptr;
     std::map<UpstreamId, std::shared_ptr<UpstreamPool>> pools;
     /// Upstreams whose connections are borrowed.
     std::map<UpstreamId, std::shared_ptr<BorrowingSource>> borrowingSources;
--- a/standins/platform/PlatformSite.cpp
+++ b/standins/platform/PlatformSite.cpp
@@ -75,6 +75,14 @@
         this->workspaces.push_back({ { "name", workspace.first }, { "api_keys", workspace.second }, { "rate_per_s", 1000 }, { "burst", 1000 }, { "priority", 0 } });
 }
 
+void PlatformSite::setLimits(double ratePerSecond, double newBurst)
+{
+    for (nlohmann::json& workspace : this->workspaces) {
+        workspace["rate_per_s"] = ratePerSecond;
+        workspace["burst"] = newBurst;
+    }
+}
+
 Endpoint PlatformSite::publishAddress(const std::string& id, const Endpoint& address)
 {
     Endpoint own = std::exchange(this->endpoints[id], address);
--- a/standins/platform/PlatformSite.h
+++ b/standins/platform/PlatformSite.h
@@ -36,6 +36,9 @@
     /// Sets the workspaces of later configurations: the API keys by name. Before, configurations have no list of them.
     void setWorkspaces(const std::map<std::string, std::vector<std::string>>& keys);
 
+    /// Sets the limit of each workspace in later configurations.
+    void setLimits(double ratePerSecond, double newBurst);
+
     /// Sets the databases that need no key according to later configurations.
     void setPublicDatabases(const std::set<std::string>& databases) { this->publicDatabases = databases; }
 
--- a/tests/process/GatewayFixture.cpp
+++ b/tests/process/GatewayFixture.cpp
@@ -32,8 +32,9 @@
     return false;
 }
 
-GatewayFixture::GatewayFixture(int numInstances, bool ejectsUpstreams)
+GatewayFixture::GatewayFixture(int numInstances, bool ejectsUpstreams, bool enforcesLimits)
     : ejectsUpstreams(ejectsUpstreams)
+    , enforcesLimits(enforcesLimits)
     , site(findPort)
 {
     Failure failure;
@@ -76,6 +77,8 @@
     this->peerEndpoints.push_back(settings.peers);
     // As on the platform, each instance knows the instances that were started before it.
     settings.seeds = this->peerEndpoints;
+    if (this->enforcesLimits)
+        settings.quota = Endpoint { loopback, findPort() };
     settings.metrics = { loopback, findPort() };
     this->metricsEndpoints.push_back(settings.metrics);
     settings.store = this->site.openStorePort(failure);
--- a/tests/process/GatewayFixture.h
+++ b/tests/process/GatewayFixture.h
@@ -20,7 +20,8 @@
 public:
     /// @param numInstances the number of gateway instances to start
     /// @param ejectsUpstreams whether reads avoid upstreams that fail
-    explicit GatewayFixture(int numInstances = 2, bool ejectsUpstreams = false);
+    /// @param enforcesLimits whether the instances enforce the limits of workspaces
+    explicit GatewayFixture(int numInstances = 2, bool ejectsUpstreams = false, bool enforcesLimits = false);
     ~GatewayFixture();
 
     /// Writes a configuration to the store.
@@ -66,6 +67,7 @@
     /// Whether the instances of the first start are running.
     bool isRunning = false;
     bool ejectsUpstreams;
+    bool enforcesLimits;
     PlatformAdapter adapter;
     standin::PlatformSite site;
     std::vector<std::uint16_t> sessionPorts;
--- a/tests/unit/LogbookTests.cpp
+++ b/tests/unit/LogbookTests.cpp
@@ -148,7 +148,7 @@
 
 TEST(FailureCause, parsesEveryCauseNameAndHasAdviceForIt)
 {
-    for (int index = 0; index <= static_cast<int>(FailureCause::KeyUnconfirmed); index++) {
+    for (int index = 0; index <= static_cast<int>(FailureCause::LimitUndecided); index++) {
         FailureCause trouble = static_cast<FailureCause>(index);
         CHECK(parseFailureCause(toString(trouble)) == trouble);
         CHECK(std::string(adviseOperator(trouble)).size() > 10);
--- a/tests/unit/QuotaTests.cpp
+++ b/tests/unit/QuotaTests.cpp
@@ -298,6 +298,38 @@
     CHECK_EQUAL(10, countTokens(accountant, sent, hot, 1001));
 }
 
+// Guards against a heartbeat for a former process, whose clock says nothing about that of this one.
+TEST(Quota, heartbeatForOtherProcessDelegatesNothing)
+{
+    ManualClock clock;
+    SentMessages sent;
+    QuotaAccountant accountant(clock, QuotaTolerance(), 8, sent);
+    accountant.onMessage(1, makeHeartbeat("a", std::chrono::duration_cast<Duration>(clock.bootNow().time_since_epoch())));
+    CHECK_EQUAL(0, accountant.countDelegations());
+    CHECK_EQUAL(8, sent.messages.back().epoch);
+}
+
+// Guards against a share that counts twice because a former process of the same id delegated it elsewhere.
+TEST(Quota, startedInstanceWaitsBeforeItDelegates)
+{
+    ManualClock clock;
+    SentMessages sent;
+    QuotaClient client(clock, QuotaTolerance(), InstanceId("a"), sent);
+    client.setPlan(QuotaPlan({}, ZoneId("z"), InstanceId("a")), 1);
+    QuotaMessage alive;
+    alive.kind = QuotaMessage::Kind::Alive;
+    alive.epoch = 7;
+    for (int elapsed = 0; elapsed < 2500; elapsed += 50) {
+        client.tick();
+        client.onMessage(InstanceId("a"), alive);
+        bool isDelegated = std::any_of(sent.messages.begin(), sent.messages.end(), [](const QuotaMessage& message) { return message.partitions != 0; });
+        CHECK_FALSE(isDelegated && elapsed < 2000);
+        CHECK(isDelegated == client.hasDelegatedAll());
+        clock.advance(std::chrono::milliseconds(50));
+    }
+    CHECK(client.hasDelegatedAll());
+}
+
 // Guards against messages that decode to other values, and against malformed ones that are accepted.
 TEST(Quota, messagesSurviveEncoding)
 {
