Show in explanations of routes which upstreams are avoided

The ejection of failing upstreams orders the candidates of a read before their estimates are compared, so an answer without it would not explain the choice.

Checked: the changed encoder compiles on the merged parts; no test was run.

--- a/src/cli/RouteText.cpp
+++ b/src/cli/RouteText.cpp
@@ -94,6 +94,10 @@
             text += ", load " + format(get(upstream, "load").get<double>(), "%.2f");
         if (get(upstream, "lag_entries").is_number())
             text += ", lag " + getText(upstream, "lag_entries") + " entries (seen " + formatMilliseconds(get(upstream, "log_head_age_ms")) + " ago)";
+        if (get(upstream, "avoided") == true)
+            text += "\n      last choice: it failed much of its work recently";
+        if (get(upstream, "probe_due") == true)
+            text += "\n      first choice for one read: it was ejected, and a probe of it is due";
         if (get(upstream, "estimate").is_object())
             text += "\n      " + formatEstimate(get(upstream, "estimate"));
         if (get(upstream, "expected_wait_ms").is_number())
--- a/src/gateway/RouteExplanationCodec.cpp
+++ b/src/gateway/RouteExplanationCodec.cpp
@@ -52,6 +52,8 @@
             { "log_head", toJson(candidate.lastKnownHead) },
             { "log_head_age_ms", toJson(candidate.lastKnownHead ? std::optional<Duration>(candidate.lastKnownHeadAge) : std::nullopt) },
             { "lag_entries", upstream.lag ? nlohmann::json(*upstream.lag) : nlohmann::json() },
+            { "avoided", candidate.isAvoided },
+            { "probe_due", candidate.isProbeDue },
             { "estimate", upstream.estimate ? toJson(*upstream.estimate) : nlohmann::json() },
             { "expected_wait_ms", toJson(upstream.wait) },
             { "left_out", upstream.exclusion ? nlohmann::json(toString(*upstream.exclusion)) : nlohmann::json() },
