Call the decision on keys where it is now

The decision on keys moved out of TrafficState while the route command was written, so the two did not compile together.

Checked: the sources of the command and its tests compile on the merged parts (syntax only); no test was run.

--- a/src/traffic/RouteExplanation.cpp
+++ b/src/traffic/RouteExplanation.cpp
@@ -143,7 +143,7 @@
         return true;
     const WorkspaceConfig* config = routes.workspaces->find(answer.question.workspace);
     bool hasKey = config != nullptr && !config->keys.empty();
-    KeyVerdict verdict = this->state.checkKey(answer.route.database, hasKey ? *config->keys.begin() : KeyDigest()).verdict;
+    KeyVerdict verdict = checkKey(this->state, answer.route.database, hasKey ? *config->keys.begin() : KeyDigest()).verdict;
     answer.workspace = RouteExplanation::Workspace { verdict, config == nullptr ? std::nullopt : std::optional<WorkspaceConfig>(*config) };
     if (mayRun(verdict))
         return true;
