Test that upstreams see the names of workspaces and no keys

Cause: connections are shared by sessions and now belong to workspaces; no test checked the name under which a statement arrives.

Change: GatewayWorkspaces runs statements and transactions of two workspaces and three keys through two instances; the stand-in checks the name of the connection of each statement.

--- a/tests/process/GatewayWorkspacesTests.cpp
+++ b/tests/process/GatewayWorkspacesTests.cpp
@@ -119,6 +119,29 @@
     CHECK_EQUAL(1, site.fixture.getGroup().countCommits("kept"));
 }
 
+// Connections are shared by sessions, but an upstream must never see a statement of one workspace under another's name.
+TEST(GatewayWorkspaces, upstreamsSeeNamesOfWorkspacesAndNoKeys)
+{
+    WorkspaceSite site;
+    for (int round = 0; round < 20; round++) {
+        for (const std::pair<const char*, const char*>& workspace : { std::make_pair("alpha", "alpha-old"), std::make_pair("beta", "beta-key"), std::make_pair("alpha", "alpha-new") }) {
+            LineCaller caller(site.fixture.getPort(static_cast<std::size_t>(round) % 2), round % 3 == 0 ? "checks" : "bookings", callerTimeout, workspace.second);
+            caller.setIdPrefix(standin::LineGroup::makeIdPrefix(workspace.first, workspace.second));
+            CHECK_TRUE(isServed(caller.execute("WRITE item v")));
+            STRCMP_CONTAINS("READY T", caller.execute("BEGIN").c_str());
+            CHECK_TRUE(isServed(caller.execute("READ item")));
+            STRCMP_CONTAINS("READY I", caller.execute("COMMIT").c_str());
+        }
+    }
+    std::vector<std::string> wrong = site.fixture.getGroup().listWrongNames();
+    CHECK_TEXT(wrong.empty(), wrong.empty() ? "" : wrong.front().c_str());
+    std::set<std::string> names = site.fixture.getGroup().listNames();
+    for (const char* name : { "alpha", "beta" })
+        CHECK_EQUAL_TEXT(1, names.count(name), name);
+    for (const char* key : { "alpha-old", "alpha-new", "beta-key", "nobody" })
+        CHECK_EQUAL_TEXT(0, names.count(key), key);
+}
+
 TEST(GatewayWorkspaces, publicRouteNeedsNoKey)
 {
     WorkspaceSite site;
