Replace keys of workspaces in the soak of the process tests

Change: Soak.findsNoViolationWhileKeysAreReplaced (seed 4, 20 s) requires that keys were removed; the report counts them.

--- a/tests/process/SoakTests.cpp
+++ b/tests/process/SoakTests.cpp
@@ -15,6 +15,7 @@
     CHECK_TEXT(report["violations"].empty(), report["violations"].dump(2).c_str());
     CHECK(report["acknowledged"] > 100);
     CHECK(report["script"].size() > 3);
+    CHECK(!plan.hasWorkspaces || report["keys_removed"] > 0);
     std::filesystem::remove_all(folder);
 }
 
@@ -54,3 +55,14 @@
     plan.restoresStore = true;
     checkSoak(plan, folder);
 }
+
+// As above, with callers whose keys are replaced while instances, upstreams and the store fail.
+TEST(Soak, findsNoViolationWhileKeysAreReplaced)
+{
+    std::string folder = (std::filesystem::temp_directory_path() / ("lj-soak-keys-" + std::to_string(::getpid()))).string();
+    lab::SoakPlan plan;
+    plan.seed = 4;
+    plan.seconds = 20;
+    plan.hasWorkspaces = true;
+    checkSoak(plan, folder);
+}
--- a/tools/lab/Soak.cpp
+++ b/tools/lab/Soak.cpp
@@ -153,7 +153,10 @@
     checkWrites(group, history);
     if (keys != nullptr)
         keys->checkArrivals();
-    return makeReport(plan, history, faults, numSteps, group.findHighestTerm());
+    nlohmann::json report = makeReport(plan, history, faults, numSteps, group.findHighestTerm());
+    if (keys != nullptr)
+        report["keys_removed"] = keys->countRemoved();
+    return report;
 }
 
 } // namespace lentiljunction::lab
