Make the test of a key after a pause fail without its guard

Cause: a statement that looks for an upstream without the check of its key is also answered Busy in that test, because there is no primary, so the test passed without the guard.

--- a/tests/unit/StatementKeyTests.cpp
+++ b/tests/unit/StatementKeyTests.cpp
@@ -135,6 +135,7 @@
     this->bench.clock.suspend(std::chrono::seconds(30));
     this->bench.start(false);
     CHECK(this->bench.result->reply.code == ReplyCode::Busy);
+    CHECK(this->bench.result->cause == FailureCause::KeyUnconfirmed);
     this->bench.start(true);
     CHECK(this->bench.result->reply.code == ReplyCode::Aborted);
     this->bench.finish();
