--- a/tests/support/PoolBench.cpp
+++ b/tests/support/PoolBench.cpp
@@ -105,8 +105,7 @@
 };
 
 PoolBench::PoolBench(int slots)
-    : slots(slots)
-    , numFreeSlots(slots)
+    : numFreeSlots(slots)
 {
     UpstreamPool::Listener& listener = *this;
     this->pool = std::make_unique<UpstreamPool>(UpstreamPool::Dependencies { this->loop, this->clock, this->protocol, InstanceId("self"), listener, this }, makeUpstream(slots));
--- a/tests/support/PoolBench.h
+++ b/tests/support/PoolBench.h
@@ -67,7 +67,6 @@
     /// Never started: the bench calls what the timers of the pool would call.
     EventLoop loop;
     LineProtocol protocol;
-    int slots;
     int numFreeSlots;
     std::deque<std::function<void()>> slotQueue;
     std::set<Connection*> connections;
