Delegate shares of limits half a second after the start, not two

No instance delegated in its first 2 s.

Change: the wait ends when the delegations of a former process of the same id have expired (0.45 s). The wait also hid joining instances while the others' lists were out of date; the overage bears that alone now: k instances that join N exceed the limit by k/N for at most 3 s.

--- a/src/quota/QuotaClient.cpp
+++ b/src/quota/QuotaClient.cpp
@@ -17,9 +17,10 @@
     constexpr std::chrono::milliseconds undecidedRetry { 500 };
     constexpr std::chrono::milliseconds longestGrantAge { 500 };
     constexpr std::chrono::milliseconds moveMargin { 1000 };
-    /// After its start an instance delegates nothing until the others count it among the instances, and until the
-    /// delegations of a former process of the same id have expired.
-    constexpr std::chrono::milliseconds joinDelay { 2000 };
+    /// After its start an instance delegates nothing until the delegations of a former process of the same id have
+    /// expired. It refuses the operations of limited workspaces meanwhile, so a longer wait costs service after each restart.
+    constexpr std::chrono::milliseconds startDelay { 500 };
+    static_assert(startDelay > delegationDuration, "a share would count at two coordinators");
     /// A tick that is this late shows that this instance was paused, so answers may be waiting to be read.
     constexpr std::chrono::milliseconds pauseThreshold { 150 };
 
@@ -55,7 +56,7 @@
 
 bool QuotaClient::mayDelegate() const
 {
-    return this->numInstances > 0 && this->clock.bootNow() - this->startedAt >= joinDelay;
+    return this->numInstances > 0 && this->clock.bootNow() - this->startedAt >= startDelay;
 }
 
 QuotaCounts QuotaClient::getCounts() const
