Survive documents of others that are nested deeply or hold odd types

Cause: nothing limited the nesting of documents from outside. nlohmann-json parses JSON and destroys documents without recursion, but copies, compares and encodes them, and decodes CBOR, with one call a level. decodeObject copied the spec of each listed object. Ruled out: the parser itself and the destructor (both keep their own stacks).

Change: parseJson, toJsonText and parseCbor, which throw for no input and refuse documents of more than 64 levels, for everything that comes from the store, peers, upstreams, callers and files. The list of the platform's store leaves out values below that depth, so the entry names no upstream and the others hold. Related paths: answers of the product's own store, its list of instances and stored outcomes are read field by field instead of by functions that throw; texts that are no UTF-8 no longer throw when they are encoded; a command reports an odd document as an error.

--- a/include/lentiljunction/core/lj_core.h
+++ b/include/lentiljunction/core/lj_core.h
@@ -10,6 +10,7 @@
 #include "lentiljunction/core/EventLoop.h"
 #include "lentiljunction/core/Failure.h"
 #include "lentiljunction/core/Ids.h"
+#include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/JsonFields.h"
 #include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/core/Numbers.h"
--- a/src/audit/AuditTrail.cpp
+++ b/src/audit/AuditTrail.cpp
@@ -1,5 +1,6 @@
 #include "lentiljunction/audit/AuditTrail.h"
 
+#include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/RendezvousHash.h"
 #include "lentiljunction/store/PlatformStore.h"
 
@@ -66,7 +67,7 @@
     record.time = now;
     if (record.actor.empty())
         record.actor = this->actor;
-    spdlog::info("audit {}", toJson(record).dump());
+    spdlog::info("audit {}", toJsonText(toJson(record)));
 
     this->queue.push_back(std::move(record));
     if (this->queue.size() <= maximumQueuedRecords)
@@ -94,7 +95,7 @@
     for (std::size_t index = 0; index < this->numPendingRecords; index++)
         records.push_back(toJson(this->queue[index]));
     std::string key = storekeys::audit + std::to_string(toUnixMilliseconds(wallNow)) + "-" + this->actor + "-" + std::to_string(this->numBatches++);
-    this->pendingBatch = Batch { key, records.dump() };
+    this->pendingBatch = Batch { key, toJsonText(records) };
     return this->pendingBatch;
 }
 
--- a/src/bundle/ActiveBundle.cpp
+++ b/src/bundle/ActiveBundle.cpp
@@ -1,5 +1,6 @@
 #include "lentiljunction/bundle/ActiveBundle.h"
 
+#include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/JsonFields.h"
 
 #include <algorithm>
@@ -56,7 +57,7 @@
 
 ActiveBundle::OfferResult ActiveBundle::offer(const SignedBundle& offered, Failure& failure)
 {
-    nlohmann::json next = nlohmann::json::parse(offered.text, nullptr, false);
+    nlohmann::json next = parseJson(offered.text);
     if (next.is_discarded()) {
         failure.set(Failure::Kind::InvalidInput, "the bundle is not JSON");
         return OfferResult::Refused;
--- a/src/bundle/BundleAdmin.cpp
+++ b/src/bundle/BundleAdmin.cpp
@@ -1,6 +1,7 @@
 #include "lentiljunction/bundle/BundleAdmin.h"
 
 #include "lentiljunction/bundle/Signing.h"
+#include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/JsonFields.h"
 
 #include <cstdlib>
@@ -17,7 +18,7 @@
 
     std::optional<nlohmann::json> parseStored(const StoreObject& object, Failure& failure)
     {
-        nlohmann::json document = nlohmann::json::parse(object.value, nullptr, false);
+        nlohmann::json document = parseJson(object.value);
         if (!document.is_discarded())
             return document;
         failure.set(Failure::Kind::InvalidInput, object.key + " in the store is not JSON");
@@ -70,14 +71,20 @@
         return false;
     }
 
-    nlohmann::json operators = nlohmann::json::parse(*text).at("operators");
+    Failure textFailure;
+    std::optional<Bundle> bundle = parseBundle(parseJson(*text), textFailure);
+    if (!bundle) {
+        failure = textFailure;
+        return false;
+    }
+    nlohmann::json operators = parseJson(*text).at("operators");
     std::optional<std::string> signature = signText(privateKey, SigningPurpose::Bundle, *text, failure);
     std::optional<std::string> operatorsSignature = signText(privateKey, SigningPurpose::Operators, toCanonicalText(operators), failure);
     if (!signature || !operatorsSignature)
         return false;
 
     std::vector<Approval> approval { { operatorName, *signature, *operatorsSignature } };
-    return putOnce(this->store, storekeys::bundleApprovals(version) + operatorName, toJson(approval).dump(), failure);
+    return putOnce(this->store, storekeys::bundleApprovals(version) + operatorName, toJsonText(toJson(approval)), failure);
 }
 
 bool BundleAdmin::roll(BundleVersion version, Failure& failure)
@@ -99,7 +106,7 @@
     if (!bundle || !verifyBundle(*bundle, this->trust, failure))
         return false;
 
-    std::string text = toJson(*bundle).dump();
+    std::string text = toJsonText(toJson(*bundle));
     bool isStored = putOnce(this->store, storekeys::signedBundle(version), text, failure);
     if (!isStored && failure.kind != Failure::Kind::Conflict)
         return false;
--- a/src/bundle/SignedBundle.cpp
+++ b/src/bundle/SignedBundle.cpp
@@ -1,6 +1,7 @@
 #include "lentiljunction/bundle/SignedBundle.h"
 
 #include "lentiljunction/bundle/Signing.h"
+#include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/JsonFields.h"
 
 namespace lentiljunction {
@@ -9,7 +10,7 @@
 
     std::optional<nlohmann::json> parseText(const std::string& text, const std::string& what, Failure& failure)
     {
-        nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+        nlohmann::json document = parseJson(text);
         if (!document.is_discarded())
             return document;
 
@@ -78,7 +79,7 @@
 
 std::string toCanonicalText(const nlohmann::json& document)
 {
-    return document.dump();
+    return toJsonText(document);
 }
 
 nlohmann::json toJson(const std::vector<Approval>& approvals)
--- a/src/caller/CallerServer.cpp
+++ b/src/caller/CallerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "lentiljunction/caller/RequestCodec.h"
 #include "lentiljunction/core/Cbor.h"
+#include "lentiljunction/core/Json.h"
 
 #include <oneapi/tbb/task_arena.h>
 #include <utility>
@@ -31,7 +32,7 @@
     std::string toPayload(const nlohmann::json& document, bool isCbor)
     {
         if (!isCbor)
-            return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+            return toJsonText(document);
         std::string payload;
         nlohmann::json::to_cbor(document, payload);
         return payload;
@@ -98,7 +99,7 @@
 
 void CallerServer::rejectMessage(const std::string& payload, bool isCbor, const ReplyHandler& reply)
 {
-    nlohmann::json document = isCbor ? parseCbor(payload) : nlohmann::json::parse(payload, nullptr, false);
+    nlohmann::json document = isCbor ? parseCbor(payload) : parseJson(payload);
     CallerResponse rejection = makeInvalidRequestResponse(document, "the session has " + std::to_string(maximumInFlightPerSession) + " requests in flight");
     rejection.outcome.reason = NotRunReason::QueueFull;
     rejection.outcome.retryAfter = std::chrono::milliseconds(100);
@@ -138,7 +139,7 @@
     }
     if (static_cast<std::int64_t>(request.body.size()) > this->limits.maximumBodyBytes) {
         CallerResponse rejection = makeInvalidRequestResponse(nlohmann::json(), "the body must be at most " + std::to_string(this->limits.maximumBodyBytes) + " bytes");
-        this->server.respond(handle, { httpTooLarge, "application/json", toJson(rejection).dump() + "\n" });
+        this->server.respond(handle, { httpTooLarge, "application/json", toJsonText(toJson(rejection)) + "\n" });
         return;
     }
     this->decode(request.body, Format::Json, "", [this, handle](const std::string& reply) {
@@ -157,7 +158,7 @@
 
     this->numUnanswered++;
     this->workers->arena.enqueue([this, payload, format, isCbor, caller, currentLimits = this->limits, reply = std::move(reply)] {
-        nlohmann::json document = isCbor ? parseCbor(payload) : nlohmann::json::parse(payload, nullptr, false);
+        nlohmann::json document = isCbor ? parseCbor(payload) : parseJson(payload);
         Failure failure;
         std::optional<Request> request;
         if (document.is_discarded())
--- a/src/cli/BundleCommands.cpp
+++ b/src/cli/BundleCommands.cpp
@@ -5,6 +5,7 @@
 #include "lentiljunction/audit/AuditTrail.h"
 #include "lentiljunction/bundle/BundleAdmin.h"
 #include "lentiljunction/bundle/Signing.h"
+#include "lentiljunction/core/Json.h"
 
 #include <functional>
 #include <iostream>
@@ -74,7 +75,7 @@
     void print(const cxxopts::ParseResult& parsed, const nlohmann::json& document, const std::string& line)
     {
         if (parsed.count("json") > 0)
-            std::cout << document.dump() << "\n";
+            std::cout << toJsonText(document) << "\n";
         else
             std::cout << line << "\n";
     }
@@ -86,7 +87,7 @@
         AuditRecord record { clock.wallNow(), kind, actor, "bundle", "operator's command", "", std::to_string(version.value()) };
         std::string key = storekeys::audit + std::to_string(toUnixMilliseconds(record.time)) + "-" + actor + "-" + std::to_string(::getpid());
         Failure failure;
-        if (!putOnce(store, key, nlohmann::json::array({ toJson(record) }).dump(), failure))
+        if (!putOnce(store, key, toJsonText(nlohmann::json::array({ toJson(record) })), failure))
             std::cerr << "warning: the audit record was not written: " << failure.reason << "\n";
     }
 
@@ -107,7 +108,7 @@
         if (!text)
             return reportFailure(failure);
 
-        nlohmann::json document = nlohmann::json::parse(*text, nullptr, false);
+        nlohmann::json document = parseJson(*text);
         if (document.is_discarded()) {
             failure.set(Failure::Kind::InvalidInput, parsed["file"].as<std::string>() + ": is not JSON");
             return reportFailure(failure);
@@ -172,17 +173,17 @@
         nlohmann::json before = nlohmann::json::object();
         std::optional<SignedBundle> current = office.getCurrent(failure);
         if (current)
-            before = nlohmann::json::parse(current->text);
+            before = parseJson(current->text);
         else if (failure.kind != Failure::Kind::NotFound)
             return reportFailure(failure);
 
-        nlohmann::json difference = nlohmann::json::diff(before, nlohmann::json::parse(*proposed));
+        nlohmann::json difference = nlohmann::json::diff(before, parseJson(*proposed));
         if (parsed.count("json") > 0) {
-            std::cout << difference.dump() << "\n";
+            std::cout << toJsonText(difference) << "\n";
             return exitcodes::ok;
         }
         for (const nlohmann::json& change : difference)
-            std::cout << change.at("op").get<std::string>() << " " << change.at("path").get<std::string>() << " " << change.value("value", nlohmann::json()).dump() << "\n";
+            std::cout << change.at("op").get<std::string>() << " " << change.at("path").get<std::string>() << " " << toJsonText(change.value("value", nlohmann::json())) << "\n";
         return exitcodes::ok;
     }
 
@@ -198,7 +199,7 @@
             std::optional<StoreObject> object = store.get(key, failure);
             if (!object)
                 return reportFailure(failure);
-            for (const nlohmann::json& record : nlohmann::json::parse(object->value, nullptr, false)) {
+            for (const nlohmann::json& record : parseJson(object->value)) {
                 if (!wanted.empty() && record.value("kind", "") != wanted)
                     continue;
                 std::string line = std::to_string(record.value("time_ms", std::int64_t(0))) + " " + record.value("kind", "") + " " + record.value("actor", "") + " " + record.value("subject", "")
--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <iostream>
+#include <nlohmann/json.hpp>
 #include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -37,6 +38,10 @@
         std::cerr << "error: " << error.what() << "\n"
                   << this->options.help();
         return exitcodes::usage;
+    } catch (const nlohmann::json::exception& error) {
+        // A document of the store, of an instance or of a file has a field of an unexpected type.
+        std::cerr << "error: a document cannot be read: " << error.what() << "\n";
+        return exitcodes::failed;
     }
 }
 
--- a/src/cli/InstanceCommands.cpp
+++ b/src/cli/InstanceCommands.cpp
@@ -4,6 +4,7 @@
 #include "CommandLine.h"
 #include "GatewayServe.h"
 #include "lentiljunction/bundle/SignedBundle.h"
+#include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/LogEvents.h"
 
 #include <csignal>
@@ -118,7 +119,7 @@
             std::optional<std::string> text = readFile(path, failure);
             if (!text)
                 return reportFailure(failure);
-            if (!parseBundle(nlohmann::json::parse(*text, nullptr, false), failure))
+            if (!parseBundle(parseJson(*text), failure))
                 return reportFailure(failure);
             std::cout << path << ": ok\n";
             return exitcodes::ok;
@@ -157,7 +158,7 @@
             if (asJson)
                 std::cout << result->body;
             else
-                this->print(nlohmann::json::parse(result->body));
+                this->print(parseJson(result->body));
             return exitcodes::ok;
         }
 
--- a/src/cli/RouteCommand.cpp
+++ b/src/cli/RouteCommand.cpp
@@ -1,4 +1,5 @@
 #include "RouteCommand.h"
+#include "lentiljunction/core/Json.h"
 
 #include "../gateway/RouteExplanationCodec.h"
 #include "CommandLine.h"
@@ -82,7 +83,7 @@
                 failure.set(Failure::Kind::Unavailable, "the instance at " + address + " does not answer");
                 return std::nullopt;
             }
-            nlohmann::json answer = nlohmann::json::parse(result->body, nullptr, false);
+            nlohmann::json answer = parseJson(result->body);
             // Other pages of an instance, and instances of older builds, answer any path with their own text.
             if (!answer.is_object() || !(answer.contains("decision") || answer.contains("error"))) {
                 failure.set(Failure::Kind::Unavailable, address + " does not explain routes: it is not the metrics address of a gateway instance, or the instance's build is older");
--- a/src/cli/RouteText.cpp
+++ b/src/cli/RouteText.cpp
@@ -1,5 +1,7 @@
 #include "RouteText.h"
 
+#include "lentiljunction/core/Json.h"
+
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -59,7 +61,7 @@
     std::string getText(const nlohmann::json& object, const char* name)
     {
         const nlohmann::json& value = get(object, name);
-        return value.is_string() ? value.get<std::string>() : value.dump();
+        return value.is_string() ? value.get<std::string>() : toJsonText(value);
     }
 
     std::string format(double value, const char* pattern = "%.1f")
--- a/src/execution/TransactionRunner.cpp
+++ b/src/execution/TransactionRunner.cpp
@@ -1,4 +1,5 @@
 #include "lentiljunction/execution/TransactionRunner.h"
+#include "lentiljunction/core/Json.h"
 
 #include "lentiljunction/core/RendezvousHash.h"
 #include "lentiljunction/execution/ResultCodec.h"
@@ -196,7 +197,7 @@
 {
     if (reply.status == SqlReply::Status::Completed) {
         std::vector<ResultSet> results(reply.results.begin() + keyRowIndex + 1, reply.results.end());
-        std::string outcome = toJson(results).dump();
+        std::string outcome = toJsonText(toJson(results));
         this->pendingOutcome = Outcome::completed(std::move(results));
         std::string update = "UPDATE " + keyTable + " SET outcome = " + quoteLiteral(outcome) + " WHERE key = " + quoteLiteral(this->plan.key->text);
         return this->send(Phase::CommittingKey, update + ";COMMIT;" + this->plan.statusSql);
@@ -224,10 +225,15 @@
         return this->insertKey();
 
     const std::vector<std::optional<std::string>>& row = rows.rows.front();
+    constexpr std::size_t numColumns = 2;
+    if (row.size() != numColumns) {
+        this->inDoubt = true;
+        return this->finish(Outcome::unknown("the stored outcome of the idempotency key cannot be read"));
+    }
     if (row[0] != makeFingerprint(this->plan.statements))
         return this->finish(Outcome::notRun(NotRunReason::KeyReused, "the idempotency key was used for other statements"));
 
-    nlohmann::json document = nlohmann::json::parse(row[1].value_or(""), nullptr, false);
+    nlohmann::json document = parseJson(row[1].value_or(""));
     std::optional<std::vector<ResultSet>> results = parseResults(document);
     if (!results) {
         this->inDoubt = true;
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -2,6 +2,7 @@
 
 #include "ProofCodec.h"
 
+#include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/fleet/ZoneReader.h"
 #include "lentiljunction/leadership/PrimaryRecordCodec.h"
@@ -170,7 +171,7 @@
     if (view.latest.record == nullptr)
         return;
     if (isNewer) {
-        logEvent(events::primaryRecordUpdated, "lead_revision=" + std::to_string(view.latest.revision.value()) + " store_era=" + std::to_string(view.latest.storeEra.value()) + " holder=" + view.latest.record->coordinator.toString() + " epoch=" + std::to_string(view.latest.record->epoch.value()) + " groups=" + encodePrimaryRecord(*view.latest.record)["groups"].dump());
+        logEvent(events::primaryRecordUpdated, "lead_revision=" + std::to_string(view.latest.revision.value()) + " store_era=" + std::to_string(view.latest.storeEra.value()) + " holder=" + view.latest.record->coordinator.toString() + " epoch=" + std::to_string(view.latest.record->epoch.value()) + " groups=" + toJsonText(encodePrimaryRecord(*view.latest.record)["groups"]));
         this->dependencies.trafficLoop.post([this, view] { this->dependencies.traffic.setPrimaryView(view); });
         this->updateReady();
         return this->coordination.checkStalledFailovers();
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -3,6 +3,7 @@
 #include "../fleet/MeteredFleetStore.h"
 #include "RouteExplanationCodec.h"
 
+#include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/LogEvents.h"
 
 #include <future>
@@ -31,7 +32,7 @@
     /// A database's name in a question may be invalid as UTF-8, for which dump() throws by default.
     std::string toText(const nlohmann::json& document)
     {
-        return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+        return toJsonText(document) + "\n";
     }
 
     HttpResponse makeFailureResponse(const Failure& failure)
--- a/src/server/Instance.cpp
+++ b/src/server/Instance.cpp
@@ -7,6 +7,7 @@
 #include "ControlPlane.h"
 #include "GateService.h"
 #include "RequestFlow.h"
+#include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/LogEvents.h"
 
 #include <atomic>
@@ -122,7 +123,7 @@
     void describe(CallerServer::TextHandler handler) override
     {
         this->controlLoop.post([this, handler = std::move(handler)] {
-            std::string text = this->controlPlane.describe().dump(2) + "\n";
+            std::string text = toJsonText(this->controlPlane.describe(), 2) + "\n";
             this->trafficLoop.post([handler, text] { handler(text); });
         });
     }
--- a/src/store/HttpPlatformStore.cpp
+++ b/src/store/HttpPlatformStore.cpp
@@ -1,7 +1,11 @@
 #include "HttpPlatformStore.h"
 
+#include "lentiljunction/core/Json.h"
+#include "lentiljunction/core/JsonFields.h"
+#include "lentiljunction/core/LogEvents.h"
+
 #include <httplib.h>
-#include <nlohmann/json.hpp>
+#include <limits>
 #include <utility>
 
 namespace lentiljunction {
@@ -49,16 +53,46 @@
 
     std::optional<nlohmann::json> parseBody(const std::string& body, Failure& failure)
     {
-        nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+        nlohmann::json document = parseJson(body);
         if (document.is_object())
             return document;
         failure.set(Failure::Kind::Unavailable, "the store's response is not a JSON object");
         return std::nullopt;
     }
 
-    StoreObject readObject(const nlohmann::json& document)
+    constexpr std::int64_t noLimit = std::numeric_limits<std::int64_t>::max();
+
+    std::optional<StoreObject> readObject(const nlohmann::json& document, Failure& failure)
+    {
+        std::vector<std::string> faults;
+        JsonFields fields(document, "object", faults);
+        StoreObject object { fields.getText("key"), StoreVersion(static_cast<std::uint64_t>(fields.getInteger("version", 0, noLimit))), fields.getText("value") };
+        if (faults.empty())
+            return object;
+        failure.set(Failure::Kind::Unavailable, "the store's response is malformed: " + joinFaults(faults));
+        return std::nullopt;
+    }
+
+    /// @returns a number of a response, such as a revision
+    std::optional<std::uint64_t> readNumber(const nlohmann::json& document, const char* name, Failure& failure)
+    {
+        std::vector<std::string> faults;
+        JsonFields fields(document, "response", faults);
+        std::int64_t number = fields.getInteger(name, 0, noLimit);
+        if (faults.empty())
+            return static_cast<std::uint64_t>(number);
+        failure.set(Failure::Kind::Unavailable, "the store's response is malformed: " + joinFaults(faults));
+        return std::nullopt;
+    }
+
+    /// @returns an array of a response, or nullptr
+    const nlohmann::json* readArray(const nlohmann::json& document, const char* name, Failure& failure)
     {
-        return { document.value("key", ""), StoreVersion(document.value("version", std::uint64_t(0))), document.value("value", "") };
+        nlohmann::json::const_iterator found = document.find(name);
+        if (found != document.end() && found->is_array())
+            return &*found;
+        failure.set(Failure::Kind::Unavailable, std::string("the store's response has no array ") + name);
+        return nullptr;
     }
 
 } // namespace
@@ -81,7 +115,7 @@
     std::optional<nlohmann::json> document = parseBody(result->body, failure);
     if (!document)
         return std::nullopt;
-    return readObject(*document);
+    return readObject(*document, failure);
 }
 
 std::optional<StoreVersion> HttpPlatformStore::put(const std::string& key, StoreVersion expected, const std::string& value, Failure& failure)
@@ -99,7 +133,11 @@
     std::optional<nlohmann::json> document = parseBody(result->body, failure);
     if (!document)
         return std::nullopt;
-    return StoreVersion(document->value("version", std::uint64_t(0)));
+    std::optional<std::uint64_t> version = readNumber(*document, "version", failure);
+    // The write took effect, whatever the response names.
+    if (!version)
+        failure.kind = Failure::Kind::InDoubt;
+    return version ? std::optional<StoreVersion>(StoreVersion(*version)) : std::nullopt;
 }
 
 std::optional<std::vector<std::string>> HttpPlatformStore::list(const std::string& prefix, Failure& failure)
@@ -113,7 +151,15 @@
     std::optional<nlohmann::json> document = parseBody(result->body, failure);
     if (!document)
         return std::nullopt;
-    return document->value("keys", std::vector<std::string>());
+    const nlohmann::json* keys = readArray(*document, "keys", failure);
+    if (keys == nullptr)
+        return std::nullopt;
+    std::vector<std::string> texts;
+    for (const nlohmann::json& key : *keys) {
+        if (key.is_string())
+            texts.push_back(key.get<std::string>());
+    }
+    return texts;
 }
 
 std::optional<StoreWatchResult> HttpPlatformStore::watch(const std::string& prefix, std::uint64_t afterRevision, Duration limit, Failure& failure)
@@ -130,10 +176,20 @@
     if (!document)
         return std::nullopt;
 
+    std::optional<std::uint64_t> revision = readNumber(*document, "revision", failure);
+    const nlohmann::json* objects = readArray(*document, "objects", failure);
+    if (!revision || objects == nullptr)
+        return std::nullopt;
     StoreWatchResult changes;
-    changes.revision = document->value("revision", std::uint64_t(0));
-    for (const nlohmann::json& object : document->value("objects", nlohmann::json::array()))
-        changes.objects.push_back(readObject(object));
+    changes.revision = *revision;
+    for (const nlohmann::json& object : *objects) {
+        Failure invalid;
+        std::optional<StoreObject> decoded = readObject(object, invalid);
+        if (decoded)
+            changes.objects.push_back(std::move(*decoded));
+        else
+            logEvent(events::entryInvalid, "kind=object reason=\"" + invalid.reason + "\"");
+    }
     return changes;
 }
 
--- a/src/store/StoreDocuments.cpp
+++ b/src/store/StoreDocuments.cpp
@@ -1,5 +1,8 @@
 #include "StoreDocuments.h"
 
+#include "lentiljunction/core/Json.h"
+#include "lentiljunction/core/JsonFields.h"
+#include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/core/Numbers.h"
 
 namespace lentiljunction {
@@ -7,7 +10,7 @@
 std::set<UpstreamId> parseUpstreamIds(const std::string& text)
 {
     std::set<UpstreamId> ids;
-    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    nlohmann::json document = parseJson(text);
     if (!document.is_array())
         return ids;
     for (const nlohmann::json& element : document) {
@@ -20,14 +23,22 @@
 std::vector<SeedPeer> parseInstances(const std::string& text)
 {
     std::vector<SeedPeer> peers;
-    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    nlohmann::json document = parseJson(text);
     if (!document.is_array())
         return peers;
     for (const nlohmann::json& element : document) {
-        if (!element.is_object() || element.value("state", "live") != "live")
+        std::vector<std::string> faults;
+        JsonFields fields(element, "instance", faults);
+        if (fields.findText("state").value_or("live") != "live")
             continue;
-        Endpoint endpoint { element.value("address", ""), element.value("peer_port", std::uint16_t(0)) };
-        peers.push_back({ InstanceId(element.value("id", "")), ZoneId(element.value("zone", "")), endpoint });
+        constexpr std::int64_t maximumPort = 65535;
+        Endpoint endpoint { fields.getText("address"), static_cast<std::uint16_t>(fields.getInteger("peer_port", 1, maximumPort)) };
+        SeedPeer peer { InstanceId(fields.getText("id")), ZoneId(fields.getText("zone")), endpoint };
+        // One malformed entry must not hide the others.
+        if (faults.empty())
+            peers.push_back(std::move(peer));
+        else
+            logEvent(events::entryInvalid, "kind=instances reason=\"" + joinFaults(faults) + "\"");
     }
     return peers;
 }
@@ -52,7 +63,7 @@
     std::optional<StoreObject> object = store.get(storekeys::signedBundle(*version), failure);
     if (!object)
         return std::nullopt;
-    return parseSignedBundle(nlohmann::json::parse(object->value, nullptr, false), failure);
+    return parseSignedBundle(parseJson(object->value), failure);
 }
 
 std::optional<TermRecord::Grant> reserveTerms(PlatformStore& store, const DatabaseId& database, Term above, const std::string& nonce)
@@ -66,7 +77,7 @@
 
         TermRecord record;
         if (object) {
-            std::optional<TermRecord> parsed = parseTermRecord(nlohmann::json::parse(object->value, nullptr, false));
+            std::optional<TermRecord> parsed = parseTermRecord(parseJson(object->value));
             if (!parsed)
                 return std::nullopt;
             record = *parsed;
@@ -77,7 +88,7 @@
 
         TermRecord::Grant grant = record.grant(nonce, above);
         StoreVersion expected = object ? object->version : StoreVersion();
-        if (store.put(storekeys::terms(database), expected, toJson(record).dump(), failure))
+        if (store.put(storekeys::terms(database), expected, toJsonText(toJson(record)), failure))
             return grant;
         if (failure.kind == Failure::Kind::Unavailable)
             return std::nullopt;
--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -18,9 +18,17 @@
     constexpr std::chrono::seconds lateWriteDelay { 1 };
     const std::string objectsPrefix = "/objects/";
 
-    HttpResponse respondWith(int status, const nlohmann::json& body = nlohmann::json::object())
+    HttpResponse respondWith(int status, const std::string& body = "{}")
     {
-        return { status, "application/json", body.dump() };
+        return { status, "application/json", body };
+    }
+
+    std::string makeArray(const std::vector<std::string>& texts)
+    {
+        std::string array = "[";
+        for (const std::string& text : texts)
+            array += (array.size() == 1 ? "" : ",") + text;
+        return array + "]";
     }
 
     /// @returns the value of a query parameter, or an empty string
@@ -89,7 +97,13 @@
 void PlatformStore::put(const std::string& kind, const std::string& name, const nlohmann::json& spec)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    this->store(kind, name, spec);
+    this->store(kind, name, spec, spec.dump());
+}
+
+void PlatformStore::putRaw(const std::string& kind, const std::string& name, const std::string& specText)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->store(kind, name, nullptr, specText);
 }
 
 void PlatformStore::remove(const std::string& kind, const std::string& name)
@@ -149,29 +163,35 @@
     });
 }
 
-void PlatformStore::store(const std::string& kind, const std::string& name, const nlohmann::json& spec)
+void PlatformStore::store(const std::string& kind, const std::string& name, const nlohmann::json& spec, const std::string& specText)
 {
     Object& object = this->kinds[kind][name];
-    object = { ++this->revision, spec };
-    this->history.push_back({ this->revision, kind, { { "deleted", false }, { "object", this->describe(name, object) } } });
+    object = { ++this->revision, spec, specText };
+    this->history.push_back({ this->revision, kind, R"({"deleted":false,"object":)" + describe(name, object) + "}" });
     this->loop.post([this] { this->completeWatches(); });
 }
 
-nlohmann::json PlatformStore::describe(const std::string& name, const Object& object) const
+std::string PlatformStore::describe(const std::string& name, const Object& object)
 {
-    return { { "meta", { { "name", name }, { "revision", object.revision } } }, { "spec", object.spec }, { "status", nullptr } };
+    nlohmann::json meta { { "name", name }, { "revision", object.revision } };
+    return R"({"meta":)" + meta.dump() + R"(,"spec":)" + object.specText + R"(,"status":null})";
 }
 
-nlohmann::json PlatformStore::listEvents(const std::string& kind, std::uint64_t after) const
+std::vector<std::string> PlatformStore::listEvents(const std::string& kind, std::uint64_t after) const
 {
-    nlohmann::json events = nlohmann::json::array();
+    std::vector<std::string> events;
     for (const Event& event : this->history) {
         if (event.kind == kind && event.revision > after)
-            events.push_back(event.content);
+            events.push_back(event.text);
     }
     return events;
 }
 
+HttpResponse PlatformStore::makeEventsResponse(const std::vector<std::string>& events) const
+{
+    return respondWith(ok, R"({"events":)" + makeArray(events) + R"(,"at_rev":)" + std::to_string(this->revision) + "}");
+}
+
 void PlatformStore::completeWatches()
 {
     std::vector<std::pair<Watch, HttpResponse>> responses;
@@ -181,7 +201,7 @@
             return this->listEvents(watch.kind, watch.after).empty();
         });
         for (std::vector<Watch>::iterator watch = firstReady; watch != this->watches.end(); ++watch)
-            responses.emplace_back(*watch, respondWith(ok, { { "events", this->listEvents(watch->kind, watch->after) }, { "at_rev", this->revision } }));
+            responses.emplace_back(*watch, this->makeEventsResponse(this->listEvents(watch->kind, watch->after)));
         this->watches.erase(firstReady, this->watches.end());
     }
     for (const std::pair<Watch, HttpResponse>& answer : responses)
@@ -214,7 +234,7 @@
         if (found == this->watches.end())
             return;
         this->watches.erase(found);
-        this->sendResponse(port, handle, respondWith(ok, { { "events", nlohmann::json::array() }, { "at_rev", this->revision } }));
+        this->sendResponse(port, handle, this->makeEventsResponse({}));
     });
 }
 
@@ -223,13 +243,13 @@
     std::lock_guard<std::mutex> lock(this->mutex);
     std::map<std::string, Object>& objects = this->kinds[kind];
     if (name.empty()) {
-        nlohmann::json items = nlohmann::json::array();
+        std::vector<std::string> items;
         for (const std::pair<const std::string, Object>& object : objects)
-            items.push_back(this->describe(object.first, object.second));
-        return respondWith(ok, { { "items", items }, { "has_more", false }, { "at_rev", this->revision } });
+            items.push_back(describe(object.first, object.second));
+        return respondWith(ok, R"({"items":)" + makeArray(items) + R"(,"has_more":false,"at_rev":)" + std::to_string(this->revision) + "}");
     }
     std::map<std::string, Object>::const_iterator found = objects.find(name);
-    return found == objects.end() ? respondWith(notFound) : respondWith(ok, this->describe(name, found->second));
+    return found == objects.end() ? respondWith(notFound) : respondWith(ok, describe(name, found->second));
 }
 
 HttpResponse PlatformStore::handleWrite(const HttpRequest& request, const std::string& kind, const std::string& name)
@@ -247,9 +267,9 @@
     std::uint64_t expected = body["meta"].value("revision", std::uint64_t(0));
     bool isConflict = isCreating ? found != objects.end() : expected > 0 && expected != found->second.revision;
     if (isConflict)
-        return respondWith(conflict, this->describe(target, found->second));
-    this->store(kind, target, body["spec"]);
-    return respondWith(ok, this->describe(target, objects[target]));
+        return respondWith(conflict, describe(target, found->second));
+    this->store(kind, target, body["spec"], body["spec"].dump());
+    return respondWith(ok, describe(target, objects[target]));
 }
 
 HttpResponse PlatformStore::handlePromotion(const HttpRequest& request)
--- a/standins/platform/PlatformStore.h
+++ b/standins/platform/PlatformStore.h
@@ -48,6 +48,9 @@
     /// Writes an object without a condition, as an operator or an upstream does.
     void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
 
+    /// Writes an object of another writer, whose spec may be any bytes. read() and list() see its spec as null.
+    void putRaw(const std::string& kind, const std::string& name, const std::string& specText);
+
     /// Removes an object.
     void remove(const std::string& kind, const std::string& name);
 
@@ -80,12 +83,14 @@
     struct Object {
         std::uint64_t revision = 0;
         nlohmann::json spec;
+        /// The spec as it is sent.
+        std::string specText;
     };
 
     struct Event {
         std::uint64_t revision;
         std::string kind;
-        nlohmann::json content;
+        std::string text;
     };
 
     class Port;
@@ -105,12 +110,13 @@
     HttpResponse handleWrite(const HttpRequest& request, const std::string& kind, const std::string& name);
     HttpResponse handlePromotion(const HttpRequest& request);
     void startWatch(Port& port, WebSocketServer::Handle handle, const std::string& kind, const std::string& query);
-    void store(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+    void store(const std::string& kind, const std::string& name, const nlohmann::json& spec, const std::string& specText);
     void completeWatches();
     /// Discards the history and ends all watches. The mutex must be held.
     void endWatches();
-    nlohmann::json describe(const std::string& name, const Object& object) const;
-    nlohmann::json listEvents(const std::string& kind, std::uint64_t after) const;
+    static std::string describe(const std::string& name, const Object& object);
+    std::vector<std::string> listEvents(const std::string& kind, std::uint64_t after) const;
+    HttpResponse makeEventsResponse(const std::vector<std::string>& events) const;
 
     EventLoop& loop;
     std::vector<std::unique_ptr<Port>> ports;
