Limit log points to a baseline by their term, not by the generation in which they were learnt

Cause: the restored record shows generation 0, so the instance kept the log heads of the new primary, which it verified through the replicas, as proofs of generation 0. When another instance told it of generation 1, FreshnessProofs took them for proofs of the former primary, lowered them to the log head at the promotion and kept their times. A replica with no more than that head passed for as fresh as those times. A session's own commit was lowered in the same way, and was not required at all while the group changed once more.

Change: a log point holds the term of the primary that wrote it. PrimaryEntry::limitToSurviving limits it to the baseline only when its term is below that of the entry's primary; proofs and own commits use it. An own commit needs no generation any more.

--- a/include/lentiljunction/leadership/PrimaryRecord.h
+++ b/include/lentiljunction/leadership/PrimaryRecord.h
@@ -4,6 +4,7 @@
 #include "lentiljunction/core/Ids.h"
 #include "lentiljunction/session/TermHistory.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -34,6 +35,13 @@
     Term term;
     /// The era of the store in which the entry was written, or last confirmed by the upstreams of the group.
     StoreEra era = StoreEra();
+
+    /// Limits a log point to what survived the promotion of this primary. A point in the term of this primary, or in a
+    /// later one, was not written before that promotion, whatever the generation in which an instance learnt it: a record
+    /// that was restored from an older copy lacks failovers.
+    ///
+    /// @returns the lowest point that the log of an upstream must reach to have all that survived up to `point`
+    LogPoint limitToSurviving(const LogPoint& point) const { return point.term < this->term ? std::min(point, this->baseline) : point; }
 };
 
 /// The primary of each group and the failover coordinator. All instances share this one object in the
--- a/include/lentiljunction/leadership/PrimaryView.h
+++ b/include/lentiljunction/leadership/PrimaryView.h
@@ -44,8 +44,9 @@
     /// @returns the number of completed failovers of the group
     std::uint64_t getGeneration(const GroupId& group) const;
 
-    /// @returns the log head of the primary at its promotion, or nothing before the first failover and during one
-    std::optional<LogPoint> findBaseline(const GroupId& group) const;
+    /// @returns the part of a group's log up to `point` that survived the last known failover
+    /// @see PrimaryEntry::limitToSurviving()
+    LogPoint limitToSurviving(const GroupId& group, const LogPoint& point) const;
 
     /// @returns whether a failover of the group is in progress
     bool isChanging(const GroupId& group) const;
--- a/src/leadership/PrimaryView.cpp
+++ b/src/leadership/PrimaryView.cpp
@@ -32,12 +32,10 @@
     return entry == nullptr ? 0 : entry->generation;
 }
 
-std::optional<LogPoint> PrimaryView::findBaseline(const GroupId& group) const
+LogPoint PrimaryView::limitToSurviving(const GroupId& group, const LogPoint& point) const
 {
     const PrimaryEntry* entry = this->latest.record == nullptr ? nullptr : this->latest.record->find(group);
-    if (entry == nullptr || entry->phase == PrimaryPhase::Changing)
-        return std::nullopt;
-    return entry->baseline;
+    return entry == nullptr ? point : entry->limitToSurviving(point);
 }
 
 bool PrimaryView::isChanging(const GroupId& group) const
--- a/src/traffic/CallerSession.h
+++ b/src/traffic/CallerSession.h
@@ -114,7 +114,7 @@
     /// The connection on which the open transaction runs.
     HeldConnection held;
     std::shared_ptr<StatementRun> run;
-    std::optional<OwnCommit> ownCommit;
+    std::optional<LogPoint> ownCommit;
     /// The id of the last statement, for logs.
     RequestId statementId;
     /// When the first buffered byte arrived, on the boot clock and on the steady clock.
--- a/src/traffic/FreshnessProofs.cpp
+++ b/src/traffic/FreshnessProofs.cpp
@@ -13,16 +13,16 @@
 
 } // namespace
 
-void FreshnessProofs::onNewPrimary(const GroupId& group, std::uint64_t generation, LogPoint baseline)
+void FreshnessProofs::onNewPrimary(const GroupId& group, const PrimaryEntry& primary)
 {
     History& history = this->histories[group];
-    if (generation <= history.generation)
+    if (primary.generation <= history.generation)
         return;
-    if (generation > history.generation + 1)
+    if (primary.generation > history.generation + 1)
         history.proofs.clear();
-    history.generation = generation;
+    history.generation = primary.generation;
     for (Proof& proof : history.proofs)
-        proof.head = std::min(proof.head, baseline);
+        proof.head = primary.limitToSurviving(proof.head);
 }
 
 void FreshnessProofs::add(const GroupId& group, std::uint64_t generation, BootTime requestedAt, LogPoint head)
--- a/src/traffic/FreshnessProofs.h
+++ b/src/traffic/FreshnessProofs.h
@@ -2,6 +2,7 @@
 
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/core/Ids.h"
+#include "lentiljunction/leadership/PrimaryRecord.h"
 #include "lentiljunction/session/TermHistory.h"
 
 #include <deque>
@@ -30,12 +31,13 @@
 
     /// Records that a group has a new primary.
     ///
-    /// Every commit of the previous generation that survived is at or before the log head with which the
-    /// new primary began, so proofs of the previous generation stay valid up to this head. Proofs of
-    /// earlier generations are dropped.
+    /// Every commit of an earlier primary that survived is at or before the log head with which the new primary
+    /// began, so proofs of the previous generation stay valid up to this head. Proofs of earlier generations are
+    /// dropped. A proof whose log head is in the term of the new primary covers commits of that primary, although it
+    /// was added in an earlier generation: it keeps its head.
     ///
-    /// @param baseline the log head of the new primary when it was promoted
-    void onNewPrimary(const GroupId& group, std::uint64_t generation, LogPoint baseline);
+    /// @param primary the entry of the new primary
+    void onNewPrimary(const GroupId& group, const PrimaryEntry& primary);
 
     /// Adds the log head of a primary.
     ///
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -419,8 +419,8 @@
     if (this->target.source != nullptr)
         result.upstream = this->target.source->getUpstream().id;
     bool isCommitted = reply.isSuccess() && this->request.traits.mode == AccessMode::Write && (this->request.traits.isCommit || !this->request.traits.isInTransaction);
-    if (isCommitted && reply.head)
-        result.commit = OwnCommit { *reply.head, this->state.getView().getGeneration(this->request.requirement.route->group) };
+    if (isCommitted)
+        result.commit = reply.head;
     result.held = this->held;
     result.cause = reply.isSuccess() ? FailureCause::None : this->failure.get();
     result.reply = std::move(reply);
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -48,8 +48,8 @@
         HeldConnection held;
         /// The upstream that answered last, for logs.
         UpstreamId upstream;
-        /// Set after a commit that wrote.
-        std::optional<OwnCommit> commit;
+        /// The log point of a commit that wrote.
+        std::optional<LogPoint> commit;
         int numAttempts = 0;
     };
 
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -77,7 +77,7 @@
         if (tenure.generation != group.second.generation)
             tenure = { group.second.generation, this->getClock().bootNow() };
         if (group.second.phase == PrimaryPhase::Stable)
-            this->proofs.onNewPrimary(group.first, group.second.generation, group.second.baseline);
+            this->proofs.onNewPrimary(group.first, group.second);
     }
 }
 
@@ -213,12 +213,7 @@
         return required;
 
     // The surviving commits of an earlier primary are part of the log with which the next primary began.
-    std::optional<LogPoint> own = requirement.ownCommit->point;
-    if (requirement.ownCommit->generation != generation)
-        own = this->view.findBaseline(requirement.route->group);
-    if (own && *required < *own)
-        required = own;
-    return required;
+    return std::max(*required, this->view.limitToSurviving(requirement.route->group, *requirement.ownCommit));
 }
 
 bool TrafficState::isKnownPrimary(const GroupId& group, const PrimaryTenure& primary) const
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -24,20 +24,14 @@
 
 class QuotaClient;
 
-/// A commit of a session, with the generation of the primary that executed it.
-struct OwnCommit {
-    LogPoint point;
-    std::uint64_t generation = 0;
-};
-
 /// The data that a read must see, and the upstreams that it may use.
 struct ReadRequirement {
     /// The route of the session's database.
     const Route* route = nullptr;
     /// When the first byte of the read, or of its transaction, arrived.
     BootTime arrivedAt;
-    /// The session's last commit, if it made one.
-    std::optional<OwnCommit> ownCommit;
+    /// The log point of the session's last commit, if it made one.
+    std::optional<LogPoint> ownCommit;
     /// Upstreams that were already tried.
     std::set<UpstreamId> tried;
 };
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -22,6 +22,12 @@
     return { Term(1), Position(position) };
 }
 
+/// @returns the entry of a primary that was promoted in a term
+PrimaryEntry makePrimary(std::uint64_t generation, std::uint64_t term, LogPoint baseline)
+{
+    return { PrimaryPhase::Stable, UpstreamId("u"), generation, baseline, Term(term) };
+}
+
 ReadCandidate candidate(const char* name, bool isLocal, bool isPrimary, std::chrono::milliseconds latency)
 {
     return { UpstreamId(name), isLocal, isPrimary, true, latency, 0, std::nullopt, Duration(0) };
@@ -67,15 +73,27 @@
     BootTime begin = clock.bootNow();
     proofs.add(group, 0, begin, point(5));
     proofs.add(group, 0, begin + std::chrono::milliseconds(100), point(9));
-    proofs.onNewPrimary(group, 1, point(7));
+    proofs.onNewPrimary(group, makePrimary(1, 2, point(7)));
     CHECK(proofs.findRequired(group, 1, begin) == point(5));
     CHECK(proofs.findRequired(group, 1, begin + std::chrono::milliseconds(50)) == point(7));
 }
 
+// A restored record hides a failover, so that proofs of the new primary are added in the generation before it.
+TEST(FreshnessProofs, proofsInTermOfNewPrimaryKeepTheirHead)
+{
+    BootTime begin = clock.bootNow();
+    LogPoint later { Term(2), Position(9) };
+    proofs.add(group, 0, begin, point(9));
+    proofs.add(group, 0, begin + std::chrono::milliseconds(100), later);
+    proofs.onNewPrimary(group, makePrimary(1, 2, point(7)));
+    CHECK(proofs.findRequired(group, 1, begin) == point(7));
+    CHECK(proofs.findRequired(group, 1, begin + std::chrono::milliseconds(50)) == later);
+}
+
 TEST(FreshnessProofs, proofsOlderThanPreviousGenerationAreDropped)
 {
     proofs.add(group, 0, clock.bootNow(), point(5));
-    proofs.onNewPrimary(group, 2, point(7));
+    proofs.onNewPrimary(group, makePrimary(2, 3, point(7)));
     CHECK_FALSE(proofs.findRequired(group, 2, clock.bootNow()).has_value());
 }
 
