--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -60,6 +60,7 @@
     constexpr LogEvent instanceReturned { 415, LogLevel::Information, "instance_returned", "This instance was marked as retired in the primary record and requested the removal of that mark." };
     constexpr LogEvent primaryRecordOutdated { 416, LogLevel::Warning, "lead_outdated", "The store returned a primary record from before it was restored, or none; it grants no lease until it is recovered." };
     constexpr LogEvent primaryRecordRecovered { 417, LogLevel::Information, "lead_recovered", "This instance wrote the newest primary record that it knows to the restored store, unless another one had." };
+    constexpr LogEvent commitsUnproved { 419, LogLevel::Warning, "commits_unproved", "A primary is replaced although an upstream that may hold acknowledged commits of the group did not respond for too long." };
     constexpr LogEvent primaryConfirmed { 418, LogLevel::Information, "primary_confirmed", "The upstreams of a group were asked for its primary after the store was restored." };
     constexpr LogEvent gateOpened { 500, LogLevel::Information, "gate_opened", "This instance became the gate of an upstream." };
     constexpr LogEvent gateClosed { 501, LogLevel::Information, "gate_closed", "This instance is no longer the gate of an upstream." };
--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -3,6 +3,7 @@
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/core/Ids.h"
 #include "lentiljunction/interactive/ReplicationStatus.h"
+#include "lentiljunction/leadership/CommitSurvey.h"
 #include "lentiljunction/leadership/PrimaryRecord.h"
 
 #include <map>
@@ -21,6 +22,9 @@
 ///    repeated for the same replica, even if a better one has become reachable.
 /// 4. Once the replica reports that it is the primary, the primary record names it.
 ///
+/// Where commits wait for replicas, step 3 promotes only an upstream that has all acknowledged commits; see
+/// requireAcknowledgedCommits().
+///
 /// Performs no I/O: it takes events and returns the actions to carry out.
 ///
 /// Not thread-safe; the control thread owns it.
@@ -42,6 +46,8 @@
             RequestStatus,
             /// Turn the old primary into a replica.
             DemoteOldPrimary,
+            /// Stop a replica from receiving.
+            PauseReplica,
             /// Send the promotion call for an upstream.
             Promote,
             /// Ask the promoted upstream whether it is the primary.
@@ -61,6 +67,31 @@
     /// @param now the start of the failover
     Failover(GroupId group, UpstreamId oldPrimary, std::vector<UpstreamId> candidates, bool isPlanned, Term knownTerm, TimePoint now);
 
+    /// Promotes only an upstream that has all acknowledged commits. Call it before the first action is taken.
+    ///
+    /// @param survey finds such an upstream
+    /// @param isRecordConfirmed whether no failover can be missing from the record, so that the old primary was the last one
+    /// @param giveUpAt when the known upstream with the longest log is promoted nevertheless, so that the group does not
+    /// stay without a primary
+    void requireAcknowledgedCommits(CommitSurvey survey, bool isRecordConfirmed, TimePoint giveUpAt);
+
+    /// Updates the other upstreams of the group; only with requireAcknowledgedCommits().
+    void setMembers(const std::vector<CommitSurvey::Member>& members);
+
+    /// A replica reported its status in response to a pause.
+    ///
+    /// @param term the term of the pause, which has no effect unless it is above that of the replica
+    void onReplicaPaused(const UpstreamId& upstream, const ReplicationStatus& status, Term term);
+
+    /// @returns the term for a pause, above any known one
+    Term getPauseTerm() const { return this->greatestTerm.next(); }
+
+    /// @returns whether the promotion waits for an upstream that may hold acknowledged commits
+    bool isAwaitingCommits() const { return this->step == Step::Surveying && this->commits.has_value(); }
+
+    /// @returns the number of silent upstreams whose commits may be lost, zero unless the failover gave up waiting for them
+    std::size_t getNumGivenUp() const { return this->numGivenUp; }
+
     /// Limits the time until the primary record marks the group as changing: a store that was unreachable may
     /// accept this write long after the primary recovered.
     ///
@@ -138,12 +169,19 @@
     bool isCurrentPrimary(const UpstreamId& candidate) const;
     std::optional<UpstreamId> selectPromotionTarget() const;
     void advanceSurvey(BootTime bootNow, TimePoint now);
+    void advanceCommitSurvey(BootTime bootNow, TimePoint now);
+    void queueCommitRequests(bool isUnused, TimePoint now);
+    std::optional<UpstreamId> findCommitTarget(TimePoint now);
+    std::optional<UpstreamId> findPromotedCandidate() const;
+    void startPromotion(const UpstreamId& target);
     void advanceConfirmation(TimePoint now);
 
     GroupId group;
     UpstreamId oldPrimary;
     std::vector<UpstreamId> candidates;
     bool isPlanned;
+    /// The term of the old primary in the primary record.
+    Term recordedTerm;
     /// The greatest term reported by any upstream of the group.
     Term greatestTerm;
     /// The promotion has taken effect when the target reports to be the primary in this term or a later one.
@@ -164,6 +202,14 @@
     std::set<UpstreamId> refusedCandidates;
     std::optional<UpstreamId> promotionTarget;
     ReplicationStatus newPrimaryStatus;
+
+    /// Set where an upstream must have all acknowledged commits to be promoted.
+    std::optional<CommitSurvey> commits;
+    bool isRecordConfirmed = false;
+    TimePoint giveUpAt;
+    /// When the old primary was no longer used by any instance.
+    std::optional<TimePoint> unusedSince;
+    std::size_t numGivenUp = 0;
 };
 
 } // namespace lentiljunction
--- a/include/lentiljunction/leadership/lj_leadership.h
+++ b/include/lentiljunction/leadership/lj_leadership.h
@@ -4,6 +4,7 @@
 /// Module leadership: the primary of each group, the leases on the primary record, and failover.
 /// Depends on core, routes and session.
 
+#include "lentiljunction/leadership/CommitSurvey.h"
 #include "lentiljunction/leadership/CoordinatorHandover.h"
 #include "lentiljunction/leadership/Failover.h"
 #include "lentiljunction/leadership/FailoverForecast.h"
--- a/include/lentiljunction/routes/RouteTable.h
+++ b/include/lentiljunction/routes/RouteTable.h
@@ -40,6 +40,8 @@
 struct GroupConfig {
     /// Connections that one upstream accepts from all instances together.
     int maximumConnections = 0;
+    /// Replicas that have received a commit when the primary acknowledges it; such a commit survives a failover.
+    std::size_t numSynchronousReplicas = 0;
 };
 
 /// One version of the routing configuration. Immutable once it is in force.
--- a/include/lentiljunction/routes/UpstreamRegistry.h
+++ b/include/lentiljunction/routes/UpstreamRegistry.h
@@ -17,6 +17,9 @@
 /// restored, or a snapshot, is old.
 constexpr std::chrono::minutes leavingUpstreamRetention { 5 };
 
+/// How long an upstream is remembered that is gone without having been leaving. It may return with its log.
+constexpr std::chrono::seconds lostUpstreamRetention { 15 };
+
 /// Holds the list of upstreams in force. Upstreams that are missing from a snapshot stay in it for a short time.
 ///
 /// An upstream that was leaving is used again only after it was restarted: an entry that does not show it as leaving is
@@ -30,6 +33,9 @@
     /// @returns one log line for each change
     std::vector<std::string> offer(const UpstreamList& snapshot, TimePoint now);
 
+    /// @returns the upstreams of a group that are gone without having been leaving, and have not returned
+    std::vector<UpstreamId> listLost(const GroupId& group, TimePoint now) const;
+
     /// @returns the list in force
     const std::shared_ptr<const UpstreamList>& getList() const { return this->list; }
 
@@ -45,8 +51,15 @@
     void keepLeaving(UpstreamEntry& entry, TimePoint now);
     void forgetLeaving(TimePoint now);
 
+    /// An upstream that is gone without having been leaving.
+    struct LostUpstream {
+        GroupId group;
+        TimePoint lostAt;
+    };
+
     std::map<UpstreamId, TimePoint> missingSince;
     std::map<UpstreamId, LeavingUpstream> leaving;
+    std::map<UpstreamId, LostUpstream> lost;
 };
 
 } // namespace lentiljunction
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -107,6 +107,7 @@
         events::primaryRecordOutdated,
         events::primaryRecordRecovered,
         events::primaryConfirmed,
+        events::commitsUnproved,
         events::gateOpened,
         events::gateClosed,
         events::connectionDiscarded,
--- /dev/null
+++ b/src/gateway/CommitProtection.cpp
@@ -0,0 +1,79 @@
+#include "CommitProtection.h"
+
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// Longer than a crashed upstream needs to return with its log. After it, an available primary counts for more than
+    /// commits that only lost upstreams have.
+    constexpr std::chrono::seconds commitWait { 15 };
+
+} // namespace
+
+CommitProtection::CommitProtection(EventLoop& loop, const Clock& clock, UpstreamCommander& commander, const KnownState& state, InstanceId self)
+    : clock(clock)
+    , state(state)
+    , self(std::move(self))
+    , resumer(loop, commander, [this](const GroupId& group) { return this->listReplicas(group); })
+{
+}
+
+std::optional<std::size_t> CommitProtection::findSynchronousReplicas(const GroupId& group) const
+{
+    if (this->state.getRoutes() == nullptr)
+        return std::nullopt;
+    std::map<GroupId, GroupConfig>::const_iterator found = this->state.getRoutes()->groups.find(group);
+    return found == this->state.getRoutes()->groups.end() ? 0 : found->second.numSynchronousReplicas;
+}
+
+void CommitProtection::apply(Failover& failover) const
+{
+    const PrimaryRecord& record = *this->state.getLeaseTracker().getView().latest.record;
+    const PrimaryEntry* entry = record.find(failover.getGroup());
+    const UpstreamEntry* old = this->state.getUpstreamList().find(failover.getOldPrimary());
+    bool isLeaving = old == nullptr || old->isLeaving;
+    CommitSurvey survey(failover.getOldPrimary(), isLeaving, this->findSynchronousReplicas(failover.getGroup()).value_or(1), entry == nullptr ? LogPoint() : entry->baseline);
+    survey.setMembers(this->listMembers(failover.getGroup(), failover.getOldPrimary()));
+    TimePoint since = this->state.findChangingSince(failover.getGroup()).value_or(this->clock.now());
+    failover.requireAcknowledgedCommits(std::move(survey), record.isConfirmed(failover.getGroup()), since + commitWait);
+}
+
+std::vector<CommitSurvey::Member> CommitProtection::listMembers(const GroupId& group, const UpstreamId& oldPrimary) const
+{
+    std::vector<CommitSurvey::Member> members;
+    for (const std::pair<const UpstreamId, UpstreamEntry>& upstream : this->state.getUpstreamList().entries) {
+        if (upstream.second.group == group && upstream.first != oldPrimary)
+            members.push_back({ upstream.first, upstream.second.isLeaving, true });
+    }
+    for (const UpstreamId& lost : this->state.listLostUpstreams(group)) {
+        if (lost != oldPrimary)
+            members.push_back({ lost, false, false });
+    }
+    return members;
+}
+
+std::vector<UpstreamEntry> CommitProtection::listReplicas(const GroupId& group) const
+{
+    const PrimaryView& view = this->state.getLeaseTracker().getView();
+    std::optional<PrimaryTenure> primary = view.findPrimaryTenure(group, this->state.getUpstreamList());
+    bool isCoordinator = view.latest.record != nullptr && view.latest.record->coordinator == this->self;
+    std::vector<UpstreamEntry> replicas;
+    // A pause belongs to the failover in progress, or to the coordinator that took over.
+    if (!primary || !isCoordinator)
+        return replicas;
+    for (const std::pair<const UpstreamId, UpstreamEntry>& upstream : this->state.getUpstreamList().entries) {
+        if (upstream.second.group == group && upstream.first != primary->upstream)
+            replicas.push_back(upstream.second);
+    }
+    return replicas;
+}
+
+void CommitProtection::resumeReplicas(const GroupId& group)
+{
+    if (this->findSynchronousReplicas(group).value_or(0) > 0)
+        this->resumer.resume(group);
+}
+
+} // namespace lentiljunction
--- a/src/gateway/FailoverCoordination.cpp
+++ b/src/gateway/FailoverCoordination.cpp
@@ -74,8 +74,10 @@
     for (const std::pair<const GroupId, PrimaryEntry>& group : view.latest.record->groups) {
         if (group.second.phase == PrimaryPhase::Stable) {
             this->changingSince.erase(group.first);
+            this->firstSeenChanging.erase(group.first);
             continue;
         }
+        this->firstSeenChanging.emplace(group.first, now);
         std::pair<FencingToken, TimePoint>& since = this->changingSince.emplace(group.first, std::make_pair(view.latest.record->epoch, now)).first->second;
         if (since.first != view.latest.record->epoch)
             since = { view.latest.record->epoch, now };
@@ -85,10 +87,39 @@
         if (view.latest.record->coordinator == this->dependencies.self)
             this->dependencies.executor.start(group.first, group.second.primary, false, "resumed after a restart");
         else if (now - since.second >= stalledFailoverTimeout + this->getTakeoverDelay())
-            this->tryTakeover(group.first, group.second.primary, true);
+            this->takeOverStalled(group.first, group.second.primary);
     }
 }
 
+void FailoverCoordination::takeOverStalled(const GroupId& group, const UpstreamId& primary)
+{
+    std::optional<FleetMember> coordinator = this->state.findMember(this->state.getLeaseTracker().getView().latest.record->coordinator);
+    if (!coordinator)
+        return this->tryTakeover(group, primary, true);
+    this->dependencies.peers.ask(coordinator->peers, { { "ask", "failover_progress" }, { "group", group.toString() } }, peerTimeout, [this, group, primary](const std::optional<nlohmann::json>& response) {
+        std::map<GroupId, std::pair<FencingToken, TimePoint>>::iterator since = this->changingSince.find(group);
+        if (since == this->changingSince.end())
+            return;
+        if (response && response->is_object() && response->value("is_waiting", false))
+            since->second.second = this->dependencies.clock.now();
+        else
+            this->tryTakeover(group, primary, true);
+    });
+}
+
+std::optional<TimePoint> FailoverCoordination::findChangingSince(const GroupId& group) const
+{
+    std::map<GroupId, TimePoint>::const_iterator found = this->firstSeenChanging.find(group);
+    return found == this->firstSeenChanging.end() ? std::nullopt : std::optional<TimePoint>(found->second);
+}
+
+nlohmann::json FailoverCoordination::makeProgressResponse(const nlohmann::json& request) const
+{
+    // Without the store or the promotion service, the coordinator cannot carry out the failover in the end.
+    bool canPromote = this->state.isStoreReachable() && !this->dependencies.executor.arePromotionsFailing();
+    return { { "is_waiting", canPromote && this->dependencies.executor.isAwaitingCommits(GroupId(request.value("group", ""))) } };
+}
+
 void FailoverCoordination::requestReplacement(const GroupId& group, const UpstreamId& primary, bool isLeaving)
 {
     const PrimaryView& view = this->state.getLeaseTracker().getView();
--- a/src/gateway/FailoverCoordination.h
+++ b/src/gateway/FailoverCoordination.h
@@ -70,6 +70,12 @@
     /// Resumes or takes over failovers that make no progress. Call it after the primary record was read.
     void checkStalledFailovers();
 
+    /// @returns when this instance first saw that the primary of a group is being replaced, or nothing
+    std::optional<TimePoint> findChangingSince(const GroupId& group) const;
+
+    /// @returns the response to an instance that considers a takeover: whether this one is waiting for acknowledged commits
+    nlohmann::json makeProgressResponse(const nlohmann::json& request) const;
+
     /// Handles the report of another instance that it has lost a primary.
     void onSuspicionReport(const nlohmann::json& request, const PeerRpc::Responder& respond);
 
@@ -94,6 +100,8 @@
     void collectVotes(const GroupId& group, const UpstreamId& primary, std::function<void(const TakeoverVote& vote)> callback);
     /// Holds a vote. If this instance wins, it becomes the coordinator and starts the failover.
     void tryTakeover(const GroupId& group, const UpstreamId& primary, bool isLeaving);
+    /// Takes over a stalled failover, unless its coordinator waits for an upstream that may hold acknowledged commits.
+    void takeOverStalled(const GroupId& group, const UpstreamId& primary);
     bool hasLostPrimary(const GroupId& group, const UpstreamId& primary) const;
 
     Dependencies dependencies;
@@ -102,6 +110,8 @@
     BootTime votedAt;
     /// For each group with a failover in progress, the epoch of its coordinator and when it was first seen.
     std::map<GroupId, std::pair<FencingToken, TimePoint>> changingSince;
+    /// When each failover in progress was first seen, whoever coordinates it.
+    std::map<GroupId, TimePoint> firstSeenChanging;
     std::set<GroupId> groupsVoting;
     /// When this instance last failed to connect to each primary.
     std::map<UpstreamId, TimePoint> unreachableAt;
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -16,8 +16,6 @@
     /// Allows several round trips between availability zones.
     constexpr std::chrono::milliseconds peerTimeout { 150 };
     constexpr std::chrono::milliseconds promotionRetryDelay { 150 };
-    /// A coordinator whose promotion calls fail for longer lets another instance take over.
-    constexpr std::chrono::milliseconds promotionFailureTimeout { 1000 };
     /// With more instances, requesting the confirmations of all takes one small machine longer than the leases need to
     /// expire, and those that are late would be retired. Then a failover waits until all leases have expired.
     constexpr std::size_t maximumConfirmations = 100;
@@ -29,6 +27,8 @@
 
 FailoverExecutor::FailoverExecutor(const Dependencies& dependencies)
     : dependencies(dependencies)
+    , calls(dependencies.store, dependencies.clock, dependencies.self)
+    , protection(dependencies.loop, dependencies.clock, dependencies.commander, dependencies.context, dependencies.self)
     , timer(dependencies.loop, dependencies.clock, [this] { this->tick(); })
 {
 }
@@ -36,24 +36,30 @@
 void FailoverExecutor::start(const GroupId& group, const UpstreamId& primary, bool isPlanned, const std::string& cause)
 {
     const VersionedPrimaryRecord& latest = this->dependencies.context.getLeaseTracker().getView().latest;
-    std::vector<UpstreamId> candidates = this->listCandidates(group, primary);
+    // Until the routes are known, it is not known either whether commits of the group wait for replicas.
+    std::optional<std::size_t> numSynchronousReplicas = this->protection.findSynchronousReplicas(group);
+    std::vector<UpstreamId> candidates = this->listCandidates(group, primary, numSynchronousReplicas.value_or(0) > 0);
     // Until a restored record is recovered, no change can be based on it.
     bool isRecordCurrent = latest.record != nullptr && latest.record->era == this->dependencies.store.getEra();
-    if (this->isActive(group) || candidates.empty() || !isRecordCurrent)
+    if (this->isActive(group) || !numSynchronousReplicas || candidates.empty() || !isRecordCurrent)
         return;
     logEvent(events::promotionStarted, "group=" + group.toString() + " primary=" + primary.toString() + " planned=" + std::to_string(isPlanned) + " cause=\"" + cause + "\" candidates=" + std::to_string(candidates.size()));
     TimePoint now = this->dependencies.clock.now();
     const PrimaryEntry* known = latest.record->find(group);
-    this->runs.emplace(group, Run { Failover(group, primary, candidates, isPlanned, known == nullptr ? Term() : known->term, now), {}, cause, now, "", false });
+    Run run { Failover(group, primary, candidates, isPlanned, known == nullptr ? Term() : known->term, now), {}, cause, now, "" };
+    run.isSynchronous = *numSynchronousReplicas > 0;
+    if (run.isSynchronous)
+        this->protection.apply(run.failover);
+    this->runs.emplace(group, std::move(run));
     this->advance(group);
     this->timer.setTime(now + tickInterval);
 }
 
-std::vector<UpstreamId> FailoverExecutor::listCandidates(const GroupId& group, const UpstreamId& primary) const
+std::vector<UpstreamId> FailoverExecutor::listCandidates(const GroupId& group, const UpstreamId& primary, bool includesLeaving) const
 {
     std::vector<UpstreamId> candidates;
     for (const std::pair<const UpstreamId, UpstreamEntry>& entry : this->dependencies.context.getUpstreamList().entries) {
-        if (entry.second.group == group && !entry.second.isLeaving && entry.first != primary)
+        if (entry.second.group == group && (includesLeaving || !entry.second.isLeaving) && entry.first != primary)
             candidates.push_back(entry.first);
     }
     return candidates;
@@ -65,6 +71,12 @@
     return found == this->runs.end() ? nullptr : &found->second;
 }
 
+bool FailoverExecutor::isAwaitingCommits(const GroupId& group) const
+{
+    std::map<GroupId, Run>::const_iterator found = this->runs.find(group);
+    return found != this->runs.end() && found->second.failover.isAwaitingCommits();
+}
+
 void FailoverExecutor::tick()
 {
     std::vector<GroupId> groups;
@@ -81,6 +93,8 @@
     Run* run = this->findRun(group);
     if (run == nullptr)
         return;
+    if (run->isSynchronous)
+        run->failover.setMembers(this->protection.listMembers(group, run->failover.getOldPrimary()));
     std::vector<Failover::Action> actions = run->failover.takeActions(this->dependencies.clock.bootNow(), this->dependencies.clock.now());
     if (run->lastLoggedStep != run->failover.getStepName()) {
         run->lastLoggedStep = run->failover.getStepName();
@@ -109,7 +123,9 @@
     case Failover::Action::Kind::RequestPromotedStatus:
         return this->requestStatus(group, action.upstream);
     case Failover::Action::Kind::DemoteOldPrimary:
-        return this->demoteOldPrimary(group, action.upstream);
+        return this->demoteOldPrimary(run, action.upstream);
+    case Failover::Action::Kind::PauseReplica:
+        return this->pauseReplica(run, action.upstream);
     case Failover::Action::Kind::Promote:
         return this->promote(run, action.upstream);
     case Failover::Action::Kind::WriteStable:
@@ -180,8 +196,10 @@
         logEvent(events::promotionDone, "group=" + group.toString() + " primary=" + current->failover.getPromotionTarget()->toString() + " term=" + std::to_string(status.term.value()) + " took_ms=" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(this->dependencies.clock.now() - current->startedAt).count()));
         this->recordChange(*current, status);
         this->notifyInstances(*current);
+        if (current->isSynchronous)
+            this->protection.resumeReplicas(group);
         const UpstreamEntry* old = this->dependencies.context.getUpstreamList().find(current->failover.getOldPrimary());
-        if (old != nullptr)
+        if (old != nullptr && old->id != *current->failover.getPromotionTarget())
             this->dependencies.commander.demote(*old, status.term, [](const std::optional<ReplicationStatus>&, bool) {});
         this->advance(group);
     });
@@ -255,17 +273,25 @@
     });
 }
 
-void FailoverExecutor::demoteOldPrimary(const GroupId& group, const UpstreamId& upstream)
+void FailoverExecutor::demoteOldPrimary(Run& run, const UpstreamId& upstream)
 {
     const UpstreamEntry* entry = this->dependencies.context.getUpstreamList().find(upstream);
-    if (entry == nullptr)
+    if (entry == nullptr || std::exchange(run.isDemoting, true))
         return;
+    GroupId group = run.failover.getGroup();
     this->dependencies.commander.requestStatus(*entry, [this, group, upstream, copy = *entry](const std::optional<ReplicationStatus>& status, bool) {
-        if (this->findRun(group) == nullptr || !status)
+        Run* requested = this->findRun(group);
+        if (requested == nullptr)
+            return;
+        requested->isDemoting = status.has_value();
+        if (!status)
             return;
         this->dependencies.commander.demote(copy, status->term.next(), [this, group](const std::optional<ReplicationStatus>& demoted, bool) {
             Run* current = this->findRun(group);
-            if (current == nullptr || !demoted)
+            if (current == nullptr)
+                return;
+            current->isDemoting = false;
+            if (!demoted)
                 return;
             current->failover.onOldPrimaryDemoted(*demoted);
             this->advance(group);
@@ -273,6 +299,21 @@
     });
 }
 
+void FailoverExecutor::pauseReplica(const Run& run, const UpstreamId& upstream)
+{
+    const UpstreamEntry* entry = this->dependencies.context.getUpstreamList().find(upstream);
+    if (entry == nullptr)
+        return;
+    Term term = run.failover.getPauseTerm();
+    this->dependencies.commander.pause(*entry, term, [this, group = run.failover.getGroup(), upstream, term](const std::optional<ReplicationStatus>& status, bool) {
+        Run* current = this->findRun(group);
+        if (current == nullptr || !status)
+            return;
+        current->failover.onReplicaPaused(upstream, *status, term);
+        this->advance(group);
+    });
+}
+
 bool FailoverExecutor::isCoordinator() const
 {
     const PrimaryView& view = this->dependencies.context.getLeaseTracker().getView();
@@ -297,38 +338,12 @@
         this->dependencies.loop.schedule(tickInterval, [this, group, upstream] { this->sendPromotionCall(group, upstream); });
         return;
     }
+    std::size_t numGivenUp = this->findRun(group)->failover.getNumGivenUp();
+    if (numGivenUp > 0)
+        logEvent(events::commitsUnproved, "group=" + group.toString() + " upstream=" + upstream.toString() + " silent=" + std::to_string(numGivenUp));
     FencingToken epoch = leaseTracker.getView().latest.record->epoch;
     logEvent(events::failoverStep, "group=" + group.toString() + " step=call upstream=" + upstream.toString() + " epoch=" + std::to_string(epoch.value()));
-    this->numPromotionCalls++;
-    this->dependencies.store.promote(group, upstream, this->dependencies.self, epoch, [this, group](const std::optional<bool>& isDone, const Failure& failure) {
-        this->onPromotionCallEnded(isDone.has_value() || failure.kind == Failure::Kind::Conflict);
-        this->onPromotionResponse(group, isDone.has_value(), failure);
-    });
-}
-
-void FailoverExecutor::onPromotionCallEnded(bool hasResponse)
-{
-    if (hasResponse)
-        this->promotionsFailingSince.reset();
-    else if (!this->promotionsFailingSince)
-        this->promotionsFailingSince = this->dependencies.clock.now();
-    this->numPromotionCalls--;
-    if (this->numPromotionCalls > 0)
-        return;
-    for (const std::function<void()>& callback : std::exchange(this->callsEndedCallbacks, {}))
-        callback();
-}
-
-void FailoverExecutor::runAfterPromotionCalls(std::function<void()> callback)
-{
-    if (this->numPromotionCalls == 0)
-        return callback();
-    this->callsEndedCallbacks.push_back(std::move(callback));
-}
-
-bool FailoverExecutor::arePromotionsFailing() const
-{
-    return this->promotionsFailingSince && this->dependencies.clock.now() - *this->promotionsFailingSince > promotionFailureTimeout;
+    this->calls.send(group, upstream, epoch, [this, group](bool isAccepted, const Failure& failure) { this->onPromotionResponse(group, isAccepted, failure); });
 }
 
 void FailoverExecutor::onPromotionResponse(const GroupId& group, bool hasResponse, const Failure& failure)
--- a/src/gateway/FailoverExecutor.h
+++ b/src/gateway/FailoverExecutor.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "../peer/PeerRpc.h"
+#include "CommitProtection.h"
 #include "PrimaryRecordWriter.h"
+#include "PromotionCalls.h"
 #include "UpstreamCommander.h"
 #include "lentiljunction/audit/AuditTrail.h"
 #include "lentiljunction/leadership/Failover.h"
@@ -23,14 +25,8 @@
 class FailoverExecutor {
 public:
     /// The part of the control plane that the executor uses.
-    class Context {
+    class Context : public CommitProtection::KnownState {
     public:
-        virtual ~Context() = default;
-
-        /// @returns the known upstreams
-        virtual const UpstreamList& getUpstreamList() const = 0;
-        virtual const LeaseTracker& getLeaseTracker() const = 0;
-
         /// @returns the active instances
         virtual std::vector<FleetMember> listActiveMembers() const = 0;
 
@@ -75,10 +71,16 @@
 
     /// Calls back once no promotion call is pending. A coordinator must wait for this before it hands over,
     /// since a late call could arrive after a call of the next coordinator.
-    void runAfterPromotionCalls(std::function<void()> callback);
+    void runAfterPromotionCalls(std::function<void()> callback) { this->calls.runAfterPending(std::move(callback)); }
 
     /// @returns whether promotion calls have failed for so long that another instance should take over
-    bool arePromotionsFailing() const;
+    bool arePromotionsFailing() const { return this->calls.areFailing(); }
+
+    /// @returns whether the failover of a group waits for an upstream that may hold acknowledged commits
+    bool isAwaitingCommits(const GroupId& group) const;
+
+    /// Lets the replicas of a group receive that a failover may have paused, where commits wait for them.
+    void resumeReplicas(const GroupId& group) { this->protection.resumeReplicas(group); }
 
 private:
     /// A failover in progress.
@@ -90,6 +92,10 @@
         std::string lastLoggedStep;
         /// Whether a promotion call is pending or waits until it may be sent.
         bool isPromoting = false;
+        /// Whether commits of the group wait for replicas.
+        bool isSynchronous = false;
+        /// Whether a command to the old primary is pending.
+        bool isDemoting = false;
     };
 
     void tick();
@@ -100,25 +106,23 @@
     void requestConfirmations(Run& run);
     void requestConfirmation(const GroupId& group, const FleetMember& member);
     void requestStatus(const GroupId& group, const UpstreamId& upstream);
-    void demoteOldPrimary(const GroupId& group, const UpstreamId& upstream);
+    void demoteOldPrimary(Run& run, const UpstreamId& upstream);
+    void pauseReplica(const Run& run, const UpstreamId& upstream);
     void promote(Run& run, const UpstreamId& upstream);
     void sendPromotionCall(const GroupId& group, const UpstreamId& upstream);
     void onPromotionResponse(const GroupId& group, bool hasResponse, const Failure& failure);
-    void onPromotionCallEnded(bool hasResponse);
     void recordChange(const Run& run, const ReplicationStatus& status);
     void notifyInstances(const Run& run);
     void abandon(const GroupId& group, const std::string& reason);
     bool isCoordinator() const;
     nlohmann::json makePrimaryRecordMessage() const;
     Run* findRun(const GroupId& group);
-    std::vector<UpstreamId> listCandidates(const GroupId& group, const UpstreamId& primary) const;
+    std::vector<UpstreamId> listCandidates(const GroupId& group, const UpstreamId& primary, bool includesLeaving) const;
 
     Dependencies dependencies;
     std::map<GroupId, Run> runs;
-    std::size_t numPromotionCalls = 0;
-    std::vector<std::function<void()>> callsEndedCallbacks;
-    /// When the first of the consecutive promotion calls without a response ended.
-    std::optional<TimePoint> promotionsFailingSince;
+    PromotionCalls calls;
+    CommitProtection protection;
     OneShotTimer timer;
 };
 
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -382,6 +382,8 @@
         return this->coordination.onSuspicionReport(request, respond);
     if (kind == "opinion")
         return respond(this->coordination.makeVoteResponse(request));
+    if (kind == "failover_progress")
+        return respond(this->coordination.makeProgressResponse(request));
     if (kind == "record_version")
         return respond(this->recovery.makeVersionResponse());
     logEvent(events::peerMessageInvalid, "reason=\"an unknown question\"");
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -82,6 +82,8 @@
     bool haveEarlierLeasesExpired() const override { return this->recovery.haveEarlierLeasesExpired(); }
     bool isRetiredPastLease(const InstanceId& instance) const override { return this->members.isRetiredPastLease(instance, this->dependencies.clock.bootNow()); }
     const std::shared_ptr<const RouteTable>& getRoutes() const override { return this->routes.getTable(); }
+    std::vector<UpstreamId> listLostUpstreams(const GroupId& group) const override { return this->upstreams.listLost(group, this->dependencies.clock.now()); }
+    std::optional<TimePoint> findChangingSince(const GroupId& group) const override { return this->coordination.findChangingSince(group); }
     std::vector<FleetMember> listActiveMembers() const override { return this->members.listActive(); }
     std::optional<FleetMember> findMember(const InstanceId& instance) const override { return this->members.find(instance); }
     bool isStoreReachable() const override;
--- a/src/gateway/PrimaryRecordRecovery.cpp
+++ b/src/gateway/PrimaryRecordRecovery.cpp
@@ -258,6 +258,9 @@
         [this, group, primary](bool isWritten, BootTime) {
             logEvent(events::primaryConfirmed, "group=" + group.toString() + " primary=" + primary.toString() + " written=" + std::to_string(isWritten));
             this->confirmations.erase(group);
+            // The store may have lost a failover that had paused the replicas.
+            if (isWritten)
+                this->dependencies.executor.resumeReplicas(group);
         });
 }
 
--- a/src/gateway/UpstreamCommander.cpp
+++ b/src/gateway/UpstreamCommander.cpp
@@ -35,6 +35,21 @@
     this->sendCommand(upstream, command, std::move(callback));
 }
 
+void UpstreamCommander::pause(const UpstreamEntry& upstream, Term term, Callback callback)
+{
+    UpstreamCommand command;
+    command.kind = UpstreamCommand::Kind::Pause;
+    command.term = term;
+    this->sendCommand(upstream, command, std::move(callback));
+}
+
+void UpstreamCommander::resume(const UpstreamEntry& upstream, Callback callback)
+{
+    UpstreamCommand command;
+    command.kind = UpstreamCommand::Kind::Resume;
+    this->sendCommand(upstream, command, std::move(callback));
+}
+
 void UpstreamCommander::sendCommand(const UpstreamEntry& upstream, UpstreamCommand command, Callback callback)
 {
     PendingCommand pending;
--- a/src/gateway/UpstreamCommander.h
+++ b/src/gateway/UpstreamCommander.h
@@ -30,6 +30,14 @@
     /// @param term a term above the one in which the upstream is primary
     void demote(const UpstreamEntry& upstream, Term term, Callback callback);
 
+    /// Stops a replica from receiving, until it is resumed, promoted or restarted.
+    ///
+    /// @param term a term above any of the group
+    void pause(const UpstreamEntry& upstream, Term term, Callback callback);
+
+    /// Lets a replica receive again.
+    void resume(const UpstreamEntry& upstream, Callback callback);
+
 private:
     struct PendingCommand {
         std::unique_ptr<UpstreamConnection> connection;
--- a/src/leadership/Failover.cpp
+++ b/src/leadership/Failover.cpp
@@ -27,6 +27,7 @@
     , oldPrimary(std::move(oldPrimary))
     , candidates(std::move(candidates))
     , isPlanned(isPlanned)
+    , recordedTerm(knownTerm)
     , greatestTerm(knownTerm)
     , startedAt(now)
     , surveyStartedAt(now)
@@ -36,6 +37,32 @@
     this->queueAction(Action::Kind::WriteChanging);
 }
 
+void Failover::requireAcknowledgedCommits(CommitSurvey survey, bool isConfirmed, TimePoint giveUpTime)
+{
+    this->commits = std::move(survey);
+    this->isRecordConfirmed = isConfirmed;
+    this->giveUpAt = giveUpTime;
+}
+
+void Failover::setMembers(const std::vector<CommitSurvey::Member>& members)
+{
+    if (!this->commits)
+        return;
+    this->commits->setMembers(members);
+    this->candidates.clear();
+    for (const CommitSurvey::Member& member : members) {
+        if (member.isListed)
+            this->candidates.push_back(member.upstream);
+    }
+}
+
+void Failover::onReplicaPaused(const UpstreamId& upstream, const ReplicationStatus& status, Term term)
+{
+    this->onStatus(upstream, status);
+    if (this->commits && this->refusedCandidates.count(upstream) == 0)
+        this->commits->onStatus(upstream, status, status.term < term);
+}
+
 bool Failover::mayAnnounce(TimePoint now) const
 {
     return this->step == Step::Announcing && now - this->startedAt <= announcementTimeout;
@@ -68,6 +95,8 @@
 {
     this->statuses[upstream] = status;
     this->greatestTerm = std::max(this->greatestTerm, status.term);
+    if (this->commits && this->refusedCandidates.count(upstream) == 0)
+        this->commits->onStatus(upstream, status, false);
     // A former primary that was partitioned may still report to be the primary in its old term.
     bool isPromoted = status.isPrimary && status.term >= this->requiredTerm;
     if (this->step == Step::Confirming && upstream == this->promotionTarget && isPromoted) {
@@ -81,6 +110,11 @@
 {
     this->oldPrimaryStatus = status;
     this->greatestTerm = std::max(this->greatestTerm, status.term);
+    // Where the record may lack failovers, another upstream may have been the last primary.
+    if (!this->commits || !this->isRecordConfirmed || status.isPrimary)
+        return;
+    this->statuses[this->oldPrimary] = status;
+    this->commits->onDemoted(status);
 }
 
 void Failover::onPromotionResponse(bool isAccepted, TimePoint now)
@@ -93,6 +127,8 @@
         return;
     }
     this->refusedCandidates.insert(*this->promotionTarget);
+    if (this->commits)
+        this->commits->onRefused(*this->promotionTarget);
     this->statuses.erase(*this->promotionTarget);
     this->promotionTarget.reset();
     this->step = Step::Surveying;
@@ -110,7 +146,9 @@
 
 std::vector<Failover::Action> Failover::takeActions(BootTime bootNow, TimePoint now)
 {
-    if (this->step == Step::Surveying)
+    if (this->step == Step::Surveying && this->commits)
+        this->advanceCommitSurvey(bootNow, now);
+    else if (this->step == Step::Surveying)
         this->advanceSurvey(bootNow, now);
     if (this->step == Step::Confirming)
         this->advanceConfirmation(now);
@@ -121,12 +159,8 @@
 {
     if (this->isOldPrimaryUnused(bootNow) && this->isSurveyComplete(now)) {
         this->promotionTarget = this->selectPromotionTarget();
-        if (this->promotionTarget) {
-            this->requiredTerm = this->isCurrentPrimary(*this->promotionTarget) ? this->greatestTerm : this->greatestTerm.next();
-            this->step = Step::Promoting;
-            this->queueAction(Action::Kind::Promote, *this->promotionTarget);
-            return;
-        }
+        if (this->promotionTarget)
+            return this->startPromotion(*this->promotionTarget);
     }
     if (now - this->lastRequestAt < statusRequestInterval)
         return;
@@ -138,6 +172,76 @@
         this->queueAction(Action::Kind::RequestStatus, candidate);
 }
 
+void Failover::startPromotion(const UpstreamId& target)
+{
+    this->promotionTarget = target;
+    this->requiredTerm = this->isCurrentPrimary(target) ? this->greatestTerm : this->greatestTerm.next();
+    this->step = Step::Promoting;
+    this->queueAction(Action::Kind::Promote, target);
+}
+
+void Failover::advanceCommitSurvey(BootTime bootNow, TimePoint now)
+{
+    // An instance may acknowledge commits of the old primary until then.
+    bool isUnused = this->isOldPrimaryUnused(bootNow);
+    if (isUnused) {
+        if (!this->unusedSince)
+            this->unusedSince = now;
+        std::optional<UpstreamId> target = this->findCommitTarget(now);
+        if (target)
+            return this->startPromotion(*target);
+    }
+    if (now - this->lastRequestAt < statusRequestInterval)
+        return;
+    this->lastRequestAt = now;
+    if (now - this->surveyStartedAt > promotionTimeout)
+        this->refusedCandidates.clear();
+    this->queueCommitRequests(isUnused, now);
+}
+
+void Failover::queueCommitRequests(bool isUnused, TimePoint now)
+{
+    if (!this->commits->isDemoted())
+        this->queueAction(Action::Kind::DemoteOldPrimary, this->oldPrimary);
+    // An instance that does not know of the failover may still verify the old primary and acknowledge its commits, unless
+    // it is a replica or no replica receives them. In a planned failover the old primary is given time to respond first.
+    bool mustPause = isUnused && !this->commits->isDemoted() && (!this->isPlanned || now - *this->unusedSince >= surveyTimeout);
+    if (!mustPause) {
+        for (const UpstreamId& candidate : this->candidates)
+            this->queueAction(Action::Kind::RequestStatus, candidate);
+        return;
+    }
+    for (const UpstreamId& replica : this->commits->listUnpaused())
+        this->queueAction(Action::Kind::PauseReplica, replica);
+}
+
+std::optional<UpstreamId> Failover::findCommitTarget(TimePoint now)
+{
+    std::optional<UpstreamId> target = this->findPromotedCandidate();
+    if (!target)
+        target = this->commits->findPreferred();
+    // Replicas that stay may still catch up with one that must be replaced again soon.
+    if (!target && now - *this->unusedSince >= surveyTimeout)
+        target = this->commits->findAny();
+    if (!target && now >= this->giveUpAt) {
+        target = this->commits->findLongest();
+        this->numGivenUp = target ? std::max<std::size_t>(1, this->commits->countSilent()) : 0;
+    }
+    return target;
+}
+
+std::optional<UpstreamId> Failover::findPromotedCandidate() const
+{
+    // A previous coordinator of this failover may have promoted it already.
+    for (const UpstreamId& candidate : this->candidates) {
+        std::map<UpstreamId, ReplicationStatus>::const_iterator status = this->statuses.find(candidate);
+        bool isPromoted = status != this->statuses.end() && this->isCurrentPrimary(candidate) && this->recordedTerm < status->second.term;
+        if (isPromoted && this->isRecordConfirmed && this->refusedCandidates.count(candidate) == 0)
+            return candidate;
+    }
+    return std::nullopt;
+}
+
 void Failover::advanceConfirmation(TimePoint now)
 {
     if (now - this->promotedAt > promotionTimeout) {
--- a/src/routes/RelayedRoutes.cpp
+++ b/src/routes/RelayedRoutes.cpp
@@ -84,6 +84,39 @@
         }
     }
 
+    /// @returns a number of connections or replicas, or nothing
+    std::optional<int> findCount(const nlohmann::json& value)
+    {
+        bool isNumber = value.is_number_integer() && value >= 0 && value <= std::numeric_limits<int>::max();
+        return isNumber ? std::optional<int>(value.get<int>()) : std::nullopt;
+    }
+
+    void decodeGroups(JsonFields& fields, RouteTable& table)
+    {
+        const nlohmann::json& groups = fields.getValue("groups");
+        if (!groups.is_object())
+            return fields.addFault("groups", "must be an object");
+        for (nlohmann::json::const_iterator group = groups.begin(); group != groups.end(); ++group) {
+            std::optional<int> count = findCount(group.value());
+            if (count)
+                table.groups[GroupId(group.key())].maximumConnections = *count;
+            else
+                fields.addFault("groups." + group.key(), "must be a number of connections");
+        }
+        const nlohmann::json* replicas = fields.findValue("synchronous_replicas");
+        if (replicas == nullptr)
+            return;
+        if (!replicas->is_object())
+            return fields.addFault("synchronous_replicas", "must be an object");
+        for (nlohmann::json::const_iterator group = replicas->begin(); group != replicas->end(); ++group) {
+            std::optional<int> count = findCount(group.value());
+            if (count)
+                table.groups[GroupId(group.key())].numSynchronousReplicas = static_cast<std::size_t>(*count);
+            else
+                fields.addFault("synchronous_replicas." + group.key(), "must be a number of replicas");
+        }
+    }
+
     nlohmann::json encodeWorkspaces(const WorkspaceTable& table)
     {
         nlohmann::json workspaces = nlohmann::json::array();
@@ -157,9 +190,15 @@
             routes.back()["public"] = true;
     }
     nlohmann::json groups = nlohmann::json::object();
-    for (const std::pair<const GroupId, GroupConfig>& group : table.groups)
+    nlohmann::json synchronousReplicas = nlohmann::json::object();
+    for (const std::pair<const GroupId, GroupConfig>& group : table.groups) {
         groups[group.first.toString()] = group.second.maximumConnections;
+        if (group.second.numSynchronousReplicas > 0)
+            synchronousReplicas[group.first.toString()] = group.second.numSynchronousReplicas;
+    }
     nlohmann::json document { { "version", table.version.value() }, { "routes", routes }, { "groups", groups }, { "idle_limit_us", table.transactionIdleLimit.count() } };
+    if (!synchronousReplicas.empty())
+        document["synchronous_replicas"] = std::move(synchronousReplicas);
     if (table.workspaces)
         document["workspaces"] = encodeWorkspaces(*table.workspaces);
     return document;
@@ -180,17 +219,7 @@
             Route route = decodeRoute(routes[index], fields.pathOf("routes[" + std::to_string(index) + "]"), faults);
             table.routes[route.database] = route;
         }
-    const nlohmann::json& groups = fields.getValue("groups");
-    if (!groups.is_object())
-        fields.addFault("groups", "must be an object");
-    else
-        for (nlohmann::json::const_iterator group = groups.begin(); group != groups.end(); ++group) {
-            bool isNumber = group.value().is_number_integer() && group.value() >= 0 && group.value() <= std::numeric_limits<int>::max();
-            if (isNumber)
-                table.groups[GroupId(group.key())].maximumConnections = group.value().get<int>();
-            else
-                fields.addFault("groups." + group.key(), "must be a number of connections");
-        }
+    decodeGroups(fields, table);
     decodeWorkspaces(fields, table, faults);
     if (faults.empty())
         return table;
--- a/src/routes/UpstreamRegistry.cpp
+++ b/src/routes/UpstreamRegistry.cpp
@@ -35,6 +35,18 @@
 {
     for (std::map<UpstreamId, LeavingUpstream>::iterator known = this->leaving.begin(); known != this->leaving.end();)
         known = now - known->second.seenAt >= leavingUpstreamRetention ? this->leaving.erase(known) : std::next(known);
+    for (std::map<UpstreamId, LostUpstream>::iterator gone = this->lost.begin(); gone != this->lost.end();)
+        gone = now - gone->second.lostAt >= lostUpstreamRetention ? this->lost.erase(gone) : std::next(gone);
+}
+
+std::vector<UpstreamId> UpstreamRegistry::listLost(const GroupId& group, TimePoint now) const
+{
+    std::vector<UpstreamId> found;
+    for (const std::pair<const UpstreamId, LostUpstream>& gone : this->lost) {
+        if (gone.second.group == group && now - gone.second.lostAt < lostUpstreamRetention)
+            found.push_back(gone.first);
+    }
+    return found;
 }
 
 std::vector<std::string> UpstreamRegistry::offer(const UpstreamList& snapshot, TimePoint now)
@@ -45,6 +57,7 @@
     for (std::pair<const UpstreamId, UpstreamEntry>& entry : next->entries) {
         this->keepLeaving(entry.second, now);
         this->missingSince.erase(entry.first);
+        this->lost.erase(entry.first);
         const UpstreamEntry* before = this->list->find(entry.first);
         if (before == nullptr || !isSame(*before, entry.second))
             changes.push_back(describe(entry.second));
@@ -58,6 +71,8 @@
             continue;
         }
         this->missingSince.erase(entry.first);
+        if (!entry.second.isLeaving)
+            this->lost[entry.first] = { entry.second.group, now };
         changes.push_back(describe(entry.second) + " gone=1");
     }
     if (!changes.empty())
--- a/standins/platform/LineGroup.cpp
+++ b/standins/platform/LineGroup.cpp
@@ -1,5 +1,6 @@
 #include "LineUpstream.h"
 
+#include <algorithm>
 #include <future>
 #include <utility>
 
@@ -69,9 +70,10 @@
     chosen->term = highestTerm + 1;
     // Reachable upstreams take over the state of the new primary and discard what it does not have.
     for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
-        if (upstream->isRunning && upstream->fault != LineUpstream::Fault::Silent && upstream.get() != chosen)
+        if (upstream->isRunning && !upstream->isDeaf && upstream->fault != LineUpstream::Fault::Silent && upstream.get() != chosen)
             this->copyFromPrimary(*upstream);
     }
+    this->acknowledgeReceived();
     return accepted;
 }
 
@@ -88,7 +90,8 @@
 void LineGroup::copyFromPrimary(LineUpstream& upstream)
 {
     const LineUpstream* currentPrimary = this->findCurrentPrimary();
-    if (currentPrimary == nullptr || currentPrimary == &upstream || currentPrimary->isIsolated || upstream.isIsolated || upstream.term > currentPrimary->term)
+    bool canCopy = currentPrimary != nullptr && currentPrimary != &upstream && currentPrimary->isRunning;
+    if (!canCopy || currentPrimary->isIsolated || upstream.isIsolated || upstream.term > currentPrimary->term)
         return;
     upstream.isPrimary = false;
     upstream.term = currentPrimary->term;
@@ -118,6 +121,24 @@
     });
 }
 
+void LineGroup::setDeaf(const std::string& id, bool isDeaf)
+{
+    this->runOnLoop([&] {
+        LineUpstream* upstream = this->find(id);
+        upstream->isDeaf = isDeaf;
+        if (!isDeaf && upstream->isRunning && !upstream->isPaused)
+            this->copyFromPrimary(*upstream);
+        this->acknowledgeReceived();
+    });
+}
+
+bool LineGroup::hasItem(const std::string& id, const std::string& item)
+{
+    bool isFound = false;
+    this->runOnLoop([&] { isFound = this->find(id)->items.count(item) > 0; });
+    return isFound;
+}
+
 bool LineGroup::isCommittedByFormerPrimary(const std::string& item)
 {
     bool isFound = false;
@@ -135,10 +156,10 @@
     return highestTerm;
 }
 
-void LineGroup::commit(LineUpstream& primary, const std::map<std::string, std::string>& writes)
+void LineGroup::commit(LineUpstream& primary, const std::map<std::string, std::string>& writes, std::function<void()> acknowledge)
 {
     if (writes.empty())
-        return;
+        return acknowledge();
     for (const std::pair<const std::string, std::string>& write : writes) {
         primary.items[write.first] = write.second;
         this->committedItems.insert(write.first);
@@ -148,6 +169,23 @@
     primary.headTerm = primary.term;
     primary.headNumber++;
     this->replicate(primary, writes);
+    if (!this->isSynchronous)
+        return acknowledge();
+    this->pendingCommits.push_back({ &primary, primary.headTerm, primary.headNumber, std::move(acknowledge) });
+}
+
+void LineGroup::acknowledgeReceived()
+{
+    std::vector<PendingCommit> waiting = std::exchange(this->pendingCommits, {});
+    for (PendingCommit& commit : waiting) {
+        bool isReceived = std::any_of(this->upstreams.begin(), this->upstreams.end(), [&commit](const std::unique_ptr<LineUpstream>& upstream) {
+            return upstream.get() != commit.primary && upstream->headTerm == commit.term && upstream->headNumber >= commit.number;
+        });
+        if (isReceived && commit.primary->isRunning)
+            commit.acknowledge();
+        else
+            this->pendingCommits.push_back(std::move(commit));
+    }
 }
 
 void LineGroup::replicate(const LineUpstream& primary, const std::map<std::string, std::string>& writes)
@@ -156,7 +194,7 @@
     std::uint64_t number = primary.headNumber;
     this->loop.schedule(this->replicationLag, [this, &primary, writes, term, number] {
         for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
-            bool isCutOff = upstream->isPaused || upstream->isIsolated || primary.isIsolated || !upstream->isRunning;
+            bool isCutOff = upstream->isPaused || upstream->isDeaf || upstream->isIsolated || primary.isIsolated || !upstream->isRunning;
             if (upstream.get() == &primary || isCutOff || upstream->term != term || upstream->headNumber >= number)
                 continue;
             // A replica that missed changes while it was cut off takes over the whole state.
@@ -169,6 +207,7 @@
             upstream->headTerm = term;
             upstream->headNumber = number;
         }
+        this->acknowledgeReceived();
     });
 }
 
--- a/standins/platform/LineUpstream.cpp
+++ b/standins/platform/LineUpstream.cpp
@@ -174,8 +174,11 @@
         if (effective == "WRITE")
             this->writes[item] = value;
         if (effective == "COMMIT" || this->state == 'I') {
-            this->upstream.group.commit(this->upstream, this->writes);
-            return this->endTransaction("sig." + this->upstream.id);
+            std::weak_ptr<bool> alive = this->isAlive;
+            return this->upstream.group.commit(this->upstream, this->writes, [this, alive] {
+                if (!alive.expired())
+                    this->endTransaction("sig." + this->upstream.id);
+            });
         }
         this->sendDone("sig." + this->upstream.id);
     }
--- a/standins/platform/LineUpstream.h
+++ b/standins/platform/LineUpstream.h
@@ -74,6 +74,8 @@
     bool isRunning = false;
     /// Whether the upstream is cut off from the other upstreams of its group.
     bool isIsolated = false;
+    /// Whether replication does not reach the upstream, which can be promoted all the same.
+    bool isDeaf = false;
     /// Whether replication to the upstream is paused until it is resumed or promoted.
     bool isPaused = false;
     Fault fault = Fault::None;
@@ -104,6 +106,15 @@
     /// replication and learns of no promotion; when reconnected, it copies the state of the current primary.
     void setIsolated(const std::string& id, bool isIsolated);
 
+    /// Keeps replication from an upstream, or lets it receive again. Unlike an isolated upstream it can be promoted.
+    void setDeaf(const std::string& id, bool isDeaf);
+
+    /// Sets whether a commit is acknowledged only once a replica has received it.
+    void setSynchronous(bool newIsSynchronous) { this->isSynchronous = newIsSynchronous; }
+
+    /// @returns whether the log of an upstream has a write of an item
+    bool hasItem(const std::string& id, const std::string& item);
+
     /// @returns whether an upstream committed a write after another one had been promoted
     bool isCommittedByFormerPrimary(const std::string& item);
 
@@ -155,7 +166,9 @@
     /// Runs a task on the loop and blocks until it has finished.
     void runOnLoop(const std::function<void()>& task);
     LineUpstream* find(const std::string& id);
-    void commit(LineUpstream& primary, const std::map<std::string, std::string>& writes);
+    /// @param acknowledge runs at once, or once a replica has received the commit
+    void commit(LineUpstream& primary, const std::map<std::string, std::string>& writes, std::function<void()> acknowledge);
+    void acknowledgeReceived();
     void copyFromPrimary(LineUpstream& upstream);
     LineUpstream* findCurrentPrimary();
     /// Checks a statement against the name under which its connection was opened.
@@ -167,6 +180,17 @@
     std::vector<std::unique_ptr<LineUpstream>> upstreams;
     Duration replicationLag { std::chrono::milliseconds(5) };
     Duration serviceTime { 0 };
+
+    /// A commit that waits for a replica.
+    struct PendingCommit {
+        const LineUpstream* primary;
+        std::uint64_t term;
+        std::uint64_t number;
+        std::function<void()> acknowledge;
+    };
+
+    std::atomic<bool> isSynchronous { false };
+    std::vector<PendingCommit> pendingCommits;
     std::atomic<std::size_t> numBehindReplies { 0 };
     std::multiset<std::string> committedItems;
     std::set<std::string> itemsCommittedByFormerPrimary;
--- a/standins/platform/PlatformSite.cpp
+++ b/standins/platform/PlatformSite.cpp
@@ -61,7 +61,7 @@
             routes.back()["public"] = true;
     }
     nlohmann::json services = nlohmann::json::array();
-    services.push_back({ { "name", groupName }, { "health_path", "/health" }, { "max_conns", this->maximumConnections }, { "sync_replicas", 0 } });
+    services.push_back({ { "name", groupName }, { "health_path", "/health" }, { "max_conns", this->maximumConnections }, { "sync_replicas", this->numSynchronousReplicas } });
     nlohmann::json configuration { { "version", version }, { "routes", routes }, { "services", services }, { "limits", { { "tx_idle_ms", 10000 } } } };
     if (!this->workspaces.is_null())
         configuration["tenants"] = this->workspaces;
@@ -75,6 +75,12 @@
         this->workspaces.push_back({ { "name", workspace.first }, { "api_keys", workspace.second }, { "rate_per_s", 1000 }, { "burst", 1000 }, { "priority", 0 } });
 }
 
+void PlatformSite::setSynchronous()
+{
+    this->numSynchronousReplicas = 1;
+    this->group.setSynchronous(true);
+}
+
 void PlatformSite::setLimits(double ratePerSecond, double newBurst)
 {
     for (nlohmann::json& workspace : this->workspaces) {
--- a/standins/platform/PlatformSite.h
+++ b/standins/platform/PlatformSite.h
@@ -46,6 +46,9 @@
     /// read-your-writes route.
     void configure(std::uint64_t version, const std::vector<std::string>& databases);
 
+    /// Makes the group acknowledge a commit only once a replica has received it, also according to later configurations.
+    void setSynchronous();
+
     /// Sets how many connections an upstream accepts according to later configurations.
     void setMaximumConnections(int number) { this->maximumConnections = number; }
 
@@ -67,6 +70,7 @@
     LineGroup group;
     std::map<std::string, Endpoint> endpoints;
     int maximumConnections = 16;
+    int numSynchronousReplicas = 0;
     /// Null without workspaces.
     nlohmann::json workspaces;
     std::set<std::string> publicDatabases;
--- /dev/null
+++ b/tests/process/GatewaySynchronousTests.cpp
@@ -0,0 +1,87 @@
+#include "GatewayFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <thread>
+
+using namespace lentiljunction;
+using lab::isServed;
+using lab::LineCaller;
+
+namespace {
+
+/// Writes for some time.
+///
+/// @returns the items of the writes that were acknowledged
+std::vector<std::string> writeFor(GatewayFixture& fixture, const std::string& prefix, std::chrono::milliseconds span)
+{
+    std::vector<std::string> acknowledged;
+    std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + span;
+    for (int number = 0; std::chrono::steady_clock::now() < end; number++) {
+        std::string item = prefix + std::to_string(number);
+        if (isServed(LineCaller(fixture.getPort(0), "bookings").execute("WRITE " + item + " v")))
+            acknowledged.push_back(item);
+    }
+    return acknowledged;
+}
+
+/// Makes commits of the group wait for a replica.
+void makeSynchronous(GatewayFixture& fixture)
+{
+    fixture.getSite().setSynchronous();
+    fixture.configure(2, { "bookings", "later" });
+    CHECK_TRUE(fixture.waitUntilServed("later"));
+}
+
+std::size_t countLost(GatewayFixture& fixture, const std::vector<std::string>& acknowledged)
+{
+    std::string primary = fixture.getGroup().findPrimary();
+    std::size_t numLost = 0;
+    for (const std::string& item : acknowledged)
+        numLost += fixture.getGroup().hasItem(primary, item) ? 0 : 1;
+    return numLost;
+}
+
+} // namespace
+
+TEST_GROUP(GatewaySynchronous) {};
+
+// The replica that has received the last commits does not respond when the primary crashes, and the other one has
+// received nothing for a while. Guards against acknowledged commits that are lost.
+TEST(GatewaySynchronous, acknowledgedCommitsSurviveFailoverWhileTheirReplicaIsSilent)
+{
+    GatewayFixture fixture(3);
+    CHECK_TRUE(fixture.waitUntilServed("bookings"));
+    makeSynchronous(fixture);
+    fixture.getGroup().setDeaf("u3", true);
+    std::vector<std::string> acknowledged = writeFor(fixture, "early", std::chrono::milliseconds(500));
+    CHECK(!acknowledged.empty());
+    fixture.getGroup().setFault("u2", standin::LineUpstream::Fault::Silent);
+    fixture.getGroup().crash("u1");
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    fixture.getGroup().setFault("u2", standin::LineUpstream::Fault::None);
+    fixture.getGroup().setDeaf("u3", false);
+    // It follows the primary of a later term, if there is one.
+    fixture.getGroup().setIsolated("u2", false);
+    CHECK_TRUE(waitUntil([&] { return !writeFor(fixture, "late", std::chrono::milliseconds(100)).empty(); }));
+    LONGS_EQUAL(0, countLost(fixture, acknowledged));
+}
+
+// A planned failover, and one after a crash, pause replicas. Guards against a new primary whose commits wait for ever for a
+// replica that receives nothing, and against a group that stays without a primary.
+TEST(GatewaySynchronous, newPrimaryCommitsAgainAfterEachFailover)
+{
+    GatewayFixture fixture(3);
+    CHECK_TRUE(fixture.waitUntilServed("bookings"));
+    makeSynchronous(fixture);
+    std::vector<std::string> acknowledged = writeFor(fixture, "a", std::chrono::milliseconds(200));
+    fixture.getGroup().crash("u1");
+    CHECK_TRUE(waitUntil([&] { return !writeFor(fixture, "b", std::chrono::milliseconds(100)).empty(); }));
+    Failure failure;
+    CHECK_TRUE(fixture.getGroup().restart("u1", failure));
+    std::string second = fixture.getGroup().findPrimary();
+    fixture.report(second, true, true);
+    CHECK_TRUE(waitUntil([&] { return fixture.getGroup().findPrimary() != second; }));
+    CHECK_TRUE(waitUntil([&] { return !writeFor(fixture, "c", std::chrono::milliseconds(100)).empty(); }));
+    LONGS_EQUAL(0, countLost(fixture, acknowledged));
+}
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -338,6 +338,28 @@
     CHECK_FALSE(registry.getList()->find(UpstreamId("u"))->isLeaving);
 }
 
+// A crashed upstream may return with commits that no other one has. One that had been leaving does not return.
+TEST(UpstreamRegistry, remembersLostUpstreamsForSomeTime)
+{
+    UpstreamEntry& entry = list.entries[UpstreamId("u")];
+    UpstreamEntry& leaving = list.entries[UpstreamId("l")];
+    entry.group = leaving.group = GroupId("g");
+    leaving.isLeaving = true;
+    registry.offer(list, clock.now());
+    registry.offer(UpstreamList(), clock.now());
+    clock.advance(std::chrono::seconds(3));
+    registry.offer(UpstreamList(), clock.now());
+    CHECK(registry.listLost(GroupId("g"), clock.now()) == std::vector<UpstreamId> { UpstreamId("u") });
+    CHECK(registry.listLost(GroupId("other"), clock.now()).empty());
+    registry.offer(list, clock.now());
+    CHECK(registry.listLost(GroupId("g"), clock.now()).empty());
+    registry.offer(UpstreamList(), clock.now());
+    clock.advance(std::chrono::seconds(3));
+    registry.offer(UpstreamList(), clock.now());
+    clock.advance(lostUpstreamRetention);
+    CHECK(registry.listLost(GroupId("g"), clock.now()).empty());
+}
+
 TEST_GROUP(OnePrimary) {};
 
 // Guards against two primaries at one time. In random order an instance reads the record, is suspended,
--- a/tests/unit/PlatformTests.cpp
+++ b/tests/unit/PlatformTests.cpp
@@ -180,6 +180,21 @@
 }
 
 // A list that is read half would accept keys or names that the operators did not mean, so it is refused as a whole.
+// Guards against a coordinator that does not know that commits of a group wait for replicas.
+TEST(PlatformCodec, relaysNumberOfSynchronousReplicas)
+{
+    Failure failure;
+    nlohmann::json document { { "version", 1 }, { "routes", nlohmann::json::array() }, { "services", { { { "name", "s" }, { "max_conns", 8 }, { "sync_replicas", 1 } }, { { "name", "t" }, { "max_conns", 8 } } } } };
+    std::optional<RouteTable> table = decodeRouteTable(document, failure);
+    CHECK_TRUE(table.has_value());
+    std::optional<RouteTable> relayed = decodeRelayedRoutes(encodeRelayedRoutes(*table), failure);
+    CHECK_TRUE(relayed.has_value());
+    LONGS_EQUAL(1, relayed->groups.at(GroupId("s")).numSynchronousReplicas);
+    LONGS_EQUAL(0, relayed->groups.at(GroupId("t")).numSynchronousReplicas);
+    document["services"][0]["sync_replicas"] = "1";
+    CHECK_FALSE(decodeRouteTable(document, failure).has_value());
+}
+
 TEST(PlatformCodec, decodesWorkspacesAndRejectsAmbiguousOnes)
 {
     nlohmann::json document = nlohmann::json::parse(R"({"version":7,"routes":[{"host":"db","service":"s","route_type":"primary","timeout_ms":8,"target_latency_ms":1,"priority":0,"public":true}],"services":[]})");
