Decode what the store, peers and settings say entry by entry

What callers saw: one entry of another writer that cannot be read hid the list of upstreams.

Cause: a response of the store was decoded as one document, so bytes that are no UTF-8, or a number out of range, anywhere in it made all of it unreadable.

Change: responses are split into objects by their brackets (JsonSlices), and each object is decoded by itself.

--- a/include/lentiljunction/core/Json.h
+++ b/include/lentiljunction/core/Json.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "lentiljunction/core/Clock.h"
+
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
@@ -18,6 +21,21 @@
 /// @see parseCbor()
 nlohmann::json parseJson(std::string_view text);
 
+/// The longest duration in a message, over a hundred years. Keeps the arithmetic with times in range.
+constexpr std::int64_t longestMessageDuration = std::int64_t(1) << 52;
+
+/// @returns a whole number
+/// @throws std::out_of_range when the value is no whole number from 0 to the limit
+std::uint64_t getNumber(const nlohmann::json& value, std::uint64_t limit);
+
+/// @returns a number of microseconds, which may be negative
+/// @throws std::out_of_range when the value is no whole number, or longer than any message holds
+Duration getDuration(const nlohmann::json& value);
+
+/// @returns a port
+/// @throws std::out_of_range when the value is no whole number from 1 to 65535
+std::uint16_t getPort(const nlohmann::json& value);
+
 /// Encodes a document as JSON.
 ///
 /// Unlike nlohmann::json::dump() it throws for no document: bytes that are not UTF-8 are replaced by U+FFFD.
--- a/include/lentiljunction/core/lj_core.h
+++ b/include/lentiljunction/core/lj_core.h
@@ -12,6 +12,7 @@
 #include "lentiljunction/core/Ids.h"
 #include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/JsonFields.h"
+#include "lentiljunction/core/JsonSlices.h"
 #include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/core/Numbers.h"
 #include "lentiljunction/core/Outcome.h"
--- a/src/core/Json.cpp
+++ b/src/core/Json.cpp
@@ -1,5 +1,8 @@
 #include "lentiljunction/core/Json.h"
 
+#include <limits>
+#include <stdexcept>
+
 namespace lentiljunction {
 
 namespace {
@@ -32,6 +35,31 @@
     return nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
 }
 
+std::uint64_t getNumber(const nlohmann::json& value, std::uint64_t limit)
+{
+    bool isNegative = value.is_number_integer() && !value.is_number_unsigned() && value.get<std::int64_t>() < 0;
+    if (!value.is_number_integer() || isNegative || value.get<std::uint64_t>() > limit)
+        throw std::out_of_range("not a number in range");
+    return value.get<std::uint64_t>();
+}
+
+Duration getDuration(const nlohmann::json& value)
+{
+    bool isInRange = value.is_number_unsigned() ? value.get<std::uint64_t>() <= static_cast<std::uint64_t>(longestMessageDuration)
+                                                : value.is_number_integer() && value.get<std::int64_t>() <= longestMessageDuration && value.get<std::int64_t>() >= -longestMessageDuration;
+    if (!isInRange)
+        throw std::out_of_range("not a duration");
+    return Duration(value.get<Duration::rep>());
+}
+
+std::uint16_t getPort(const nlohmann::json& value)
+{
+    std::uint64_t port = getNumber(value, std::numeric_limits<std::uint16_t>::max());
+    if (port == 0)
+        throw std::out_of_range("not a port");
+    return static_cast<std::uint16_t>(port);
+}
+
 std::string toJsonText(const nlohmann::json& document, int indent)
 {
     return document.dump(indent, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/src/gateway/FleetLists.cpp
+++ b/src/gateway/FleetLists.cpp
@@ -2,9 +2,11 @@
 
 #include "ListCodec.h"
 #include "lentiljunction/core/Cbor.h"
+#include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/core/RendezvousHash.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lentiljunction {
@@ -42,7 +44,7 @@
     {
         if (!versions.contains(what) || !versions[what].is_object())
             return true;
-        return list.onReported(versions[what].value("version", std::uint64_t(0)), Duration(versions[what].value("age_us", std::int64_t(0))), sentAt);
+        return list.onReported(versions[what].value("version", std::uint64_t(0)), std::max(Duration(0), getDuration(versions[what].value("age_us", nlohmann::json(0)))), sentAt);
     }
 
 } // namespace
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -231,12 +231,13 @@
         return;
     Failure failure;
     std::optional<PrimaryRecord> record = decodePrimaryRecord(response["record"], failure);
-    if (!record || !response["revision"].is_number_unsigned() || !response["permit_us"].is_number_integer())
+    if (!record || !response["revision"].is_number_unsigned())
         return logEvent(events::peerMessageInvalid, "reason=\"" + failure.reason + "\"");
+    Duration permit = std::max(Duration(0), getDuration(response["permit_us"]));
     StoreEra era = record->era;
     VersionedPrimaryRecord versioned { std::make_shared<PrimaryRecord>(std::move(*record)), StoreVersion(response["revision"].get<std::uint64_t>()), era };
     this->writer.setBase(versioned);
-    this->publishPrimaryView(this->leaseTracker.onPeerResponse(versioned, Duration(response["permit_us"].get<std::int64_t>()), sentAt));
+    this->publishPrimaryView(this->leaseTracker.onPeerResponse(versioned, permit, sentAt));
 }
 
 void GatewayControl::onRoutesInForce(const std::shared_ptr<const RouteTable>& table)
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -3,6 +3,7 @@
 #include "../settings/IniDocument.h"
 #include "lentiljunction/core/JsonFields.h"
 
+#include <algorithm>
 #include <charconv>
 #include <set>
 #include <sstream>
@@ -42,8 +43,10 @@
         std::string getText(const std::string& section, const std::string& key)
         {
             std::string value = this->document.find(section, key).value_or("");
-            if (value.empty())
-                this->addFault(section, key, value, "a name");
+            // The names are fields of messages, of paths and of log lines.
+            bool isName = !value.empty() && std::all_of(value.begin(), value.end(), [](unsigned char letter) { return letter > ' ' && letter < 0x7f && letter != '"'; });
+            if (!isName)
+                this->addFault(section, key, value, "a name of printable ASCII letters without blanks");
             return value;
         }
 
--- a/src/gateway/ListCodec.cpp
+++ b/src/gateway/ListCodec.cpp
@@ -1,5 +1,8 @@
 #include "ListCodec.h"
 
+#include "lentiljunction/core/Json.h"
+#include "lentiljunction/core/LogEvents.h"
+
 #include <limits>
 #include <stdexcept>
 
@@ -15,19 +18,13 @@
     /// @throws std::exception when the value is malformed
     Endpoint decodeEndpoint(const nlohmann::json& document)
     {
-        std::uint64_t port = document.at(1).get<std::uint64_t>();
-        if (!document.at(1).is_number_unsigned() || port > std::numeric_limits<std::uint16_t>::max())
-            throw std::out_of_range("not a port");
-        return { document.at(0).get<std::string>(), static_cast<std::uint16_t>(port) };
+        return { document.at(0).get<std::string>(), getPort(document.at(1)) };
     }
 
     /// @throws std::exception when the value is malformed
     WallTime decodeTime(const nlohmann::json& document)
     {
-        std::uint64_t milliseconds = document.get<std::uint64_t>();
-        if (!document.is_number_unsigned() || milliseconds > static_cast<std::uint64_t>(latestUnixMilliseconds))
-            throw std::out_of_range("not a time");
-        return WallTime(std::chrono::milliseconds(milliseconds));
+        return WallTime(std::chrono::milliseconds(getNumber(document, static_cast<std::uint64_t>(latestUnixMilliseconds))));
     }
 
     UpstreamEntry decodeUpstream(const nlohmann::json& document)
@@ -37,7 +34,7 @@
         entry.group = GroupId(document.at("group").get<std::string>());
         entry.endpoint = decodeEndpoint(document.at("endpoint"));
         entry.zone = ZoneId(document.at("zone").get<std::string>());
-        entry.slots = document.at("slots").get<int>();
+        entry.slots = static_cast<int>(getNumber(document.at("slots"), std::numeric_limits<int>::max()));
         entry.isLeaving = document.at("leaving").get<bool>();
         entry.claimsPrimary = document.at("claims_primary").get<bool>();
         if (document.contains("started_at_ms"))
@@ -57,6 +54,26 @@
         return member;
     }
 
+    /// Decodes the entries of a list. One that is malformed is logged and ignored, so that it does not hide the others.
+    ///
+    /// @returns nothing when the document is no list, or no entry of it can be decoded
+    template <typename Entry>
+    std::optional<std::vector<Entry>> decodeEntries(const nlohmann::json& document, Entry (*decode)(const nlohmann::json&))
+    {
+        if (!document.is_array())
+            return std::nullopt;
+        std::vector<Entry> entries;
+        for (const nlohmann::json& entry : document) {
+            try {
+                entries.push_back(decode(entry));
+            } catch (const std::exception& error) {
+                logEvent(events::peerMessageInvalid, std::string("reason=\"an entry of a list cannot be read: ") + error.what() + "\"");
+            }
+        }
+        bool isUnreadable = entries.empty() && !document.empty();
+        return isUnreadable ? std::nullopt : std::optional<std::vector<Entry>>(std::move(entries));
+    }
+
 } // namespace
 
 nlohmann::json encodeUpstreamList(const UpstreamList& list)
@@ -80,17 +97,12 @@
 
 std::optional<UpstreamList> decodeUpstreamList(const nlohmann::json& document)
 {
-    if (!document.is_array())
+    std::optional<std::vector<UpstreamEntry>> entries = decodeEntries<UpstreamEntry>(document, decodeUpstream);
+    if (!entries)
         return std::nullopt;
     UpstreamList list;
-    try {
-        for (const nlohmann::json& entry : document) {
-            UpstreamEntry decoded = decodeUpstream(entry);
-            list.entries.emplace(decoded.id, decoded);
-        }
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
+    for (const UpstreamEntry& entry : *entries)
+        list.entries.emplace(entry.id, entry);
     return list;
 }
 
@@ -110,16 +122,7 @@
 
 std::optional<std::vector<FleetMember>> decodeMemberList(const nlohmann::json& document)
 {
-    if (!document.is_array())
-        return std::nullopt;
-    std::vector<FleetMember> members;
-    try {
-        for (const nlohmann::json& entry : document)
-            members.push_back(decodeMember(entry));
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
-    return members;
+    return decodeEntries<FleetMember>(document, decodeMember);
 }
 
 } // namespace lentiljunction
--- a/src/gateway/PrimaryRecordRecovery.cpp
+++ b/src/gateway/PrimaryRecordRecovery.cpp
@@ -1,5 +1,6 @@
 #include "PrimaryRecordRecovery.h"
 
+#include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/JsonFields.h"
 #include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/fleet/Voters.h"
@@ -34,7 +35,7 @@
         VersionResponse decoded;
         decoded.version.first = static_cast<std::uint64_t>(fields.getInteger("era", 0, noLimit));
         decoded.version.second = static_cast<std::uint64_t>(fields.getInteger("revision", 0, noLimit));
-        decoded.sinceVote = Duration(fields.getInteger("since_vote_us", 0, noLimit));
+        decoded.sinceVote = Duration(fields.getInteger("since_vote_us", 0, longestMessageDuration));
         if (faults.empty())
             return decoded;
         logEvent(events::peerMessageInvalid, "reason=\"" + joinFaults(faults) + "\"");
--- a/src/gateway/ProofCodec.cpp
+++ b/src/gateway/ProofCodec.cpp
@@ -1,5 +1,7 @@
 #include "ProofCodec.h"
 
+#include "lentiljunction/core/Json.h"
+
 #include <algorithm>
 
 namespace lentiljunction {
@@ -12,7 +14,9 @@
     bool isProof(const nlohmann::json& proof)
     {
         return proof.is_array() && proof.size() == numFields && proof[0].is_string()
-            && std::all_of(proof.begin() + 1, proof.end(), [](const nlohmann::json& field) { return field.is_number_unsigned(); });
+            && std::all_of(proof.begin() + 1, proof.end(), [](const nlohmann::json& field) { return field.is_number_unsigned(); })
+            // An age beyond that would wrap around, and the proof would pass for a future one.
+            && proof[2].get<std::uint64_t>() <= static_cast<std::uint64_t>(longestMessageDuration);
     }
 
 } // namespace
@@ -29,10 +33,13 @@
 
 std::optional<std::vector<FreshnessProofs::Newest>> decodeProofs(const nlohmann::json& document, BootTime sentAt)
 {
-    if (!document.is_array() || !std::all_of(document.begin(), document.end(), isProof))
+    if (!document.is_array() || (!document.empty() && std::none_of(document.begin(), document.end(), isProof)))
         return std::nullopt;
     std::vector<FreshnessProofs::Newest> proofs;
     for (const nlohmann::json& proof : document) {
+        // One malformed proof must not hide those of other groups.
+        if (!isProof(proof))
+            continue;
         BootTime requestedAt = sentAt - Duration(proof[2].get<Duration::rep>());
         proofs.push_back({ GroupId(proof[0].get<std::string>()), proof[1].get<std::uint64_t>(), requestedAt, { Term(proof[3].get<std::uint64_t>()), Position(proof[4].get<std::uint64_t>()) } });
     }
--- a/src/lending/LendingMessage.cpp
+++ b/src/lending/LendingMessage.cpp
@@ -1,6 +1,7 @@
 #include "LendingMessage.h"
 
 #include "lentiljunction/core/Cbor.h"
+#include "lentiljunction/core/Json.h"
 
 namespace lentiljunction {
 
@@ -14,10 +15,7 @@
     template <typename Enumeration>
     Enumeration toEnumeration(const nlohmann::json& number, Enumeration last)
     {
-        std::uint64_t value = number.get<std::uint64_t>();
-        if (!number.is_number_unsigned() || value > static_cast<std::uint64_t>(last))
-            throw std::out_of_range("not a value of the enumeration");
-        return static_cast<Enumeration>(value);
+        return static_cast<Enumeration>(getNumber(number, static_cast<std::uint64_t>(last)));
     }
 
     template <typename Enumeration>
@@ -72,7 +70,7 @@
             message.upstream = UpstreamId(encoded.at("upstream").get<std::string>());
             message.rank = toEnumeration(encoded.at("rank"), Rank::Background);
             message.caller = CallerId(encoded.at("caller").get<std::string>());
-            message.wait = Duration(encoded.at("wait_us").get<std::int64_t>());
+            message.wait = getDuration(encoded.at("wait_us"));
             message.acceptsAnyWorkspace = encoded.value("any_workspace", false);
             message.mode = encoded.value("reads", false) ? AccessMode::Read : AccessMode::Write;
             message.mayDecline = encoded.value("may_decline", false);
@@ -80,12 +78,12 @@
         if (message.kind == Kind::Borrow || message.kind == Kind::Granted)
             message.workspace = WorkspaceId(encoded.value("workspace", std::string()));
         if (message.kind == Kind::Granted) {
-            message.latency = Duration(encoded.at("latency_us").get<std::int64_t>());
+            message.latency = getDuration(encoded.at("latency_us"));
             message.load = encoded.at("load").get<double>();
         }
         if (message.kind == Kind::Denied) {
             message.denial = toEnumeration(encoded.at("denial"), Denial::Avoided);
-            message.retryAfter = Duration(encoded.value("retry_us", std::int64_t(0)));
+            message.retryAfter = getDuration(encoded.value("retry_us", nlohmann::json(0)));
         }
         if (message.kind == Kind::Command)
             message.command = encoded.at("command").get<std::string>();
--- a/src/peer/PeerCodec.cpp
+++ b/src/peer/PeerCodec.cpp
@@ -1,7 +1,10 @@
 #include "lentiljunction/caller/RequestCodec.h"
 #include "lentiljunction/core/Cbor.h"
+#include "lentiljunction/core/Json.h"
+#include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/peer/PeerMessage.h"
 
+#include <functional>
 #include <utility>
 
 namespace lentiljunction {
@@ -46,7 +49,7 @@
         Member member;
         member.id = InstanceId(row.at(0).get<std::string>());
         member.zone = ZoneId(row.at(1).get<std::string>());
-        member.endpoint = { row.at(2).get<std::string>(), row.at(3).get<std::uint16_t>() };
+        member.endpoint = { row.at(2).get<std::string>(), getPort(row.at(3)) };
         member.state = static_cast<MemberState>(row.at(4).get<int>() & 3);
         member.incarnation = Incarnation(row.at(5).get<std::uint64_t>());
         return member;
@@ -117,16 +120,27 @@
         return isKnown ? static_cast<MembershipMessage::Kind>(number) : MembershipMessage::Kind::Sync;
     }
 
+    /// Decodes each row; malformed ones are logged and ignored.
+    void decodeRows(const nlohmann::json& rows, const std::function<void(const nlohmann::json& row)>& decode)
+    {
+        for (const nlohmann::json& row : rows) {
+            try {
+                decode(row);
+            } catch (const std::exception& error) {
+                logEvent(events::peerMessageInvalid, std::string("reason=\"a row cannot be read: ") + error.what() + "\"");
+            }
+        }
+    }
+
     MembershipMessage decodeMembership(const nlohmann::json& body)
     {
         MembershipMessage message;
         message.kind = decodeKind(body.at(0).get<int>());
         message.sequence = body.at(1).get<std::uint64_t>();
         message.target = InstanceId(body.at(2).get<std::string>());
-        for (const nlohmann::json& row : body.at(3))
-            message.updates.push_back(decodeMember(row));
-        for (const nlohmann::json& row : body.at(4))
-            message.digests.push_back({ ZoneId(row.at(0).get<std::string>()), row.at(1).get<std::uint64_t>() });
+        // Updates are relayed, so a malformed one may be another instance's. It must not hide the others.
+        decodeRows(body.at(3), [&message](const nlohmann::json& row) { message.updates.push_back(decodeMember(row)); });
+        decodeRows(body.at(4), [&message](const nlohmann::json& row) { message.digests.push_back({ ZoneId(row.at(0).get<std::string>()), row.at(1).get<std::uint64_t>() }); });
         message.bundleVersion = BundleVersion(body.at(5).get<std::uint64_t>());
         if (!body.at(6).is_null())
             message.fleetDigest = body.at(6).get<std::uint64_t>();
@@ -143,8 +157,8 @@
         message.hop = body.at(0).get<std::uint64_t>();
         message.request = std::move(*request);
         message.upstream = UpstreamId(body.at(2).get<std::string>());
-        message.remaining = Duration(body.at(3).get<std::int64_t>());
-        message.alternativeCost = Duration(body.at(4).get<std::int64_t>());
+        message.remaining = getDuration(body.at(3));
+        message.alternativeCost = getDuration(body.at(4));
         return message;
     }
 
@@ -222,7 +236,7 @@
             return std::nullopt;
         }
         return decodeBody(document.at(1).get<std::size_t>(), document.at(2), failure);
-    } catch (const nlohmann::json::exception& error) {
+    } catch (const std::exception& error) {
         failure.set(Failure::Kind::InvalidInput, error.what());
         return std::nullopt;
     }
--- a/src/peer/PeerRpc.cpp
+++ b/src/peer/PeerRpc.cpp
@@ -74,7 +74,7 @@
             this->numBytesSent += responsePayload.size();
             this->server.send(handle, responsePayload, true);
         });
-    } catch (const nlohmann::json::exception& error) {
+    } catch (const std::exception& error) {
         logEvent(events::peerMessageInvalid, std::string("reason=\"") + error.what() + "\"");
     }
 }
@@ -109,7 +109,7 @@
     this->pending.erase(found);
     try {
         callback((*message)["body"]);
-    } catch (const nlohmann::json::exception& error) {
+    } catch (const std::exception& error) {
         logEvent(events::peerMessageInvalid, std::string("reason=\"") + error.what() + "\"");
         callback(std::nullopt);
     }
--- a/src/quota/QuotaMessage.cpp
+++ b/src/quota/QuotaMessage.cpp
@@ -1,6 +1,7 @@
 #include "lentiljunction/quota/QuotaMessage.h"
 
 #include "lentiljunction/core/Cbor.h"
+#include "lentiljunction/core/Json.h"
 #include "lentiljunction/quota/QuotaLimit.h"
 
 #include <stdexcept>
@@ -12,21 +13,12 @@
     using Kind = QuotaMessage::Kind;
 
     constexpr std::uint64_t allPartitions = (std::uint64_t(1) << numQuotaPartitions) - 1;
-    /// Bounds that no correct message exceeds and that keep all later arithmetic in range.
-    constexpr std::uint64_t maximumMicroseconds = std::uint64_t(1) << 52;
+    /// No correct message exceeds it.
     constexpr std::uint64_t maximumInstances = 1000000;
 
-    /// @throws std::exception when the value is not a number within the limit
-    std::uint64_t decodeNumber(const nlohmann::json& value, std::uint64_t limit)
-    {
-        if (!value.is_number_unsigned() || value.get<std::uint64_t>() > limit)
-            throw std::out_of_range("not a number in range");
-        return value.get<std::uint64_t>();
-    }
-
     Duration decodeDuration(const nlohmann::json& value)
     {
-        return Duration(static_cast<Duration::rep>(decodeNumber(value, maximumMicroseconds)));
+        return Duration(static_cast<Duration::rep>(getNumber(value, static_cast<std::uint64_t>(longestMessageDuration))));
     }
 
     std::uint64_t toNumber(Duration duration)
@@ -37,11 +29,11 @@
     void decodeHeartbeat(const nlohmann::json& encoded, QuotaMessage& message)
     {
         message.instance = InstanceId(encoded.at(1).get<std::string>());
-        message.epoch = decodeNumber(encoded.at(2), UINT64_MAX);
+        message.epoch = getNumber(encoded.at(2), UINT64_MAX);
         message.time = decodeDuration(encoded.at(3));
-        message.numInstances = decodeNumber(encoded.at(4), maximumInstances);
-        message.partitions = decodeNumber(encoded.at(5), allPartitions);
-        message.credits = decodeNumber(encoded.at(6), allPartitions);
+        message.numInstances = getNumber(encoded.at(4), maximumInstances);
+        message.partitions = getNumber(encoded.at(5), allPartitions);
+        message.credits = getNumber(encoded.at(6), allPartitions);
         if (message.instance.isEmpty() || (message.partitions != 0 && message.numInstances == 0))
             throw std::out_of_range("not a heartbeat");
     }
@@ -49,15 +41,15 @@
     QuotaMessage decode(const nlohmann::json& encoded)
     {
         QuotaMessage message;
-        message.kind = static_cast<Kind>(decodeNumber(encoded.at(0), static_cast<std::uint64_t>(Kind::Stopping)));
+        message.kind = static_cast<Kind>(getNumber(encoded.at(0), static_cast<std::uint64_t>(Kind::Stopping)));
         if (message.kind == Kind::Heartbeat)
             decodeHeartbeat(encoded, message);
         if (message.kind == Kind::Alive || message.kind == Kind::Stopping) {
-            message.epoch = decodeNumber(encoded.at(1), UINT64_MAX);
+            message.epoch = getNumber(encoded.at(1), UINT64_MAX);
             message.time = decodeDuration(encoded.at(2));
         }
         if (message.kind == Kind::Request || message.kind == Kind::Admitted || message.kind == Kind::Refused)
-            message.request = decodeNumber(encoded.at(1), UINT64_MAX);
+            message.request = getNumber(encoded.at(1), UINT64_MAX);
         if (message.kind == Kind::Request)
             message.workspace = WorkspaceId(encoded.at(2).get<std::string>());
         if (message.kind == Kind::Refused)
--- a/src/routes/RelayedRoutes.cpp
+++ b/src/routes/RelayedRoutes.cpp
@@ -1,5 +1,6 @@
 #include "lentiljunction/routes/RelayedRoutes.h"
 
+#include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/JsonFields.h"
 
 #include <algorithm>
@@ -17,7 +18,7 @@
 
     Duration getDuration(JsonFields& fields, const std::string& name)
     {
-        return Duration(fields.getInteger(name, 0, noLimit));
+        return Duration(fields.getInteger(name, 0, longestMessageDuration));
     }
 
     Route decodeRoute(const nlohmann::json& object, const std::string& path, std::vector<std::string>& faults)
--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -23,6 +23,19 @@
         return { status, "application/json", body };
     }
 
+    /// Decodes the escape sequences of a name in a path or query.
+    std::string decodeName(const std::string& text)
+    {
+        constexpr int hexadecimal = 16;
+        std::string name;
+        for (std::size_t index = 0; index < text.size(); index++) {
+            bool isEscaped = text[index] == '%' && index + 2 < text.size();
+            name.push_back(isEscaped ? static_cast<char>(std::stoi(text.substr(index + 1, 2), nullptr, hexadecimal)) : text[index]);
+            index += isEscaped ? 2 : 0;
+        }
+        return name;
+    }
+
     std::string makeArray(const std::vector<std::string>& texts)
     {
         std::string array = "[";
@@ -173,8 +186,7 @@
 
 std::string PlatformStore::describe(const std::string& name, const Object& object)
 {
-    nlohmann::json meta { { "name", name }, { "revision", object.revision } };
-    return R"({"meta":)" + meta.dump() + R"(,"spec":)" + object.specText + R"(,"status":null})";
+    return R"({"meta":{"name":")" + name + R"(","revision":)" + std::to_string(object.revision) + R"(},"spec":)" + object.specText + R"(,"status":null})";
 }
 
 std::vector<std::string> PlatformStore::listEvents(const std::string& kind, std::uint64_t after) const
@@ -238,15 +250,16 @@
     });
 }
 
-HttpResponse PlatformStore::handleRead(const std::string& kind, const std::string& name)
+HttpResponse PlatformStore::handleRead(const std::string& kind, const std::string& name, const std::string& after)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
     std::map<std::string, Object>& objects = this->kinds[kind];
     if (name.empty()) {
         std::vector<std::string> items;
-        for (const std::pair<const std::string, Object>& object : objects)
-            items.push_back(describe(object.first, object.second));
-        return respondWith(ok, R"({"items":)" + makeArray(items) + R"(,"has_more":false,"at_rev":)" + std::to_string(this->revision) + "}");
+        std::map<std::string, Object>::const_iterator object = after.empty() ? objects.begin() : objects.upper_bound(after);
+        for (; object != objects.end() && items.size() < this->pageSize; ++object)
+            items.push_back(describe(object->first, object->second));
+        return respondWith(ok, R"({"items":)" + makeArray(items) + R"(,"has_more":)" + (object == objects.end() ? "false" : "true") + R"(,"at_rev":)" + std::to_string(this->revision) + "}");
     }
     std::map<std::string, Object>::const_iterator found = objects.find(name);
     return found == objects.end() ? respondWith(notFound) : respondWith(ok, describe(name, found->second));
@@ -294,14 +307,14 @@
 
     std::string rest = path.substr(objectsPrefix.size());
     std::string kind = rest.substr(0, rest.find('/'));
-    std::string name = rest.size() > kind.size() ? rest.substr(kind.size() + 1) : "";
+    std::string name = rest.size() > kind.size() ? decodeName(rest.substr(kind.size() + 1)) : "";
     if (request.method == "GET" && !findParameter(query, "watch").empty())
         return this->startWatch(port, handle, kind, query);
     if (currentFault == Fault::LateWrites && request.method != "GET") {
         this->loop.schedule(lateWriteDelay, [this, request, kind, name] { this->handleWrite(request, kind, name); });
         return;
     }
-    HttpResponse response = request.method == "GET" ? this->handleRead(kind, name) : this->handleWrite(request, kind, name);
+    HttpResponse response = request.method == "GET" ? this->handleRead(kind, name, decodeName(findParameter(query, "after"))) : this->handleWrite(request, kind, name);
     if (currentFault != Fault::DropsResponses || request.method == "GET")
         port.respond(handle, response);
 }
--- a/standins/platform/PlatformStore.h
+++ b/standins/platform/PlatformStore.h
@@ -48,7 +48,7 @@
     /// Writes an object without a condition, as an operator or an upstream does.
     void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
 
-    /// Writes an object of another writer, whose spec may be any bytes. read() and list() see its spec as null.
+    /// Writes an object of another writer, whose name and spec may be any bytes. read() and list() see its spec as null.
     void putRaw(const std::string& kind, const std::string& name, const std::string& specText);
 
     /// Removes an object.
@@ -60,6 +60,9 @@
     /// @returns the specs of all objects of a kind, by name
     std::vector<nlohmann::json> list(const std::string& kind);
 
+    /// Sets the number of objects in a page of a list.
+    void setPageSize(std::size_t newPageSize) { this->pageSize = newPageSize; }
+
     /// Discards the history, so that open watches and those of older revisions end with 410.
     void compact();
 
@@ -106,7 +109,7 @@
     /// Sends a response, or what the port's present fault makes of it. The fault also applies to requests that
     /// were waiting before it was set.
     void sendResponse(Port& port, WebSocketServer::Handle handle, const HttpResponse& response);
-    HttpResponse handleRead(const std::string& kind, const std::string& name);
+    HttpResponse handleRead(const std::string& kind, const std::string& name, const std::string& after);
     HttpResponse handleWrite(const HttpRequest& request, const std::string& kind, const std::string& name);
     HttpResponse handlePromotion(const HttpRequest& request);
     void startWatch(Port& port, WebSocketServer::Handle handle, const std::string& kind, const std::string& query);
@@ -125,6 +128,7 @@
     std::map<std::string, std::map<std::string, Object>> copiedKinds;
     std::uint64_t copiedRevision = 1;
     std::atomic<std::uint64_t> era { 1 };
+    std::atomic<std::size_t> pageSize { 500 };
     std::vector<Event> history;
     std::vector<Watch> watches;
     std::uint64_t revision = 1;
--- a/tests/unit/JsonTests.cpp
+++ b/tests/unit/JsonTests.cpp
@@ -1,10 +1,19 @@
+#include "../../src/gateway/ListCodec.h"
+#include "../../src/gateway/ProofCodec.h"
+#include "../support/RandomJson.h"
 #include "lentiljunction/caller/RequestCodec.h"
 #include "lentiljunction/core/Cbor.h"
 #include "lentiljunction/core/Json.h"
+#include "lentiljunction/core/JsonSlices.h"
 #include "lentiljunction/peer/PeerMessage.h"
 
+#include <rapidcheck.h>
+
 #include <CppUTest/TestHarness.h>
 
+#include <limits>
+#include <stdexcept>
+
 using namespace lentiljunction;
 
 namespace {
@@ -71,3 +80,80 @@
     CHECK_TRUE(parseCbor("\xff").is_discarded());
     CHECK_TRUE(parseCbor("").is_discarded());
 }
+
+// One element cannot be decoded. Guards against a list that hides the others because of it.
+TEST(Json, splitsArrayWhoseElementsCannotBeDecoded)
+{
+    std::optional<std::vector<std::string_view>> elements = splitJsonArray(" [ {\"a\":\"]}\\\"\"} , \xff\xfe, 1e400 ,[[],{}], \"\xff,\"] ");
+    CHECK_TRUE(elements.has_value());
+    CHECK(*elements == (std::vector<std::string_view> { "{\"a\":\"]}\\\"\"}", "\xff\xfe", "1e400", "[[],{}]", "\"\xff,\"" }));
+    CHECK(splitJsonArray("[]")->empty());
+    for (const char* text : { "", "[", "[1", "[1,", "[\"a]", "{}", "[1]]", "[1] 2", "null" })
+        CHECK_FALSE(splitJsonArray(text).has_value());
+}
+
+TEST(Json, splitsObjectWhoseValuesCannotBeDecoded)
+{
+    std::optional<std::map<std::string, std::string_view>> members = splitJsonObject(R"({"a":1,"\u0062":{"c":2},"\ud800":3,"a": 4 })");
+    CHECK_TRUE(members.has_value());
+    CHECK(*members == (std::map<std::string, std::string_view> { { "a", "4" }, { "b", R"({"c":2})" } }));
+    CHECK(splitJsonObject("{}")->empty());
+    for (const char* text : { "", "{", "{1:2}", "{\"a\"}", "{\"a\":", "{\"a\":1", "[]", "{\"a\":1}}" })
+        CHECK_FALSE(splitJsonObject(text).has_value());
+}
+
+// For valid JSON the parts are those that the decoder finds.
+TEST(Json, partsOfValidTextsAreTheirElements)
+{
+    CHECK(rc::check("any document", [] {
+        nlohmann::json document = nlohmann::json::array({ tests::generateJson(3), tests::generateJson(3) });
+        std::string text = document.dump(*rc::gen::inRange(-1, 3));
+        std::optional<std::vector<std::string_view>> elements = splitJsonArray(text);
+        RC_ASSERT(elements.has_value() && elements->size() == 2);
+        RC_ASSERT(parseJson(elements->at(0)) == document[0] && parseJson(elements->at(1)) == document[1]);
+    }));
+}
+
+TEST(Json, numbersOutOfRangeAreRefused)
+{
+    CHECK_THROWS(std::out_of_range, getPort(70000));
+    CHECK_THROWS(std::out_of_range, getPort(0));
+    CHECK_THROWS(std::out_of_range, getNumber(1.5, 10));
+    CHECK_THROWS(std::out_of_range, getDuration(std::numeric_limits<std::int64_t>::max()));
+    CHECK_THROWS(std::out_of_range, getDuration(std::numeric_limits<std::uint64_t>::max()));
+    CHECK(getDuration(-5) == Duration(-5));
+}
+
+// Lists and proofs are relayed between instances. Guards against one malformed entry that hides the others, and against
+// an age that wraps around and makes a proof pass for a future one.
+TEST(Json, relayedListsKeepTheirReadableEntries)
+{
+    UpstreamList list;
+    list.entries[UpstreamId("u")] = { UpstreamId("u"), GroupId("g"), { "10.0.0.1", 80 }, ZoneId("z"), 2 };
+    nlohmann::json encoded = encodeUpstreamList(list);
+    for (const nlohmann::json& odd : std::vector<nlohmann::json> { 7, nlohmann::json::object(), { { "id", "x" }, { "group", "g" }, { "endpoint", { "10.0.0.1", 70000 } }, { "zone", "z" }, { "slots", 2 }, { "leaving", false }, { "claims_primary", true } } })
+        encoded.push_back(odd);
+    std::optional<UpstreamList> decoded = decodeUpstreamList(encoded);
+    CHECK_TRUE(decoded.has_value());
+    LONGS_EQUAL(1, decoded->entries.size());
+    CHECK_FALSE(decodeUpstreamList(nlohmann::json::array({ 7 })).has_value());
+    nlohmann::json members = encodeMemberList({ { InstanceId("a"), ZoneId("z"), { "10.0.0.1", 80 } } });
+    members.push_back("odd");
+    LONGS_EQUAL(1, decodeMemberList(members)->size());
+    nlohmann::json proofs = nlohmann::json::array({ { "g", 1, std::numeric_limits<std::uint64_t>::max(), 3, 4 }, { "g", 1, 2, 3, 4 } });
+    LONGS_EQUAL(1, decodeProofs(parseCbor(toCbor(proofs)), BootTime())->size());
+}
+
+// Membership updates are relayed as well.
+TEST(Json, peerMessageKeepsItsReadableUpdates)
+{
+    Member member { InstanceId("a"), ZoneId("z"), { "10.0.0.1", 80 }, MemberState::Alive, Incarnation(1) };
+    MembershipMessage message;
+    message.updates = { member, member };
+    nlohmann::json encoded = parseCbor(encodePeerMessage(message));
+    encoded[2][3][0][3] = 70000;
+    Failure failure;
+    std::optional<PeerMessage> decoded = decodePeerMessage(toCbor(encoded), failure);
+    CHECK_TRUE(decoded.has_value());
+    LONGS_EQUAL(1, std::get<MembershipMessage>(*decoded).updates.size());
+}
