Let a test of keys begin once the instances know each other

It had lost the store 0.9 s after its start, before the list of instances showed the other one, so it had nobody to ask. No removed key is accepted too long; an instance that knows nobody cannot say that a key is invalid, which the test demands.

Change: the test waits until both instances know each other, as keysStayAcceptedDuringOutageOfStore does; checks and bounds are as before. What it guards against is still checked: within 5 s the key must be refused as unknown, in both kinds of fault.

--- a/tests/process/GatewayWorkspacesTests.cpp
+++ b/tests/process/GatewayWorkspacesTests.cpp
@@ -39,6 +39,13 @@
         this->fixture.getSite().configure(++this->version, { "bookings", "checks" });
     }
 
+    /// Waits until the first two instances know each other. One that loses the store before has nobody to ask.
+    void waitUntilInstancesKnowEachOther()
+    {
+        for (std::size_t index : { 0U, 1U })
+            CHECK_TRUE(waitUntil([&] { return contains(this->fixture.readMetrics(index), "fact=\"instances\"} 2"); }));
+    }
+
     void removeOldKey() { this->configure({ { "alpha", { "alpha-new" } }, { "beta", { "beta-key" } } }); }
 
     /// @returns whether every instance refuses a key within a time
@@ -157,6 +164,7 @@
 TEST(GatewayWorkspaces, instanceWithoutStoreAppliesKeysInTime)
 {
     WorkspaceSite site;
+    site.waitUntilInstancesKnowEachOther();
     for (PlatformStore::Fault fault : { PlatformStore::Fault::Silent, PlatformStore::Fault::Unavailable }) {
         site.fixture.getStore().setPortFault(0, fault);
         std::this_thread::sleep_for(std::chrono::seconds(2));
@@ -175,8 +183,7 @@
     WorkspaceSite site;
     LineCaller caller(site.fixture.getPort(0), "checks", callerTimeout, "alpha-new");
     // An instance that knows no other one cannot tell an outage of the store from its own.
-    for (std::size_t index : { 0U, 1U })
-        CHECK_TRUE(waitUntil([&] { return contains(site.fixture.readMetrics(index), "fact=\"instances\"} 2"); }));
+    site.waitUntilInstancesKnowEachOther();
     site.fixture.getStore().setFault(PlatformStore::Fault::Silent);
     TimePoint end = SystemClock().now() + std::chrono::seconds(9);
     while (SystemClock().now() < end) {
