Bound what a session takes in one turn and buffers behind a statement

Cause: CallerSession buffered without a limit and handled all of it in one turn of the loop, and taking a line moves the rest of the buffer, which is quadratic.

Change: a session handles at most 64 messages a turn, and reads no more while 64 KiB wait behind a statement, so the caller is slowed down by TCP.

--- a/src/net/TcpConnection.cpp
+++ b/src/net/TcpConnection.cpp
@@ -7,6 +7,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <utility>
 
 namespace lentiljunction {
 
@@ -49,10 +50,11 @@
 
     void read()
     {
-        if (this->listener == nullptr)
+        if (this->listener == nullptr || this->isReadingStopped || std::exchange(this->isReading, true))
             return;
         std::shared_ptr<Implementation> self = this->shared_from_this();
         this->socket.async_read_some(asio::buffer(this->buffer), [self](const asio::error_code& error, std::size_t size) {
+            self->isReading = false;
             if (self->listener == nullptr)
                 return;
             if (error)
@@ -108,6 +110,8 @@
     std::string bytesInFlight;
     bool isOpen = false;
     bool isWriting = false;
+    bool isReading = false;
+    bool isReadingStopped = false;
     bool mustCloseAfterSending = false;
 };
 
@@ -146,6 +150,13 @@
     this->implementation->flush();
 }
 
+void TcpConnection::setReading(bool isWanted)
+{
+    this->implementation->isReadingStopped = !isWanted;
+    if (isWanted && this->implementation->isOpen)
+        this->implementation->read();
+}
+
 void TcpConnection::closeAfterSending()
 {
     this->implementation->mustCloseAfterSending = true;
--- a/src/net/TcpConnection.h
+++ b/src/net/TcpConnection.h
@@ -47,6 +47,10 @@
     /// Sends bytes after those that were sent before. Disconnects a peer that does not read.
     void send(const std::string& bytes);
 
+    /// Stops reading, so that the peer cannot send more than the buffers of the system hold, or reads again. While reading
+    /// is stopped, the end of the connection is not noticed.
+    void setReading(bool isWanted);
+
     /// Closes the connection once all queued bytes are sent. The listener is not called any more.
     void closeAfterSending();
 
--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+    /// Messages that a session handles before the others have their turn.
+    constexpr int maximumMessagesPerTurn = 64;
+    /// Bytes that wait behind a running statement before no more are read.
+    constexpr std::size_t maximumBufferedBytes = 65536;
+
     bool isTransactionControl(SessionVerb verb)
     {
         return verb == SessionVerb::Begin || verb == SessionVerb::Rollback;
@@ -90,7 +95,12 @@
     if (this->isProcessing)
         return;
     this->isProcessing = true;
+    int numMessages = 0;
     while (!this->hasEnded && !this->isRunning() && !this->buffered.empty()) {
+        if (++numMessages > maximumMessagesPerTurn) {
+            this->continueLater();
+            break;
+        }
         this->arrivedAt = this->firstByteAt;
         this->arrivedAtSteady = this->firstByteAtSteady;
         Failure failure;
@@ -113,6 +123,24 @@
         }
     }
     this->isProcessing = false;
+    // A caller that does not wait for its responses is slowed down instead of filling the memory. A message that is still
+    // incomplete needs more bytes.
+    bool isWaiting = this->isRunning() || this->isContinuing;
+    if (!this->hasEnded)
+        this->socket->setReading(!isWaiting || this->buffered.size() < maximumBufferedBytes);
+}
+
+void CallerSession::continueLater()
+{
+    if (std::exchange(this->isContinuing, true))
+        return;
+    std::weak_ptr<bool> alive = this->isAlive;
+    this->state.getLoop().post([this, alive] {
+        if (alive.expired())
+            return;
+        this->isContinuing = false;
+        this->processBuffered();
+    });
 }
 
 void CallerSession::onStartup(const SessionStartup& opened)
--- a/src/traffic/CallerSession.h
+++ b/src/traffic/CallerSession.h
@@ -91,6 +91,8 @@
     void reply(ReplyCode code, TransactionState newState, const std::string& message, FailureCause cause = FailureCause::NotAllowed);
     void send(const SessionReply& answer);
     void processBuffered();
+    /// Handles the remaining messages after the other tasks of the loop.
+    void continueLater();
     void onIdleLimit();
     void endSession();
 
@@ -103,6 +105,9 @@
     OneShotTimer idleTimer;
     /// Received bytes that are not decoded yet.
     std::string buffered;
+    /// Whether more messages are handled in a later turn.
+    bool isContinuing = false;
+    std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
     std::optional<SessionStartup> startup;
     SessionContext context;
     TransactionState transactionState = TransactionState::Idle;
--- a/tests/process/GatewayTests.cpp
+++ b/tests/process/GatewayTests.cpp
@@ -391,3 +391,31 @@
     }
     CHECK(numServed > 0);
 }
+
+// A caller sends statements without waiting for their responses, behind one that runs. Guards against a session that takes
+// all of them in one turn, so that every other caller of the instance waits for tens of seconds.
+TEST(Gateway, floodBehindStatementDelaysNoOtherCaller)
+{
+    constexpr int numStatements = 250000;
+    constexpr std::chrono::seconds startupLimit { 2 };
+    GatewayFixture fixture;
+    CHECK_TRUE(fixture.waitUntilServed("bookings"));
+    std::string flood = "QUERY f READ a\r\n";
+    for (int number = 0; number < numStatements; number++)
+        flood += "QUERY f SET a b\r\n";
+    LineCaller flooding(fixture.getPort(0), "bookings");
+    std::thread flooder([&] { flooding.sendRaw(flood); });
+    int numServed = 0;
+    int numLate = 0;
+    std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+    while (std::chrono::steady_clock::now() < end) {
+        std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
+        LineCaller other(fixture.getPort(0), "bookings", startupLimit);
+        bool isInTime = isServed(other.execute("READ a")) && std::chrono::steady_clock::now() - began < startupLimit;
+        numServed += isInTime ? 1 : 0;
+        numLate += isInTime ? 0 : 1;
+    }
+    flooder.join();
+    CHECK(numServed > 0);
+    LONGS_EQUAL(0, numLate);
+}
