Ask for the lease again when the connection of a promotion call is open

Cause: the lease was checked before the call only. After a suspension the completion of the connection is handled before the timer that was to end the call.

Change: HttpClientRequest::mayBeSent is asked immediately before a request is sent. For a promotion call it requires the role, the same token and a lease that outlasts the call.

--- a/include/lentiljunction/fleet/FleetStore.h
+++ b/include/lentiljunction/fleet/FleetStore.h
@@ -91,7 +91,7 @@
     ///
     /// @param coordinator the calling instance, which must be the failover coordinator
     /// @param fencingToken the token of its coordination, PrimaryRecord::epoch; not checked here
-    virtual void promote(const GroupId& group, const UpstreamId& upstream, const InstanceId& coordinator, FencingToken fencingToken, Callback<bool> callback) = 0;
+    virtual void promote(const GroupId& group, const UpstreamId& upstream, const InstanceId& coordinator, FencingToken fencingToken, std::function<bool()> mayBeSent, Callback<bool> callback) = 0;
 };
 
 } // namespace lentiljunction
--- a/src/fleet/MeteredFleetStore.cpp
+++ b/src/fleet/MeteredFleetStore.cpp
@@ -19,9 +19,9 @@
 {
 }
 
-void MeteredFleetStore::promote(const GroupId& group, const UpstreamId& upstream, const InstanceId& coordinator, FencingToken fencingToken, Callback<bool> callback)
+void MeteredFleetStore::promote(const GroupId& group, const UpstreamId& upstream, const InstanceId& coordinator, FencingToken fencingToken, std::function<bool()> mayBeSent, Callback<bool> callback)
 {
-    this->inner->promote(group, upstream, coordinator, fencingToken, [this, began = this->clock.now(), callback = std::move(callback)](std::optional<bool> value, const Failure& failure) {
+    this->inner->promote(group, upstream, coordinator, fencingToken, std::move(mayBeSent), [this, began = this->clock.now(), callback = std::move(callback)](std::optional<bool> value, const Failure& failure) {
         this->count("promote", value.has_value(), failure, began);
         callback(value, failure);
     });
--- a/src/fleet/MeteredFleetStore.h
+++ b/src/fleet/MeteredFleetStore.h
@@ -30,7 +30,7 @@
     void listMembers(bool isLinearizable, Callback<std::vector<FleetMember>> callback) override { this->inner->listMembers(isLinearizable, this->meter("list_members", std::move(callback))); }
     void writeAudit(const std::string& key, const std::string& records, Callback<bool> callback) override { this->inner->writeAudit(key, records, this->meter("write_audit", std::move(callback))); }
     /// Promotions use another service, so their results do not show whether the store is available.
-    void promote(const GroupId& group, const UpstreamId& upstream, const InstanceId& coordinator, FencingToken fencingToken, Callback<bool> callback) override;
+    void promote(const GroupId& group, const UpstreamId& upstream, const InstanceId& coordinator, FencingToken fencingToken, std::function<bool()> mayBeSent, Callback<bool> callback) override;
 
 private:
     template <typename T>
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -320,6 +320,12 @@
     return view.latest.record != nullptr && view.latest.record->coordinator == this->dependencies.self;
 }
 
+bool FailoverExecutor::mayCall() const
+{
+    Duration remaining = this->dependencies.context.getLeaseTracker().getRemaining(this->dependencies.clock.bootNow());
+    return remaining >= minimumPromotionLease && this->dependencies.context.mayAct();
+}
+
 void FailoverExecutor::promote(Run& run, const UpstreamId& upstream)
 {
     if (std::exchange(run.isPromoting, true))
@@ -333,17 +339,17 @@
         return;
     if (!this->isCoordinator())
         return this->abandon(group, "another instance is the failover coordinator");
-    const LeaseTracker& leaseTracker = this->dependencies.context.getLeaseTracker();
-    if (leaseTracker.getRemaining(this->dependencies.clock.bootNow()) < minimumPromotionLease || !this->dependencies.context.mayAct()) {
+    if (!this->mayCall()) {
         this->dependencies.loop.schedule(tickInterval, [this, group, upstream] { this->sendPromotionCall(group, upstream); });
         return;
     }
     std::size_t numGivenUp = this->findRun(group)->failover.getNumGivenUp();
     if (numGivenUp > 0)
         logEvent(events::commitsUnproved, "group=" + group.toString() + " upstream=" + upstream.toString() + " silent=" + std::to_string(numGivenUp));
-    FencingToken epoch = leaseTracker.getView().latest.record->epoch;
+    FencingToken epoch = this->dependencies.context.getLeaseTracker().getView().latest.record->epoch;
     logEvent(events::failoverStep, "group=" + group.toString() + " step=call upstream=" + upstream.toString() + " epoch=" + std::to_string(epoch.value()));
-    this->calls.send(group, upstream, epoch, [this, group](bool isAccepted, const Failure& failure) { this->onPromotionResponse(group, isAccepted, failure); });
+    std::function<bool()> mayBeSent = [this, epoch] { return this->isCoordinator() && this->dependencies.context.getLeaseTracker().getView().latest.record->epoch == epoch && this->mayCall(); };
+    this->calls.send(group, upstream, epoch, std::move(mayBeSent), [this, group](bool isAccepted, const Failure& failure) { this->onPromotionResponse(group, isAccepted, failure); });
 }
 
 void FailoverExecutor::onPromotionResponse(const GroupId& group, bool hasResponse, const Failure& failure)
--- a/src/gateway/FailoverExecutor.h
+++ b/src/gateway/FailoverExecutor.h
@@ -115,6 +115,8 @@
     void notifyInstances(const Run& run);
     void abandon(const GroupId& group, const std::string& reason);
     bool isCoordinator() const;
+    /// @returns whether a promotion call ends before another instance can become the coordinator
+    bool mayCall() const;
     nlohmann::json makePrimaryRecordMessage() const;
     Run* findRun(const GroupId& group);
     std::vector<UpstreamId> listCandidates(const GroupId& group, const UpstreamId& primary, bool includesLeaving) const;
--- a/src/gateway/PromotionCalls.cpp
+++ b/src/gateway/PromotionCalls.cpp
@@ -18,10 +18,10 @@
 {
 }
 
-void PromotionCalls::send(const GroupId& group, const UpstreamId& upstream, FencingToken epoch, Callback callback)
+void PromotionCalls::send(const GroupId& group, const UpstreamId& upstream, FencingToken epoch, std::function<bool()> mayBeSent, Callback callback)
 {
     this->numPending++;
-    this->store.promote(group, upstream, this->self, epoch, [this, callback = std::move(callback)](const std::optional<bool>& isDone, const Failure& failure) {
+    this->store.promote(group, upstream, this->self, epoch, std::move(mayBeSent), [this, callback = std::move(callback)](const std::optional<bool>& isDone, const Failure& failure) {
         this->onEnded(isDone.has_value() || failure.kind == Failure::Kind::Conflict);
         callback(isDone.has_value(), failure);
     });
--- a/src/gateway/PromotionCalls.h
+++ b/src/gateway/PromotionCalls.h
@@ -23,7 +23,8 @@
     /// Requests the promotion of an upstream.
     ///
     /// @param epoch the fencing token of this instance as the coordinator
-    void send(const GroupId& group, const UpstreamId& upstream, FencingToken epoch, Callback callback);
+    /// @param mayBeSent whether this instance still is the coordinator, asked when the connection for the call is open
+    void send(const GroupId& group, const UpstreamId& upstream, FencingToken epoch, std::function<bool()> mayBeSent, Callback callback);
 
     /// Calls back once no call is pending.
     void runAfterPending(std::function<void()> callback);
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -53,6 +53,7 @@
     std::weak_ptr<Implementation> owner;
     Callback callback;
     std::string request;
+    std::function<bool()> mayBeSent;
     std::unique_ptr<HttpResponseParser> reader;
     std::array<char, readBufferSize> buffer {};
     std::string receivedBytes;
@@ -105,6 +106,7 @@
     this->callNumber++;
     this->reader = std::make_unique<HttpResponseParser>();
     this->request = encodeHttpRequest(call, this->server);
+    this->mayBeSent = call.mayBeSent;
 
     std::shared_ptr<Exchange> self = this->shared_from_this();
     this->timer.expires_after(call.timeout);
@@ -148,6 +150,8 @@
 
 void HttpClient::Exchange::write()
 {
+    if (this->mayBeSent && !this->mayBeSent())
+        return this->fail("the request may not be sent any more");
     std::shared_ptr<Exchange> self = this->shared_from_this();
     this->isSent = true;
     asio::async_write(this->socket, asio::buffer(this->request), [self](const asio::error_code& error, std::size_t) {
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -22,6 +22,9 @@
     std::map<std::string, std::string> headers;
     /// The time limit from the call until the complete response.
     Duration timeout { 0 };
+    /// Asked immediately before the request is sent; it is not sent unless this returns true. Opening a connection takes
+    /// time, in which the process may be suspended. Not asked when empty.
+    std::function<bool()> mayBeSent {};
 };
 
 /// The response to an HttpClientRequest.
--- a/tests/support/QueuedFleetStore.h
+++ b/tests/support/QueuedFleetStore.h
@@ -47,7 +47,7 @@
     void removeMember(const InstanceId&, Callback<bool>) override { }
     void listMembers(bool, Callback<std::vector<FleetMember>>) override { }
     void writeAudit(const std::string&, const std::string&, Callback<bool>) override { }
-    void promote(const GroupId&, const UpstreamId&, const InstanceId&, FencingToken, Callback<bool>) override { }
+    void promote(const GroupId&, const UpstreamId&, const InstanceId&, FencingToken, std::function<bool()>, Callback<bool>) override { }
 
 private:
     void add(RouteCall call)
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -41,7 +41,7 @@
         this->written.emplace_back(key, records);
         this->respond(callback, true);
     }
-    void promote(const GroupId&, const UpstreamId&, const InstanceId&, FencingToken, Callback<bool> callback) override { this->respond(callback, true); }
+    void promote(const GroupId&, const UpstreamId&, const InstanceId&, FencingToken, std::function<bool()>, Callback<bool> callback) override { this->respond(callback, true); }
 
     std::vector<std::pair<std::string, std::string>> written;
     StoreEra era { 1 };
@@ -89,7 +89,7 @@
     });
     storeFailure.set(Failure::Kind::Unavailable, "no answer");
     read();
-    store.promote(GroupId("g"), UpstreamId("u"), InstanceId("a"), FencingToken(1), [](const std::optional<bool>&, const Failure&) {});
+    store.promote(GroupId("g"), UpstreamId("u"), InstanceId("a"), FencingToken(1), nullptr, [](const std::optional<bool>&, const Failure&) {});
     std::string page = metrics.render();
     for (const char* line : { "operation=\"read_lead\",result=\"done\"} 1", "operation=\"write_lead\",result=\"refused\"} 1", "operation=\"read_lead\",result=\"unanswered\"} 1", "operation=\"promote\",result=\"unanswered\"} 1" })
         STRCMP_CONTAINS(line, page.c_str());
