--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -44,9 +44,9 @@
         {
             std::string value = this->document.find(section, key).value_or("");
             // The names are fields of messages, of paths and of log lines.
-            bool isName = !value.empty() && std::all_of(value.begin(), value.end(), [](unsigned char letter) { return letter > ' ' && letter < 0x7f && letter != '"'; });
+            bool isName = !value.empty() && std::all_of(value.begin(), value.end(), [](unsigned char letter) { return letter > ' ' && letter != 0x7f && letter != '"'; });
             if (!isName)
-                this->addFault(section, key, value, "a name of printable ASCII letters without blanks");
+                this->addFault(section, key, value, "a name without blanks and quotation marks");
             return value;
         }
 
