--- a/tools/lab/GatewaySite.cpp
+++ b/tools/lab/GatewaySite.cpp
@@ -25,13 +25,6 @@
         return static_cast<std::uint16_t>(findFreePort());
     }
 
-    bool isReady(int port)
-    {
-        httplib::Client client(loopback, port);
-        httplib::Result result = client.Get("/");
-        return result && result->status == httpOk;
-    }
-
     /// Counters of the kernel for a process since its start.
     struct ProcessUsage {
         double processorSeconds = 0;
@@ -78,13 +71,17 @@
 std::string GatewaySite::writeSettings(int index, const Endpoint& store)
 {
     std::string path = this->folder + "/front-" + std::to_string(index) + ".ini";
-    this->sessionPorts.push_back(findFreePort());
-    this->readyPorts.push_back(findFreePort());
-    std::ofstream(path) << "[instance]\nid = front-" << index << "\nzone = z" << index % this->numZones + 1 << "\n[sessions]\nlisten = " << loopback << ":" << this->sessionPorts.back()
-                        << "\n[ready]\nlisten = " << loopback << ":" << this->readyPorts.back() << "\n[peers]\nlisten = " << loopback << ":" << findFreePort()
-                        << "\n[lending]\nlisten = " << loopback << ":" << findFreePort()
-                        << "\n[metrics]\nlisten = " << loopback << ":" << findFreePort() << "\n[store]\nfirst_start = true\nendpoint = " << store.host << ":" << store.port
-                        << "\n[promotion]\nendpoint = " << store.host << ":" << store.port << "\n";
+    std::vector<int> ports;
+    std::ofstream settings(path);
+    settings << "[instance]\nid = front-" << index << "\nzone = z" << index % this->numZones + 1;
+    for (const char* section : { "sessions", "ready", "peers", "lending", "metrics" }) {
+        ports.push_back(findFreePort());
+        settings << "\n[" << section << "]\nlisten = " << loopback << ":" << ports.back();
+    }
+    this->sessionPorts.push_back(ports.front());
+    this->listeningPorts.push_back(ports);
+    settings << "\n[store]\nfirst_start = true\nendpoint = " << store.host << ":" << store.port
+             << "\n[promotion]\nendpoint = " << store.host << ":" << store.port << "\n";
     return path;
 }
 
@@ -97,7 +94,23 @@
 
 void GatewaySite::restart(std::size_t index)
 {
-    this->processes[index] = this->startProcess(index);
+    std::unique_ptr<Process> started = this->startProcess(index);
+    std::lock_guard<std::mutex> lock(this->processesMutex);
+    this->processes[index] = std::move(started);
+}
+
+void GatewaySite::signal(std::size_t index, int number)
+{
+    std::lock_guard<std::mutex> lock(this->processesMutex);
+    this->processes[index]->signal(number);
+}
+
+bool GatewaySite::isReady(std::size_t index) const
+{
+    constexpr std::size_t readyPort = 1;
+    httplib::Client client(loopback, this->listeningPorts[index][readyPort]);
+    httplib::Result result = client.Get("/");
+    return result && result->status == httpOk;
 }
 
 bool GatewaySite::start(int number, Failure& failure)
@@ -111,8 +124,8 @@
         this->processes.push_back(this->startProcess(this->settingsPaths.size() - 1));
     }
     std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + readyTimeout;
-    for (int port : this->readyPorts) {
-        while (!isReady(port)) {
+    for (std::size_t index = 0; index < this->processes.size(); index++) {
+        while (!this->isReady(index)) {
             if (std::chrono::steady_clock::now() > end) {
                 failure.set(Failure::Kind::Unavailable, "an instance did not become ready; its log is in " + this->folder);
                 return false;
--- a/tools/lab/GatewaySite.h
+++ b/tools/lab/GatewaySite.h
@@ -4,6 +4,7 @@
 #include "Process.h"
 
 #include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -29,9 +30,18 @@
     /// @returns the port for caller sessions of each instance
     const std::vector<int>& getSessionPorts() const { return this->sessionPorts; }
 
+    /// @returns the ports on which an instance listens, those for callers first
+    const std::vector<int>& getListeningPorts(std::size_t index) const { return this->listeningPorts[index]; }
+
+    /// @returns whether an instance answers its readiness probe with 200
+    bool isReady(std::size_t index) const;
+
     /// Starts a new process for an instance whose process has ended.
     void restart(std::size_t index);
 
+    /// Sends a signal to the present process of an instance. Safe to call from any thread, also beside restart().
+    void signal(std::size_t index, int number);
+
     /// @returns the stand-ins of the users' platform
     standin::PlatformSite& getSite() { return this->site; }
 
@@ -47,7 +57,8 @@
     int numZones;
     standin::PlatformSite site;
     std::vector<int> sessionPorts;
-    std::vector<int> readyPorts;
+    std::vector<std::vector<int>> listeningPorts;
+    std::mutex processesMutex;
     std::vector<std::unique_ptr<Process>> processes;
     std::vector<std::string> settingsPaths;
     std::vector<int> numStarts;
--- a/tools/lab/Soak.cpp
+++ b/tools/lab/Soak.cpp
@@ -106,7 +106,7 @@
     standin::LineGroup& group = relayed.site.getSite().getGroup();
     checkRecovery(relayed.site.getSessionPorts(), history);
 
-    SoakFaults faults(relayed.site, relayed.relays);
+    SoakFaults faults(relayed.site, relayed.relays, history);
     std::atomic<bool> isStopping { false };
     std::atomic<std::uint64_t> numSteps { 0 };
     std::vector<std::thread> threads;
@@ -150,6 +150,7 @@
         thread.join();
     faults.clearFaults();
     checkRecovery(relayed.site.getSessionPorts(), history);
+    faults.checkProcesses();
     checkWrites(group, history);
     if (keys != nullptr)
         keys->checkArrivals();
--- a/tools/lab/SoakFaults.cpp
+++ b/tools/lab/SoakFaults.cpp
@@ -16,6 +16,7 @@
     constexpr std::uint64_t maximumRewriteMilliseconds = 1500;
     constexpr std::chrono::milliseconds pollInterval { 20 };
     constexpr std::chrono::seconds exitTimeout { 10 };
+    constexpr int signalExitCodeBase = 128;
     const std::vector<std::string> upstreams { "u1", "u2", "u3" };
     const std::vector<Fault> storeFaults { Fault::Unavailable, Fault::TooManyRequests, Fault::Silent, Fault::DropsResponses, Fault::LateWrites };
     const std::vector<SoakRelay::Mode> relayModes { SoakRelay::Mode::Delayed, SoakRelay::Mode::DropRequests, SoakRelay::Mode::DropResponses, SoakRelay::Mode::DropAll };
@@ -29,9 +30,10 @@
 
 } // namespace
 
-SoakFaults::SoakFaults(GatewaySite& site, std::vector<std::unique_ptr<SoakRelay>>& relays)
+SoakFaults::SoakFaults(GatewaySite& site, std::vector<std::unique_ptr<SoakRelay>>& relays, SoakHistory& history)
     : site(site)
     , relays(relays)
+    , history(history)
     , instanceMutexes(site.getProcesses().size())
 {
 }
@@ -62,7 +64,7 @@
         return this->restartInstance(instance, SIGTERM, duration, isStopping);
     case 3:
         this->recordFault("SIGHUP to instance " + std::to_string(instance + 1));
-        return this->site.getProcesses()[instance]->signal(SIGHUP);
+        return this->site.signal(instance, SIGHUP);
     case 4:
         return this->injectStoreFault(instance, storeFaults[random.below(storeFaults.size())], duration, isStopping);
     case 5:
@@ -86,17 +88,46 @@
     this->site.getProcesses()[index]->signal(SIGCONT);
 }
 
+bool SoakFaults::checkIsRunning(std::size_t index)
+{
+    Process& process = *this->site.getProcesses()[index];
+    if (process.isRunning())
+        return true;
+    this->history.addViolation("ended by itself: instance " + std::to_string(index + 1) + " with code " + std::to_string(process.wait()));
+    return false;
+}
+
+void SoakFaults::checkEnd(std::size_t index, int signal, bool isLate)
+{
+    int code = this->site.getProcesses()[index]->wait();
+    std::string name = "instance " + std::to_string(index + 1);
+    if (isLate)
+        return this->history.addViolation("not stopped: " + name + " still ran " + std::to_string(exitTimeout.count()) + " s after signal " + std::to_string(signal));
+    // A process that is stopped before it handles signals ends by the signal.
+    if (code != signalExitCodeBase + signal && !(signal == SIGTERM && code == 0))
+        this->history.addViolation("ended by itself: " + name + " with code " + std::to_string(code) + " after signal " + std::to_string(signal));
+}
+
+void SoakFaults::checkProcesses()
+{
+    for (std::size_t index = 0; index < this->instanceMutexes.size(); index++)
+        this->checkIsRunning(index);
+}
+
 void SoakFaults::restartInstance(std::size_t index, int signal, std::chrono::milliseconds duration, const std::atomic<bool>& isStopping)
 {
     std::lock_guard<std::mutex> lock(this->instanceMutexes[index]);
     this->recordFault("signal " + std::to_string(signal) + " to instance " + std::to_string(index + 1) + ", restarted after " + std::to_string(duration.count()) + " ms");
     Process& process = *this->site.getProcesses()[index];
-    process.signal(signal);
-    std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + exitTimeout;
-    while (process.isRunning() && std::chrono::steady_clock::now() < end)
-        std::this_thread::sleep_for(pollInterval);
-    process.signal(SIGKILL);
-    process.wait();
+    if (this->checkIsRunning(index)) {
+        process.signal(signal);
+        std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + exitTimeout;
+        while (process.isRunning() && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(pollInterval);
+        bool isLate = process.isRunning();
+        process.signal(SIGKILL);
+        this->checkEnd(index, signal, isLate);
+    }
     wait(duration, isStopping);
     this->site.restart(index);
 }
--- a/tools/lab/SoakFaults.h
+++ b/tools/lab/SoakFaults.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "GatewaySite.h"
+#include "SoakHistory.h"
 #include "SoakRelay.h"
 #include "lentiljunction/core/Random.h"
 
@@ -19,7 +20,9 @@
 class SoakFaults {
 public:
     /// The arguments must outlive this object.
-    SoakFaults(GatewaySite& site, std::vector<std::unique_ptr<SoakRelay>>& relays);
+    ///
+    /// @param history receives processes that ended by themselves
+    SoakFaults(GatewaySite& site, std::vector<std::unique_ptr<SoakRelay>>& relays, SoakHistory& history);
 
     /// Injects one fault, waits for a random time, and removes the fault. Blocks.
     ///
@@ -35,10 +38,15 @@
     /// have returned in all threads.
     void clearFaults();
 
+    /// Records the processes that ended by themselves. injectRandomFault() must have returned in all threads.
+    void checkProcesses();
+
     /// @returns a description of each injected fault, in order
     std::vector<std::string> getScript();
 
 private:
+    bool checkIsRunning(std::size_t index);
+    void checkEnd(std::size_t index, int signal, bool isLate);
     void pauseInstance(std::size_t index, std::chrono::milliseconds duration, const std::atomic<bool>& isStopping);
     void restartInstance(std::size_t index, int signal, std::chrono::milliseconds duration, const std::atomic<bool>& isStopping);
     void injectStoreFault(std::size_t index, standin::PlatformStore::Fault fault, std::chrono::milliseconds duration, const std::atomic<bool>& isStopping);
@@ -50,6 +58,7 @@
 
     GatewaySite& site;
     std::vector<std::unique_ptr<SoakRelay>>& relays;
+    SoakHistory& history;
     /// One mutex per instance (pause, restart) and one for the group (relays, crashes, changes of primary): a
     /// second fault of the same target waits until the first has ended.
     std::vector<std::mutex> instanceMutexes;
