Let servers wait before they accept again after a failed accept

Callers saw: an instance whose file descriptors were all in use spent a whole core as soon as one connection waited at the readiness, peer, lending, quota or metrics port. On a machine with a share of a core nothing else had its turn.

Cause: websocketpp's accept loop starts the next accept at once after any error. With EMFILE the waiting connection stays in the backlog, so the loop fails again without end. TcpServer had a delay, WebSocketServer had none.

Change: WebSocketServer runs its own accept loop on websocketpp's asynchronous accept, with the delay that TcpServer has.

--- a/src/net/SocketOptions.h
+++ b/src/net/SocketOptions.h
@@ -9,6 +9,9 @@
 /// covers many round trips between availability zones and is shorter than the callers' timeouts.
 constexpr std::chrono::milliseconds unacknowledgedTimeout { 1000 };
 
+/// The delay before the next accept after one failed, usually because no file descriptor was free.
+constexpr std::chrono::milliseconds acceptRetryInterval { 20 };
+
 /// Disables Nagle's algorithm, so that small messages are sent immediately, and enables TCP
 /// keep-alive and TCP_USER_TIMEOUT, so that a peer that vanished without closing is detected.
 void setNoDelayAndKeepAlive(asio::ip::tcp::socket& socket);
--- a/src/net/TcpConnection.cpp
+++ b/src/net/TcpConnection.cpp
@@ -18,8 +18,6 @@
     /// The connection is closed when more bytes wait for a peer that does not read.
     constexpr std::size_t maximumPendingBytes = 4U << 20;
     constexpr int listenBacklog = 512;
-    /// The delay before the next accept after one failed, usually because no file descriptor was free.
-    constexpr std::chrono::milliseconds acceptRetryInterval { 20 };
 
 } // namespace
 
--- a/src/net/WebSocketServer.cpp
+++ b/src/net/WebSocketServer.cpp
@@ -3,6 +3,7 @@
 #include "SocketOptions.h"
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <unordered_map>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/server.hpp>
@@ -23,7 +24,8 @@
 class WebSocketServer::Implementation {
 public:
     Implementation(EventLoop& loop, Listener& listener)
-        : listener(listener)
+        : retryTimer(loop.getContext())
+        , listener(listener)
     {
         this->server.clear_access_channels(websocketpp::log::alevel::all);
         this->server.clear_error_channels(websocketpp::log::elevel::all);
@@ -39,6 +41,21 @@
         });
     }
 
+    /// Accepts connections until the port is closed. websocketpp's own loop retries without a delay while no file
+    /// descriptor is free.
+    void accept(websocketpp::lib::error_code& error)
+    {
+        ServerConnection connection = this->server.get_connection();
+        if (connection == nullptr) {
+            error = websocketpp::error::make_error_code(websocketpp::error::con_creation_failed);
+            return;
+        }
+        this->server.async_accept(
+            connection, [this, connection](const websocketpp::lib::error_code& acceptError) { this->onAccepted(connection, acceptError); }, error);
+        if (error)
+            connection->terminate(error);
+    }
+
     ServerConnection find(Handle handle)
     {
         std::unordered_map<Handle, ServerConnection>::iterator found = this->connections.find(handle);
@@ -49,6 +66,27 @@
     std::unordered_map<Handle, ServerConnection> connections;
 
 private:
+    void onAccepted(const ServerConnection& connection, const websocketpp::lib::error_code& acceptError)
+    {
+        if (acceptError == websocketpp::error::make_error_code(websocketpp::error::operation_canceled)) {
+            connection->terminate(acceptError);
+            return;
+        }
+        if (acceptError) {
+            connection->terminate(acceptError);
+            this->retryTimer.expires_after(acceptRetryInterval);
+            this->retryTimer.async_wait([this](const asio::error_code& timerError) {
+                websocketpp::lib::error_code ignored;
+                if (!timerError)
+                    this->accept(ignored);
+            });
+            return;
+        }
+        connection->start();
+        websocketpp::lib::error_code ignored;
+        this->accept(ignored);
+    }
+
     void onOpen(const websocketpp::connection_hdl& weak)
     {
         ServerConnection connection = this->server.get_con_from_hdl(weak);
@@ -95,6 +133,7 @@
         return handle;
     }
 
+    asio::steady_timer retryTimer;
     Listener& listener;
     std::unordered_map<void*, Handle> handles;
     Handle nextHandle = 1;
@@ -115,7 +154,7 @@
     if (!addressError)
         this->implementation->server.listen(asio::ip::tcp::endpoint(address, endpoint.port), error);
     if (!addressError && !error)
-        this->implementation->server.start_accept(error);
+        this->implementation->accept(error);
     if (!addressError && !error)
         return true;
 
--- a/tools/lab/GatewaySite.cpp
+++ b/tools/lab/GatewaySite.cpp
@@ -6,9 +6,7 @@
 #include <fstream>
 #include <httplib.h>
 #include <iostream>
-#include <sstream>
 #include <thread>
-#include <unistd.h>
 
 namespace lentiljunction::lab {
 
@@ -25,36 +23,29 @@
         return static_cast<std::uint16_t>(findFreePort());
     }
 
+    /// @returns the number of times that the threads of a process waited
+    std::uint64_t countWakeUps(pid_t process)
+    {
+        std::uint64_t number = 0;
+        for (const std::filesystem::directory_entry& task : std::filesystem::directory_iterator("/proc/" + std::to_string(process) + "/task")) {
+            std::ifstream status(task.path() / "status");
+            for (std::string line; std::getline(status, line);) {
+                if (line.rfind("voluntary_ctxt_switches:", 0) == 0)
+                    number += std::stoull(line.substr(line.find(':') + 1));
+            }
+        }
+        return number;
+    }
+
     /// Counters of the kernel for a process since its start.
     struct ProcessUsage {
         double processorSeconds = 0;
         std::uint64_t numWakeUps = 0;
     };
 
-    ProcessUsage readUsage(pid_t process)
+    ProcessUsage readUsage(const Process& process)
     {
-        ProcessUsage usage;
-        std::string folder = "/proc/" + std::to_string(process);
-        for (const std::filesystem::directory_entry& task : std::filesystem::directory_iterator(folder + "/task")) {
-            std::ifstream status(task.path() / "status");
-            for (std::string line; std::getline(status, line);) {
-                if (line.rfind("voluntary_ctxt_switches:", 0) == 0)
-                    usage.numWakeUps += std::stoull(line.substr(line.find(':') + 1));
-            }
-        }
-        std::ifstream stat(folder + "/stat");
-        std::string text((std::istreambuf_iterator<char>(stat)), std::istreambuf_iterator<char>());
-        // User and system time are the 12th and 13th field after the process name, which is in parentheses.
-        constexpr int fieldsBeforeUserTime = 11;
-        std::istringstream fields(text.substr(text.rfind(')') + 2));
-        std::string skipped;
-        for (int index = 0; index < fieldsBeforeUserTime; index++)
-            fields >> skipped;
-        double user = 0;
-        double system = 0;
-        fields >> user >> system;
-        usage.processorSeconds = (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
-        return usage;
+        return { process.getProcessorSeconds(), countWakeUps(process.getPid()) };
     }
 
 } // namespace
@@ -161,10 +152,10 @@
     nlohmann::json report { { "seconds", seconds }, { "instances", nlohmann::json::array() } };
     std::vector<ProcessUsage> before;
     for (const std::unique_ptr<Process>& process : site.getProcesses())
-        before.push_back(readUsage(process->getPid()));
+        before.push_back(readUsage(*process));
     std::this_thread::sleep_for(std::chrono::seconds(seconds));
     for (std::size_t index = 0; index < before.size(); index++) {
-        ProcessUsage after = readUsage(site.getProcesses()[index]->getPid());
+        ProcessUsage after = readUsage(*site.getProcesses()[index]);
         report["instances"].push_back({ { "wake_ups_per_second", static_cast<double>(after.numWakeUps - before[index].numWakeUps) / seconds }, { "percent_of_a_core", 100 * (after.processorSeconds - before[index].processorSeconds) / seconds } });
     }
     return report;
--- a/tools/lab/Process.cpp
+++ b/tools/lab/Process.cpp
@@ -2,7 +2,12 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <spawn.h>
+#include <sstream>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -69,6 +74,37 @@
     return this->exitCode;
 }
 
+double Process::getProcessorSeconds() const
+{
+    std::ifstream stat("/proc/" + std::to_string(this->pid) + "/stat");
+    std::string text((std::istreambuf_iterator<char>(stat)), std::istreambuf_iterator<char>());
+    // User and system time are the 12th and 13th field after the process name, which is in parentheses.
+    constexpr int fieldsBeforeUserTime = 11;
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::string skipped;
+    for (int index = 0; index < fieldsBeforeUserTime; index++)
+        fields >> skipped;
+    double user = 0;
+    double system = 0;
+    fields >> user >> system;
+    return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+int Process::countDescriptors() const
+{
+    std::filesystem::directory_iterator descriptors("/proc/" + std::to_string(this->pid) + "/fd");
+    return static_cast<int>(std::distance(begin(descriptors), end(descriptors)));
+}
+
+int Process::limitDescriptors(int limit)
+{
+    rlimit before {};
+    ::prlimit(this->pid, RLIMIT_NOFILE, nullptr, &before);
+    rlimit changed { static_cast<rlim_t>(limit), before.rlim_max };
+    ::prlimit(this->pid, RLIMIT_NOFILE, &changed, nullptr);
+    return static_cast<int>(before.rlim_cur);
+}
+
 bool Process::isRunning()
 {
     int status = 0;
--- a/tools/lab/Process.h
+++ b/tools/lab/Process.h
@@ -30,6 +30,17 @@
     /// @returns whether the process has not ended; collects the exit status when it has
     bool isRunning();
 
+    /// @returns the processor time in seconds that the running process has used, of all threads, in user and kernel mode
+    double getProcessorSeconds() const;
+
+    /// @returns the number of file descriptors that the running process has open
+    int countDescriptors() const;
+
+    /// Limits the file descriptors of the running process. Those that are open stay open.
+    ///
+    /// @returns the limit before
+    int limitDescriptors(int limit);
+
     /// @returns the process ID
     pid_t getPid() const { return this->pid; }
 
