Let handlers of a given-up connection not act on the one that replaced it

Callers saw nothing directly: a read of the store, of the record or of the lists fails although the store is up, and is tried again after its retry interval; a lease is renewed that much later.

Cause: a read on a reused connection that fails is repeated on a new one. The handlers of the old attempt, for sending and for receiving, stay queued, and were told apart from those of the new attempt by nothing. When both fail together, as they do when the server resets an idle connection just before it is reused, the first starts the new connection and the second is taken for its loss. By reading, not shown: bytes that the old handler still delivers would be taken for the response to the new request.

Change: attempts are numbered, and a handler acts only in its own attempt. The time limit is still that of the whole call.

Why it works: an operation can end long after its socket was closed, so only its own number says which attempt it belongs to.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -47,6 +47,9 @@
     void complete();
     void retryOnNewConnection();
 
+    /// @returns whether a handler of an attempt may still act; one that was given up leaves handlers behind
+    bool isCurrent(std::uint64_t attempt) const { return this->callback && this->attemptNumber == attempt; }
+
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
     Endpoint server;
@@ -61,6 +64,8 @@
     bool isReusedConnection = false;
     bool isIdempotent = false;
     std::uint64_t callNumber = 0;
+    /// Counts the attempts of all calls; a call that is repeated on a new connection has two.
+    std::uint64_t attemptNumber = 0;
 };
 
 class HttpClient::Implementation : public std::enable_shared_from_this<HttpClient::Implementation> {
@@ -104,6 +109,7 @@
     this->isIdempotent = call.method == "GET";
     this->isSent = false;
     this->callNumber++;
+    this->attemptNumber++;
     this->reader = std::make_unique<HttpResponseParser>();
     this->request = encodeHttpRequest(call, this->server);
     this->mayBeSent = call.mayBeSent;
@@ -138,8 +144,8 @@
     asio::error_code error;
     asio::ip::address address = asio::ip::make_address(this->server.host, error);
     std::shared_ptr<Exchange> self = this->shared_from_this();
-    this->socket.async_connect(asio::ip::tcp::endpoint(address, this->server.port), [self](const asio::error_code& connectError) {
-        if (!self->callback)
+    this->socket.async_connect(asio::ip::tcp::endpoint(address, this->server.port), [self, attempt = this->attemptNumber](const asio::error_code& connectError) {
+        if (!self->isCurrent(attempt))
             return;
         if (connectError)
             return self->fail("cannot connect: " + connectError.message());
@@ -154,8 +160,8 @@
         return this->fail("the request may not be sent any more");
     std::shared_ptr<Exchange> self = this->shared_from_this();
     this->isSent = true;
-    asio::async_write(this->socket, asio::buffer(this->request), [self](const asio::error_code& error, std::size_t) {
-        if (error && self->callback)
+    asio::async_write(this->socket, asio::buffer(this->request), [self, attempt = this->attemptNumber](const asio::error_code& error, std::size_t) {
+        if (error && self->isCurrent(attempt))
             self->handleConnectionError(error);
     });
     this->read();
@@ -164,8 +170,8 @@
 void HttpClient::Exchange::read()
 {
     std::shared_ptr<Exchange> self = this->shared_from_this();
-    this->socket.async_read_some(asio::buffer(this->buffer), [self](const asio::error_code& error, std::size_t size) {
-        if (!self->callback)
+    this->socket.async_read_some(asio::buffer(this->buffer), [self, attempt = this->attemptNumber](const asio::error_code& error, std::size_t size) {
+        if (!self->isCurrent(attempt))
             return;
         if (error)
             return self->handleConnectionError(error);
@@ -195,6 +201,7 @@
     this->socket.close(ignored);
     this->isReusedConnection = false;
     this->isSent = false;
+    this->attemptNumber++;
     this->connect();
 }
 
--- a/tests/unit/HttpClientTests.cpp
+++ b/tests/unit/HttpClientTests.cpp
@@ -52,10 +52,75 @@
     std::vector<std::unique_ptr<TcpConnection>> connections;
 };
 
+/// A server that answers each request, keeps connections open, and can reset them.
+class AnsweringServer : private TcpConnection::Listener {
+public:
+    explicit AnsweringServer(EventLoop& loop)
+        : server(loop)
+    {
+    }
+
+    /// @returns the address on which it listens
+    Endpoint listen()
+    {
+        Failure failure;
+        for (std::uint16_t port = 21800; port < 21900; port++) {
+            if (this->server.listen(
+                    { "127.0.0.1", port }, [this](std::unique_ptr<TcpConnection> accepted) -> TcpConnection::Listener& {
+                        this->connection = std::move(accepted);
+                        this->numConnections++;
+                        return *this;
+                    },
+                    failure))
+                return { "127.0.0.1", port };
+        }
+        FAIL("no port is free");
+        return {};
+    }
+
+    /// Resets the newest connection.
+    void reset() { this->connection->close(); }
+
+    std::atomic<std::size_t> numConnections { 0 };
+
+private:
+    void onSocketOpened() override { }
+    void onSocketBytes(std::string& bytes) override
+    {
+        bytes.clear();
+        this->connection->send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    }
+    void onSocketClosed(const std::string&, bool) override { }
+
+    TcpServer server;
+    std::unique_ptr<TcpConnection> connection;
+};
+
 } // namespace
 
 TEST_GROUP(HttpClient) {};
 
+// Sending and receiving fail together when the server resets an idle connection just before it is reused. Guards against the
+// second failure, of the connection that was given up, being taken for one of the connection that replaced it.
+TEST(HttpClient, readIsRepeatedWhenTheServerResetsAnIdleConnection)
+{
+    EventLoop loop;
+    AnsweringServer server(loop);
+    HttpClient client(loop, server.listen());
+    loop.start();
+    for (bool isReset : { false, true }) {
+        std::promise<Failure> ended;
+        loop.post([&] {
+            if (isReset)
+                server.reset();
+            client.call({ "GET", "/", "", {}, std::chrono::seconds(5) }, [&ended](const std::optional<HttpClientResponse>&, const Failure& failure) { ended.set_value(failure); });
+        });
+        STRCMP_EQUAL("", ended.get_future().get().reason.c_str());
+    }
+    CHECK_EQUAL(2, server.numConnections);
+    loop.stop();
+}
+
 // A coordinator was suspended while the connection for its promotion call opened, and another instance took over. Guards
 // against a call with the former fencing token that is sent when it wakes.
 TEST(HttpClient, requestIsNotSentOnceItMayNotBe)
