Try a listening port that is held again instead of ending the process

What callers saw: an instance whose sessions, ready, peers, lending, quota or metrics port was still held by another process (an old instance that drains, a frozen one, an outgoing connection with this local port) ended with code 4 at its start. With the port held for longer than the restarts take, the system did not start, also for ports without which it can serve.

Cause: a condition that passes was final at the start. Evidence on the code before: a plain process with one of the six ports held ended with code 4 in 12 of 12 starts (two for each port).

The instance is ready only with the ports for callers and for other instances open, and registers only once the latter is, since a failover waits for all registered instances. It registers the addresses of lending and quota only once they are open, so that no other instance connects to the process that holds them; until then it takes part like an instance without them. An address that the machine does not have is tried again too, because addresses may come after the process; an address that is not numeric is a fault of the settings (code 2). SIGTERM ends an instance that still waits normally. TcpServer kept its socket open after a failed attempt, so that each later one would have failed.

--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -30,7 +30,7 @@
     constexpr LogEvent instanceDraining { 102, LogLevel::Information, "instance_draining", "The instance was asked to stop; it accepts no new work and finishes the work in progress." };
     constexpr LogEvent instanceStopped { 103, LogLevel::Information, "instance_stopped", "No work is in progress and the process exits." };
     constexpr LogEvent settingsInvalid { 104, LogLevel::Error, "settings_invalid", "A setting is missing or out of range; the process does not start." };
-    constexpr LogEvent portUnavailable { 105, LogLevel::Error, "port_unavailable", "A listening port cannot be opened; the process does not start. Another process may use the port." };
+    constexpr LogEvent portUnavailable { 105, LogLevel::Error, "port_unavailable", "A listening port cannot be opened and is tried again. Another process may use the port." };
     constexpr LogEvent bundleInForce { 200, LogLevel::Information, "bundle_in_force", "A higher bundle version became active." };
     constexpr LogEvent bundleRefused { 201, LogLevel::Warning, "bundle_refused", "A bundle was rejected: it is invalid or not signed by enough operators." };
     constexpr LogEvent storeUnavailable { 210, LogLevel::Warning, "store_unavailable", "The platform's store does not respond; requests are still served." };
@@ -42,6 +42,7 @@
     constexpr LogEvent storeRestored { 224, LogLevel::Warning, "store_restored", "The platform's store was restored from an older copy: what was written to it shortly before is lost." };
     constexpr LogEvent routesPositionLost { 225, LogLevel::Warning, "routes_position_lost", "The watch of the routes cannot continue from its revision; the routes are read again." };
     constexpr LogEvent settingsReloaded { 106, LogLevel::Information, "settings_reloaded", "The settings were read again after a signal." };
+    constexpr LogEvent portOpened { 110, LogLevel::Information, "port_opened", "A listening port that could not be opened at first is open." };
     constexpr LogEvent memberChanged { 300, LogLevel::Information, "member_changed", "The state of another instance changed." };
     constexpr LogEvent peerLinkOpened { 310, LogLevel::Information, "peer_link_opened", "A link to another instance is open." };
     constexpr LogEvent peerLinkLost { 311, LogLevel::Warning, "peer_link_lost", "A link to another instance was closed or timed out." };
--- a/include/lentiljunction/metrics/GatewayMetrics.h
+++ b/include/lentiljunction/metrics/GatewayMetrics.h
@@ -58,6 +58,8 @@
         std::size_t numUpstreams = 0;
         /// Payload bytes sent to other instances since the start.
         std::uint64_t numPeerBytes = 0;
+        /// Listening ports that are not open yet.
+        std::size_t numClosedPorts = 0;
     };
 
     /// How many concurrent statements of this instance an upstream handles well, as discovered.
--- a/src/cli/GatewayServe.cpp
+++ b/src/cli/GatewayServe.cpp
@@ -48,10 +48,7 @@
     logEvent(events::instanceStarting, "zone=" + settings->zone.toString() + " settings=" + path);
     SystemClock clock;
     GatewayInstance instance(*settings, clock, adapter.getProtocol(), [&adapter](EventLoop& loop, const GatewaySettings& given) { return adapter.makeStore(loop, given); });
-    if (!instance.start(failure)) {
-        logEvent(events::portUnavailable, "reason=\"" + failure.reason + "\"");
-        return reportFailure(failure);
-    }
+    instance.start();
 
     int received = 0;
     while (sigwait(&signals, &received) == 0 && received == SIGHUP)
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -78,6 +78,7 @@
         events::settingsInvalid,
         events::portUnavailable,
         events::settingsReloaded,
+        events::portOpened,
         events::bundleInForce,
         events::bundleRefused,
         events::storeUnavailable,
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -45,7 +45,7 @@
     , executor({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, *this, settings.instance })
     , coordination({ dependencies.controlLoop, dependencies.clock, this->peers, this->executor, settings.instance }, *this)
     , recovery({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, this->executor, this->coordination, *this, settings.instance }, settings.isFirstStart)
-    , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, settings.lending, settings.quota }, [this](StoreEra era) { this->onRegistered(era); })
+    , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, std::nullopt, std::nullopt }, [this](StoreEra era) { this->onRegistered(era); })
     , leaseTracker(settings.instance)
     , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, *this)
     , peerConfirmation(this->peers, dependencies.clock, this->routes, settings.instance)
@@ -56,17 +56,12 @@
 {
 }
 
-bool GatewayControl::start(Failure& failure)
+void GatewayControl::start()
 {
-    if (!this->peers.listen(this->settings.peers, failure))
-        return false;
     this->dependencies.controlLoop.post([this] {
-        // A failover waits for all registered instances, so an instance must register before it gets a lease.
-        this->registration.start();
         this->routes.start();
         this->lists.start();
     });
-    return true;
 }
 
 void GatewayControl::onRegistered(StoreEra era)
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -48,10 +48,31 @@
 
     GatewayControl(const Dependencies& dependencies, const GatewaySettings& settings);
 
-    /// Opens the port for other instances and starts to read from the store.
+    /// Starts to read from the store. Safe to call from any thread, as are the next three.
+    void start();
+
+    /// Registers this instance in the store; call it once the port for other instances is open.
     ///
-    /// @returns false when the port could not be opened
-    bool start(Failure& failure);
+    /// A failover waits for all registered instances, so one that cannot be reached must not register.
+    void registerInstance()
+    {
+        this->dependencies.controlLoop.post([this] { this->registration.start(); });
+    }
+
+    /// Tells other instances where this one lends connections.
+    void setLending(const Endpoint& lending)
+    {
+        this->dependencies.controlLoop.post([this, lending] { this->registration.setLending(lending); });
+    }
+
+    /// Tells other instances where this one decides on the limits of workspaces.
+    void setQuota(const Endpoint& quota)
+    {
+        this->dependencies.controlLoop.post([this, quota] { this->registration.setQuota(quota); });
+    }
+
+    /// Opens the port for other instances. Can be tried again after a failure.
+    bool listen(Failure& failure) { return this->peers.listen(this->settings.peers, failure); }
 
     /// Handles a primary to which the traffic thread could not open a new connection. Safe to call from any
     /// thread.
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -6,6 +6,7 @@
 #include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/LogEvents.h"
 
+#include <algorithm>
 #include <future>
 #include <thread>
 
@@ -62,7 +63,21 @@
         else
             this->respondWithMetrics(respond);
     })
+    , sessionsPort(
+          this->trafficLoop, clock, "sessions", [this](Failure& failure) { return this->traffic.listen(this->settings.sessions, failure); }, [] {})
+    , peersPort(
+          this->controlLoop, clock, "peers", [this](Failure& failure) { return this->control.listen(failure); }, [this] { this->control.registerInstance(); })
+    , readinessPort(
+          this->controlLoop, clock, "ready", [this](Failure& failure) { return this->readiness.listen(this->settings.ready, failure); }, [] {})
+    , metricsPort(
+          this->controlLoop, clock, "metrics", [this](Failure& failure) { return this->metricsPage.listen(this->settings.metrics, failure); }, [] {})
 {
+    if (settings.lending)
+        this->lendingPort = std::make_unique<PortOpener>(
+            this->trafficLoop, clock, "lending", [this](Failure& failure) { return this->traffic.listenForBorrowers(*this->settings.lending, failure); }, [this] { this->control.setLending(*this->settings.lending); });
+    if (settings.quota)
+        this->quotaPort = std::make_unique<PortOpener>(
+            this->trafficLoop, clock, "quota", [this](Failure& failure) { return this->traffic.listenForQuota(*this->settings.quota, failure); }, [this] { this->control.setQuota(*this->settings.quota); });
 }
 
 GatewayInstance::~GatewayInstance()
@@ -71,32 +86,75 @@
     this->trafficLoop.stop();
 }
 
-bool GatewayInstance::start(Failure& failure)
+void GatewayInstance::start()
 {
     if (this->settings.ejectsUpstreams)
         this->traffic.ejectFailingUpstreams();
     if (this->settings.discoversCapacity)
         this->traffic.discoverCapacity();
-    bool isLending = !this->settings.lending || this->traffic.listenForBorrowers(*this->settings.lending, failure);
-    bool isDeciding = !this->settings.quota || this->traffic.listenForQuota(*this->settings.quota, this->settings.quotaTolerance, this->settings.instance, this->settings.zone, failure);
-    bool isOpen = isLending && isDeciding && this->traffic.listen(this->settings.sessions, failure) && this->readiness.listen(this->settings.ready, failure)
-        && this->metricsPage.listen(this->settings.metrics, failure) && this->control.start(failure);
-    if (!isOpen)
-        return false;
+    if (this->settings.lending)
+        this->traffic.borrowConnections();
+    if (this->settings.quota)
+        this->traffic.enforceQuota(this->settings.quotaTolerance, this->settings.instance, this->settings.zone);
+    this->traffic.start();
+    this->openPorts();
+    this->control.start();
     this->controlLoop.start();
     this->trafficLoop.start();
-    return true;
+}
+
+void GatewayInstance::openPorts()
+{
+    // The port for other instances comes last, so that the first registration has all addresses.
+    for (PortOpener* port : this->listTrafficPorts())
+        port->start();
+    this->readinessPort.start();
+    this->metricsPort.start();
+    this->peersPort.start();
+}
+
+void GatewayInstance::stopOpeningPorts()
+{
+    this->trafficLoop.post([this] {
+        for (PortOpener* port : this->listTrafficPorts())
+            port->stop();
+    });
+    this->controlLoop.post([this] {
+        for (PortOpener* port : this->listControlPorts())
+            port->stop();
+    });
+}
+
+std::vector<PortOpener*> GatewayInstance::listTrafficPorts()
+{
+    std::vector<PortOpener*> ports { &this->sessionsPort };
+    for (PortOpener* port : { this->lendingPort.get(), this->quotaPort.get() }) {
+        if (port != nullptr)
+            ports.push_back(port);
+    }
+    return ports;
+}
+
+std::size_t GatewayInstance::countClosedPorts()
+{
+    std::vector<PortOpener*> ports = this->listTrafficPorts();
+    std::vector<PortOpener*> controlPorts = this->listControlPorts();
+    ports.insert(ports.end(), controlPorts.begin(), controlPorts.end());
+    return static_cast<std::size_t>(std::count_if(ports.begin(), ports.end(), [](const PortOpener* port) { return !port->isOpen(); }));
 }
 
 HttpResponse GatewayInstance::makeReadinessResponse() const
 {
-    bool isReady = this->control.isReady() && this->traffic.isQuotaReady() && !this->isDraining;
+    bool isReachable = this->sessionsPort.isOpen() && this->peersPort.isOpen();
+    bool isReady = isReachable && this->control.isReady() && this->traffic.isQuotaReady() && !this->isDraining;
     return { isReady ? httpOk : httpUnavailable, "text/plain", isReady ? "ready\n" : "not ready\n" };
 }
 
 void GatewayInstance::respondWithMetrics(const HttpPage::Responder& respond)
 {
-    this->metrics.setKnownState(this->control.getKnownState());
+    GatewayMetrics::KnownState knownState = this->control.getKnownState();
+    knownState.numClosedPorts = this->countClosedPorts();
+    this->metrics.setKnownState(knownState);
     this->trafficLoop.post([this, respond] {
         this->traffic.updateMetrics();
         this->controlLoop.post([this, respond] { respond({ httpOk, "text/plain; version=0.0.4", this->metrics.render() }); });
@@ -138,6 +196,7 @@
 {
     logEvent(events::instanceDraining, "grace_ms=" + std::to_string(this->settings.shutdownGrace.count()));
     this->isDraining = true;
+    this->stopOpeningPorts();
     this->trafficLoop.post([this] {
         this->traffic.stopLending();
         this->traffic.stopDecidingQuota();
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../net/PortOpener.h"
 #include "../net/WebSocketServer.h"
 #include "../traffic/TrafficPlane.h"
 #include "GatewayControl.h"
@@ -28,10 +29,9 @@
     GatewayInstance(const GatewaySettings& settings, const Clock& clock, const SessionProtocol& protocol, const StoreFactory& makeStore);
     ~GatewayInstance() override;
 
-    /// Opens the ports and starts the threads.
-    ///
-    /// @returns false when a port could not be opened
-    bool start(Failure& failure);
+    /// Starts the threads and opens the ports. Ports that cannot be opened are tried again while the instance runs; it is
+    /// not ready before the ports for callers and for other instances are open.
+    void start();
 
     /// Reports to the load balancer that the instance is not ready, lets open transactions end within the
     /// grace period, and stops.
@@ -61,6 +61,12 @@
     };
 
     void onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary) override;
+    void openPorts();
+    /// Makes no further attempt to open ports.
+    void stopOpeningPorts();
+    std::vector<PortOpener*> listControlPorts() { return { &this->peersPort, &this->readinessPort, &this->metricsPort }; }
+    std::vector<PortOpener*> listTrafficPorts();
+    std::size_t countClosedPorts();
     HttpResponse makeReadinessResponse() const;
     void respondWithMetrics(const HttpPage::Responder& respond);
     void respondWithRoute(const HttpRequest& request, const HttpPage::Responder& respond);
@@ -75,6 +81,14 @@
     GatewayControl control;
     HttpPage readiness;
     HttpPage metricsPage;
+    PortOpener sessionsPort;
+    PortOpener peersPort;
+    PortOpener readinessPort;
+    PortOpener metricsPort;
+    /// Empty when this instance neither lends nor borrows.
+    std::unique_ptr<PortOpener> lendingPort;
+    /// Empty when limits are not enforced.
+    std::unique_ptr<PortOpener> quotaPort;
     std::atomic<bool> isDraining { false };
 };
 
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -4,6 +4,7 @@
 #include "lentiljunction/core/JsonFields.h"
 
 #include <algorithm>
+#include <asio/ip/address.hpp>
 #include <charconv>
 #include <set>
 #include <sstream>
@@ -60,6 +61,20 @@
             return endpoint.value_or(Endpoint());
         }
 
+        /// A name would have to be resolved before the port can be opened.
+        Endpoint getListenAddress(const std::string& section)
+        {
+            std::string value = this->document.find(section, "listen").value_or("");
+            Failure failure;
+            std::optional<Endpoint> endpoint = parseEndpoint(value, failure);
+            asio::error_code error;
+            if (endpoint)
+                asio::ip::make_address(endpoint->host, error);
+            if (!endpoint || error)
+                this->addFault(section, "listen", value, "address:port with a numeric address");
+            return endpoint.value_or(Endpoint());
+        }
+
         std::vector<Endpoint> getEndpoints(const std::string& section, const std::string& key)
         {
             std::vector<Endpoint> endpoints;
@@ -153,19 +168,19 @@
     GatewaySettings settings;
     settings.instance = InstanceId(reader.getText("instance", "id"));
     settings.zone = ZoneId(reader.getText("instance", "zone"));
-    settings.sessions = reader.getEndpoint("sessions", "listen");
-    settings.ready = reader.getEndpoint("ready", "listen");
-    settings.peers = reader.getEndpoint("peers", "listen");
+    settings.sessions = reader.getListenAddress("sessions");
+    settings.ready = reader.getListenAddress("ready");
+    settings.peers = reader.getListenAddress("peers");
     settings.seeds = reader.getEndpoints("peers", "seeds");
     if (document.find("lending", "listen"))
-        settings.lending = reader.getEndpoint("lending", "listen");
+        settings.lending = reader.getListenAddress("lending");
     if (document.find("quota", "listen"))
-        settings.quota = reader.getEndpoint("quota", "listen");
+        settings.quota = reader.getListenAddress("quota");
     std::chrono::duration<double> window(reader.getDecimal("quota", "window_s", defaultQuotaWindowSeconds, 1, static_cast<double>(longestGraceSeconds)));
     settings.quotaTolerance.window = std::chrono::duration_cast<std::chrono::milliseconds>(window);
     settings.quotaTolerance.overage = reader.getDecimal("quota", "overage", settings.quotaTolerance.overage, 0, maximumQuotaOverage);
     settings.quotaTolerance.slack = reader.getDecimal("quota", "slack", settings.quotaTolerance.slack, 0, maximumQuotaSlack);
-    settings.metrics = reader.getEndpoint("metrics", "listen");
+    settings.metrics = reader.getListenAddress("metrics");
     settings.store = reader.getEndpoint("store", "endpoint");
     settings.isFirstStart = reader.getFlag("store", "first_start", settings.isFirstStart);
     settings.promotion = reader.getEndpoint("promotion", "endpoint");
--- a/src/gateway/MemberRegistration.cpp
+++ b/src/gateway/MemberRegistration.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-MemberRegistration::MemberRegistration(EventLoop& loop, FleetStore& store, FleetMember self, Callback onRegistered)
+MemberRegistration::MemberRegistration(Scheduler& loop, FleetStore& store, FleetMember self, Callback onRegistered)
     : loop(loop)
     , store(store)
     , self(std::move(self))
@@ -26,6 +26,7 @@
 void MemberRegistration::start()
 {
     this->isPending = true;
+    this->isChanged = false;
     this->store.registerMember(this->self, [this](const std::optional<StoreEra>& era, const Failure& failure) {
         if (!era) {
             logEvent(events::storeCallFailed, "call=register reason=\"" + failure.reason + "\"");
@@ -36,9 +37,30 @@
         this->registeredIn = era;
         this->onRegistered(*era);
         this->renewInNewEra();
+        if (this->isChanged)
+            this->renewAfterChange();
     });
 }
 
+void MemberRegistration::setLending(const Endpoint& lending)
+{
+    this->self.lending = lending;
+    this->renewAfterChange();
+}
+
+void MemberRegistration::setQuota(const Endpoint& quota)
+{
+    this->self.quota = quota;
+    this->renewAfterChange();
+}
+
+void MemberRegistration::renewAfterChange()
+{
+    this->isChanged = this->isPending;
+    if (!this->isPending && this->registeredIn)
+        this->start();
+}
+
 void MemberRegistration::renewInNewEra()
 {
     if (!this->isPending && this->registeredIn && *this->registeredIn < this->store.getEra())
--- a/src/gateway/MemberRegistration.h
+++ b/src/gateway/MemberRegistration.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lentiljunction/core/Backoff.h"
-#include "lentiljunction/core/EventLoop.h"
+#include "lentiljunction/core/Scheduler.h"
 #include "lentiljunction/fleet/FleetStore.h"
 
 #include <functional>
@@ -17,22 +17,32 @@
     using Callback = std::function<void(StoreEra era)>;
 
     /// @param loop must outlive this object, as must `store`
-    MemberRegistration(EventLoop& loop, FleetStore& store, FleetMember self, Callback onRegistered);
+    MemberRegistration(Scheduler& loop, FleetStore& store, FleetMember self, Callback onRegistered);
 
     /// Registers the instance, and tries again until the store accepts it.
     void start();
 
+    /// Adds the address at which this instance lends connections, also to an earlier registration.
+    void setLending(const Endpoint& lending);
+
+    /// Adds the address at which this instance decides on the limits of workspaces, also to an earlier registration.
+    void setQuota(const Endpoint& quota);
+
     /// Registers again if the store is in a newer era than at the last registration. Call it after a response of the
     /// store.
     void renewInNewEra();
 
 private:
-    EventLoop& loop;
+    void renewAfterChange();
+
+    Scheduler& loop;
     FleetStore& store;
     FleetMember self;
     Callback onRegistered;
     Backoff retries;
     bool isPending = false;
+    /// Whether the registration that is pending lacks an address.
+    bool isChanged = false;
     std::optional<StoreEra> registeredIn;
 };
 
--- a/src/net/TcpConnection.cpp
+++ b/src/net/TcpConnection.cpp
@@ -239,6 +239,7 @@
     if (!error)
         opened.listen(listenBacklog, error);
     if (error) {
+        this->close();
         failure.set(Failure::Kind::Unavailable, endpoint.host + ":" + std::to_string(endpoint.port) + " cannot be opened: " + error.message());
         return false;
     }
--- a/src/net/TcpConnection.h
+++ b/src/net/TcpConnection.h
@@ -77,7 +77,7 @@
     TcpServer(const TcpServer&) = delete;
     TcpServer& operator=(const TcpServer&) = delete;
 
-    /// Opens the port.
+    /// Opens the port. Can be tried again after a failure.
     ///
     /// @param failure says why the port cannot be opened
     bool listen(const Endpoint& endpoint, AcceptHandler acceptor, Failure& failure);
--- a/src/net/WebSocketServer.cpp
+++ b/src/net/WebSocketServer.cpp
@@ -158,6 +158,8 @@
     if (!addressError && !error)
         return true;
 
+    websocketpp::lib::error_code ignored;
+    this->implementation->server.stop_listening(ignored);
     failure.set(Failure::Kind::Unavailable, endpoint.host + ":" + std::to_string(endpoint.port) + " cannot be opened: " + error.message());
     return false;
 }
--- a/src/net/WebSocketServer.h
+++ b/src/net/WebSocketServer.h
@@ -55,7 +55,7 @@
     WebSocketServer(const WebSocketServer&) = delete;
     WebSocketServer& operator=(const WebSocketServer&) = delete;
 
-    /// Opens the port.
+    /// Opens the port. Can be tried again after a failure.
     ///
     /// @param failure set when the port cannot be opened
     /// @returns whether it is open
--- a/src/quota/QuotaService.cpp
+++ b/src/quota/QuotaService.cpp
@@ -33,12 +33,6 @@
 {
 }
 
-bool QuotaService::listen(const Endpoint& endpoint, Failure& failure)
-{
-    this->tick();
-    return this->links.listen(endpoint, failure);
-}
-
 void QuotaService::tick()
 {
     this->timer.setTime(this->clock.now() + tickInterval);
--- a/src/quota/QuotaService.h
+++ b/src/quota/QuotaService.h
@@ -19,10 +19,13 @@
     /// All must outlive this object.
     QuotaService(EventLoop& loop, const Clock& clock, const QuotaTolerance& tolerance, const InstanceId& self, const ZoneId& zone);
 
-    /// Opens the port for other instances and starts the timer.
+    /// Starts the timer.
+    void start() { this->tick(); }
+
+    /// Opens the port for other instances. Can be tried again after a failure.
     ///
     /// @param failure set when the port cannot be opened
-    bool listen(const Endpoint& endpoint, Failure& failure);
+    bool listen(const Endpoint& endpoint, Failure& failure) { return this->links.listen(endpoint, failure); }
 
     /// Sets the limits; a workspace that is not listed has none.
     void setLimits(const std::vector<QuotaLimit>& limits);
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -83,9 +83,13 @@
     this->pauseTimer.setTime(this->clock.now() + UpstreamHealth::tickInterval);
 }
 
-bool TrafficPlane::listen(const Endpoint& endpoint, Failure& failure)
+void TrafficPlane::start()
 {
     this->checkTimer.setTime(this->clock.now() + proofInterval);
+}
+
+bool TrafficPlane::listen(const Endpoint& endpoint, Failure& failure)
+{
     return this->callerServer.listen(
         endpoint, [this](std::unique_ptr<TcpConnection> socket) -> TcpConnection::Listener& { return this->accept(std::move(socket)); }, failure);
 }
@@ -130,15 +134,14 @@
 
 bool TrafficPlane::listenForBorrowers(const Endpoint& endpoint, Failure& failure)
 {
-    this->state.setBorrower(this->lending.getBorrower());
     return this->lending.listen(endpoint, failure);
 }
 
-bool TrafficPlane::listenForQuota(const Endpoint& endpoint, const QuotaTolerance& tolerance, const InstanceId& self, const ZoneId& zone, Failure& failure)
+void TrafficPlane::enforceQuota(const QuotaTolerance& tolerance, const InstanceId& self, const ZoneId& zone)
 {
     this->quota = std::make_unique<QuotaService>(this->loop, this->clock, tolerance, self, zone);
     this->state.setQuota(this->quota->getClient());
-    return this->quota->listen(endpoint, failure);
+    this->quota->start();
 }
 
 void TrafficPlane::stopDecidingQuota()
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -35,13 +35,16 @@
     TrafficPlane(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, GatewayMetrics& metrics, const InstanceId& self, const ZoneId& zone, Listener& listener);
     ~TrafficPlane() override;
 
+    /// Starts the periodic checks of upstreams and proofs. Call it before the loop runs.
+    void start();
+
     /// Lets reads avoid upstreams that fail much of their work. Call it before listen().
     void ejectFailingUpstreams();
 
     /// Lets the limits on concurrent statements follow what the upstreams handle well. Call it before listen().
     void discoverCapacity();
 
-    /// Opens the port for callers.
+    /// Opens the port for callers. Can be tried again after a failure.
     bool listen(const Endpoint& endpoint, Failure& failure);
 
     /// @param confirmation how long keys may be decided with the routes; unused without workspaces
@@ -55,15 +58,21 @@
     /// @param relaysProofs whether other instances rely on the freshness proofs of this one
     void setMembers(const std::vector<FleetMember>& members, std::size_t numInstances, bool relaysProofs);
 
-    /// Opens the port at which other instances borrow connections.
+    /// Borrows connections from other instances. Call it before the upstreams are set.
+    void borrowConnections() { this->state.setBorrower(this->lending.getBorrower()); }
+
+    /// Opens the port at which other instances borrow connections. Can be tried again after a failure.
     bool listenForBorrowers(const Endpoint& endpoint, Failure& failure);
 
-    /// Enforces the limits of workspaces, and opens the port at which other instances request decisions on them.
-    /// Call this before the routes are set.
+    /// Enforces the limits of workspaces. Call this before the routes are set.
     ///
     /// @param self this instance
     /// @param zone the availability zone of this instance
-    bool listenForQuota(const Endpoint& endpoint, const QuotaTolerance& tolerance, const InstanceId& self, const ZoneId& zone, Failure& failure);
+    void enforceQuota(const QuotaTolerance& tolerance, const InstanceId& self, const ZoneId& zone);
+
+    /// Opens the port at which other instances request decisions on the limits of workspaces, which must be enforced.
+    /// Can be tried again after a failure.
+    bool listenForQuota(const Endpoint& endpoint, Failure& failure) { return this->quota->listen(endpoint, failure); }
 
     /// @returns whether operations of limited workspaces can be admitted; safe to call from any thread
     bool isQuotaReady() const { return this->quota == nullptr || this->quota->isReady(); }
--- a/tests/process/GatewayFixture.cpp
+++ b/tests/process/GatewayFixture.cpp
@@ -47,13 +47,12 @@
 
 std::size_t GatewayFixture::startInstance()
 {
-    Failure failure;
     std::size_t index = this->instances.size();
     GatewaySettings settings = this->makeSettings(index);
     this->instances.push_back(std::make_unique<GatewayInstance>(settings, this->clock, this->adapter.getProtocol(), [this](EventLoop& controlLoop, const GatewaySettings& given) {
         return this->adapter.makeStore(controlLoop, given);
     }));
-    this->instances.back()->start(failure);
+    this->instances.back()->start();
     return index;
 }
 
