Block the signals of serve before any constructor runs

What callers saw: an instance that got SIGHUP in its first moments ended by signal 1, and one that got SIGTERM then ended by that signal.

Cause: signals were blocked once the command line and the kind of the settings file were known, after the constructors of the program and of 36 libraries.

Change: a function in .preinit_array blocks SIGTERM, SIGINT and SIGHUP and ignores SIGPIPE before the first constructor. It acts for `serve` only; the other commands keep the default reaction. Signals that come before sigwait stay pending and are handled then.

--- a/src/cli/GatewayServe.cpp
+++ b/src/cli/GatewayServe.cpp
@@ -2,25 +2,13 @@
 
 #include "../gateway/GatewayInstance.h"
 #include "CommandLine.h"
+#include "ServeSignals.h"
 #include "lentiljunction/core/LogEvents.h"
 
-#include <csignal>
-#include <pthread.h>
-
 namespace lentiljunction {
 
 namespace {
 
-    void blockSignals(sigset_t& signals)
-    {
-        sigemptyset(&signals);
-        sigaddset(&signals, SIGTERM);
-        sigaddset(&signals, SIGINT);
-        sigaddset(&signals, SIGHUP);
-        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-        std::signal(SIGPIPE, SIG_IGN);
-    }
-
     void reloadSettings(const std::string& path)
     {
         // Addresses cannot change while sessions are open, so this only checks the file; changes take effect at
@@ -37,8 +25,6 @@
 
 int serveGateway(const std::string& path, const GatewayAdapter& adapter)
 {
-    sigset_t signals;
-    blockSignals(signals);
     Failure failure;
     std::optional<GatewaySettings> settings = loadGatewaySettings(path, failure);
     if (!settings)
@@ -51,7 +37,7 @@
     instance.start();
 
     int received = 0;
-    while (sigwait(&signals, &received) == 0 && received == SIGHUP)
+    while (sigwait(&getServeSignals(), &received) == 0 && received == SIGHUP)
         reloadSettings(path);
     instance.drain();
     return exitcodes::ok;
