Report in the log how a process ends

Callers saw processes that ended by themselves, and no log told how: a signal, an uncaught exception, a failed allocation or a broken invariant left no line, and the exit codes 2 and 4 were on the error stream only.

Change: event 120, process_ended, is the last line of `serve`, with the cause, thread, uptime, peak of the memory and open descriptors. ProcessEnd installs handlers for SIGSEGV, SIGBUS, SIGFPE, SIGILL and SIGABRT where their action is the default one, and for uncaught exceptions. The handlers call only functions that are safe there and write without blocking, to standard error when standard output does not take the line. The signal's default action follows, so the exit status stays the signal's. startThread gives each thread a name and a stack for its handlers, so that an exhausted stack is reported too; threads of the arena get one as well. checkInvariant reports in every kind of build.

--- a/include/lentiljunction/core/EventLoop.h
+++ b/include/lentiljunction/core/EventLoop.h
@@ -3,6 +3,7 @@
 #include "lentiljunction/core/Scheduler.h"
 
 #include <memory>
+#include <string>
 
 namespace asio {
 class io_context;
@@ -25,7 +26,9 @@
     EventLoop& operator=(const EventLoop&) = delete;
 
     /// Starts the thread.
-    void start();
+    ///
+    /// @param name at most 15 characters, see startThread
+    void start(const std::string& name = "loop");
 
     /// Stops the thread once the current task returns; waiting tasks are dropped.
     void stop();
--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -30,7 +30,8 @@
     constexpr LogEvent instanceDraining { 102, LogLevel::Information, "instance_draining", "The instance was asked to stop; it accepts no new work and finishes the work in progress." };
     constexpr LogEvent instanceStopped { 103, LogLevel::Information, "instance_stopped", "No work is in progress and the process exits." };
     constexpr LogEvent settingsInvalid { 104, LogLevel::Error, "settings_invalid", "A setting is missing or out of range; the process does not start." };
-    constexpr LogEvent portUnavailable { 105, LogLevel::Error, "port_unavailable", "A listening port cannot be opened and is tried again. Another process may use the port." };
+    constexpr LogEvent portUnavailable { 105, LogLevel::Error, "port_unavailable", "A listening port cannot be opened. Another process may use it. A gateway instance tries it again; an instance of the product's own protocols ends." };
+    constexpr LogEvent processEnded { 120, LogLevel::Error, "process_ended", "The process ends; the cause is in the line." };
     constexpr LogEvent bundleInForce { 200, LogLevel::Information, "bundle_in_force", "A higher bundle version became active." };
     constexpr LogEvent bundleRefused { 201, LogLevel::Warning, "bundle_refused", "A bundle was rejected: it is invalid or not signed by enough operators." };
     constexpr LogEvent storeUnavailable { 210, LogLevel::Warning, "store_unavailable", "The platform's store does not respond; requests are still served." };
--- a/src/caller/CallerServer.cpp
+++ b/src/caller/CallerServer.cpp
@@ -3,8 +3,10 @@
 #include "lentiljunction/caller/RequestCodec.h"
 #include "lentiljunction/core/Cbor.h"
 #include "lentiljunction/core/Json.h"
+#include "lentiljunction/core/Threads.h"
 
 #include <oneapi/tbb/task_arena.h>
+#include <oneapi/tbb/task_scheduler_observer.h>
 #include <utility>
 
 namespace lentiljunction {
@@ -49,10 +51,33 @@
 public:
     explicit Workers(int numWorkers)
         : arena(numWorkers, 0)
+        , signalStacks(this->arena)
     {
     }
 
     oneapi::tbb::task_arena arena;
+
+private:
+    /// Gives each thread of the arena a stack for its signal handlers.
+    class SignalStacks : public oneapi::tbb::task_scheduler_observer {
+    public:
+        explicit SignalStacks(oneapi::tbb::task_arena& arena)
+            : task_scheduler_observer(arena)
+        {
+            this->observe(true);
+        }
+
+        ~SignalStacks() override { this->observe(false); }
+        SignalStacks(const SignalStacks&) = delete;
+        SignalStacks& operator=(const SignalStacks&) = delete;
+
+        void on_scheduler_entry(bool) override // NOLINT(readability-identifier-naming): named by oneTBB
+        {
+            thread_local SignalStack stack;
+        }
+    };
+
+    SignalStacks signalStacks;
 };
 
 CallerServer::CallerServer(EventLoop& loop, int numWorkers, Listener& listener)
--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -1,5 +1,7 @@
 #include "CommandLine.h"
 
+#include "lentiljunction/core/ProcessEnd.h"
+
 #include <fcntl.h>
 #include <fstream>
 #include <iostream>
@@ -41,6 +43,7 @@
     } catch (const nlohmann::json::exception& error) {
         // A document of the store, of an instance or of a file has a field of an unexpected type.
         std::cerr << "error: a document cannot be read: " << error.what() << "\n";
+        ProcessEnd::reportExit(EndCause::Failure, exitcodes::failed, error.what());
         return exitcodes::failed;
     }
 }
--- a/src/cli/InstanceCommands.cpp
+++ b/src/cli/InstanceCommands.cpp
@@ -6,6 +6,7 @@
 #include "lentiljunction/bundle/SignedBundle.h"
 #include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/LogEvents.h"
+#include "lentiljunction/core/ProcessEnd.h"
 
 #include <csignal>
 #include <httplib.h>
@@ -58,18 +59,23 @@
 
             sigset_t signals;
             blockStopSignals(signals);
+            ProcessEnd::install();
             initialiseLog(settings->instance.toString());
             logEvent(events::instanceStarting, "zone=" + settings->zone.toString() + " settings=" + path);
             SystemClock clock;
             Instance instance(*settings, clock);
             if (!instance.start(failure)) {
                 logEvent(events::portUnavailable, "reason=\"" + failure.reason + "\"");
-                return reportFailure(failure);
+                int exitCode = reportFailure(failure);
+                ProcessEnd::reportExit(EndCause::Port, exitCode, failure.reason);
+                return exitCode;
             }
 
             int received = 0;
             sigwait(&signals, &received);
-            return instance.drain() ? exitcodes::ok : exitcodes::failed;
+            int exitCode = instance.drain() ? exitcodes::ok : exitcodes::failed;
+            ProcessEnd::reportExit(exitCode == exitcodes::ok ? EndCause::Stopped : EndCause::Failure, exitCode, "");
+            return exitCode;
         }
 
         const GatewayAdapter& adapter;
--- a/src/core/EventLoop.cpp
+++ b/src/core/EventLoop.cpp
@@ -1,5 +1,7 @@
 #include "lentiljunction/core/EventLoop.h"
 
+#include "lentiljunction/core/Threads.h"
+
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
@@ -31,9 +33,9 @@
     this->stop();
 }
 
-void EventLoop::start()
+void EventLoop::start(const std::string& name)
 {
-    this->implementation->thread = std::thread([this] { this->implementation->context.run(); });
+    this->implementation->thread = startThread(name, [this] { this->implementation->context.run(); });
 }
 
 void EventLoop::stop()
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -1,6 +1,7 @@
 #include "lentiljunction/core/LogEvents.h"
 
 #include "NonBlockingSink.h"
+#include "lentiljunction/core/ProcessEnd.h"
 
 #include <chrono>
 #include <map>
@@ -79,6 +80,7 @@
         events::portUnavailable,
         events::settingsReloaded,
         events::portOpened,
+        events::processEnded,
         events::bundleInForce,
         events::bundleRefused,
         events::storeUnavailable,
@@ -153,6 +155,7 @@
     std::shared_ptr<spdlog::logger> logger = std::make_shared<spdlog::logger>("lentiljunction", std::make_shared<NonBlockingSink>(STDOUT_FILENO));
     logger->set_pattern("%Y-%m-%dT%H:%M:%S.%fZ level=%l instance=" + instance + " %v", spdlog::pattern_time_type::utc);
     spdlog::set_default_logger(logger);
+    ProcessEnd::setInstance(instance);
 }
 
 } // namespace lentiljunction
--- a/src/core/NonBlockingSink.cpp
+++ b/src/core/NonBlockingSink.cpp
@@ -2,11 +2,23 @@
 
 #include "lentiljunction/core/LogEvents.h"
 
+#include <atomic>
 #include <fcntl.h>
 #include <unistd.h>
 
 namespace lentiljunction {
 
+namespace {
+
+    std::atomic<bool> isLastWriteWithinLine { false };
+
+} // namespace
+
+bool NonBlockingSink::isWithinLine()
+{
+    return isLastWriteWithinLine;
+}
+
 NonBlockingSink::NonBlockingSink(int descriptor)
     : descriptor(descriptor)
 {
@@ -20,8 +32,10 @@
     if (this->pending.empty())
         return true;
     ssize_t written = ::write(this->descriptor, this->pending.data(), this->pending.size());
-    if (written > 0)
+    if (written > 0) {
+        isLastWriteWithinLine = this->pending[static_cast<std::size_t>(written) - 1] != '\n';
         this->pending.erase(0, static_cast<std::size_t>(written));
+    }
     return this->pending.empty();
 }
 
--- a/src/core/NonBlockingSink.h
+++ b/src/core/NonBlockingSink.h
@@ -18,6 +18,9 @@
     /// @param descriptor is switched to non-blocking mode
     explicit NonBlockingSink(int descriptor);
 
+    /// @returns whether the last write of any sink ended within a line. Signal handlers may call it.
+    static bool isWithinLine();
+
 protected:
     void sink_it_(const spdlog::details::log_msg& message) override; // NOLINT(readability-identifier-naming): named by spdlog
     void flush_() override { } // NOLINT(readability-identifier-naming): named by spdlog
--- /dev/null
+++ b/src/core/Threads.cpp
@@ -0,0 +1,41 @@
+#include "lentiljunction/core/Threads.h"
+
+#include <csignal>
+#include <cstddef>
+#include <pthread.h>
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+    constexpr std::size_t signalStackBytes = 65536;
+
+} // namespace
+
+SignalStack::SignalStack()
+    : memory(new char[signalStackBytes])
+{
+    stack_t stack {};
+    stack.ss_sp = this->memory.get();
+    stack.ss_size = signalStackBytes;
+    ::sigaltstack(&stack, nullptr);
+}
+
+SignalStack::~SignalStack()
+{
+    stack_t stack {};
+    stack.ss_flags = SS_DISABLE;
+    ::sigaltstack(&stack, nullptr);
+}
+
+std::thread startThread(const std::string& name, std::function<void()> body)
+{
+    return std::thread([name, body = std::move(body)] {
+        ::pthread_setname_np(::pthread_self(), name.c_str());
+        SignalStack stack;
+        body();
+    });
+}
+
+} // namespace lentiljunction
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -99,8 +99,8 @@
     this->traffic.start();
     this->openPorts();
     this->control.start();
-    this->controlLoop.start();
-    this->trafficLoop.start();
+    this->controlLoop.start("control");
+    this->trafficLoop.start("traffic");
 }
 
 void GatewayInstance::openPorts()
--- a/src/store/StoreWorker.cpp
+++ b/src/store/StoreWorker.cpp
@@ -1,5 +1,7 @@
 #include "StoreWorker.h"
 
+#include "lentiljunction/core/Threads.h"
+
 #include <utility>
 
 namespace lentiljunction {
@@ -26,8 +28,8 @@
 
 void StoreWorker::start()
 {
-    this->callThread = std::thread([this] { this->runCalls(); });
-    this->watchThread = std::thread([this] { this->runWatch(); });
+    this->callThread = startThread("store-calls", [this] { this->runCalls(); });
+    this->watchThread = startThread("store-watch", [this] { this->runWatch(); });
 }
 
 void StoreWorker::stop()
--- /dev/null
+++ b/tests/process/ProcessEndTests.cpp
@@ -0,0 +1,73 @@
+#include "../../tools/lab/GatewaySite.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+
+namespace {
+
+std::string readText(const std::string& path)
+{
+    std::ifstream stream(path);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+TEST_GROUP(ProcessEnd)
+{
+    std::string folder = (std::filesystem::temp_directory_path() / ("lj-ends-" + std::to_string(::getpid()))).string();
+
+    void setup() override { std::filesystem::create_directories(folder); }
+    void teardown() override { std::filesystem::remove_all(folder); }
+
+    /// @returns the only line of a log that reports the end of a process
+    std::string findEnd(const std::string& log)
+    {
+        std::istringstream lines(log);
+        std::string found;
+        for (std::string line; std::getline(lines, line);) {
+            if (line.find(" event=120 name=process_ended ") == std::string::npos)
+                continue;
+            CHECK_TEXT(found.empty(), log.c_str());
+            found = line;
+        }
+        return found;
+    }
+};
+
+// How a process had ended could not be told from its log: after a signal there was no line, exit codes 2 and 4 were not in it.
+TEST(ProcessEnd, logOfInstanceTellsHowItEnded)
+{
+    lab::GatewaySite site(".", this->folder);
+    Failure failure;
+    CHECK_TEXT(site.start(3, failure), failure.reason.c_str());
+    std::vector<std::string> expected { "cause=signal", "cause=stopped" };
+    LONGS_EQUAL(128 + SIGSEGV, (site.signal(0, SIGSEGV), site.getProcesses()[0]->wait()));
+    LONGS_EQUAL(0, (site.signal(1, SIGTERM), site.getProcesses()[1]->wait()));
+    std::string logs;
+    for (const std::filesystem::directory_entry& entry : std::filesystem::directory_iterator(this->folder))
+        logs += entry.path().extension() == ".log" ? findEnd(readText(entry.path().string())) + "\n" : "";
+    for (const std::string& cause : expected)
+        STRCMP_CONTAINS(cause.c_str(), logs.c_str());
+    STRCMP_CONTAINS(" signal=11 sender=", logs.c_str());
+    STRCMP_CONTAINS(" exit_code=0", logs.c_str());
+}
+
+TEST(ProcessEnd, logOfInstanceNamesInvalidSettings)
+{
+    std::ofstream(this->folder + "/node.ini") << "[sessions]\nlisten = nowhere\n";
+    lab::Process process("./lentiljunction", { "serve", "--settings", this->folder + "/node.ini" }, this->folder + "/output");
+    LONGS_EQUAL(2, process.wait());
+    std::string line = this->findEnd(readText(this->folder + "/output"));
+    STRCMP_CONTAINS("cause=settings", line.c_str());
+    STRCMP_CONTAINS(" exit_code=2 reason=\"", line.c_str());
+}
