Search a long message for its end once, not for each piece

Callers saw: while one caller (or upstream) sends a message without end, the traffic of all others waits for seconds, again and again.

Cause: the end of a line was searched from the beginning of the buffer for each 2 KiB that arrived, and a search over CR only is slow.

The message is refused at 1 MiB, and the caller may come again.

Change: the connections keep how many bytes were searched, and the search continues there. The class of it, work that grows with the square of what others send, was looked for in the HTTP parser, JsonSlices, parseJson and parseCbor: none other was found by reading.

The existing tests of the decoder pass the new argument, their checks are unchanged.

--- a/include/lentiljunction/interactive/SessionProtocol.h
+++ b/include/lentiljunction/interactive/SessionProtocol.h
@@ -37,16 +37,19 @@
     /// Removes the next complete message from a buffer of received bytes.
     ///
     /// @param buffer the received bytes; the decoded message is removed
+    /// @param numSearched the number of bytes at the beginning of the buffer in which no message ends; updated. Without it a
+    ///     long message would be searched anew for each piece that arrives
     /// @param failure set when the bytes are malformed; the connection cannot be used any more
     /// @returns the message, or nothing when more bytes are needed or on a failure
-    virtual std::optional<CallerMessage> takeCallerMessage(std::string& buffer, Failure& failure) const = 0;
+    virtual std::optional<CallerMessage> takeCallerMessage(std::string& buffer, std::size_t& numSearched, Failure& failure) const = 0;
 
     /// Removes one part of an upstream's reply, such as a row, from a buffer.
     ///
+    /// @param numSearched as for takeCallerMessage()
     /// @param reply collects the parts of one reply
     /// @param isComplete set when the reply is complete
     /// @returns whether a part was removed; false when more bytes are needed or on a failure
-    virtual bool takeUpstreamPart(std::string& buffer, SessionReply& reply, bool& isComplete, Failure& failure) const = 0;
+    virtual bool takeUpstreamPart(std::string& buffer, std::size_t& numSearched, SessionReply& reply, bool& isComplete, Failure& failure) const = 0;
 
     /// Decodes the row of the reply to UpstreamCommand::Kind::Status.
     ///
--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -104,7 +104,7 @@
         this->arrivedAt = this->firstByteAt;
         this->arrivedAtSteady = this->firstByteAtSteady;
         Failure failure;
-        std::optional<CallerMessage> message = this->protocol.takeCallerMessage(this->buffered, failure);
+        std::optional<CallerMessage> message = this->protocol.takeCallerMessage(this->buffered, this->numSearched, failure);
         if (!message && failure.kind == Failure::Kind::None)
             break;
         // The bytes after this message arrived with it or later; the present time is the latest possible.
--- a/src/traffic/CallerSession.h
+++ b/src/traffic/CallerSession.h
@@ -105,6 +105,8 @@
     OneShotTimer idleTimer;
     /// Received bytes that are not decoded yet.
     std::string buffered;
+    /// The number of bytes at the beginning of `buffered` in which no message ends.
+    std::size_t numSearched = 0;
     /// Whether more messages are handled in a later turn.
     bool isContinuing = false;
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
--- a/src/traffic/TcpUpstreamConnection.cpp
+++ b/src/traffic/TcpUpstreamConnection.cpp
@@ -66,7 +66,7 @@
     bool isComplete = false;
     // The bytes of an incomplete reply were counted when they arrived.
     this->listener.onConnectionBytes(bytes.size() - std::min(bytes.size(), this->numBufferedBytes));
-    while (*alive && this->protocol.takeUpstreamPart(bytes, this->partialReply, isComplete, failure)) {
+    while (*alive && this->protocol.takeUpstreamPart(bytes, this->numSearched, this->partialReply, isComplete, failure)) {
         if (isComplete)
             this->onReply(std::exchange(this->partialReply, SessionReply()));
         isComplete = false;
--- a/src/traffic/TcpUpstreamConnection.h
+++ b/src/traffic/TcpUpstreamConnection.h
@@ -72,6 +72,8 @@
     std::optional<Answered> lastAnswered;
     /// Bytes received of an incomplete reply.
     std::size_t numBufferedBytes = 0;
+    /// The number of these bytes in which no part of the reply ends.
+    std::size_t numSearched = 0;
     SessionReply partialReply;
     /// Lets a method detect that a callback destroyed this object.
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
--- a/tests/unit/PlatformTests.cpp
+++ b/tests/unit/PlatformTests.cpp
@@ -10,6 +10,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <ctime>
+
 using namespace lentiljunction;
 
 namespace {
@@ -19,7 +21,8 @@
     LineProtocol protocol;
     Failure failure;
     std::string buffer = "QUERY q1 " + text + "\r\n";
-    std::optional<CallerMessage> message = protocol.takeCallerMessage(buffer, failure);
+    std::size_t numSearched = 0;
+    std::optional<CallerMessage> message = protocol.takeCallerMessage(buffer, numSearched, failure);
     CHECK_TRUE(message.has_value());
     return std::get<SessionStatement>(*message);
 }
@@ -35,6 +38,26 @@
 {
     LineProtocol protocol;
     Failure failure;
+    std::size_t numSearched = 0;
+
+    /// Feeds pieces as they are read from a socket until they are refused.
+    ///
+    /// @returns the processor time in seconds
+    double measureRefusal(const std::string& piece, bool isFromCaller)
+    {
+        std::clock_t begin = std::clock();
+        std::string buffer;
+        SessionReply reply;
+        bool isComplete = false;
+        while (this->failure.kind == Failure::Kind::None) {
+            buffer += piece;
+            if (isFromCaller)
+                CHECK_FALSE(this->protocol.takeCallerMessage(buffer, this->numSearched, this->failure).has_value());
+            else
+                CHECK_FALSE(this->protocol.takeUpstreamPart(buffer, this->numSearched, reply, isComplete, this->failure));
+        }
+        return static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
+    }
 };
 
 TEST(LineProtocol, decodesStatementAndKeepsItsText)
@@ -55,19 +78,50 @@
 TEST(LineProtocol, consumesOnlyCompleteMessages)
 {
     std::string buffer = "QUERY q1 READ a\r";
-    CHECK_FALSE(protocol.takeCallerMessage(buffer, failure).has_value());
+    CHECK_FALSE(protocol.takeCallerMessage(buffer, numSearched, failure).has_value());
     CHECK(failure.kind == Failure::Kind::None);
     buffer += "\nTERMI";
-    CHECK_TRUE(protocol.takeCallerMessage(buffer, failure).has_value());
+    CHECK_TRUE(protocol.takeCallerMessage(buffer, numSearched, failure).has_value());
     STRCMP_EQUAL("TERMI", buffer.c_str());
 }
 
+// A caller or an upstream sends 1 MiB of CR, in pieces, before the message is refused. Guards against a message that is
+// searched anew for each piece, which keeps the traffic of all others waiting for seconds.
+TEST(LineProtocol, longMessageIsSearchedOnce)
+{
+    constexpr std::size_t pieceSize = 2048;
+    for (bool isFromCaller : { true, false }) {
+        for (const char* unit : { "\r", "\rx", "\n" }) {
+            std::string piece;
+            while (piece.size() < pieceSize)
+                piece += unit;
+            this->failure = Failure();
+            this->numSearched = 0;
+            CHECK(this->measureRefusal(piece, isFromCaller) < 1);
+        }
+    }
+}
+
+// The end of a message arrives in two pieces, also after earlier messages. Guards against a search that begins after it.
+TEST(LineProtocol, findsEndThatArrivesInPieces)
+{
+    std::string buffer;
+    int numMessages = 0;
+    for (char letter : std::string("QUERY 1 READ a\r\nQUERY 2 READ \r b\r\r\nTERMINATE\r\n")) {
+        buffer += letter;
+        if (protocol.takeCallerMessage(buffer, numSearched, failure))
+            numMessages++;
+    }
+    LONGS_EQUAL(3, numMessages);
+    CHECK_TRUE(buffer.empty());
+}
+
 TEST(LineProtocol, decodesResponsePartByPart)
 {
     std::string buffer = "ROW a b\r\nDONE sig\r\nREADY T 3.1209\r\n";
     SessionReply reply;
     bool isComplete = false;
-    while (protocol.takeUpstreamPart(buffer, reply, isComplete, failure) && !isComplete) { }
+    while (protocol.takeUpstreamPart(buffer, numSearched, reply, isComplete, failure) && !isComplete) { }
     CHECK_TRUE(isComplete);
     STRCMP_EQUAL("a b", reply.rows.front().c_str());
     STRCMP_EQUAL("sig", reply.signature.c_str());
@@ -81,7 +135,7 @@
     std::string buffer = "ERR STRANGE text\r\n";
     SessionReply reply;
     bool isComplete = false;
-    protocol.takeUpstreamPart(buffer, reply, isComplete, failure);
+    protocol.takeUpstreamPart(buffer, numSearched, reply, isComplete, failure);
     CHECK(reply.code == ReplyCode::Failed);
     CHECK_FALSE(provesNotRun(reply.code));
 }
@@ -112,12 +166,14 @@
         std::string fromUpstream = bytes;
         Failure callerFailure;
         Failure upstreamFailure;
+        std::size_t callerSearched = 0;
+        std::size_t upstreamSearched = 0;
         std::size_t limit = bytes.size() + 1;
-        while (limit-- > 0 && this->protocol.takeCallerMessage(fromCaller, callerFailure)) { }
+        while (limit-- > 0 && this->protocol.takeCallerMessage(fromCaller, callerSearched, callerFailure)) { }
         SessionReply reply;
         bool isComplete = false;
         limit = bytes.size() + 1;
-        while (limit-- > 0 && this->protocol.takeUpstreamPart(fromUpstream, reply, isComplete, upstreamFailure)) { }
+        while (limit-- > 0 && this->protocol.takeUpstreamPart(fromUpstream, upstreamSearched, reply, isComplete, upstreamFailure)) { }
         RC_ASSERT(fromCaller.size() <= bytes.size());
         this->protocol.decodeReplicationStatus(bytes);
     });
@@ -133,8 +189,9 @@
         for (const std::string& word : chosen)
             buffer += word + " ";
         Failure callerFailure;
+        std::size_t searched = 0;
         std::size_t limit = buffer.size() + 1;
-        while (limit-- > 0 && this->protocol.takeCallerMessage(buffer, callerFailure)) { }
+        while (limit-- > 0 && this->protocol.takeCallerMessage(buffer, searched, callerFailure)) { }
         RC_ASSERT(limit < buffer.max_size());
     });
     CHECK_TRUE(holds);
