Refuse an excessive length of a store's response before memory is reserved

Callers saw: the process ends by itself (exit code 134, std::bad_alloc), again after each start, while the store, or what stands between, sends a response with a damaged or huge Content-Length.

Cause: the HTTP library reserves memory for the declared length when the body begins, before it compares the length with the limit for bodies; the exception leaves the control thread. A smaller excessive length reserves memory that is never used.

Change: the parser stops after the header, and a declared length above the limit is refused as an invalid response.

--- a/src/net/HttpMessage.cpp
+++ b/src/net/HttpMessage.cpp
@@ -36,7 +36,15 @@
     Implementation()
     {
         this->parser.body_limit(maximumResponseBodyBytes);
+    }
+
+    /// Stops after the header, because the library reserves memory for the declared length before it checks the limit.
+    ///
+    /// @returns whether the declared length, if any, is allowed
+    bool acceptHeader()
+    {
         this->parser.eager(true);
+        return this->parser.content_length().value_or(0) <= maximumResponseBodyBytes;
     }
 
     http::response_parser<http::string_body> parser;
@@ -54,8 +62,11 @@
     http::response_parser<http::string_body>& parser = this->implementation->parser;
     boost::system::error_code error;
     while (!bytes.empty() && !parser.is_done()) {
+        bool hadHeader = parser.is_header_done();
         std::size_t used = parser.put(boost::asio::buffer(bytes), error);
         bytes.erase(0, used);
+        if (!hadHeader && parser.is_header_done() && !this->implementation->acceptHeader())
+            error = http::error::body_limit;
         if (error || used == 0)
             break;
     }
--- a/tests/unit/PlatformTests.cpp
+++ b/tests/unit/PlatformTests.cpp
@@ -295,6 +295,19 @@
     STRCMP_EQUAL("hello", response.body.c_str());
 }
 
+// The store, or what stands between, declares a length that is far above the limit. Guards against a response that ends the
+// process because memory for all of it is reserved.
+TEST(HttpMessage, refusesExcessiveLengthBeforeReservingMemory)
+{
+    for (const char* length : { "8388609", "99999999999999", "18446744073709551615", "99999999999999999999" }) {
+        HttpResponseParser reader;
+        Failure failure;
+        std::string bytes = std::string("HTTP/1.1 200 OK\r\nContent-Length: ") + length + "\r\n\r\nhello";
+        CHECK_FALSE(reader.consume(bytes, failure));
+        CHECK(failure.kind == Failure::Kind::InvalidInput);
+    }
+}
+
 TEST(HttpMessage, rejectsResponseThatIsNotHttp)
 {
     HttpResponseParser reader;
