--- a/src/lending/LendingMessage.cpp
+++ b/src/lending/LendingMessage.cpp
@@ -3,6 +3,9 @@
 #include "lentiljunction/core/Cbor.h"
 #include "lentiljunction/core/Json.h"
 
+#include <cmath>
+#include <stdexcept>
+
 namespace lentiljunction {
 
 namespace {
@@ -80,6 +83,9 @@
         if (message.kind == Kind::Granted) {
             message.latency = getDuration(encoded.at("latency_us"));
             message.load = encoded.at("load").get<double>();
+            // Loads are compared, and NaN has no order.
+            if (!std::isfinite(message.load) || message.load < 0)
+                throw std::out_of_range("not a load");
         }
         if (message.kind == Kind::Denied) {
             message.denial = toEnumeration(encoded.at("denial"), Denial::Avoided);
