Allow in a bundle's delta only what a delta can contain

Callers saw: not seen by callers. A peer's delta that adds a value to a number ends the process of an instance with bundles (signal 6 in a build with assertions), and one that copies the document into itself doubles it with each operation.

Cause: patches of others were applied as they came, before the approvals of the result are checked.

Evidence: applying [{"op":"add","path":"/version/x","value":1}] to {"version":1} in a small program of its own ended with exit code 134 (an assertion of the library). The test was not run on the code before: it would end there.

Change: only add, remove and replace, which is what the sender makes, below an existing object or array, to the nesting that documents may have, and at most 10,000 of them. Otherwise the whole bundle is requested, as for a delta that cannot be applied.

--- a/src/bundle/ActiveBundle.cpp
+++ b/src/bundle/ActiveBundle.cpp
@@ -4,6 +4,7 @@
 #include "lentiljunction/core/JsonFields.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace lentiljunction {
@@ -13,6 +14,43 @@
     /// The number of past versions from which a delta can be made. An instance further behind gets a full copy.
     constexpr std::size_t maximumDeltaSteps = 64;
     constexpr std::int64_t maximumVersion = 1'000'000'000'000;
+    /// A delta with more operations is not shorter than the bundle.
+    constexpr std::size_t maximumDeltaOperations = 10000;
+
+    /// Applies one operation of a patch of another instance.
+    ///
+    /// Only the operations that nlohmann::json::diff() makes are allowed: a copy doubles the document, and a few dozen
+    /// exceed the memory. The library ends the process when a value is added to a number or a text.
+    ///
+    /// @returns whether the operation was applied
+    /// @throws nlohmann::json::exception when it is malformed or names a value that does not exist
+    bool applyOperation(nlohmann::json& document, const nlohmann::json& operation)
+    {
+        constexpr std::array<std::string_view, 3> allowed { "add", "remove", "replace" };
+        std::string name = operation.at("op").get<std::string>();
+        std::string path = operation.at("path").get<std::string>();
+        bool isAllowed = std::find(allowed.begin(), allowed.end(), name) != allowed.end();
+        bool isTooDeep = static_cast<std::size_t>(std::count(path.begin(), path.end(), '/')) > maximumNesting;
+        nlohmann::json::json_pointer target(path);
+        if (!isAllowed || isTooDeep || target.empty() || !document.at(target.parent_pointer()).is_structured())
+            return false;
+        document.patch_inplace(nlohmann::json::array({ operation }));
+        return true;
+    }
+
+    /// @returns whether all operations were applied
+    /// @throws nlohmann::json::exception as applyOperation()
+    bool applySteps(nlohmann::json& document, const std::vector<nlohmann::json>& steps)
+    {
+        std::size_t numOperations = 0;
+        for (const nlohmann::json& step : steps) {
+            for (const nlohmann::json& operation : step) {
+                if (++numOperations > maximumDeltaOperations || !applyOperation(document, operation))
+                    return false;
+            }
+        }
+        return true;
+    }
 
 } // namespace
 
@@ -78,8 +116,10 @@
 
     nlohmann::json next = this->document;
     try {
-        for (const nlohmann::json& step : delta.steps)
-            next.patch_inplace(step);
+        if (!applySteps(next, delta.steps)) {
+            failure.set(Failure::Kind::InvalidInput, "the delta has an operation that is not allowed, or too many of them");
+            return OfferResult::NeedsFullCopy;
+        }
     } catch (const nlohmann::json::exception& error) {
         failure.set(Failure::Kind::InvalidInput, std::string("the delta cannot be applied: ") + error.what());
         return OfferResult::NeedsFullCopy;
--- a/tests/unit/BundleTests.cpp
+++ b/tests/unit/BundleTests.cpp
@@ -2,6 +2,7 @@
 #include "../support/SampleBundle.h"
 #include "lentiljunction/bundle/ActiveBundle.h"
 #include "lentiljunction/bundle/BundleAdmin.h"
+#include "lentiljunction/core/Json.h"
 
 #include <rapidcheck.h>
 
@@ -125,6 +126,34 @@
     CHECK_FALSE(ahead.makeDelta(BundleVersion(77)).has_value());
 }
 
+// Another instance sends a delta that adds a value to a number, on which the library ends the process, or copies the document
+// into itself. Guards against a delta that ends the process or makes it grow beyond its memory.
+TEST(ActiveBundle, deltaThatGrowsOrCannotBeAppliedNeedsFullCopy)
+{
+    ActiveBundle ahead(bench.trust);
+    ActiveBundle active(bench.trust);
+    CHECK(bench.rollOut(1));
+    ahead.offer(bench.getCurrent(), failure);
+    active.offer(bench.getCurrent(), failure);
+    CHECK(bench.rollOut(2));
+    CHECK(ahead.offer(bench.getCurrent(), failure) == ActiveBundle::OfferResult::Accepted);
+    nlohmann::json copies = nlohmann::json::array();
+    for (int count = 0; count < 14; count++)
+        copies.push_back({ { "op", "copy" }, { "from", "" }, { "path", "/c" + std::to_string(count) } });
+    nlohmann::json levels = nlohmann::json::array();
+    for (std::string path = "/deep"; levels.size() < 2 * maximumNesting; path += "/a")
+        levels.push_back({ { "op", "add" }, { "path", path }, { "value", nlohmann::json::object() } });
+    constexpr std::size_t excessiveOperations = 10001;
+    nlohmann::json many(excessiveOperations, { { "op", "replace" }, { "path", "/version" }, { "value", 2 } });
+    for (const nlohmann::json& step : std::vector<nlohmann::json> { copies, levels, many, nlohmann::json::parse(R"([{"op":"add","path":"/version/x","value":1}])"), nlohmann::json::parse(R"([{"op":"remove","path":""}])"), nlohmann::json::parse(R"([{"op":7}])"), nlohmann::json::parse(R"([{"op":"add","path":"x","value":1}])"), 7, nlohmann::json::array({ 7 }) }) {
+        BundleDelta delta = *ahead.makeDelta(BundleVersion(1));
+        delta.steps = { step };
+        CHECK(active.offer(delta, failure) == ActiveBundle::OfferResult::NeedsFullCopy);
+        LONGS_EQUAL(1, active.getVersion().value());
+    }
+    CHECK(active.offer(*ahead.makeDelta(BundleVersion(1)), failure) == ActiveBundle::OfferResult::Accepted);
+}
+
 TEST(ActiveBundle, deltaFromOtherVersionNeedsFullCopy)
 {
     ActiveBundle ahead(bench.trust);
