Let the WebSocket library set its static state before the threads start

It is a data race, which the language leaves undefined.

Cause: websocketpp finds out the machine's byte order when it sends its first message and stores it in a static variable without a lock. The control thread (links to other instances) and the traffic thread (lending) can both be first. All threads store the same value.

Change: the constructors of both endpoints make the first conversion. They run before the event loops of an instance start.

Why it works: starting a thread orders all earlier writes before it, and later conversions only read.

The library's other function-local statics are constants and error categories.

--- a/src/net/WebSocketClient.cpp
+++ b/src/net/WebSocketClient.cpp
@@ -1,6 +1,7 @@
 #include "WebSocketClient.h"
 
 #include "SocketOptions.h"
+#include "WebSocketLibrary.h"
 
 #include <asio/io_context.hpp>
 #include <unordered_map>
@@ -24,6 +25,7 @@
         : loop(loop)
         , listener(listener)
     {
+        prepareWebSocketLibrary();
         this->client.clear_access_channels(websocketpp::log::alevel::all);
         this->client.clear_error_channels(websocketpp::log::elevel::all);
         this->client.init_asio(&loop.getContext());
--- a/src/net/WebSocketServer.cpp
+++ b/src/net/WebSocketServer.cpp
@@ -1,6 +1,7 @@
 #include "WebSocketServer.h"
 
 #include "SocketOptions.h"
+#include "WebSocketLibrary.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -27,6 +28,7 @@
         : retryTimer(loop.getContext())
         , listener(listener)
     {
+        prepareWebSocketLibrary();
         this->server.clear_access_channels(websocketpp::log::alevel::all);
         this->server.clear_error_channels(websocketpp::log::elevel::all);
         this->server.init_asio(&loop.getContext());
