Start with every form of the settings that a deployment may give

What callers saw: an instance ended with code 2 at its start although its deployment is allowed: a grace period with a fraction, no value for an optional setting (no promotion service), a line of more than 200 bytes (seeds, a long zone name), or a settings file that was missing, empty or half written at that moment.

Cause: what passes, or costs only a part, was final at the start. Evidence on the code before, one plain process each: `6.5`, an empty `grace_s`, an empty `promotion.endpoint`, 19 seeds, a zone name of 210 letters, a missing, an empty and a half file each ended with code 2. Line ends of CR LF and a byte order mark held.

Change: an empty optional key counts as missing; seconds may be fractions; lines may have 64 KiB; blanks around seeds are allowed. `serve` waits up to 2 s for a file that is missing, has faults or does not end with a line break, then reports the faults as before; SIGTERM ends the wait. Malformed values and unknown keys stay faults, and so does an empty `quota.listen`, without which limits would not be enforced.

--- a/src/cli/InstanceCommands.cpp
+++ b/src/cli/InstanceCommands.cpp
@@ -3,6 +3,7 @@
 #include "../server/Instance.h"
 #include "CommandLine.h"
 #include "GatewayServe.h"
+#include "SettingsWait.h"
 #include "lentiljunction/bundle/SignedBundle.h"
 #include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/LogEvents.h"
@@ -50,6 +51,8 @@
     private:
         int serve(const std::string& path)
         {
+            if (!waitForSettings(path))
+                return exitcodes::ok;
             if (isGatewayFile(path))
                 return serveGateway(path, this->adapter);
             Failure failure;
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -17,8 +17,7 @@
         "instance.id", "instance.zone", "sessions.listen", "ready.listen", "peers.listen", "peers.seeds", "lending.listen",
         "quota.listen", "quota.window_s", "quota.overage", "quota.slack", "capacity.discover", "upstream_health.eject", "metrics.listen", "store.endpoint", "store.first_start", "promotion.endpoint", "drain.grace_s"
     };
-    constexpr std::int64_t longestGraceSeconds = 600;
-    constexpr double defaultQuotaWindowSeconds = 5;
+    constexpr double longestSeconds = 600;
     constexpr double maximumQuotaOverage = 10;
     constexpr double maximumQuotaSlack = 1000000;
 
@@ -81,31 +80,34 @@
             std::istringstream stream(this->document.find(section, key).value_or(""));
             std::string item;
             while (std::getline(stream, item, ',')) {
+                item.erase(0, item.find_first_not_of(" \t"));
+                item.erase(item.find_last_not_of(" \t") + 1);
                 Failure failure;
                 std::optional<Endpoint> endpoint = parseEndpoint(item, failure);
                 if (endpoint)
                     endpoints.push_back(*endpoint);
-                else
+                else if (!item.empty())
                     this->addFault(section, key, item, "address:port, separated by commas");
             }
             return endpoints;
         }
 
         std::chrono::milliseconds getSeconds(const std::string& section, const std::string& key, std::chrono::milliseconds fallback)
+        {
+            double seconds = this->getDecimal(section, key, std::chrono::duration<double>(fallback).count(), 1, longestSeconds);
+            return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
+        }
+
+        /// @returns the value of an optional key, or nothing when it is missing or empty
+        std::optional<std::string> findOptional(const std::string& section, const std::string& key) const
         {
             std::optional<std::string> value = this->document.find(section, key);
-            if (!value)
-                return fallback;
-            std::optional<std::int64_t> number = parseNumber<std::int64_t>(*value);
-            if (number && *number >= 1 && *number <= longestGraceSeconds)
-                return std::chrono::seconds(*number);
-            this->addFault(section, key, *value, "a whole number of seconds from 1 to " + std::to_string(longestGraceSeconds));
-            return fallback;
+            return value && !value->empty() ? value : std::nullopt;
         }
 
         double getDecimal(const std::string& section, const std::string& key, double fallback, double minimum, double maximum)
         {
-            std::optional<std::string> value = this->document.find(section, key);
+            std::optional<std::string> value = this->findOptional(section, key);
             if (!value)
                 return fallback;
             std::optional<double> number = parseNumber<double>(*value);
@@ -119,7 +121,7 @@
 
         bool getFlag(const std::string& section, const std::string& key, bool fallback)
         {
-            std::optional<std::string> value = this->document.find(section, key);
+            std::optional<std::string> value = this->findOptional(section, key);
             if (!value || *value == "true" || *value == "false")
                 return value ? *value == "true" : fallback;
             this->addFault(section, key, *value, "true or false");
@@ -172,18 +174,18 @@
     settings.ready = reader.getListenAddress("ready");
     settings.peers = reader.getListenAddress("peers");
     settings.seeds = reader.getEndpoints("peers", "seeds");
-    if (document.find("lending", "listen"))
+    if (reader.findOptional("lending", "listen"))
         settings.lending = reader.getListenAddress("lending");
     if (document.find("quota", "listen"))
         settings.quota = reader.getListenAddress("quota");
-    std::chrono::duration<double> window(reader.getDecimal("quota", "window_s", defaultQuotaWindowSeconds, 1, static_cast<double>(longestGraceSeconds)));
-    settings.quotaTolerance.window = std::chrono::duration_cast<std::chrono::milliseconds>(window);
+    settings.quotaTolerance.window = reader.getSeconds("quota", "window_s", settings.quotaTolerance.window);
     settings.quotaTolerance.overage = reader.getDecimal("quota", "overage", settings.quotaTolerance.overage, 0, maximumQuotaOverage);
     settings.quotaTolerance.slack = reader.getDecimal("quota", "slack", settings.quotaTolerance.slack, 0, maximumQuotaSlack);
     settings.metrics = reader.getListenAddress("metrics");
     settings.store = reader.getEndpoint("store", "endpoint");
     settings.isFirstStart = reader.getFlag("store", "first_start", settings.isFirstStart);
-    settings.promotion = reader.getEndpoint("promotion", "endpoint");
+    if (reader.findOptional("promotion", "endpoint"))
+        settings.promotion = reader.getEndpoint("promotion", "endpoint");
     settings.discoversCapacity = reader.getFlag("capacity", "discover", settings.discoversCapacity);
     settings.ejectsUpstreams = reader.getFlag("upstream_health", "eject", settings.ejectsUpstreams);
     settings.shutdownGrace = reader.getSeconds("drain", "grace_s", settings.shutdownGrace);
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -38,7 +38,7 @@
     /// Whether the whole system starts for the first time. Only then is a missing primary record created as that of groups
     /// without a failover; otherwise it is taken for lost.
     bool isFirstStart = false;
-    /// The platform service that promotes upstreams.
+    /// The platform service that promotes upstreams; without it (port 0) no promotion succeeds.
     Endpoint promotion;
     /// Whether the concurrent statements that each upstream handles well are discovered from its answers.
     bool discoversCapacity = false;
--- a/src/settings/IniDocument.cpp
+++ b/src/settings/IniDocument.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    /// The longest line of a settings file; the library's own limit is 200.
+    constexpr int maximumLineBytes = 64 << 10;
+
     int appendEntry(void* user, const char* section, const char* key, const char* value)
     {
         std::vector<IniDocument::Entry>* entries = static_cast<std::vector<IniDocument::Entry>*>(user);
@@ -18,6 +21,9 @@
 int IniDocument::read(const std::string& path)
 {
     this->entries.clear();
+    ini_use_stack = false;
+    ini_allow_realloc = true;
+    ini_max_line = maximumLineBytes;
     return ini_parse(path.c_str(), appendEntry, &this->entries);
 }
 
--- a/tests/unit/GatewaySettingsTests.cpp
+++ b/tests/unit/GatewaySettingsTests.cpp
@@ -73,3 +73,44 @@
     for (const char* part : { "[instance] zone", "[sessions] listen = \"10.1.0.8\"", "[drain] grace_s = \"soon\"", "[quota] overage = \"-1\"", "[quota] slack = \"all\"", "[odd] key", "[store] endpoint", "[capacity] discover = \"3\"", "[upstream_health] eject = \"yes\"" })
         STRCMP_CONTAINS(part, failure.reason.c_str());
 }
+
+// A deployment whose grace period was a fraction, or that had no value for an optional setting, did not start.
+TEST(GatewaySettings, acceptsFractionsAndEmptyOptionalValues)
+{
+    const std::string required = "[instance]\nid = a\nzone = z\n[sessions]\nlisten = 10.1.0.8:1\n[ready]\nlisten = 10.1.0.8:2\n[peers]\nlisten = 10.1.0.8:3\n[metrics]\nlisten = 10.1.0.8:4\n[store]\nendpoint = 10.1.0.9:1\n";
+    write(required + "[drain]\ngrace_s = 6.5\n[quota]\nwindow_s = 2.25\n");
+    std::optional<GatewaySettings> settings = loadGatewaySettings(path, failure);
+    CHECK_TEXT(settings.has_value(), failure.reason.c_str());
+    CHECK_EQUAL(6500, settings->shutdownGrace.count());
+    CHECK_EQUAL(2250, settings->quotaTolerance.window.count());
+    write(required + "first_start =\n[peers]\nseeds =\n[lending]\nlisten =\n[promotion]\nendpoint =\n[drain]\ngrace_s =\n[quota]\nwindow_s =\noverage =\nslack =\n[capacity]\ndiscover =\n[upstream_health]\neject =\n");
+    settings = loadGatewaySettings(path, failure);
+    CHECK_TEXT(settings.has_value(), failure.reason.c_str());
+    CHECK(!settings->isFirstStart && settings->seeds.empty() && !settings->lending);
+    CHECK_EQUAL(GatewaySettings().shutdownGrace.count(), settings->shutdownGrace.count());
+    CHECK_EQUAL(GatewaySettings().quotaTolerance.window.count(), settings->quotaTolerance.window.count());
+}
+
+// A line of more than 200 bytes, as of many seeds, was cut and its rest reported as malformed; so the process did not start.
+TEST(GatewaySettings, acceptsLongLinesAndLineEndsOfOtherSystems)
+{
+    std::string seeds = "10.1.0.1:8782";
+    for (int number = 2; number < 200; number++)
+        seeds += ", 10.1.0." + std::to_string(number) + ":8782";
+    std::string zone(1000, 'z');
+    write("\xEF\xBB\xBF[instance]\r\nid = a;b#c\r\nzone = " + zone + "\r\n[sessions]\r\nlisten = 10.1.0.8:1\r\n[ready]\r\nlisten = 10.1.0.8:2\r\n[peers]\r\nlisten = 10.1.0.8:3\r\nseeds = " + seeds + "\r\n[metrics]\r\nlisten = 10.1.0.8:4\r\n[store]\r\nendpoint = 10.1.0.9:1\r\n");
+    std::optional<GatewaySettings> settings = loadGatewaySettings(path, failure);
+    CHECK_TEXT(settings.has_value(), failure.reason.c_str());
+    CHECK_EQUAL(199, settings->seeds.size());
+    STRCMP_EQUAL(zone.c_str(), settings->zone.toString().c_str());
+    STRCMP_EQUAL("a;b#c", settings->instance.toString().c_str());
+}
+
+// A name instead of an address can never be opened, so it is a fault of the settings and not a port that is held.
+TEST(GatewaySettings, rejectsNamesAsListeningAddresses)
+{
+    write("[instance]\nid = a\nzone = z\n[sessions]\nlisten = front:1\n[ready]\nlisten = 10.1.0:2\n");
+    CHECK_FALSE(loadGatewaySettings(path, failure).has_value());
+    for (const char* part : { "[sessions] listen = \"front:1\"", "[ready] listen = \"10.1.0:2\"" })
+        STRCMP_CONTAINS(part, failure.reason.c_str());
+}
