Block only the fatal signals while one of them is reported

Found by the review of the record of ends: the handlers blocked every signal. Where system calls are answered by a signal (SIGSYS of a seccomp filter), a blocked SIGSYS ends the process at once, before the line is written, and the exit status becomes that of SIGSYS. By reading, not shown by a run of its own; the handlers need protection only against each other.

--- a/src/core/ProcessEnd.cpp
+++ b/src/core/ProcessEnd.cpp
@@ -238,7 +238,10 @@
         struct sigaction action { };
         action.sa_sigaction = onFatalSignal;
         action.sa_flags = SA_SIGINFO | SA_ONSTACK;
-        sigfillset(&action.sa_mask);
+        // Other signals stay deliverable: tools that answer system calls by signals would otherwise end the process here.
+        sigemptyset(&action.sa_mask);
+        for (int blocked : fatalSignals)
+            sigaddset(&action.sa_mask, blocked);
         ::sigaction(signal, &action, nullptr);
     }
     isInstalled = true;
