Keep a stack for signal handlers that a thread already has

Found by the review of the record of ends: each thread got a new stack for its handlers even where a tool, such as a sanitizer, had set one. The handlers of the tool would then have run on a stack that it does not know. By reading, not shown by a run.

--- a/include/lentiljunction/core/Threads.h
+++ b/include/lentiljunction/core/Threads.h
@@ -7,7 +7,8 @@
 
 namespace lentiljunction {
 
-/// A stack for the signal handlers of the current thread, so that an exhausted stack is reported too.
+/// A stack for the signal handlers of the current thread, so that an exhausted stack is reported too. A thread that has one
+/// keeps it.
 ///
 /// Create and destroy it in the same thread. @see ProcessEnd
 class SignalStack {
@@ -18,6 +19,7 @@
     SignalStack& operator=(const SignalStack&) = delete;
 
 private:
+    /// Empty when the thread had a stack.
     std::unique_ptr<char[]> memory;
 };
 
--- a/src/core/Threads.cpp
+++ b/src/core/Threads.cpp
@@ -14,8 +14,12 @@
 } // namespace
 
 SignalStack::SignalStack()
-    : memory(new char[signalStackBytes])
 {
+    // Tools that answer system calls by signals, and sanitizers, have set a stack of their own.
+    stack_t present {};
+    if (::sigaltstack(nullptr, &present) != 0 || (present.ss_flags & SS_DISABLE) == 0)
+        return;
+    this->memory = std::make_unique<char[]>(signalStackBytes);
     stack_t stack {};
     stack.ss_sp = this->memory.get();
     stack.ss_size = signalStackBytes;
@@ -24,6 +28,8 @@
 
 SignalStack::~SignalStack()
 {
+    if (this->memory == nullptr)
+        return;
     stack_t stack {};
     stack.ss_flags = SS_DISABLE;
     ::sigaltstack(&stack, nullptr);
