--- a/include/lentiljunction/core/JsonSlices.h
+++ b/include/lentiljunction/core/JsonSlices.h
@@ -27,6 +27,21 @@
 /// @see splitJsonArray()
 std::optional<std::map<std::string, std::string_view>> splitJsonObject(std::string_view text);
 
+/// The parts of a JSON text up to the first one whose end cannot be found.
+template <typename Parts>
+struct JsonPrefix {
+    Parts parts;
+    /// Whether the text has no other parts. Otherwise the last one, if any, extends to the end of the text, or bytes follow
+    /// it that belong to none.
+    bool isComplete = false;
+};
+
+/// Like splitJsonArray(), for a text whose brackets or quotation marks may not match.
+JsonPrefix<std::vector<std::string_view>> splitJsonArrayPrefix(std::string_view text);
+
+/// Like splitJsonObject(), for a text whose brackets or quotation marks may not match.
+JsonPrefix<std::map<std::string, std::string_view>> splitJsonObjectPrefix(std::string_view text);
+
 /// @param quoted a text with its quotation marks
 /// @returns the text, whose bytes need not be UTF-8, or nothing when it cannot be decoded
 std::optional<std::string> decodeJsonText(std::string_view quoted);
--- a/src/core/JsonSlices.cpp
+++ b/src/core/JsonSlices.cpp
@@ -2,6 +2,8 @@
 
 #include "lentiljunction/core/Json.h"
 
+#include <utility>
+
 namespace lentiljunction {
 
 namespace {
@@ -26,6 +28,13 @@
             return true;
         }
 
+        /// @returns the text after white space, up to its end
+        std::string_view getRest()
+        {
+            this->skipSpace();
+            return this->text.substr(this->position);
+        }
+
         bool isAtEnd()
         {
             this->skipSpace();
@@ -100,45 +109,63 @@
 
 } // namespace
 
-std::optional<std::vector<std::string_view>> splitJsonArray(std::string_view text)
+JsonPrefix<std::vector<std::string_view>> splitJsonArrayPrefix(std::string_view text)
 {
     SliceReader reader(text);
-    std::vector<std::string_view> elements;
+    JsonPrefix<std::vector<std::string_view>> prefix;
     if (!reader.take('['))
-        return std::nullopt;
-    if (reader.take(']'))
-        return reader.isAtEnd() ? std::optional<std::vector<std::string_view>>(elements) : std::nullopt;
+        return prefix;
+    if (reader.take(']')) {
+        prefix.isComplete = reader.isAtEnd();
+        return prefix;
+    }
     do {
+        std::string_view rest = reader.getRest();
         std::optional<std::string_view> element = reader.takeValue();
+        prefix.parts.push_back(element.value_or(rest));
         if (!element)
-            return std::nullopt;
-        elements.push_back(*element);
+            return prefix;
     } while (reader.take(','));
-    if (!reader.take(']') || !reader.isAtEnd())
-        return std::nullopt;
-    return elements;
+    prefix.isComplete = reader.take(']') && reader.isAtEnd();
+    return prefix;
 }
 
-std::optional<std::map<std::string, std::string_view>> splitJsonObject(std::string_view text)
+JsonPrefix<std::map<std::string, std::string_view>> splitJsonObjectPrefix(std::string_view text)
 {
     SliceReader reader(text);
-    std::map<std::string, std::string_view> members;
+    JsonPrefix<std::map<std::string, std::string_view>> prefix;
     if (!reader.take('{'))
-        return std::nullopt;
-    if (reader.take('}'))
-        return reader.isAtEnd() ? std::optional<std::map<std::string, std::string_view>>(members) : std::nullopt;
+        return prefix;
+    if (reader.take('}')) {
+        prefix.isComplete = reader.isAtEnd();
+        return prefix;
+    }
     do {
         std::optional<std::string_view> quoted = reader.takeName();
-        std::optional<std::string_view> value = quoted && reader.take(':') ? reader.takeValue() : std::nullopt;
-        if (!value)
-            return std::nullopt;
+        if (!quoted || !reader.take(':'))
+            return prefix;
+        std::string_view rest = reader.getRest();
+        std::optional<std::string_view> value = reader.takeValue();
         std::optional<std::string> name = decodeJsonText(*quoted);
         if (name)
-            members[*name] = *value;
+            prefix.parts[*name] = value.value_or(rest);
+        if (!value)
+            return prefix;
     } while (reader.take(','));
-    if (!reader.take('}') || !reader.isAtEnd())
-        return std::nullopt;
-    return members;
+    prefix.isComplete = reader.take('}') && reader.isAtEnd();
+    return prefix;
+}
+
+std::optional<std::vector<std::string_view>> splitJsonArray(std::string_view text)
+{
+    JsonPrefix<std::vector<std::string_view>> prefix = splitJsonArrayPrefix(text);
+    return prefix.isComplete ? std::optional<std::vector<std::string_view>>(std::move(prefix.parts)) : std::nullopt;
+}
+
+std::optional<std::map<std::string, std::string_view>> splitJsonObject(std::string_view text)
+{
+    JsonPrefix<std::map<std::string, std::string_view>> prefix = splitJsonObjectPrefix(text);
+    return prefix.isComplete ? std::optional<std::map<std::string, std::string_view>>(std::move(prefix.parts)) : std::nullopt;
 }
 
 std::optional<std::string> decodeJsonText(std::string_view quoted)
--- a/tests/process/GatewayForeignEntriesTests.cpp
+++ b/tests/process/GatewayForeignEntriesTests.cpp
@@ -20,6 +20,18 @@
     return waitUntil([&] { return isServed(LineCaller(fixture.getPort(started), "bookings").execute("WRITE later v")); });
 }
 
+/// Puts entries that end other brackets than their own, or leave some open, before, between and after the upstreams.
+void putUnmatchedEntries(GatewayFixture& fixture)
+{
+    const std::vector<std::string> specs { R"([1,{"a":2)", R"("a)", "1}", "1]", R"({"a":[1})", "1}}", R"(\")", "1}]", "2]]", "[[2", R"(b")" };
+    for (std::size_t index = 0; index < specs.size(); index++) {
+        for (const char* prefix : { "a", "u1-", "z" })
+            fixture.getStore().putRaw("servers", prefix + std::to_string(index), specs[index]);
+    }
+    fixture.getStore().putRaw("lentiljunction-instances", "a", "[1");
+    fixture.getStore().putRaw("config", "odd", "{");
+}
+
 } // namespace
 
 TEST_GROUP(GatewayForeignEntries) {};
@@ -86,6 +98,31 @@
     CHECK_TRUE(waitUntil([&] { return fixture.getGroup().findPrimary() != "u1"; }));
 }
 
+// Another writer leaves entries whose brackets or quotation marks do not match, alone or only with those of a later entry.
+// Guards against a list that is unreadable as a whole, or that misses the upstreams between them.
+TEST(GatewayForeignEntries, unmatchedBracketsHideNoUpstream)
+{
+    GatewayFixture fixture;
+    CHECK_TRUE(fixture.waitUntilServed("bookings"));
+    putUnmatchedEntries(fixture);
+    fixture.configure(2, { "bookings", "later" });
+    CHECK_TRUE(fixture.waitUntilServed("later"));
+    fixture.report("u1", true, true);
+    CHECK_TRUE(waitUntil([&] { return fixture.getGroup().findPrimary() != "u1"; }));
+}
+
+// The same entries when no instance runs that knows an earlier list. Guards against an instance that never becomes ready.
+TEST(GatewayForeignEntries, unmatchedBracketsDelayNoStart)
+{
+    GatewayFixture fixture;
+    CHECK_TRUE(fixture.waitUntilServed("bookings"));
+    putUnmatchedEntries(fixture);
+    fixture.kill(0);
+    fixture.kill(1);
+    std::size_t started = fixture.startInstance();
+    CHECK_TRUE(waitUntil([&] { return isServed(LineCaller(fixture.getPort(started), "bookings").execute("READ item")); }));
+}
+
 // The watch of the routes brings a change that cannot be read. Guards against routes that are no longer followed.
 TEST(GatewayForeignEntries, unreadableChangeDoesNotStopWatch)
 {
--- a/tests/unit/JsonTests.cpp
+++ b/tests/unit/JsonTests.cpp
@@ -102,6 +102,23 @@
         CHECK_FALSE(splitJsonObject(text).has_value());
 }
 
+// The brackets of one element do not match. Guards against elements before it that are hidden, and against bytes within it
+// that are taken for an element.
+TEST(Json, partsBeforeUnmatchedBracketsAreFound)
+{
+    JsonPrefix<std::vector<std::string_view>> array = splitJsonArrayPrefix("[1, {\"a\":[2},{\"b\":3}]");
+    CHECK_FALSE(array.isComplete);
+    CHECK(array.parts == (std::vector<std::string_view> { "1", "{\"a\":[2},{\"b\":3}]" }));
+    array = splitJsonArrayPrefix("[1}, 2]");
+    CHECK_FALSE(array.isComplete);
+    CHECK(array.parts == std::vector<std::string_view> { "1" });
+    CHECK_TRUE(splitJsonArrayPrefix("[1]").isComplete);
+    JsonPrefix<std::map<std::string, std::string_view>> object = splitJsonObjectPrefix(R"({"meta":{"name":"x"},"spec":"a,"status":null})");
+    CHECK_FALSE(object.isComplete);
+    CHECK(object.parts.at("meta") == R"({"name":"x"})");
+    LONGS_EQUAL(2, object.parts.size());
+}
+
 // For valid JSON the parts are those that the decoder finds.
 TEST(Json, partsOfValidTextsAreTheirElements)
 {
