Keep file descriptors back from callers

Callers saw: once callers held all descriptors of an instance, further callers got no answer at all, and the store, the other instances, the upstreams, readiness and metrics found no descriptor either.

Cause: every accepted caller took a descriptor; nothing kept some back. Class: others can take what control needs.

Change: DescriptorBudget, a pure class, decides how many caller sessions may be open: the limit less an eighth and 64 more, at most half of it (60 of 120, 3,699 of 4,300). A further caller gets a busy error at once and is closed (event 130). The instance stays ready meanwhile: its open sessions and its upstreams work, a refusal costs a caller one round trip, and not being ready would let a crowd of callers take one instance after the other out of the balancer.

Why it works: callers cannot hold the reserve, so what control opens finds a descriptor. Not bounded by it: connections to upstreams and of other instances, which share the reserve; sockets of ended sessions whose callers do not read.

The headers of GatewayResourcesTests.cpp are reordered, because clang rejects standard headers after those of the test framework.

--- a/include/lentiljunction/admission/lj_admission.h
+++ b/include/lentiljunction/admission/lj_admission.h
@@ -5,6 +5,7 @@
 
 #include "lentiljunction/admission/ConcurrencyLimit.h"
 #include "lentiljunction/admission/ConcurrencyPolicy.h"
+#include "lentiljunction/admission/DescriptorBudget.h"
 #include "lentiljunction/admission/LoadShedder.h"
 #include "lentiljunction/admission/RankQueue.h"
 #include "lentiljunction/admission/RetryBudget.h"
--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -32,6 +32,7 @@
     constexpr LogEvent settingsInvalid { 104, LogLevel::Error, "settings_invalid", "A setting is missing or out of range; the process does not start." };
     constexpr LogEvent portUnavailable { 105, LogLevel::Error, "port_unavailable", "A listening port cannot be opened. Another process may use it. A gateway instance tries it again; an instance of the product's own protocols ends." };
     constexpr LogEvent processEnded { 120, LogLevel::Error, "process_ended", "The process ends; the cause is in the line." };
+    constexpr LogEvent sessionsExhausted { 130, LogLevel::Warning, "sessions_exhausted", "A caller was refused at once because callers hold all file descriptors that they may hold." };
     constexpr LogEvent bundleInForce { 200, LogLevel::Information, "bundle_in_force", "A higher bundle version became active." };
     constexpr LogEvent bundleRefused { 201, LogLevel::Warning, "bundle_refused", "A bundle was rejected: it is invalid or not signed by enough operators." };
     constexpr LogEvent storeUnavailable { 210, LogLevel::Warning, "store_unavailable", "The platform's store does not respond; requests are still served." };
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -81,6 +81,7 @@
         events::settingsReloaded,
         events::portOpened,
         events::processEnded,
+        events::sessionsExhausted,
         events::bundleInForce,
         events::bundleRefused,
         events::storeUnavailable,
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <future>
+#include <limits>
+#include <sys/resource.h>
 #include <thread>
 
 namespace lentiljunction {
@@ -25,6 +27,14 @@
     constexpr int transactionGraceDivisor = 2;
     constexpr std::chrono::milliseconds drainPollInterval { 50 };
 
+    DescriptorBudget makeDescriptorBudget(const GatewaySettings& settings)
+    {
+        rlimit limit {};
+        if (!settings.maximumDescriptors && ::getrlimit(RLIMIT_NOFILE, &limit) != 0)
+            return DescriptorBudget(std::numeric_limits<std::size_t>::max());
+        return DescriptorBudget(settings.maximumDescriptors.value_or(limit.rlim_cur));
+    }
+
     bool isRouteQuestion(const HttpRequest& request)
     {
         return request.path.substr(0, request.path.find('?')) == routeExplanationPath;
@@ -88,6 +98,7 @@
 
 void GatewayInstance::start()
 {
+    this->traffic.setDescriptorBudget(makeDescriptorBudget(this->settings));
     if (this->settings.ejectsUpstreams)
         this->traffic.ejectFailingUpstreams();
     if (this->settings.discoversCapacity)
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -15,9 +15,10 @@
 
     const std::set<std::string> knownKeys {
         "instance.id", "instance.zone", "sessions.listen", "ready.listen", "peers.listen", "peers.seeds", "lending.listen",
-        "quota.listen", "quota.window_s", "quota.overage", "quota.slack", "capacity.discover", "upstream_health.eject", "metrics.listen", "store.endpoint", "store.first_start", "promotion.endpoint", "drain.grace_s"
+        "quota.listen", "quota.window_s", "quota.overage", "quota.slack", "capacity.discover", "upstream_health.eject", "metrics.listen", "store.endpoint", "store.first_start", "promotion.endpoint", "limits.descriptors", "drain.grace_s"
     };
     constexpr double longestSeconds = 600;
+    constexpr std::size_t fewestDescriptors = 64;
     constexpr double maximumQuotaOverage = 10;
     constexpr double maximumQuotaSlack = 1000000;
 
@@ -119,6 +120,18 @@
             return fallback;
         }
 
+        std::optional<std::size_t> getCount(const std::string& section, const std::string& key, std::size_t minimum)
+        {
+            std::optional<std::string> value = this->findOptional(section, key);
+            if (!value)
+                return std::nullopt;
+            std::optional<std::size_t> number = parseNumber<std::size_t>(*value);
+            if (number && *number >= minimum)
+                return number;
+            this->addFault(section, key, *value, "a whole number of " + std::to_string(minimum) + " or more");
+            return std::nullopt;
+        }
+
         bool getFlag(const std::string& section, const std::string& key, bool fallback)
         {
             std::optional<std::string> value = this->findOptional(section, key);
@@ -188,6 +201,7 @@
         settings.promotion = reader.getEndpoint("promotion", "endpoint");
     settings.discoversCapacity = reader.getFlag("capacity", "discover", settings.discoversCapacity);
     settings.ejectsUpstreams = reader.getFlag("upstream_health", "eject", settings.ejectsUpstreams);
+    settings.maximumDescriptors = reader.getCount("limits", "descriptors", fewestDescriptors);
     settings.shutdownGrace = reader.getSeconds("drain", "grace_s", settings.shutdownGrace);
     reader.rejectUnknownKeys();
     if (reader.getFaults().empty())
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -44,6 +44,8 @@
     bool discoversCapacity = false;
     /// Whether reads avoid upstreams that fail much of their work.
     bool ejectsUpstreams = false;
+    /// The file descriptors that the process may open; empty when its own limit counts.
+    std::optional<std::size_t> maximumDescriptors;
     /// Time from the termination signal until the process is killed.
     std::chrono::milliseconds shutdownGrace { 6000 };
 };
--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -60,6 +60,14 @@
     this->endSession();
 }
 
+void CallerSession::refuse(ReplyCode code, const std::string& reason)
+{
+    if (this->hasEnded)
+        return;
+    this->socket->send(this->protocol.encodeSessionRefused(code, reason));
+    this->closeNow();
+}
+
 void CallerSession::endSession()
 {
     if (std::exchange(this->hasEnded, true))
--- a/src/traffic/CallerSession.h
+++ b/src/traffic/CallerSession.h
@@ -55,6 +55,9 @@
     /// Closes the session after its next statement or transaction.
     void closeAfterNextStatement() { this->mustClose = true; }
 
+    /// Tells the caller that its session is not opened, and closes it.
+    void refuse(ReplyCode code, const std::string& reason);
+
     /// Closes the session now and rolls back an open transaction.
     void closeNow();
 
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -99,12 +99,25 @@
     CallerSession::Listener& self = *this;
     std::unique_ptr<CallerSession> session = std::make_unique<CallerSession>(this->state, this->protocol, self, std::move(socket));
     CallerSession* raw = session.get();
+    bool isRefused = !this->descriptors.mayOpenSession(this->sessions.size());
     this->sessions.emplace(raw, std::move(session));
+    if (isRefused)
+        this->refuseLater(raw);
     if (this->isDraining)
         raw->closeAfterNextStatement();
     return raw->getSocketListener();
 }
 
+void TrafficPlane::refuseLater(CallerSession* session)
+{
+    logEvent(events::sessionsExhausted, "sessions=" + std::to_string(this->sessions.size()) + " limit=" + std::to_string(this->descriptors.getMaximumSessions()));
+    // The socket is open for sending once the handler of the accepted connection has returned.
+    this->loop.post([this, session] {
+        if (this->sessions.count(session) > 0)
+            session->refuse(ReplyCode::Busy, "the instance has no free connection");
+    });
+}
+
 void TrafficPlane::setRoutes(std::shared_ptr<const RouteTable> routes, std::shared_ptr<const RouteConfirmation> confirmation)
 {
     if (this->quota != nullptr)
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -6,9 +6,11 @@
 #include "PrimaryVerificationRounds.h"
 #include "RouteExplanation.h"
 #include "TrafficState.h"
+#include "lentiljunction/admission/DescriptorBudget.h"
 #include "lentiljunction/metrics/GatewayMetrics.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <set>
 
@@ -64,6 +66,9 @@
     /// Opens the port at which other instances borrow connections. Can be tried again after a failure.
     bool listenForBorrowers(const Endpoint& endpoint, Failure& failure);
 
+    /// Limits the sessions of callers. Call this before listen().
+    void setDescriptorBudget(const DescriptorBudget& budget) { this->descriptors = budget; }
+
     /// Enforces the limits of workspaces. Call this before the routes are set.
     ///
     /// @param self this instance
@@ -124,6 +129,7 @@
     void onKeyRefused(KeyVerdict verdict) override { this->metrics.onKeyRefused(lentiljunction::toString(verdict)); }
     void onRefusedLocally(FailureCause cause) override { this->metrics.onRefusedLocally(lentiljunction::toString(cause)); }
     TcpConnection::Listener& accept(std::unique_ptr<TcpConnection> socket);
+    void refuseLater(CallerSession* session);
     std::vector<CallerSession*> listSessions() const;
     void notifySessions();
     void checkPrimaries();
@@ -149,6 +155,7 @@
     OneShotTimer checkTimer;
     OneShotTimer pauseTimer;
     std::map<CallerSession*, std::unique_ptr<CallerSession>> sessions;
+    DescriptorBudget descriptors { std::numeric_limits<std::size_t>::max() };
     bool isDraining = false;
     bool relaysProofs = false;
     /// Groups whose primary is being checked on a borrowed connection.
--- a/tests/process/GatewayResourcesTests.cpp
+++ b/tests/process/GatewayResourcesTests.cpp
@@ -1,8 +1,6 @@
 #include "../../tools/lab/GatewaySite.h"
 #include "GatewayFixture.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include <arpa/inet.h>
 #include <filesystem>
 #include <netinet/in.h>
@@ -10,6 +8,9 @@
 #include <thread>
 #include <unistd.h>
 
+// The macros of the test framework break standard headers that follow them.
+#include <CppUTest/TestHarness.h>
+
 using namespace lentiljunction;
 using lab::isServed;
 using lab::LineCaller;
@@ -76,3 +77,42 @@
     }
     CHECK_TRUE(process.isRunning());
 }
+
+// Callers that held every descriptor of an instance took them from the store, the other instances, the upstreams and the
+// readiness page, and further callers got no answer.
+TEST(GatewayResources, callersLeaveDescriptorsToControl)
+{
+    constexpr int limit = 120;
+    constexpr std::size_t numCallers = 130;
+    site.setDescriptorLimit(limit);
+    CHECK_TEXT(site.start(2, failure), failure.reason.c_str());
+    lab::Process& process = *site.getProcesses()[0];
+    std::uint16_t port = static_cast<std::uint16_t>(site.getSessionPorts()[0]);
+    CHECK_TRUE(waitUntil([&] { return isServed(LineCaller(port, "bookings").execute("WRITE item v")); }));
+    std::vector<std::unique_ptr<LineCaller>> held;
+    std::size_t numRefused = 0;
+    for (std::size_t index = 0; index < numCallers; index++) {
+        std::unique_ptr<LineCaller> caller = std::make_unique<LineCaller>(port, "bookings", std::chrono::seconds(2));
+        if (lab::contains(caller->getStartupResponse(), "READY"))
+            held.push_back(std::move(caller));
+        else if (lab::contains(caller->getStartupResponse(), "ERR"))
+            numRefused++;
+    }
+    CHECK_EQUAL(numCallers, held.size() + numRefused);
+    CHECK_TRUE(numRefused > 0 && held.size() >= limit / 4);
+
+    CHECK_TRUE(process.countDescriptors() < limit);
+    double cores = measureCores(process);
+    CHECK_TEXT(cores < smallestShare, std::to_string(cores).c_str());
+    CHECK_TRUE(site.isReady(0));
+    CHECK_TRUE(isServed(held.front()->execute("WRITE item w")));
+    site.getSite().configure(2, { "bookings", "checks", "later" });
+    CHECK_TRUE(waitUntil([&] {
+        held.erase(held.begin());
+        return lab::contains(LineCaller(port, "later").getStartupResponse(), "READY");
+    }));
+    held.clear();
+    for (int index = 0; index < limit / 4; index++)
+        CHECK_TRUE(waitUntil([&] { return isServed(LineCaller(port, "bookings").execute("WRITE item x")); }));
+    CHECK_TRUE(process.isRunning());
+}
--- a/tests/unit/AdmissionTests.cpp
+++ b/tests/unit/AdmissionTests.cpp
@@ -1,3 +1,4 @@
+#include "lentiljunction/admission/DescriptorBudget.h"
 #include "lentiljunction/admission/SharedConcurrencyLimit.h"
 
 #include <CppUTest/TestHarness.h>
@@ -36,3 +37,19 @@
     answer(500, std::chrono::milliseconds(200));
     CHECK_EQUAL(1, limit.getLimit());
 }
+
+TEST_GROUP(DescriptorBudget) {};
+
+// Guards against callers that leave no descriptors to control, and against machines whose callers are refused without need.
+TEST(DescriptorBudget, keepsReserveAndLeavesMostToCallers)
+{
+    for (std::size_t limit : { std::size_t(64), std::size_t(120), std::size_t(1024), std::size_t(4300), std::size_t(4400), std::size_t(8192) }) {
+        DescriptorBudget budget(limit);
+        std::size_t maximum = budget.getMaximumSessions();
+        CHECK(limit - maximum >= std::min(limit / 2, std::size_t(128)));
+        CHECK(maximum >= limit / 2);
+        CHECK(budget.mayOpenSession(maximum - 1) && !budget.mayOpenSession(maximum));
+    }
+    // The platform keeps 200 of 4,300 descriptors back for files.
+    CHECK(DescriptorBudget(4300).getMaximumSessions() < 4300 - 200 - 128);
+}
--- a/tools/lab/GatewaySite.cpp
+++ b/tools/lab/GatewaySite.cpp
@@ -80,7 +80,11 @@
 {
     // Each start writes to its own log file, so that the log of a killed process is kept.
     std::string log = this->folder + "/front-" + std::to_string(index + 1) + "." + std::to_string(++this->numStarts[index]) + ".log";
-    return std::make_unique<Process>(this->binaries + "/lentiljunction", std::vector<std::string> { "serve", "--settings", this->settingsPaths[index] }, log);
+    std::string program = this->binaries + "/lentiljunction";
+    if (this->descriptorLimit == 0)
+        return std::make_unique<Process>(program, std::vector<std::string> { "serve", "--settings", this->settingsPaths[index] }, log);
+    std::string command = "ulimit -n " + std::to_string(this->descriptorLimit) + " && exec \"$0\" serve --settings \"$1\"";
+    return std::make_unique<Process>("/bin/sh", std::vector<std::string> { "-c", command, program, this->settingsPaths[index] }, log);
 }
 
 void GatewaySite::restart(std::size_t index)
--- a/tools/lab/GatewaySite.h
+++ b/tools/lab/GatewaySite.h
@@ -27,6 +27,9 @@
     /// @returns whether all instances became ready; the failure says why not
     bool start(int numInstances, Failure& failure);
 
+    /// Limits the file descriptors of processes that are started later.
+    void setDescriptorLimit(int limit) { this->descriptorLimit = limit; }
+
     /// @returns the port for caller sessions of each instance
     const std::vector<int>& getSessionPorts() const { return this->sessionPorts; }
 
@@ -62,6 +65,8 @@
     std::vector<std::unique_ptr<Process>> processes;
     std::vector<std::string> settingsPaths;
     std::vector<int> numStarts;
+    /// Zero: that of this process.
+    int descriptorLimit = 0;
 };
 
 /// Starts a site with three instances and keeps it running until Enter is pressed.
