Bound the reply of an upstream that is held back

Callers saw: none yet; a trial showed the fault. An upstream that answers with rows without end fills the memory of an instance until the process is killed for it or ends by bad_alloc.

Cause: rows are held back until the upstream's signature, and the part of a reply that had arrived had no bound. Class: others can take what control needs.

Change: above 4 MiB, which is also the longest reply that a caller's connection takes, or 400,000 rows, the connection fails; its statement gets no reply, so callers see the error that they see when an upstream is lost. A complete reply of more than 400,000 rows within 4 MiB (rows of up to 5 bytes) could be delivered before and fails now.

The resident memory of a process was not measured.

--- a/src/traffic/TcpUpstreamConnection.cpp
+++ b/src/traffic/TcpUpstreamConnection.cpp
@@ -5,6 +5,15 @@
 
 namespace lentiljunction {
 
+namespace {
+
+    /// Rows are held back until the reply is complete; a longer reply fails. A caller's connection takes no longer one.
+    constexpr std::size_t maximumReplyBytes = 4U << 20;
+    /// Short rows take more memory than their bytes.
+    constexpr std::size_t maximumReplyRows = 400000;
+
+} // namespace
+
 TcpUpstreamConnection::TcpUpstreamConnection(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, const UpstreamEntry& upstream, std::string user, Duration openTimeout, UpstreamConnection::Listener& listener)
     : clock(clock)
     , protocol(protocol)
@@ -66,9 +75,16 @@
     bool isComplete = false;
     // The bytes of an incomplete reply were counted when they arrived.
     this->listener.onConnectionBytes(bytes.size() - std::min(bytes.size(), this->numBufferedBytes));
+    std::size_t numBytesLeft = bytes.size();
     while (*alive && this->protocol.takeUpstreamPart(bytes, this->numSearched, this->partialReply, isComplete, failure)) {
-        if (isComplete)
+        this->numReplyBytes += numBytesLeft - bytes.size();
+        numBytesLeft = bytes.size();
+        if (this->numReplyBytes > maximumReplyBytes || this->partialReply.rows.size() > maximumReplyRows)
+            return this->fail(LossCause::Silent, "the upstream sent a reply longer than " + std::to_string(maximumReplyBytes) + " bytes or " + std::to_string(maximumReplyRows) + " rows");
+        if (isComplete) {
+            this->numReplyBytes = 0;
             this->onReply(std::exchange(this->partialReply, SessionReply()));
+        }
         isComplete = false;
     }
     if (*alive)
--- a/src/traffic/TcpUpstreamConnection.h
+++ b/src/traffic/TcpUpstreamConnection.h
@@ -74,6 +74,8 @@
     std::size_t numBufferedBytes = 0;
     /// The number of these bytes in which no part of the reply ends.
     std::size_t numSearched = 0;
+    /// Bytes received of the parts in partialReply.
+    std::size_t numReplyBytes = 0;
     SessionReply partialReply;
     /// Lets a method detect that a callback destroyed this object.
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
