Separate signals that come while the program is loaded from the campaign of starts

Change: by default SIGHUP comes once the process has begun its log, and this campaign is a test that must pass.

--- a/tools/lab/GatewaySite.cpp
+++ b/tools/lab/GatewaySite.cpp
@@ -78,13 +78,25 @@
 
 std::unique_ptr<Process> GatewaySite::startProcess(std::size_t index)
 {
-    // Each start writes to its own log file, so that the log of a killed process is kept.
-    std::string log = this->folder + "/front-" + std::to_string(index + 1) + "." + std::to_string(++this->numStarts[index]) + ".log";
+    this->numStarts[index]++;
     std::string program = this->binaries + "/lentiljunction";
     if (this->descriptorLimit == 0)
-        return std::make_unique<Process>(program, std::vector<std::string> { "serve", "--settings", this->settingsPaths[index] }, log);
+        return std::make_unique<Process>(program, std::vector<std::string> { "serve", "--settings", this->settingsPaths[index] }, this->makeLogPath(index));
     std::string command = "ulimit -n " + std::to_string(this->descriptorLimit) + " && exec \"$0\" serve --settings \"$1\"";
-    return std::make_unique<Process>("/bin/sh", std::vector<std::string> { "-c", command, program, this->settingsPaths[index] }, log);
+    return std::make_unique<Process>("/bin/sh", std::vector<std::string> { "-c", command, program, this->settingsPaths[index] }, this->makeLogPath(index));
+}
+
+std::string GatewaySite::makeLogPath(std::size_t index) const
+{
+    // Each start writes to its own log file, so that the log of a killed process is kept.
+    return this->folder + "/front-" + std::to_string(index + 1) + "." + std::to_string(this->numStarts[index]) + ".log";
+}
+
+bool GatewaySite::hasLogged(std::size_t index) const
+{
+    std::error_code error;
+    std::uintmax_t size = std::filesystem::file_size(this->makeLogPath(index), error);
+    return !error && size > 0;
 }
 
 void GatewaySite::restart(std::size_t index)
--- a/tools/lab/GatewaySite.h
+++ b/tools/lab/GatewaySite.h
@@ -39,6 +39,9 @@
     /// @returns whether an instance answers its readiness probe with 200
     bool isReady(std::size_t index) const;
 
+    /// @returns whether the present process of an instance has written to its log
+    bool hasLogged(std::size_t index) const;
+
     /// Starts a new process for an instance whose process has ended.
     void restart(std::size_t index);
 
@@ -53,6 +56,7 @@
 
 private:
     std::unique_ptr<Process> startProcess(std::size_t index);
+    std::string makeLogPath(std::size_t index) const;
     std::string writeSettings(int index, const Endpoint& store);
 
     std::string binaries;
--- a/tools/lab/StartCampaign.cpp
+++ b/tools/lab/StartCampaign.cpp
@@ -23,6 +23,7 @@
     constexpr std::uint64_t maximumSignalPauseMilliseconds = 400;
     /// A process may not have handlers for signals yet.
     constexpr std::uint64_t maximumEarlyPauseMilliseconds = 20;
+    constexpr std::chrono::seconds firstLineTimeout { 10 };
     constexpr std::chrono::milliseconds pollInterval { 20 };
     constexpr std::chrono::seconds readyTimeout { 20 };
     /// More than the default grace period.
@@ -88,11 +89,12 @@
     /// Starts, disturbs and ends one instance in one round.
     class InstanceRound {
     public:
-        InstanceRound(GatewaySite& site, std::size_t index, int round, std::uint64_t seed, Tally& tally)
+        InstanceRound(GatewaySite& site, std::size_t index, int round, const StartPlan& plan, Tally& tally)
             : site(site)
             , index(index)
+            , signalsWhileLoading(plan.signalsWhileLoading)
             , name("round " + std::to_string(round) + " instance " + std::to_string(index + 1))
-            , random(seed)
+            , random(plan.seed * 1000003 + static_cast<std::uint64_t>(round * plan.numInstances) + index)
             , tally(tally)
         {
         }
@@ -148,6 +150,8 @@
         {
             std::chrono::milliseconds duration = drawTime(this->random, maximumDisturbanceMilliseconds);
             std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + duration;
+            if (!this->signalsWhileLoading)
+                this->waitForFirstLine();
             this->hangUps = static_cast<int>(this->random.below(4));
             bool beginsEarly = this->random.below(4) == 0;
             for (int number = 0; number < this->hangUps; number++) {
@@ -162,6 +166,13 @@
             std::this_thread::sleep_until(end);
         }
 
+        void waitForFirstLine()
+        {
+            std::chrono::steady_clock::time_point timeout = std::chrono::steady_clock::now() + firstLineTimeout;
+            while (!this->site.hasLogged(this->index) && std::chrono::steady_clock::now() < timeout)
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+
         bool waitUntilReady()
         {
             std::chrono::steady_clock::time_point timeout = std::chrono::steady_clock::now() + readyTimeout;
@@ -185,6 +196,7 @@
 
         GatewaySite& site;
         std::size_t index;
+        bool signalsWhileLoading;
         std::string name;
         Random random;
         Tally& tally;
@@ -196,7 +208,7 @@
     {
         std::vector<std::unique_ptr<InstanceRound>> instances;
         for (int index = 0; index < plan.numInstances; index++)
-            instances.push_back(std::make_unique<InstanceRound>(site, static_cast<std::size_t>(index), round, plan.seed * 1000003 + static_cast<std::uint64_t>(round * plan.numInstances + index), tally));
+            instances.push_back(std::make_unique<InstanceRound>(site, static_cast<std::size_t>(index), round, plan, tally));
         std::vector<char> isRunning(instances.size(), 0);
         std::vector<std::thread> threads;
         for (std::size_t index = 0; index < instances.size(); index++)
--- a/tools/lab/StartCampaign.h
+++ b/tools/lab/StartCampaign.h
@@ -11,12 +11,14 @@
     std::uint64_t seed = 1;
     int numRounds = 20;
     int numInstances = 8;
+    /// Whether SIGHUP also comes while the system still loads the program, before any code of it can block signals.
+    bool signalsWhileLoading = false;
 };
 
 /// Starts all instances of a site at nearly the same moment, again and again, disturbs their first seconds, and ends them by
 /// SIGKILL or SIGTERM.
 ///
-/// Disturbances: SIGHUP and pauses at any moment from the start on, listening ports that another process still holds, faults of the
+/// Disturbances: SIGHUP as soon as the process has begun its log, pauses at any moment from the start on, listening ports that another process still holds, faults of the
 /// store's ports. An instance must neither end by itself nor stay without readiness once they are over.
 ///
 /// @param binaries folder of the executables
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -48,6 +48,7 @@
     options.add_options()("instances", "soak, starts: number of instances", cxxopts::value<int>()->default_value("5"));
     options.add_options()("zones", "soak: number of availability zones", cxxopts::value<int>()->default_value("3"));
     options.add_options()("restores", "soak: whether the store also returns from older copies")("workspaces", "soak: whether callers have keys of workspaces, which are replaced; not with --restores")("connections", "soak: connections that each upstream accepts", cxxopts::value<int>()->default_value("16"));
+    options.add_options()("signals-while-loading", "starts: whether SIGHUP also comes before any code of the program runs");
     options.add_options()("json", "print JSON in place of a table");
     options.add_options()("out", "receives the result as JSON", cxxopts::value<std::string>());
     options.add_options()("help", "print this help");
@@ -103,7 +104,7 @@
     if (action == "soak")
         return runSoak(makeSoakPlan(arguments), setting.binaries, setting.folder);
     if (action == "starts")
-        return runStartCampaign({ arguments["seed"].as<std::uint64_t>(), arguments["rounds"].as<int>(), arguments["instances"].as<int>() }, setting.binaries, setting.folder);
+        return runStartCampaign({ arguments["seed"].as<std::uint64_t>(), arguments["rounds"].as<int>(), arguments["instances"].as<int>(), arguments.count("signals-while-loading") > 0 }, setting.binaries, setting.folder);
     if (action == "chaos")
         return measureChaos(setting, arguments["seed"].as<std::uint64_t>(), arguments["seconds"].as<int>());
     return std::nullopt;
