Accept again later when a connection for the next caller cannot be made

Found by review, not shown by a run: when websocketpp could not make the object for the next connection, the server never accepted again, and nothing told so. The attempt now waits like one that the system refused. GatewayResources (2 tests) passes.

--- a/src/net/WebSocketServer.cpp
+++ b/src/net/WebSocketServer.cpp
@@ -76,17 +76,27 @@
         }
         if (acceptError) {
             connection->terminate(acceptError);
-            this->retryTimer.expires_after(acceptRetryInterval);
-            this->retryTimer.async_wait([this](const asio::error_code& timerError) {
-                websocketpp::lib::error_code ignored;
-                if (!timerError)
-                    this->accept(ignored);
-            });
-            return;
+            return this->acceptLater();
         }
         connection->start();
-        websocketpp::lib::error_code ignored;
-        this->accept(ignored);
+        this->acceptNext();
+    }
+
+    void acceptNext()
+    {
+        websocketpp::lib::error_code error;
+        this->accept(error);
+        if (error && this->server.is_listening())
+            this->acceptLater();
+    }
+
+    void acceptLater()
+    {
+        this->retryTimer.expires_after(acceptRetryInterval);
+        this->retryTimer.async_wait([this](const asio::error_code& error) {
+            if (!error)
+                this->acceptNext();
+        });
     }
 
     void onOpen(const websocketpp::connection_hdl& weak)
