Report every end of serve

Cause: handlers and report were installed once the kind of the settings file was known. A file that was missing, cut or unlike any instance's left no event 120, nor did a stop while the settings were awaited (found by review).

Change: `serve` installs the handlers first and reports once for both kinds of instances.

Measured: ProcessEnd.logOfInstanceNamesInvalidSettings has three more files (cut, empty, other section) and passes; ProcessEnd, EarlySignal, SettingsWait and HeldPort pass (7 process tests). It was not run on the code before.

--- a/src/cli/InstanceCommands.cpp
+++ b/src/cli/InstanceCommands.cpp
@@ -50,35 +50,52 @@
 
     private:
         int serve(const std::string& path)
+        {
+            ProcessEnd::install();
+            Failure failure;
+            int exitCode = this->runInstance(path, failure);
+            ProcessEnd::reportExit(toEndCause(exitCode), exitCode, failure.reason);
+            return exitCode;
+        }
+
+        static EndCause toEndCause(int exitCode)
+        {
+            switch (exitCode) {
+            case exitcodes::ok:
+                return EndCause::Stopped;
+            case exitcodes::usage:
+                return EndCause::Settings;
+            case exitcodes::unavailable:
+                return EndCause::Port;
+            default:
+                return EndCause::Failure;
+            }
+        }
+
+        int runInstance(const std::string& path, Failure& failure)
         {
             if (!waitForSettings(path))
                 return exitcodes::ok;
             if (isGatewayFile(path))
-                return serveGateway(path, this->adapter);
-            Failure failure;
+                return serveGateway(path, this->adapter, failure);
             std::optional<Settings> settings = loadSettings(path, failure);
             if (!settings)
                 return reportFailure(failure);
 
             sigset_t signals;
             blockStopSignals(signals);
-            ProcessEnd::install();
             initialiseLog(settings->instance.toString());
             logEvent(events::instanceStarting, "zone=" + settings->zone.toString() + " settings=" + path);
             SystemClock clock;
             Instance instance(*settings, clock);
             if (!instance.start(failure)) {
                 logEvent(events::portUnavailable, "reason=\"" + failure.reason + "\"");
-                int exitCode = reportFailure(failure);
-                ProcessEnd::reportExit(EndCause::Port, exitCode, failure.reason);
-                return exitCode;
+                return reportFailure(failure);
             }
 
             int received = 0;
             sigwait(&signals, &received);
-            int exitCode = instance.drain() ? exitcodes::ok : exitcodes::failed;
-            ProcessEnd::reportExit(exitCode == exitcodes::ok ? EndCause::Stopped : EndCause::Failure, exitCode, "");
-            return exitCode;
+            return instance.drain() ? exitcodes::ok : exitcodes::failed;
         }
 
         const GatewayAdapter& adapter;
--- a/tests/process/ProcessEndTests.cpp
+++ b/tests/process/ProcessEndTests.cpp
@@ -62,12 +62,17 @@
     STRCMP_CONTAINS(" exit_code=0", logs.c_str());
 }
 
+// Settings that are missing or do not look like those of any instance left no line either.
 TEST(ProcessEnd, logOfInstanceNamesInvalidSettings)
 {
-    std::ofstream(this->folder + "/node.ini") << "[sessions]\nlisten = nowhere\n";
-    lab::Process process("./lentiljunction", { "serve", "--settings", this->folder + "/node.ini" }, this->folder + "/output");
-    LONGS_EQUAL(2, process.wait());
-    std::string line = this->findEnd(readText(this->folder + "/output"));
-    STRCMP_CONTAINS("cause=settings", line.c_str());
-    STRCMP_CONTAINS(" exit_code=2 reason=\"", line.c_str());
+    for (const char* text : { "[sessions]\nlisten = nowhere\n", "[sess", "", "[other]\nkey = 1\n" }) {
+        std::ofstream(this->folder + "/node.ini") << text;
+        std::string output = this->folder + "/output";
+        std::filesystem::remove(output);
+        lab::Process process("./lentiljunction", { "serve", "--settings", this->folder + "/node.ini" }, output);
+        LONGS_EQUAL(2, process.wait());
+        std::string line = this->findEnd(readText(output));
+        STRCMP_CONTAINS("cause=settings", line.c_str());
+        STRCMP_CONTAINS(" exit_code=2 reason=\"", line.c_str());
+    }
 }
