--- a/src/cli/InstanceCommands.cpp
+++ b/src/cli/InstanceCommands.cpp
@@ -4,6 +4,7 @@
 #include "CommandLine.h"
 #include "GatewayServe.h"
 #include "SettingsWait.h"
+#include "StandardDescriptors.h"
 #include "lentiljunction/bundle/SignedBundle.h"
 #include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/LogEvents.h"
@@ -51,6 +52,7 @@
     private:
         int serve(const std::string& path)
         {
+            openStandardDescriptors();
             ProcessEnd::install();
             Failure failure;
             int exitCode = this->runInstance(path, failure);
--- a/tests/process/ProcessEndTests.cpp
+++ b/tests/process/ProcessEndTests.cpp
@@ -1,4 +1,5 @@
 #include "../../tools/lab/GatewaySite.h"
+#include "GatewayFixture.h"
 
 #include <csignal>
 #include <filesystem>
@@ -76,3 +77,19 @@
         STRCMP_CONTAINS(" exit_code=2 reason=\"", line.c_str());
     }
 }
+
+// With standard output closed at the start, an event loop got its descriptor, and log lines were written to that.
+TEST(ProcessEnd, logGoesToNoOtherFileWhenStandardOutputIsClosed)
+{
+    lab::GatewaySite site(".", this->folder);
+    Failure failure;
+    CHECK_TEXT(site.start(1, failure), failure.reason.c_str());
+    site.signal(0, SIGKILL);
+    site.getProcesses()[0]->wait();
+    lab::Process process("/bin/sh", { "-c", "exec ./lentiljunction serve --settings " + this->folder + "/front-1.ini <&- >&- 2>&-" }, "/dev/null");
+    CHECK_TRUE(waitUntil([&] { return site.isReady(0); }));
+    for (const char* number : { "0", "1", "2" })
+        STRCMP_EQUAL("/dev/null", std::filesystem::read_symlink("/proc/" + std::to_string(process.getPid()) + "/fd/" + number).c_str());
+    process.signal(SIGTERM);
+    LONGS_EQUAL(0, process.wait());
+}
--- a/tests/unit/ProcessEndTests.cpp
+++ b/tests/unit/ProcessEndTests.cpp
@@ -74,19 +74,19 @@
     return recurse(depth) + frame[0];
 }
 
+void checkSignal(const ChildResult& result, int signal)
+{
+    CHECK_TRUE(WIFSIGNALED(result.status));
+    LONGS_EQUAL(signal, WTERMSIG(result.status));
+    // One line, complete.
+    CHECK_FALSE(result.output.empty());
+    LONGS_EQUAL(result.output.size() - 1, result.output.find('\n'));
+    STRCMP_CONTAINS(" instance=front-1 event=120 name=process_ended cause=", result.output.c_str());
+}
+
 } // namespace
 
-TEST_GROUP(ProcessEnd) {
-    void checkSignal(const ChildResult& result, int signal) {
-        CHECK_TRUE(WIFSIGNALED(result.status));
-LONGS_EQUAL(signal, WTERMSIG(result.status));
-// One line, complete.
-CHECK_FALSE(result.output.empty());
-LONGS_EQUAL(result.output.size() - 1, result.output.find('\n'));
-STRCMP_CONTAINS(" instance=front-1 event=120 name=process_ended cause=", result.output.c_str());
-}
-}
-;
+TEST_GROUP(ProcessEnd) {};
 
 // A process that ended by a signal, an exception or a broken invariant left no line in its log.
 TEST(ProcessEnd, reportsEachFatalSignalAndKeepsItAsExitStatus)
