Keep the invariants of the modules in every build

Cause: nine invariants were assertions, which the build of the deployment (Release) leaves out. A connection released twice, a lane without a request that is ready or a missing ticket went on with an iterator past the end: undefined behaviour in place of a record of what was wrong.

--- a/src/admission/RankQueue.cpp
+++ b/src/admission/RankQueue.cpp
@@ -1,7 +1,8 @@
 #include "lentiljunction/admission/RankQueue.h"
 
+#include "lentiljunction/core/ProcessEnd.h"
+
 #include <algorithm>
-#include <cassert>
 #include <iterator>
 
 namespace lentiljunction {
@@ -232,7 +233,7 @@
         largest = std::max(largest, callerQueue.requests.front().weight);
     for (;;) {
         std::list<CallerQueue>::iterator turn = std::find_if(lane.callerQueues.begin(), lane.callerQueues.end(), [&isReady](const CallerQueue& callerQueue) { return !isReady || isReady(callerQueue.requests.front()); });
-        assert(turn != lane.callerQueues.end());
+        checkInvariant(turn != lane.callerQueues.end(), "a lane that is served has a request that is ready");
         double part = largest > 0 ? turn->requests.front().weight / largest : 1;
         turn->credit = std::min(turn->credit + std::max(part, minimumTurn), 1.0);
         lane.callerQueues.splice(lane.callerQueues.end(), lane.callerQueues, turn);
--- a/src/bundle/Signing.cpp
+++ b/src/bundle/Signing.cpp
@@ -1,7 +1,8 @@
 #include "lentiljunction/bundle/Signing.h"
 
+#include "lentiljunction/core/ProcessEnd.h"
+
 #include <array>
-#include <cassert>
 #include <memory>
 #include <openssl/evp.h>
 #include <vector>
@@ -75,8 +76,7 @@
         Bytes bytes(keyBytes);
         std::size_t size = bytes.size();
         int isRead = getter(key, bytes.data(), &size);
-        assert(isRead == 1 && size == keyBytes);
-        (void)isRead;
+        checkInvariant(isRead == 1 && size == keyBytes, "a raw key can be read");
         return bytes;
     }
 
--- a/src/failover/TermReserve.cpp
+++ b/src/failover/TermReserve.cpp
@@ -1,9 +1,9 @@
 #include "lentiljunction/failover/TermReserve.h"
 
 #include "lentiljunction/core/JsonFields.h"
+#include "lentiljunction/core/ProcessEnd.h"
 
 #include <algorithm>
-#include <cassert>
 
 namespace lentiljunction {
 
@@ -17,7 +17,7 @@
 
 void TermReserve::add(Term first, Term newLast)
 {
-    assert(first > this->last);
+    checkInvariant(first > this->last, "a block of terms begins above the last one");
     this->next = first;
     this->last = newLast;
 }
--- a/src/pool/ConnectionPool.cpp
+++ b/src/pool/ConnectionPool.cpp
@@ -1,7 +1,8 @@
 #include "lentiljunction/pool/ConnectionPool.h"
 
+#include "lentiljunction/core/ProcessEnd.h"
+
 #include <algorithm>
-#include <cassert>
 
 namespace lentiljunction {
 
@@ -54,7 +55,7 @@
 void ConnectionPool::onOpened(Handle handle, TimePoint now)
 {
     std::map<Handle, Connection>::iterator found = this->connections.find(handle);
-    assert(found != this->connections.end() && found->second.state == State::Opening);
+    checkInvariant(found != this->connections.end() && found->second.state == State::Opening, "a connection that was opening has been opened");
     found->second = { State::Idle, now, now, now, false };
     this->openDelay = Duration(0);
 }
@@ -93,7 +94,7 @@
     if (found == this->connections.end())
         return;
 
-    assert(found->second.state == State::Owned);
+    checkInvariant(found->second.state == State::Owned, "a connection is released by its owner");
     if (condition == Condition::StateUnknown) {
         this->closings.push_back(handle);
         this->connections.erase(found);
--- a/src/session/TermHistory.cpp
+++ b/src/session/TermHistory.cpp
@@ -1,8 +1,8 @@
 #include "lentiljunction/session/TermHistory.h"
 
 #include "lentiljunction/core/Numbers.h"
+#include "lentiljunction/core/ProcessEnd.h"
 
-#include <cassert>
 #include <sstream>
 
 namespace lentiljunction {
@@ -72,7 +72,7 @@
 
 void TermHistory::append(Start start)
 {
-    assert(this->starts.empty() || this->starts.back().term < start.term);
+    checkInvariant(this->starts.empty() || this->starts.back().term < start.term, "terms ascend");
     this->starts.push_back(start);
 }
 
--- a/src/traffic/ConnectionQueue.cpp
+++ b/src/traffic/ConnectionQueue.cpp
@@ -1,8 +1,9 @@
 #include "ConnectionQueue.h"
 
+#include "lentiljunction/core/ProcessEnd.h"
+
 #include <algorithm>
 #include <array>
-#include <cassert>
 #include <cmath>
 #include <numeric>
 #include <utility>
@@ -99,7 +100,7 @@
     if (!request)
         return std::nullopt;
     std::unordered_map<Ticket, Waiting>::iterator found = this->waiting.find(request->ticket);
-    assert(found != this->waiting.end());
+    checkInvariant(found != this->waiting.end(), "a queued ticket has a waiting request");
     Waiting next = std::move(found->second);
     this->waiting.erase(found);
     return next;
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -2,10 +2,10 @@
 
 #include "TcpUpstreamConnection.h"
 #include "lentiljunction/core/LogEvents.h"
+#include "lentiljunction/core/ProcessEnd.h"
 #include "lentiljunction/lending/LendingPlan.h"
 
 #include <algorithm>
-#include <cassert>
 #include <utility>
 
 namespace lentiljunction {
@@ -136,7 +136,7 @@
 void UpstreamPool::activate(StatementConnection* connection)
 {
     PooledConnection* pooled = this->connections.find(connection);
-    assert(pooled != nullptr && !pooled->isIdle);
+    checkInvariant(pooled != nullptr && !pooled->isIdle, "a statement begins on a connection that was granted");
     if (pooled->isActive)
         return;
     pooled->isActive = true;
@@ -196,7 +196,7 @@
 void UpstreamPool::onConnectionReady(UpstreamConnection& connection)
 {
     PooledConnection* pooled = this->connections.find(&connection);
-    assert(pooled != nullptr);
+    checkInvariant(pooled != nullptr, "a connection of the pool has been opened");
     this->numOpening--;
     pooled->isOpening = false;
     this->backoff = Duration(0);
--- a/tests/unit/ProcessEndTests.cpp
+++ b/tests/unit/ProcessEndTests.cpp
@@ -1,6 +1,7 @@
 #include "../../src/core/FixedText.h"
 #include "lentiljunction/core/ProcessEnd.h"
 #include "lentiljunction/core/Threads.h"
+#include "lentiljunction/pool/ConnectionPool.h"
 
 #include <csignal>
 #include <fcntl.h>
@@ -130,6 +131,22 @@
     STRCMP_CONTAINS(" invariant=\"the depth is one\" file=ProcessEndTests.cpp line=", result.output.c_str());
 }
 
+// Assertions were off in the build of the deployment, so a connection that was released twice was shared instead.
+TEST(ProcessEnd, reportsConnectionThatIsReleasedTwice)
+{
+    ChildResult result = runInChild([] {
+        ConnectionPool pool(1, 1);
+        TimePoint now;
+        ConnectionPool::Handle handle = pool.takeConnectionsToOpen(now).front();
+        pool.onOpened(handle, now);
+        pool.acquire(now);
+        pool.release(handle, ConnectionPool::Condition::Clean, now);
+        pool.release(handle, ConnectionPool::Condition::Clean, now);
+    });
+    checkSignal(result, SIGABRT);
+    STRCMP_CONTAINS(" cause=invariant ", result.output.c_str());
+}
+
 // A reader of the log that had stalled kept a process from ending, or hid why it ended.
 TEST(ProcessEnd, reportsToStandardErrorWhenStandardOutputIsBlockedOrClosed)
 {
