Give the class of a statement a name of its own

lentiljunction::StatementKind named two types: the struct of rank and access mode in ConcurrencyPolicy.h, and the enumeration of classifyStatement() in Statement.h. No source file includes both headers, so no compiler noticed; the program had two definitions of one name, and a template instantiated for both types would have been merged by the linker.

Found by compiling several sources as one for the sanitizers: "StatementKind referred to as enum". The struct is StatementClass now. A search of all headers for types that are declared twice found no other. No instantiation was shared so far, thus no failure is known from it.

--- a/include/lentiljunction/admission/ConcurrencyPolicy.h
+++ b/include/lentiljunction/admission/ConcurrencyPolicy.h
@@ -9,11 +9,11 @@
 namespace lentiljunction {
 
 /// Statements of one kind take similar times at an upstream; those of different kinds differ by a factor of ten.
-struct StatementKind {
+struct StatementClass {
     Rank rank = Rank::Normal;
     bool isWrite = true;
 
-    bool operator<(const StatementKind& other) const { return this->rank != other.rank ? this->rank < other.rank : this->isWrite < other.isWrite; }
+    bool operator<(const StatementClass& other) const { return this->rank != other.rank ? this->rank < other.rank : this->isWrite < other.isWrite; }
 };
 
 /// Decides how many statements this instance may have in flight at an upstream.
@@ -30,7 +30,7 @@
         /// From sending its last command to the answer.
         Duration answerTime { 0 };
         /// Empty for a command that takes no slot of the upstream.
-        std::optional<StatementKind> kind;
+        std::optional<StatementClass> kind;
         /// The statements that ran when it ended, itself included.
         int numRunning = 0;
     };
--- a/include/lentiljunction/upstreamhealth/CapacityEstimator.h
+++ b/include/lentiljunction/upstreamhealth/CapacityEstimator.h
@@ -33,7 +33,7 @@
     ///
     /// @param latency from sending it to its answer
     /// @param numRunning the statements of this instance that ran when it was answered, itself included
-    void onAnswered(const StatementKind& kind, Duration latency, int numRunning);
+    void onAnswered(const StatementClass& kind, Duration latency, int numRunning);
 
     /// Records that the upstream refused a statement.
     void onRefused();
@@ -91,7 +91,7 @@
     double slots;
     const Clock& clock;
     double limit;
-    std::map<StatementKind, Kind> kinds;
+    std::map<StatementClass, Kind> kinds;
     std::size_t numSamples = 0;
     int numInWindow = 0;
     bool isFullyUsed = false;
--- a/src/traffic/PooledConnections.h
+++ b/src/traffic/PooledConnections.h
@@ -24,7 +24,7 @@
         bool isIdle = false;
         bool isActive = false;
         /// The kind of the statements for which it was granted; empty for a command of the proxy itself.
-        std::optional<StatementKind> kind;
+        std::optional<StatementClass> kind;
         /// When it started to open, became idle or became active.
         TimePoint since;
 
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -101,7 +101,7 @@
 
 UpstreamPool::Grant UpstreamPool::rememberKind(const Request& request, Grant grant)
 {
-    std::optional<StatementKind> kind = !request.acceptsAnyWorkspace ? std::optional<StatementKind>({ request.rank, request.mode == AccessMode::Write }) : std::nullopt;
+    std::optional<StatementClass> kind = !request.acceptsAnyWorkspace ? std::optional<StatementClass>({ request.rank, request.mode == AccessMode::Write }) : std::nullopt;
     return [this, kind, grant = std::move(grant)](StatementConnection* connection, Denial denial) {
         if (connection != nullptr)
             this->connections.find(connection)->kind = kind;
--- a/src/upstreamhealth/CapacityEstimator.cpp
+++ b/src/upstreamhealth/CapacityEstimator.cpp
@@ -70,14 +70,14 @@
     this->windowStart = this->clock.now();
     this->numInWindow = 0;
     this->isFullyUsed = false;
-    for (std::pair<const StatementKind, Kind>& kind : this->kinds) {
+    for (std::pair<const StatementClass, Kind>& kind : this->kinds) {
         kind.second.number = 0;
         kind.second.sum = 0;
         kind.second.sumOfSquares = 0;
     }
 }
 
-void CapacityEstimator::onAnswered(const StatementKind& kind, Duration latency, int numRunning)
+void CapacityEstimator::onAnswered(const StatementClass& kind, Duration latency, int numRunning)
 {
     TimePoint now = this->clock.now();
     if (this->isExpired()) {
@@ -116,7 +116,7 @@
     Window window;
     double sum = 0;
     double squares = 0;
-    for (const std::pair<const StatementKind, Kind>& kind : this->kinds) {
+    for (const std::pair<const StatementClass, Kind>& kind : this->kinds) {
         if (!kind.second.usual || kind.second.number == 0)
             continue;
         window.number += kind.second.number;
@@ -152,7 +152,7 @@
 
 void CapacityEstimator::onUsualLatencyChanged(double change)
 {
-    for (std::pair<const StatementKind, Kind>& kind : this->kinds) {
+    for (std::pair<const StatementClass, Kind>& kind : this->kinds) {
         if (kind.second.usual)
             *kind.second.usual += change;
     }
@@ -161,7 +161,7 @@
 void CapacityEstimator::updateUsual(Duration windowLength)
 {
     double slowerWeight = 1 - std::exp(-static_cast<double>(windowLength.count()) / static_cast<double>(Duration(slowerTime).count()));
-    for (std::pair<const StatementKind, Kind>& entry : this->kinds) {
+    for (std::pair<const StatementClass, Kind>& entry : this->kinds) {
         Kind& kind = entry.second;
         if (kind.number < samplesPerKind)
             continue;
--- a/tests/support/KneeUpstream.h
+++ b/tests/support/KneeUpstream.h
@@ -57,7 +57,7 @@
 private:
     struct Statement {
         std::size_t instance = 0;
-        StatementKind kind;
+        StatementClass kind;
         /// Milliseconds of work left at full speed.
         double work = 0;
         TimePoint sentAt;
--- a/tests/unit/CapacityEstimatorTests.cpp
+++ b/tests/unit/CapacityEstimatorTests.cpp
@@ -18,7 +18,7 @@
 TEST_GROUP(CapacityEstimator)
 {
     ManualClock clock;
-    StatementKind kind { Rank::Normal, false };
+    StatementClass kind { Rank::Normal, false };
 
     void answer(CapacityEstimator & estimator, int times, std::chrono::milliseconds latency, int numRunning)
     {
@@ -122,7 +122,7 @@
 TEST(CapacityEstimator, ignoresSlowStatementsAndSlowKinds)
 {
     CapacityEstimator estimator(announcedSlots, clock);
-    StatementKind slowKind { Rank::Background, true };
+    StatementClass slowKind { Rank::Background, true };
     double lowest = announcedSlots;
     for (int index = 0; index < 900; index++) {
         answer(estimator, 1, std::chrono::milliseconds(index % 25 == 0 ? 300 : 6), 2);
