Close the probes of a former gate once its group is idle

An instance whose gate moved away keeps the group's watcher while the group is in use. Whether it still was in use was asked only when the gates changed, so without a further change the watcher stayed for good, with one probe connection to each upstream of the group and reserved terms. The connections of an upstream provide for the gates alone.

Seen in Cluster.closesSurplusConnectionsAfterGatesMoveBack at a load of 25 to 36 on 8 cores: in 5 of 5 runs an upstream kept 9 connections, two of them of former gates (sockets by process in two runs, nr-2 and tt-1 of database db-c), until the idle connections of the gate expired; the test took 38 to 40 s in place of 13 s on a calm machine. It passed all the same.

The registry now drops a watcher on its tick when the instance is no gate, the group is idle and no promotion runs. WatcherRegistry.formerGateClosesItsProbesOnceItsGroupIsIdle fails on the code before (the watcher is still there after 30 s) and passes now.

--- a/src/server/GroupWatcher.h
+++ b/src/server/GroupWatcher.h
@@ -60,6 +60,9 @@
     /// @returns whether setActive() was called within the last few seconds
     bool isActive() const;
 
+    /// @returns whether this instance is a gate of the group, was active lately, or carries out a promotion
+    bool isNeeded() const { return this->isPromotionAllowed || this->promotion || this->isActive(); }
+
     /// Probes replicas at the shortest interval for a short time, because a write waits for its
     /// confirmation or the primary changed.
     void startFastProbing();
--- a/src/server/WatcherRegistry.cpp
+++ b/src/server/WatcherRegistry.cpp
@@ -41,8 +41,15 @@
 
 void WatcherRegistry::onTick()
 {
-    for (std::pair<const DatabaseId, std::unique_ptr<GroupWatcher>>& entry : this->watchers)
-        entry.second->onTick();
+    for (std::map<DatabaseId, std::unique_ptr<GroupWatcher>>::iterator entry = this->watchers.begin(); entry != this->watchers.end();) {
+        // A former gate would otherwise keep its probe connections, which the limit of the upstream does not provide for.
+        if (!entry->second->isNeeded()) {
+            entry = this->watchers.erase(entry);
+            continue;
+        }
+        entry->second->onTick();
+        ++entry;
+    }
 }
 
 std::unique_ptr<GroupWatcher> WatcherRegistry::create(const DatabaseConfig& database, const ProfileConfig& profile, const UpstreamId& own) const
--- a/src/server/WatcherRegistry.h
+++ b/src/server/WatcherRegistry.h
@@ -36,7 +36,7 @@
     /// @returns the watcher of a group, or nullptr
     GroupWatcher* find(const DatabaseId& database) const;
 
-    /// Calls onTick() of every watcher.
+    /// Calls onTick() of every watcher, and removes those that are no longer needed.
     void onTick();
 
     /// @returns all watchers, by group
