Add lj-lab fuzz: damaged bytes on every open port beside callers that read their own writes

Cause: decoders were fuzzed one by one; the ports of the real program, their framing (line protocol, HTTP, WebSocket) and connections that are reset or not read were not. Violations: a process that ends, over 0.9 of a core for 2 s without input, over 160 MiB, no readiness or no service afterwards, a wrong row for another caller.

--- a/tools/lab/GatewaySite.cpp
+++ b/tools/lab/GatewaySite.cpp
@@ -65,7 +65,10 @@
     std::vector<int> ports;
     std::ofstream settings(path);
     settings << "[instance]\nid = front-" << index << "\nzone = z" << index % this->numZones + 1;
-    for (const char* section : { "sessions", "ready", "peers", "lending", "metrics" }) {
+    std::vector<std::string> sections { "sessions", "ready", "peers", "lending", "metrics" };
+    if (this->hasQuotaPorts)
+        sections.push_back("quota");
+    for (const std::string& section : sections) {
         ports.push_back(findFreePort());
         settings << "\n[" << section << "]\nlisten = " << loopback << ":" << ports.back();
     }
--- a/tools/lab/GatewaySite.h
+++ b/tools/lab/GatewaySite.h
@@ -30,6 +30,9 @@
     /// Limits the file descriptors of processes that are started later.
     void setDescriptorLimit(int limit) { this->descriptorLimit = limit; }
 
+    /// Opens a port for quotas on processes that are started later; the last one of getListeningPorts().
+    void openQuotaPorts() { this->hasQuotaPorts = true; }
+
     /// @returns the port for caller sessions of each instance
     const std::vector<int>& getSessionPorts() const { return this->sessionPorts; }
 
@@ -71,6 +74,7 @@
     std::vector<int> numStarts;
     /// Zero: that of this process.
     int descriptorLimit = 0;
+    bool hasQuotaPorts = false;
 };
 
 /// Starts a site with three instances and keeps it running until Enter is pressed.
--- a/tools/lab/Process.cpp
+++ b/tools/lab/Process.cpp
@@ -90,6 +90,17 @@
     return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
 }
 
+std::size_t Process::getPeakMemoryKibibytes() const
+{
+    const std::string label = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.rfind(label, 0) == 0)
+            return std::stoull(line.substr(label.size()));
+    }
+    return 0;
+}
+
 int Process::countDescriptors() const
 {
     std::filesystem::directory_iterator descriptors("/proc/" + std::to_string(this->pid) + "/fd");
--- a/tools/lab/Process.h
+++ b/tools/lab/Process.h
@@ -33,6 +33,9 @@
     /// @returns the processor time in seconds that the running process has used, of all threads, in user and kernel mode
     double getProcessorSeconds() const;
 
+    /// @returns the most resident memory that the running process has used, in KiB
+    std::size_t getPeakMemoryKibibytes() const;
+
     /// @returns the number of file descriptors that the running process has open
     int countDescriptors() const;
 
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -1,6 +1,7 @@
 #include "Demo.h"
 #include "Experiments.h"
 #include "GatewaySite.h"
+#include "PortFuzzer.h"
 #include "Soak.h"
 #include "StartCampaign.h"
 
@@ -31,7 +32,7 @@
 cxxopts::Options makeOptions()
 {
     cxxopts::Options options("lj-lab", "Starts whole sites on loopback, puts them under load and faults, and measures.");
-    options.positional_help("ACTION: demo, serve, failover, reads, flood, overload, chaos, lease or policies; on the users' platform: gateway (serve), rest, soak or starts");
+    options.positional_help("ACTION: demo, serve, failover, reads, flood, overload, chaos, lease or policies; on the users' platform: gateway (serve), rest, soak, starts or fuzz");
     options.add_options()("action", "the action to run", cxxopts::value<std::string>()->default_value("demo"));
     options.add_options()("site", "demo, spona or karadeniz", cxxopts::value<std::string>()->default_value("spona"));
     options.add_options()("binaries", "folder of the executables (default: that of this program)", cxxopts::value<std::string>());
@@ -43,8 +44,8 @@
     options.add_options()("factor", "flood: multiple of the rank's quiet load", cxxopts::value<double>()->default_value("10"));
     options.add_options()("rate", "overload: background requests per second", cxxopts::value<double>()->default_value("30000"));
     options.add_options()("durability", "replicated or primary", cxxopts::value<std::string>()->default_value("replicated"));
-    options.add_options()("seed", "chaos, soak, starts: seed of the random faults", cxxopts::value<std::uint64_t>()->default_value("1"));
-    options.add_options()("seconds", "chaos, rest, soak: duration in seconds", cxxopts::value<int>()->default_value("30"));
+    options.add_options()("seed", "chaos, soak, starts, fuzz: seed of the random faults", cxxopts::value<std::uint64_t>()->default_value("1"));
+    options.add_options()("seconds", "chaos, rest, soak, fuzz: duration in seconds", cxxopts::value<int>()->default_value("30"));
     options.add_options()("instances", "soak, starts: number of instances", cxxopts::value<int>()->default_value("5"));
     options.add_options()("zones", "soak: number of availability zones", cxxopts::value<int>()->default_value("3"));
     options.add_options()("restores", "soak: whether the store also returns from older copies")("workspaces", "soak: whether callers have keys of workspaces, which are replaced; not with --restores")("connections", "soak: connections that each upstream accepts", cxxopts::value<int>()->default_value("16"));
@@ -105,6 +106,8 @@
         return runSoak(makeSoakPlan(arguments), setting.binaries, setting.folder);
     if (action == "starts")
         return runStartCampaign({ arguments["seed"].as<std::uint64_t>(), arguments["rounds"].as<int>(), arguments["instances"].as<int>(), arguments.count("signals-while-loading") > 0 }, setting.binaries, setting.folder);
+    if (action == "fuzz")
+        return fuzzPorts({ arguments["seed"].as<std::uint64_t>(), std::chrono::seconds(arguments["seconds"].as<int>()) }, setting.binaries, setting.folder);
     if (action == "chaos")
         return measureChaos(setting, arguments["seed"].as<std::uint64_t>(), arguments["seconds"].as<int>());
     return std::nullopt;
