Do not take an upstream's reply without one result for a success or a proof

Callers saw: READY without DONE or ERR, DONE without a signature, and DONE followed by more were delivered as successes; ERR BUSY followed by DONE was delivered as a promise that the statement had not run. Cause: SessionReply begins as a success, and LineProtocol let later parts replace earlier ones.

--- a/include/lentiljunction/interactive/SessionReply.h
+++ b/include/lentiljunction/interactive/SessionReply.h
@@ -60,6 +60,9 @@
 
     /// @returns whether the statement succeeded
     bool isSuccess() const { return this->code == ReplyCode::None; }
+
+    /// @returns whether an upstream's reply says how the statement ended: with a signature or with an error
+    bool hasResult() const { return !this->signature.empty() || !this->isSuccess(); }
 };
 
 } // namespace lentiljunction
--- a/src/traffic/TcpUpstreamConnection.cpp
+++ b/src/traffic/TcpUpstreamConnection.cpp
@@ -108,6 +108,8 @@
     }
     if (this->pendingReplies.empty())
         return this->fail(LossCause::Silent, "the upstream sent a reply without a pending command");
+    if (!reply.hasResult())
+        return this->fail(LossCause::Silent, "the upstream sent a reply without a result");
 
     TimePoint sentAt = this->pendingReplies.front().sentAt;
     this->lastAnswered = Answered { sentAt, std::chrono::duration_cast<Duration>(this->clock.now() - sentAt) };
--- a/tests/unit/TcpUpstreamConnectionTests.cpp
+++ b/tests/unit/TcpUpstreamConnectionTests.cpp
@@ -73,6 +73,65 @@
     std::thread thread;
 };
 
+/// An upstream that answers the first command of its connection with some bytes, and nothing else.
+class ScriptedUpstream {
+public:
+    explicit ScriptedUpstream(std::string answer)
+        : answer(std::move(answer))
+        , server(this->loop)
+        , connection(*this)
+    {
+        Failure failure;
+        for (this->port = firstPort; !this->server.listen(
+                 { "127.0.0.1", this->port }, [this](std::unique_ptr<TcpConnection> accepted) -> TcpConnection::Listener& { return this->connection.accept(std::move(accepted)); }, failure);
+             this->port++) { }
+        this->loop.start();
+    }
+
+    ~ScriptedUpstream() { this->loop.stop(); }
+    ScriptedUpstream(const ScriptedUpstream&) = delete;
+    ScriptedUpstream& operator=(const ScriptedUpstream&) = delete;
+
+    std::uint16_t port = 0;
+
+private:
+    static constexpr std::uint16_t firstPort = 21000;
+
+    class Connection : public TcpConnection::Listener {
+    public:
+        explicit Connection(ScriptedUpstream& upstream)
+            : upstream(upstream)
+        {
+        }
+
+        Connection& accept(std::unique_ptr<TcpConnection> accepted)
+        {
+            this->socket = std::move(accepted);
+            return *this;
+        }
+
+        void onSocketOpened() override { }
+        void onSocketBytes(std::string& bytes) override
+        {
+            bytes.clear();
+            if (this->numMessages < 2)
+                this->socket->send(this->numMessages == 0 ? "READY I -\r\n" : this->upstream.answer);
+            this->numMessages++;
+        }
+        void onSocketClosed(const std::string&, bool) override { }
+
+    private:
+        ScriptedUpstream& upstream;
+        std::unique_ptr<TcpConnection> socket;
+        int numMessages = 0;
+    };
+
+    std::string answer;
+    EventLoop loop;
+    TcpServer server;
+    Connection connection;
+};
+
 /// Sends a command as soon as the connection is open, and records whether it got a reply.
 class OneCommand : public UpstreamConnection::Listener {
 public:
@@ -90,7 +149,29 @@
 
 } // namespace
 
-TEST_GROUP(TcpUpstreamConnection) {};
+TEST_GROUP(TcpUpstreamConnection)
+{
+    SystemClock clock;
+    LineProtocol protocol;
+};
+
+// A reply without a result, or with two, was taken for a success or for a proof that the statement did not run.
+TEST(TcpUpstreamConnection, replyWithoutOneResultIsNoReply)
+{
+    for (const char* answer : { "READY I 1.5\r\n", "ROW a\r\nREADY I 1.5\r\n", "DONE\r\nREADY I 1.5\r\n", "DONE s\r\nDONE s\r\nREADY I 1.5\r\n", "DONE s\r\nROW a\r\nREADY I 1.5\r\n", "DONE s\r\nERR BUSY x\r\nREADY I 1.5\r\n", "ERR BUSY x\r\nDONE s\r\nREADY I 1.5\r\n" }) {
+        EventLoop connectionLoop;
+        ScriptedUpstream upstream(answer);
+        OneCommand command;
+        UpstreamEntry entry;
+        entry.id = UpstreamId("u1");
+        entry.endpoint = { "127.0.0.1", upstream.port };
+        std::unique_ptr<TcpUpstreamConnection> connection = std::make_unique<TcpUpstreamConnection>(connectionLoop, clock, protocol, entry, "tester", std::chrono::seconds(20), command);
+        connectionLoop.start();
+        bool hasReply = command.replied.get_future().get();
+        connectionLoop.stop();
+        CHECK_FALSE_TEXT(hasReply, answer);
+    }
+}
 
 // The rows of a reply without end were kept until the process exceeded its memory.
 TEST(TcpUpstreamConnection, replyWithoutEndFailsAndClosesConnection)
