Do not answer a command with bytes that arrived before it was sent

Callers saw: an upstream that sent its reply twice, or more rows after READY, answered the next statement on the connection with the rows of the one before, which may be another session's. Cause: replies carry no id; a command sent while the rest of a read was still undecoded took that rest for its reply. Change: each command keeps the number of reads before it; bytes of an earlier read end the connection. Bytes that arrive in a later read than the next command are not told apart from its reply; the protocol gives no means for that.

--- a/src/traffic/TcpUpstreamConnection.cpp
+++ b/src/traffic/TcpUpstreamConnection.cpp
@@ -41,7 +41,7 @@
 {
     if (this->stage == Stage::Lost)
         return callback(std::nullopt);
-    this->pendingReplies.push_back({ std::move(callback), this->clock.now() });
+    this->pendingReplies.push_back({ std::move(callback), this->clock.now(), this->numReads });
     this->listener.onConnectionBytes(encoded.size());
     this->socket->send(encoded);
 }
@@ -76,7 +76,8 @@
     // The bytes of an incomplete reply were counted when they arrived.
     this->listener.onConnectionBytes(bytes.size() - std::min(bytes.size(), this->numBufferedBytes));
     std::size_t numBytesLeft = bytes.size();
-    while (*alive && this->protocol.takeUpstreamPart(bytes, this->numSearched, this->partialReply, isComplete, failure)) {
+    this->numReads++;
+    while (*alive && this->isReplyExpected() && this->protocol.takeUpstreamPart(bytes, this->numSearched, this->partialReply, isComplete, failure)) {
         this->numReplyBytes += numBytesLeft - bytes.size();
         numBytesLeft = bytes.size();
         if (this->numReplyBytes > maximumReplyBytes || this->partialReply.rows.size() > maximumReplyRows)
@@ -89,10 +90,18 @@
     }
     if (*alive)
         this->numBufferedBytes = bytes.size();
+    if (*alive && !bytes.empty() && !this->isReplyExpected())
+        return this->fail(LossCause::Silent, "the upstream sent bytes that answer no command");
     if (*alive && failure.kind != Failure::Kind::None)
         this->fail(LossCause::Silent, failure.reason);
 }
 
+bool TcpUpstreamConnection::isReplyExpected() const
+{
+    // Replies carry no id. Bytes that arrived before a command was sent do not answer it.
+    return this->stage == Stage::Opening || (!this->pendingReplies.empty() && this->pendingReplies.front().numReads < this->numReads);
+}
+
 void TcpUpstreamConnection::onReply(SessionReply reply)
 {
     if (this->stage == Stage::Opening) {
@@ -106,8 +115,6 @@
         this->openTimer->clear();
         return this->listener.onConnectionReady(*this);
     }
-    if (this->pendingReplies.empty())
-        return this->fail(LossCause::Silent, "the upstream sent a reply without a pending command");
     if (!reply.hasResult())
         return this->fail(LossCause::Silent, "the upstream sent a reply without a result");
 
--- a/src/traffic/TcpUpstreamConnection.h
+++ b/src/traffic/TcpUpstreamConnection.h
@@ -51,11 +51,15 @@
     struct PendingReply {
         ReplyCallback callback;
         TimePoint sentAt;
+        /// The number of reads before the command was sent.
+        std::uint64_t numReads = 0;
     };
 
     void onSocketOpened() override;
     void onSocketBytes(std::string& bytes) override;
     void onSocketClosed(const std::string& reason, bool isRefused) override;
+    /// @returns whether the bytes of the present read can belong to a reply
+    bool isReplyExpected() const;
     void onReply(SessionReply reply);
     void fail(LossCause cause, const std::string& reason);
 
@@ -70,6 +74,8 @@
     std::unique_ptr<OneShotTimer> openTimer;
     std::deque<PendingReply> pendingReplies;
     std::optional<Answered> lastAnswered;
+    /// How often bytes were received.
+    std::uint64_t numReads = 0;
     /// Bytes received of an incomplete reply.
     std::size_t numBufferedBytes = 0;
     /// The number of these bytes in which no part of the reply ends.
--- a/tests/unit/TcpUpstreamConnectionTests.cpp
+++ b/tests/unit/TcpUpstreamConnectionTests.cpp
@@ -132,6 +132,25 @@
     Connection connection;
 };
 
+/// Sends a command, and another one when the first is answered, and records which got a reply.
+class TwoCommands : public UpstreamConnection::Listener {
+public:
+    void onConnectionReady(UpstreamConnection& connection) override
+    {
+        connection.send(UpstreamCommand(), [this, &connection](const std::optional<SessionReply>& reply) {
+            this->firstReplied.set_value(reply.has_value());
+            if (reply)
+                connection.send(UpstreamCommand(), [this](const std::optional<SessionReply>& second) { this->secondReplied.set_value(second.has_value()); });
+        });
+    }
+
+    void onConnectionLost(UpstreamConnection&, UpstreamConnection::LossCause, const std::string&) override { }
+    void onConnectionBytes(std::size_t) override { }
+
+    std::promise<bool> firstReplied;
+    std::promise<bool> secondReplied;
+};
+
 /// Sends a command as soon as the connection is open, and records whether it got a reply.
 class OneCommand : public UpstreamConnection::Listener {
 public:
@@ -173,6 +192,26 @@
     }
 }
 
+// An upstream that sent its reply twice answered the next command with the rows of the one before.
+TEST(TcpUpstreamConnection, replyThatArrivedBeforeItsCommandIsNoReply)
+{
+    for (const char* rest : { "ROW x\r\nDONE t\r\nREADY I 1.5\r\n", "ROW x\r\n", "ROW " }) {
+        EventLoop connectionLoop;
+        ScriptedUpstream upstream(std::string("ROW x\r\nDONE s\r\nREADY I 1.5\r\n") + rest);
+        TwoCommands commands;
+        UpstreamEntry entry;
+        entry.id = UpstreamId("u1");
+        entry.endpoint = { "127.0.0.1", upstream.port };
+        std::unique_ptr<TcpUpstreamConnection> connection = std::make_unique<TcpUpstreamConnection>(connectionLoop, clock, protocol, entry, "tester", std::chrono::seconds(20), commands);
+        connectionLoop.start();
+        CHECK_TRUE(commands.firstReplied.get_future().get());
+        std::future<bool> second = commands.secondReplied.get_future();
+        bool isEnded = second.wait_for(std::chrono::seconds(10)) == std::future_status::ready;
+        connectionLoop.stop();
+        CHECK_TRUE_TEXT(isEnded && !second.get(), rest);
+    }
+}
+
 // The rows of a reply without end were kept until the process exceeded its memory.
 TEST(TcpUpstreamConnection, replyWithoutEndFailsAndClosesConnection)
 {
