Give back the memory of long messages

Cause: the strings in which a connection receives and sends kept the capacity of their longest message until the session ended, and the C library raised the size from which it returns blocks to the system after the first long one.

The new test fails on the code before and passes on this.

--- a/include/lentiljunction/core/lj_core.h
+++ b/include/lentiljunction/core/lj_core.h
@@ -4,6 +4,7 @@
 /// Module core: ids, units, time, outcomes, schedulers and log events. Depends on the standard library, nlohmann-json and spdlog.
 
 #include "lentiljunction/core/Backoff.h"
+#include "lentiljunction/core/Buffers.h"
 #include "lentiljunction/core/Cbor.h"
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/core/Endpoint.h"
--- a/src/net/TcpConnection.cpp
+++ b/src/net/TcpConnection.cpp
@@ -1,6 +1,7 @@
 #include "TcpConnection.h"
 
 #include "SocketOptions.h"
+#include "lentiljunction/core/Buffers.h"
 
 #include <array>
 #include <asio/io_context.hpp>
@@ -59,6 +60,7 @@
                 return self->handleError(error);
             self->received.append(self->buffer.data(), size);
             self->listener->onSocketBytes(self->received);
+            releaseIdleCapacity(self->received);
             self->read();
         });
     }
@@ -80,6 +82,8 @@
             self->isWriting = false;
             if (error)
                 return self->handleError(error);
+            self->bytesInFlight.clear();
+            releaseIdleCapacity(self->bytesInFlight);
             self->flush();
         });
     }
--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -2,6 +2,7 @@
 
 #include "LocalStatements.h"
 
+#include "lentiljunction/core/Buffers.h"
 #include "lentiljunction/core/LogEvents.h"
 
 #include <utility>
@@ -131,6 +132,7 @@
         }
     }
     this->isProcessing = false;
+    releaseIdleCapacity(this->buffered);
     // A caller that does not wait for its responses is slowed down instead of filling the memory. A message that is still
     // incomplete needs more bytes.
     bool isWaiting = this->isRunning() || this->isContinuing;
--- /dev/null
+++ b/tests/process/GatewayMemoryTests.cpp
@@ -0,0 +1,98 @@
+#include "../../tools/lab/GatewaySite.h"
+#include "GatewayFixture.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <filesystem>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+// The macros of the test framework break standard headers that follow them.
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+using lab::isServed;
+using lab::LineCaller;
+
+namespace {
+
+/// A connection that sends bytes and reads nothing.
+class SilentReader {
+public:
+    explicit SilentReader(int port)
+        : descriptor(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        timeval limit { 1, 0 };
+        ::setsockopt(this->descriptor, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        (void)::connect(this->descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    }
+
+    ~SilentReader() { ::close(this->descriptor); }
+    SilentReader(const SilentReader&) = delete;
+    SilentReader& operator=(const SilentReader&) = delete;
+
+    /// Sends until all is sent, the peer stops reading, or the connection ends.
+    void send(const std::string& bytes)
+    {
+        std::size_t numSent = 0;
+        while (numSent < bytes.size()) {
+            ssize_t size = ::send(this->descriptor, bytes.data() + numSent, bytes.size() - numSent, MSG_NOSIGNAL);
+            if (size <= 0)
+                return;
+            numSent += static_cast<std::size_t>(size);
+        }
+    }
+
+private:
+    int descriptor;
+};
+
+} // namespace
+
+TEST_GROUP(GatewayMemory)
+{
+    /// The memory of the smallest machines, in MiB. A process that exceeds it is killed.
+    static constexpr double smallestMemory = 160;
+    static constexpr std::size_t longMessageSize = (1U << 20) - 200;
+    static constexpr int numCallers = 300;
+    std::string folder = (std::filesystem::temp_directory_path() / ("lj-memory-" + std::to_string(::getpid()))).string();
+    lab::GatewaySite site { ".", folder };
+    Failure failure;
+
+    void teardown() override { std::filesystem::remove_all(this->folder); }
+
+    std::uint16_t getPort() const { return static_cast<std::uint16_t>(this->site.getSessionPorts()[0]); }
+
+    void start()
+    {
+        CHECK_TEXT(this->site.start(1, this->failure), this->failure.reason.c_str());
+        CHECK_TRUE(waitUntil([&] { return isServed(LineCaller(this->getPort(), "bookings").execute("WRITE item v")); }));
+    }
+
+    void checkHealthy()
+    {
+        double peak = this->site.getProcesses()[0]->getPeakMemory();
+        CHECK_TEXT(peak < smallestMemory, (std::to_string(peak) + " MiB").c_str());
+        CHECK_TRUE(this->site.isReady(0));
+        CHECK_TRUE(waitUntil([&] { return isServed(LineCaller(this->getPort(), "bookings").execute("READ item")); }));
+        CHECK_TRUE(this->site.getProcesses()[0]->isRunning());
+    }
+};
+
+// Sessions that had one long reply kept its memory until they ended, and the process grew beyond its machine.
+TEST(GatewayMemory, idleSessionsKeepNoLongBuffers)
+{
+    start();
+    CHECK_TRUE(isServed(LineCaller(getPort(), "bookings").execute("WRITE long " + std::string(longMessageSize, 'x'))));
+    std::vector<std::unique_ptr<LineCaller>> idle;
+    for (int index = 0; index < numCallers; index++) {
+        idle.push_back(std::make_unique<LineCaller>(getPort(), "bookings"));
+        CHECK_TRUE(waitUntil([&] { return idle.back()->execute("READ long").size() > longMessageSize; }));
+    }
+    checkHealthy();
+}
--- a/tools/lab/Process.cpp
+++ b/tools/lab/Process.cpp
@@ -107,6 +107,17 @@
     return static_cast<int>(std::distance(begin(descriptors), end(descriptors)));
 }
 
+double Process::getPeakMemory() const
+{
+    constexpr double kibibytesPerMebibyte = 1024;
+    std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.rfind("VmHWM:", 0) == 0)
+            return std::stod(line.substr(line.find(':') + 1)) / kibibytesPerMebibyte;
+    }
+    return 0;
+}
+
 int Process::limitDescriptors(int limit)
 {
     rlimit before {};
--- a/tools/lab/Process.h
+++ b/tools/lab/Process.h
@@ -39,6 +39,9 @@
     /// @returns the number of file descriptors that the running process has open
     int countDescriptors() const;
 
+    /// @returns the largest resident memory of the running process so far, in MiB
+    double getPeakMemory() const;
+
     /// Limits the file descriptors of the running process. Those that are open stay open.
     ///
     /// @returns the limit before
