Bound the messages of each port by what its protocol needs

Cause: one bound of 64 MiB, made for bundles, held for every port, also for the readiness and metrics pages, whose requests have no body, and for peers; what waits for a peer that does not read had no bound at all.

--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -56,7 +56,7 @@
 } // namespace
 
 GatewayInstance::HttpPage::HttpPage(EventLoop& loop, Handler handler)
-    : server(loop, *this)
+    : server(loop, *this, pageLimits)
     , handler(std::move(handler))
 {
 }
--- a/src/lending/LendingLinks.cpp
+++ b/src/lending/LendingLinks.cpp
@@ -23,8 +23,8 @@
 
 LendingLinks::LendingLinks(EventLoop& loop, Listener& listener)
     : listener(listener)
-    , server(loop, *this)
-    , client(loop, *this)
+    , server(loop, *this, lendingLimits)
+    , client(loop, *this, lendingLimits)
 {
 }
 
--- a/src/net/WebSocketClient.cpp
+++ b/src/net/WebSocketClient.cpp
@@ -15,14 +15,14 @@
     using Client = websocketpp::client<websocketpp::config::asio_client>;
     using ClientConnection = Client::connection_ptr;
     constexpr long openTimeoutMilliseconds = 400;
-    constexpr std::size_t maximumMessageBytes = 64U << 20;
 
 } // namespace
 
 class WebSocketClient::Implementation {
 public:
-    Implementation(EventLoop& loop, Listener& listener)
-        : loop(loop)
+    Implementation(EventLoop& loop, Listener& listener, const WebSocketLimits& limits)
+        : limits(limits)
+        , loop(loop)
         , listener(listener)
     {
         prepareWebSocketLibrary();
@@ -30,7 +30,7 @@
         this->client.clear_error_channels(websocketpp::log::elevel::all);
         this->client.init_asio(&loop.getContext());
         this->client.set_open_handshake_timeout(openTimeoutMilliseconds);
-        this->client.set_max_message_size(maximumMessageBytes);
+        this->client.set_max_message_size(limits.message);
     }
 
     Handle connect(const Endpoint& endpoint, const std::string& resource)
@@ -67,6 +67,24 @@
             this->listener.onDisconnected(handle);
     }
 
+    /// Drops a session after the current task, because the caller may still use its state.
+    void dropLater(Handle handle)
+    {
+        this->loop.post([this, handle] { this->drop(handle); });
+    }
+
+    void drop(Handle handle)
+    {
+        ClientConnection connection = this->find(handle);
+        if (connection == nullptr)
+            return;
+        asio::error_code ignored;
+        connection->get_socket().close(ignored);
+        this->handleDisconnect(handle);
+    }
+
+    const WebSocketLimits limits;
+
 private:
     void onOpen(Handle handle)
     {
@@ -84,8 +102,8 @@
     Handle nextHandle = 1;
 };
 
-WebSocketClient::WebSocketClient(EventLoop& loop, Listener& listener)
-    : implementation(std::make_unique<Implementation>(loop, listener))
+WebSocketClient::WebSocketClient(EventLoop& loop, Listener& listener, const WebSocketLimits& limits)
+    : implementation(std::make_unique<Implementation>(loop, listener, limits))
 {
 }
 
@@ -99,19 +117,17 @@
 void WebSocketClient::send(Handle handle, const std::string& payload, bool isBinary)
 {
     ClientConnection connection = this->implementation->find(handle);
-    if (connection != nullptr)
+    if (connection == nullptr)
+        return;
+    if (connection->get_buffered_amount() + payload.size() > this->implementation->limits.pending)
+        this->implementation->dropLater(handle);
+    else
         connection->send(payload, isBinary ? websocketpp::frame::opcode::binary : websocketpp::frame::opcode::text);
 }
 
 void WebSocketClient::drop(Handle handle)
 {
-    ClientConnection connection = this->implementation->find(handle);
-    if (connection == nullptr)
-        return;
-
-    asio::error_code ignored;
-    connection->get_socket().close(ignored);
-    this->implementation->handleDisconnect(handle);
+    this->implementation->drop(handle);
 }
 
 } // namespace lentiljunction
--- a/src/net/WebSocketClient.h
+++ b/src/net/WebSocketClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "WebSocketLimits.h"
 #include "lentiljunction/core/EventLoop.h"
 #include "lentiljunction/settings/Settings.h"
 
@@ -30,7 +31,8 @@
 
     /// @param loop runs the client; must outlive it
     /// @param listener receives the events; must outlive the client
-    WebSocketClient(EventLoop& loop, Listener& listener);
+    /// @param limits bounds on the memory of each session
+    WebSocketClient(EventLoop& loop, Listener& listener, const WebSocketLimits& limits = WebSocketLimits());
     ~WebSocketClient();
     WebSocketClient(const WebSocketClient&) = delete;
     WebSocketClient& operator=(const WebSocketClient&) = delete;
@@ -41,7 +43,7 @@
     /// @returns the handle of the session
     Handle connect(const Endpoint& endpoint, const std::string& resource);
 
-    /// Sends a message; does nothing when the session is closed.
+    /// Sends a message; does nothing when the session is closed. Drops the session of a peer that does not read.
     void send(Handle handle, const std::string& payload, bool isBinary);
 
     /// Closes a session immediately, without a closing handshake, and calls onDisconnected().
--- a/src/net/WebSocketServer.cpp
+++ b/src/net/WebSocketServer.cpp
@@ -16,16 +16,14 @@
     using Server = websocketpp::server<websocketpp::config::asio>;
     using ServerConnection = Server::connection_ptr;
 
-    /// A larger message closes the connection. The limit is far above that of the bundle, so that a
-    /// request over the bundle's limit normally gets an error response instead.
-    constexpr std::size_t maximumMessageBytes = 64U << 20;
-
 } // namespace
 
 class WebSocketServer::Implementation {
 public:
-    Implementation(EventLoop& loop, Listener& listener)
-        : retryTimer(loop.getContext())
+    Implementation(EventLoop& loop, Listener& listener, const WebSocketLimits& limits)
+        : limits(limits)
+        , loop(loop)
+        , retryTimer(loop.getContext())
         , listener(listener)
     {
         prepareWebSocketLibrary();
@@ -33,8 +31,8 @@
         this->server.clear_error_channels(websocketpp::log::elevel::all);
         this->server.init_asio(&loop.getContext());
         this->server.set_reuse_addr(true);
-        this->server.set_max_http_body_size(maximumMessageBytes);
-        this->server.set_max_message_size(maximumMessageBytes);
+        this->server.set_max_http_body_size(limits.message);
+        this->server.set_max_message_size(limits.message);
         this->server.set_open_handler([this](websocketpp::connection_hdl connection) { this->onOpen(connection); });
         this->server.set_close_handler([this](websocketpp::connection_hdl connection) { this->onClose(connection); });
         this->server.set_http_handler([this](websocketpp::connection_hdl connection) { this->onHttp(connection); });
@@ -64,6 +62,13 @@
         return found == this->connections.end() ? nullptr : found->second;
     }
 
+    /// Closes a connection after the current task, because the caller may still use its state.
+    void closeLater(const ServerConnection& connection)
+    {
+        this->loop.post([connection] { connection->terminate(websocketpp::error::make_error_code(websocketpp::error::send_queue_full)); });
+    }
+
+    const WebSocketLimits limits;
     Server server;
     std::unordered_map<Handle, ServerConnection> connections;
 
@@ -145,14 +150,15 @@
         return handle;
     }
 
+    EventLoop& loop;
     asio::steady_timer retryTimer;
     Listener& listener;
     std::unordered_map<void*, Handle> handles;
     Handle nextHandle = 1;
 };
 
-WebSocketServer::WebSocketServer(EventLoop& loop, Listener& listener)
-    : implementation(std::make_unique<Implementation>(loop, listener))
+WebSocketServer::WebSocketServer(EventLoop& loop, Listener& listener, const WebSocketLimits& limits)
+    : implementation(std::make_unique<Implementation>(loop, listener, limits))
 {
 }
 
@@ -179,7 +185,11 @@
 void WebSocketServer::send(Handle handle, const std::string& payload, bool isBinary)
 {
     ServerConnection connection = this->implementation->find(handle);
-    if (connection != nullptr)
+    if (connection == nullptr)
+        return;
+    if (connection->get_buffered_amount() + payload.size() > this->implementation->limits.pending)
+        this->implementation->closeLater(connection);
+    else
         connection->send(payload, isBinary ? websocketpp::frame::opcode::binary : websocketpp::frame::opcode::text);
 }
 
--- a/src/net/WebSocketServer.h
+++ b/src/net/WebSocketServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "WebSocketLimits.h"
 #include "lentiljunction/core/EventLoop.h"
 #include "lentiljunction/core/Failure.h"
 #include "lentiljunction/settings/Settings.h"
@@ -50,7 +51,8 @@
 
     /// @param loop runs the server; must outlive it
     /// @param listener receives the events; must outlive the server
-    WebSocketServer(EventLoop& loop, Listener& listener);
+    /// @param limits bounds on the memory of each connection
+    WebSocketServer(EventLoop& loop, Listener& listener, const WebSocketLimits& limits = WebSocketLimits());
     ~WebSocketServer();
     WebSocketServer(const WebSocketServer&) = delete;
     WebSocketServer& operator=(const WebSocketServer&) = delete;
@@ -61,7 +63,7 @@
     /// @returns whether it is open
     bool listen(const Endpoint& endpoint, Failure& failure);
 
-    /// Sends a message; does nothing when the session is closed.
+    /// Sends a message; does nothing when the session is closed. Closes the session of a peer that does not read.
     void send(Handle handle, const std::string& payload, bool isBinary);
 
     /// Responds to an HTTP request; does nothing when its connection is closed.
--- a/src/peer/PeerRpc.cpp
+++ b/src/peer/PeerRpc.cpp
@@ -32,8 +32,8 @@
 PeerRpc::PeerRpc(EventLoop& loop, const Clock& clock, Listener& listener)
     : clock(clock)
     , listener(listener)
-    , server(loop, *this)
-    , client(loop, *this)
+    , server(loop, *this, peerLimits)
+    , client(loop, *this, peerLimits)
     , timer(loop, clock, [this] { this->dropExpiredLinks(); })
 {
 }
--- a/src/quota/QuotaLinks.cpp
+++ b/src/quota/QuotaLinks.cpp
@@ -25,8 +25,8 @@
 
 QuotaLinks::QuotaLinks(EventLoop& loop, Listener& listener)
     : listener(listener)
-    , server(loop, *this)
-    , client(loop, *this)
+    , server(loop, *this, quotaLimits)
+    , client(loop, *this, quotaLimits)
 {
 }
 
--- a/tests/process/GatewayMemoryTests.cpp
+++ b/tests/process/GatewayMemoryTests.cpp
@@ -96,3 +96,23 @@
     }
     checkHealthy();
 }
+
+// The readiness page, the metrics page and the ports of other instances took messages of up to 64 MiB from anyone.
+TEST(GatewayMemory, longMessagesAreRefusedWherePeersSendShortOnes)
+{
+    const std::string request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 62914560\r\n\r\n";
+    const std::string handshake = "GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: MDAwMDAwMDAwMDAwMDAwMA==\r\n\r\n";
+    const std::string frame("\x82\xff\0\0\0\0\x03\xc0\0\0abcd", 14);
+    const std::string body(59U << 20, 'y');
+    start();
+    std::vector<std::unique_ptr<SilentReader>> senders;
+    for (std::size_t index = 1; index < site.getListeningPorts(0).size(); index++) {
+        for (const std::string& begin : { request, handshake + frame }) {
+            for (int repetition = 0; repetition < 2; repetition++) {
+                senders.push_back(std::make_unique<SilentReader>(site.getListeningPorts(0)[index]));
+                senders.back()->send(begin + body);
+            }
+        }
+    }
+    checkHealthy();
+}
