--- a/src/cli/ServeSignals.cpp
+++ b/src/cli/ServeSignals.cpp
@@ -24,7 +24,9 @@
             return;
         sigset_t signals = makeServeSignals();
         sigprocmask(SIG_BLOCK, &signals, nullptr);
+        // Writes to closed connections, and to a log file at the limit on file sizes, fail instead.
         std::signal(SIGPIPE, SIG_IGN);
+        std::signal(SIGXFSZ, SIG_IGN);
     }
 
     using InitialFunction = void (*)(int argc, char** argv, char** environment);
--- a/tests/process/ProcessEndTests.cpp
+++ b/tests/process/ProcessEndTests.cpp
@@ -93,3 +93,17 @@
     process.signal(SIGTERM);
     LONGS_EQUAL(0, process.wait());
 }
+
+// An instance whose log file had reached the system's limit on file sizes was ended by SIGXFSZ, without a line.
+TEST(ProcessEnd, instanceServesWhenItsLogFileIsFull)
+{
+    lab::GatewaySite site(".", this->folder);
+    Failure failure;
+    CHECK_TEXT(site.start(1, failure), failure.reason.c_str());
+    site.signal(0, SIGKILL);
+    site.getProcesses()[0]->wait();
+    lab::Process process("/bin/sh", { "-c", "ulimit -f 0 && exec ./lentiljunction serve --settings " + this->folder + "/front-1.ini" }, this->folder + "/full");
+    CHECK_TRUE(waitUntil([&] { return site.isReady(0) || !process.isRunning(); }));
+    process.signal(SIGTERM);
+    LONGS_EQUAL(0, process.wait());
+}
