Let a session to another instance fail when no thread is granted

Cause: the WebSocket library resolves every address in a thread of asio's resolver, which starts with the first session. When the system grants none, std::system_error leaves the handler of the event loop and ends the process. Seen on a plain process with RLIMIT_AS 160 MB and stacks of 64 MB, and with RLIMIT_DATA 32 MB: event 120, cause=exception, what="thread: Resource temporarily unavailable", once another instance was known.

--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -80,6 +80,7 @@
         events::portUnavailable,
         events::settingsReloaded,
         events::portOpened,
+        events::threadUnavailable,
         events::processEnded,
         events::sessionsExhausted,
         events::bundleInForce,
--- a/src/net/WebSocketClient.cpp
+++ b/src/net/WebSocketClient.cpp
@@ -2,8 +2,10 @@
 
 #include "SocketOptions.h"
 #include "WebSocketLibrary.h"
+#include "lentiljunction/core/LogEvents.h"
 
 #include <asio/io_context.hpp>
+#include <system_error>
 #include <unordered_map>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
@@ -51,7 +53,7 @@
         connection->set_message_handler([this, handle](const websocketpp::connection_hdl&, const Client::message_ptr& message) {
             this->listener.onMessage(handle, message->get_payload());
         });
-        this->client.connect(connection);
+        this->startConnecting(handle, connection);
         return handle;
     }
 
@@ -86,6 +88,17 @@
     const WebSocketLimits limits;
 
 private:
+    /// The library resolves addresses in a thread of its own, for which the system may have no room.
+    void startConnecting(Handle handle, const ClientConnection& connection)
+    {
+        try {
+            this->client.connect(connection);
+        } catch (const std::system_error& error) {
+            logEvent(events::threadUnavailable, std::string("thread=resolver reason=\"") + error.what() + "\"");
+            this->loop.post([this, handle] { this->handleDisconnect(handle); });
+        }
+    }
+
     void onOpen(Handle handle)
     {
         ClientConnection connection = this->find(handle);
