Try the start of threads again, with stacks of a fixed size

Cause: the two event loops start with std::thread, which throws when the system grants no thread; nothing caught it. Each stack takes the limit on the main thread's stack out of the address space, so with RLIMIT_STACK 1 GB and RLIMIT_AS 160 or 260 MB the process ended at once (event 120, cause=exception, type=St12system_error, exit code 134).

Change: stacks have 8 MiB whatever the limit is. GatewayInstance::startThreads reports the failure, and serve tries it again with the back-off of held ports, event 111 once in 30 s; a stop signal ends the wait.

--- a/include/lentiljunction/core/EventLoop.h
+++ b/include/lentiljunction/core/EventLoop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lentiljunction/core/Failure.h"
 #include "lentiljunction/core/Scheduler.h"
 
 #include <memory>
@@ -28,8 +29,15 @@
     /// Starts the thread.
     ///
     /// @param name at most 15 characters, see startThread
+    /// @throws std::system_error when the system grants no thread
     void start(const std::string& name = "loop");
 
+    /// Starts the thread, unless it runs.
+    ///
+    /// @param failure set when the system grants no thread
+    /// @returns whether the thread runs
+    bool tryStart(const std::string& name, Failure& failure);
+
     /// Stops the thread once the current task returns; waiting tasks are dropped.
     void stop();
 
--- a/include/lentiljunction/core/Threads.h
+++ b/include/lentiljunction/core/Threads.h
@@ -23,6 +23,10 @@
     std::unique_ptr<char[]> memory;
 };
 
+/// Gives all threads that start later a stack of one size, whatever the limit on the main thread's stack is. With a large limit
+/// few threads fit into a limited address space, and with a small one too little is left for deep calls.
+void setThreadStackSize();
+
 /// Starts a thread with a name and a SignalStack.
 ///
 /// @param name at most 15 characters; shown by the system's tools and in event 120
--- a/src/cli/GatewayServe.cpp
+++ b/src/cli/GatewayServe.cpp
@@ -3,6 +3,7 @@
 #include "../gateway/GatewayInstance.h"
 #include "CommandLine.h"
 #include "ServeSignals.h"
+#include "lentiljunction/core/Backoff.h"
 #include "lentiljunction/core/LogEvents.h"
 
 #include <malloc.h>
@@ -22,6 +23,29 @@
         ::mallopt(M_TRIM_THRESHOLD, smallestSeparateBlock * 2);
     }
 
+    constexpr std::chrono::milliseconds firstThreadRetry { 50 };
+    constexpr std::chrono::milliseconds longestThreadRetry { 900 };
+    constexpr std::chrono::seconds reportInterval { 30 };
+
+    /// Tries until the system grants the threads: another process may use them up for a time.
+    ///
+    /// @returns whether they run; not when a signal came that stops the process
+    bool startThreads(GatewayInstance& instance, const Clock& clock)
+    {
+        Backoff retries(firstThreadRetry, longestThreadRetry);
+        TimePoint nextReportAt = clock.now();
+        for (Failure failure; !instance.startThreads(failure);) {
+            if (clock.now() >= nextReportAt) {
+                nextReportAt = clock.now() + reportInterval;
+                logEvent(events::threadUnavailable, "reason=\"" + failure.reason + "\"");
+            }
+            std::optional<int> received = waitForServeSignal(std::chrono::duration_cast<std::chrono::milliseconds>(retries.onFailure()));
+            if (received && *received != SIGHUP)
+                return false;
+        }
+        return true;
+    }
+
     void reloadSettings(const std::string& path)
     {
         // Addresses cannot change while sessions are open, so this only checks the file; changes take effect at
@@ -48,6 +72,8 @@
     SystemClock clock;
     GatewayInstance instance(*settings, clock, adapter.getProtocol(), [&adapter](EventLoop& loop, const GatewaySettings& given) { return adapter.makeStore(loop, given); });
     instance.start();
+    if (!startThreads(instance, clock))
+        return exitcodes::ok;
 
     int received = 0;
     while (sigwait(&getServeSignals(), &received) == 0 && received == SIGHUP)
--- a/src/cli/InstanceCommands.cpp
+++ b/src/cli/InstanceCommands.cpp
@@ -9,6 +9,7 @@
 #include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/core/ProcessEnd.h"
+#include "lentiljunction/core/Threads.h"
 
 #include <csignal>
 #include <httplib.h>
@@ -54,6 +55,7 @@
         {
             openStandardDescriptors();
             ProcessEnd::install();
+            setThreadStackSize();
             Failure failure;
             int exitCode = this->runInstance(path, failure);
             ProcessEnd::reportExit(toEndCause(exitCode), exitCode, failure.reason);
--- a/src/cli/ServeSignals.cpp
+++ b/src/cli/ServeSignals.cpp
@@ -1,6 +1,7 @@
 #include "ServeSignals.h"
 
 #include <cstring>
+#include <ctime>
 
 namespace lentiljunction {
 
@@ -40,4 +41,11 @@
     return signals;
 }
 
+std::optional<int> waitForServeSignal(std::chrono::milliseconds timeout)
+{
+    timespec interval { 0, static_cast<long>(std::chrono::nanoseconds(timeout).count()) };
+    int received = sigtimedwait(&getServeSignals(), nullptr, &interval);
+    return received > 0 ? std::optional<int>(received) : std::nullopt;
+}
+
 } // namespace lentiljunction
--- a/src/cli/ServeSignals.h
+++ b/src/cli/ServeSignals.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <csignal>
+#include <optional>
 
 namespace lentiljunction {
 
@@ -8,4 +10,10 @@
 /// the program and of its libraries run, so that none of them ends a process that is starting.
 const sigset_t& getServeSignals();
 
+/// Waits for one of these signals, also while no thread of an event loop runs.
+///
+/// @param timeout less than a second
+/// @returns the signal that came, or nothing after the time
+std::optional<int> waitForServeSignal(std::chrono::milliseconds timeout);
+
 } // namespace lentiljunction
--- a/src/cli/SettingsWait.cpp
+++ b/src/cli/SettingsWait.cpp
@@ -4,7 +4,6 @@
 #include "ServeSignals.h"
 
 #include <chrono>
-#include <ctime>
 #include <fstream>
 
 namespace lentiljunction {
@@ -31,21 +30,13 @@
         return isGatewayFile(path) ? loadGatewaySettings(path, ignored).has_value() : loadSettings(path, ignored).has_value();
     }
 
-    /// @returns the signal that came, or nothing after the interval
-    std::optional<int> waitForSignal()
-    {
-        timespec interval { 0, std::chrono::duration_cast<std::chrono::nanoseconds>(pollInterval).count() };
-        int received = sigtimedwait(&getServeSignals(), nullptr, &interval);
-        return received > 0 ? std::optional<int>(received) : std::nullopt;
-    }
-
 } // namespace
 
 bool waitForSettings(const std::string& path)
 {
     std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + timeout;
     while (!isComplete(path) && std::chrono::steady_clock::now() < end) {
-        std::optional<int> received = waitForSignal();
+        std::optional<int> received = waitForServeSignal(pollInterval);
         if (received && *received != SIGHUP)
             return false;
     }
--- a/src/core/EventLoop.cpp
+++ b/src/core/EventLoop.cpp
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <system_error>
 #include <thread>
 #include <utility>
 
@@ -38,6 +39,19 @@
     this->implementation->thread = startThread(name, [this] { this->implementation->context.run(); });
 }
 
+bool EventLoop::tryStart(const std::string& name, Failure& failure)
+{
+    if (this->implementation->thread.joinable())
+        return true;
+    try {
+        this->start(name);
+    } catch (const std::system_error& error) {
+        failure.set(Failure::Kind::Unavailable, "thread " + name + ": " + error.what());
+        return false;
+    }
+    return true;
+}
+
 void EventLoop::stop()
 {
     this->implementation->context.stop();
--- a/src/core/Threads.cpp
+++ b/src/core/Threads.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr std::size_t signalStackBytes = 65536;
+    constexpr std::size_t threadStackBytes = 8U << 20;
 
 } // namespace
 
@@ -35,6 +36,16 @@
     ::sigaltstack(&stack, nullptr);
 }
 
+void setThreadStackSize()
+{
+    pthread_attr_t attributes {};
+    if (::pthread_getattr_default_np(&attributes) != 0)
+        return;
+    ::pthread_attr_setstacksize(&attributes, threadStackBytes);
+    ::pthread_setattr_default_np(&attributes);
+    ::pthread_attr_destroy(&attributes);
+}
+
 std::thread startThread(const std::string& name, std::function<void()> body)
 {
     return std::thread([name, body = std::move(body)] {
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -110,8 +110,12 @@
     this->traffic.start();
     this->openPorts();
     this->control.start();
-    this->controlLoop.start("control");
-    this->trafficLoop.start("traffic");
+}
+
+bool GatewayInstance::startThreads(Failure& failure)
+{
+    // An instance that reports to be ready must serve.
+    return this->trafficLoop.tryStart("traffic", failure) && this->controlLoop.tryStart("control", failure);
 }
 
 void GatewayInstance::openPorts()
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -29,12 +29,18 @@
     GatewayInstance(const GatewaySettings& settings, const Clock& clock, const SessionProtocol& protocol, const StoreFactory& makeStore);
     ~GatewayInstance() override;
 
-    /// Starts the threads and opens the ports. Ports that cannot be opened are tried again while the instance runs; it is
-    /// not ready before the ports for callers and for other instances are open.
+    /// Opens the ports. Ports that cannot be opened are tried again while the instance runs; it is not ready before the
+    /// ports for callers and for other instances are open.
     void start();
 
+    /// Starts the threads, after start(). Can be tried again after a failure.
+    ///
+    /// @param failure set when the system grants no thread
+    /// @returns whether all threads run
+    bool startThreads(Failure& failure);
+
     /// Reports to the load balancer that the instance is not ready, lets open transactions end within the
-    /// grace period, and stops.
+    /// grace period, and stops. The threads must run.
     void drain();
 
 private:
