Keep an exception of one handler from ending the process

Cause: an exception that left a handler of an event loop left its thread, although it concerned one connection or one task.

Change: HandlerGuard is the boundary of handlers, with event 121 and the fact handler_failures. A connection whose listener throws is closed, and the listener is told as if its peer had closed it; a port goes on accepting; the callback of an HTTP call whose response cannot be handled gets a failure, so that chains of calls continue; a WebSocket connection is dropped. Any other handler is given up and the loop continues. A periodic task continues, and the task of a timer runs again after 100 ms unless it has set the timer. Broken invariants still end the process.

--- a/include/lentiljunction/core/EventLoop.h
+++ b/include/lentiljunction/core/EventLoop.h
@@ -14,6 +14,8 @@
 
 /// One thread that runs tasks in the order in which they were posted.
 ///
+/// A task that throws is given up with event 121, and the loop continues. @see HandlerGuard
+///
 /// @code
 /// EventLoop loop;
 /// loop.start();
@@ -47,7 +49,11 @@
     /// Runs a task once after a delay. Safe to call from any thread.
     void schedule(Duration delay, Task task) override;
 
-    /// Runs a task periodically until the loop stops, first after one interval. Safe to call from any
+    /// Runs a task once after a delay, and again while it throws. For tasks that schedule their own next run. Safe to
+    /// call from any thread.
+    void scheduleUntilDone(Duration delay, Task task);
+
+    /// Runs a task periodically until the loop stops, first after one interval, also after it threw. Safe to call from any
     /// thread.
     void repeat(Duration interval, Task task);
 
--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -33,6 +33,7 @@
     constexpr LogEvent portUnavailable { 105, LogLevel::Error, "port_unavailable", "A listening port cannot be opened. Another process may use it. A gateway instance tries it again; an instance of the product's own protocols ends." };
     constexpr LogEvent threadUnavailable { 111, LogLevel::Error, "thread_unavailable", "The system grants no thread: the limit on threads or on address space is reached. The start of the thread is tried again." };
     constexpr LogEvent processEnded { 120, LogLevel::Error, "process_ended", "The process ends; the cause is in the line." };
+    constexpr LogEvent handlerFailed { 121, LogLevel::Error, "handler_failed", "A handler threw an exception; its connection was closed or its task given up, and the process continues." };
     constexpr LogEvent sessionsExhausted { 130, LogLevel::Warning, "sessions_exhausted", "A caller was refused at once because callers hold all file descriptors that they may hold." };
     constexpr LogEvent bundleInForce { 200, LogLevel::Information, "bundle_in_force", "A higher bundle version became active." };
     constexpr LogEvent bundleRefused { 201, LogLevel::Warning, "bundle_refused", "A bundle was rejected: it is invalid or not signed by enough operators." };
--- a/include/lentiljunction/core/lj_core.h
+++ b/include/lentiljunction/core/lj_core.h
@@ -10,6 +10,7 @@
 #include "lentiljunction/core/Endpoint.h"
 #include "lentiljunction/core/EventLoop.h"
 #include "lentiljunction/core/Failure.h"
+#include "lentiljunction/core/HandlerGuard.h"
 #include "lentiljunction/core/Ids.h"
 #include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/JsonFields.h"
--- a/include/lentiljunction/metrics/GatewayMetrics.h
+++ b/include/lentiljunction/metrics/GatewayMetrics.h
@@ -60,6 +60,8 @@
         std::uint64_t numPeerBytes = 0;
         /// Listening ports that are not open yet.
         std::size_t numClosedPorts = 0;
+        /// Handlers that threw an exception since the start.
+        std::uint64_t numHandlerFailures = 0;
     };
 
     /// How many concurrent statements of this instance an upstream handles well, as discovered.
--- a/src/core/EventLoop.cpp
+++ b/src/core/EventLoop.cpp
@@ -1,5 +1,6 @@
 #include "lentiljunction/core/EventLoop.h"
 
+#include "lentiljunction/core/HandlerGuard.h"
 #include "lentiljunction/core/Threads.h"
 
 #include <asio/executor_work_guard.hpp>
@@ -12,6 +13,13 @@
 
 namespace lentiljunction {
 
+namespace {
+
+    /// Delay before a task that threw runs again.
+    constexpr std::chrono::milliseconds failedTaskRetryDelay { 100 };
+
+} // namespace
+
 class EventLoop::Implementation {
 public:
     Implementation()
@@ -36,7 +44,10 @@
 
 void EventLoop::start(const std::string& name)
 {
-    this->implementation->thread = startThread(name, [this] { this->implementation->context.run(); });
+    this->implementation->thread = startThread(name, [this] {
+        // run() returns only when the loop stops; after an exception the remaining handlers still have their turn.
+        while (!HandlerGuard::run("loop", [this] { this->implementation->context.run(); })) { }
+    });
 }
 
 bool EventLoop::tryStart(const std::string& name, Failure& failure)
@@ -76,11 +87,19 @@
 void EventLoop::repeat(Duration interval, Task task)
 {
     this->schedule(interval, [this, interval, task = std::move(task)] {
-        task();
+        HandlerGuard::run("periodic task", task);
         this->repeat(interval, task);
     });
 }
 
+void EventLoop::scheduleUntilDone(Duration delay, Task task)
+{
+    this->schedule(delay, [this, task = std::move(task)] {
+        if (!HandlerGuard::run("scheduled task", task))
+            this->scheduleUntilDone(failedTaskRetryDelay, task);
+    });
+}
+
 asio::io_context& EventLoop::getContext()
 {
     return this->implementation->context;
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -82,6 +82,7 @@
         events::portOpened,
         events::threadUnavailable,
         events::processEnded,
+        events::handlerFailed,
         events::sessionsExhausted,
         events::bundleInForce,
         events::bundleRefused,
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -3,6 +3,7 @@
 #include "../fleet/MeteredFleetStore.h"
 #include "RouteExplanationCodec.h"
 
+#include "lentiljunction/core/HandlerGuard.h"
 #include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/LogEvents.h"
 
@@ -169,6 +170,7 @@
 {
     GatewayMetrics::KnownState knownState = this->control.getKnownState();
     knownState.numClosedPorts = this->countClosedPorts();
+    knownState.numHandlerFailures = HandlerGuard::getNumFailures();
     this->metrics.setKnownState(knownState);
     this->trafficLoop.post([this, respond] {
         this->traffic.updateMetrics();
--- a/src/metrics/GatewayMetrics.cpp
+++ b/src/metrics/GatewayMetrics.cpp
@@ -92,6 +92,7 @@
     gauges.set({ { "fact", "instances" } }, static_cast<double>(knownState.numInstances));
     gauges.set({ { "fact", "upstreams" } }, static_cast<double>(knownState.numUpstreams));
     gauges.set({ { "fact", "closed_ports" } }, static_cast<double>(knownState.numClosedPorts));
+    gauges.set({ { "fact", "handler_failures" } }, static_cast<double>(knownState.numHandlerFailures));
     gauges.set({ { "fact", "peer_bytes_sent" } }, static_cast<double>(knownState.numPeerBytes));
     gauges.endUpdate();
 }
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "HttpMessage.h"
 #include "SocketOptions.h"
+#include "lentiljunction/core/HandlerGuard.h"
 
 #include <array>
 #include <asio/connect.hpp>
@@ -43,6 +44,8 @@
     void write();
     void read();
     void handleConnectionError(const asio::error_code& error);
+    void onBytes(std::size_t size);
+    void failUnlessDone(const std::string& reason);
     void fail(const std::string& reason);
     void complete();
     void retryOnNewConnection();
@@ -150,7 +153,8 @@
         if (connectError)
             return self->fail("cannot connect: " + connectError.message());
         setNoDelayAndKeepAlive(self->socket);
-        self->write();
+        if (!HandlerGuard::run("HTTP request", [&] { self->write(); }))
+            self->failUnlessDone("the request failed at this side");
     });
 }
 
@@ -175,16 +179,22 @@
             return;
         if (error)
             return self->handleConnectionError(error);
-        self->receivedBytes.append(self->buffer.data(), size);
-        Failure failure;
-        if (self->reader->consume(self->receivedBytes, failure))
-            return self->complete();
-        if (failure.kind != Failure::Kind::None)
-            return self->fail(failure.reason);
-        self->read();
+        if (!HandlerGuard::run("HTTP response", [&] { self->onBytes(size); }))
+            self->failUnlessDone("the response could not be handled");
     });
 }
 
+void HttpClient::Exchange::onBytes(std::size_t size)
+{
+    this->receivedBytes.append(this->buffer.data(), size);
+    Failure failure;
+    if (this->reader->consume(this->receivedBytes, failure))
+        return this->complete();
+    if (failure.kind != Failure::Kind::None)
+        return this->fail(failure.reason);
+    this->read();
+}
+
 void HttpClient::Exchange::handleConnectionError(const asio::error_code& error)
 {
     bool hasReceivedResponseData = this->reader->hasReceivedData();
@@ -205,6 +215,12 @@
     this->connect();
 }
 
+void HttpClient::Exchange::failUnlessDone(const std::string& reason)
+{
+    if (this->callback)
+        this->fail(reason);
+}
+
 void HttpClient::Exchange::fail(const std::string& reason)
 {
     // The reset discards unsent bytes: an abandoned request must not be executed later.
@@ -225,7 +241,12 @@
     std::shared_ptr<Implementation> client = this->owner.lock();
     if (canReuse && client != nullptr)
         client->addIdleExchange(this->shared_from_this());
-    done(std::move(response), Failure());
+    if (HandlerGuard::run("HTTP response", [&] { done(std::move(response), Failure()); }))
+        return;
+    // A caller that continues with its next call would otherwise never do so.
+    Failure failure;
+    failure.set(Failure::Kind::InDoubt, "the response could not be handled");
+    HandlerGuard::run("HTTP response", [&] { done(std::nullopt, failure); });
 }
 
 HttpClient::HttpClient(EventLoop& loop, Endpoint server)
--- a/src/net/OneShotTimer.cpp
+++ b/src/net/OneShotTimer.cpp
@@ -1,11 +1,20 @@
 #include "OneShotTimer.h"
 
+#include "lentiljunction/core/HandlerGuard.h"
+
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <optional>
 
 namespace lentiljunction {
 
+namespace {
+
+    /// Delay before a task that threw runs again, unless it has set the timer.
+    constexpr std::chrono::milliseconds failedTaskRetryDelay { 100 };
+
+} // namespace
+
 class OneShotTimer::Implementation : public std::enable_shared_from_this<OneShotTimer::Implementation> {
 public:
     Implementation(EventLoop& loop, const Clock& clock, std::function<void()> task)
@@ -44,7 +53,8 @@
         this->deadline.reset();
         // The task may destroy this timer, so a copy of the task runs.
         std::function<void()> running = this->task;
-        running();
+        if (!HandlerGuard::run("timer", running) && this->task && !this->deadline)
+            this->setTime(this->clock.now() + failedTaskRetryDelay);
     }
 
     asio::steady_timer timer;
--- a/src/net/TcpConnection.cpp
+++ b/src/net/TcpConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "SocketOptions.h"
 #include "lentiljunction/core/Buffers.h"
+#include "lentiljunction/core/HandlerGuard.h"
 
 #include <array>
 #include <asio/io_context.hpp>
@@ -41,7 +42,8 @@
                 return self->handleError(connectError);
             setNoDelayAndKeepAlive(self->socket);
             self->isOpen = true;
-            self->listener->onSocketOpened();
+            if (!HandlerGuard::run("connection", [&] { self->listener->onSocketOpened(); }))
+                return self->handleError(asio::error::connection_aborted);
             self->flush();
             self->read();
         });
@@ -58,13 +60,19 @@
                 return;
             if (error)
                 return self->handleError(error);
-            self->received.append(self->buffer.data(), size);
-            self->listener->onSocketBytes(self->received);
-            releaseIdleCapacity(self->received);
+            if (!HandlerGuard::run("connection", [&] { self->onBytes(size); }))
+                return self->handleError(asio::error::connection_aborted);
             self->read();
         });
     }
 
+    void onBytes(std::size_t size)
+    {
+        this->received.append(this->buffer.data(), size);
+        this->listener->onSocketBytes(this->received);
+        releaseIdleCapacity(this->received);
+    }
+
     void flush()
     {
         if (!this->isOpen || this->isWriting)
@@ -187,9 +195,8 @@
         this->acceptor.async_accept([self](const asio::error_code& error, asio::ip::tcp::socket socket) {
             if (error == asio::error::operation_aborted || !self->acceptor.is_open())
                 return;
-            if (error)
+            if (error || !HandlerGuard::run("accept", [&] { self->handleAccepted(std::move(socket)); }))
                 return self->retryAccept();
-            self->handleAccepted(std::move(socket));
             self->accept();
         });
     }
--- a/src/net/TcpConnection.h
+++ b/src/net/TcpConnection.h
@@ -12,7 +12,8 @@
 
 /// A TCP connection that passes received bytes to a listener.
 ///
-/// Everything runs on the thread of the event loop. After close() nothing is called any more.
+/// Everything runs on the thread of the event loop. After close() nothing is called any more. A connection whose listener
+/// throws is closed, and the listener is told as if the peer had closed it.
 class TcpConnection {
 public:
     /// Receives the events of a connection.
--- a/src/net/WebSocketClient.cpp
+++ b/src/net/WebSocketClient.cpp
@@ -2,6 +2,7 @@
 
 #include "SocketOptions.h"
 #include "WebSocketLibrary.h"
+#include "lentiljunction/core/HandlerGuard.h"
 #include "lentiljunction/core/LogEvents.h"
 
 #include <asio/io_context.hpp>
@@ -47,11 +48,15 @@
         }
 
         this->connections[handle] = connection;
-        connection->set_open_handler([this, handle](const websocketpp::connection_hdl&) { this->onOpen(handle); });
+        connection->set_open_handler([this, handle](const websocketpp::connection_hdl&) {
+            if (!HandlerGuard::run("WebSocket", [&] { this->onOpen(handle); }))
+                this->drop(handle);
+        });
         connection->set_fail_handler([this, handle](const websocketpp::connection_hdl&) { this->handleDisconnect(handle); });
         connection->set_close_handler([this, handle](const websocketpp::connection_hdl&) { this->handleDisconnect(handle); });
         connection->set_message_handler([this, handle](const websocketpp::connection_hdl&, const Client::message_ptr& message) {
-            this->listener.onMessage(handle, message->get_payload());
+            if (!HandlerGuard::run("WebSocket", [&] { this->listener.onMessage(handle, message->get_payload()); }))
+                this->drop(handle);
         });
         this->startConnecting(handle, connection);
         return handle;
@@ -66,7 +71,7 @@
     void handleDisconnect(Handle handle)
     {
         if (this->connections.erase(handle) > 0)
-            this->listener.onDisconnected(handle);
+            HandlerGuard::run("WebSocket", [&] { this->listener.onDisconnected(handle); });
     }
 
     /// Drops a session after the current task, because the caller may still use its state.
--- a/src/net/WebSocketServer.cpp
+++ b/src/net/WebSocketServer.cpp
@@ -2,6 +2,7 @@
 
 #include "SocketOptions.h"
 #include "WebSocketLibrary.h"
+#include "lentiljunction/core/HandlerGuard.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -33,11 +34,11 @@
         this->server.set_reuse_addr(true);
         this->server.set_max_http_body_size(limits.message);
         this->server.set_max_message_size(limits.message);
-        this->server.set_open_handler([this](websocketpp::connection_hdl connection) { this->onOpen(connection); });
-        this->server.set_close_handler([this](websocketpp::connection_hdl connection) { this->onClose(connection); });
-        this->server.set_http_handler([this](websocketpp::connection_hdl connection) { this->onHttp(connection); });
+        this->server.set_open_handler([this](websocketpp::connection_hdl connection) { this->guard(connection, [&] { this->onOpen(connection); }); });
+        this->server.set_close_handler([this](websocketpp::connection_hdl connection) { this->guard(connection, [&] { this->onClose(connection); }); });
+        this->server.set_http_handler([this](websocketpp::connection_hdl connection) { this->guard(connection, [&] { this->onHttp(connection); }); });
         this->server.set_message_handler([this](websocketpp::connection_hdl connection, Server::message_ptr message) {
-            this->onMessage(connection, message->get_payload(), message->get_opcode() == websocketpp::frame::opcode::binary);
+            this->guard(connection, [&] { this->onMessage(connection, message->get_payload(), message->get_opcode() == websocketpp::frame::opcode::binary); });
         });
     }
 
@@ -73,6 +74,19 @@
     std::unordered_map<Handle, ServerConnection> connections;
 
 private:
+    /// Runs a handler of a connection, and closes the connection if it throws.
+    template <typename Handler>
+    void guard(const websocketpp::connection_hdl& weak, Handler&& handler)
+    {
+        if (HandlerGuard::run("WebSocket", handler))
+            return;
+        websocketpp::lib::error_code error;
+        ServerConnection connection = this->server.get_con_from_hdl(weak, error);
+        asio::error_code ignored;
+        if (connection != nullptr)
+            connection->get_socket().close(ignored);
+    }
+
     void onAccepted(const ServerConnection& connection, const websocketpp::lib::error_code& acceptError)
     {
         if (acceptError == websocketpp::error::make_error_code(websocketpp::error::operation_canceled)) {
@@ -83,7 +97,7 @@
             connection->terminate(acceptError);
             return this->acceptLater();
         }
-        connection->start();
+        HandlerGuard::run("accept", [&] { connection->start(); });
         this->acceptNext();
     }
 
@@ -139,7 +153,10 @@
         connection->defer_http_response();
         Handle handle = this->nextHandle++;
         this->connections[handle] = connection;
-        this->listener.onHttpRequest(handle, { connection->get_request().get_method(), connection->get_resource(), connection->get_request_body() });
+        bool isHandled = HandlerGuard::run("HTTP request", [&] { this->listener.onHttpRequest(handle, { connection->get_request().get_method(), connection->get_resource(), connection->get_request_body() }); });
+        asio::error_code ignored;
+        if (!isHandled && this->connections.erase(handle) > 0)
+            connection->get_socket().close(ignored);
     }
 
     Handle add(const ServerConnection& connection)
