End a statement, a session or a grant whose handler threw

Cause: flags that are set for the length of a call (isGranting of a pool, isProcessing of a session) stayed set when an exception left it, and a granted connection stayed counted as running: the pool granted nothing for ever. A statement or a chain of store calls had no next event.

Change: ScopedFlag resets such a flag. A pool discards the connection of a grant whose handler threw. A connection to an upstream whose reply cannot be handled fails, and all its pending commands are told. A statement ends: in doubt once it was sent or on the connection of its transaction, else as not sent. A session whose handler threw closes without a reply. The chains of lists, routes, audit and lease renewal run again after a task of theirs threw (EventLoop::scheduleUntilDone).

That a sent write is in doubt has no test of its own.

--- a/include/lentiljunction/core/lj_core.h
+++ b/include/lentiljunction/core/lj_core.h
@@ -23,4 +23,5 @@
 #include "lentiljunction/core/Rank.h"
 #include "lentiljunction/core/RendezvousHash.h"
 #include "lentiljunction/core/Scheduler.h"
+#include "lentiljunction/core/ScopedFlag.h"
 #include "lentiljunction/core/Threads.h"
--- a/src/gateway/AuditWriter.cpp
+++ b/src/gateway/AuditWriter.cpp
@@ -33,7 +33,7 @@
 {
     if (std::exchange(this->isScheduled, true))
         return;
-    this->loop.schedule(writeDelay, [this] {
+    this->loop.scheduleUntilDone(writeDelay, [this] {
         this->isScheduled = false;
         this->write();
     });
@@ -83,7 +83,7 @@
             return this->rewriteNext();
         }
         logEvent(events::auditWriteFailed, "reason=\"" + failure.reason + "\"");
-        this->loop.schedule(writeDelay, [this] { this->rewriteNext(); });
+        this->loop.scheduleUntilDone(writeDelay, [this] { this->rewriteNext(); });
     });
 }
 
--- a/src/gateway/FleetLists.cpp
+++ b/src/gateway/FleetLists.cpp
@@ -127,7 +127,7 @@
     if (this->upstreams.isRelayed(sentAt)) {
         // Upstreams that are missing from a snapshot for long enough are removed only by another snapshot.
         this->listener.onUpstreamList(this->upstreamList);
-        this->loop.schedule(upstreamListInterval, [this] { this->listUpstreams(); });
+        this->loop.scheduleUntilDone(upstreamListInterval, [this] { this->listUpstreams(); });
         return;
     }
     this->store.listUpstreams([this, sentAt](const std::optional<std::shared_ptr<const UpstreamList>>& list, const Failure& failure) {
@@ -141,7 +141,7 @@
         if (list)
             this->upstreamRetries.onSuccess();
         Duration next = list ? Duration(upstreamListInterval) : this->upstreamRetries.onFailure();
-        this->loop.schedule(next, [this] { this->listUpstreams(); });
+        this->loop.scheduleUntilDone(next, [this] { this->listUpstreams(); });
     });
 }
 
@@ -151,7 +151,7 @@
     Duration next = this->numMemberLists++ < numStartupMemberLists ? Duration(startupMemberListInterval) : Duration(memberListInterval);
     BootTime sentAt = this->clock.bootNow();
     if (this->members.isRelayed(sentAt)) {
-        this->loop.schedule(next, [this] { this->listMembers(); });
+        this->loop.scheduleUntilDone(next, [this] { this->listMembers(); });
         return;
     }
     this->store.listMembers(false, [this, sentAt, next](const std::optional<std::vector<FleetMember>>& list, const Failure& failure) {
@@ -162,7 +162,7 @@
         } else {
             logEvent(events::storeCallFailed, "call=list_members reason=\"" + failure.reason + "\"");
         }
-        this->loop.schedule(next, [this] { this->listMembers(); });
+        this->loop.scheduleUntilDone(next, [this] { this->listMembers(); });
     });
 }
 
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -85,7 +85,7 @@
 {
     if (std::exchange(this->isRenewalScheduled, true))
         return;
-    this->dependencies.controlLoop.schedule(delay, [this] {
+    this->dependencies.controlLoop.scheduleUntilDone(delay, [this] {
         this->isRenewalScheduled = false;
         this->renewLease();
     });
--- a/src/gateway/RouteWatcher.cpp
+++ b/src/gateway/RouteWatcher.cpp
@@ -121,7 +121,7 @@
     // Other instances must not rely on this one while it cannot reach the store.
     this->confirmedAt.reset();
     this->keyFreshness.onStoreFailed(failure.isResponse);
-    this->loop.schedule(this->storeRetries.onFailure(), [this] { this->retryUnlessRelayed(); });
+    this->loop.scheduleUntilDone(this->storeRetries.onFailure(), [this] { this->retryUnlessRelayed(); });
 }
 
 void RouteWatcher::retryUnlessRelayed()
--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -3,7 +3,9 @@
 #include "LocalStatements.h"
 
 #include "lentiljunction/core/Buffers.h"
+#include "lentiljunction/core/HandlerGuard.h"
 #include "lentiljunction/core/LogEvents.h"
+#include "lentiljunction/core/ScopedFlag.h"
 
 #include <utility>
 
@@ -29,7 +31,7 @@
     , listener(listener)
     , socket(std::move(socket))
     , key(state)
-    , idleTimer(state.getLoop(), state.getClock(), [this] { this->onIdleLimit(); })
+    , idleTimer(state.getLoop(), state.getClock(), [this] { this->guard([this] { this->onIdleLimit(); }); })
 {
 }
 
@@ -69,6 +71,14 @@
     this->closeNow();
 }
 
+void CallerSession::guard(const std::function<void()>& handler)
+{
+    if (HandlerGuard::run("session", handler) || this->hasEnded)
+        return;
+    this->socket->close();
+    this->endSession();
+}
+
 void CallerSession::endSession()
 {
     if (std::exchange(this->hasEnded, true))
@@ -103,7 +113,18 @@
     // Statements run one at a time; pipelined ones wait in the buffer.
     if (this->isProcessing)
         return;
-    this->isProcessing = true;
+    this->processMessages();
+    releaseIdleCapacity(this->buffered);
+    // A caller that does not wait for its responses is slowed down instead of filling the memory. A message that is still
+    // incomplete needs more bytes.
+    bool isWaiting = this->isRunning() || this->isContinuing;
+    if (!this->hasEnded)
+        this->socket->setReading(!isWaiting || this->buffered.size() < maximumBufferedBytes);
+}
+
+void CallerSession::processMessages()
+{
+    ScopedFlag processing(this->isProcessing);
     int numMessages = 0;
     while (!this->hasEnded && !this->isRunning() && !this->buffered.empty()) {
         if (++numMessages > maximumMessagesPerTurn) {
@@ -131,13 +152,6 @@
             this->closeNow();
         }
     }
-    this->isProcessing = false;
-    releaseIdleCapacity(this->buffered);
-    // A caller that does not wait for its responses is slowed down instead of filling the memory. A message that is still
-    // incomplete needs more bytes.
-    bool isWaiting = this->isRunning() || this->isContinuing;
-    if (!this->hasEnded)
-        this->socket->setReading(!isWaiting || this->buffered.size() < maximumBufferedBytes);
 }
 
 void CallerSession::continueLater()
@@ -149,7 +163,7 @@
         if (alive.expired())
             return;
         this->isContinuing = false;
-        this->processBuffered();
+        this->guard([this] { this->processBuffered(); });
     });
 }
 
@@ -263,11 +277,13 @@
     if (quota == nullptr || this->key.getWorkspace().isEmpty())
         return this->startOperation(std::move(statement), mode, routes, route);
     this->admission.request(*quota, this->key.getWorkspace(), [this, statement = std::move(statement), mode, routes, &route](const std::optional<AdmissionRefusal>& refusal) {
-        if (refusal)
-            this->reply(ReplyCode::Busy, TransactionState::Idle, refusal->message, refusal->cause);
-        else
-            this->startOperation(statement, mode, routes, route);
-        this->processBuffered();
+        this->guard([&] {
+            if (refusal)
+                this->reply(ReplyCode::Busy, TransactionState::Idle, refusal->message, refusal->cause);
+            else
+                this->startOperation(statement, mode, routes, route);
+            this->processBuffered();
+        });
     });
 }
 
@@ -301,8 +317,10 @@
         this->run = nullptr;
         // Without a held connection the first statement acquires one.
         this->held = result.held;
-        this->restartIdleTimer();
-        this->processBuffered();
+        this->guard([this] {
+            this->restartIdleTimer();
+            this->processBuffered();
+        });
     });
     std::shared_ptr<StatementRun> started = this->run;
     started->start();
@@ -354,7 +372,9 @@
 
     this->idleTimer.clear();
     this->run = std::make_shared<StatementRun>(this->state, this->context, request, [this, request](StatementRun::Result result) {
-        this->onRunFinished(request, std::move(result));
+        this->run = nullptr;
+        this->held = result.held;
+        this->guard([&] { this->onRunFinished(request, result); });
     });
     std::shared_ptr<StatementRun> started = this->run;
     if (this->held.isHeld())
@@ -363,10 +383,8 @@
         started->start();
 }
 
-void CallerSession::onRunFinished(const StatementRequest& request, StatementRun::Result result)
+void CallerSession::onRunFinished(const StatementRequest& request, const StatementRun::Result& result)
 {
-    this->run = nullptr;
-    this->held = result.held;
     if (!request.traits.isInTransaction && result.numAttempts == 0)
         this->admission.giveBack();
     if (result.commit)
--- a/src/traffic/CallerSession.h
+++ b/src/traffic/CallerSession.h
@@ -7,6 +7,7 @@
 #include "lentiljunction/interactive/SessionContext.h"
 #include "lentiljunction/interactive/SessionProtocol.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -90,10 +91,13 @@
     void beginEarly(const SessionStatement& begin);
     void restartIdleTimer();
     void startRun(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route);
-    void onRunFinished(const StatementRequest& request, StatementRun::Result result);
+    void onRunFinished(const StatementRequest& request, const StatementRun::Result& result);
     void reply(ReplyCode code, TransactionState newState, const std::string& message, FailureCause cause = FailureCause::NotAllowed);
     void send(const SessionReply& answer);
     void processBuffered();
+    void processMessages();
+    /// Runs a handler. If it throws, the session closes without a reply, so the caller knows nothing of its statement.
+    void guard(const std::function<void()>& handler);
     /// Handles the remaining messages after the other tasks of the loop.
     void continueLater();
     void onIdleLimit();
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -2,6 +2,7 @@
 
 #include "SessionKey.h"
 
+#include "lentiljunction/core/HandlerGuard.h"
 #include "lentiljunction/core/LogEvents.h"
 
 #include <algorithm>
@@ -22,7 +23,7 @@
     , request(std::move(request))
     , callback(std::move(callback))
     , deadlines(*this->request.requirement.route, this->request.statement.verb, this->request.arrivedAt)
-    , timer(state.getLoop(), state.getClock(), [this] { this->onTimer(); })
+    , timer(state.getLoop(), state.getClock(), [this] { this->guard([this] { this->onTimer(); }); })
     , health(state)
 {
 }
@@ -42,7 +43,20 @@
     if (!this->isWaitingForTarget || this->isDone)
         return;
     this->isWaitingForTarget = false;
-    this->attempt();
+    this->guard([this] { this->attempt(); });
+}
+
+void StatementRun::guard(const std::function<void()>& handler)
+{
+    std::shared_ptr<StatementRun> self = this->shared_from_this();
+    if (HandlerGuard::run("statement", handler) || this->isDone)
+        return;
+    this->attemptNumber++;
+    this->isAwaitingVerification = false;
+    bool mayHaveRun = this->isStatementSent || this->isOnHeldConnection;
+    this->failure.set(mayHaveRun ? FailureCause::ConnectionLostAfterSend : FailureCause::ConnectionLostBeforeSend);
+    this->discardConnection();
+    this->concludeAttempt(mayHaveRun ? AttemptOutcome::ConnectionLost : AttemptOutcome::NotSent, SessionReply(), false);
 }
 
 void StatementRun::cancel()
@@ -90,7 +104,7 @@
     ConnectionSource::Ticket pendingTicket = this->target.source->acquire(needed, [self](StatementConnection* connection, ConnectionSource::Denial denial) {
         self->ticket = 0;
         if (!self->isDone)
-            self->onGranted(connection, denial);
+            self->guard([&] { self->onGranted(connection, denial); });
         else if (connection != nullptr)
             self->target.source->release(connection);
     });
@@ -164,7 +178,7 @@
     for (std::size_t index = 0; index < commands.size() && number == this->attemptNumber; index++) {
         bool isLast = index + 1 == commands.size();
         this->held.connection->send(commands[index], [self, isLast, isBegin = mustBegin && isLast, number](const std::optional<SessionReply>& reply) {
-            self->onPrepared(reply, isLast, isBegin, number);
+            self->guard([&] { self->onPrepared(reply, isLast, isBegin, number); });
         });
     }
 }
@@ -230,7 +244,7 @@
     std::shared_ptr<StatementRun> self = this->shared_from_this();
     StatementConnection::ReplyCallback callback = [self, number = this->attemptNumber](std::optional<SessionReply> reply) {
         if (!self->isDone && number == self->attemptNumber)
-            self->onReply(std::move(reply));
+            self->guard([&] { self->onReply(std::move(reply)); });
     };
     if (this->request.traits.isInTransaction && !this->request.traits.isCommit)
         this->held.connection->send(command, std::move(callback));
@@ -273,10 +287,12 @@
     this->state.getVerifier().verify(group, primary, [self, group, primary, reply = std::move(reply)](bool isVerified) {
         if (self->isDone || !std::exchange(self->isAwaitingVerification, false))
             return;
-        bool isValid = isVerified && self->state.isKnownPrimary(group, primary);
-        if (isValid && reply.head)
-            self->state.addVerifiedHead(group, primary, *reply.head, self->sentAt);
-        self->concludeAttempt(isValid ? AttemptOutcome::Success : AttemptOutcome::SuccessUnverified, reply);
+        self->guard([&] {
+            bool isValid = isVerified && self->state.isKnownPrimary(group, primary);
+            if (isValid && reply.head)
+                self->state.addVerifiedHead(group, primary, *reply.head, self->sentAt);
+            self->concludeAttempt(isValid ? AttemptOutcome::Success : AttemptOutcome::SuccessUnverified, reply);
+        });
     });
 }
 
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -73,6 +73,8 @@
 
 private:
     void attempt();
+    /// Runs a handler. If it throws, the statement ends: in doubt once it was sent.
+    void guard(const std::function<void()>& handler);
     /// Refuses the statement if its caller's key is no longer accepted.
     ///
     /// @returns whether the statement was refused
--- a/src/traffic/TcpUpstreamConnection.cpp
+++ b/src/traffic/TcpUpstreamConnection.cpp
@@ -1,5 +1,7 @@
 #include "TcpUpstreamConnection.h"
 
+#include "lentiljunction/core/HandlerGuard.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -122,7 +124,12 @@
     this->lastAnswered = Answered { sentAt, std::chrono::duration_cast<Duration>(this->clock.now() - sentAt) };
     ReplyCallback callback = std::move(this->pendingReplies.front().callback);
     this->pendingReplies.pop_front();
-    callback(std::move(reply));
+    std::shared_ptr<bool> alive = this->isAlive;
+    if (HandlerGuard::run("reply", [&] { callback(std::move(reply)); }))
+        return;
+    HandlerGuard::run("reply", [&] { callback(std::nullopt); });
+    if (*alive)
+        this->fail(LossCause::Silent, "a reply could not be handled");
 }
 
 void TcpUpstreamConnection::onSocketClosed(const std::string& reason, bool isRefused)
@@ -143,7 +150,7 @@
     std::shared_ptr<bool> alive = this->isAlive;
     std::deque<PendingReply> unanswered = std::exchange(this->pendingReplies, {});
     for (PendingReply& pending : unanswered) {
-        pending.callback(std::nullopt);
+        HandlerGuard::run("reply", [&] { pending.callback(std::nullopt); });
         if (!*alive)
             return;
     }
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -1,8 +1,10 @@
 #include "UpstreamPool.h"
 
 #include "TcpUpstreamConnection.h"
+#include "lentiljunction/core/HandlerGuard.h"
 #include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/core/ProcessEnd.h"
+#include "lentiljunction/core/ScopedFlag.h"
 #include "lentiljunction/lending/LendingPlan.h"
 
 #include <algorithm>
@@ -105,7 +107,9 @@
     return [this, kind, grant = std::move(grant)](StatementConnection* connection, Denial denial) {
         if (connection != nullptr)
             this->connections.find(connection)->kind = kind;
-        grant(connection, denial);
+        // In what state a handler that threw left the connection is not known.
+        if (!HandlerGuard::run("grant", [&] { grant(connection, denial); }) && connection != nullptr)
+            this->discard(connection);
     };
 }
 
@@ -283,7 +287,7 @@
     // A grant callback may release or acquire a connection and so call this function again; the outer loop continues.
     if (this->isGranting || this->isClosed)
         return;
-    this->isGranting = true;
+    ScopedFlag granting(this->isGranting);
     while (!this->queue.isEmpty() && this->numActive < this->concurrency->getLimit()) {
         this->openIfNeeded();
         if (!this->connections.hasIdle({ WorkspaceId(), true }))
@@ -300,7 +304,6 @@
         this->counters.numGrantsOfIdle += next->foundIdle ? 1 : 0;
         next->grant(pooled->connection.get(), Denial::TooLong);
     }
-    this->isGranting = false;
 }
 
 void UpstreamPool::openIfNeeded()
--- a/tests/unit/HandlerGuardTests.cpp
+++ b/tests/unit/HandlerGuardTests.cpp
@@ -1,5 +1,7 @@
 #include "../../src/net/TcpConnection.h"
+#include "../support/PoolBench.h"
 #include "lentiljunction/core/EventLoop.h"
+#include "lentiljunction/core/HandlerGuard.h"
 
 #include <atomic>
 #include <future>
@@ -92,3 +94,17 @@
     CHECK_TRUE(isSoon(connecting.closed));
     loop.stop();
 }
+
+// After a granted request's handler had thrown, the pool granted nothing for ever, and the connection was counted as running.
+TEST(HandlerGuard, poolGrantsToTheNextRequestAfterAHandlerThrew)
+{
+    tests::PoolBench bench(1);
+    UpstreamPool& pool = bench.getPool();
+    pool.acquire(bench.makeRequest("w0", std::chrono::seconds(1)), [](StatementConnection*, ConnectionSource::Denial) { throw std::runtime_error("a grant"); });
+    int numServed = 0;
+    bench.run("w0", std::chrono::seconds(5), Duration(0), [&numServed](std::optional<Duration> took) { numServed += took ? 1 : 0; });
+    for (int count = 0; count < 20; count++)
+        HandlerGuard::run("test", [&bench] { bench.advance(std::chrono::milliseconds(100)); });
+    LONGS_EQUAL(1, numServed);
+    LONGS_EQUAL(0, pool.getNumRunning());
+}
