Accept every form of the deployment's fields

Cause: a whole number rendered with a decimal point (max_fds 4300.0), a grace period under 1 s or over 600 s, a short or long window and a large overage or slack were faults of the settings, and the process ended with code 2.

Negative values, fractions of counts, a window of 0 and texts stay faults.

--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <asio/ip/address.hpp>
 #include <charconv>
+#include <cmath>
+#include <limits>
 #include <set>
 #include <sstream>
 
@@ -17,10 +19,12 @@
         "instance.id", "instance.zone", "sessions.listen", "ready.listen", "peers.listen", "peers.seeds", "lending.listen",
         "quota.listen", "quota.window_s", "quota.overage", "quota.slack", "capacity.discover", "upstream_health.eject", "metrics.listen", "store.endpoint", "store.first_start", "promotion.endpoint", "limits.descriptors", "drain.grace_s"
     };
-    constexpr double longestSeconds = 600;
+    constexpr double shortestQuotaWindowSeconds = 0.001;
+    constexpr double longestSeconds = 86400;
     constexpr std::size_t fewestDescriptors = 64;
-    constexpr double maximumQuotaOverage = 10;
-    constexpr double maximumQuotaSlack = 1000000;
+    constexpr double maximumCount = std::numeric_limits<std::int32_t>::max();
+    constexpr double maximumQuotaOverage = 1000;
+    constexpr double maximumQuotaSlack = 1e12;
 
     template <typename T>
     std::optional<T> parseNumber(const std::string& text)
@@ -93,9 +97,9 @@
             return endpoints;
         }
 
-        std::chrono::milliseconds getSeconds(const std::string& section, const std::string& key, std::chrono::milliseconds fallback)
+        std::chrono::milliseconds getSeconds(const std::string& section, const std::string& key, std::chrono::milliseconds fallback, double minimum)
         {
-            double seconds = this->getDecimal(section, key, std::chrono::duration<double>(fallback).count(), 1, longestSeconds);
+            double seconds = this->getDecimal(section, key, std::chrono::duration<double>(fallback).count(), minimum, longestSeconds);
             return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
         }
 
@@ -125,9 +129,10 @@
             std::optional<std::string> value = this->findOptional(section, key);
             if (!value)
                 return std::nullopt;
-            std::optional<std::size_t> number = parseNumber<std::size_t>(*value);
-            if (number && *number >= minimum)
-                return number;
+            // Writers may render a whole number with a decimal point.
+            std::optional<double> number = parseNumber<double>(*value);
+            if (number && *number >= static_cast<double>(minimum) && *number <= maximumCount && std::trunc(*number) == *number)
+                return static_cast<std::size_t>(*number);
             this->addFault(section, key, *value, "a whole number of " + std::to_string(minimum) + " or more");
             return std::nullopt;
         }
@@ -191,7 +196,7 @@
         settings.lending = reader.getListenAddress("lending");
     if (document.find("quota", "listen"))
         settings.quota = reader.getListenAddress("quota");
-    settings.quotaTolerance.window = reader.getSeconds("quota", "window_s", settings.quotaTolerance.window);
+    settings.quotaTolerance.window = reader.getSeconds("quota", "window_s", settings.quotaTolerance.window, shortestQuotaWindowSeconds);
     settings.quotaTolerance.overage = reader.getDecimal("quota", "overage", settings.quotaTolerance.overage, 0, maximumQuotaOverage);
     settings.quotaTolerance.slack = reader.getDecimal("quota", "slack", settings.quotaTolerance.slack, 0, maximumQuotaSlack);
     settings.metrics = reader.getListenAddress("metrics");
@@ -202,7 +207,7 @@
     settings.discoversCapacity = reader.getFlag("capacity", "discover", settings.discoversCapacity);
     settings.ejectsUpstreams = reader.getFlag("upstream_health", "eject", settings.ejectsUpstreams);
     settings.maximumDescriptors = reader.getCount("limits", "descriptors", fewestDescriptors);
-    settings.shutdownGrace = reader.getSeconds("drain", "grace_s", settings.shutdownGrace);
+    settings.shutdownGrace = reader.getSeconds("drain", "grace_s", settings.shutdownGrace, 0);
     reader.rejectUnknownKeys();
     if (reader.getFaults().empty())
         return settings;
--- a/tests/unit/GatewaySettingsTests.cpp
+++ b/tests/unit/GatewaySettingsTests.cpp
@@ -2,14 +2,70 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <unistd.h>
 #include <utility>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 using namespace lentiljunction;
 
+namespace {
+
+/// @returns the value at a path such as "bounds.grace_s" or "internal_ports.0", or null
+nlohmann::json findValue(const nlohmann::json& fields, std::string path)
+{
+    std::replace(path.begin(), path.end(), '.', '/');
+    nlohmann::json::json_pointer pointer("/" + path);
+    return fields.contains(pointer) ? fields.at(pointer) : nlohmann::json();
+}
+
+/// Renders a value as the platform does: lists are joined by commas, tables are JSON, and a missing value is empty.
+std::string renderValue(const nlohmann::json& value)
+{
+    if (value.is_string())
+        return value.get<std::string>();
+    if (!value.is_array())
+        return value.is_null() ? "" : value.dump();
+    std::string text;
+    for (const nlohmann::json& entry : value)
+        text += (text.empty() ? "" : ",") + renderValue(entry);
+    return text;
+}
+
+/// Fills in the sections and placeholders of the deployment's template.
+std::string renderTemplate(std::string text, const nlohmann::json& fields)
+{
+    for (std::size_t begin = text.find("{{"); begin != std::string::npos; begin = text.find("{{", begin)) {
+        std::size_t end = text.find("}}", begin) + 2;
+        std::string name = text.substr(begin + 2, end - begin - 4);
+        if (name.front() != '#') {
+            text.replace(begin, end - begin, name.front() == '/' ? "" : renderValue(findValue(fields, name)));
+            continue;
+        }
+        nlohmann::json value = findValue(fields, name.substr(1));
+        bool isRendered = !value.is_null() && value != false;
+        std::size_t close = text.find("{{/" + name.substr(1) + "}}", end);
+        text.erase(begin, (isRendered ? end : close) - begin);
+    }
+    return text;
+}
+
+/// @returns fields of a deployment that enforces limits, with one that is not known yet
+nlohmann::json makeFields()
+{
+    return { { "node_name", "front-1" }, { "zone", "ba" }, { "ip", "10.1.0.8" }, { "bootstrap", true }, { "unknown", { { "new", 1 } } },
+        { "zones", { { "ba", "west" } } }, { "seeds", { "10.1.0.8:8782", "10.2.0.6:8782", "10.3.0.7:8782" } }, { "internal_ports", { 7440, 7455 } },
+        { "listen", { { "front", "10.1.0.8:8784" }, { "ready", "10.1.0.8:8785" }, { "control", "10.1.0.8:8782" } } },
+        { "limits", { { "max_fds", 4300 } } }, { "platform", { { "address", "10.200.1.7:8783" } } }, { "cloud", { { "address", "10.200.0.160:8783" } } },
+        { "bounds", { { "grace_s", 6 }, { "quota_window_s", 5 }, { "quota_overage", 0.1 }, { "quota_slack", 20 } } } };
+}
+
+} // namespace
+
 TEST_GROUP(GatewaySettings)
 {
     std::string path = "/tmp/lj-gateway-settings-" + std::to_string(::getpid()) + ".ini";
@@ -17,6 +73,18 @@
 
     void teardown() override { std::remove(path.c_str()); }
 
+    /// Loads the deployment's template with one field of another form.
+    std::optional<GatewaySettings> loadWith(const std::string& pointer, const nlohmann::json& value)
+    {
+        std::ifstream stream(std::string(LENTILJUNCTION_SOURCE_DIR) + "/deploy/node.ini");
+        std::string text((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
+        nlohmann::json fields = makeFields();
+        fields[nlohmann::json::json_pointer(pointer)] = value;
+        this->write(renderTemplate(text, fields));
+        this->failure = Failure();
+        return loadGatewaySettings(this->path, this->failure);
+    }
+
     void write(const std::string& text) { std::ofstream(path) << text; }
 };
 
@@ -115,3 +183,40 @@
     for (const char* part : { "[sessions] listen = \"front:1\"", "[ready] listen = \"10.1.0:2\"" })
         STRCMP_CONTAINS(part, failure.reason.c_str());
 }
+
+// A deployment whose fields had another form that is allowed, such as a decimal or a small grace period, did not start.
+TEST(GatewaySettings, everyAllowedFormOfFieldsIsValid)
+{
+    const std::vector<std::pair<std::string, std::vector<nlohmann::json>>> forms {
+        { "/seeds", { { "10.1.0.8:8782" }, { "10.1.0.8:8782", "10.2.0.6:8782" }, nlohmann::json::array(), nullptr } },
+        { "/bootstrap", { true, false, nullptr } },
+        { "/cloud", { nullptr, nlohmann::json::object() } },
+        { "/unknown", { nlohmann::json::array({ 1, 2 }) } },
+        { "/limits/max_fds", { 4300, 4300.0, 64, 1048576, 1e6, nullptr } },
+        { "/limits", { nullptr } },
+        { "/bounds/grace_s", { 6, 6.0, 6.5, 1, 0.5, 0, 0.001, 601, 3600, 1e4, nullptr } },
+        { "/bounds", { nullptr, { { "grace_s", 5 } } } },
+        { "/bounds/quota_window_s", { 5, 2.5, 0.5, 0.05, 900, false, nullptr } },
+        { "/bounds/quota_overage", { 0, 0.1, 1, 12, 1e-5, nullptr } },
+        { "/bounds/quota_slack", { 0, 20, 0.5, 2000000, nullptr } },
+    };
+    for (const std::pair<std::string, std::vector<nlohmann::json>>& form : forms) {
+        for (const nlohmann::json& value : form.second)
+            CHECK_TEXT(this->loadWith(form.first, value).has_value(), (form.first + " " + value.dump() + ": " + this->failure.reason).c_str());
+    }
+    CHECK_EQUAL(4300, this->loadWith("/limits/max_fds", 4300.0)->maximumDescriptors.value_or(0));
+    CHECK_EQUAL(500, this->loadWith("/bounds/grace_s", 0.5)->shutdownGrace.count());
+    CHECK_FALSE(this->loadWith("/bounds/quota_window_s", nullptr)->quota.has_value());
+    CHECK_TRUE(this->loadWith("/seeds", nullptr)->seeds.empty());
+}
+
+// Values that no deployment can mean stay faults.
+TEST(GatewaySettings, formsThatCannotBeMeantAreFaults)
+{
+    const std::vector<std::pair<std::string, nlohmann::json>> forms {
+        { "/limits/max_fds", 4300.5 }, { "/limits/max_fds", -1 }, { "/bounds/grace_s", -1 }, { "/bounds/grace_s", true }, { "/bounds/quota_window_s", 0 },
+        { "/bounds/quota_overage", -0.1 }, { "/bounds/quota_slack", "nan" }, { "/listen/front", nullptr }, { "/zone", nullptr }
+    };
+    for (const std::pair<std::string, nlohmann::json>& form : forms)
+        CHECK_TEXT(!this->loadWith(form.first, form.second), (form.first + " " + form.second.dump()).c_str());
+}
