Keep the memory that callers hold within a budget

Cause: each connection had a bound of its own, but their sum had none; session values and prepared statements had none at all.

Change: limits.memory (from the machine's memory). MemoryBudget decides, MemoryAccount sums up what sessions hold: received, waiting, unsent bytes, values and prepared statements. Above three quarters of the budget the sessions that hold most without running a statement are closed, with a busy error where the caller reads; above all of it new operations are refused at once (no_memory).

Both new tests fail with the program before, given the same settings without the new key, and pass on this.

--- a/include/lentiljunction/admission/lj_admission.h
+++ b/include/lentiljunction/admission/lj_admission.h
@@ -7,6 +7,8 @@
 #include "lentiljunction/admission/ConcurrencyPolicy.h"
 #include "lentiljunction/admission/DescriptorBudget.h"
 #include "lentiljunction/admission/LoadShedder.h"
+#include "lentiljunction/admission/MemoryAccount.h"
+#include "lentiljunction/admission/MemoryBudget.h"
 #include "lentiljunction/admission/RankQueue.h"
 #include "lentiljunction/admission/RetryBudget.h"
 #include "lentiljunction/admission/SharedConcurrencyLimit.h"
--- a/include/lentiljunction/interactive/FailureCause.h
+++ b/include/lentiljunction/interactive/FailureCause.h
@@ -39,6 +39,8 @@
     OverLimit,
     /// No instance that decides on the workspace's limit responded in time.
     LimitUndecided,
+    /// The instance has no memory for the statement.
+    NoMemory,
 };
 
 /// @returns the name of a cause for logs and metrics
--- a/include/lentiljunction/interactive/SessionContext.h
+++ b/include/lentiljunction/interactive/SessionContext.h
@@ -34,13 +34,16 @@
     };
 
     /// Sets a session value.
-    void setValue(const std::string& name, const std::string& value) { this->values[name] = value; }
+    void setValue(const std::string& name, const std::string& value);
 
     /// Adds a prepared statement, or replaces the one of the same name.
-    void prepare(const std::string& name, const PreparedShape& shape) { this->prepared[name] = shape; }
+    void prepare(const std::string& name, const PreparedShape& shape);
 
     /// @returns whether the name was known
-    bool deallocate(const std::string& name) { return this->prepared.erase(name) > 0; }
+    bool deallocate(const std::string& name);
+
+    /// @returns the bytes of the values, the prepared statements and their names
+    std::size_t getSize() const { return this->size; }
 
     /// @returns the shape of a prepared statement, or nullptr
     const PreparedShape* findPrepared(const std::string& name) const;
@@ -64,6 +67,7 @@
 
     std::map<std::string, std::string> values;
     std::map<std::string, PreparedShape> prepared;
+    std::size_t size = 0;
 };
 
 } // namespace lentiljunction
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -18,6 +18,7 @@
 namespace {
 
     constexpr int httpOk = 200;
+    constexpr std::size_t bytesPerMebibyte = 1U << 20;
     constexpr int httpBadRequest = 400;
     constexpr int httpNotFound = 404;
     constexpr int httpUnavailable = 503;
@@ -100,6 +101,8 @@
 void GatewayInstance::start()
 {
     this->traffic.setDescriptorBudget(makeDescriptorBudget(this->settings));
+    if (this->settings.maximumMemory)
+        this->traffic.setMemoryBudget(MemoryBudget(*this->settings.maximumMemory * bytesPerMebibyte));
     if (this->settings.ejectsUpstreams)
         this->traffic.ejectFailingUpstreams();
     if (this->settings.discoversCapacity)
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -46,6 +46,8 @@
     bool ejectsUpstreams = false;
     /// The file descriptors that the process may open; empty when its own limit counts.
     std::optional<std::size_t> maximumDescriptors;
+    /// The memory of the process in MiB; empty when callers may fill any.
+    std::optional<std::size_t> maximumMemory;
     /// Time from the termination signal until the process is killed.
     std::chrono::milliseconds shutdownGrace { 6000 };
 };
--- a/src/interactive/FailureCause.cpp
+++ b/src/interactive/FailureCause.cpp
@@ -14,7 +14,7 @@
         const char* forOperator;
     };
 
-    constexpr std::array<Description, 17> descriptions { {
+    constexpr std::array<Description, 18> descriptions { {
         { FailureCause::None, "none", "", "The statement did not fail." },
         { FailureCause::NoPrimary, "no_primary", "no primary may be used",
             "Either the instance could not confirm who leads (events 411, 223), or the group's primary was being replaced (401 to 403, 413)." },
@@ -48,6 +48,8 @@
             "The workspace sent more operations than its limit in the routing configuration allows: compare lentiljunction_quota_refused at all instances." },
         { FailureCause::LimitUndecided, "limit_undecided", "the limit of the workspace could not be checked in time",
             "The instance that decides on the limit did not respond: look for events 550 and 551." },
+        { FailureCause::NoMemory, "no_memory", "the instance has no memory for the statement",
+            "Statements that wait or run held the memory that callers may hold: look for event 524 with held=." },
     } };
 
     const Description& find(FailureCause cause)
--- a/src/interactive/SessionContext.cpp
+++ b/src/interactive/SessionContext.cpp
@@ -4,6 +4,39 @@
 
 namespace lentiljunction {
 
+namespace {
+
+    /// The memory of an entry beside its texts, in bytes.
+    constexpr std::size_t entrySize = 128;
+
+} // namespace
+
+void SessionContext::setValue(const std::string& name, const std::string& value)
+{
+    std::pair<std::map<std::string, std::string>::iterator, bool> inserted = this->values.emplace(name, std::string());
+    if (inserted.second)
+        this->size += entrySize + name.size();
+    this->size += value.size() - inserted.first->second.size();
+    inserted.first->second = value;
+}
+
+void SessionContext::prepare(const std::string& name, const PreparedShape& shape)
+{
+    this->deallocate(name);
+    this->prepared.emplace(name, shape);
+    this->size += entrySize + name.size() + shape.shape.size();
+}
+
+bool SessionContext::deallocate(const std::string& name)
+{
+    std::map<std::string, PreparedShape>::iterator found = this->prepared.find(name);
+    if (found == this->prepared.end())
+        return false;
+    this->size -= entrySize + name.size() + found->second.shape.size();
+    this->prepared.erase(found);
+    return true;
+}
+
 const PreparedShape* SessionContext::findPrepared(const std::string& name) const
 {
     std::map<std::string, PreparedShape>::const_iterator found = this->prepared.find(name);
--- a/src/net/TcpConnection.cpp
+++ b/src/net/TcpConnection.cpp
@@ -167,6 +167,11 @@
         this->implementation->read();
 }
 
+std::size_t TcpConnection::getBufferedBytes() const
+{
+    return this->implementation->received.capacity() + this->implementation->pendingBytes.capacity() + this->implementation->bytesInFlight.capacity();
+}
+
 void TcpConnection::closeAfterSending()
 {
     this->implementation->mustCloseAfterSending = true;
--- a/src/net/TcpConnection.h
+++ b/src/net/TcpConnection.h
@@ -52,6 +52,9 @@
     /// is stopped, the end of the connection is not noticed.
     void setReading(bool isWanted);
 
+    /// @returns the memory of the bytes that are not consumed or not sent
+    std::size_t getBufferedBytes() const;
+
     /// Closes the connection once all queued bytes are sent. The listener is not called any more.
     void closeAfterSending();
 
--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -18,6 +18,10 @@
     /// Bytes that wait behind a running statement before no more are read.
     constexpr std::size_t maximumBufferedBytes = 65536;
 
+    /// Copies of a statement that exist while it waits and runs.
+    constexpr std::size_t statementCopies = 5;
+    constexpr std::size_t maximumReadSize = 4096;
+
     bool isTransactionControl(SessionVerb verb)
     {
         return verb == SessionVerb::Begin || verb == SessionVerb::Rollback;
@@ -30,6 +34,7 @@
     , protocol(protocol)
     , listener(listener)
     , socket(std::move(socket))
+    , memory(state.getMemory())
     , key(state)
     , idleTimer(state.getLoop(), state.getClock(), [this] { this->guard([this] { this->onIdleLimit(); }); })
 {
@@ -89,6 +94,7 @@
     this->admission.cancel();
     this->held.rollBackAndRelease();
     this->idleTimer.clear();
+    this->memory.set(0);
     this->listener.onSessionEnded(*this);
 }
 
@@ -115,11 +121,10 @@
         return;
     this->processMessages();
     releaseIdleCapacity(this->buffered);
-    // A caller that does not wait for its responses is slowed down instead of filling the memory. A message that is still
-    // incomplete needs more bytes.
-    bool isWaiting = this->isRunning() || this->isContinuing;
-    if (!this->hasEnded)
-        this->socket->setReading(!isWaiting || this->buffered.size() < maximumBufferedBytes);
+    if (this->hasEnded)
+        return;
+    this->reportMemory();
+    this->updateReading();
 }
 
 void CallerSession::processMessages()
@@ -154,6 +159,40 @@
     }
 }
 
+void CallerSession::updateReading()
+{
+    // A caller that does not wait for its responses is slowed down instead of filling the memory. A message that is still
+    // incomplete needs more bytes.
+    bool isWaiting = this->isRunning() || this->isContinuing;
+    std::size_t maximum = this->state.getMemory().mustCloseSessions() ? maximumReadSize : maximumBufferedBytes;
+    this->socket->setReading(!isWaiting || this->buffered.size() < maximum);
+}
+
+std::size_t CallerSession::updateMemory()
+{
+    std::size_t statementBytes = this->isRunning() ? this->statementSize * statementCopies : 0;
+    this->memory.set(this->buffered.capacity() + this->socket->getBufferedBytes() + this->context.getSize() + statementBytes);
+    return this->memory.get();
+}
+
+void CallerSession::reportMemory()
+{
+    this->updateMemory();
+    if (this->state.getMemory().mustCloseSessions())
+        this->listener.onMemoryExceeded();
+}
+
+void CallerSession::closeForMemory()
+{
+    if (this->hasEnded)
+        return;
+    if (this->socket->getBufferedBytes() <= maximumIdleCapacity)
+        return this->refuse(ReplyCode::Busy, describe(FailureCause::NoMemory));
+    // Replies that the caller does not read would stay in memory until the connection ends.
+    this->socket->close();
+    this->endSession();
+}
+
 void CallerSession::continueLater()
 {
     if (std::exchange(this->isContinuing, true))
@@ -232,6 +271,7 @@
         return this->closeNow();
     }
     this->statementId = statement.id;
+    this->statementSize = statement.text.size();
     if (this->refuseInvalidKey(statement))
         return;
     if (statement.verb == SessionVerb::Malformed)
@@ -271,6 +311,8 @@
 
 void CallerSession::beginOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route)
 {
+    if (!this->state.getMemory().mayStart(statement.text.size() * statementCopies))
+        return this->reply(ReplyCode::Busy, TransactionState::Idle, describe(FailureCause::NoMemory), FailureCause::NoMemory);
     this->key.beginOperation();
     this->admission.cancel();
     QuotaClient* quota = this->state.getQuota();
@@ -432,6 +474,8 @@
 {
     this->transactionState = answer.state;
     this->socket->send(this->protocol.encodeReply(answer));
+    if (!this->hasEnded)
+        this->reportMemory();
     if (this->mustClose && !this->isBusy())
         this->closeNow();
 }
--- a/src/traffic/CallerSession.h
+++ b/src/traffic/CallerSession.h
@@ -39,6 +39,9 @@
 
         /// A statement was refused without contacting an upstream.
         virtual void onRefusedLocally(FailureCause cause) = 0;
+
+        /// The sessions hold more memory than they may.
+        virtual void onMemoryExceeded() = 0;
     };
 
     CallerSession(TrafficState& state, const SessionProtocol& protocol, Listener& listener, std::unique_ptr<TcpConnection> socket);
@@ -59,6 +62,14 @@
     /// Tells the caller that its session is not opened, and closes it.
     void refuse(ReplyCode code, const std::string& reason);
 
+    /// Updates the memory that the session holds.
+    ///
+    /// @returns the bytes
+    std::size_t updateMemory();
+
+    /// Closes the session to free its memory. Tells a caller that reads.
+    void closeForMemory();
+
     /// Closes the session now and rolls back an open transaction.
     void closeNow();
 
@@ -98,6 +109,9 @@
     void processMessages();
     /// Runs a handler. If it throws, the session closes without a reply, so the caller knows nothing of its statement.
     void guard(const std::function<void()>& handler);
+    void reportMemory();
+    /// Stops or continues reading, depending on what waits.
+    void updateReading();
     /// Handles the remaining messages after the other tasks of the loop.
     void continueLater();
     void onIdleLimit();
@@ -107,6 +121,7 @@
     const SessionProtocol& protocol;
     Listener& listener;
     std::unique_ptr<TcpConnection> socket;
+    MemoryAccount::Share memory;
     SessionKey key;
     OperationAdmission admission;
     OneShotTimer idleTimer;
@@ -114,6 +129,8 @@
     std::string buffered;
     /// The number of bytes at the beginning of `buffered` in which no message ends.
     std::size_t numSearched = 0;
+    /// The bytes of the last statement.
+    std::size_t statementSize = 0;
     /// Whether more messages are handled in a later turn.
     bool isContinuing = false;
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -56,6 +56,7 @@
     , state({ loop, clock, protocol, self, *this }, zone)
     , lending(loop, clock, protocol, self, this->state)
     , verifier(protocol, this->state)
+    , memoryRelief(loop, this->state.getMemory(), [this] { return this->listSessions(); })
     , callerServer(loop)
     , checkTimer(loop, clock, [this] { this->checkPrimaries(); })
     , pauseTimer(loop, clock, [this] { this->tick(); })
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -3,6 +3,7 @@
 #include "../lending/LendingService.h"
 #include "../quota/QuotaService.h"
 #include "CallerSession.h"
+#include "MemoryRelief.h"
 #include "PrimaryVerificationRounds.h"
 #include "RouteExplanation.h"
 #include "TrafficState.h"
@@ -69,6 +70,9 @@
     /// Limits the sessions of callers. Call this before listen().
     void setDescriptorBudget(const DescriptorBudget& budget) { this->descriptors = budget; }
 
+    /// Limits the memory that sessions hold. Call this before listen().
+    void setMemoryBudget(const MemoryBudget& budget) { this->state.getMemory().setBudget(budget); }
+
     /// Enforces the limits of workspaces. Call this before the routes are set.
     ///
     /// @param self this instance
@@ -128,6 +132,7 @@
     void onStatementAnswered(const Route* route, const StatementRequest& request, const StatementRun::Result& result) override;
     void onKeyRefused(KeyVerdict verdict) override { this->metrics.onKeyRefused(lentiljunction::toString(verdict)); }
     void onRefusedLocally(FailureCause cause) override { this->metrics.onRefusedLocally(lentiljunction::toString(cause)); }
+    void onMemoryExceeded() override { this->memoryRelief.closeLater(); }
     TcpConnection::Listener& accept(std::unique_ptr<TcpConnection> socket);
     void refuseLater(CallerSession* session);
     std::vector<CallerSession*> listSessions() const;
@@ -151,6 +156,7 @@
     /// Empty when limits are not enforced.
     std::unique_ptr<QuotaService> quota;
     PrimaryVerificationRounds verifier;
+    MemoryRelief memoryRelief;
     TcpServer callerServer;
     OneShotTimer checkTimer;
     OneShotTimer pauseTimer;
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -6,6 +6,7 @@
 #include "ReadPlanner.h"
 #include "UpstreamHealth.h"
 #include "UpstreamPool.h"
+#include "lentiljunction/admission/MemoryAccount.h"
 #include "lentiljunction/interactive/SessionStatement.h"
 #include "lentiljunction/leadership/FailoverForecast.h"
 #include "lentiljunction/leadership/PrimaryView.h"
@@ -238,6 +239,10 @@
     /// @returns the detector of upstreams that fail much of their work
     UpstreamHealth& getHealth() { return this->health; }
 
+    /// @returns the account of the memory that sessions hold
+    MemoryAccount& getMemory() { return this->memory; }
+    const MemoryAccount& getMemory() const { return this->memory; }
+
 private:
     /// The log head that an upstream reported, and when the report arrived.
     struct KnownHead {
@@ -290,6 +295,7 @@
     UpstreamHealth health;
     bool discoversCapacity = false;
     QuotaClient* quota = nullptr;
+    MemoryAccount memory;
     std::map<UpstreamId, std::shared_ptr<UpstreamPool>> pools;
     /// Upstreams whose connections are borrowed.
     std::map<UpstreamId, std::shared_ptr<BorrowingSource>> borrowingSources;
--- a/tests/process/GatewayMemoryTests.cpp
+++ b/tests/process/GatewayMemoryTests.cpp
@@ -2,10 +2,10 @@
 #include "GatewayFixture.h"
 
 #include <arpa/inet.h>
-#include <csignal>
 #include <filesystem>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 // The macros of the test framework break standard headers that follow them.
@@ -74,8 +74,19 @@
         CHECK_TRUE(waitUntil([&] { return isServed(LineCaller(this->getPort(), "bookings").execute("WRITE item v")); }));
     }
 
+    /// @returns whether the instance has read what waits for it, which uses a large part of a core
+    bool hasReadAll()
+    {
+        constexpr std::chrono::milliseconds duration { 300 };
+        constexpr double idleSeconds = 0.03;
+        double before = this->site.getProcesses()[0]->getProcessorSeconds();
+        std::this_thread::sleep_for(duration);
+        return this->site.getProcesses()[0]->getProcessorSeconds() - before < idleSeconds;
+    }
+
     void checkHealthy()
     {
+        CHECK_TRUE(waitUntil([&] { return this->hasReadAll(); }));
         double peak = this->site.getProcesses()[0]->getPeakMemory();
         CHECK_TEXT(peak < smallestMemory, (std::to_string(peak) + " MiB").c_str());
         CHECK_TRUE(this->site.isReady(0));
@@ -116,3 +127,29 @@
     }
     checkHealthy();
 }
+
+// Callers that sent long statements without their end filled the memory, and the process was killed.
+TEST(GatewayMemory, unfinishedStatementsStayWithinBudget)
+{
+    site.setMemoryLimit(static_cast<int>(smallestMemory));
+    start();
+    std::vector<std::unique_ptr<SilentReader>> senders;
+    for (int index = 0; index < numCallers; index++) {
+        senders.push_back(std::make_unique<SilentReader>(getPort()));
+        senders.back()->send("STARTUP bookings t\r\nQUERY q1 WRITE long " + std::string(longMessageSize, 'x'));
+    }
+    checkHealthy();
+}
+
+// Session values were kept without a bound: one caller could fill the memory with them.
+TEST(GatewayMemory, sessionValuesStayWithinBudget)
+{
+    site.setMemoryLimit(static_cast<int>(smallestMemory));
+    start();
+    LineCaller other(getPort(), "bookings");
+    LineCaller caller(getPort(), "bookings");
+    for (int index = 0; index < numCallers; index++)
+        caller.execute("SET v" + std::to_string(index) + " " + std::string(longMessageSize, 'x'));
+    checkHealthy();
+    CHECK_TRUE(waitUntil([&] { return isServed(other.execute("READ item")); }));
+}
--- a/tests/unit/AdmissionTests.cpp
+++ b/tests/unit/AdmissionTests.cpp
@@ -1,4 +1,5 @@
 #include "lentiljunction/admission/DescriptorBudget.h"
+#include "lentiljunction/admission/MemoryAccount.h"
 #include "lentiljunction/admission/SharedConcurrencyLimit.h"
 
 #include <CppUTest/TestHarness.h>
@@ -53,3 +54,27 @@
     // The platform keeps 200 of 4,300 descriptors back for files.
     CHECK(DescriptorBudget(4300).getMaximumSessions() < 4300 - 200 - 128);
 }
+
+TEST_GROUP(MemoryAccount) {};
+
+// Guards against sessions that are closed only once statements have to be refused, and against bytes that stay in the account.
+TEST(MemoryAccount, closesSessionsBeforeStatementsAreRefused)
+{
+    constexpr std::size_t limit = 160U << 20;
+    MemoryAccount account;
+    account.setBudget(MemoryBudget(limit));
+    std::size_t maximum = account.getBudget().getMaximum();
+    CHECK(maximum > 0 && maximum <= limit / 2);
+    {
+        MemoryAccount::Share first(account);
+        MemoryAccount::Share second(account);
+        first.set(maximum);
+        first.set(maximum / 2);
+        second.set(maximum / 8);
+        CHECK(!account.mustCloseSessions() && account.mayStart(maximum / 8));
+        second.set(maximum / 2 - 100);
+        CHECK(account.mustCloseSessions() && account.mayStart(100) && !account.mayStart(101));
+    }
+    CHECK_EQUAL(0U, account.getTotal());
+    CHECK(account.mayStart(maximum) && !account.mayStart(maximum + 1));
+}
--- a/tests/unit/GatewaySettingsTests.cpp
+++ b/tests/unit/GatewaySettingsTests.cpp
@@ -94,7 +94,7 @@
     std::string text((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
     const std::vector<std::pair<std::string, std::string>> values {
         { "{{node_name}}", "front-1" }, { "{{zone}}", "ba" }, { "{{listen.front}}", "10.1.0.8:8784" }, { "{{listen.ready}}", "10.1.0.8:8785" }, { "{{listen.control}}", "10.1.0.8:8782" },
-        { "{{seeds}}", "10.1.0.8:8782,10.2.0.6:8782" }, { "{{ip}}", "10.1.0.8" }, { "{{platform.address}}", "10.200.1.7:8783" }, { "{{bootstrap}}", "true" }, { "{{cloud.address}}", "10.200.0.160:8783" }, { "{{bounds.grace_s}}", "6" }, { "{{limits.max_fds}}", "4300" }, { "{{internal_ports.0}}", "7440" },
+        { "{{seeds}}", "10.1.0.8:8782,10.2.0.6:8782" }, { "{{ip}}", "10.1.0.8" }, { "{{platform.address}}", "10.200.1.7:8783" }, { "{{bootstrap}}", "true" }, { "{{cloud.address}}", "10.200.0.160:8783" }, { "{{bounds.grace_s}}", "6" }, { "{{limits.max_fds}}", "4300" }, { "{{limits.memory_mb}}", "160" }, { "{{internal_ports.0}}", "7440" },
         { "{{#bounds.quota_window_s}}", "" }, { "{{/bounds.quota_window_s}}", "" }, { "{{internal_ports.1}}", "7441" }, { "{{bounds.quota_window_s}}", "5" }, { "{{bounds.quota_overage}}", "0.1" }, { "{{bounds.quota_slack}}", "20" }
     };
     for (const std::pair<std::string, std::string>& value : values) {
@@ -112,6 +112,7 @@
     CHECK_TRUE(settings->isFirstStart);
     CHECK_EQUAL(6000, settings->shutdownGrace.count());
     CHECK_EQUAL(4300, settings->maximumDescriptors.value_or(0));
+    CHECK_EQUAL(160, settings->maximumMemory.value_or(0));
     CHECK_EQUAL(7440, settings->lending->port);
     CHECK_EQUAL(7441, settings->quota->port);
     CHECK_EQUAL(5000, settings->quotaTolerance.window.count());
@@ -137,9 +138,9 @@
 
 TEST(GatewaySettings, reportsAllFaultsTogether)
 {
-    write("[instance]\nid = a\n[sessions]\nlisten = 10.1.0.8\n[drain]\ngrace_s = soon\n[quota]\noverage = -1\nslack = all\n[odd]\nkey = 1\n[capacity]\ndiscover = 3\n[upstream_health]\neject = yes\n[limits]\ndescriptors = 63\n");
+    write("[instance]\nid = a\n[sessions]\nlisten = 10.1.0.8\n[drain]\ngrace_s = soon\n[quota]\noverage = -1\nslack = all\n[odd]\nkey = 1\n[capacity]\ndiscover = 3\n[upstream_health]\neject = yes\n[limits]\ndescriptors = 63\nmemory = 0\n");
     CHECK_FALSE(loadGatewaySettings(path, failure).has_value());
-    for (const char* part : { "[instance] zone", "[sessions] listen = \"10.1.0.8\"", "[drain] grace_s = \"soon\"", "[quota] overage = \"-1\"", "[quota] slack = \"all\"", "[odd] key", "[store] endpoint", "[capacity] discover = \"3\"", "[upstream_health] eject = \"yes\"", "[limits] descriptors = \"63\"" })
+    for (const char* part : { "[instance] zone", "[sessions] listen = \"10.1.0.8\"", "[drain] grace_s = \"soon\"", "[quota] overage = \"-1\"", "[quota] slack = \"all\"", "[odd] key", "[store] endpoint", "[capacity] discover = \"3\"", "[upstream_health] eject = \"yes\"", "[limits] descriptors = \"63\"", "[limits] memory = \"0\"" })
         STRCMP_CONTAINS(part, failure.reason.c_str());
 }
 
--- a/tools/lab/GatewaySite.cpp
+++ b/tools/lab/GatewaySite.cpp
@@ -74,6 +74,8 @@
     }
     this->sessionPorts.push_back(ports.front());
     this->listeningPorts.push_back(ports);
+    if (this->memoryLimit > 0)
+        settings << "\n[limits]\nmemory = " << this->memoryLimit;
     settings << "\n[store]\nfirst_start = true\nendpoint = " << store.host << ":" << store.port
              << "\n[promotion]\nendpoint = " << store.host << ":" << store.port << "\n";
     return path;
--- a/tools/lab/GatewaySite.h
+++ b/tools/lab/GatewaySite.h
@@ -33,6 +33,9 @@
     /// Opens a port for quotas on processes that are started later; the last one of getListeningPorts().
     void openQuotaPorts() { this->hasQuotaPorts = true; }
 
+    /// Sets the memory in MiB within which instances that are started later keep their callers.
+    void setMemoryLimit(int limit) { this->memoryLimit = limit; }
+
     /// @returns the port for caller sessions of each instance
     const std::vector<int>& getSessionPorts() const { return this->sessionPorts; }
 
@@ -75,6 +78,8 @@
     /// Zero: that of this process.
     int descriptorLimit = 0;
     bool hasQuotaPorts = false;
+    /// Zero: none.
+    int memoryLimit = 0;
 };
 
 /// Starts a site with three instances and keeps it running until Enter is pressed.
