Report a peer that does not read after send() has returned

Cause: TcpConnection::send() above 4 MiB of pending bytes called onSocketClosed() inside the caller's own method. CallerSession, TcpUpstreamConnection and UpstreamPool guard against that one by one; each new caller would have to. Change: the connection takes no more bytes and reports the error from the event loop. No use after free was shown on the code before.

--- a/src/net/TcpConnection.cpp
+++ b/src/net/TcpConnection.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <utility>
@@ -104,6 +105,15 @@
             notified->onSocketClosed(error.message(), error == asio::error::connection_refused);
     }
 
+    /// The caller of send() may not expect that its connection ends meanwhile.
+    void failLater(const asio::error_code& error)
+    {
+        if (std::exchange(this->isFailing, true))
+            return;
+        std::shared_ptr<Implementation> self = this->shared_from_this();
+        asio::post(this->socket.get_executor(), [self, error] { self->handleError(error); });
+    }
+
     void closeNow()
     {
         this->listener = nullptr;
@@ -123,6 +133,8 @@
     bool isReading = false;
     bool isReadingStopped = false;
     bool mustCloseAfterSending = false;
+    /// Nothing is sent any more; the listener learns of it later.
+    bool isFailing = false;
 };
 
 TcpConnection::TcpConnection(std::shared_ptr<Implementation> implementation)
@@ -154,8 +166,10 @@
 
 void TcpConnection::send(const std::string& bytes)
 {
+    if (this->implementation->isFailing)
+        return;
     if (this->implementation->pendingBytes.size() + bytes.size() > maximumPendingBytes)
-        return this->implementation->handleError(asio::error::no_buffer_space);
+        return this->implementation->failLater(asio::error::no_buffer_space);
     this->implementation->pendingBytes += bytes;
     this->implementation->flush();
 }
