Test a log reader that stalls or is gone while an instance serves

Standard output as a pipe that nobody reads, one whose reader closes it under load, and both outputs closed: the instance serves all statements, ends with exit code 0, and event 120 goes to standard error where that is open.

--- a/tests/process/ProcessEndTests.cpp
+++ b/tests/process/ProcessEndTests.cpp
@@ -1,10 +1,13 @@
 #include "../../tools/lab/GatewaySite.h"
+#include "../../tools/lab/LineCaller.h"
 #include "GatewayFixture.h"
 
 #include <csignal>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
@@ -107,3 +110,55 @@
     process.signal(SIGTERM);
     LONGS_EQUAL(0, process.wait());
 }
+
+// The reader of the log stalled or was killed while the process ran, which could block it, end it, or hide how it ended.
+TEST(ProcessEnd, instanceServesAndReportsItsEndWhenReaderOfLogStallsOrIsGone)
+{
+    lab::GatewaySite site(".", this->folder);
+    Failure failure;
+    CHECK_TEXT(site.start(1, failure), failure.reason.c_str());
+    for (bool isReaderGone : { false, true }) {
+        site.signal(0, SIGKILL);
+        site.getProcesses()[0]->wait();
+        std::string pipe = this->folder + "/pipe" + std::to_string(isReaderGone ? 1 : 0);
+        CHECK_EQUAL(0, ::mkfifo(pipe.c_str(), 0600));
+        int reader = ::open(pipe.c_str(), O_RDONLY | O_NONBLOCK);
+        std::string errors = pipe + ".errors";
+        lab::Process process("/bin/sh", { "-c", "exec ./lentiljunction serve --settings " + this->folder + "/front-1.ini > " + pipe + " 2> " + errors }, "/dev/null");
+        CHECK_TRUE(waitUntil([&] { return site.isReady(0); }));
+        lab::LineCaller caller(static_cast<std::uint16_t>(site.getSessionPorts()[0]), "bookings");
+        // More lines than the pipe holds.
+        for (int count = 0; count < 1500; count++) {
+            if (isReaderGone && count == 100)
+                ::close(reader);
+            STRCMP_CONTAINS("READY", caller.execute("READ a").c_str());
+            STRCMP_CONTAINS("READY", caller.execute("ROLLBACK").c_str());
+        }
+        process.signal(SIGTERM);
+        LONGS_EQUAL(0, process.wait());
+        STRCMP_CONTAINS("cause=stopped", this->findEnd(readText(errors)).c_str());
+        if (!isReaderGone)
+            ::close(reader);
+    }
+}
+
+// Without any descriptor that takes the last line, a process could block or end by a signal.
+TEST(ProcessEnd, instanceStopsInOrderWhenReadersOfBothOutputsAreGone)
+{
+    lab::GatewaySite site(".", this->folder);
+    Failure failure;
+    CHECK_TEXT(site.start(1, failure), failure.reason.c_str());
+    site.signal(0, SIGKILL);
+    site.getProcesses()[0]->wait();
+    std::string pipe = this->folder + "/pipe";
+    CHECK_EQUAL(0, ::mkfifo(pipe.c_str(), 0600));
+    int reader = ::open(pipe.c_str(), O_RDONLY | O_NONBLOCK);
+    lab::Process process("/bin/sh", { "-c", "exec ./lentiljunction serve --settings " + this->folder + "/front-1.ini > " + pipe + " 2>&1" }, "/dev/null");
+    CHECK_TRUE(waitUntil([&] { return site.isReady(0); }));
+    ::close(reader);
+    lab::LineCaller caller(static_cast<std::uint16_t>(site.getSessionPorts()[0]), "bookings");
+    for (int count = 0; count < 300; count++)
+        STRCMP_CONTAINS("READY", caller.execute("READ a").c_str());
+    process.signal(SIGTERM);
+    LONGS_EQUAL(0, process.wait());
+}
