Stop the traffic in the task that finds it idle, and add lj-lab stops

Cause: the end of a drain counted busy sessions and stopped the traffic in two tasks of the traffic thread. The port was still open, so a statement that was read between them was cut off without an answer.

Change: one task counts, and stops the traffic if nothing is busy. `lj-lab stops` stops instances under load, with SIGTERM, SIGHUP and SIGINT repeated, and checks exit code, last line, time, and answers.

--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -205,10 +205,16 @@
     this->control.onPrimaryUnreachable(group, primary);
 }
 
-std::size_t GatewayInstance::countBusy()
+std::size_t GatewayInstance::stopTraffic(bool mustStop)
 {
     std::promise<std::size_t> counted;
-    this->trafficLoop.post([this, &counted] { counted.set_value(this->traffic.countBusy()); });
+    // The port stays open until the traffic stops, so a statement may arrive right after the count.
+    this->trafficLoop.post([this, mustStop, &counted] {
+        std::size_t numBusy = this->traffic.countBusy();
+        if (mustStop || numBusy == 0)
+            this->traffic.stop();
+        counted.set_value(numBusy);
+    });
     return counted.get_future().get();
 }
 
@@ -228,21 +234,16 @@
     // The last sixth of the grace period is left for closing the remaining sessions.
     std::chrono::milliseconds drainTimeout = this->settings.shutdownGrace - this->settings.shutdownGrace / 6;
     std::chrono::milliseconds transactionLimit = std::max(balancerRemovalDelay + drainPollInterval * 2, this->settings.shutdownGrace / transactionGraceDivisor + drainPollInterval * 2);
-    while (waited < drainTimeout) {
+    std::size_t numLeft = 1;
+    while (numLeft > 0 && waited < drainTimeout) {
         std::this_thread::sleep_for(drainPollInterval);
         waited += drainPollInterval;
         if (waited >= transactionLimit)
             this->trafficLoop.post([this] { this->traffic.closeIdleTransactions(); });
-        if (this->countBusy() == 0)
-            break;
+        numLeft = this->stopTraffic(false);
     }
-    std::size_t numLeft = this->countBusy();
-    std::promise<void> stopped;
-    this->trafficLoop.post([this, &stopped] {
-        this->traffic.stop();
-        stopped.set_value();
-    });
-    stopped.get_future().wait();
+    if (numLeft > 0)
+        numLeft = this->stopTraffic(true);
     // The last responses are sent while the loop still runs.
     std::this_thread::sleep_for(drainPollInterval);
     logEvent(events::instanceStopped, "cut_off=" + std::to_string(numLeft));
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -76,7 +76,10 @@
     HttpResponse makeReadinessResponse() const;
     void respondWithMetrics(const HttpPage::Responder& respond);
     void respondWithRoute(const HttpRequest& request, const HttpPage::Responder& respond);
-    std::size_t countBusy();
+    /// Stops the traffic if it is idle or must be stopped.
+    ///
+    /// @returns the sessions that were busy and loans that were in use
+    std::size_t stopTraffic(bool mustStop);
 
     GatewaySettings settings;
     EventLoop controlLoop;
--- a/tests/process/StartCampaignTests.cpp
+++ b/tests/process/StartCampaignTests.cpp
@@ -1,4 +1,5 @@
 #include "../../tools/lab/StartCampaign.h"
+#include "../../tools/lab/StopCampaign.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -37,3 +38,13 @@
 {
     checkCampaign(true);
 }
+
+// A stop under load, with signals repeated during the drain, cut off statements, left no last line or ended with a signal.
+TEST(StartCampaign, stopsUnderLoadAnswerEveryStatement)
+{
+    std::string folder = (std::filesystem::temp_directory_path() / ("lj-stops-" + std::to_string(::getpid()))).string();
+    nlohmann::json report = lab::runStopCampaign({ 1, 2, 4 }, ".", folder);
+    CHECK_TEXT(report["violations"].empty(), report["violations"].dump(2).c_str());
+    LONGS_EQUAL(8, report["counts"]["stops"].get<int>());
+    std::filesystem::remove_all(folder);
+}
--- a/tools/lab/LineCaller.cpp
+++ b/tools/lab/LineCaller.cpp
@@ -38,11 +38,19 @@
 
 std::string LineCaller::sendRaw(const std::string& bytes)
 {
+    this->sentAt = std::chrono::steady_clock::now();
     if (::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0)
         return "";
     return this->readResponse();
 }
 
+bool LineCaller::isClosed() const
+{
+    char byte = 0;
+    ssize_t size = ::recv(this->descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 std::string LineCaller::readResponse()
 {
     std::string response;
--- a/tools/lab/LineCaller.h
+++ b/tools/lab/LineCaller.h
@@ -34,6 +34,12 @@
     /// @returns whether the last response timed out while the connection stayed open
     bool hasTimedOut() const { return this->isTimedOut; }
 
+    /// @returns whether the instance has closed the connection; call it while no response is expected
+    bool isClosed() const;
+
+    /// @returns when the last bytes were sent
+    std::chrono::steady_clock::time_point getSentAt() const { return this->sentAt; }
+
     /// @returns the response to the STARTUP message
     const std::string& getStartupResponse() const { return this->startupResponse; }
 
@@ -44,6 +50,7 @@
     int nextId = 1;
     std::string idPrefix = "q";
     bool isTimedOut = false;
+    std::chrono::steady_clock::time_point sentAt;
     std::string buffer;
     std::string startupResponse;
 };
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -4,6 +4,7 @@
 #include "PortFuzzer.h"
 #include "Soak.h"
 #include "StartCampaign.h"
+#include "StopCampaign.h"
 
 #include <cxxopts.hpp>
 #include <filesystem>
@@ -32,21 +33,21 @@
 cxxopts::Options makeOptions()
 {
     cxxopts::Options options("lj-lab", "Starts whole sites on loopback, puts them under load and faults, and measures.");
-    options.positional_help("ACTION: demo, serve, failover, reads, flood, overload, chaos, lease or policies; on the users' platform: gateway (serve), rest, soak, starts or fuzz");
+    options.positional_help("ACTION: demo, serve, failover, reads, flood, overload, chaos, lease or policies; on the users' platform: gateway (serve), rest, soak, starts, stops or fuzz");
     options.add_options()("action", "the action to run", cxxopts::value<std::string>()->default_value("demo"));
     options.add_options()("site", "demo, spona or karadeniz", cxxopts::value<std::string>()->default_value("spona"));
     options.add_options()("binaries", "folder of the executables (default: that of this program)", cxxopts::value<std::string>());
     options.add_options()("folder", "folder for settings and logs", cxxopts::value<std::string>());
     options.add_options()("fault", "failover: cut, crash or freeze", cxxopts::value<std::string>()->default_value("cut"));
     options.add_options()("store", "failover: up or down", cxxopts::value<std::string>()->default_value("up"));
-    options.add_options()("rounds", "failover, starts: number of rounds", cxxopts::value<int>()->default_value("3"));
+    options.add_options()("rounds", "failover, starts, stops: number of rounds", cxxopts::value<int>()->default_value("3"));
     options.add_options()("rank", "flood: the rank that floods", cxxopts::value<std::string>()->default_value("background"));
     options.add_options()("factor", "flood: multiple of the rank's quiet load", cxxopts::value<double>()->default_value("10"));
     options.add_options()("rate", "overload: background requests per second", cxxopts::value<double>()->default_value("30000"));
     options.add_options()("durability", "replicated or primary", cxxopts::value<std::string>()->default_value("replicated"));
-    options.add_options()("seed", "chaos, soak, starts, fuzz: seed of the random faults", cxxopts::value<std::uint64_t>()->default_value("1"));
+    options.add_options()("seed", "chaos, soak, starts, stops, fuzz: seed of the random faults", cxxopts::value<std::uint64_t>()->default_value("1"));
     options.add_options()("seconds", "chaos, rest, soak, fuzz: duration in seconds", cxxopts::value<int>()->default_value("30"));
-    options.add_options()("instances", "soak, starts: number of instances", cxxopts::value<int>()->default_value("5"));
+    options.add_options()("instances", "soak, starts, stops: number of instances", cxxopts::value<int>()->default_value("5"));
     options.add_options()("zones", "soak: number of availability zones", cxxopts::value<int>()->default_value("3"));
     options.add_options()("restores", "soak: whether the store also returns from older copies")("workspaces", "soak: whether callers have keys of workspaces, which are replaced; not with --restores")("connections", "soak: connections that each upstream accepts", cxxopts::value<int>()->default_value("16"));
     options.add_options()("signals-while-loading", "starts: whether SIGHUP also comes before any code of the program runs");
@@ -108,6 +109,8 @@
         return runStartCampaign({ arguments["seed"].as<std::uint64_t>(), arguments["rounds"].as<int>(), arguments["instances"].as<int>(), arguments.count("signals-while-loading") > 0 }, setting.binaries, setting.folder);
     if (action == "fuzz")
         return fuzzPorts({ arguments["seed"].as<std::uint64_t>(), std::chrono::seconds(arguments["seconds"].as<int>()) }, setting.binaries, setting.folder);
+    if (action == "stops")
+        return runStopCampaign({ arguments["seed"].as<std::uint64_t>(), arguments["rounds"].as<int>(), arguments["instances"].as<int>() }, setting.binaries, setting.folder);
     if (action == "chaos")
         return measureChaos(setting, arguments["seed"].as<std::uint64_t>(), arguments["seconds"].as<int>());
     return std::nullopt;
