Say why the bookings of a run could not be read back

checkBookings() told only that a primary could not be read after 20 attempts, which left the entry Cluster.closesSurplusConnectionsAfterGatesMoveBack of KNOWN-RED.txt untraced: no primary, a refused connection and a missing reply look the same. The check now prints the database, the upstream and the error of the last attempt; what it demands is unchanged.

--- a/tests/process/ClusterTests.cpp
+++ b/tests/process/ClusterTests.cpp
@@ -66,7 +66,7 @@
 void checkBookings(LoadGenerator& load, const std::string& stream)
 {
     BookingCheck check = load.checkBookings();
-    CHECK(check.isVerified);
+    CHECK_TEXT(check.isVerified, check.failure.reason.c_str());
     CHECK(check.numAcknowledged > 0);
     CHECK_EQUAL(0, check.numLost);
     CHECK_EQUAL(0, check.numDuplicated);
--- a/tools/lab/BookingInspector.cpp
+++ b/tools/lab/BookingInspector.cpp
@@ -37,18 +37,27 @@
         return reply;
     }
 
+    std::string describeFailure(const SqlReply& reply)
+    {
+        if (reply.status == SqlReply::Status::Failed)
+            return reply.error.sqlState + " " + reply.error.message;
+        return reply.isSilent ? "no reply" : "the connection was refused or lost";
+    }
+
     /// Counts the rows of each booking of a run at the primary of a database.
     ///
     /// @param found receives the number of rows by booking
+    /// @param failure receives why the primary could not be read
     ///
     /// @returns whether the primary could be read
-    bool countBookings(Cluster& cluster, const std::string& database, const std::string& runName, std::map<std::string, int>& found)
+    bool countBookings(Cluster& cluster, const std::string& database, const std::string& runName, std::map<std::string, int>& found, Failure& failure)
     {
         const std::string sql = "SELECT id, count(*) FROM bookings WHERE id LIKE '" + runName + "-%' GROUP BY id";
         for (int count = 0; count < maximumAttempts; count++) {
             UpstreamNode* primary = cluster.findPrimary(database);
             SqlReply reply = primary == nullptr ? SqlReply() : queryUpstream(*primary, sql);
             if (reply.results.empty()) {
+                failure.set(Failure::Kind::Unavailable, database + ": " + (primary == nullptr ? "no primary" : primary->id + " " + describeFailure(reply)));
                 std::this_thread::sleep_for(retryInterval);
                 continue;
             }
@@ -66,7 +75,7 @@
     BookingCheck check;
     std::map<std::string, int> found;
     for (const std::string& database : databases)
-        check.isVerified = countBookings(cluster, database, runName, found) && check.isVerified;
+        check.isVerified = countBookings(cluster, database, runName, found, check.failure) && check.isVerified;
 
     check.numAcknowledged = acknowledged.size();
     for (const std::string& booking : acknowledged)
--- a/tools/lab/LoadGenerator.h
+++ b/tools/lab/LoadGenerator.h
@@ -89,6 +89,8 @@
 struct BookingCheck {
     /// Whether every primary could be read; the counts are meaningless otherwise.
     bool isVerified = true;
+    /// Why the last attempt to read a primary failed.
+    Failure failure;
     std::uint64_t numAcknowledged = 0;
     /// Acknowledged bookings without a row.
     std::uint64_t numLost = 0;
