Replace the log that an earlier run left in the folder of a site

The campaign of starts sends SIGHUP only after the first line of an instance's log. Both tests of StartCampaign use one folder in a process, and a failed test keeps it.

A start removes the log of that name now. StartCampaign.logOfEarlierRunIsReplaced fails before and passes now; the group with the sanitized program then had 1 failure, the known red, in place of 2.

--- a/tests/process/StartCampaignTests.cpp
+++ b/tests/process/StartCampaignTests.cpp
@@ -1,9 +1,11 @@
+#include "../../tools/lab/GatewaySite.h"
 #include "../../tools/lab/StartCampaign.h"
 #include "../../tools/lab/StopCampaign.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <filesystem>
+#include <fstream>
 #include <unistd.h>
 
 using namespace lentiljunction;
@@ -48,3 +50,20 @@
     LONGS_EQUAL(8, report["counts"]["stops"].get<int>());
     std::filesystem::remove_all(folder);
 }
+
+// A log left by an earlier run counted as the first line of the program, so SIGHUP was sent while the program was still loaded.
+TEST(StartCampaign, logOfEarlierRunIsReplaced)
+{
+    std::string folder = (std::filesystem::temp_directory_path() / ("lj-old-log-" + std::to_string(::getpid()))).string();
+    std::string path = folder + "/front-1.1.log";
+    std::filesystem::create_directories(folder);
+    std::ofstream(path) << "earlier run\n";
+    lab::GatewaySite site(".", folder);
+    Failure failure;
+    CHECK_TEXT(site.start(1, failure), failure.reason.c_str());
+    std::ifstream log(path);
+    std::string firstLine;
+    std::getline(log, firstLine);
+    STRCMP_CONTAINS("instance_starting", firstLine.c_str());
+    std::filesystem::remove_all(folder);
+}
--- a/tools/lab/GatewaySite.cpp
+++ b/tools/lab/GatewaySite.cpp
@@ -84,6 +84,8 @@
 std::unique_ptr<Process> GatewaySite::startProcess(std::size_t index)
 {
     this->numStarts[index]++;
+    // A log that an earlier run left in the folder would make hasLogged() true before the program runs.
+    std::filesystem::remove(this->makeLogPath(index));
     std::string program = this->binaries + "/lentiljunction";
     if (this->descriptorLimit == 0)
         return std::make_unique<Process>(program, std::vector<std::string> { "serve", "--settings", this->settingsPaths[index] }, this->makeLogPath(index));
