Add a failing test: a working primary whose commits wait is replaced, and acknowledged commits are lost

A replica receives nothing, the primary crashes, the other replica is promoted and its commits wait. Opening further connections to it times out, so the instances suspect it; 15 s later the other replica is promoted over it.

--- a/standins/platform/LineUpstream.cpp
+++ b/standins/platform/LineUpstream.cpp
@@ -70,7 +70,7 @@
             this->socket->send("ERR WRONGNODE " + this->upstream.id + "\r\n");
             return;
         }
-        this->sendReady();
+        this->runCommand([this] { this->sendReady(); });
     }
 
     void onQuery(std::string text)
@@ -98,18 +98,8 @@
 
     void run(const std::string& verb, const std::string& name, const std::string& data)
     {
-        if (verb == "STATUS")
-            return this->sendStatus();
-        if (verb == "DEMOTE") {
-            if (std::stoull(name) > this->upstream.term)
-                this->upstream.isPrimary = false;
-            return this->sendStatus();
-        }
-        if (verb == "PAUSE" || verb == "RESUME") {
-            // Replication stops only for a term above the current one.
-            this->upstream.isPaused = verb == "PAUSE" && !name.empty() && std::stoull(name) > this->upstream.term;
-            return this->sendStatus();
-        }
+        if (verb == "STATUS" || verb == "DEMOTE" || verb == "PAUSE" || verb == "RESUME")
+            return this->runCommand([this, verb, name] { this->control(verb, name); });
         if (verb == "RESET") {
             this->sessionVariables.clear();
             this->preparedStatements.clear();
@@ -130,6 +120,30 @@
         this->runInSlot(verb, name, data);
     }
 
+    void control(const std::string& verb, const std::string& name)
+    {
+        if (verb == "DEMOTE" && std::stoull(name) > this->upstream.term)
+            this->upstream.isPrimary = false;
+        // Replication stops only for a term above the current one.
+        if (verb == "PAUSE" || verb == "RESUME")
+            this->upstream.isPaused = verb == "PAUSE" && !name.empty() && std::stoull(name) > this->upstream.term;
+        this->sendStatus();
+    }
+
+    /// Runs at once, or in a slot where commands need one.
+    void runCommand(const std::function<void()>& command)
+    {
+        if (!this->upstream.group.areSlotsHeldByCommits)
+            return command();
+        std::weak_ptr<bool> alive = this->isAlive;
+        bool isTaken = this->upstream.runWhenSlotFree([alive, command](const Slot&) {
+            if (!alive.expired())
+                command();
+        });
+        if (!isTaken)
+            this->sendError("BUSY no slot");
+    }
+
     void begin(bool isReading)
     {
         if (!isReading && !this->upstream.isPrimary)
@@ -142,16 +156,16 @@
     void runInSlot(const std::string& verb, const std::string& name, const std::string& data)
     {
         std::weak_ptr<bool> alive = this->isAlive;
-        bool isTaken = this->upstream.fault != Fault::Busy && this->upstream.runWhenSlotFree([this, alive, verb, name, data] {
+        bool isTaken = this->upstream.fault != Fault::Busy && this->upstream.runWhenSlotFree([this, alive, verb, name, data](const Slot& slot) {
             // A closed connection has rolled its transaction back.
             if (!alive.expired())
-                this->execute(verb, name, data);
+                this->execute(verb, name, data, slot);
         });
         if (!isTaken)
             this->sendError("BUSY no slot");
     }
 
-    void execute(const std::string& verb, const std::string& name, const std::string& data)
+    void execute(const std::string& verb, const std::string& name, const std::string& data, const Slot& slot)
     {
         bool isExecuted = verb == "EXEC";
         if (isExecuted && this->preparedStatements.count(name) == 0)
@@ -175,7 +189,8 @@
             this->writes[item] = value;
         if (effective == "COMMIT" || this->state == 'I') {
             std::weak_ptr<bool> alive = this->isAlive;
-            return this->upstream.group.commit(this->upstream, this->writes, [this, alive] {
+            Slot heldSlot = this->upstream.group.areSlotsHeldByCommits ? slot : nullptr;
+            return this->upstream.group.commit(this->upstream, this->writes, [this, alive, heldSlot] {
                 if (!alive.expired())
                     this->endTransaction("sig." + this->upstream.id);
             });
@@ -234,10 +249,10 @@
 
 LineUpstream::~LineUpstream() = default;
 
-bool LineUpstream::runWhenSlotFree(std::function<void()> statement)
+bool LineUpstream::runWhenSlotFree(Statement statement)
 {
-    if (this->group.serviceTime.count() == 0) {
-        statement();
+    if (this->group.serviceTime.count() == 0 && !this->group.areSlotsHeldByCommits) {
+        statement(nullptr);
         return true;
     }
     if (this->queue.size() >= maximumQueueLength)
@@ -251,13 +266,20 @@
 {
     if (this->numExecuting >= slotsPerUpstream || this->queue.empty())
         return;
-    this->numExecuting++;
-    std::function<void()> statement = std::move(this->queue.front());
+    Statement statement = std::move(this->queue.front());
     this->queue.pop_front();
-    this->group.loop.schedule(this->group.serviceTime, [this, statement = std::move(statement)] {
-        statement();
-        this->numExecuting--;
-        this->startNextStatement();
+    this->group.loop.schedule(this->group.serviceTime, [slot = this->takeSlot(), statement = std::move(statement)] { statement(slot); });
+}
+
+LineUpstream::Slot LineUpstream::takeSlot()
+{
+    this->numExecuting++;
+    std::weak_ptr<bool> start = this->currentStart;
+    return Slot(this, [start](LineUpstream* upstream) {
+        if (start.expired())
+            return;
+        upstream->numExecuting--;
+        upstream->startNextStatement();
     });
 }
 
@@ -278,6 +300,9 @@
 void LineUpstream::crash()
 {
     this->isRunning = false;
+    this->currentStart = std::make_shared<bool>(true);
+    this->numExecuting = 0;
+    this->queue.clear();
     this->port->close();
     this->connections.clear();
 }
--- a/standins/platform/LineUpstream.h
+++ b/standins/platform/LineUpstream.h
@@ -54,12 +54,16 @@
 private:
     friend class LineGroup;
     class Connection;
+    /// An occupied slot, which is free when the last owner is gone.
+    using Slot = std::shared_ptr<void>;
+    using Statement = std::function<void(const Slot& slot)>;
 
-    /// Queues a statement that runs as soon as a slot is free and occupies it for the group's service time.
+    /// Queues a statement that runs as soon as a slot is free and occupies it for the group's service time at least.
     ///
     /// @returns false when the queue is full
-    bool runWhenSlotFree(std::function<void()> statement);
+    bool runWhenSlotFree(Statement statement);
     void startNextStatement();
+    Slot takeSlot();
 
     LineGroup& group;
     std::string id;
@@ -81,7 +85,9 @@
     Fault fault = Fault::None;
     int numExecuting = 0;
     /// Statements waiting for a slot.
-    std::deque<std::function<void()>> queue;
+    std::deque<Statement> queue;
+    /// Replaced by a crash: what was started before it holds no slot any more.
+    std::shared_ptr<bool> currentStart = std::make_shared<bool>(true);
 };
 
 /// A group of upstreams: one primary whose commits reach the replicas after the replication lag.
@@ -112,6 +118,9 @@
     /// Sets whether a commit is acknowledged only once a replica has received it.
     void setSynchronous(bool newIsSynchronous) { this->isSynchronous = newIsSynchronous; }
 
+    /// Sets whether a commit holds its slot until it is acknowledged, and new connections and commands need a slot too.
+    void setSlotsHeldByCommits(bool newAreSlotsHeld) { this->areSlotsHeldByCommits = newAreSlotsHeld; }
+
     /// @returns whether the log of an upstream has a write of an item
     bool hasItem(const std::string& id, const std::string& item);
 
@@ -190,6 +199,7 @@
     };
 
     std::atomic<bool> isSynchronous { false };
+    std::atomic<bool> areSlotsHeldByCommits { false };
     std::vector<PendingCommit> pendingCommits;
     std::atomic<std::size_t> numBehindReplies { 0 };
     std::multiset<std::string> committedItems;
--- a/tests/process/GatewaySynchronousTests.cpp
+++ b/tests/process/GatewaySynchronousTests.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
+#include <mutex>
 #include <thread>
 
 using namespace lentiljunction;
@@ -25,6 +27,51 @@
     return acknowledged;
 }
 
+/// Writes through all instances until it is stopped.
+class Writers {
+public:
+    Writers(GatewayFixture& fixture, std::size_t numInstances)
+    {
+        for (std::size_t index = 0; index < numInstances; index++)
+            this->threads.emplace_back([this, &fixture, index] { this->write(fixture.getPort(index), "w" + std::to_string(index) + "-"); });
+    }
+
+    ~Writers() { this->stop(); }
+
+    /// @returns the items of the writes that were acknowledged
+    std::vector<std::string> stop()
+    {
+        this->isStopped = true;
+        for (std::thread& thread : this->threads)
+            thread.join();
+        this->threads.clear();
+        return this->acknowledged;
+    }
+
+    std::size_t countAcknowledged()
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        return this->acknowledged.size();
+    }
+
+private:
+    void write(std::uint16_t port, const std::string& prefix)
+    {
+        for (int number = 0; !this->isStopped; number++) {
+            std::string item = prefix + std::to_string(number);
+            bool isAcknowledged = isServed(LineCaller(port, "bookings").execute("WRITE " + item + " v"));
+            std::lock_guard<std::mutex> lock(this->mutex);
+            if (isAcknowledged)
+                this->acknowledged.push_back(item);
+        }
+    }
+
+    std::atomic<bool> isStopped { false };
+    std::mutex mutex;
+    std::vector<std::string> acknowledged;
+    std::vector<std::thread> threads;
+};
+
 /// Makes commits of the group wait for a replica.
 void makeSynchronous(GatewayFixture& fixture)
 {
@@ -85,3 +132,27 @@
     CHECK_TRUE(waitUntil([&] { return !writeFor(fixture, "c", std::chrono::milliseconds(100)).empty(); }));
     LONGS_EQUAL(0, countLost(fixture, acknowledged));
 }
+
+// The commits of a new primary wait for a replica that receives nothing, and hold all its slots. Guards against the
+// replacement of this primary, which works, by a replica that lacks acknowledged commits.
+TEST(GatewaySynchronous, primaryWhoseCommitsWaitIsNotReplaced)
+{
+    GatewayFixture fixture(3);
+    CHECK_TRUE(fixture.waitUntilServed("bookings"));
+    makeSynchronous(fixture);
+    fixture.getGroup().setServiceTime(std::chrono::milliseconds(3));
+    fixture.getGroup().setSlotsHeldByCommits(true);
+    Writers writers(fixture, 3);
+    CHECK_TRUE(waitUntil([&] { return writers.countAcknowledged() >= 10; }));
+    fixture.getGroup().setDeaf("u3", true);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    fixture.getGroup().crash("u1");
+    CHECK_TRUE(waitUntil([&] { return fixture.getGroup().findPrimary() == "u2"; }));
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    std::size_t numBefore = writers.countAcknowledged();
+    fixture.getGroup().setDeaf("u3", false);
+    CHECK_TRUE(waitUntil([&] { return writers.countAcknowledged() > numBefore; }));
+    LONGS_EQUAL(0, countLost(fixture, writers.stop()));
+    STRCMP_EQUAL("u2", fixture.getGroup().findPrimary().c_str());
+    LONGS_EQUAL(2, fixture.getGroup().findHighestTerm());
+}
