Skip log lines whose date is out of range

A damaged date in a log line, such as -999-06-11, overflowed the time in nanoseconds: undefined behaviour in explain and report, found by the undefined behaviour sanitizer in Decoders.settingsTokensAndLogLines. Years outside 1970 to 2200 are no time now, and the line is skipped like any other that is not readable.

--- a/src/logbook/LogRecord.cpp
+++ b/src/logbook/LogRecord.cpp
@@ -13,6 +13,9 @@
     /// Length of a timestamp such as "2026-06-11T04:13:55.061508Z".
     constexpr std::size_t timeLength = 27;
     constexpr std::int64_t microsecondsPerSecond = 1000000;
+    /// A time in nanoseconds has room for these years.
+    constexpr int firstYear = 1970;
+    constexpr int lastYear = 2200;
 
     std::optional<WallTime> parseTime(const std::string& text)
     {
@@ -20,7 +23,7 @@
         int microseconds = 0;
         int numRead = std::sscanf(text.c_str(), "%4d-%2d-%2dT%2d:%2d:%2d.%6dZ", &parts.tm_year, &parts.tm_mon, &parts.tm_mday, &parts.tm_hour, &parts.tm_min, &parts.tm_sec, &microseconds);
         constexpr int numParts = 7;
-        if (numRead != numParts)
+        if (numRead != numParts || parts.tm_year < firstYear || parts.tm_year > lastYear)
             return std::nullopt;
         parts.tm_year -= 1900;
         parts.tm_mon -= 1;
--- a/tests/unit/LogbookTests.cpp
+++ b/tests/unit/LogbookTests.cpp
@@ -67,6 +67,14 @@
     CHECK_EQUAL(2, collection.numUnrecognizedLines);
 }
 
+// A damaged date far from the present overflowed the time of the line.
+TEST(LogRecord, skipsLineWhoseDateIsOutOfRange)
+{
+    for (const char* year : { "-999", "0000", "1969", "9999" })
+        CHECK_FALSE_TEXT(parseLogLine(std::string(year) + "-06-11T04:14:05.033817Z level=info instance=a event=103 name=instance_stopped cut_off=0").has_value(), year);
+    CHECK_TRUE(parseLogLine("2026-06-11T04:14:05.033817Z level=info instance=a event=103 name=instance_stopped cut_off=0").has_value());
+}
+
 TEST(LogRecord, parsesLineWithArbitraryText)
 {
     bool holds = rc::check("any line", [](const std::string& text) {
