--- a/tests/process/GatewayFixture.cpp
+++ b/tests/process/GatewayFixture.cpp
@@ -5,6 +5,9 @@
 #include <httplib.h>
 #include <thread>
 
+// The macros of the test framework break standard headers that follow them.
+#include <CppUTest/TestHarness.h>
+
 namespace lentiljunction {
 
 using lab::LineCaller;
@@ -53,6 +56,8 @@
         return this->adapter.makeStore(controlLoop, given);
     }));
     this->instances.back()->start();
+    Failure threadFailure;
+    CHECK_TEXT(this->instances.back()->startThreads(threadFailure), threadFailure.reason.c_str());
     return index;
 }
 
