Log where a configuration came from, its last proof, and what was missed

Event 220 now names the version that it replaces, its source (store read, store watch, which instance), the revision and for how long a newer version was known to exist. 226 and 227 tell when a configuration ceases to be proven as the newest one, and when and to which instance the store last confirmed it; the instance travels with the ages between instances (confirmed_to). 228: another instance has a newer version. 229: it was requested and did not arrive, so far silent. Each line of a statement has routes_fresh_ms beside routes_version, as permit_ms beside lead_revision; the fact routes_proof_seconds has the age of the proof.

--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -39,12 +39,16 @@
     constexpr LogEvent bundleRefused { 201, LogLevel::Warning, "bundle_refused", "A bundle was rejected: it is invalid or not signed by enough operators." };
     constexpr LogEvent storeUnavailable { 210, LogLevel::Warning, "store_unavailable", "The platform's store does not respond; requests are still served." };
     constexpr LogEvent storeAvailable { 211, LogLevel::Information, "store_back", "The platform's store responds again." };
-    constexpr LogEvent routesInForce { 220, LogLevel::Information, "routes_in_force", "A higher version of the routes became active." };
+    constexpr LogEvent routesInForce { 220, LogLevel::Information, "routes_in_force", "A higher version of the routes became active; the line tells which one it replaces, where it came from, and for how long a newer one was known to exist." };
     constexpr LogEvent routesInvalid { 221, LogLevel::Warning, "routes_invalid", "The routes in the store are invalid; the active routes stay in use." };
     constexpr LogEvent entryInvalid { 222, LogLevel::Warning, "entry_invalid", "An entry in the store is invalid and is ignored." };
     constexpr LogEvent storeCallFailed { 223, LogLevel::Warning, "store_call_failed", "A call to the store was rejected or got no response." };
     constexpr LogEvent storeRestored { 224, LogLevel::Warning, "store_restored", "The platform's store was restored from an older copy: what was written to it shortly before is lost." };
     constexpr LogEvent routesPositionLost { 225, LogLevel::Warning, "routes_position_lost", "The watch of the routes cannot continue from its revision; the routes are read again." };
+    constexpr LogEvent routesUnproven { 226, LogLevel::Warning, "routes_unproven", "Nothing has shown for too long that no newer version of the routes exists; the line tells when and to whom the store last confirmed the active one." };
+    constexpr LogEvent routesProven { 227, LogLevel::Information, "routes_proven", "The active routes were confirmed as the newest ones again, or for the first time." };
+    constexpr LogEvent routesBehind { 228, LogLevel::Warning, "routes_behind", "Another instance has a newer version of the routes, which is requested." };
+    constexpr LogEvent routesNotReceived { 229, LogLevel::Warning, "routes_not_received", "Another instance did not send its routes." };
     constexpr LogEvent settingsReloaded { 106, LogLevel::Information, "settings_reloaded", "The settings were read again after a signal." };
     constexpr LogEvent portOpened { 110, LogLevel::Information, "port_opened", "A listening port that could not be opened at first is open." };
     constexpr LogEvent memberChanged { 300, LogLevel::Information, "member_changed", "The state of another instance changed." };
--- a/include/lentiljunction/metrics/GatewayMetrics.h
+++ b/include/lentiljunction/metrics/GatewayMetrics.h
@@ -45,6 +45,8 @@
         std::uint64_t routesVersion = 0;
         /// The revision of the store from which the routes are watched.
         std::uint64_t routesRevision = 0;
+        /// Time since the routes were last proven to be the newest ones; nothing before the first proof.
+        std::optional<Duration> routesProofAge = std::nullopt;
         /// The newest era of the store.
         std::uint64_t storeEra = 0;
         std::uint64_t primaryRevision = 0;
--- a/include/lentiljunction/routes/RelayedRoutes.h
+++ b/include/lentiljunction/routes/RelayedRoutes.h
@@ -13,6 +13,8 @@
     BundleVersion version;
     /// Time since the store last confirmed that no newer version exists.
     Duration age { 0 };
+    /// The instance to which the store confirmed it; empty when a build without this field sent it.
+    InstanceId confirmedTo {};
 };
 
 /// Decides whether an instance may rely on another instance for the routing configuration instead of the store.
--- a/include/lentiljunction/routes/lj_routes.h
+++ b/include/lentiljunction/routes/lj_routes.h
@@ -6,6 +6,7 @@
 #include "lentiljunction/routes/ActiveRoutes.h"
 #include "lentiljunction/routes/KeyFreshnessTracker.h"
 #include "lentiljunction/routes/RouteConfirmation.h"
+#include "lentiljunction/routes/RouteProof.h"
 #include "lentiljunction/routes/RouteTable.h"
 #include "lentiljunction/routes/UpstreamEntry.h"
 #include "lentiljunction/routes/UpstreamRegistry.h"
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -47,7 +47,7 @@
     , recovery({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, this->executor, this->coordination, *this, settings.instance }, settings.isFirstStart)
     , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, std::nullopt, std::nullopt }, [this](StoreEra era) { this->onRegistered(era); })
     , leaseTracker(settings.instance)
-    , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, *this)
+    , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance, *this)
     , peerConfirmation(this->peers, dependencies.clock, this->routes, settings.instance)
     , lists(dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, *this)
     , audit(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance)
@@ -244,7 +244,7 @@
 void GatewayControl::onZoneReaderFreshness(const nlohmann::json& response, const Endpoint& reader, BootTime sentAt)
 {
     std::optional<RouteFreshness> freshness = decodeRouteFreshness(response);
-    if (freshness && this->routes.onRelayedFreshness(*freshness, sentAt))
+    if (freshness && this->routes.onRelayedFreshness(*freshness, reader, sentAt))
         this->peerConfirmation.requestRoutes(reader);
 }
 
@@ -296,6 +296,8 @@
         state.isFailoverCoordinator = view.latest.record->coordinator == this->settings.instance;
     }
     state.routesRevision = this->routes.getRevision().value();
+    if (this->routes.getProof())
+        state.routesProofAge = std::chrono::duration_cast<Duration>(this->dependencies.clock.bootNow() - this->routes.getProof()->provenAt);
     state.storeEra = this->dependencies.store.getEra().value();
     state.lease = this->leaseTracker.getRemaining(this->dependencies.clock.bootNow());
     state.numInstances = this->members.getSize();
--- a/src/gateway/PeerConfirmation.cpp
+++ b/src/gateway/PeerConfirmation.cpp
@@ -61,21 +61,21 @@
         std::optional<RouteFreshness> freshness = decodeRouteFreshness(*response);
         if (!freshness || freshness->age >= contactTimeout)
             this->routes.onZoneWithoutStore(member.zone, sentAt);
-        else if (this->routes.onPeerFreshness(*freshness, sentAt))
+        else if (this->routes.onPeerFreshness(*freshness, member.peers, sentAt))
             this->requestRoutes(member.peers);
     });
 }
 
 void PeerConfirmation::requestRoutes(const Endpoint& peer)
 {
-    this->peers.ask(peer, { { "ask", "routes" } }, routesTimeout, [this](const std::optional<nlohmann::json>& relayed) {
+    this->peers.ask(peer, { { "ask", "routes" } }, routesTimeout, [this, peer](const std::optional<nlohmann::json>& relayed) {
         if (!relayed)
-            return;
+            return logEvent(events::routesNotReceived, "peer=" + peer.host + ":" + std::to_string(peer.port) + " reason=\"no response in time, or the link was lost\"");
         Failure failure;
         std::optional<RouteTable> table = decodeRelayedRoutes(*relayed, failure);
         if (!table)
             return logEvent(events::peerMessageInvalid, "reason=\"" + failure.reason + "\"");
-        this->routes.offer(std::make_shared<RouteTable>(std::move(*table)));
+        this->routes.offer(std::make_shared<RouteTable>(std::move(*table)), { RouteSource::Kind::OtherInstance, peer });
     });
 }
 
--- a/src/gateway/RouteWatcher.h
+++ b/src/gateway/RouteWatcher.h
@@ -7,6 +7,7 @@
 #include "lentiljunction/routes/ActiveRoutes.h"
 #include "lentiljunction/routes/KeyFreshnessTracker.h"
 #include "lentiljunction/routes/RelayedRoutes.h"
+#include "lentiljunction/routes/RouteProof.h"
 
 namespace lentiljunction {
 
@@ -29,19 +30,22 @@
     };
 
     /// All must outlive this object.
-    RouteWatcher(EventLoop& loop, const Clock& clock, FleetStore& store, Listener& listener);
+    ///
+    /// @param self this instance, which other instances are told of as the one to which the store confirmed a version
+    RouteWatcher(EventLoop& loop, const Clock& clock, FleetStore& store, InstanceId self, Listener& listener);
 
     /// Reads the configuration from the store, then watches it.
     void start() { this->read(); }
 
     /// Processes the configuration version that another instance reported, and when the store confirmed it.
     ///
+    /// @param reader where that instance listens for others
     /// @param sentAt when the request was sent
     /// @returns whether that instance has a newer version, which should be requested
-    bool onRelayedFreshness(const RouteFreshness& freshness, BootTime sentAt);
+    bool onRelayedFreshness(const RouteFreshness& freshness, const Endpoint& reader, BootTime sentAt);
 
     /// Offers a configuration from another instance; an older one is ignored.
-    void offer(std::shared_ptr<const RouteTable> table);
+    void offer(std::shared_ptr<const RouteTable> table, const RouteSource& source);
 
     /// @returns the configuration version and the time since the store confirmed it to this instance or to the
     /// one that it relies on, for other instances; nothing without a confirmation, as when the store does not answer
@@ -59,9 +63,10 @@
     /// Processes the configuration version of an instance of any zone. Unlike after onRelayedFreshness(), this instance
     /// goes on to read the store.
     ///
+    /// @param peer where that instance listens for others
     /// @param sentAt when the request was sent
     /// @returns whether that instance has a newer version, which should be requested
-    bool onPeerFreshness(const RouteFreshness& freshness, BootTime sentAt);
+    bool onPeerFreshness(const RouteFreshness& freshness, const Endpoint& peer, BootTime sentAt);
 
     /// Sets the zones in which other instances run.
     void setZones(std::set<ZoneId> others) { this->keyFreshness.setZones(std::move(others)); }
@@ -74,10 +79,13 @@
     /// @returns the revision of the store from which the routes are watched
     StoreVersion getRevision() const { return this->revision; }
 
+    /// @returns the newest proof that the configuration in force is the newest one, or nothing before the first
+    const std::optional<RouteProof>& getProof() const { return this->proofs.getProof(); }
+
 private:
     void read();
     void onCallFinished();
-    void applyRoutes(const VersionedRoutes& versioned);
+    void applyRoutes(const VersionedRoutes& versioned, RouteSource::Kind kind);
     void retry(const std::string& call, const Failure& failure);
     /// Reads the store again after a failure, unless another instance relays the routes.
     void retryUnlessRelayed();
@@ -85,10 +93,16 @@
     void watchUnlessRelayed();
     bool hasWorkspaces() const { return this->routes.getTable() != nullptr && this->routes.getTable()->workspaces; }
     void onConfirmedByStore(BootTime sentAt);
+    void recordProof(BootTime provenAt, const InstanceId& confirmedTo, const RouteSource& source);
+    /// @returns whether another instance has a version that is newer than the one in force
+    bool isNewer(const RouteFreshness& freshness, const RouteSource& source);
+    /// Logs when the configuration begins or ceases to count as proven.
+    void checkProven();
 
     EventLoop& loop;
     const Clock& clock;
     FleetStore& store;
+    InstanceId self;
     Listener& listener;
     ActiveRoutes routes;
     /// The revision of the last response, and the era of the store that issued it; the watch reports later ones.
@@ -98,11 +112,13 @@
     /// When the store last confirmed that there is no newer configuration.
     std::optional<BootTime> confirmedAt;
     KeyFreshnessTracker keyFreshness;
+    RouteProofTracker proofs;
     bool isCallPending = false;
     /// This instance relies on another one, so the revision from which to watch the store is out of date.
     bool isRelyingOnPeer = false;
     Backoff storeRetries;
     OneShotTimer timer;
+    OneShotTimer proofTimer;
 };
 
 } // namespace lentiljunction
--- a/src/metrics/GatewayMetrics.cpp
+++ b/src/metrics/GatewayMetrics.cpp
@@ -83,6 +83,8 @@
     gauges.beginUpdate();
     gauges.set({ { "fact", "routes_version" } }, static_cast<double>(knownState.routesVersion));
     gauges.set({ { "fact", "routes_revision" } }, static_cast<double>(knownState.routesRevision));
+    if (knownState.routesProofAge)
+        gauges.set({ { "fact", "routes_proof_seconds" } }, toSeconds(*knownState.routesProofAge));
     gauges.set({ { "fact", "store_era" } }, static_cast<double>(knownState.storeEra));
     gauges.set({ { "fact", "lead_era" } }, static_cast<double>(knownState.primaryRecordEra));
     gauges.set({ { "fact", "lead_revision" } }, static_cast<double>(knownState.primaryRevision));
--- a/src/routes/RelayedRoutes.cpp
+++ b/src/routes/RelayedRoutes.cpp
@@ -160,7 +160,10 @@
 
 nlohmann::json encodeRouteFreshness(const RouteFreshness& freshness)
 {
-    return { { "version", freshness.version.value() }, { "age_us", freshness.age.count() } };
+    nlohmann::json encoded { { "version", freshness.version.value() }, { "age_us", freshness.age.count() } };
+    if (freshness.confirmedTo != InstanceId())
+        encoded["confirmed_to"] = freshness.confirmedTo.toString();
+    return encoded;
 }
 
 std::optional<RouteFreshness> decodeRouteFreshness(const nlohmann::json& answer)
@@ -170,6 +173,8 @@
     std::vector<std::string> faults;
     JsonFields fields(answer["routes"], "routes", faults);
     RouteFreshness freshness { BundleVersion(static_cast<std::uint64_t>(fields.getInteger("version", 0, noLimit))), getDuration(fields, "age_us") };
+    if (fields.findValue("confirmed_to") != nullptr)
+        freshness.confirmedTo = InstanceId(fields.getText("confirmed_to"));
     return faults.empty() ? std::optional<RouteFreshness>(freshness) : std::nullopt;
 }
 
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -366,12 +366,19 @@
         + " attempts=" + std::to_string(result.numAttempts)
         + " took_ms=" + std::to_string(toMilliseconds(std::chrono::duration_cast<Duration>(this->clock.now() - request.arrivedAt)))
         + " routes_version=" + std::to_string(request.routes->version.value()) + " lead_revision=" + std::to_string(view.latest.revision.value())
-        + " permit_ms=" + std::to_string(toMilliseconds(remainingLease));
+        + " permit_ms=" + std::to_string(toMilliseconds(remainingLease))
+        + " routes_fresh_ms=" + this->describeRoutesFreshness();
     if (!result.reply.isSuccess())
         detail += std::string(" cause=") + lentiljunction::toString(result.cause) + " reason=\"" + result.reply.message + "\"";
     logEvent(chooseEvent(result.reply.code), detail);
 }
 
+std::string TrafficPlane::describeRoutesFreshness() const
+{
+    BootTime currentUntil = this->state.getKeyFreshness().currentUntil;
+    return currentUntil == BootTime::min() ? "none" : std::to_string(toMilliseconds(std::chrono::duration_cast<Duration>(currentUntil - this->clock.bootNow())));
+}
+
 void TrafficPlane::countAnswer(const Route& route, const StatementRequest& request, const StatementRun::Result& result)
 {
     GatewayMetrics::Statement counted;
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -144,6 +144,8 @@
     void checkBorrowedPrimary(const GroupId& group, const Target& primaryTarget);
     void requestHead(StatementConnection& connection, const GroupId& group, const PrimaryTenure& primary, std::function<void(bool hasReply)> callback);
     void onHeadReported(const GroupId& group, const PrimaryTenure& primary, const SessionReply& reply, BootTime requestedAt, bool isFirst);
+    /// @returns for how many milliseconds the routes still count as the newest ones, for the log; negative when they do not
+    std::string describeRoutesFreshness() const;
     void countAnswer(const Route& route, const StatementRequest& request, const StatementRun::Result& result);
 
     EventLoop& loop;
