--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -93,11 +93,13 @@
 bool PlatformStore::listen(const Endpoint& endpoint, Failure& failure)
 {
     this->ports.push_back(std::make_unique<Port>(this->loop, *this));
+    this->ports.back()->fault = this->faultOfNewPorts.load();
     return this->ports.back()->server.listen(endpoint, failure);
 }
 
 void PlatformStore::setFault(Fault fault)
 {
+    this->faultOfNewPorts = fault;
     for (const std::unique_ptr<Port>& port : this->ports)
         port->fault = fault;
 }
--- a/standins/platform/PlatformStore.h
+++ b/standins/platform/PlatformStore.h
@@ -73,7 +73,7 @@
     /// are issued again, and open watches end.
     void restoreCopy();
 
-    /// Sets the fault of every port.
+    /// Sets the fault of every port, also of those that are opened later.
     void setFault(Fault fault);
 
     /// Sets the fault of one port.
@@ -123,6 +123,7 @@
 
     EventLoop& loop;
     std::vector<std::unique_ptr<Port>> ports;
+    std::atomic<Fault> faultOfNewPorts { Fault::None };
     std::mutex mutex;
     std::map<std::string, std::map<std::string, Object>> kinds;
     std::map<std::string, std::map<std::string, Object>> copiedKinds;
--- a/tests/unit/RouteWatcherTests.cpp
+++ b/tests/unit/RouteWatcherTests.cpp
@@ -1,6 +1,7 @@
 #include "../../src/gateway/RouteWatcher.h"
 #include "../support/QueuedFleetStore.h"
 
+#include <functional>
 #include <future>
 #include <thread>
 
@@ -23,7 +24,7 @@
 class RouteWatcherBench : private RouteWatcher::Listener {
 public:
     RouteWatcherBench()
-        : watcher(this->loop, this->clock, this->store, *this)
+        : watcher(this->loop, this->clock, this->store, InstanceId("i1"), *this)
     {
         this->loop.start();
         this->loop.post([this] { this->watcher.start(); });
@@ -46,6 +47,20 @@
     /// @returns the revision that the next call watches from, or nothing when it is a read
     std::optional<StoreVersion> getNextPosition() { return this->store.peekRouteCall().watchedFrom; }
 
+    /// Runs a task on the loop and waits until it is done.
+    void run(const std::function<void(RouteWatcher&)>& task)
+    {
+        std::promise<void> done;
+        this->loop.post([this, &task, &done] {
+            task(this->watcher);
+            done.set_value();
+        });
+        done.get_future().get();
+    }
+
+    /// @returns the version that the listener was told of last, zero before the first; call it from run()
+    std::uint64_t getVersionInForce() const { return this->versionInForce; }
+
     /// @returns how long the next call, a watch, waits
     Duration getNextWait() { return this->store.peekRouteCall().wait; }
 
@@ -59,11 +74,12 @@
     }
 
 private:
-    void onRoutesInForce(const std::shared_ptr<const RouteTable>&) override { }
+    void onRoutesInForce(const std::shared_ptr<const RouteTable>& table) override { this->versionInForce = table->version.value(); }
 
     SystemClock clock;
     EventLoop loop;
     QueuedFleetStore store;
+    std::uint64_t versionInForce = 0;
     RouteWatcher watcher;
 };
 
@@ -116,3 +132,70 @@
     bench.getKeyFreshness();
     CHECK(bench.getNextWait() < std::chrono::seconds(1));
 }
+
+// A watch may end empty although it missed a change, and the next one continues after it. If watches succeed for ever, no
+// read shows the change.
+TEST(RouteWatcher, changeThatWatchMissedIsRead)
+{
+    RouteWatcherBench bench;
+    bench.answer(VersionedRoutes { makeTable(8), StoreVersion(10), StoreEra(1) });
+    int numWatches = 0;
+    while (numWatches < 4 && bench.getNextPosition()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        bench.answer(VersionedRoutes { nullptr, StoreVersion(11), StoreEra(1) });
+        numWatches++;
+    }
+    CHECK_TRUE(numWatches < 4);
+}
+
+// An instance that was cut off and survives the others hands its old table to all that start.
+TEST(RouteWatcher, tableOfOtherInstanceIsNotInForceBeforeItIsProven)
+{
+    RouteWatcherBench bench;
+    RouteSource other { RouteSource::Kind::OtherInstance, { "10.0.0.1", 1 } };
+    std::uint64_t versionWithoutProof = 0;
+    bench.run([&](RouteWatcher& watcher) {
+        watcher.offer(makeTable(8), other);
+        versionWithoutProof = bench.getVersionInForce();
+    });
+    CHECK_EQUAL(0, versionWithoutProof);
+    bench.answer(VersionedRoutes { makeTable(14), StoreVersion(10), StoreEra(1) });
+    bench.getNextPosition();
+    std::uint64_t version = 0;
+    bench.run([&](RouteWatcher&) { version = bench.getVersionInForce(); });
+    CHECK_EQUAL(14, version);
+}
+
+// An instance that is behind reports its version as confirmed. One that has a newer version must not take that for a proof
+// of its own and stop to ask the store.
+TEST(RouteWatcher, instanceWithOlderVersionProvesNothing)
+{
+    RouteWatcherBench bench;
+    bench.answer(VersionedRoutes { makeTable(14), StoreVersion(10), StoreEra(1) });
+    bench.getNextPosition();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    BootTime now = BootClock::now();
+    std::optional<RouteProof> proof;
+    bench.run([&](RouteWatcher& watcher) {
+        watcher.onRelayedFreshness({ BundleVersion(8), Duration(0) }, { "10.0.0.1", 1 }, now);
+        proof = watcher.getProof();
+    });
+    CHECK(proof->provenAt < now);
+}
+
+// The transfer of a newer table may fail for seconds. Until it is done, the older one must not be passed on as the newest.
+TEST(RouteWatcher, instanceThatKnowsOfNewerVersionDoesNotVouchForItsOwn)
+{
+    RouteWatcherBench bench;
+    bench.answer(VersionedRoutes { makeTable(8), StoreVersion(10), StoreEra(1) });
+    bench.getNextPosition();
+    bool vouchedBefore = false;
+    bool vouchesAfter = true;
+    bench.run([&](RouteWatcher& watcher) {
+        vouchedBefore = watcher.getFreshness().has_value();
+        watcher.onRelayedFreshness({ BundleVersion(14), Duration(0) }, { "10.0.0.1", 1 }, BootClock::now());
+        vouchesAfter = watcher.getFreshness().has_value();
+    });
+    CHECK_TRUE(vouchedBefore);
+    CHECK_FALSE(vouchesAfter);
+}
