Let no instance vouch for a configuration longer than its last proof

One path brought configurations, and it could be behind without knowing: a watch that ends empty passed for a proof and nothing ever read the object again; a table from the zone's reader came into force whatever its age; an instance that was behind vouched for its version, also to instances that had a newer one; a lost reader kept its zone from the store for 2 s; instances of other zones were asked only where there are workspaces.

Now only a read of the store proves a version, for the time at which it was sent (RouteProofTracker); every second by the zone's reader, in 0.7 s with workspaces. A watch only brings news. The proofs of an instance of the same version count with their age, those of one that is behind do not. An instance whose proof is older than 1.7 s, or that knows of a newer version, asks one instance of every zone, in all deployments; it does not vouch meanwhile. Every message between instances names its sender's version (PeerRpc). A table from another instance is the first in force only once it is proven, or if neither the store nor any zone can prove one. A read that takes more than 0.7 s is repeated and still counts when it is answered. A reported version that a later read does not show is forgotten.

Two tests of the watch stated the old rule (a watch confirms from its begin; watches are shorter with workspaces); they are replaced by ones on reads, which check the same ages.

--- a/include/lentiljunction/fleet/FleetStore.h
+++ b/include/lentiljunction/fleet/FleetStore.h
@@ -30,6 +30,8 @@
     StoreVersion revision;
     /// The era of the store to which the revision belongs.
     StoreEra era = StoreEra();
+    /// The store has a configuration that cannot be decoded, which may be newer than the known one.
+    bool isInvalid = false;
 };
 
 /// The state that all instances share: routing configuration, upstreams, primary record and instances.
--- a/include/lentiljunction/routes/KeyFreshnessTracker.h
+++ b/include/lentiljunction/routes/KeyFreshnessTracker.h
@@ -47,9 +47,6 @@
     /// @param at when the request was sent
     void onZoneWithoutStore(const ZoneId& zone, BootTime at);
 
-    /// @returns whether the configuration needs a confirmation by another instance
-    bool needsConfirmation(BootTime now) const;
-
     /// @returns the confirmation of the configuration in force, or nullptr before the first
     std::shared_ptr<const RouteConfirmation> getConfirmation() const { return this->confirmation; }
 
--- a/include/lentiljunction/routes/RouteProof.h
+++ b/include/lentiljunction/routes/RouteProof.h
@@ -34,15 +34,18 @@
     RouteSource source;
 };
 
-/// A version that another instance has, and that is newer than the one in force.
+/// A version that another instance has, and that is newer than the one that this instance has.
 struct NewerRoutes {
     BundleVersion version;
     /// When this instance first learned that there is a newer version.
     BootTime knownSince;
+    /// When this version was reported.
+    BootTime reportedAt;
     RouteSource source;
 };
 
-/// Knows how recently the routing configuration in force was proven to be the newest one.
+/// Knows how recently the routing configuration of an instance was proven to be the newest one, and whether another
+/// instance has a newer one.
 ///
 /// Not thread-safe; the control thread owns it.
 ///
@@ -59,18 +62,19 @@
     /// Records a proof; one that is older than the present one has no effect.
     void onProof(const RouteProof& proof);
 
-    /// A configuration came into force. What was proven before also holds for it, because it is newer.
-    void onTableInForce(BundleVersion version);
+    /// This instance has a newer configuration. What was proven before also holds for it.
+    void onTableKnown(BundleVersion version);
 
-    /// Another instance has a version.
+    /// Another instance has a version. One that a later read of the store does not show is ignored from then on, so that
+    /// a wrong message has no lasting effect.
     ///
-    /// @returns whether it is newer than the one in force and than any that was reported before
+    /// @returns whether it is newer than the one that this instance has and than any that was reported before
     bool onReported(BundleVersion version, const RouteSource& source, BootTime now);
 
     /// @returns the newest proof, or nothing before the first
     const std::optional<RouteProof>& getProof() const { return this->proof; }
 
-    /// @returns the newest version of another instance, if it is newer than the one in force
+    /// @returns the newest version of another instance, if it is newer than the one that this instance has
     const std::optional<NewerRoutes>& getNewer() const { return this->newer; }
 
     /// @returns whether the last proof is recent enough for other instances to rely on this one
@@ -79,6 +83,9 @@
     /// @returns when isProven() becomes false without further proofs; the epoch before the first one
     BootTime getExpiry() const;
 
+    /// @returns when other instances must be asked for a proof or for a newer configuration; the epoch before the first proof
+    BootTime getOtherInstancesNeededAt() const;
+
     /// @returns what has changed in isProven() since the last call
     Change checkProven(BootTime now);
 
@@ -86,6 +93,7 @@
     std::optional<BundleVersion> version;
     std::optional<RouteProof> proof;
     std::optional<NewerRoutes> newer;
+    std::optional<BundleVersion> refutedVersion;
     bool wasProven = false;
 };
 
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -34,6 +34,13 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
     }
 
+    std::vector<Endpoint> listOtherSeeds(const GatewaySettings& settings)
+    {
+        std::vector<Endpoint> others = settings.seeds;
+        others.erase(std::remove(others.begin(), others.end(), settings.peers), others.end());
+        return others;
+    }
+
 } // namespace
 
 GatewayControl::GatewayControl(const Dependencies& dependencies, const GatewaySettings& settings)
@@ -48,7 +55,7 @@
     , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, std::nullopt, std::nullopt }, [this](StoreEra era) { this->onRegistered(era); })
     , leaseTracker(settings.instance)
     , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance, *this)
-    , peerConfirmation(this->peers, dependencies.clock, this->routes, settings.instance)
+    , peerConfirmation(dependencies.controlLoop, this->peers, dependencies.clock, this->routes, settings.instance, listOtherSeeds(settings))
     , lists(dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, *this)
     , audit(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance)
     , handover(settings.instance)
@@ -60,6 +67,7 @@
 {
     this->dependencies.controlLoop.post([this] {
         this->routes.start();
+        this->peerConfirmation.start();
         this->lists.start();
     });
 }
@@ -93,7 +101,6 @@
 
 void GatewayControl::renewLease()
 {
-    this->peerConfirmation.askIfNeeded();
     std::optional<FleetMember> reader = this->findZoneReader();
     if (!reader)
         return this->readPrimaryRecord();
@@ -108,6 +115,7 @@
             this->lists.onZoneReaderResponse(*response, endpoint, sentAt);
         } else {
             this->zoneReaderAvoidedUntil = this->dependencies.clock.now() + zoneReaderRetryDelay;
+            this->routes.onZoneReaderLost();
         }
         if (!response || this->leaseTracker.getRemaining(this->dependencies.clock.bootNow()) < minimumRelayedLease)
             return this->readPrimaryRecordUnlessAvoided();
@@ -248,6 +256,21 @@
         this->peerConfirmation.requestRoutes(reader);
 }
 
+std::optional<BundleVersion> GatewayControl::getConfigurationVersion() const
+{
+    return this->routes.getTable() != nullptr ? std::optional<BundleVersion>(this->routes.getTable()->version) : std::nullopt;
+}
+
+void GatewayControl::onConfigurationVersion(BundleVersion version, const std::optional<Endpoint>& peer)
+{
+    if (!this->routes.onVersionReported(version, { RouteSource::Kind::OtherInstance, peer.value_or(Endpoint()) }))
+        return;
+    if (peer)
+        this->peerConfirmation.requestRoutes(*peer);
+    else
+        this->peerConfirmation.askNow();
+}
+
 void GatewayControl::onUpstreamList(const std::shared_ptr<const UpstreamList>& list)
 {
     std::vector<std::string> changes = this->upstreams.offer(*list, this->dependencies.clock.now());
@@ -309,7 +332,9 @@
 nlohmann::json GatewayControl::makeRoutesVersionResponse() const
 {
     std::optional<RouteFreshness> freshness = this->routes.getFreshness();
-    return freshness ? nlohmann::json { { "routes", encodeRouteFreshness(*freshness) } } : nlohmann::json::object();
+    if (freshness)
+        return { { "routes", encodeRouteFreshness(*freshness) } };
+    return this->routes.isBehind() ? nlohmann::json { { "behind", true } } : nlohmann::json::object();
 }
 
 nlohmann::json GatewayControl::makeStateResponse() const
@@ -366,8 +391,8 @@
     std::string kind = request.is_object() ? request.value("ask", "") : "";
     if (kind == "beliefs")
         return this->respondWithState(respond);
-    if (kind == "routes" && this->routes.getTable() != nullptr)
-        return respond(encodeRelayedRoutes(*this->routes.getTable()));
+    if (kind == "routes")
+        return respond(this->routes.getTable() != nullptr ? encodeRelayedRoutes(*this->routes.getTable()) : nlohmann::json::object());
     if (kind == "routes_version")
         return respond(this->makeRoutesVersionResponse());
     if (kind == "upstreams")
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -89,6 +89,8 @@
 
 private:
     void onPeerRequest(const nlohmann::json& request, const PeerRpc::Responder& respond) override;
+    std::optional<BundleVersion> getConfigurationVersion() const override;
+    void onConfigurationVersion(BundleVersion version, const std::optional<Endpoint>& peer) override;
     void onPrimaryRecord(const VersionedPrimaryRecord& versioned, BootTime sentAt) override
     {
         this->storeAnsweredAt = this->dependencies.clock.bootNow();
--- a/src/gateway/PeerConfirmation.cpp
+++ b/src/gateway/PeerConfirmation.cpp
@@ -2,30 +2,45 @@
 
 #include "lentiljunction/core/LogEvents.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lentiljunction {
 
 namespace {
 
+    /// The store usually responds within this time after the start.
+    constexpr std::chrono::milliseconds firstAskDelay { 300 };
     /// Several attempts fit into the time for which keys stay accepted.
     constexpr std::chrono::milliseconds askInterval { 400 };
     /// Allows several round trips between regions.
     constexpr std::chrono::milliseconds peerTimeout { 300 };
-    /// Allows several round trips between availability zones.
-    constexpr std::chrono::milliseconds routesTimeout { 150 };
+    /// Allows several round trips between regions for a table of some hundred routes on a link that is shared.
+    constexpr std::chrono::milliseconds routesTimeout { 1000 };
     /// The contact of another instance with the store is lost when its last confirmation is older. Confirmations pass
     /// through one instance of each zone, which adds less than half a second.
     constexpr std::chrono::milliseconds contactTimeout { 2500 };
 
+    std::string describe(const Endpoint& peer)
+    {
+        return peer.host + ":" + std::to_string(peer.port);
+    }
+
 } // namespace
 
-PeerConfirmation::PeerConfirmation(PeerRpc& peers, const Clock& clock, RouteWatcher& routes, InstanceId self)
+PeerConfirmation::PeerConfirmation(EventLoop& loop, PeerRpc& peers, const Clock& clock, RouteWatcher& routes, InstanceId self, std::vector<Endpoint> seeds)
     : peers(peers)
     , clock(clock)
     , routes(routes)
     , self(std::move(self))
+    , seeds(std::move(seeds))
+    , timer(loop, clock, [this] { this->check(); })
+{
+}
+
+void PeerConfirmation::start()
 {
+    this->timer.setTime(this->clock.now() + firstAskDelay);
 }
 
 void PeerConfirmation::setMembers(const std::vector<FleetMember>& members)
@@ -41,40 +56,76 @@
     this->routes.setZones(std::move(names));
 }
 
-void PeerConfirmation::askIfNeeded()
+void PeerConfirmation::check()
 {
     BootTime now = this->clock.bootNow();
-    if (!this->routes.needsPeerConfirmation() || now - this->askedAt < askInterval)
+    BootTime neededAt = this->routes.getOtherInstancesNeededAt();
+    if (neededAt <= now)
+        this->askAll();
+    BootClock::duration delay = std::max<BootClock::duration>(neededAt - now, askInterval);
+    this->timer.setTime(this->clock.now() + std::chrono::duration_cast<Duration>(delay));
+}
+
+void PeerConfirmation::askNow()
+{
+    if (this->clock.bootNow() - this->askedAt < askInterval)
         return;
-    this->askedAt = now;
+    this->askAll();
+}
+
+void PeerConfirmation::askAll()
+{
+    this->askedAt = this->clock.bootNow();
     this->next++;
+    // Responses may be processed while the requests are sent.
+    this->numPending++;
+    if (this->zones.empty() && !this->seeds.empty())
+        this->ask(this->seeds[this->next % this->seeds.size()], std::nullopt);
     for (const std::pair<const ZoneId, std::vector<FleetMember>>& zone : this->zones)
-        this->ask(zone.second[this->next % zone.second.size()]);
+        this->ask(zone.second[this->next % zone.second.size()].peers, zone.first);
+    if (--this->numPending == 0)
+        this->routes.onOtherInstancesAsked();
 }
 
-void PeerConfirmation::ask(const FleetMember& member)
+void PeerConfirmation::ask(const Endpoint& peer, const std::optional<ZoneId>& zone)
 {
+    this->numPending++;
     BootTime sentAt = this->clock.bootNow();
-    this->peers.ask(member.peers, { { "ask", "routes_version" } }, peerTimeout, [this, member, sentAt](const std::optional<nlohmann::json>& response) {
-        if (!response || !response->is_object())
-            return;
-        std::optional<RouteFreshness> freshness = decodeRouteFreshness(*response);
-        if (!freshness || freshness->age >= contactTimeout)
-            this->routes.onZoneWithoutStore(member.zone, sentAt);
-        else if (this->routes.onPeerFreshness(*freshness, member.peers, sentAt))
-            this->requestRoutes(member.peers);
+    this->peers.ask(peer, { { "ask", "routes_version" } }, peerTimeout, [this, peer, zone, sentAt](const std::optional<nlohmann::json>& response) {
+        this->numPending--;
+        if (response && response->is_object())
+            this->onResponse(*response, peer, zone, sentAt);
+        if (this->numPending == 0)
+            this->routes.onOtherInstancesAsked();
     });
 }
 
+void PeerConfirmation::onResponse(const nlohmann::json& response, const Endpoint& peer, const std::optional<ZoneId>& zone, BootTime sentAt)
+{
+    std::optional<RouteFreshness> freshness = decodeRouteFreshness(response);
+    if (freshness && freshness->age < contactTimeout) {
+        if (this->routes.onPeerFreshness(*freshness, peer, sentAt))
+            this->requestRoutes(peer);
+        return;
+    }
+    // An instance that is behind may have contact with the store.
+    if (zone && !response.contains("behind"))
+        this->routes.onZoneWithoutStore(*zone, sentAt);
+}
+
 void PeerConfirmation::requestRoutes(const Endpoint& peer)
 {
-    this->peers.ask(peer, { { "ask", "routes" } }, routesTimeout, [this, peer](const std::optional<nlohmann::json>& relayed) {
+    std::string name = describe(peer);
+    if (!this->requestedFrom.insert(name).second)
+        return;
+    this->peers.ask(peer, { { "ask", "routes" } }, routesTimeout, [this, peer, name](const std::optional<nlohmann::json>& relayed) {
+        this->requestedFrom.erase(name);
         if (!relayed)
-            return logEvent(events::routesNotReceived, "peer=" + peer.host + ":" + std::to_string(peer.port) + " reason=\"no response in time, or the link was lost\"");
+            return logEvent(events::routesNotReceived, "peer=" + name + " reason=\"no response in time, or the link was lost\"");
         Failure failure;
         std::optional<RouteTable> table = decodeRelayedRoutes(*relayed, failure);
         if (!table)
-            return logEvent(events::peerMessageInvalid, "reason=\"" + failure.reason + "\"");
+            return logEvent(events::routesNotReceived, "peer=" + name + " reason=\"" + failure.reason + "\"");
         this->routes.offer(std::make_shared<RouteTable>(std::move(*table)), { RouteSource::Kind::OtherInstance, peer });
     });
 }
--- a/src/gateway/RouteWatcher.cpp
+++ b/src/gateway/RouteWatcher.cpp
@@ -10,12 +10,16 @@
 
     constexpr std::chrono::milliseconds firstStoreRetry { 200 };
     constexpr std::chrono::milliseconds longestStoreRetry { 1600 };
-    /// A watch is renewed after this time, since its connection may be dead without an error, and a new
-    /// configuration must be in force within three seconds.
-    constexpr std::chrono::milliseconds watchTimeout { 2000 };
-    /// With workspaces a confirmation counts from the start of the watch, since its response may have waited while this
-    /// process did not run. Short watches keep that time recent, also at the instances that rely on this one.
-    constexpr std::chrono::milliseconds workspacesWatchTimeout { 700 };
+    /// A watch is renewed after this time, since its connection may be dead without an error.
+    constexpr std::chrono::milliseconds watchTimeout { 4000 };
+    /// A new configuration must be in force within three seconds, also at instances that rely on this one.
+    constexpr std::chrono::milliseconds readInterval { 1000 };
+    /// With workspaces, removed keys are refused in time only with more recent proofs.
+    constexpr std::chrono::milliseconds workspacesReadInterval { 700 };
+    /// A read that takes longer is repeated. It may still be answered, since the store or the way to it may be slow.
+    constexpr std::chrono::milliseconds readPatience { 700 };
+    /// Time in which another instance sends the newer configuration that it reported.
+    constexpr std::chrono::milliseconds transferPatience { 300 };
 
     std::string describeVersion(const std::shared_ptr<const RouteTable>& table)
     {
@@ -36,19 +40,26 @@
     , self(std::move(self))
     , listener(listener)
     , storeRetries(firstStoreRetry, longestStoreRetry)
-    , timer(loop, clock, [this] { this->watchUnlessRelayed(); })
+    , timer(loop, clock, [this] { this->readUnlessRelayed(); })
     , proofTimer(loop, clock, [this] { this->checkProven(); })
 {
 }
 
+const RouteTable* RouteWatcher::findNewestTable() const
+{
+    return this->routes.getTable() != nullptr ? this->routes.getTable().get() : this->unprovenTable.get();
+}
+
 bool RouteWatcher::onRelayedFreshness(const RouteFreshness& freshness, const Endpoint& reader, BootTime sentAt)
 {
     RouteSource source { RouteSource::Kind::OtherInstance, reader };
     if (this->isNewer(freshness, source))
         return true;
+    // An instance that has an older version would not tell of a newer one in time.
+    if (freshness.version != this->findNewestTable()->version)
+        return false;
     this->relayedFreshness.onFreshness(freshness, sentAt);
-    this->keyFreshness.onCurrentAt(*this->relayedFreshness.getConfirmedAt());
-    this->recordProof(sentAt - freshness.age, freshness.confirmedTo, source);
+    this->recordProof({ sentAt - freshness.age, freshness.confirmedTo, source });
     return false;
 }
 
@@ -57,37 +68,86 @@
     RouteSource source { RouteSource::Kind::OtherInstance, peer };
     if (this->isNewer(freshness, source))
         return true;
-    this->keyFreshness.onCurrentAt(sentAt - freshness.age);
-    this->recordProof(sentAt - freshness.age, freshness.confirmedTo, source);
+    if (freshness.version == this->findNewestTable()->version)
+        this->recordProof({ sentAt - freshness.age, freshness.confirmedTo, source });
     return false;
 }
 
 bool RouteWatcher::isNewer(const RouteFreshness& freshness, const RouteSource& source)
 {
-    const std::shared_ptr<const RouteTable>& table = this->routes.getTable();
-    if (this->proofs.onReported(freshness.version, source, this->clock.bootNow()))
-        logEvent(events::routesBehind, "routes_version=" + describeVersion(table) + " newer=" + std::to_string(freshness.version.value()) + " " + describe(source));
+    this->onVersionReported(freshness.version, source);
+    const RouteTable* table = this->findNewestTable();
     return table == nullptr || freshness.version > table->version;
 }
 
+bool RouteWatcher::onVersionReported(BundleVersion version, const RouteSource& source)
+{
+    if (!this->proofs.onReported(version, source, this->clock.bootNow()))
+        return false;
+    logEvent(events::routesBehind, "routes_version=" + describeVersion(this->routes.getTable()) + " newer=" + std::to_string(version.value()) + " " + describe(source));
+    if (!this->isReadPending)
+        this->timer.setTimeIfEarlier(this->clock.now() + transferPatience);
+    return true;
+}
+
+void RouteWatcher::onZoneReaderLost()
+{
+    if (!this->relayedFreshness.isFresh(this->clock.bootNow()))
+        return;
+    this->relayedFreshness = RelayedFreshness();
+    this->readSoon();
+}
+
+void RouteWatcher::onOtherInstancesAsked()
+{
+    if (this->unprovenTable == nullptr)
+        return;
+    BundleVersion version = this->unprovenTable->version;
+    if (this->isFirstReadDone && this->askedAboutVersion == version)
+        return this->releaseUnprovenTable();
+    this->askedAboutVersion = version;
+}
+
 void RouteWatcher::offer(std::shared_ptr<const RouteTable> table, const RouteSource& source)
+{
+    if (this->routes.getTable() != nullptr || source.kind != RouteSource::Kind::OtherInstance) {
+        this->putInForce(table, source);
+        return this->releaseUnprovenTable();
+    }
+    if (this->unprovenTable != nullptr && table->version <= this->unprovenTable->version)
+        return;
+    this->proofs.onTableKnown(table->version);
+    this->unprovenTable = std::move(table);
+    this->unprovenSource = source;
+}
+
+void RouteWatcher::putInForce(const std::shared_ptr<const RouteTable>& table, const RouteSource& source)
 {
     std::string previous = describeVersion(this->routes.getTable());
     if (!this->routes.offer(table))
         return;
     this->keyFreshness.onTableInForce();
     std::string detail = "routes_version=" + describeVersion(table) + " previous=" + previous + " routes=" + std::to_string(table->routes.size()) + " " + describe(source)
-        + " revision=" + std::to_string(this->revision.value()) + " store_era=" + std::to_string(this->era.value());
+        + " revision=" + std::to_string(this->revision.value()) + " store_era=" + std::to_string(this->era.value()) + " watching=" + std::to_string(this->isWatching);
     if (this->proofs.getNewer())
         detail += " behind_ms=" + std::to_string(toMilliseconds(this->clock.bootNow() - this->proofs.getNewer()->knownSince));
     logEvent(events::routesInForce, detail);
-    this->proofs.onTableInForce(table->version);
+    this->proofs.onTableKnown(table->version);
     this->listener.onRoutesInForce(table);
 }
 
-void RouteWatcher::recordProof(BootTime provenAt, const InstanceId& confirmedTo, const RouteSource& source)
+void RouteWatcher::releaseUnprovenTable()
 {
-    this->proofs.onProof({ provenAt, confirmedTo, source });
+    if (this->unprovenTable != nullptr)
+        this->putInForce(std::exchange(this->unprovenTable, nullptr), this->unprovenSource);
+}
+
+void RouteWatcher::recordProof(const RouteProof& proof)
+{
+    this->proofs.onProof(proof);
+    this->keyFreshness.onCurrentAt(proof.provenAt);
+    if (this->proofs.isProven(this->clock.bootNow()))
+        this->releaseUnprovenTable();
     this->checkProven();
 }
 
@@ -100,104 +160,127 @@
     if (change == RouteProofTracker::Change::None)
         return;
     const RouteProof& proof = *this->proofs.getProof();
-    logEvent(change == RouteProofTracker::Change::Lost ? events::routesUnproven : events::routesProven, "routes_version=" + describeVersion(this->routes.getTable()) + " proof_ms=" + std::to_string(toMilliseconds(now - proof.provenAt)) + " confirmed_to=" + proof.confirmedTo.toString() + " " + describe(proof.source) + " revision=" + std::to_string(this->revision.value()) + " store_era=" + std::to_string(this->era.value()) + " call_pending=" + std::to_string(this->isCallPending));
+    std::string detail = "routes_version=" + describeVersion(this->routes.getTable()) + " proof_ms=" + std::to_string(toMilliseconds(now - proof.provenAt)) + " confirmed_to=" + proof.confirmedTo.toString()
+        + " " + describe(proof.source) + " revision=" + std::to_string(this->revision.value()) + " store_era=" + std::to_string(this->era.value());
+    if (change == RouteProofTracker::Change::Regained)
+        return logEvent(events::routesProven, detail);
+    detail += " watching=" + std::to_string(this->isWatching);
+    if (this->isReadPending)
+        detail += " read_pending_ms=" + std::to_string(toMilliseconds(now - this->readSentAt));
+    logEvent(events::routesUnproven, detail);
 }
 
 std::optional<RouteFreshness> RouteWatcher::getFreshness() const
 {
-    std::optional<BootTime> newest = this->relayedFreshness.getConfirmedAt();
-    if (this->confirmedAt && (!newest || *newest < *this->confirmedAt))
-        newest = this->confirmedAt;
-    if (this->routes.getTable() == nullptr || !newest)
+    BootTime now = this->clock.bootNow();
+    if (this->routes.getTable() == nullptr || this->isBehind() || !this->proofs.isProven(now))
         return std::nullopt;
-    return RouteFreshness { this->routes.getTable()->version, std::chrono::duration_cast<Duration>(this->clock.bootNow() - *newest), this->proofs.getProof()->confirmedTo };
+    const RouteProof& proof = *this->proofs.getProof();
+    return RouteFreshness { this->routes.getTable()->version, std::chrono::duration_cast<Duration>(now - proof.provenAt), proof.confirmedTo };
 }
 
 void RouteWatcher::read()
 {
-    this->isCallPending = true;
-    BootTime sentAt = this->clock.bootNow();
-    this->store.readRoutes([this, sentAt](const std::optional<VersionedRoutes>& versioned, const Failure& failure) {
-        if (!versioned)
-            return this->retry("read_routes", failure);
-        this->confirmedAt = sentAt;
-        this->applyRoutes(*versioned, RouteSource::Kind::StoreRead);
-        this->onConfirmedByStore(sentAt);
-        this->recordProof(sentAt, this->self, { RouteSource::Kind::StoreRead });
-        this->onCallFinished();
+    std::uint64_t number = ++this->lastRead;
+    this->isReadPending = true;
+    this->readSentAt = this->clock.bootNow();
+    this->timer.setTime(this->clock.now() + readPatience);
+    this->store.readRoutes([this, number, sentAt = this->readSentAt](const std::optional<VersionedRoutes>& versioned, const Failure& failure) {
+        if (versioned)
+            return this->onReadDone(*versioned, sentAt);
+        if (this->isReadPending && number == this->lastRead)
+            this->onReadFailed(failure);
     });
 }
 
-void RouteWatcher::onCallFinished()
+void RouteWatcher::readSoon()
 {
-    this->isCallPending = false;
-    this->watchUnlessRelayed();
+    if (!this->isReadPending && this->lastRead > 0)
+        this->read();
 }
 
-void RouteWatcher::watchUnlessRelayed()
+void RouteWatcher::readUnlessRelayed()
 {
-    if (this->isCallPending)
-        return;
-    BootTime now = this->clock.bootNow();
-    if (this->relayedFreshness.isFresh(now)) {
-        this->isRelyingOnPeer = true;
-        this->timer.setTime(this->clock.now() + (*this->relayedFreshness.getExpiry() - now));
-        return;
+    if (this->isReadPending) {
+        Failure failure;
+        failure.set(Failure::Kind::Unavailable, "no response yet");
+        return this->onReadFailed(failure);
     }
-    if (std::exchange(this->isRelyingOnPeer, false))
+    if (!this->isRelayed())
         return this->read();
-    this->isCallPending = true;
-    BootTime sentAt = this->clock.bootNow();
-    this->store.watchRoutes(this->revision, this->hasWorkspaces() ? workspacesWatchTimeout : watchTimeout, [this, sentAt](const std::optional<VersionedRoutes>& versioned, const Failure& failure) {
-        if (!versioned)
-            return this->retry("watch_routes", failure);
-        if (versioned->era != this->era) {
-            logEvent(events::routesPositionLost, "revision=" + std::to_string(this->revision.value()) + " era=" + std::to_string(this->era.value()) + " store_era=" + std::to_string(versioned->era.value()));
-            return this->read();
-        }
-        this->applyRoutes(*versioned, RouteSource::Kind::StoreWatch);
-        this->confirmedAt = this->hasWorkspaces() ? sentAt : this->clock.bootNow();
-        this->onConfirmedByStore(sentAt);
-        this->recordProof(*this->confirmedAt, this->self, { RouteSource::Kind::StoreWatch });
-        this->onCallFinished();
-    });
+    this->scheduleRead();
 }
 
-void RouteWatcher::retry(const std::string& call, const Failure& failure)
+void RouteWatcher::scheduleRead()
 {
-    logEvent(events::storeCallFailed, "call=" + call + " reason=\"" + failure.reason + "\"");
-    // Other instances must not rely on this one while it cannot reach the store.
-    this->confirmedAt.reset();
-    this->keyFreshness.onStoreFailed(failure.isResponse);
-    this->loop.scheduleUntilDone(this->storeRetries.onFailure(), [this] { this->retryUnlessRelayed(); });
+    if (this->isRelayed())
+        return this->timer.setTime(this->clock.now() + (*this->relayedFreshness.getExpiry() - this->clock.bootNow()));
+    std::chrono::milliseconds interval = this->isBehind() ? firstStoreRetry : this->hasWorkspaces() ? workspacesReadInterval
+                                                                                                    : readInterval;
+    this->timer.setTime(this->clock.now() + interval);
 }
 
-void RouteWatcher::retryUnlessRelayed()
+void RouteWatcher::onReadDone(const VersionedRoutes& versioned, BootTime sentAt)
 {
-    if (!this->relayedFreshness.isFresh(this->clock.bootNow()))
-        return this->read();
-    // The next call to the store reads the routes, since the watch may have missed a change.
-    this->isRelyingOnPeer = true;
-    this->onCallFinished();
+    // An earlier read may be answered after a later one.
+    if (sentAt < this->appliedReadAt)
+        return;
+    this->appliedReadAt = sentAt;
+    this->isReadPending = false;
+    this->isFirstReadDone = true;
+    this->storeRetries.onSuccess();
+    if (versioned.revision < this->revision)
+        logEvent(events::routesPositionLost, "revision=" + std::to_string(this->revision.value()) + " read=" + std::to_string(versioned.revision.value()) + " store_era=" + std::to_string(versioned.era.value()));
+    // A lower revision is that of a restored store.
+    this->revision = versioned.revision;
+    this->era = versioned.era;
+    if (versioned.table != nullptr)
+        this->offer(versioned.table, { RouteSource::Kind::StoreRead });
+    this->keyFreshness.onStoreAnswered();
+    // A configuration that cannot be decoded may be a newer one.
+    if (!versioned.isInvalid)
+        this->recordProof({ sentAt, this->self, { RouteSource::Kind::StoreRead } });
+    this->scheduleRead();
+    this->watch();
 }
 
-void RouteWatcher::onConfirmedByStore(BootTime sentAt)
+void RouteWatcher::onReadFailed(const Failure& failure)
 {
-    // Called when the response is in force: it shows that no newer configuration existed, not that no other one did.
-    this->keyFreshness.onStoreAnswered();
-    this->keyFreshness.onCurrentAt(sentAt);
+    logEvent(events::storeCallFailed, "call=read_routes reason=\"" + failure.reason + "\"");
+    this->isReadPending = false;
+    this->isFirstReadDone = true;
+    this->keyFreshness.onStoreFailed(failure.isResponse);
+    Duration delay = this->storeRetries.onFailure();
+    this->timer.setTime(this->clock.now() + (this->isBehind() ? Duration(firstStoreRetry) : delay));
 }
 
-void RouteWatcher::applyRoutes(const VersionedRoutes& versioned, RouteSource::Kind kind)
+void RouteWatcher::watch()
 {
-    this->storeRetries.onSuccess();
-    if (versioned.revision < this->revision)
-        logEvent(events::routesPositionLost, "revision=" + std::to_string(this->revision.value()) + " read=" + std::to_string(versioned.revision.value()) + " store_era=" + std::to_string(versioned.era.value()));
-    // Responses arrive in the order of the calls, so a lower revision is that of a restored store.
-    this->revision = versioned.revision;
-    this->era = versioned.era;
+    if (this->isWatching || this->isRelayed())
+        return;
+    this->isWatching = true;
+    this->store.watchRoutes(this->revision, watchTimeout, [this](const std::optional<VersionedRoutes>& versioned, const Failure& failure) {
+        this->isWatching = false;
+        if (versioned)
+            return this->onWatchDone(*versioned);
+        logEvent(events::storeCallFailed, "call=watch_routes reason=\"" + failure.reason + "\"");
+        // The next read returns a revision from which the watch can continue.
+        if (!this->isReadPending)
+            this->timer.setTimeIfEarlier(this->clock.now() + this->storeRetries.onFailure());
+    });
+}
+
+void RouteWatcher::onWatchDone(const VersionedRoutes& versioned)
+{
+    if (versioned.era != this->era) {
+        logEvent(events::routesPositionLost, "revision=" + std::to_string(this->revision.value()) + " era=" + std::to_string(this->era.value()) + " store_era=" + std::to_string(versioned.era.value()));
+        return this->readSoon();
+    }
+    if (this->revision < versioned.revision)
+        this->revision = versioned.revision;
     if (versioned.table != nullptr)
-        this->offer(versioned.table, { kind });
+        this->offer(versioned.table, { RouteSource::Kind::StoreWatch });
+    this->watch();
 }
 
 } // namespace lentiljunction
--- a/src/gateway/RouteWatcher.h
+++ b/src/gateway/RouteWatcher.h
@@ -11,15 +11,18 @@
 
 namespace lentiljunction {
 
-/// Keeps the routing configuration of one instance up to date.
+/// Keeps the routing configuration of one instance up to date, and knows when it was last proven to be the newest one.
 ///
-/// Watches the store, unless another instance of the availability zone regularly reports its configuration
-/// version. That instance also reports how long ago the store confirmed the version, so this instance does
-/// not rely on one that cannot reach the store or whose requests the store rejects.
+/// Only a read of the store proves that: the own one, or that of an instance that has the same version. A watch and any
+/// message of another instance tell of newer versions, and prove nothing.
+///
+/// Reads the store regularly, unless another instance of the availability zone does and reports its proofs. A table from
+/// another instance comes into force as the first one only when it is proven, or when neither the store nor any other
+/// instance can prove one.
 ///
 /// Not thread-safe; the control thread owns it.
 ///
-/// @see RelayedRoutes
+/// @see RouteProofTracker, RelayedRoutes, PeerConfirmation
 class RouteWatcher {
 public:
     /// Receives newer configurations.
@@ -34,21 +37,41 @@
     /// @param self this instance, which other instances are told of as the one to which the store confirmed a version
     RouteWatcher(EventLoop& loop, const Clock& clock, FleetStore& store, InstanceId self, Listener& listener);
 
-    /// Reads the configuration from the store, then watches it.
+    /// Begins to read and to watch the configuration.
     void start() { this->read(); }
 
-    /// Processes the configuration version that another instance reported, and when the store confirmed it.
+    /// Processes the proof that the zone reader reported.
     ///
     /// @param reader where that instance listens for others
     /// @param sentAt when the request was sent
     /// @returns whether that instance has a newer version, which should be requested
     bool onRelayedFreshness(const RouteFreshness& freshness, const Endpoint& reader, BootTime sentAt);
 
-    /// Offers a configuration from another instance; an older one is ignored.
+    /// The zone reader did not respond, so this instance reads the store until it does.
+    void onZoneReaderLost();
+
+    /// Processes the proof of an instance of any zone. Unlike after onRelayedFreshness(), this instance goes on to read
+    /// the store.
+    ///
+    /// @param peer where that instance listens for others
+    /// @param sentAt when the request was sent
+    /// @returns whether that instance has a newer version, which should be requested
+    bool onPeerFreshness(const RouteFreshness& freshness, const Endpoint& peer, BootTime sentAt);
+
+    /// Processes the version that another instance named in any message. If it is newer, the store is read unless the other
+    /// instance sends its table soon.
+    ///
+    /// @returns whether it is newer than all known ones
+    bool onVersionReported(BundleVersion version, const RouteSource& source);
+
+    /// One instance of each zone was asked for its proof and has responded, or will not.
+    void onOtherInstancesAsked();
+
+    /// Offers a configuration from another instance or the store; an older one is ignored.
     void offer(std::shared_ptr<const RouteTable> table, const RouteSource& source);
 
-    /// @returns the configuration version and the time since the store confirmed it to this instance or to the
-    /// one that it relies on, for other instances; nothing without a confirmation, as when the store does not answer
+    /// @returns the configuration version with the age of its proof, for other instances; nothing when this instance
+    /// cannot vouch for it: without a recent proof, or when a newer version is known
     std::optional<RouteFreshness> getFreshness() const;
 
     /// @returns the configuration in force, or nullptr before the first
@@ -57,16 +80,11 @@
     /// @returns how long keys may be decided with the configuration in force; nullptr before the first
     std::shared_ptr<const RouteConfirmation> getConfirmation() const { return this->keyFreshness.getConfirmation(); }
 
-    /// @returns whether the configuration has workspaces and needs a confirmation by another instance
-    bool needsPeerConfirmation() const { return this->hasWorkspaces() && this->keyFreshness.needsConfirmation(this->clock.bootNow()); }
+    /// @returns when other instances must be asked for their proofs, which may be in the past
+    BootTime getOtherInstancesNeededAt() const { return this->routes.getTable() != nullptr ? this->proofs.getOtherInstancesNeededAt() : BootTime(); }
 
-    /// Processes the configuration version of an instance of any zone. Unlike after onRelayedFreshness(), this instance
-    /// goes on to read the store.
-    ///
-    /// @param peer where that instance listens for others
-    /// @param sentAt when the request was sent
-    /// @returns whether that instance has a newer version, which should be requested
-    bool onPeerFreshness(const RouteFreshness& freshness, const Endpoint& peer, BootTime sentAt);
+    /// @returns whether another instance is known to have a newer version
+    bool isBehind() const { return this->proofs.getNewer().has_value(); }
 
     /// Sets the zones in which other instances run.
     void setZones(std::set<ZoneId> others) { this->keyFreshness.setZones(std::move(others)); }
@@ -84,18 +102,24 @@
 
 private:
     void read();
-    void onCallFinished();
-    void applyRoutes(const VersionedRoutes& versioned, RouteSource::Kind kind);
-    void retry(const std::string& call, const Failure& failure);
-    /// Reads the store again after a failure, unless another instance relays the routes.
-    void retryUnlessRelayed();
-    /// Watches the store, unless the version reported by another instance is fresh enough.
-    void watchUnlessRelayed();
+    void readSoon();
+    void onReadDone(const VersionedRoutes& versioned, BootTime sentAt);
+    void onReadFailed(const Failure& failure);
+    void scheduleRead();
+    /// Reads the store, unless the proofs of the zone reader are recent enough.
+    void readUnlessRelayed();
+    /// @returns whether the zone reader tells of changes in time
+    bool isRelayed() const { return !this->isBehind() && this->relayedFreshness.isFresh(this->clock.bootNow()); }
+    void watch();
+    void onWatchDone(const VersionedRoutes& versioned);
     bool hasWorkspaces() const { return this->routes.getTable() != nullptr && this->routes.getTable()->workspaces; }
-    void onConfirmedByStore(BootTime sentAt);
-    void recordProof(BootTime provenAt, const InstanceId& confirmedTo, const RouteSource& source);
-    /// @returns whether another instance has a version that is newer than the one in force
+    /// @returns the newest configuration, also if it is not in force yet
+    const RouteTable* findNewestTable() const;
+    void recordProof(const RouteProof& proof);
     bool isNewer(const RouteFreshness& freshness, const RouteSource& source);
+    void putInForce(const std::shared_ptr<const RouteTable>& table, const RouteSource& source);
+    /// Puts the configuration in force that came from another instance before there was any.
+    void releaseUnprovenTable();
     /// Logs when the configuration begins or ceases to count as proven.
     void checkProven();
 
@@ -105,17 +129,26 @@
     InstanceId self;
     Listener& listener;
     ActiveRoutes routes;
+    /// The first configuration from another instance, until it is proven.
+    std::shared_ptr<const RouteTable> unprovenTable;
+    RouteSource unprovenSource;
+    /// The version of that configuration when other instances had been asked the last time.
+    std::optional<BundleVersion> askedAboutVersion;
     /// The revision of the last response, and the era of the store that issued it; the watch reports later ones.
     StoreVersion revision;
     StoreEra era;
     RelayedFreshness relayedFreshness;
-    /// When the store last confirmed that there is no newer configuration.
-    std::optional<BootTime> confirmedAt;
     KeyFreshnessTracker keyFreshness;
     RouteProofTracker proofs;
-    bool isCallPending = false;
-    /// This instance relies on another one, so the revision from which to watch the store is out of date.
-    bool isRelyingOnPeer = false;
+    /// The read that was sent last; an earlier one may still be answered.
+    std::uint64_t lastRead = 0;
+    bool isReadPending = false;
+    BootTime readSentAt;
+    /// When the read was sent whose response was used last.
+    BootTime appliedReadAt;
+    bool isWatching = false;
+    /// A first read has been answered, or has failed.
+    bool isFirstReadDone = false;
     Backoff storeRetries;
     OneShotTimer timer;
     OneShotTimer proofTimer;
--- a/src/peer/PeerRpc.cpp
+++ b/src/peer/PeerRpc.cpp
@@ -48,10 +48,10 @@
     std::string key = toKey(peer);
     std::uint64_t number = this->nextRequestNumber++;
     TimePoint deadline = this->clock.now() + timeout;
-    this->pending[number] = { std::move(callback), deadline, key };
+    this->pending[number] = { std::move(callback), deadline, key, peer };
     this->timer.setTimeIfEarlier(deadline);
 
-    std::string payload = toCbor({ { "number", number }, { "body", std::move(request) } });
+    std::string payload = this->encode(number, std::move(request));
     this->numBytesSent += payload.size();
     Link& link = this->links[key];
     if (link.isOpen)
@@ -67,10 +67,11 @@
     if (!message)
         return;
     std::uint64_t number = (*message)["number"];
+    this->processVersion(*message, std::nullopt);
     // A field of an unexpected type throws; the malformed request is dropped and the link stays open.
     try {
         this->listener.onPeerRequest((*message)["body"], [this, handle, number](const nlohmann::json& response) {
-            std::string responsePayload = toCbor({ { "number", number }, { "body", response } });
+            std::string responsePayload = this->encode(number, response);
             this->numBytesSent += responsePayload.size();
             this->server.send(handle, responsePayload, true);
         });
@@ -106,6 +107,7 @@
     if (found == this->pending.end())
         return;
     ResponseCallback callback = std::move(found->second.callback);
+    Endpoint peer = std::move(found->second.endpoint);
     this->pending.erase(found);
     try {
         callback((*message)["body"]);
@@ -113,6 +115,23 @@
         logEvent(events::peerMessageInvalid, std::string("reason=\"") + error.what() + "\"");
         callback(std::nullopt);
     }
+    this->processVersion(*message, peer);
+}
+
+std::string PeerRpc::encode(std::uint64_t number, nlohmann::json body) const
+{
+    nlohmann::json message { { "number", number }, { "body", std::move(body) } };
+    std::optional<BundleVersion> version = this->listener.getConfigurationVersion();
+    if (version)
+        message["version"] = version->value();
+    return toCbor(message);
+}
+
+void PeerRpc::processVersion(const nlohmann::json& message, const std::optional<Endpoint>& peer)
+{
+    nlohmann::json::const_iterator version = message.find("version");
+    if (version != message.end() && version->is_number_unsigned())
+        this->listener.onConfigurationVersion(BundleVersion(version->get<std::uint64_t>()), peer);
 }
 
 void PeerRpc::onDisconnected(WebSocketClient::Handle handle)
--- a/src/peer/PeerRpc.h
+++ b/src/peer/PeerRpc.h
@@ -15,7 +15,8 @@
 
 namespace lentiljunction {
 
-/// Requests and responses between instances: CBOR messages over WebSocket.
+/// Requests and responses between instances: CBOR messages over WebSocket. Each names the version of its sender's
+/// configuration, so that every message can tell an instance that its own is out of date.
 ///
 /// The first request to an instance opens a link, which is then reused. When a request times out, its
 /// link is dropped, because an open connection may never deliver data again.
@@ -33,6 +34,14 @@
     public:
         virtual ~Listener() = default;
         virtual void onPeerRequest(const nlohmann::json& request, const Responder& respond) = 0;
+
+        /// @returns the version of the configuration that every message to other instances names, if there is one
+        virtual std::optional<BundleVersion> getConfigurationVersion() const = 0;
+
+        /// Another instance named the version of its configuration.
+        ///
+        /// @param peer where it listens for other instances; nothing when it sent a request
+        virtual void onConfigurationVersion(BundleVersion version, const std::optional<Endpoint>& peer) = 0;
     };
 
     /// @param loop runs the links; must outlive this object
@@ -59,6 +68,7 @@
         ResponseCallback callback;
         TimePoint deadline;
         std::string peer;
+        Endpoint endpoint;
     };
 
     struct Link {
@@ -75,6 +85,8 @@
     void onMessage(WebSocketClient::Handle handle, const std::string& payload) override;
     void onDisconnected(WebSocketClient::Handle handle) override;
     void dropExpiredLinks();
+    std::string encode(std::uint64_t number, nlohmann::json body) const;
+    void processVersion(const nlohmann::json& message, const std::optional<Endpoint>& peer);
 
     const Clock& clock;
     Listener& listener;
--- a/src/routes/KeyFreshnessTracker.cpp
+++ b/src/routes/KeyFreshnessTracker.cpp
@@ -14,8 +14,6 @@
     /// upstream. More than a lost confirmation and two calls to the store take (2.5 s and 2 x 0.7 s).
     constexpr std::chrono::milliseconds keyLifetime { 4200 };
     constexpr std::chrono::milliseconds refusedKeyExtension { 15000 };
-    /// Instances without contact to the store need confirmations from others by then.
-    constexpr std::chrono::milliseconds peerConfirmationDelay { 1700 };
 
 } // namespace
 
@@ -63,11 +61,6 @@
     this->update();
 }
 
-bool KeyFreshnessTracker::needsConfirmation(BootTime now) const
-{
-    return this->confirmation != nullptr && (!this->currentAt || now - *this->currentAt >= peerConfirmationDelay);
-}
-
 std::optional<BootTime> KeyFreshnessTracker::findOutage() const
 {
     if (!this->hasStoreFailed || this->isRefusedByStore || this->zones.empty())
--- a/src/routes/RouteProof.cpp
+++ b/src/routes/RouteProof.cpp
@@ -7,6 +7,11 @@
     /// A new configuration must be in force within three seconds of the store's acknowledgement. The remaining time is
     /// for a read.
     constexpr std::chrono::milliseconds proofLifetime { 2500 };
+    /// Other instances are asked while there is still time for several attempts. A zone reader reads the store every
+    /// second, and its proofs reach the others within half a second.
+    constexpr std::chrono::milliseconds otherInstancesDelay { 1700 };
+    /// Time in which the instance that reported a newer configuration sends it.
+    constexpr std::chrono::milliseconds transferPatience { 300 };
 
 } // namespace
 
@@ -27,9 +32,13 @@
 {
     if (!this->proof || newProof.provenAt > this->proof->provenAt)
         this->proof = newProof;
+    if (!this->newer || newProof.source.kind != RouteSource::Kind::StoreRead || newProof.provenAt <= this->newer->reportedAt)
+        return;
+    this->refutedVersion = this->newer->version;
+    this->newer.reset();
 }
 
-void RouteProofTracker::onTableInForce(BundleVersion newVersion)
+void RouteProofTracker::onTableKnown(BundleVersion newVersion)
 {
     this->version = newVersion;
     if (this->newer && this->newer->version <= newVersion)
@@ -38,12 +47,12 @@
 
 bool RouteProofTracker::onReported(BundleVersion reported, const RouteSource& source, BootTime now)
 {
-    if (this->version && reported <= *this->version)
+    if ((this->version && reported <= *this->version) || reported == this->refutedVersion)
         return false;
     if (this->newer && reported <= this->newer->version)
         return false;
     BootTime knownSince = this->newer ? this->newer->knownSince : now;
-    this->newer = NewerRoutes { reported, knownSince, source };
+    this->newer = NewerRoutes { reported, knownSince, now, source };
     return true;
 }
 
@@ -57,6 +66,13 @@
     return this->proof ? this->proof->provenAt + proofLifetime : BootTime();
 }
 
+BootTime RouteProofTracker::getOtherInstancesNeededAt() const
+{
+    if (this->newer)
+        return this->newer->reportedAt + transferPatience;
+    return this->proof ? this->proof->provenAt + otherInstancesDelay : BootTime();
+}
+
 RouteProofTracker::Change RouteProofTracker::checkProven(BootTime now)
 {
     bool isNowProven = this->isProven(now);
--- /dev/null
+++ b/tests/unit/PeerRpcTests.cpp
@@ -0,0 +1,62 @@
+#include "../../src/peer/PeerRpc.h"
+
+#include <future>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+
+namespace {
+
+/// An instance that other instances can ask, and what it hears of their configurations.
+class Node : public PeerRpc::Listener {
+public:
+    Node(EventLoop& loop, const Clock& clock, BundleVersion version)
+        : version(version)
+        , rpc(loop, clock, *this)
+    {
+    }
+
+    void onPeerRequest(const nlohmann::json&, const PeerRpc::Responder& respond) override { respond({ { "fine", true } }); }
+    std::optional<BundleVersion> getConfigurationVersion() const override { return this->version; }
+
+    void onConfigurationVersion(BundleVersion heard, const std::optional<Endpoint>& peer) override
+    {
+        this->heardVersion = heard;
+        this->heardFrom = peer;
+    }
+
+    BundleVersion version;
+    std::optional<BundleVersion> heardVersion;
+    std::optional<Endpoint> heardFrom;
+    PeerRpc rpc;
+};
+
+} // namespace
+
+TEST_GROUP(PeerRpc) {};
+
+// An instance that lost the store, and that only requests and is requested, did not learn of a newer configuration.
+TEST(PeerRpc, requestsAndResponsesNameTheVersionOfTheirSender)
+{
+    EventLoop loop;
+    SystemClock clock;
+    Node asking(loop, clock, BundleVersion(8));
+    Node asked(loop, clock, BundleVersion(14));
+    Failure failure;
+    Endpoint endpoint { "127.0.0.1", 21000 };
+    while (!asked.rpc.listen(endpoint, failure))
+        endpoint.port++;
+    loop.start();
+    std::promise<bool> done;
+    loop.post([&] {
+        asking.rpc.ask(endpoint, { { "ask", "anything" } }, std::chrono::seconds(10), [&](const std::optional<nlohmann::json>& response) {
+            // The version of a response is processed after its body.
+            loop.post([&done, isAnswered = response.has_value()] { done.set_value(isAnswered); });
+        });
+    });
+    CHECK_TRUE(done.get_future().get());
+    loop.stop();
+    CHECK(asking.heardVersion == BundleVersion(14) && asking.heardFrom == endpoint);
+    CHECK(asked.heardVersion == BundleVersion(8) && !asked.heardFrom);
+}
--- a/tests/unit/RouteWatcherTests.cpp
+++ b/tests/unit/RouteWatcherTests.cpp
@@ -61,8 +61,8 @@
     /// @returns the version that the listener was told of last, zero before the first; call it from run()
     std::uint64_t getVersionInForce() const { return this->versionInForce; }
 
-    /// @returns how long the next call, a watch, waits
-    Duration getNextWait() { return this->store.peekRouteCall().wait; }
+    /// Waits for the next call, which gets no answer.
+    void dropCall() { this->store.takeRouteCall(); }
 
     /// @returns how long keys may be decided, once all answers given so far are processed
     KeyFreshness getKeyFreshness()
@@ -107,30 +107,95 @@
     CHECK_FALSE(bench.getNextPosition().has_value());
 }
 
-// The process may have been frozen before it processed the answer of a watch, so the answer confirms the configuration
-// only for the time at which the watch began.
-TEST(RouteWatcher, watchConfirmsConfigurationFromItsBegin)
+// The process may have been frozen before it processed the answer of a read, so the answer proves the configuration only
+// for the time at which the read was sent. A watch proves nothing: it may have missed a change.
+TEST(RouteWatcher, onlyReadsProveConfigurationFromTheirSending)
 {
     RouteWatcherBench bench;
-    bench.answer(VersionedRoutes { makeTable(1, true), StoreVersion(1), StoreEra(1) });
-    KeyFreshness afterRead = bench.getKeyFreshness();
+    BootTime startedAt = BootClock::now();
+    bench.getNextPosition();
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     BootTime answeredAt = BootClock::now();
+    bench.answer(VersionedRoutes { makeTable(1, true), StoreVersion(1), StoreEra(1) });
+    KeyFreshness afterRead = bench.getKeyFreshness();
+    CHECK(afterRead.currentUntil >= startedAt - std::chrono::seconds(1) + std::chrono::milliseconds(2500));
+    CHECK(afterRead.currentUntil < answeredAt + std::chrono::milliseconds(2500));
     bench.answer(VersionedRoutes { nullptr, StoreVersion(1), StoreEra(1) });
     KeyFreshness afterWatch = bench.getKeyFreshness();
-    CHECK(afterWatch.currentUntil > afterRead.currentUntil);
-    CHECK(afterWatch.currentUntil < answeredAt + std::chrono::milliseconds(2500));
+    CHECK(afterWatch.currentUntil == afterRead.currentUntil);
+}
+
+// Removed keys are refused in time only with proofs that are more recent than other changes need.
+TEST(RouteWatcher, readsAreMoreFrequentWithWorkspaces)
+{
+    for (bool hasWorkspaces : { false, true }) {
+        RouteWatcherBench bench;
+        bench.answer(VersionedRoutes { makeTable(1, hasWorkspaces), StoreVersion(1), StoreEra(1) });
+        CHECK_TRUE(bench.getNextPosition().has_value());
+        bench.dropCall();
+        std::chrono::steady_clock::time_point waitedFrom = std::chrono::steady_clock::now();
+        CHECK_FALSE(bench.getNextPosition().has_value());
+        CHECK(std::chrono::steady_clock::now() - waitedFrom < (hasWorkspaces ? std::chrono::milliseconds(1000) : std::chrono::milliseconds(2000)));
+    }
 }
 
-// Confirmations that count from the begin of a watch of 2 s would be too old for the instances that rely on them.
-TEST(RouteWatcher, watchesAreShorterWithWorkspacesOnly)
+// A configuration that cannot be decoded may be a newer one, so it does not confirm the older one.
+TEST(RouteWatcher, invalidConfigurationProvesNothing)
 {
     RouteWatcherBench bench;
     bench.answer(VersionedRoutes { makeTable(1), StoreVersion(1), StoreEra(1) });
-    CHECK(bench.getNextWait() == std::chrono::seconds(2));
-    bench.answer(VersionedRoutes { makeTable(2, true), StoreVersion(2), StoreEra(1) });
-    bench.getKeyFreshness();
-    CHECK(bench.getNextWait() < std::chrono::seconds(1));
+    CHECK_TRUE(bench.getNextPosition().has_value());
+    bench.dropCall();
+    CHECK_FALSE(bench.getNextPosition().has_value());
+    std::optional<RouteProof> before;
+    bench.run([&](RouteWatcher& watcher) { before = watcher.getProof(); });
+    VersionedRoutes invalid { nullptr, StoreVersion(2), StoreEra(1) };
+    invalid.isInvalid = true;
+    bench.answer(invalid);
+    std::optional<RouteProof> after;
+    bench.run([&](RouteWatcher& watcher) { after = watcher.getProof(); });
+    CHECK(after->provenAt == before->provenAt);
+}
+
+// The freshness that a lost reader had reported kept the instances of its zone from asking the store for two seconds.
+TEST(RouteWatcher, storeIsReadAtOnceWhenZoneReaderIsLost)
+{
+    RouteWatcherBench bench;
+    bench.answer(VersionedRoutes { makeTable(8), StoreVersion(10), StoreEra(1) });
+    CHECK_TRUE(bench.getNextPosition().has_value());
+    bench.dropCall();
+    std::chrono::steady_clock::time_point lostAt;
+    bench.run([&](RouteWatcher& watcher) {
+        watcher.onRelayedFreshness({ BundleVersion(8), Duration(0) }, { "10.0.0.1", 1 }, BootClock::now());
+        watcher.onZoneReaderLost();
+        lostAt = std::chrono::steady_clock::now();
+    });
+    CHECK_FALSE(bench.getNextPosition().has_value());
+    CHECK(std::chrono::steady_clock::now() - lostAt < std::chrono::milliseconds(500));
+}
+
+// While the store is away and no instance has a proof, an instance that starts serves by the newest table that others have.
+TEST(RouteWatcher, unprovenTableComesIntoForceWhenNothingCanProveIt)
+{
+    RouteWatcherBench bench;
+    RouteSource other { RouteSource::Kind::OtherInstance, { "10.0.0.1", 1 } };
+    bench.answer(std::nullopt);
+    bench.getNextPosition();
+    std::uint64_t afterOffer = 0;
+    std::uint64_t afterFirstRound = 0;
+    std::uint64_t afterSecondRound = 0;
+    bench.run([&](RouteWatcher& watcher) {
+        watcher.offer(makeTable(8), other);
+        watcher.offer(makeTable(14), other);
+        afterOffer = bench.getVersionInForce();
+        watcher.onOtherInstancesAsked();
+        afterFirstRound = bench.getVersionInForce();
+        watcher.onOtherInstancesAsked();
+        afterSecondRound = bench.getVersionInForce();
+    });
+    CHECK_EQUAL(0, afterOffer);
+    CHECK_EQUAL(0, afterFirstRound);
+    CHECK_EQUAL(14, afterSecondRound);
 }
 
 // A watch may end empty although it missed a change, and the next one continues after it. If watches succeed for ever, no
