Find an instance's entry in the store instead of writing it until a response comes

All requests were refused for many seconds when the whole fleet started while the store lost the responses to writes: the registration was repeated until one was answered (0.7 s and a back-off each), and an instance has no lease before. Class: a write without a response is repeated, not read back. Reads are not lost, and after a restart the entry is there already: now it is read first, and again after a write without a response. The primary record and the audit trail already read back or compare; no other write of the control plane waits for its response.

--- a/include/lentiljunction/fleet/FleetStore.h
+++ b/include/lentiljunction/fleet/FleetStore.h
@@ -22,6 +22,17 @@
     std::optional<Endpoint> lending = std::nullopt;
     /// The address where it decides on the limits of workspaces; empty when it enforces none.
     std::optional<Endpoint> quota = std::nullopt;
+
+    friend bool operator==(const FleetMember& left, const FleetMember& right)
+    {
+        return left.id == right.id && left.zone == right.zone && left.peers == right.peers && left.lending == right.lending && left.quota == right.quota;
+    }
+};
+
+/// The entry of an instance and the era of the store in which it was read.
+struct RegisteredMember {
+    FleetMember member;
+    StoreEra era;
 };
 
 /// The routing configuration and its revision in the store.
@@ -73,6 +84,9 @@
     /// which it is registered.
     virtual void registerMember(const FleetMember& member, Callback<StoreEra> callback) = 0;
 
+    /// Reads the entry of an instance, linearizable.
+    virtual void readMember(const InstanceId& member, Callback<RegisteredMember> callback) = 0;
+
     /// Removes the entry of an instance that stops permanently.
     virtual void removeMember(const InstanceId& member, Callback<bool> callback) = 0;
 
--- a/src/gateway/MemberRegistration.cpp
+++ b/src/gateway/MemberRegistration.cpp
@@ -11,6 +11,8 @@
     constexpr std::chrono::milliseconds firstRetry { 200 };
     /// Hundreds of instances must not keep a busy store busy.
     constexpr std::chrono::milliseconds longestRetry { 1600 };
+    /// Delay before the entry is read after a lost response; allows several round trips to the store.
+    constexpr std::chrono::milliseconds readBackDelay { 60 };
 
 } // namespace
 
@@ -27,21 +29,50 @@
 {
     this->isPending = true;
     this->isChanged = false;
+    this->read();
+}
+
+void MemberRegistration::read()
+{
+    this->store.readMember(this->self.id, [this](const std::optional<RegisteredMember>& registered, const Failure& failure) {
+        if (registered && registered->member == this->self)
+            return this->onRegisteredIn(registered->era);
+        bool isKnownToDiffer = registered || failure.kind == Failure::Kind::NotFound || failure.kind == Failure::Kind::InvalidInput;
+        if (!isKnownToDiffer)
+            return this->retry("read_member", failure);
+        this->write();
+    });
+}
+
+void MemberRegistration::write()
+{
     this->store.registerMember(this->self, [this](const std::optional<StoreEra>& era, const Failure& failure) {
-        if (!era) {
-            logEvent(events::storeCallFailed, "call=register reason=\"" + failure.reason + "\"");
-            return this->loop.schedule(this->retries.onFailure(), [this] { this->start(); });
-        }
-        this->isPending = false;
-        this->retries.onSuccess();
-        this->registeredIn = era;
-        this->onRegistered(*era);
-        this->renewInNewEra();
-        if (this->isChanged)
-            this->renewAfterChange();
+        if (era)
+            return this->onRegisteredIn(*era);
+        if (failure.kind != Failure::Kind::InDoubt)
+            return this->retry("register", failure);
+        logEvent(events::storeCallFailed, "call=register reason=\"" + failure.reason + "\"");
+        this->loop.schedule(readBackDelay, [this] { this->start(); });
     });
 }
 
+void MemberRegistration::retry(const std::string& call, const Failure& failure)
+{
+    logEvent(events::storeCallFailed, "call=" + call + " reason=\"" + failure.reason + "\"");
+    this->loop.schedule(this->retries.onFailure(), [this] { this->start(); });
+}
+
+void MemberRegistration::onRegisteredIn(StoreEra era)
+{
+    this->isPending = false;
+    this->retries.onSuccess();
+    this->registeredIn = era;
+    this->onRegistered(era);
+    this->renewInNewEra();
+    if (this->isChanged)
+        this->renewAfterChange();
+}
+
 void MemberRegistration::setLending(const Endpoint& lending)
 {
     this->self.lending = lending;
--- a/src/gateway/MemberRegistration.h
+++ b/src/gateway/MemberRegistration.h
@@ -10,6 +10,9 @@
 
 /// Keeps this instance registered in the store, also after the store was restored from a copy without its entry.
 ///
+/// Reads its entry before it writes and when a write got no response: the entry may be there already, and a store that
+/// loses the responses to writes may still answer reads.
+///
 /// Not thread-safe; the control thread owns it.
 class MemberRegistration {
 public:
@@ -19,7 +22,7 @@
     /// @param loop must outlive this object, as must `store`
     MemberRegistration(Scheduler& loop, FleetStore& store, FleetMember self, Callback onRegistered);
 
-    /// Registers the instance, and tries again until the store accepts it.
+    /// Registers the instance, and tries again until its entry is in the store.
     void start();
 
     /// Adds the address at which this instance lends connections, also to an earlier registration.
@@ -34,6 +37,10 @@
 
 private:
     void renewAfterChange();
+    void read();
+    void write();
+    void retry(const std::string& call, const Failure& failure);
+    void onRegisteredIn(StoreEra era);
 
     Scheduler& loop;
     FleetStore& store;
--- a/tests/process/GatewayStaleRoutesTests.cpp
+++ b/tests/process/GatewayStaleRoutesTests.cpp
@@ -32,6 +32,8 @@
     GatewayFixture fixture(7);
     CHECK_TRUE(fixture.waitUntilServed("bookings"));
     const std::vector<std::size_t> zone { 0, 3, 6 };
+    for (std::size_t instance : zone)
+        CHECK_TRUE(waitUntil([&] { return contains(fixture.readMetrics(instance), "fact=\"instances\"} 7"); }));
     for (std::size_t instance : zone)
         fixture.getStore().setPortFault(instance, standin::PlatformStore::Fault::Silent);
     fixture.configure(2, { "bookings", "checks" });
--- a/tests/support/QueuedFleetStore.h
+++ b/tests/support/QueuedFleetStore.h
@@ -44,6 +44,7 @@
     void readPrimaryRecord(Callback<VersionedPrimaryRecord>) override { }
     void writePrimaryRecord(const PrimaryRecord&, StoreVersion, Callback<VersionedPrimaryRecord>) override { }
     void registerMember(const FleetMember&, Callback<StoreEra>) override { }
+    void readMember(const InstanceId&, Callback<RegisteredMember>) override { }
     void removeMember(const InstanceId&, Callback<bool>) override { }
     void listMembers(bool, Callback<std::vector<FleetMember>>) override { }
     void writeAudit(const std::string&, const std::string&, Callback<bool>) override { }
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -34,6 +34,7 @@
     void readPrimaryRecord(Callback<VersionedPrimaryRecord> callback) override { this->respond(callback, VersionedPrimaryRecord()); }
     void writePrimaryRecord(const PrimaryRecord&, StoreVersion, Callback<VersionedPrimaryRecord> callback) override { this->respond(callback, VersionedPrimaryRecord()); }
     void registerMember(const FleetMember&, Callback<StoreEra> callback) override { this->respond(callback, StoreEra(1)); }
+    void readMember(const InstanceId&, Callback<RegisteredMember> callback) override { this->respond(callback, RegisteredMember()); }
     void removeMember(const InstanceId&, Callback<bool> callback) override { this->respond(callback, true); }
     void listMembers(bool, Callback<std::vector<FleetMember>> callback) override { this->respond(callback, std::vector<FleetMember>()); }
     void writeAudit(const std::string& key, const std::string& records, Callback<bool> callback) override
--- a/tests/unit/PortOpenerTests.cpp
+++ b/tests/unit/PortOpenerTests.cpp
@@ -42,6 +42,13 @@
 /// Accepts registrations when a test says so.
 class RegistrationStore : public QueuedFleetStore {
 public:
+    void readMember(const InstanceId&, Callback<RegisteredMember> onRead) override
+    {
+        Failure missing;
+        missing.set(Failure::Kind::NotFound, "no entry");
+        onRead(std::nullopt, missing);
+    }
+
     void registerMember(const FleetMember& member, Callback<StoreEra> callback) override
     {
         this->members.push_back(member);
