Keep a link between instances while an earlier request on it still has time

A table or a list that takes longer than 150 ms to arrive, as on a link that callers fill, was cut off by the next request for the lease behind it: its timeout dropped the link, and with it the transfer, again and again. The shorter request now fails alone; the link is dropped when the oldest request on it has no time left.

PeerRpc.requestThatTimesOutDoesNotEndTheTransferBeforeIt failed on the code before.

--- a/src/peer/PeerRpc.cpp
+++ b/src/peer/PeerRpc.cpp
@@ -165,14 +165,27 @@
 {
     TimePoint now = this->clock.now();
     std::vector<WebSocketClient::Handle> expiredLinks;
-    for (const std::pair<const std::uint64_t, PendingRequest>& entry : this->pending) {
-        std::map<std::string, Link>::iterator link = this->links.find(entry.second.peer);
-        if (entry.second.deadline <= now && link != this->links.end())
+    std::vector<ResponseCallback> expiredRequests;
+    // Links whose responses may be delayed by that to an earlier request, which still has time.
+    std::set<std::string> busyPeers;
+    for (std::map<std::uint64_t, PendingRequest>::iterator entry = this->pending.begin(); entry != this->pending.end();) {
+        PendingRequest& request = entry->second;
+        std::map<std::string, Link>::iterator link = this->links.find(request.peer);
+        if (request.deadline > now)
+            busyPeers.insert(request.peer);
+        else if (busyPeers.count(request.peer) > 0) {
+            expiredRequests.push_back(std::move(request.callback));
+            entry = this->pending.erase(entry);
+            continue;
+        } else if (link != this->links.end())
             expiredLinks.push_back(link->second.handle);
+        ++entry;
     }
     // Dropping a link fails all pending requests on it.
     for (WebSocketClient::Handle handle : expiredLinks)
         this->client.drop(handle);
+    for (const ResponseCallback& callback : expiredRequests)
+        callback(std::nullopt);
     for (const std::pair<const std::uint64_t, PendingRequest>& entry : this->pending)
         this->timer.setTimeIfEarlier(entry.second.deadline);
 }
--- a/src/peer/PeerRpc.h
+++ b/src/peer/PeerRpc.h
@@ -19,7 +19,8 @@
 /// configuration, so that every message can tell an instance that its own is out of date.
 ///
 /// The first request to an instance opens a link, which is then reused. When a request times out, its
-/// link is dropped, because an open connection may never deliver data again.
+/// link is dropped, because an open connection may never deliver data again. It is kept while an earlier request on it
+/// still has time: the response to that one, such as a long list, may delay the others.
 ///
 /// Use only on the event loop's thread; callbacks run on it too.
 class PeerRpc : private WebSocketServer::Listener, private WebSocketClient::Listener {
--- a/tests/unit/PeerRpcTests.cpp
+++ b/tests/unit/PeerRpcTests.cpp
@@ -12,12 +12,20 @@
 class Node : public PeerRpc::Listener {
 public:
     Node(EventLoop& loop, const Clock& clock, BundleVersion version)
-        : version(version)
+        : loop(loop)
+        , version(version)
         , rpc(loop, clock, *this)
     {
     }
 
-    void onPeerRequest(const nlohmann::json&, const PeerRpc::Responder& respond) override { respond({ { "fine", true } }); }
+    void onPeerRequest(const nlohmann::json& request, const PeerRpc::Responder& respond) override
+    {
+        if (request["ask"] == "slow")
+            this->loop.schedule(std::chrono::milliseconds(400), [respond] { respond({ { "fine", true } }); });
+        else if (request["ask"] != "nothing")
+            respond({ { "fine", true } });
+    }
+
     std::optional<BundleVersion> getConfigurationVersion() const override { return this->version; }
 
     void onConfigurationVersion(BundleVersion heard, const std::optional<Endpoint>& peer) override
@@ -26,6 +34,17 @@
         this->heardFrom = peer;
     }
 
+    EventLoop& loop;
+    /// Opens a free port.
+    Endpoint listen()
+    {
+        Failure failure;
+        Endpoint endpoint { "127.0.0.1", 21000 };
+        while (!this->rpc.listen(endpoint, failure))
+            endpoint.port++;
+        return endpoint;
+    }
+
     BundleVersion version;
     std::optional<BundleVersion> heardVersion;
     std::optional<Endpoint> heardFrom;
@@ -43,10 +62,7 @@
     SystemClock clock;
     Node asking(loop, clock, BundleVersion(8));
     Node asked(loop, clock, BundleVersion(14));
-    Failure failure;
-    Endpoint endpoint { "127.0.0.1", 21000 };
-    while (!asked.rpc.listen(endpoint, failure))
-        endpoint.port++;
+    Endpoint endpoint = asked.listen();
     loop.start();
     std::promise<bool> done;
     loop.post([&] {
@@ -60,3 +76,23 @@
     CHECK(asking.heardVersion == BundleVersion(14) && asking.heardFrom == endpoint);
     CHECK(asked.heardVersion == BundleVersion(8) && !asked.heardFrom);
 }
+
+// The transfer of a table over a slow link was cut off by the next request behind it, which times out sooner.
+TEST(PeerRpc, requestThatTimesOutDoesNotEndTheTransferBeforeIt)
+{
+    EventLoop loop;
+    SystemClock clock;
+    Node asking(loop, clock, BundleVersion(8));
+    Node asked(loop, clock, BundleVersion(8));
+    Endpoint endpoint = asked.listen();
+    loop.start();
+    std::promise<bool> slow;
+    std::promise<bool> unanswered;
+    loop.post([&] {
+        asking.rpc.ask(endpoint, { { "ask", "slow" } }, std::chrono::seconds(20), [&](const std::optional<nlohmann::json>& response) { slow.set_value(response.has_value()); });
+        asking.rpc.ask(endpoint, { { "ask", "nothing" } }, std::chrono::milliseconds(100), [&](const std::optional<nlohmann::json>& response) { unanswered.set_value(response.has_value()); });
+    });
+    CHECK_FALSE(unanswered.get_future().get());
+    CHECK_TRUE(slow.get_future().get());
+    loop.stop();
+}
