Read a list of upstreams again when it lacks changes that the store had shown

Lists may be seconds old by the store's rules, and counted as of when they were requested: the zone reader vouched for them, and an upstream that had reported to leave got work until it was gone.

--- a/include/lentiljunction/fleet/FleetStore.h
+++ b/include/lentiljunction/fleet/FleetStore.h
@@ -69,8 +69,10 @@
     /// @param wait maximum time to wait; afterwards the callback receives the current revision and no table
     virtual void watchRoutes(StoreVersion after, Duration wait, Callback<VersionedRoutes> callback) = 0;
 
-    /// Reads the list of registered upstreams, which may be seconds old.
-    virtual void listUpstreams(Callback<std::shared_ptr<const UpstreamList>> callback) = 0;
+    /// Reads the list of registered upstreams.
+    ///
+    /// @param isLinearizable whether the list must show all changes before the call; otherwise it may be seconds old
+    virtual void listUpstreams(bool isLinearizable, Callback<std::shared_ptr<const UpstreamList>> callback) = 0;
 
     /// Reads the primary record, linearizable.
     virtual void readPrimaryRecord(Callback<VersionedPrimaryRecord> callback) = 0;
--- a/include/lentiljunction/fleet/lj_fleet.h
+++ b/include/lentiljunction/fleet/lj_fleet.h
@@ -5,5 +5,6 @@
 
 #include "lentiljunction/fleet/FleetStore.h"
 #include "lentiljunction/fleet/RelayedList.h"
+#include "lentiljunction/fleet/RevisionHistory.h"
 #include "lentiljunction/fleet/Voters.h"
 #include "lentiljunction/fleet/ZoneReader.h"
--- a/include/lentiljunction/routes/UpstreamEntry.h
+++ b/include/lentiljunction/routes/UpstreamEntry.h
@@ -28,6 +28,9 @@
 /// All known upstreams at one time. Immutable.
 struct UpstreamList {
     std::map<UpstreamId, UpstreamEntry> entries;
+    /// The revision of the store that the list shows, and the era that issued it.
+    StoreVersion revision {};
+    StoreEra era {};
 
     /// @returns the entry of an upstream, or nullptr when it is not in the list
     const UpstreamEntry* find(const UpstreamId& id) const
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -98,6 +98,7 @@
         events::routesProven,
         events::routesBehind,
         events::routesNotReceived,
+        events::listOutdated,
         events::memberChanged,
         events::peerLinkOpened,
         events::peerLinkLost,
--- a/src/fleet/MeteredFleetStore.h
+++ b/src/fleet/MeteredFleetStore.h
@@ -22,7 +22,7 @@
     StoreEra getEra() const override { return this->inner->getEra(); }
     void readRoutes(Callback<VersionedRoutes> callback) override { this->inner->readRoutes(this->meter("read_routes", std::move(callback))); }
     void watchRoutes(StoreVersion after, Duration wait, Callback<VersionedRoutes> callback) override { this->inner->watchRoutes(after, wait, this->meter("watch_routes", std::move(callback))); }
-    void listUpstreams(Callback<std::shared_ptr<const UpstreamList>> callback) override { this->inner->listUpstreams(this->meter("list_upstreams", std::move(callback))); }
+    void listUpstreams(bool isLinearizable, Callback<std::shared_ptr<const UpstreamList>> callback) override { this->inner->listUpstreams(isLinearizable, this->meter("list_upstreams", std::move(callback))); }
     void readPrimaryRecord(Callback<VersionedPrimaryRecord> callback) override { this->inner->readPrimaryRecord(this->meter("read_lead", std::move(callback))); }
     void writePrimaryRecord(const PrimaryRecord& record, StoreVersion expected, Callback<VersionedPrimaryRecord> callback) override { this->inner->writePrimaryRecord(record, expected, this->meter("write_lead", std::move(callback))); }
     void registerMember(const FleetMember& member, Callback<StoreEra> callback) override { this->inner->registerMember(member, this->meter("register", std::move(callback))); }
--- a/src/gateway/FleetLists.cpp
+++ b/src/gateway/FleetLists.cpp
@@ -16,6 +16,8 @@
     /// Leaving upstreams announce this several seconds in advance.
     constexpr std::chrono::milliseconds upstreamListInterval { 1000 };
     constexpr std::chrono::milliseconds memberListInterval { 3000 };
+    /// A list that was outdated for longer when it was requested is read again.
+    constexpr std::chrono::milliseconds longestListDelay { 1500 };
     /// Shorter interval after the start, so that instances that start together find each other.
     constexpr std::chrono::milliseconds startupMemberListInterval { 400 };
     constexpr int numStartupMemberLists = 3;
@@ -130,21 +132,36 @@
         this->loop.scheduleUntilDone(upstreamListInterval, [this] { this->listUpstreams(); });
         return;
     }
-    this->store.listUpstreams([this, sentAt](const std::optional<std::shared_ptr<const UpstreamList>>& list, const Failure& failure) {
+    bool isLinearizable = std::exchange(this->mustListLinearizably, false);
+    this->store.listUpstreams(isLinearizable, [this, sentAt, isLinearizable](const std::optional<std::shared_ptr<const UpstreamList>>& list, const Failure& failure) {
         if (list) {
-            this->upstreamList = *list;
-            this->upstreams.onListed(computeVersion(encodeUpstreamList(**list)), sentAt);
-            this->listener.onUpstreamList(*list);
+            this->onUpstreamsListed(*list, isLinearizable, sentAt);
         } else {
             logEvent(events::storeCallFailed, "call=list_upstreams reason=\"" + failure.reason + "\"");
         }
         if (list)
             this->upstreamRetries.onSuccess();
-        Duration next = list ? Duration(upstreamListInterval) : this->upstreamRetries.onFailure();
+        Duration next = !list ? this->upstreamRetries.onFailure() : this->mustListLinearizably ? Duration(0)
+                                                                                               : Duration(upstreamListInterval);
         this->loop.scheduleUntilDone(next, [this] { this->listUpstreams(); });
     });
 }
 
+void FleetLists::onUpstreamsListed(const std::shared_ptr<const UpstreamList>& list, bool isLinearizable, BootTime sentAt)
+{
+    BootTime currentAt = isLinearizable ? sentAt : this->revisions.findCurrentAt(list->revision, list->era, sentAt);
+    // Without any list, an outdated one is better than none.
+    if (sentAt - currentAt > longestListDelay && !this->upstreamList->entries.empty()) {
+        // An outdated list would make upstreams usable again that are leaving.
+        logEvent(events::listOutdated, "revision=" + std::to_string(list->revision.value()) + " store_era=" + std::to_string(list->era.value()));
+        this->mustListLinearizably = true;
+        return;
+    }
+    this->upstreamList = list;
+    this->upstreams.onListed(computeVersion(encodeUpstreamList(*list)), currentAt);
+    this->listener.onUpstreamList(list);
+}
+
 void FleetLists::listMembers()
 {
     // Instances that start together are not all in the first list.
--- a/src/gateway/FleetLists.h
+++ b/src/gateway/FleetLists.h
@@ -5,6 +5,7 @@
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/fleet/FleetStore.h"
 #include "lentiljunction/fleet/RelayedList.h"
+#include "lentiljunction/fleet/RevisionHistory.h"
 
 #include <memory>
 #include <vector>
@@ -39,6 +40,11 @@
     /// Handles the response of the zone reader to a request that was sent at `sentAt`.
     void onZoneReaderResponse(const nlohmann::json& response, const Endpoint& reader, BootTime sentAt);
 
+    /// A linearizable response named the store's newest revision. A list of an earlier one is outdated.
+    ///
+    /// @param sentAt when the call was sent
+    void onRevision(StoreVersion revision, StoreEra era, BootTime sentAt) { this->revisions.onRevision(revision, era, sentAt); }
+
     /// @returns the versions of both lists and the age of that knowledge, for other instances
     nlohmann::json makeVersions() const;
 
@@ -48,6 +54,7 @@
 
 private:
     void listUpstreams();
+    void onUpstreamsListed(const std::shared_ptr<const UpstreamList>& list, bool isLinearizable, BootTime sentAt);
     void listMembers();
     void requestUpstreams(const Endpoint& reader);
     void requestMembers(const Endpoint& reader);
@@ -62,6 +69,9 @@
     std::shared_ptr<const UpstreamList> upstreamList = std::make_shared<UpstreamList>();
     std::vector<FleetMember> memberList;
     Backoff upstreamRetries;
+    RevisionHistory revisions;
+    /// The last list was outdated, so the next one is requested as of now.
+    bool mustListLinearizably = false;
     int numMemberLists = 0;
 };
 
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -99,6 +99,7 @@
     void onUpstreamList(const std::shared_ptr<const UpstreamList>& list) override;
     void onMemberList(const std::vector<FleetMember>& list) override;
     void onRoutesInForce(const std::shared_ptr<const RouteTable>& table) override;
+    void onStoreRevision(StoreVersion revision, StoreEra era, BootTime sentAt) override { this->lists.onRevision(revision, era, sentAt); }
     const UpstreamList& getUpstreamList() const override { return *this->upstreams.getList(); }
     const LeaseTracker& getLeaseTracker() const override { return this->leaseTracker; }
     bool mayAct() const override { return this->recovery.mayPromote() && this->handover.mayAct(this->dependencies.clock.bootNow()); }
--- a/src/gateway/RouteWatcher.cpp
+++ b/src/gateway/RouteWatcher.cpp
@@ -237,6 +237,7 @@
     if (versioned.table != nullptr)
         this->offer(versioned.table, { RouteSource::Kind::StoreRead });
     this->keyFreshness.onStoreAnswered();
+    this->listener.onStoreRevision(versioned.revision, versioned.era, sentAt);
     // A configuration that cannot be decoded may be a newer one.
     if (!versioned.isInvalid)
         this->recordProof({ sentAt, this->self, { RouteSource::Kind::StoreRead } });
--- a/src/gateway/RouteWatcher.h
+++ b/src/gateway/RouteWatcher.h
@@ -30,6 +30,8 @@
     public:
         virtual ~Listener() = default;
         virtual void onRoutesInForce(const std::shared_ptr<const RouteTable>& table) = 0;
+        /// A read of the store named its newest revision.
+        virtual void onStoreRevision(StoreVersion revision, StoreEra era, BootTime sentAt) = 0;
     };
 
     /// All must outlive this object.
--- a/tests/support/QueuedFleetStore.h
+++ b/tests/support/QueuedFleetStore.h
@@ -40,7 +40,7 @@
     StoreEra getEra() const override { return StoreEra(); }
     void readRoutes(Callback<VersionedRoutes> callback) override { this->add({ std::nullopt, Duration(0), std::move(callback) }); }
     void watchRoutes(StoreVersion after, Duration wait, Callback<VersionedRoutes> callback) override { this->add({ after, wait, std::move(callback) }); }
-    void listUpstreams(Callback<std::shared_ptr<const UpstreamList>>) override { }
+    void listUpstreams(bool, Callback<std::shared_ptr<const UpstreamList>>) override { }
     void readPrimaryRecord(Callback<VersionedPrimaryRecord>) override { }
     void writePrimaryRecord(const PrimaryRecord&, StoreVersion, Callback<VersionedPrimaryRecord>) override { }
     void registerMember(const FleetMember&, Callback<StoreEra>) override { }
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -30,7 +30,7 @@
     StoreEra getEra() const override { return this->era; }
     void readRoutes(Callback<VersionedRoutes> callback) override { this->respond(callback, VersionedRoutes()); }
     void watchRoutes(StoreVersion, Duration, Callback<VersionedRoutes> callback) override { this->respond(callback, VersionedRoutes()); }
-    void listUpstreams(Callback<std::shared_ptr<const UpstreamList>> callback) override { this->respond(callback, std::shared_ptr<const UpstreamList>()); }
+    void listUpstreams(bool, Callback<std::shared_ptr<const UpstreamList>> callback) override { this->respond(callback, std::shared_ptr<const UpstreamList>()); }
     void readPrimaryRecord(Callback<VersionedPrimaryRecord> callback) override { this->respond(callback, VersionedPrimaryRecord()); }
     void writePrimaryRecord(const PrimaryRecord&, StoreVersion, Callback<VersionedPrimaryRecord> callback) override { this->respond(callback, VersionedPrimaryRecord()); }
     void registerMember(const FleetMember&, Callback<StoreEra> callback) override { this->respond(callback, StoreEra(1)); }
--- a/tests/unit/RouteWatcherTests.cpp
+++ b/tests/unit/RouteWatcherTests.cpp
@@ -75,6 +75,7 @@
 
 private:
     void onRoutesInForce(const std::shared_ptr<const RouteTable>& table) override { this->versionInForce = table->version.value(); }
+    void onStoreRevision(StoreVersion, StoreEra, BootTime) override { }
 
     SystemClock clock;
     EventLoop loop;
