--- a/src/gateway/RouteWatcher.cpp
+++ b/src/gateway/RouteWatcher.cpp
@@ -18,8 +18,6 @@
     constexpr std::chrono::milliseconds workspacesReadInterval { 700 };
     /// A read that takes longer is repeated. It may still be answered, since the store or the way to it may be slow.
     constexpr std::chrono::milliseconds readPatience { 700 };
-    /// Time in which another instance sends the newer configuration that it reported.
-    constexpr std::chrono::milliseconds transferPatience { 300 };
 
     std::string describeVersion(const std::shared_ptr<const RouteTable>& table)
     {
@@ -40,7 +38,7 @@
     , self(std::move(self))
     , listener(listener)
     , storeRetries(firstStoreRetry, longestStoreRetry)
-    , timer(loop, clock, [this] { this->readUnlessRelayed(); })
+    , readTimer(loop, clock, [this] { this->readUnlessRelayed(); })
     , proofTimer(loop, clock, [this] { this->checkProven(); })
 {
 }
@@ -86,7 +84,7 @@
         return false;
     logEvent(events::routesBehind, "routes_version=" + describeVersion(this->routes.getTable()) + " newer=" + std::to_string(version.value()) + " " + describe(source));
     if (!this->isReadPending)
-        this->timer.setTimeIfEarlier(this->clock.now() + transferPatience);
+        this->readTimer.setTimeIfEarlier(this->clock.now() + (this->proofs.getOtherInstancesNeededAt() - this->clock.bootNow()));
     return true;
 }
 
@@ -95,7 +93,7 @@
     if (!this->relayedFreshness.isFresh(this->clock.bootNow()))
         return;
     this->relayedFreshness = RelayedFreshness();
-    this->readSoon();
+    this->readNow();
 }
 
 void RouteWatcher::onOtherInstancesAsked()
@@ -184,7 +182,7 @@
     std::uint64_t number = ++this->lastRead;
     this->isReadPending = true;
     this->readSentAt = this->clock.bootNow();
-    this->timer.setTime(this->clock.now() + readPatience);
+    this->readTimer.setTime(this->clock.now() + readPatience);
     this->store.readRoutes([this, number, sentAt = this->readSentAt](const std::optional<VersionedRoutes>& versioned, const Failure& failure) {
         if (versioned)
             return this->onReadDone(*versioned, sentAt);
@@ -193,7 +191,7 @@
     });
 }
 
-void RouteWatcher::readSoon()
+void RouteWatcher::readNow()
 {
     if (!this->isReadPending && this->lastRead > 0)
         this->read();
@@ -214,10 +212,10 @@
 void RouteWatcher::scheduleRead()
 {
     if (this->isRelayed())
-        return this->timer.setTime(this->clock.now() + (*this->relayedFreshness.getExpiry() - this->clock.bootNow()));
+        return this->readTimer.setTime(this->clock.now() + (*this->relayedFreshness.getExpiry() - this->clock.bootNow()));
     std::chrono::milliseconds interval = this->isBehind() ? firstStoreRetry : this->hasWorkspaces() ? workspacesReadInterval
                                                                                                     : readInterval;
-    this->timer.setTime(this->clock.now() + interval);
+    this->readTimer.setTime(this->clock.now() + interval);
 }
 
 void RouteWatcher::onReadDone(const VersionedRoutes& versioned, BootTime sentAt)
@@ -252,7 +250,7 @@
     this->isFirstReadDone = true;
     this->keyFreshness.onStoreFailed(failure.isResponse);
     Duration delay = this->storeRetries.onFailure();
-    this->timer.setTime(this->clock.now() + (this->isBehind() ? Duration(firstStoreRetry) : delay));
+    this->readTimer.setTime(this->clock.now() + (this->isBehind() ? Duration(firstStoreRetry) : delay));
 }
 
 void RouteWatcher::watch()
@@ -267,7 +265,7 @@
         logEvent(events::storeCallFailed, "call=watch_routes reason=\"" + failure.reason + "\"");
         // The next read returns a revision from which the watch can continue.
         if (!this->isReadPending)
-            this->timer.setTimeIfEarlier(this->clock.now() + this->storeRetries.onFailure());
+            this->readTimer.setTimeIfEarlier(this->clock.now() + this->storeRetries.onFailure());
     });
 }
 
@@ -275,7 +273,7 @@
 {
     if (versioned.era != this->era) {
         logEvent(events::routesPositionLost, "revision=" + std::to_string(this->revision.value()) + " era=" + std::to_string(this->era.value()) + " store_era=" + std::to_string(versioned.era.value()));
-        return this->readSoon();
+        return this->readNow();
     }
     if (this->revision < versioned.revision)
         this->revision = versioned.revision;
--- a/src/gateway/RouteWatcher.h
+++ b/src/gateway/RouteWatcher.h
@@ -104,7 +104,8 @@
 
 private:
     void read();
-    void readSoon();
+    /// Reads the store now, unless a read is pending.
+    void readNow();
     void onReadDone(const VersionedRoutes& versioned, BootTime sentAt);
     void onReadFailed(const Failure& failure);
     void scheduleRead();
@@ -152,7 +153,9 @@
     /// A first read has been answered, or has failed.
     bool isFirstReadDone = false;
     Backoff storeRetries;
-    OneShotTimer timer;
+    /// Until the next read, or until the one that is pending counts as failed.
+    OneShotTimer readTimer;
+    /// Until the last proof expires.
     OneShotTimer proofTimer;
 };
 
