--- a/src/gateway/RouteWatcher.cpp
+++ b/src/gateway/RouteWatcher.cpp
@@ -32,8 +32,7 @@
 } // namespace
 
 RouteWatcher::RouteWatcher(EventLoop& loop, const Clock& clock, FleetStore& store, InstanceId self, Listener& listener)
-    : loop(loop)
-    , clock(clock)
+    : clock(clock)
     , store(store)
     , self(std::move(self))
     , listener(listener)
--- a/src/gateway/RouteWatcher.h
+++ b/src/gateway/RouteWatcher.h
@@ -126,7 +126,6 @@
     /// Logs when the configuration begins or ceases to count as proven.
     void checkProven();
 
-    EventLoop& loop;
     const Clock& clock;
     FleetStore& store;
     InstanceId self;
