Tell bytes and time of reads, what links queue, and the table of a refusal

Added: events 232 (a slow read of the routes, with its bytes) and 233 (a long queue on a link between instances), the facts route_bytes_read and peer_bytes_queued, and routes_version in the line of a refusal. No decision changes.

--- a/include/lentiljunction/fleet/FleetStore.h
+++ b/include/lentiljunction/fleet/FleetStore.h
@@ -63,6 +63,10 @@
     /// Reads the routing configuration, linearizable.
     virtual void readRoutes(Callback<VersionedRoutes> callback) = 0;
 
+    /// @returns the bytes of responses to readRoutes() that have been received since the start, those of incomplete ones
+    ///     included
+    virtual std::uint64_t countRouteBytes() const { return 0; }
+
     /// Waits for a routing configuration later than a revision. A response of a newer era than that of the revision does
     /// not show what was written in between.
     ///
--- a/include/lentiljunction/metrics/GatewayMetrics.h
+++ b/include/lentiljunction/metrics/GatewayMetrics.h
@@ -60,6 +60,10 @@
         std::size_t numUpstreams = 0;
         /// Payload bytes sent to other instances since the start.
         std::uint64_t numPeerBytes = 0;
+        /// Bytes of responses that wait for other instances to receive them.
+        std::uint64_t numPeerBytesQueued = 0;
+        /// Bytes of the routing configuration received from the store since the start.
+        std::uint64_t numRouteBytesRead = 0;
         /// Listening ports that are not open yet.
         std::size_t numClosedPorts = 0;
         /// Handlers that threw an exception since the start.
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -99,6 +99,8 @@
         events::routesBehind,
         events::routesNotReceived,
         events::listOutdated,
+        events::routesReadSlow,
+        events::peerQueueLong,
         events::memberChanged,
         events::peerLinkOpened,
         events::peerLinkLost,
--- a/src/fleet/MeteredFleetStore.h
+++ b/src/fleet/MeteredFleetStore.h
@@ -21,6 +21,7 @@
 
     StoreEra getEra() const override { return this->inner->getEra(); }
     void readRoutes(Callback<VersionedRoutes> callback) override { this->inner->readRoutes(this->meter("read_routes", std::move(callback))); }
+    std::uint64_t countRouteBytes() const override { return this->inner->countRouteBytes(); }
     void watchRoutes(StoreVersion after, Duration wait, Callback<VersionedRoutes> callback) override { this->inner->watchRoutes(after, wait, this->meter("watch_routes", std::move(callback))); }
     void listUpstreams(bool isLinearizable, Callback<std::shared_ptr<const UpstreamList>> callback) override { this->inner->listUpstreams(isLinearizable, this->meter("list_upstreams", std::move(callback))); }
     void readPrimaryRecord(Callback<VersionedPrimaryRecord> callback) override { this->inner->readPrimaryRecord(this->meter("read_lead", std::move(callback))); }
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -326,6 +326,8 @@
     state.numInstances = this->members.getSize();
     state.numUpstreams = this->upstreams.getList()->entries.size();
     state.numPeerBytes = this->peers.getNumBytesSent();
+    state.numPeerBytesQueued = this->peers.countQueuedBytes();
+    state.numRouteBytesRead = this->dependencies.store.countRouteBytes();
     return state;
 }
 
--- a/src/gateway/RouteWatcher.cpp
+++ b/src/gateway/RouteWatcher.cpp
@@ -16,6 +16,8 @@
     constexpr std::chrono::milliseconds readInterval { 1000 };
     /// With workspaces, removed keys are refused in time only with more recent proofs.
     constexpr std::chrono::milliseconds workspacesReadInterval { 700 };
+    /// Reads that take longer are logged.
+    constexpr std::chrono::milliseconds slowRead { 300 };
     /// A read that takes longer is repeated. It may still be answered, since the store or the way to it may be slow.
     constexpr std::chrono::milliseconds readPatience { 700 };
 
@@ -181,6 +183,7 @@
     std::uint64_t number = ++this->lastRead;
     this->isReadPending = true;
     this->readSentAt = this->clock.bootNow();
+    this->numBytesAtStart = this->store.countRouteBytes();
     this->readTimer.setTime(this->clock.now() + readPatience);
     this->store.readRoutes([this, number, sentAt = this->readSentAt](const std::optional<VersionedRoutes>& versioned, const Failure& failure) {
         if (versioned)
@@ -223,6 +226,9 @@
     if (sentAt < this->appliedReadAt)
         return;
     this->appliedReadAt = sentAt;
+    BootClock::duration taken = this->clock.bootNow() - sentAt;
+    if (taken > slowRead)
+        logEvent(events::routesReadSlow, "took_ms=" + std::to_string(toMilliseconds(taken)) + " bytes=" + std::to_string(this->store.countRouteBytes() - this->numBytesAtStart));
     this->isReadPending = false;
     this->isFirstReadDone = true;
     this->storeRetries.onSuccess();
--- a/src/gateway/RouteWatcher.h
+++ b/src/gateway/RouteWatcher.h
@@ -146,6 +146,8 @@
     std::uint64_t lastRead = 0;
     bool isReadPending = false;
     BootTime readSentAt;
+    /// The bytes of the configuration that had been received when the last read was sent.
+    std::uint64_t numBytesAtStart = 0;
     /// When the read was sent whose response was used last.
     BootTime appliedReadAt;
     bool isWatching = false;
--- a/src/metrics/GatewayMetrics.cpp
+++ b/src/metrics/GatewayMetrics.cpp
@@ -96,6 +96,8 @@
     gauges.set({ { "fact", "closed_ports" } }, static_cast<double>(knownState.numClosedPorts));
     gauges.set({ { "fact", "handler_failures" } }, static_cast<double>(knownState.numHandlerFailures));
     gauges.set({ { "fact", "peer_bytes_sent" } }, static_cast<double>(knownState.numPeerBytes));
+    gauges.set({ { "fact", "peer_bytes_queued" } }, static_cast<double>(knownState.numPeerBytesQueued));
+    gauges.set({ { "fact", "route_bytes_read" } }, static_cast<double>(knownState.numRouteBytesRead));
     gauges.endUpdate();
 }
 
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -40,6 +40,7 @@
     bool isAlive() const { return this->socket.is_open(); }
 
 private:
+    void startTimer();
     void connect();
     void write();
     void read();
@@ -60,6 +61,8 @@
     Callback callback;
     std::string request;
     std::function<bool()> mayBeSent;
+    std::function<void(std::size_t)> onProgress;
+    Duration timeout { 0 };
     std::unique_ptr<HttpResponseParser> reader;
     std::array<char, readBufferSize> buffer {};
     std::string receivedBytes;
@@ -116,18 +119,24 @@
     this->reader = std::make_unique<HttpResponseParser>();
     this->request = encodeHttpRequest(call, this->server);
     this->mayBeSent = call.mayBeSent;
+    this->onProgress = call.onProgress;
+    this->timeout = call.timeout;
+    this->startTimer();
+    if (!isReused)
+        return this->connect();
+    asio::error_code ignored;
+    this->socket.cancel(ignored);
+    this->write();
+}
 
+void HttpClient::Exchange::startTimer()
+{
     std::shared_ptr<Exchange> self = this->shared_from_this();
-    this->timer.expires_after(call.timeout);
+    this->timer.expires_after(this->timeout);
     this->timer.async_wait([self, number = this->callNumber](const asio::error_code& error) {
         if (!error && self->callback && self->callNumber == number)
             self->fail("no response within the timeout");
     });
-    if (!isReused)
-        return this->connect();
-    asio::error_code ignored;
-    this->socket.cancel(ignored);
-    this->write();
 }
 
 void HttpClient::Exchange::closeWhenServerDisconnects()
@@ -187,6 +196,8 @@
 void HttpClient::Exchange::onBytes(std::size_t size)
 {
     this->receivedBytes.append(this->buffer.data(), size);
+    if (this->onProgress)
+        this->onProgress(size);
     Failure failure;
     if (this->reader->consume(this->receivedBytes, failure))
         return this->complete();
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -25,6 +25,8 @@
     /// Asked immediately before the request is sent; it is not sent unless this returns true. Opening a connection takes
     /// time, in which the process may be suspended. Not asked when empty.
     std::function<bool()> mayBeSent {};
+    /// Called for each part of the response that is received, unless empty.
+    std::function<void(std::size_t bytes)> onProgress {};
 };
 
 /// The response to an HttpClientRequest.
--- a/src/net/WebSocketServer.cpp
+++ b/src/net/WebSocketServer.cpp
@@ -210,6 +210,20 @@
         connection->send(payload, isBinary ? websocketpp::frame::opcode::binary : websocketpp::frame::opcode::text);
 }
 
+std::size_t WebSocketServer::getBufferedBytes(Handle handle) const
+{
+    ServerConnection connection = this->implementation->find(handle);
+    return connection == nullptr ? 0 : connection->get_buffered_amount();
+}
+
+std::size_t WebSocketServer::countBufferedBytes() const
+{
+    std::size_t sum = 0;
+    for (const std::pair<const Handle, ServerConnection>& connection : this->implementation->connections)
+        sum += connection.second->get_buffered_amount();
+    return sum;
+}
+
 void WebSocketServer::respond(Handle handle, const HttpResponse& response)
 {
     ServerConnection connection = this->implementation->find(handle);
--- a/src/net/WebSocketServer.h
+++ b/src/net/WebSocketServer.h
@@ -66,6 +66,12 @@
     /// Sends a message; does nothing when the session is closed. Closes the session of a peer that does not read.
     void send(Handle handle, const std::string& payload, bool isBinary);
 
+    /// @returns the bytes that wait until the peer of a session receives them
+    std::size_t getBufferedBytes(Handle handle) const;
+
+    /// @returns the same for all sessions together
+    std::size_t countBufferedBytes() const;
+
     /// Responds to an HTTP request; does nothing when its connection is closed.
     void respond(Handle handle, const HttpResponse& response);
 
--- a/src/peer/PeerRpc.cpp
+++ b/src/peer/PeerRpc.cpp
@@ -11,6 +11,8 @@
 
     constexpr const char* resource = "/peer";
     constexpr int httpNotFound = 404;
+    /// Takes 50 ms on a link of 10 Mbit/s.
+    constexpr std::size_t longQueueBytes = 64U << 10;
 
     std::string toKey(const Endpoint& endpoint)
     {
@@ -74,6 +76,9 @@
             std::string responsePayload = this->encode(number, response);
             this->numBytesSent += responsePayload.size();
             this->server.send(handle, responsePayload, true);
+            std::size_t queued = this->server.getBufferedBytes(handle);
+            if (queued > longQueueBytes)
+                logEvent(events::peerQueueLong, "bytes=" + std::to_string(queued) + " message=" + std::to_string(responsePayload.size()));
         });
     } catch (const std::exception& error) {
         logEvent(events::peerMessageInvalid, std::string("reason=\"") + error.what() + "\"");
--- a/src/peer/PeerRpc.h
+++ b/src/peer/PeerRpc.h
@@ -64,6 +64,9 @@
     /// @returns the bytes of payload sent to other instances since the start
     std::uint64_t getNumBytesSent() const { return this->numBytesSent; }
 
+    /// @returns the bytes of responses that wait for other instances to receive them
+    std::size_t countQueuedBytes() const { return this->server.countBufferedBytes(); }
+
 private:
     struct PendingRequest {
         ResponseCallback callback;
--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -465,7 +465,7 @@
     answer.message = message;
     if (code != ReplyCode::None) {
         this->listener.onRefusedLocally(cause);
-        logEvent(events::statementRefused, "id=" + this->statementId.toString() + " database=" + this->startup->database.toString() + " code=" + toString(code) + " cause=" + toString(cause) + " reason=\"" + message + "\"");
+        logEvent(events::statementRefused, "id=" + this->statementId.toString() + " database=" + this->startup->database.toString() + " code=" + toString(code) + " cause=" + toString(cause) + " reason=\"" + message + "\" routes_version=" + std::to_string(this->state.getRoutes()->version.value()));
     }
     this->send(answer);
 }
