--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -55,7 +55,8 @@
     , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, std::nullopt, std::nullopt }, [this](StoreEra era) { this->onRegistered(era); })
     , leaseTracker(settings.instance)
     , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance, *this)
-    , peerConfirmation(dependencies.controlLoop, this->peers, dependencies.clock, this->routes, settings.instance, listOtherSeeds(settings))
+    , routeTransfer(dependencies.controlLoop, dependencies.clock, this->peers, this->routes)
+    , peerConfirmation(dependencies.controlLoop, this->peers, dependencies.clock, this->routes, this->routeTransfer, settings.instance, listOtherSeeds(settings))
     , lists(dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, *this)
     , audit(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance)
     , handover(settings.instance)
@@ -245,6 +246,7 @@
 
 void GatewayControl::onRoutesInForce(const std::shared_ptr<const RouteTable>& table)
 {
+    this->routeTransfer.onRoutesInForce(table);
     this->dependencies.trafficLoop.post([this, table, confirmation = this->routes.getConfirmation()] { this->dependencies.traffic.setRoutes(table, confirmation); });
     this->updateReady();
 }
@@ -253,7 +255,7 @@
 {
     std::optional<RouteFreshness> freshness = decodeRouteFreshness(response);
     if (freshness && this->routes.onRelayedFreshness(*freshness, reader, sentAt))
-        this->peerConfirmation.requestRoutes(reader);
+        this->routeTransfer.request(reader);
 }
 
 std::optional<BundleVersion> GatewayControl::getConfigurationVersion() const
@@ -266,7 +268,7 @@
     if (!this->routes.onVersionReported(version, { RouteSource::Kind::OtherInstance, peer.value_or(Endpoint()) }))
         return;
     if (peer)
-        this->peerConfirmation.requestRoutes(*peer);
+        this->routeTransfer.request(*peer);
     else
         this->peerConfirmation.askNow();
 }
@@ -394,7 +396,7 @@
     if (kind == "beliefs")
         return this->respondWithState(respond);
     if (kind == "routes")
-        return respond(this->routes.getTable() != nullptr ? encodeRelayedRoutes(*this->routes.getTable()) : nlohmann::json::object());
+        return respond(this->routeTransfer.respond(request));
     if (kind == "routes_version")
         return respond(this->makeRoutesVersionResponse());
     if (kind == "upstreams")
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -12,6 +12,7 @@
 #include "PeerConfirmation.h"
 #include "PrimaryRecordRecovery.h"
 #include "PrimaryRecordWriter.h"
+#include "RouteTransfer.h"
 #include "RouteWatcher.h"
 #include "UpstreamCommander.h"
 #include "lentiljunction/core/Backoff.h"
@@ -158,6 +159,7 @@
     MemberRegistration registration;
     LeaseTracker leaseTracker;
     RouteWatcher routes;
+    RouteTransfer routeTransfer;
     PeerConfirmation peerConfirmation;
     FleetLists lists;
     UpstreamRegistry upstreams;
--- a/src/gateway/PeerConfirmation.cpp
+++ b/src/gateway/PeerConfirmation.cpp
@@ -1,7 +1,5 @@
 #include "PeerConfirmation.h"
 
-#include "lentiljunction/core/LogEvents.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -15,23 +13,17 @@
     constexpr std::chrono::milliseconds askInterval { 400 };
     /// Allows several round trips between regions.
     constexpr std::chrono::milliseconds peerTimeout { 300 };
-    /// Allows several round trips between regions for a table of some hundred routes on a link that is shared.
-    constexpr std::chrono::milliseconds routesTimeout { 1000 };
     /// The contact of another instance with the store is lost when its last confirmation is older. Confirmations pass
     /// through one instance of each zone, which adds less than half a second.
     constexpr std::chrono::milliseconds contactTimeout { 2500 };
 
-    std::string describe(const Endpoint& peer)
-    {
-        return peer.host + ":" + std::to_string(peer.port);
-    }
-
 } // namespace
 
-PeerConfirmation::PeerConfirmation(EventLoop& loop, PeerRpc& peers, const Clock& clock, RouteWatcher& routes, InstanceId self, std::vector<Endpoint> seeds)
+PeerConfirmation::PeerConfirmation(EventLoop& loop, PeerRpc& peers, const Clock& clock, RouteWatcher& routes, RouteTransfer& transfer, InstanceId self, std::vector<Endpoint> seeds)
     : peers(peers)
     , clock(clock)
     , routes(routes)
+    , transfer(transfer)
     , self(std::move(self))
     , seeds(std::move(seeds))
     , timer(loop, clock, [this] { this->check(); })
@@ -105,7 +97,7 @@
     std::optional<RouteFreshness> freshness = decodeRouteFreshness(response);
     if (freshness && freshness->age < contactTimeout) {
         if (this->routes.onPeerFreshness(*freshness, peer, sentAt))
-            this->requestRoutes(peer);
+            this->transfer.request(peer);
         return;
     }
     // An instance that is behind may have contact with the store.
@@ -113,21 +105,4 @@
         this->routes.onZoneWithoutStore(*zone, sentAt);
 }
 
-void PeerConfirmation::requestRoutes(const Endpoint& peer)
-{
-    std::string name = describe(peer);
-    if (!this->requestedFrom.insert(name).second)
-        return;
-    this->peers.ask(peer, { { "ask", "routes" } }, routesTimeout, [this, peer, name](const std::optional<nlohmann::json>& relayed) {
-        this->requestedFrom.erase(name);
-        if (!relayed)
-            return logEvent(events::routesNotReceived, "peer=" + name + " reason=\"no response in time, or the link was lost\"");
-        Failure failure;
-        std::optional<RouteTable> table = decodeRelayedRoutes(*relayed, failure);
-        if (!table)
-            return logEvent(events::routesNotReceived, "peer=" + name + " reason=\"" + failure.reason + "\"");
-        this->routes.offer(std::make_shared<RouteTable>(std::move(*table)), { RouteSource::Kind::OtherInstance, peer });
-    });
-}
-
 } // namespace lentiljunction
--- a/src/gateway/PeerConfirmation.h
+++ b/src/gateway/PeerConfirmation.h
@@ -2,12 +2,11 @@
 
 #include "../net/OneShotTimer.h"
 #include "../peer/PeerRpc.h"
+#include "RouteTransfer.h"
 #include "RouteWatcher.h"
 #include "lentiljunction/fleet/FleetStore.h"
 
 #include <map>
-#include <set>
-#include <string>
 #include <vector>
 
 namespace lentiljunction {
@@ -24,7 +23,7 @@
     /// All must outlive this object.
     ///
     /// @param seeds other instances, which are asked until the registered ones are known
-    PeerConfirmation(EventLoop& loop, PeerRpc& peers, const Clock& clock, RouteWatcher& routes, InstanceId self, std::vector<Endpoint> seeds);
+    PeerConfirmation(EventLoop& loop, PeerRpc& peers, const Clock& clock, RouteWatcher& routes, RouteTransfer& transfer, InstanceId self, std::vector<Endpoint> seeds);
 
     /// Begins to check whether other instances must be asked.
     void start();
@@ -35,9 +34,6 @@
     /// Asks one instance of each zone now, unless some were asked a moment ago.
     void askNow();
 
-    /// Requests the routing configuration of another instance, unless a request to it is pending.
-    void requestRoutes(const Endpoint& peer);
-
 private:
     void check();
     void askAll();
@@ -48,6 +44,7 @@
     PeerRpc& peers;
     const Clock& clock;
     RouteWatcher& routes;
+    RouteTransfer& transfer;
     InstanceId self;
     std::vector<Endpoint> seeds;
     std::map<ZoneId, std::vector<FleetMember>> zones;
@@ -55,7 +52,6 @@
     std::size_t next = 0;
     std::size_t numPending = 0;
     BootTime askedAt;
-    std::set<std::string> requestedFrom;
     OneShotTimer timer;
 };
 
--- a/src/gateway/RouteWatcher.cpp
+++ b/src/gateway/RouteWatcher.cpp
@@ -44,18 +44,13 @@
 {
 }
 
-const RouteTable* RouteWatcher::findNewestTable() const
-{
-    return this->routes.getTable() != nullptr ? this->routes.getTable().get() : this->unprovenTable.get();
-}
-
 bool RouteWatcher::onRelayedFreshness(const RouteFreshness& freshness, const Endpoint& reader, BootTime sentAt)
 {
     RouteSource source { RouteSource::Kind::OtherInstance, reader };
     if (this->isNewer(freshness, source))
         return true;
     // An instance that has an older version would not tell of a newer one in time.
-    if (freshness.version != this->findNewestTable()->version)
+    if (freshness.version != this->getNewestTable()->version)
         return false;
     this->relayedFreshness.onFreshness(freshness, sentAt);
     this->recordProof({ sentAt - freshness.age, freshness.confirmedTo, source });
@@ -67,7 +62,7 @@
     RouteSource source { RouteSource::Kind::OtherInstance, peer };
     if (this->isNewer(freshness, source))
         return true;
-    if (freshness.version == this->findNewestTable()->version)
+    if (freshness.version == this->getNewestTable()->version)
         this->recordProof({ sentAt - freshness.age, freshness.confirmedTo, source });
     return false;
 }
@@ -75,7 +70,7 @@
 bool RouteWatcher::isNewer(const RouteFreshness& freshness, const RouteSource& source)
 {
     this->onVersionReported(freshness.version, source);
-    const RouteTable* table = this->findNewestTable();
+    const std::shared_ptr<const RouteTable>& table = this->getNewestTable();
     return table == nullptr || freshness.version > table->version;
 }
 
--- a/src/gateway/RouteWatcher.h
+++ b/src/gateway/RouteWatcher.h
@@ -79,6 +79,9 @@
     /// @returns the configuration in force, or nullptr before the first
     const std::shared_ptr<const RouteTable>& getTable() const { return this->routes.getTable(); }
 
+    /// @returns the newest configuration, also if it is not in force yet, or nullptr
+    const std::shared_ptr<const RouteTable>& getNewestTable() const { return this->routes.getTable() != nullptr ? this->routes.getTable() : this->unprovenTable; }
+
     /// @returns how long keys may be decided with the configuration in force; nullptr before the first
     std::shared_ptr<const RouteConfirmation> getConfirmation() const { return this->keyFreshness.getConfirmation(); }
 
@@ -116,8 +119,6 @@
     void watch();
     void onWatchDone(const VersionedRoutes& versioned);
     bool hasWorkspaces() const { return this->routes.getTable() != nullptr && this->routes.getTable()->workspaces; }
-    /// @returns the newest configuration, also if it is not in force yet
-    const RouteTable* findNewestTable() const;
     void recordProof(const RouteProof& proof);
     bool isNewer(const RouteFreshness& freshness, const RouteSource& source);
     void putInForce(const std::shared_ptr<const RouteTable>& table, const RouteSource& source);
--- a/src/peer/PeerRpc.cpp
+++ b/src/peer/PeerRpc.cpp
@@ -36,7 +36,8 @@
     , listener(listener)
     , server(loop, *this, peerLimits)
     , client(loop, *this, peerLimits)
-    , timer(loop, clock, [this] { this->dropExpiredLinks(); })
+    , timer(loop, clock, [this] { this->expireRequests(); })
+    , deadlines(clock)
 {
 }
 
@@ -49,9 +50,9 @@
 {
     std::string key = toKey(peer);
     std::uint64_t number = this->nextRequestNumber++;
-    TimePoint deadline = this->clock.now() + timeout;
-    this->pending[number] = { std::move(callback), deadline, key, peer };
-    this->timer.setTimeIfEarlier(deadline);
+    this->pending[number] = { std::move(callback), peer };
+    this->deadlines.add(number, key, timeout);
+    this->timer.setTimeIfEarlier(this->clock.now() + timeout);
 
     std::string payload = this->encode(number, std::move(request));
     this->numBytesSent += payload.size();
@@ -114,6 +115,7 @@
     ResponseCallback callback = std::move(found->second.callback);
     Endpoint peer = std::move(found->second.endpoint);
     this->pending.erase(found);
+    this->deadlines.remove((*message)["number"]);
     try {
         callback((*message)["body"]);
     } catch (const std::exception& error) {
@@ -153,46 +155,33 @@
         return;
     if (this->connectedPeers.erase(key) > 0)
         logEvent(events::peerLinkLost, "peer=" + key);
-    std::vector<ResponseCallback> lostRequests;
-    for (std::map<std::uint64_t, PendingRequest>::iterator entry = this->pending.begin(); entry != this->pending.end();) {
-        if (entry->second.peer != key) {
-            ++entry;
-            continue;
-        }
-        lostRequests.push_back(std::move(entry->second.callback));
-        entry = this->pending.erase(entry);
+    this->failRequests(this->deadlines.takeAll(key));
+}
+
+void PeerRpc::failRequests(const std::vector<std::uint64_t>& numbers)
+{
+    std::vector<ResponseCallback> callbacks;
+    for (std::uint64_t number : numbers) {
+        std::map<std::uint64_t, PendingRequest>::iterator found = this->pending.find(number);
+        callbacks.push_back(std::move(found->second.callback));
+        this->pending.erase(found);
     }
-    for (const ResponseCallback& callback : lostRequests)
+    for (const ResponseCallback& callback : callbacks)
         callback(std::nullopt);
 }
 
-void PeerRpc::dropExpiredLinks()
+void PeerRpc::expireRequests()
 {
-    TimePoint now = this->clock.now();
-    std::vector<WebSocketClient::Handle> expiredLinks;
-    std::vector<ResponseCallback> expiredRequests;
-    // Links whose responses may be delayed by that to an earlier request, which still has time.
-    std::set<std::string> busyPeers;
-    for (std::map<std::uint64_t, PendingRequest>::iterator entry = this->pending.begin(); entry != this->pending.end();) {
-        PendingRequest& request = entry->second;
-        std::map<std::string, Link>::iterator link = this->links.find(request.peer);
-        if (request.deadline > now)
-            busyPeers.insert(request.peer);
-        else if (busyPeers.count(request.peer) > 0) {
-            expiredRequests.push_back(std::move(request.callback));
-            entry = this->pending.erase(entry);
-            continue;
-        } else if (link != this->links.end())
-            expiredLinks.push_back(link->second.handle);
-        ++entry;
+    PendingRequests::Expiry expiry = this->deadlines.expire();
+    for (const std::string& peer : expiry.lostPeers) {
+        std::map<std::string, Link>::iterator link = this->links.find(peer);
+        if (link != this->links.end())
+            this->client.drop(link->second.handle);
     }
-    // Dropping a link fails all pending requests on it.
-    for (WebSocketClient::Handle handle : expiredLinks)
-        this->client.drop(handle);
-    for (const ResponseCallback& callback : expiredRequests)
-        callback(std::nullopt);
-    for (const std::pair<const std::uint64_t, PendingRequest>& entry : this->pending)
-        this->timer.setTimeIfEarlier(entry.second.deadline);
+    this->failRequests(expiry.failedRequests);
+    std::optional<TimePoint> next = this->deadlines.getNextDeadline();
+    if (next)
+        this->timer.setTimeIfEarlier(*next);
 }
 
 } // namespace lentiljunction
--- a/src/peer/PeerRpc.h
+++ b/src/peer/PeerRpc.h
@@ -3,6 +3,7 @@
 #include "../net/OneShotTimer.h"
 #include "../net/WebSocketClient.h"
 #include "../net/WebSocketServer.h"
+#include "PendingRequests.h"
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/core/Ids.h"
 
@@ -70,8 +71,6 @@
 private:
     struct PendingRequest {
         ResponseCallback callback;
-        TimePoint deadline;
-        std::string peer;
         Endpoint endpoint;
     };
 
@@ -88,7 +87,8 @@
     void onConnected(WebSocketClient::Handle handle) override;
     void onMessage(WebSocketClient::Handle handle, const std::string& payload) override;
     void onDisconnected(WebSocketClient::Handle handle) override;
-    void dropExpiredLinks();
+    void expireRequests();
+    void failRequests(const std::vector<std::uint64_t>& numbers);
     std::string encode(std::uint64_t number, nlohmann::json body) const;
     void processVersion(const nlohmann::json& message, const std::optional<Endpoint>& peer);
 
@@ -100,6 +100,7 @@
     std::map<std::string, Link> links;
     /// Peers whose link was logged as open; the loss of the link is logged once.
     std::set<std::string> connectedPeers;
+    PendingRequests deadlines;
     std::map<std::uint64_t, PendingRequest> pending;
     std::uint64_t nextRequestNumber = 1;
     std::uint64_t numBytesSent = 0;
