--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -109,6 +109,12 @@
     this->ports[port]->fault = fault;
 }
 
+std::size_t PlatformStore::countReads(std::size_t port, const std::string& kind)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->numReads[{ this->ports[port].get(), kind }];
+}
+
 void PlatformStore::put(const std::string& kind, const std::string& name, const nlohmann::json& spec)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
@@ -312,6 +318,10 @@
     std::string name = rest.size() > kind.size() ? decodeName(rest.substr(kind.size() + 1)) : "";
     if (request.method == "GET" && !findParameter(query, "watch").empty())
         return this->startWatch(port, handle, kind, query);
+    if (request.method == "GET") {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->numReads[{ &port, kind }]++;
+    }
     if (currentFault == Fault::LateWrites && request.method != "GET") {
         this->loop.schedule(lateWriteDelay, [this, request, kind, name] { this->handleWrite(request, kind, name); });
         return;
--- a/standins/platform/PlatformStore.h
+++ b/standins/platform/PlatformStore.h
@@ -80,6 +80,9 @@
     ///
     /// @param port the port's index in the order of opening
     void setPortFault(std::size_t port, Fault fault);
+    /// @returns the reads of a kind through one port since the start, without watches
+    std::size_t countReads(std::size_t port, const std::string& kind);
+
     void setPromotionHandler(PromotionHandler newHandler) { this->promotionHandler = std::move(newHandler); }
 
 private:
@@ -127,6 +130,8 @@
     std::mutex mutex;
     std::map<std::string, std::map<std::string, Object>> kinds;
     std::map<std::string, std::map<std::string, Object>> copiedKinds;
+    /// By port and kind.
+    std::map<std::pair<const Port*, std::string>, std::size_t> numReads;
     std::uint64_t copiedRevision = 1;
     std::atomic<std::uint64_t> era { 1 };
     std::atomic<std::size_t> pageSize { 500 };
--- a/tests/support/QueuedFleetStore.h
+++ b/tests/support/QueuedFleetStore.h
@@ -2,6 +2,7 @@
 
 #include "lentiljunction/fleet/FleetStore.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <mutex>
@@ -37,6 +38,17 @@
         return call;
     }
 
+    /// @returns whether a call waits
+    bool hasRouteCall()
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        return !this->routeCalls.empty();
+    }
+
+    /// A part of a response is received.
+    void receiveRouteBytes(std::uint64_t number) { this->numRouteBytes += number; }
+
+    std::uint64_t countRouteBytes() const override { return this->numRouteBytes; }
     StoreEra getEra() const override { return StoreEra(); }
     void readRoutes(Callback<VersionedRoutes> callback) override { this->add({ std::nullopt, Duration(0), std::move(callback) }); }
     void watchRoutes(StoreVersion after, Duration wait, Callback<VersionedRoutes> callback) override { this->add({ after, wait, std::move(callback) }); }
@@ -61,6 +73,7 @@
     std::mutex mutex;
     std::condition_variable isAdded;
     std::deque<RouteCall> routeCalls;
+    std::atomic<std::uint64_t> numRouteBytes { 0 };
 };
 
 } // namespace lentiljunction
--- a/tests/unit/RouteWatcherTests.cpp
+++ b/tests/unit/RouteWatcherTests.cpp
@@ -64,6 +64,8 @@
     /// Waits for the next call, which the test answers in run(), if at all.
     QueuedFleetStore::RouteCall takeCall() { return this->store.takeRouteCall(); }
 
+    QueuedFleetStore& getStore() { return this->store; }
+
     /// @returns how long keys may be decided, once all answers given so far are processed
     KeyFreshness getKeyFreshness()
     {
@@ -193,6 +195,22 @@
     CHECK(proof->provenAt < answeredAt - std::chrono::milliseconds(500));
 }
 
+// A large configuration took longer over a thin link than a read was waited for. The next read began beside the first one, and
+// none of them ended.
+TEST(RouteWatcher, readThatIsBeingReceivedIsNotRepeatedBesideItself)
+{
+    RouteWatcherBench bench;
+    QueuedFleetStore::RouteCall slow = bench.takeCall();
+    constexpr int numParts = 20;
+    for (int part = 0; part < numParts; part++) {
+        bench.getStore().receiveRouteBytes(1000);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        CHECK_FALSE(bench.getStore().hasRouteCall());
+    }
+    // Nothing arrives any more.
+    CHECK_FALSE(bench.getNextPosition().has_value());
+}
+
 // While the store is away and no instance has a proof, an instance that starts serves by the newest table that others have.
 TEST(RouteWatcher, unprovenTableComesIntoForceWhenNothingCanProveIt)
 {
