Send what changed in a configuration, in pieces, to few receivers at a time

Callers saw late answers and refusals for ten seconds after 1,400 routes were added, and again after each change of one route. Cause: the instance that had a version first encoded the whole table anew for each asker and sent it to all at once; on a link of 10 Mbit/s no transfer ended within its time limit of 1 s, and each began anew, while leases and proofs waited behind it.

Now a request names the version that the asker has. The answer is the difference from it (RouteHistory), or the whole where that is not known, with routes of the same settings in one entry, encoded once. It goes out in pieces of 16 KB that the receiver requests one by one, to two receivers at a time; others are told when to come back and who has the content already. A transfer that is interrupted continues with the next piece, also at another instance. While it goes on, the store is not read for it. Builds before this one get and send whole tables as before.

A difference is applied only where the digest of the result is the one that its sender named.

--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -50,6 +50,7 @@
     constexpr LogEvent routesBehind { 228, LogLevel::Warning, "routes_behind", "Another instance has a newer version of the routes, which is requested." };
     constexpr LogEvent routesNotReceived { 229, LogLevel::Warning, "routes_not_received", "Another instance did not send its routes." };
     constexpr LogEvent listOutdated { 230, LogLevel::Warning, "list_outdated", "The store returned a list of upstreams that lacks changes which it had shown before; the list is read again as of now." };
+    constexpr LogEvent routesReceived { 231, LogLevel::Information, "routes_received", "A transfer of the routes from another instance is complete; the line tells its bytes, its time and what held it up." };
     constexpr LogEvent routesReadSlow { 232, LogLevel::Warning, "routes_read_slow", "A read of the routes from the store took long; the line tells its time and its bytes." };
     constexpr LogEvent peerQueueLong { 233, LogLevel::Warning, "peer_queue_long", "Much is queued on a link to another instance, behind which other responses wait." };
     constexpr LogEvent settingsReloaded { 106, LogLevel::Information, "settings_reloaded", "The settings were read again after a signal." };
--- a/include/lentiljunction/routes/RelayedRoutes.h
+++ b/include/lentiljunction/routes/RelayedRoutes.h
@@ -17,6 +17,10 @@
     InstanceId confirmedTo {};
 };
 
+/// A zone reader reads the store every second, and other instances query it every 0.4 s. Operators expect a change in force
+/// within 3 s; the remaining time is for reading it from the store.
+constexpr std::chrono::milliseconds relayedFreshnessLifetime { 2500 };
+
 /// Decides whether an instance may rely on another instance for the routing configuration instead of the store.
 ///
 /// Not thread-safe.
@@ -38,6 +42,7 @@
 
 private:
     std::optional<BootTime> confirmedAt;
+    Duration lifetime = relayedFreshnessLifetime;
 };
 
 /// @returns the freshness of an instance as part of its response to another one
@@ -47,9 +52,16 @@
 /// @returns the freshness of the other instance, or nothing when it is missing or malformed
 std::optional<RouteFreshness> decodeRouteFreshness(const nlohmann::json& answer);
 
-/// @returns a routing configuration as instances send it to each other
+/// @returns a routing configuration as every build decodes it
 nlohmann::json encodeRelayedRoutes(const RouteTable& table);
 
+/// Puts routes with the same settings into one entry. Much shorter, since most databases of a deployment share theirs.
+///
+/// @returns a routing configuration as instances send it to each other
+nlohmann::json encodeGroupedRoutes(const RouteTable& table);
+
+/// Decodes either encoding.
+///
 /// @returns a routing configuration, or nothing with all faults in `failure`
 std::optional<RouteTable> decodeRelayedRoutes(const nlohmann::json& document, Failure& failure);
 
--- a/include/lentiljunction/routes/RouteProof.h
+++ b/include/lentiljunction/routes/RouteProof.h
@@ -42,6 +42,8 @@
     /// When this version was reported.
     BootTime reportedAt;
     RouteSource source;
+    /// When a part of a newer version arrived last, or an instance that has it said when it can send it.
+    BootTime transferredAt {};
 };
 
 /// Knows how recently the routing configuration of an instance was proven to be the newest one, and whether another
@@ -71,6 +73,9 @@
     /// @returns whether it is newer than the one that this instance has and than any that was reported before
     bool onReported(BundleVersion version, const RouteSource& source, BootTime now);
 
+    /// The transfer of a newer version goes on.
+    void onTransferProgress(BootTime now);
+
     /// @returns the newest proof, or nothing before the first
     const std::optional<RouteProof>& getProof() const { return this->proof; }
 
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -99,6 +99,7 @@
         events::routesBehind,
         events::routesNotReceived,
         events::listOutdated,
+        events::routesReceived,
         events::routesReadSlow,
         events::peerQueueLong,
         events::memberChanged,
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -55,7 +55,7 @@
     , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, std::nullopt, std::nullopt }, [this](StoreEra era) { this->onRegistered(era); })
     , leaseTracker(settings.instance)
     , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance, *this)
-    , routeTransfer(dependencies.controlLoop, dependencies.clock, this->peers, this->routes)
+    , routeTransfer(dependencies.controlLoop, dependencies.clock, this->peers, this->routes, settings.peers)
     , peerConfirmation(dependencies.controlLoop, this->peers, dependencies.clock, this->routes, this->routeTransfer, settings.instance, listOtherSeeds(settings))
     , lists(dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, *this)
     , audit(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance)
@@ -255,7 +255,7 @@
 {
     std::optional<RouteFreshness> freshness = decodeRouteFreshness(response);
     if (freshness && this->routes.onRelayedFreshness(*freshness, reader, sentAt))
-        this->routeTransfer.request(reader);
+        this->routeTransfer.request(reader, freshness->version);
 }
 
 std::optional<BundleVersion> GatewayControl::getConfigurationVersion() const
@@ -268,7 +268,7 @@
     if (!this->routes.onVersionReported(version, { RouteSource::Kind::OtherInstance, peer.value_or(Endpoint()) }))
         return;
     if (peer)
-        this->routeTransfer.request(*peer);
+        this->routeTransfer.request(*peer, version);
     else
         this->peerConfirmation.askNow();
 }
--- a/src/gateway/PeerConfirmation.cpp
+++ b/src/gateway/PeerConfirmation.cpp
@@ -97,7 +97,7 @@
     std::optional<RouteFreshness> freshness = decodeRouteFreshness(response);
     if (freshness && freshness->age < contactTimeout) {
         if (this->routes.onPeerFreshness(*freshness, peer, sentAt))
-            this->transfer.request(peer);
+            this->transfer.request(peer, freshness->version);
         return;
     }
     // An instance that is behind may have contact with the store.
--- a/src/gateway/RouteTransfer.cpp
+++ b/src/gateway/RouteTransfer.cpp
@@ -2,11 +2,12 @@
 
 namespace lentiljunction {
 
-RouteTransfer::RouteTransfer(EventLoop& loop, const Clock& clock, PeerRpc& peers, RouteWatcher& routes)
+RouteTransfer::RouteTransfer(EventLoop& loop, const Clock& clock, PeerRpc& peers, RouteWatcher& routes, const Endpoint& self)
     : clock(clock)
     , peers(peers)
     , routes(routes)
-    , receiver(clock, *this, *this)
+    , sender(clock)
+    , receiver(clock, *this, *this, self)
     , timer(loop, clock, [this] {
         this->receiver.onTick();
         this->setTimer();
@@ -14,12 +15,18 @@
 {
 }
 
-void RouteTransfer::request(const Endpoint& peer)
+void RouteTransfer::request(const Endpoint& peer, BundleVersion version)
 {
-    this->receiver.onNewerVersion(peer);
+    this->receiver.onNewerVersion(peer, version);
     this->setTimer();
 }
 
+void RouteTransfer::onRoutesInForce(const std::shared_ptr<const RouteTable>& table)
+{
+    this->sender.onRoutesInForce(table);
+    this->receiver.onTableKnown(table->version);
+}
+
 void RouteTransfer::sendRouteRequest(const Endpoint& peer, const nlohmann::json& request, Duration timeout)
 {
     this->peers.ask(peer, request, timeout, [this, peer](const std::optional<nlohmann::json>& response) {
--- a/src/gateway/RouteWatcher.cpp
+++ b/src/gateway/RouteWatcher.cpp
@@ -201,9 +201,13 @@
         failure.set(Failure::Kind::Unavailable, "no response yet");
         return this->onReadFailed(failure);
     }
-    if (!this->isRelayed())
-        return this->read();
-    this->scheduleRead();
+    if (this->isRelayed())
+        return this->scheduleRead();
+    BootTime now = this->clock.bootNow();
+    BootTime neededAt = this->proofs.getOtherInstancesNeededAt();
+    if (this->isBehind() && neededAt > now)
+        return this->readTimer.setTime(this->clock.now() + (neededAt - now));
+    this->read();
 }
 
 void RouteWatcher::scheduleRead()
--- a/src/gateway/RouteWatcher.h
+++ b/src/gateway/RouteWatcher.h
@@ -66,6 +66,9 @@
     /// @returns whether it is newer than all known ones
     bool onVersionReported(BundleVersion version, const RouteSource& source);
 
+    /// The transfer of a newer configuration from another instance goes on, so the store need not be read for it yet.
+    void onTransferProgress() { this->proofs.onTransferProgress(this->clock.bootNow()); }
+
     /// One instance of each zone was asked for its proof and has responded, or will not.
     void onOtherInstancesAsked();
 
--- a/src/routes/RelayedRoutes.cpp
+++ b/src/routes/RelayedRoutes.cpp
@@ -5,14 +5,12 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace lentiljunction {
 
 namespace {
 
-    /// An instance that watches the store gets a response from it every 2 s, and other instances query it every
-    /// 0.4 s. Operators expect a change in force within 3 s; the remaining time is for reading it from the store.
-    constexpr std::chrono::milliseconds relayedFreshnessLifetime { 2500 };
     constexpr std::int64_t noLimit = std::numeric_limits<std::int64_t>::max();
     constexpr std::int64_t numConsistencies = 3;
 
@@ -21,11 +19,16 @@
         return Duration(fields.getInteger(name, 0, longestMessageDuration));
     }
 
-    Route decodeRoute(const nlohmann::json& object, const std::string& path, std::vector<std::string>& faults)
+    /// Decodes the routes of one entry, which differ only in their databases.
+    void decodeEntry(const nlohmann::json& object, const std::string& path, RouteTable& table, std::vector<std::string>& faults)
     {
         JsonFields fields(object, path, faults);
         Route route;
-        route.database = DatabaseId(fields.getText("database"));
+        std::vector<std::string> databases;
+        if (object.is_object() && object.contains("databases"))
+            databases = fields.getTexts("databases");
+        else
+            databases.push_back(fields.getText("database"));
         route.group = GroupId(fields.getText("group"));
         route.consistency = static_cast<Consistency>(fields.getInteger("consistency", 0, numConsistencies - 1));
         route.rank = allRanks[static_cast<std::size_t>(fields.getInteger("rank", 0, static_cast<std::int64_t>(allRanks.size()) - 1))];
@@ -37,7 +40,10 @@
             fields.addFault("public", "must be true or false");
         else
             route.isPublic = isPublic != nullptr && isPublic->get<bool>();
-        return route;
+        for (const std::string& database : databases) {
+            route.database = DatabaseId(database);
+            table.routes[route.database] = route;
+        }
     }
 
     double findLimit(JsonFields& fields, const std::string& name)
@@ -139,6 +145,65 @@
         return std::distance(allRanks.begin(), std::find(allRanks.begin(), allRanks.end(), rank));
     }
 
+    nlohmann::json encodeSettings(const Route& route)
+    {
+        nlohmann::json settings {
+            { "group", route.group.toString() },
+            { "consistency", static_cast<std::int64_t>(route.consistency) },
+            { "rank", findIndex(route.rank) },
+            { "timeout_us", route.statementTimeout.count() },
+            { "target_us", route.targetLatency.count() },
+            { "staleness_us", route.maximumStaleness.count() },
+        };
+        if (route.isPublic)
+            settings["public"] = true;
+        return settings;
+    }
+
+    nlohmann::json listRoutes(const RouteTable& table)
+    {
+        nlohmann::json routes = nlohmann::json::array();
+        for (const std::pair<const DatabaseId, Route>& entry : table.routes) {
+            routes.push_back(encodeSettings(entry.second));
+            routes.back()["database"] = entry.first.toString();
+        }
+        return routes;
+    }
+
+    nlohmann::json groupRoutes(const RouteTable& table)
+    {
+        using Settings = std::tuple<GroupId, Consistency, Rank, Duration, Duration, Duration, bool>;
+        std::map<Settings, nlohmann::json> entries;
+        for (const std::pair<const DatabaseId, Route>& entry : table.routes) {
+            const Route& route = entry.second;
+            nlohmann::json& encoded = entries[{ route.group, route.consistency, route.rank, route.statementTimeout, route.targetLatency, route.maximumStaleness, route.isPublic }];
+            if (encoded.is_null())
+                encoded = encodeSettings(route);
+            encoded["databases"].push_back(entry.first.toString());
+        }
+        nlohmann::json routes = nlohmann::json::array();
+        for (std::pair<const Settings, nlohmann::json>& entry : entries)
+            routes.push_back(std::move(entry.second));
+        return routes;
+    }
+
+    nlohmann::json encodeTable(const RouteTable& table, nlohmann::json routes)
+    {
+        nlohmann::json groups = nlohmann::json::object();
+        nlohmann::json synchronousReplicas = nlohmann::json::object();
+        for (const std::pair<const GroupId, GroupConfig>& group : table.groups) {
+            groups[group.first.toString()] = group.second.maximumConnections;
+            if (group.second.numSynchronousReplicas > 0)
+                synchronousReplicas[group.first.toString()] = group.second.numSynchronousReplicas;
+        }
+        nlohmann::json document { { "version", table.version.value() }, { "routes", std::move(routes) }, { "groups", groups }, { "idle_limit_us", table.transactionIdleLimit.count() } };
+        if (!synchronousReplicas.empty())
+            document["synchronous_replicas"] = std::move(synchronousReplicas);
+        if (table.workspaces)
+            document["workspaces"] = encodeWorkspaces(*table.workspaces);
+        return document;
+    }
+
 } // namespace
 
 void RelayedFreshness::onFreshness(const RouteFreshness& freshness, BootTime requestedAt)
@@ -150,12 +215,12 @@
 
 bool RelayedFreshness::isFresh(BootTime now) const
 {
-    return this->confirmedAt && now - *this->confirmedAt < relayedFreshnessLifetime;
+    return this->confirmedAt && now - *this->confirmedAt < this->lifetime;
 }
 
 std::optional<BootTime> RelayedFreshness::getExpiry() const
 {
-    return this->confirmedAt ? std::optional<BootTime>(*this->confirmedAt + relayedFreshnessLifetime) : std::nullopt;
+    return this->confirmedAt ? std::optional<BootTime>(*this->confirmedAt + this->lifetime) : std::nullopt;
 }
 
 nlohmann::json encodeRouteFreshness(const RouteFreshness& freshness)
@@ -180,34 +245,12 @@
 
 nlohmann::json encodeRelayedRoutes(const RouteTable& table)
 {
-    nlohmann::json routes = nlohmann::json::array();
-    for (const std::pair<const DatabaseId, Route>& entry : table.routes) {
-        const Route& route = entry.second;
-        routes.push_back({
-            { "database", route.database.toString() },
-            { "group", route.group.toString() },
-            { "consistency", static_cast<std::int64_t>(route.consistency) },
-            { "rank", findIndex(route.rank) },
-            { "timeout_us", route.statementTimeout.count() },
-            { "target_us", route.targetLatency.count() },
-            { "staleness_us", route.maximumStaleness.count() },
-        });
-        if (route.isPublic)
-            routes.back()["public"] = true;
-    }
-    nlohmann::json groups = nlohmann::json::object();
-    nlohmann::json synchronousReplicas = nlohmann::json::object();
-    for (const std::pair<const GroupId, GroupConfig>& group : table.groups) {
-        groups[group.first.toString()] = group.second.maximumConnections;
-        if (group.second.numSynchronousReplicas > 0)
-            synchronousReplicas[group.first.toString()] = group.second.numSynchronousReplicas;
-    }
-    nlohmann::json document { { "version", table.version.value() }, { "routes", routes }, { "groups", groups }, { "idle_limit_us", table.transactionIdleLimit.count() } };
-    if (!synchronousReplicas.empty())
-        document["synchronous_replicas"] = std::move(synchronousReplicas);
-    if (table.workspaces)
-        document["workspaces"] = encodeWorkspaces(*table.workspaces);
-    return document;
+    return encodeTable(table, listRoutes(table));
+}
+
+nlohmann::json encodeGroupedRoutes(const RouteTable& table)
+{
+    return encodeTable(table, groupRoutes(table));
 }
 
 std::optional<RouteTable> decodeRelayedRoutes(const nlohmann::json& document, Failure& failure)
@@ -221,10 +264,8 @@
     if (!routes.is_array())
         fields.addFault("routes", "must be an array");
     else
-        for (std::size_t index = 0; index < routes.size(); index++) {
-            Route route = decodeRoute(routes[index], fields.pathOf("routes[" + std::to_string(index) + "]"), faults);
-            table.routes[route.database] = route;
-        }
+        for (std::size_t index = 0; index < routes.size(); index++)
+            decodeEntry(routes[index], fields.pathOf("routes[" + std::to_string(index) + "]"), table, faults);
     decodeGroups(fields, table);
     decodeWorkspaces(fields, table, faults);
     if (faults.empty())
--- a/src/routes/RouteProof.cpp
+++ b/src/routes/RouteProof.cpp
@@ -1,5 +1,7 @@
 #include "lentiljunction/routes/RouteProof.h"
 
+#include <algorithm>
+
 namespace lentiljunction {
 
 namespace {
@@ -10,8 +12,10 @@
     /// Other instances are asked while there is still time for several attempts. A zone reader reads the store every
     /// second, and its proofs reach the others within half a second.
     constexpr std::chrono::milliseconds otherInstancesDelay { 1700 };
-    /// Time in which the instance that reported a newer configuration sends it.
+    /// Time in which the instance that reported a newer configuration sends it, or the next part of it.
     constexpr std::chrono::milliseconds transferPatience { 300 };
+    /// A transfer that takes longer, although it goes on, no longer keeps the store and other instances from being asked.
+    constexpr std::chrono::milliseconds longestTransfer { 1200 };
 
 } // namespace
 
@@ -52,10 +56,17 @@
     if (this->newer && reported <= this->newer->version)
         return false;
     BootTime knownSince = this->newer ? this->newer->knownSince : now;
-    this->newer = NewerRoutes { reported, knownSince, now, source };
+    BootTime transferredAt = this->newer ? this->newer->transferredAt : BootTime();
+    this->newer = NewerRoutes { reported, knownSince, now, source, transferredAt };
     return true;
 }
 
+void RouteProofTracker::onTransferProgress(BootTime now)
+{
+    if (this->newer)
+        this->newer->transferredAt = now;
+}
+
 bool RouteProofTracker::isProven(BootTime now) const
 {
     return this->proof && now < this->getExpiry();
@@ -69,7 +80,7 @@
 BootTime RouteProofTracker::getOtherInstancesNeededAt() const
 {
     if (this->newer)
-        return this->newer->reportedAt + transferPatience;
+        return std::max(this->newer->reportedAt, std::min<BootTime>(this->newer->transferredAt, this->newer->knownSince + longestTransfer)) + transferPatience;
     return this->proof ? this->proof->provenAt + otherInstancesDelay : BootTime();
 }
 
--- a/tests/support/RouteFleet.cpp
+++ b/tests/support/RouteFleet.cpp
@@ -43,7 +43,8 @@
         , index(index)
         , endpoint { "10.0.0." + std::to_string(index + 1), 7000 }
         , deadlines(fleet.clock)
-        , receiver(fleet.clock, *this, *this)
+        , sender(fleet.clock)
+        , receiver(fleet.clock, *this, *this, this->endpoint)
     {
     }
 
@@ -53,11 +54,13 @@
             return;
         this->table = newTable;
         this->sender.onRoutesInForce(newTable);
+        this->receiver.onTableKnown(newTable->version);
     }
 
     void sendRouteRequest(const Endpoint& peer, const nlohmann::json& request, Duration timeout) override { this->fleet.ask(*this, this->fleet.findIndex(peer), request, timeout, true); }
     std::shared_ptr<const RouteTable> getNewestTable() const override { return this->table; }
     void onRoutesReceived(const std::shared_ptr<const RouteTable>& newTable, const Endpoint&) override { this->setTable(newTable); }
+    void onRoutesProgress() override { }
 
     RouteFleet& fleet;
     std::size_t index;
@@ -209,7 +212,7 @@
     if (!packet.isResponse) {
         nlohmann::json body { { "version", receiver.table == nullptr ? 0 : receiver.table->version.value() } };
         if (packet.isTransfer)
-            body["body"] = receiver.sender.respond(packet.body);
+            body["body"] = receiver.sender.respond(parseCbor(toCbor(packet.body)));
         return this->send(receiver, { packet.connection, packet.to, packet.from, packet.number, true, packet.isTransfer, std::move(body), 0 });
     }
     std::map<std::uint64_t, Instance::Pending>::iterator found = receiver.pending.find(packet.number);
@@ -220,12 +223,12 @@
     receiver.deadlines.remove(packet.number);
     const Endpoint& peer = this->instances[packet.from]->endpoint;
     if (answered.isTransfer)
-        receiver.receiver.onResponse(peer, packet.body["body"]);
+        receiver.receiver.onResponse(peer, parseCbor(toCbor(packet.body["body"])));
     else
         this->longestResponse = std::max(this->longestResponse, std::chrono::duration_cast<Duration>(this->clock.now() - answered.sentAt));
     receiver.isBehind = packet.body["version"].get<std::uint64_t>() > (receiver.table == nullptr ? 0 : receiver.table->version.value());
     if (receiver.isBehind)
-        receiver.receiver.onNewerVersion(peer);
+        receiver.receiver.onNewerVersion(peer, BundleVersion(packet.body["version"].get<std::uint64_t>()));
 }
 
 void RouteFleet::expire(Instance& instance)
--- a/tests/unit/DecoderTests.cpp
+++ b/tests/unit/DecoderTests.cpp
@@ -2,6 +2,7 @@
 #include "../../platform/PlatformCodec.h"
 #include "../../src/gateway/GatewaySettings.h"
 #include "../../src/gateway/ListCodec.h"
+#include "../../src/gateway/PieceCodec.h"
 #include "../../src/gateway/ProofCodec.h"
 #include "../../src/gateway/RouteExplanationCodec.h"
 #include "../../src/lending/LendingMessage.h"
@@ -17,6 +18,7 @@
 #include "lentiljunction/peer/PeerMessage.h"
 #include "lentiljunction/quota/QuotaMessage.h"
 #include "lentiljunction/routes/RelayedRoutes.h"
+#include "lentiljunction/routes/RouteDelta.h"
 #include "lentiljunction/session/SessionToken.h"
 
 #include <CppUTest/TestHarness.h>
@@ -170,9 +172,23 @@
     Failure failure;
     checkDocument(
         parseCbor(bytes), [&failure](const nlohmann::json& document) { return decodeRelayedRoutes(document, failure); }, encodeRelayedRoutes);
+    checkDocument(
+        parseCbor(bytes), [&failure](const nlohmann::json& document) { return decodeRelayedRoutes(document, failure); }, encodeGroupedRoutes);
+    checkDocument(
+        parseCbor(bytes), [&failure](const nlohmann::json& document) { return decodeRouteDelta(document, failure); }, encodeRouteDelta);
     decodeRouteFreshness(parseCbor(bytes));
 }
 
+void decodePieces(const std::string& bytes)
+{
+    checkDocument(parseCbor(bytes), decodePieceResponse, encodePieceResponse);
+    checkDocument(parseCbor(bytes), decodePieceRequest, [](const PieceRequest& piece) {
+        nlohmann::json request = nlohmann::json::object();
+        encodePieceRequest(piece, request);
+        return request;
+    });
+}
+
 void decodeLists(const std::string& bytes)
 {
     checkDocument(parseCbor(bytes), decodeUpstreamList, encodeUpstreamList);
@@ -241,6 +257,15 @@
     std::remove(path.c_str());
 }
 
+std::string makeDelta(Failure& failure)
+{
+    RouteTable newer = *decodeRouteTable(parseJson(routesText), failure);
+    RouteTable older;
+    older.routes[DatabaseId("removed")] = Route();
+    older.groups[GroupId("removed")] = GroupConfig();
+    return toCbor(encodeRouteDelta(computeRouteDelta(older, newer, computeRouteTableDigest(newer))));
+}
+
 } // namespace
 
 TEST_GROUP(Decoders) {
@@ -291,7 +316,11 @@
 {
     Failure failure;
     nlohmann::json answer { { "routes", { { "version", 1 }, { "age_us", 2 } } } };
-    this->damage(decodeRelayed, { toCbor(encodeRelayedRoutes(*decodeRouteTable(parseJson(routesText), failure))), toCbor(answer) });
+    this->damage(decodeRelayed, { toCbor(encodeRelayedRoutes(*decodeRouteTable(parseJson(routesText), failure))), toCbor(answer), makeDelta(failure) });
+    nlohmann::json request = nlohmann::json::object();
+    encodePieceRequest({ { "10.0.0.1", 9 }, ContentId(5), 70 }, request);
+    PieceResponse busy { PieceResponse::Kind::Busy, ContentId(), 0, 0, "", std::chrono::milliseconds(3), { { "10.0.0.1", 9 } } };
+    this->damage(decodePieces, { toCbor(request), toCbor(encodePieceResponse({ PieceResponse::Kind::Piece, ContentId(5), 3, 8, "bytes" })), toCbor(encodePieceResponse(busy)) });
     UpstreamList list;
     list.entries[UpstreamId("u")] = *decodeUpstreamEntry("u", parseJson(upstreamText), failure);
     nlohmann::json proofs = nlohmann::json::array({ { "g", 1, 2, 3, 4 } });
