Keep a link on which something arrives although a request timed out

Cause: a request of 0.15 s that timed out behind a large table ended the link with everything on it. A link is now given up only if nothing was received on it since the request was sent. PeerRpc.requestThatTimesOutDoesNotEndALinkThatDelivers; a link that is silent is given up as before.

--- a/src/peer/PeerRpc.cpp
+++ b/src/peer/PeerRpc.cpp
@@ -104,8 +104,12 @@
     }
 }
 
-void PeerRpc::onMessage(WebSocketClient::Handle, const std::string& payload)
+void PeerRpc::onMessage(WebSocketClient::Handle handle, const std::string& payload)
 {
+    for (const std::pair<const std::string, Link>& entry : this->links) {
+        if (entry.second.handle == handle)
+            this->deadlines.onReceived(entry.first);
+    }
     std::optional<nlohmann::json> message = decode(payload);
     if (!message)
         return;
@@ -115,7 +119,7 @@
     ResponseCallback callback = std::move(found->second.callback);
     Endpoint peer = std::move(found->second.endpoint);
     this->pending.erase(found);
-    this->deadlines.remove((*message)["number"]);
+    this->deadlines.onResponse((*message)["number"]);
     try {
         callback((*message)["body"]);
     } catch (const std::exception& error) {
--- a/src/peer/PendingRequests.cpp
+++ b/src/peer/PendingRequests.cpp
@@ -7,11 +7,13 @@
 
 void PendingRequests::add(std::uint64_t number, const std::string& peer, Duration timeout)
 {
-    this->requests[number] = { peer, this->clock.now() + timeout };
+    TimePoint now = this->clock.now();
+    this->requests[number] = { peer, now, now + timeout };
 }
 
 std::vector<std::uint64_t> PendingRequests::takeAll(const std::string& peer)
 {
+    this->receivedAt.erase(peer);
     std::vector<std::uint64_t> taken;
     for (std::map<std::uint64_t, Request>::iterator entry = this->requests.begin(); entry != this->requests.end();) {
         if (entry->second.peer != peer) {
@@ -31,9 +33,11 @@
     // Links whose responses may be delayed by that to an earlier request, which still has time.
     std::set<std::string> busyPeers;
     for (std::map<std::uint64_t, Request>::iterator entry = this->requests.begin(); entry != this->requests.end();) {
+        std::map<std::string, TimePoint>::const_iterator received = this->receivedAt.find(entry->second.peer);
+        bool isLinkBusy = received != this->receivedAt.end() && received->second > entry->second.sentAt;
         if (entry->second.deadline > now)
             busyPeers.insert(entry->second.peer);
-        else if (busyPeers.count(entry->second.peer) > 0) {
+        else if (isLinkBusy || busyPeers.count(entry->second.peer) > 0) {
             expiry.failedRequests.push_back(entry->first);
             entry = this->requests.erase(entry);
             continue;
--- a/src/peer/PendingRequests.h
+++ b/src/peer/PendingRequests.h
@@ -10,7 +10,8 @@
 
 namespace lentiljunction {
 
-/// The requests to other instances that have no response yet, and which links are given up because of them.
+/// The requests to other instances that have no response yet, and which links are given up because of them: those on which
+/// nothing was received since the request was sent.
 ///
 /// Decides without sockets and timers. Not thread-safe.
 ///
@@ -35,8 +36,11 @@
     /// @param peer the key of its link
     void add(std::uint64_t number, const std::string& peer, Duration timeout);
 
-    /// A response arrived, or the request is given up.
-    void remove(std::uint64_t number) { this->requests.erase(number); }
+    /// A response arrived in time.
+    void onResponse(std::uint64_t number) { this->requests.erase(number); }
+
+    /// Something was received on a link, perhaps a response that is late.
+    void onReceived(const std::string& peer) { this->receivedAt[peer] = this->clock.now(); }
 
     /// @returns the requests on a link, which are removed
     std::vector<std::uint64_t> takeAll(const std::string& peer);
@@ -50,11 +54,14 @@
 private:
     struct Request {
         std::string peer;
+        TimePoint sentAt;
         TimePoint deadline;
     };
 
     const Clock& clock;
     std::map<std::uint64_t, Request> requests;
+    /// When something was received last on each link.
+    std::map<std::string, TimePoint> receivedAt;
 };
 
 } // namespace lentiljunction
--- a/tests/support/RouteFleet.cpp
+++ b/tests/support/RouteFleet.cpp
@@ -215,12 +215,13 @@
             body["body"] = receiver.sender.respond(parseCbor(toCbor(packet.body)));
         return this->send(receiver, { packet.connection, packet.to, packet.from, packet.number, true, packet.isTransfer, std::move(body), 0 });
     }
+    receiver.deadlines.onReceived(std::to_string(packet.from));
     std::map<std::uint64_t, Instance::Pending>::iterator found = receiver.pending.find(packet.number);
     if (found == receiver.pending.end())
         return;
     Instance::Pending answered = found->second;
     receiver.pending.erase(found);
-    receiver.deadlines.remove(packet.number);
+    receiver.deadlines.onResponse(packet.number);
     const Endpoint& peer = this->instances[packet.from]->endpoint;
     if (answered.isTransfer)
         receiver.receiver.onResponse(peer, parseCbor(toCbor(packet.body["body"])));
--- a/tests/unit/PeerRpcTests.cpp
+++ b/tests/unit/PeerRpcTests.cpp
@@ -1,5 +1,6 @@
 #include "../../src/peer/PeerRpc.h"
 
+#include <algorithm>
 #include <future>
 
 #include <CppUTest/TestHarness.h>
@@ -96,3 +97,24 @@
     CHECK_TRUE(slow.get_future().get());
     loop.stop();
 }
+
+// While a large table filled a link, requests behind it timed out. The links were given up although they delivered all the time,
+// and the transfers on them began anew.
+TEST(PeerRpc, requestThatTimesOutDoesNotEndALinkThatDelivers)
+{
+    ManualClock clock;
+    PendingRequests requests(clock);
+    requests.add(1, "busy", std::chrono::milliseconds(150));
+    requests.add(2, "silent", std::chrono::milliseconds(150));
+    clock.advance(std::chrono::milliseconds(100));
+    requests.onReceived("busy");
+    clock.advance(std::chrono::milliseconds(50));
+    PendingRequests::Expiry expiry = requests.expire();
+    CHECK(expiry.lostPeers == std::vector<std::string> { "silent" });
+    CHECK(expiry.failedRequests == std::vector<std::uint64_t> { 1 });
+    // What was received before a request was sent does not show that the link still delivers.
+    requests.add(3, "busy", std::chrono::milliseconds(150));
+    clock.advance(std::chrono::milliseconds(150));
+    expiry = requests.expire();
+    CHECK(std::find(expiry.lostPeers.begin(), expiry.lostPeers.end(), "busy") != expiry.lostPeers.end());
+}
