Let three instances of a zone read the configuration, and not over themselves

Callers saw a route that was replaced 6 s before still in use. The zone readers were late with their proofs, so every instance read the store itself; a read that took over 0.7 s was repeated beside itself and ended after 2.5 s, so that none ended.

- A read is repeated only if nothing of it arrives, and its time limit counts from the last part that did.
- An instance with the fastest link of its zone reads for the others (limits.link_mbps); the next two take over, their proofs 0.6 and 0.4 s before those of the others expire, so that these need not read.
When a zone reader does not respond, the next one is asked.
- A failover coordinator that is no zone reader takes routes and lists from its zone reader.
- Reads pause at least as long as they took.
- The primary record is sent only to those that lack it.

--- a/include/lentiljunction/fleet/FleetStore.h
+++ b/include/lentiljunction/fleet/FleetStore.h
@@ -12,6 +12,9 @@
 
 namespace lentiljunction {
 
+/// The bandwidth of a link in bits per second; zero when it is not known.
+using BitRate = Number<struct BitRateTag>;
+
 /// The entry of an instance by which other instances find it.
 struct FleetMember {
     InstanceId id;
@@ -22,10 +25,12 @@
     std::optional<Endpoint> lending = std::nullopt;
     /// The address where it decides on the limits of workspaces; empty when it enforces none.
     std::optional<Endpoint> quota = std::nullopt;
+    /// The bandwidth of its machine's link.
+    BitRate linkRate {};
 
     friend bool operator==(const FleetMember& left, const FleetMember& right)
     {
-        return left.id == right.id && left.zone == right.zone && left.peers == right.peers && left.lending == right.lending && left.quota == right.quota;
+        return left.id == right.id && left.zone == right.zone && left.peers == right.peers && left.lending == right.lending && left.quota == right.quota && left.linkRate == right.linkRate;
     }
 };
 
--- a/include/lentiljunction/fleet/ZoneReader.h
+++ b/include/lentiljunction/fleet/ZoneReader.h
@@ -7,9 +7,15 @@
 
 namespace lentiljunction {
 
+/// Ranks the instances of an availability zone by how well they can read the store for the others: those with the fastest
+/// links first, since the routing configuration may be large.
+///
+/// The ranks depend only on the list, so all instances with the same list agree on them.
+std::vector<FleetMember> rankZoneReaders(const std::vector<FleetMember>& members, const ZoneId& zone);
+
 /// Chooses the instance of an availability zone that reads the primary record for the others.
 ///
-/// The choice depends only on the list, so all instances with the same list choose the same reader.
+/// @see rankZoneReaders
 ///
 /// @returns the zone reader, or nothing when the list has no instance of the zone
 std::optional<FleetMember> chooseZoneReader(const std::vector<FleetMember>& members, const ZoneId& zone);
--- a/include/lentiljunction/routes/RelayedRoutes.h
+++ b/include/lentiljunction/routes/RelayedRoutes.h
@@ -31,6 +31,13 @@
     /// The reported age is counted from when the request was sent, because the delay of the response is unknown.
     void onFreshness(const RouteFreshness& freshness, BootTime requestedAt);
 
+    /// Sets the age up to which a confirmation counts. The instances that read the store next if their zone reader cannot
+    /// have a shorter one, so that their proofs reach the others in time.
+    void setLifetime(Duration newLifetime) { this->lifetime = newLifetime; }
+
+    /// Forgets what other instances reported.
+    void clear() { this->confirmedAt.reset(); }
+
     /// @returns whether the other instance was confirmed by the store recently enough to pass on changes in time
     bool isFresh(BootTime now) const;
 
--- a/src/fleet/ZoneReader.cpp
+++ b/src/fleet/ZoneReader.cpp
@@ -2,22 +2,30 @@
 
 #include "lentiljunction/core/RendezvousHash.h"
 
+#include <map>
 #include <set>
+#include <tuple>
 
 namespace lentiljunction {
 
-std::optional<FleetMember> chooseZoneReader(const std::vector<FleetMember>& members, const ZoneId& zone)
+std::vector<FleetMember> rankZoneReaders(const std::vector<FleetMember>& members, const ZoneId& zone)
 {
-    std::optional<FleetMember> reader;
-    std::uint64_t best = 0;
+    using Rank = std::tuple<std::uint64_t, std::uint64_t, InstanceId>;
+    std::map<Rank, FleetMember> ranked;
     for (const FleetMember& member : members) {
-        std::uint64_t score = rendezvousScore(zone.toString(), member.id.toString());
-        if (member.zone != zone || (reader && score < best))
-            continue;
-        best = score;
-        reader = member;
+        if (member.zone == zone)
+            ranked[{ member.linkRate.value(), rendezvousScore(zone.toString(), member.id.toString()), member.id }] = member;
     }
-    return reader;
+    std::vector<FleetMember> readers;
+    for (std::map<Rank, FleetMember>::const_reverse_iterator entry = ranked.rbegin(); entry != ranked.rend(); ++entry)
+        readers.push_back(entry->second);
+    return readers;
+}
+
+std::optional<FleetMember> chooseZoneReader(const std::vector<FleetMember>& members, const ZoneId& zone)
+{
+    std::vector<FleetMember> readers = rankZoneReaders(members, zone);
+    return readers.empty() ? std::nullopt : std::optional<FleetMember>(readers.front());
 }
 
 std::vector<FleetMember> chooseZoneReaders(const std::vector<FleetMember>& members)
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -41,6 +41,29 @@
         return others;
     }
 
+    nlohmann::json encodeRecordVersion(const VersionedPrimaryRecord& versioned)
+    {
+        return { { "revision", versioned.revision.value() }, { "era", versioned.record->era.value() } };
+    }
+
+    /// @param response the state of another instance
+    /// @param had the record that this instance had when it sent the request
+    /// @param failure set to NotFound when the other instance has no record
+    std::optional<VersionedPrimaryRecord> decodeKnownRecord(const nlohmann::json& response, const VersionedPrimaryRecord& had, Failure& failure)
+    {
+        if (had.record != nullptr && response.contains("same_record") && response["same_record"] == encodeRecordVersion(had))
+            return VersionedPrimaryRecord { had.record, had.revision, had.record->era };
+        if (!response.contains("record") || !response.contains("revision")) {
+            failure.set(Failure::Kind::NotFound, "no record");
+            return std::nullopt;
+        }
+        std::optional<PrimaryRecord> record = decodePrimaryRecord(response["record"], failure);
+        if (!record || !response["revision"].is_number_unsigned())
+            return std::nullopt;
+        StoreEra era = record->era;
+        return VersionedPrimaryRecord { std::make_shared<PrimaryRecord>(std::move(*record)), StoreVersion(response["revision"].get<std::uint64_t>()), era };
+    }
+
 } // namespace
 
 GatewayControl::GatewayControl(const Dependencies& dependencies, const GatewaySettings& settings)
@@ -52,7 +75,7 @@
     , executor({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, *this, settings.instance })
     , coordination({ dependencies.controlLoop, dependencies.clock, this->peers, this->executor, settings.instance }, *this)
     , recovery({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, this->executor, this->coordination, *this, settings.instance }, settings.isFirstStart)
-    , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, std::nullopt, std::nullopt }, [this](StoreEra era) { this->onRegistered(era); })
+    , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, std::nullopt, std::nullopt, settings.linkRate }, [this](StoreEra era) { this->onRegistered(era); })
     , leaseTracker(settings.instance)
     , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance, *this)
     , routeTransfer(dependencies.controlLoop, dependencies.clock, this->peers, this->routes, settings.peers)
@@ -103,20 +126,21 @@
 void GatewayControl::renewLease()
 {
     std::optional<FleetMember> reader = this->findZoneReader();
-    if (!reader)
+    if (!reader) {
+        this->askForRoutesAndLists();
         return this->readPrimaryRecord();
-    if (this->dependencies.clock.now() < this->zoneReaderAvoidedUntil)
+    }
+    if (this->dependencies.clock.now() < this->zoneReaderAvoidedUntil) {
+        this->askDeputy();
         return this->readPrimaryRecordUnlessAvoided();
+    }
     BootTime sentAt = this->dependencies.clock.bootNow();
-    this->peers.ask(reader->peers, { { "ask", "beliefs" } }, peerTimeout, [this, sentAt, endpoint = reader->peers](const std::optional<nlohmann::json>& response) {
-        if (response) {
-            this->onPeerState(*response, sentAt);
-            this->applyProofs(*response, sentAt);
-            this->onZoneReaderFreshness(*response, endpoint, sentAt);
-            this->lists.onZoneReaderResponse(*response, endpoint, sentAt);
-        } else {
+    this->peers.ask(reader->peers, this->makeStateRequest(), peerTimeout, [this, sentAt, endpoint = reader->peers, had = this->leaseTracker.getView().latest](const std::optional<nlohmann::json>& response) {
+        if (response)
+            this->onReaderResponse(*response, endpoint, sentAt, had);
+        else {
             this->zoneReaderAvoidedUntil = this->dependencies.clock.now() + zoneReaderRetryDelay;
-            this->routes.onZoneReaderLost();
+            this->askDeputy();
         }
         if (!response || this->leaseTracker.getRemaining(this->dependencies.clock.bootNow()) < minimumRelayedLease)
             return this->readPrimaryRecordUnlessAvoided();
@@ -124,6 +148,42 @@
     });
 }
 
+void GatewayControl::askDeputy()
+{
+    std::vector<FleetMember> readers = rankZoneReaders(this->listActiveMembers(), this->settings.zone);
+    if (readers.size() < 2 || readers[1].id == this->settings.instance)
+        return this->routes.onZoneReaderLost();
+    BootTime sentAt = this->dependencies.clock.bootNow();
+    this->peers.ask(readers[1].peers, this->makeStateRequest(), peerTimeout, [this, sentAt, endpoint = readers[1].peers, had = this->leaseTracker.getView().latest](const std::optional<nlohmann::json>& response) {
+        if (response)
+            this->onReaderResponse(*response, endpoint, sentAt, had);
+        else
+            this->routes.onZoneReaderLost();
+    });
+}
+
+void GatewayControl::askForRoutesAndLists()
+{
+    std::optional<FleetMember> reader = chooseZoneReader(this->listActiveMembers(), this->settings.zone);
+    if (!reader || reader->id == this->settings.instance)
+        return;
+    BootTime sentAt = this->dependencies.clock.bootNow();
+    this->peers.ask(reader->peers, this->makeStateRequest(), peerTimeout, [this, sentAt, endpoint = reader->peers](const std::optional<nlohmann::json>& response) {
+        if (!response)
+            return;
+        this->onZoneReaderFreshness(*response, endpoint, sentAt);
+        this->lists.onZoneReaderResponse(*response, endpoint, sentAt);
+    });
+}
+
+void GatewayControl::onReaderResponse(const nlohmann::json& response, const Endpoint& reader, BootTime sentAt, const VersionedPrimaryRecord& had)
+{
+    this->onPeerState(response, sentAt, had);
+    this->applyProofs(response, sentAt);
+    this->onZoneReaderFreshness(response, reader, sentAt);
+    this->lists.onZoneReaderResponse(response, reader, sentAt);
+}
+
 void GatewayControl::readPrimaryRecordUnlessAvoided()
 {
     if (this->dependencies.clock.now() >= this->recordReadAvoidedUntil)
@@ -223,25 +283,35 @@
     // Each request goes to another instance, since the previous one may not reach the store either.
     const Endpoint& peer = endpoints[this->nextPeer++ % endpoints.size()];
     BootTime sentAt = this->dependencies.clock.bootNow();
-    this->peers.ask(peer, { { "ask", "beliefs" } }, peerTimeout, [this, sentAt](const std::optional<nlohmann::json>& response) {
+    this->peers.ask(peer, this->makeStateRequest(), peerTimeout, [this, sentAt, had = this->leaseTracker.getView().latest](const std::optional<nlohmann::json>& response) {
         if (response)
-            this->onPeerState(*response, sentAt);
+            this->onPeerState(*response, sentAt, had);
     });
 }
 
-void GatewayControl::onPeerState(const nlohmann::json& response, BootTime sentAt)
+nlohmann::json GatewayControl::makeStateRequest() const
 {
-    if (!response.is_object() || !response.contains("record") || !response.contains("revision") || !response.contains("permit_us"))
+    nlohmann::json request { { "ask", "beliefs" } };
+    const VersionedPrimaryRecord& latest = this->leaseTracker.getView().latest;
+    if (latest.record != nullptr)
+        request["have"] = encodeRecordVersion(latest);
+    return request;
+}
+
+void GatewayControl::onPeerState(const nlohmann::json& response, BootTime sentAt, const VersionedPrimaryRecord& had)
+{
+    if (!response.is_object() || !response.contains("permit_us"))
         return;
     Failure failure;
-    std::optional<PrimaryRecord> record = decodePrimaryRecord(response["record"], failure);
-    if (!record || !response["revision"].is_number_unsigned())
-        return logEvent(events::peerMessageInvalid, "reason=\"" + failure.reason + "\"");
+    std::optional<VersionedPrimaryRecord> versioned = decodeKnownRecord(response, had, failure);
+    if (!versioned) {
+        if (failure.kind != Failure::Kind::NotFound)
+            logEvent(events::peerMessageInvalid, "reason=\"" + failure.reason + "\"");
+        return;
+    }
     Duration permit = std::max(Duration(0), getDuration(response["permit_us"]));
-    StoreEra era = record->era;
-    VersionedPrimaryRecord versioned { std::make_shared<PrimaryRecord>(std::move(*record)), StoreVersion(response["revision"].get<std::uint64_t>()), era };
-    this->writer.setBase(versioned);
-    this->publishPrimaryView(this->leaseTracker.onPeerResponse(versioned, permit, sentAt));
+    this->writer.setBase(*versioned);
+    this->publishPrimaryView(this->leaseTracker.onPeerResponse(*versioned, permit, sentAt));
 }
 
 void GatewayControl::onRoutesInForce(const std::shared_ptr<const RouteTable>& table)
@@ -298,9 +368,17 @@
 {
     std::vector<FleetMember> active = this->listActiveMembers();
     bool relaysProofs = !this->findZoneReader();
+    this->routes.setReaderRank(this->findReaderRank(active));
     this->dependencies.trafficLoop.post([this, active = std::move(active), number = this->members.getSize(), relaysProofs] { this->dependencies.traffic.setMembers(active, number, relaysProofs); });
 }
 
+std::size_t GatewayControl::findReaderRank(const std::vector<FleetMember>& active) const
+{
+    std::vector<FleetMember> readers = rankZoneReaders(active, this->settings.zone);
+    std::vector<FleetMember>::const_iterator self = std::find_if(readers.begin(), readers.end(), [this](const FleetMember& member) { return member.id == this->settings.instance; });
+    return static_cast<std::size_t>(self - readers.begin());
+}
+
 void GatewayControl::updateReady()
 {
     bool isComplete = this->routes.getTable() != nullptr && this->hasListedUpstreams && this->hasListedMembers && this->leaseTracker.getView().latest.record != nullptr;
@@ -341,25 +419,30 @@
     return this->routes.isBehind() ? nlohmann::json { { "behind", true } } : nlohmann::json::object();
 }
 
-nlohmann::json GatewayControl::makeStateResponse() const
+nlohmann::json GatewayControl::makeStateResponse(const nlohmann::json& request) const
 {
     nlohmann::json response = this->makeRoutesVersionResponse();
     response["lists"] = this->lists.makeVersions();
     const PrimaryView& view = this->leaseTracker.getView();
     if (view.latest.record == nullptr)
         return response;
-    response["record"] = encodePrimaryRecord(*view.latest.record);
-    response["revision"] = view.latest.revision.value();
+    nlohmann::json version = encodeRecordVersion(view.latest);
+    if (request.contains("have") && request["have"] == version)
+        response["same_record"] = std::move(version);
+    else {
+        response["record"] = encodePrimaryRecord(*view.latest.record);
+        response["revision"] = view.latest.revision.value();
+    }
     response["permit_us"] = this->leaseTracker.getRemaining(this->dependencies.clock.bootNow()).count();
     return response;
 }
 
-void GatewayControl::respondWithState(const PeerRpc::Responder& respond)
+void GatewayControl::respondWithState(const nlohmann::json& request, const PeerRpc::Responder& respond)
 {
-    this->dependencies.trafficLoop.post([this, respond] {
+    this->dependencies.trafficLoop.post([this, request, respond] {
         std::vector<FreshnessProofs::Newest> proofs = this->dependencies.traffic.listNewestProofs();
-        this->dependencies.controlLoop.post([this, respond, proofs = std::move(proofs)] {
-            nlohmann::json response = this->makeStateResponse();
+        this->dependencies.controlLoop.post([this, request, respond, proofs = std::move(proofs)] {
+            nlohmann::json response = this->makeStateResponse(request);
             response["proofs"] = encodeProofs(proofs, this->dependencies.clock.bootNow());
             respond(response);
         });
@@ -382,7 +465,7 @@
     // must not count it from now.
     nlohmann::json message = request;
     message["permit_us"] = 0;
-    this->onPeerState(message, this->dependencies.clock.bootNow());
+    this->onPeerState(message, this->dependencies.clock.bootNow(), VersionedPrimaryRecord());
     const VersionedPrimaryRecord& latest = this->leaseTracker.getView().latest;
     nlohmann::json confirmation { { "applied", latest.revision.value() }, { "era", latest.record == nullptr ? 0 : latest.record->era.value() } };
     this->confirmTrafficUpdate([this, respond, confirmation] {
@@ -394,7 +477,7 @@
 {
     std::string kind = request.is_object() ? request.value("ask", "") : "";
     if (kind == "beliefs")
-        return this->respondWithState(respond);
+        return this->respondWithState(request, respond);
     if (kind == "routes")
         return respond(this->routeTransfer.respond(request));
     if (kind == "routes_version")
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -123,6 +123,12 @@
 
     /// @returns the zone reader, or nothing when this instance reads the store itself
     std::optional<FleetMember> findZoneReader() const;
+    /// Asks the instance that reads the store next if the zone reader cannot. Without one, this instance does.
+    void askDeputy();
+    /// Asks the zone reader for all but the primary record, which a coordinator reads itself.
+    void askForRoutesAndLists();
+    /// Processes all that a zone reader reports.
+    void onReaderResponse(const nlohmann::json& response, const Endpoint& reader, BootTime sentAt, const VersionedPrimaryRecord& had);
     void readPrimaryRecord();
     /// Reads the primary record for an instance whose zone reader does not provide a sufficient lease.
     void readPrimaryRecordUnlessAvoided();
@@ -133,17 +139,22 @@
     void publishPrimaryView(bool isNewer);
     /// Requests the known state of another instance, for use while the store does not answer.
     void requestPeerState();
-    void onPeerState(const nlohmann::json& response, BootTime sentAt);
+    /// @returns the request for the known state of another instance, which need not send the record that this one has
+    nlohmann::json makeStateRequest() const;
+    /// @param had the record that this instance had when it sent the request
+    void onPeerState(const nlohmann::json& response, BootTime sentAt, const VersionedPrimaryRecord& had);
     void onZoneReaderFreshness(const nlohmann::json& response, const Endpoint& reader, BootTime sentAt);
     nlohmann::json makeRoutesVersionResponse() const;
     /// Passes the active instances to the traffic thread.
     void publishMembers();
+    /// @returns the place of this instance among those that read the store for its zone
+    std::size_t findReaderRank(const std::vector<FleetMember>& active) const;
     /// Processes the coordinator and the retired instances of the newest record.
     void updateRetired();
     /// Removes this instance from the retired ones in the primary record.
     void returnToService();
-    nlohmann::json makeStateResponse() const;
-    void respondWithState(const PeerRpc::Responder& respond);
+    nlohmann::json makeStateResponse(const nlohmann::json& request) const;
+    void respondWithState(const nlohmann::json& request, const PeerRpc::Responder& respond);
     void applyProofs(const nlohmann::json& response, BootTime sentAt);
     void onPrimaryRecordMessage(const nlohmann::json& request, const PeerRpc::Responder& respond);
     void updateReady();
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -17,13 +17,14 @@
 
     const std::set<std::string> knownKeys {
         "instance.id", "instance.zone", "sessions.listen", "ready.listen", "peers.listen", "peers.seeds", "lending.listen",
-        "quota.listen", "quota.window_s", "quota.overage", "quota.slack", "capacity.discover", "upstream_health.eject", "metrics.listen", "store.endpoint", "store.first_start", "promotion.endpoint", "limits.descriptors", "limits.memory", "drain.grace_s"
+        "quota.listen", "quota.window_s", "quota.overage", "quota.slack", "capacity.discover", "upstream_health.eject", "metrics.listen", "store.endpoint", "store.first_start", "promotion.endpoint", "limits.descriptors", "limits.link_mbps", "limits.memory", "drain.grace_s"
     };
     constexpr double shortestQuotaWindowSeconds = 0.001;
     constexpr double longestSeconds = 86400;
     constexpr std::size_t fewestDescriptors = 64;
     constexpr std::size_t leastMemory = 1;
     constexpr double maximumCount = std::numeric_limits<std::int32_t>::max();
+    constexpr double bitsPerMegabit = 1e6;
     constexpr double maximumQuotaOverage = 1000;
     constexpr double maximumQuotaSlack = 1e12;
 
@@ -208,6 +209,7 @@
     settings.discoversCapacity = reader.getFlag("capacity", "discover", settings.discoversCapacity);
     settings.ejectsUpstreams = reader.getFlag("upstream_health", "eject", settings.ejectsUpstreams);
     settings.maximumDescriptors = reader.getCount("limits", "descriptors", fewestDescriptors);
+    settings.linkRate = BitRate(static_cast<std::uint64_t>(reader.getDecimal("limits", "link_mbps", 0, 0, maximumCount) * bitsPerMegabit));
     settings.maximumMemory = reader.getCount("limits", "memory", leastMemory);
     settings.shutdownGrace = reader.getSeconds("drain", "grace_s", settings.shutdownGrace, 0);
     reader.rejectUnknownKeys();
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -2,6 +2,7 @@
 
 #include "lentiljunction/core/Failure.h"
 #include "lentiljunction/core/Ids.h"
+#include "lentiljunction/fleet/FleetStore.h"
 #include "lentiljunction/quota/QuotaLimit.h"
 #include "lentiljunction/settings/Settings.h"
 
@@ -46,6 +47,8 @@
     bool ejectsUpstreams = false;
     /// The file descriptors that the process may open; empty when its own limit counts.
     std::optional<std::size_t> maximumDescriptors;
+    /// The bandwidth of the machine's link; zero when it is not known.
+    BitRate linkRate {};
     /// The memory of the process in MiB; empty when callers may fill any.
     std::optional<std::size_t> maximumMemory;
     /// Time from the termination signal until the process is killed.
--- a/src/gateway/ListCodec.cpp
+++ b/src/gateway/ListCodec.cpp
@@ -51,6 +51,8 @@
             member.lending = decodeEndpoint(document["lending"]);
         if (document.contains("quota"))
             member.quota = decodeEndpoint(document["quota"]);
+        if (document.contains("link_bps"))
+            member.linkRate = BitRate(getNumber(document["link_bps"], std::numeric_limits<std::int64_t>::max()));
         return member;
     }
 
@@ -115,6 +117,8 @@
             entry["lending"] = encodeEndpoint(*member.lending);
         if (member.quota)
             entry["quota"] = encodeEndpoint(*member.quota);
+        if (member.linkRate != BitRate())
+            entry["link_bps"] = member.linkRate.value();
         document.push_back(std::move(entry));
     }
     return document;
--- a/src/gateway/PeerConfirmation.cpp
+++ b/src/gateway/PeerConfirmation.cpp
@@ -1,5 +1,7 @@
 #include "PeerConfirmation.h"
 
+#include "lentiljunction/fleet/ZoneReader.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,6 +11,8 @@
 
     /// The store usually responds within this time after the start.
     constexpr std::chrono::milliseconds firstAskDelay { 300 };
+    /// The zone reader and those that read the store if it cannot.
+    constexpr std::size_t numLikelyReaders = 3;
     /// Several attempts fit into the time for which keys stay accepted.
     constexpr std::chrono::milliseconds askInterval { 400 };
     /// Allows several round trips between regions.
@@ -38,13 +42,16 @@
 void PeerConfirmation::setMembers(const std::vector<FleetMember>& members)
 {
     this->zones.clear();
+    std::vector<FleetMember> others;
     std::set<ZoneId> names;
     for (const FleetMember& member : members) {
         if (member.id == this->self)
             continue;
-        this->zones[member.zone].push_back(member);
+        others.push_back(member);
         names.insert(member.zone);
     }
+    for (const ZoneId& name : names)
+        this->zones[name] = rankZoneReaders(others, name);
     this->routes.setZones(std::move(names));
 }
 
@@ -74,11 +81,18 @@
     if (this->zones.empty() && !this->seeds.empty())
         this->ask(this->seeds[this->next % this->seeds.size()], std::nullopt);
     for (const std::pair<const ZoneId, std::vector<FleetMember>>& zone : this->zones)
-        this->ask(zone.second[this->next % zone.second.size()].peers, zone.first);
+        this->ask(this->choose(zone.second).peers, zone.first);
     if (--this->numPending == 0)
         this->routes.onOtherInstancesAsked();
 }
 
+const FleetMember& PeerConfirmation::choose(const std::vector<FleetMember>& members) const
+{
+    // Every other request goes to one of those that most likely have a proof, the rest to all in turn.
+    std::size_t round = this->next / 2;
+    return members[round % (this->next % 2 == 0 ? std::min(numLikelyReaders, members.size()) : members.size())];
+}
+
 void PeerConfirmation::ask(const Endpoint& peer, const std::optional<ZoneId>& zone)
 {
     this->numPending++;
--- a/src/gateway/PeerConfirmation.h
+++ b/src/gateway/PeerConfirmation.h
@@ -47,6 +47,10 @@
     RouteTransfer& transfer;
     InstanceId self;
     std::vector<Endpoint> seeds;
+    /// @returns the instance of a zone that is asked next
+    const FleetMember& choose(const std::vector<FleetMember>& members) const;
+
+    /// The instances of each zone, those first that read the store for it.
     std::map<ZoneId, std::vector<FleetMember>> zones;
     /// Each request goes to another instance of its zone, since the previous one may have stopped.
     std::size_t next = 0;
--- a/src/gateway/RouteWatcher.cpp
+++ b/src/gateway/RouteWatcher.cpp
@@ -2,6 +2,8 @@
 
 #include "lentiljunction/core/LogEvents.h"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace lentiljunction {
@@ -10,15 +12,23 @@
 
     constexpr std::chrono::milliseconds firstStoreRetry { 200 };
     constexpr std::chrono::milliseconds longestStoreRetry { 1600 };
+    /// An instance that knows of a newer configuration asks other instances for it meanwhile.
+    constexpr std::chrono::milliseconds longestRetryBehind { 800 };
     /// A watch is renewed after this time, since its connection may be dead without an error.
     constexpr std::chrono::milliseconds watchTimeout { 4000 };
     /// A new configuration must be in force within three seconds, also at instances that rely on this one.
     constexpr std::chrono::milliseconds readInterval { 1000 };
     /// With workspaces, removed keys are refused in time only with more recent proofs.
     constexpr std::chrono::milliseconds workspacesReadInterval { 700 };
+    /// Between reads of a large configuration a link has this many times as long for other messages as the read took.
+    constexpr int pausesPerRead = 1;
+    constexpr std::chrono::milliseconds longestReadPause { 900 };
     /// Reads that take longer are logged.
     constexpr std::chrono::milliseconds slowRead { 300 };
-    /// A read that takes longer is repeated. It may still be answered, since the store or the way to it may be slow.
+    /// How old a relayed proof may be at the two instances that read the store next if the zone reader cannot. Those
+    /// that rely on them ask them for their proofs before their own expire.
+    constexpr std::array<std::chrono::milliseconds, 2> deputyLifetimes { std::chrono::milliseconds(1900), std::chrono::milliseconds(2100) };
+    /// A read of which nothing arrives for longer is repeated. It may still be answered, since the store or the way to it may be slow.
     constexpr std::chrono::milliseconds readPatience { 700 };
 
     std::string describeVersion(const std::shared_ptr<const RouteTable>& table)
@@ -84,11 +94,17 @@
     return true;
 }
 
+void RouteWatcher::setReaderRank(std::size_t rank)
+{
+    bool isDeputy = rank >= 1 && rank <= deputyLifetimes.size();
+    this->relayedFreshness.setLifetime(isDeputy ? deputyLifetimes[rank - 1] : relayedFreshnessLifetime);
+}
+
 void RouteWatcher::onZoneReaderLost()
 {
     if (!this->relayedFreshness.isFresh(this->clock.bootNow()))
         return;
-    this->relayedFreshness = RelayedFreshness();
+    this->relayedFreshness.clear();
     this->readNow();
 }
 
@@ -179,6 +195,7 @@
     this->isReadPending = true;
     this->readSentAt = this->clock.bootNow();
     this->numBytesAtStart = this->store.countRouteBytes();
+    this->numBytesAtCheck = this->numBytesAtStart;
     this->readTimer.setTime(this->clock.now() + readPatience);
     this->store.readRoutes([this, number, sentAt = this->readSentAt](const std::optional<VersionedRoutes>& versioned, const Failure& failure) {
         if (versioned)
@@ -197,6 +214,10 @@
 void RouteWatcher::readUnlessRelayed()
 {
     if (this->isReadPending) {
+        // A second read over the same link would only delay the first one.
+        std::uint64_t numBytes = this->store.countRouteBytes();
+        if (std::exchange(this->numBytesAtCheck, numBytes) != numBytes)
+            return this->readTimer.setTime(this->clock.now() + readPatience);
         Failure failure;
         failure.set(Failure::Kind::Unavailable, "no response yet");
         return this->onReadFailed(failure);
@@ -214,9 +235,15 @@
 {
     if (this->isRelayed())
         return this->readTimer.setTime(this->clock.now() + (*this->relayedFreshness.getExpiry() - this->clock.bootNow()));
-    std::chrono::milliseconds interval = this->isBehind() ? firstStoreRetry : this->hasWorkspaces() ? workspacesReadInterval
-                                                                                                    : readInterval;
-    this->readTimer.setTime(this->clock.now() + interval);
+    this->readTimer.setTime(this->clock.now() + this->getReadInterval());
+}
+
+Duration RouteWatcher::getReadInterval() const
+{
+    if (this->isBehind())
+        return firstStoreRetry;
+    Duration interval = this->hasWorkspaces() ? workspacesReadInterval : readInterval;
+    return std::max(interval, std::min<Duration>(this->readDuration * pausesPerRead, longestReadPause));
 }
 
 void RouteWatcher::onReadDone(const VersionedRoutes& versioned, BootTime sentAt)
@@ -225,11 +252,11 @@
     if (sentAt < this->appliedReadAt)
         return;
     this->appliedReadAt = sentAt;
-    BootClock::duration taken = this->clock.bootNow() - sentAt;
-    if (taken > slowRead)
-        logEvent(events::routesReadSlow, "took_ms=" + std::to_string(toMilliseconds(taken)) + " bytes=" + std::to_string(this->store.countRouteBytes() - this->numBytesAtStart));
+    this->readDuration = std::chrono::duration_cast<Duration>(this->clock.bootNow() - sentAt);
     this->isReadPending = false;
     this->isFirstReadDone = true;
+    if (this->readDuration > slowRead)
+        logEvent(events::routesReadSlow, "took_ms=" + std::to_string(toMilliseconds(this->readDuration)) + " bytes=" + std::to_string(this->store.countRouteBytes() - this->numBytesAtStart));
     this->storeRetries.onSuccess();
     if (versioned.revision < this->revision)
         logEvent(events::routesPositionLost, "revision=" + std::to_string(this->revision.value()) + " read=" + std::to_string(versioned.revision.value()) + " store_era=" + std::to_string(versioned.era.value()));
@@ -254,7 +281,7 @@
     this->isFirstReadDone = true;
     this->keyFreshness.onStoreFailed(failure.isResponse);
     Duration delay = this->storeRetries.onFailure();
-    this->readTimer.setTime(this->clock.now() + (this->isBehind() ? Duration(firstStoreRetry) : delay));
+    this->readTimer.setTime(this->clock.now() + (this->isBehind() ? std::min<Duration>(delay, longestRetryBehind) : delay));
 }
 
 void RouteWatcher::watch()
--- a/src/gateway/RouteWatcher.h
+++ b/src/gateway/RouteWatcher.h
@@ -52,6 +52,11 @@
     /// The zone reader did not respond, so this instance reads the store until it does.
     void onZoneReaderLost();
 
+    /// Sets the place of this instance among those that read the store for its zone, zero for the zone reader.
+    ///
+    /// @see rankZoneReaders
+    void setReaderRank(std::size_t rank);
+
     /// Processes the proof of an instance of any zone. Unlike after onRelayedFreshness(), this instance goes on to read
     /// the store.
     ///
@@ -115,6 +120,8 @@
     void onReadDone(const VersionedRoutes& versioned, BootTime sentAt);
     void onReadFailed(const Failure& failure);
     void scheduleRead();
+    /// @returns the time from the end of a read to the next one
+    Duration getReadInterval() const;
     /// Reads the store, unless the proofs of the zone reader are recent enough.
     void readUnlessRelayed();
     /// @returns whether the zone reader tells of changes in time
@@ -152,6 +159,10 @@
     BootTime readSentAt;
     /// The bytes of the configuration that had been received when the last read was sent.
     std::uint64_t numBytesAtStart = 0;
+    /// The same when the pending read was last found to go on.
+    std::uint64_t numBytesAtCheck = 0;
+    /// How long the last read that was answered took.
+    Duration readDuration { 0 };
     /// When the read was sent whose response was used last.
     BootTime appliedReadAt;
     bool isWatching = false;
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -196,8 +196,10 @@
 void HttpClient::Exchange::onBytes(std::size_t size)
 {
     this->receivedBytes.append(this->buffer.data(), size);
-    if (this->onProgress)
+    if (this->onProgress) {
         this->onProgress(size);
+        this->startTimer();
+    }
     Failure failure;
     if (this->reader->consume(this->receivedBytes, failure))
         return this->complete();
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -25,7 +25,8 @@
     /// Asked immediately before the request is sent; it is not sent unless this returns true. Opening a connection takes
     /// time, in which the process may be suspended. Not asked when empty.
     std::function<bool()> mayBeSent {};
-    /// Called for each part of the response that is received, unless empty.
+    /// Called for each part of the response that is received, unless empty. The time limit then counts from there again, so
+    /// that a long response over a slow link may take longer than one that does not come.
     std::function<void(std::size_t bytes)> onProgress {};
 };
 
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -285,6 +285,23 @@
     CHECK_FALSE(chooseZoneReader(members, ZoneId("c")).has_value());
 }
 
+// A zone reader with a thin link spent half of it on reads of a large configuration, and its proofs came late.
+TEST(ZoneReader, instancesWithFasterLinksReadFirst)
+{
+    std::vector<FleetMember> members;
+    for (int index = 1; index <= 6; index++) {
+        members.push_back({ InstanceId("a" + std::to_string(index)), ZoneId("a"), {} });
+        members.back().linkRate = BitRate(index <= 2 ? 200000000 : 10000000);
+    }
+    std::vector<FleetMember> readers = rankZoneReaders(members, ZoneId("a"));
+    CHECK_EQUAL(6, readers.size());
+    CHECK(readers[0].linkRate == BitRate(200000000) && readers[1].linkRate == BitRate(200000000));
+    CHECK(chooseZoneReader(members, ZoneId("a"))->id == readers[0].id);
+    std::reverse(members.begin(), members.end());
+    CHECK(rankZoneReaders(members, ZoneId("a")) == readers);
+    CHECK_TRUE(rankZoneReaders(members, ZoneId("b")).empty());
+}
+
 TEST_GROUP(ActiveRoutes) {};
 
 TEST(ActiveRoutes, rejectsOlderAndEqualVersions)
--- a/tests/unit/GatewaySettingsTests.cpp
+++ b/tests/unit/GatewaySettingsTests.cpp
@@ -94,7 +94,7 @@
     std::string text((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
     const std::vector<std::pair<std::string, std::string>> values {
         { "{{node_name}}", "front-1" }, { "{{zone}}", "ba" }, { "{{listen.front}}", "10.1.0.8:8784" }, { "{{listen.ready}}", "10.1.0.8:8785" }, { "{{listen.control}}", "10.1.0.8:8782" },
-        { "{{seeds}}", "10.1.0.8:8782,10.2.0.6:8782" }, { "{{ip}}", "10.1.0.8" }, { "{{platform.address}}", "10.200.1.7:8783" }, { "{{bootstrap}}", "true" }, { "{{cloud.address}}", "10.200.0.160:8783" }, { "{{bounds.grace_s}}", "6" }, { "{{limits.max_fds}}", "4300" }, { "{{limits.memory_mb}}", "160" }, { "{{internal_ports.0}}", "7440" },
+        { "{{seeds}}", "10.1.0.8:8782,10.2.0.6:8782" }, { "{{ip}}", "10.1.0.8" }, { "{{platform.address}}", "10.200.1.7:8783" }, { "{{bootstrap}}", "true" }, { "{{cloud.address}}", "10.200.0.160:8783" }, { "{{bounds.grace_s}}", "6" }, { "{{limits.max_fds}}", "4300" }, { "{{limits.memory_mb}}", "160" }, { "{{limits.link_mbps}}", "10.0" }, { "{{internal_ports.0}}", "7440" },
         { "{{#bounds.quota_window_s}}", "" }, { "{{/bounds.quota_window_s}}", "" }, { "{{internal_ports.1}}", "7441" }, { "{{bounds.quota_window_s}}", "5" }, { "{{bounds.quota_overage}}", "0.1" }, { "{{bounds.quota_slack}}", "20" }
     };
     for (const std::pair<std::string, std::string>& value : values) {
@@ -108,6 +108,7 @@
     CHECK_TRUE(isGatewayFile(path));
     std::optional<GatewaySettings> settings = loadGatewaySettings(path, failure);
     CHECK_TEXT(settings.has_value(), failure.reason.c_str());
+    CHECK_EQUAL(10000000, settings->linkRate.value());
     CHECK_EQUAL(2, settings->seeds.size());
     CHECK_TRUE(settings->isFirstStart);
     CHECK_EQUAL(6000, settings->shutdownGrace.count());
