--- a/src/gateway/FleetLists.cpp
+++ b/src/gateway/FleetLists.cpp
@@ -1,6 +1,7 @@
 #include "FleetLists.h"
 
 #include "ListCodec.h"
+#include "PieceCodec.h"
 #include "lentiljunction/core/Cbor.h"
 #include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/LogEvents.h"
@@ -27,8 +28,6 @@
     /// A zone reader lists at the intervals above, and the others query it every 0.4 s.
     constexpr std::chrono::milliseconds upstreamListLifetime { 2500 };
     constexpr std::chrono::milliseconds memberListLifetime { 6000 };
-    /// Time for a list of some hundred entries from an instance in the same availability zone.
-    constexpr std::chrono::milliseconds peerTimeout { 400 };
 
     std::uint64_t computeVersion(const nlohmann::json& content)
     {
@@ -51,14 +50,17 @@
 
 } // namespace
 
-FleetLists::FleetLists(EventLoop& loop, const Clock& clock, FleetStore& store, PeerRpc& peers, Listener& listener)
+FleetLists::FleetLists(EventLoop& loop, const Clock& clock, FleetStore& store, PeerRpc& peers, Listener& listener, const Endpoint& self)
     : loop(loop)
     , clock(clock)
     , store(store)
-    , peers(peers)
     , listener(listener)
     , upstreams(upstreamListLifetime)
     , members(memberListLifetime)
+    , upstreamReceiver(loop, peers, "upstreams", self, [this](const nlohmann::json& response) { this->onUpstreamsReceived(response); })
+    , memberReceiver(loop, peers, "members", self, [this](const nlohmann::json& response) { this->onMembersReceived(response); })
+    , upstreamSender(clock)
+    , memberSender(clock)
     , upstreamRetries(firstStoreRetry, longestStoreRetry)
 {
 }
@@ -69,52 +71,70 @@
     this->listMembers();
 }
 
-nlohmann::json FleetLists::makeUpstreams() const
+nlohmann::json FleetLists::encodeUpstreams() const
 {
     return { { "version", this->upstreams.getVersion() }, { "content", encodeUpstreamList(*this->upstreamList) } };
 }
 
-nlohmann::json FleetLists::makeMembers() const
+nlohmann::json FleetLists::encodeMembers() const
 {
     return { { "version", this->members.getVersion() }, { "content", encodeMemberList(this->memberList) } };
 }
 
+nlohmann::json FleetLists::makeUpstreams(const nlohmann::json& request)
+{
+    std::optional<PieceRequest> piece = decodePieceRequest(request);
+    if (!piece)
+        return this->encodeUpstreams();
+    if (this->upstreamContent == nullptr)
+        this->upstreamContent = std::make_shared<const std::string>(toCbor(this->encodeUpstreams()));
+    return encodePieceResponse(this->upstreamSender.respond(*piece, this->upstreamContent));
+}
+
+nlohmann::json FleetLists::makeMembers(const nlohmann::json& request)
+{
+    std::optional<PieceRequest> piece = decodePieceRequest(request);
+    if (!piece)
+        return this->encodeMembers();
+    if (this->memberContent == nullptr)
+        this->memberContent = std::make_shared<const std::string>(toCbor(this->encodeMembers()));
+    return encodePieceResponse(this->memberSender.respond(*piece, this->memberContent));
+}
+
 void FleetLists::onZoneReaderResponse(const nlohmann::json& response, const Endpoint& reader, BootTime sentAt)
 {
     if (!response.contains("lists") || !response["lists"].is_object())
         return;
     if (!confirm(this->upstreams, response["lists"], "upstreams", sentAt))
-        this->requestUpstreams(reader);
+        this->upstreamReceiver.request(reader);
     if (!confirm(this->members, response["lists"], "members", sentAt))
-        this->requestMembers(reader);
+        this->memberReceiver.request(reader);
 }
 
-void FleetLists::requestUpstreams(const Endpoint& reader)
+void FleetLists::onUpstreamsReceived(const nlohmann::json& response)
 {
-    this->peers.ask(reader, { { "ask", "upstreams" } }, peerTimeout, [this](const std::optional<nlohmann::json>& response) {
-        if (!response || !response->is_object() || !response->contains("content"))
-            return;
-        std::optional<UpstreamList> list = decodeUpstreamList((*response)["content"]);
-        if (!list)
-            return logEvent(events::peerMessageInvalid, "reason=\"the list of upstreams cannot be read\"");
-        this->upstreamList = std::make_shared<UpstreamList>(std::move(*list));
-        this->upstreams.onReceived(response->value("version", std::uint64_t(0)));
-        this->listener.onUpstreamList(this->upstreamList);
-    });
+    if (!response.is_object() || !response.contains("content"))
+        return;
+    std::optional<UpstreamList> list = decodeUpstreamList(response["content"]);
+    if (!list)
+        return logEvent(events::peerMessageInvalid, "reason=\"the list of upstreams cannot be read\"");
+    this->upstreamList = std::make_shared<UpstreamList>(std::move(*list));
+    this->upstreamContent.reset();
+    this->upstreams.onReceived(response.value("version", std::uint64_t(0)));
+    this->listener.onUpstreamList(this->upstreamList);
 }
 
-void FleetLists::requestMembers(const Endpoint& reader)
+void FleetLists::onMembersReceived(const nlohmann::json& response)
 {
-    this->peers.ask(reader, { { "ask", "members" } }, peerTimeout, [this](const std::optional<nlohmann::json>& response) {
-        if (!response || !response->is_object() || !response->contains("content"))
-            return;
-        std::optional<std::vector<FleetMember>> list = decodeMemberList((*response)["content"]);
-        if (!list)
-            return logEvent(events::peerMessageInvalid, "reason=\"the list of instances cannot be read\"");
-        this->memberList = std::move(*list);
-        this->members.onReceived(response->value("version", std::uint64_t(0)));
-        this->listener.onMemberList(this->memberList);
-    });
+    if (!response.is_object() || !response.contains("content"))
+        return;
+    std::optional<std::vector<FleetMember>> list = decodeMemberList(response["content"]);
+    if (!list)
+        return logEvent(events::peerMessageInvalid, "reason=\"the list of instances cannot be read\"");
+    this->memberList = std::move(*list);
+    this->memberContent.reset();
+    this->members.onReceived(response.value("version", std::uint64_t(0)));
+    this->listener.onMemberList(this->memberList);
 }
 
 nlohmann::json FleetLists::makeVersions() const
@@ -158,6 +178,7 @@
         return;
     }
     this->upstreamList = list;
+    this->upstreamContent.reset();
     this->upstreams.onListed(computeVersion(encodeUpstreamList(*list)), currentAt);
     this->listener.onUpstreamList(list);
 }
@@ -174,6 +195,7 @@
     this->store.listMembers(false, [this, sentAt, next](const std::optional<std::vector<FleetMember>>& list, const Failure& failure) {
         if (list) {
             this->memberList = *list;
+            this->memberContent.reset();
             this->members.onListed(computeVersion(encodeMemberList(*list)), sentAt);
             this->listener.onMemberList(*list);
         } else {
--- a/src/gateway/FleetLists.h
+++ b/src/gateway/FleetLists.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "../peer/PeerRpc.h"
+#include "ListReceiver.h"
+#include "PieceSender.h"
 #include "lentiljunction/core/Backoff.h"
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/fleet/FleetStore.h"
@@ -32,7 +34,9 @@
     };
 
     /// All must outlive this object.
-    FleetLists(EventLoop& loop, const Clock& clock, FleetStore& store, PeerRpc& peers, Listener& listener);
+    ///
+    /// @param self where this instance listens for others
+    FleetLists(EventLoop& loop, const Clock& clock, FleetStore& store, PeerRpc& peers, Listener& listener, const Endpoint& self = Endpoint());
 
     /// Starts to list.
     void start();
@@ -48,26 +52,34 @@
     /// @returns the versions of both lists and the age of that knowledge, for other instances
     nlohmann::json makeVersions() const;
 
-    /// @returns the list of upstreams or of instances, for other instances
-    nlohmann::json makeUpstreams() const;
-    nlohmann::json makeMembers() const;
+    /// @returns the list of upstreams or of instances, or the part of it that another instance requests
+    nlohmann::json makeUpstreams(const nlohmann::json& request);
+    nlohmann::json makeMembers(const nlohmann::json& request);
 
 private:
     void listUpstreams();
     void onUpstreamsListed(const std::shared_ptr<const UpstreamList>& list, bool isLinearizable, BootTime sentAt);
     void listMembers();
-    void requestUpstreams(const Endpoint& reader);
-    void requestMembers(const Endpoint& reader);
+    void onUpstreamsReceived(const nlohmann::json& response);
+    void onMembersReceived(const nlohmann::json& response);
+    nlohmann::json encodeUpstreams() const;
+    nlohmann::json encodeMembers() const;
 
     EventLoop& loop;
     const Clock& clock;
     FleetStore& store;
-    PeerRpc& peers;
     Listener& listener;
     RelayedList upstreams;
     RelayedList members;
     std::shared_ptr<const UpstreamList> upstreamList = std::make_shared<UpstreamList>();
     std::vector<FleetMember> memberList;
+    ListReceiver upstreamReceiver;
+    ListReceiver memberReceiver;
+    PieceSender upstreamSender;
+    PieceSender memberSender;
+    /// The lists as they are sent, until they change.
+    std::shared_ptr<const std::string> upstreamContent;
+    std::shared_ptr<const std::string> memberContent;
     Backoff upstreamRetries;
     RevisionHistory revisions;
     /// The last list was outdated, so the next one is requested as of now.
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -80,7 +80,7 @@
     , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance, *this)
     , routeTransfer(dependencies.controlLoop, dependencies.clock, this->peers, this->routes, settings.peers)
     , peerConfirmation(dependencies.controlLoop, this->peers, dependencies.clock, this->routes, this->routeTransfer, settings.instance, listOtherSeeds(settings))
-    , lists(dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, *this)
+    , lists(dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, *this, settings.peers)
     , audit(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance)
     , handover(settings.instance)
     , recordRetries(storeRetryInterval, longestStoreRetry)
@@ -483,9 +483,9 @@
     if (kind == "routes_version")
         return respond(this->makeRoutesVersionResponse());
     if (kind == "upstreams")
-        return respond(this->lists.makeUpstreams());
+        return respond(this->lists.makeUpstreams(request));
     if (kind == "members")
-        return respond(this->lists.makeMembers());
+        return respond(this->lists.makeMembers(request));
     if (kind == "take_lead")
         return this->onPrimaryRecordMessage(request, respond);
     if (kind == "suspect")
