--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -1,6 +1,7 @@
 #include "GatewayControl.h"
 
 #include "ProofCodec.h"
+#include "StateCodec.h"
 
 #include "lentiljunction/core/Json.h"
 #include "lentiljunction/core/LogEvents.h"
@@ -41,29 +42,6 @@
         return others;
     }
 
-    nlohmann::json encodeRecordVersion(const VersionedPrimaryRecord& versioned)
-    {
-        return { { "revision", versioned.revision.value() }, { "era", versioned.record->era.value() } };
-    }
-
-    /// @param response the state of another instance
-    /// @param had the record that this instance had when it sent the request
-    /// @param failure set to NotFound when the other instance has no record
-    std::optional<VersionedPrimaryRecord> decodeKnownRecord(const nlohmann::json& response, const VersionedPrimaryRecord& had, Failure& failure)
-    {
-        if (had.record != nullptr && response.contains("same_record") && response["same_record"] == encodeRecordVersion(had))
-            return VersionedPrimaryRecord { had.record, had.revision, had.record->era };
-        if (!response.contains("record") || !response.contains("revision")) {
-            failure.set(Failure::Kind::NotFound, "no record");
-            return std::nullopt;
-        }
-        std::optional<PrimaryRecord> record = decodePrimaryRecord(response["record"], failure);
-        if (!record || !response["revision"].is_number_unsigned())
-            return std::nullopt;
-        StoreEra era = record->era;
-        return VersionedPrimaryRecord { std::make_shared<PrimaryRecord>(std::move(*record)), StoreVersion(response["revision"].get<std::uint64_t>()), era };
-    }
-
 } // namespace
 
 GatewayControl::GatewayControl(const Dependencies& dependencies, const GatewaySettings& settings)
@@ -292,9 +270,7 @@
 nlohmann::json GatewayControl::makeStateRequest() const
 {
     nlohmann::json request { { "ask", "beliefs" } };
-    const VersionedPrimaryRecord& latest = this->leaseTracker.getView().latest;
-    if (latest.record != nullptr)
-        request["have"] = encodeRecordVersion(latest);
+    encodeRecordRequest(this->leaseTracker.getView().latest, request);
     return request;
 }
 
@@ -303,7 +279,7 @@
     if (!response.is_object() || !response.contains("permit_us"))
         return;
     Failure failure;
-    std::optional<VersionedPrimaryRecord> versioned = decodeKnownRecord(response, had, failure);
+    std::optional<VersionedPrimaryRecord> versioned = decodeRecordResponse(response, had, failure);
     if (!versioned) {
         if (failure.kind != Failure::Kind::NotFound)
             logEvent(events::peerMessageInvalid, "reason=\"" + failure.reason + "\"");
@@ -426,13 +402,7 @@
     const PrimaryView& view = this->leaseTracker.getView();
     if (view.latest.record == nullptr)
         return response;
-    nlohmann::json version = encodeRecordVersion(view.latest);
-    if (request.contains("have") && request["have"] == version)
-        response["same_record"] = std::move(version);
-    else {
-        response["record"] = encodePrimaryRecord(*view.latest.record);
-        response["revision"] = view.latest.revision.value();
-    }
+    encodeRecordResponse(view.latest, request, response);
     response["permit_us"] = this->leaseTracker.getRemaining(this->dependencies.clock.bootNow()).count();
     return response;
 }
--- a/src/gateway/RouteTransfer.cpp
+++ b/src/gateway/RouteTransfer.cpp
@@ -3,8 +3,7 @@
 namespace lentiljunction {
 
 RouteTransfer::RouteTransfer(EventLoop& loop, const Clock& clock, PeerRpc& peers, RouteWatcher& routes, const Endpoint& self)
-    : clock(clock)
-    , peers(peers)
+    : peers(peers)
     , routes(routes)
     , sender(clock)
     , receiver(clock, *this, *this, self)
--- a/src/gateway/RouteTransfer.h
+++ b/src/gateway/RouteTransfer.h
@@ -37,7 +37,6 @@
     void onRoutesProgress() override { this->routes.onTransferProgress(); }
     void setTimer();
 
-    const Clock& clock;
     PeerRpc& peers;
     RouteWatcher& routes;
     RouteSender sender;
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -2,7 +2,9 @@
 #include "../../src/gateway/AuditWriter.h"
 #include "../../src/gateway/ListCodec.h"
 #include "../../src/gateway/MemberDirectory.h"
+#include "../../src/gateway/StateCodec.h"
 #include "lentiljunction/core/Backoff.h"
+#include "lentiljunction/core/Cbor.h"
 #include "lentiljunction/fleet/RelayedList.h"
 #include "lentiljunction/fleet/Voters.h"
 #include "lentiljunction/leadership/LeaseTracker.h"
@@ -432,3 +434,26 @@
         fleet.push_back({ InstanceId("front-" + std::to_string(index)), ZoneId("z"), { "10.0.0.1", 1 } });
     CHECK_EQUAL(74, chooseVoters(fleet, fleet.front().id).size());
 }
+
+TEST_GROUP(StateCodec) {};
+
+// The primary record of all groups was sent to every instance of a zone every 0.4 s, also when it had not changed.
+TEST(StateCodec, recordIsSentOnlyToInstancesThatLackIt)
+{
+    VersionedPrimaryRecord latest { std::make_shared<PrimaryRecord>(), StoreVersion(8), StoreEra() };
+    VersionedPrimaryRecord older { std::make_shared<PrimaryRecord>(), StoreVersion(7), StoreEra() };
+    for (const VersionedPrimaryRecord& had : { VersionedPrimaryRecord(), older, latest }) {
+        nlohmann::json request = nlohmann::json::object();
+        encodeRecordRequest(had, request);
+        nlohmann::json response = nlohmann::json::object();
+        encodeRecordResponse(latest, parseCbor(toCbor(request)), response);
+        CHECK_EQUAL(had.revision != latest.revision, response.contains("record"));
+        Failure failure;
+        std::optional<VersionedPrimaryRecord> received = decodeRecordResponse(parseCbor(toCbor(response)), had, failure);
+        CHECK_TRUE(received.has_value());
+        CHECK(received->revision == latest.revision);
+        // The version alone tells nothing to an instance that has another record by now.
+        if (had.revision == latest.revision)
+            CHECK_FALSE(decodeRecordResponse(response, older, failure).has_value());
+    }
+}
