Let busy receivers come back before they read the store

In 8 of 79 instances read the store when 1,400 routes were added: a busy sender told them to come back after up to 0.4 s, and they waited 0.3 s for progress. At most 0.25 s now.

--- a/src/gateway/PieceSender.cpp
+++ b/src/gateway/PieceSender.cpp
@@ -14,7 +14,8 @@
     constexpr std::size_t maximumTransfers = 2;
     constexpr std::chrono::milliseconds receiverTimeout { 500 };
     constexpr std::chrono::milliseconds shortestRetry { 10 };
-    constexpr std::chrono::milliseconds longestRetry { 400 };
+    /// Shorter than the time for which a receiver waits for progress before it reads the store.
+    constexpr std::chrono::milliseconds longestRetry { 250 };
     constexpr std::size_t maximumServed = 8;
     /// The weight of the last transfer in the average time of one.
     constexpr int averageWeight = 4;
