List the promotion calls that may still take effect in the primary record

Which upstream was called, by whom and in which failover is known to one process only, so neither a successor nor an instance with a lease can tell that a call may still replace the primary. Change: PrimaryEntry::openPromotions with its encoding, and OpenPromotionTracker, which says for each group until when a call for another upstream than the primary may take effect. A lease does not cover such a group. Nothing writes the list yet, so behaviour is unchanged.

--- a/include/lentiljunction/leadership/LeaseTracker.h
+++ b/include/lentiljunction/leadership/LeaseTracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lentiljunction/leadership/OpenPromotionTracker.h"
 #include "lentiljunction/leadership/PrimaryView.h"
 
 #include <set>
@@ -24,8 +25,9 @@
 class LeaseTracker {
 public:
     /// @param self this instance, which gets no lease while the record lists it as retired
-    explicit LeaseTracker(InstanceId self)
+    LeaseTracker(InstanceId self, const Clock& clock)
         : self(std::move(self))
+        , clock(clock)
     {
     }
 
@@ -57,11 +59,16 @@
     /// @returns the newest record with the lease
     const PrimaryView& getView() const { return this->view; }
 
+    /// @returns how long the promotion calls of the newest record may still take effect
+    const OpenPromotionTracker& getOpenPromotions() const { return this->openPromotions; }
+
 private:
     bool update(const VersionedPrimaryRecord& versioned, BootTime leaseEnd);
 
     InstanceId self;
+    const Clock& clock;
     std::set<StoreEra> registeredEras;
+    OpenPromotionTracker openPromotions;
     PrimaryView view;
 };
 
--- a/include/lentiljunction/leadership/PrimaryRecord.h
+++ b/include/lentiljunction/leadership/PrimaryRecord.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace lentiljunction {
 
@@ -21,6 +22,19 @@
     Changing,
 };
 
+/// Promotion calls that one coordinator may have sent for one upstream in one failover. Each may take effect once, several
+/// times, late, or never, whatever its response.
+struct OpenPromotion {
+    UpstreamId upstream;
+    /// The fencing token of the coordinator that sent them.
+    FencingToken epoch;
+    /// PrimaryEntry::generation before the failover in which they were sent.
+    std::uint64_t generation = 0;
+
+    friend bool operator==(const OpenPromotion& left, const OpenPromotion& right) { return left.upstream == right.upstream && left.epoch == right.epoch && left.generation == right.generation; }
+    friend bool operator<(const OpenPromotion& left, const OpenPromotion& right) { return std::tie(left.upstream, left.epoch, left.generation) < std::tie(right.upstream, right.epoch, right.generation); }
+};
+
 /// The primary of one group.
 struct PrimaryEntry {
     PrimaryPhase phase = PrimaryPhase::Stable;
@@ -35,6 +49,11 @@
     Term term;
     /// The era of the store in which the entry was written, or last confirmed by the upstreams of the group.
     StoreEra era = StoreEra();
+    /// Promotion calls that may still take effect. They are written before they are sent, so every successor of the
+    /// coordinator knows them.
+    ///
+    /// @see OpenPromotionTracker
+    std::vector<OpenPromotion> openPromotions = {};
 
     /// Limits a log point to what survived the promotion of this primary. A point in the term of this primary, or in a
     /// later one, was not written before that promotion, whatever the generation in which an instance learnt it: a record
--- a/include/lentiljunction/leadership/PrimaryView.h
+++ b/include/lentiljunction/leadership/PrimaryView.h
@@ -3,6 +3,7 @@
 #include "lentiljunction/leadership/PrimaryRecord.h"
 #include "lentiljunction/routes/UpstreamEntry.h"
 
+#include <map>
 #include <optional>
 
 namespace lentiljunction {
@@ -30,12 +31,22 @@
     VersionedPrimaryRecord latest;
     /// End of the lease, on the clock that keeps running while the machine is suspended.
     BootTime leaseEnd;
+    /// For each group in which an earlier promotion call may still replace the primary, until when.
+    std::map<GroupId, BootTime> replaceableUntil = {};
 
     /// @returns whether the instance may act on this view
     bool hasValidLease(BootTime now) const { return this->latest.record != nullptr && now < this->leaseEnd; }
 
     /// @returns whether the instance may use the primary of a group without verification
-    bool hasValidLease(const GroupId& group, BootTime now) const { return this->hasValidLease(now) && this->latest.record->isConfirmed(group); }
+    bool hasValidLease(const GroupId& group, BootTime now) const { return this->hasValidLease(now) && this->latest.record->isConfirmed(group) && !this->isReplaceable(group, now); }
+
+    /// @returns whether an earlier promotion call may still replace the primary of a group, so that each answer of it needs a
+    ///     verification
+    bool isReplaceable(const GroupId& group, BootTime now) const
+    {
+        std::map<GroupId, BootTime>::const_iterator end = this->replaceableUntil.find(group);
+        return end != this->replaceableUntil.end() && now < end->second;
+    }
 
     /// @param upstreams consulted for groups that have never had a failover
     /// @returns the primary of a group, regardless of the lease; nothing during a failover
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -54,7 +54,7 @@
     , coordination({ dependencies.controlLoop, dependencies.clock, this->peers, this->executor, settings.instance }, *this)
     , recovery({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, this->executor, this->coordination, *this, settings.instance }, settings.isFirstStart)
     , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, std::nullopt, std::nullopt, settings.linkRate }, [this](StoreEra era) { this->onRegistered(era); })
-    , leaseTracker(settings.instance)
+    , leaseTracker(settings.instance, dependencies.clock)
     , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance, *this)
     , routeTransfer(dependencies.controlLoop, dependencies.clock, this->peers, this->routes, settings.peers)
     , peerConfirmation(dependencies.controlLoop, this->peers, dependencies.clock, this->routes, this->routeTransfer, settings.instance, listOtherSeeds(settings))
--- a/src/leadership/LeaseTracker.cpp
+++ b/src/leadership/LeaseTracker.cpp
@@ -37,8 +37,11 @@
     bool isSameEra = isNewer || versioned.record->era == this->view.latest.record->era;
     if (isSameEra && versioned.isCurrent() && this->registeredEras.count(versioned.record->era) > 0)
         this->view.leaseEnd = std::max(this->view.leaseEnd, leaseEnd);
-    if (isNewer)
+    if (isNewer) {
         this->view.latest = versioned;
+        this->openPromotions.onRecord(*versioned.record, this->clock.bootNow());
+        this->view.replaceableUntil = this->openPromotions.getReplaceableUntil();
+    }
     // Failovers do not wait for the lease of a retired instance.
     if (this->isRetired())
         this->view.leaseEnd = BootTime();
--- a/src/leadership/PrimaryRecordCodec.cpp
+++ b/src/leadership/PrimaryRecordCodec.cpp
@@ -11,6 +11,7 @@
     constexpr std::int64_t maxInteger = std::numeric_limits<std::int64_t>::max();
     constexpr const char* changingPhase = "changing";
     constexpr const char* stablePhase = "stable";
+    constexpr const char* openPromotionsField = "open_promotions";
 
     /// Records of earlier releases have no era, so they count as restored.
     StoreEra decodeEra(JsonFields& fields, const nlohmann::json& object, const std::string& name)
@@ -19,6 +20,40 @@
         return StoreEra(isPresent ? static_cast<std::uint64_t>(fields.getInteger(name, 0, maxInteger)) : 0);
     }
 
+    OpenPromotion decodeOpenPromotion(const nlohmann::json& object, const std::string& path, std::vector<std::string>& faults)
+    {
+        JsonFields fields(object, path, faults);
+        OpenPromotion promotion;
+        promotion.upstream = UpstreamId(fields.getText("upstream"));
+        promotion.epoch = FencingToken(static_cast<std::uint64_t>(fields.getInteger("epoch", 0, maxInteger)));
+        promotion.generation = static_cast<std::uint64_t>(fields.getInteger("generation", 0, maxInteger));
+        return promotion;
+    }
+
+    /// Records of earlier releases have no list.
+    std::vector<OpenPromotion> decodeOpenPromotions(JsonFields& fields, const nlohmann::json& object, const std::string& path, std::vector<std::string>& faults)
+    {
+        std::vector<OpenPromotion> promotions;
+        if (!object.is_object() || !object.contains(openPromotionsField))
+            return promotions;
+        const nlohmann::json& list = object[openPromotionsField];
+        if (!list.is_array()) {
+            fields.addFault(openPromotionsField, "must be an array");
+            return promotions;
+        }
+        for (const nlohmann::json& promotion : list)
+            promotions.push_back(decodeOpenPromotion(promotion, path + "." + openPromotionsField, faults));
+        return promotions;
+    }
+
+    nlohmann::json encodeOpenPromotions(const std::vector<OpenPromotion>& promotions)
+    {
+        nlohmann::json list = nlohmann::json::array();
+        for (const OpenPromotion& promotion : promotions)
+            list.push_back({ { "upstream", promotion.upstream.toString() }, { "epoch", promotion.epoch.value() }, { "generation", promotion.generation } });
+        return list;
+    }
+
     PrimaryEntry decodeGroup(const nlohmann::json& object, const std::string& path, std::vector<std::string>& faults)
     {
         JsonFields fields(object, path, faults);
@@ -33,6 +68,7 @@
         entry.baseline.position = Position(static_cast<std::uint64_t>(fields.getInteger("baseline_position", 0, maxInteger)));
         entry.term = Term(static_cast<std::uint64_t>(fields.getInteger("term", 0, maxInteger)));
         entry.era = decodeEra(fields, object, "era");
+        entry.openPromotions = decodeOpenPromotions(fields, object, path, faults);
         return entry;
     }
 
@@ -52,6 +88,8 @@
             { "term", entry.term.value() },
             { "era", entry.era.value() },
         };
+        if (!entry.openPromotions.empty())
+            groups[group.first.toString()][openPromotionsField] = encodeOpenPromotions(entry.openPromotions);
     }
     nlohmann::json retired = nlohmann::json::array();
     for (const InstanceId& instance : record.retired)
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -386,7 +386,7 @@
 {
     bool isSound = rc::check("one primary", [] {
         ManualClock clock;
-        LeaseTracker tracker { InstanceId("one") };
+        LeaseTracker tracker { InstanceId("one"), clock };
         tracker.onRegistered(StoreEra());
         Failover failover(GroupId("g"), UpstreamId("old"), { UpstreamId("new") }, false, Term(1), clock.now());
         failover.takeActions(clock.bootNow(), clock.now());
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -123,7 +123,7 @@
 TEST_GROUP(LeaseTracker)
 {
     ManualClock clock;
-    LeaseTracker tracker { InstanceId("one") };
+    LeaseTracker tracker { InstanceId("one"), clock };
 
     void setup() override { this->tracker.onRegistered(StoreEra()); }
 
--- /dev/null
+++ b/tests/unit/OpenPromotionTests.cpp
@@ -0,0 +1,100 @@
+#include "lentiljunction/leadership/lj_leadership.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lentiljunction;
+
+namespace {
+
+const GroupId group("g");
+
+OpenPromotion makeCall(const std::string& upstream, std::uint64_t epoch, std::uint64_t generation)
+{
+    return { UpstreamId(upstream), FencingToken(epoch), generation };
+}
+
+PrimaryRecord makeRecord(PrimaryPhase phase, const std::string& primary, std::vector<OpenPromotion> promotions)
+{
+    PrimaryRecord record;
+    PrimaryEntry& entry = record.groups[group];
+    entry.phase = phase;
+    entry.primary = UpstreamId(primary);
+    entry.openPromotions = std::move(promotions);
+    return record;
+}
+
+} // namespace
+
+TEST_GROUP(OpenPromotionTracker)
+{
+    ManualClock clock;
+    OpenPromotionTracker tracker;
+
+    void process(const PrimaryRecord& record) { this->tracker.onRecord(record, this->clock.bootNow()); }
+    bool isReplaceable() const { return this->tracker.getReplaceableUntil().count(group) > 0 && this->clock.bootNow() < this->tracker.getReplaceableUntil().at(group); }
+};
+
+// Guards against acknowledgements under a lease while a call for another upstream may still take effect.
+TEST(OpenPromotionTracker, callForAnotherUpstreamMakesPrimaryReplaceableForItsLifetime)
+{
+    process(makeRecord(PrimaryPhase::Stable, "u3", { makeCall("u1", 4, 1), makeCall("u3", 4, 1) }));
+    CHECK_TRUE(isReplaceable());
+    clock.advance(promotionCallLifetime - std::chrono::milliseconds(1));
+    CHECK_TRUE(isReplaceable());
+    clock.advance(std::chrono::milliseconds(1));
+    CHECK_FALSE(isReplaceable());
+}
+
+TEST(OpenPromotionTracker, callForPresentPrimaryChangesNothing)
+{
+    process(makeRecord(PrimaryPhase::Stable, "u1", { makeCall("u1", 4, 1) }));
+    CHECK_FALSE(isReplaceable());
+}
+
+// Guards against a copy of a call that outlives its failover: the next failover begins before the lifetime ends.
+TEST(OpenPromotionTracker, callOfEarlierFailoverEndsAtItsOwnTime)
+{
+    process(makeRecord(PrimaryPhase::Stable, "u1", { makeCall("u1", 4, 1) }));
+    clock.advance(std::chrono::seconds(3));
+    process(makeRecord(PrimaryPhase::Changing, "u1", { makeCall("u1", 4, 1), makeCall("u2", 4, 2) }));
+    clock.advance(std::chrono::seconds(1));
+    process(makeRecord(PrimaryPhase::Stable, "u2", { makeCall("u1", 4, 1), makeCall("u2", 4, 2) }));
+    CHECK_TRUE(isReplaceable());
+    clock.advance(promotionCallLifetime - std::chrono::seconds(4));
+    CHECK_FALSE(isReplaceable());
+}
+
+// While the group is changing, the coordinator may repeat its calls.
+TEST(OpenPromotionTracker, lifetimeBeginsOnceThePrimaryIsNamed)
+{
+    PrimaryRecord changing = makeRecord(PrimaryPhase::Changing, "u0", { makeCall("u1", 4, 1) });
+    process(changing);
+    clock.advance(2 * promotionCallLifetime);
+    CHECK_FALSE(tracker.hasEnded(group, makeCall("u1", 4, 1), clock.bootNow()));
+    process(makeRecord(PrimaryPhase::Stable, "u3", { makeCall("u1", 4, 1) }));
+    CHECK_TRUE(isReplaceable());
+    clock.advance(promotionCallLifetime);
+    CHECK_TRUE(tracker.hasEnded(group, makeCall("u1", 4, 1), clock.bootNow()));
+}
+
+// A lease does not suffice for a primary that an earlier call may replace.
+TEST(OpenPromotionTracker, leaseDoesNotCoverReplaceablePrimary)
+{
+    LeaseTracker leases(InstanceId("one"), clock);
+    leases.onRegistered(StoreEra());
+    leases.onStoreResponse({ std::make_shared<PrimaryRecord>(makeRecord(PrimaryPhase::Stable, "u3", { makeCall("u1", 4, 1) })), StoreVersion(7) }, clock.bootNow());
+    CHECK_TRUE(leases.getView().hasValidLease(clock.bootNow()));
+    CHECK_FALSE(leases.getView().hasValidLease(group, clock.bootNow()));
+    CHECK_TRUE(leases.getView().hasValidLease(GroupId("other"), clock.bootNow()));
+}
+
+TEST(OpenPromotionTracker, callsAreEncodedWithTheRecord)
+{
+    PrimaryRecord record = makeRecord(PrimaryPhase::Changing, "u0", { makeCall("u1", 4, 1), makeCall("u2", 5, 1) });
+    Failure failure;
+    std::optional<PrimaryRecord> decoded = decodePrimaryRecord(encodePrimaryRecord(record), failure);
+    CHECK_TRUE(decoded && decoded->groups.at(group).openPromotions == record.groups.at(group).openPromotions);
+    nlohmann::json malformed = encodePrimaryRecord(record);
+    malformed["groups"]["g"]["open_promotions"] = "none";
+    CHECK_FALSE(decodePrimaryRecord(malformed, failure).has_value());
+}
