Record each promotion call before it is sent, and keep it until it can no longer take effect

Cause: which upstream a coordinator had called was known to its process only. A refusal after calls without a response counted as if nothing had happened, so another upstream was published while the first call was on its way; and neither a successor nor an instance with a lease knew of calls of an earlier failover. Change: a failover writes the upstream into the record (step recording) before it calls it. Only an upstream of which each call was refused is removed when the failover ends; the others stay for the lifetime of a call, and a lease does not cover a group whose primary such a call may replace. A successor prefers the upstream that was called. Late responses are attributed to their own run, and a confirmation counts only for the instance that gave it.

--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -18,10 +18,13 @@
 /// 1. The primary record marks the group as changing, so that no instance starts to use the primary.
 /// 2. Each instance confirms that it read this, or its lease expires. Meanwhile the replicas report
 ///    their log positions.
-/// 3. The replica with the highest log position is promoted. If the response is lost, the call is
-///    repeated for the same replica, even if a better one has become reachable.
+/// 3. The primary record lists the replica with the highest log position as one that may be called. Then it is promoted. If
+///    the response is lost, the call is repeated for the same replica, even if a better one has become reachable.
 /// 4. Once the replica reports that it is the primary, the primary record names it.
 ///
+/// A call is never taken back: it stays in the record for as long as it may take effect, whatever follows, unless the
+/// platform refused each call for that upstream. A successor of the coordinator prefers the upstream that was called.
+///
 /// Where commits wait for replicas, step 3 promotes only an upstream that has all acknowledged commits; see
 /// requireAcknowledgedCommits().
 ///
@@ -48,6 +51,8 @@
             DemoteOldPrimary,
             /// Stop a replica from receiving.
             PauseReplica,
+            /// Add an upstream to the group's open promotions.
+            RecordPromotion,
             /// Send the promotion call for an upstream.
             Promote,
             /// Ask the promoted upstream whether it is the primary.
@@ -67,6 +72,12 @@
     /// @param now the start of the failover
     Failover(GroupId group, UpstreamId oldPrimary, std::vector<UpstreamId> candidates, bool isPlanned, Term knownTerm, TimePoint now);
 
+    /// Takes over the calls of former coordinators of this failover, which may still take effect. Call it before the first
+    /// action is taken.
+    ///
+    /// @param upstreams the upstreams that were called, the last one at the end
+    void inheritPromotions(std::vector<UpstreamId> upstreams) { this->inheritedTargets = std::move(upstreams); }
+
     /// Promotes only an upstream that has all acknowledged commits. Call it before the first action is taken.
     ///
     /// @param survey finds such an upstream
@@ -118,6 +129,12 @@
     /// The old primary reported that it is now a replica.
     void onOldPrimaryDemoted(const ReplicationStatus& status);
 
+    /// The store accepted the upstream that is to be called as an open promotion.
+    void onPromotionRecorded(TimePoint now);
+
+    /// A promotion call is being sent.
+    void onPromotionSent() { this->numOpenCalls[*this->promotionTarget]++; }
+
     /// The platform answered a promotion call.
     ///
     /// @param isAccepted false when the platform refuses to promote this upstream
@@ -126,6 +143,9 @@
     /// A promotion call got no response; the promotion may have happened nevertheless.
     void onPromotionTimeout(TimePoint now);
 
+    /// @returns the upstreams that this failover recorded and of which the platform refused each call
+    std::set<UpstreamId> listRefusedPromotions() const;
+
     /// The store accepted the group's entry with the new primary.
     void onStableWritten() { this->step = Step::Done; }
 
@@ -153,6 +173,8 @@
         Announcing,
         /// Waits for the confirmations of the instances and the log positions of the replicas.
         Surveying,
+        /// The primary record is being written with the upstream that is to be called.
+        Recording,
         /// Waits for the response to a promotion call.
         Promoting,
         /// Waits until the promoted upstream reports that it is the primary.
@@ -168,6 +190,8 @@
     bool isSurveyComplete(TimePoint now) const;
     bool isCurrentPrimary(const UpstreamId& candidate) const;
     std::optional<UpstreamId> selectPromotionTarget() const;
+    /// @returns the upstream that a former coordinator called, if it responds
+    std::optional<UpstreamId> findInheritedTarget() const;
     void advanceSurvey(BootTime bootNow, TimePoint now);
     void advanceCommitSurvey(BootTime bootNow, TimePoint now);
     void queueCommitRequests(bool isUnused, TimePoint now);
@@ -201,6 +225,9 @@
     /// Candidates that the platform refused to promote.
     std::set<UpstreamId> refusedCandidates;
     std::optional<UpstreamId> promotionTarget;
+    std::vector<UpstreamId> inheritedTargets;
+    /// For each upstream in the record because of this failover, the number of calls that were not refused.
+    std::map<UpstreamId, std::size_t> numOpenCalls;
     ReplicationStatus newPrimaryStatus;
 
     /// Set where an upstream must have all acknowledged commits to be promoted.
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -5,6 +5,7 @@
 #include "lentiljunction/leadership/PrimaryRecordCodec.h"
 #include "lentiljunction/leadership/RecordRecovery.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lentiljunction {
@@ -23,6 +24,26 @@
     /// the next coordinator.
     constexpr std::chrono::milliseconds minimumPromotionLease { 400 };
 
+    /// @returns whether a response confirms that an instance uses a version of the record or a later one. Addresses are used
+    ///     again, so another instance may respond.
+    bool isConfirmation(const nlohmann::json& response, const InstanceId& instance, const std::pair<std::uint64_t, std::uint64_t>& required)
+    {
+        if (!response.is_object() || response.value("instance", "") != instance.toString())
+            return false;
+        return std::make_pair(response.value("era", std::uint64_t(0)), response.value("applied", std::uint64_t(0))) >= required;
+    }
+
+    /// @returns the upstreams that former coordinators called in the failover that an entry announces
+    std::vector<UpstreamId> listInherited(const PrimaryEntry& entry)
+    {
+        std::vector<UpstreamId> upstreams;
+        for (const OpenPromotion& promotion : entry.openPromotions) {
+            if (promotion.generation == entry.generation)
+                upstreams.push_back(promotion.upstream);
+        }
+        return upstreams;
+    }
+
 } // namespace
 
 FailoverExecutor::FailoverExecutor(const Dependencies& dependencies)
@@ -46,7 +67,9 @@
     logEvent(events::promotionStarted, "group=" + group.toString() + " primary=" + primary.toString() + " planned=" + std::to_string(isPlanned) + " cause=\"" + cause + "\" candidates=" + std::to_string(candidates.size()));
     TimePoint now = this->dependencies.clock.now();
     const PrimaryEntry* known = latest.record->find(group);
-    Run run { Failover(group, primary, candidates, isPlanned, known == nullptr ? Term() : known->term, now), {}, cause, now, "" };
+    Run run { this->nextRunNumber++, Failover(group, primary, candidates, isPlanned, known == nullptr ? Term() : known->term, now), {}, cause, now, "" };
+    if (known != nullptr)
+        run.failover.inheritPromotions(listInherited(*known));
     run.isSynchronous = *numSynchronousReplicas > 0;
     if (run.isSynchronous)
         this->protection.apply(run.failover);
@@ -71,6 +94,12 @@
     return found == this->runs.end() ? nullptr : &found->second;
 }
 
+FailoverExecutor::Run* FailoverExecutor::findRun(const RunKey& key)
+{
+    Run* run = this->findRun(key.group);
+    return run != nullptr && run->number == key.number ? run : nullptr;
+}
+
 bool FailoverExecutor::isAwaitingCommits(const GroupId& group) const
 {
     std::map<GroupId, Run>::const_iterator found = this->runs.find(group);
@@ -126,6 +155,8 @@
         return this->demoteOldPrimary(run, action.upstream);
     case Failover::Action::Kind::PauseReplica:
         return this->pauseReplica(run, action.upstream);
+    case Failover::Action::Kind::RecordPromotion:
+        return this->recordPromotion(run, action.upstream);
     case Failover::Action::Kind::Promote:
         return this->promote(run, action.upstream);
     case Failover::Action::Kind::WriteStable:
@@ -135,11 +166,12 @@
 
 void FailoverExecutor::writeChanging(Run& run)
 {
-    GroupId group = run.failover.getGroup();
+    RunKey key { run.failover.getGroup(), run.number };
     UpstreamId primary = run.failover.getOldPrimary();
-    PrimaryRecordWriter::Change change = [this, group, primary](PrimaryRecord& record) {
+    PrimaryRecordWriter::Change change = [this, key, primary](PrimaryRecord& record) {
+        const GroupId& group = key.group;
         const PrimaryEntry* existing = record.find(group);
-        const Run* current = this->findRun(group);
+        const Run* current = this->findRun(key);
         if (current == nullptr || !current->failover.mayAnnounce(this->dependencies.clock.now()))
             return false;
         // Another instance has replaced the primary already.
@@ -153,16 +185,74 @@
         PrimaryEntry& entry = record.groups[group];
         entry.phase = PrimaryPhase::Changing;
         entry.primary = primary;
+        this->removeEnded(group, entry);
         return true;
     };
-    this->dependencies.writer.submit(change, [this, group](bool isWritten, BootTime acknowledgedAt) {
-        Run* current = this->findRun(group);
+    this->dependencies.writer.submit(change, [this, key](bool isWritten, BootTime acknowledgedAt) {
+        Run* current = this->findRun(key);
         if (current == nullptr)
             return;
         if (!isWritten)
-            return this->abandon(group, "another instance replaced the primary, or the store did not accept the announcement in time");
+            return this->abandon(key.group, "another instance replaced the primary, or the store did not accept the announcement in time");
         current->failover.onChangingWritten(acknowledgedAt, this->dependencies.clock.now());
-        this->advance(group);
+        this->advance(key.group);
+    });
+}
+
+void FailoverExecutor::removeEnded(const GroupId& group, PrimaryEntry& entry) const
+{
+    const OpenPromotionTracker& tracker = this->dependencies.context.getLeaseTracker().getOpenPromotions();
+    BootTime now = this->dependencies.clock.bootNow();
+    entry.openPromotions.erase(std::remove_if(entry.openPromotions.begin(), entry.openPromotions.end(), [&](const OpenPromotion& promotion) { return tracker.hasEnded(group, promotion, now); }), entry.openPromotions.end());
+}
+
+void FailoverExecutor::removeEndedPromotions()
+{
+    const LeaseTracker& leases = this->dependencies.context.getLeaseTracker();
+    BootTime now = this->dependencies.clock.bootNow();
+    if (!this->isCoordinator() || this->isRemovingEnded)
+        return;
+    bool isAnyEnded = false;
+    for (const std::pair<const GroupId, PrimaryEntry>& group : leases.getView().latest.record->groups) {
+        for (const OpenPromotion& promotion : group.second.openPromotions)
+            isAnyEnded = isAnyEnded || (promotion.upstream != group.second.primary && leases.getOpenPromotions().hasEnded(group.first, promotion, now));
+    }
+    if (!isAnyEnded)
+        return;
+    this->isRemovingEnded = true;
+    this->dependencies.writer.submit(
+        [this](PrimaryRecord& record) {
+            if (record.coordinator != this->dependencies.self)
+                return false;
+            for (std::pair<const GroupId, PrimaryEntry>& group : record.groups)
+                this->removeEnded(group.first, group.second);
+            return true;
+        },
+        [this](bool, BootTime) { this->isRemovingEnded = false; });
+}
+
+void FailoverExecutor::recordPromotion(const Run& run, const UpstreamId& upstream)
+{
+    RunKey key { run.failover.getGroup(), run.number };
+    PrimaryRecordWriter::Change change = [this, key, upstream](PrimaryRecord& record) {
+        std::map<GroupId, PrimaryEntry>::iterator entry = record.groups.find(key.group);
+        bool isChanging = entry != record.groups.end() && entry->second.phase == PrimaryPhase::Changing;
+        if (record.coordinator != this->dependencies.self || !isChanging || this->findRun(key) == nullptr)
+            return false;
+        OpenPromotion promotion { upstream, record.epoch, entry->second.generation };
+        std::vector<OpenPromotion>& promotions = entry->second.openPromotions;
+        if (std::find(promotions.begin(), promotions.end(), promotion) == promotions.end())
+            promotions.push_back(promotion);
+        return true;
+    };
+    this->dependencies.writer.submit(change, [this, key](bool isWritten, BootTime) {
+        Run* current = this->findRun(key);
+        if (current == nullptr)
+            return;
+        if (!isWritten)
+            return this->abandon(key.group, "another instance is the failover coordinator");
+        current->failover.onPromotionRecorded(this->dependencies.clock.now());
+        this->advance(key.group);
     });
 }
 
@@ -171,11 +261,15 @@
     GroupId group = run.failover.getGroup();
     ReplicationStatus status = run.failover.getNewPrimaryStatus();
     std::set<InstanceId> unconfirmed = run.failover.getUnconfirmedInstances();
-    PrimaryRecordWriter::Change change = [this, group, primary, status, unconfirmed](PrimaryRecord& record) {
+    std::set<UpstreamId> refused = run.failover.listRefusedPromotions();
+    RunKey key { group, run.number };
+    PrimaryRecordWriter::Change change = [this, group, primary, status, unconfirmed, refused](PrimaryRecord& record) {
         if (record.coordinator != this->dependencies.self)
             return false;
         record.retired.insert(unconfirmed.begin(), unconfirmed.end());
         PrimaryEntry& entry = record.groups[group];
+        this->removeEnded(group, entry);
+        entry.openPromotions.erase(std::remove_if(entry.openPromotions.begin(), entry.openPromotions.end(), [&](const OpenPromotion& promotion) { return promotion.epoch == record.epoch && promotion.generation == entry.generation && refused.count(promotion.upstream) > 0; }), entry.openPromotions.end());
         // The record may already hold this change if the response to an earlier write was lost.
         if (entry.phase == PrimaryPhase::Changing)
             entry.generation = computeNextGeneration(record, entry);
@@ -186,8 +280,8 @@
         entry.era = record.era;
         return true;
     };
-    this->dependencies.writer.submit(change, [this, group, status](bool isWritten, BootTime) {
-        Run* current = this->findRun(group);
+    this->dependencies.writer.submit(change, [this, key, group, status](bool isWritten, BootTime) {
+        Run* current = this->findRun(key);
         if (current == nullptr)
             return;
         if (!isWritten)
@@ -207,11 +301,11 @@
 
 void FailoverExecutor::requestConfirmations(Run& run)
 {
-    GroupId group = run.failover.getGroup();
+    RunKey key { run.failover.getGroup(), run.number };
     if (this->dependencies.context.listActiveMembers().size() > maximumConfirmations || !this->dependencies.context.haveEarlierLeasesExpired())
         return;
-    this->dependencies.store.listMembers(true, [this, group](const std::optional<std::vector<FleetMember>>& members, const Failure& failure) {
-        Run* current = this->findRun(group);
+    this->dependencies.store.listMembers(true, [this, key](const std::optional<std::vector<FleetMember>>& members, const Failure& failure) {
+        Run* current = this->findRun(key);
         if (current == nullptr)
             return;
         // Without the list, all leases must expire before the promotion.
@@ -226,35 +320,35 @@
                 registered.insert(member.id);
         }
         current->failover.onInstancesListed(registered);
-        this->dependencies.context.confirmTrafficUpdate([this, group] {
-            if (Run* activeRun = this->findRun(group))
+        this->dependencies.context.confirmTrafficUpdate([this, key] {
+            if (Run* activeRun = this->findRun(key))
                 activeRun->failover.onInstanceConfirmed(this->dependencies.self);
-            this->advance(group);
+            this->advance(key.group);
         });
         for (const FleetMember& member : *members) {
             current->members[member.id] = member;
             if (member.id != this->dependencies.self)
-                this->requestConfirmation(group, member);
+                this->requestConfirmation(key, member);
         }
     });
 }
 
-void FailoverExecutor::requestConfirmation(const GroupId& group, const FleetMember& member)
+void FailoverExecutor::requestConfirmation(const RunKey& key, const FleetMember& member)
 {
     const VersionedPrimaryRecord& latest = this->dependencies.context.getLeaseTracker().getView().latest;
     std::pair<std::uint64_t, std::uint64_t> required(latest.record->era.value(), latest.revision.value());
-    this->dependencies.peers.ask(member.peers, this->makePrimaryRecordMessage(), peerTimeout, [this, group, member, required](const std::optional<nlohmann::json>& response) {
-        Run* current = this->findRun(group);
+    this->dependencies.peers.ask(member.peers, this->makePrimaryRecordMessage(), peerTimeout, [this, key, member, required](const std::optional<nlohmann::json>& response) {
+        Run* current = this->findRun(key);
         if (current == nullptr)
             return;
-        if (response && response->is_object() && std::make_pair(response->value("era", std::uint64_t(0)), response->value("applied", std::uint64_t(0))) >= required) {
+        if (response && isConfirmation(*response, member.id, required)) {
             current->failover.onInstanceConfirmed(member.id);
-            return this->advance(group);
+            return this->advance(key.group);
         }
         // Neither a timeout nor a refused connection shows that the instance stopped: both occur in a partition.
-        this->dependencies.loop.schedule(peerTimeout, [this, group, member] {
-            if (this->findRun(group) != nullptr)
-                this->requestConfirmation(group, member);
+        this->dependencies.loop.schedule(peerTimeout, [this, key, member] {
+            if (this->findRun(key) != nullptr)
+                this->requestConfirmation(key, member);
         });
     });
 }
@@ -320,6 +414,18 @@
     return view.latest.record != nullptr && view.latest.record->coordinator == this->dependencies.self;
 }
 
+bool FailoverExecutor::isPromotionRecorded(const GroupId& group, const UpstreamId& upstream) const
+{
+    if (!this->isCoordinator())
+        return false;
+    const PrimaryRecord& record = *this->dependencies.context.getLeaseTracker().getView().latest.record;
+    const PrimaryEntry* entry = record.find(group);
+    if (entry == nullptr || entry->phase != PrimaryPhase::Changing)
+        return false;
+    OpenPromotion promotion { upstream, record.epoch, entry->generation };
+    return std::find(entry->openPromotions.begin(), entry->openPromotions.end(), promotion) != entry->openPromotions.end();
+}
+
 bool FailoverExecutor::mayCall() const
 {
     Duration remaining = this->dependencies.context.getLeaseTracker().getRemaining(this->dependencies.clock.bootNow());
@@ -330,33 +436,36 @@
 {
     if (std::exchange(run.isPromoting, true))
         return;
-    this->sendPromotionCall(run.failover.getGroup(), upstream);
+    this->sendPromotionCall({ run.failover.getGroup(), run.number }, upstream);
 }
 
-void FailoverExecutor::sendPromotionCall(const GroupId& group, const UpstreamId& upstream)
+void FailoverExecutor::sendPromotionCall(const RunKey& key, const UpstreamId& upstream)
 {
-    if (this->findRun(group) == nullptr)
+    Run* run = this->findRun(key);
+    if (run == nullptr)
         return;
-    if (!this->isCoordinator())
-        return this->abandon(group, "another instance is the failover coordinator");
+    if (!this->isPromotionRecorded(key.group, upstream))
+        return this->abandon(key.group, "another instance is the failover coordinator");
     if (!this->mayCall()) {
-        this->dependencies.loop.schedule(tickInterval, [this, group, upstream] { this->sendPromotionCall(group, upstream); });
+        this->dependencies.loop.schedule(tickInterval, [this, key, upstream] { this->sendPromotionCall(key, upstream); });
         return;
     }
-    std::size_t numGivenUp = this->findRun(group)->failover.getNumGivenUp();
+    std::size_t numGivenUp = run->failover.getNumGivenUp();
     if (numGivenUp > 0)
-        logEvent(events::commitsUnproved, "group=" + group.toString() + " upstream=" + upstream.toString() + " silent=" + std::to_string(numGivenUp));
+        logEvent(events::commitsUnproved, "group=" + key.group.toString() + " upstream=" + upstream.toString() + " silent=" + std::to_string(numGivenUp));
     FencingToken epoch = this->dependencies.context.getLeaseTracker().getView().latest.record->epoch;
-    logEvent(events::failoverStep, "group=" + group.toString() + " step=call upstream=" + upstream.toString() + " epoch=" + std::to_string(epoch.value()));
-    std::function<bool()> mayBeSent = [this, epoch] { return this->isCoordinator() && this->dependencies.context.getLeaseTracker().getView().latest.record->epoch == epoch && this->mayCall(); };
-    this->calls.send(group, upstream, epoch, std::move(mayBeSent), [this, group](bool isAccepted, const Failure& failure) { this->onPromotionResponse(group, isAccepted, failure); });
+    logEvent(events::failoverStep, "group=" + key.group.toString() + " step=call upstream=" + upstream.toString() + " epoch=" + std::to_string(epoch.value()));
+    run->failover.onPromotionSent();
+    std::function<bool()> mayBeSent = [this, key, upstream, epoch] { return this->isPromotionRecorded(key.group, upstream) && this->dependencies.context.getLeaseTracker().getView().latest.record->epoch == epoch && this->mayCall(); };
+    this->calls.send(key.group, upstream, epoch, std::move(mayBeSent), [this, key](bool isAccepted, const Failure& failure) { this->onPromotionResponse(key, isAccepted, failure); });
 }
 
-void FailoverExecutor::onPromotionResponse(const GroupId& group, bool hasResponse, const Failure& failure)
+void FailoverExecutor::onPromotionResponse(const RunKey& key, bool hasResponse, const Failure& failure)
 {
-    Run* run = this->findRun(group);
+    Run* run = this->findRun(key);
     if (run == nullptr)
         return;
+    const GroupId& group = key.group;
     run->isPromoting = false;
     TimePoint now = this->dependencies.clock.now();
     if (hasResponse || failure.kind == Failure::Kind::Conflict) {
@@ -366,10 +475,10 @@
         return this->advance(group);
     }
     logEvent(events::promotionFailed, "group=" + group.toString() + " reason=\"" + failure.reason + "\" again_in_ms=" + std::to_string(promotionRetryDelay.count()));
-    this->dependencies.loop.schedule(promotionRetryDelay, [this, group] {
-        if (Run* current = this->findRun(group)) {
+    this->dependencies.loop.schedule(promotionRetryDelay, [this, key] {
+        if (Run* current = this->findRun(key)) {
             current->failover.onPromotionTimeout(this->dependencies.clock.now());
-            this->advance(group);
+            this->advance(key.group);
         }
     });
 }
--- a/src/gateway/FailoverExecutor.h
+++ b/src/gateway/FailoverExecutor.h
@@ -66,6 +66,10 @@
     /// @param cause the reason for the log and the audit trail
     void start(const GroupId& group, const UpstreamId& primary, bool isPlanned, const std::string& cause);
 
+    /// Removes calls for other upstreams than the primary from the record once they can no longer take effect, so that
+    /// instances that start later need not wait for them. Call it after the primary record was read.
+    void removeEndedPromotions();
+
     /// @returns whether a failover of a group is in progress
     bool isActive(const GroupId& group) const { return this->runs.count(group) > 0; }
 
@@ -85,6 +89,8 @@
 private:
     /// A failover in progress.
     struct Run {
+        /// Distinguishes it from other failovers of the group, to which late responses must not be attributed.
+        std::uint64_t number = 0;
         Failover failover;
         std::map<InstanceId, FleetMember> members;
         std::string cause;
@@ -98,31 +104,45 @@
         bool isDemoting = false;
     };
 
+    /// Identifies one run in callbacks.
+    struct RunKey {
+        GroupId group;
+        std::uint64_t number = 0;
+    };
+
     void tick();
     void advance(const GroupId& group);
     void carryOut(Run& run, const Failover::Action& action);
     void writeChanging(Run& run);
     void writeStable(Run& run, const UpstreamId& primary);
     void requestConfirmations(Run& run);
-    void requestConfirmation(const GroupId& group, const FleetMember& member);
+    void requestConfirmation(const RunKey& key, const FleetMember& member);
     void requestStatus(const GroupId& group, const UpstreamId& upstream);
     void demoteOldPrimary(Run& run, const UpstreamId& upstream);
     void pauseReplica(const Run& run, const UpstreamId& upstream);
+    void recordPromotion(const Run& run, const UpstreamId& upstream);
     void promote(Run& run, const UpstreamId& upstream);
-    void sendPromotionCall(const GroupId& group, const UpstreamId& upstream);
-    void onPromotionResponse(const GroupId& group, bool hasResponse, const Failure& failure);
+    void sendPromotionCall(const RunKey& key, const UpstreamId& upstream);
+    void onPromotionResponse(const RunKey& key, bool hasResponse, const Failure& failure);
+    /// Removes the calls of an entry that can no longer take effect.
+    void removeEnded(const GroupId& group, PrimaryEntry& entry) const;
     void recordChange(const Run& run, const ReplicationStatus& status);
     void notifyInstances(const Run& run);
     void abandon(const GroupId& group, const std::string& reason);
     bool isCoordinator() const;
+    /// @returns whether the newest record lists a call of this instance, as the coordinator, for an upstream
+    bool isPromotionRecorded(const GroupId& group, const UpstreamId& upstream) const;
     /// @returns whether a promotion call ends before another instance can become the coordinator
     bool mayCall() const;
     nlohmann::json makePrimaryRecordMessage() const;
     Run* findRun(const GroupId& group);
+    Run* findRun(const RunKey& key);
     std::vector<UpstreamId> listCandidates(const GroupId& group, const UpstreamId& primary, bool includesLeaving) const;
 
     Dependencies dependencies;
     std::map<GroupId, Run> runs;
+    std::uint64_t nextRunNumber = 0;
+    bool isRemovingEnded = false;
     PromotionCalls calls;
     CommitProtection protection;
     OneShotTimer timer;
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -216,10 +216,16 @@
         logEvent(events::primaryRecordUpdated, "lead_revision=" + std::to_string(view.latest.revision.value()) + " store_era=" + std::to_string(view.latest.storeEra.value()) + " holder=" + view.latest.record->coordinator.toString() + " epoch=" + std::to_string(view.latest.record->epoch.value()) + " groups=" + toJsonText(encodePrimaryRecord(*view.latest.record)["groups"]));
         this->dependencies.trafficLoop.post([this, view] { this->dependencies.traffic.setPrimaryView(view); });
         this->updateReady();
-        return this->coordination.checkStalledFailovers();
+        return this->checkFailovers();
     }
     this->dependencies.trafficLoop.post([this, view] { this->dependencies.traffic.extendLease(view); });
+    this->checkFailovers();
+}
+
+void GatewayControl::checkFailovers()
+{
     this->coordination.checkStalledFailovers();
+    this->executor.removeEndedPromotions();
 }
 
 void GatewayControl::updateRetired()
@@ -437,7 +443,7 @@
     message["permit_us"] = 0;
     this->onPeerState(message, this->dependencies.clock.bootNow(), VersionedPrimaryRecord());
     const VersionedPrimaryRecord& latest = this->leaseTracker.getView().latest;
-    nlohmann::json confirmation { { "applied", latest.revision.value() }, { "era", latest.record == nullptr ? 0 : latest.record->era.value() } };
+    nlohmann::json confirmation { { "instance", this->settings.instance.toString() }, { "applied", latest.revision.value() }, { "era", latest.record == nullptr ? 0 : latest.record->era.value() } };
     this->confirmTrafficUpdate([this, respond, confirmation] {
         this->executor.runAfterPromotionCalls([respond, confirmation] { respond(confirmation); });
     });
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -151,6 +151,8 @@
     std::size_t findReaderRank(const std::vector<FleetMember>& active) const;
     /// Processes the coordinator and the retired instances of the newest record.
     void updateRetired();
+    /// Continues stalled failovers, and removes promotion calls that can no longer take effect from the record.
+    void checkFailovers();
     /// Removes this instance from the retired ones in the primary record.
     void returnToService();
     nlohmann::json makeStateResponse(const nlohmann::json& request) const;
--- a/src/leadership/Failover.cpp
+++ b/src/leadership/Failover.cpp
@@ -117,6 +117,26 @@
     this->commits->onDemoted(status);
 }
 
+void Failover::onPromotionRecorded(TimePoint now)
+{
+    if (this->step != Step::Recording)
+        return;
+    this->numOpenCalls.emplace(*this->promotionTarget, 0);
+    this->step = Step::Promoting;
+    this->promotedAt = now;
+    this->queueAction(Action::Kind::Promote, *this->promotionTarget);
+}
+
+std::set<UpstreamId> Failover::listRefusedPromotions() const
+{
+    std::set<UpstreamId> refused;
+    for (const std::pair<const UpstreamId, std::size_t>& calls : this->numOpenCalls) {
+        if (calls.second == 0)
+            refused.insert(calls.first);
+    }
+    return refused;
+}
+
 void Failover::onPromotionResponse(bool isAccepted, TimePoint now)
 {
     if (this->step != Step::Promoting)
@@ -126,6 +146,8 @@
         this->promotedAt = now;
         return;
     }
+    // Only this call is known to have no effect; earlier ones may still promote the upstream.
+    this->numOpenCalls[*this->promotionTarget]--;
     this->refusedCandidates.insert(*this->promotionTarget);
     if (this->commits)
         this->commits->onRefused(*this->promotionTarget);
@@ -176,8 +198,8 @@
 {
     this->promotionTarget = target;
     this->requiredTerm = this->isCurrentPrimary(target) ? this->greatestTerm : this->greatestTerm.next();
-    this->step = Step::Promoting;
-    this->queueAction(Action::Kind::Promote, target);
+    this->step = Step::Recording;
+    this->queueAction(Action::Kind::RecordPromotion, target);
 }
 
 void Failover::advanceCommitSurvey(BootTime bootNow, TimePoint now)
@@ -282,8 +304,19 @@
     return status.isPrimary && status.term == this->greatestTerm;
 }
 
+std::optional<UpstreamId> Failover::findInheritedTarget() const
+{
+    for (std::vector<UpstreamId>::const_reverse_iterator target = this->inheritedTargets.rbegin(); target != this->inheritedTargets.rend(); ++target) {
+        bool isCandidate = std::find(this->candidates.begin(), this->candidates.end(), *target) != this->candidates.end();
+        if (isCandidate && this->statuses.count(*target) > 0 && this->refusedCandidates.count(*target) == 0)
+            return *target;
+    }
+    return std::nullopt;
+}
+
 std::optional<UpstreamId> Failover::selectPromotionTarget() const
 {
+    std::optional<UpstreamId> inherited = this->findInheritedTarget();
     std::optional<UpstreamId> best;
     for (const UpstreamId& candidate : this->candidates) {
         std::map<UpstreamId, ReplicationStatus>::const_iterator status = this->statuses.find(candidate);
@@ -295,7 +328,7 @@
         if (!best || this->statuses.at(*best).received < status->second.received)
             best = candidate;
     }
-    return best;
+    return inherited ? inherited : best;
 }
 
 const char* Failover::getStepName() const
@@ -305,6 +338,8 @@
         return "announcing";
     case Step::Surveying:
         return "surveying";
+    case Step::Recording:
+        return "recording";
     case Step::Promoting:
         return "promoting";
     case Step::Confirming:
--- a/tests/unit/CommitSurveyTests.cpp
+++ b/tests/unit/CommitSurveyTests.cpp
@@ -1,3 +1,5 @@
+#include "../support/FailoverActions.h"
+
 #include "lentiljunction/core/Random.h"
 #include "lentiljunction/leadership/lj_leadership.h"
 
@@ -39,7 +41,7 @@
     /// No instance uses the old primary any more.
     void confirm() { this->failover.onInstanceConfirmed(InstanceId("one")); }
 
-    std::vector<Failover::Action> takeActions() { return this->failover.takeActions(this->clock.bootNow(), this->clock.now()); }
+    std::vector<Failover::Action> takeActions() { return takeActionsAndRecordPromotion(this->failover, this->clock.bootNow(), this->clock.now()); }
 
     void pause(const char* upstream, std::uint64_t position, std::uint64_t term = 1) { this->failover.onReplicaPaused(UpstreamId(upstream), replica(position, term), this->failover.getPauseTerm()); }
     void demote(std::uint64_t position) { this->failover.onOldPrimaryDemoted(replica(position)); }
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -432,7 +432,7 @@
             if (step == 7)
                 clock.advance(std::chrono::milliseconds(20));
             for (const Failover::Action& action : failover.takeActions(clock.bootNow(), clock.now()))
-                isPromoted = isPromoted || action.kind == Failover::Action::Kind::Promote;
+                isPromoted = isPromoted || action.kind == Failover::Action::Kind::RecordPromotion || action.kind == Failover::Action::Kind::Promote;
             bool mayUseOldPrimary = tracker.getView().hasValidLease(clock.bootNow()) && tracker.getView().findPrimaryTenure(GroupId("g"), upstreams).has_value();
             RC_ASSERT(!(isPromoted && mayUseOldPrimary));
         }
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -1,3 +1,5 @@
+#include "../support/FailoverActions.h"
+
 #include "lentiljunction/leadership/lj_leadership.h"
 
 #include <CppUTest/TestHarness.h>
@@ -13,7 +15,7 @@
     ManualClock clock;
     Failover failover { GroupId("g"), UpstreamId("old"), { UpstreamId("a"), UpstreamId("b") }, false, Term(2), clock.now() };
 
-    std::vector<Failover::Action> takeActions() { return this->failover.takeActions(this->clock.bootNow(), this->clock.now()); }
+    std::vector<Failover::Action> takeActions() { return takeActionsAndRecordPromotion(this->failover, this->clock.bootNow(), this->clock.now()); }
 
     bool hasAction(Failover::Action::Kind kind, const std::string& upstream)
     {
@@ -113,6 +115,71 @@
     CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "b"));
 }
 
+// Guards against a call that no successor knows of.
+TEST(PrimaryFailover, callsNoUpstreamThatIsNotInTheRecord)
+{
+    fixture.announceFailover();
+    fixture.confirmAll();
+    fixture.failover.onStatus(UpstreamId("a"), FailoverFixture::replica(2, 41));
+    fixture.failover.onStatus(UpstreamId("b"), FailoverFixture::replica(2, 40));
+    std::vector<Failover::Action> actions = fixture.failover.takeActions(fixture.clock.bootNow(), fixture.clock.now());
+    CHECK_TRUE(actions.size() == 1 && actions.front().kind == Failover::Action::Kind::RecordPromotion && actions.front().upstream == UpstreamId("a"));
+    fixture.clock.advance(std::chrono::seconds(10));
+    CHECK_TRUE(fixture.failover.takeActions(fixture.clock.bootNow(), fixture.clock.now()).empty());
+    fixture.failover.onPromotionRecorded(fixture.clock.now());
+    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
+}
+
+// Guards against a 409 that is taken for the outcome of the calls before it.
+TEST(PrimaryFailover, refusalEndsOnlyItsOwnCall)
+{
+    fixture.announceFailover();
+    fixture.confirmAll();
+    fixture.failover.onStatus(UpstreamId("a"), FailoverFixture::replica(2, 41));
+    fixture.failover.onStatus(UpstreamId("b"), FailoverFixture::replica(2, 40));
+    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
+    fixture.failover.onPromotionTimeout(fixture.clock.now());
+    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
+    fixture.failover.onPromotionSent();
+    fixture.failover.onPromotionResponse(false, fixture.clock.now());
+    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "b"));
+    CHECK_TRUE(fixture.failover.listRefusedPromotions().empty());
+}
+
+TEST(PrimaryFailover, onlyCallThatIsRefusedHasNoEffect)
+{
+    fixture.announceFailover();
+    fixture.confirmAll();
+    fixture.failover.onStatus(UpstreamId("a"), FailoverFixture::replica(2, 41));
+    fixture.failover.onStatus(UpstreamId("b"), FailoverFixture::replica(2, 40));
+    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
+    fixture.failover.onPromotionResponse(false, fixture.clock.now());
+    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "b"));
+    CHECK(fixture.failover.listRefusedPromotions() == std::set<UpstreamId> { UpstreamId("a") });
+}
+
+// Guards against a successor that promotes another upstream than the one whose call is on its way.
+TEST(PrimaryFailover, prefersUpstreamThatFormerCoordinatorCalled)
+{
+    fixture.failover.inheritPromotions({ UpstreamId("a") });
+    fixture.announceFailover();
+    fixture.confirmAll();
+    fixture.failover.onStatus(UpstreamId("a"), FailoverFixture::replica(2, 40));
+    fixture.failover.onStatus(UpstreamId("b"), FailoverFixture::replica(2, 41));
+    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
+}
+
+TEST(PrimaryFailover, promotesAnotherWhenUpstreamOfFormerCoordinatorDoesNotRespond)
+{
+    fixture.failover.inheritPromotions({ UpstreamId("a") });
+    fixture.announceFailover();
+    fixture.confirmAll();
+    fixture.failover.onStatus(UpstreamId("b"), FailoverFixture::replica(2, 41));
+    CHECK_FALSE(fixture.hasAction(Failover::Action::Kind::Promote, "b"));
+    fixture.clock.advance(std::chrono::milliseconds(400));
+    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "b"));
+}
+
 TEST(PrimaryFailover, announcementExpiresWhenStoreIsSlow)
 {
     CHECK_TRUE(fixture.failover.mayAnnounce(fixture.clock.now()));
