Grant a lease only if it begins after this process learnt of its registration

Cause: a lease that another instance relays, or a read that was sent before the registration, may have begun before it. A coordinator that listed the instances in between does not wait for this one. The same holds for a new process of a registered id whose former process had confirmed. Change: LeaseTracker notes when it learnt of the registration in each era and takes only leases that begin later. Failovers of the log line up: one that such a lease does not show was announced after the registration, so it waits for this instance. Tests: relayedLeaseThatBeganBeforeRegistrationGrantsNone and readSentBeforeRegistrationGrantsNone fail without the change by construction: the lease was granted whenever the instance was registered. peerResponseGrantsNoMoreThanRemainingLease begins later and now also checks that the lease is granted.

--- a/include/lentiljunction/leadership/LeaseTracker.h
+++ b/include/lentiljunction/leadership/LeaseTracker.h
@@ -3,7 +3,7 @@
 #include "lentiljunction/leadership/OpenPromotionTracker.h"
 #include "lentiljunction/leadership/PrimaryView.h"
 
-#include <set>
+#include <map>
 
 namespace lentiljunction {
 
@@ -31,14 +31,13 @@
     {
     }
 
-    /// This instance was registered in an era of the store. Failovers of that era wait for its confirmation, so it may
-    /// get leases on records that were written in it.
-    void onRegistered(StoreEra era) { this->registeredEras.insert(era); }
+    /// This process learnt that its instance is registered in an era of the store. Failovers that are announced from now on
+    /// wait for its confirmation, so it may get leases that begin after this time, on records that were written in that era.
+    void onRegistered(StoreEra era);
 
     /// Processes the result of a linearizable read or a conditional write. A record that was written in an earlier era of
     /// the store than it was read in grants no lease, since failovers may be missing from it.
     ///
-    ///
     /// @param sentAt when the call was sent
     /// @returns whether the record is newer than the known one
     bool onStoreResponse(const VersionedPrimaryRecord& versioned, BootTime sentAt);
@@ -64,10 +63,13 @@
 
 private:
     bool update(const VersionedPrimaryRecord& versioned, BootTime leaseEnd);
+    /// @returns whether each failover that a lease does not show waits for this instance
+    bool mayGetLease(StoreEra era, BootTime leaseStart) const;
 
     InstanceId self;
     const Clock& clock;
-    std::set<StoreEra> registeredEras;
+    /// When this process learnt of its registration in each era.
+    std::map<StoreEra, BootTime> registeredAt;
     OpenPromotionTracker openPromotions;
     PrimaryView view;
 };
--- a/src/leadership/LeaseTracker.cpp
+++ b/src/leadership/LeaseTracker.cpp
@@ -4,6 +4,17 @@
 
 namespace lentiljunction {
 
+void LeaseTracker::onRegistered(StoreEra era)
+{
+    this->registeredAt.emplace(era, this->clock.bootNow());
+}
+
+bool LeaseTracker::mayGetLease(StoreEra era, BootTime leaseStart) const
+{
+    std::map<StoreEra, BootTime>::const_iterator since = this->registeredAt.find(era);
+    return since != this->registeredAt.end() && since->second <= leaseStart;
+}
+
 bool LeaseTracker::onStoreResponse(const VersionedPrimaryRecord& versioned, BootTime sentAt)
 {
     return this->update(versioned, sentAt + leaseDuration);
@@ -35,7 +46,7 @@
         this->view.leaseEnd = BootTime();
     // A restored record is older than the known one and does not show whether that one is still valid.
     bool isSameEra = isNewer || versioned.record->era == this->view.latest.record->era;
-    if (isSameEra && versioned.isCurrent() && this->registeredEras.count(versioned.record->era) > 0)
+    if (isSameEra && versioned.isCurrent() && this->mayGetLease(versioned.record->era, leaseEnd - leaseDuration))
         this->view.leaseEnd = std::max(this->view.leaseEnd, leaseEnd);
     if (isNewer) {
         this->view.latest = versioned;
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -222,11 +222,36 @@
 
 TEST(LeaseTracker, peerResponseGrantsNoMoreThanRemainingLease)
 {
+    clock.advance(leaseDuration);
     BootTime sentAt = clock.bootNow();
     tracker.onPeerResponse(makeRecord(3), std::chrono::milliseconds(300), sentAt);
+    CHECK_TRUE(tracker.getView().hasValidLease(sentAt + std::chrono::milliseconds(299)));
     CHECK_FALSE(tracker.getView().hasValidLease(sentAt + std::chrono::milliseconds(300)));
 }
 
+// A coordinator that listed the instances before this one was registered does not wait for it. Guards against a lease of
+// another instance that began before, and hides the failover, in an instance that has just started.
+TEST(LeaseTracker, relayedLeaseThatBeganBeforeRegistrationGrantsNone)
+{
+    clock.advance(std::chrono::milliseconds(200));
+    tracker.onPeerResponse(makeRecord(3), leaseDuration - std::chrono::milliseconds(201), clock.bootNow());
+    CHECK_FALSE(tracker.getView().hasValidLease(clock.bootNow()));
+    tracker.onPeerResponse(makeRecord(3), leaseDuration - std::chrono::milliseconds(200), clock.bootNow());
+    CHECK_TRUE(tracker.getView().hasValidLease(clock.bootNow()));
+}
+
+// Guards against a read that was sent before the registration and is answered after it.
+TEST(LeaseTracker, readSentBeforeRegistrationGrantsNone)
+{
+    BootTime sentAt = clock.bootNow();
+    clock.advance(std::chrono::milliseconds(20));
+    tracker.onRegistered(StoreEra(1));
+    tracker.onStoreResponse(makeRecordOfEra(3, StoreEra(1), StoreEra(1)), sentAt);
+    CHECK_FALSE(tracker.getView().hasValidLease(clock.bootNow()));
+    tracker.onStoreResponse(makeRecordOfEra(3, StoreEra(1), StoreEra(1)), clock.bootNow());
+    CHECK_TRUE(tracker.getView().hasValidLease(clock.bootNow()));
+}
+
 TEST(LeaseTracker, olderRecordDoesNotReplaceNewerOne)
 {
     tracker.onStoreResponse(makeRecord(5), clock.bootNow());
