Tell a settled promotion call from one in doubt

Change: the record says of each open promotion whether it is settled: one call, accepted, and seen in effect. Only a repetition by the platform is left of it then. The view lists the upstreams that may still replace a primary, so that a verification can ask just these.

--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -133,7 +133,7 @@
     void onPromotionRecorded(TimePoint now);
 
     /// A promotion call is being sent.
-    void onPromotionSent() { this->numOpenCalls[*this->promotionTarget]++; }
+    void onPromotionSent();
 
     /// The platform answered a promotion call.
     ///
@@ -146,6 +146,9 @@
     /// @returns the upstreams that this failover recorded and of which the platform refused each call
     std::set<UpstreamId> listRefusedPromotions() const;
 
+    /// @returns whether the new primary was called once and the platform accepted this call; valid once it is the primary
+    bool isPromotionSettled() const;
+
     /// The store accepted the group's entry with the new primary.
     void onStableWritten() { this->step = Step::Done; }
 
@@ -226,8 +229,15 @@
     std::set<UpstreamId> refusedCandidates;
     std::optional<UpstreamId> promotionTarget;
     std::vector<UpstreamId> inheritedTargets;
-    /// For each upstream in the record because of this failover, the number of calls that were not refused.
-    std::map<UpstreamId, std::size_t> numOpenCalls;
+    /// The calls of this failover for one upstream.
+    struct CallCount {
+        std::size_t sent = 0;
+        std::size_t accepted = 0;
+        std::size_t refused = 0;
+    };
+
+    /// For each upstream that is in the record because of this failover.
+    std::map<UpstreamId, CallCount> callCounts;
     ReplicationStatus newPrimaryStatus;
 
     /// Set where an upstream must have all acknowledged commits to be promoted.
--- a/include/lentiljunction/leadership/OpenPromotionTracker.h
+++ b/include/lentiljunction/leadership/OpenPromotionTracker.h
@@ -2,10 +2,12 @@
 
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/leadership/PrimaryRecord.h"
+#include "lentiljunction/leadership/PrimaryView.h"
 
 #include <chrono>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace lentiljunction {
 
@@ -15,8 +17,8 @@
 
 /// Determines, for one instance, how long promotion calls of the primary record may still take effect.
 ///
-/// Nothing but time ends a call: a response shows neither that no earlier call is still on its way nor that the call is not
-/// carried out a second time. The lifetime counts from when this instance first sees the call in an entry that names a
+/// Nothing but time ends a call: a response shows neither that no earlier call is still on its way nor that the platform does
+/// not carry it out a second time. The lifetime counts from when this instance first sees the call in an entry that names a
 /// primary, which is after the call was sent, so instances need no common clock.
 ///
 /// Not thread-safe; the control thread owns it.
@@ -30,14 +32,13 @@
     /// @returns whether a call of an entry can no longer take effect
     bool hasEnded(const GroupId& group, const OpenPromotion& promotion, BootTime now) const;
 
-    /// @returns for each group with an open call for another upstream than its primary, until when that call may replace
-    ///     the primary
-    const std::map<GroupId, BootTime>& getReplaceableUntil() const { return this->replaceableUntil; }
+    /// @returns for each group with calls for another upstream than its primary, until when these may replace the primary
+    const std::map<GroupId, std::vector<PossibleReplacement>>& getReplacements() const { return this->replacements; }
 
 private:
     /// When each call was first seen in an entry that names a primary.
     std::map<std::pair<GroupId, OpenPromotion>, BootTime> seenAt;
-    std::map<GroupId, BootTime> replaceableUntil;
+    std::map<GroupId, std::vector<PossibleReplacement>> replacements;
 };
 
 } // namespace lentiljunction
--- a/include/lentiljunction/leadership/PrimaryView.h
+++ b/include/lentiljunction/leadership/PrimaryView.h
@@ -5,9 +5,19 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace lentiljunction {
 
+/// An upstream that may still replace the primary of its group, because it was called earlier.
+///
+/// @see OpenPromotion
+struct PossibleReplacement {
+    UpstreamId upstream;
+    BootTime until;
+    bool isSettled = false;
+};
+
 /// Identifies one tenure of a primary: the upstream, and the generation in which it is the primary.
 struct PrimaryTenure {
     UpstreamId upstream;
@@ -31,8 +41,8 @@
     VersionedPrimaryRecord latest;
     /// End of the lease, on the clock that keeps running while the machine is suspended.
     BootTime leaseEnd;
-    /// For each group in which an earlier promotion call may still replace the primary, until when.
-    std::map<GroupId, BootTime> replaceableUntil = {};
+    /// For each group, the calls that may still replace its primary.
+    std::map<GroupId, std::vector<PossibleReplacement>> replacements = {};
 
     /// @returns whether the instance may act on this view
     bool hasValidLease(BootTime now) const { return this->latest.record != nullptr && now < this->leaseEnd; }
@@ -42,11 +52,10 @@
 
     /// @returns whether an earlier promotion call may still replace the primary of a group, so that each answer of it needs a
     ///     verification
-    bool isReplaceable(const GroupId& group, BootTime now) const
-    {
-        std::map<GroupId, BootTime>::const_iterator end = this->replaceableUntil.find(group);
-        return end != this->replaceableUntil.end() && now < end->second;
-    }
+    bool isReplaceable(const GroupId& group, BootTime now) const { return !this->listReplacements(group, now).empty(); }
+
+    /// @returns the calls that may still replace the primary of a group
+    std::vector<PossibleReplacement> listReplacements(const GroupId& group, BootTime now) const;
 
     /// @param upstreams consulted for groups that have never had a failover
     /// @returns the primary of a group, regardless of the lease; nothing during a failover
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -44,6 +44,22 @@
         return upstreams;
     }
 
+    /// Updates the calls of a failover at its end: removes those that the platform refused.
+    ///
+    /// @param settled the upstream of which the only call is settled, or an empty id
+    void concludePromotions(PrimaryEntry& entry, FencingToken epoch, const std::set<UpstreamId>& refused, const UpstreamId& settled)
+    {
+        std::vector<OpenPromotion> kept;
+        for (OpenPromotion& promotion : entry.openPromotions) {
+            bool isOfThisFailover = promotion.epoch == epoch && promotion.generation == entry.generation;
+            if (isOfThisFailover && refused.count(promotion.upstream) > 0)
+                continue;
+            promotion.isSettled = promotion.isSettled || (isOfThisFailover && promotion.upstream == settled);
+            kept.push_back(promotion);
+        }
+        entry.openPromotions = std::move(kept);
+    }
+
 } // namespace
 
 FailoverExecutor::FailoverExecutor(const Dependencies& dependencies)
@@ -262,14 +278,15 @@
     ReplicationStatus status = run.failover.getNewPrimaryStatus();
     std::set<InstanceId> unconfirmed = run.failover.getUnconfirmedInstances();
     std::set<UpstreamId> refused = run.failover.listRefusedPromotions();
+    bool isSettled = run.failover.isPromotionSettled();
     RunKey key { group, run.number };
-    PrimaryRecordWriter::Change change = [this, group, primary, status, unconfirmed, refused](PrimaryRecord& record) {
+    PrimaryRecordWriter::Change change = [this, group, primary, status, unconfirmed, refused, isSettled](PrimaryRecord& record) {
         if (record.coordinator != this->dependencies.self)
             return false;
         record.retired.insert(unconfirmed.begin(), unconfirmed.end());
         PrimaryEntry& entry = record.groups[group];
         this->removeEnded(group, entry);
-        entry.openPromotions.erase(std::remove_if(entry.openPromotions.begin(), entry.openPromotions.end(), [&](const OpenPromotion& promotion) { return promotion.epoch == record.epoch && promotion.generation == entry.generation && refused.count(promotion.upstream) > 0; }), entry.openPromotions.end());
+        concludePromotions(entry, record.epoch, refused, isSettled ? primary : UpstreamId());
         // The record may already hold this change if the response to an earlier write was lost.
         if (entry.phase == PrimaryPhase::Changing)
             entry.generation = computeNextGeneration(record, entry);
--- a/src/leadership/Failover.cpp
+++ b/src/leadership/Failover.cpp
@@ -121,7 +121,7 @@
 {
     if (this->step != Step::Recording)
         return;
-    this->numOpenCalls.emplace(*this->promotionTarget, 0);
+    this->callCounts.emplace(*this->promotionTarget, CallCount());
     this->step = Step::Promoting;
     this->promotedAt = now;
     this->queueAction(Action::Kind::Promote, *this->promotionTarget);
@@ -130,24 +130,37 @@
 std::set<UpstreamId> Failover::listRefusedPromotions() const
 {
     std::set<UpstreamId> refused;
-    for (const std::pair<const UpstreamId, std::size_t>& calls : this->numOpenCalls) {
-        if (calls.second == 0)
+    for (const std::pair<const UpstreamId, CallCount>& calls : this->callCounts) {
+        if (calls.second.refused == calls.second.sent)
             refused.insert(calls.first);
     }
     return refused;
 }
 
+bool Failover::isPromotionSettled() const
+{
+    std::map<UpstreamId, CallCount>::const_iterator calls = this->callCounts.find(*this->promotionTarget);
+    bool isInherited = std::find(this->inheritedTargets.begin(), this->inheritedTargets.end(), *this->promotionTarget) != this->inheritedTargets.end();
+    return !isInherited && calls != this->callCounts.end() && calls->second.sent == 1 && calls->second.accepted == 1;
+}
+
+void Failover::onPromotionSent()
+{
+    this->callCounts[*this->promotionTarget].sent++;
+}
+
 void Failover::onPromotionResponse(bool isAccepted, TimePoint now)
 {
     if (this->step != Step::Promoting)
         return;
     if (isAccepted) {
+        this->callCounts[*this->promotionTarget].accepted++;
         this->step = Step::Confirming;
         this->promotedAt = now;
         return;
     }
     // Only this call is known to have no effect; earlier ones may still promote the upstream.
-    this->numOpenCalls[*this->promotionTarget]--;
+    this->callCounts[*this->promotionTarget].refused++;
     this->refusedCandidates.insert(*this->promotionTarget);
     if (this->commits)
         this->commits->onRefused(*this->promotionTarget);
--- a/src/leadership/OpenPromotionTracker.cpp
+++ b/src/leadership/OpenPromotionTracker.cpp
@@ -1,13 +1,11 @@
 #include "lentiljunction/leadership/OpenPromotionTracker.h"
 
-#include <algorithm>
-
 namespace lentiljunction {
 
 void OpenPromotionTracker::onRecord(const PrimaryRecord& record, BootTime now)
 {
     std::map<std::pair<GroupId, OpenPromotion>, BootTime> stillListed;
-    this->replaceableUntil.clear();
+    this->replacements.clear();
     for (const std::pair<const GroupId, PrimaryEntry>& group : record.groups) {
         for (const OpenPromotion& promotion : group.second.openPromotions) {
             std::pair<GroupId, OpenPromotion> key(group.first, promotion);
@@ -18,10 +16,8 @@
             BootTime since = known == this->seenAt.end() ? now : known->second;
             stillListed.emplace(key, since);
             // For the present primary, a call changes nothing.
-            if (promotion.upstream == group.second.primary)
-                continue;
-            BootTime& end = this->replaceableUntil[group.first];
-            end = std::max(end, since + promotionCallLifetime);
+            if (promotion.upstream != group.second.primary)
+                this->replacements[group.first].push_back({ promotion.upstream, since + promotionCallLifetime, promotion.isSettled });
         }
     }
     this->seenAt = std::move(stillListed);
--- a/src/leadership/PrimaryView.cpp
+++ b/src/leadership/PrimaryView.cpp
@@ -26,6 +26,19 @@
     return claimed;
 }
 
+std::vector<PossibleReplacement> PrimaryView::listReplacements(const GroupId& group, BootTime now) const
+{
+    std::vector<PossibleReplacement> open;
+    std::map<GroupId, std::vector<PossibleReplacement>>::const_iterator found = this->replacements.find(group);
+    if (found == this->replacements.end())
+        return open;
+    for (const PossibleReplacement& replacement : found->second) {
+        if (now < replacement.until)
+            open.push_back(replacement);
+    }
+    return open;
+}
+
 std::uint64_t PrimaryView::getGeneration(const GroupId& group) const
 {
     const PrimaryEntry* entry = this->latest.record == nullptr ? nullptr : this->latest.record->find(group);
--- a/tests/unit/OpenPromotionTests.cpp
+++ b/tests/unit/OpenPromotionTests.cpp
@@ -31,7 +31,12 @@
     OpenPromotionTracker tracker;
 
     void process(const PrimaryRecord& record) { this->tracker.onRecord(record, this->clock.bootNow()); }
-    bool isReplaceable() const { return this->tracker.getReplaceableUntil().count(group) > 0 && this->clock.bootNow() < this->tracker.getReplaceableUntil().at(group); }
+    bool isReplaceable() const
+    {
+        PrimaryView view;
+        view.replacements = this->tracker.getReplacements();
+        return view.isReplaceable(group, this->clock.bootNow());
+    }
 };
 
 // Guards against acknowledgements under a lease while a call for another upstream may still take effect.
