Discard a promotion call that its process or connection leaves behind

Cause: the system goes on sending what the other side has not acknowledged after the process has ended, so a call of a coordinator that is killed during a partition arrives when the partition ends. Only calls that the process itself gave up were reset. Change: connections of requests that may not be late are reset by the system, also at the end of the process. A call that was not sent, or that the platform answers to have done nothing, is not counted as open. Measured: HttpClient.requestThatMayNotBeLateIsDiscardedWhenItsProcessEnds fails without the option ("End of file"), and passes with it; PrimaryFailover 14, LeaseTracker 11, OpenPromotionTracker 6, OnePrimary 1, SynchronousFailover 11 tests pass.

--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -143,6 +143,9 @@
     /// A promotion call got no response; the promotion may have happened nevertheless.
     void onPromotionTimeout(TimePoint now);
 
+    /// A promotion call was not sent, or the platform answered that it did nothing.
+    void onPromotionNotSent(TimePoint now);
+
     /// @returns the upstreams that this failover recorded and of which the platform refused each call
     std::set<UpstreamId> listRefusedPromotions() const;
 
@@ -233,7 +236,8 @@
     struct CallCount {
         std::size_t sent = 0;
         std::size_t accepted = 0;
-        std::size_t refused = 0;
+        /// Refused by the platform, or not sent.
+        std::size_t withoutEffect = 0;
     };
 
     /// For each upstream that is in the record because of this failover.
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -492,11 +492,16 @@
         return this->advance(group);
     }
     logEvent(events::promotionFailed, "group=" + group.toString() + " reason=\"" + failure.reason + "\" again_in_ms=" + std::to_string(promotionRetryDelay.count()));
-    this->dependencies.loop.schedule(promotionRetryDelay, [this, key] {
-        if (Run* current = this->findRun(key)) {
+    bool hasNoEffect = failure.kind == Failure::Kind::Unavailable;
+    this->dependencies.loop.schedule(promotionRetryDelay, [this, key, hasNoEffect] {
+        Run* current = this->findRun(key);
+        if (current == nullptr)
+            return;
+        if (hasNoEffect)
+            current->failover.onPromotionNotSent(this->dependencies.clock.now());
+        else
             current->failover.onPromotionTimeout(this->dependencies.clock.now());
-            this->advance(key.group);
-        }
+        this->advance(key.group);
     });
 }
 
--- a/src/leadership/Failover.cpp
+++ b/src/leadership/Failover.cpp
@@ -131,7 +131,7 @@
 {
     std::set<UpstreamId> refused;
     for (const std::pair<const UpstreamId, CallCount>& calls : this->callCounts) {
-        if (calls.second.refused == calls.second.sent)
+        if (calls.second.withoutEffect == calls.second.sent)
             refused.insert(calls.first);
     }
     return refused;
@@ -141,7 +141,7 @@
 {
     std::map<UpstreamId, CallCount>::const_iterator calls = this->callCounts.find(*this->promotionTarget);
     bool isInherited = std::find(this->inheritedTargets.begin(), this->inheritedTargets.end(), *this->promotionTarget) != this->inheritedTargets.end();
-    return !isInherited && calls != this->callCounts.end() && calls->second.sent == 1 && calls->second.accepted == 1;
+    return !isInherited && calls != this->callCounts.end() && calls->second.accepted == 1 && calls->second.sent == 1 + calls->second.withoutEffect;
 }
 
 void Failover::onPromotionSent()
@@ -160,7 +160,7 @@
         return;
     }
     // Only this call is known to have no effect; earlier ones may still promote the upstream.
-    this->callCounts[*this->promotionTarget].refused++;
+    this->callCounts[*this->promotionTarget].withoutEffect++;
     this->refusedCandidates.insert(*this->promotionTarget);
     if (this->commits)
         this->commits->onRefused(*this->promotionTarget);
@@ -179,6 +179,14 @@
     this->queueAction(Action::Kind::Promote, *this->promotionTarget);
 }
 
+void Failover::onPromotionNotSent(TimePoint now)
+{
+    if (this->step != Step::Promoting)
+        return;
+    this->callCounts[*this->promotionTarget].withoutEffect++;
+    this->onPromotionTimeout(now);
+}
+
 std::vector<Failover::Action> Failover::takeActions(BootTime bootNow, TimePoint now)
 {
     if (this->step == Step::Surveying && this->commits)
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -171,6 +171,8 @@
 {
     if (this->mayBeSent && !this->mayBeSent())
         return this->fail("the request may not be sent any more");
+    if (this->mayBeSent)
+        discardUnacknowledgedOnClose(this->socket);
     std::shared_ptr<Exchange> self = this->shared_from_this();
     this->isSent = true;
     asio::async_write(this->socket, asio::buffer(this->request), [self, attempt = this->attemptNumber](const asio::error_code& error, std::size_t) {
--- a/src/net/SocketOptions.cpp
+++ b/src/net/SocketOptions.cpp
@@ -31,11 +31,19 @@
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
 }
 
+void discardUnacknowledgedOnClose(asio::ip::tcp::socket& socket)
+{
+    // The option of asio would be undone when the socket is destroyed.
+    linger immediately {};
+    immediately.l_onoff = 1;
+    (void)::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &immediately, sizeof immediately);
+}
+
 void closeWithReset(asio::ip::tcp::socket& socket)
 {
     asio::error_code ignored;
     if (socket.is_open())
-        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        discardUnacknowledgedOnClose(socket);
     socket.close(ignored);
 }
 
--- a/src/net/SocketOptions.h
+++ b/src/net/SocketOptions.h
@@ -20,4 +20,8 @@
 /// are discarded.
 void closeWithReset(asio::ip::tcp::socket& socket);
 
+/// Makes the system reset the connection when it is closed, also by the end of the process. Otherwise the system goes on
+/// sending what was not acknowledged, so that a request of a process that was killed during a partition arrives after it.
+void discardUnacknowledgedOnClose(asio::ip::tcp::socket& socket);
+
 } // namespace lentiljunction
--- a/tests/unit/HttpClientTests.cpp
+++ b/tests/unit/HttpClientTests.cpp
@@ -3,6 +3,8 @@
 
 #include <atomic>
 #include <future>
+#include <memory>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
@@ -38,6 +40,8 @@
 
     std::atomic<std::size_t> numBytes { 0 };
     std::atomic<std::size_t> numConnections { 0 };
+    /// Why the first connection ended.
+    std::promise<std::string> closeReason;
 
 private:
     void onSocketOpened() override { }
@@ -46,7 +50,13 @@
         this->numBytes += bytes.size();
         bytes.clear();
     }
-    void onSocketClosed(const std::string&, bool) override { }
+    void onSocketClosed(const std::string& reason, bool) override
+    {
+        if (!this->isClosed.exchange(true))
+            this->closeReason.set_value(reason);
+    }
+
+    std::atomic<bool> isClosed { false };
 
     TcpServer server;
     std::vector<std::unique_ptr<TcpConnection>> connections;
@@ -148,3 +158,24 @@
     CHECK_EQUAL(2, server.numConnections);
     loop.stop();
 }
+
+// A coordinator was killed during a partition. Guards against the system sending its promotion call when the partition ends,
+// seconds after another coordinator has promoted another upstream.
+TEST(HttpClient, requestThatMayNotBeLateIsDiscardedWhenItsProcessEnds)
+{
+    EventLoop serverLoop;
+    CountingServer server(serverLoop);
+    Endpoint endpoint = server.listen();
+    serverLoop.start();
+    std::unique_ptr<EventLoop> clientLoop = std::make_unique<EventLoop>();
+    std::unique_ptr<HttpClient> client = std::make_unique<HttpClient>(*clientLoop, endpoint);
+    clientLoop->start();
+    clientLoop->post([&client] { client->call({ "POST", "/promotion", "{}", {}, std::chrono::seconds(5), [] { return true; } }, [](const std::optional<HttpClientResponse>&, const Failure&) {}); });
+    while (server.numBytes == 0)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    clientLoop->stop();
+    client.reset();
+    clientLoop.reset();
+    STRCMP_CONTAINS("reset", server.closeReason.get_future().get().c_str());
+    serverLoop.stop();
+}
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -158,6 +158,38 @@
     CHECK(fixture.failover.listRefusedPromotions() == std::set<UpstreamId> { UpstreamId("a") });
 }
 
+// A call that never left this process needs no verification of later primaries.
+TEST(PrimaryFailover, callThatWasNotSentHasNoEffect)
+{
+    fixture.announceFailover();
+    fixture.confirmAll();
+    fixture.failover.onStatus(UpstreamId("a"), FailoverFixture::replica(2, 41));
+    fixture.failover.onStatus(UpstreamId("b"), FailoverFixture::replica(2, 40));
+    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
+    fixture.failover.onPromotionNotSent(fixture.clock.now());
+    CHECK(fixture.failover.listRefusedPromotions() == std::set<UpstreamId> { UpstreamId("a") });
+    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
+    fixture.failover.onPromotionSent();
+    fixture.failover.onPromotionResponse(true, fixture.clock.now());
+    CHECK_TRUE(fixture.failover.isPromotionSettled());
+    CHECK(fixture.failover.listRefusedPromotions().empty());
+}
+
+// Guards against a second call that is forgotten because the first one was seen in effect.
+TEST(PrimaryFailover, repeatedCallIsNotSettled)
+{
+    fixture.announceFailover();
+    fixture.confirmAll();
+    fixture.failover.onStatus(UpstreamId("a"), FailoverFixture::replica(2, 41));
+    fixture.failover.onStatus(UpstreamId("b"), FailoverFixture::replica(2, 40));
+    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
+    fixture.failover.onPromotionTimeout(fixture.clock.now());
+    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
+    fixture.failover.onPromotionSent();
+    fixture.failover.onPromotionResponse(true, fixture.clock.now());
+    CHECK_FALSE(fixture.failover.isPromotionSettled());
+}
+
 // Guards against a successor that promotes another upstream than the one whose call is on its way.
 TEST(PrimaryFailover, prefersUpstreamThatFormerCoordinatorCalled)
 {
