Verify with each upstream that was called, and take a newer term out of the lease

Cause: a promotion call outlives its failover and takes effect later, while instances acknowledge at the replaced primary. (1) A verification asked the listed upstreams only, so it passed when the list lacked the upstream that was called. (2) The remembered status of the primary was kept for its id and generation: it also stood for the process after a restart and for a primary that had stepped down, and once the primary led a later term every round failed. A primary that was replaced and led again passed for answers from before its return. (3) A term above the record's went unnoticed: an instance with a lease asked nobody.

Change: findVerifyingUpstreams names the upstreams that must respond; with an open call for one that is not listed, no verification is possible, statements are refused before they are sent, and are told when the call ends. The set is determined again at the end of the round. The remembered status is for one process, is asked again in the same round when another upstream contradicts it, and a later term of the primary fails the round that finds it and those that wait. A round for a former primary no longer delays that for a new one. NewerTermDetector takes a group out of the lease while a reported term is above that of its stable, confirmed entry and the primary is not confirmed to lead it.

No figure for the cost.

--- a/include/lentiljunction/leadership/PrimaryVerification.h
+++ b/include/lentiljunction/leadership/PrimaryVerification.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "lentiljunction/interactive/ReplicationStatus.h"
+#include "lentiljunction/leadership/PrimaryRecord.h"
+#include "lentiljunction/routes/UpstreamEntry.h"
 
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace lentiljunction {
@@ -29,4 +32,23 @@
     return true;
 }
 
+/// Finds the upstreams whose status a verification of a primary needs: the others that are listed, and those that an open
+/// call may promote.
+///
+/// @param openPromotions the promotion calls of the group that may still take effect
+/// @returns nothing when an upstream that an open call may promote is not listed, so that it cannot be queried
+inline std::optional<std::set<UpstreamId>> findVerifyingUpstreams(const GroupId& group, const UpstreamId& primary, const UpstreamList& upstreams, const std::vector<OpenPromotion>& openPromotions)
+{
+    std::set<UpstreamId> verifying;
+    for (const std::pair<const UpstreamId, UpstreamEntry>& entry : upstreams.entries) {
+        if (entry.second.group == group && entry.first != primary)
+            verifying.insert(entry.first);
+    }
+    for (const OpenPromotion& promotion : openPromotions) {
+        if (promotion.upstream != primary && verifying.count(promotion.upstream) == 0)
+            return std::nullopt;
+    }
+    return verifying;
+}
+
 } // namespace lentiljunction
--- a/include/lentiljunction/leadership/PrimaryView.h
+++ b/include/lentiljunction/leadership/PrimaryView.h
@@ -48,6 +48,9 @@
         return end != this->replaceableUntil.end() && now < end->second;
     }
 
+    /// @returns the promotion calls that may still take effect in a group
+    std::vector<OpenPromotion> findOpenPromotions(const GroupId& group, BootTime now) const;
+
     /// @param upstreams consulted for groups that have never had a failover
     /// @returns the primary of a group, regardless of the lease; nothing during a failover
     std::optional<PrimaryTenure> findPrimaryTenure(const GroupId& group, const UpstreamList& upstreams) const;
--- a/include/lentiljunction/leadership/lj_leadership.h
+++ b/include/lentiljunction/leadership/lj_leadership.h
@@ -9,6 +9,7 @@
 #include "lentiljunction/leadership/Failover.h"
 #include "lentiljunction/leadership/FailoverForecast.h"
 #include "lentiljunction/leadership/LeaseTracker.h"
+#include "lentiljunction/leadership/NewerTermDetector.h"
 #include "lentiljunction/leadership/OpenPromotionTracker.h"
 #include "lentiljunction/leadership/PrimaryRecord.h"
 #include "lentiljunction/leadership/PrimaryRecordCodec.h"
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -122,6 +122,7 @@
         events::primaryRecordRecovered,
         events::primaryConfirmed,
         events::commitsUnproved,
+        events::newerTermSeen,
         events::gateOpened,
         events::gateClosed,
         events::connectionDiscarded,
--- a/src/gateway/FailoverCoordination.cpp
+++ b/src/gateway/FailoverCoordination.cpp
@@ -44,6 +44,11 @@
     this->requestReplacement(group, primary, false);
 }
 
+void FailoverCoordination::onNewerTerm(const GroupId& group, const UpstreamId& upstream, Term term)
+{
+    logEvent(events::newerTermSeen, "group=" + group.toString() + " upstream=" + upstream.toString() + " term=" + std::to_string(term.value()));
+}
+
 nlohmann::json FailoverCoordination::makeVoteResponse(const nlohmann::json& request)
 {
     this->votedAt = this->dependencies.clock.bootNow();
--- a/src/gateway/FailoverCoordination.h
+++ b/src/gateway/FailoverCoordination.h
@@ -63,6 +63,9 @@
     /// Handles a primary to which this instance could not open a new connection.
     void onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary);
 
+    /// Handles a term of a group that an upstream reported and the primary record does not name.
+    void onNewerTerm(const GroupId& group, const UpstreamId& upstream, Term term);
+
     /// Requests the replacement of primaries that are leaving or no longer listed. Call it after the
     /// list of upstreams was read.
     void checkPrimaries();
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -82,6 +82,12 @@
         this->dependencies.controlLoop.post([this, group, primary] { this->coordination.onPrimaryUnreachable(group, primary); });
     }
 
+    /// Handles a term that the primary record does not name yet. Safe to call from any thread.
+    void onNewerTerm(const GroupId& group, const UpstreamId& upstream, Term term)
+    {
+        this->dependencies.controlLoop.post([this, group, upstream, term] { this->coordination.onNewerTerm(group, upstream, term); });
+    }
+
     /// @returns the state known to this instance, for metrics
     GatewayMetrics::KnownState getKnownState() const;
 
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -67,6 +67,7 @@
     };
 
     void onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary) override;
+    void onNewerTerm(const GroupId& group, const UpstreamId& upstream, Term term) override { this->control.onNewerTerm(group, upstream, term); }
     void openPorts();
     /// Makes no further attempt to open ports.
     void stopOpeningPorts();
--- a/src/leadership/PrimaryView.cpp
+++ b/src/leadership/PrimaryView.cpp
@@ -2,6 +2,12 @@
 
 namespace lentiljunction {
 
+std::vector<OpenPromotion> PrimaryView::findOpenPromotions(const GroupId& group, BootTime now) const
+{
+    const PrimaryEntry* entry = this->latest.record == nullptr ? nullptr : this->latest.record->find(group);
+    return entry != nullptr && this->isReplaceable(group, now) ? entry->openPromotions : std::vector<OpenPromotion>();
+}
+
 std::optional<PrimaryTenure> PrimaryView::findPrimaryTenure(const GroupId& group, const UpstreamList& upstreams) const
 {
     if (this->latest.record == nullptr)
--- a/src/traffic/PrimaryVerificationRounds.cpp
+++ b/src/traffic/PrimaryVerificationRounds.cpp
@@ -2,6 +2,7 @@
 
 #include "lentiljunction/leadership/PrimaryVerification.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lentiljunction {
@@ -27,34 +28,47 @@
 
 void PrimaryVerificationRounds::verify(const GroupId& group, const PrimaryTenure& primary, std::function<void(bool isVerified)> callback)
 {
+    if (!this->state.isKnownPrimary(group, primary))
+        return callback(false);
+    // A round for an earlier primary does not verify this one, and must not delay it.
+    for (std::shared_ptr<Round> GroupRounds::*member : { &GroupRounds::current, &GroupRounds::next }) {
+        std::shared_ptr<Round> round = this->groups[group].*member;
+        if (round == nullptr || round->primary == primary)
+            continue;
+        this->groups[group].*member = nullptr;
+        this->abandon(round);
+    }
     GroupRounds& rounds = this->groups[group];
     if (rounds.next == nullptr)
         rounds.next = std::make_shared<Round>();
-    // A round for an earlier primary does not verify this one.
-    if (rounds.next->waiters.empty())
-        rounds.next->primary = primary;
-    if (rounds.next->primary != primary)
-        return callback(false);
+    rounds.next->primary = primary;
     rounds.next->waiters.push_back(std::move(callback));
     if (rounds.current == nullptr)
         this->start(group);
 }
 
+void PrimaryVerificationRounds::abandon(const std::shared_ptr<Round>& round)
+{
+    round->isFinished = true;
+    for (const std::function<void(bool)>& waiter : std::exchange(round->waiters, {}))
+        waiter(false);
+}
+
 void PrimaryVerificationRounds::start(const GroupId& group)
 {
     GroupRounds& rounds = this->groups[group];
     std::shared_ptr<Round> round = std::exchange(rounds.next, nullptr);
     rounds.current = round;
-    std::vector<UpstreamId> queried;
-    for (const std::pair<const UpstreamId, UpstreamEntry>& entry : this->state.getUpstreams()->entries) {
-        bool isKnown = entry.first == round->primary.upstream && this->findPrimaryStatus(round->primary);
-        if (entry.second.group == group && !isKnown)
-            queried.push_back(entry.first);
-    }
-    round->numAwaited = queried.size() + 1;
+    std::optional<std::set<UpstreamId>> queried = this->state.findVerifying(group, round->primary);
+    // Without a query that can succeed, the statements that wait are refused at once.
+    if (!queried || this->state.getUpstreams()->find(round->primary.upstream) == nullptr)
+        return this->finish(group, round);
+    if (!this->findPrimaryStatus(round->primary))
+        queried->insert(round->primary.upstream);
+    round->numAwaited = queried->size() + 1;
     round->deadline = this->state.getClock().now() + roundTimeout;
     this->timer.setTimeIfEarlier(round->deadline);
-    for (const UpstreamId& upstream : queried)
+    for (const UpstreamId& upstream : *queried)
         this->requestStatus(group, round, upstream);
     // Completes the extra count of numAwaited, which keeps immediate responses from ending the round before the
     // loop is done.
@@ -64,9 +78,9 @@
 std::optional<ReplicationStatus> PrimaryVerificationRounds::findPrimaryStatus(const PrimaryTenure& primary) const
 {
     std::map<UpstreamId, KnownPrimary>::const_iterator known = this->primaries.find(primary.upstream);
-    if (known == this->primaries.end() || known->second.generation != primary.generation)
-        return std::nullopt;
-    return known->second.status;
+    const UpstreamEntry* entry = this->state.getUpstreams()->find(primary.upstream);
+    bool isSame = known != this->primaries.end() && entry != nullptr && known->second.generation == primary.generation && known->second.startedAt == entry->startedAt;
+    return isSame ? std::optional<ReplicationStatus>(known->second.status) : std::nullopt;
 }
 
 void PrimaryVerificationRounds::requestStatus(const GroupId& group, const std::shared_ptr<Round>& round, const UpstreamId& upstream)
@@ -94,8 +108,15 @@
 
 void PrimaryVerificationRounds::onResponse(const GroupId& group, const std::shared_ptr<Round>& round, const UpstreamId& upstream, std::optional<ReplicationStatus> status)
 {
+    std::optional<ReplicationStatus> primary = this->findPrimaryStatus(round->primary);
+    // The primary may lead a later term than the remembered one, or have lost the lead.
+    bool isContradicted = !round->isFinished && status && primary && (status->isPrimary || status->term > primary->term);
     if (status)
         round->responses[upstream] = std::move(status);
+    if (isContradicted && round->responses.count(round->primary.upstream) == 0) {
+        round->numAwaited++;
+        this->requestStatus(group, round, round->primary.upstream);
+    }
     round->numAwaited--;
     if (round->numAwaited == 0)
         this->finish(group, round);
@@ -121,13 +142,19 @@
     // The round may have expired before its last response arrived.
     if (std::exchange(round->isFinished, true))
         return;
-    bool isVerified = this->evaluate(*round);
+    bool isVerified = this->evaluate(group, *round);
     GroupRounds& rounds = this->groups[group];
     rounds.numConsecutiveFailures = isVerified ? 0 : rounds.numConsecutiveFailures + 1;
+    // Without all upstreams that a verification needs, the next round fails as well.
+    bool isImpossible = !this->state.findVerifying(group, round->primary);
     if (isVerified)
-        this->state.onPrimaryVerified(group, round->primary);
-    else if (rounds.numConsecutiveFailures >= failuresUntilUnverified)
+        this->state.onPrimaryVerified(group, round->primary, this->primaries.at(round->primary.upstream).status.term);
+    else if (isImpossible || rounds.numConsecutiveFailures >= failuresUntilUnverified)
         this->state.onPrimaryVerificationFailed(group);
+    for (const std::pair<const UpstreamId, std::optional<ReplicationStatus>>& response : round->responses) {
+        if (response.second)
+            this->state.onTerm(response.first, response.second->term);
+    }
     rounds.current = nullptr;
     for (const std::function<void(bool)>& waiter : std::exchange(round->waiters, {}))
         waiter(isVerified);
@@ -135,7 +162,7 @@
         this->start(group);
 }
 
-bool PrimaryVerificationRounds::evaluate(const Round& round)
+bool PrimaryVerificationRounds::evaluate(const GroupId& group, const Round& round)
 {
     std::optional<ReplicationStatus> primaryStatus = this->findPrimaryStatus(round.primary);
     std::vector<std::optional<ReplicationStatus>> others;
@@ -145,10 +172,32 @@
         else
             others.push_back(response.second);
     }
-    bool isVerified = isPrimaryVerified(primaryStatus, others);
-    if (isVerified)
-        this->primaries[round.primary.upstream] = { round.primary.generation, *primaryStatus };
-    return isVerified;
+    // The list or the record may have changed since the queries were sent.
+    std::optional<std::set<UpstreamId>> verifying = this->state.findVerifying(group, round.primary);
+    bool isComplete = verifying && std::all_of(verifying->begin(), verifying->end(), [&](const UpstreamId& upstream) { return round.responses.count(upstream) > 0; });
+    const UpstreamEntry* entry = this->state.getUpstreams()->find(round.primary.upstream);
+    if (primaryStatus && !primaryStatus->isPrimary)
+        this->primaries.erase(round.primary.upstream);
+    if (entry == nullptr || !this->state.isKnownPrimary(group, round.primary) || !isComplete || !isPrimaryVerified(primaryStatus, others))
+        return false;
+    std::optional<Term> known = this->findKnownTerm(group, round.primary);
+    this->primaries[round.primary.upstream] = { round.primary.generation, entry->startedAt, *primaryStatus };
+    if (!known || primaryStatus->term <= *known)
+        return true;
+    this->state.onLedTerm(group, round.primary, primaryStatus->term);
+    // The primary was replaced and leads again. The answers that wait may be from before its return.
+    if (std::shared_ptr<Round> next = std::exchange(this->groups[group].next, nullptr))
+        this->abandon(next);
+    return false;
+}
+
+std::optional<Term> PrimaryVerificationRounds::findKnownTerm(const GroupId& group, const PrimaryTenure& primary) const
+{
+    std::map<UpstreamId, KnownPrimary>::const_iterator known = this->primaries.find(primary.upstream);
+    if (known != this->primaries.end() && known->second.generation == primary.generation)
+        return known->second.status.term;
+    const PrimaryEntry* entry = this->state.getView().latest.record->find(group);
+    return entry == nullptr ? std::nullopt : std::optional<Term>(entry->term);
 }
 
 } // namespace lentiljunction
--- a/src/traffic/PrimaryVerificationRounds.h
+++ b/src/traffic/PrimaryVerificationRounds.h
@@ -15,7 +15,10 @@
 ///
 /// One round at a time for each group queries the status of all its upstreams. A verification that is
 /// requested during a round waits for the next round, because the queries must be sent after the primary's
-/// reply that they verify.
+/// reply that they verify. A round for a primary that the record no longer names ends unverified at once.
+///
+/// The status of the primary itself is remembered while its process and its tenure are the same, so that a busy primary
+/// need not respond to each round. The others, all queried after the reply, show each term beyond the remembered one.
 ///
 /// Not thread-safe; the traffic thread owns it.
 ///
@@ -41,6 +44,7 @@
     /// The status of a primary when it was verified.
     struct KnownPrimary {
         std::uint64_t generation = 0;
+        std::optional<WallTime> startedAt;
         ReplicationStatus status;
     };
 
@@ -55,13 +59,17 @@
     void onResponse(const GroupId& group, const std::shared_ptr<Round>& round, const UpstreamId& upstream, std::optional<ReplicationStatus> status);
     void finish(const GroupId& group, const std::shared_ptr<Round>& round);
     void finishExpired();
-    bool evaluate(const Round& round);
+    /// Ends a round whose primary was replaced in the record.
+    void abandon(const std::shared_ptr<Round>& round);
+    bool evaluate(const GroupId& group, const Round& round);
+    /// @returns the term that the primary led when this was last learnt, or nothing
+    std::optional<Term> findKnownTerm(const GroupId& group, const PrimaryTenure& primary) const;
     std::optional<ReplicationStatus> findPrimaryStatus(const PrimaryTenure& primary) const;
 
     const SessionProtocol& protocol;
     TrafficState& state;
     std::map<GroupId, GroupRounds> groups;
-    /// The status of verified primaries, which stays valid while they are the primary.
+    /// The last status of primaries that no other upstream contradicted.
     std::map<UpstreamId, KnownPrimary> primaries;
     OneShotTimer timer;
 };
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -62,6 +62,7 @@
     , pauseTimer(loop, clock, [this] { this->tick(); })
 {
     this->state.setVerifier(this->verifier);
+    this->state.setNewerTermHandler([this](const GroupId& group, const UpstreamId& upstream, Term term, const NewerTermDetector::Action& action) { this->onNewerTerm(group, upstream, term, action); });
 }
 
 TrafficPlane::~TrafficPlane() = default;
@@ -327,6 +328,15 @@
     });
 }
 
+void TrafficPlane::onNewerTerm(const GroupId& group, const UpstreamId& upstream, Term term, const NewerTermDetector::Action& action)
+{
+    if (action.mustReport)
+        this->listener.onNewerTerm(group, upstream, term);
+    // The reply that showed the term is still being handled.
+    if (action.mustVerify)
+        this->loop.post([this, group] { this->checkPrimaryWithoutLease(group); });
+}
+
 void TrafficPlane::requestHead(StatementConnection& connection, const GroupId& group, const PrimaryTenure& primary, std::function<void(bool hasReply)> callback)
 {
     // Reset is the only command that takes no slot and that every connection accepts. Its reply carries the log head.
@@ -343,6 +353,7 @@
 
 void TrafficPlane::onHeadReported(const GroupId& group, const PrimaryTenure& primary, const SessionReply& reply, BootTime requestedAt, bool isFirst)
 {
+    this->state.onTerm(primary.upstream, reply.head->term);
     if (!this->state.hasValidLease(group)) {
         this->verifier.verify(group, primary, [this, group, primary, requestedAt, head = *reply.head](bool isVerified) {
             if (isVerified)
--- a/src/traffic/TrafficPlane.h
+++ b/src/traffic/TrafficPlane.h
@@ -32,6 +32,10 @@
 
         /// A new connection to the primary of a group failed.
         virtual void onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary) = 0;
+
+        /// An upstream reported a later term of its group than the one in which the primary record names the primary. Called
+        /// at most ten times a second for a group.
+        virtual void onNewerTerm(const GroupId& group, const UpstreamId& upstream, Term term) = 0;
     };
 
     /// @param self the id of this instance, which is sent to upstreams
@@ -141,6 +145,7 @@
     void tick();
     void checkPrimary(const GroupId& group);
     void checkPrimaryWithoutLease(const GroupId& group);
+    void onNewerTerm(const GroupId& group, const UpstreamId& upstream, Term term, const NewerTermDetector::Action& action);
     void checkBorrowedPrimary(const GroupId& group, const Target& primaryTarget);
     void requestHead(StatementConnection& connection, const GroupId& group, const PrimaryTenure& primary, std::function<void(bool hasReply)> callback);
     void onHeadReported(const GroupId& group, const PrimaryTenure& primary, const SessionReply& reply, BootTime requestedAt, bool isFirst);
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -2,6 +2,7 @@
 
 #include "DiscoveredConcurrency.h"
 #include "lentiljunction/core/LogEvents.h"
+#include "lentiljunction/leadership/PrimaryVerification.h"
 
 #include <algorithm>
 
@@ -117,7 +118,23 @@
     FailoverForecast copy = this->forecast;
     if (isLost)
         copy.onPrimaryLost(group, this->getClock().now());
-    return copy.getExpectedReturn(group, this->getClock().now());
+    return this->getExpectedReturn(group, copy);
+}
+
+std::optional<TimePoint> TrafficState::getExpectedReturn(const GroupId& group, const FailoverForecast& used) const
+{
+    TimePoint now = this->getClock().now();
+    std::optional<TimePoint> expected = used.getExpectedReturn(group, now);
+    std::optional<PrimaryTenure> primary = this->view.findPrimaryTenure(group, *this->upstreams);
+    if (!expected || !primary || this->findVerifying(group, *primary))
+        return expected;
+    Duration remaining = std::chrono::duration_cast<Duration>(this->view.replaceableUntil.at(group) - this->getClock().bootNow());
+    return std::max(*expected, now + remaining);
+}
+
+std::optional<std::set<UpstreamId>> TrafficState::findVerifying(const GroupId& group, const PrimaryTenure& primary) const
+{
+    return findVerifyingUpstreams(group, primary.upstream, *this->upstreams, this->view.findOpenPromotions(group, this->getClock().bootNow()));
 }
 
 std::optional<Target> TrafficState::findReadTarget(const ReadRequirement& requirement)
@@ -226,14 +243,31 @@
 {
     if (this->hasValidLease(group))
         return true;
+    if (!this->findVerifying(group, primary))
+        return false;
     // Without a lease each answer needs a verification, which probably succeeds if a recent one did.
     std::map<GroupId, VerifiedPrimary>::const_iterator verified = this->verifiedPrimaries.find(group);
     return verified != this->verifiedPrimaries.end() && verified->second.primary == primary && this->getClock().bootNow() - verified->second.at < verificationLifetime;
 }
 
-void TrafficState::onPrimaryVerified(const GroupId& group, const PrimaryTenure& primary)
+void TrafficState::onPrimaryVerified(const GroupId& group, const PrimaryTenure& primary, Term term)
 {
     this->verifiedPrimaries[group] = { primary, this->getClock().bootNow() };
+    this->onLedTerm(group, primary, term);
+}
+
+void TrafficState::onTerm(const UpstreamId& upstream, Term term)
+{
+    const UpstreamEntry* entry = this->upstreams->find(upstream);
+    if (entry == nullptr)
+        return;
+    const GroupId group = entry->group;
+    NewerTermDetector::Action action = this->newerTerms.onTerm(group, upstream, term, this->view, this->getClock().bootNow());
+    // A verification from before the term says nothing about the next one.
+    if (action.mustVerify)
+        this->verifiedPrimaries.erase(group);
+    if (this->newerTermHandler && (action.mustVerify || action.mustReport))
+        this->newerTermHandler(group, upstream, term, action);
 }
 
 void TrafficState::addVerifiedHead(const GroupId& group, const PrimaryTenure& primary, const LogPoint& head, BootTime requestedAt)
@@ -248,6 +282,7 @@
     if (entry == nullptr)
         return;
     this->lastKnownHeads[upstream] = { head, this->getClock().bootNow() };
+    this->onTerm(upstream, head.term);
     std::optional<PrimaryTenure> primary = this->view.findPrimaryTenure(entry->group, *this->upstreams);
     if (!primary || primary->upstream != upstream || !this->hasValidLease(entry->group))
         return;
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -9,7 +9,7 @@
 #include "lentiljunction/admission/MemoryAccount.h"
 #include "lentiljunction/interactive/SessionStatement.h"
 #include "lentiljunction/leadership/FailoverForecast.h"
-#include "lentiljunction/leadership/PrimaryView.h"
+#include "lentiljunction/leadership/NewerTermDetector.h"
 #include "lentiljunction/lending/LendingPlan.h"
 #include "lentiljunction/metrics/GatewayMetrics.h"
 #include "lentiljunction/routes/RouteConfirmation.h"
@@ -152,7 +152,15 @@
     bool isKnownPrimary(const GroupId& group, const PrimaryTenure& primary) const;
 
     /// @returns whether the lease on the primary record covers the primary of a group now
-    bool hasValidLease(const GroupId& group) const { return this->view.hasValidLease(group, this->getClock().bootNow()); }
+    bool hasValidLease(const GroupId& group) const { return this->view.hasValidLease(group, this->getClock().bootNow()) && !this->newerTerms.hasNewerTerm(group, this->view); }
+
+    using NewerTermHandler = std::function<void(const GroupId& group, const UpstreamId& upstream, Term term, const NewerTermDetector::Action& action)>;
+
+    /// Sets the handler of terms above that of the primary record. It may run within any call that receives a reply.
+    void setNewerTermHandler(NewerTermHandler handler) { this->newerTermHandler = std::move(handler); }
+
+    /// Records a term that an upstream reported.
+    void onTerm(const UpstreamId& upstream, Term term);
 
     /// Sets the verifier that is used without a valid lease.
     void setVerifier(PrimaryVerifier& source) { this->verifier = &source; }
@@ -160,8 +168,17 @@
     /// @returns the verifier that is used without a valid lease
     PrimaryVerifier& getVerifier() const { return *this->verifier; }
 
+    /// Records the term that the primary of a group leads, as all others confirm.
+    void onLedTerm(const GroupId& group, const PrimaryTenure& primary, Term term) { this->newerTerms.onLed(group, primary, term); }
+
     /// Records that the primary of a group was verified.
-    void onPrimaryVerified(const GroupId& group, const PrimaryTenure& primary);
+    ///
+    /// @param term the term that it leads
+    void onPrimaryVerified(const GroupId& group, const PrimaryTenure& primary, Term term);
+
+    /// @returns the upstreams that must respond to a verification, or nothing when one of them cannot be queried
+    /// @see findVerifyingUpstreams
+    std::optional<std::set<UpstreamId>> findVerifying(const GroupId& group, const PrimaryTenure& primary) const;
 
     /// Records that the primary of a group could not be verified.
     void onPrimaryVerificationFailed(const GroupId& group) { this->verifiedPrimaries.erase(group); }
@@ -192,7 +209,7 @@
     void setPrimaryUsable(const GroupId& group, bool isUsable);
 
     /// @returns when a missing primary is expected back, or nothing when none is missing
-    std::optional<TimePoint> getExpectedReturn(const GroupId& group) const { return this->forecast.getExpectedReturn(group, this->getClock().now()); }
+    std::optional<TimePoint> getExpectedReturn(const GroupId& group) const { return this->getExpectedReturn(group, this->forecast); }
 
     /// @param isLost whether the group has no usable primary now
     /// @returns what getExpectedReturn() will return once a statement has found this out
@@ -263,6 +280,8 @@
         BootTime at;
     };
 
+    /// @returns when a missing primary is expected back: not before a verification is possible, or not needed any more
+    std::optional<TimePoint> getExpectedReturn(const GroupId& group, const FailoverForecast& used) const;
     /// @returns whether the lease, or a recent verification, allows the use of the primary
     bool mayUsePrimary(const GroupId& group, const PrimaryTenure& primary) const;
     /// @returns why an upstream is no candidate for a read, or nothing
@@ -305,6 +324,8 @@
     FailoverForecast forecast;
     PrimaryVerifier* verifier = nullptr;
     std::map<GroupId, VerifiedPrimary> verifiedPrimaries;
+    NewerTermDetector newerTerms;
+    NewerTermHandler newerTermHandler;
 };
 
 } // namespace lentiljunction
