--- a/include/lentiljunction/leadership/PrimaryView.h
+++ b/include/lentiljunction/leadership/PrimaryView.h
@@ -57,6 +57,9 @@
     /// @returns the calls that may still replace the primary of a group
     std::vector<PossibleReplacement> listReplacements(const GroupId& group, BootTime now) const;
 
+    /// @returns the promotion calls that may still take effect in a group
+    std::vector<OpenPromotion> findOpenPromotions(const GroupId& group, BootTime now) const;
+
     /// @param upstreams consulted for groups that have never had a failover
     /// @returns the primary of a group, regardless of the lease; nothing during a failover
     std::optional<PrimaryTenure> findPrimaryTenure(const GroupId& group, const UpstreamList& upstreams) const;
