Log each promotion call with its outcome, inherited calls, and groups whose primary may be replaced

Change: events 420 and 421 (a call when it is sent, and its outcome, with the same identification), 422 (calls that a failover finds in the record), 423 (an upstream leads a newer term without a call of this failover), 424 and 425 (a group becomes replaceable and settled, once each). Event 413 and the others keep names and fields. LinePriority::Low lets common lines of an event use half of its limit; the limit itself is unchanged.

Events 422 and 423 of the coordinator have no unit test.

--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -75,6 +75,12 @@
     constexpr LogEvent primaryRecordRecovered { 417, LogLevel::Information, "lead_recovered", "This instance wrote the newest primary record that it knows to the restored store, unless another one had." };
     constexpr LogEvent commitsUnproved { 419, LogLevel::Warning, "commits_unproved", "A primary is replaced although an upstream that may hold acknowledged commits of the group did not respond for too long." };
     constexpr LogEvent primaryConfirmed { 418, LogLevel::Information, "primary_confirmed", "The upstreams of a group were asked for its primary after the store was restored." };
+    constexpr LogEvent promotionCallSent { 420, LogLevel::Warning, "promotion_call_sent", "A promotion call is being sent. It is in doubt until its outcome is logged, and may take effect later." };
+    constexpr LogEvent promotionCallEnded { 421, LogLevel::Warning, "promotion_call_ended", "The outcome of a promotion call: accepted, refused, another response, no response, or not sent." };
+    constexpr LogEvent promotionCallInherited { 422, LogLevel::Warning, "promotion_call_inherited", "A failover starts or resumes while the primary record lists earlier promotion calls that may still take effect." };
+    constexpr LogEvent promotionUnrequested { 423, LogLevel::Warning, "promotion_unrequested", "An upstream reports to be the primary in a newer term although this instance did not call it in the present failover." };
+    constexpr LogEvent primaryReplaceable { 424, LogLevel::Warning, "primary_replaceable", "An earlier promotion call may still replace the primary of a group; the lease does not cover the group." };
+    constexpr LogEvent primarySettled { 425, LogLevel::Information, "primary_settled", "No earlier promotion call can replace the primary of a group any more." };
     constexpr LogEvent gateOpened { 500, LogLevel::Information, "gate_opened", "This instance became the gate of an upstream." };
     constexpr LogEvent gateClosed { 501, LogLevel::Information, "gate_closed", "This instance is no longer the gate of an upstream." };
     constexpr LogEvent connectionDiscarded { 510, LogLevel::Warning, "connection_discarded", "A connection in an unknown state was closed." };
@@ -105,6 +111,13 @@
 /// @returns all events, ordered by number
 const std::vector<LogEvent>& getAllLogEvents();
 
+/// Which lines of an event are omitted first.
+enum class LinePriority {
+    Normal,
+    /// The line uses at most half of its event's limit, so that other lines of the event find room.
+    Low,
+};
+
 /// Writes a structured log line: time, level, event number, event name and the detail.
 ///
 /// Lines above the limit of an event per second are omitted; the event lines_omitted counts them.
@@ -112,7 +125,8 @@
 ///
 /// @param event one of lentiljunction::events
 /// @param detail "key=value" pairs separated by spaces
-void logEvent(const LogEvent& event, const std::string& detail);
+/// @param priority whether other lines of the event matter more
+void logEvent(const LogEvent& event, const std::string& detail, LinePriority priority = LinePriority::Normal);
 
 /// Configures the log. Call it once, before any thread starts.
 ///
--- a/include/lentiljunction/metrics/GatewayMetrics.h
+++ b/include/lentiljunction/metrics/GatewayMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lentiljunction/core/Clock.h"
+#include "lentiljunction/core/Ids.h"
 #include "lentiljunction/core/Rank.h"
 
 #include <map>
@@ -38,6 +39,8 @@
         int numRetries = 0;
         /// Time from the first byte of the statement to its response.
         Duration total { 0 };
+        /// On what an acknowledged write rests; empty for other statements.
+        std::string basis = {};
     };
 
     /// The state known to an instance at one moment.
@@ -68,6 +71,8 @@
         std::size_t numClosedPorts = 0;
         /// Handlers that threw an exception since the start.
         std::uint64_t numHandlerFailures = 0;
+        /// Promotion calls since the start, by outcome.
+        std::map<std::string, std::uint64_t> numPromotionCalls = {};
     };
 
     /// How many concurrent statements of this instance an upstream handles well, as discovered.
@@ -136,6 +141,15 @@
     /// Sets the gauges of the connections lent to and borrowed from other instances.
     void setLoans(std::size_t numLent, std::size_t numBorrowed);
 
+    /// Finished verifications of a group's primary since the start.
+    struct Verifications {
+        std::uint64_t numPassed = 0;
+        std::uint64_t numFailed = 0;
+    };
+
+    /// Sets the gauges of the verifications of each group.
+    void setVerifications(const std::map<GroupId, Verifications>& verifications);
+
     /// Decisions on the limits of workspaces.
     struct Quota {
         std::uint64_t numAdmitted = 0;
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -36,9 +36,10 @@
     public:
         /// Counts a line of an event.
         ///
+        /// @param priority Low for a line that uses at most half of the event's limit
         /// @param numOmitted set once, in a new second, to the number of lines omitted before
         /// @returns whether the line may be written
-        bool tryAcquireLine(const LogEvent& event, std::uint64_t& numOmitted)
+        bool tryAcquireLine(const LogEvent& event, LinePriority priority, std::uint64_t& numOmitted)
         {
             std::lock_guard<std::mutex> lock(this->mutex);
             LineCount& lineCount = this->lineCounts[event.number];
@@ -48,6 +49,8 @@
                 lineCount = { now, 0, 0 };
             }
             std::uint64_t limit = event.level == LogLevel::Information ? maximumInformationLinesPerSecond : maximumWarningLinesPerSecond;
+            if (priority == LinePriority::Low)
+                limit /= 2;
             if (lineCount.numWritten < limit) {
                 lineCount.numWritten++;
                 return true;
@@ -122,6 +125,12 @@
         events::primaryRecordRecovered,
         events::primaryConfirmed,
         events::commitsUnproved,
+        events::promotionCallSent,
+        events::promotionCallEnded,
+        events::promotionCallInherited,
+        events::promotionUnrequested,
+        events::primaryReplaceable,
+        events::primarySettled,
         events::gateOpened,
         events::gateClosed,
         events::connectionDiscarded,
@@ -150,11 +159,11 @@
     return all;
 }
 
-void logEvent(const LogEvent& event, const std::string& detail)
+void logEvent(const LogEvent& event, const std::string& detail, LinePriority priority)
 {
     static LogRateLimiter rateLimiter;
     std::uint64_t numOmitted = 0;
-    if (!rateLimiter.tryAcquireLine(event, numOmitted))
+    if (!rateLimiter.tryAcquireLine(event, priority, numOmitted))
         return;
     if (numOmitted > 0)
         spdlog::log(spdlog::level::warn, "event={} name={} of={} lines={}", events::linesOmitted.number, events::linesOmitted.name, event.name, numOmitted);
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -44,6 +44,12 @@
         return upstreams;
     }
 
+    void logInherited(const GroupId& group, const PrimaryEntry& entry)
+    {
+        for (const OpenPromotion& promotion : entry.openPromotions)
+            logEvent(events::promotionCallInherited, "group=" + group.toString() + " upstream=" + promotion.upstream.toString() + " epoch=" + std::to_string(promotion.epoch.value()) + " generation=" + std::to_string(promotion.generation) + " present_generation=" + std::to_string(entry.generation));
+    }
+
 } // namespace
 
 FailoverExecutor::FailoverExecutor(const Dependencies& dependencies)
@@ -68,6 +74,8 @@
     TimePoint now = this->dependencies.clock.now();
     const PrimaryEntry* known = latest.record->find(group);
     Run run { this->nextRunNumber++, Failover(group, primary, candidates, isPlanned, known == nullptr ? Term() : known->term, now), {}, cause, now, "" };
+    if (known != nullptr)
+        logInherited(group, *known);
     if (known != nullptr)
         run.failover.inheritPromotions(listInherited(*known));
     run.isSynchronous = *numSynchronousReplicas > 0;
@@ -362,11 +370,22 @@
         Run* current = this->findRun(group);
         if (current == nullptr || !status)
             return;
+        this->logUnrequested(*current, upstream, *status);
         current->failover.onStatus(upstream, *status);
         this->advance(group);
     });
 }
 
+void FailoverExecutor::logUnrequested(Run& run, const UpstreamId& upstream, const ReplicationStatus& status) const
+{
+    const GroupId& group = run.failover.getGroup();
+    const PrimaryEntry* entry = this->dependencies.context.getLeaseTracker().getView().latest.record->find(group);
+    bool isNewer = entry == nullptr || entry->term < status.term;
+    if (!status.isPrimary || !isNewer || this->calls.hasSent(group, run.number, upstream) || !run.unrequested.insert(upstream).second)
+        return;
+    logEvent(events::promotionUnrequested, "group=" + group.toString() + " upstream=" + upstream.toString() + " term=" + std::to_string(status.term.value()) + " primary=" + run.failover.getOldPrimary().toString() + " generation=" + std::to_string(entry == nullptr ? 0 : entry->generation) + " run=" + std::to_string(run.number));
+}
+
 void FailoverExecutor::demoteOldPrimary(Run& run, const UpstreamId& upstream)
 {
     const UpstreamEntry* entry = this->dependencies.context.getUpstreamList().find(upstream);
@@ -457,7 +476,8 @@
     logEvent(events::failoverStep, "group=" + key.group.toString() + " step=call upstream=" + upstream.toString() + " epoch=" + std::to_string(epoch.value()));
     run->failover.onPromotionSent();
     std::function<bool()> mayBeSent = [this, key, upstream, epoch] { return this->isPromotionRecorded(key.group, upstream) && this->dependencies.context.getLeaseTracker().getView().latest.record->epoch == epoch && this->mayCall(); };
-    this->calls.send(key.group, upstream, epoch, std::move(mayBeSent), [this, key](bool isAccepted, const Failure& failure) { this->onPromotionResponse(key, isAccepted, failure); });
+    std::uint64_t generation = this->dependencies.context.getLeaseTracker().getView().latest.record->find(key.group)->generation;
+    this->calls.send({ key.group, upstream, epoch, generation, key.number }, std::move(mayBeSent), [this, key](bool isAccepted, const Failure& failure) { this->onPromotionResponse(key, isAccepted, failure); });
 }
 
 void FailoverExecutor::onPromotionResponse(const RunKey& key, bool hasResponse, const Failure& failure)
--- a/src/gateway/FailoverExecutor.h
+++ b/src/gateway/FailoverExecutor.h
@@ -80,6 +80,9 @@
     /// @returns whether promotion calls have failed for so long that another instance should take over
     bool arePromotionsFailing() const { return this->calls.areFailing(); }
 
+    /// @returns the number of promotion calls since the start, by outcome
+    const std::map<std::string, std::uint64_t>& getNumPromotionCalls() const { return this->calls.getNumEnded(); }
+
     /// @returns whether the failover of a group waits for an upstream that may hold acknowledged commits
     bool isAwaitingCommits(const GroupId& group) const;
 
@@ -102,6 +105,8 @@
         bool isSynchronous = false;
         /// Whether a command to the old primary is pending.
         bool isDemoting = false;
+        /// Upstreams that were logged because they are the primary without a call of this run.
+        std::set<UpstreamId> unrequested = {};
     };
 
     /// Identifies one run in callbacks.
@@ -124,6 +129,8 @@
     void promote(Run& run, const UpstreamId& upstream);
     void sendPromotionCall(const RunKey& key, const UpstreamId& upstream);
     void onPromotionResponse(const RunKey& key, bool hasResponse, const Failure& failure);
+    /// Logs an upstream that became the primary without a call of this run.
+    void logUnrequested(Run& run, const UpstreamId& upstream, const ReplicationStatus& status) const;
     /// Removes the calls of an entry that can no longer take effect.
     void removeEnded(const GroupId& group, PrimaryEntry& entry) const;
     void recordChange(const Run& run, const ReplicationStatus& status);
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -210,6 +210,7 @@
     if (hasValidLease != this->hadValidLease)
         logEvent(hasValidLease ? events::leaseRegained : events::leaseLost, "lead_revision=" + std::to_string(view.latest.revision.value()) + " store_era=" + std::to_string(this->dependencies.store.getEra().value()));
     this->hadValidLease = hasValidLease;
+    this->replaceableGroups.onView(view, this->dependencies.clock.bootNow());
     if (view.latest.record == nullptr)
         return;
     if (isNewer) {
@@ -389,6 +390,7 @@
     state.numUpstreams = this->upstreams.getList()->entries.size();
     state.numPeerBytes = this->peers.getNumBytesSent();
     state.numPeerBytesQueued = this->peers.countQueuedBytes();
+    state.numPromotionCalls = this->executor.getNumPromotionCalls();
     state.numRouteBytesRead = this->dependencies.store.countRouteBytes();
     return state;
 }
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -12,6 +12,7 @@
 #include "PeerConfirmation.h"
 #include "PrimaryRecordRecovery.h"
 #include "PrimaryRecordWriter.h"
+#include "ReplaceableGroupLog.h"
 #include "RouteTransfer.h"
 #include "RouteWatcher.h"
 #include "UpstreamCommander.h"
@@ -196,6 +197,7 @@
     /// Whether it is known which instances lend connections.
     bool hasListedMembers = false;
     bool hadValidLease = false;
+    ReplaceableGroupLog replaceableGroups;
     std::atomic<bool> ready { false };
 };
 
--- /dev/null
+++ b/src/gateway/ReplaceableGroupLog.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "lentiljunction/leadership/PrimaryView.h"
+
+#include <set>
+
+namespace lentiljunction {
+
+/// Logs each group whose primary an earlier promotion call may still replace, and when that ends.
+///
+/// Not thread-safe; the control thread owns it.
+///
+/// @see PrimaryView::replaceableUntil
+class ReplaceableGroupLog {
+public:
+    /// Compares a view with the previous one.
+    void onView(const PrimaryView& view, BootTime now);
+
+private:
+    std::set<GroupId> replaceable;
+};
+
+} // namespace lentiljunction
--- a/src/metrics/GatewayMetrics.cpp
+++ b/src/metrics/GatewayMetrics.cpp
@@ -14,11 +14,14 @@
     prometheus::Family<prometheus::Counter>& statements = this->registry.addCounter("lentiljunction_statements_total", "Statements answered, by kind of route, rank, code and upstream");
     prometheus::Family<prometheus::Counter>& failures = this->registry.addCounter("lentiljunction_statement_failures_total", "Statements that did not succeed, by rank and cause");
     prometheus::Family<prometheus::Counter>& retries = this->registry.addCounter("lentiljunction_retries_total", "Statements that went to an upstream again");
+    prometheus::Family<prometheus::Counter>& acknowledgedWrites = this->registry.addCounter("lentiljunction_acknowledged_writes_total", "Acknowledged writes, by what the acknowledgement rests on");
     prometheus::Family<prometheus::Counter>& keyRefusals = this->registry.addCounter("lentiljunction_key_refusals_total", "Keys of callers that were not accepted, by reason");
     prometheus::Family<prometheus::Counter>& storeCalls = this->registry.addCounter("lentiljunction_store_calls_total", "Calls to what the instances share, by operation and result");
     prometheus::Family<prometheus::Histogram>& statementTime = this->registry.addHistogram("lentiljunction_statement_seconds", "From the first byte of a statement to its answer, by kind of route and rank");
     prometheus::Family<prometheus::Histogram>& storeTime = this->registry.addHistogram("lentiljunction_store_seconds", "Time of calls to what the instances share, by operation");
     LabeledGauges knownState { this->registry.get(), "lentiljunction_belief", "What the instance believes, by fact" };
+    LabeledGauges promotionCalls { this->registry.get(), "lentiljunction_promotion_calls", "Promotion calls since the start, by outcome" };
+    LabeledGauges verifications { this->registry.get(), "lentiljunction_primary_verifications", "Verifications of a group's primary since the start, by result" };
     LabeledGauges connections { this->registry.get(), "lentiljunction_upstream_connections", "Open connections to an upstream" };
     LabeledGauges running { this->registry.get(), "lentiljunction_upstream_running", "Statements under way at an upstream" };
     LabeledGauges waiting { this->registry.get(), "lentiljunction_upstream_waiting", "Statements in the queue in front of an upstream" };
@@ -56,6 +59,8 @@
     metrics.statementTime.Add({ { "kind", statement.kind }, { "rank", rank } }, secondsBuckets).Observe(toSeconds(statement.total));
     if (!statement.isSuccess)
         metrics.failures.Add({ { "rank", rank }, { "cause", statement.cause } }).Increment();
+    if (!statement.basis.empty())
+        metrics.acknowledgedWrites.Add({ { "basis", statement.basis } }).Increment();
     if (statement.numRetries > 0)
         metrics.retries.Add({}).Increment(statement.numRetries);
 }
@@ -99,6 +104,23 @@
     gauges.set({ { "fact", "peer_bytes_queued" } }, static_cast<double>(knownState.numPeerBytesQueued));
     gauges.set({ { "fact", "route_bytes_read" } }, static_cast<double>(knownState.numRouteBytesRead));
     gauges.endUpdate();
+    LabeledGauges& promotionCalls = this->implementation->promotionCalls;
+    promotionCalls.beginUpdate();
+    for (const std::pair<const std::string, std::uint64_t>& calls : knownState.numPromotionCalls)
+        promotionCalls.set({ { "outcome", calls.first } }, static_cast<double>(calls.second));
+    promotionCalls.endUpdate();
+}
+
+void GatewayMetrics::setVerifications(const std::map<GroupId, Verifications>& verifications)
+{
+    std::lock_guard<std::mutex> lock(this->implementation->gaugesMutex);
+    LabeledGauges& gauges = this->implementation->verifications;
+    gauges.beginUpdate();
+    for (const std::pair<const GroupId, Verifications>& group : verifications) {
+        gauges.set({ { "group", group.first.toString() }, { "result", "passed" } }, static_cast<double>(group.second.numPassed));
+        gauges.set({ { "group", group.first.toString() }, { "result", "failed" } }, static_cast<double>(group.second.numFailed));
+    }
+    gauges.endUpdate();
 }
 
 void GatewayMetrics::setUpstreams(const std::vector<Upstream>& upstreams)
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -114,6 +114,24 @@
     STRCMP_CONTAINS("lentiljunction_statement_seconds_count{kind=\"primary\",rank=\"urgent\"} 1", page.c_str());
 }
 
+// Guards against acknowledgements, verifications and promotion calls that are in doubt and that only a log tells of.
+TEST(GatewayMetrics, countsAcknowledgedWritesVerificationsAndPromotionCalls)
+{
+    GatewayMetrics::Statement statement { "primary", Rank::Urgent, "success", "u1", "none", true, 0, std::chrono::milliseconds(3), "lease" };
+    metrics.onStatement(statement);
+    statement.basis.clear();
+    metrics.onStatement(statement);
+    metrics.setVerifications({ { GroupId("g"), { 5, 2 } } });
+    GatewayMetrics::KnownState state;
+    state.numPromotionCalls = { { "no_response", 3 } };
+    metrics.setKnownState(state);
+    std::string page = metrics.render();
+    STRCMP_CONTAINS("lentiljunction_acknowledged_writes_total{basis=\"lease\"} 1", page.c_str());
+    STRCMP_CONTAINS("lentiljunction_primary_verifications{group=\"g\",result=\"failed\"} 2", page.c_str());
+    STRCMP_CONTAINS("lentiljunction_primary_verifications{group=\"g\",result=\"passed\"} 5", page.c_str());
+    STRCMP_CONTAINS("lentiljunction_promotion_calls{outcome=\"no_response\"} 3", page.c_str());
+}
+
 TEST(GatewayMetrics, removesMetricsOfRemovedUpstream)
 {
     GatewayMetrics::Upstream upstream;
