Log and count on what each acknowledgement rests

Cause: a served statement's line named the revision and the lease at the moment of logging. Whether an acknowledgement at a replaced primary rested on a lease or on a verification could not be told.

Change: event 522 has basis (lease, verification, replica, none), generation of the tenure, basis_revision, all taken when the reply is judged, and acknowledged_write. Acknowledged writes are counted by basis, rounds of verification by group and result; a round that finds another primary in a newer term logs event 423, once for each upstream and term.

Event 423 of a verification has no test with real upstreams.

--- a/src/traffic/PrimaryVerificationRounds.cpp
+++ b/src/traffic/PrimaryVerificationRounds.cpp
@@ -1,5 +1,6 @@
 #include "PrimaryVerificationRounds.h"
 
+#include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/leadership/PrimaryVerification.h"
 
 #include <utility>
@@ -121,7 +122,9 @@
     // The round may have expired before its last response arrived.
     if (std::exchange(round->isFinished, true))
         return;
-    bool isVerified = this->evaluate(*round);
+    bool isVerified = this->evaluate(group, *round);
+    GatewayMetrics::Verifications& counts = this->numFinished[group];
+    (isVerified ? counts.numPassed : counts.numFailed)++;
     GroupRounds& rounds = this->groups[group];
     rounds.numConsecutiveFailures = isVerified ? 0 : rounds.numConsecutiveFailures + 1;
     if (isVerified)
@@ -135,7 +138,17 @@
         this->start(group);
 }
 
-bool PrimaryVerificationRounds::evaluate(const Round& round)
+void PrimaryVerificationRounds::logNewerTerm(const GroupId& group, const Round& round, const UpstreamId& upstream, const ReplicationStatus& status, const std::optional<ReplicationStatus>& primaryStatus)
+{
+    bool isNewer = primaryStatus && primaryStatus->term < status.term;
+    Term& logged = this->loggedTerms[upstream];
+    if (!status.isPrimary || !isNewer || !(logged < status.term))
+        return;
+    logged = status.term;
+    logEvent(events::promotionUnrequested, "group=" + group.toString() + " upstream=" + upstream.toString() + " term=" + std::to_string(status.term.value()) + " primary=" + round.primary.upstream.toString() + " generation=" + std::to_string(round.primary.generation) + " primary_term=" + std::to_string(primaryStatus->term.value()));
+}
+
+bool PrimaryVerificationRounds::evaluate(const GroupId& group, const Round& round)
 {
     std::optional<ReplicationStatus> primaryStatus = this->findPrimaryStatus(round.primary);
     std::vector<std::optional<ReplicationStatus>> others;
@@ -145,6 +158,10 @@
         else
             others.push_back(response.second);
     }
+    for (const std::pair<const UpstreamId, std::optional<ReplicationStatus>>& response : round.responses) {
+        if (response.second && response.first != round.primary.upstream)
+            this->logNewerTerm(group, round, response.first, *response.second, primaryStatus);
+    }
     bool isVerified = isPrimaryVerified(primaryStatus, others);
     if (isVerified)
         this->primaries[round.primary.upstream] = { round.primary.generation, *primaryStatus };
--- a/src/traffic/PrimaryVerificationRounds.h
+++ b/src/traffic/PrimaryVerificationRounds.h
@@ -26,6 +26,9 @@
 
     void verify(const GroupId& group, const PrimaryTenure& primary, std::function<void(bool isVerified)> callback) override;
 
+    /// @returns the number of finished rounds since the start, by group
+    const std::map<GroupId, GatewayMetrics::Verifications>& getNumFinished() const { return this->numFinished; }
+
 private:
     /// Status queries to the upstreams of a group, and the verifications that wait for their responses.
     struct Round {
@@ -55,7 +58,9 @@
     void onResponse(const GroupId& group, const std::shared_ptr<Round>& round, const UpstreamId& upstream, std::optional<ReplicationStatus> status);
     void finish(const GroupId& group, const std::shared_ptr<Round>& round);
     void finishExpired();
-    bool evaluate(const Round& round);
+    bool evaluate(const GroupId& group, const Round& round);
+    /// Logs another upstream that is the primary in a newer term.
+    void logNewerTerm(const GroupId& group, const Round& round, const UpstreamId& upstream, const ReplicationStatus& status, const std::optional<ReplicationStatus>& primaryStatus);
     std::optional<ReplicationStatus> findPrimaryStatus(const PrimaryTenure& primary) const;
 
     const SessionProtocol& protocol;
@@ -63,6 +68,9 @@
     std::map<GroupId, GroupRounds> groups;
     /// The status of verified primaries, which stays valid while they are the primary.
     std::map<UpstreamId, KnownPrimary> primaries;
+    std::map<GroupId, GatewayMetrics::Verifications> numFinished;
+    /// The newest term in which an upstream was logged as an unexpected primary.
+    std::map<UpstreamId, Term> loggedTerms;
     OneShotTimer timer;
 };
 
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -190,6 +190,8 @@
     if (reply && reply->isSuccess()) {
         if (isBegin && reply->head)
             this->state.onHead(this->held.connection->getUpstream(), *reply->head, this->sentAt);
+        if (isLast)
+            this->basis = this->makeBasis(AnswerBasis::Kind::None);
         if (isLast && this->request.statement.verb == SessionVerb::Begin)
             this->forwardReply(*reply);
         else if (isLast)
@@ -266,6 +268,8 @@
     if (reply->head)
         this->state.onHead(this->held.connection->getUpstream(), *reply->head, this->sentAt);
     AttemptOutcome outcome = this->classify(*reply);
+    AnswerBasis::Kind successBasis = this->held.primary ? AnswerBasis::Kind::Lease : AnswerBasis::Kind::Replica;
+    this->basis = this->makeBasis(outcome == AttemptOutcome::Success ? successBasis : AnswerBasis::Kind::None);
     this->health.onReply(this->held, *reply, this->request.traits, outcome);
     bool needsVerification = decideReply(this->request.traits, outcome, false).kind != ReplyDecision::Kind::Deliver;
     bool mayBeVerified = outcome == AttemptOutcome::SuccessUnverified && needsVerification && !this->state.hasValidLease(this->request.requirement.route->group)
@@ -289,6 +293,7 @@
             return;
         self->guard([&] {
             bool isValid = isVerified && self->state.isKnownPrimary(group, primary);
+            self->basis = self->makeBasis(isValid ? AnswerBasis::Kind::Verification : AnswerBasis::Kind::None);
             if (isValid && reply.head)
                 self->state.addVerifiedHead(group, primary, *reply.head, self->sentAt);
             self->concludeAttempt(isValid ? AttemptOutcome::Success : AttemptOutcome::SuccessUnverified, reply);
@@ -308,6 +313,13 @@
     return isVerified ? AttemptOutcome::Success : AttemptOutcome::SuccessUnverified;
 }
 
+AnswerBasis StatementRun::makeBasis(AnswerBasis::Kind kind) const
+{
+    const PrimaryView& view = this->state.getView();
+    std::uint64_t generation = this->held.primary ? this->held.primary->generation : view.getGeneration(this->request.requirement.route->group);
+    return { kind, generation, view.latest.revision };
+}
+
 bool StatementRun::mayResend(AttemptOutcome outcome, const SessionReply& reply) const
 {
     bool isBusy = outcome == AttemptOutcome::NotRun && reply.code == ReplyCode::Busy && reply.state == TransactionState::Open;
@@ -437,6 +449,8 @@
     bool isCommitted = reply.isSuccess() && this->request.traits.mode == AccessMode::Write && (this->request.traits.isCommit || !this->request.traits.isInTransaction);
     if (isCommitted)
         result.commit = reply.head;
+    result.isAcknowledgedWrite = isCommitted;
+    result.basis = this->basis;
     result.held = this->held;
     result.cause = reply.isSuccess() ? FailureCause::None : this->failure.get();
     result.reply = std::move(reply);
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AnswerBasis.h"
 #include "HeldConnection.h"
 #include "StatementDeadlines.h"
 #include "StatementFailure.h"
@@ -50,6 +51,10 @@
         UpstreamId upstream;
         /// The log point of a commit that wrote.
         std::optional<LogPoint> commit;
+        /// Whether the reply tells the caller that its writes are committed.
+        bool isAcknowledgedWrite = false;
+        /// On what a successful reply rests.
+        AnswerBasis basis;
         int numAttempts = 0;
     };
 
@@ -85,6 +90,7 @@
     void send();
     void onReply(std::optional<SessionReply> reply);
     AttemptOutcome classify(const SessionReply& reply) const;
+    AnswerBasis makeBasis(AnswerBasis::Kind kind) const;
     void verifyPrimary(SessionReply reply);
     void concludeAttempt(AttemptOutcome outcome, SessionReply reply, bool mayTryAgain = true);
     bool mayResend(AttemptOutcome outcome, const SessionReply& reply) const;
@@ -125,6 +131,7 @@
     bool isAwaitingVerification = false;
     bool isDone = false;
     BootTime sentAt;
+    AnswerBasis basis;
     StatementHealth health;
     StatementFailure failure;
 };
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -167,6 +167,7 @@
 void TrafficPlane::updateMetrics() const
 {
     this->state.updateMetrics(this->metrics);
+    this->metrics.setVerifications(this->verifier.getNumFinished());
     this->metrics.setLoans(this->lending.countLent(), this->lending.countBorrowed());
     if (this->quota == nullptr)
         return;
@@ -368,9 +369,10 @@
         + " routes_version=" + std::to_string(request.routes->version.value()) + " lead_revision=" + std::to_string(view.latest.revision.value())
         + " permit_ms=" + std::to_string(toMilliseconds(remainingLease))
         + " routes_fresh_ms=" + this->describeRoutesFreshness();
-    if (!result.reply.isSuccess())
-        detail += std::string(" cause=") + lentiljunction::toString(result.cause) + " reason=\"" + result.reply.message + "\"";
-    logEvent(chooseEvent(result.reply.code), detail);
+    detail += result.reply.isSuccess() ? describe(result.basis) + " acknowledged_write=" + std::to_string(result.isAcknowledgedWrite) : std::string(" cause=") + lentiljunction::toString(result.cause) + " reason=\"" + result.reply.message + "\"";
+    // Acknowledged writes are what an incident is traced by, while other successes are frequent and alike.
+    bool isCommon = result.reply.isSuccess() && !result.isAcknowledgedWrite;
+    logEvent(chooseEvent(result.reply.code), detail, isCommon ? LinePriority::Low : LinePriority::Normal);
 }
 
 std::string TrafficPlane::describeRoutesFreshness() const
@@ -388,6 +390,7 @@
     counted.upstream = result.upstream.toString();
     counted.cause = lentiljunction::toString(result.cause);
     counted.isSuccess = result.reply.isSuccess();
+    counted.basis = result.isAcknowledgedWrite ? lentiljunction::toString(result.basis.kind) : "";
     counted.numRetries = std::max(0, result.numAttempts - 1);
     counted.total = std::chrono::duration_cast<Duration>(this->clock.now() - request.arrivedAt);
     this->metrics.onStatement(counted);
