--- a/src/cli/LogCommands.cpp
+++ b/src/cli/LogCommands.cpp
@@ -2,6 +2,7 @@
 
 #include "CommandLine.h"
 #include "lentiljunction/logbook/FleetReport.h"
+#include "lentiljunction/logbook/GroupHistory.h"
 #include "lentiljunction/logbook/RequestHistory.h"
 
 #include <fstream>
@@ -36,23 +37,45 @@
     class ExplainCommand : public Command {
     public:
         std::string getName() const override { return "explain"; }
-        std::string getSummary() const override { return "follow one request through the logs of all instances"; }
+        std::string getSummary() const override { return "follow one request, or the promotions of one group, through the logs of all instances"; }
 
         int run(const std::vector<std::string>& arguments) override
         {
             CommandLine line(this->getName(), this->getSummary());
+            line.getOptions().add_options()("group", "follow this group instead of a request", cxxopts::value<std::string>());
             line.getOptions().add_options()("id", "the request's id", cxxopts::value<std::string>());
             line.getOptions().add_options()("logs", "log files (default: standard input)", cxxopts::value<std::vector<std::string>>()->default_value(""));
             line.getOptions().parse_positional({ "id", "logs" });
-            line.getOptions().positional_help("ID [FILE...]");
+            line.getOptions().positional_help("ID [FILE...] | --group GROUP [FILE...]");
             return line.run(arguments, [](const cxxopts::ParseResult& parsed) { return explain(parsed); });
         }
 
     private:
+        static int explainGroup(const cxxopts::ParseResult& parsed)
+        {
+            // Without an id, the first argument is a file.
+            std::vector<std::string> paths;
+            if (parsed.count("id") > 0)
+                paths.push_back(parsed["id"].as<std::string>());
+            if (parsed.count("logs") > 0) {
+                const std::vector<std::string>& others = parsed["logs"].as<std::vector<std::string>>();
+                paths.insert(paths.end(), others.begin(), others.end());
+            }
+            Failure failure;
+            std::optional<LogCollection> collection = readLogs(paths, failure);
+            if (!collection)
+                return reportFailure(failure);
+            GroupHistory history = GroupHistory::build(*collection, parsed["group"].as<std::string>());
+            std::cout << history.render();
+            return history.isEmpty() ? exitcodes::failed : exitcodes::ok;
+        }
+
         static int explain(const cxxopts::ParseResult& parsed)
         {
+            if (parsed.count("group") > 0)
+                return explainGroup(parsed);
             if (parsed.count("id") == 0 || parsed["id"].as<std::string>().empty()) {
-                std::cerr << "error: name the request's id\n";
+                std::cerr << "error: name the request's id, or a group with --group\n";
                 return exitcodes::usage;
             }
             Failure failure;
