Warn of a lease that covers a primary after a promotion was called

Cause: an instance that no one waited for would show only once the new primary is published, although no lease may cover the former one from the first call on.

A verification may still pass until the call takes effect, so it is not warned of.

--- a/src/logbook/GroupHistory.cpp
+++ b/src/logbook/GroupHistory.cpp
@@ -151,6 +151,8 @@
         std::string text = describeStep(record);
         if (record.event == events::promotionCallSent.number)
             text += this->describeOutcome(record);
+        if (record.event == events::promotionCallSent.number)
+            this->calledAt.emplace(record.getNumber("generation"), record.time);
         if (!text.empty())
             this->addLine(record, text);
     }
@@ -233,6 +235,10 @@
         std::map<std::int64_t, WallTime>::const_iterator later = this->publishedAt.upper_bound(generation);
         if (later != this->publishedAt.end())
             return "generation " + std::to_string(later->first) + " was published " + formatSeconds(toSeconds(later->second, record.time)) + " before";
+        // A call is sent once no lease covers the primary. A verification may still pass until the call takes effect.
+        std::map<std::int64_t, WallTime>::const_iterator called = this->calledAt.find(generation);
+        if (called != this->calledAt.end() && record.get("basis") == "lease")
+            return "a promotion in this generation was called " + formatSeconds(toSeconds(called->second, record.time)) + " before";
         return "";
     }
 
@@ -242,6 +248,8 @@
     std::map<std::int64_t, std::set<std::string>> published;
     /// When a generation was first seen, among the records that were processed.
     std::map<std::int64_t, WallTime> publishedAt;
+    /// When the first call of the failover that ends a generation was sent.
+    std::map<std::int64_t, WallTime> calledAt;
     std::map<CallKey, std::vector<const LogRecord*>> ended;
     /// The first promotion without a call of the failover that saw it, by the generation of the record.
     std::map<std::int64_t, const LogRecord*> effects;
--- a/tests/unit/LogbookTests.cpp
+++ b/tests/unit/LogbookTests.cpp
@@ -194,6 +194,15 @@
     STRCMP_EQUAL("acknowledged old at u2 basis=lease generation=1 basis_revision=6: generation 2 was published 1.000 s before", warnings[0].c_str());
 }
 
+// Second hypothesis, before the new primary is published. A verification at that time is allowed: no call took effect.
+TEST(GroupHistory, warnsOfLeaseThatCoversThePrimaryAfterACallWasSent)
+{
+    GroupHistory history = GroupHistory::build(parseLog(makePromotionLog() + makeServedLine("02.700000", "leased", "u2", "lease", 1, 6) + makeServedLine("02.700000", "verified", "u2", "verification", 1, 6)), "g");
+    std::vector<std::string> warnings = listWarnings(history);
+    CHECK_EQUAL(1, warnings.size());
+    STRCMP_EQUAL("acknowledged leased at u2 basis=lease generation=1 basis_revision=6: a promotion in this generation was called 0.400 s before", warnings[0].c_str());
+}
+
 // Third hypothesis: a verification passes the former primary.
 TEST(GroupHistory, warnsOfAcknowledgementThatRestsOnAVerificationOfTheFormerPrimary)
 {
