--- a/src/traffic/PrimaryVerificationRounds.cpp
+++ b/src/traffic/PrimaryVerificationRounds.cpp
@@ -1,5 +1,6 @@
 #include "PrimaryVerificationRounds.h"
 
+#include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/leadership/PrimaryVerification.h"
 
 #include <algorithm>
@@ -143,6 +144,8 @@
     if (std::exchange(round->isFinished, true))
         return;
     bool isVerified = this->evaluate(group, *round);
+    GatewayMetrics::Verifications& counts = this->numFinished[group];
+    (isVerified ? counts.numPassed : counts.numFailed)++;
     GroupRounds& rounds = this->groups[group];
     rounds.numConsecutiveFailures = isVerified ? 0 : rounds.numConsecutiveFailures + 1;
     // Without all upstreams that a verification needs, the next round fails as well.
@@ -162,6 +165,16 @@
         this->start(group);
 }
 
+void PrimaryVerificationRounds::logNewerTerm(const GroupId& group, const Round& round, const UpstreamId& upstream, const ReplicationStatus& status, const std::optional<ReplicationStatus>& primaryStatus)
+{
+    bool isNewer = primaryStatus && primaryStatus->term < status.term;
+    Term& logged = this->loggedTerms[upstream];
+    if (!status.isPrimary || !isNewer || !(logged < status.term))
+        return;
+    logged = status.term;
+    logEvent(events::promotionUnrequested, "group=" + group.toString() + " upstream=" + upstream.toString() + " term=" + std::to_string(status.term.value()) + " primary=" + round.primary.upstream.toString() + " generation=" + std::to_string(round.primary.generation) + " primary_term=" + std::to_string(primaryStatus->term.value()));
+}
+
 bool PrimaryVerificationRounds::evaluate(const GroupId& group, const Round& round)
 {
     std::optional<ReplicationStatus> primaryStatus = this->findPrimaryStatus(round.primary);
@@ -172,6 +185,10 @@
         else
             others.push_back(response.second);
     }
+    for (const std::pair<const UpstreamId, std::optional<ReplicationStatus>>& response : round.responses) {
+        if (response.second && response.first != round.primary.upstream)
+            this->logNewerTerm(group, round, response.first, *response.second, primaryStatus);
+    }
     // The list or the record may have changed since the queries were sent.
     std::optional<std::set<UpstreamId>> verifying = this->state.findVerifying(group, round.primary);
     bool isComplete = verifying && std::all_of(verifying->begin(), verifying->end(), [&](const UpstreamId& upstream) { return round.responses.count(upstream) > 0; });
--- a/src/traffic/PrimaryVerificationRounds.h
+++ b/src/traffic/PrimaryVerificationRounds.h
@@ -29,6 +29,9 @@
 
     void verify(const GroupId& group, const PrimaryTenure& primary, std::function<void(bool isVerified)> callback) override;
 
+    /// @returns the number of finished rounds since the start, by group
+    const std::map<GroupId, GatewayMetrics::Verifications>& getNumFinished() const { return this->numFinished; }
+
 private:
     /// Status queries to the upstreams of a group, and the verifications that wait for their responses.
     struct Round {
@@ -64,6 +67,8 @@
     bool evaluate(const GroupId& group, const Round& round);
     /// @returns the term that the primary led when this was last learnt, or nothing
     std::optional<Term> findKnownTerm(const GroupId& group, const PrimaryTenure& primary) const;
+    /// Logs another upstream that is the primary in a newer term.
+    void logNewerTerm(const GroupId& group, const Round& round, const UpstreamId& upstream, const ReplicationStatus& status, const std::optional<ReplicationStatus>& primaryStatus);
     std::optional<ReplicationStatus> findPrimaryStatus(const PrimaryTenure& primary) const;
 
     const SessionProtocol& protocol;
@@ -71,6 +76,9 @@
     std::map<GroupId, GroupRounds> groups;
     /// The last status of primaries that no other upstream contradicted.
     std::map<UpstreamId, KnownPrimary> primaries;
+    std::map<GroupId, GatewayMetrics::Verifications> numFinished;
+    /// The newest term in which an upstream was logged as an unexpected primary.
+    std::map<UpstreamId, Term> loggedTerms;
     OneShotTimer timer;
 };
 
