Let only evidence end an open promotion call, and ask only the upstreams that may have been promoted

What callers could see: a write acknowledged at a replaced primary 8 s after a failover (found by the model of failover, sequence of 8 events): the lease counted again by time alone, although the called upstream had been promoted meanwhile and nobody had adopted it. Cause: that a call can no longer take effect does not show that it has not. Change: a lease does not cover a group while its entry lists a call for another upstream. The coordinator removes the call once it has ended and, asked after that, the primary leads the recorded term and each listed upstream follows it (OpenPromotionRemoval). A verification under a lease asks only the upstreams that were called, since the lease excludes each other promotion; one whose only call is settled may be silent, so a crash right after a promotion does not keep the group without a primary. A write that a primary may have committed before it was replaced and returned is not acknowledged.

--- a/include/lentiljunction/leadership/NewerTermDetector.h
+++ b/include/lentiljunction/leadership/NewerTermDetector.h
@@ -31,6 +31,10 @@
     /// Records the term that a primary leads, as all others confirm.
     void onLed(const GroupId& group, const PrimaryTenure& primary, Term term);
 
+    /// @returns whether a primary that leads a later term than the record names may have written a log entry before it was
+    ///     replaced and returned
+    bool mayPredateReturn(const GroupId& group, const PrimaryTenure& primary, const LogPoint& written, const PrimaryView& view) const;
+
     /// @returns whether a term of the group was reported that is not known
     bool hasNewerTerm(const GroupId& group, const PrimaryView& view) const;
 
--- a/include/lentiljunction/leadership/OpenPromotionTracker.h
+++ b/include/lentiljunction/leadership/OpenPromotionTracker.h
@@ -2,12 +2,10 @@
 
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/leadership/PrimaryRecord.h"
-#include "lentiljunction/leadership/PrimaryView.h"
 
 #include <chrono>
 #include <map>
 #include <utility>
-#include <vector>
 
 namespace lentiljunction {
 
@@ -15,11 +13,12 @@
 /// store shows for late writes, and 1 s for the promotion.
 constexpr std::chrono::milliseconds promotionCallLifetime { 8000 };
 
-/// Determines, for one instance, how long promotion calls of the primary record may still take effect.
+/// Determines when promotion calls of the primary record can no longer take effect.
 ///
-/// Nothing but time ends a call: a response shows neither that no earlier call is still on its way nor that the platform does
-/// not carry it out a second time. The lifetime counts from when this instance first sees the call in an entry that names a
-/// primary, which is after the call was sent, so instances need no common clock.
+/// A response ends no call: it shows neither that no earlier call is still on its way nor that the platform does not carry it
+/// out a second time. The lifetime counts from when this instance first sees the call in an entry that names a primary,
+/// which is after the call was sent, so instances need no common clock. That a call has ended does not show whether it took
+/// effect.
 ///
 /// Not thread-safe; the control thread owns it.
 class OpenPromotionTracker {
@@ -32,13 +31,9 @@
     /// @returns whether a call of an entry can no longer take effect
     bool hasEnded(const GroupId& group, const OpenPromotion& promotion, BootTime now) const;
 
-    /// @returns for each group with calls for another upstream than its primary, until when these may replace the primary
-    const std::map<GroupId, std::vector<PossibleReplacement>>& getReplacements() const { return this->replacements; }
-
 private:
     /// When each call was first seen in an entry that names a primary.
     std::map<std::pair<GroupId, OpenPromotion>, BootTime> seenAt;
-    std::map<GroupId, std::vector<PossibleReplacement>> replacements;
 };
 
 } // namespace lentiljunction
--- a/include/lentiljunction/leadership/PrimaryVerification.h
+++ b/include/lentiljunction/leadership/PrimaryVerification.h
@@ -4,13 +4,62 @@
 #include "lentiljunction/leadership/PrimaryRecord.h"
 #include "lentiljunction/routes/UpstreamEntry.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
 
 namespace lentiljunction {
 
-/// Verifies without the store that a primary had not been replaced when it answered a statement.
+/// The upstreams that show whether a primary has been replaced.
+struct VerificationScope {
+    /// Each of these must respond.
+    std::set<UpstreamId> required;
+    /// The response of one of these counts, its silence does not.
+    std::set<UpstreamId> optional;
+    /// Whether the lease excludes each other promotion.
+    bool isLeased = false;
+
+    /// @returns all upstreams to query
+    std::set<UpstreamId> getAll() const
+    {
+        std::set<UpstreamId> all = this->required;
+        all.insert(this->optional.begin(), this->optional.end());
+        return all;
+    }
+};
+
+/// Finds the upstreams whose status a verification of a primary needs. Under a lease, only the open promotion calls of the
+/// record can replace it; without one, any other upstream may be its successor.
+///
+/// @param openPromotions the open calls for other upstreams than the primary. A settled one can only be repeated by the
+///     platform, so a crash of its upstream right after its promotion does not keep the group without a primary.
+/// @param isLeased PrimaryView::hasLeaseUpToOpenPromotions()
+/// @returns nothing when an upstream that must respond is not listed, so that it cannot be queried
+inline std::optional<VerificationScope> findVerificationScope(const GroupId& group, const UpstreamId& primary, const UpstreamList& upstreams, const std::vector<OpenPromotion>& openPromotions, bool isLeased)
+{
+    VerificationScope scope;
+    scope.isLeased = isLeased;
+    std::set<UpstreamId> listed;
+    for (const std::pair<const UpstreamId, UpstreamEntry>& entry : upstreams.entries) {
+        if (entry.second.group == group && entry.first != primary)
+            listed.insert(entry.first);
+    }
+    if (!isLeased)
+        scope.required = listed;
+    for (const OpenPromotion& promotion : openPromotions) {
+        bool isListed = listed.count(promotion.upstream) > 0;
+        if (!isListed && !promotion.isSettled)
+            return std::nullopt;
+        if (!promotion.isSettled)
+            scope.required.insert(promotion.upstream);
+        else if (isListed)
+            scope.optional.insert(promotion.upstream);
+    }
+    return scope;
+}
+
+/// Verifies that a primary had not been replaced when it answered a statement.
 ///
 /// A promotion is visible in the status of the promoted upstream, and its term in the status of each
 /// upstream that follows it. All statuses must be requested after the answer arrived. If the primary
@@ -18,37 +67,23 @@
 /// promotion had taken effect before the answer.
 ///
 /// @param primary the status of the primary; nothing when it did not respond
-/// @param others the status of each other upstream of the group; nothing for one that did not respond
+/// @param others the status of each other upstream that was queried; nothing for one that did not respond
 /// @returns whether the primary was verified
-inline bool isPrimaryVerified(const std::optional<ReplicationStatus>& primary, const std::vector<std::optional<ReplicationStatus>>& others)
+inline bool isPrimaryVerified(const VerificationScope& scope, const std::optional<ReplicationStatus>& primary, const std::map<UpstreamId, std::optional<ReplicationStatus>>& others)
 {
     // If only the primary is known, the group may have upstreams that are not listed yet.
-    if (!primary || !primary->isPrimary || others.empty())
+    if (!primary || !primary->isPrimary || (scope.required.empty() && !scope.isLeased))
         return false;
-    for (const std::optional<ReplicationStatus>& other : others) {
-        if (!other || other->isPrimary || other->term > primary->term)
+    for (const UpstreamId& upstream : scope.required) {
+        std::map<UpstreamId, std::optional<ReplicationStatus>>::const_iterator status = others.find(upstream);
+        if (status == others.end() || !status->second)
             return false;
     }
-    return true;
-}
-
-/// Finds the upstreams whose status a verification of a primary needs: the others that are listed, and those that an open
-/// call may promote.
-///
-/// @param openPromotions the promotion calls of the group that may still take effect
-/// @returns nothing when an upstream that an open call may promote is not listed, so that it cannot be queried
-inline std::optional<std::set<UpstreamId>> findVerifyingUpstreams(const GroupId& group, const UpstreamId& primary, const UpstreamList& upstreams, const std::vector<OpenPromotion>& openPromotions)
-{
-    std::set<UpstreamId> verifying;
-    for (const std::pair<const UpstreamId, UpstreamEntry>& entry : upstreams.entries) {
-        if (entry.second.group == group && entry.first != primary)
-            verifying.insert(entry.first);
-    }
-    for (const OpenPromotion& promotion : openPromotions) {
-        if (promotion.upstream != primary && verifying.count(promotion.upstream) == 0)
-            return std::nullopt;
+    for (const std::pair<const UpstreamId, std::optional<ReplicationStatus>>& other : others) {
+        if (other.second && (other.second->isPrimary || other.second->term > primary->term))
+            return false;
     }
-    return verifying;
+    return true;
 }
 
 } // namespace lentiljunction
--- a/include/lentiljunction/leadership/PrimaryView.h
+++ b/include/lentiljunction/leadership/PrimaryView.h
@@ -9,15 +9,6 @@
 
 namespace lentiljunction {
 
-/// An upstream that may still replace the primary of its group, because it was called earlier.
-///
-/// @see OpenPromotion
-struct PossibleReplacement {
-    UpstreamId upstream;
-    BootTime until;
-    bool isSettled = false;
-};
-
 /// Identifies one tenure of a primary: the upstream, and the generation in which it is the primary.
 struct PrimaryTenure {
     UpstreamId upstream;
@@ -41,24 +32,22 @@
     VersionedPrimaryRecord latest;
     /// End of the lease, on the clock that keeps running while the machine is suspended.
     BootTime leaseEnd;
-    /// For each group, the calls that may still replace its primary.
-    std::map<GroupId, std::vector<PossibleReplacement>> replacements = {};
 
     /// @returns whether the instance may act on this view
     bool hasValidLease(BootTime now) const { return this->latest.record != nullptr && now < this->leaseEnd; }
 
     /// @returns whether the instance may use the primary of a group without verification
-    bool hasValidLease(const GroupId& group, BootTime now) const { return this->hasValidLease(now) && this->latest.record->isConfirmed(group) && !this->isReplaceable(group, now); }
+    bool hasValidLease(const GroupId& group, BootTime now) const { return this->hasLeaseUpToOpenPromotions(group, now) && !this->isReplaceable(group); }
 
-    /// @returns whether an earlier promotion call may still replace the primary of a group, so that each answer of it needs a
-    ///     verification
-    bool isReplaceable(const GroupId& group, BootTime now) const { return !this->listReplacements(group, now).empty(); }
+    /// @returns whether only open promotion calls can have replaced the primary of a group
+    bool hasLeaseUpToOpenPromotions(const GroupId& group, BootTime now) const { return this->hasValidLease(now) && this->latest.record->isConfirmed(group); }
 
-    /// @returns the calls that may still replace the primary of a group
-    std::vector<PossibleReplacement> listReplacements(const GroupId& group, BootTime now) const;
+    /// @returns whether an open promotion call may replace the primary of a group, so that each answer of it needs a
+    ///     verification
+    bool isReplaceable(const GroupId& group) const { return !this->findOpenPromotions(group).empty(); }
 
-    /// @returns the promotion calls that may still take effect in a group
-    std::vector<OpenPromotion> findOpenPromotions(const GroupId& group, BootTime now) const;
+    /// @returns the open promotion calls for other upstreams than the primary of a group; none while it is being replaced
+    std::vector<OpenPromotion> findOpenPromotions(const GroupId& group) const;
 
     /// @param upstreams consulted for groups that have never had a failover
     /// @returns the primary of a group, regardless of the lease; nothing during a failover
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -72,6 +72,7 @@
     : dependencies(dependencies)
     , calls(dependencies.store, dependencies.clock, dependencies.self)
     , protection(dependencies.loop, dependencies.clock, dependencies.commander, dependencies.context, dependencies.self)
+    , removal(dependencies.clock, dependencies.commander, dependencies.writer, dependencies.context, dependencies.self)
     , timer(dependencies.loop, dependencies.clock, [this] { this->tick(); })
 {
 }
@@ -209,7 +210,7 @@
         PrimaryEntry& entry = record.groups[group];
         entry.phase = PrimaryPhase::Changing;
         entry.primary = primary;
-        this->removeEnded(group, entry);
+        this->removeEndedOfPrimary(group, entry);
         return true;
     };
     this->dependencies.writer.submit(change, [this, key](bool isWritten, BootTime acknowledgedAt) {
@@ -223,36 +224,12 @@
     });
 }
 
-void FailoverExecutor::removeEnded(const GroupId& group, PrimaryEntry& entry) const
+void FailoverExecutor::removeEndedOfPrimary(const GroupId& group, PrimaryEntry& entry) const
 {
     const OpenPromotionTracker& tracker = this->dependencies.context.getLeaseTracker().getOpenPromotions();
     BootTime now = this->dependencies.clock.bootNow();
-    entry.openPromotions.erase(std::remove_if(entry.openPromotions.begin(), entry.openPromotions.end(), [&](const OpenPromotion& promotion) { return tracker.hasEnded(group, promotion, now); }), entry.openPromotions.end());
-}
-
-void FailoverExecutor::removeEndedPromotions()
-{
-    const LeaseTracker& leases = this->dependencies.context.getLeaseTracker();
-    BootTime now = this->dependencies.clock.bootNow();
-    if (!this->isCoordinator() || this->isRemovingEnded)
-        return;
-    bool isAnyEnded = false;
-    for (const std::pair<const GroupId, PrimaryEntry>& group : leases.getView().latest.record->groups) {
-        for (const OpenPromotion& promotion : group.second.openPromotions)
-            isAnyEnded = isAnyEnded || (promotion.upstream != group.second.primary && leases.getOpenPromotions().hasEnded(group.first, promotion, now));
-    }
-    if (!isAnyEnded)
-        return;
-    this->isRemovingEnded = true;
-    this->dependencies.writer.submit(
-        [this](PrimaryRecord& record) {
-            if (record.coordinator != this->dependencies.self)
-                return false;
-            for (std::pair<const GroupId, PrimaryEntry>& group : record.groups)
-                this->removeEnded(group.first, group.second);
-            return true;
-        },
-        [this](bool, BootTime) { this->isRemovingEnded = false; });
+    std::vector<OpenPromotion>& open = entry.openPromotions;
+    open.erase(std::remove_if(open.begin(), open.end(), [&](const OpenPromotion& promotion) { return promotion.upstream == entry.primary && tracker.hasEnded(group, promotion, now); }), open.end());
 }
 
 void FailoverExecutor::recordPromotion(const Run& run, const UpstreamId& upstream)
@@ -293,7 +270,6 @@
             return false;
         record.retired.insert(unconfirmed.begin(), unconfirmed.end());
         PrimaryEntry& entry = record.groups[group];
-        this->removeEnded(group, entry);
         concludePromotions(entry, record.epoch, refused, isSettled ? primary : UpstreamId());
         // The record may already hold this change if the response to an earlier write was lost.
         if (entry.phase == PrimaryPhase::Changing)
--- a/src/gateway/FailoverExecutor.h
+++ b/src/gateway/FailoverExecutor.h
@@ -2,6 +2,7 @@
 
 #include "../peer/PeerRpc.h"
 #include "CommitProtection.h"
+#include "OpenPromotionRemoval.h"
 #include "PrimaryRecordWriter.h"
 #include "PromotionCalls.h"
 #include "UpstreamCommander.h"
@@ -66,9 +67,8 @@
     /// @param cause the reason for the log and the audit trail
     void start(const GroupId& group, const UpstreamId& primary, bool isPlanned, const std::string& cause);
 
-    /// Removes calls for other upstreams than the primary from the record once they can no longer take effect, so that
-    /// instances that start later need not wait for them. Call it after the primary record was read.
-    void removeEndedPromotions();
+    /// Removes promotion calls from the record that have ended without an effect. Call it after the record was read.
+    void removeEndedPromotions() { this->removal.check(); }
 
     /// @returns whether a failover of a group is in progress
     bool isActive(const GroupId& group) const { return this->runs.count(group) > 0; }
@@ -131,8 +131,8 @@
     void onPromotionResponse(const RunKey& key, bool hasResponse, const Failure& failure);
     /// Logs an upstream that became the primary without a call of this run.
     void logUnrequested(Run& run, const UpstreamId& upstream, const ReplicationStatus& status) const;
-    /// Removes the calls of an entry that can no longer take effect.
-    void removeEnded(const GroupId& group, PrimaryEntry& entry) const;
+    /// Removes the calls for the primary of an entry that have ended: as long as it led, they changed nothing.
+    void removeEndedOfPrimary(const GroupId& group, PrimaryEntry& entry) const;
     void recordChange(const Run& run, const ReplicationStatus& status);
     void notifyInstances(const Run& run);
     void abandon(const GroupId& group, const std::string& reason);
@@ -149,9 +149,9 @@
     Dependencies dependencies;
     std::map<GroupId, Run> runs;
     std::uint64_t nextRunNumber = 0;
-    bool isRemovingEnded = false;
     PromotionCalls calls;
     CommitProtection protection;
+    OpenPromotionRemoval removal;
     OneShotTimer timer;
 };
 
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -210,7 +210,7 @@
     if (hasValidLease != this->hadValidLease)
         logEvent(hasValidLease ? events::leaseRegained : events::leaseLost, "lead_revision=" + std::to_string(view.latest.revision.value()) + " store_era=" + std::to_string(this->dependencies.store.getEra().value()));
     this->hadValidLease = hasValidLease;
-    this->replaceableGroups.onView(view, this->dependencies.clock.bootNow());
+    this->replaceableGroups.onView(view);
     if (view.latest.record == nullptr)
         return;
     if (isNewer) {
--- /dev/null
+++ b/src/gateway/OpenPromotionRemoval.cpp
@@ -0,0 +1,112 @@
+#include "OpenPromotionRemoval.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentiljunction {
+
+namespace {
+
+    /// An upstream may be silent for long; until it responds or is no longer listed, the group is looked at again and again.
+    constexpr std::chrono::milliseconds surveyInterval { 1000 };
+
+} // namespace
+
+OpenPromotionRemoval::OpenPromotionRemoval(const Clock& clock, UpstreamCommander& commander, PrimaryRecordWriter& writer, const CommitProtection::KnownState& state, InstanceId self)
+    : clock(clock)
+    , commander(commander)
+    , writer(writer)
+    , state(state)
+    , self(std::move(self))
+{
+}
+
+void OpenPromotionRemoval::check()
+{
+    const PrimaryRecord* record = this->state.getLeaseTracker().getView().latest.record.get();
+    if (record == nullptr || record->coordinator != this->self)
+        return;
+    for (const std::pair<const GroupId, PrimaryEntry>& group : record->groups) {
+        std::vector<OpenPromotion> ended = this->listEnded(group.first, group.second);
+        if (!ended.empty() && record->isConfirmed(group.first))
+            this->start(group.first, group.second, std::move(ended));
+    }
+}
+
+std::vector<OpenPromotion> OpenPromotionRemoval::listEnded(const GroupId& group, const PrimaryEntry& entry) const
+{
+    const LeaseTracker& leases = this->state.getLeaseTracker();
+    std::vector<OpenPromotion> ended;
+    if (entry.phase != PrimaryPhase::Stable)
+        return ended;
+    for (const OpenPromotion& promotion : entry.openPromotions) {
+        if (promotion.upstream != entry.primary && leases.getOpenPromotions().hasEnded(group, promotion, this->clock.bootNow()))
+            ended.push_back(promotion);
+    }
+    return ended;
+}
+
+void OpenPromotionRemoval::start(const GroupId& group, const PrimaryEntry& entry, std::vector<OpenPromotion> ended)
+{
+    std::map<GroupId, Survey>::const_iterator previous = this->surveys.find(group);
+    if (previous != this->surveys.end() && this->clock.now() - previous->second.startedAt < surveyInterval)
+        return;
+    std::vector<UpstreamEntry> queried;
+    Survey survey;
+    survey.number = this->nextNumber++;
+    survey.generation = entry.generation;
+    survey.startedAt = this->clock.now();
+    survey.ended = std::move(ended);
+    for (const std::pair<const UpstreamId, UpstreamEntry>& upstream : this->state.getUpstreamList().entries) {
+        if (upstream.second.group != group)
+            continue;
+        survey.pending.insert(upstream.first);
+        queried.push_back(upstream.second);
+    }
+    std::uint64_t number = survey.number;
+    this->surveys[group] = std::move(survey);
+    for (const UpstreamEntry& upstream : queried)
+        this->commander.requestStatus(upstream, [this, group, number, id = upstream.id](const std::optional<ReplicationStatus>& status, bool) { this->onStatus(group, number, id, status); });
+}
+
+void OpenPromotionRemoval::onStatus(const GroupId& group, std::uint64_t number, const UpstreamId& upstream, const std::optional<ReplicationStatus>& status)
+{
+    std::map<GroupId, Survey>::iterator found = this->surveys.find(group);
+    if (found == this->surveys.end() || found->second.number != number || found->second.pending.erase(upstream) == 0)
+        return;
+    found->second.statuses[upstream] = status;
+    const PrimaryRecord& record = *this->state.getLeaseTracker().getView().latest.record;
+    const PrimaryEntry* entry = record.find(group);
+    if (found->second.pending.empty() && entry != nullptr && this->showsNoEffect(group, *entry, found->second))
+        this->remove(group, found->second);
+}
+
+bool OpenPromotionRemoval::showsNoEffect(const GroupId& group, const PrimaryEntry& entry, const Survey& survey) const
+{
+    if (entry.phase != PrimaryPhase::Stable || entry.generation != survey.generation)
+        return false;
+    // An upstream that is no longer listed has left, and each listed one must respond.
+    std::optional<VerificationScope> scope = findVerificationScope(group, entry.primary, this->state.getUpstreamList(), {}, false);
+    std::map<UpstreamId, std::optional<ReplicationStatus>> others = survey.statuses;
+    others.erase(entry.primary);
+    std::map<UpstreamId, std::optional<ReplicationStatus>>::const_iterator primary = survey.statuses.find(entry.primary);
+    bool leadsRecordedTerm = primary != survey.statuses.end() && primary->second && primary->second->term == entry.term;
+    return leadsRecordedTerm && isPrimaryVerified(*scope, primary->second, others);
+}
+
+void OpenPromotionRemoval::remove(const GroupId& group, const Survey& survey)
+{
+    this->writer.submit(
+        [this, group, generation = survey.generation, ended = survey.ended](PrimaryRecord& record) {
+            std::map<GroupId, PrimaryEntry>::iterator entry = record.groups.find(group);
+            bool isSame = entry != record.groups.end() && entry->second.phase == PrimaryPhase::Stable && entry->second.generation == generation;
+            if (record.coordinator != this->self || !isSame)
+                return false;
+            std::vector<OpenPromotion>& open = entry->second.openPromotions;
+            open.erase(std::remove_if(open.begin(), open.end(), [&ended](const OpenPromotion& promotion) { return std::find(ended.begin(), ended.end(), promotion) != ended.end(); }), open.end());
+            return true;
+        },
+        [](bool, BootTime) {});
+}
+
+} // namespace lentiljunction
--- /dev/null
+++ b/src/gateway/OpenPromotionRemoval.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "CommitProtection.h"
+#include "PrimaryRecordWriter.h"
+#include "UpstreamCommander.h"
+#include "lentiljunction/core/Clock.h"
+#include "lentiljunction/leadership/PrimaryVerification.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace lentiljunction {
+
+/// Removes promotion calls for other upstreams than the primary from the record, while this instance is the failover
+/// coordinator.
+///
+/// A call is removed once it can no longer take effect and, asked after that, each listed upstream of the group shows that it
+/// has not: the primary leads the term of the record, and the others are replicas in no later one. Until then a lease does not
+/// cover the group.
+///
+/// Not thread-safe; the control thread owns it.
+///
+/// @see OpenPromotionTracker
+class OpenPromotionRemoval {
+public:
+    OpenPromotionRemoval(const Clock& clock, UpstreamCommander& commander, PrimaryRecordWriter& writer, const CommitProtection::KnownState& state, InstanceId self);
+
+    /// Looks for calls that have ended. Call it after the primary record was read.
+    void check();
+
+private:
+    /// The statuses of the upstreams of one group, requested after calls had ended.
+    struct Survey {
+        std::uint64_t number = 0;
+        std::uint64_t generation = 0;
+        TimePoint startedAt;
+        std::vector<OpenPromotion> ended;
+        std::set<UpstreamId> pending;
+        std::map<UpstreamId, std::optional<ReplicationStatus>> statuses;
+    };
+
+    std::vector<OpenPromotion> listEnded(const GroupId& group, const PrimaryEntry& entry) const;
+    void start(const GroupId& group, const PrimaryEntry& entry, std::vector<OpenPromotion> ended);
+    void onStatus(const GroupId& group, std::uint64_t number, const UpstreamId& upstream, const std::optional<ReplicationStatus>& status);
+    bool showsNoEffect(const GroupId& group, const PrimaryEntry& entry, const Survey& survey) const;
+    void remove(const GroupId& group, const Survey& survey);
+
+    const Clock& clock;
+    UpstreamCommander& commander;
+    PrimaryRecordWriter& writer;
+    const CommitProtection::KnownState& state;
+    InstanceId self;
+    std::map<GroupId, Survey> surveys;
+    std::uint64_t nextNumber = 0;
+};
+
+} // namespace lentiljunction
--- a/src/gateway/ReplaceableGroupLog.cpp
+++ b/src/gateway/ReplaceableGroupLog.cpp
@@ -2,7 +2,6 @@
 
 #include "lentiljunction/core/LogEvents.h"
 
-#include <chrono>
 #include <string>
 #include <utility>
 
@@ -30,19 +29,17 @@
 
 } // namespace
 
-void ReplaceableGroupLog::onView(const PrimaryView& view, BootTime now)
+void ReplaceableGroupLog::onView(const PrimaryView& view)
 {
     if (view.latest.record == nullptr)
         return;
     std::set<GroupId> present;
-    for (const std::pair<const GroupId, BootTime>& group : view.replaceableUntil) {
-        if (!view.isReplaceable(group.first, now))
+    for (const std::pair<const GroupId, PrimaryEntry>& group : view.latest.record->groups) {
+        if (!view.isReplaceable(group.first))
             continue;
         present.insert(group.first);
-        if (this->replaceable.count(group.first) > 0)
-            continue;
-        std::int64_t remaining = std::chrono::duration_cast<std::chrono::milliseconds>(group.second - now).count();
-        logEvent(events::primaryReplaceable, describePrimary(view, group.first) + " for_ms=" + std::to_string(remaining) + " calls=" + listCalls(view, group.first));
+        if (this->replaceable.count(group.first) == 0)
+            logEvent(events::primaryReplaceable, describePrimary(view, group.first) + " calls=" + listCalls(view, group.first));
     }
     for (const GroupId& group : this->replaceable) {
         if (present.count(group) == 0)
--- a/src/gateway/ReplaceableGroupLog.h
+++ b/src/gateway/ReplaceableGroupLog.h
@@ -10,11 +10,11 @@
 ///
 /// Not thread-safe; the control thread owns it.
 ///
-/// @see PrimaryView::replaceableUntil
+/// @see PrimaryView::isReplaceable()
 class ReplaceableGroupLog {
 public:
     /// Compares a view with the previous one.
-    void onView(const PrimaryView& view, BootTime now);
+    void onView(const PrimaryView& view);
 
 private:
     std::set<GroupId> replaceable;
--- a/src/leadership/LeaseTracker.cpp
+++ b/src/leadership/LeaseTracker.cpp
@@ -51,7 +51,6 @@
     if (isNewer) {
         this->view.latest = versioned;
         this->openPromotions.onRecord(*versioned.record, this->clock.bootNow());
-        this->view.replacements = this->openPromotions.getReplacements();
     }
     // Failovers do not wait for the lease of a retired instance.
     if (this->isRetired())
--- a/src/leadership/NewerTermDetector.cpp
+++ b/src/leadership/NewerTermDetector.cpp
@@ -39,6 +39,15 @@
     this->ledTerms[group] = { primary, term };
 }
 
+bool NewerTermDetector::mayPredateReturn(const GroupId& group, const PrimaryTenure& primary, const LogPoint& written, const PrimaryView& view) const
+{
+    const PrimaryEntry* entry = view.latest.record == nullptr ? nullptr : view.latest.record->find(group);
+    std::map<GroupId, LedTerm>::const_iterator led = this->ledTerms.find(group);
+    if (entry == nullptr || led == this->ledTerms.end() || led->second.primary != primary || led->second.term <= entry->term)
+        return false;
+    return written.term < led->second.term;
+}
+
 bool NewerTermDetector::hasNewerTerm(const GroupId& group, const PrimaryView& view) const
 {
     const PrimaryEntry* entry = view.latest.record == nullptr ? nullptr : view.latest.record->find(group);
--- a/src/leadership/PrimaryView.cpp
+++ b/src/leadership/PrimaryView.cpp
@@ -2,10 +2,18 @@
 
 namespace lentiljunction {
 
-std::vector<OpenPromotion> PrimaryView::findOpenPromotions(const GroupId& group, BootTime now) const
+std::vector<OpenPromotion> PrimaryView::findOpenPromotions(const GroupId& group) const
 {
     const PrimaryEntry* entry = this->latest.record == nullptr ? nullptr : this->latest.record->find(group);
-    return entry != nullptr && this->isReplaceable(group, now) ? entry->openPromotions : std::vector<OpenPromotion>();
+    std::vector<OpenPromotion> open;
+    if (entry == nullptr || entry->phase != PrimaryPhase::Stable)
+        return open;
+    for (const OpenPromotion& promotion : entry->openPromotions) {
+        // For the present primary, a call changes nothing.
+        if (promotion.upstream != entry->primary)
+            open.push_back(promotion);
+    }
+    return open;
 }
 
 std::optional<PrimaryTenure> PrimaryView::findPrimaryTenure(const GroupId& group, const UpstreamList& upstreams) const
@@ -32,19 +40,6 @@
     return claimed;
 }
 
-std::vector<PossibleReplacement> PrimaryView::listReplacements(const GroupId& group, BootTime now) const
-{
-    std::vector<PossibleReplacement> open;
-    std::map<GroupId, std::vector<PossibleReplacement>>::const_iterator found = this->replacements.find(group);
-    if (found == this->replacements.end())
-        return open;
-    for (const PossibleReplacement& replacement : found->second) {
-        if (now < replacement.until)
-            open.push_back(replacement);
-    }
-    return open;
-}
-
 std::uint64_t PrimaryView::getGeneration(const GroupId& group) const
 {
     const PrimaryEntry* entry = this->latest.record == nullptr ? nullptr : this->latest.record->find(group);
--- a/src/traffic/PrimaryVerificationRounds.cpp
+++ b/src/traffic/PrimaryVerificationRounds.cpp
@@ -60,16 +60,17 @@
     GroupRounds& rounds = this->groups[group];
     std::shared_ptr<Round> round = std::exchange(rounds.next, nullptr);
     rounds.current = round;
-    std::optional<std::set<UpstreamId>> queried = this->state.findVerifying(group, round->primary);
+    std::optional<VerificationScope> scope = this->state.findVerificationScope(group, round->primary);
     // Without a query that can succeed, the statements that wait are refused at once.
-    if (!queried || this->state.getUpstreams()->find(round->primary.upstream) == nullptr)
+    if (!scope || this->state.getUpstreams()->find(round->primary.upstream) == nullptr)
         return this->finish(group, round);
+    std::set<UpstreamId> queried = scope->getAll();
     if (!this->findPrimaryStatus(round->primary))
-        queried->insert(round->primary.upstream);
-    round->numAwaited = queried->size() + 1;
+        queried.insert(round->primary.upstream);
+    round->numAwaited = queried.size() + 1;
     round->deadline = this->state.getClock().now() + roundTimeout;
     this->timer.setTimeIfEarlier(round->deadline);
-    for (const UpstreamId& upstream : *queried)
+    for (const UpstreamId& upstream : queried)
         this->requestStatus(group, round, upstream);
     // Completes the extra count of numAwaited, which keeps immediate responses from ending the round before the
     // loop is done.
@@ -149,7 +150,7 @@
     GroupRounds& rounds = this->groups[group];
     rounds.numConsecutiveFailures = isVerified ? 0 : rounds.numConsecutiveFailures + 1;
     // Without all upstreams that a verification needs, the next round fails as well.
-    bool isImpossible = !this->state.findVerifying(group, round->primary);
+    bool isImpossible = !this->state.findVerificationScope(group, round->primary);
     if (isVerified)
         this->state.onPrimaryVerified(group, round->primary, this->primaries.at(round->primary.upstream).status.term);
     else if (isImpossible || rounds.numConsecutiveFailures >= failuresUntilUnverified)
@@ -178,24 +179,23 @@
 bool PrimaryVerificationRounds::evaluate(const GroupId& group, const Round& round)
 {
     std::optional<ReplicationStatus> primaryStatus = this->findPrimaryStatus(round.primary);
-    std::vector<std::optional<ReplicationStatus>> others;
+    std::map<UpstreamId, std::optional<ReplicationStatus>> others;
     for (const std::pair<const UpstreamId, std::optional<ReplicationStatus>>& response : round.responses) {
         if (response.first == round.primary.upstream)
             primaryStatus = response.second;
         else
-            others.push_back(response.second);
+            others.insert(response);
     }
     for (const std::pair<const UpstreamId, std::optional<ReplicationStatus>>& response : round.responses) {
         if (response.second && response.first != round.primary.upstream)
             this->logNewerTerm(group, round, response.first, *response.second, primaryStatus);
     }
     // The list or the record may have changed since the queries were sent.
-    std::optional<std::set<UpstreamId>> verifying = this->state.findVerifying(group, round.primary);
-    bool isComplete = verifying && std::all_of(verifying->begin(), verifying->end(), [&](const UpstreamId& upstream) { return round.responses.count(upstream) > 0; });
+    std::optional<VerificationScope> scope = this->state.findVerificationScope(group, round.primary);
     const UpstreamEntry* entry = this->state.getUpstreams()->find(round.primary.upstream);
     if (primaryStatus && !primaryStatus->isPrimary)
         this->primaries.erase(round.primary.upstream);
-    if (entry == nullptr || !this->state.isKnownPrimary(group, round.primary) || !isComplete || !isPrimaryVerified(primaryStatus, others))
+    if (entry == nullptr || !this->state.isKnownPrimary(group, round.primary) || !scope || !isPrimaryVerified(*scope, primaryStatus, others))
         return false;
     std::optional<Term> known = this->findKnownTerm(group, round.primary);
     this->primaries[round.primary.upstream] = { round.primary.generation, entry->startedAt, *primaryStatus };
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -292,7 +292,7 @@
         if (self->isDone || !std::exchange(self->isAwaitingVerification, false))
             return;
         self->guard([&] {
-            bool isValid = isVerified && self->state.isKnownPrimary(group, primary);
+            bool isValid = isVerified && self->state.isKnownPrimary(group, primary) && !self->mayPredateReturn(reply);
             self->basis = self->makeBasis(isValid ? AnswerBasis::Kind::Verification : AnswerBasis::Kind::None);
             if (isValid && reply.head)
                 self->state.addVerifiedHead(group, primary, *reply.head, self->sentAt);
@@ -309,10 +309,19 @@
         return AttemptOutcome::ErrorOfUpstream;
     if (!reply.isSuccess())
         return AttemptOutcome::Error;
-    bool isVerified = !this->held.primary || (this->state.hasValidLease(this->request.requirement.route->group) && this->state.isKnownPrimary(this->request.requirement.route->group, *this->held.primary));
+    if (!this->held.primary)
+        return AttemptOutcome::Success;
+    const GroupId& group = this->request.requirement.route->group;
+    bool isVerified = this->state.hasValidLease(group) && this->state.isKnownPrimary(group, *this->held.primary) && !this->mayPredateReturn(reply);
     return isVerified ? AttemptOutcome::Success : AttemptOutcome::SuccessUnverified;
 }
 
+bool StatementRun::mayPredateReturn(const SessionReply& reply) const
+{
+    bool isWrite = this->request.traits.isCommit || this->request.traits.mode == AccessMode::Write;
+    return isWrite && reply.head && this->state.mayPredateReturn(this->request.requirement.route->group, *this->held.primary, *reply.head);
+}
+
 AnswerBasis StatementRun::makeBasis(AnswerBasis::Kind kind) const
 {
     const PrimaryView& view = this->state.getView();
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -90,6 +90,8 @@
     void send();
     void onReply(std::optional<SessionReply> reply);
     AttemptOutcome classify(const SessionReply& reply) const;
+    /// @returns whether the primary may have committed a write before another one replaced it, and it returned
+    bool mayPredateReturn(const SessionReply& reply) const;
     AnswerBasis makeBasis(AnswerBasis::Kind kind) const;
     void verifyPrimary(SessionReply reply);
     void concludeAttempt(AttemptOutcome outcome, SessionReply reply, bool mayTryAgain = true);
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -2,7 +2,7 @@
 
 #include "DiscoveredConcurrency.h"
 #include "lentiljunction/core/LogEvents.h"
-#include "lentiljunction/leadership/PrimaryVerification.h"
+#include "lentiljunction/leadership/OpenPromotionTracker.h"
 
 #include <algorithm>
 
@@ -126,15 +126,20 @@
     TimePoint now = this->getClock().now();
     std::optional<TimePoint> expected = used.getExpectedReturn(group, now);
     std::optional<PrimaryTenure> primary = this->view.findPrimaryTenure(group, *this->upstreams);
-    if (!expected || !primary || this->findVerifying(group, *primary))
+    if (!expected || !primary || this->findVerificationScope(group, *primary))
         return expected;
-    Duration remaining = std::chrono::duration_cast<Duration>(this->view.replaceableUntil.at(group) - this->getClock().bootNow());
+    // The call has ended a lifetime after the primary was named. Then the coordinator looks for its effect.
+    std::map<GroupId, Tenure>::const_iterator tenure = this->tenures.find(group);
+    if (tenure == this->tenures.end())
+        return expected;
+    Duration remaining = std::chrono::duration_cast<Duration>(tenure->second.knownSince + promotionCallLifetime - this->getClock().bootNow());
     return std::max(*expected, now + remaining);
 }
 
-std::optional<std::set<UpstreamId>> TrafficState::findVerifying(const GroupId& group, const PrimaryTenure& primary) const
+std::optional<VerificationScope> TrafficState::findVerificationScope(const GroupId& group, const PrimaryTenure& primary) const
 {
-    return findVerifyingUpstreams(group, primary.upstream, *this->upstreams, this->view.findOpenPromotions(group, this->getClock().bootNow()));
+    bool isLeased = this->view.hasLeaseUpToOpenPromotions(group, this->getClock().bootNow()) && !this->newerTerms.hasNewerTerm(group, this->view);
+    return lentiljunction::findVerificationScope(group, primary.upstream, *this->upstreams, this->view.findOpenPromotions(group), isLeased);
 }
 
 std::optional<Target> TrafficState::findReadTarget(const ReadRequirement& requirement)
@@ -243,7 +248,7 @@
 {
     if (this->hasValidLease(group))
         return true;
-    if (!this->findVerifying(group, primary))
+    if (!this->findVerificationScope(group, primary))
         return false;
     // Without a lease each answer needs a verification, which probably succeeds if a recent one did.
     std::map<GroupId, VerifiedPrimary>::const_iterator verified = this->verifiedPrimaries.find(group);
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -10,6 +10,7 @@
 #include "lentiljunction/interactive/SessionStatement.h"
 #include "lentiljunction/leadership/FailoverForecast.h"
 #include "lentiljunction/leadership/NewerTermDetector.h"
+#include "lentiljunction/leadership/PrimaryVerification.h"
 #include "lentiljunction/lending/LendingPlan.h"
 #include "lentiljunction/metrics/GatewayMetrics.h"
 #include "lentiljunction/routes/RouteConfirmation.h"
@@ -159,6 +160,9 @@
     /// Sets the handler of terms above that of the primary record. It may run within any call that receives a reply.
     void setNewerTermHandler(NewerTermHandler handler) { this->newerTermHandler = std::move(handler); }
 
+    /// @returns whether a primary that was replaced and leads again may have written a log entry before its return
+    bool mayPredateReturn(const GroupId& group, const PrimaryTenure& primary, const LogPoint& written) const { return this->newerTerms.mayPredateReturn(group, primary, written, this->view); }
+
     /// Records a term that an upstream reported.
     void onTerm(const UpstreamId& upstream, Term term);
 
@@ -177,8 +181,8 @@
     void onPrimaryVerified(const GroupId& group, const PrimaryTenure& primary, Term term);
 
     /// @returns the upstreams that must respond to a verification, or nothing when one of them cannot be queried
-    /// @see findVerifyingUpstreams
-    std::optional<std::set<UpstreamId>> findVerifying(const GroupId& group, const PrimaryTenure& primary) const;
+    /// @see lentiljunction::findVerificationScope
+    std::optional<VerificationScope> findVerificationScope(const GroupId& group, const PrimaryTenure& primary) const;
 
     /// Records that the primary of a group could not be verified.
     void onPrimaryVerificationFailed(const GroupId& group) { this->verifiedPrimaries.erase(group); }
