Model promotion calls that are lost, late or done twice, at random and for all short sequences

Change: PromotionModel drives Failover, LeaseTracker, PrimaryView, CoordinatorHandover and isPrimaryVerified() with a linearizable store, a platform, three upstreams and three instances. Four guards can be removed by options of the model.

After the faults, an upstream leads and a write is acknowledged within 20 s in each run without a violation (1,000 seeds).

--- /dev/null
+++ b/tests/unit/PromotionModelTests.cpp
@@ -0,0 +1,226 @@
+#include "../support/PromotionModel.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace lentiljunction;
+using namespace lentiljunction::tests;
+
+namespace {
+
+constexpr std::uint64_t numRuns = 20000;
+constexpr int numSteps = 1500;
+
+/// @returns the violation with the fewest steps of the random runs, or an empty text
+std::string findViolation(const PromotionModel::Options& options)
+{
+    std::string shortest;
+    for (std::uint64_t seed = 1; seed <= numRuns; seed++) {
+        PromotionModel model(seed, options);
+        model.run(numSteps);
+        const std::optional<std::string>& found = model.getViolation();
+        if (found && (shortest.empty() || std::count(found->begin(), found->end(), '\n') < std::count(shortest.begin(), shortest.end(), '\n')))
+            shortest = *found;
+    }
+    return shortest;
+}
+
+/// Requires that the random runs break rule ONE without a guard.
+void checkGuardIsNeeded(const PromotionModel::Options& options)
+{
+    for (std::uint64_t seed = 1; seed <= numRuns; seed++) {
+        PromotionModel model(seed, options);
+        model.run(numSteps);
+        if (model.getViolation())
+            return;
+    }
+    FAIL(("no violation with seeds 1 to " + std::to_string(numRuns)).c_str());
+}
+
+/// One event of the exhaustive sequences; the coordinator is instance 0, and writes come from instance 1.
+enum class Event {
+    CallInDoubt,
+    CallRefused,
+    Publish,
+    LateEffect,
+    Write,
+    Acknowledge,
+    RestartCoordinator,
+    WaitForLifetime,
+};
+
+constexpr int numEvents = 8;
+
+/// Advances the failover, or a new one, until it sends a call or, for an accepted call, publishes.
+/// @returns whether it came so far
+bool advanceFailover(PromotionModel& model, PromotionModel::CallResult result)
+{
+    model.setCallResult(result);
+    std::size_t numCalls = model.getNumCalls();
+    if (!model.hasRun(0) && !model.resumeFailover(0) && !model.suspectPrimary(0))
+        return false;
+    for (int round = 0; round < 60; round++) {
+        for (std::size_t instance = 0; instance < PromotionModel::numInstances; instance++)
+            model.confirm(0, instance);
+        model.sendRead(0);
+        model.receiveRead(0);
+        while (model.act(0)) {
+            bool isDone = result == PromotionModel::CallResult::Answered ? !model.hasRun(0) : model.getNumCalls() > numCalls;
+            if (isDone)
+                return true;
+        }
+        model.advance(std::chrono::milliseconds(100));
+    }
+    return false;
+}
+
+void readRecord(PromotionModel& model, std::size_t instance)
+{
+    model.sendRead(instance);
+    model.receiveRead(instance);
+}
+
+bool apply(PromotionModel& model, Event event)
+{
+    switch (event) {
+    case Event::CallInDoubt:
+        return advanceFailover(model, PromotionModel::CallResult::InDoubt);
+    case Event::CallRefused:
+        return advanceFailover(model, PromotionModel::CallResult::Refused);
+    case Event::Publish:
+        return model.getNumCalls() > 0 && advanceFailover(model, PromotionModel::CallResult::Answered);
+    case Event::LateEffect:
+        return model.applyOldestCall();
+    case Event::Write:
+        readRecord(model, 1);
+        return model.sendWrite(1);
+    case Event::Acknowledge:
+        return model.acknowledgeWrite();
+    case Event::RestartCoordinator:
+        model.restartInstance(0, true);
+        model.registerInstance(0);
+        readRecord(model, 0);
+        return true;
+    case Event::WaitForLifetime:
+        model.advance(promotionCallLifetime);
+        return true;
+    }
+    return false;
+}
+
+/// Tries all sequences with this beginning.
+/// @returns the first violation, or an empty text
+std::string findViolationAfter(std::vector<Event>& events, std::size_t maximumEvents, std::size_t& numSequences)
+{
+    PromotionModel::Options options;
+    options.appliesOnDemand = true;
+    PromotionModel model(1, options);
+    model.setStoreReliable(true);
+    for (Event event : events) {
+        if (!apply(model, event))
+            return "";
+    }
+    numSequences++;
+    if (model.getViolation())
+        return *model.getViolation();
+    for (int next = 0; events.size() < maximumEvents && next < numEvents; next++) {
+        events.push_back(static_cast<Event>(next));
+        std::string violation = findViolationAfter(events, maximumEvents, numSequences);
+        events.pop_back();
+        if (!violation.empty())
+            return violation;
+    }
+    return "";
+}
+
+} // namespace
+
+TEST_GROUP(PromotionModel) {};
+
+// Guards against writes that are acknowledged at a replaced primary: promotion calls are lost, late or done twice, and
+// coordinators, instances and upstreams stop at any step.
+TEST(PromotionModel, acknowledgesNoWriteOfReplacedPrimary)
+{
+    PromotionModel::Options options;
+    options.learnsWithinSecond = true;
+    std::string violation = findViolation(options);
+    CHECK_TEXT(violation.empty(), violation.c_str());
+}
+
+// As above; a partition may hide the promotion from the former primary for any time.
+TEST(PromotionModel, acknowledgesNoWriteOfReplacedPrimaryBehindPartition)
+{
+    std::string violation = findViolation(PromotionModel::Options());
+    CHECK_TEXT(violation.empty(), violation.c_str());
+}
+
+// As above, for all short sequences of the events that matter. The shortest known violations have seven.
+TEST(PromotionModel, acknowledgesNoWriteOfReplacedPrimaryInAnyShortSequence)
+{
+    std::size_t numSequences = 0;
+    for (std::size_t maximum = 3; maximum <= 7; maximum++) {
+        std::vector<Event> events { Event::CallInDoubt };
+        std::string violation = findViolationAfter(events, maximum, numSequences);
+        CHECK_TEXT(violation.empty(), violation.c_str());
+    }
+    CHECK_TEXT(numSequences > 5000, std::to_string(numSequences).c_str());
+}
+
+// The runs must reach the cases that matter: on average a promotion and several acknowledged writes each.
+TEST(PromotionModel, randomRunsPromoteAndAcknowledge)
+{
+    std::size_t numPromotions = 0;
+    std::size_t numAcknowledged = 0;
+    for (std::uint64_t seed = 1; seed <= 200; seed++) {
+        PromotionModel model(seed, PromotionModel::Options());
+        model.run(numSteps);
+        numPromotions += model.getNumPromotions();
+        numAcknowledged += model.getNumAcknowledged();
+    }
+    CHECK_TEXT(numPromotions > 200, std::to_string(numPromotions).c_str());
+    CHECK_TEXT(numAcknowledged > 1000, std::to_string(numAcknowledged).c_str());
+}
+
+TEST(PromotionModel, someUpstreamLeadsWithin20SecondsAfterFaults)
+{
+    for (std::uint64_t seed = 1; seed <= 1000; seed++) {
+        PromotionModel model(seed, PromotionModel::Options());
+        model.run(numSteps / 4);
+        if (model.getViolation())
+            continue;
+        CHECK_TEXT(model.recover(), ("seed " + std::to_string(seed)).c_str());
+    }
+}
+
+TEST(PromotionModel, recordMustListOpenPromotions)
+{
+    PromotionModel::Options options;
+    options.learnsWithinSecond = true;
+    options.hidesOpenPromotions = true;
+    checkGuardIsNeeded(options);
+}
+
+TEST(PromotionModel, refusalMustNotCloseEarlierCalls)
+{
+    PromotionModel::Options options;
+    options.learnsWithinSecond = true;
+    options.closesRefusedCalls = true;
+    checkGuardIsNeeded(options);
+}
+
+TEST(PromotionModel, successorMustKeepEarlierCalls)
+{
+    PromotionModel::Options options;
+    options.learnsWithinSecond = true;
+    options.forgetsEarlierCalls = true;
+    checkGuardIsNeeded(options);
+}
+
+TEST(PromotionModel, leaseMustBeginAfterRegistration)
+{
+    PromotionModel::Options options;
+    options.learnsWithinSecond = true;
+    options.leasesBeforeRegistration = true;
+    checkGuardIsNeeded(options);
+}
