Model calls that end by a verification, and prove the guards on a model that is otherwise sound

Cause: the guards were proved on the present code, which breaks rule ONE by itself; the one on registrations was not exercised at all, since the registration of an instance that was replaced never ended in the model.

Change: an option of the model is a trial of a fix for the two open faults: a lease covers a group only while the record lists no call for another upstream, only a verification after its lifetime removes a call, and a verification requires the term of the record.

--- a/tests/support/PromotionModel.cpp
+++ b/tests/support/PromotionModel.cpp
@@ -100,6 +100,9 @@
 {
     InstanceId id = keepsId ? this->instances[index].id : InstanceId("n" + std::to_string(this->nextProcess));
     this->log("instance " + this->instances[index].id.toString() + " stops and starts as " + id.toString());
+    // The registration of an instance that does not return ends.
+    if (!keepsId)
+        this->registered.erase(this->instances[index].id);
     this->startProcess(this->instances[index], id);
     return true;
 }
@@ -170,6 +173,8 @@
         return false;
     PrimaryRecord record = *instance.known.record;
     PrimaryEntry& entry = record.groups[group];
+    if (this->options.endsCallsByVerification && (entry.phase != PrimaryPhase::Stable || !this->verify(instance, { entry.primary, entry.generation })))
+        return false;
     std::size_t before = entry.openPromotions.size();
     this->removeEnded(instance, entry);
     if (entry.openPromotions.size() == before)
--- a/tests/support/PromotionModel.h
+++ b/tests/support/PromotionModel.h
@@ -36,6 +36,9 @@
         bool leasesBeforeRegistration = false;
         /// Calls without an answer take effect by applyOldestCall() only, within 7 s.
         bool appliesOnDemand = false;
+        /// Trial of a fix: a lease covers the group only once the record lists no call for another upstream, calls are removed
+        /// only after a verification, and a verification requires the term of the record.
+        bool endsCallsByVerification = false;
         /// A former primary learns of a running successor within a second, so no partition hides it for longer.
         bool learnsWithinSecond = false;
     };
@@ -162,6 +165,7 @@
     void takeEffect(std::size_t upstream);
     void applyDueCalls();
     void advanceWorld();
+    bool hasLease(const Instance& instance) const;
     bool verify(Instance& instance, const PrimaryTenure& tenure);
     void step();
     void stepUpstreams(std::uint64_t choice);
