Show that each part of the proposed fix is needed

Cause: the trial of the fix had one option for four changes, so a part of it could be left out without a failing test.

Change: four options; a test each removes one of them: the lease counts again by time alone, the coordinator removes calls by time alone, a failover removes ended calls, a verification accepts a primary in another term than that of the record.

--- a/tests/support/PromotionModel.cpp
+++ b/tests/support/PromotionModel.cpp
@@ -173,7 +173,7 @@
         return false;
     PrimaryRecord record = *instance.known.record;
     PrimaryEntry& entry = record.groups[group];
-    if (this->options.endsCallsByVerification && (entry.phase != PrimaryPhase::Stable || !this->verify(instance, { entry.primary, entry.generation })))
+    if (this->options.removesAfterVerification && (entry.phase != PrimaryPhase::Stable || !this->verify(instance, { entry.primary, entry.generation })))
         return false;
     std::size_t before = entry.openPromotions.size();
     this->removeEnded(instance, entry);
--- a/tests/support/PromotionModel.h
+++ b/tests/support/PromotionModel.h
@@ -36,9 +36,14 @@
         bool leasesBeforeRegistration = false;
         /// Calls without an answer take effect by applyOldestCall() only, within 7 s.
         bool appliesOnDemand = false;
-        /// Trial of a fix: a lease covers the group only once the record lists no call for another upstream, calls are removed
-        /// only after a verification, and a verification requires the term of the record.
-        bool endsCallsByVerification = false;
+        /// Trial of a fix: a lease covers the group only while the record lists no call for another upstream.
+        bool requiresRemoval = false;
+        /// Trial of a fix: calls whose lifetime has ended are removed only after a verification.
+        bool removesAfterVerification = false;
+        /// Trial of a fix: a failover removes no calls whose lifetime has ended.
+        bool keepsCallsInFailover = false;
+        /// Trial of a fix: a verification requires the term of the record.
+        bool verifiesTerm = false;
         /// A former primary learns of a running successor within a second, so no partition hides it for longer.
         bool learnsWithinSecond = false;
     };
--- a/tests/support/PromotionModelWorld.cpp
+++ b/tests/support/PromotionModelWorld.cpp
@@ -52,7 +52,7 @@
         record.epoch = record.epoch.next();
     }
     entry.phase = PrimaryPhase::Changing;
-    if (!this->options.endsCallsByVerification)
+    if (!this->options.keepsCallsInFailover)
         this->removeEnded(instance, entry);
     if (this->options.forgetsEarlierCalls)
         entry.openPromotions.clear();
@@ -72,7 +72,7 @@
     const ReplicationStatus& status = instance.run->failover.getNewPrimaryStatus();
     std::set<UpstreamId> refused = instance.run->failover.listRefusedPromotions();
     PrimaryEntry& entry = record.groups[group];
-    if (!this->options.endsCallsByVerification)
+    if (!this->options.keepsCallsInFailover)
         this->removeEnded(instance, entry);
     std::vector<OpenPromotion>& promotions = entry.openPromotions;
     promotions.erase(std::remove_if(promotions.begin(), promotions.end(), [&](const OpenPromotion& promotion) { return promotion.epoch == record.epoch && promotion.generation == entry.generation && refused.count(promotion.upstream) > 0; }), promotions.end());
@@ -265,7 +265,7 @@
 bool PromotionModel::hasLease(const Instance& instance) const
 {
     const PrimaryView& view = instance.leases->getView();
-    if (!this->options.endsCallsByVerification)
+    if (!this->options.requiresRemoval)
         return view.hasValidLease(group, this->clock.bootNow());
     const PrimaryEntry& entry = *view.latest.record->find(group);
     bool isReplaceable = std::any_of(entry.openPromotions.begin(), entry.openPromotions.end(), [&](const OpenPromotion& promotion) { return promotion.upstream != entry.primary; });
@@ -285,7 +285,7 @@
             others.push_back(this->requestStatus(index));
     }
     bool isVerified = isPrimaryVerified(primary, others);
-    if (this->options.endsCallsByVerification)
+    if (this->options.verifiesTerm)
         isVerified = isVerified && primary->term == instance.known.record->find(group)->term;
     if (isVerified)
         instance.verified = { tenure, *primary };
--- a/tests/unit/PromotionModelTests.cpp
+++ b/tests/unit/PromotionModelTests.cpp
@@ -18,7 +18,7 @@
 PromotionModel::Options makeSound()
 {
     PromotionModel::Options options;
-    options.endsCallsByVerification = true;
+    options.requiresRemoval = options.removesAfterVerification = options.keepsCallsInFailover = options.verifiesTerm = true;
     return options;
 }
 
@@ -121,6 +121,36 @@
     return false;
 }
 
+/// A late call replaces the new primary of the next failover before it is published, and its lifetime ends before that too.
+/// @returns whether rule ONE was broken
+bool writesWhileCallEndsInFailover(const PromotionModel::Options& options)
+{
+    PromotionModel model(1, options);
+    model.setStoreReliable(true);
+    advanceFailover(model, PromotionModel::CallResult::InDoubt);
+    advanceFailover(model, PromotionModel::CallResult::Refused);
+    advanceFailover(model, PromotionModel::CallResult::Answered);
+    model.advance(std::chrono::milliseconds(6200));
+    std::size_t numCalls = model.getNumCalls();
+    model.suspectPrimary(0);
+    for (int round = 0; round < 60 && model.getNumCalls() == numCalls; round++) {
+        readRecord(model, 0);
+        while (model.getNumCalls() == numCalls && model.act(0))
+            continue;
+        for (std::size_t instance = 0; instance < PromotionModel::numInstances; instance++)
+            model.confirm(0, instance);
+        model.advance(std::chrono::milliseconds(10));
+    }
+    model.applyOldestCall();
+    model.advance(std::chrono::seconds(2));
+    while (model.act(0))
+        continue;
+    readRecords(model);
+    CHECK_TRUE(model.sendWrite(1));
+    model.acknowledgeWrite();
+    return model.getViolation().has_value();
+}
+
 bool apply(PromotionModel& model, Event event)
 {
     switch (event) {
@@ -144,6 +174,8 @@
         return true;
     case Event::WaitForLifetime:
         model.advance(promotionCallLifetime);
+        model.removeEndedPromotions(0);
+        readRecords(model);
         return true;
     }
     return false;
@@ -297,6 +329,41 @@
     checkGuardIsNeeded(options);
 }
 
+// A call may have taken effect unseen before its lifetime ended.
+TEST(PromotionModel, leaseMustNotCountAgainByTimeAlone)
+{
+    PromotionModel::Options options = makeSound();
+    options.requiresRemoval = false;
+    checkGuardIsNeeded(options);
+}
+
+// As above, for the coordinator that removes it.
+TEST(PromotionModel, callMustNotBeRemovedByTimeAlone)
+{
+    PromotionModel::Options options = makeSound();
+    options.removesAfterVerification = false;
+    std::size_t numSequences = 0;
+    CHECK_FALSE(findShortestSequence(options, numSequences).empty());
+}
+
+// A call may replace the new primary before it is published. The random runs meet this case too rarely.
+TEST(PromotionModel, failoverMustNotRemoveEndedCalls)
+{
+    PromotionModel::Options options = makeSound();
+    options.appliesOnDemand = true;
+    CHECK_FALSE(writesWhileCallEndsInFailover(options));
+    options.keepsCallsInFailover = false;
+    CHECK_TRUE(writesWhileCallEndsInFailover(options));
+}
+
+// A primary may have been replaced and promoted again.
+TEST(PromotionModel, verificationMustRequireTermOfRecord)
+{
+    PromotionModel::Options options = makeSound();
+    options.verifiesTerm = false;
+    checkGuardIsNeeded(options);
+}
+
 // The random runs meet this case too rarely: an instance starts under a new id and reads the record just before a failover
 // that is over within its lease.
 TEST(PromotionModel, leaseMustBeginAfterRegistration)
