--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -146,7 +146,7 @@
     /// A promotion call was not sent, or the platform answered that it did nothing.
     void onPromotionNotSent(TimePoint now);
 
-    /// @returns the upstreams that this failover recorded and of which the platform refused each call
+    /// @returns the upstreams that only this failover called, and of which the platform refused each call
     std::set<UpstreamId> listRefusedPromotions() const;
 
     /// @returns whether the new primary was called once and the platform accepted this call; valid once it is the primary
@@ -196,6 +196,7 @@
     bool isSurveyComplete(TimePoint now) const;
     bool isCurrentPrimary(const UpstreamId& candidate) const;
     std::optional<UpstreamId> selectPromotionTarget() const;
+    bool isInherited(const UpstreamId& upstream) const;
     /// @returns the upstream that a former coordinator called, if it responds
     std::optional<UpstreamId> findInheritedTarget() const;
     void advanceSurvey(BootTime bootNow, TimePoint now);
--- a/src/leadership/Failover.cpp
+++ b/src/leadership/Failover.cpp
@@ -131,17 +131,22 @@
 {
     std::set<UpstreamId> refused;
     for (const std::pair<const UpstreamId, CallCount>& calls : this->callCounts) {
-        if (calls.second.withoutEffect == calls.second.sent)
+        // A former process of this coordinator may have sent calls in the same epoch.
+        if (calls.second.withoutEffect == calls.second.sent && !this->isInherited(calls.first))
             refused.insert(calls.first);
     }
     return refused;
 }
 
+bool Failover::isInherited(const UpstreamId& upstream) const
+{
+    return std::find(this->inheritedTargets.begin(), this->inheritedTargets.end(), upstream) != this->inheritedTargets.end();
+}
+
 bool Failover::isPromotionSettled() const
 {
     std::map<UpstreamId, CallCount>::const_iterator calls = this->callCounts.find(*this->promotionTarget);
-    bool isInherited = std::find(this->inheritedTargets.begin(), this->inheritedTargets.end(), *this->promotionTarget) != this->inheritedTargets.end();
-    return !isInherited && calls != this->callCounts.end() && calls->second.accepted == 1 && calls->second.sent == 1 + calls->second.withoutEffect;
+    return !this->isInherited(*this->promotionTarget) && calls != this->callCounts.end() && calls->second.accepted == 1 && calls->second.sent == 1 + calls->second.withoutEffect;
 }
 
 void Failover::onPromotionSent()
