--- a/src/leadership/NewerTermDetector.cpp
+++ b/src/leadership/NewerTermDetector.cpp
@@ -45,6 +45,9 @@
     std::map<GroupId, Term>::const_iterator reported = this->greatest.find(group);
     if (entry == nullptr || reported == this->greatest.end() || entry->phase != PrimaryPhase::Stable || !view.latest.record->isConfirmed(group))
         return false;
+    // An entry that names no term says nothing about later ones.
+    if (entry->term == Term())
+        return false;
     std::map<GroupId, LedTerm>::const_iterator led = this->ledTerms.find(group);
     bool isLed = led != this->ledTerms.end() && led->second.primary == PrimaryTenure { entry->primary, entry->generation };
     return reported->second > (isLed ? std::max(entry->term, led->second.term) : entry->term);
--- a/tests/unit/PrimaryVerificationTests.cpp
+++ b/tests/unit/PrimaryVerificationTests.cpp
@@ -379,6 +379,17 @@
     CHECK_FALSE(instance.state.hasValidLease(instance.group));
 }
 
+// Guards against a group that loses its lease because its entry names no term to compare with.
+TEST(NewerTerm, isNoneWithoutTermInTheRecord)
+{
+    instance.entry.term = Term();
+    instance.publish(std::chrono::seconds(5));
+    onHead("u3", 1);
+    CHECK_TRUE(instance.state.hasValidLease(instance.group));
+    CHECK(reports.empty());
+    CHECK_TRUE(instance.verify());
+}
+
 // Guards against a primary that stays without a lease for ever because it leads a later term than its record names.
 TEST(NewerTerm, ofThePrimaryItselfCountsOnceItIsVerified)
 {
