--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -149,9 +149,6 @@
     /// @returns the upstreams that only this failover called, and of which the platform refused each call
     std::set<UpstreamId> listRefusedPromotions() const;
 
-    /// @returns whether the new primary was called once and the platform accepted this call; valid once it is the primary
-    bool isPromotionSettled() const;
-
     /// The store accepted the group's entry with the new primary.
     void onStableWritten() { this->step = Step::Done; }
 
@@ -236,7 +233,6 @@
     /// The calls of this failover for one upstream.
     struct CallCount {
         std::size_t sent = 0;
-        std::size_t accepted = 0;
         /// Refused by the platform, or not sent.
         std::size_t withoutEffect = 0;
     };
--- a/include/lentiljunction/leadership/OpenPromotions.h
+++ b/include/lentiljunction/leadership/OpenPromotions.h
@@ -27,11 +27,10 @@
 /// Removes the calls for the primary that have ended: as long as it led, they changed nothing.
 void removeEndedOfPrimary(const GroupId& group, PrimaryEntry& entry, const OpenPromotionTracker& tracker, BootTime now);
 
-/// Updates the calls of a failover when it names the new primary, before the generation of the entry increases.
+/// Removes calls of the present failover, before the generation of the entry increases.
 ///
 /// @param refused the upstreams of which the platform refused each call
-/// @param settled the upstream of which the only call is settled, or an empty id
-void concludePromotions(PrimaryEntry& entry, FencingToken epoch, const std::set<UpstreamId>& refused, const UpstreamId& settled);
+void removeRefusedPromotions(PrimaryEntry& entry, FencingToken epoch, const std::set<UpstreamId>& refused);
 
 /// @returns the calls for other upstreams than the primary that have ended
 std::vector<OpenPromotion> listEndedPromotions(const GroupId& group, const PrimaryEntry& entry, const OpenPromotionTracker& tracker, BootTime now);
--- a/include/lentiljunction/leadership/PrimaryRecord.h
+++ b/include/lentiljunction/leadership/PrimaryRecord.h
@@ -30,11 +30,7 @@
     FencingToken epoch;
     /// PrimaryEntry::generation before the failover in which they were sent.
     std::uint64_t generation = 0;
-    /// Whether it was one call only, the platform accepted it, and its effect was seen, so that only a repetition by the
-    /// platform is left.
-    bool isSettled = false;
 
-    /// @returns whether both stand for the same calls
     friend bool operator==(const OpenPromotion& left, const OpenPromotion& right) { return left.upstream == right.upstream && left.epoch == right.epoch && left.generation == right.generation; }
     friend bool operator<(const OpenPromotion& left, const OpenPromotion& right) { return std::tie(left.upstream, left.epoch, left.generation) < std::tie(right.upstream, right.epoch, right.generation); }
 };
--- a/include/lentiljunction/leadership/PrimaryVerification.h
+++ b/include/lentiljunction/leadership/PrimaryVerification.h
@@ -15,25 +15,14 @@
 struct VerificationScope {
     /// Each of these must respond.
     std::set<UpstreamId> required;
-    /// The response of one of these counts, its silence does not.
-    std::set<UpstreamId> optional;
     /// Whether the lease excludes each other promotion.
     bool isLeased = false;
-
-    /// @returns all upstreams to query
-    std::set<UpstreamId> getAll() const
-    {
-        std::set<UpstreamId> all = this->required;
-        all.insert(this->optional.begin(), this->optional.end());
-        return all;
-    }
 };
 
 /// Finds the upstreams whose status a verification of a primary needs. Under a lease, only the open promotion calls of the
 /// record can replace it; without one, any other upstream may be its successor.
 ///
-/// @param openPromotions the open calls for other upstreams than the primary. A settled one can only be repeated by the
-///     platform, so a crash of its upstream right after its promotion does not keep the group without a primary.
+/// @param openPromotions the open calls for other upstreams than the primary
 /// @param isLeased PrimaryView::hasLeaseUpToOpenPromotions()
 /// @returns nothing when an upstream that must respond is not listed, so that it cannot be queried
 inline std::optional<VerificationScope> findVerificationScope(const GroupId& group, const UpstreamId& primary, const UpstreamList& upstreams, const std::vector<OpenPromotion>& openPromotions, bool isLeased)
@@ -48,13 +37,9 @@
     if (!isLeased)
         scope.required = listed;
     for (const OpenPromotion& promotion : openPromotions) {
-        bool isListed = listed.count(promotion.upstream) > 0;
-        if (!isListed && !promotion.isSettled)
+        if (listed.count(promotion.upstream) == 0)
             return std::nullopt;
-        if (!promotion.isSettled)
-            scope.required.insert(promotion.upstream);
-        else if (isListed)
-            scope.optional.insert(promotion.upstream);
+        scope.required.insert(promotion.upstream);
     }
     return scope;
 }
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -225,14 +225,13 @@
     ReplicationStatus status = run.failover.getNewPrimaryStatus();
     std::set<InstanceId> unconfirmed = run.failover.getUnconfirmedInstances();
     std::set<UpstreamId> refused = run.failover.listRefusedPromotions();
-    bool isSettled = run.failover.isPromotionSettled();
     RunKey key { group, run.number };
-    PrimaryRecordWriter::Change change = [this, group, primary, status, unconfirmed, refused, isSettled](PrimaryRecord& record) {
+    PrimaryRecordWriter::Change change = [this, group, primary, status, unconfirmed, refused](PrimaryRecord& record) {
         if (record.coordinator != this->dependencies.self)
             return false;
         record.retired.insert(unconfirmed.begin(), unconfirmed.end());
         PrimaryEntry& entry = record.groups[group];
-        concludePromotions(entry, record.epoch, refused, isSettled ? primary : UpstreamId());
+        removeRefusedPromotions(entry, record.epoch, refused);
         // The record may already hold this change if the response to an earlier write was lost.
         if (entry.phase == PrimaryPhase::Changing)
             entry.generation = computeNextGeneration(record, entry);
--- a/src/leadership/Failover.cpp
+++ b/src/leadership/Failover.cpp
@@ -143,12 +143,6 @@
     return std::find(this->inheritedTargets.begin(), this->inheritedTargets.end(), upstream) != this->inheritedTargets.end();
 }
 
-bool Failover::isPromotionSettled() const
-{
-    std::map<UpstreamId, CallCount>::const_iterator calls = this->callCounts.find(*this->promotionTarget);
-    return !this->isInherited(*this->promotionTarget) && calls != this->callCounts.end() && calls->second.accepted == 1 && calls->second.sent == 1 + calls->second.withoutEffect;
-}
-
 void Failover::onPromotionSent()
 {
     this->callCounts[*this->promotionTarget].sent++;
@@ -159,7 +153,6 @@
     if (this->step != Step::Promoting)
         return;
     if (isAccepted) {
-        this->callCounts[*this->promotionTarget].accepted++;
         this->step = Step::Confirming;
         this->promotedAt = now;
         return;
--- a/src/leadership/OpenPromotions.cpp
+++ b/src/leadership/OpenPromotions.cpp
@@ -35,17 +35,10 @@
     open.erase(std::remove_if(open.begin(), open.end(), [&](const OpenPromotion& promotion) { return promotion.upstream == entry.primary && tracker.hasEnded(group, promotion, now); }), open.end());
 }
 
-void concludePromotions(PrimaryEntry& entry, FencingToken epoch, const std::set<UpstreamId>& refused, const UpstreamId& settled)
+void removeRefusedPromotions(PrimaryEntry& entry, FencingToken epoch, const std::set<UpstreamId>& refused)
 {
-    std::vector<OpenPromotion> kept;
-    for (OpenPromotion& promotion : entry.openPromotions) {
-        bool isOfThisFailover = promotion.epoch == epoch && promotion.generation == entry.generation;
-        if (isOfThisFailover && refused.count(promotion.upstream) > 0)
-            continue;
-        promotion.isSettled = promotion.isSettled || (isOfThisFailover && promotion.upstream == settled);
-        kept.push_back(promotion);
-    }
-    entry.openPromotions = std::move(kept);
+    std::vector<OpenPromotion>& open = entry.openPromotions;
+    open.erase(std::remove_if(open.begin(), open.end(), [&](const OpenPromotion& promotion) { return promotion.epoch == epoch && promotion.generation == entry.generation && refused.count(promotion.upstream) > 0; }), open.end());
 }
 
 std::vector<OpenPromotion> listEndedPromotions(const GroupId& group, const PrimaryEntry& entry, const OpenPromotionTracker& tracker, BootTime now)
--- a/src/leadership/PrimaryRecordCodec.cpp
+++ b/src/leadership/PrimaryRecordCodec.cpp
@@ -27,7 +27,6 @@
         promotion.upstream = UpstreamId(fields.getText("upstream"));
         promotion.epoch = FencingToken(static_cast<std::uint64_t>(fields.getInteger("epoch", 0, maxInteger)));
         promotion.generation = static_cast<std::uint64_t>(fields.getInteger("generation", 0, maxInteger));
-        promotion.isSettled = object.is_object() && object.contains("settled") && object["settled"] == true;
         return promotion;
     }
 
@@ -51,7 +50,7 @@
     {
         nlohmann::json list = nlohmann::json::array();
         for (const OpenPromotion& promotion : promotions)
-            list.push_back({ { "upstream", promotion.upstream.toString() }, { "epoch", promotion.epoch.value() }, { "generation", promotion.generation }, { "settled", promotion.isSettled } });
+            list.push_back({ { "upstream", promotion.upstream.toString() }, { "epoch", promotion.epoch.value() }, { "generation", promotion.generation } });
         return list;
     }
 
--- a/src/traffic/PrimaryVerificationRounds.cpp
+++ b/src/traffic/PrimaryVerificationRounds.cpp
@@ -64,7 +64,7 @@
     // Without a query that can succeed, the statements that wait are refused at once.
     if (!scope || this->state.getUpstreams()->find(round->primary.upstream) == nullptr)
         return this->finish(group, round);
-    std::set<UpstreamId> queried = scope->getAll();
+    std::set<UpstreamId> queried = scope->required;
     if (!this->findPrimaryStatus(round->primary))
         queried.insert(round->primary.upstream);
     round->numAwaited = queried.size() + 1;
--- a/tests/support/PromotionModelWorld.cpp
+++ b/tests/support/PromotionModelWorld.cpp
@@ -71,7 +71,7 @@
     PrimaryEntry& entry = record.groups[group];
     if (this->options.removesEndedInFailover)
         removeAllEnded(instance.leases->getOpenPromotions(), entry, this->clock.bootNow());
-    concludePromotions(entry, record.epoch, refused, instance.run->failover.isPromotionSettled() ? primary : UpstreamId());
+    removeRefusedPromotions(entry, record.epoch, refused);
     if (entry.phase == PrimaryPhase::Changing)
         entry.generation = computeNextGeneration(record, entry);
     entry.phase = PrimaryPhase::Stable;
@@ -295,7 +295,7 @@
     std::optional<VerificationScope> scope = findVerificationScope(group, tenure.upstream, listUpstreams(), view.findOpenPromotions(group), isLeased);
     if (!scope)
         return false;
-    std::map<UpstreamId, std::optional<ReplicationStatus>> others = this->requestStatuses(scope->getAll());
+    std::map<UpstreamId, std::optional<ReplicationStatus>> others = this->requestStatuses(scope->required);
     std::optional<ReplicationStatus> primary;
     if (instance.verified && instance.verified->first == tenure)
         primary = instance.verified->second;
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -171,25 +171,9 @@
     CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
     fixture.failover.onPromotionSent();
     fixture.failover.onPromotionResponse(true, fixture.clock.now());
-    CHECK_TRUE(fixture.failover.isPromotionSettled());
     CHECK(fixture.failover.listRefusedPromotions().empty());
 }
 
-// Guards against a second call that is forgotten because the first one was seen in effect.
-TEST(PrimaryFailover, repeatedCallIsNotSettled)
-{
-    fixture.announceFailover();
-    fixture.confirmAll();
-    fixture.failover.onStatus(UpstreamId("a"), FailoverFixture::replica(2, 41));
-    fixture.failover.onStatus(UpstreamId("b"), FailoverFixture::replica(2, 40));
-    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
-    fixture.failover.onPromotionTimeout(fixture.clock.now());
-    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
-    fixture.failover.onPromotionSent();
-    fixture.failover.onPromotionResponse(true, fixture.clock.now());
-    CHECK_FALSE(fixture.failover.isPromotionSettled());
-}
-
 // Guards against a coordinator that was restarted under the same id: a refusal of its call does not refuse the call of the
 // former process, which has the same epoch and generation in the record and may still take effect.
 TEST(PrimaryFailover, refusalDoesNotCloseCallOfFormerProcess)
--- a/tests/unit/OpenPromotionTests.cpp
+++ b/tests/unit/OpenPromotionTests.cpp
@@ -104,12 +104,9 @@
 TEST(OpenPromotionTracker, callsAreEncodedWithTheRecord)
 {
     PrimaryRecord record = makeRecord(PrimaryPhase::Changing, "u0", { makeCall("u1", 4, 1), makeCall("u2", 5, 1) });
-    record.groups[group].openPromotions.back().isSettled = true;
     Failure failure;
     std::optional<PrimaryRecord> decoded = decodePrimaryRecord(encodePrimaryRecord(record), failure);
     CHECK_TRUE(decoded && decoded->groups.at(group).openPromotions == record.groups.at(group).openPromotions);
-    CHECK_FALSE(decoded->groups.at(group).openPromotions.front().isSettled);
-    CHECK_TRUE(decoded->groups.at(group).openPromotions.back().isSettled);
     nlohmann::json malformed = encodePrimaryRecord(record);
     malformed["groups"]["g"]["open_promotions"] = "none";
     CHECK_FALSE(decodePrimaryRecord(malformed, failure).has_value());
--- a/tests/unit/PrimaryVerificationTests.cpp
+++ b/tests/unit/PrimaryVerificationTests.cpp
@@ -161,7 +161,7 @@
         list.entries[UpstreamId("v1")].group = GroupId("other");
     }
 
-    static OpenPromotion call(const std::string& upstream, bool isSettled) { return { UpstreamId(upstream), FencingToken(1), 0, isSettled }; }
+    static OpenPromotion call(const std::string& upstream) { return { UpstreamId(upstream), FencingToken(1), 0 }; }
     static ReplicationStatus leads(std::uint64_t term) { return { true, Term(term), {} }; }
     static ReplicationStatus follows(std::uint64_t term) { return { false, Term(term), {} }; }
 
@@ -175,44 +175,30 @@
 {
     std::set<UpstreamId> others { UpstreamId("u2"), UpstreamId("u3") };
     CHECK(findVerificationScope(group, primary, list, {}, false)->required == others);
-    CHECK(findVerificationScope(group, primary, list, { call("u2", false) }, false)->required == others);
-    CHECK(findVerificationScope(group, primary, list, { call("u2", true) }, false)->required == others);
+    CHECK(findVerificationScope(group, primary, list, { call("u2") }, false)->required == others);
+    CHECK_FALSE(isPrimaryVerified(*findVerificationScope(group, primary, {}, {}, false), leads(3), {}));
 }
 
 // Under a lease, only an open call can have replaced the primary. Guards against a group without a primary because an upstream
 // that nobody called does not respond.
 TEST(VerifyingUpstreams, areThoseThatWereCalledUnderLease)
 {
-    std::optional<VerificationScope> scope = findVerificationScope(group, primary, list, { call("u2", false) }, true);
-    CHECK(scope->getAll() == std::set<UpstreamId> { UpstreamId("u2") });
+    std::optional<VerificationScope> scope = findVerificationScope(group, primary, list, { call("u2") }, true);
+    CHECK(scope->required == std::set<UpstreamId> { UpstreamId("u2") });
     CHECK_TRUE(isPrimaryVerified(*scope, leads(3), { { UpstreamId("u2"), follows(3) } }));
     CHECK_FALSE(isPrimaryVerified(*scope, leads(3), {}));
     CHECK_FALSE(isPrimaryVerified(*scope, leads(3), { { UpstreamId("u2"), std::nullopt } }));
     CHECK_FALSE(isPrimaryVerified(*scope, leads(3), { { UpstreamId("u2"), leads(4) } }));
 }
 
-// Guards against a group without a primary for the lifetime of a call because an upstream crashed right after its promotion,
-// and against a repeated call for it that goes unnoticed although it responds.
-TEST(VerifyingUpstreams, maySilentlyMissUpstreamOfSettledCall)
-{
-    std::optional<VerificationScope> scope = findVerificationScope(group, primary, list, { call("u2", true), call("u4", true) }, true);
-    CHECK(scope->getAll() == std::set<UpstreamId> { UpstreamId("u2") });
-    CHECK_TRUE(isPrimaryVerified(*scope, leads(3), {}));
-    CHECK_TRUE(isPrimaryVerified(*scope, leads(3), { { UpstreamId("u2"), std::nullopt } }));
-    CHECK_TRUE(isPrimaryVerified(*scope, leads(3), { { UpstreamId("u2"), follows(3) } }));
-    CHECK_FALSE(isPrimaryVerified(*scope, leads(3), { { UpstreamId("u2"), leads(4) } }));
-    CHECK_FALSE(isPrimaryVerified(*scope, leads(3), { { UpstreamId("u2"), follows(4) } }));
-    CHECK_FALSE(isPrimaryVerified(*findVerificationScope(group, primary, {}, {}, false), leads(3), {}));
-}
-
 // Guards against an upstream that a late call promotes while no one asks it: the list lacks it, and the others have not
 // heard of its term.
 TEST(VerifyingUpstreams, doNotSufficeWhenOneThatWasCalledIsNotListed)
 {
     for (bool isLeased : { false, true }) {
-        CHECK_FALSE(findVerificationScope(group, primary, list, { call("u4", false) }, isLeased).has_value());
+        CHECK_FALSE(findVerificationScope(group, primary, list, { call("u4") }, isLeased).has_value());
         // An upstream of another group is not the one that was called.
-        CHECK_FALSE(findVerificationScope(group, primary, list, { call("v1", false) }, isLeased).has_value());
+        CHECK_FALSE(findVerificationScope(group, primary, list, { call("v1") }, isLeased).has_value());
     }
 }
 
