Notice an unannounced promotion, and demote a former primary for as long as it goes on

Callers saw: after a promotion that no failover announced, all instances go on with the former primary; and a former primary whose two demotions were lost goes on for as long as it cannot reach the new one.

Cause: nobody compares the roles and terms of upstreams with the primary record while a group is stable.

Change: RoleMonitor, a pure class of the leadership module, decides for the coordinator whom to ask (another upstream than the recorded primary that claims to be the primary; all others of a group in which a newer term was seen; each once a second) and what a status requires: a failover of the recorded primary where another upstream leads a newer term (the survey adopts it), a demotion in the recorded term where it leads an older one, a log line where it leads the same one. The recorded primary is never demoted, and only stable, confirmed entries count. FailoverCoordination::onNewerTerm() takes reports of the traffic side and forwards them to the coordinator as the new question newer_term. Events 420 and 421. The stand-in can promote without a call.

Forwarding by an instance that is not the coordinator has no test: nothing calls onNewerTerm() yet.

--- a/include/lentiljunction/leadership/lj_leadership.h
+++ b/include/lentiljunction/leadership/lj_leadership.h
@@ -16,5 +16,6 @@
 #include "lentiljunction/leadership/PrimaryView.h"
 #include "lentiljunction/leadership/RecordRecovery.h"
 #include "lentiljunction/leadership/RecoveryVote.h"
+#include "lentiljunction/leadership/RoleMonitor.h"
 #include "lentiljunction/leadership/SuspicionTracker.h"
 #include "lentiljunction/leadership/TakeoverVote.h"
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -122,6 +122,8 @@
         events::primaryRecordRecovered,
         events::primaryConfirmed,
         events::commitsUnproved,
+        events::newerTermSeen,
+        events::formerPrimaryFound,
         events::gateOpened,
         events::gateClosed,
         events::connectionDiscarded,
--- a/src/gateway/FailoverCoordination.cpp
+++ b/src/gateway/FailoverCoordination.cpp
@@ -1,10 +1,12 @@
 #include "FailoverCoordination.h"
 
+#include "lentiljunction/core/JsonFields.h"
 #include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/core/RendezvousHash.h"
 #include "lentiljunction/fleet/Voters.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace lentiljunction {
@@ -63,6 +65,7 @@
         if (entry == nullptr || entry->isLeaving)
             this->requestReplacement(group.first, tenure->upstream, true);
     }
+    this->checkRoles();
 }
 
 void FailoverCoordination::checkStalledFailovers()
@@ -89,6 +92,7 @@
         else if (now - since.second >= stalledFailoverTimeout + this->getTakeoverDelay())
             this->takeOverStalled(group.first, group.second.primary);
     }
+    this->checkRoles();
 }
 
 void FailoverCoordination::takeOverStalled(const GroupId& group, const UpstreamId& primary)
@@ -234,15 +238,102 @@
 }
 
 void FailoverCoordination::onSuspicionReport(const nlohmann::json& request, const PeerRpc::Responder& respond)
+{
+    bool isAccepted = this->canReplace();
+    respond({ { "is_taken", isAccepted } });
+    if (isAccepted)
+        this->considerReplacement(GroupId(request.value("group", "")), UpstreamId(request.value("primary", "")), InstanceId(request.value("reporter", "")), request.value("is_leaving", false));
+}
+
+bool FailoverCoordination::isCoordinator() const
 {
     const VersionedPrimaryRecord& latest = this->state.getLeaseTracker().getView().latest;
-    bool isCoordinator = latest.record != nullptr && latest.record->coordinator == this->dependencies.self;
+    return latest.record != nullptr && latest.record->coordinator == this->dependencies.self;
+}
+
+bool FailoverCoordination::canReplace() const
+{
     // Without the store or the promotion service, the coordinator cannot carry out a failover.
-    bool isStoreReachable = this->state.isStoreReachable();
-    bool isAccepted = isCoordinator && isStoreReachable && !this->dependencies.executor.arePromotionsFailing();
+    return this->isCoordinator() && this->state.isStoreReachable() && !this->dependencies.executor.arePromotionsFailing();
+}
+
+void FailoverCoordination::onNewerTerm(const GroupId& group, const UpstreamId& upstream, Term term)
+{
+    const PrimaryView& view = this->state.getLeaseTracker().getView();
+    if (view.latest.record == nullptr || !RoleMonitor::isNewer(*view.latest.record, group, term))
+        return;
+    if (this->isCoordinator())
+        return this->considerNewerTerm(group, upstream, term);
+    std::optional<FleetMember> coordinator = this->state.findMember(view.latest.record->coordinator);
+    if (!coordinator || !this->groupsReporting.insert(group).second)
+        return;
+    nlohmann::json request { { "ask", "newer_term" }, { "group", group.toString() }, { "upstream", upstream.toString() }, { "term", term.value() } };
+    // Where the coordinator does not accept it, the next report follows soon.
+    this->dependencies.peers.ask(coordinator->peers, request, peerTimeout, [this, group](const std::optional<nlohmann::json>&) { this->groupsReporting.erase(group); });
+}
+
+void FailoverCoordination::onNewerTermReport(const nlohmann::json& request, const PeerRpc::Responder& respond)
+{
+    std::vector<std::string> faults;
+    JsonFields fields(request, "newer term", faults);
+    GroupId group(fields.getText("group"));
+    UpstreamId upstream(fields.getText("upstream"));
+    Term term(static_cast<std::uint64_t>(fields.getInteger("term", 1, std::numeric_limits<std::int64_t>::max())));
+    if (!faults.empty())
+        return logEvent(events::peerMessageInvalid, "reason=\"" + joinFaults(faults) + "\"");
+    bool isAccepted = this->canReplace();
     respond({ { "is_taken", isAccepted } });
     if (isAccepted)
-        this->considerReplacement(GroupId(request.value("group", "")), UpstreamId(request.value("primary", "")), InstanceId(request.value("reporter", "")), request.value("is_leaving", false));
+        this->considerNewerTerm(group, upstream, term);
+}
+
+void FailoverCoordination::considerNewerTerm(const GroupId& group, const UpstreamId& upstream, Term term)
+{
+    const PrimaryRecord& record = *this->state.getLeaseTracker().getView().latest.record;
+    if (!RoleMonitor::isNewer(record, group, term))
+        return;
+    logEvent(events::newerTermSeen, "group=" + group.toString() + " upstream=" + upstream.toString() + " term=" + std::to_string(term.value()) + " recorded=" + std::to_string(record.find(group)->term.value()) + " step=seen");
+    this->roles.onTermSeen(group, term, this->dependencies.clock.now());
+    this->checkRoles();
+}
+
+void FailoverCoordination::checkRoles()
+{
+    if (!this->isCoordinator())
+        return;
+    const PrimaryRecord& record = *this->state.getLeaseTracker().getView().latest.record;
+    const UpstreamList& list = this->state.getUpstreamList();
+    for (const UpstreamId& upstream : this->roles.listUpstreamsToAsk(record, list, this->dependencies.clock.now())) {
+        const UpstreamEntry& entry = *list.find(upstream);
+        std::uint64_t generation = record.find(entry.group)->generation;
+        this->dependencies.commander.requestStatus(entry, [this, entry, generation](const std::optional<ReplicationStatus>& status, bool) {
+            if (status)
+                this->onRoleReported(entry, generation, *status);
+        });
+    }
+}
+
+void FailoverCoordination::onRoleReported(const UpstreamEntry& upstream, std::uint64_t generation, const ReplicationStatus& status)
+{
+    if (!this->isCoordinator() || this->dependencies.executor.isActive(upstream.group))
+        return;
+    const PrimaryRecord& record = *this->state.getLeaseTracker().getView().latest.record;
+    RoleMonitor::Action action = RoleMonitor::decide(record, upstream.group, generation, upstream.id, status);
+    if (action == RoleMonitor::Action::None)
+        return;
+    const PrimaryEntry& entry = *record.find(upstream.group);
+    std::string detail = "group=" + upstream.group.toString() + " upstream=" + upstream.id.toString() + " term=" + std::to_string(status.term.value()) + " primary=" + entry.primary.toString() + " recorded=" + std::to_string(entry.term.value());
+    if (action == RoleMonitor::Action::ReplaceRecordedPrimary) {
+        logEvent(events::newerTermSeen, detail + " step=led");
+        if (this->canReplace())
+            this->dependencies.executor.start(upstream.group, entry.primary, false, "another upstream leads a newer term");
+        return;
+    }
+    bool mustDemote = action == RoleMonitor::Action::Demote;
+    logEvent(events::formerPrimaryFound, detail + " demote=" + std::to_string(mustDemote));
+    // A late one does no harm: it has no effect on a primary in the recorded term or a newer one.
+    if (mustDemote)
+        this->dependencies.commander.demote(upstream, entry.term, [](const std::optional<ReplicationStatus>&, bool) {});
 }
 
 } // namespace lentiljunction
--- a/src/gateway/FailoverCoordination.h
+++ b/src/gateway/FailoverCoordination.h
@@ -3,6 +3,7 @@
 #include "../peer/PeerRpc.h"
 #include "FailoverExecutor.h"
 #include "lentiljunction/fleet/FleetStore.h"
+#include "lentiljunction/leadership/RoleMonitor.h"
 #include "lentiljunction/leadership/SuspicionTracker.h"
 #include "lentiljunction/leadership/TakeoverVote.h"
 #include "lentiljunction/routes/RouteTable.h"
@@ -55,6 +56,7 @@
         const Clock& clock;
         PeerRpc& peers;
         FailoverExecutor& executor;
+        UpstreamCommander& commander;
         InstanceId self;
     };
 
@@ -63,8 +65,14 @@
     /// Handles a primary to which this instance could not open a new connection.
     void onPrimaryUnreachable(const GroupId& group, const UpstreamId& primary);
 
-    /// Requests the replacement of primaries that are leaving or no longer listed. Call it after the
-    /// list of upstreams was read.
+    /// Handles an upstream that showed a newer term than that of its group's recorded primary.
+    void onNewerTerm(const GroupId& group, const UpstreamId& upstream, Term term);
+
+    /// Handles the report of another instance that an upstream showed a newer term.
+    void onNewerTermReport(const nlohmann::json& request, const PeerRpc::Responder& respond);
+
+    /// Requests the replacement of primaries that are leaving or no longer listed, and checks the roles of the others.
+    /// Call it after the list of upstreams was read.
     void checkPrimaries();
 
     /// Resumes or takes over failovers that make no progress. Call it after the primary record was read.
@@ -103,10 +111,21 @@
     /// Takes over a stalled failover, unless its coordinator waits for an upstream that may hold acknowledged commits.
     void takeOverStalled(const GroupId& group, const UpstreamId& primary);
     bool hasLostPrimary(const GroupId& group, const UpstreamId& primary) const;
+    bool isCoordinator() const;
+    /// @returns whether this instance is the coordinator and can carry out a failover
+    bool canReplace() const;
+    /// Handles a newer term as the coordinator.
+    void considerNewerTerm(const GroupId& group, const UpstreamId& upstream, Term term);
+    /// Asks, as the coordinator, upstreams whose role may differ from the primary record.
+    void checkRoles();
+    void onRoleReported(const UpstreamEntry& upstream, std::uint64_t generation, const ReplicationStatus& status);
 
     Dependencies dependencies;
     KnownState& state;
     SuspicionTracker suspicions;
+    RoleMonitor roles;
+    /// The groups for which a report of a newer term to the coordinator is pending.
+    std::set<GroupId> groupsReporting;
     BootTime votedAt;
     /// For each group with a failover in progress, the epoch of its coordinator and when it was first seen.
     std::map<GroupId, std::pair<FencingToken, TimePoint>> changingSince;
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -51,7 +51,7 @@
     , writer(dependencies.store, dependencies.controlLoop, dependencies.clock, settings.instance, *this)
     , commander(dependencies.controlLoop, dependencies.clock, dependencies.protocol, settings.instance)
     , executor({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, *this, settings.instance })
-    , coordination({ dependencies.controlLoop, dependencies.clock, this->peers, this->executor, settings.instance }, *this)
+    , coordination({ dependencies.controlLoop, dependencies.clock, this->peers, this->executor, this->commander, settings.instance }, *this)
     , recovery({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, this->executor, this->coordination, *this, settings.instance }, settings.isFirstStart)
     , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, std::nullopt, std::nullopt, settings.linkRate }, [this](StoreEra era) { this->onRegistered(era); })
     , leaseTracker(settings.instance, dependencies.clock)
@@ -466,6 +466,8 @@
         return this->onPrimaryRecordMessage(request, respond);
     if (kind == "suspect")
         return this->coordination.onSuspicionReport(request, respond);
+    if (kind == "newer_term")
+        return this->coordination.onNewerTermReport(request, respond);
     if (kind == "opinion")
         return respond(this->coordination.makeVoteResponse(request));
     if (kind == "failover_progress")
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -82,6 +82,13 @@
         this->dependencies.controlLoop.post([this, group, primary] { this->coordination.onPrimaryUnreachable(group, primary); });
     }
 
+    /// Handles an upstream that showed the traffic thread a newer term than that of its group's recorded primary. Safe to
+    /// call from any thread.
+    void onNewerTerm(const GroupId& group, const UpstreamId& upstream, Term term)
+    {
+        this->dependencies.controlLoop.post([this, group, upstream, term] { this->coordination.onNewerTerm(group, upstream, term); });
+    }
+
     /// @returns the state known to this instance, for metrics
     GatewayMetrics::KnownState getKnownState() const;
 
--- /dev/null
+++ b/src/leadership/RoleMonitor.cpp
@@ -0,0 +1,73 @@
+#include "lentiljunction/leadership/RoleMonitor.h"
+
+namespace lentiljunction {
+
+namespace {
+
+    constexpr std::chrono::milliseconds askInterval { 1000 };
+    /// Allows several requests. An upstream that still shows the term is reported again.
+    constexpr std::chrono::milliseconds seenTermLifetime { 3500 };
+
+    /// @returns the entry of a group whose primary is known, or nullptr
+    const PrimaryEntry* findSettled(const PrimaryRecord& record, const GroupId& group)
+    {
+        const PrimaryEntry* entry = record.find(group);
+        bool isSettled = entry != nullptr && entry->phase == PrimaryPhase::Stable && record.isConfirmed(group);
+        return isSettled ? entry : nullptr;
+    }
+
+} // namespace
+
+void RoleMonitor::onTermSeen(const GroupId& group, Term term, TimePoint now)
+{
+    SeenTerm& seen = this->seenTerms.emplace(group, SeenTerm { term, now }).first->second;
+    if (term < seen.term && now - seen.seenAt <= seenTermLifetime)
+        return;
+    seen = { term, now };
+}
+
+bool RoleMonitor::isNewer(const PrimaryRecord& record, const GroupId& group, Term term)
+{
+    const PrimaryEntry* entry = findSettled(record, group);
+    return entry != nullptr && entry->term < term;
+}
+
+bool RoleMonitor::isNewerTermSeen(const PrimaryRecord& record, const GroupId& group, TimePoint now) const
+{
+    std::map<GroupId, SeenTerm>::const_iterator seen = this->seenTerms.find(group);
+    return seen != this->seenTerms.end() && now - seen->second.seenAt <= seenTermLifetime && isNewer(record, group, seen->second.term);
+}
+
+std::vector<UpstreamId> RoleMonitor::listUpstreamsToAsk(const PrimaryRecord& record, const UpstreamList& list, TimePoint now)
+{
+    std::vector<UpstreamId> asked;
+    std::map<UpstreamId, TimePoint> stillListed;
+    for (const std::pair<const UpstreamId, UpstreamEntry>& upstream : list.entries) {
+        std::map<UpstreamId, TimePoint>::const_iterator last = this->askedAt.find(upstream.first);
+        if (last != this->askedAt.end())
+            stillListed.insert(*last);
+        const PrimaryEntry* entry = findSettled(record, upstream.second.group);
+        if (entry == nullptr || entry->primary == upstream.first)
+            continue;
+        bool isSuspect = upstream.second.claimsPrimary || this->isNewerTermSeen(record, upstream.second.group, now);
+        if (!isSuspect || (last != this->askedAt.end() && now - last->second < askInterval))
+            continue;
+        stillListed[upstream.first] = now;
+        asked.push_back(upstream.first);
+    }
+    this->askedAt = std::move(stillListed);
+    return asked;
+}
+
+RoleMonitor::Action RoleMonitor::decide(const PrimaryRecord& record, const GroupId& group, std::uint64_t generation, const UpstreamId& upstream, const ReplicationStatus& status)
+{
+    const PrimaryEntry* entry = findSettled(record, group);
+    // After another failover, the status may be older than what the record says.
+    if (entry == nullptr || entry->generation != generation || entry->primary == upstream || !status.isPrimary)
+        return Action::None;
+    if (entry->term < status.term)
+        return Action::ReplaceRecordedPrimary;
+    return status.term < entry->term ? Action::Demote : Action::ReportConflict;
+}
+
+} // namespace lentiljunction
--- a/standins/platform/LineGroup.cpp
+++ b/standins/platform/LineGroup.cpp
@@ -146,6 +146,13 @@
     return isFound;
 }
 
+bool LineGroup::isPrimary(const std::string& id)
+{
+    bool isActing = false;
+    this->runOnLoop([&] { isActing = this->find(id)->isPrimary; });
+    return isActing;
+}
+
 std::uint64_t LineGroup::findHighestTerm()
 {
     std::uint64_t highestTerm = 0;
--- a/standins/platform/LineUpstream.h
+++ b/standins/platform/LineUpstream.h
@@ -144,6 +144,16 @@
     /// @returns the HTTP status of the promotion call
     int promote(const std::string& id);
 
+    /// Makes an upstream the primary of the next term, like a promotion call that takes effect late. Blocks until the loop has
+    /// done it.
+    void promoteLate(const std::string& id)
+    {
+        this->runOnLoop([&] { this->promote(id); });
+    }
+
+    /// @returns whether an upstream acts as the primary, in whatever term
+    bool isPrimary(const std::string& id);
+
     /// @returns how often a write of an item was committed
     std::size_t countCommits(const std::string& item);
 
--- a/tests/process/GatewayTests.cpp
+++ b/tests/process/GatewayTests.cpp
@@ -30,7 +30,7 @@
 
     void onConnected(WebSocketClient::Handle handle) override
     {
-        const std::vector<nlohmann::json> bodies { 7, "text", nlohmann::json::array(), { { "ask", 7 } }, { { "ask", "take_lead" }, { "record", 1 } }, { { "ask", "suspect" }, { "group", 7 }, { "is_leaving", "yes" } }, { { "ask", "opinion" }, { "group", nlohmann::json::array() } } };
+        const std::vector<nlohmann::json> bodies { 7, "text", nlohmann::json::array(), { { "ask", 7 } }, { { "ask", "take_lead" }, { "record", 1 } }, { { "ask", "suspect" }, { "group", 7 }, { "is_leaving", "yes" } }, { { "ask", "opinion" }, { "group", nlohmann::json::array() } }, { { "ask", "newer_term" }, { "group", "ledger" }, { "term", "many" } }, { { "ask", "newer_term" }, { "term", -1 } } };
         std::uint64_t number = 1;
         for (const nlohmann::json& body : bodies) {
             std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor({ { "number", number++ }, { "body", body } });
