Replace a recorded primary that was demoted late

Callers saw: a group whose recorded primary has become a replica refuses every write until something else replaces it.

Cause: a demotion may arrive after the upstreams confirmed the same upstream as the primary again (a restored store lost the announcement). It is reachable, so nobody suspects it, and nobody else claims to be the primary.

Change: RoleMonitor asks the recorded primary as well when it does not claim to be the primary. After two answers as a replica, at least 500 ms apart and in one generation, it is replaced by a planned failover.

--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -77,6 +77,7 @@
     constexpr LogEvent primaryConfirmed { 418, LogLevel::Information, "primary_confirmed", "The upstreams of a group were asked for its primary after the store was restored." };
     constexpr LogEvent newerTermSeen { 420, LogLevel::Warning, "newer_term", "An upstream shows a newer term than that of the recorded primary: a promotion took effect that is not in the record." };
     constexpr LogEvent formerPrimaryFound { 421, LogLevel::Warning, "former_primary", "An upstream that is not the recorded primary reports to be primary in no newer term; it is demoted if its term is older." };
+    constexpr LogEvent primaryDemoted { 422, LogLevel::Warning, "primary_demoted", "The recorded primary reports to be a replica, and no other upstream is known to lead the group; it is replaced." };
     constexpr LogEvent gateOpened { 500, LogLevel::Information, "gate_opened", "This instance became the gate of an upstream." };
     constexpr LogEvent gateClosed { 501, LogLevel::Information, "gate_closed", "This instance is no longer the gate of an upstream." };
     constexpr LogEvent connectionDiscarded { 510, LogLevel::Warning, "connection_discarded", "A connection in an unknown state was closed." };
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -124,6 +124,7 @@
         events::commitsUnproved,
         events::newerTermSeen,
         events::formerPrimaryFound,
+        events::primaryDemoted,
         events::gateOpened,
         events::gateClosed,
         events::connectionDiscarded,
--- a/src/gateway/FailoverCoordination.cpp
+++ b/src/gateway/FailoverCoordination.cpp
@@ -318,7 +318,7 @@
     if (!this->isCoordinator() || this->dependencies.executor.isActive(upstream.group))
         return;
     const PrimaryRecord& record = *this->state.getLeaseTracker().getView().latest.record;
-    RoleMonitor::Action action = RoleMonitor::decide(record, upstream.group, generation, upstream.id, status);
+    RoleMonitor::Action action = this->roles.onStatus(record, upstream.group, generation, upstream.id, status, this->dependencies.clock.now());
     if (action == RoleMonitor::Action::None)
         return;
     const PrimaryEntry& entry = *record.find(upstream.group);
@@ -329,6 +329,13 @@
             this->dependencies.executor.start(upstream.group, entry.primary, false, "another upstream leads a newer term");
         return;
     }
+    if (action == RoleMonitor::Action::ReplaceDemotedPrimary) {
+        logEvent(events::primaryDemoted, detail);
+        // It still responds, so the replicas are given time to catch up with what it reports.
+        if (this->canReplace())
+            this->dependencies.executor.start(upstream.group, entry.primary, true, "the primary has become a replica");
+        return;
+    }
     bool mustDemote = action == RoleMonitor::Action::Demote;
     logEvent(events::formerPrimaryFound, detail + " demote=" + std::to_string(mustDemote));
     // A late one does no harm: it has no effect on a primary in the recorded term or a newer one.
--- a/src/leadership/RoleMonitor.cpp
+++ b/src/leadership/RoleMonitor.cpp
@@ -7,6 +7,9 @@
     constexpr std::chrono::milliseconds askInterval { 1000 };
     /// Allows several requests. An upstream that still shows the term is reported again.
     constexpr std::chrono::milliseconds seenTermLifetime { 3500 };
+    /// One status may be from before the upstream learnt of its promotion.
+    constexpr std::chrono::milliseconds lostRoleDelay { 500 };
+    constexpr std::chrono::milliseconds lostRoleLifetime { 3500 };
 
     /// @returns the entry of a group whose primary is known, or nullptr
     const PrimaryEntry* findSettled(const PrimaryRecord& record, const GroupId& group)
@@ -47,9 +50,10 @@
         if (last != this->askedAt.end())
             stillListed.insert(*last);
         const PrimaryEntry* entry = findSettled(record, upstream.second.group);
-        if (entry == nullptr || entry->primary == upstream.first)
+        if (entry == nullptr)
             continue;
-        bool isSuspect = upstream.second.claimsPrimary || this->isNewerTermSeen(record, upstream.second.group, now);
+        bool isRecorded = entry->primary == upstream.first;
+        bool isSuspect = isRecorded ? !upstream.second.claimsPrimary : upstream.second.claimsPrimary || this->isNewerTermSeen(record, upstream.second.group, now);
         if (!isSuspect || (last != this->askedAt.end() && now - last->second < askInterval))
             continue;
         stillListed[upstream.first] = now;
@@ -59,11 +63,28 @@
     return asked;
 }
 
-RoleMonitor::Action RoleMonitor::decide(const PrimaryRecord& record, const GroupId& group, std::uint64_t generation, const UpstreamId& upstream, const ReplicationStatus& status)
+RoleMonitor::Action RoleMonitor::onRecordedPrimary(const GroupId& group, std::uint64_t generation, bool isPrimary, TimePoint now)
+{
+    if (isPrimary) {
+        this->lostRoles.erase(group);
+        return Action::None;
+    }
+    LostRole& lost = this->lostRoles.emplace(group, LostRole { generation, now, now }).first->second;
+    if (lost.generation != generation || now - lost.lastSeenAt > lostRoleLifetime)
+        lost = { generation, now, now };
+    lost.lastSeenAt = now;
+    return now - lost.firstSeenAt >= lostRoleDelay ? Action::ReplaceDemotedPrimary : Action::None;
+}
+
+RoleMonitor::Action RoleMonitor::onStatus(const PrimaryRecord& record, const GroupId& group, std::uint64_t generation, const UpstreamId& upstream, const ReplicationStatus& status, TimePoint now)
 {
     const PrimaryEntry* entry = findSettled(record, group);
     // After another failover, the status may be older than what the record says.
-    if (entry == nullptr || entry->generation != generation || entry->primary == upstream || !status.isPrimary)
+    if (entry == nullptr || entry->generation != generation)
+        return Action::None;
+    if (entry->primary == upstream)
+        return this->onRecordedPrimary(group, generation, status.isPrimary, now);
+    if (!status.isPrimary)
         return Action::None;
     if (entry->term < status.term)
         return Action::ReplaceRecordedPrimary;
--- a/standins/platform/LineGroup.cpp
+++ b/standins/platform/LineGroup.cpp
@@ -146,6 +146,16 @@
     return isFound;
 }
 
+void LineGroup::demoteLate(const std::string& id)
+{
+    this->runOnLoop([&] { this->find(id)->isPrimary = false; });
+}
+
+void LineGroup::pauseLate(const std::string& id)
+{
+    this->runOnLoop([&] { this->find(id)->isPaused = true; });
+}
+
 bool LineGroup::isPrimary(const std::string& id)
 {
     bool isActing = false;
--- a/standins/platform/LineUpstream.h
+++ b/standins/platform/LineUpstream.h
@@ -151,6 +151,12 @@
         this->runOnLoop([&] { this->promote(id); });
     }
 
+    /// Turns an upstream into a replica, like a demotion that arrives late. Blocks until the loop has done it.
+    void demoteLate(const std::string& id);
+
+    /// Stops an upstream from receiving, like a pause that arrives late. Blocks until the loop has done it.
+    void pauseLate(const std::string& id);
+
     /// @returns whether an upstream acts as the primary, in whatever term
     bool isPrimary(const std::string& id);
 
--- a/tests/process/GatewayRolesTests.cpp
+++ b/tests/process/GatewayRolesTests.cpp
@@ -68,3 +68,16 @@
     CHECK_TRUE(waitUntil([&] { return !fixture.getGroup().isPrimary("u1"); }));
     CHECK_TRUE(fixture.getGroup().isPrimary(primary));
 }
+
+// A demotion reaches the upstream that is the recorded primary again. Guards against a group that has no primary for ever.
+TEST(GatewayRoles, recordedPrimaryThatWasDemotedLateIsReplaced)
+{
+    GatewayFixture fixture(3);
+    replaceFirstPrimary(fixture);
+    std::string recorded = fixture.getGroup().findPrimary();
+    fixture.getGroup().demoteLate(recorded);
+    fixture.report(recorded, false);
+    int number = 0;
+    CHECK_TRUE(waitUntil([&] { return isWrittenAtPrimary(fixture, "second" + std::to_string(number++)); }));
+    CHECK(fixture.getGroup().findPrimary() != recorded);
+}
--- a/tests/unit/RoleMonitorTests.cpp
+++ b/tests/unit/RoleMonitorTests.cpp
@@ -53,7 +53,7 @@
         return asked;
     }
 
-    RoleMonitor::Action decide(const std::string& upstream, const ReplicationStatus& status) const { return RoleMonitor::decide(this->record, group, 3, UpstreamId(upstream), status); }
+    RoleMonitor::Action decide(const std::string& upstream, const ReplicationStatus& status) { return this->monitor.onStatus(this->record, group, 3, UpstreamId(upstream), status, this->clock.now()); }
 };
 
 // Guards against a former primary that goes on because its demotion was lost.
@@ -149,3 +149,34 @@
     STRCMP_EQUAL("", ask(makeList({ { "u1", true }, { "u2", true } })).c_str());
     CHECK(decide("u2", makeStatus(true, 6)) == RoleMonitor::Action::None);
 }
+
+// Guards against a group that stays without a primary: a demotion reached the recorded primary late, and nobody else leads.
+TEST(RoleMonitor, recordedPrimaryThatStaysReplicaIsReplaced)
+{
+    UpstreamList list = makeList({ { "u1", false }, { "u2", false } });
+    STRCMP_EQUAL("u1 ", ask(list).c_str());
+    CHECK(decide("u1", makeStatus(false, 5)) == RoleMonitor::Action::None);
+    clock.advance(std::chrono::seconds(1));
+    STRCMP_EQUAL("u1 ", ask(list).c_str());
+    CHECK(decide("u1", makeStatus(false, 5)) == RoleMonitor::Action::ReplaceDemotedPrimary);
+}
+
+// Guards against a needless failover: the list may show the role late, and one status may be older than the promotion.
+TEST(RoleMonitor, recordedPrimaryThatLeadsIsNotReplaced)
+{
+    CHECK(decide("u1", makeStatus(false, 5)) == RoleMonitor::Action::None);
+    clock.advance(std::chrono::seconds(1));
+    CHECK(decide("u1", makeStatus(true, 5)) == RoleMonitor::Action::None);
+    clock.advance(std::chrono::seconds(1));
+    CHECK(decide("u1", makeStatus(false, 5)) == RoleMonitor::Action::None);
+    clock.advance(std::chrono::seconds(10));
+    CHECK(decide("u1", makeStatus(false, 5)) == RoleMonitor::Action::None);
+}
+
+TEST(RoleMonitor, replicaOfEarlierGenerationDoesNotCount)
+{
+    CHECK(decide("u1", makeStatus(false, 5)) == RoleMonitor::Action::None);
+    clock.advance(std::chrono::seconds(1));
+    record.groups[group].generation = 4;
+    CHECK(monitor.onStatus(record, group, 4, UpstreamId("u1"), makeStatus(false, 5), clock.now()) == RoleMonitor::Action::None);
+}
