Resume each replica a second time after a failover

Callers saw: where commits wait for a replica, all writes of a group hang when a pause takes effect after the replica was resumed.

Cause: commands use connections of their own, so they may be done in another order than they were sent in. A replica was finished after its first answer to RESUME.

Change: ReplicaResumer resumes each replica again from the eleventh round on, 6 s after the first one. A pause that is later still stays open.

--- a/src/gateway/ReplicaResumer.cpp
+++ b/src/gateway/ReplicaResumer.cpp
@@ -1,5 +1,6 @@
 #include "ReplicaResumer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lentiljunction {
@@ -10,6 +11,9 @@
     constexpr std::chrono::milliseconds roundInterval { 600 };
     /// A replica that cannot be reached for longer is restarted or replaced, which ends its pause.
     constexpr int maximumRounds = 100;
+    /// The round from which a replica is resumed for the second time, 6 s after the first one. An upstream drops a connection
+    /// whose remote end is unreachable after 3 s.
+    constexpr int repeatedRound = 11;
 
 } // namespace
 
@@ -33,26 +37,38 @@
     return found == this->runs.end() || found->second.number != number ? nullptr : &found->second;
 }
 
+bool ReplicaResumer::isFinished(const Run& run, const UpstreamId& replica)
+{
+    std::map<UpstreamId, int>::const_iterator found = run.resumedIn.find(replica);
+    return found != run.resumedIn.end() && found->second >= repeatedRound;
+}
+
+bool ReplicaResumer::isDue(const Run& run, const UpstreamId& replica)
+{
+    return run.resumedIn.count(replica) == 0 || (run.numRounds >= repeatedRound && !isFinished(run, replica));
+}
+
 void ReplicaResumer::sendRound(const GroupId& group, std::uint64_t number)
 {
     Run* run = this->findRun(group, number);
     if (run == nullptr)
         return;
-    std::vector<UpstreamEntry> missing;
-    for (UpstreamEntry& replica : this->listReplicas(group)) {
-        if (run->resumed.count(replica.id) == 0)
-            missing.push_back(std::move(replica));
-    }
-    if (missing.empty() || ++run->numRounds > maximumRounds) {
+    std::vector<UpstreamEntry> replicas = this->listReplicas(group);
+    bool areFinished = std::all_of(replicas.begin(), replicas.end(), [run](const UpstreamEntry& replica) { return isFinished(*run, replica.id); });
+    if (areFinished || ++run->numRounds > maximumRounds) {
         this->runs.erase(group);
         return;
     }
-    for (const UpstreamEntry& replica : missing)
-        this->commander.resume(replica, [this, group, number, id = replica.id](const std::optional<ReplicationStatus>& status, bool) {
+    int round = run->numRounds;
+    for (const UpstreamEntry& replica : replicas) {
+        if (!isDue(*run, replica.id))
+            continue;
+        this->commander.resume(replica, [this, group, number, round, id = replica.id](const std::optional<ReplicationStatus>& status, bool) {
             Run* current = this->findRun(group, number);
             if (current != nullptr && status)
-                current->resumed.insert(id);
+                current->resumedIn[id] = round;
         });
+    }
     this->loop.schedule(roundInterval, [this, group, number] { this->sendRound(group, number); });
 }
 
--- a/src/gateway/ReplicaResumer.h
+++ b/src/gateway/ReplicaResumer.h
@@ -5,14 +5,15 @@
 
 #include <functional>
 #include <map>
-#include <set>
+#include <vector>
 
 namespace lentiljunction {
 
 /// Lets replicas receive again after a failover has paused them.
 ///
 /// In a group whose primary waits for replicas, a replica that stays paused would stop all commits. It may have been
-/// paused by a coordinator that was lost since, so every replica of the group is resumed.
+/// paused by a coordinator that was lost since, so every replica of the group is resumed. Commands use connections of their
+/// own, so a pause may take effect after a replica was resumed. Therefore each one is resumed a second time later.
 ///
 /// Not thread-safe; the control thread owns it.
 ///
@@ -31,10 +32,15 @@
     /// The replicas of one group that were not resumed yet.
     struct Run {
         std::uint64_t number = 0;
-        std::set<UpstreamId> resumed;
+        /// The last round in which each replica was resumed.
+        std::map<UpstreamId, int> resumedIn;
         int numRounds = 0;
     };
 
+    /// @returns whether a replica is to be resumed in the present round
+    static bool isDue(const Run& run, const UpstreamId& replica);
+    /// @returns whether a replica has been resumed for the last time
+    static bool isFinished(const Run& run, const UpstreamId& replica);
     void sendRound(const GroupId& group, std::uint64_t number);
     Run* findRun(const GroupId& group, std::uint64_t number);
 
--- a/tests/process/GatewaySynchronousTests.cpp
+++ b/tests/process/GatewaySynchronousTests.cpp
@@ -114,6 +114,23 @@
     LONGS_EQUAL(0, countLost(fixture, acknowledged));
 }
 
+// A pause of a failover takes effect after the replica was resumed. Guards against a primary whose commits wait for ever for
+// a replica that receives nothing.
+TEST(GatewaySynchronous, replicaThatIsPausedLateReceivesAgain)
+{
+    GatewayFixture fixture(3);
+    CHECK_TRUE(fixture.waitUntilServed("bookings"));
+    makeSynchronous(fixture);
+    fixture.getGroup().crash("u1");
+    CHECK_TRUE(waitUntil([&] { return !writeFor(fixture, "a", std::chrono::milliseconds(100)).empty(); }));
+    std::string primary = fixture.getGroup().findPrimary();
+    // The first command that resumes it was sent when the failover ended.
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    fixture.getGroup().pauseLate(primary == "u2" ? "u3" : "u2");
+    CHECK_TRUE(waitUntil([&] { return !writeFor(fixture, "b", std::chrono::milliseconds(100)).empty(); }));
+    STRCMP_EQUAL(primary.c_str(), fixture.getGroup().findPrimary().c_str());
+}
+
 // A planned failover, and one after a crash, pause replicas. Guards against a new primary whose commits wait for ever for a
 // replica that receives nothing, and against a group that stays without a primary.
 TEST(GatewaySynchronous, newPrimaryCommitsAgainAfterEachFailover)
