Send DEMOTE and PAUSE only as the recorded coordinator of a failover, within the lease

Cause, found by reading: a run of a former coordinator goes on until one of its writes is refused. While its survey has no result it commands, in each round, the newest reported term + 1: that demotes the primary of a later failover, and pauses its replicas again after each RESUME.

Change: LeaseTracker::isReplacing() says whether this instance is the coordinator in the newest record, the group is changing, and the lease is valid, which the next coordinator's promotion waits for. It is asked before each DEMOTE and PAUSE, and again after the status that precedes a DEMOTE.

The case itself was not reproduced with processes.

--- a/include/lentiljunction/leadership/LeaseTracker.h
+++ b/include/lentiljunction/leadership/LeaseTracker.h
@@ -52,6 +52,10 @@
     /// @returns the remaining lease, zero when it has expired
     Duration getRemaining(BootTime now) const;
 
+    /// @returns whether this instance is the coordinator of a failover of a group, and no other instance may have completed
+    ///     one since; until then it may send the commands of the failover to upstreams
+    bool isReplacing(const GroupId& group, BootTime now) const;
+
     /// @returns whether this instance must remove itself from the retired instances
     bool isRetired() const;
 
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -370,15 +370,15 @@
 void FailoverExecutor::demoteOldPrimary(Run& run, const UpstreamId& upstream)
 {
     const UpstreamEntry* entry = this->dependencies.context.getUpstreamList().find(upstream);
-    if (entry == nullptr || std::exchange(run.isDemoting, true))
+    if (entry == nullptr || !this->mayCommand(run.failover.getGroup()) || std::exchange(run.isDemoting, true))
         return;
     GroupId group = run.failover.getGroup();
     this->dependencies.commander.requestStatus(*entry, [this, group, upstream, copy = *entry](const std::optional<ReplicationStatus>& status, bool) {
         Run* requested = this->findRun(group);
         if (requested == nullptr)
             return;
-        requested->isDemoting = status.has_value();
-        if (!status)
+        requested->isDemoting = status && this->mayCommand(group);
+        if (!requested->isDemoting)
             return;
         this->dependencies.commander.demote(copy, status->term.next(), [this, group](const std::optional<ReplicationStatus>& demoted, bool) {
             Run* current = this->findRun(group);
@@ -396,7 +396,7 @@
 void FailoverExecutor::pauseReplica(const Run& run, const UpstreamId& upstream)
 {
     const UpstreamEntry* entry = this->dependencies.context.getUpstreamList().find(upstream);
-    if (entry == nullptr)
+    if (entry == nullptr || !this->mayCommand(run.failover.getGroup()))
         return;
     Term term = run.failover.getPauseTerm();
     this->dependencies.commander.pause(*entry, term, [this, group = run.failover.getGroup(), upstream, term](const std::optional<ReplicationStatus>& status, bool) {
@@ -426,6 +426,11 @@
     return std::find(entry->openPromotions.begin(), entry->openPromotions.end(), promotion) != entry->openPromotions.end();
 }
 
+bool FailoverExecutor::mayCommand(const GroupId& group) const
+{
+    return this->dependencies.context.getLeaseTracker().isReplacing(group, this->dependencies.clock.bootNow());
+}
+
 bool FailoverExecutor::mayCall() const
 {
     Duration remaining = this->dependencies.context.getLeaseTracker().getRemaining(this->dependencies.clock.bootNow());
--- a/src/gateway/FailoverExecutor.h
+++ b/src/gateway/FailoverExecutor.h
@@ -132,6 +132,8 @@
     bool isCoordinator() const;
     /// @returns whether the newest record lists a call of this instance, as the coordinator, for an upstream
     bool isPromotionRecorded(const GroupId& group, const UpstreamId& upstream) const;
+    /// @returns whether a command of a failover may be sent to an upstream of its group
+    bool mayCommand(const GroupId& group) const;
     /// @returns whether a promotion call ends before another instance can become the coordinator
     bool mayCall() const;
     nlohmann::json makePrimaryRecordMessage() const;
--- a/src/leadership/LeaseTracker.cpp
+++ b/src/leadership/LeaseTracker.cpp
@@ -59,6 +59,11 @@
     return isNewer;
 }
 
+bool LeaseTracker::isReplacing(const GroupId& group, BootTime now) const
+{
+    return this->view.hasValidLease(now) && this->view.latest.record->coordinator == this->self && this->view.isChanging(group);
+}
+
 bool LeaseTracker::isRetired() const
 {
     const PrimaryRecord* record = this->view.latest.record.get();
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -204,6 +204,30 @@
     }
 };
 
+// Guards against a former coordinator that goes on with its failover: its demotion, in a term above the one that the upstream
+// reports, would stop a primary that another coordinator has promoted, and its pauses would stop the replicas of that one.
+TEST(LeaseTracker, onlyTheCoordinatorOfFailoverReplacesAndOnlyWithinItsLease)
+{
+    GroupId group("g");
+    std::uint64_t revision = 0;
+    auto learn = [&](const std::string& coordinator, PrimaryPhase phase) {
+        std::shared_ptr<PrimaryRecord> record = std::make_shared<PrimaryRecord>();
+        record->coordinator = InstanceId(coordinator);
+        record->groups[group].phase = phase;
+        tracker.onStoreResponse({ record, StoreVersion(++revision) }, clock.bootNow());
+        return tracker.isReplacing(group, clock.bootNow());
+    };
+    CHECK_FALSE(tracker.isReplacing(group, clock.bootNow()));
+    CHECK_FALSE(learn("two", PrimaryPhase::Changing));
+    CHECK_FALSE(learn("one", PrimaryPhase::Stable));
+    CHECK_TRUE(learn("one", PrimaryPhase::Changing));
+    CHECK_FALSE(tracker.isReplacing(GroupId("other"), clock.bootNow()));
+    clock.advance(leaseDuration);
+    CHECK_FALSE(tracker.isReplacing(group, clock.bootNow()));
+    CHECK_TRUE(learn("one", PrimaryPhase::Changing));
+    CHECK_FALSE(learn("two", PrimaryPhase::Changing));
+}
+
 TEST(LeaseTracker, leaseBeginsWhenReadIsSent)
 {
     BootTime sentAt = clock.bootNow();
