--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -142,7 +142,6 @@
 
 void FailoverExecutor::carryOut(Run& run, const Failover::Action& action)
 {
-    const GroupId& group = run.failover.getGroup();
     switch (action.kind) {
     case Failover::Action::Kind::WriteChanging:
         return this->writeChanging(run);
@@ -150,7 +149,7 @@
         return this->requestConfirmations(run);
     case Failover::Action::Kind::RequestStatus:
     case Failover::Action::Kind::RequestPromotedStatus:
-        return this->requestStatus(group, action.upstream);
+        return this->requestStatus(run, action.upstream);
     case Failover::Action::Kind::DemoteOldPrimary:
         return this->demoteOldPrimary(run, action.upstream);
     case Failover::Action::Kind::PauseReplica:
@@ -353,17 +352,18 @@
     });
 }
 
-void FailoverExecutor::requestStatus(const GroupId& group, const UpstreamId& upstream)
+void FailoverExecutor::requestStatus(const Run& run, const UpstreamId& upstream)
 {
     const UpstreamEntry* entry = this->dependencies.context.getUpstreamList().find(upstream);
     if (entry == nullptr)
         return;
-    this->dependencies.commander.requestStatus(*entry, [this, group, upstream](const std::optional<ReplicationStatus>& status, bool) {
-        Run* current = this->findRun(group);
+    RunKey key { run.failover.getGroup(), run.number };
+    this->dependencies.commander.requestStatus(*entry, [this, key, upstream](const std::optional<ReplicationStatus>& status, bool) {
+        Run* current = this->findRun(key);
         if (current == nullptr || !status)
             return;
         current->failover.onStatus(upstream, *status);
-        this->advance(group);
+        this->advance(key.group);
     });
 }
 
@@ -372,23 +372,23 @@
     const UpstreamEntry* entry = this->dependencies.context.getUpstreamList().find(upstream);
     if (entry == nullptr || !this->mayCommand(run.failover.getGroup()) || std::exchange(run.isDemoting, true))
         return;
-    GroupId group = run.failover.getGroup();
-    this->dependencies.commander.requestStatus(*entry, [this, group, upstream, copy = *entry](const std::optional<ReplicationStatus>& status, bool) {
-        Run* requested = this->findRun(group);
+    RunKey key { run.failover.getGroup(), run.number };
+    this->dependencies.commander.requestStatus(*entry, [this, key, upstream, copy = *entry](const std::optional<ReplicationStatus>& status, bool) {
+        Run* requested = this->findRun(key);
         if (requested == nullptr)
             return;
-        requested->isDemoting = status && this->mayCommand(group);
+        requested->isDemoting = status && this->mayCommand(key.group);
         if (!requested->isDemoting)
             return;
-        this->dependencies.commander.demote(copy, status->term.next(), [this, group](const std::optional<ReplicationStatus>& demoted, bool) {
-            Run* current = this->findRun(group);
+        this->dependencies.commander.demote(copy, status->term.next(), [this, key](const std::optional<ReplicationStatus>& demoted, bool) {
+            Run* current = this->findRun(key);
             if (current == nullptr)
                 return;
             current->isDemoting = false;
             if (!demoted)
                 return;
             current->failover.onOldPrimaryDemoted(*demoted);
-            this->advance(group);
+            this->advance(key.group);
         });
     });
 }
@@ -398,13 +398,14 @@
     const UpstreamEntry* entry = this->dependencies.context.getUpstreamList().find(upstream);
     if (entry == nullptr || !this->mayCommand(run.failover.getGroup()))
         return;
+    RunKey key { run.failover.getGroup(), run.number };
     Term term = run.failover.getPauseTerm();
-    this->dependencies.commander.pause(*entry, term, [this, group = run.failover.getGroup(), upstream, term](const std::optional<ReplicationStatus>& status, bool) {
-        Run* current = this->findRun(group);
+    this->dependencies.commander.pause(*entry, term, [this, key, upstream, term](const std::optional<ReplicationStatus>& status, bool) {
+        Run* current = this->findRun(key);
         if (current == nullptr || !status)
             return;
         current->failover.onReplicaPaused(upstream, *status, term);
-        this->advance(group);
+        this->advance(key.group);
     });
 }
 
--- a/src/gateway/FailoverExecutor.h
+++ b/src/gateway/FailoverExecutor.h
@@ -117,7 +117,7 @@
     void writeStable(Run& run, const UpstreamId& primary);
     void requestConfirmations(Run& run);
     void requestConfirmation(const RunKey& key, const FleetMember& member);
-    void requestStatus(const GroupId& group, const UpstreamId& upstream);
+    void requestStatus(const Run& run, const UpstreamId& upstream);
     void demoteOldPrimary(Run& run, const UpstreamId& upstream);
     void pauseReplica(const Run& run, const UpstreamId& upstream);
     void recordPromotion(const Run& run, const UpstreamId& upstream);
