--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -81,7 +81,9 @@
     constexpr LogEvent promotionUnrequested { 423, LogLevel::Warning, "promotion_unrequested", "An upstream reports to be the primary in a newer term although this instance did not call it in the present failover." };
     constexpr LogEvent primaryReplaceable { 424, LogLevel::Warning, "primary_replaceable", "An earlier promotion call may still replace the primary of a group; the lease does not cover the group." };
     constexpr LogEvent primarySettled { 425, LogLevel::Information, "primary_settled", "No earlier promotion call can replace the primary of a group any more." };
-    constexpr LogEvent newerTermSeen { 426, LogLevel::Warning, "newer_term_seen", "An upstream reported a later term than the primary record names; the primary of its group is used only with a verification of each answer." };
+    constexpr LogEvent newerTermSeen { 426, LogLevel::Warning, "newer_term", "An upstream shows a newer term than that of the recorded primary: a promotion took effect that is not in the record." };
+    constexpr LogEvent formerPrimaryFound { 427, LogLevel::Warning, "former_primary", "An upstream that is not the recorded primary reports to be primary in no newer term; it is demoted if its term is older." };
+    constexpr LogEvent primaryDemoted { 428, LogLevel::Warning, "primary_demoted", "The recorded primary reports to be a replica, and no other upstream is known to lead the group; it is replaced." };
     constexpr LogEvent gateOpened { 500, LogLevel::Information, "gate_opened", "This instance became the gate of an upstream." };
     constexpr LogEvent gateClosed { 501, LogLevel::Information, "gate_closed", "This instance is no longer the gate of an upstream." };
     constexpr LogEvent connectionDiscarded { 510, LogLevel::Warning, "connection_discarded", "A connection in an unknown state was closed." };
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -132,6 +132,8 @@
         events::primaryReplaceable,
         events::primarySettled,
         events::newerTermSeen,
+        events::formerPrimaryFound,
+        events::primaryDemoted,
         events::gateOpened,
         events::gateClosed,
         events::connectionDiscarded,
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -140,7 +140,6 @@
 
 void FailoverExecutor::carryOut(Run& run, const Failover::Action& action)
 {
-    const GroupId& group = run.failover.getGroup();
     switch (action.kind) {
     case Failover::Action::Kind::WriteChanging:
         return this->writeChanging(run);
@@ -148,7 +147,7 @@
         return this->requestConfirmations(run);
     case Failover::Action::Kind::RequestStatus:
     case Failover::Action::Kind::RequestPromotedStatus:
-        return this->requestStatus(group, action.upstream);
+        return this->requestStatus(run, action.upstream);
     case Failover::Action::Kind::DemoteOldPrimary:
         return this->demoteOldPrimary(run, action.upstream);
     case Failover::Action::Kind::PauseReplica:
@@ -315,18 +314,19 @@
     });
 }
 
-void FailoverExecutor::requestStatus(const GroupId& group, const UpstreamId& upstream)
+void FailoverExecutor::requestStatus(const Run& run, const UpstreamId& upstream)
 {
     const UpstreamEntry* entry = this->dependencies.context.getUpstreamList().find(upstream);
     if (entry == nullptr)
         return;
-    this->dependencies.commander.requestStatus(*entry, [this, group, upstream](const std::optional<ReplicationStatus>& status, bool) {
-        Run* current = this->findRun(group);
+    RunKey key { run.failover.getGroup(), run.number };
+    this->dependencies.commander.requestStatus(*entry, [this, key, upstream](const std::optional<ReplicationStatus>& status, bool) {
+        Run* current = this->findRun(key);
         if (current == nullptr || !status)
             return;
         this->logUnrequested(*current, upstream, *status);
         current->failover.onStatus(upstream, *status);
-        this->advance(group);
+        this->advance(key.group);
     });
 }
 
@@ -343,25 +343,25 @@
 void FailoverExecutor::demoteOldPrimary(Run& run, const UpstreamId& upstream)
 {
     const UpstreamEntry* entry = this->dependencies.context.getUpstreamList().find(upstream);
-    if (entry == nullptr || std::exchange(run.isDemoting, true))
+    if (entry == nullptr || !this->mayCommand(run.failover.getGroup()) || std::exchange(run.isDemoting, true))
         return;
-    GroupId group = run.failover.getGroup();
-    this->dependencies.commander.requestStatus(*entry, [this, group, upstream, copy = *entry](const std::optional<ReplicationStatus>& status, bool) {
-        Run* requested = this->findRun(group);
+    RunKey key { run.failover.getGroup(), run.number };
+    this->dependencies.commander.requestStatus(*entry, [this, key, upstream, copy = *entry](const std::optional<ReplicationStatus>& status, bool) {
+        Run* requested = this->findRun(key);
         if (requested == nullptr)
             return;
-        requested->isDemoting = status.has_value();
-        if (!status)
+        requested->isDemoting = status && this->mayCommand(key.group);
+        if (!requested->isDemoting)
             return;
-        this->dependencies.commander.demote(copy, status->term.next(), [this, group](const std::optional<ReplicationStatus>& demoted, bool) {
-            Run* current = this->findRun(group);
+        this->dependencies.commander.demote(copy, status->term.next(), [this, key](const std::optional<ReplicationStatus>& demoted, bool) {
+            Run* current = this->findRun(key);
             if (current == nullptr)
                 return;
             current->isDemoting = false;
             if (!demoted)
                 return;
             current->failover.onOldPrimaryDemoted(*demoted);
-            this->advance(group);
+            this->advance(key.group);
         });
     });
 }
@@ -369,15 +369,16 @@
 void FailoverExecutor::pauseReplica(const Run& run, const UpstreamId& upstream)
 {
     const UpstreamEntry* entry = this->dependencies.context.getUpstreamList().find(upstream);
-    if (entry == nullptr)
+    if (entry == nullptr || !this->mayCommand(run.failover.getGroup()))
         return;
+    RunKey key { run.failover.getGroup(), run.number };
     Term term = run.failover.getPauseTerm();
-    this->dependencies.commander.pause(*entry, term, [this, group = run.failover.getGroup(), upstream, term](const std::optional<ReplicationStatus>& status, bool) {
-        Run* current = this->findRun(group);
+    this->dependencies.commander.pause(*entry, term, [this, key, upstream, term](const std::optional<ReplicationStatus>& status, bool) {
+        Run* current = this->findRun(key);
         if (current == nullptr || !status)
             return;
         current->failover.onReplicaPaused(upstream, *status, term);
-        this->advance(group);
+        this->advance(key.group);
     });
 }
 
@@ -398,6 +399,11 @@
     return hasOpenPromotion(*entry, upstream, record.epoch);
 }
 
+bool FailoverExecutor::mayCommand(const GroupId& group) const
+{
+    return this->dependencies.context.getLeaseTracker().isReplacing(group, this->dependencies.clock.bootNow());
+}
+
 bool FailoverExecutor::mayCall() const
 {
     Duration remaining = this->dependencies.context.getLeaseTracker().getRemaining(this->dependencies.clock.bootNow());
--- a/src/gateway/FailoverExecutor.h
+++ b/src/gateway/FailoverExecutor.h
@@ -122,7 +122,7 @@
     void writeStable(Run& run, const UpstreamId& primary);
     void requestConfirmations(Run& run);
     void requestConfirmation(const RunKey& key, const FleetMember& member);
-    void requestStatus(const GroupId& group, const UpstreamId& upstream);
+    void requestStatus(const Run& run, const UpstreamId& upstream);
     void demoteOldPrimary(Run& run, const UpstreamId& upstream);
     void pauseReplica(const Run& run, const UpstreamId& upstream);
     void recordPromotion(const Run& run, const UpstreamId& upstream);
@@ -137,6 +137,8 @@
     bool isCoordinator() const;
     /// @returns whether the newest record lists a call of this instance, as the coordinator, for an upstream
     bool isPromotionRecorded(const GroupId& group, const UpstreamId& upstream) const;
+    /// @returns whether a command of a failover may be sent to an upstream of its group
+    bool mayCommand(const GroupId& group) const;
     /// @returns whether a promotion call ends before another instance can become the coordinator
     bool mayCall() const;
     nlohmann::json makePrimaryRecordMessage() const;
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -83,7 +83,8 @@
         this->dependencies.controlLoop.post([this, group, primary] { this->coordination.onPrimaryUnreachable(group, primary); });
     }
 
-    /// Handles a term that the primary record does not name yet. Safe to call from any thread.
+    /// Handles an upstream that showed the traffic thread a newer term than that of its group's recorded primary. Safe to
+    /// call from any thread.
     void onNewerTerm(const GroupId& group, const UpstreamId& upstream, Term term)
     {
         this->dependencies.controlLoop.post([this, group, upstream, term] { this->coordination.onNewerTerm(group, upstream, term); });
--- a/standins/platform/LineGroup.cpp
+++ b/standins/platform/LineGroup.cpp
@@ -146,6 +146,23 @@
     return isFound;
 }
 
+void LineGroup::demoteLate(const std::string& id)
+{
+    this->runOnLoop([&] { this->find(id)->isPrimary = false; });
+}
+
+void LineGroup::pauseLate(const std::string& id)
+{
+    this->runOnLoop([&] { this->find(id)->isPaused = true; });
+}
+
+bool LineGroup::isPrimary(const std::string& id)
+{
+    bool isActing = false;
+    this->runOnLoop([&] { isActing = this->find(id)->isPrimary; });
+    return isActing;
+}
+
 std::uint64_t LineGroup::findHighestTerm()
 {
     std::uint64_t highestTerm = 0;
--- a/standins/platform/LineUpstream.h
+++ b/standins/platform/LineUpstream.h
@@ -144,6 +144,22 @@
     /// @returns the HTTP status of the promotion call
     int promote(const std::string& id);
 
+    /// Makes an upstream the primary of the next term, like a promotion call that takes effect late. Blocks until the loop has
+    /// done it.
+    void promoteLate(const std::string& id)
+    {
+        this->runOnLoop([&] { this->promote(id); });
+    }
+
+    /// Turns an upstream into a replica, like a demotion that arrives late. Blocks until the loop has done it.
+    void demoteLate(const std::string& id);
+
+    /// Stops an upstream from receiving, like a pause that arrives late. Blocks until the loop has done it.
+    void pauseLate(const std::string& id);
+
+    /// @returns whether an upstream acts as the primary, in whatever term
+    bool isPrimary(const std::string& id);
+
     /// @returns how often a write of an item was committed
     std::size_t countCommits(const std::string& item);
 
