--- a/standins/platform/LineGroup.cpp
+++ b/standins/platform/LineGroup.cpp
@@ -27,7 +27,10 @@
 bool LineGroup::add(const std::string& id, const Endpoint& endpoint, Failure& failure)
 {
     std::unique_ptr<LineUpstream> upstream = std::make_unique<LineUpstream>(*this, id, endpoint);
-    upstream->isPrimary = this->upstreams.empty();
+    if (this->upstreams.empty()) {
+        upstream->isPrimary = true;
+        this->leader = upstream.get();
+    }
     bool isOpen = upstream->listen(failure);
     this->upstreams.push_back(std::move(upstream));
     return isOpen;
@@ -49,55 +52,81 @@
 
 void LineGroup::setFault(const std::string& id, LineUpstream::Fault fault)
 {
-    this->runOnLoop([&] { this->find(id)->fault = fault; });
+    this->runOnLoop([&] {
+        this->find(id)->fault = fault;
+        this->learnLater();
+    });
 }
 
 int LineGroup::promote(const std::string& id)
 {
     constexpr int accepted = 200;
     constexpr int refused = 409;
-    int status = refused;
-    LineUpstream* chosen = this->find(id);
+    const LineUpstream* chosen = this->find(id);
     if (chosen == nullptr || !chosen->isRunning || chosen->isIsolated)
-        return status;
-    std::uint64_t highestTerm = 0;
-    for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams)
-        highestTerm = std::max(highestTerm, upstream->term);
-    if (chosen->isPrimary && chosen->term == highestTerm)
-        return accepted;
-    chosen->isPrimary = true;
-    chosen->isPaused = false;
-    chosen->term = highestTerm + 1;
-    // Reachable upstreams take over the state of the new primary and discard what it does not have.
-    for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
-        if (upstream->isRunning && !upstream->isDeaf && upstream->fault != LineUpstream::Fault::Silent && upstream.get() != chosen)
-            this->copyFromPrimary(*upstream);
-    }
-    this->acknowledgeReceived();
+        return refused;
+    if (chosen != this->leader || !chosen->isPrimary)
+        this->loop.schedule(this->promotionDelay, [this, id] { this->takeLead(id); });
     return accepted;
 }
 
-LineUpstream* LineGroup::findCurrentPrimary()
+void LineGroup::takeLead(const std::string& id)
 {
-    LineUpstream* currentPrimary = nullptr;
-    for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
-        if (upstream->isPrimary && (currentPrimary == nullptr || upstream->term > currentPrimary->term))
-            currentPrimary = upstream.get();
-    }
-    return currentPrimary;
+    LineUpstream* chosen = this->find(id);
+    // A promotion of an upstream that is down is lost. A second one of the present primary changes nothing.
+    if (!chosen->isRunning || (chosen == this->leader && chosen->isPrimary))
+        return;
+    chosen->isPaused = false;
+    // An upstream that is cut off from the others can be the leader too: they learn of it later.
+    chosen->term = this->leader->term + 1;
+    this->leader = chosen;
+    this->setRole(*chosen, true);
+    this->learnLater();
 }
 
-void LineGroup::copyFromPrimary(LineUpstream& upstream)
+void LineGroup::setRole(LineUpstream& upstream, bool isPrimary)
 {
-    const LineUpstream* currentPrimary = this->findCurrentPrimary();
-    bool canCopy = currentPrimary != nullptr && currentPrimary != &upstream && currentPrimary->isRunning;
-    if (!canCopy || currentPrimary->isIsolated || upstream.isIsolated || upstream.term > currentPrimary->term)
+    if (std::exchange(upstream.isPrimary, isPrimary) != isPrimary && this->roleListener)
+        this->roleListener(upstream.id, isPrimary);
+}
+
+bool LineGroup::canReachLeader(const LineUpstream& upstream) const
+{
+    bool isLeaderReachable = this->leader != &upstream && this->leader->isRunning && this->leader->isPrimary && !this->leader->isIsolated;
+    // A pause ends with a promotion.
+    bool isReceiving = !upstream.isDeaf && upstream.fault != LineUpstream::Fault::Silent && (!upstream.isPaused || upstream.term < this->leader->term);
+    return isLeaderReachable && upstream.isRunning && !upstream.isIsolated && isReceiving;
+}
+
+void LineGroup::learnLater()
+{
+    for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams)
+        this->learnLater(*upstream);
+}
+
+void LineGroup::learnLater(LineUpstream& upstream)
+{
+    Duration delay = upstream.isPrimary ? this->stepDownDelay.load() : this->replicationLag;
+    std::weak_ptr<bool> start = upstream.currentStart;
+    // What is cut off when the delay is over learns of the leader once it is reconnected.
+    this->loop.schedule(delay, [this, &upstream, start] {
+        if (start.expired() || !this->canReachLeader(upstream))
+            return;
+        this->copyFromLeader(upstream);
+        this->acknowledgeReceived();
+    });
+}
+
+void LineGroup::copyFromLeader(LineUpstream& upstream)
+{
+    if (!this->canReachLeader(upstream))
         return;
-    upstream.isPrimary = false;
-    upstream.term = currentPrimary->term;
-    upstream.items = currentPrimary->items;
-    upstream.headTerm = currentPrimary->headTerm;
-    upstream.headNumber = currentPrimary->headNumber;
+    this->setRole(upstream, false);
+    upstream.isPaused = upstream.isPaused && upstream.term == this->leader->term;
+    upstream.term = this->leader->term;
+    upstream.items = this->leader->items;
+    upstream.headTerm = this->leader->headTerm;
+    upstream.headNumber = this->leader->headNumber;
 }
 
 bool LineGroup::restart(const std::string& id, Failure& failure)
@@ -105,8 +134,10 @@
     bool isOpen = false;
     this->runOnLoop([&] {
         LineUpstream* upstream = this->find(id);
-        this->copyFromPrimary(*upstream);
+        if (upstream != this->leader)
+            this->setRole(*upstream, false);
         isOpen = upstream->isRunning || upstream->listen(failure);
+        this->learnLater();
     });
     return isOpen;
 }
@@ -116,8 +147,8 @@
     this->runOnLoop([&] {
         LineUpstream* upstream = this->find(id);
         upstream->isIsolated = isIsolated;
-        if (!isIsolated && upstream->isRunning)
-            this->copyFromPrimary(*upstream);
+        if (!isIsolated)
+            this->learnLater();
     });
 }
 
@@ -126,9 +157,8 @@
     this->runOnLoop([&] {
         LineUpstream* upstream = this->find(id);
         upstream->isDeaf = isDeaf;
-        if (!isDeaf && upstream->isRunning && !upstream->isPaused)
-            this->copyFromPrimary(*upstream);
-        this->acknowledgeReceived();
+        if (!isDeaf)
+            this->learnLater(*upstream);
     });
 }
 
@@ -163,7 +193,7 @@
     for (const std::pair<const std::string, std::string>& write : writes) {
         primary.items[write.first] = write.second;
         this->committedItems.insert(write.first);
-        if (this->findCurrentPrimary() != &primary)
+        if (this->leader != &primary)
             this->itemsCommittedByFormerPrimary.insert(write.first);
     }
     primary.headTerm = primary.term;
@@ -199,7 +229,7 @@
                 continue;
             // A replica that missed changes while it was cut off takes over the whole state.
             if (upstream->headNumber + 1 != number) {
-                this->copyFromPrimary(*upstream);
+                this->copyFromLeader(*upstream);
                 continue;
             }
             for (const std::pair<const std::string, std::string>& write : writes)
@@ -256,15 +286,7 @@
 std::string LineGroup::findPrimary()
 {
     std::string found;
-    this->runOnLoop([&] {
-        std::uint64_t highestTerm = 0;
-        for (const std::unique_ptr<LineUpstream>& upstream : this->upstreams) {
-            if (upstream->isPrimary && upstream->term > highestTerm) {
-                highestTerm = upstream->term;
-                found = upstream->id;
-            }
-        }
-    });
+    this->runOnLoop([&] { found = this->leader->isPrimary ? this->leader->id : ""; });
     return found;
 }
 
--- a/standins/platform/LineUpstream.cpp
+++ b/standins/platform/LineUpstream.cpp
@@ -122,8 +122,10 @@
 
     void control(const std::string& verb, const std::string& name)
     {
-        if (verb == "DEMOTE" && std::stoull(name) > this->upstream.term)
-            this->upstream.isPrimary = false;
+        if (verb == "DEMOTE" && std::stoull(name) > this->upstream.term) {
+            this->upstream.group.setRole(this->upstream, false);
+            this->upstream.group.learnLater(this->upstream);
+        }
         // Replication stops only for a term above the current one.
         if (verb == "PAUSE" || verb == "RESUME")
             this->upstream.isPaused = verb == "PAUSE" && !name.empty() && std::stoull(name) > this->upstream.term;
--- a/standins/platform/LineUpstream.h
+++ b/standins/platform/LineUpstream.h
@@ -104,12 +104,12 @@
     /// Simulates a crash of an upstream. Blocks until the loop has done it.
     void crash(const std::string& id);
 
-    /// Restarts a crashed upstream with its previous items. If another upstream is primary in a higher term,
-    /// it copies the state of that primary first.
+    /// Restarts a crashed upstream with its previous items. If another upstream was promoted meanwhile, it is a replica
+    /// and copies the state of that primary after the replication lag.
     bool restart(const std::string& id, Failure& failure);
 
     /// Cuts an upstream off from the others of its group, or reconnects it. While it is cut off, it gets no
-    /// replication and learns of no promotion; when reconnected, it copies the state of the current primary.
+    /// replication and learns of no promotion; when reconnected, it learns of the current primary.
     void setIsolated(const std::string& id, bool isIsolated);
 
     /// Keeps replication from an upstream, or lets it receive again. Unlike an isolated upstream it can be promoted.
@@ -124,7 +124,7 @@
     /// @returns whether the log of an upstream has a write of an item
     bool hasItem(const std::string& id, const std::string& item);
 
-    /// @returns whether an upstream committed a write after another one had been promoted
+    /// @returns whether an upstream committed a write while another one led the highest term
     bool isCommittedByFormerPrimary(const std::string& item);
 
     /// @returns the highest term of all upstreams
@@ -139,7 +139,17 @@
     /// Sets how long a read, write or commit occupies a slot.
     void setServiceTime(Duration newServiceTime) { this->serviceTime = newServiceTime; }
 
-    /// Makes an upstream the primary of the next term.
+    /// Sets the time from a promotion call to its effect.
+    void setPromotionDelay(Duration newPromotionDelay) { this->promotionDelay = newPromotionDelay; }
+
+    /// Sets how long a former primary goes on once it can reach the new one.
+    void setStepDownDelay(Duration newStepDownDelay) { this->stepDownDelay = newStepDownDelay; }
+
+    /// Sets what is told when an upstream becomes a primary or a replica. Called on the loop's thread.
+    void setRoleListener(std::function<void(const std::string& id, bool isPrimary)> newListener) { this->roleListener = std::move(newListener); }
+
+    /// Makes an upstream the primary of the next term after the promotion delay. The effect is lost if the upstream is
+    /// down then. Call on the loop's thread.
     ///
     /// @returns the HTTP status of the promotion call
     int promote(const std::string& id);
@@ -163,7 +173,7 @@
     /// @returns the names under which connections were opened
     std::set<std::string> listNames();
 
-    /// @returns the id of the primary with the highest term
+    /// @returns the id of the primary of the highest term, or an empty string when it does not act as one
     std::string findPrimary();
 
     const std::string& getName() const { return this->name; }
@@ -178,8 +188,13 @@
     /// @param acknowledge runs at once, or once a replica has received the commit
     void commit(LineUpstream& primary, const std::map<std::string, std::string>& writes, std::function<void()> acknowledge);
     void acknowledgeReceived();
-    void copyFromPrimary(LineUpstream& upstream);
-    LineUpstream* findCurrentPrimary();
+    void takeLead(const std::string& id);
+    void setRole(LineUpstream& upstream, bool isPrimary);
+    bool canReachLeader(const LineUpstream& upstream) const;
+    /// Lets an upstream follow the leader after the replication lag, a former primary after the step-down delay.
+    void learnLater(LineUpstream& upstream);
+    void learnLater();
+    void copyFromLeader(LineUpstream& upstream);
     /// Checks a statement against the name under which its connection was opened.
     void checkName(const std::string& name, const std::string& statementId, const std::string& text);
     void replicate(const LineUpstream& primary, const std::map<std::string, std::string>& writes);
@@ -187,6 +202,11 @@
     EventLoop& loop;
     std::string name;
     std::vector<std::unique_ptr<LineUpstream>> upstreams;
+    /// The upstream that was promoted last: that of the highest term.
+    LineUpstream* leader = nullptr;
+    std::function<void(const std::string& id, bool isPrimary)> roleListener;
+    std::atomic<Duration> promotionDelay { std::chrono::milliseconds(300) };
+    std::atomic<Duration> stepDownDelay { std::chrono::seconds(1) };
     Duration replicationLag { std::chrono::milliseconds(5) };
     Duration serviceTime { 0 };
 
--- a/standins/platform/PlatformSite.cpp
+++ b/standins/platform/PlatformSite.cpp
@@ -8,7 +8,6 @@
 
     constexpr const char* loopback = "127.0.0.1";
     constexpr const char* groupName = "ledger";
-    constexpr int promoted = 200;
     constexpr int noSuchGroup = 404;
 
 } // namespace
@@ -17,6 +16,7 @@
     : allocatePort(allocatePort)
     , store(this->loop)
     , group(this->loop, groupName)
+    , promotionEndpoint(this->loop, this->group)
 {
 }
 
@@ -27,12 +27,14 @@
 
 bool PlatformSite::start(Failure& failure)
 {
-    this->store.setPromotionHandler([this](const std::string& name, const std::string& id) {
-        int status = name == groupName ? this->group.promote(id) : noSuchGroup;
-        if (status == promoted)
-            for (const std::pair<const std::string, Endpoint>& upstream : this->endpoints)
-                this->report(upstream.first, upstream.first == id);
-        return status;
+    this->store.setPromotionHandler([this](const std::string& name, const std::string& id, std::function<void(int)> respond) {
+        if (name != groupName)
+            return respond(noSuchGroup);
+        this->promotionEndpoint.onCall(id, std::move(respond));
+    });
+    this->group.setRoleListener([this](const std::string& id, bool isPrimary) {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->writeReport(id, isPrimary);
     });
     for (const char* id : { "u1", "u2", "u3" }) {
         this->endpoints[id] = { loopback, this->allocatePort() };
@@ -91,14 +93,27 @@
 
 Endpoint PlatformSite::publishAddress(const std::string& id, const Endpoint& address)
 {
+    bool isPrimary = id == this->group.findPrimary();
+    std::lock_guard<std::mutex> lock(this->mutex);
     Endpoint own = std::exchange(this->endpoints[id], address);
-    this->report(id, id == this->group.findPrimary());
+    this->writeReport(id, isPrimary);
     return own;
 }
 
 void PlatformSite::report(const std::string& id, bool isPrimary, bool isLeaving)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (isLeaving)
+        this->leavingUpstreams.insert(id);
+    else
+        this->leavingUpstreams.erase(id);
+    this->writeReport(id, isPrimary);
+}
+
+void PlatformSite::writeReport(const std::string& id, bool isPrimary)
 {
     const Endpoint& endpoint = this->endpoints[id];
+    bool isLeaving = this->leavingUpstreams.count(id) > 0;
     this->store.put("servers", id, { { "service", groupName }, { "address", endpoint.host + ":" + std::to_string(endpoint.port) }, { "zone", "z" + id.substr(1) }, { "version", "v1" }, { "slots", 2 }, { "state", isLeaving ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "db_role", isPrimary ? "primary" : "replica" }, { "seq_no", 1 } });
 }
 
--- a/standins/platform/PlatformSite.h
+++ b/standins/platform/PlatformSite.h
@@ -2,9 +2,11 @@
 
 #include "LineUpstream.h"
 #include "PlatformStore.h"
+#include "PromotionEndpoint.h"
 
 #include <functional>
 #include <map>
+#include <mutex>
 #include <set>
 #include <string>
 #include <vector>
@@ -62,13 +64,21 @@
 
     PlatformStore& getStore() { return this->store; }
     LineGroup& getGroup() { return this->group; }
+    PromotionEndpoint& getPromotionEndpoint() { return this->promotionEndpoint; }
 
 private:
+    /// The mutex must be held.
+    void writeReport(const std::string& id, bool isPrimary);
+
     std::function<std::uint16_t()> allocatePort;
     EventLoop loop;
     PlatformStore store;
     LineGroup group;
+    PromotionEndpoint promotionEndpoint;
+    /// Guards the state that upstreams report.
+    std::mutex mutex;
     std::map<std::string, Endpoint> endpoints;
+    std::set<std::string> leavingUpstreams;
     int maximumConnections = 16;
     int numSynchronousReplicas = 0;
     /// Null without workspaces.
--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -293,12 +293,17 @@
     return respondWith(ok, describe(target, objects[target]));
 }
 
-HttpResponse PlatformStore::handlePromotion(const HttpRequest& request)
+void PlatformStore::handlePromotion(Port& port, WebSocketServer::Handle handle, const HttpRequest& request)
 {
     nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
     if (!body.is_object() || !this->promotionHandler)
-        return respondWith(badRequest);
-    return respondWith(this->promotionHandler(body.value("service", ""), body.value("id", "")));
+        return port.respond(handle, respondWith(badRequest));
+    this->promotionHandler(body.value("service", ""), body.value("id", ""), [&port, handle](int status) {
+        Fault currentFault = port.fault;
+        // The call may have been carried out, so a refusal would be untrue.
+        if (currentFault == Fault::None || currentFault == Fault::DropsResponses || currentFault == Fault::LateWrites)
+            port.respond(handle, respondWith(status));
+    });
 }
 
 void PlatformStore::onRequest(Port& port, WebSocketServer::Handle handle, const HttpRequest& request)
@@ -309,7 +314,7 @@
     std::string path = request.path.substr(0, request.path.find('?'));
     std::string query = request.path.substr(std::min(request.path.size(), path.size() + 1));
     if (path == "/promotion")
-        return port.respond(handle, this->handlePromotion(request));
+        return this->handlePromotion(port, handle, request);
     if (path.rfind(objectsPrefix, 0) != 0)
         return port.respond(handle, respondWith(notFound));
 
--- a/standins/platform/PlatformStore.h
+++ b/standins/platform/PlatformStore.h
@@ -33,8 +33,8 @@
         LateWrites,
     };
 
-    /// Promotes an upstream and returns the HTTP status of the response.
-    using PromotionHandler = std::function<int(const std::string& group, const std::string& upstream)>;
+    /// Promotes an upstream and gives the HTTP status of the response, possibly later or never.
+    using PromotionHandler = std::function<void(const std::string& group, const std::string& upstream, std::function<void(int status)> respond)>;
 
     /// @param loop must outlive this object
     explicit PlatformStore(EventLoop& loop);
@@ -114,7 +114,7 @@
     void sendResponse(Port& port, WebSocketServer::Handle handle, const HttpResponse& response);
     HttpResponse handleRead(const std::string& kind, const std::string& name, const std::string& after);
     HttpResponse handleWrite(const HttpRequest& request, const std::string& kind, const std::string& name);
-    HttpResponse handlePromotion(const HttpRequest& request);
+    void handlePromotion(Port& port, WebSocketServer::Handle handle, const HttpRequest& request);
     void startWatch(Port& port, WebSocketServer::Handle handle, const std::string& kind, const std::string& query);
     void store(const std::string& kind, const std::string& name, const nlohmann::json& spec, const std::string& specText);
     void completeWatches();
--- a/tools/lab/Soak.cpp
+++ b/tools/lab/Soak.cpp
@@ -17,6 +17,11 @@
     constexpr std::chrono::seconds recoveryTimeout { 20 };
     constexpr std::chrono::milliseconds callerPause { 5 };
     constexpr std::uint64_t maximumFaultPauseMilliseconds = 1200;
+    /// One of so many seeds ends with the kill of all instances.
+    constexpr std::uint64_t seedsPerFinalFault = 3;
+    constexpr std::uint64_t finalFaultLane = 99;
+    /// Callers go on for as long as a promotion call may be late.
+    constexpr std::chrono::seconds timeAfterFinalFault { 6 };
 
     /// A gateway site with a relay in front of each upstream.
     class RelayedSite {
@@ -108,12 +113,14 @@
 
     SoakFaults faults(relayed.site, relayed.relays, history);
     std::atomic<bool> isStopping { false };
+    std::atomic<bool> areCallersStopping { false };
     std::atomic<std::uint64_t> numSteps { 0 };
+    std::vector<std::thread> callers;
     std::vector<std::thread> threads;
     for (int number = 0; number < plan.numCallers; number++) {
-        threads.emplace_back([&, number] {
+        callers.emplace_back([&, number] {
             SoakCaller caller(number, plan.seed, { relayed.site.getSessionPorts(), [&group] { return group.findHighestTerm(); }, keys.get() }, history);
-            while (!isStopping) {
+            while (!areCallersStopping) {
                 caller.step();
                 std::this_thread::sleep_for(callerPause);
             }
@@ -148,6 +155,14 @@
     isStopping = true;
     for (std::thread& thread : threads)
         thread.join();
+    Random finalRandom(plan.seed * 100 + finalFaultLane);
+    if (finalRandom.below(seedsPerFinalFault) == 0 || plan.hasFinalFault) {
+        faults.killAllInstances(finalRandom);
+        std::this_thread::sleep_for(timeAfterFinalFault);
+    }
+    areCallersStopping = true;
+    for (std::thread& caller : callers)
+        caller.join();
     faults.clearFaults();
     checkRecovery(relayed.site.getSessionPorts(), history);
     faults.checkProcesses();
--- a/tools/lab/Soak.h
+++ b/tools/lab/Soak.h
@@ -23,6 +23,9 @@
     /// Whether callers have keys of workspaces, which are replaced all the time. Not together with restoresStore, which
     /// publishes an earlier configuration again.
     bool hasWorkspaces = false;
+    /// Whether all instances are killed at the end, just after the primary was asked to leave. About a third of the seeds do
+    /// so without this.
+    bool hasFinalFault = false;
 };
 
 /// Runs instances as processes under random faults and checks the responses to callers against the commits
--- a/tools/lab/SoakFaults.cpp
+++ b/tools/lab/SoakFaults.cpp
@@ -1,5 +1,6 @@
 #include "SoakFaults.h"
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -14,6 +15,11 @@
     constexpr std::uint64_t durationRangeMilliseconds = 3900;
     constexpr std::uint64_t maximumOutageMilliseconds = 2500;
     constexpr std::uint64_t maximumRewriteMilliseconds = 1500;
+    /// Promotion calls are late, or carried out again, by as much as writes of the platform's store.
+    constexpr std::uint64_t minimumLatenessMilliseconds = 1000;
+    constexpr std::uint64_t latenessRangeMilliseconds = 5000;
+    constexpr std::uint64_t maximumResponseMilliseconds = 2000;
+    constexpr std::uint64_t maximumKillPauseMilliseconds = 50;
     constexpr std::chrono::milliseconds pollInterval { 20 };
     constexpr std::chrono::seconds exitTimeout { 10 };
     constexpr int signalExitCodeBase = 128;
@@ -28,6 +34,22 @@
             std::this_thread::sleep_for(pollInterval);
     }
 
+    standin::PromotionFault drawPromotionFault(Random& random)
+    {
+        std::uint64_t kind = random.below(5);
+        std::chrono::milliseconds lateness(minimumLatenessMilliseconds + random.below(latenessRangeMilliseconds));
+        standin::PromotionFault fault;
+        if (kind == 0)
+            fault.answeredAfter = std::chrono::milliseconds(random.below(maximumResponseMilliseconds));
+        fault.isLost = kind == 1;
+        fault.isAnswered = kind != 2 && kind != 3;
+        if (kind == 2)
+            fault.carriedOutAfter = lateness;
+        if (kind == 3 || kind == 4)
+            fault.repeatedAfter = lateness;
+        return fault;
+    }
+
 } // namespace
 
 SoakFaults::SoakFaults(GatewaySite& site, std::vector<std::unique_ptr<SoakRelay>>& relays, SoakHistory& history)
@@ -55,7 +77,7 @@
     std::chrono::milliseconds duration(minimumDurationMilliseconds + random.below(durationRangeMilliseconds));
     std::size_t instance = random.below(this->instanceMutexes.size());
     std::size_t upstream = random.below(upstreams.size());
-    switch (random.below(9)) {
+    switch (random.below(10)) {
     case 0:
         return this->pauseInstance(instance, duration, isStopping);
     case 1:
@@ -74,6 +96,8 @@
         return this->relays[upstream]->reset();
     case 7:
         return this->crashUpstream(upstream, duration, isStopping);
+    case 8:
+        return this->disturbPromotions(random, upstream, duration, isStopping);
     default:
         return this->changePrimary();
     }
@@ -177,6 +201,46 @@
     this->site.getSite().report(primary, primary == this->site.getSite().getGroup().findPrimary());
 }
 
+void SoakFaults::disturbPromotions(Random& random, std::size_t upstream, std::chrono::milliseconds duration, const std::atomic<bool>& isStopping)
+{
+    std::lock_guard<std::mutex> lock(this->promotionMutex);
+    standin::PromotionFault fault = drawPromotionFault(random);
+    bool isCrash = random.below(2) == 0;
+    this->recordFault("promotion calls are " + fault.describe() + ", for " + std::to_string(duration.count()) + " ms from a change of primary on");
+    this->site.getSite().getPromotionEndpoint().setFault(fault);
+    if (isCrash) {
+        std::string primary = this->site.getSite().getGroup().findPrimary();
+        std::vector<std::string>::const_iterator found = std::find(upstreams.begin(), upstreams.end(), primary);
+        this->crashUpstream(found == upstreams.end() ? upstream : static_cast<std::size_t>(found - upstreams.begin()), duration, isStopping);
+    } else {
+        this->changePrimary();
+        wait(duration, isStopping);
+    }
+    this->site.getSite().getPromotionEndpoint().setFault({});
+}
+
+void SoakFaults::killAllInstances(Random& random)
+{
+    std::string primary = this->site.getSite().getGroup().findPrimary();
+    std::chrono::milliseconds pause(minimumDurationMilliseconds + random.below(durationRangeMilliseconds));
+    standin::PromotionFault fault = drawPromotionFault(random);
+    this->recordFault("final fault: " + primary + " announces that it leaves, promotion calls are " + fault.describe() + ", all instances are killed and restarted after " + std::to_string(pause.count()) + " ms");
+    this->site.getSite().getPromotionEndpoint().setFault(fault);
+    if (!primary.empty())
+        this->site.getSite().report(primary, true, true);
+    this->checkProcesses();
+    std::this_thread::sleep_for(std::chrono::milliseconds(random.below(minimumDurationMilliseconds)));
+    for (std::size_t index = 0; index < this->instanceMutexes.size(); index++) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(random.below(maximumKillPauseMilliseconds / this->instanceMutexes.size() + 1)));
+        this->site.signal(index, SIGKILL);
+    }
+    for (std::size_t index = 0; index < this->instanceMutexes.size(); index++)
+        this->site.getProcesses()[index]->wait();
+    std::this_thread::sleep_for(pause);
+    for (std::size_t index = 0; index < this->instanceMutexes.size(); index++)
+        this->site.restart(index);
+}
+
 void SoakFaults::restoreStore(Random& random, const std::atomic<bool>& isStopping)
 {
     standin::PlatformStore& store = this->site.getSite().getStore();
@@ -205,6 +269,7 @@
 {
     this->reportUpstreams();
     this->site.getSite().getStore().setFault(Fault::None);
+    this->site.getSite().getPromotionEndpoint().setFault({});
 }
 
 } // namespace lentiljunction::lab
--- a/tools/lab/SoakFaults.h
+++ b/tools/lab/SoakFaults.h
@@ -34,7 +34,11 @@
     /// upstreams wrote is written again, possibly a little later.
     void restoreStore(Random& random, const std::atomic<bool>& isStopping);
 
-    /// Removes the faults of the store and reports the upstreams to it as not leaving. injectRandomFault() must
+    /// Kills all instances within some 100 ms after the primary was asked to leave, and starts them again. Blocks. injectRandomFault()
+    /// must have returned in all threads.
+    void killAllInstances(Random& random);
+
+    /// Removes the faults of the store and of promotion calls and reports the upstreams to it as not leaving. injectRandomFault() must
     /// have returned in all threads.
     void clearFaults();
 
@@ -53,6 +57,8 @@
     void impairUpstream(std::size_t index, SoakRelay::Mode mode, std::chrono::milliseconds duration, const std::atomic<bool>& isStopping);
     void crashUpstream(std::size_t index, std::chrono::milliseconds duration, const std::atomic<bool>& isStopping);
     void changePrimary();
+    /// Changes the primary while promotion calls have a fault.
+    void disturbPromotions(Random& random, std::size_t upstream, std::chrono::milliseconds duration, const std::atomic<bool>& isStopping);
     void reportUpstreams();
     void recordFault(const std::string& what);
 
@@ -63,6 +69,7 @@
     /// second fault of the same target waits until the first has ended.
     std::vector<std::mutex> instanceMutexes;
     std::mutex groupMutex;
+    std::mutex promotionMutex;
     std::mutex scriptMutex;
     std::vector<std::string> script;
 };
