--- a/tests/process/GatewayFixture.cpp
+++ b/tests/process/GatewayFixture.cpp
@@ -51,14 +51,38 @@
 std::size_t GatewayFixture::startInstance()
 {
     std::size_t index = this->instances.size();
-    GatewaySettings settings = this->makeSettings(index);
-    this->instances.push_back(std::make_unique<GatewayInstance>(settings, this->clock, this->adapter.getProtocol(), [this](EventLoop& controlLoop, const GatewaySettings& given) {
+    this->settingsOfInstances.push_back(this->makeSettings(index));
+    this->instances.push_back(this->start(this->settingsOfInstances.back()));
+    return index;
+}
+
+void GatewayFixture::restart(std::size_t index)
+{
+    this->instances[index] = this->start(this->settingsOfInstances[index]);
+}
+
+std::unique_ptr<GatewayInstance> GatewayFixture::start(const GatewaySettings& settings)
+{
+    std::unique_ptr<GatewayInstance> instance = std::make_unique<GatewayInstance>(settings, this->clock, this->adapter.getProtocol(), [this](EventLoop& controlLoop, const GatewaySettings& given) {
         return this->adapter.makeStore(controlLoop, given);
-    }));
-    this->instances.back()->start();
+    });
+    instance->start();
     Failure threadFailure;
-    CHECK_TEXT(this->instances.back()->startThreads(threadFailure), threadFailure.reason.c_str());
-    return index;
+    CHECK_TEXT(instance->startThreads(threadFailure), threadFailure.reason.c_str());
+    return instance;
+}
+
+std::optional<std::size_t> GatewayFixture::findCoordinator() const
+{
+    std::optional<std::size_t> found;
+    for (std::size_t index = 0; index < this->instances.size(); index++) {
+        bool isCoordinator = this->instances[index] != nullptr && this->readMetrics(index).find("lentiljunction_belief{fact=\"holds_duty\"} 1") != std::string::npos;
+        if (isCoordinator && found)
+            return std::nullopt;
+        if (isCoordinator)
+            found = index;
+    }
+    return found;
 }
 
 GatewayFixture::~GatewayFixture()
--- a/tests/process/GatewayFixture.h
+++ b/tests/process/GatewayFixture.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,12 @@
     /// @returns its index
     std::size_t startInstance();
 
+    /// Starts an instance again that was killed, with the same id and ports.
+    void restart(std::size_t index);
+
+    /// @returns the index of the instance that may replace primaries, or nothing while none or several say so
+    std::optional<std::size_t> findCoordinator() const;
+
     /// Drains an instance, then stops it.
     void drain(std::size_t index);
 
@@ -62,6 +69,7 @@
 
 private:
     GatewaySettings makeSettings(std::size_t index);
+    std::unique_ptr<GatewayInstance> start(const GatewaySettings& settings);
 
     SystemClock clock;
     /// Whether the instances of the first start are running.
@@ -70,6 +78,7 @@
     bool enforcesLimits;
     PlatformAdapter adapter;
     standin::PlatformSite site;
+    std::vector<GatewaySettings> settingsOfInstances;
     std::vector<std::uint16_t> sessionPorts;
     std::vector<Endpoint> peerEndpoints;
     std::vector<Endpoint> metricsEndpoints;
