Close what the review of the fix found

It now requires its own announcement, and the announcement is limited on the clock that counts suspensions. - A call that the record already listed, because the failover began with an older record, was closed by a refusal. It now counts as inherited. - A record restored from an older copy may lack calls: each other upstream of an unconfirmed group is listed as one. - A restart of an upstream that changed nothing else did not reach the traffic side, so a remembered status stayed in use. - An answer of the platform other than a refusal no longer shows that a call did nothing. Calls for a primary that have ended are now removed while it leads.

--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -13,6 +13,10 @@
 
 namespace lentiljunction {
 
+/// Maximum time from the decision to its entry in the primary record; allows several calls to a slow
+/// store. After a longer time the primary may be reachable again and must be checked anew.
+constexpr std::chrono::milliseconds announcementTimeout { 1000 };
+
 /// State machine of one failover: the replacement of a group's primary by the failover coordinator.
 ///
 /// 1. The primary record marks the group as changing, so that no instance starts to use the primary.
@@ -130,7 +134,9 @@
     void onOldPrimaryDemoted(const ReplicationStatus& status);
 
     /// The store accepted the upstream that is to be called as an open promotion.
-    void onPromotionRecorded(TimePoint now);
+    ///
+    /// @param wasRecorded whether the record already listed it, because of a former process with the same fencing token
+    void onPromotionRecorded(bool wasRecorded, TimePoint now);
 
     /// A promotion call is being sent.
     void onPromotionSent();
@@ -143,7 +149,7 @@
     /// A promotion call got no response; the promotion may have happened nevertheless.
     void onPromotionTimeout(TimePoint now);
 
-    /// A promotion call was not sent, or the platform answered that it did nothing.
+    /// A promotion call was not sent.
     void onPromotionNotSent(TimePoint now);
 
     /// @returns the upstreams that only this failover called, and of which the platform refused each call
--- a/include/lentiljunction/leadership/OpenPromotionTracker.h
+++ b/include/lentiljunction/leadership/OpenPromotionTracker.h
@@ -15,8 +15,8 @@
 
 /// Determines when promotion calls of the primary record can no longer take effect.
 ///
-/// A response ends no call: it shows neither that no earlier call is still on its way nor that the platform does not carry it
-/// out a second time. The lifetime counts from when this instance first sees the call in an entry that names a primary,
+/// A response ends no call, unless it refuses it: it shows neither that no earlier call is still on its way nor that the
+/// platform does not carry it out a second time. The lifetime counts from when this instance first sees the call in an entry that names a primary,
 /// which is after the call was sent, so instances need no common clock. That a call has ended does not show whether it took
 /// effect.
 ///
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -6,6 +6,7 @@
 #include "lentiljunction/leadership/RecordRecovery.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace lentiljunction {
@@ -66,6 +67,7 @@
     Run run { this->nextRunNumber++, Failover(group, primary, candidates, isPlanned, known == nullptr ? Term() : known->term, now), {}, cause, now, "" };
     if (known != nullptr)
         logInherited(group, *known);
+    run.startedAtBoot = this->dependencies.clock.bootNow();
     if (known != nullptr)
         run.failover.inheritPromotions(listCalledUpstreams(*known));
     run.isSynchronous = *numSynchronousReplicas > 0;
@@ -169,7 +171,9 @@
         const GroupId& group = key.group;
         const PrimaryEntry* existing = record.find(group);
         const Run* current = this->findRun(key);
-        if (current == nullptr || !current->failover.mayAnnounce(this->dependencies.clock.now()))
+        // The clock of the failover stands still while the machine is suspended.
+        bool isLate = current == nullptr || this->dependencies.clock.bootNow() - current->startedAtBoot > announcementTimeout;
+        if (isLate || !current->failover.mayAnnounce(this->dependencies.clock.now()))
             return false;
         // Another instance has replaced the primary already.
         bool isOtherPrimary = existing != nullptr && (existing->primary != primary);
@@ -199,21 +203,23 @@
 void FailoverExecutor::recordPromotion(const Run& run, const UpstreamId& upstream)
 {
     RunKey key { run.failover.getGroup(), run.number };
-    PrimaryRecordWriter::Change change = [this, key, upstream](PrimaryRecord& record) {
+    std::shared_ptr<bool> wasRecorded = std::make_shared<bool>(false);
+    PrimaryRecordWriter::Change change = [this, key, upstream, wasRecorded](PrimaryRecord& record) {
         std::map<GroupId, PrimaryEntry>::iterator entry = record.groups.find(key.group);
         bool isChanging = entry != record.groups.end() && entry->second.phase == PrimaryPhase::Changing;
         if (record.coordinator != this->dependencies.self || !isChanging || this->findRun(key) == nullptr)
             return false;
+        *wasRecorded = hasOpenPromotion(entry->second, upstream, record.epoch);
         addOpenPromotion(entry->second, upstream, record.epoch);
         return true;
     };
-    this->dependencies.writer.submit(change, [this, key](bool isWritten, BootTime) {
+    this->dependencies.writer.submit(change, [this, key, wasRecorded](bool isWritten, BootTime) {
         Run* current = this->findRun(key);
         if (current == nullptr)
             return;
         if (!isWritten)
             return this->abandon(key.group, "another instance is the failover coordinator");
-        current->failover.onPromotionRecorded(this->dependencies.clock.now());
+        current->failover.onPromotionRecorded(*wasRecorded, this->dependencies.clock.now());
         this->advance(key.group);
     });
 }
@@ -225,20 +231,26 @@
     std::set<InstanceId> unconfirmed = run.failover.getUnconfirmedInstances();
     std::set<UpstreamId> refused = run.failover.listRefusedPromotions();
     RunKey key { group, run.number };
-    PrimaryRecordWriter::Change change = [this, group, primary, status, unconfirmed, refused](PrimaryRecord& record) {
-        if (record.coordinator != this->dependencies.self)
+    std::uint64_t generation = this->dependencies.context.getLeaseTracker().getView().getGeneration(group);
+    PrimaryRecordWriter::Change change = [this, group, primary, status, unconfirmed, refused, generation](PrimaryRecord& record) {
+        PrimaryEntry& entry = record.groups[group];
+        bool isAnnounced = entry.phase == PrimaryPhase::Changing && entry.generation == generation;
+        // The record may already hold this change if the response to an earlier write was lost.
+        bool isWritten = entry.phase == PrimaryPhase::Stable && entry.primary == primary && entry.term == status.term;
+        if (record.coordinator != this->dependencies.self || !(isAnnounced || isWritten))
             return false;
         record.retired.insert(unconfirmed.begin(), unconfirmed.end());
-        PrimaryEntry& entry = record.groups[group];
         removeRefusedPromotions(entry, record.epoch, refused);
-        // The record may already hold this change if the response to an earlier write was lost.
-        if (entry.phase == PrimaryPhase::Changing)
+        bool mayLackCalls = !record.isConfirmed(group);
+        if (isAnnounced)
             entry.generation = computeNextGeneration(record, entry);
         entry.phase = PrimaryPhase::Stable;
         entry.primary = primary;
         entry.baseline = status.received;
         entry.term = status.term;
         entry.era = record.era;
+        if (mayLackCalls)
+            addPossiblePromotions(entry, group, this->dependencies.context.getUpstreamList(), record.epoch);
         return true;
     };
     this->dependencies.writer.submit(change, [this, key, group, status](bool isWritten, BootTime) {
@@ -454,7 +466,7 @@
         return this->advance(group);
     }
     logEvent(events::promotionFailed, "group=" + group.toString() + " reason=\"" + failure.reason + "\" again_in_ms=" + std::to_string(promotionRetryDelay.count()));
-    bool hasNoEffect = failure.kind == Failure::Kind::Unavailable;
+    bool hasNoEffect = failure.kind == Failure::Kind::Unavailable && !failure.isResponse;
     this->dependencies.loop.schedule(promotionRetryDelay, [this, key, hasNoEffect] {
         Run* current = this->findRun(key);
         if (current == nullptr)
--- a/src/gateway/FailoverExecutor.h
+++ b/src/gateway/FailoverExecutor.h
@@ -107,6 +107,8 @@
         bool isDemoting = false;
         /// Upstreams that were logged because they are the primary without a call of this run.
         std::set<UpstreamId> unrequested = {};
+        /// The start on the clock that keeps running while the machine is suspended.
+        BootTime startedAtBoot {};
     };
 
     /// Identifies one run in callbacks.
--- a/src/gateway/OpenPromotionRemoval.cpp
+++ b/src/gateway/OpenPromotionRemoval.cpp
@@ -31,6 +31,29 @@
         if (!ended.empty() && record->isConfirmed(group.first))
             this->start(group.first, group.second, std::move(ended));
     }
+    this->removeOfPrimaries(*record);
+}
+
+void OpenPromotionRemoval::removeOfPrimaries(const PrimaryRecord& record)
+{
+    const OpenPromotionTracker& tracker = this->state.getLeaseTracker().getOpenPromotions();
+    bool isAnyEnded = false;
+    for (const std::pair<const GroupId, PrimaryEntry>& group : record.groups) {
+        PrimaryEntry remaining = group.second;
+        removeEndedOfPrimary(group.first, remaining, tracker, this->clock.bootNow());
+        isAnyEnded = isAnyEnded || remaining.openPromotions.size() < group.second.openPromotions.size();
+    }
+    if (!isAnyEnded || std::exchange(this->isRemovingOfPrimaries, true))
+        return;
+    this->writer.submit(
+        [this](PrimaryRecord& latest) {
+            if (latest.coordinator != this->self)
+                return false;
+            for (std::pair<const GroupId, PrimaryEntry>& group : latest.groups)
+                removeEndedOfPrimary(group.first, group.second, this->state.getLeaseTracker().getOpenPromotions(), this->clock.bootNow());
+            return true;
+        },
+        [this](bool, BootTime) { this->isRemovingOfPrimaries = false; });
 }
 
 void OpenPromotionRemoval::start(const GroupId& group, const PrimaryEntry& entry, std::vector<OpenPromotion> ended)
--- a/src/gateway/OpenPromotionRemoval.h
+++ b/src/gateway/OpenPromotionRemoval.h
@@ -12,12 +12,11 @@
 
 namespace lentiljunction {
 
-/// Removes promotion calls for other upstreams than the primary from the record, while this instance is the failover
-/// coordinator.
+/// Removes promotion calls from the record that have ended, while this instance is the failover coordinator.
 ///
-/// A call is removed once it can no longer take effect and, asked after that, each listed upstream of the group shows that it
-/// has not: the primary leads the term of the record, and the others are replicas in no later one. Until then a lease does not
-/// cover the group.
+/// A call for another upstream than the primary is removed once it can no longer take effect and, asked after that, each listed
+/// upstream of the group shows that it has not: the primary leads the term of the record, and the others are replicas in no
+/// later one. Until then a lease does not cover the group.
 ///
 /// Not thread-safe; the control thread owns it.
 ///
@@ -43,6 +42,9 @@
     void start(const GroupId& group, const PrimaryEntry& entry, std::vector<OpenPromotion> ended);
     void onStatus(const GroupId& group, std::uint64_t number, const UpstreamId& upstream, const std::optional<ReplicationStatus>& status);
     void remove(const GroupId& group, const Survey& survey);
+    /// Removes ended calls for the primaries themselves, which need no survey. Otherwise an instance that starts later would
+    /// wait for them once more, should such a primary be replaced.
+    void removeOfPrimaries(const PrimaryRecord& record);
 
     const Clock& clock;
     UpstreamCommander& commander;
@@ -51,6 +53,7 @@
     InstanceId self;
     std::map<GroupId, Survey> surveys;
     std::uint64_t nextNumber = 0;
+    bool isRemovingOfPrimaries = false;
 };
 
 } // namespace lentiljunction
--- a/src/leadership/Failover.cpp
+++ b/src/leadership/Failover.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-    /// Maximum time from the decision to its entry in the primary record; allows several calls to a slow
-    /// store. After a longer time the primary may be reachable again and must be checked anew.
-    constexpr std::chrono::milliseconds announcementTimeout { 1000 };
     /// Time for the replicas to report their status and, in a planned failover, to catch up: ten round
     /// trips between availability zones plus the usual replication lag.
     constexpr std::chrono::milliseconds surveyTimeout { 400 };
@@ -117,10 +114,13 @@
     this->commits->onDemoted(status);
 }
 
-void Failover::onPromotionRecorded(TimePoint now)
+void Failover::onPromotionRecorded(bool wasRecorded, TimePoint now)
 {
     if (this->step != Step::Recording)
         return;
+    bool isOwn = this->callCounts.count(*this->promotionTarget) > 0;
+    if (wasRecorded && !isOwn && !this->isInherited(*this->promotionTarget))
+        this->inheritedTargets.push_back(*this->promotionTarget);
     this->callCounts.emplace(*this->promotionTarget, CallCount());
     this->step = Step::Promoting;
     this->promotedAt = now;
--- a/src/routes/UpstreamRegistry.cpp
+++ b/src/routes/UpstreamRegistry.cpp
@@ -15,7 +15,7 @@
     bool isSame(const UpstreamEntry& left, const UpstreamEntry& right)
     {
         return left.group == right.group && left.endpoint.host == right.endpoint.host && left.endpoint.port == right.endpoint.port
-            && left.zone == right.zone && left.slots == right.slots && left.isLeaving == right.isLeaving && left.claimsPrimary == right.claimsPrimary;
+            && left.zone == right.zone && left.slots == right.slots && left.isLeaving == right.isLeaving && left.claimsPrimary == right.claimsPrimary && left.startedAt == right.startedAt;
     }
 
 } // namespace
--- a/tests/support/FailoverActions.h
+++ b/tests/support/FailoverActions.h
@@ -14,7 +14,7 @@
     bool isRecording = std::any_of(actions.begin(), actions.end(), [](const Failover::Action& action) { return action.kind == Failover::Action::Kind::RecordPromotion; });
     if (!isRecording)
         return actions;
-    failover.onPromotionRecorded(now);
+    failover.onPromotionRecorded(false, now);
     for (const Failover::Action& action : failover.takeActions(bootNow, now)) {
         actions.push_back(action);
         if (action.kind == Failover::Action::Kind::Promote)
--- a/tests/support/PromotionModel.cpp
+++ b/tests/support/PromotionModel.cpp
@@ -296,7 +296,7 @@
     }
     if (action.kind == Failover::Action::Kind::RecordPromotion) {
         this->log(instance.id.toString() + " records " + action.upstream.toString());
-        return failover.onPromotionRecorded(this->clock.now());
+        return failover.onPromotionRecorded(false, this->clock.now());
     }
     this->log(instance.id.toString() + " publishes " + action.upstream.toString() + " with " + std::to_string(instance.known.record->find(group)->openPromotions.size()) + " open promotions");
     instance.run.reset();
--- a/tests/support/PromotionModel.h
+++ b/tests/support/PromotionModel.h
@@ -15,7 +15,7 @@
 namespace lentiljunction::tests {
 
 /// Simulates failovers of one group of three upstreams by three instances, with a linearizable store and a platform whose
-/// promotion calls are lost, late, or carried out twice. Drives the real Failover, LeaseTracker, PrimaryView,
+/// promotion calls are lost, late, or carried out twice unless they are refused. Drives the real Failover, LeaseTracker, PrimaryView,
 /// CoordinatorHandover and isPrimaryVerified(); carries out their actions like FailoverExecutor and PrimaryRecordWriter.
 ///
 /// Each step is one event, so a coordinator can stop between any two of its actions. Not modelled: eras of the store,
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -126,7 +126,7 @@
     CHECK_TRUE(actions.size() == 1 && actions.front().kind == Failover::Action::Kind::RecordPromotion && actions.front().upstream == UpstreamId("a"));
     fixture.clock.advance(std::chrono::seconds(10));
     CHECK_TRUE(fixture.failover.takeActions(fixture.clock.bootNow(), fixture.clock.now()).empty());
-    fixture.failover.onPromotionRecorded(fixture.clock.now());
+    fixture.failover.onPromotionRecorded(false, fixture.clock.now());
     CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
 }
 
@@ -189,6 +189,21 @@
     CHECK_TRUE(fixture.failover.listRefusedPromotions().empty());
 }
 
+// As above, when the restarted coordinator began with a record that did not list the call yet.
+TEST(PrimaryFailover, refusalDoesNotCloseCallThatWasRecordedBefore)
+{
+    fixture.announceFailover();
+    fixture.confirmAll();
+    fixture.failover.onStatus(UpstreamId("a"), FailoverFixture::replica(2, 41));
+    fixture.failover.onStatus(UpstreamId("b"), FailoverFixture::replica(2, 40));
+    fixture.failover.takeActions(fixture.clock.bootNow(), fixture.clock.now());
+    fixture.failover.onPromotionRecorded(true, fixture.clock.now());
+    CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
+    fixture.failover.onPromotionSent();
+    fixture.failover.onPromotionResponse(false, fixture.clock.now());
+    CHECK_TRUE(fixture.failover.listRefusedPromotions().empty());
+}
+
 // Guards against a successor that promotes another upstream than the one whose call is on its way.
 TEST(PrimaryFailover, prefersUpstreamThatFormerCoordinatorCalled)
 {
