--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -183,7 +183,10 @@
             record.coordinator = this->dependencies.self;
             record.epoch = record.epoch.next();
         }
+        bool isFirstFailover = existing == nullptr && record.isConfirmed(group);
         PrimaryEntry& entry = record.groups[group];
+        if (isFirstFailover)
+            entry.era = record.era;
         entry.phase = PrimaryPhase::Changing;
         entry.primary = primary;
         removeEndedOfPrimary(group, entry, this->dependencies.context.getLeaseTracker().getOpenPromotions(), this->dependencies.clock.bootNow());
--- a/standins/platform/LineUpstream.h
+++ b/standins/platform/LineUpstream.h
@@ -154,8 +154,8 @@
     /// @returns the HTTP status of the promotion call
     int promote(const std::string& id);
 
-    /// Makes an upstream the primary of the next term, like a promotion call that takes effect late. Blocks until the loop has
-    /// done it.
+    /// Makes an upstream the primary of the next term, like a promotion call that no failover announced. Blocks until the call
+    /// is made.
     void promoteLate(const std::string& id)
     {
         this->runOnLoop([&] { this->promote(id); });
--- a/tests/process/GatewayRolesTests.cpp
+++ b/tests/process/GatewayRolesTests.cpp
@@ -39,7 +39,9 @@
     std::string recorded = fixture.getGroup().findPrimary();
     std::string promoted = recorded == "u2" ? "u3" : "u2";
     fixture.getGroup().setIsolated(recorded, true);
+    std::uint64_t termBefore = fixture.getGroup().findHighestTerm();
     fixture.getGroup().promoteLate(promoted);
+    CHECK_TRUE(waitUntil([&] { return fixture.getGroup().findHighestTerm() > termBefore; }));
     std::uint64_t term = fixture.getGroup().findHighestTerm();
     fixture.report(promoted, true);
     int number = 0;
