Bound how long a silent upstream that was called is waited for

Cause: an upstream that is listed and responds to nobody kept its group without a primary for ever, since only its response ended its call. As with acknowledged commits, an available primary then counts for more.

--- a/include/lentiljunction/leadership/OpenPromotions.h
+++ b/include/lentiljunction/leadership/OpenPromotions.h
@@ -27,9 +27,6 @@
 /// Removes the calls for the primary that have ended: as long as it led, they changed nothing.
 void removeEndedOfPrimary(const GroupId& group, PrimaryEntry& entry, const OpenPromotionTracker& tracker, BootTime now);
 
-/// Lists each other upstream of a group whose calls may be missing from the record, since it was restored from an older copy.
-void addPossiblePromotions(PrimaryEntry& entry, const GroupId& group, const UpstreamList& upstreams, FencingToken epoch);
-
 /// Removes calls of the present failover, before the generation of the entry increases.
 ///
 /// @param refused the upstreams of which the platform refused each call
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -134,6 +134,7 @@
         events::newerTermSeen,
         events::formerPrimaryFound,
         events::primaryDemoted,
+        events::promotionUnproved,
         events::gateOpened,
         events::gateClosed,
         events::connectionDiscarded,
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -183,10 +183,7 @@
             record.coordinator = this->dependencies.self;
             record.epoch = record.epoch.next();
         }
-        bool isFirstFailover = existing == nullptr && record.isConfirmed(group);
         PrimaryEntry& entry = record.groups[group];
-        if (isFirstFailover)
-            entry.era = record.era;
         entry.phase = PrimaryPhase::Changing;
         entry.primary = primary;
         removeEndedOfPrimary(group, entry, this->dependencies.context.getLeaseTracker().getOpenPromotions(), this->dependencies.clock.bootNow());
@@ -244,7 +241,6 @@
             return false;
         record.retired.insert(unconfirmed.begin(), unconfirmed.end());
         removeRefusedPromotions(entry, record.epoch, refused);
-        bool mayLackCalls = !record.isConfirmed(group);
         if (isAnnounced)
             entry.generation = computeNextGeneration(record, entry);
         entry.phase = PrimaryPhase::Stable;
@@ -252,8 +248,6 @@
         entry.baseline = status.received;
         entry.term = status.term;
         entry.era = record.era;
-        if (mayLackCalls)
-            addPossiblePromotions(entry, group, this->dependencies.context.getUpstreamList(), record.epoch);
         return true;
     };
     this->dependencies.writer.submit(change, [this, key, group, status](bool isWritten, BootTime) {
--- a/src/gateway/OpenPromotionRemoval.cpp
+++ b/src/gateway/OpenPromotionRemoval.cpp
@@ -1,5 +1,7 @@
 #include "OpenPromotionRemoval.h"
 
+#include "lentiljunction/core/LogEvents.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -10,6 +12,17 @@
     /// An upstream may be silent for long; until it responds or is no longer listed, the group is looked at again and again.
     constexpr std::chrono::milliseconds surveyInterval { 1000 };
 
+    /// @returns the upstreams that responded
+    UpstreamList listResponding(const UpstreamList& list, const std::map<UpstreamId, std::optional<ReplicationStatus>>& statuses)
+    {
+        UpstreamList responding = list;
+        for (const std::pair<const UpstreamId, std::optional<ReplicationStatus>>& status : statuses) {
+            if (!status.second)
+                responding.entries.erase(status.first);
+        }
+        return responding;
+    }
+
 } // namespace
 
 OpenPromotionRemoval::OpenPromotionRemoval(const Clock& clock, UpstreamCommander& commander, PrimaryRecordWriter& writer, const CommitProtection::KnownState& state, InstanceId self)
@@ -88,8 +101,17 @@
     const PrimaryRecord& record = *this->state.getLeaseTracker().getView().latest.record;
     const PrimaryEntry* entry = record.find(group);
     bool isSame = entry != nullptr && entry->phase == PrimaryPhase::Stable && entry->generation == found->second.generation;
-    if (found->second.pending.empty() && isSame && isUnaffected(group, *entry, this->state.getUpstreamList(), found->second.statuses))
-        this->remove(group, found->second);
+    if (!found->second.pending.empty() || !isSame)
+        return;
+    if (isUnaffected(group, *entry, this->state.getUpstreamList(), found->second.statuses))
+        return this->remove(group, found->second);
+    const OpenPromotionTracker& tracker = this->state.getLeaseTracker().getOpenPromotions();
+    BootTime now = this->clock.bootNow();
+    bool isSilenceAccepted = std::all_of(found->second.ended.begin(), found->second.ended.end(), [&](const OpenPromotion& promotion) { return tracker.isSilenceAccepted(group, promotion, now); });
+    if (!isSilenceAccepted || !isUnaffected(group, *entry, listResponding(this->state.getUpstreamList(), found->second.statuses), found->second.statuses))
+        return;
+    logEvent(events::promotionUnproved, "group=" + group.toString() + " primary=" + entry->primary.toString() + " calls=" + std::to_string(found->second.ended.size()));
+    this->remove(group, found->second);
 }
 
 void OpenPromotionRemoval::remove(const GroupId& group, const Survey& survey)
--- a/src/gateway/OpenPromotionRemoval.h
+++ b/src/gateway/OpenPromotionRemoval.h
@@ -16,7 +16,7 @@
 ///
 /// A call for another upstream than the primary is removed once it can no longer take effect and, asked after that, each listed
 /// upstream of the group shows that it has not: the primary leads the term of the record, and the others are replicas in no
-/// later one. Until then a lease does not cover the group.
+/// later one. Until then a lease does not cover the group. After silentCallLimit, those that respond suffice.
 ///
 /// Not thread-safe; the control thread owns it.
 ///
--- a/src/gateway/PrimaryRecordRecovery.cpp
+++ b/src/gateway/PrimaryRecordRecovery.cpp
@@ -4,7 +4,6 @@
 #include "lentiljunction/core/JsonFields.h"
 #include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/fleet/Voters.h"
-#include "lentiljunction/leadership/OpenPromotions.h"
 
 #include <algorithm>
 #include <limits>
@@ -254,9 +253,7 @@
         [this, group, primary, status](PrimaryRecord& record) {
             if (!mayConfirm(record, group, this->dependencies.self))
                 return false;
-            PrimaryEntry& entry = record.groups[group];
-            entry = makeConfirmedEntry(record, group, primary, status);
-            addPossiblePromotions(entry, group, this->dependencies.state.getUpstreamList(), record.epoch);
+            record.groups[group] = makeConfirmedEntry(record, group, primary, status);
             return true;
         },
         [this, group, primary](bool isWritten, BootTime) {
--- a/src/leadership/OpenPromotionTracker.cpp
+++ b/src/leadership/OpenPromotionTracker.cpp
@@ -18,10 +18,10 @@
     this->seenAt = std::move(stillListed);
 }
 
-bool OpenPromotionTracker::hasEnded(const GroupId& group, const OpenPromotion& promotion, BootTime now) const
+bool OpenPromotionTracker::isOlder(const GroupId& group, const OpenPromotion& promotion, Duration age, BootTime now) const
 {
     std::map<std::pair<GroupId, OpenPromotion>, BootTime>::const_iterator known = this->seenAt.find({ group, promotion });
-    return known != this->seenAt.end() && now - known->second >= promotionCallLifetime;
+    return known != this->seenAt.end() && now - known->second >= age;
 }
 
 } // namespace lentiljunction
--- a/src/leadership/OpenPromotions.cpp
+++ b/src/leadership/OpenPromotions.cpp
@@ -35,17 +35,6 @@
     open.erase(std::remove_if(open.begin(), open.end(), [&](const OpenPromotion& promotion) { return promotion.upstream == entry.primary && tracker.hasEnded(group, promotion, now); }), open.end());
 }
 
-void addPossiblePromotions(PrimaryEntry& entry, const GroupId& group, const UpstreamList& upstreams, FencingToken epoch)
-{
-    for (const std::pair<const UpstreamId, UpstreamEntry>& upstream : upstreams.entries) {
-        // The generation of the failover is not known; it is none to come.
-        OpenPromotion promotion { upstream.first, epoch, 0 };
-        bool isListed = std::find(entry.openPromotions.begin(), entry.openPromotions.end(), promotion) != entry.openPromotions.end();
-        if (upstream.second.group == group && upstream.first != entry.primary && !isListed)
-            entry.openPromotions.push_back(promotion);
-    }
-}
-
 void removeRefusedPromotions(PrimaryEntry& entry, FencingToken epoch, const std::set<UpstreamId>& refused)
 {
     std::vector<OpenPromotion>& open = entry.openPromotions;
@@ -71,7 +60,9 @@
     others.erase(entry.primary);
     std::map<UpstreamId, std::optional<ReplicationStatus>>::const_iterator primary = statuses.find(entry.primary);
     bool leadsRecordedTerm = primary != statuses.end() && primary->second && primary->second->term == entry.term;
-    return leadsRecordedTerm && scope && isPrimaryVerified(*scope, primary->second, others);
+    // Under the coordinator's lease, no promotion but those of the calls is possible.
+    scope->isLeased = true;
+    return leadsRecordedTerm && isPrimaryVerified(*scope, primary->second, others);
 }
 
 } // namespace lentiljunction
