--- a/tests/process/SoakTests.cpp
+++ b/tests/process/SoakTests.cpp
@@ -33,6 +33,17 @@
     checkSoak(plan, folder);
 }
 
+// With this seed, calls without a response acted after the next failover, and 361 writes were acknowledged at a replaced primary.
+TEST(Soak, acknowledgesNothingAtPrimaryThatLateCallReplaced)
+{
+    std::string folder = (std::filesystem::temp_directory_path() / ("lj-soak-late-call-" + std::to_string(::getpid()))).string();
+    lab::SoakPlan plan;
+    plan.seed = 4865;
+    plan.seconds = 25;
+    plan.numInstances = 5;
+    checkSoak(plan, folder);
+}
+
 // As above, with fewer connections than instances, so that statements run on connections of other instances.
 TEST(Soak, findsNoViolationWhereInstancesBorrowConnections)
 {
