--- a/include/lentiljunction/leadership/PrimaryView.h
+++ b/include/lentiljunction/leadership/PrimaryView.h
@@ -22,8 +22,8 @@
 ///
 /// The record comes from a linearizable read of the store, directly or through another instance. A
 /// failover first writes to the record and then waits for at least `leaseDuration`, or until each
-/// instance has confirmed the new record. So at any time within the lease, the primary in this view
-/// has not been replaced yet.
+/// instance has confirmed the new record. So at any time within the lease, nothing but an open
+/// promotion call can have replaced the primary in this view.
 ///
 /// Immutable; the control thread creates a new view on each change, and the traffic thread reads it.
 ///
--- a/include/lentiljunction/leadership/RecordRecovery.h
+++ b/include/lentiljunction/leadership/RecordRecovery.h
@@ -11,7 +11,7 @@
 namespace lentiljunction {
 
 /// Time from the first read of a record that the store lost to its recovery: the leases of the previous era expire, and
-/// promotions that were requested within them take effect.
+/// promotions that were requested within them take effect, unless they are late.
 constexpr std::chrono::milliseconds recordRecoveryDelay { 3100 };
 /// Time from the same read to the first promotion by another instance than the last known coordinator, which may have
 /// acted until its lease expired.
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -21,8 +21,8 @@
     /// With more instances, requesting the confirmations of all takes one small machine longer than the leases need to
     /// expire, and those that are late would be retired. Then a failover waits until all leases have expired.
     constexpr std::size_t maximumConfirmations = 100;
-    /// Remaining lease that a promotion call requires, so that a late call cannot collide with a call of
-    /// the next coordinator.
+    /// Remaining lease that a promotion call requires, so that it is sent well before a call of the next
+    /// coordinator.
     constexpr std::chrono::milliseconds minimumPromotionLease { 400 };
 
     /// @returns whether a response confirms that an instance uses a version of the record or a later one. Addresses are used
