Review case 6: acknowledged commits lost after a replica started again

Cause: a replica that has started again without its log counts as one whose log is known, so the failover of a group with synchronous replicas concludes that the other replica has all acknowledged commits.

--- a/review/common-2/ReviewSite.cpp
+++ b/review/common-2/ReviewSite.cpp
@@ -1,5 +1,7 @@
 #include "ReviewSite.h"
 
+#include "DatabaseGroup.h"
+
 #include "../../tools/lab/Cluster.h"
 #include "../../tools/lab/LineCaller.h"
 
@@ -64,6 +66,8 @@
     if (!this->platform.start(failure))
         return false;
     this->platform.configure(1, { "bookings", "checks" });
+    if (this->group != nullptr)
+        this->connectGroup();
     for (std::size_t index = 0; index < numInstances; index++) {
         Instance instance;
         for (std::uint16_t* port : { &instance.sessions, &instance.ready, &instance.peers, &instance.lending, &instance.metrics })
@@ -76,6 +80,17 @@
     return this->waitUntilReady(readyTimeout);
 }
 
+void ReviewSite::connectGroup()
+{
+    this->platform.getStore().setPromotionHandler([this](const std::string&, const std::string& id, const std::function<void(int)>& respond) { respond(this->group->promote(id)); });
+    this->group->setRoleListener([this](const std::string& id, std::uint16_t port, bool isPrimary, bool isRunning) {
+        if (!isRunning)
+            return;
+        std::int64_t now = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+        this->platform.getStore().put("servers", id, { { "service", "ledger" }, { "address", std::string(loopback) + ":" + std::to_string(port) }, { "zone", "z" + id.substr(1) }, { "version", "v1" }, { "slots", 2 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "db_role", isPrimary ? "primary" : "replica" }, { "seq_no", 1 }, { "born", now } });
+    });
+}
+
 std::string ReviewSite::writeSettings(std::size_t index) const
 {
     const Instance& instance = this->instances[index];
--- a/review/common-2/ReviewSite.h
+++ b/review/common-2/ReviewSite.h
@@ -14,6 +14,8 @@
 
 namespace lentiljunction::review {
 
+class DatabaseGroup;
+
 /// Writes what was sent, answered and run to record.txt, with the time since the start of the case. Thread-safe.
 class Record {
 public:
@@ -40,6 +42,10 @@
     /// @returns whether they became ready
     bool start(std::size_t numInstances);
 
+    /// Uses other backends than the project's stand-ins. They report themselves to the store and are promoted by the platform.
+    /// Call it before start().
+    void setGroup(DatabaseGroup& newGroup) { this->group = &newGroup; }
+
     /// Starts an instance that was killed, with the settings of a later start.
     void restart(std::size_t index);
 
@@ -85,12 +91,14 @@
     };
 
     void startProcess(std::size_t index);
+    void connectGroup();
     std::string writeSettings(std::size_t index) const;
 
     std::string folder;
     Record& record;
     standin::PlatformSite platform;
     std::vector<Instance> instances;
+    DatabaseGroup* group = nullptr;
     /// Removes the entry of a lost upstream.
     std::thread expiry;
 };
