Review case 7: show the takeover's fault with replaced machines

Cause: the form before removed machines; replacing each machine once shows the same fault while all machines are well.

--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,5 +1,4 @@
-// A fleet is reduced to fewer than half of its instances, the coordinator among those that leave. Then all processes are killed
-// while the primary is lost for good.
+// Each instance is replaced by a new one. Then all processes are killed while the primary is lost for good.
 
 #include "../common-2/ReviewSite.h"
 
@@ -12,8 +11,7 @@
 
 constexpr int couldNotRun = 2;
 constexpr int ruleBroken = 1;
-constexpr std::size_t numInstances = 5;
-constexpr std::size_t numLeft = 2;
+constexpr std::size_t numInstances = 3;
 constexpr std::chrono::milliseconds restartDelay { 500 };
 /// `recovery_s` of the small deployments.
 constexpr std::chrono::seconds recoveryTime { 12 };
@@ -35,32 +33,30 @@
         return couldNotRun;
     std::this_thread::sleep_for(std::chrono::seconds(2));
 
-    // Without the disruption, the same instances serve, and the others stay.
-    std::size_t coordinator = site.findCoordinator();
-    std::vector<std::size_t> left;
-    std::vector<std::size_t> removed { coordinator };
-    for (std::size_t index = 0; index < numInstances; index++) {
-        if (index != coordinator)
-            (left.size() < numLeft ? left : removed).push_back(index);
-    }
+    std::vector<std::size_t> used { 0, 1, 2 };
     if (review::hasTrouble()) {
-        for (std::size_t index : removed)
+        for (std::size_t& index : used) {
+            std::optional<std::size_t> added = site.addInstance();
+            if (!added)
+                return couldNotRun;
             site.remove(index);
+            index = *added;
+        }
     }
-    review::ServedShare before = review::sendRequests(site, record, left, measuredTime);
+    review::ServedShare before = review::sendRequests(site, record, used, measuredTime);
     record.add("before the fault " + describe(before));
     if (before.isBelowQuarter())
         return couldNotRun;
 
-    for (std::size_t index : left)
+    for (std::size_t index : used)
         site.kill(index);
     site.loseUpstream("u1");
     std::this_thread::sleep_for(restartDelay);
-    for (std::size_t index : left)
+    for (std::size_t index : used)
         site.restart(index);
     record.add("the machines are back");
     std::this_thread::sleep_for(recoveryTime);
-    review::ServedShare after = review::sendRequests(site, record, left, measuredTime);
+    review::ServedShare after = review::sendRequests(site, record, used, measuredTime);
     record.add(std::to_string(recoveryTime.count()) + " s after the machines were back " + describe(after));
     std::cout << "before: " << describe(before) << "; after: " << describe(after) << "\n";
     return after.isBelowQuarter() ? ruleBroken : 0;
--- a/review/common-2/ReviewSite.cpp
+++ b/review/common-2/ReviewSite.cpp
@@ -69,17 +69,41 @@
     if (this->group != nullptr)
         this->connectGroup();
     for (std::size_t index = 0; index < numInstances; index++) {
-        Instance instance;
-        for (std::uint16_t* port : { &instance.sessions, &instance.ready, &instance.peers, &instance.lending, &instance.metrics })
-            *port = findPort();
-        instance.store = this->platform.openStorePort(failure).port;
-        this->instances.push_back(std::move(instance));
+        if (!this->openPorts())
+            return false;
     }
     for (std::size_t index = 0; index < numInstances; index++)
         this->startProcess(index);
+    this->isFirstStart = false;
     return this->waitUntilReady(readyTimeout);
 }
 
+bool ReviewSite::openPorts()
+{
+    Failure failure;
+    Instance instance;
+    for (std::uint16_t* port : { &instance.sessions, &instance.ready, &instance.peers, &instance.lending, &instance.metrics })
+        *port = findPort();
+    instance.store = this->platform.openStorePort(failure).port;
+    this->instances.push_back(std::move(instance));
+    return failure.kind == Failure::Kind::None;
+}
+
+std::optional<std::size_t> ReviewSite::addInstance()
+{
+    std::size_t index = this->instances.size();
+    if (!this->openPorts())
+        return std::nullopt;
+    this->startProcess(index);
+    std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + readyTimeout;
+    while (!this->isReady(index)) {
+        if (std::chrono::steady_clock::now() > end)
+            return std::nullopt;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return index;
+}
+
 void ReviewSite::connectGroup()
 {
     this->platform.getStore().setPromotionHandler([this](const std::string&, const std::string& id, const std::function<void(int)>& respond) { respond(this->group->promote(id)); });
@@ -102,7 +126,7 @@
     for (std::size_t seed = 0; seed < std::min(numSeeds, this->instances.size()); seed++)
         settings << (seed == 0 ? "" : ",") << loopback << ":" << this->instances[seed].peers;
     settings << "\n\n[lending]\nlisten = " << loopback << ":" << instance.lending << "\n\n[metrics]\nlisten = " << loopback << ":" << instance.metrics
-             << "\n\n[store]\nendpoint = " << loopback << ":" << instance.store << "\nfirst_start = " << (instance.numStarts == 0 ? "true" : "false")
+             << "\n\n[store]\nendpoint = " << loopback << ":" << instance.store << "\nfirst_start = " << (this->isFirstStart ? "true" : "false")
              << "\n\n[promotion]\nendpoint = " << loopback << ":" << instance.store
              << "\n\n[limits]\ndescriptors = 4300\nmemory = 260\nlink_mbps = 1000.0\n\n[drain]\ngrace_s = 6\n";
     return path;
--- a/review/common-2/ReviewSite.h
+++ b/review/common-2/ReviewSite.h
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -49,6 +50,11 @@
     /// Starts an instance that was killed, with the settings of a later start.
     void restart(std::size_t index);
 
+    /// Starts one more instance and waits until it is ready.
+    ///
+    /// @returns its index, or nothing when it did not become ready
+    std::optional<std::size_t> addInstance();
+
     /// Ends an instance for good with SIGTERM.
     void remove(std::size_t index);
 
@@ -90,6 +96,7 @@
         std::unique_ptr<lab::Process> process;
     };
 
+    bool openPorts();
     void startProcess(std::size_t index);
     void connectGroup();
     std::string writeSettings(std::size_t index) const;
@@ -98,6 +105,7 @@
     Record& record;
     standin::PlatformSite platform;
     std::vector<Instance> instances;
+    bool isFirstStart = true;
     DatabaseGroup* group = nullptr;
     /// Removes the entry of a lost upstream.
     std::thread expiry;
