--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,4 +1,4 @@
-// All instances lose power while the first primary of a group, which was never replaced, is lost for good.
+// Each instance is replaced by a new one. Then all processes are killed while the primary is lost for good.
 
 #include "../common-2/ReviewSite.h"
 
@@ -11,8 +11,8 @@
 
 constexpr int couldNotRun = 2;
 constexpr int ruleBroken = 1;
-/// As long as a single machine is dark on the standard days.
-constexpr std::chrono::milliseconds darkTime { 3500 };
+constexpr std::size_t numInstances = 3;
+constexpr std::chrono::milliseconds restartDelay { 500 };
 /// `recovery_s` of the small deployments.
 constexpr std::chrono::seconds recoveryTime { 12 };
 constexpr std::chrono::seconds measuredTime { 6 };
@@ -29,26 +29,34 @@
     review::Record record(std::string(arguments[1]) + "/record.txt");
     review::TemporaryFolder folder;
     review::ReviewSite site(folder.getPath(), record);
-    if (!site.start(3))
+    if (!site.start(numInstances))
         return couldNotRun;
     std::this_thread::sleep_for(std::chrono::seconds(2));
-    const std::vector<std::size_t> all { 0, 1, 2 };
-    review::ServedShare before = review::sendRequests(site, record, all, measuredTime);
+
+    std::vector<std::size_t> used { 0, 1, 2 };
+    if (review::hasTrouble()) {
+        for (std::size_t& index : used) {
+            std::optional<std::size_t> added = site.addInstance();
+            if (!added)
+                return couldNotRun;
+            site.remove(index);
+            index = *added;
+        }
+    }
+    review::ServedShare before = review::sendRequests(site, record, used, measuredTime);
     record.add("before the fault " + describe(before));
     if (before.isBelowQuarter())
         return couldNotRun;
 
-    if (review::hasTrouble()) {
-        for (std::size_t index : all)
-            site.kill(index);
-        site.loseUpstream("u1");
-        std::this_thread::sleep_for(darkTime);
-        for (std::size_t index : all)
-            site.restart(index);
-    }
+    for (std::size_t index : used)
+        site.kill(index);
+    site.loseUpstream("u1");
+    std::this_thread::sleep_for(restartDelay);
+    for (std::size_t index : used)
+        site.restart(index);
     record.add("the machines are back");
     std::this_thread::sleep_for(recoveryTime);
-    review::ServedShare after = review::sendRequests(site, record, all, measuredTime);
+    review::ServedShare after = review::sendRequests(site, record, used, measuredTime);
     record.add(std::to_string(recoveryTime.count()) + " s after the machines were back " + describe(after));
     std::cout << "before: " << describe(before) << "; after: " << describe(after) << "\n";
     return after.isBelowQuarter() ? ruleBroken : 0;
--- a/review/common-2/DatabaseGroup.cpp
+++ b/review/common-2/DatabaseGroup.cpp
@@ -14,6 +14,9 @@
     constexpr int backlog = 64;
     constexpr std::chrono::milliseconds promotionTime { 300 };
     constexpr std::chrono::milliseconds stepDownTime { 1000 };
+    constexpr int slots = 2;
+    constexpr int queueLength = 16;
+    constexpr std::chrono::milliseconds serviceTime { 3 };
 
     bool sendAll(int connection, const std::string& bytes)
     {
@@ -94,6 +97,10 @@
     backend.port = ntohs(address.sin_port);
     ::listen(backend.listener, backlog);
     backend.isRunning = true;
+    backend.pausedBelowTerm = 0;
+    backend.numBusySlots = 0;
+    backend.numQueued = 0;
+    backend.numStarts++;
     this->startThread([this, &backend, opened = backend.listener] { this->accept(backend, opened); });
 }
 
@@ -125,7 +132,9 @@
             std::unique_lock<std::mutex> lock(this->mutex);
             std::string response;
             if (line.rfind("QUERY ", 0) == 0)
-                response = this->answer(backend, session, line.substr(line.find(' ', 6) + 1), lock);
+                response = this->answerInSlot(backend, session, line.substr(line.find(' ', 6) + 1), lock);
+            else if (this->takeSlot(backend, lock))
+                backend.numBusySlots--;
             std::string state = std::string("READY ") + (session.isInTransaction ? "T " : "I ") + std::to_string(backend.headTerm) + "." + std::to_string(backend.headNumber) + "\r\n";
             isOpen = backend.isRunning && backend.connections.count(connection) > 0;
             lock.unlock();
@@ -137,6 +146,48 @@
     ::close(connection);
 }
 
+void DatabaseGroup::setSlotsLimited()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->areSlotsLimited = true;
+}
+
+/// @returns whether a slot was taken, which the caller gives back; not without limited slots, when the queue is full, or when the
+///     backend ends
+bool DatabaseGroup::takeSlot(Backend& backend, std::unique_lock<std::mutex>& lock)
+{
+    if (!this->areSlotsLimited || backend.numQueued >= queueLength)
+        return false;
+    int start = backend.numStarts;
+    backend.numQueued++;
+    this->changed.wait(lock, [&] { return backend.numBusySlots < slots || backend.numStarts != start || !backend.isRunning || this->isStopping; });
+    if (backend.numStarts != start || !backend.isRunning || this->isStopping)
+        return false;
+    backend.numQueued--;
+    backend.numBusySlots++;
+    lock.unlock();
+    std::this_thread::sleep_for(serviceTime);
+    lock.lock();
+    this->changed.notify_all();
+    return backend.numStarts == start && backend.isRunning;
+}
+
+std::string DatabaseGroup::answerInSlot(Backend& backend, Session& session, const std::string& text, std::unique_lock<std::mutex>& lock)
+{
+    std::string verb = text.substr(0, text.find(' '));
+    bool needsSlot = verb != "RESET" && verb != "SET" && verb != "PREPARE" && verb != "BEGIN" && verb != "ROLLBACK";
+    if (!needsSlot || !this->areSlotsLimited)
+        return this->answer(backend, session, text, lock);
+    int start = backend.numStarts;
+    if (!this->takeSlot(backend, lock))
+        return "ERR BUSY " + backend.id + "\r\n";
+    std::string response = this->answer(backend, session, text, lock);
+    if (backend.numStarts == start)
+        backend.numBusySlots--;
+    this->changed.notify_all();
+    return response;
+}
+
 std::string DatabaseGroup::answer(Backend& backend, Session& session, std::string text, std::unique_lock<std::mutex>& lock)
 {
     std::string done = "DONE sig." + backend.id + "\r\n";
@@ -161,9 +212,9 @@
         this->replicate();
     }
     if (verb == "PAUSE" && !backend.isPrimary && std::stoull(name) > backend.term)
-        backend.isPaused = true;
+        backend.pausedBelowTerm = std::stoull(name);
     if (verb == "RESUME") {
-        backend.isPaused = false;
+        backend.pausedBelowTerm = 0;
         this->replicate();
     }
     if (verb == "STATUS" || verb == "DEMOTE" || verb == "PAUSE" || verb == "RESUME")
@@ -197,12 +248,14 @@
         backend.headTerm = backend.term;
         backend.headNumber++;
         std::uint64_t number = backend.headNumber;
+        std::uint64_t term = backend.term;
+        int start = backend.numStarts;
         this->replicate();
         this->changed.wait(lock, [&] {
             bool isReceived = false;
             for (const Backend& other : this->backends)
-                isReceived = isReceived || (&other != &backend && other.isRunning && other.headTerm == backend.headTerm && other.headNumber >= number);
-            return isReceived || this->isStopping || !backend.isRunning || !backend.isPrimary;
+                isReceived = isReceived || (&other != &backend && other.isRunning && other.headTerm == term && other.headNumber >= number);
+            return isReceived || this->isStopping || backend.numStarts != start || !backend.isRunning;
         });
     }
     session = Session();
@@ -215,10 +268,10 @@
     if (!this->leader->isRunning || !this->leader->isPrimary)
         return;
     for (Backend& backend : this->backends) {
-        bool isReceiving = backend.isRunning && !backend.isPrimary && !backend.isDeaf && (!backend.isPaused || backend.term < this->leader->term);
+        bool isReceiving = backend.isRunning && !backend.isPrimary && !backend.isDeaf && this->leader->term >= backend.pausedBelowTerm;
         if (!isReceiving || &backend == this->leader)
             continue;
-        backend.isPaused = false;
+        backend.pausedBelowTerm = 0;
         backend.term = this->leader->term;
         backend.headTerm = this->leader->headTerm;
         backend.headNumber = this->leader->headNumber;
@@ -249,7 +302,7 @@
             return;
         chosen.term = this->leader->term + 1;
         chosen.isPrimary = true;
-        chosen.isPaused = false;
+        chosen.pausedBelowTerm = 0;
         this->leader = &chosen;
         this->numPromotions++;
         this->record.add(id + " leads term " + std::to_string(chosen.term) + " with the log " + std::to_string(chosen.headTerm) + "." + std::to_string(chosen.headNumber));
@@ -306,7 +359,6 @@
     std::lock_guard<std::mutex> lock(this->mutex);
     Backend& backend = this->find(id);
     backend.isPrimary = false;
-    backend.isPaused = false;
     backend.term = 0;
     backend.headTerm = 0;
     backend.headNumber = 0;
