Review case 7: acknowledged commits lost after the coordinator restarted

Cause: the replicas that left the list recently are known to one process only, so a coordinator that was restarted concludes that the only other replica has all acknowledged commits. The stand-in no longer limits slots.

--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,5 +1,5 @@
-// The primary and the replica that has received the latest commits crash together, while the other replica receives nothing. The
-// replica starts again without its log; the primary comes back with its log 7 s later.
+// One replica crashes after it alone has received the latest commits. The coordinator is restarted after the entry of that replica has
+// expired, and then the primary crashes, while the other replica receives nothing.
 
 #include "../../tools/lab/LineCaller.h"
 #include "../common-2/DatabaseGroup.h"
@@ -15,11 +15,15 @@
 constexpr int couldNotRun = 2;
 constexpr int ruleBroken = 1;
 constexpr int numWrites = 20;
-constexpr std::chrono::milliseconds replicaDownTime { 500 };
-/// As on the standard days of the small deployments: `srv_crash` of a primary, and `replica_lag` with "deaf".
-constexpr std::chrono::milliseconds primaryDownTime { 7000 };
-constexpr std::chrono::milliseconds deafTime { 6500 };
-constexpr std::chrono::seconds observedTime { 20 };
+/// Times after the crash of the replica. The doses are those of the small deployments: `srv_crash` for 7.0 s, and `replica_lag` with
+/// "deaf crash" for 6.5 s.
+constexpr std::chrono::milliseconds entryExpiredAt { 2600 };
+constexpr std::chrono::milliseconds instanceBackAt { 3100 };
+constexpr std::chrono::milliseconds primaryCrashedAt { 4000 };
+constexpr std::chrono::milliseconds deafUntil { 6400 };
+constexpr std::chrono::milliseconds replicaBackAt { 7000 };
+constexpr std::chrono::milliseconds primaryBackAt { 11000 };
+constexpr std::chrono::milliseconds observedUntil { 20000 };
 
 std::vector<std::string> writeItems(review::Record& record, std::uint16_t port, const std::string& prefix)
 {
@@ -58,16 +62,24 @@
         acknowledged.insert(acknowledged.end(), later.begin(), later.end());
         if (later.empty())
             return couldNotRun;
-        std::chrono::steady_clock::time_point crashedAt = std::chrono::steady_clock::now();
+        std::chrono::steady_clock::time_point begin = std::chrono::steady_clock::now();
         group.crash("u2");
+        std::this_thread::sleep_until(begin + entryExpiredAt);
+        site.getPlatform().getStore().remove("servers", "u2");
+        record.add("the entry of u2 has expired");
+        std::size_t coordinator = site.findCoordinator();
+        site.kill(coordinator);
+        std::this_thread::sleep_until(begin + instanceBackAt);
+        site.restart(coordinator);
+        std::this_thread::sleep_until(begin + primaryCrashedAt);
         group.crash("u1");
-        std::this_thread::sleep_until(crashedAt + replicaDownTime);
-        group.restartWithoutLog("u2");
-        std::this_thread::sleep_until(crashedAt + deafTime);
+        std::this_thread::sleep_until(begin + deafUntil);
         group.setDeaf("u3", false);
-        std::this_thread::sleep_until(crashedAt + primaryDownTime);
+        std::this_thread::sleep_until(begin + replicaBackAt);
+        group.restartWithLog("u2");
+        std::this_thread::sleep_until(begin + primaryBackAt);
         group.restartWithLog("u1");
-        std::this_thread::sleep_until(crashedAt + observedTime);
+        std::this_thread::sleep_until(begin + observedUntil);
     }
     std::size_t numLost = 0;
     for (const std::string& item : acknowledged)
--- a/review/common-2/DatabaseGroup.cpp
+++ b/review/common-2/DatabaseGroup.cpp
@@ -14,9 +14,6 @@
     constexpr int backlog = 64;
     constexpr std::chrono::milliseconds promotionTime { 300 };
     constexpr std::chrono::milliseconds stepDownTime { 1000 };
-    constexpr int slots = 2;
-    constexpr int queueLength = 16;
-    constexpr std::chrono::milliseconds serviceTime { 3 };
 
     bool sendAll(int connection, const std::string& bytes)
     {
@@ -98,8 +95,6 @@
     ::listen(backend.listener, backlog);
     backend.isRunning = true;
     backend.pausedBelowTerm = 0;
-    backend.numBusySlots = 0;
-    backend.numQueued = 0;
     backend.numStarts++;
     this->startThread([this, &backend, opened = backend.listener] { this->accept(backend, opened); });
 }
@@ -132,9 +127,7 @@
             std::unique_lock<std::mutex> lock(this->mutex);
             std::string response;
             if (line.rfind("QUERY ", 0) == 0)
-                response = this->answerInSlot(backend, session, line.substr(line.find(' ', 6) + 1), lock);
-            else if (this->takeSlot(backend, lock))
-                backend.numBusySlots--;
+                response = this->answer(backend, session, line.substr(line.find(' ', 6) + 1), lock);
             std::string state = std::string("READY ") + (session.isInTransaction ? "T " : "I ") + std::to_string(backend.headTerm) + "." + std::to_string(backend.headNumber) + "\r\n";
             isOpen = backend.isRunning && backend.connections.count(connection) > 0;
             lock.unlock();
@@ -146,48 +139,6 @@
     ::close(connection);
 }
 
-void DatabaseGroup::setSlotsLimited()
-{
-    std::lock_guard<std::mutex> lock(this->mutex);
-    this->areSlotsLimited = true;
-}
-
-/// @returns whether a slot was taken, which the caller gives back; not without limited slots, when the queue is full, or when the
-///     backend ends
-bool DatabaseGroup::takeSlot(Backend& backend, std::unique_lock<std::mutex>& lock)
-{
-    if (!this->areSlotsLimited || backend.numQueued >= queueLength)
-        return false;
-    int start = backend.numStarts;
-    backend.numQueued++;
-    this->changed.wait(lock, [&] { return backend.numBusySlots < slots || backend.numStarts != start || !backend.isRunning || this->isStopping; });
-    if (backend.numStarts != start || !backend.isRunning || this->isStopping)
-        return false;
-    backend.numQueued--;
-    backend.numBusySlots++;
-    lock.unlock();
-    std::this_thread::sleep_for(serviceTime);
-    lock.lock();
-    this->changed.notify_all();
-    return backend.numStarts == start && backend.isRunning;
-}
-
-std::string DatabaseGroup::answerInSlot(Backend& backend, Session& session, const std::string& text, std::unique_lock<std::mutex>& lock)
-{
-    std::string verb = text.substr(0, text.find(' '));
-    bool needsSlot = verb != "RESET" && verb != "SET" && verb != "PREPARE" && verb != "BEGIN" && verb != "ROLLBACK";
-    if (!needsSlot || !this->areSlotsLimited)
-        return this->answer(backend, session, text, lock);
-    int start = backend.numStarts;
-    if (!this->takeSlot(backend, lock))
-        return "ERR BUSY " + backend.id + "\r\n";
-    std::string response = this->answer(backend, session, text, lock);
-    if (backend.numStarts == start)
-        backend.numBusySlots--;
-    this->changed.notify_all();
-    return response;
-}
-
 std::string DatabaseGroup::answer(Backend& backend, Session& session, std::string text, std::unique_lock<std::mutex>& lock)
 {
     std::string done = "DONE sig." + backend.id + "\r\n";
--- a/review/common-2/DatabaseGroup.h
+++ b/review/common-2/DatabaseGroup.h
@@ -14,7 +14,7 @@
 /// acknowledged once one replica has received it. Thread-safe.
 class DatabaseGroup {
 public:
-    /// Told when a backend changes its role or starts; `isListed` is false while it is down.
+    /// Told the state of each backend at first, and of one that changes its role or starts.
     using RoleListener = std::function<void(const std::string& id, std::uint16_t port, bool isPrimary, bool isRunning)>;
 
     explicit DatabaseGroup(Record& record);
@@ -34,10 +34,6 @@
     void restartWithLog(const std::string& id);
     void restartWithoutLog(const std::string& id);
 
-    /// Lets each backend have two slots and a queue. New connections, reads, writes, commits and commands need a slot for the
-    /// service time; a commit holds its slot until it is acknowledged.
-    void setSlotsLimited();
-
     /// @returns the items in the log of the backend that was promoted last, at that time and since; those of the first primary
     ///     before
     std::set<std::string> findPrimaryLogAtPromotion();
@@ -53,9 +49,7 @@
         bool isDeaf = false;
         /// Receives nothing from a primary of a lower term.
         std::uint64_t pausedBelowTerm = 0;
-        int numBusySlots = 0;
-        int numQueued = 0;
-        /// Counts the starts; what waits for a slot ends with the start.
+        /// Counts the starts; a commit that waits ends with the start.
         int numStarts = 0;
         std::uint64_t term = 1;
         std::uint64_t headTerm = 1;
@@ -75,8 +69,6 @@
     void accept(Backend& backend, int listener);
     void serve(Backend& backend, int connection);
     std::string answer(Backend& backend, Session& session, std::string text, std::unique_lock<std::mutex>& lock);
-    bool takeSlot(Backend& backend, std::unique_lock<std::mutex>& lock);
-    std::string answerInSlot(Backend& backend, Session& session, const std::string& text, std::unique_lock<std::mutex>& lock);
     std::string commit(Backend& backend, Session& session, std::unique_lock<std::mutex>& lock);
     void replicate();
     void takeLead(const std::string& id);
@@ -92,7 +84,6 @@
     RoleListener listener;
     std::mutex threadsMutex;
     std::vector<std::thread> threads;
-    bool areSlotsLimited = false;
     bool isStopping = false;
 };
 
