--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -85,6 +85,8 @@
     constexpr LogEvent formerPrimaryFound { 427, LogLevel::Warning, "former_primary", "An upstream that is not the recorded primary reports to be primary in no newer term; it is demoted if its term is older." };
     constexpr LogEvent primaryDemoted { 428, LogLevel::Warning, "primary_demoted", "The recorded primary reports to be a replica, and no other upstream is known to lead the group; it is replaced." };
     constexpr LogEvent promotionUnproved { 429, LogLevel::Warning, "promotion_unproved", "A promotion call is no longer waited for although an upstream that it may have promoted did not respond for too long." };
+    constexpr LogEvent groupsRegistered { 430, LogLevel::Information, "groups_registered", "First primaries or log holders were added to the primary record." };
+    constexpr LogEvent logHoldersRemoved { 431, LogLevel::Information, "log_holders_removed", "Upstreams that are gone were removed from those whose logs a failover waits for; the others have received what they may hold." };
     constexpr LogEvent gateOpened { 500, LogLevel::Information, "gate_opened", "This instance became the gate of an upstream." };
     constexpr LogEvent gateClosed { 501, LogLevel::Information, "gate_closed", "This instance is no longer the gate of an upstream." };
     constexpr LogEvent connectionDiscarded { 510, LogLevel::Warning, "connection_discarded", "A connection in an unknown state was closed." };
--- a/include/lentiljunction/leadership/PrimaryRecord.h
+++ b/include/lentiljunction/leadership/PrimaryRecord.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -35,6 +36,16 @@
     friend bool operator<(const OpenPromotion& left, const OpenPromotion& right) { return std::tie(left.upstream, left.epoch, left.generation) < std::tie(right.upstream, right.epoch, right.generation); }
 };
 
+/// An upstream, other than the primary, whose log may hold acknowledged commits of its group.
+struct LogHolder {
+    UpstreamId upstream;
+    /// When its process started, as it reports; nothing when it does not.
+    std::optional<WallTime> startedAt = std::nullopt;
+
+    friend bool operator==(const LogHolder& left, const LogHolder& right) { return left.upstream == right.upstream && left.startedAt == right.startedAt; }
+    friend bool operator<(const LogHolder& left, const LogHolder& right) { return std::tie(left.upstream, left.startedAt) < std::tie(right.upstream, right.startedAt); }
+};
+
 /// The primary of one group.
 struct PrimaryEntry {
     PrimaryPhase phase = PrimaryPhase::Stable;
@@ -54,6 +65,14 @@
     ///
     /// @see OpenPromotionTracker
     std::vector<OpenPromotion> openPromotions = {};
+    /// Where commits wait for replicas, the upstreams whose logs a failover must know; their entries in the list of upstreams
+    /// may expire before.
+    ///
+    /// @see GroupRegistration
+    std::vector<LogHolder> logHolders = {};
+
+    /// @returns whether the term of the primary is known; that of a group's first primary is not, so nothing is newer than it
+    bool isTermKnown() const { return this->term != Term(); }
 
     /// Limits a log point to what survived the promotion of this primary. A point in the term of this primary, or in a
     /// later one, was not written before that promotion, whatever the generation in which an instance learnt it: a record
@@ -66,9 +85,10 @@
 /// The primary of each group and the failover coordinator. All instances share this one object in the
 /// store.
 ///
-/// A group without an entry has never had a failover, unless the record was restored from an older copy.
+/// A group gets its entry when the coordinator sees its first primary. A group without one has never had a failover, unless
+/// the record was restored from an older copy.
 ///
-/// @see PrimaryRecordRecovery
+/// @see GroupRegistration, PrimaryRecordRecovery
 struct PrimaryRecord {
     /// The failover coordinator: the only instance that may promote.
     InstanceId coordinator;
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -135,6 +135,8 @@
         events::formerPrimaryFound,
         events::primaryDemoted,
         events::promotionUnproved,
+        events::groupsRegistered,
+        events::logHoldersRemoved,
         events::gateOpened,
         events::gateClosed,
         events::connectionDiscarded,
--- a/src/gateway/CommitProtection.cpp
+++ b/src/gateway/CommitProtection.cpp
@@ -1,5 +1,6 @@
 #include "CommitProtection.h"
 
+#include <set>
 #include <utility>
 
 namespace lentiljunction {
@@ -47,9 +48,16 @@
         if (upstream.second.group == group && upstream.first != oldPrimary)
             members.push_back({ upstream.first, upstream.second.isLeaving, true });
     }
-    for (const UpstreamId& lost : this->state.listLostUpstreams(group)) {
-        if (lost != oldPrimary)
-            members.push_back({ lost, false, false });
+    std::set<UpstreamId> lost;
+    for (const UpstreamId& upstream : this->state.listLostUpstreams(group))
+        lost.insert(upstream);
+    // This instance may have started after their entries expired.
+    const PrimaryEntry* entry = this->state.getLeaseTracker().getView().latest.record->find(group);
+    for (const LogHolder& holder : entry == nullptr ? std::vector<LogHolder>() : entry->logHolders)
+        lost.insert(holder.upstream);
+    for (const UpstreamId& upstream : lost) {
+        if (upstream != oldPrimary && this->state.getUpstreamList().find(upstream) == nullptr)
+            members.push_back({ upstream, false, false });
     }
     return members;
 }
--- a/src/gateway/CommitProtection.h
+++ b/src/gateway/CommitProtection.h
@@ -46,7 +46,7 @@
     /// Makes a failover promote only an upstream that has all acknowledged commits.
     void apply(Failover& failover) const;
 
-    /// @returns the upstreams of a group without its old primary
+    /// @returns the upstreams of a group without its old primary, with those that the primary record lists as log holders
     std::vector<CommitSurvey::Member> listMembers(const GroupId& group, const UpstreamId& oldPrimary) const;
 
     /// Lets the replicas of a group receive, if commits of the group wait for them.
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -53,6 +53,7 @@
     , executor({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, *this, settings.instance })
     , coordination({ dependencies.controlLoop, dependencies.clock, this->peers, this->executor, this->commander, settings.instance }, *this)
     , recovery({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, this->executor, this->coordination, *this, settings.instance }, settings.isFirstStart)
+    , groupRegistrar(dependencies.clock, this->commander, this->writer, *this, settings.instance)
     , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, std::nullopt, std::nullopt, settings.linkRate }, [this](StoreEra era) { this->onRegistered(era); })
     , leaseTracker(settings.instance, dependencies.clock)
     , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance, *this)
@@ -336,6 +337,7 @@
     this->hasListedUpstreams = true;
     this->updateReady();
     this->coordination.checkPrimaries();
+    this->groupRegistrar.check();
 }
 
 void GatewayControl::onMemberList(const std::vector<FleetMember>& list)
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -7,6 +7,7 @@
 #include "FailoverExecutor.h"
 #include "FleetLists.h"
 #include "GatewaySettings.h"
+#include "GroupRegistrar.h"
 #include "MemberDirectory.h"
 #include "MemberRegistration.h"
 #include "PeerConfirmation.h"
@@ -36,7 +37,7 @@
 /// Not thread-safe except where noted; the control thread owns it.
 ///
 /// @see TrafficPlane
-class GatewayControl : private PeerRpc::Listener, private PrimaryRecordWriter::Listener, private FailoverExecutor::Context, private FailoverCoordination::KnownState, private RouteWatcher::Listener, private FleetLists::Listener {
+class GatewayControl : private PeerRpc::Listener, private PrimaryRecordWriter::Listener, private FailoverExecutor::Context, private FailoverCoordination::KnownState, private GroupRegistrar::KnownState, private RouteWatcher::Listener, private FleetLists::Listener {
 public:
     /// All must outlive the control plane.
     struct Dependencies {
@@ -177,6 +178,7 @@
     FailoverExecutor executor;
     FailoverCoordination coordination;
     PrimaryRecordRecovery recovery;
+    GroupRegistrar groupRegistrar;
     MemberRegistration registration;
     LeaseTracker leaseTracker;
     RouteWatcher routes;
--- a/src/leadership/NewerTermDetector.cpp
+++ b/src/leadership/NewerTermDetector.cpp
@@ -43,7 +43,7 @@
 {
     const PrimaryEntry* entry = view.latest.record == nullptr ? nullptr : view.latest.record->find(group);
     std::map<GroupId, LedTerm>::const_iterator led = this->ledTerms.find(group);
-    if (entry == nullptr || led == this->ledTerms.end() || led->second.primary != primary || led->second.term <= entry->term)
+    if (entry == nullptr || !entry->isTermKnown() || led == this->ledTerms.end() || led->second.primary != primary || led->second.term <= entry->term)
         return false;
     return written.term < led->second.term;
 }
@@ -54,8 +54,7 @@
     std::map<GroupId, Term>::const_iterator reported = this->greatest.find(group);
     if (entry == nullptr || reported == this->greatest.end() || entry->phase != PrimaryPhase::Stable || !view.latest.record->isConfirmed(group))
         return false;
-    // An entry that names no term says nothing about later ones.
-    if (entry->term == Term())
+    if (!entry->isTermKnown())
         return false;
     std::map<GroupId, LedTerm>::const_iterator led = this->ledTerms.find(group);
     bool isLed = led != this->ledTerms.end() && led->second.primary == PrimaryTenure { entry->primary, entry->generation };
--- a/src/leadership/PrimaryRecordCodec.cpp
+++ b/src/leadership/PrimaryRecordCodec.cpp
@@ -12,6 +12,8 @@
     constexpr const char* changingPhase = "changing";
     constexpr const char* stablePhase = "stable";
     constexpr const char* openPromotionsField = "open_promotions";
+    constexpr const char* logHoldersField = "log_holders";
+    constexpr const char* startedAtField = "started_at_ms";
 
     /// Records of earlier releases have no era, so they count as restored.
     StoreEra decodeEra(JsonFields& fields, const nlohmann::json& object, const std::string& name)
@@ -30,20 +32,23 @@
         return promotion;
     }
 
-    /// Records of earlier releases have no list.
-    std::vector<OpenPromotion> decodeOpenPromotions(JsonFields& fields, const nlohmann::json& object, const std::string& path, std::vector<std::string>& faults)
+    /// Records of earlier releases lack some lists.
+    ///
+    /// @param decodeItem decodes one item of the list
+    template <typename T>
+    std::vector<T> decodeList(JsonFields& fields, const nlohmann::json& object, const std::string& path, const char* name, T (*decodeItem)(const nlohmann::json&, const std::string&, std::vector<std::string>&), std::vector<std::string>& faults)
     {
-        std::vector<OpenPromotion> promotions;
-        if (!object.is_object() || !object.contains(openPromotionsField))
-            return promotions;
-        const nlohmann::json& list = object[openPromotionsField];
+        std::vector<T> items;
+        if (!object.is_object() || !object.contains(name))
+            return items;
+        const nlohmann::json& list = object[name];
         if (!list.is_array()) {
-            fields.addFault(openPromotionsField, "must be an array");
-            return promotions;
+            fields.addFault(name, "must be an array");
+            return items;
         }
-        for (const nlohmann::json& promotion : list)
-            promotions.push_back(decodeOpenPromotion(promotion, path + "." + openPromotionsField, faults));
-        return promotions;
+        for (const nlohmann::json& item : list)
+            items.push_back(decodeItem(item, path + "." + name, faults));
+        return items;
     }
 
     nlohmann::json encodeOpenPromotions(const std::vector<OpenPromotion>& promotions)
@@ -54,6 +59,27 @@
         return list;
     }
 
+    LogHolder decodeLogHolder(const nlohmann::json& object, const std::string& path, std::vector<std::string>& faults)
+    {
+        JsonFields fields(object, path, faults);
+        LogHolder holder { UpstreamId(fields.getText("upstream")) };
+        if (object.is_object() && object.contains(startedAtField))
+            holder.startedAt = WallTime(std::chrono::milliseconds(fields.getInteger(startedAtField, 0, latestUnixMilliseconds)));
+        return holder;
+    }
+
+    nlohmann::json encodeLogHolders(const std::vector<LogHolder>& holders)
+    {
+        nlohmann::json list = nlohmann::json::array();
+        for (const LogHolder& holder : holders) {
+            nlohmann::json object { { "upstream", holder.upstream.toString() } };
+            if (holder.startedAt)
+                object[startedAtField] = toUnixMilliseconds(*holder.startedAt);
+            list.push_back(std::move(object));
+        }
+        return list;
+    }
+
     PrimaryEntry decodeGroup(const nlohmann::json& object, const std::string& path, std::vector<std::string>& faults)
     {
         JsonFields fields(object, path, faults);
@@ -68,7 +94,8 @@
         entry.baseline.position = Position(static_cast<std::uint64_t>(fields.getInteger("baseline_position", 0, maxInteger)));
         entry.term = Term(static_cast<std::uint64_t>(fields.getInteger("term", 0, maxInteger)));
         entry.era = decodeEra(fields, object, "era");
-        entry.openPromotions = decodeOpenPromotions(fields, object, path, faults);
+        entry.openPromotions = decodeList(fields, object, path, openPromotionsField, decodeOpenPromotion, faults);
+        entry.logHolders = decodeList(fields, object, path, logHoldersField, decodeLogHolder, faults);
         return entry;
     }
 
@@ -90,6 +117,8 @@
         };
         if (!entry.openPromotions.empty())
             groups[group.first.toString()][openPromotionsField] = encodeOpenPromotions(entry.openPromotions);
+        if (!entry.logHolders.empty())
+            groups[group.first.toString()][logHoldersField] = encodeLogHolders(entry.logHolders);
     }
     nlohmann::json retired = nlohmann::json::array();
     for (const InstanceId& instance : record.retired)
--- a/src/leadership/RoleMonitor.cpp
+++ b/src/leadership/RoleMonitor.cpp
@@ -32,7 +32,7 @@
 bool RoleMonitor::isNewer(const PrimaryRecord& record, const GroupId& group, Term term)
 {
     const PrimaryEntry* entry = findSettled(record, group);
-    return entry != nullptr && entry->term < term;
+    return entry != nullptr && entry->isTermKnown() && entry->term < term;
 }
 
 bool RoleMonitor::isNewerTermSeen(const PrimaryRecord& record, const GroupId& group, TimePoint now) const
@@ -86,6 +86,9 @@
         return this->onRecordedPrimary(group, generation, status.isPrimary, now);
     if (!status.isPrimary)
         return Action::None;
+    // The terms of two upstreams that claim the role from the start cannot be compared.
+    if (!entry->isTermKnown())
+        return Action::ReportConflict;
     if (entry->term < status.term)
         return Action::ReplaceRecordedPrimary;
     return status.term < entry->term ? Action::Demote : Action::ReportConflict;
--- a/src/traffic/PrimaryVerificationRounds.cpp
+++ b/src/traffic/PrimaryVerificationRounds.cpp
@@ -214,7 +214,7 @@
     if (known != this->primaries.end() && known->second.generation == primary.generation)
         return known->second.status.term;
     const PrimaryEntry* entry = this->state.getView().latest.record->find(group);
-    return entry == nullptr || entry->term == Term() ? std::nullopt : std::optional<Term>(entry->term);
+    return entry == nullptr || !entry->isTermKnown() ? std::nullopt : std::optional<Term>(entry->term);
 }
 
 } // namespace lentiljunction
--- a/tests/process/GatewaySynchronousTests.cpp
+++ b/tests/process/GatewaySynchronousTests.cpp
@@ -89,10 +89,62 @@
     return numLost;
 }
 
+/// Waits until the primary record lists a number of upstreams whose logs a failover must know.
+bool waitForLogHolders(GatewayFixture& fixture, std::size_t number)
+{
+    return waitUntil([&] {
+        nlohmann::json record = fixture.getStore().read("lentiljunction-lead", "main");
+        return record["groups"].contains("ledger") && record["groups"]["ledger"].value("log_holders", nlohmann::json::array()).size() == number;
+    });
+}
+
 } // namespace
 
 TEST_GROUP(GatewaySynchronous) {};
 
+// The only replica with the last commits is down and no longer listed, the coordinator starts again, and the primary crashes.
+// Guards against a coordinator that takes the replica that it knows for the only one (review case 7).
+TEST(GatewaySynchronous, restartedCoordinatorWaitsForReplicaWhoseEntryExpired)
+{
+    GatewayFixture fixture(3);
+    CHECK_TRUE(fixture.waitUntilServed("bookings"));
+    makeSynchronous(fixture);
+    std::optional<std::size_t> coordinator;
+    CHECK_TRUE(waitUntil([&] { coordinator = fixture.findCoordinator(); return coordinator.has_value(); }));
+    CHECK_TRUE(waitForLogHolders(fixture, 2));
+    fixture.getGroup().setDeaf("u3", true);
+    std::vector<std::string> acknowledged = writeFor(fixture, "early", std::chrono::milliseconds(500));
+    CHECK(!acknowledged.empty());
+    fixture.getGroup().crash("u2");
+    fixture.getStore().remove("servers", "u2");
+    fixture.kill(*coordinator);
+    fixture.restart(*coordinator);
+    CHECK_TRUE(fixture.waitUntilServed("later"));
+    fixture.getGroup().crash("u1");
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    Failure failure;
+    CHECK_TRUE(fixture.getGroup().restart("u2", failure));
+    fixture.report("u2", false);
+    fixture.getGroup().setDeaf("u3", false);
+    CHECK_TRUE(waitUntil([&] { return !writeFor(fixture, "late", std::chrono::milliseconds(100)).empty(); }));
+    LONGS_EQUAL(0, countLost(fixture, acknowledged));
+}
+
+// A replica and then the primary are gone for good, and the other replica was behind. Guards against a failover that waits
+// for ever for a log holder that never returns.
+TEST(GatewaySynchronous, logHolderThatIsGoneForGoodDoesNotHoldFailoverForEver)
+{
+    GatewayFixture fixture(3);
+    CHECK_TRUE(fixture.waitUntilServed("bookings"));
+    makeSynchronous(fixture);
+    CHECK_TRUE(waitForLogHolders(fixture, 2));
+    fixture.getGroup().crash("u2");
+    fixture.getStore().remove("servers", "u2");
+    fixture.getGroup().crash("u1");
+    fixture.getStore().remove("servers", "u1");
+    CHECK_TRUE(waitUntil([&] { return fixture.getGroup().findPrimary() == "u3"; }));
+}
+
 // The replica that has received the last commits does not respond when the primary crashes, and the other one has
 // received nothing for a while. Guards against acknowledged commits that are lost.
 TEST(GatewaySynchronous, acknowledgedCommitsSurviveFailoverWhileTheirReplicaIsSilent)
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -530,20 +530,21 @@
     ManualClock clock;
     CoordinatorHandover handover { InstanceId("self") };
 
-    void readRecord(const std::string& coordinator, std::uint64_t revision)
+    /// @param generation the number of failovers so far
+    void readRecord(const std::string& coordinator, std::uint64_t revision, std::uint64_t generation)
     {
         PrimaryRecord record;
         record.coordinator = InstanceId(coordinator);
-        record.groups[GroupId("g")];
+        record.groups[GroupId("g")].generation = generation;
         handover.onRecord(record, StoreVersion(revision), clock.bootNow());
     }
 };
 
 TEST(CoordinatorHandover, newCoordinatorWaitsForHandoverDelay)
 {
-    readRecord("other", 4);
+    readRecord("other", 4, 1);
     clock.advance(std::chrono::seconds(1));
-    readRecord("self", 5);
+    readRecord("self", 5, 1);
     CHECK_FALSE(handover.mayAct(clock.bootNow()));
     clock.advance(coordinatorHandoverDelay);
     CHECK_TRUE(handover.mayAct(clock.bootNow()));
@@ -551,11 +552,24 @@
 
 TEST(CoordinatorHandover, unchangedCoordinatorMayAct)
 {
-    readRecord("self", 4);
-    readRecord("self", 5);
+    readRecord("self", 4, 1);
+    readRecord("self", 5, 1);
     CHECK_TRUE(handover.mayAct(clock.bootNow()));
 }
 
+// Guards against a takeover that is delayed by each log holder that the coordinator records, or by a first primary.
+TEST(CoordinatorHandover, writesWithoutFailoverAreNoAction)
+{
+    readRecord("other", 4, 0);
+    CHECK_TRUE(handover.mayAct(clock.bootNow()));
+    readRecord("other", 5, 1);
+    clock.advance(coordinatorHandoverDelay);
+    readRecord("other", 6, 1);
+    CHECK_TRUE(handover.mayAct(clock.bootNow()));
+    readRecord("other", 7, 2);
+    CHECK_FALSE(handover.mayAct(clock.bootNow()));
+}
+
 TEST_GROUP(PrimaryView)
 {
     UpstreamList upstreams;
@@ -596,9 +610,11 @@
 {
     PrimaryRecord record { InstanceId("one"), FencingToken(4), {}, { InstanceId("two") }, "n" };
     record.groups[GroupId("g")] = { PrimaryPhase::Changing, UpstreamId("b"), 7, { Term(3), Position(12) }, Term(3) };
+    record.groups[GroupId("g")].logHolders = { { UpstreamId("a"), std::nullopt }, { UpstreamId("c"), WallTime(std::chrono::milliseconds(1764820000000)) } };
     Failure failure;
     std::optional<PrimaryRecord> decoded = decodePrimaryRecord(encodePrimaryRecord(record), failure);
     CHECK(decoded.has_value());
     CHECK(encodePrimaryRecord(*decoded) == encodePrimaryRecord(record));
+    CHECK(decoded->groups.at(GroupId("g")).logHolders == record.groups.at(GroupId("g")).logHolders);
     CHECK_FALSE(decodePrimaryRecord(nlohmann::json::object(), failure).has_value());
 }
