--- a/include/lentiljunction/routes/UpstreamRegistry.h
+++ b/include/lentiljunction/routes/UpstreamRegistry.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace lentiljunction {
@@ -36,6 +37,12 @@
     /// @returns the upstreams of a group that are gone without having been leaving, and have not returned
     std::vector<UpstreamId> listLost(const GroupId& group, TimePoint now) const;
 
+    /// Tells an upstream that is gone from one whose entry may be on its way back: entries that expired while the store was
+    /// unavailable return within missingUpstreamRetention, also if this process started after they expired.
+    ///
+    /// @returns whether an upstream is not in the list and counts as gone
+    bool isGone(const UpstreamId& upstream, TimePoint now) const;
+
     /// @returns the list in force
     const std::shared_ptr<const UpstreamList>& getList() const { return this->list; }
 
@@ -57,6 +64,8 @@
         TimePoint lostAt;
     };
 
+    /// When the first snapshot was offered.
+    std::optional<TimePoint> offeredSince;
     std::map<UpstreamId, TimePoint> missingSince;
     std::map<UpstreamId, LeavingUpstream> leaving;
     std::map<UpstreamId, LostUpstream> lost;
--- a/src/gateway/FailoverCoordination.cpp
+++ b/src/gateway/FailoverCoordination.cpp
@@ -59,10 +59,7 @@
     const UpstreamList& list = this->state.getUpstreamList();
     for (const std::pair<const GroupId, GroupConfig>& group : this->state.getRoutes()->groups) {
         std::optional<PrimaryTenure> tenure = this->state.getLeaseTracker().getView().findPrimaryTenure(group.first, list);
-        if (!tenure)
-            continue;
-        const UpstreamEntry* entry = list.find(tenure->upstream);
-        if (entry == nullptr || entry->isLeaving)
+        if (tenure && this->isLeavingOrGone(tenure->upstream))
             this->requestReplacement(group.first, tenure->upstream, true);
     }
     this->checkRoles();
@@ -209,10 +206,15 @@
     this->dependencies.loop.schedule(peerTimeout + voteGracePeriod, finishVote);
 }
 
-bool FailoverCoordination::hasLostPrimary(const GroupId& group, const UpstreamId& primary) const
+bool FailoverCoordination::isLeavingOrGone(const UpstreamId& primary) const
 {
     const UpstreamEntry* entry = this->state.getUpstreamList().find(primary);
-    if (entry == nullptr || entry->isLeaving || this->state.getLeaseTracker().getView().isChanging(group))
+    return entry == nullptr ? this->state.isUpstreamGone(primary) : entry->isLeaving;
+}
+
+bool FailoverCoordination::hasLostPrimary(const GroupId& group, const UpstreamId& primary) const
+{
+    if (this->isLeavingOrGone(primary) || this->state.getLeaseTracker().getView().isChanging(group))
         return true;
     std::map<UpstreamId, TimePoint>::const_iterator lost = this->unreachableAt.find(primary);
     return lost != this->unreachableAt.end() && this->dependencies.clock.now() - lost->second < unreachableLifetime;
--- a/src/gateway/FailoverCoordination.h
+++ b/src/gateway/FailoverCoordination.h
@@ -35,6 +35,9 @@
         virtual const UpstreamList& getUpstreamList() const = 0;
         virtual const LeaseTracker& getLeaseTracker() const = 0;
 
+        /// @returns whether an upstream is not in the list, and not only because its entry is on its way back
+        virtual bool isUpstreamGone(const UpstreamId& upstream) const = 0;
+
         /// @returns the routes in force, or nullptr
         virtual const std::shared_ptr<const RouteTable>& getRoutes() const = 0;
 
@@ -71,7 +74,7 @@
     /// Handles the report of another instance that an upstream showed a newer term.
     void onNewerTermReport(const nlohmann::json& request, const PeerRpc::Responder& respond);
 
-    /// Requests the replacement of primaries that are leaving or no longer listed, and checks the roles of the others.
+    /// Requests the replacement of primaries that are leaving or gone, and checks the roles of the others.
     /// Call it after the list of upstreams was read.
     void checkPrimaries();
 
@@ -99,7 +102,7 @@
 private:
     /// Reports a primary that is lost or leaving to the coordinator.
     ///
-    /// @param isLeaving whether the primary is leaving or no longer listed
+    /// @param isLeaving whether the primary is leaving or gone
     void requestReplacement(const GroupId& group, const UpstreamId& primary, bool isLeaving);
     /// Decides as the coordinator whether to replace a primary, and starts the failover.
     void considerReplacement(const GroupId& group, const UpstreamId& primary, const InstanceId& reporter, bool isLeaving);
@@ -110,6 +113,7 @@
     void tryTakeover(const GroupId& group, const UpstreamId& primary, bool isLeaving);
     /// Takes over a stalled failover, unless its coordinator waits for an upstream that may hold acknowledged commits.
     void takeOverStalled(const GroupId& group, const UpstreamId& primary);
+    bool isLeavingOrGone(const UpstreamId& primary) const;
     bool hasLostPrimary(const GroupId& group, const UpstreamId& primary) const;
     bool isCoordinator() const;
     /// @returns whether this instance is the coordinator and can carry out a failover
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -112,6 +112,7 @@
     void onStoreRevision(StoreVersion revision, StoreEra era, BootTime sentAt) override { this->lists.onRevision(revision, era, sentAt); }
     const UpstreamList& getUpstreamList() const override { return *this->upstreams.getList(); }
     const LeaseTracker& getLeaseTracker() const override { return this->leaseTracker; }
+    bool isUpstreamGone(const UpstreamId& upstream) const override { return this->upstreams.isGone(upstream, this->dependencies.clock.now()); }
     bool mayAct() const override { return this->recovery.mayPromote() && this->handover.mayAct(this->dependencies.clock.bootNow()); }
     bool haveEarlierLeasesExpired() const override { return this->recovery.haveEarlierLeasesExpired(); }
     bool isRetiredPastLease(const InstanceId& instance) const override { return this->members.isRetiredPastLease(instance, this->dependencies.clock.bootNow()); }
--- a/src/routes/UpstreamRegistry.cpp
+++ b/src/routes/UpstreamRegistry.cpp
@@ -49,9 +49,16 @@
     return found;
 }
 
+bool UpstreamRegistry::isGone(const UpstreamId& upstream, TimePoint now) const
+{
+    return this->list->find(upstream) == nullptr && this->offeredSince && now - *this->offeredSince >= missingUpstreamRetention;
+}
+
 std::vector<std::string> UpstreamRegistry::offer(const UpstreamList& snapshot, TimePoint now)
 {
     std::vector<std::string> changes;
+    if (!this->offeredSince)
+        this->offeredSince = now;
     std::shared_ptr<UpstreamList> next = std::make_shared<UpstreamList>(snapshot);
     this->forgetLeaving(now);
     for (std::pair<const UpstreamId, UpstreamEntry>& entry : next->entries) {
--- a/tests/unit/GatewayDecisionTests.cpp
+++ b/tests/unit/GatewayDecisionTests.cpp
@@ -377,6 +377,21 @@
     CHECK(registry.listLost(GroupId("g"), clock.now()).empty());
 }
 
+// Guards against the replacement of a primary that works by an instance that starts while its entry is on its way back.
+TEST(UpstreamRegistry, upstreamThatWasNeverListedIsGoneOnlyAfterRetention)
+{
+    const UpstreamId upstream("u");
+    CHECK_FALSE(registry.isGone(upstream, clock.now()));
+    registry.offer(UpstreamList(), clock.now());
+    clock.advance(missingUpstreamRetention - std::chrono::milliseconds(1));
+    CHECK_FALSE(registry.isGone(upstream, clock.now()));
+    clock.advance(std::chrono::milliseconds(1));
+    CHECK_TRUE(registry.isGone(upstream, clock.now()));
+    list.entries[upstream].group = GroupId("g");
+    registry.offer(list, clock.now());
+    CHECK_FALSE(registry.isGone(upstream, clock.now()));
+}
+
 TEST_GROUP(OnePrimary) {};
 
 // Guards against two primaries at one time. In random order an instance reads the record, is suspended,
