--- a/include/lentiljunction/fleet/FleetStore.h
+++ b/include/lentiljunction/fleet/FleetStore.h
@@ -15,6 +15,9 @@
 /// The bandwidth of a link in bits per second; zero when it is not known.
 using BitRate = Number<struct BitRateTag>;
 
+/// Tells the processes of one instance apart; zero when it is not known.
+using ProcessNumber = Number<struct ProcessNumberTag>;
+
 /// The entry of an instance by which other instances find it.
 struct FleetMember {
     InstanceId id;
@@ -27,17 +30,21 @@
     std::optional<Endpoint> quota = std::nullopt;
     /// The bandwidth of its machine's link.
     BitRate linkRate {};
+    /// The process that wrote the entry. Lists that instances send each other do not have it.
+    ProcessNumber process {};
 
     friend bool operator==(const FleetMember& left, const FleetMember& right)
     {
-        return left.id == right.id && left.zone == right.zone && left.peers == right.peers && left.lending == right.lending && left.quota == right.quota && left.linkRate == right.linkRate;
+        return left.id == right.id && left.zone == right.zone && left.peers == right.peers && left.lending == right.lending && left.quota == right.quota && left.linkRate == right.linkRate && left.process == right.process;
     }
 };
 
-/// The entry of an instance and the era of the store in which it was read.
+/// The entry of an instance, and the era of the store in which it was read.
 struct RegisteredMember {
     FleetMember member;
     StoreEra era;
+    /// The revision of the entry, which belongs to the era.
+    StoreVersion revision {};
 };
 
 /// The routing configuration and its revision in the store.
@@ -98,8 +105,8 @@
     /// Reads the entry of an instance, linearizable.
     virtual void readMember(const InstanceId& member, Callback<RegisteredMember> callback) = 0;
 
-    /// Removes the entry of an instance that stops permanently.
-    virtual void removeMember(const InstanceId& member, Callback<bool> callback) = 0;
+    /// Removes the entry of an instance if it has the expected revision.
+    virtual void removeMember(const InstanceId& member, StoreVersion expected, Callback<bool> callback) = 0;
 
     /// Reads the list of instances.
     ///
--- a/include/lentiljunction/leadership/PrimaryRecord.h
+++ b/include/lentiljunction/leadership/PrimaryRecord.h
@@ -105,6 +105,11 @@
     /// The era in which groups without an entry are known to have had no failover: that of the record's creation, or of a
     /// later continuation; zero when failovers may be missing.
     StoreEra createdIn = StoreEra();
+    /// Instances that did not respond for some time. Each one that reads this removes itself; one that does not is no longer
+    /// counted in votes. Failovers still wait for its lease.
+    ///
+    /// @see RollCall
+    std::set<InstanceId> absent = {};
 
     /// @returns the entry of a group, or nullptr
     const PrimaryEntry* find(const GroupId& group) const
--- a/include/lentiljunction/leadership/lj_leadership.h
+++ b/include/lentiljunction/leadership/lj_leadership.h
@@ -21,5 +21,6 @@
 #include "lentiljunction/leadership/RecordRecovery.h"
 #include "lentiljunction/leadership/RecoveryVote.h"
 #include "lentiljunction/leadership/RoleMonitor.h"
+#include "lentiljunction/leadership/RollCall.h"
 #include "lentiljunction/leadership/SuspicionTracker.h"
 #include "lentiljunction/leadership/TakeoverVote.h"
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -137,6 +137,8 @@
         events::promotionUnproved,
         events::groupsRegistered,
         events::logHoldersRemoved,
+        events::instanceUnregistered,
+        events::rollCalled,
         events::gateOpened,
         events::gateClosed,
         events::connectionDiscarded,
--- a/src/fleet/MeteredFleetStore.h
+++ b/src/fleet/MeteredFleetStore.h
@@ -28,7 +28,7 @@
     void writePrimaryRecord(const PrimaryRecord& record, StoreVersion expected, Callback<VersionedPrimaryRecord> callback) override { this->inner->writePrimaryRecord(record, expected, this->meter("write_lead", std::move(callback))); }
     void registerMember(const FleetMember& member, Callback<StoreEra> callback) override { this->inner->registerMember(member, this->meter("register", std::move(callback))); }
     void readMember(const InstanceId& member, Callback<RegisteredMember> callback) override { this->inner->readMember(member, this->meter("read_member", std::move(callback))); }
-    void removeMember(const InstanceId& member, Callback<bool> callback) override { this->inner->removeMember(member, this->meter("remove", std::move(callback))); }
+    void removeMember(const InstanceId& member, StoreVersion expected, Callback<bool> callback) override { this->inner->removeMember(member, expected, this->meter("remove", std::move(callback))); }
     void listMembers(bool isLinearizable, Callback<std::vector<FleetMember>> callback) override { this->inner->listMembers(isLinearizable, this->meter("list_members", std::move(callback))); }
     void writeAudit(const std::string& key, const std::string& records, Callback<bool> callback) override { this->inner->writeAudit(key, records, this->meter("write_audit", std::move(callback))); }
     /// Promotions use another service, so their results do not show whether the store is available.
--- a/src/gateway/FailoverCoordination.cpp
+++ b/src/gateway/FailoverCoordination.cpp
@@ -21,6 +21,8 @@
     constexpr std::chrono::milliseconds voteGracePeriod { 20 };
     /// How long a primary counts as lost after a connection to it failed.
     constexpr std::chrono::milliseconds unreachableLifetime { 1500 };
+    /// Interval at which a coordinator that lacks reports asks which instances run.
+    constexpr std::chrono::milliseconds presenceInterval { 2000 };
     /// Delay between the takeover attempts of consecutive instances, so that usually only the first one tries.
     constexpr std::chrono::milliseconds takeoverStagger { 150 };
     /// Key of the rendezvous hash that orders the instances for a takeover; must be the same in all instances.
@@ -170,7 +172,9 @@
 void FailoverCoordination::tryTakeover(const GroupId& group, const UpstreamId& primary, bool isLeaving)
 {
     bool isStoreReachable = this->state.isStoreReachable();
-    if (!isStoreReachable || this->dependencies.executor.isActive(group) || this->dependencies.executor.arePromotionsFailing() || !this->groupsVoting.insert(group).second)
+    // Without the list of instances, each vote would be won.
+    bool areMembersKnown = this->state.findMember(this->dependencies.self).has_value();
+    if (!isStoreReachable || !areMembersKnown || this->dependencies.executor.isActive(group) || this->dependencies.executor.arePromotionsFailing() || !this->groupsVoting.insert(group).second)
         return;
     InstanceId previousCoordinator = this->state.getLeaseTracker().getView().latest.record->coordinator;
     this->collectVotes(group, primary, [this, group, primary, isLeaving, previousCoordinator](const TakeoverVote& vote) {
@@ -180,9 +184,44 @@
         logEvent(events::primarySuspected, "group=" + group.toString() + " primary=" + primary.toString() + " answers=" + std::to_string(vote.getNumVotes()) + " agreeing=" + std::to_string(vote.getNumAgreeing()) + " instances=" + std::to_string(this->state.listActiveMembers().size()) + " take_over=" + std::to_string(vote.isWon()));
         if (vote.isWon())
             this->dependencies.executor.start(group, primary, isLeaving && this->state.getUpstreamList().find(primary) != nullptr, "its holder is silent");
+        else
+            this->callRoll();
     });
 }
 
+void FailoverCoordination::requestPresence()
+{
+    TimePoint now = this->dependencies.clock.now();
+    if (now - this->presenceRequestedAt < presenceInterval)
+        return;
+    this->presenceRequestedAt = now;
+    for (const FleetMember& member : chooseVoters(this->state.listActiveMembers(), this->dependencies.self))
+        this->dependencies.peers.ask(member.peers, { { "ask", "record_version" } }, peerTimeout, [this, id = member.id](const std::optional<nlohmann::json>& response) { this->rollCall.onAsked(id, response.has_value(), this->dependencies.clock.now()); });
+    this->dependencies.loop.schedule(peerTimeout + voteGracePeriod, [this] { this->callRoll(); });
+}
+
+void FailoverCoordination::callRoll()
+{
+    std::vector<InstanceId> silent = this->rollCall.listSilent(this->dependencies.clock.now());
+    const PrimaryRecord& record = *this->state.getLeaseTracker().getView().latest.record;
+    silent.erase(std::remove_if(silent.begin(), silent.end(), [&record](const InstanceId& instance) { return record.retired.count(instance) + record.absent.count(instance) > 0; }), silent.end());
+    if (silent.empty() || !this->state.isStoreReachable() || std::exchange(this->isCallingRoll, true))
+        return;
+    this->dependencies.writer.submit(
+        [silent](PrimaryRecord& latest) {
+            latest.absent.insert(silent.begin(), silent.end());
+            return true;
+        },
+        [this, silent](bool isWritten, BootTime) {
+            this->isCallingRoll = false;
+            logEvent(events::rollCalled, "instances=" + std::to_string(silent.size()) + " first=" + silent.front().toString() + " written=" + std::to_string(isWritten));
+            for (const InstanceId& instance : silent) {
+                if (isWritten)
+                    this->rollCall.onListed(instance);
+            }
+        });
+}
+
 void FailoverCoordination::collectVotes(const GroupId& group, const UpstreamId& primary, std::function<void(const TakeoverVote& vote)> callback)
 {
     this->votedAt = this->dependencies.clock.bootNow();
@@ -196,7 +235,8 @@
     };
     nlohmann::json request { { "ask", "opinion" }, { "group", group.toString() }, { "primary", primary.toString() } };
     for (const FleetMember& member : voters) {
-        this->dependencies.peers.ask(member.peers, request, peerTimeout, [vote, finishVote](const std::optional<nlohmann::json>& response) {
+        this->dependencies.peers.ask(member.peers, request, peerTimeout, [this, id = member.id, vote, finishVote](const std::optional<nlohmann::json>& response) {
+            this->rollCall.onAsked(id, response.has_value(), this->dependencies.clock.now());
             if (response && response->is_object())
                 vote->addVote(response->value("has_lost", false));
             if (vote->isWon())
@@ -233,8 +273,9 @@
     this->suspicions.report(primary, reporter, now);
     bool mustReplace = this->suspicions.mustReplace(primary, this->state.listActiveMembers().size(), now);
     logEvent(events::primarySuspected, "group=" + group.toString() + " primary=" + primary.toString() + " reporter=" + reporter.toString() + " reporters=" + std::to_string(this->suspicions.countReporters(primary, now)) + " instances=" + std::to_string(this->state.listActiveMembers().size()) + " replace=" + std::to_string(mustReplace));
+    // Instances that are lost for good count until they are listed as absent.
     if (!mustReplace)
-        return;
+        return this->requestPresence();
     this->suspicions.clear(primary);
     this->dependencies.executor.start(group, primary, false, "the primary cannot be reached");
 }
--- a/src/gateway/FailoverCoordination.h
+++ b/src/gateway/FailoverCoordination.h
@@ -4,6 +4,7 @@
 #include "FailoverExecutor.h"
 #include "lentiljunction/fleet/FleetStore.h"
 #include "lentiljunction/leadership/RoleMonitor.h"
+#include "lentiljunction/leadership/RollCall.h"
 #include "lentiljunction/leadership/SuspicionTracker.h"
 #include "lentiljunction/leadership/TakeoverVote.h"
 #include "lentiljunction/routes/RouteTable.h"
@@ -41,7 +42,7 @@
         /// @returns the routes in force, or nullptr
         virtual const std::shared_ptr<const RouteTable>& getRoutes() const = 0;
 
-        /// @returns the instances that are not retired
+        /// @returns the instances that are neither retired nor have been absent for some time
         virtual std::vector<FleetMember> listActiveMembers() const = 0;
 
         /// @returns an instance, or nothing when it is unknown
@@ -60,6 +61,7 @@
         PeerRpc& peers;
         FailoverExecutor& executor;
         UpstreamCommander& commander;
+        PrimaryRecordWriter& writer;
         InstanceId self;
     };
 
@@ -81,6 +83,9 @@
     /// Resumes or takes over failovers that make no progress. Call it after the primary record was read.
     void checkStalledFailovers();
 
+    /// A record was read or written.
+    void onRecord(const PrimaryRecord& record) { this->rollCall.onRecord(record.absent, this->dependencies.clock.now()); }
+
     /// @returns when this instance first saw that the primary of a group is being replaced, or nothing
     std::optional<TimePoint> findChangingSince(const GroupId& group) const;
 
@@ -113,6 +118,10 @@
     void tryTakeover(const GroupId& group, const UpstreamId& primary, bool isLeaving);
     /// Takes over a stalled failover, unless its coordinator waits for an upstream that may hold acknowledged commits.
     void takeOverStalled(const GroupId& group, const UpstreamId& primary);
+    /// Asks the other instances whether they run, as the coordinator that has too few reports of a lost primary.
+    void requestPresence();
+    /// Lists instances that have been silent for some time as absent in the primary record.
+    void callRoll();
     bool isLeavingOrGone(const UpstreamId& primary) const;
     bool hasLostPrimary(const GroupId& group, const UpstreamId& primary) const;
     bool isCoordinator() const;
@@ -127,6 +136,9 @@
     Dependencies dependencies;
     KnownState& state;
     SuspicionTracker suspicions;
+    RollCall rollCall;
+    bool isCallingRoll = false;
+    TimePoint presenceRequestedAt;
     RoleMonitor roles;
     /// The groups for which a report of a newer term to the coordinator is pending.
     std::set<GroupId> groupsReporting;
--- a/src/gateway/FleetLists.cpp
+++ b/src/gateway/FleetLists.cpp
@@ -189,6 +189,8 @@
     Duration next = this->numMemberLists++ < numStartupMemberLists ? Duration(startupMemberListInterval) : Duration(memberListInterval);
     BootTime sentAt = this->clock.bootNow();
     if (this->members.isRelayed(sentAt)) {
+        // How long instances have been missing from the list is counted with each list.
+        this->listener.onMemberList(this->memberList);
         this->loop.scheduleUntilDone(next, [this] { this->listMembers(); });
         return;
     }
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -35,6 +35,12 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
     }
 
+    FleetMember makeMember(const GatewaySettings& settings, const Clock& clock)
+    {
+        std::chrono::microseconds startedAt = std::chrono::duration_cast<std::chrono::microseconds>(clock.wallNow().time_since_epoch());
+        return { settings.instance, settings.zone, settings.peers, std::nullopt, std::nullopt, settings.linkRate, ProcessNumber(static_cast<std::uint64_t>(startedAt.count())) };
+    }
+
     std::vector<Endpoint> listOtherSeeds(const GatewaySettings& settings)
     {
         std::vector<Endpoint> others = settings.seeds;
@@ -51,10 +57,10 @@
     , writer(dependencies.store, dependencies.controlLoop, dependencies.clock, settings.instance, *this)
     , commander(dependencies.controlLoop, dependencies.clock, dependencies.protocol, settings.instance)
     , executor({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, *this, settings.instance })
-    , coordination({ dependencies.controlLoop, dependencies.clock, this->peers, this->executor, this->commander, settings.instance }, *this)
+    , coordination({ dependencies.controlLoop, dependencies.clock, this->peers, this->executor, this->commander, this->writer, settings.instance }, *this)
     , recovery({ dependencies.controlLoop, dependencies.clock, dependencies.store, this->peers, this->writer, this->commander, this->executor, this->coordination, *this, settings.instance }, settings.isFirstStart)
     , groupRegistrar(dependencies.clock, this->commander, this->writer, *this, settings.instance)
-    , registration(dependencies.controlLoop, dependencies.store, { settings.instance, settings.zone, settings.peers, std::nullopt, std::nullopt, settings.linkRate }, [this](StoreEra era) { this->onRegistered(era); })
+    , registration(dependencies.controlLoop, dependencies.store, makeMember(settings, dependencies.clock), [this](StoreEra era) { this->onRegistered(era); })
     , leaseTracker(settings.instance, dependencies.clock)
     , routes(dependencies.controlLoop, dependencies.clock, dependencies.store, settings.instance, *this)
     , routeTransfer(dependencies.controlLoop, dependencies.clock, this->peers, this->routes, settings.peers)
@@ -236,7 +242,10 @@
     BootTime now = this->dependencies.clock.bootNow();
     this->handover.onRecord(*latest.record, latest.revision, now);
     this->members.updateRetired(latest.record->retired, now);
-    if (this->leaseTracker.isRetired() && this->recovery.isRecordCurrent())
+    this->members.updateAbsent(latest.record->absent, this->leaseTracker.getView().hasValidLease(now), now);
+    this->coordination.onRecord(*latest.record);
+    bool isAbsent = latest.record->absent.count(this->settings.instance) > 0;
+    if ((this->leaseTracker.isRetired() || isAbsent) && this->recovery.isRecordCurrent())
         this->returnToService();
 }
 
@@ -244,7 +253,7 @@
 {
     if (std::exchange(this->isReturnPending, true))
         return;
-    this->writer.submit([this](PrimaryRecord& record) { return record.retired.erase(this->settings.instance) > 0; }, [this](bool isWritten, BootTime) {
+    this->writer.submit([this](PrimaryRecord& record) { return record.retired.erase(this->settings.instance) + record.absent.erase(this->settings.instance) > 0; }, [this](bool isWritten, BootTime) {
         this->isReturnPending = false;
         logEvent(events::instanceReturned, "written=" + std::to_string(isWritten) + " lead_revision=" + std::to_string(this->leaseTracker.getView().latest.revision.value())); });
 }
@@ -342,7 +351,7 @@
 
 void GatewayControl::onMemberList(const std::vector<FleetMember>& list)
 {
-    this->members.setMembers(list);
+    this->members.setMembers(list, this->dependencies.clock.bootNow());
     this->peerConfirmation.setMembers(this->listActiveMembers());
     this->publishMembers();
     this->hasListedMembers = true;
@@ -354,7 +363,7 @@
     std::vector<FleetMember> active = this->listActiveMembers();
     bool relaysProofs = !this->findZoneReader();
     this->routes.setReaderRank(this->findReaderRank(active));
-    this->dependencies.trafficLoop.post([this, active = std::move(active), number = this->members.getSize(), relaysProofs] { this->dependencies.traffic.setMembers(active, number, relaysProofs); });
+    this->dependencies.trafficLoop.post([this, active = std::move(active), number = this->members.getSize(this->dependencies.clock.bootNow()), relaysProofs] { this->dependencies.traffic.setMembers(active, number, relaysProofs); });
 }
 
 std::size_t GatewayControl::findReaderRank(const std::vector<FleetMember>& active) const
@@ -388,7 +397,7 @@
         state.routesProofAge = std::chrono::duration_cast<Duration>(this->dependencies.clock.bootNow() - this->routes.getProof()->provenAt);
     state.storeEra = this->dependencies.store.getEra().value();
     state.lease = this->leaseTracker.getRemaining(this->dependencies.clock.bootNow());
-    state.numInstances = this->members.getSize();
+    state.numInstances = this->members.getSize(this->dependencies.clock.bootNow());
     state.numUpstreams = this->upstreams.getList()->entries.size();
     state.numPeerBytes = this->peers.getNumBytesSent();
     state.numPeerBytesQueued = this->peers.countQueuedBytes();
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -74,6 +74,14 @@
         this->dependencies.controlLoop.post([this, quota] { this->registration.setQuota(quota); });
     }
 
+    /// Removes the registration of this instance, which must use its lease no more.
+    ///
+    /// @param onRemoved called on the control thread; never when the store is not available
+    void unregisterInstance(std::function<void()> onRemoved)
+    {
+        this->dependencies.controlLoop.post([this, onRemoved = std::move(onRemoved)] { this->registration.remove(onRemoved); });
+    }
+
     /// Opens the port for other instances. Can be tried again after a failure.
     bool listen(Failure& failure) { return this->peers.listen(this->settings.peers, failure); }
 
@@ -119,7 +127,7 @@
     const std::shared_ptr<const RouteTable>& getRoutes() const override { return this->routes.getTable(); }
     std::vector<UpstreamId> listLostUpstreams(const GroupId& group) const override { return this->upstreams.listLost(group, this->dependencies.clock.now()); }
     std::optional<TimePoint> findChangingSince(const GroupId& group) const override { return this->coordination.findChangingSince(group); }
-    std::vector<FleetMember> listActiveMembers() const override { return this->members.listActive(); }
+    std::vector<FleetMember> listActiveMembers() const override { return this->members.listActive(this->dependencies.clock.bootNow()); }
     std::optional<FleetMember> findMember(const InstanceId& instance) const override { return this->members.find(instance); }
     bool isStoreReachable() const override;
     void refreshPrimaryRecord() override { this->readPrimaryRecord(); }
@@ -163,7 +171,7 @@
     void updateRetired();
     /// Continues stalled failovers, and removes promotion calls that can no longer take effect from the record.
     void checkFailovers();
-    /// Removes this instance from the retired ones in the primary record.
+    /// Removes this instance from the retired and the absent ones in the primary record.
     void returnToService();
     nlohmann::json makeStateResponse(const nlohmann::json& request) const;
     void respondWithState(const nlohmann::json& request, const PeerRpc::Responder& respond);
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -28,6 +28,8 @@
     /// Open transactions may use the first half of the grace period.
     constexpr int transactionGraceDivisor = 2;
     constexpr std::chrono::milliseconds drainPollInterval { 50 };
+    /// Fits in the last sixth of the grace period, which the drain leaves.
+    constexpr std::chrono::milliseconds unregisterTimeout { 500 };
 
     DescriptorBudget makeDescriptorBudget(const GatewaySettings& settings)
     {
@@ -218,6 +220,15 @@
     return counted.get_future().get();
 }
 
+void GatewayInstance::unregister()
+{
+    std::shared_ptr<std::promise<void>> removal = std::make_shared<std::promise<void>>();
+    std::future<void> removed = removal->get_future();
+    this->control.unregisterInstance([removal] { removal->set_value(); });
+    bool isRemoved = removed.wait_for(unregisterTimeout) == std::future_status::ready;
+    logEvent(events::instanceUnregistered, "removed=" + std::to_string(isRemoved));
+}
+
 void GatewayInstance::drain()
 {
     logEvent(events::instanceDraining, "grace_ms=" + std::to_string(this->settings.shutdownGrace.count()));
@@ -246,6 +257,7 @@
         numLeft = this->stopTraffic(true);
     // The last responses are sent while the loop still runs.
     std::this_thread::sleep_for(drainPollInterval);
+    this->unregister();
     logEvent(events::instanceStopped, "cut_off=" + std::to_string(numLeft));
 }
 
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -81,6 +81,8 @@
     ///
     /// @returns the sessions that were busy and loans that were in use
     std::size_t stopTraffic(bool mustStop);
+    /// Tells the other instances that this one has left, so that no majority is asked of it. Call it after the traffic stopped.
+    void unregister();
 
     GatewaySettings settings;
     EventLoop controlLoop;
--- a/src/gateway/MemberDirectory.cpp
+++ b/src/gateway/MemberDirectory.cpp
@@ -1,16 +1,37 @@
 #include "MemberDirectory.h"
 
 #include "lentiljunction/leadership/LeaseTracker.h"
+#include "lentiljunction/leadership/RollCall.h"
 
+#include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace lentiljunction {
 
-void MemberDirectory::setMembers(const std::vector<FleetMember>& list)
+namespace {
+
+    /// Longer than an instance that is restarted as planned is away.
+    constexpr std::chrono::seconds shareRetention { 30 };
+
+} // namespace
+
+void MemberDirectory::setMembers(const std::vector<FleetMember>& list, BootTime now)
 {
-    this->members.clear();
-    for (const FleetMember& member : list)
+    for (const std::pair<const InstanceId, FleetMember>& member : std::exchange(this->members, {}))
+        this->leftAt.emplace(member.first, now);
+    for (const FleetMember& member : list) {
         this->members[member.id] = member;
+        this->leftAt.erase(member.id);
+    }
+    for (std::map<InstanceId, BootTime>::iterator left = this->leftAt.begin(); left != this->leftAt.end();)
+        left = now - left->second >= shareRetention ? this->leftAt.erase(left) : std::next(left);
+}
+
+std::size_t MemberDirectory::getSize(BootTime now) const
+{
+    std::size_t numLeft = static_cast<std::size_t>(std::count_if(this->leftAt.begin(), this->leftAt.end(), [now](const std::pair<const InstanceId, BootTime>& left) { return now - left.second < shareRetention; }));
+    return this->members.size() + numLeft;
 }
 
 void MemberDirectory::updateRetired(const std::set<InstanceId>& retired, BootTime now)
@@ -21,17 +42,29 @@
         this->retiredSince.emplace(instance, now);
 }
 
+void MemberDirectory::updateAbsent(const std::set<InstanceId>& absent, bool isStoreAvailable, BootTime now)
+{
+    if (!isStoreAvailable)
+        this->absentSince.clear();
+    for (std::map<InstanceId, BootTime>::iterator known = this->absentSince.begin(); known != this->absentSince.end();)
+        known = absent.count(known->first) > 0 ? std::next(known) : this->absentSince.erase(known);
+    for (const InstanceId& instance : absent)
+        this->absentSince.emplace(instance, now);
+}
+
 bool MemberDirectory::isRetiredPastLease(const InstanceId& instance, BootTime now) const
 {
     std::map<InstanceId, BootTime>::const_iterator since = this->retiredSince.find(instance);
     return since != this->retiredSince.end() && now - since->second >= leaseDuration + leaseMargin;
 }
 
-std::vector<FleetMember> MemberDirectory::listActive() const
+std::vector<FleetMember> MemberDirectory::listActive(BootTime now) const
 {
     std::vector<FleetMember> active;
     for (const std::pair<const InstanceId, FleetMember>& member : this->members) {
-        if (this->retiredSince.count(member.first) == 0)
+        std::map<InstanceId, BootTime>::const_iterator absent = this->absentSince.find(member.first);
+        bool isAbsent = absent != this->absentSince.end() && now - absent->second >= rollCallTime;
+        if (this->retiredSince.count(member.first) == 0 && !isAbsent)
             active.push_back(member.second);
     }
     return active;
--- a/src/gateway/MemberDirectory.h
+++ b/src/gateway/MemberDirectory.h
@@ -20,18 +20,23 @@
 class MemberDirectory {
 public:
     /// Replaces the list of registered instances.
-    void setMembers(const std::vector<FleetMember>& list);
+    void setMembers(const std::vector<FleetMember>& list, BootTime now);
 
     /// Updates the retired instances from a newer primary record.
     ///
     /// @param now the time from which newly retired instances count as retired
     void updateRetired(const std::set<InstanceId>& retired, BootTime now);
 
+    /// Updates the absent instances from the primary record.
+    ///
+    /// @param isStoreAvailable whether this instance has a lease. While the store is away, absent ones cannot return either.
+    void updateAbsent(const std::set<InstanceId>& absent, bool isStoreAvailable, BootTime now);
+
     /// @returns whether an instance was retired so long ago that any lease of it has expired
     bool isRetiredPastLease(const InstanceId& instance, BootTime now) const;
 
-    /// @returns the instances that are not retired
-    std::vector<FleetMember> listActive() const;
+    /// @returns the instances that are neither retired nor have been absent for some time
+    std::vector<FleetMember> listActive(BootTime now) const;
 
     /// @returns the peer endpoints of all other instances
     std::vector<Endpoint> listOthers(const InstanceId& self) const;
@@ -39,12 +44,16 @@
     /// @returns an instance, or nothing when it is unknown
     std::optional<FleetMember> find(const InstanceId& instance) const;
 
-    /// @returns the number of registered instances
-    std::size_t getSize() const { return this->members.size(); }
+    /// @returns the number of registered instances, with those that left a short time ago: an instance that starts again
+    ///     takes back its share of what all instances share
+    std::size_t getSize(BootTime now) const;
 
 private:
     std::map<InstanceId, FleetMember> members;
+    /// When each instance that is no longer registered was first missing.
+    std::map<InstanceId, BootTime> leftAt;
     std::map<InstanceId, BootTime> retiredSince;
+    std::map<InstanceId, BootTime> absentSince;
 };
 
 } // namespace lentiljunction
--- a/src/gateway/MemberRegistration.cpp
+++ b/src/gateway/MemberRegistration.cpp
@@ -13,6 +13,8 @@
     constexpr std::chrono::milliseconds longestRetry { 1600 };
     /// Delay before the entry is read after a lost response; allows several round trips to the store.
     constexpr std::chrono::milliseconds readBackDelay { 60 };
+    /// A process that ends has little time.
+    constexpr std::chrono::milliseconds removalRetryDelay { 100 };
 
 } // namespace
 
@@ -27,6 +29,8 @@
 
 void MemberRegistration::start()
 {
+    if (this->isRemoving)
+        return;
     this->isPending = true;
     this->isChanged = false;
     this->read();
@@ -73,6 +77,35 @@
         this->renewAfterChange();
 }
 
+void MemberRegistration::remove(std::function<void()> callback)
+{
+    this->isRemoving = true;
+    this->onRemoved = std::move(callback);
+    this->readForRemoval();
+}
+
+void MemberRegistration::readForRemoval()
+{
+    this->store.readMember(this->self.id, [this](const std::optional<RegisteredMember>& registered, const Failure& failure) {
+        bool isOther = registered && registered->member.process != this->self.process;
+        if (isOther || (!registered && failure.kind == Failure::Kind::NotFound))
+            return this->onRemoved();
+        if (!registered)
+            return this->retryRemoval("read_member", failure);
+        this->store.removeMember(this->self.id, registered->revision, [this](const std::optional<bool>& isRemoved, const Failure& removalFailure) {
+            if (isRemoved)
+                return this->onRemoved();
+            this->retryRemoval("remove_member", removalFailure);
+        });
+    });
+}
+
+void MemberRegistration::retryRemoval(const std::string& call, const Failure& failure)
+{
+    logEvent(events::storeCallFailed, "call=" + call + " reason=\"" + failure.reason + "\"");
+    this->loop.schedule(removalRetryDelay, [this] { this->readForRemoval(); });
+}
+
 void MemberRegistration::setLending(const Endpoint& lending)
 {
     this->self.lending = lending;
--- a/src/gateway/MemberRegistration.h
+++ b/src/gateway/MemberRegistration.h
@@ -31,6 +31,14 @@
     /// Adds the address at which this instance decides on the limits of workspaces, also to an earlier registration.
     void setQuota(const Endpoint& quota);
 
+    /// Removes the entry of this process for good. A removal that is carried out late does not match the entry of the next
+    /// process of the instance, which has another number.
+    ///
+    /// Call it when the instance uses its lease no more: failovers do not wait for an instance without an entry.
+    ///
+    /// @param onRemoved called once the store has no entry of this process
+    void remove(std::function<void()> onRemoved);
+
     /// Registers again if the store is in a newer era than at the last registration. Call it after a response of the
     /// store.
     void renewInNewEra();
@@ -39,6 +47,8 @@
     void renewAfterChange();
     void read();
     void write();
+    void readForRemoval();
+    void retryRemoval(const std::string& call, const Failure& failure);
     void retry(const std::string& call, const Failure& failure);
     void onRegisteredIn(StoreEra era);
 
@@ -47,6 +57,9 @@
     FleetMember self;
     Callback onRegistered;
     Backoff retries;
+    std::function<void()> onRemoved;
+    /// Whether the entry is being removed, or was.
+    bool isRemoving = false;
     bool isPending = false;
     /// Whether the registration that is pending lacks an address.
     bool isChanged = false;
--- a/src/gateway/PrimaryRecordRecovery.cpp
+++ b/src/gateway/PrimaryRecordRecovery.cpp
@@ -4,6 +4,7 @@
 #include "lentiljunction/core/JsonFields.h"
 #include "lentiljunction/core/LogEvents.h"
 #include "lentiljunction/fleet/Voters.h"
+#include "lentiljunction/leadership/RollCall.h"
 
 #include <algorithm>
 #include <limits>
@@ -113,6 +114,10 @@
 {
     if (!this->confirmedAt || !this->isKnownCoordinator())
         return false;
+    // After a longer time without the store, most of the electors may have been listed as absent, and a takeover may have
+    // needed the votes of the others only.
+    if (this->dependencies.clock.bootNow() - *this->confirmedAt >= rollCallTime)
+        return false;
     // In an era between, another instance may have recovered the record, which takes no votes.
     const PrimaryRecord& record = *this->dependencies.state.getLeaseTracker().getView().latest.record;
     return record.era.next() == this->dependencies.store.getEra();
--- a/src/leadership/PrimaryRecordCodec.cpp
+++ b/src/leadership/PrimaryRecordCodec.cpp
@@ -13,6 +13,7 @@
     constexpr const char* stablePhase = "stable";
     constexpr const char* openPromotionsField = "open_promotions";
     constexpr const char* logHoldersField = "log_holders";
+    constexpr const char* absentField = "absent";
     constexpr const char* startedAtField = "started_at_ms";
 
     /// Records of earlier releases have no era, so they count as restored.
@@ -123,7 +124,10 @@
     nlohmann::json retired = nlohmann::json::array();
     for (const InstanceId& instance : record.retired)
         retired.push_back(instance.toString());
-    return { { "holder", record.coordinator.toString() }, { "epoch", record.epoch.value() }, { "nonce", record.nonce }, { "groups", groups }, { "retired", retired }, { "era", record.era.value() }, { "created_in", record.createdIn.value() } };
+    nlohmann::json document { { "holder", record.coordinator.toString() }, { "epoch", record.epoch.value() }, { "nonce", record.nonce }, { "groups", groups }, { "retired", retired }, { "era", record.era.value() }, { "created_in", record.createdIn.value() } };
+    for (const InstanceId& instance : record.absent)
+        document[absentField].push_back(instance.toString());
+    return document;
 }
 
 std::optional<PrimaryRecord> decodePrimaryRecord(const nlohmann::json& document, Failure& failure)
@@ -138,6 +142,10 @@
     record.createdIn = decodeEra(fields, document, "created_in");
     for (const std::string& instance : fields.getTexts("retired"))
         record.retired.insert(InstanceId(instance));
+    if (document.is_object() && document.contains(absentField)) {
+        for (const std::string& instance : fields.getTexts(absentField))
+            record.absent.insert(InstanceId(instance));
+    }
     const nlohmann::json& groups = fields.getValue("groups");
     if (!groups.is_object())
         fields.addFault("groups", "must be an object");
--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -273,8 +273,26 @@
     return found == objects.end() ? respondWith(notFound) : respondWith(ok, describe(name, found->second));
 }
 
+HttpResponse PlatformStore::handleRemoval(const std::string& query, const std::string& kind, const std::string& name)
+{
+    std::string expected = findParameter(query, "revision");
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        std::map<std::string, Object>& objects = this->kinds[kind];
+        std::map<std::string, Object>::iterator found = objects.find(name);
+        if (found == objects.end())
+            return respondWith(notFound);
+        if (!expected.empty() && expected != std::to_string(found->second.revision))
+            return respondWith(conflict, describe(name, found->second));
+    }
+    this->remove(kind, name);
+    return respondWith(ok);
+}
+
 HttpResponse PlatformStore::handleWrite(const HttpRequest& request, const std::string& kind, const std::string& name)
 {
+    if (request.method == "DELETE")
+        return this->handleRemoval(request.path.substr(std::min(request.path.size(), request.path.find('?') + 1)), kind, name);
     nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
     if (!body.is_object() || !body.contains("meta") || !body["meta"].contains("name") || !body.contains("spec"))
         return respondWith(badRequest);
--- a/standins/platform/PlatformStore.h
+++ b/standins/platform/PlatformStore.h
@@ -113,6 +113,7 @@
     /// were waiting before it was set.
     void sendResponse(Port& port, WebSocketServer::Handle handle, const HttpResponse& response);
     HttpResponse handleRead(const std::string& kind, const std::string& name, const std::string& after);
+    HttpResponse handleRemoval(const std::string& query, const std::string& kind, const std::string& name);
     HttpResponse handleWrite(const HttpRequest& request, const std::string& kind, const std::string& name);
     void handlePromotion(Port& port, WebSocketServer::Handle handle, const HttpRequest& request);
     void startWatch(Port& port, WebSocketServer::Handle handle, const std::string& kind, const std::string& query);
--- a/tests/support/QueuedFleetStore.h
+++ b/tests/support/QueuedFleetStore.h
@@ -57,7 +57,7 @@
     void writePrimaryRecord(const PrimaryRecord&, StoreVersion, Callback<VersionedPrimaryRecord>) override { }
     void registerMember(const FleetMember&, Callback<StoreEra>) override { }
     void readMember(const InstanceId&, Callback<RegisteredMember>) override { }
-    void removeMember(const InstanceId&, Callback<bool>) override { }
+    void removeMember(const InstanceId&, StoreVersion, Callback<bool>) override { }
     void listMembers(bool, Callback<std::vector<FleetMember>>) override { }
     void writeAudit(const std::string&, const std::string&, Callback<bool>) override { }
     void promote(const GroupId&, const UpstreamId&, const InstanceId&, FencingToken, std::function<bool()>, Callback<bool>) override { }
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -37,7 +37,7 @@
     void writePrimaryRecord(const PrimaryRecord&, StoreVersion, Callback<VersionedPrimaryRecord> callback) override { this->respond(callback, VersionedPrimaryRecord()); }
     void registerMember(const FleetMember&, Callback<StoreEra> callback) override { this->respond(callback, StoreEra(1)); }
     void readMember(const InstanceId&, Callback<RegisteredMember> callback) override { this->respond(callback, RegisteredMember()); }
-    void removeMember(const InstanceId&, Callback<bool> callback) override { this->respond(callback, true); }
+    void removeMember(const InstanceId&, StoreVersion, Callback<bool> callback) override { this->respond(callback, true); }
     void listMembers(bool, Callback<std::vector<FleetMember>> callback) override { this->respond(callback, std::vector<FleetMember>()); }
     void writeAudit(const std::string& key, const std::string& records, Callback<bool> callback) override
     {
@@ -149,13 +149,13 @@
     ManualClock clock;
     MemberDirectory members;
 
-    void setup() override { members.setMembers({ makeMember("a", 1), makeMember("b", 2), makeMember("c", 3) }); }
+    void setup() override { members.setMembers({ makeMember("a", 1), makeMember("b", 2), makeMember("c", 3) }, BootTime()); }
 };
 
 TEST(MemberDirectory, countsRetiredInstanceAsGoneOnlyAfterItsLease)
 {
     members.updateRetired({ InstanceId("b") }, clock.bootNow());
-    CHECK_EQUAL(2, members.listActive().size());
+    CHECK_EQUAL(2, members.listActive(BootTime()).size());
     CHECK_FALSE(members.isRetiredPastLease(InstanceId("b"), clock.bootNow()));
     clock.advance(leaseDuration + leaseMargin);
     CHECK_TRUE(members.isRetiredPastLease(InstanceId("b"), clock.bootNow()));
@@ -164,7 +164,19 @@
     CHECK_TRUE(members.isRetiredPastLease(InstanceId("b"), clock.bootNow()));
     members.updateRetired({}, clock.bootNow());
     CHECK_FALSE(members.isRetiredPastLease(InstanceId("b"), clock.bootNow()));
-    CHECK_EQUAL(3, members.listActive().size());
+    CHECK_EQUAL(3, members.listActive(BootTime()).size());
+}
+
+// Guards against a majority that is asked of instances that have left (review case 8), and against shares that grow while an
+// instance is restarted, so that it finds no connection left.
+TEST(MemberDirectory, instanceThatLeftIsNotActiveAndKeepsItsShareForSomeTime)
+{
+    members.setMembers({ makeMember("a", 1), makeMember("b", 2) }, BootTime());
+    LONGS_EQUAL(2, members.listActive(BootTime()).size());
+    LONGS_EQUAL(3, members.getSize(BootTime()));
+    LONGS_EQUAL(2, members.getSize(BootTime(std::chrono::seconds(60))));
+    members.setMembers({ makeMember("a", 1), makeMember("b", 2), makeMember("c", 3) }, BootTime(std::chrono::seconds(5)));
+    LONGS_EQUAL(3, members.getSize(BootTime(std::chrono::seconds(5))));
 }
 
 TEST(MemberDirectory, listsAllOtherInstances)
--- a/tests/unit/MemberRegistrationTests.cpp
+++ b/tests/unit/MemberRegistrationTests.cpp
@@ -15,7 +15,7 @@
         Failure missing;
         missing.set(Failure::Kind::NotFound, "no entry");
         if (this->entry)
-            callback(RegisteredMember { *this->entry, StoreEra(1) }, Failure());
+            callback(RegisteredMember { *this->entry, StoreEra(1), StoreVersion(7) }, Failure());
         else
             callback(std::nullopt, missing);
     }
@@ -33,7 +33,19 @@
             callback(StoreEra(1), Failure());
     }
 
+    void removeMember(const InstanceId&, StoreVersion expected, Callback<bool> callback) override
+    {
+        LONGS_EQUAL(7, expected.value());
+        Failure unavailable;
+        unavailable.set(Failure::Kind::Unavailable, "down");
+        if (this->refusesRemovals)
+            return callback(std::nullopt, unavailable);
+        this->entry.reset();
+        callback(true, Failure());
+    }
+
     std::optional<FleetMember> entry;
+    bool refusesRemovals = false;
     bool losesResponses = false;
     /// Writes are not executed yet.
     bool isLate = false;
@@ -85,3 +97,34 @@
     LONGS_EQUAL(1, store.numWrites);
     LONGS_EQUAL(2, numRegistered);
 }
+
+// Guards against instances that left and are counted for ever (review case 8).
+TEST(MemberRegistration, processThatLeavesRemovesItsEntry)
+{
+    registration.start();
+    bool isRemoved = false;
+    store.refusesRemovals = true;
+    registration.remove([&] { isRemoved = true; });
+    CHECK_FALSE(isRemoved);
+    store.refusesRemovals = false;
+    scheduler.advance(std::chrono::seconds(1));
+    CHECK_TRUE(isRemoved);
+    CHECK_FALSE(store.entry.has_value());
+    registration.start();
+    registration.setLending(Endpoint { "127.0.0.1", 2 });
+    CHECK_FALSE(store.entry.has_value());
+}
+
+// The next process of the instance has registered already. Guards against an instance that runs, with leases for which no
+// failover waits, without an entry.
+TEST(MemberRegistration, entryOfNextProcessIsNotRemoved)
+{
+    registration.start();
+    FleetMember next = self;
+    next.process = ProcessNumber(2);
+    store.entry = next;
+    bool isRemoved = false;
+    registration.remove([&] { isRemoved = true; });
+    CHECK_TRUE(isRemoved);
+    CHECK_TRUE(store.entry.has_value());
+}
