--- a/include/lentiljunction/leadership/CommitSurvey.h
+++ b/include/lentiljunction/leadership/CommitSurvey.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lentiljunction/core/Clock.h"
 #include "lentiljunction/core/Ids.h"
 #include "lentiljunction/interactive/ReplicationStatus.h"
 
@@ -32,14 +33,19 @@
         bool isLeaving = false;
         /// Whether it is in the list of upstreams; one that was lost recently may return with its log.
         bool isListed = true;
+        /// Whether this stands for an earlier start of an upstream that was restarted. Its log is gone, whatever the upstream
+        /// reports now.
+        bool isEarlierStart = false;
+        /// When the process of a listed upstream started, as it reports.
+        std::optional<WallTime> startedAt = std::nullopt;
     };
 
     /// @param numSynchronousReplicas replicas that have received a commit when it is acknowledged, at least 1
     /// @param baseline the log head of the old primary at its promotion
     CommitSurvey(UpstreamId oldPrimary, bool isOldPrimaryLeaving, std::size_t numSynchronousReplicas, LogPoint baseline);
 
-    /// Sets the other upstreams of the group.
-    void setMembers(std::vector<Member> newMembers) { this->members = std::move(newMembers); }
+    /// Sets the other upstreams of the group. What one reported that was restarted since is forgotten.
+    void setMembers(std::vector<Member> newMembers);
 
     /// The old primary reported that it is a replica.
     void onDemoted(const ReplicationStatus& status);
--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -55,6 +55,8 @@
             DemoteOldPrimary,
             /// Stop a replica from receiving.
             PauseReplica,
+            /// Read the list of upstreams from the store, which shows restarts.
+            RefreshUpstreams,
             /// Add an upstream to the group's open promotions.
             RecordPromotion,
             /// Send the promotion call for an upstream.
@@ -98,6 +100,9 @@
     /// @param term the term of the pause, which has no effect unless it is above that of the replica
     void onReplicaPaused(const UpstreamId& upstream, const ReplicationStatus& status, Term term);
 
+    /// The list of upstreams was read, and setMembers() called with it, or the read failed.
+    void onUpstreamsRefreshed(bool isRead);
+
     /// @returns the term for a pause, above any known one
     Term getPauseTerm() const { return this->greatestTerm.next(); }
 
@@ -205,6 +210,11 @@
     void advanceSurvey(BootTime bootNow, TimePoint now);
     void advanceCommitSurvey(BootTime bootNow, TimePoint now);
     void queueCommitRequests(bool isUnused, TimePoint now);
+    /// Requests the list of upstreams unless it was requested after the last log was reported. An upstream that was restarted
+    /// without its log must not be taken for the one that had it.
+    ///
+    /// @returns whether the logs are those of the upstreams in the list
+    bool confirmLogs();
     std::optional<UpstreamId> findCommitTarget(TimePoint now);
     std::optional<UpstreamId> findPromotedCandidate() const;
     void startPromotion(const UpstreamId& target);
@@ -254,6 +264,11 @@
     /// When the old primary was no longer used by any instance.
     std::optional<TimePoint> unusedSince;
     std::size_t numGivenUp = 0;
+    /// Counts the logs that were reported, when the list of upstreams was last requested, and read.
+    std::size_t numLogs = 0;
+    std::size_t numLogsAtRequest = 0;
+    std::optional<std::size_t> numLogsConfirmed;
+    bool isRefreshing = false;
 };
 
 } // namespace lentiljunction
--- a/include/lentiljunction/leadership/LogHolderRemoval.h
+++ b/include/lentiljunction/leadership/LogHolderRemoval.h
@@ -12,6 +12,9 @@
 
 namespace lentiljunction {
 
+/// @returns whether the upstream of a holder was started again, so that its log is another one
+bool isRestarted(const LogHolder& holder, const UpstreamEntry& listed);
+
 /// Finds recorded log holders that no failover needs to wait for any more.
 ///
 /// A holder is gone when its upstream was restarted, or has not been listed for as long as one that crashed may take to
--- a/src/gateway/CommitProtection.cpp
+++ b/src/gateway/CommitProtection.cpp
@@ -1,5 +1,7 @@
 #include "CommitProtection.h"
 
+#include "lentiljunction/leadership/LogHolderRemoval.h"
+
 #include <set>
 #include <utility>
 
@@ -46,15 +48,20 @@
     std::vector<CommitSurvey::Member> members;
     for (const std::pair<const UpstreamId, UpstreamEntry>& upstream : this->state.getUpstreamList().entries) {
         if (upstream.second.group == group && upstream.first != oldPrimary)
-            members.push_back({ upstream.first, upstream.second.isLeaving, true });
+            members.push_back({ upstream.first, upstream.second.isLeaving, true, false, upstream.second.startedAt });
     }
     std::set<UpstreamId> lost;
     for (const UpstreamId& upstream : this->state.listLostUpstreams(group))
         lost.insert(upstream);
-    // This instance may have started after their entries expired.
     const PrimaryEntry* entry = this->state.getLeaseTracker().getView().latest.record->find(group);
-    for (const LogHolder& holder : entry == nullptr ? std::vector<LogHolder>() : entry->logHolders)
-        lost.insert(holder.upstream);
+    for (const LogHolder& holder : entry == nullptr ? std::vector<LogHolder>() : entry->logHolders) {
+        const UpstreamEntry* listed = this->state.getUpstreamList().find(holder.upstream);
+        // This instance may have started after the entry of the holder expired.
+        if (listed == nullptr)
+            lost.insert(holder.upstream);
+        else if (holder.upstream != oldPrimary && isRestarted(holder, *listed))
+            members.push_back({ holder.upstream, false, false, true });
+    }
     for (const UpstreamId& upstream : lost) {
         if (upstream != oldPrimary && this->state.getUpstreamList().find(upstream) == nullptr)
             members.push_back({ upstream, false, false });
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -154,6 +154,8 @@
         return this->demoteOldPrimary(run, action.upstream);
     case Failover::Action::Kind::PauseReplica:
         return this->pauseReplica(run, action.upstream);
+    case Failover::Action::Kind::RefreshUpstreams:
+        return this->refreshUpstreams(run);
     case Failover::Action::Kind::RecordPromotion:
         return this->recordPromotion(run, action.upstream);
     case Failover::Action::Kind::Promote:
@@ -391,6 +393,19 @@
     });
 }
 
+void FailoverExecutor::refreshUpstreams(const Run& run)
+{
+    RunKey key { run.failover.getGroup(), run.number };
+    this->dependencies.context.refreshUpstreams([this, key](bool isRead) {
+        Run* current = this->findRun(key);
+        if (current == nullptr)
+            return;
+        current->failover.setMembers(this->protection.listMembers(key.group, current->failover.getOldPrimary()));
+        current->failover.onUpstreamsRefreshed(isRead);
+        this->advance(key.group);
+    });
+}
+
 bool FailoverExecutor::isCoordinator() const
 {
     const PrimaryView& view = this->dependencies.context.getLeaseTracker().getView();
--- a/src/gateway/FailoverExecutor.h
+++ b/src/gateway/FailoverExecutor.h
@@ -44,6 +44,11 @@
         /// Calls back once the traffic thread uses the current primary record.
         virtual void confirmTrafficUpdate(std::function<void()> callback) = 0;
 
+        /// Reads the list of upstreams from the store, linearizable.
+        ///
+        /// @param callback called once the list is in force, or could not be read
+        virtual void refreshUpstreams(std::function<void(bool isRead)> callback) = 0;
+
         /// Adds a record to the audit trail.
         virtual void recordChange(AuditRecord record) = 0;
     };
@@ -127,6 +132,7 @@
     void requestStatus(const Run& run, const UpstreamId& upstream);
     void demoteOldPrimary(Run& run, const UpstreamId& upstream);
     void pauseReplica(const Run& run, const UpstreamId& upstream);
+    void refreshUpstreams(const Run& run);
     void recordPromotion(const Run& run, const UpstreamId& upstream);
     void promote(Run& run, const UpstreamId& upstream);
     void sendPromotionCall(const RunKey& key, const UpstreamId& upstream);
--- a/src/gateway/FleetLists.cpp
+++ b/src/gateway/FleetLists.cpp
@@ -167,6 +167,18 @@
     });
 }
 
+void FleetLists::refreshUpstreams(std::function<void(bool isRead)> callback)
+{
+    BootTime sentAt = this->clock.bootNow();
+    this->store.listUpstreams(true, [this, sentAt, callback = std::move(callback)](const std::optional<std::shared_ptr<const UpstreamList>>& list, const Failure& failure) {
+        if (list)
+            this->onUpstreamsListed(*list, true, sentAt);
+        else
+            logEvent(events::storeCallFailed, "call=list_upstreams reason=\"" + failure.reason + "\"");
+        callback(list.has_value());
+    });
+}
+
 void FleetLists::onUpstreamsListed(const std::shared_ptr<const UpstreamList>& list, bool isLinearizable, BootTime sentAt)
 {
     BootTime currentAt = isLinearizable ? sentAt : this->revisions.findCurrentAt(list->revision, list->era, sentAt);
--- a/src/gateway/FleetLists.h
+++ b/src/gateway/FleetLists.h
@@ -41,6 +41,11 @@
     /// Starts to list.
     void start();
 
+    /// Reads the list of upstreams now, with all changes before the call.
+    ///
+    /// @param callback called after the listener received the list, or when it could not be read
+    void refreshUpstreams(std::function<void(bool isRead)> callback);
+
     /// Handles the response of the zone reader to a request that was sent at `sentAt`.
     void onZoneReaderResponse(const nlohmann::json& response, const Endpoint& reader, BootTime sentAt);
 
--- a/src/gateway/GatewayControl.h
+++ b/src/gateway/GatewayControl.h
@@ -132,6 +132,7 @@
     bool isStoreReachable() const override;
     void refreshPrimaryRecord() override { this->readPrimaryRecord(); }
     void confirmTrafficUpdate(std::function<void()> callback) override;
+    void refreshUpstreams(std::function<void(bool isRead)> callback) override { this->lists.refreshUpstreams(std::move(callback)); }
     void recordChange(AuditRecord record) override { this->audit.add(std::move(record)); }
 
     void onRegistered(StoreEra era);
--- a/src/leadership/CommitSurvey.cpp
+++ b/src/leadership/CommitSurvey.cpp
@@ -22,6 +22,17 @@
     log.isPaused = log.isPaused || isPaused;
 }
 
+void CommitSurvey::setMembers(std::vector<Member> newMembers)
+{
+    for (const Member& member : newMembers) {
+        std::vector<Member>::const_iterator before = std::find_if(this->members.begin(), this->members.end(), [&member](const Member& known) { return known.upstream == member.upstream && known.isListed; });
+        bool isRestarted = member.isListed && before != this->members.end() && before->startedAt && before->startedAt != member.startedAt;
+        if (isRestarted)
+            this->logs.erase(member.upstream);
+    }
+    this->members = std::move(newMembers);
+}
+
 void CommitSurvey::onDemoted(const ReplicationStatus& status)
 {
     // A primary that was restarted without its log lacks what it took over.
@@ -53,7 +64,7 @@
     std::optional<LogPoint> longest;
     for (const Member& member : this->members) {
         std::map<UpstreamId, Log>::const_iterator log = this->logs.find(member.upstream);
-        if (log == this->logs.end() || !log->second.isPaused)
+        if (member.isEarlierStart || log == this->logs.end() || !log->second.isPaused)
             numUnknown++;
         else if (!longest || *longest < log->second.status.received)
             longest = log->second.status.received;
@@ -122,7 +133,7 @@
 
 std::size_t CommitSurvey::countSilent() const
 {
-    return static_cast<std::size_t>(std::count_if(this->members.begin(), this->members.end(), [this](const Member& member) { return this->logs.count(member.upstream) == 0; }));
+    return static_cast<std::size_t>(std::count_if(this->members.begin(), this->members.end(), [this](const Member& member) { return member.isEarlierStart || this->logs.count(member.upstream) == 0; }));
 }
 
 } // namespace lentiljunction
--- a/src/leadership/Failover.cpp
+++ b/src/leadership/Failover.cpp
@@ -58,6 +58,25 @@
     this->onStatus(upstream, status);
     if (this->commits && this->refusedCandidates.count(upstream) == 0)
         this->commits->onStatus(upstream, status, status.term < term);
+    this->numLogs++;
+}
+
+void Failover::onUpstreamsRefreshed(bool isRead)
+{
+    this->isRefreshing = false;
+    if (isRead)
+        this->numLogsConfirmed = this->numLogsAtRequest;
+}
+
+bool Failover::confirmLogs()
+{
+    if (this->numLogsConfirmed == this->numLogs)
+        return true;
+    if (!std::exchange(this->isRefreshing, true)) {
+        this->numLogsAtRequest = this->numLogs;
+        this->queueAction(Action::Kind::RefreshUpstreams);
+    }
+    return false;
 }
 
 bool Failover::mayAnnounce(TimePoint now) const
@@ -229,7 +248,7 @@
         if (!this->unusedSince)
             this->unusedSince = now;
         std::optional<UpstreamId> target = this->findCommitTarget(now);
-        if (target)
+        if (target && this->confirmLogs())
             return this->startPromotion(*target);
     }
     if (now - this->lastRequestAt < statusRequestInterval)
--- a/src/leadership/GroupRegistration.cpp
+++ b/src/leadership/GroupRegistration.cpp
@@ -39,7 +39,9 @@
     bool isHolder(const LogHolder& holder, const PrimaryEntry& entry, const UpstreamList& upstreams)
     {
         const UpstreamEntry* listed = upstreams.find(holder.upstream);
-        return holder.upstream != entry.primary && (listed == nullptr || !listed->isLeaving);
+        // One whose start was not known yet is added again with its start.
+        bool isReplaced = listed != nullptr && listed->startedAt && !holder.startedAt;
+        return holder.upstream != entry.primary && (listed == nullptr || !listed->isLeaving) && !isReplaced;
     }
 
     bool updateLogHolders(PrimaryEntry& entry, const GroupId& group, const UpstreamList& upstreams)
--- a/src/leadership/LogHolderRemoval.cpp
+++ b/src/leadership/LogHolderRemoval.cpp
@@ -11,12 +11,6 @@
 
     constexpr std::chrono::milliseconds askInterval { 2000 };
 
-    /// @returns whether the upstream was started again after the start at which it was recorded
-    bool isRestarted(const LogHolder& holder, const UpstreamEntry& listed)
-    {
-        return holder.startedAt && listed.startedAt && *holder.startedAt != *listed.startedAt;
-    }
-
     bool isUsed(const PrimaryEntry& entry)
     {
         return entry.phase == PrimaryPhase::Stable && !entry.logHolders.empty();
@@ -44,6 +38,11 @@
 
 } // namespace
 
+bool isRestarted(const LogHolder& holder, const UpstreamEntry& listed)
+{
+    return holder.startedAt && listed.startedAt && *holder.startedAt != *listed.startedAt;
+}
+
 std::set<LogHolder> LogHolderRemoval::findGone(const GroupId& group, const PrimaryEntry& entry, const UpstreamList& upstreams, TimePoint now)
 {
     std::set<LogHolder> found;
--- a/standins/platform/LineGroup.cpp
+++ b/standins/platform/LineGroup.cpp
@@ -129,11 +129,15 @@
     upstream.headNumber = this->leader->headNumber;
 }
 
-bool LineGroup::restart(const std::string& id, Failure& failure)
+bool LineGroup::restart(const std::string& id, Failure& failure, bool keepsLog)
 {
     bool isOpen = false;
     this->runOnLoop([&] {
         LineUpstream* upstream = this->find(id);
+        if (!keepsLog) {
+            upstream->items.clear();
+            upstream->headNumber = 0;
+        }
         if (upstream != this->leader)
             this->setRole(*upstream, false);
         isOpen = upstream->isRunning || upstream->listen(failure);
--- a/standins/platform/LineUpstream.h
+++ b/standins/platform/LineUpstream.h
@@ -106,7 +106,9 @@
 
     /// Restarts a crashed upstream with its previous items. If another upstream was promoted meanwhile, it is a replica
     /// and copies the state of that primary after the replication lag.
-    bool restart(const std::string& id, Failure& failure);
+    ///
+    /// @param keepsLog false when it holds nothing of before
+    bool restart(const std::string& id, Failure& failure, bool keepsLog = true);
 
     /// Cuts an upstream off from the others of its group, or reconnects it. While it is cut off, it gets no
     /// replication and learns of no promotion; when reconnected, it learns of the current primary.
--- a/standins/platform/PlatformSite.cpp
+++ b/standins/platform/PlatformSite.cpp
@@ -110,11 +110,26 @@
     this->writeReport(id, isPrimary);
 }
 
+void PlatformSite::reportStart(const std::string& id)
+{
+    std::string primary = this->group.findPrimary();
+    std::lock_guard<std::mutex> lock(this->mutex);
+    std::int64_t now = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    for (const std::pair<const std::string, Endpoint>& endpoint : this->endpoints)
+        this->startTimes.emplace(endpoint.first, now - 1);
+    this->startTimes[id] = now;
+    for (const std::pair<const std::string, Endpoint>& endpoint : this->endpoints)
+        this->writeReport(endpoint.first, endpoint.first == primary);
+}
+
 void PlatformSite::writeReport(const std::string& id, bool isPrimary)
 {
     const Endpoint& endpoint = this->endpoints[id];
     bool isLeaving = this->leavingUpstreams.count(id) > 0;
-    this->store.put("servers", id, { { "service", groupName }, { "address", endpoint.host + ":" + std::to_string(endpoint.port) }, { "zone", "z" + id.substr(1) }, { "version", "v1" }, { "slots", 2 }, { "state", isLeaving ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "db_role", isPrimary ? "primary" : "replica" }, { "seq_no", 1 } });
+    nlohmann::json entry { { "service", groupName }, { "address", endpoint.host + ":" + std::to_string(endpoint.port) }, { "zone", "z" + id.substr(1) }, { "version", "v1" }, { "slots", 2 }, { "state", isLeaving ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "db_role", isPrimary ? "primary" : "replica" }, { "seq_no", 1 } };
+    if (this->startTimes.count(id) > 0)
+        entry["born"] = this->startTimes[id];
+    this->store.put("servers", id, entry);
 }
 
 } // namespace lentiljunction::standin
--- a/standins/platform/PlatformSite.h
+++ b/standins/platform/PlatformSite.h
@@ -57,6 +57,9 @@
     /// Writes the state that an upstream reports of itself to the store.
     void report(const std::string& id, bool isPrimary, bool isLeaving = false);
 
+    /// Writes the entries of all upstreams with the time of their start from now on, and that of one as started again.
+    void reportStart(const std::string& id);
+
     /// Publishes another address for an upstream, for example that of a relay in front of it.
     ///
     /// @returns the previous address, on which the upstream itself listens
@@ -79,6 +82,8 @@
     std::mutex mutex;
     std::map<std::string, Endpoint> endpoints;
     std::set<std::string> leavingUpstreams;
+    /// Milliseconds since the Unix epoch; entries of upstreams that are not in it name no start.
+    std::map<std::string, std::int64_t> startTimes;
     int maximumConnections = 16;
     int numSynchronousReplicas = 0;
     /// Null without workspaces.
--- a/tests/process/GatewaySynchronousTests.cpp
+++ b/tests/process/GatewaySynchronousTests.cpp
@@ -90,11 +90,14 @@
 }
 
 /// Waits until the primary record lists a number of upstreams whose logs a failover must know.
-bool waitForLogHolders(GatewayFixture& fixture, std::size_t number)
+///
+/// @param mustHaveStarts whether the record must name their starts
+bool waitForLogHolders(GatewayFixture& fixture, std::size_t number, bool mustHaveStarts = false)
 {
     return waitUntil([&] {
-        nlohmann::json record = fixture.getStore().read("lentiljunction-lead", "main");
-        return record["groups"].contains("ledger") && record["groups"]["ledger"].value("log_holders", nlohmann::json::array()).size() == number;
+        nlohmann::json groups = fixture.getStore().read("lentiljunction-lead", "main")["groups"];
+        nlohmann::json holders = groups.contains("ledger") ? groups["ledger"].value("log_holders", nlohmann::json::array()) : nlohmann::json::array();
+        return holders.size() == number && (!mustHaveStarts || holders.back().contains("started_at_ms"));
     });
 }
 
@@ -130,6 +133,30 @@
     LONGS_EQUAL(0, countLost(fixture, acknowledged));
 }
 
+// The only replica with the last commits starts again without its log when the primary crashes. Guards against its empty log
+// being taken for the one that it had (review case 6).
+TEST(GatewaySynchronous, replicaRestartedWithoutLogDoesNotVouchForItsEarlierLog)
+{
+    GatewayFixture fixture(3);
+    CHECK_TRUE(fixture.waitUntilServed("bookings"));
+    fixture.getSite().reportStart("u1");
+    makeSynchronous(fixture);
+    CHECK_TRUE(waitForLogHolders(fixture, 2, true));
+    fixture.getGroup().setDeaf("u3", true);
+    std::vector<std::string> acknowledged = writeFor(fixture, "early", std::chrono::milliseconds(500));
+    CHECK(!acknowledged.empty());
+    fixture.getGroup().crash("u2");
+    fixture.getGroup().crash("u1");
+    Failure failure;
+    CHECK_TRUE(fixture.getGroup().restart("u2", failure, false));
+    fixture.getSite().reportStart("u2");
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    CHECK_TRUE(fixture.getGroup().restart("u1", failure));
+    fixture.getGroup().setDeaf("u3", false);
+    CHECK_TRUE(waitUntil([&] { return !writeFor(fixture, "late", std::chrono::milliseconds(100)).empty(); }));
+    LONGS_EQUAL(0, countLost(fixture, acknowledged));
+}
+
 // A replica and then the primary are gone for good, and the other replica was behind. Guards against a failover that waits
 // for ever for a log holder that never returns.
 TEST(GatewaySynchronous, logHolderThatIsGoneForGoodDoesNotHoldFailoverForEver)
--- a/tests/support/PromotionModel.cpp
+++ b/tests/support/PromotionModel.cpp
@@ -244,7 +244,9 @@
     }
     case Failover::Action::Kind::Promote:
         return this->promote(instance, action);
+    // Its groups are asynchronous.
     case Failover::Action::Kind::PauseReplica:
+    case Failover::Action::Kind::RefreshUpstreams:
         return;
     }
 }
--- a/tests/unit/CommitSurveyTests.cpp
+++ b/tests/unit/CommitSurveyTests.cpp
@@ -87,6 +87,43 @@
     LONGS_EQUAL(0, group.failover.getNumGivenUp());
 }
 
+// A replica was restarted without its log and reports an empty one. Guards against the promotion of the other one, which lacks
+// what only the earlier log had (review case 6).
+TEST(SynchronousFailover, earlierLogOfRestartedReplicaIsNotKnown)
+{
+    SynchronousGroup group(false);
+    group.members.push_back({ UpstreamId("b"), false, false, true });
+    group.failover.setMembers(group.members);
+    group.confirm();
+    group.pause("a", 192);
+    group.pause("b", 0);
+    STRCMP_EQUAL("", group.advance(std::chrono::seconds(7)).c_str());
+    group.demote(366);
+    STRCMP_EQUAL("old", group.advance(std::chrono::seconds(1)).c_str());
+}
+
+// A replica is restarted between its report and the promotion. Guards against the use of a log that is gone, while the list that
+// is known does not show the restart yet.
+TEST(SynchronousFailover, logsCountOnlyWithListThatWasReadAfterThem)
+{
+    SynchronousGroup group(false);
+    group.confirm();
+    group.members[1].startedAt = WallTime(std::chrono::seconds(1));
+    group.failover.setMembers(group.members);
+    group.pause("a", 192);
+    group.pause("b", 366);
+    std::vector<Failover::Action> actions = group.failover.takeActions(group.clock.bootNow(), group.clock.now());
+    CHECK_TRUE(hasAction(actions, Failover::Action::Kind::RefreshUpstreams));
+    CHECK_FALSE(hasAction(actions, Failover::Action::Kind::RecordPromotion));
+    group.members[1].startedAt = WallTime(std::chrono::seconds(2));
+    group.members.push_back({ UpstreamId("b"), false, false, true });
+    group.failover.setMembers(group.members);
+    group.failover.onUpstreamsRefreshed(true);
+    STRCMP_EQUAL("", group.advance(std::chrono::seconds(1)).c_str());
+    group.pause("b", 0);
+    STRCMP_EQUAL("", group.advance(std::chrono::seconds(1)).c_str());
+}
+
 // Guards against a group that stays without a primary when a replica is lost for good.
 TEST(SynchronousFailover, promotesLongestLogAfterWaitingTooLong)
 {
--- a/tests/unit/GroupRegistrationTests.cpp
+++ b/tests/unit/GroupRegistrationTests.cpp
@@ -84,6 +84,18 @@
     STRCMP_EQUAL("u3/1 ", world.listHolders().c_str());
 }
 
+// The start of an upstream becomes known later than the upstream. Guards against an entry without a start that never matches a
+// restart, and stays.
+TEST(GroupRegistration, startThatBecomesKnownReplacesUnknownOne)
+{
+    world.add("u1", true);
+    world.add("u2").startedAt.reset();
+    world.complete();
+    world.add("u2", false, 4);
+    CHECK_TRUE(world.complete());
+    STRCMP_EQUAL("u2/4 ", world.listHolders().c_str());
+}
+
 // Commits of other groups wait for no replica. Guards against writes to the record for nothing.
 TEST(GroupRegistration, asynchronousGroupHasNoLogHolders)
 {
@@ -226,3 +238,14 @@
     world.record.groups[group].generation = 1;
     CHECK_FALSE(LogHolderRemoval::remove(world.record, group, 0, { { UpstreamId("u2"), WallTime(std::chrono::seconds(1)) } }));
 }
+
+// A replica is restarted without its log, as planned or not, and copies that of the primary. Guards against failovers that wait
+// for its earlier log for ever, and against its removal before the copy is complete.
+TEST(LogHolderRemoval, earlierStartIsRemovedOnceUpstreamHasCaughtUp)
+{
+    world.add("u2", false, 5);
+    CHECK_TRUE(world.complete());
+    STRCMP_EQUAL("u2/1 u2/5 u3/1 ", world.listHolders().c_str());
+    STRCMP_EQUAL("", survey(std::chrono::seconds(10), { { UpstreamId("u1"), status(7, true) }, { UpstreamId("u2"), status(3) }, { UpstreamId("u3"), status(7) } }).c_str());
+    STRCMP_EQUAL("u2/1", survey(std::chrono::seconds(5), { { UpstreamId("u1"), status(7, true) }, { UpstreamId("u2"), status(7) }, { UpstreamId("u3"), status(7) } }).c_str());
+}
