--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -89,6 +89,7 @@
     constexpr LogEvent logHoldersRemoved { 431, LogLevel::Information, "log_holders_removed", "Upstreams that are gone were removed from those whose logs a failover waits for; the others have received what they may hold." };
     constexpr LogEvent instanceUnregistered { 432, LogLevel::Information, "instance_unregistered", "A draining instance removed its registration, or could not." };
     constexpr LogEvent rollCalled { 433, LogLevel::Warning, "roll_called", "Instances that do not respond were listed as absent in the primary record; those that do not remove themselves are no longer counted in votes." };
+    constexpr LogEvent replyGivenUp { 434, LogLevel::Warning, "reply_given_up", "The longest reply that was being received was given up, since all that callers hold exceeds the memory for it." };
     constexpr LogEvent gateOpened { 500, LogLevel::Information, "gate_opened", "This instance became the gate of an upstream." };
     constexpr LogEvent gateClosed { 501, LogLevel::Information, "gate_closed", "This instance is no longer the gate of an upstream." };
     constexpr LogEvent connectionDiscarded { 510, LogLevel::Warning, "connection_discarded", "A connection in an unknown state was closed." };
--- a/include/lentiljunction/interactive/SessionReply.h
+++ b/include/lentiljunction/interactive/SessionReply.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include "lentiljunction/interactive/RowList.h"
 #include "lentiljunction/interactive/SessionStatement.h"
 #include "lentiljunction/session/TermHistory.h"
 
+#include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace lentiljunction {
 
@@ -48,7 +49,7 @@
 
 /// The complete reply to one statement.
 struct SessionReply {
-    std::vector<std::string> rows;
+    RowList rows;
     /// The upstream's proof that it ran the statement; empty when no upstream was involved.
     std::string signature;
     /// ReplyCode::None when the statement succeeded.
@@ -58,6 +59,9 @@
     /// The log head of the upstream after the statement.
     std::optional<LogPoint> head;
 
+    /// Keeps the memory of a long reply in the account of the process that received it; null for others.
+    std::shared_ptr<const void> receipt = nullptr;
+
     /// @returns whether the statement succeeded
     bool isSuccess() const { return this->code == ReplyCode::None; }
 
--- a/include/lentiljunction/interactive/lj_interactive.h
+++ b/include/lentiljunction/interactive/lj_interactive.h
@@ -7,6 +7,7 @@
 #include "lentiljunction/interactive/FailureCause.h"
 #include "lentiljunction/interactive/ReplicationStatus.h"
 #include "lentiljunction/interactive/ReplyPolicy.h"
+#include "lentiljunction/interactive/RowList.h"
 #include "lentiljunction/interactive/SessionContext.h"
 #include "lentiljunction/interactive/SessionProtocol.h"
 #include "lentiljunction/interactive/SessionReply.h"
--- a/src/core/LogEvents.cpp
+++ b/src/core/LogEvents.cpp
@@ -139,6 +139,7 @@
         events::logHoldersRemoved,
         events::instanceUnregistered,
         events::rollCalled,
+        events::replyGivenUp,
         events::gateOpened,
         events::gateClosed,
         events::connectionDiscarded,
--- a/src/gateway/UpstreamCommander.cpp
+++ b/src/gateway/UpstreamCommander.cpp
@@ -70,8 +70,8 @@
         return;
     connection.send(found->second.command, [this, key = &connection](const std::optional<SessionReply>& reply) {
         std::optional<ReplicationStatus> status;
-        if (reply && reply->isSuccess() && !reply->rows.empty())
-            status = this->protocol.decodeReplicationStatus(reply->rows.front());
+        if (reply && reply->isSuccess() && !reply->rows.isEmpty())
+            status = this->protocol.decodeReplicationStatus(reply->rows.getFirst());
         this->finish(key, status, reply.has_value());
     });
 }
--- a/src/lending/LendingLinks.h
+++ b/src/lending/LendingLinks.h
@@ -43,6 +43,9 @@
     void sendToLender(const FleetMember& lender, const LendingMessage& message);
     bool isLinkOpen(const InstanceId& lender) const;
 
+    /// @returns the bytes that borrowers have not received yet
+    std::size_t countUnsentBytes() const { return this->server.countBufferedBytes(); }
+
 private:
     struct Link {
         Endpoint endpoint;
--- a/src/lending/LendingMessage.cpp
+++ b/src/lending/LendingMessage.cpp
@@ -30,8 +30,8 @@
     nlohmann::json encodeReply(const SessionReply& reply)
     {
         nlohmann::json encoded { { "code", toNumber(reply.code) }, { "state", toNumber(reply.state) } };
-        if (!reply.rows.empty())
-            encoded["rows"] = reply.rows;
+        for (std::string_view row : reply.rows)
+            encoded["rows"].push_back(std::string(row));
         if (!reply.signature.empty())
             encoded["signature"] = reply.signature;
         if (!reply.message.empty())
@@ -46,7 +46,10 @@
         SessionReply reply;
         reply.code = toEnumeration(encoded.at("code"), ReplyCode::Malformed);
         reply.state = toEnumeration(encoded.at("state"), TransactionState::Failed);
-        reply.rows = encoded.value("rows", std::vector<std::string>());
+        if (encoded.contains("rows")) {
+            for (const nlohmann::json& row : encoded.at("rows"))
+                reply.rows.add(row.get_ref<const std::string&>());
+        }
         reply.signature = encoded.value("signature", std::string());
         reply.message = encoded.value("message", std::string());
         if (encoded.contains("head"))
--- a/src/lending/LendingService.cpp
+++ b/src/lending/LendingService.cpp
@@ -9,9 +9,10 @@
 
 } // namespace
 
-LendingService::LendingService(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, const InstanceId& self, Lender::SourceFinder& sources)
+LendingService::LendingService(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, const InstanceId& self, Lender::SourceFinder& sources, MemoryAccount& memory)
     : clock(clock)
     , links(loop, *this)
+    , unsent(memory)
     , lender(clock, *this, sources)
     , borrower(clock, protocol, self, *this)
     , timer(loop, clock, [this] {
@@ -21,6 +22,13 @@
 {
 }
 
+void LendingService::sendToBorrower(std::uint64_t link, const LendingMessage& message)
+{
+    this->links.sendToBorrower(link, message);
+    if (message.reply.receipt != nullptr)
+        this->unsent.set(this->links.countUnsentBytes());
+}
+
 void LendingService::sendToLender(const FleetMember& member, const LendingMessage& message)
 {
     this->links.sendToLender(member, message);
--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -383,6 +383,10 @@
     const Route* route = routes->find(this->startup->database);
     if (route == nullptr)
         return this->reply(ReplyCode::NoDatabase, this->transactionState, "no route leads to the database", FailureCause::NoRoute);
+    if (isInTransaction && *mode == AccessMode::Read && statement.verb != SessionVerb::Commit && !this->state.getMemory().mayStart(0)) {
+        this->held.rollBackAndRelease();
+        return this->reply(ReplyCode::Aborted, TransactionState::Failed, describe(FailureCause::NoMemory), FailureCause::NoMemory);
+    }
     if (isInTransaction)
         this->startRun(std::move(statement), *mode, routes, *route);
     else
--- a/src/traffic/PrimaryVerificationRounds.cpp
+++ b/src/traffic/PrimaryVerificationRounds.cpp
@@ -97,8 +97,8 @@
         command.kind = UpstreamCommand::Kind::Status;
         connection->sendLast(command, [this, group, round, upstream, source, connection](const std::optional<SessionReply>& reply) {
             std::optional<ReplicationStatus> status;
-            if (reply && !reply->rows.empty())
-                status = this->protocol.decodeReplicationStatus(reply->rows.front());
+            if (reply && !reply->rows.isEmpty())
+                status = this->protocol.decodeReplicationStatus(reply->rows.getFirst());
             if (reply)
                 source->release(connection);
             else
--- a/src/traffic/StatementConnection.h
+++ b/src/traffic/StatementConnection.h
@@ -37,6 +37,10 @@
 
     virtual const UpstreamId& getUpstream() const = 0;
 
+    /// @returns whether the connection was lost because this process had no memory for a reply, which says nothing of the
+    ///     upstream
+    virtual bool wasGivenUp() const { return false; }
+
     /// Session values and prepared statements that earlier sessions left on the connection.
     SessionContext::ConnectionContext context;
 };
--- a/src/traffic/StatementRun.cpp
+++ b/src/traffic/StatementRun.cpp
@@ -257,6 +257,11 @@
 void StatementRun::onReply(std::optional<SessionReply> reply)
 {
     this->attemptNumber++;
+    if (!reply && this->held.connection->wasGivenUp()) {
+        this->failure.set(FailureCause::NoMemory);
+        this->discardConnection();
+        return this->concludeAttempt(AttemptOutcome::ConnectionLost, SessionReply(), false);
+    }
     if (!reply) {
         this->health.report(this->held, UpstreamResult::Reset);
         this->failure.set(FailureCause::ConnectionLostAfterSend);
--- a/src/traffic/TcpUpstreamConnection.cpp
+++ b/src/traffic/TcpUpstreamConnection.cpp
@@ -13,10 +13,12 @@
     constexpr std::size_t maximumReplyBytes = 4U << 20;
     /// Short rows take more memory than their bytes.
     constexpr std::size_t maximumReplyRows = 400000;
+    /// Most replies are shorter, and complete with one read.
+    constexpr std::size_t minimumAccounted = 16U << 10;
 
 } // namespace
 
-TcpUpstreamConnection::TcpUpstreamConnection(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, const UpstreamEntry& upstream, std::string user, Duration openTimeout, UpstreamConnection::Listener& listener)
+TcpUpstreamConnection::TcpUpstreamConnection(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, const UpstreamEntry& upstream, std::string user, Duration openTimeout, UpstreamConnection::Listener& listener, ReplyMemory* memory)
     : clock(clock)
     , protocol(protocol)
     , upstream(upstream.id)
@@ -24,6 +26,7 @@
     , user(std::move(user))
     , listener(listener)
     , socket(TcpConnection::connect(loop, upstream.endpoint, *this))
+    , memory(memory)
     , openTimer(std::make_unique<OneShotTimer>(loop, clock, [this] { this->fail(LossCause::Silent, "the upstream did not answer the startup message in time"); }))
 {
     this->openTimer->setTime(clock.now() + openTimeout);
@@ -54,6 +57,7 @@
     *this->isAlive = false;
     this->isAlive = std::make_shared<bool>(true);
     this->pendingReplies.clear();
+    this->receipt.reset();
     this->openTimer->clear();
     this->socket->close();
 }
@@ -82,22 +86,45 @@
     while (*alive && this->isReplyExpected() && this->protocol.takeUpstreamPart(bytes, this->numSearched, this->partialReply, isComplete, failure)) {
         this->numReplyBytes += numBytesLeft - bytes.size();
         numBytesLeft = bytes.size();
-        if (this->numReplyBytes > maximumReplyBytes || this->partialReply.rows.size() > maximumReplyRows)
+        if (this->numReplyBytes > maximumReplyBytes || this->partialReply.rows.getSize() > maximumReplyRows)
             return this->fail(LossCause::Silent, "the upstream sent a reply longer than " + std::to_string(maximumReplyBytes) + " bytes or " + std::to_string(maximumReplyRows) + " rows");
         if (isComplete) {
             this->numReplyBytes = 0;
+            if (this->receipt != nullptr) {
+                this->accountReply(bytes.capacity());
+                this->receipt->onComplete();
+                this->partialReply.receipt = std::exchange(this->receipt, nullptr);
+            }
             this->onReply(std::exchange(this->partialReply, SessionReply()));
         }
         isComplete = false;
     }
-    if (*alive)
+    if (*alive) {
         this->numBufferedBytes = bytes.size();
+        this->accountReply(bytes.capacity());
+    }
     if (*alive && !bytes.empty() && !this->isReplyExpected())
         return this->fail(LossCause::Silent, "the upstream sent bytes that answer no command");
     if (*alive && failure.kind != Failure::Kind::None)
         this->fail(LossCause::Silent, failure.reason);
 }
 
+void TcpUpstreamConnection::accountReply(std::size_t numUnparsed)
+{
+    std::size_t numBytes = this->partialReply.rows.countMemory() + numUnparsed;
+    if (this->memory == nullptr || (this->receipt == nullptr && numBytes < minimumAccounted))
+        return;
+    if (this->receipt == nullptr)
+        this->receipt = this->memory->open(*this);
+    this->receipt->set(numBytes);
+}
+
+void TcpUpstreamConnection::giveUpReply()
+{
+    this->isGivenUp = true;
+    this->fail(LossCause::NoMemory, "the replies that are being received exceed the memory");
+}
+
 bool TcpUpstreamConnection::isReplyExpected() const
 {
     // Replies carry no id. Bytes that arrived before a command was sent do not answer it.
@@ -147,6 +174,8 @@
     this->stage = Stage::Lost;
     this->openTimer->clear();
     this->socket->close();
+    this->receipt.reset();
+    this->partialReply = SessionReply();
     std::shared_ptr<bool> alive = this->isAlive;
     std::deque<PendingReply> unanswered = std::exchange(this->pendingReplies, {});
     for (PendingReply& pending : unanswered) {
--- a/src/traffic/TcpUpstreamConnection.h
+++ b/src/traffic/TcpUpstreamConnection.h
@@ -2,6 +2,7 @@
 
 #include "../net/OneShotTimer.h"
 #include "../net/TcpConnection.h"
+#include "ReplyMemory.h"
 #include "UpstreamConnection.h"
 #include "lentiljunction/core/Clock.h"
 #include "lentiljunction/interactive/SessionProtocol.h"
@@ -19,13 +20,14 @@
 /// The upstream replies to commands in the order in which they were sent; several commands may be in flight.
 ///
 /// Not thread-safe; used on the thread of the event loop. No callback runs after destruction.
-class TcpUpstreamConnection : public UpstreamConnection, private TcpConnection::Listener {
+class TcpUpstreamConnection : public UpstreamConnection, private TcpConnection::Listener, private ReplyMemory::Receiver {
 public:
     /// Starts to open a connection.
     ///
     /// @param user the name under which the connection is opened
     /// @param openTimeout time for the upstream to accept the startup message; then the connection is lost
-    TcpUpstreamConnection(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, const UpstreamEntry& upstream, std::string user, Duration openTimeout, UpstreamConnection::Listener& listener);
+    /// @param memory accounts for long replies; null where there are none. Must outlive this object and its replies
+    TcpUpstreamConnection(EventLoop& loop, const Clock& clock, const SessionProtocol& protocol, const UpstreamEntry& upstream, std::string user, Duration openTimeout, UpstreamConnection::Listener& listener, ReplyMemory* memory = nullptr);
 
     ~TcpUpstreamConnection() override;
 
@@ -40,6 +42,7 @@
     std::optional<Answered> getLastAnswered() const override { return this->lastAnswered; }
 
     const UpstreamId& getUpstream() const override { return this->upstream; }
+    bool wasGivenUp() const override { return this->isGivenUp; }
 
 private:
     enum class Stage {
@@ -58,6 +61,9 @@
     void onSocketOpened() override;
     void onSocketBytes(std::string& bytes) override;
     void onSocketClosed(const std::string& reason, bool isRefused) override;
+    void giveUpReply() override;
+    /// Accounts for a reply of which a part was received.
+    void accountReply(std::size_t numUnparsed);
     /// @returns whether the bytes of the present read can belong to a reply
     bool isReplyExpected() const;
     void onReply(SessionReply reply);
@@ -71,6 +77,7 @@
     UpstreamConnection::Listener& listener;
     Stage stage = Stage::Opening;
     std::unique_ptr<TcpConnection> socket;
+    ReplyMemory* memory;
     std::unique_ptr<OneShotTimer> openTimer;
     std::deque<PendingReply> pendingReplies;
     std::optional<Answered> lastAnswered;
@@ -83,6 +90,9 @@
     /// Bytes received of the parts in partialReply.
     std::size_t numReplyBytes = 0;
     SessionReply partialReply;
+    /// Null as long as the reply is short.
+    std::shared_ptr<ReplyMemory::Receipt> receipt;
+    bool isGivenUp = false;
     /// Lets a method detect that a callback destroyed this object.
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -54,7 +54,7 @@
     , metrics(metrics)
     , listener(listener)
     , state({ loop, clock, protocol, self, *this }, zone)
-    , lending(loop, clock, protocol, self, this->state)
+    , lending(loop, clock, protocol, self, this->state, this->state.getMemory())
     , verifier(protocol, this->state)
     , memoryRelief(loop, this->state.getMemory(), [this] { return this->listSessions(); })
     , callerServer(loop)
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -28,7 +28,9 @@
     : dependencies(dependencies)
     , zone(std::move(zone))
     , health(dependencies.clock)
+    , replyMemory(dependencies.loop, this->memory)
 {
+    this->dependencies.replyMemory = &this->replyMemory;
 }
 
 void TrafficState::setRoutes(std::shared_ptr<const RouteTable> newer, std::shared_ptr<const RouteConfirmation> newerConfirmation)
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -4,6 +4,7 @@
 #include "../lending/Lender.h"
 #include "FreshnessProofs.h"
 #include "ReadPlanner.h"
+#include "ReplyMemory.h"
 #include "UpstreamHealth.h"
 #include "UpstreamPool.h"
 #include "lentiljunction/admission/MemoryAccount.h"
@@ -262,6 +263,7 @@
 
     /// @returns the account of the memory that sessions hold
     MemoryAccount& getMemory() { return this->memory; }
+    ReplyMemory& getReplyMemory() { return this->replyMemory; }
     const MemoryAccount& getMemory() const { return this->memory; }
 
 private:
@@ -319,6 +321,7 @@
     bool discoversCapacity = false;
     QuotaClient* quota = nullptr;
     MemoryAccount memory;
+    ReplyMemory replyMemory;
     std::map<UpstreamId, std::shared_ptr<UpstreamPool>> pools;
     /// Upstreams whose connections are borrowed.
     std::map<UpstreamId, std::shared_ptr<BorrowingSource>> borrowingSources;
--- a/src/traffic/UpstreamConnection.h
+++ b/src/traffic/UpstreamConnection.h
@@ -23,6 +23,8 @@
         Full,
         /// Another upstream answers at the address.
         WrongUpstream,
+        /// A long reply was given up, since this process has no memory for it.
+        NoMemory,
     };
 
     /// Receives the events of a connection.
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -169,7 +169,7 @@
     if (this->dependencies.connector != nullptr)
         pooled.connection = this->dependencies.connector->open(this->upstream, user, openTimeout, listener);
     else
-        pooled.connection = std::make_unique<TcpUpstreamConnection>(this->dependencies.loop, this->dependencies.clock, this->dependencies.protocol, this->upstream, user, openTimeout, listener);
+        pooled.connection = std::make_unique<TcpUpstreamConnection>(this->dependencies.loop, this->dependencies.clock, this->dependencies.protocol, this->upstream, user, openTimeout, listener, this->dependencies.replyMemory);
     this->numOpening++;
     this->counters.numOpened++;
     this->connections.add(std::move(pooled));
--- a/src/traffic/UpstreamPool.h
+++ b/src/traffic/UpstreamPool.h
@@ -4,6 +4,7 @@
 #include "ConnectionQueue.h"
 #include "IdleTimeoutController.h"
 #include "LatencyEstimate.h"
+#include "ReplyMemory.h"
 #include "lentiljunction/admission/SharedConcurrencyLimit.h"
 #include "lentiljunction/interactive/SessionProtocol.h"
 
@@ -55,6 +56,8 @@
         Listener& listener;
         /// Opens the connections; they are opened over TCP when it is nullptr.
         Connector* connector = nullptr;
+        /// Accounts for long replies; null where there are none.
+        ReplyMemory* replyMemory = nullptr;
     };
 
     /// What became of requests and connections since the start.
--- a/standins/platform/LineUpstream.cpp
+++ b/standins/platform/LineUpstream.cpp
@@ -184,7 +184,12 @@
             return this->sendError("FAILED disk");
         if (effective == "READ") {
             std::map<std::string, std::string>::const_iterator found = this->upstream.items.find(item);
-            this->socket->send("ROW " + (found == this->upstream.items.end() ? std::string("-") : found->second) + "\r\n");
+            std::string row = "ROW " + (found == this->upstream.items.end() ? std::string("-") : found->second) + "\r\n";
+            std::size_t numRows = item.rfind("long", 0) == 0 ? this->upstream.group.numLongRows.load() : 1;
+            std::string rows;
+            for (std::size_t number = 0; number < numRows; number++)
+                rows += row;
+            this->socket->send(rows);
             return this->sendDone("sig." + this->upstream.id);
         }
         if (effective == "WRITE")
--- a/standins/platform/LineUpstream.h
+++ b/standins/platform/LineUpstream.h
@@ -141,6 +141,9 @@
     /// Sets how long a read, write or commit occupies a slot.
     void setServiceTime(Duration newServiceTime) { this->serviceTime = newServiceTime; }
 
+    /// Sets how many rows a read of an item has that begins with "long".
+    void setLongResult(std::size_t newNumLongRows) { this->numLongRows = newNumLongRows; }
+
     /// Sets the time from a promotion call to its effect.
     void setPromotionDelay(Duration newPromotionDelay) { this->promotionDelay = newPromotionDelay; }
 
@@ -227,6 +230,7 @@
     std::atomic<Duration> stepDownDelay { std::chrono::seconds(1) };
     Duration replicationLag { std::chrono::milliseconds(5) };
     Duration serviceTime { 0 };
+    std::atomic<std::size_t> numLongRows { 1 };
 
     /// A commit that waits for a replica.
     struct PendingCommit {
--- a/tests/process/GatewayFixture.cpp
+++ b/tests/process/GatewayFixture.cpp
@@ -112,6 +112,7 @@
     settings.store = this->site.openStorePort(failure);
     settings.promotion = settings.store;
     settings.isFirstStart = !this->isRunning;
+    settings.maximumMemory = this->maximumMemory;
     return settings;
 }
 
--- a/tests/process/GatewayFixture.h
+++ b/tests/process/GatewayFixture.h
@@ -39,6 +39,9 @@
     /// Stops an instance without draining it, like a killed process.
     void kill(std::size_t index) { this->instances[index].reset(); }
 
+    /// Sets the memory limit of instances that are started from now on, in MiB.
+    void setMaximumMemory(std::size_t newMaximumMemory) { this->maximumMemory = newMaximumMemory; }
+
     /// Starts another instance, which knows only what the store and the other instances tell it.
     ///
     /// @returns its index
@@ -76,6 +79,7 @@
     bool isRunning = false;
     bool ejectsUpstreams;
     bool enforcesLimits;
+    std::optional<std::size_t> maximumMemory;
     PlatformAdapter adapter;
     standin::PlatformSite site;
     std::vector<GatewaySettings> settingsOfInstances;
--- a/tests/process/GatewayMemoryTests.cpp
+++ b/tests/process/GatewayMemoryTests.cpp
@@ -1,6 +1,7 @@
 #include "../../tools/lab/GatewaySite.h"
 #include "GatewayFixture.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <filesystem>
 #include <netinet/in.h>
@@ -153,3 +154,26 @@
     checkHealthy();
     CHECK_TRUE(waitUntil([&] { return isServed(other.execute("READ item")); }));
 }
+
+// A result exceeds what callers may hold. Guards against a process that ends, and against callers that do not learn whether to
+// send their statement again (review case 10).
+TEST(GatewayMemory, readWhoseResultExceedsMemoryIsRefused)
+{
+    GatewayFixture fixture(2);
+    fixture.getGroup().setLongResult(60000);
+    fixture.configure(2, { "bookings", "checks" });
+    CHECK_TRUE(fixture.waitUntilServed("checks"));
+    std::string whole = LineCaller(fixture.getPort(0), "checks").execute("READ long");
+    CHECK(isServed(whole));
+    LONGS_EQUAL(60000, std::count(whole.begin(), whole.end(), 'W'));
+
+    fixture.setMaximumMemory(1);
+    std::size_t limited = fixture.startInstance();
+    CHECK_TRUE(waitUntil([&] { return isServed(LineCaller(fixture.getPort(limited), "checks").execute("READ item")); }));
+    LineCaller caller(fixture.getPort(limited), "checks");
+    STRCMP_CONTAINS("ERR BUSY", caller.execute("READ long").c_str());
+    caller.execute("BEGIN READ");
+    STRCMP_CONTAINS("ERR ABORTED", caller.execute("READ long").c_str());
+    caller.execute("ROLLBACK");
+    CHECK(isServed(caller.execute("READ item")));
+}
--- a/tests/unit/DecoderTests.cpp
+++ b/tests/unit/DecoderTests.cpp
@@ -126,7 +126,7 @@
     isComplete = false;
     while (!isComplete && protocol.takeUpstreamPart(encoded, numSearched, passedOn, isComplete, failure)) { }
     CHECK_TRUE(isComplete && encoded.empty());
-    CHECK(passedOn.isSuccess() == reply.isSuccess() && passedOn.rows.size() == (reply.isSuccess() ? reply.rows.size() : 0));
+    CHECK(passedOn.isSuccess() == reply.isSuccess() && passedOn.rows.getSize() == (reply.isSuccess() ? reply.rows.getSize() : 0));
     protocol.decodeReplicationStatus(bytes);
 }
 
--- a/tests/unit/LendingTests.cpp
+++ b/tests/unit/LendingTests.cpp
@@ -76,7 +76,7 @@
                 this->lost.insert(text);
                 return this->bench.getSource(this->instance).discard(&connection);
             }
-            bool isOwnReply = kind != UpstreamCommand::Kind::Forward || reply->rows.front().find(text + " ") != std::string::npos;
+            bool isOwnReply = kind != UpstreamCommand::Kind::Forward || reply->rows.getFirst().find(text + " ") != std::string::npos;
             this->hasWrongReply = this->hasWrongReply || !isOwnReply;
             this->succeeded.insert(text);
             next();
--- a/tests/unit/PlatformTests.cpp
+++ b/tests/unit/PlatformTests.cpp
@@ -123,7 +123,7 @@
     bool isComplete = false;
     while (protocol.takeUpstreamPart(buffer, numSearched, reply, isComplete, failure) && !isComplete) { }
     CHECK_TRUE(isComplete);
-    STRCMP_EQUAL("a b", reply.rows.front().c_str());
+    STRCMP_EQUAL("a b", reply.rows.getFirst().c_str());
     STRCMP_EQUAL("sig", reply.signature.c_str());
     CHECK(reply.state == TransactionState::Open);
     CHECK(reply.head == (LogPoint { Term(3), Position(1209) }));
--- a/tests/unit/PrimaryVerificationTests.cpp
+++ b/tests/unit/PrimaryVerificationTests.cpp
@@ -76,7 +76,7 @@
                 }
                 this->numAnswered[query.upstream]++;
                 SessionReply reply;
-                reply.rows.push_back(status->second + " 0 0 0 0");
+                reply.rows.add(status->second + " 0 0 0 0");
                 query.callback(reply);
             }
         }
