Run no first statement on an upstream that began to drain (DRAIN)

A transaction begins on an upstream while the reply to BEGIN travels.

Cause: the upstream's state was looked at when the transaction began, and not when the first statement came.

Change: before the first statement, a connection to an upstream that drains or is no longer listed is given back, and the transaction begins anew elsewhere. Once something ran, the transaction stays.

--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -343,6 +343,7 @@
     this->transactionBegan = this->arrivedAt;
     this->transactionRoutes = routes;
     this->hasTransactionWritten = false;
+    this->hasTransactionRun = false;
     this->mustReportAbort = false;
     this->reply(ReplyCode::None, TransactionState::Open, "");
     this->beginEarly(begin);
@@ -410,11 +411,23 @@
     return request;
 }
 
+void CallerSession::leaveDrainingUpstream()
+{
+    // The transaction began early, and nothing ran in it.
+    bool isUnused = this->held.isHeld() && !this->hasTransactionRun;
+    const UpstreamEntry* entry = isUnused ? this->state.getUpstreams()->find(this->held.connection->getUpstream()) : nullptr;
+    if (isUnused && (entry == nullptr || entry->isLeaving))
+        this->held.rollBackAndRelease();
+}
+
 void CallerSession::startRun(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route)
 {
+    if (this->transactionState == TransactionState::Open)
+        this->leaveDrainingUpstream();
     StatementRequest request = this->makeRequest(std::move(statement), mode, routes, route);
     if (request.traits.isInTransaction && mode == AccessMode::Write)
         this->hasTransactionWritten = true;
+    this->hasTransactionRun = true;
 
     this->idleTimer.clear();
     this->run = std::make_shared<StatementRun>(this->state, this->context, request, [this, request](StatementRun::Result result) {
--- a/src/traffic/CallerSession.h
+++ b/src/traffic/CallerSession.h
@@ -101,6 +101,8 @@
     StatementRequest makeRequest(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route) const;
     void beginEarly(const SessionStatement& begin);
     void restartIdleTimer();
+    /// Gives back a connection on which the transaction began before its upstream began to drain, as long as nothing ran on it.
+    void leaveDrainingUpstream();
     void startRun(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route);
     void onRunFinished(const StatementRequest& request, const StatementRun::Result& result);
     void reply(ReplyCode code, TransactionState newState, const std::string& message, FailureCause cause = FailureCause::NotAllowed);
@@ -142,6 +144,8 @@
     /// The routing configuration with which the transaction began. A newer one applies to the next transaction.
     std::shared_ptr<const RouteTable> transactionRoutes;
     bool hasTransactionWritten = false;
+    /// Whether a statement was started in the transaction.
+    bool hasTransactionRun = false;
     /// The connection on which the open transaction runs.
     HeldConnection held;
     std::shared_ptr<StatementRun> run;
