Refuse statements whose id a caller may not give (UNASKED)

A message "QUERY", two blanks, "WRITE b v" was committed under the id "-" of the system's own statements, and answered with success.

Cause: the decoder accepted an empty id, and an empty id meant "the system's own" to the encoder.

Measured: the two new tests of LineProtocol try each field of each message with an empty text, "-", a blank, CR, LF, NUL, 1 MiB less one and 1 MiB.

--- a/include/lentiljunction/interactive/SessionProtocol.h
+++ b/include/lentiljunction/interactive/SessionProtocol.h
@@ -69,7 +69,8 @@
     /// @returns the bytes of the startup message to one upstream of a group
     virtual std::string encodeUpstreamStartup(const GroupId& group, const std::string& user, const UpstreamId& upstream) const = 0;
 
-    /// @returns the bytes of one command
+    /// @returns the bytes of one command; none when the protocol cannot carry it, for example the statement of a caller
+    ///     without an id, or one that is too long
     virtual std::string encodeCommand(const UpstreamCommand& command) const = 0;
 };
 
--- a/src/lending/BorrowedConnection.cpp
+++ b/src/lending/BorrowedConnection.cpp
@@ -26,7 +26,8 @@
 
 void BorrowedConnection::sendToLender(const std::string& encoded, bool isLast, ReplyCallback callback)
 {
-    if (this->isEnded)
+    // A command that the protocol cannot carry is not sent.
+    if (this->isEnded || encoded.empty())
         return callback(std::nullopt);
     this->pending.push_back(std::move(callback));
     this->channel.sendCommand(*this, encoded, isLast);
--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -274,7 +274,8 @@
     this->statementSize = statement.text.size();
     if (this->refuseInvalidKey(statement))
         return;
-    if (statement.verb == SessionVerb::Malformed)
+    // The id of the system's own statements is empty.
+    if (statement.verb == SessionVerb::Malformed || statement.id.isEmpty())
         return this->reply(ReplyCode::Malformed, this->transactionState, "the statement is malformed");
     if (isTransactionControl(statement.verb))
         return this->onTransactionControl(statement);
--- a/src/traffic/TcpUpstreamConnection.cpp
+++ b/src/traffic/TcpUpstreamConnection.cpp
@@ -44,7 +44,8 @@
 
 void TcpUpstreamConnection::sendEncoded(const std::string& encoded, ReplyCallback callback)
 {
-    if (this->stage == Stage::Lost)
+    // A command that the protocol cannot carry is not sent.
+    if (this->stage == Stage::Lost || encoded.empty())
         return callback(std::nullopt);
     this->pendingReplies.push_back({ std::move(callback), this->clock.now(), this->numReads });
     this->listener.onConnectionBytes(encoded.size());
--- a/tests/unit/PlatformTests.cpp
+++ b/tests/unit/PlatformTests.cpp
@@ -357,3 +357,57 @@
         decodeProofs(tests::corruptJson(nlohmann::json::array({ { "g", 1, 2, 3, 4 } })), BootTime());
     }));
 }
+
+namespace {
+
+constexpr std::size_t mebibyte = 1U << 20;
+
+/// Texts that a field of a message may not be able to carry.
+std::vector<std::string> listUnusualFields()
+{
+    return { "", "-", " ", "\r", "\n", std::string(1, '\0'), "a\rb", std::string(mebibyte - 1, 'x'), std::string(mebibyte, 'x') };
+}
+
+} // namespace
+
+// A caller's statement without an id was run under the id of the system's own statements. Guards against any field of a message that
+// makes a statement one that nobody sent.
+TEST(LineProtocol, statementsWithUnusualFieldsKeepTheirIdsOrAreRefused)
+{
+    for (const std::string& field : listUnusualFields()) {
+        for (const std::string& line : { "QUERY " + field + " WRITE b v", "QUERY q1 " + field, "QUERY q1 WRITE " + field + " v", "QUERY q1 WRITE b " + field, "QUERY q1 EXEC " + field + " a", "STARTUP " + field + " key", "STARTUP db " + field }) {
+            std::string buffer = line + "\r\n";
+            std::size_t searched = 0;
+            Failure refusal;
+            std::optional<CallerMessage> message = protocol.takeCallerMessage(buffer, searched, refusal);
+            const SessionStatement* statement = message ? std::get_if<SessionStatement>(&*message) : nullptr;
+            if (statement == nullptr || statement->verb == SessionVerb::Malformed)
+                continue;
+            STRCMP_EQUAL("q1", statement->id.toString().c_str());
+            UpstreamCommand command;
+            command.kind = UpstreamCommand::Kind::Forward;
+            command.id = statement->id;
+            command.argument = statement->text;
+            STRCMP_EQUAL((line + "\r\n").c_str(), protocol.encodeCommand(command).c_str());
+        }
+    }
+}
+
+// Guards against a statement of a caller under the id of the system's own ones, whatever decoded it, and against messages that an
+// upstream does not accept.
+TEST(LineProtocol, commandsThatCannotBeCarriedAreNotEncoded)
+{
+    UpstreamCommand command;
+    command.kind = UpstreamCommand::Kind::Forward;
+    command.argument = "WRITE b v";
+    for (const char* id : { "", "-", "a b", "a\r\nb" }) {
+        command.id = RequestId(id);
+        STRCMP_EQUAL("", protocol.encodeCommand(command).c_str());
+    }
+    command.id = RequestId("q1");
+    STRCMP_EQUAL("QUERY q1 WRITE b v\r\n", protocol.encodeCommand(command).c_str());
+    command.argument = "";
+    STRCMP_EQUAL("", protocol.encodeCommand(command).c_str());
+    command.argument = "READ " + std::string(mebibyte, 'x');
+    STRCMP_EQUAL("", protocol.encodeCommand(command).c_str());
+}
