Discard a connection that was lost while nobody waited for a reply on it

A statement could be answered as in doubt although it was never sent.

Cause: a lost connection tells those whose replies are pending. While a session waits for a verification without a lease, or between the statements of a transaction, there are none, and the pool took the lost connection back as idle.

Change: the pool marks a connection that is lost while a session holds it, and discards it when it is given back.

--- a/src/traffic/PooledConnections.h
+++ b/src/traffic/PooledConnections.h
@@ -23,6 +23,8 @@
         bool isOpening = true;
         bool isIdle = false;
         bool isActive = false;
+        /// It was lost while a session held it without a pending reply.
+        bool isLost = false;
         /// The kind of the statements for which it was granted; empty for a command of the proxy itself.
         std::optional<StatementClass> kind;
         /// When it started to open, became idle or became active.
--- a/src/traffic/UpstreamPool.cpp
+++ b/src/traffic/UpstreamPool.cpp
@@ -118,6 +118,8 @@
     PooledConnection* pooled = this->connections.find(connection);
     if (pooled == nullptr)
         return;
+    if (pooled->isLost)
+        return this->discard(connection);
     this->finishActive(*pooled);
     pooled->isIdle = true;
     pooled->since = this->dependencies.clock.now();
@@ -220,7 +222,9 @@
         return;
     bool wasIdle = pooled->isIdle;
     bool wasOpening = pooled->isOpening;
-    // The session that holds the connection discards it: its pending callbacks ran without a reply.
+    // The session that holds the connection discards it if its pending callbacks ran without a reply. Without any, as in an idle
+    // transaction or during a verification, it may give the connection back.
+    pooled->isLost = true;
     if (!wasIdle && !wasOpening)
         return;
 
--- a/tests/unit/UpstreamPoolTests.cpp
+++ b/tests/unit/UpstreamPoolTests.cpp
@@ -339,3 +339,20 @@
     CHECK(bench.getPool().getCounters().numOpened <= 12);
     CHECK_EQUAL(0, bench.getPool().getExpectedWait(Rank::Normal).count());
 }
+
+// A connection is lost while its session waits for a verification, without a pending reply, and is given back. Guards against its
+// next statement, which was answered as in doubt although it had not been sent.
+TEST(UpstreamPool, connectionLostWithoutPendingReplyIsNotGrantedAgain)
+{
+    PoolBench bench;
+    int numAnswered = 0;
+    std::function<void(std::optional<Duration>)> count = [&numAnswered](std::optional<Duration> took) { numAnswered += took ? 1 : 0; };
+    bench.run("", std::chrono::seconds(1), std::chrono::milliseconds(200), count);
+    bench.advance(std::chrono::milliseconds(100));
+    bench.breakConnections();
+    bench.advance(std::chrono::milliseconds(200));
+    LONGS_EQUAL(1, numAnswered);
+    bench.run("", std::chrono::seconds(1), Duration(0), count);
+    bench.advance(std::chrono::milliseconds(200));
+    LONGS_EQUAL(2, numAnswered);
+}
