Account for sessions that have ended until their replies are sent

A caller that ends its session and does not read its last reply kept a connection and up to 4 MiB in the process, without an end.

Cause: the socket stays until all is sent, while the session left the memory account and the count of sessions at once.

Change: the bytes stay in the account, and the session in the count that limits new ones, until the connection is closed; after 10 s it is reset.

Measured: TcpConnection.closeAfterSendingHasAnEnd (a peer that does not read): green; the close had no end before, so the test cannot be written against the code before. Unit tests 559 passed; process tests GatewayMemory, GatewayResources, Gateway, PortFuzzer green.

--- a/src/net/TcpConnection.cpp
+++ b/src/net/TcpConnection.cpp
@@ -114,8 +114,33 @@
         asio::post(this->socket.get_executor(), [self, error] { self->handleError(error); });
     }
 
+    /// A peer that does not read would keep the unsent bytes for ever.
+    void resetAfter(Duration limit)
+    {
+        if (!this->isOpen)
+            return;
+        std::shared_ptr<Implementation> self = this->shared_from_this();
+        this->closeTimer = std::make_unique<asio::steady_timer>(this->socket.get_executor(), limit);
+        this->closeTimer->async_wait([self](const asio::error_code& error) {
+            if (error || !self->isOpen)
+                return;
+            self->isOpen = false;
+            closeWithReset(self->socket);
+            self->dropUnsent();
+        });
+    }
+
+    void dropUnsent()
+    {
+        this->closeTimer.reset();
+        this->receipt.reset();
+        // A write in progress refers to its bytes until it ends.
+        this->pendingBytes = std::string();
+    }
+
     void closeNow()
     {
+        this->dropUnsent();
         this->listener = nullptr;
         this->isOpen = false;
         asio::error_code ignored;
@@ -133,6 +158,8 @@
     bool isReading = false;
     bool isReadingStopped = false;
     bool mustCloseAfterSending = false;
+    std::unique_ptr<asio::steady_timer> closeTimer;
+    std::shared_ptr<const void> receipt;
     /// Nothing is sent any more; the listener learns of it later.
     bool isFailing = false;
 };
@@ -186,11 +213,13 @@
     return this->implementation->received.capacity() + this->implementation->pendingBytes.capacity() + this->implementation->bytesInFlight.capacity();
 }
 
-void TcpConnection::closeAfterSending()
+void TcpConnection::closeAfterSending(Duration limit, std::shared_ptr<const void> receipt)
 {
+    this->implementation->receipt = std::move(receipt);
     this->implementation->mustCloseAfterSending = true;
     this->implementation->listener = nullptr;
     this->implementation->flush();
+    this->implementation->resetAfter(limit);
 }
 
 void TcpConnection::close()
--- a/src/net/TcpConnection.h
+++ b/src/net/TcpConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lentiljunction/core/Clock.h"
 #include "lentiljunction/core/EventLoop.h"
 #include "lentiljunction/core/Failure.h"
 #include "lentiljunction/settings/Settings.h"
@@ -56,7 +57,10 @@
     std::size_t getBufferedBytes() const;
 
     /// Closes the connection once all queued bytes are sent. The listener is not called any more.
-    void closeAfterSending();
+    ///
+    /// @param limit time for the peer to receive them; then the connection is reset
+    /// @param receipt destroyed when the connection is closed
+    void closeAfterSending(Duration limit, std::shared_ptr<const void> receipt = nullptr);
 
     /// Resets the connection; undelivered bytes are discarded. The listener is not called any more.
     void close();
--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -21,6 +21,8 @@
     /// Copies of a statement that exist while it waits and runs.
     constexpr std::size_t statementCopies = 5;
     constexpr std::size_t maximumReadSize = 4096;
+    /// Time for a caller to receive the last reply of its session.
+    constexpr std::chrono::seconds unsentLimit { 10 };
 
     bool isTransactionControl(SessionVerb verb)
     {
@@ -64,7 +66,7 @@
 {
     if (this->hasEnded)
         return;
-    this->socket->closeAfterSending();
+    this->socket->closeAfterSending(unsentLimit, this->state.holdClosing(this->socket->getBufferedBytes()));
     this->endSession();
 }
 
--- a/src/traffic/ReplyMemory.cpp
+++ b/src/traffic/ReplyMemory.cpp
@@ -7,7 +7,7 @@
 
 namespace lentiljunction {
 
-ReplyMemory::Receipt::Receipt(ReplyMemory& owner, Receiver& receiver)
+ReplyMemory::Receipt::Receipt(ReplyMemory& owner, Receiver* receiver)
     : owner(owner)
     , isOwnerAlive(owner.isAlive)
 {
@@ -38,6 +38,13 @@
 {
 }
 
+std::shared_ptr<ReplyMemory::Receipt> ReplyMemory::hold(std::size_t numBytes)
+{
+    std::shared_ptr<Receipt> receipt = std::make_shared<Receipt>(*this, nullptr);
+    receipt->set(numBytes);
+    return receipt;
+}
+
 void ReplyMemory::set(const Receipt& receipt, std::size_t numBytes)
 {
     this->holders.at(&receipt).share.set(numBytes);
--- a/src/traffic/ReplyMemory.h
+++ b/src/traffic/ReplyMemory.h
@@ -9,7 +9,8 @@
 
 namespace lentiljunction {
 
-/// Accounts for the replies that are being received, or wait for their delivery, from upstreams.
+/// Accounts for the replies that are being received, or wait for their delivery, from upstreams, and for those that sessions which
+/// have ended still send.
 ///
 /// A statement may be answered by many rows, and its reply cannot be refused once the upstream has run it. So when all
 /// holders together exceed the budget, the longest reply that is being received is given up.
@@ -31,7 +32,8 @@
     /// The bytes of one reply. They leave the account with it, or with the ReplyMemory if that ends first.
     class Receipt {
     public:
-        Receipt(ReplyMemory& owner, Receiver& receiver);
+        /// @param receiver null when the reply is complete
+        Receipt(ReplyMemory& owner, Receiver* receiver);
         ~Receipt();
         Receipt(const Receipt&) = delete;
         Receipt& operator=(const Receipt&) = delete;
@@ -51,13 +53,16 @@
     ReplyMemory(Scheduler& scheduler, MemoryAccount& account);
 
     /// @returns a receipt for a reply of which nothing is accounted yet; the receiver must outlive it or complete it
-    std::shared_ptr<Receipt> open(Receiver& receiver) { return std::make_shared<Receipt>(*this, receiver); }
+    std::shared_ptr<Receipt> open(Receiver& receiver) { return std::make_shared<Receipt>(*this, &receiver); }
+
+    /// @returns a receipt for bytes that are not given up
+    std::shared_ptr<Receipt> hold(std::size_t numBytes);
 
 private:
     struct Holder {
-        Holder(MemoryAccount& account, Receiver& receiver)
+        Holder(MemoryAccount& account, Receiver* receiver)
             : share(account)
-            , receiver(&receiver)
+            , receiver(receiver)
         {
         }
 
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -101,7 +101,7 @@
     CallerSession::Listener& self = *this;
     std::unique_ptr<CallerSession> session = std::make_unique<CallerSession>(this->state, this->protocol, self, std::move(socket));
     CallerSession* raw = session.get();
-    bool isRefused = !this->descriptors.mayOpenSession(this->sessions.size());
+    bool isRefused = !this->descriptors.mayOpenSession(this->sessions.size() + this->state.countClosing());
     this->sessions.emplace(raw, std::move(session));
     if (isRefused)
         this->refuseLater(raw);
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -33,6 +33,15 @@
     this->dependencies.replyMemory = &this->replyMemory;
 }
 
+std::shared_ptr<const void> TrafficState::holdClosing(std::size_t numUnsent)
+{
+    struct Closing {
+        std::shared_ptr<ReplyMemory::Receipt> memory;
+        std::shared_ptr<char> session;
+    };
+    return std::make_shared<Closing>(Closing { this->replyMemory.hold(numUnsent), this->closingSessions });
+}
+
 void TrafficState::setRoutes(std::shared_ptr<const RouteTable> newer, std::shared_ptr<const RouteConfirmation> newerConfirmation)
 {
     this->routes = std::move(newer);
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -263,7 +263,16 @@
 
     /// @returns the account of the memory that sessions hold
     MemoryAccount& getMemory() { return this->memory; }
-    ReplyMemory& getReplyMemory() { return this->replyMemory; }
+
+    /// Counts a session that has ended and still sends.
+    ///
+    /// @param numUnsent the bytes that it has not sent
+    /// @returns a receipt to destroy once its connection is closed
+    std::shared_ptr<const void> holdClosing(std::size_t numUnsent);
+
+    /// @returns the number of sessions that have ended and still send
+    std::size_t countClosing() const { return static_cast<std::size_t>(this->closingSessions.use_count()) - 1; }
+
     const MemoryAccount& getMemory() const { return this->memory; }
 
 private:
@@ -322,6 +331,8 @@
     QuotaClient* quota = nullptr;
     MemoryAccount memory;
     ReplyMemory replyMemory;
+    /// Shared by the receipts of the sessions that still send.
+    std::shared_ptr<char> closingSessions = std::make_shared<char>();
     std::map<UpstreamId, std::shared_ptr<UpstreamPool>> pools;
     /// Upstreams whose connections are borrowed.
     std::map<UpstreamId, std::shared_ptr<BorrowingSource>> borrowingSources;
