--- a/include/lentiljunction/leadership/CommitSurvey.h
+++ b/include/lentiljunction/leadership/CommitSurvey.h
@@ -61,6 +61,9 @@
     /// @returns whether the old primary is known to acknowledge nothing more
     bool isDemoted() const { return this->demoted.has_value(); }
 
+    /// @returns whether the logs of the listed members suffice to find all acknowledged commits
+    bool mayConclude() const;
+
     /// @returns the members that must still be paused
     std::vector<UpstreamId> listUnpaused() const;
 
--- a/src/leadership/CommitSurvey.cpp
+++ b/src/leadership/CommitSurvey.cpp
@@ -47,6 +47,12 @@
     this->logs.erase(upstream);
 }
 
+bool CommitSurvey::mayConclude() const
+{
+    std::size_t numMissing = static_cast<std::size_t>(std::count_if(this->members.begin(), this->members.end(), [](const Member& member) { return !member.isListed; }));
+    return numMissing < this->numSynchronousReplicas;
+}
+
 std::vector<UpstreamId> CommitSurvey::listUnpaused() const
 {
     std::vector<UpstreamId> unpaused;
--- a/src/leadership/Failover.cpp
+++ b/src/leadership/Failover.cpp
@@ -266,6 +266,9 @@
     // An instance that does not know of the failover may still verify the old primary and acknowledge its commits, unless
     // it is a replica or no replica receives them. In a planned failover the old primary is given time to respond first.
     bool mustPause = isUnused && !this->commits->isDemoted() && (!this->isPlanned || now - *this->unusedSince >= surveyTimeout);
+    // While nothing can be concluded from the logs, a pause would only keep commits of the old primary waiting, which occupy the
+    // slots that its demotion needs.
+    mustPause = mustPause && (this->commits->mayConclude() || now + surveyTimeout >= this->giveUpAt);
     if (!mustPause) {
         for (const UpstreamId& candidate : this->candidates)
             this->queueAction(Action::Kind::RequestStatus, candidate);
--- a/src/traffic/TcpUpstreamConnection.h
+++ b/src/traffic/TcpUpstreamConnection.h
@@ -93,6 +93,7 @@
     /// Null as long as the reply is short.
     std::shared_ptr<ReplyMemory::Receipt> receipt;
     bool isGivenUp = false;
+    bool isAccepted = false;
     /// Lets a method detect that a callback destroyed this object.
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -250,9 +250,12 @@
     this->loop.post([retired] {});
 }
 
-void TrafficPlane::onUpstreamUnreachable(const UpstreamEntry& upstream, UpstreamConnection::LossCause)
+void TrafficPlane::onUpstreamUnreachable(const UpstreamEntry& upstream, UpstreamConnection::LossCause cause)
 {
     this->state.onResult({ upstream.id, UpstreamResult::NotOpened, this->clock.now() });
+    // Commits that wait for replicas occupy its slots. If its process hangs, its entry expires.
+    if (cause == UpstreamConnection::LossCause::Unanswered && this->state.mayCommitsWait(upstream.group))
+        return;
     std::optional<PrimaryTenure> primary = this->state.getView().findPrimaryTenure(upstream.group, *this->state.getUpstreams());
     if (primary && primary->upstream == upstream.id)
         this->listener.onPrimaryUnreachable(upstream.group, upstream.id);
--- a/src/traffic/TrafficState.cpp
+++ b/src/traffic/TrafficState.cpp
@@ -33,6 +33,14 @@
     this->dependencies.replyMemory = &this->replyMemory;
 }
 
+bool TrafficState::mayCommitsWait(const GroupId& group) const
+{
+    if (this->routes == nullptr)
+        return false;
+    std::map<GroupId, GroupConfig>::const_iterator found = this->routes->groups.find(group);
+    return found != this->routes->groups.end() && found->second.numSynchronousReplicas > 0;
+}
+
 std::shared_ptr<const void> TrafficState::holdClosing(std::size_t numUnsent)
 {
     struct Closing {
--- a/src/traffic/TrafficState.h
+++ b/src/traffic/TrafficState.h
@@ -270,6 +270,9 @@
     /// @returns a receipt to destroy once its connection is closed
     std::shared_ptr<const void> holdClosing(std::size_t numUnsent);
 
+    /// @returns whether commits of a group wait for replicas
+    bool mayCommitsWait(const GroupId& group) const;
+
     /// @returns the number of sessions that have ended and still send
     std::size_t countClosing() const { return static_cast<std::size_t>(this->closingSessions.use_count()) - 1; }
 
--- a/src/traffic/UpstreamConnection.h
+++ b/src/traffic/UpstreamConnection.h
@@ -19,6 +19,9 @@
         Refused,
         /// The upstream did not reply in time, or the network closed the connection.
         Silent,
+        /// The upstream accepted the connection and did not answer the startup message in time: its process may run with all its
+        /// slots occupied.
+        Unanswered,
         /// The upstream has reached its connection limit.
         Full,
         /// Another upstream answers at the address.
--- a/tests/process/GatewaySynchronousTests.cpp
+++ b/tests/process/GatewaySynchronousTests.cpp
@@ -252,3 +252,20 @@
     STRCMP_EQUAL("u2", fixture.getGroup().findPrimary().c_str());
     LONGS_EQUAL(2, fixture.getGroup().findHighestTerm());
 }
+
+// The process of a primary hangs: it accepts connections and answers nothing, and its entry expires. Guards against a group that
+// waits for it for ever, as for one whose commits wait.
+TEST(GatewaySynchronous, primaryThatHangsIsReplacedOnceItsEntryExpires)
+{
+    GatewayFixture fixture(3);
+    CHECK_TRUE(fixture.waitUntilServed("bookings"));
+    makeSynchronous(fixture);
+    CHECK_TRUE(waitForLogHolders(fixture, 2));
+    std::vector<std::string> acknowledged = writeFor(fixture, "early", std::chrono::milliseconds(300));
+    fixture.getGroup().setFault("u1", standin::LineUpstream::Fault::Silent);
+    fixture.getGroup().setIsolated("u1", true);
+    fixture.getStore().remove("servers", "u1");
+    CHECK_TRUE(waitUntil([&] { return !writeFor(fixture, "late", std::chrono::milliseconds(100)).empty(); }));
+    CHECK(fixture.getGroup().findPrimary() != "u1");
+    LONGS_EQUAL(0, countLost(fixture, acknowledged));
+}
--- a/tests/unit/CommitSurveyTests.cpp
+++ b/tests/unit/CommitSurveyTests.cpp
@@ -124,6 +124,22 @@
     STRCMP_EQUAL("", group.advance(std::chrono::seconds(1)).c_str());
 }
 
+// A new primary is suspected while its commits wait for a replica that is deaf, and a former one is gone. Guards against the
+// pause of that replica: the slots of the primary then never become free for its demotion, and 15 s later a replica that lacks
+// acknowledged commits is promoted over it (issue 38).
+TEST(SynchronousFailover, replicaIsNotPausedWhileNothingCanBeConcluded)
+{
+    SynchronousGroup group(false);
+    group.members[0] = { UpstreamId("a"), false, false };
+    group.failover.setMembers(group.members);
+    group.confirm();
+    group.advance(std::chrono::seconds(5));
+    CHECK(group.requested.count(Failover::Action::Kind::PauseReplica) == 0);
+    CHECK(group.requested.count(Failover::Action::Kind::DemoteOldPrimary) > 0);
+    group.demote(366);
+    STRCMP_EQUAL("old", group.advance(std::chrono::seconds(1)).c_str());
+}
+
 // Guards against a group that stays without a primary when a replica is lost for good.
 TEST(SynchronousFailover, promotesLongestLogAfterWaitingTooLong)
 {
