Use one rule for a single claim to be the primary

PrimaryView and GroupRegistration each had the loop that finds the only upstream of a group that claims to be the primary. No change of behaviour; unit tests GroupRegistration, PrimaryView and LogHolderRemoval green.

--- a/include/lentiljunction/leadership/PrimaryView.h
+++ b/include/lentiljunction/leadership/PrimaryView.h
@@ -18,6 +18,9 @@
     friend bool operator!=(const PrimaryTenure& left, const PrimaryTenure& right) { return !(left == right); }
 };
 
+/// @returns the upstream that claims to be the primary of a group, if it is the only one
+std::optional<UpstreamId> findOnlyClaimant(const GroupId& group, const UpstreamList& upstreams);
+
 /// The primaries as known to one instance, with its lease on the primary record.
 ///
 /// The record comes from a linearizable read of the store, directly or through another instance. A
--- a/src/leadership/GroupRegistration.cpp
+++ b/src/leadership/GroupRegistration.cpp
@@ -1,5 +1,7 @@
 #include "lentiljunction/leadership/GroupRegistration.h"
 
+#include "lentiljunction/leadership/PrimaryView.h"
+
 #include <algorithm>
 
 namespace lentiljunction {
@@ -9,20 +11,6 @@
     /// Upstreams that start together are listed within this time.
     constexpr std::chrono::milliseconds settleTime { 2000 };
 
-    /// @returns the upstream that claims to be the primary of a group, if it is the only one
-    std::optional<UpstreamId> findOnlyClaimant(const GroupId& group, const UpstreamList& upstreams)
-    {
-        std::optional<UpstreamId> claimant;
-        for (const std::pair<const UpstreamId, UpstreamEntry>& upstream : upstreams.entries) {
-            if (upstream.second.group != group || !upstream.second.claimsPrimary)
-                continue;
-            if (claimant)
-                return std::nullopt;
-            claimant = upstream.first;
-        }
-        return claimant;
-    }
-
     bool addFirstPrimary(PrimaryRecord& record, const GroupId& group, const UpstreamList& upstreams)
     {
         // Where failovers may be missing from the record, a claim may be that of a former primary.
--- a/src/leadership/PrimaryView.cpp
+++ b/src/leadership/PrimaryView.cpp
@@ -2,6 +2,19 @@
 
 namespace lentiljunction {
 
+std::optional<UpstreamId> findOnlyClaimant(const GroupId& group, const UpstreamList& upstreams)
+{
+    std::optional<UpstreamId> claimant;
+    for (const std::pair<const UpstreamId, UpstreamEntry>& upstream : upstreams.entries) {
+        if (upstream.second.group != group || !upstream.second.claimsPrimary)
+            continue;
+        if (claimant)
+            return std::nullopt;
+        claimant = upstream.first;
+    }
+    return claimant;
+}
+
 std::vector<OpenPromotion> PrimaryView::findOpenPromotions(const GroupId& group) const
 {
     const PrimaryEntry* entry = this->latest.record == nullptr ? nullptr : this->latest.record->find(group);
@@ -28,16 +41,9 @@
         return PrimaryTenure { entry->primary, entry->generation };
     }
 
-    // The group has never had a failover, so the upstream that claims to be the primary is, if it is the only one.
-    std::optional<PrimaryTenure> claimed;
-    for (const std::pair<const UpstreamId, UpstreamEntry>& upstream : upstreams.entries) {
-        if (upstream.second.group != group || !upstream.second.claimsPrimary)
-            continue;
-        if (claimed)
-            return std::nullopt;
-        claimed = PrimaryTenure { upstream.first, 0 };
-    }
-    return claimed;
+    // The group is not recorded yet, so it has never had a failover, and a single claim is true.
+    std::optional<UpstreamId> claimant = findOnlyClaimant(group, upstreams);
+    return claimant ? std::optional<PrimaryTenure>(PrimaryTenure { *claimant, 0 }) : std::nullopt;
 }
 
 std::uint64_t PrimaryView::getGeneration(const GroupId& group) const
