--- a/tools/lab/GatewaySite.cpp
+++ b/tools/lab/GatewaySite.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <httplib.h>
 #include <iostream>
+#include <iterator>
 #include <thread>
 
 namespace lentiljunction::lab {
@@ -113,6 +114,18 @@
     this->processes[index] = std::move(started);
 }
 
+void GatewaySite::replace(std::size_t index)
+{
+    std::ifstream before(this->settingsPaths[index]);
+    std::string settings((std::istreambuf_iterator<char>(before)), std::istreambuf_iterator<char>());
+    before.close();
+    std::size_t begin = settings.find("id = ");
+    std::string name = "front-" + std::to_string(index + 1) + "-" + std::to_string(this->numStarts[index]);
+    settings.replace(begin, settings.find('\n', begin) - begin, "id = " + name);
+    std::ofstream(this->settingsPaths[index]) << settings;
+    this->restart(index);
+}
+
 void GatewaySite::signal(std::size_t index, int number)
 {
     std::lock_guard<std::mutex> lock(this->processesMutex);
--- a/tools/lab/GatewaySite.h
+++ b/tools/lab/GatewaySite.h
@@ -51,6 +51,9 @@
     /// Starts a new process for an instance whose process has ended.
     void restart(std::size_t index);
 
+    /// Starts another instance in the place of one that has ended: with an id of its own, at the same addresses.
+    void replace(std::size_t index);
+
     /// Sends a signal to the present process of an instance. Safe to call from any thread, also beside restart().
     void signal(std::size_t index, int number);
 
--- a/tools/lab/Soak.cpp
+++ b/tools/lab/Soak.cpp
@@ -112,6 +112,8 @@
     checkRecovery(relayed.site.getSessionPorts(), history);
 
     SoakFaults faults(relayed.site, relayed.relays, history);
+    if (plan.replacesInstances)
+        faults.replaceInstances();
     std::atomic<bool> isStopping { false };
     std::atomic<bool> areCallersStopping { false };
     std::atomic<std::uint64_t> numSteps { 0 };
--- a/tools/lab/Soak.h
+++ b/tools/lab/Soak.h
@@ -26,6 +26,9 @@
     /// Whether all instances are killed at the end, just after the primary was asked to leave. About a third of the seeds do
     /// so without this.
     bool hasFinalFault = false;
+    /// Whether half of the instances that are restarted are replaced by others with new ids, and the entries of crashed upstreams
+    /// expire.
+    bool replacesInstances = false;
 };
 
 /// Runs instances as processes under random faults and checks the responses to callers against the commits
--- a/tools/lab/SoakFaults.cpp
+++ b/tools/lab/SoakFaults.cpp
@@ -153,7 +153,12 @@
         this->checkEnd(index, signal, isLate);
     }
     wait(duration, isStopping);
-    this->site.restart(index);
+    // Without a draw of its own, the faults of a seed are the same with and without replacements.
+    bool isReplaced = this->replacesInstances && duration.count() % 2 == 0;
+    if (!isReplaced)
+        return this->site.restart(index);
+    this->recordFault("instance " + std::to_string(index + 1) + " is replaced by one with another id");
+    this->site.replace(index);
 }
 
 void SoakFaults::injectStoreFault(std::size_t index, Fault fault, std::chrono::milliseconds duration, const std::atomic<bool>& isStopping)
@@ -182,10 +187,15 @@
     std::lock_guard<std::mutex> lock(this->groupMutex);
     this->recordFault(upstreams[index] + " crashes for " + std::to_string(duration.count()) + " ms");
     this->site.getSite().getGroup().crash(upstreams[index]);
+    // As after three pings that are missing.
+    if (this->replacesInstances)
+        this->site.getSite().getStore().remove("servers", upstreams[index]);
     wait(duration, isStopping);
     Failure failure;
     if (!this->site.getSite().getGroup().restart(upstreams[index], failure))
         this->recordFault("upstream did not restart: " + failure.reason);
+    if (this->replacesInstances)
+        this->site.getSite().report(upstreams[index], upstreams[index] == this->site.getSite().getGroup().findPrimary());
 }
 
 void SoakFaults::changePrimary()
--- a/tools/lab/SoakFaults.h
+++ b/tools/lab/SoakFaults.h
@@ -24,6 +24,10 @@
     /// @param history receives processes that ended by themselves
     SoakFaults(GatewaySite& site, std::vector<std::unique_ptr<SoakRelay>>& relays, SoakHistory& history);
 
+    /// Replaces half of the instances that are restarted by others with new ids, and lets the entries of crashed upstreams
+    /// expire. Call it before the first fault.
+    void replaceInstances() { this->replacesInstances = true; }
+
     /// Injects one fault, waits for a random time, and removes the fault. Blocks.
     ///
     /// @param random chooses the fault, its target and its duration
@@ -65,6 +69,7 @@
     GatewaySite& site;
     std::vector<std::unique_ptr<SoakRelay>>& relays;
     SoakHistory& history;
+    bool replacesInstances = false;
     /// One mutex per instance (pause, restart) and one for the group (relays, crashes, changes of primary): a
     /// second fault of the same target waits until the first has ended.
     std::vector<std::mutex> instanceMutexes;
--- a/tools/lab/main.cpp
+++ b/tools/lab/main.cpp
@@ -51,6 +51,7 @@
     options.add_options()("zones", "soak: number of availability zones", cxxopts::value<int>()->default_value("3"));
     options.add_options()("restores", "soak: whether the store also returns from older copies")("workspaces", "soak: whether callers have keys of workspaces, which are replaced; not with --restores")("connections", "soak: connections that each upstream accepts", cxxopts::value<int>()->default_value("16"));
     options.add_options()("final-fault", "soak: whether all instances are killed at the end, as without this for a third of the seeds");
+    options.add_options()("replacements", "soak: whether half of the instances that are restarted get new ids, and entries of crashed upstreams expire");
     options.add_options()("signals-while-loading", "starts: whether SIGHUP also comes before any code of the program runs");
     options.add_options()("json", "print JSON in place of a table");
     options.add_options()("out", "receives the result as JSON", cxxopts::value<std::string>());
@@ -84,6 +85,7 @@
     plan.restoresStore = arguments.count("restores") > 0;
     plan.hasWorkspaces = arguments.count("workspaces") > 0;
     plan.hasFinalFault = arguments.count("final-fault") > 0;
+    plan.replacesInstances = arguments.count("replacements") > 0;
     return plan;
 }
 
