Do not write a registration that is being removed

A registration that was still being written when the instance began to leave could follow its removal. It is not written any more once the removal has begun.

--- a/src/gateway/MemberDirectory.h
+++ b/src/gateway/MemberDirectory.h
@@ -9,7 +9,10 @@
 
 namespace lentiljunction {
 
-/// The instances known to this one, with the time since which each retired one has been retired.
+/// The instances known to this one, with the time since which each one has been retired, absent, or not registered any more.
+///
+/// An instance is absent when it did not respond for some time. It is not counted in votes then; failovers wait for its lease
+/// as before.
 ///
 /// An instance is retired when it did not confirm a failover. A retired instance has no lease, so failovers
 /// do not wait for it until it returns to service.
--- a/src/gateway/MemberRegistration.cpp
+++ b/src/gateway/MemberRegistration.cpp
@@ -50,6 +50,8 @@
 
 void MemberRegistration::write()
 {
+    if (this->isRemoving)
+        return;
     this->store.registerMember(this->self, [this](const std::optional<StoreEra>& era, const Failure& failure) {
         if (era)
             return this->onRegisteredIn(*era);
