--- a/include/lentiljunction/core/LogEvents.h
+++ b/include/lentiljunction/core/LogEvents.h
@@ -70,7 +70,7 @@
     constexpr LogEvent leaseRegained { 412, LogLevel::Information, "permit_regained", "This instance has a valid lease on the primary record and uses primaries." };
     constexpr LogEvent failoverStep { 413, LogLevel::Information, "failover_step", "The replacement of a primary reached its next step." };
     constexpr LogEvent failoverAbandoned { 414, LogLevel::Warning, "failover_abandoned", "This instance stopped replacing a primary because another instance is the failover coordinator." };
-    constexpr LogEvent instanceReturned { 415, LogLevel::Information, "instance_returned", "This instance was marked as retired in the primary record and requested the removal of that mark." };
+    constexpr LogEvent instanceReturned { 415, LogLevel::Information, "instance_returned", "This instance was marked as retired or absent in the primary record and requested the removal of that mark." };
     constexpr LogEvent primaryRecordOutdated { 416, LogLevel::Warning, "lead_outdated", "The store returned a primary record from before it was restored, or none; it grants no lease until it is recovered." };
     constexpr LogEvent primaryRecordRecovered { 417, LogLevel::Information, "lead_recovered", "This instance wrote the newest primary record that it knows to the restored store, unless another one had." };
     constexpr LogEvent commitsUnproved { 419, LogLevel::Warning, "commits_unproved", "A primary is replaced although an upstream that may hold acknowledged commits of the group did not respond for too long." };
--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -37,6 +37,7 @@
 
     FleetMember makeMember(const GatewaySettings& settings, const Clock& clock)
     {
+        // An instance keeps nothing, so its processes are told apart by when they started.
         std::chrono::microseconds startedAt = std::chrono::duration_cast<std::chrono::microseconds>(clock.wallNow().time_since_epoch());
         return { settings.instance, settings.zone, settings.peers, std::nullopt, std::nullopt, settings.linkRate, ProcessNumber(static_cast<std::uint64_t>(startedAt.count())) };
     }
