Call the roll of a few instances first

The first version of the roll call listed all silent instances at once, and each that runs writes to the record to return.

Change: eight silent instances are listed first, the coordinator among them, and the others 2.5 s later if none of them returned. Whoever listed it, an instance that is silent here and has returned shows that this one is cut off: it lists none for a minute.

Measured: RollCall.cutZoneOfLargeFleetCausesFewWrites, instancesThatAreLeftOfLargeFleetGetMajority and the five tests before are green.

--- a/include/lentiljunction/leadership/RollCall.h
+++ b/include/lentiljunction/leadership/RollCall.h
@@ -4,6 +4,7 @@
 #include "lentiljunction/core/Ids.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -19,6 +20,9 @@
 /// remove itself from the list of absent ones, through the store. So neither of two sides that both reach the store
 /// gets a majority by listing the other one.
 ///
+/// Each one that returns writes to the record. So a few are listed first, the coordinator among them: if one of these returns, it
+/// is this instance that is cut off, and it lists none for some time.
+///
 /// Not thread-safe; the control thread owns it.
 ///
 /// @see PrimaryRecord::absent, MemberDirectory
@@ -29,14 +33,15 @@
     /// @param hasResponded whether it responded in time
     void onAsked(const InstanceId& instance, bool hasResponded, TimePoint now);
 
-    /// A record was read or written. An instance that this one listed and that is no longer listed has returned.
+    /// A record was read or written. An instance that was listed and is not any more has returned.
     void onRecord(const std::set<InstanceId>& absent, TimePoint now);
 
-    /// @returns the instances to list now: those that have been silent for some time, and did not return recently
-    std::vector<InstanceId> listSilent(TimePoint now) const;
+    /// @param coordinator the failover coordinator, which is among the first
+    /// @returns the instances to list now: those that have been silent for some time
+    std::vector<InstanceId> listSilent(const InstanceId& coordinator, TimePoint now) const;
 
-    /// This instance listed an instance as absent.
-    void onListed(const InstanceId& instance) { this->listed.insert(instance); }
+    /// This instance listed instances as absent.
+    void onListed(const std::vector<InstanceId>& instances, TimePoint now);
 
 private:
     struct Silence {
@@ -45,8 +50,11 @@
     };
 
     std::map<InstanceId, Silence> silences;
+    std::set<InstanceId> lastAbsent;
     std::set<InstanceId> listed;
-    std::map<InstanceId, TimePoint> returnedAt;
+    /// When the first ones were listed.
+    std::optional<TimePoint> firstListedAt;
+    std::optional<TimePoint> returnedAt;
 };
 
 } // namespace lentiljunction
--- a/src/gateway/FailoverCoordination.cpp
+++ b/src/gateway/FailoverCoordination.cpp
@@ -202,8 +202,8 @@
 
 void FailoverCoordination::callRoll()
 {
-    std::vector<InstanceId> silent = this->rollCall.listSilent(this->dependencies.clock.now());
     const PrimaryRecord& record = *this->state.getLeaseTracker().getView().latest.record;
+    std::vector<InstanceId> silent = this->rollCall.listSilent(record.coordinator, this->dependencies.clock.now());
     silent.erase(std::remove_if(silent.begin(), silent.end(), [&record](const InstanceId& instance) { return record.retired.count(instance) + record.absent.count(instance) > 0; }), silent.end());
     if (silent.empty() || !this->state.isStoreReachable() || std::exchange(this->isCallingRoll, true))
         return;
@@ -215,10 +215,8 @@
         [this, silent](bool isWritten, BootTime) {
             this->isCallingRoll = false;
             logEvent(events::rollCalled, "instances=" + std::to_string(silent.size()) + " first=" + silent.front().toString() + " written=" + std::to_string(isWritten));
-            for (const InstanceId& instance : silent) {
-                if (isWritten)
-                    this->rollCall.onListed(instance);
-            }
+            if (isWritten)
+                this->rollCall.onListed(silent, this->dependencies.clock.now());
         });
 }
 
--- a/src/leadership/RollCall.cpp
+++ b/src/leadership/RollCall.cpp
@@ -1,5 +1,7 @@
 #include "lentiljunction/leadership/RollCall.h"
 
+#include <algorithm>
+
 namespace lentiljunction {
 
 namespace {
@@ -8,8 +10,13 @@
     constexpr std::chrono::milliseconds silenceLimit { 2500 };
     /// Older silences do not count. Covers two intervals between requests.
     constexpr std::chrono::milliseconds silenceLifetime { 2500 };
-    /// Each call makes all that are listed write to the record.
+    /// How long none is listed after one has returned.
     constexpr std::chrono::seconds returnLifetime { 60 };
+    /// The instances that are listed first. All instances of a small fleet.
+    constexpr std::size_t maximumFirst = 8;
+    /// Time for the first ones to return before the others are listed. Instances that reach the store read the record every
+    /// 0.4 s.
+    constexpr std::chrono::milliseconds firstReturnTime { 2500 };
 
 } // namespace
 
@@ -27,27 +34,39 @@
 
 void RollCall::onRecord(const std::set<InstanceId>& absent, TimePoint now)
 {
-    for (std::set<InstanceId>::iterator instance = this->listed.begin(); instance != this->listed.end();) {
-        if (absent.count(*instance) > 0) {
-            ++instance;
-            continue;
-        }
-        this->returnedAt[*instance] = now;
-        instance = this->listed.erase(instance);
-    }
+    // Whoever listed it, an instance that is silent here and has returned shows that this instance is cut off.
+    bool hasReturned = std::any_of(this->lastAbsent.begin(), this->lastAbsent.end(), [&](const InstanceId& instance) { return absent.count(instance) == 0 && this->silences.count(instance) > 0; });
+    this->lastAbsent = absent;
+    if (!hasReturned)
+        return;
+    this->returnedAt = now;
+    this->firstListedAt.reset();
+    this->listed.clear();
 }
 
-std::vector<InstanceId> RollCall::listSilent(TimePoint now) const
+std::vector<InstanceId> RollCall::listSilent(const InstanceId& coordinator, TimePoint now) const
 {
     std::vector<InstanceId> silent;
+    bool isCutOff = this->returnedAt && now - *this->returnedAt < returnLifetime;
+    bool isAwaitingFirst = this->firstListedAt && now - *this->firstListedAt < firstReturnTime;
+    if (isCutOff || isAwaitingFirst)
+        return silent;
     for (const std::pair<const InstanceId, Silence>& silence : this->silences) {
-        std::map<InstanceId, TimePoint>::const_iterator returned = this->returnedAt.find(silence.first);
-        bool hasReturned = returned != this->returnedAt.end() && now - returned->second < returnLifetime;
         bool isSilent = now - silence.second.since >= silenceLimit && now - silence.second.lastAskedAt <= silenceLifetime;
-        if (isSilent && !hasReturned)
+        if (isSilent && this->listed.count(silence.first) == 0)
             silent.push_back(silence.first);
     }
+    std::stable_partition(silent.begin(), silent.end(), [&coordinator](const InstanceId& instance) { return instance == coordinator; });
+    if (!this->firstListedAt && silent.size() > maximumFirst)
+        silent.resize(maximumFirst);
     return silent;
 }
 
+void RollCall::onListed(const std::vector<InstanceId>& instances, TimePoint now)
+{
+    this->listed.insert(instances.begin(), instances.end());
+    if (!this->firstListedAt)
+        this->firstListedAt = now;
+}
+
 } // namespace lentiljunction
--- a/tests/unit/RollCallTests.cpp
+++ b/tests/unit/RollCallTests.cpp
@@ -2,6 +2,8 @@
 #include "lentiljunction/leadership/RollCall.h"
 #include "lentiljunction/leadership/TakeoverVote.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace lentiljunction;
@@ -98,12 +100,13 @@
         }
         if (vote.isWon() || !this->mayUseStore(instance))
             return vote.isWon() && this->mayUseStore(instance);
-        for (const InstanceId& silent : instance.rollCall.listSilent(this->clock.now())) {
-            if (!this->absent.insert(silent).second)
-                continue;
-            this->numWrites++;
-            instance.rollCall.onListed(silent);
-        }
+        std::vector<InstanceId> silent = instance.rollCall.listSilent(this->instances.front().id, this->clock.now());
+        silent.erase(std::remove_if(silent.begin(), silent.end(), [this](const InstanceId& id) { return this->absent.count(id) > 0; }), silent.end());
+        if (silent.empty())
+            return false;
+        this->absent.insert(silent.begin(), silent.end());
+        this->numWrites++;
+        instance.rollCall.onListed(silent, this->clock.now());
         return false;
     }
 
@@ -180,3 +183,23 @@
         fleet.setStoreReachable(number, false);
     CHECK(fleet.advance(std::chrono::seconds(12)) == std::set<int> { 1 });
 }
+
+// A zone of a large fleet is cut off, and both sides reach the store. Guards against a call that makes all the others write to the
+// record: 1,600 calls of the store in a few seconds, and a new record for all instances with each of them.
+TEST(RollCall, cutZoneOfLargeFleetCausesFewWrites)
+{
+    VotingFleet fleet(79);
+    for (int number = 0; number < 26; number++)
+        fleet.setSide(number, 1);
+    CHECK(fleet.advance(std::chrono::seconds(30)) == std::set<int> { 0 });
+    CHECK(fleet.countWrites() <= 79);
+}
+
+// Guards against a large fleet that waits for ever for those that were lost.
+TEST(RollCall, instancesThatAreLeftOfLargeFleetGetMajority)
+{
+    VotingFleet fleet(79);
+    for (int number = 0; number < 60; number++)
+        fleet.lose(number);
+    LONGS_EQUAL(1, fleet.advance(std::chrono::seconds(12)).size());
+}
