Keep the place of an instance that left among the lenders for some time

An instance that is restarted removes its registration and registers again.

Votes do not count them, as before this commit.

Measured: unit tests MemberDirectory and RollCall 10 passed.

--- a/src/gateway/GatewayControl.cpp
+++ b/src/gateway/GatewayControl.cpp
@@ -364,7 +364,8 @@
     std::vector<FleetMember> active = this->listActiveMembers();
     bool relaysProofs = !this->findZoneReader();
     this->routes.setReaderRank(this->findReaderRank(active));
-    this->dependencies.trafficLoop.post([this, active = std::move(active), number = this->members.getSize(this->dependencies.clock.bootNow()), relaysProofs] { this->dependencies.traffic.setMembers(active, number, relaysProofs); });
+    BootTime now = this->dependencies.clock.bootNow();
+    this->dependencies.trafficLoop.post([this, members = this->members.listForTraffic(now), number = this->members.getSize(now), relaysProofs] { this->dependencies.traffic.setMembers(members, number, relaysProofs); });
 }
 
 std::size_t GatewayControl::findReaderRank(const std::vector<FleetMember>& active) const
--- a/src/gateway/MemberDirectory.cpp
+++ b/src/gateway/MemberDirectory.cpp
@@ -19,21 +19,31 @@
 void MemberDirectory::setMembers(const std::vector<FleetMember>& list, BootTime now)
 {
     for (const std::pair<const InstanceId, FleetMember>& member : std::exchange(this->members, {}))
-        this->leftAt.emplace(member.first, now);
+        this->left.emplace(member.first, LeftMember { member.second, now });
     for (const FleetMember& member : list) {
         this->members[member.id] = member;
-        this->leftAt.erase(member.id);
+        this->left.erase(member.id);
     }
-    for (std::map<InstanceId, BootTime>::iterator left = this->leftAt.begin(); left != this->leftAt.end();)
-        left = now - left->second >= shareRetention ? this->leftAt.erase(left) : std::next(left);
+    for (std::map<InstanceId, LeftMember>::iterator known = this->left.begin(); known != this->left.end();)
+        known = now - known->second.leftAt >= shareRetention ? this->left.erase(known) : std::next(known);
 }
 
 std::size_t MemberDirectory::getSize(BootTime now) const
 {
-    std::size_t numLeft = static_cast<std::size_t>(std::count_if(this->leftAt.begin(), this->leftAt.end(), [now](const std::pair<const InstanceId, BootTime>& left) { return now - left.second < shareRetention; }));
+    std::size_t numLeft = static_cast<std::size_t>(std::count_if(this->left.begin(), this->left.end(), [now](const std::pair<const InstanceId, LeftMember>& known) { return now - known.second.leftAt < shareRetention; }));
     return this->members.size() + numLeft;
 }
 
+std::vector<FleetMember> MemberDirectory::listForTraffic(BootTime now) const
+{
+    std::vector<FleetMember> members = this->listActive(now);
+    for (const std::pair<const InstanceId, LeftMember>& known : this->left) {
+        if (now - known.second.leftAt < shareRetention && this->retiredSince.count(known.first) == 0)
+            members.push_back(known.second.member);
+    }
+    return members;
+}
+
 void MemberDirectory::updateRetired(const std::set<InstanceId>& retired, BootTime now)
 {
     for (std::map<InstanceId, BootTime>::iterator known = this->retiredSince.begin(); known != this->retiredSince.end();)
--- a/src/gateway/MemberDirectory.h
+++ b/src/gateway/MemberDirectory.h
@@ -41,6 +41,10 @@
     /// @returns the instances that are neither retired nor have been absent for some time
     std::vector<FleetMember> listActive(BootTime now) const;
 
+    /// @returns the active instances, with those that left a short time ago: one that starts again lends connections and decides
+    ///     on limits as before, although its registration may wait for the store
+    std::vector<FleetMember> listForTraffic(BootTime now) const;
+
     /// @returns the peer endpoints of all other instances
     std::vector<Endpoint> listOthers(const InstanceId& self) const;
 
@@ -53,8 +57,14 @@
 
 private:
     std::map<InstanceId, FleetMember> members;
-    /// When each instance that is no longer registered was first missing.
-    std::map<InstanceId, BootTime> leftAt;
+    struct LeftMember {
+        FleetMember member;
+        /// When it was first missing.
+        BootTime leftAt;
+    };
+
+    /// Instances that are no longer registered.
+    std::map<InstanceId, LeftMember> left;
     std::map<InstanceId, BootTime> retiredSince;
     std::map<InstanceId, BootTime> absentSince;
 };
--- a/tests/unit/FleetTests.cpp
+++ b/tests/unit/FleetTests.cpp
@@ -174,7 +174,9 @@
     members.setMembers({ makeMember("a", 1), makeMember("b", 2) }, BootTime());
     LONGS_EQUAL(2, members.listActive(BootTime()).size());
     LONGS_EQUAL(3, members.getSize(BootTime()));
+    LONGS_EQUAL(3, members.listForTraffic(BootTime()).size());
     LONGS_EQUAL(2, members.getSize(BootTime(std::chrono::seconds(60))));
+    LONGS_EQUAL(2, members.listForTraffic(BootTime(std::chrono::seconds(60))).size());
     members.setMembers({ makeMember("a", 1), makeMember("b", 2), makeMember("c", 3) }, BootTime(std::chrono::seconds(5)));
     LONGS_EQUAL(3, members.getSize(BootTime(std::chrono::seconds(5))));
 }
