--- a/review/common-3/Backends.cpp
+++ b/review/common-3/Backends.cpp
@@ -309,8 +309,9 @@
     std::string verb = takeWord(rest);
     if (verb == "WAITLSN") {
         std::string position = takeWord(rest);
+        std::uint64_t term = std::stoull(position.substr(0, position.find('.')));
         std::uint64_t number = std::stoull(position.substr(position.find('.') + 1));
-        if (backend.log.size() < number)
+        if (backend.log.size() < number || (number > 0 && backend.log[number - 1].term != term))
             return this->finish(session, "ERR LAGGING " + backend.id + "\r\n");
         verb = takeWord(rest);
     }
