--- a/review/common-3/Site.cpp
+++ b/review/common-3/Site.cpp
@@ -169,15 +169,21 @@
     return settings;
 }
 
-void Site::configure()
+std::size_t Site::configure(std::uint64_t version, std::size_t numFurtherRoutes)
 {
     nlohmann::json routes = nlohmann::json::array();
     routes.push_back({ { "name", "r-ctnfzs9" }, { "host", "lepu270" }, { "path_prefix", "/" }, { "route_type", "primary" }, { "timeout_ms", 800 }, { "target_latency_ms", 120 }, { "priority", 0 }, { "service", service }, { "attempts", 2 } });
     routes.push_back({ { "name", "r-k7b2ex5" }, { "host", "fiti832ti23" }, { "path_prefix", "/" }, { "route_type", "read_your_writes" }, { "timeout_ms", 800 }, { "target_latency_ms", 250 }, { "priority", 1 }, { "service", service }, { "attempts", 2 }, { "max_staleness_ms", 2500 } });
+    for (std::size_t number = 0; number < numFurtherRoutes; number++) {
+        std::string name = std::to_string(1000000 + number);
+        routes.push_back({ { "name", "r-" + name }, { "host", "db" + name }, { "path_prefix", "/" }, { "route_type", "primary" }, { "timeout_ms", 800 }, { "target_latency_ms", 120 }, { "priority", 0 }, { "service", service }, { "attempts", 2 } });
+    }
     nlohmann::json services = nlohmann::json::array();
     services.push_back({ { "name", service }, { "health_path", "/health" }, { "max_conns", 16 }, { "protocol", "h1" }, { "tls", false }, { "sync_replicas", this->isSynchronous ? 1 : 0 } });
     nlohmann::json limits { { "max_header_bytes", 16384 }, { "max_body_bytes", 262144 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 }, { "tx_idle_ms", 3000 } };
-    this->store.put("config", "main", { { "version", 7 }, { "routes", routes }, { "services", services }, { "limits", limits } });
+    nlohmann::json configuration { { "version", version }, { "routes", routes }, { "services", services }, { "limits", limits } };
+    this->store.put("config", "main", configuration);
+    return configuration.dump().size();
 }
 
 void Site::report(const std::string& id)
@@ -256,7 +262,8 @@
     if (!this->store.listen(storeEndpoint, failure))
         return false;
     this->loop.start();
-    this->configure();
+    constexpr std::uint64_t firstVersion = 7;
+    this->configure(firstVersion, 0);
     this->reporter = std::thread([this] { this->reportAll(); });
     for (std::size_t instance = 0; instance < numInstances; instance++) {
         std::vector<std::uint16_t> own;
--- a/review/common-3/Site.h
+++ b/review/common-3/Site.h
@@ -66,6 +66,14 @@
     /// Starts the instances again that have ended.
     void restartDead();
 
+    /// Writes a configuration with further routes, as an operator does.
+    ///
+    /// @returns its size in bytes
+    std::size_t configure(std::uint64_t version, std::size_t numFurtherRoutes);
+
+    /// @returns the process of an instance
+    lab::Process& getProcess(std::size_t instance) { return *this->processes[instance]; }
+
     /// Writes a backend's entry to the store now.
     void report(const std::string& id);
 
@@ -75,7 +83,6 @@
 private:
     std::string makeSettings(std::size_t instance, const Endpoint& storeEndpoint) const;
     std::unique_ptr<lab::Process> startProcess(std::size_t instance) const;
-    void configure();
     void reportAll();
 
     std::string root;
