--- a/review/common-3/Backends.cpp
+++ b/review/common-3/Backends.cpp
@@ -187,11 +187,18 @@
     const Backend* backend = this->find(id);
     if (backend == nullptr || !backend->isRunning)
         return refused;
+    this->numPromotionCalls++;
     if (this->leader != id || !backend->isPrimary)
         this->promotions.emplace_back(std::chrono::steady_clock::now() + promotionTime, id);
     return accepted;
 }
 
+std::size_t BackendGroup::countPromotionCalls()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->numPromotionCalls;
+}
+
 void BackendGroup::setPromotionListener(std::function<void(const std::string& id, std::uint64_t term, const std::vector<LogEntry>& log)> newListener)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/review/common-3/Backends.h
+++ b/review/common-3/Backends.h
@@ -73,6 +73,9 @@
     /// @returns the HTTP status; the promotion takes effect after the promotion time
     int promote(const std::string& id);
 
+    /// @returns the number of promotion calls that were accepted
+    std::size_t countPromotionCalls();
+
     /// Sets what is told when a backend takes the lead, with its log at that moment.
     void setPromotionListener(std::function<void(const std::string& id, std::uint64_t term, const std::vector<LogEntry>& log)> listener);
 
@@ -121,6 +124,7 @@
     std::function<void(const std::string& id, std::uint64_t term, const std::vector<LogEntry>& log)> listener;
     std::vector<std::thread> threads;
     std::vector<std::pair<std::chrono::steady_clock::time_point, std::string>> promotions;
+    std::size_t numPromotionCalls = 0;
     std::thread replicator;
 };
 
