--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,7 +7,7 @@
 mkdir -p target/review-3
 shared=(review/common-3/*.cpp standins/platform/PlatformStore.cpp tools/lab/Process.cpp)
 flags=(-std=c++17 -O2 -Wall -Wextra -Iinclude -Isrc)
-libraries=(target/liblentiljunction_lib.a -ltbb -lspdlog -lfmt -lssl -lcrypto -lprometheus-cpp-core -lpq -linih -lcpp-httplib -lz -lpthread)
+libraries=(target/liblentiljunction_lib.a -ltbb -lspdlog -lfmt -lssl -lcrypto -lprometheus-cpp-core -lpq -linih -lcpp-httplib -lpthread)
 objects=()
 for source in "${shared[@]}"; do
     object="target/review-3/$(basename "${source%.cpp}").o"
