--- a/include/lentiljunction/leadership/CommitSurvey.h
+++ b/include/lentiljunction/leadership/CommitSurvey.h
@@ -83,6 +83,9 @@
     /// @returns the known upstream with the longest log, or nothing when none is known
     std::optional<UpstreamId> findLongest() const;
 
+    /// @returns whether a listed member still has the log with which an earlier survey found that it has all acknowledged commits
+    bool hasKeptLog(const UpstreamId& upstream) const;
+
     /// @returns the number of members that have not reported
     std::size_t countSilent() const;
 
--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -27,7 +27,8 @@
 /// 4. Once the replica reports that it is the primary, the primary record names it.
 ///
 /// A call is never taken back: it stays in the record for as long as it may take effect, whatever follows, unless the
-/// platform refused each call for that upstream. A successor of the coordinator prefers the upstream that was called.
+/// platform refused each call for that upstream. A successor of the coordinator first calls the same upstream again: if each
+/// chose anew, upstreams would be promoted by turns. An upstream that was called in vain several times is passed over for a while.
 ///
 /// Where commits wait for replicas, step 3 promotes only an upstream that has all acknowledged commits; see
 /// requireAcknowledgedCommits().
@@ -82,7 +83,7 @@
     /// action is taken.
     ///
     /// @param upstreams the upstreams that were called, the last one at the end
-    void inheritPromotions(std::vector<UpstreamId> upstreams) { this->inheritedTargets = std::move(upstreams); }
+    void inheritPromotions(std::vector<UpstreamId> upstreams);
 
     /// Promotes only an upstream that has all acknowledged commits. Call it before the first action is taken.
     ///
@@ -106,8 +107,12 @@
     /// @returns the term for a pause, above any known one
     Term getPauseTerm() const { return this->greatestTerm.next(); }
 
-    /// @returns whether the promotion waits for an upstream that may hold acknowledged commits
-    bool isAwaitingCommits() const { return this->step == Step::Surveying && this->commits.has_value(); }
+    /// Tells a failover that another coordinator would only delay from one that has stalled. A call counts for the time in which
+    /// it usually takes effect.
+    ///
+    /// @returns whether the promotion waits for an upstream that may hold acknowledged commits, for leases to expire, or for the
+    ///     effect of a call
+    bool isProgressing(BootTime bootNow, TimePoint now) const;
 
     /// @returns the number of silent upstreams whose commits may be lost, zero unless the failover gave up waiting for them
     std::size_t getNumGivenUp() const { return this->numGivenUp; }
@@ -144,7 +149,7 @@
     void onPromotionRecorded(bool wasRecorded, TimePoint now);
 
     /// A promotion call is being sent.
-    void onPromotionSent();
+    void onPromotionSent(TimePoint now);
 
     /// The platform answered a promotion call.
     ///
@@ -217,7 +222,9 @@
     bool confirmLogs();
     std::optional<UpstreamId> findCommitTarget(TimePoint now);
     std::optional<UpstreamId> findPromotedCandidate() const;
-    void startPromotion(const UpstreamId& target);
+    void startPromotion(const UpstreamId& target, TimePoint now);
+    /// Passes over a candidate until the refusals expire.
+    void passOver(const UpstreamId& candidate);
     void advanceConfirmation(TimePoint now);
 
     GroupId group;
@@ -242,9 +249,16 @@
     std::optional<std::set<InstanceId>> unconfirmedInstances;
     std::map<UpstreamId, ReplicationStatus> statuses;
     std::optional<ReplicationStatus> oldPrimaryStatus;
-    /// Candidates that the platform refused to promote.
+    /// Candidates that the platform refused to promote, or that were called in vain.
     std::set<UpstreamId> refusedCandidates;
+    /// Those of them that were called in vain.
+    std::set<UpstreamId> vainCandidates;
     std::optional<UpstreamId> promotionTarget;
+    /// When the present target was chosen, and when it was first called.
+    TimePoint targetSince;
+    std::optional<TimePoint> calledAt;
+    /// Calls for the present target that were accepted and have not taken effect in time.
+    std::size_t numVainCalls = 0;
     std::vector<UpstreamId> inheritedTargets;
     /// The calls of this failover for one upstream.
     struct CallCount {
--- a/src/gateway/FailoverCoordination.cpp
+++ b/src/gateway/FailoverCoordination.cpp
@@ -120,7 +120,7 @@
 {
     // Without the store or the promotion service, the coordinator cannot carry out the failover in the end.
     bool canPromote = this->state.isStoreReachable() && !this->dependencies.executor.arePromotionsFailing();
-    return { { "is_waiting", canPromote && this->dependencies.executor.isAwaitingCommits(GroupId(request.value("group", ""))) } };
+    return { { "is_waiting", canPromote && this->dependencies.executor.isProgressing(GroupId(request.value("group", ""))) } };
 }
 
 void FailoverCoordination::requestReplacement(const GroupId& group, const UpstreamId& primary, bool isLeaving)
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -101,10 +101,10 @@
     return run != nullptr && run->number == key.number ? run : nullptr;
 }
 
-bool FailoverExecutor::isAwaitingCommits(const GroupId& group) const
+bool FailoverExecutor::isProgressing(const GroupId& group) const
 {
     std::map<GroupId, Run>::const_iterator found = this->runs.find(group);
-    return found != this->runs.end() && found->second.failover.isAwaitingCommits();
+    return found != this->runs.end() && found->second.failover.isProgressing(this->dependencies.clock.bootNow(), this->dependencies.clock.now());
 }
 
 void FailoverExecutor::tick()
@@ -462,7 +462,7 @@
         logEvent(events::commitsUnproved, "group=" + key.group.toString() + " upstream=" + upstream.toString() + " silent=" + std::to_string(numGivenUp));
     FencingToken epoch = this->dependencies.context.getLeaseTracker().getView().latest.record->epoch;
     logEvent(events::failoverStep, "group=" + key.group.toString() + " step=call upstream=" + upstream.toString() + " epoch=" + std::to_string(epoch.value()));
-    run->failover.onPromotionSent();
+    run->failover.onPromotionSent(this->dependencies.clock.now());
     std::function<bool()> mayBeSent = [this, key, upstream, epoch] { return this->isPromotionRecorded(key.group, upstream) && this->dependencies.context.getLeaseTracker().getView().latest.record->epoch == epoch && this->mayCall(); };
     std::uint64_t generation = this->dependencies.context.getLeaseTracker().getView().latest.record->find(key.group)->generation;
     this->calls.send({ key.group, upstream, epoch, generation, key.number }, std::move(mayBeSent), [this, key](bool isAccepted, const Failure& failure) { this->onPromotionResponse(key, isAccepted, failure); });
--- a/src/gateway/FailoverExecutor.h
+++ b/src/gateway/FailoverExecutor.h
@@ -88,8 +88,10 @@
     /// @returns the number of promotion calls since the start, by outcome
     const std::map<std::string, std::uint64_t>& getNumPromotionCalls() const { return this->calls.getNumEnded(); }
 
-    /// @returns whether the failover of a group waits for an upstream that may hold acknowledged commits
-    bool isAwaitingCommits(const GroupId& group) const;
+    /// @returns whether a failover of a group is in progress that another coordinator would only delay
+    ///
+    /// @see Failover::isProgressing
+    bool isProgressing(const GroupId& group) const;
 
     /// Lets the replicas of a group receive that a failover may have paused, where commits wait for them.
     void resumeReplicas(const GroupId& group) { this->protection.resumeReplicas(group); }
--- a/src/leadership/CommitSurvey.cpp
+++ b/src/leadership/CommitSurvey.cpp
@@ -149,6 +149,13 @@
     return staying ? staying : this->findLongestOf(true, LogPoint());
 }
 
+bool CommitSurvey::hasKeptLog(const UpstreamId& upstream) const
+{
+    std::map<UpstreamId, Log>::const_iterator log = this->logs.find(upstream);
+    bool isRestarted = std::any_of(this->members.begin(), this->members.end(), [&upstream](const Member& member) { return member.upstream == upstream && member.isEarlierStart; });
+    return log != this->logs.end() && !isRestarted && !(log->second.status.received < this->baseline);
+}
+
 std::size_t CommitSurvey::countSilent() const
 {
     return static_cast<std::size_t>(std::count_if(this->members.begin(), this->members.end(), [this](const Member& member) { return member.isEarlierStart || this->logs.count(member.upstream) == 0; }));
--- a/src/leadership/Failover.cpp
+++ b/src/leadership/Failover.cpp
@@ -1,5 +1,6 @@
 #include "lentiljunction/leadership/Failover.h"
 
+#include "lentiljunction/leadership/CoordinatorHandover.h"
 #include "lentiljunction/leadership/LeaseTracker.h"
 
 #include <algorithm>
@@ -16,6 +17,10 @@
     /// A promotion that has not taken effect after this time is repeated. Three times the longest
     /// promotion time that the deployments specify.
     constexpr std::chrono::milliseconds promotionTimeout { 3000 };
+    /// A call is sent once the former coordinator can act no more and this one has a lease.
+    constexpr std::chrono::milliseconds callPreparationTimeout = coordinatorHandoverDelay + std::chrono::milliseconds(1000);
+    /// Accepted calls without effect, of one coordinator or of several in turn, after which other candidates are tried.
+    constexpr std::size_t maximumVainCalls = 2;
 
 } // namespace
 
@@ -41,6 +46,18 @@
     this->giveUpAt = giveUpTime;
 }
 
+void Failover::inheritPromotions(std::vector<UpstreamId> upstreams)
+{
+    this->inheritedTargets = std::move(upstreams);
+    for (const UpstreamId& upstream : this->inheritedTargets) {
+        std::size_t numCalls = static_cast<std::size_t>(std::count(this->inheritedTargets.begin(), this->inheritedTargets.end(), upstream));
+        if (numCalls < maximumVainCalls)
+            continue;
+        this->refusedCandidates.insert(upstream);
+        this->vainCandidates.insert(upstream);
+    }
+}
+
 void Failover::setMembers(const std::vector<CommitSurvey::Member>& members)
 {
     if (!this->commits)
@@ -111,6 +128,9 @@
 {
     this->statuses[upstream] = status;
     this->greatestTerm = std::max(this->greatestTerm, status.term);
+    bool hasTakenLead = status.isPrimary && this->recordedTerm < status.term;
+    if (hasTakenLead && this->vainCandidates.erase(upstream) > 0)
+        this->refusedCandidates.erase(upstream);
     if (this->commits && this->refusedCandidates.count(upstream) == 0)
         this->commits->onStatus(upstream, status, false);
     // A former primary that was partitioned may still report to be the primary in its old term.
@@ -162,8 +182,10 @@
     return std::find(this->inheritedTargets.begin(), this->inheritedTargets.end(), upstream) != this->inheritedTargets.end();
 }
 
-void Failover::onPromotionSent()
+void Failover::onPromotionSent(TimePoint now)
 {
+    if (!this->calledAt)
+        this->calledAt = now;
     this->callCounts[*this->promotionTarget].sent++;
 }
 
@@ -178,13 +200,18 @@
     }
     // Only this call is known to have no effect; earlier ones may still promote the upstream.
     this->callCounts[*this->promotionTarget].withoutEffect++;
-    this->refusedCandidates.insert(*this->promotionTarget);
+    this->passOver(*this->promotionTarget);
+    this->surveyStartedAt = now;
+}
+
+void Failover::passOver(const UpstreamId& candidate)
+{
+    this->refusedCandidates.insert(candidate);
     if (this->commits)
-        this->commits->onRefused(*this->promotionTarget);
-    this->statuses.erase(*this->promotionTarget);
+        this->commits->onRefused(candidate);
+    this->statuses.erase(candidate);
     this->promotionTarget.reset();
     this->step = Step::Surveying;
-    this->surveyStartedAt = now;
 }
 
 void Failover::onPromotionTimeout(TimePoint now)
@@ -220,7 +247,7 @@
     if (this->isOldPrimaryUnused(bootNow) && this->isSurveyComplete(now)) {
         this->promotionTarget = this->selectPromotionTarget();
         if (this->promotionTarget)
-            return this->startPromotion(*this->promotionTarget);
+            return this->startPromotion(*this->promotionTarget, now);
     }
     if (now - this->lastRequestAt < statusRequestInterval)
         return;
@@ -232,9 +259,21 @@
         this->queueAction(Action::Kind::RequestStatus, candidate);
 }
 
-void Failover::startPromotion(const UpstreamId& target)
+bool Failover::isProgressing(BootTime bootNow, TimePoint now) const
+{
+    if (this->step == Step::Surveying)
+        return this->commits || !this->isOldPrimaryUnused(bootNow);
+    if (!this->promotionTarget)
+        return false;
+    return this->calledAt ? now - *this->calledAt < promotionTimeout : now - this->targetSince < callPreparationTimeout;
+}
+
+void Failover::startPromotion(const UpstreamId& target, TimePoint now)
 {
     this->promotionTarget = target;
+    this->targetSince = now;
+    this->calledAt.reset();
+    this->numVainCalls = 0;
     this->requiredTerm = this->isCurrentPrimary(target) ? this->greatestTerm : this->greatestTerm.next();
     this->step = Step::Recording;
     this->queueAction(Action::Kind::RecordPromotion, target);
@@ -249,7 +288,7 @@
             this->unusedSince = now;
         std::optional<UpstreamId> target = this->findCommitTarget(now);
         if (target && this->confirmLogs())
-            return this->startPromotion(*target);
+            return this->startPromotion(*target, now);
     }
     if (now - this->lastRequestAt < statusRequestInterval)
         return;
@@ -281,6 +320,8 @@
 std::optional<UpstreamId> Failover::findCommitTarget(TimePoint now)
 {
     std::optional<UpstreamId> target = this->findPromotedCandidate();
+    if (!target)
+        target = this->findInheritedTarget();
     if (!target)
         target = this->commits->findPreferred();
     // Replicas that stay may still catch up with one that must be replaced again soon.
@@ -308,6 +349,12 @@
 void Failover::advanceConfirmation(TimePoint now)
 {
     if (now - this->promotedAt > promotionTimeout) {
+        this->numVainCalls++;
+        if (this->numVainCalls >= maximumVainCalls) {
+            this->surveyStartedAt = now;
+            this->vainCandidates.insert(*this->promotionTarget);
+            return this->passOver(*this->promotionTarget);
+        }
         this->step = Step::Promoting;
         this->promotedAt = now;
         this->queueAction(Action::Kind::Promote, *this->promotionTarget);
@@ -349,6 +396,8 @@
 {
     for (std::vector<UpstreamId>::const_reverse_iterator target = this->inheritedTargets.rbegin(); target != this->inheritedTargets.rend(); ++target) {
         bool isCandidate = std::find(this->candidates.begin(), this->candidates.end(), *target) != this->candidates.end();
+        // The coordinator that called it knew that it has all acknowledged commits.
+        isCandidate = isCandidate && (!this->commits || this->commits->hasKeptLog(*target));
         if (isCandidate && this->statuses.count(*target) > 0 && this->refusedCandidates.count(*target) == 0)
             return *target;
     }
--- a/tests/support/FailoverActions.h
+++ b/tests/support/FailoverActions.h
@@ -28,7 +28,7 @@
     for (const Failover::Action& action : failover.takeActions(bootNow, now)) {
         actions.push_back(action);
         if (action.kind == Failover::Action::Kind::Promote)
-            failover.onPromotionSent();
+            failover.onPromotionSent(now);
     }
     return actions;
 }
--- a/tests/support/PromotionModelWorld.cpp
+++ b/tests/support/PromotionModelWorld.cpp
@@ -90,7 +90,7 @@
     BootTime now = this->clock.bootNow();
     if (instance.leases->getRemaining(now) < minimumPromotionLease || !instance.handover->mayAct(now))
         return instance.run->actions.push_front(action);
-    instance.run->failover.onPromotionSent();
+    instance.run->failover.onPromotionSent(this->clock.now());
     this->numCalls++;
     this->sendCall(instance, indexOf(action.upstream));
 }
--- a/tests/unit/LeadershipTests.cpp
+++ b/tests/unit/LeadershipTests.cpp
@@ -140,7 +140,7 @@
     CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
     fixture.failover.onPromotionTimeout(fixture.clock.now());
     CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
-    fixture.failover.onPromotionSent();
+    fixture.failover.onPromotionSent(fixture.clock.now());
     fixture.failover.onPromotionResponse(false, fixture.clock.now());
     CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "b"));
     CHECK_TRUE(fixture.failover.listRefusedPromotions().empty());
@@ -169,7 +169,7 @@
     fixture.failover.onPromotionNotSent(fixture.clock.now());
     CHECK(fixture.failover.listRefusedPromotions() == std::set<UpstreamId> { UpstreamId("a") });
     CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
-    fixture.failover.onPromotionSent();
+    fixture.failover.onPromotionSent(fixture.clock.now());
     fixture.failover.onPromotionResponse(true, fixture.clock.now());
     CHECK(fixture.failover.listRefusedPromotions().empty());
 }
@@ -199,7 +199,7 @@
     fixture.failover.takeActions(fixture.clock.bootNow(), fixture.clock.now());
     fixture.failover.onPromotionRecorded(true, fixture.clock.now());
     CHECK_TRUE(fixture.hasAction(Failover::Action::Kind::Promote, "a"));
-    fixture.failover.onPromotionSent();
+    fixture.failover.onPromotionSent(fixture.clock.now());
     fixture.failover.onPromotionResponse(false, fixture.clock.now());
     CHECK_TRUE(fixture.failover.listRefusedPromotions().empty());
 }
