--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -73,7 +73,7 @@
     };
 
     /// @param oldPrimary the primary to be replaced
-    /// @param candidates the other upstreams of the group that are not leaving
+    /// @param candidates the other upstreams of the group
     /// @param isPlanned whether the old primary still works, so that a replica can catch up first
     /// @param knownTerm the greatest term of the group in the primary record
     /// @param now the start of the failover
@@ -85,6 +85,19 @@
     /// @param upstreams the upstreams that were called, the last one at the end
     void inheritPromotions(std::vector<UpstreamId> upstreams);
 
+    /// Compares the logs of the candidates with that of the old primary, where commits do not wait for replicas. Call it before the
+    /// first action is taken.
+    ///
+    /// A log with entries of an earlier term beyond the baseline is that of a former primary, or of its replica, that never
+    /// followed the old primary. Its entries did not survive the last failover, and reads since then lacked them. It is promoted
+    /// only when no other one has become known for some time.
+    ///
+    /// @param baseline the log head of the old primary at its promotion
+    /// @param leaving the candidates that stop soon. One of them is promoted only instead of a log that ends in an earlier term,
+    ///     since it must be replaced again.
+    /// @param giveUpAt when any candidate is promoted, so that the group does not stay without a primary
+    void compareLogs(LogPoint baseline, std::set<UpstreamId> leaving, TimePoint giveUpAt);
+
     /// Promotes only an upstream that has all acknowledged commits. Call it before the first action is taken.
     ///
     /// @param survey finds such an upstream
@@ -208,7 +221,16 @@
     bool isOldPrimaryUnused(BootTime bootNow) const;
     bool isSurveyComplete(TimePoint now) const;
     bool isCurrentPrimary(const UpstreamId& candidate) const;
-    std::optional<UpstreamId> selectPromotionTarget() const;
+    std::optional<UpstreamId> selectPromotionTarget(TimePoint now) const;
+    /// @returns whether the log of a candidate may have entries that did not survive an earlier failover
+    bool isDiverged(const UpstreamId& candidate) const;
+    /// @returns the candidate with the longest log among those that leave, or stay
+    std::optional<UpstreamId> findLongest(bool isLeaving) const;
+    /// @returns whether a candidate that leaves may have to be promoted instead of one that stays
+    bool needsLeaving() const;
+    bool haveAnswered(bool isLeaving) const;
+    /// @returns whether some candidates report their logs, and none has one that may be promoted
+    bool hasOnlyDivergedLogs() const;
     bool isInherited(const UpstreamId& upstream) const;
     /// @returns the upstream that a former coordinator called, if it responds
     std::optional<UpstreamId> findInheritedTarget() const;
@@ -271,6 +293,9 @@
     std::map<UpstreamId, CallCount> callCounts;
     ReplicationStatus newPrimaryStatus;
 
+    /// Where commits do not wait for replicas.
+    LogPoint baseline;
+    std::set<UpstreamId> leavingCandidates;
     /// Set where an upstream must have all acknowledged commits to be promoted.
     std::optional<CommitSurvey> commits;
     bool isRecordConfirmed = false;
--- a/src/gateway/CommitProtection.cpp
+++ b/src/gateway/CommitProtection.cpp
@@ -3,6 +3,7 @@
 #include "lentiljunction/leadership/LogHolderRemoval.h"
 
 #include <map>
+#include <set>
 #include <utility>
 
 namespace lentiljunction {
@@ -31,15 +32,17 @@
     return found == this->state.getRoutes()->groups.end() ? 0 : found->second.numSynchronousReplicas;
 }
 
-void CommitProtection::apply(Failover& failover) const
+void CommitProtection::apply(Failover& failover, bool isSynchronous) const
 {
     const PrimaryRecord& record = *this->state.getLeaseTracker().getView().latest.record;
     const PrimaryEntry* entry = record.find(failover.getGroup());
+    TimePoint since = this->state.findChangingSince(failover.getGroup()).value_or(this->clock.now());
+    if (!isSynchronous)
+        return failover.compareLogs(entry == nullptr ? LogPoint() : entry->baseline, this->listLeaving(failover.getGroup()), since + commitWait);
     const UpstreamEntry* old = this->state.getUpstreamList().find(failover.getOldPrimary());
     bool isLeaving = old == nullptr || old->isLeaving;
     CommitSurvey survey(failover.getOldPrimary(), isLeaving, this->findSynchronousReplicas(failover.getGroup()).value_or(1), entry == nullptr ? LogPoint() : entry->baseline);
     survey.setMembers(this->listMembers(failover.getGroup(), failover.getOldPrimary()));
-    TimePoint since = this->state.findChangingSince(failover.getGroup()).value_or(this->clock.now());
     failover.requireAcknowledgedCommits(std::move(survey), record.isConfirmed(failover.getGroup()), since + commitWait);
 }
 
@@ -73,6 +76,16 @@
     return members;
 }
 
+std::set<UpstreamId> CommitProtection::listLeaving(const GroupId& group) const
+{
+    std::set<UpstreamId> leaving;
+    for (const std::pair<const UpstreamId, UpstreamEntry>& upstream : this->state.getUpstreamList().entries) {
+        if (upstream.second.group == group && upstream.second.isLeaving)
+            leaving.insert(upstream.first);
+    }
+    return leaving;
+}
+
 std::optional<UpstreamId> CommitProtection::findSuccessor(const GroupId& group, const LogHolder& holder) const
 {
     for (const std::pair<const UpstreamId, UpstreamEntry>& upstream : this->state.getUpstreamList().entries) {
--- a/src/gateway/CommitProtection.h
+++ b/src/gateway/CommitProtection.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace lentiljunction {
@@ -43,8 +44,9 @@
     /// @returns the number of replicas for which a commit of the group waits, or nothing while the routes are not known
     std::optional<std::size_t> findSynchronousReplicas(const GroupId& group) const;
 
-    /// Makes a failover promote only an upstream that has all acknowledged commits.
-    void apply(Failover& failover) const;
+    /// Makes a failover promote only an upstream that has all acknowledged commits, or without synchronous replicas one whose
+    /// log is not that of a former term.
+    void apply(Failover& failover, bool isSynchronous) const;
 
     /// @returns the upstreams of a group without its old primary, with those that the primary record lists as log holders
     std::vector<CommitSurvey::Member> listMembers(const GroupId& group, const UpstreamId& oldPrimary) const;
@@ -53,6 +55,7 @@
     void resumeReplicas(const GroupId& group);
 
 private:
+    std::set<UpstreamId> listLeaving(const GroupId& group) const;
     /// @returns the upstream at the address of a holder that has left, or nothing
     std::optional<UpstreamId> findSuccessor(const GroupId& group, const LogHolder& holder) const;
     /// @returns the upstreams of a group without its primary; none while a failover of it is in progress
--- a/src/gateway/FailoverExecutor.cpp
+++ b/src/gateway/FailoverExecutor.cpp
@@ -57,14 +57,19 @@
     const VersionedPrimaryRecord& latest = this->dependencies.context.getLeaseTracker().getView().latest;
     // Until the routes are known, it is not known either whether commits of the group wait for replicas.
     std::optional<std::size_t> numSynchronousReplicas = this->protection.findSynchronousReplicas(group);
-    std::vector<UpstreamId> candidates = this->listCandidates(group, primary, numSynchronousReplicas.value_or(0) > 0);
+    std::vector<UpstreamId> candidates = this->listCandidates(group, primary);
+    // A primary that still works is not replaced by an upstream that leaves as well.
+    const PrimaryEntry* known = latest.record == nullptr ? nullptr : latest.record->find(group);
+    bool isAnnounced = known != nullptr && known->phase == PrimaryPhase::Changing;
+    bool mustStay = isPlanned && !isAnnounced && numSynchronousReplicas.value_or(0) == 0;
+    if (mustStay && this->areAllLeaving(candidates))
+        return;
     // Until a restored record is recovered, no change can be based on it.
     bool isRecordCurrent = latest.record != nullptr && latest.record->era == this->dependencies.store.getEra();
     if (this->isActive(group) || !numSynchronousReplicas || candidates.empty() || !isRecordCurrent)
         return;
     logEvent(events::promotionStarted, "group=" + group.toString() + " primary=" + primary.toString() + " planned=" + std::to_string(isPlanned) + " cause=\"" + cause + "\" candidates=" + std::to_string(candidates.size()));
     TimePoint now = this->dependencies.clock.now();
-    const PrimaryEntry* known = latest.record->find(group);
     Run run { this->nextRunNumber++, Failover(group, primary, candidates, isPlanned, known == nullptr ? Term() : known->term, now), {}, cause, now, "" };
     if (known != nullptr)
         logInherited(group, *known);
@@ -72,18 +77,22 @@
     if (known != nullptr)
         run.failover.inheritPromotions(listCalledUpstreams(*known));
     run.isSynchronous = *numSynchronousReplicas > 0;
-    if (run.isSynchronous)
-        this->protection.apply(run.failover);
+    this->protection.apply(run.failover, run.isSynchronous);
     this->runs.emplace(group, std::move(run));
     this->advance(group);
     this->timer.setTime(now + tickInterval);
 }
 
-std::vector<UpstreamId> FailoverExecutor::listCandidates(const GroupId& group, const UpstreamId& primary, bool includesLeaving) const
+bool FailoverExecutor::areAllLeaving(const std::vector<UpstreamId>& candidates) const
+{
+    return std::all_of(candidates.begin(), candidates.end(), [this](const UpstreamId& candidate) { return this->dependencies.context.getUpstreamList().find(candidate)->isLeaving; });
+}
+
+std::vector<UpstreamId> FailoverExecutor::listCandidates(const GroupId& group, const UpstreamId& primary) const
 {
     std::vector<UpstreamId> candidates;
     for (const std::pair<const UpstreamId, UpstreamEntry>& entry : this->dependencies.context.getUpstreamList().entries) {
-        if (entry.second.group == group && (includesLeaving || !entry.second.isLeaving) && entry.first != primary)
+        if (entry.second.group == group && entry.first != primary)
             candidates.push_back(entry.first);
     }
     return candidates;
--- a/src/gateway/FailoverExecutor.h
+++ b/src/gateway/FailoverExecutor.h
@@ -154,7 +154,8 @@
     nlohmann::json makePrimaryRecordMessage() const;
     Run* findRun(const GroupId& group);
     Run* findRun(const RunKey& key);
-    std::vector<UpstreamId> listCandidates(const GroupId& group, const UpstreamId& primary, bool includesLeaving) const;
+    std::vector<UpstreamId> listCandidates(const GroupId& group, const UpstreamId& primary) const;
+    bool areAllLeaving(const std::vector<UpstreamId>& candidates) const;
 
     Dependencies dependencies;
     std::map<GroupId, Run> runs;
--- a/src/leadership/Failover.cpp
+++ b/src/leadership/Failover.cpp
@@ -39,6 +39,13 @@
     this->queueAction(Action::Kind::WriteChanging);
 }
 
+void Failover::compareLogs(LogPoint newBaseline, std::set<UpstreamId> leaving, TimePoint giveUpTime)
+{
+    this->baseline = newBaseline;
+    this->leavingCandidates = std::move(leaving);
+    this->giveUpAt = giveUpTime;
+}
+
 void Failover::requireAcknowledgedCommits(CommitSurvey survey, bool isConfirmed, TimePoint giveUpTime)
 {
     this->commits = std::move(survey);
@@ -245,7 +252,7 @@
 void Failover::advanceSurvey(BootTime bootNow, TimePoint now)
 {
     if (this->isOldPrimaryUnused(bootNow) && this->isSurveyComplete(now)) {
-        this->promotionTarget = this->selectPromotionTarget();
+        this->promotionTarget = this->selectPromotionTarget(now);
         if (this->promotionTarget)
             return this->startPromotion(*this->promotionTarget, now);
     }
@@ -255,14 +262,17 @@
     // A refused candidate may be accepted later, so the refusals expire.
     if (now - this->surveyStartedAt > promotionTimeout)
         this->refusedCandidates.clear();
-    for (const UpstreamId& candidate : this->candidates)
-        this->queueAction(Action::Kind::RequestStatus, candidate);
+    bool asksLeaving = this->needsLeaving();
+    for (const UpstreamId& candidate : this->candidates) {
+        if (asksLeaving || this->leavingCandidates.count(candidate) == 0)
+            this->queueAction(Action::Kind::RequestStatus, candidate);
+    }
 }
 
 bool Failover::isProgressing(BootTime bootNow, TimePoint now) const
 {
     if (this->step == Step::Surveying)
-        return this->commits || !this->isOldPrimaryUnused(bootNow);
+        return this->commits || !this->isOldPrimaryUnused(bootNow) || (now < this->giveUpAt && this->hasOnlyDivergedLogs());
     if (!this->promotionTarget)
         return false;
     return this->calledAt ? now - *this->calledAt < promotionTimeout : now - this->targetSince < callPreparationTimeout;
@@ -375,17 +385,67 @@
 {
     if (now - this->surveyStartedAt >= surveyTimeout)
         return true;
-    bool haveAllAnswered = std::all_of(this->candidates.begin(), this->candidates.end(), [this](const UpstreamId& candidate) {
-        return this->statuses.count(candidate) > 0 || this->refusedCandidates.count(candidate) > 0;
-    });
-    if (!haveAllAnswered)
+    if (!this->haveAnswered(false) || (this->needsLeaving() && !this->haveAnswered(true)))
         return false;
     if (!this->isPlanned)
         return true;
-    std::optional<UpstreamId> best = this->selectPromotionTarget();
+    std::optional<UpstreamId> best = this->selectPromotionTarget(now);
     return this->oldPrimaryStatus && best && !(this->statuses.at(*best).received < this->oldPrimaryStatus->received);
 }
 
+bool Failover::haveAnswered(bool isLeaving) const
+{
+    return std::all_of(this->candidates.begin(), this->candidates.end(), [this, isLeaving](const UpstreamId& candidate) {
+        bool isOther = (this->leavingCandidates.count(candidate) > 0) != isLeaving;
+        return isOther || this->statuses.count(candidate) > 0 || this->refusedCandidates.count(candidate) > 0;
+    });
+}
+
+bool Failover::isDiverged(const UpstreamId& candidate) const
+{
+    const ReplicationStatus& status = this->statuses.at(candidate);
+    if (!(status.received.term < this->recordedTerm))
+        return false;
+    // The baseline does not tell how much of an earlier term than its own has survived; one that followed the old primary has no
+    // more than that.
+    bool mayHaveMore = status.received.term < this->baseline.term && status.term < this->recordedTerm;
+    return this->baseline < status.received || mayHaveMore;
+}
+
+bool Failover::hasOnlyDivergedLogs() const
+{
+    bool hasLog = false;
+    for (const UpstreamId& candidate : this->candidates) {
+        if (this->statuses.count(candidate) == 0)
+            continue;
+        hasLog = true;
+        if (!this->isDiverged(candidate))
+            return false;
+    }
+    return hasLog;
+}
+
+std::optional<UpstreamId> Failover::findLongest(bool isLeaving) const
+{
+    std::optional<UpstreamId> best;
+    for (const UpstreamId& candidate : this->candidates) {
+        bool isOther = (this->leavingCandidates.count(candidate) > 0) != isLeaving;
+        if (isOther || this->statuses.count(candidate) == 0 || this->refusedCandidates.count(candidate) > 0)
+            continue;
+        bool isBetter = !best || (this->isDiverged(*best) && !this->isDiverged(candidate));
+        bool isSameKind = best && this->isDiverged(*best) == this->isDiverged(candidate);
+        if (isBetter || (isSameKind && this->statuses.at(*best).received < this->statuses.at(candidate).received))
+            best = candidate;
+    }
+    return best;
+}
+
+bool Failover::needsLeaving() const
+{
+    std::optional<UpstreamId> staying = this->findLongest(false);
+    return !this->leavingCandidates.empty() && (!staying || this->statuses.at(*staying).received.term < this->recordedTerm);
+}
+
 bool Failover::isCurrentPrimary(const UpstreamId& candidate) const
 {
     const ReplicationStatus& status = this->statuses.at(candidate);
@@ -404,21 +464,29 @@
     return std::nullopt;
 }
 
-std::optional<UpstreamId> Failover::selectPromotionTarget() const
+std::optional<UpstreamId> Failover::selectPromotionTarget(TimePoint now) const
 {
-    std::optional<UpstreamId> inherited = this->findInheritedTarget();
-    std::optional<UpstreamId> best;
     for (const UpstreamId& candidate : this->candidates) {
-        std::map<UpstreamId, ReplicationStatus>::const_iterator status = this->statuses.find(candidate);
-        if (status == this->statuses.end() || this->refusedCandidates.count(candidate) > 0)
-            continue;
         // A previous coordinator may have promoted it already.
-        if (this->isCurrentPrimary(candidate))
+        bool isKnown = this->statuses.count(candidate) > 0 && this->refusedCandidates.count(candidate) == 0;
+        if (isKnown && this->isCurrentPrimary(candidate))
             return candidate;
-        if (!best || this->statuses.at(*best).received < status->second.received)
-            best = candidate;
     }
-    return inherited ? inherited : best;
+    std::optional<UpstreamId> inherited = this->findInheritedTarget();
+    if (inherited)
+        return inherited;
+    std::optional<UpstreamId> staying = this->findLongest(false);
+    std::optional<UpstreamId> leaving = this->findLongest(true);
+    bool isStayingUsable = staying && !this->isDiverged(*staying);
+    bool isLeavingUsable = leaving && !this->isDiverged(*leaving);
+    bool isLeavingNewer = isStayingUsable && isLeavingUsable && this->statuses.at(*staying).received.term < this->statuses.at(*leaving).received.term;
+    if (isStayingUsable && !isLeavingNewer)
+        return staying;
+    if (isLeavingUsable)
+        return leaving;
+    if (now < this->giveUpAt)
+        return std::nullopt;
+    return staying ? staying : leaving;
 }
 
 const char* Failover::getStepName() const
