--- a/include/lentiljunction/routes/lj_routes.h
+++ b/include/lentiljunction/routes/lj_routes.h
@@ -8,5 +8,6 @@
 #include "lentiljunction/routes/RouteConfirmation.h"
 #include "lentiljunction/routes/RouteProof.h"
 #include "lentiljunction/routes/RouteTable.h"
+#include "lentiljunction/routes/SessionRoute.h"
 #include "lentiljunction/routes/UpstreamEntry.h"
 #include "lentiljunction/routes/UpstreamRegistry.h"
--- a/src/traffic/CallerSession.cpp
+++ b/src/traffic/CallerSession.cpp
@@ -305,14 +305,13 @@
     }
     if (this->transactionState != TransactionState::Idle)
         return this->reply(ReplyCode::Malformed, this->transactionState, "a transaction is already open");
-    std::shared_ptr<const RouteTable> routes = this->state.getRoutes();
-    const Route* route = routes->find(this->startup->database);
+    std::shared_ptr<const SessionRoute> route = findSessionRoute(*this->state.getRoutes(), this->startup->database);
     if (route == nullptr)
         return this->reply(ReplyCode::NoDatabase, TransactionState::Idle, "no route leads to the database", FailureCause::NoRoute);
-    this->beginOperation(statement, statement.mode, routes, *route);
+    this->beginOperation(statement, statement.mode, route);
 }
 
-void CallerSession::beginOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route)
+void CallerSession::beginOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const SessionRoute>& route)
 {
     if (!this->state.getMemory().mayStart(statement.text.size() * statementCopies))
         return this->reply(ReplyCode::Busy, TransactionState::Idle, describe(FailureCause::NoMemory), FailureCause::NoMemory);
@@ -320,31 +319,31 @@
     this->admission.cancel();
     QuotaClient* quota = this->state.getQuota();
     if (quota == nullptr || this->key.getWorkspace().isEmpty())
-        return this->startOperation(std::move(statement), mode, routes, route);
-    this->admission.request(*quota, this->key.getWorkspace(), [this, statement = std::move(statement), mode, routes, &route](const std::optional<AdmissionRefusal>& refusal) {
+        return this->startOperation(std::move(statement), mode, route);
+    this->admission.request(*quota, this->key.getWorkspace(), [this, statement = std::move(statement), mode, route](const std::optional<AdmissionRefusal>& refusal) {
         this->guard([&] {
             if (refusal)
                 this->reply(ReplyCode::Busy, TransactionState::Idle, refusal->message, refusal->cause);
             else
-                this->startOperation(statement, mode, routes, route);
+                this->startOperation(statement, mode, route);
             this->processBuffered();
         });
     });
 }
 
-void CallerSession::startOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route)
+void CallerSession::startOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const SessionRoute>& route)
 {
     if (statement.verb == SessionVerb::Begin)
-        this->beginTransaction(statement, routes);
+        this->beginTransaction(statement, route);
     else
-        this->startRun(std::move(statement), mode, routes, route);
+        this->startRun(std::move(statement), mode, route);
 }
 
-void CallerSession::beginTransaction(const SessionStatement& begin, const std::shared_ptr<const RouteTable>& routes)
+void CallerSession::beginTransaction(const SessionStatement& begin, const std::shared_ptr<const SessionRoute>& route)
 {
     this->transactionMode = begin.mode;
     this->transactionBegan = this->arrivedAt;
-    this->transactionRoutes = routes;
+    this->transactionRoute = route;
     this->hasTransactionWritten = false;
     this->hasTransactionRun = false;
     this->mustReportAbort = false;
@@ -357,8 +356,7 @@
     // The transaction begins on the upstream while the reply to BEGIN travels to the caller.
     if (this->hasEnded)
         return;
-    const Route* route = this->transactionRoutes->find(this->startup->database);
-    StatementRequest request = this->makeRequest(begin, AccessMode::Read, this->transactionRoutes, *route);
+    StatementRequest request = this->makeRequest(begin, AccessMode::Read, this->transactionRoute);
     this->run = std::make_shared<StatementRun>(this->state, this->context, request, [this](StatementRun::Result result) {
         this->run = nullptr;
         // Without a held connection the first statement acquires one.
@@ -383,8 +381,7 @@
     if (isInTransaction && this->transactionMode == AccessMode::Read && *mode == AccessMode::Write)
         return this->reply(ReplyCode::NotPrimary, TransactionState::Failed, "the transaction is read-only");
 
-    std::shared_ptr<const RouteTable> routes = isInTransaction ? this->transactionRoutes : this->state.getRoutes();
-    const Route* route = routes->find(this->startup->database);
+    std::shared_ptr<const SessionRoute> route = isInTransaction ? this->transactionRoute : findSessionRoute(*this->state.getRoutes(), this->startup->database);
     if (route == nullptr)
         return this->reply(ReplyCode::NoDatabase, this->transactionState, "no route leads to the database", FailureCause::NoRoute);
     if (isInTransaction && *mode == AccessMode::Read && statement.verb != SessionVerb::Commit && !this->state.getMemory().mayStart(0)) {
@@ -392,24 +389,24 @@
         return this->reply(ReplyCode::Aborted, TransactionState::Failed, describe(FailureCause::NoMemory), FailureCause::NoMemory);
     }
     if (isInTransaction)
-        this->startRun(std::move(statement), *mode, routes, *route);
+        this->startRun(std::move(statement), *mode, route);
     else
-        this->beginOperation(std::move(statement), *mode, routes, *route);
+        this->beginOperation(std::move(statement), *mode, route);
 }
 
-StatementRequest CallerSession::makeRequest(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route) const
+StatementRequest CallerSession::makeRequest(SessionStatement statement, AccessMode mode, const std::shared_ptr<const SessionRoute>& route) const
 {
     bool isInTransaction = this->transactionState == TransactionState::Open;
     StatementRequest request;
     request.traits = { mode, isInTransaction, statement.verb == SessionVerb::Commit, !this->held.isHeld() };
     request.statement = std::move(statement);
     request.transactionMode = this->transactionMode;
-    request.routes = routes;
-    request.requirement = { &route, isInTransaction ? this->transactionBegan : this->arrivedAt, this->ownCommit, {} };
+    request.route = route;
+    request.requirement = { &route->route, isInTransaction ? this->transactionBegan : this->arrivedAt, this->ownCommit, {} };
     request.workspace = this->key.getWorkspace();
     request.key = this->key.getDigest();
     // Queues share among workspaces where there are some. A key must not get there: others than this session see it.
-    request.caller = routes->workspaces ? CallerId(request.workspace.toString()) : this->startup->caller;
+    request.caller = route->hasWorkspaces ? CallerId(request.workspace.toString()) : this->startup->caller;
     request.arrivedAt = this->arrivedAtSteady;
     return request;
 }
@@ -423,11 +420,11 @@
         this->held.rollBackAndRelease();
 }
 
-void CallerSession::startRun(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route)
+void CallerSession::startRun(SessionStatement statement, AccessMode mode, const std::shared_ptr<const SessionRoute>& route)
 {
     if (this->transactionState == TransactionState::Open)
         this->leaveDrainingUpstream();
-    StatementRequest request = this->makeRequest(std::move(statement), mode, routes, route);
+    StatementRequest request = this->makeRequest(std::move(statement), mode, route);
     if (request.traits.isInTransaction && mode == AccessMode::Write)
         this->hasTransactionWritten = true;
     this->hasTransactionRun = true;
@@ -463,8 +460,8 @@
 
 void CallerSession::restartIdleTimer()
 {
-    if (this->held.isHeld() && this->transactionRoutes->transactionIdleLimit.count() > 0)
-        this->idleTimer.setTime(this->state.getClock().now() + this->transactionRoutes->transactionIdleLimit);
+    if (this->held.isHeld() && this->transactionRoute != nullptr && this->transactionRoute->transactionIdleLimit.count() > 0)
+        this->idleTimer.setTime(this->state.getClock().now() + this->transactionRoute->transactionIdleLimit);
 }
 
 void CallerSession::onIdleLimit()
@@ -474,6 +471,7 @@
     logEvent(events::statementRefused, "id=" + this->statementId.toString() + " database=" + this->startup->database.toString() + " cause=" + toString(FailureCause::IdleTooLong) + " upstream=" + this->held.connection->getUpstream().toString() + " reason=\"the transaction was idle for too long\" code=aborted");
     this->held.rollBackAndRelease();
     this->transactionState = TransactionState::Failed;
+    this->transactionRoute.reset();
     this->mustReportAbort = true;
 }
 
@@ -493,6 +491,8 @@
 void CallerSession::send(const SessionReply& answer)
 {
     this->transactionState = answer.state;
+    if (answer.state != TransactionState::Open && !this->held.isHeld())
+        this->transactionRoute.reset();
     this->socket->send(this->protocol.encodeReply(answer));
     if (!this->hasEnded)
         this->reportMemory();
--- a/src/traffic/CallerSession.h
+++ b/src/traffic/CallerSession.h
@@ -95,15 +95,15 @@
     void onUpstreamStatement(SessionStatement statement);
     /// Starts an operation: a single statement, or the transaction of a BEGIN. Nothing of the operation was sent to an
     /// upstream before, and the caller has no reply yet.
-    void beginOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route);
-    void startOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route);
-    void beginTransaction(const SessionStatement& begin, const std::shared_ptr<const RouteTable>& routes);
-    StatementRequest makeRequest(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route) const;
+    void beginOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const SessionRoute>& route);
+    void startOperation(SessionStatement statement, AccessMode mode, const std::shared_ptr<const SessionRoute>& route);
+    void beginTransaction(const SessionStatement& begin, const std::shared_ptr<const SessionRoute>& route);
+    StatementRequest makeRequest(SessionStatement statement, AccessMode mode, const std::shared_ptr<const SessionRoute>& route) const;
     void beginEarly(const SessionStatement& begin);
     void restartIdleTimer();
     /// Gives back a connection on which the transaction began before its upstream began to drain, as long as nothing ran on it.
     void leaveDrainingUpstream();
-    void startRun(SessionStatement statement, AccessMode mode, const std::shared_ptr<const RouteTable>& routes, const Route& route);
+    void startRun(SessionStatement statement, AccessMode mode, const std::shared_ptr<const SessionRoute>& route);
     void onRunFinished(const StatementRequest& request, const StatementRun::Result& result);
     void reply(ReplyCode code, TransactionState newState, const std::string& message, FailureCause cause = FailureCause::NotAllowed);
     void send(const SessionReply& answer);
@@ -141,8 +141,8 @@
     TransactionState transactionState = TransactionState::Idle;
     AccessMode transactionMode = AccessMode::Write;
     BootTime transactionBegan;
-    /// The routing configuration with which the transaction began. A newer one applies to the next transaction.
-    std::shared_ptr<const RouteTable> transactionRoutes;
+    /// The route with which the transaction began; nullptr while none is open. A newer one applies to the next transaction.
+    std::shared_ptr<const SessionRoute> transactionRoute;
     bool hasTransactionWritten = false;
     /// Whether a statement was started in the transaction.
     bool hasTransactionRun = false;
--- a/src/traffic/StatementRun.h
+++ b/src/traffic/StatementRun.h
@@ -8,6 +8,7 @@
 #include "TrafficState.h"
 #include "lentiljunction/interactive/ReplyPolicy.h"
 #include "lentiljunction/interactive/SessionContext.h"
+#include "lentiljunction/routes/SessionRoute.h"
 
 #include <functional>
 #include <memory>
@@ -21,8 +22,8 @@
     StatementTraits traits;
     /// The mode of the transaction that the statement begins or belongs to.
     AccessMode transactionMode = AccessMode::Write;
-    /// Keeps the route alive.
-    std::shared_ptr<const RouteTable> routes;
+    /// Keeps the route of the requirement alive.
+    std::shared_ptr<const SessionRoute> route;
     ReadRequirement requirement;
     CallerId caller;
     /// Empty in a deployment without workspaces, and for a caller without a key on a public route.
--- a/src/traffic/TrafficPlane.cpp
+++ b/src/traffic/TrafficPlane.cpp
@@ -380,7 +380,7 @@
         + " code=" + lentiljunction::toString(result.reply.code) + " in_transaction=" + std::to_string(request.traits.isInTransaction)
         + " attempts=" + std::to_string(result.numAttempts)
         + " took_ms=" + std::to_string(toMilliseconds(std::chrono::duration_cast<Duration>(this->clock.now() - request.arrivedAt)))
-        + " routes_version=" + std::to_string(request.routes->version.value()) + " lead_revision=" + std::to_string(view.latest.revision.value())
+        + " routes_version=" + std::to_string(request.route->version.value()) + " lead_revision=" + std::to_string(view.latest.revision.value())
         + " permit_ms=" + std::to_string(toMilliseconds(remainingLease))
         + " routes_fresh_ms=" + this->describeRoutesFreshness();
     detail += result.reply.isSuccess() ? describe(result.basis) + " acknowledged_write=" + std::to_string(result.isAcknowledgedWrite) : std::string(" cause=") + lentiljunction::toString(result.cause) + " reason=\"" + result.reply.message + "\"";
--- a/tests/process/GatewayMemoryTests.cpp
+++ b/tests/process/GatewayMemoryTests.cpp
@@ -177,3 +177,37 @@
     caller.execute("ROLLBACK");
     CHECK(isServed(caller.execute("READ item")));
 }
+
+// Each session that had ended a transaction kept the configuration with which it began, and the process grew by one configuration
+// for each version that was in force meanwhile (review case 14). The limit leaves room for all descriptors of the smallest machine.
+TEST(GatewayMemory, idleSessionsKeepNoFormerConfigurations)
+{
+    constexpr int numRoutes = 5000;
+    constexpr int numFirstVersions = 5;
+    constexpr int numVersions = 40;
+    constexpr int numSessionsPerVersion = 25;
+    constexpr double largestSession = 32.0 / 1024;
+    start();
+    std::vector<std::string> databases { "bookings", "" };
+    for (int number = 0; number < numRoutes; number++)
+        databases.push_back("database" + std::to_string(number));
+    std::vector<std::unique_ptr<LineCaller>> sessions;
+    double before = 0;
+    for (int version = 2; version < 2 + numFirstVersions + numVersions; version++) {
+        databases[1] = "version" + std::to_string(version);
+        site.getSite().configure(static_cast<std::uint64_t>(version), databases);
+        CHECK_TRUE(waitUntil([&] { return LineCaller(getPort(), databases[1]).getStartupResponse() == "READY I -"; }));
+        if (version < 2 + numFirstVersions) {
+            before = site.getProcesses()[0]->getPeakMemory();
+            continue;
+        }
+        for (int number = 0; number < numSessionsPerVersion; number++) {
+            sessions.push_back(std::make_unique<LineCaller>(getPort(), "bookings"));
+            for (const char* statement : { "BEGIN READ", "READ item", "COMMIT" })
+                sessions.back()->execute(statement);
+        }
+    }
+    double growth = site.getProcesses()[0]->getPeakMemory() - before;
+    CHECK_TEXT(growth < largestSession * static_cast<double>(sessions.size()), (std::to_string(growth) + " MiB").c_str());
+    checkHealthy();
+}
--- a/tests/unit/AnswerBasisTests.cpp
+++ b/tests/unit/AnswerBasisTests.cpp
@@ -54,8 +54,8 @@
         request.statement.verb = SessionVerb::Commit;
         request.statement.text = "COMMIT";
         request.traits = { primary ? AccessMode::Write : AccessMode::Read, true, true, false };
-        request.routes = this->state.getRoutes();
-        request.requirement.route = request.routes->find(database);
+        request.route = findSessionRoute(*this->state.getRoutes(), database);
+        request.requirement.route = &request.route->route;
         request.arrivedAt = this->clock.now();
         this->run = std::make_shared<StatementRun>(this->state, this->context, request, [this](const StatementRun::Result& finished) { this->result = finished; });
         this->run->startOnHeldConnection(this->held);
--- a/tests/unit/StatementKeyTests.cpp
+++ b/tests/unit/StatementKeyTests.cpp
@@ -52,8 +52,8 @@
         request.statement.verb = SessionVerb::Write;
         request.statement.text = "WRITE item v";
         request.traits = { AccessMode::Write, isInTransaction, false, !isInTransaction };
-        request.routes = this->state.getRoutes();
-        request.requirement.route = request.routes->find(database);
+        request.route = findSessionRoute(*this->state.getRoutes(), database);
+        request.requirement.route = &request.route->route;
         request.workspace = WorkspaceId("alpha");
         request.key = key;
         request.arrivedAt = this->clock.now();
