--- a/include/lentiljunction/leadership/Failover.h
+++ b/include/lentiljunction/leadership/Failover.h
@@ -88,9 +88,9 @@
     /// Compares the logs of the candidates with that of the old primary, where commits do not wait for replicas. Call it before the
     /// first action is taken.
     ///
-    /// A log with entries of an earlier term beyond the baseline is that of a former primary, or of its replica, that never
-    /// followed the old primary. Its entries did not survive the last failover, and reads since then lacked them. It is promoted
-    /// only when no other one has become known for some time.
+    /// A log has diverged if it may have entries of an earlier term that did not survive a failover: it is that of a former primary,
+    /// or of its replica, that never followed the old primary. All reads since that failover lacked these entries. So such a log is
+    /// promoted only when no other one has become known for some time.
     ///
     /// @param baseline the log head of the old primary at its promotion
     /// @param leaving the candidates that stop soon. One of them is promoted only instead of a log that ends in an earlier term,
@@ -228,6 +228,7 @@
     std::optional<UpstreamId> findLongest(bool isLeaving) const;
     /// @returns whether a candidate that leaves may have to be promoted instead of one that stays
     bool needsLeaving() const;
+    /// @returns whether all candidates that leave, or stay, have reported their logs or were refused
     bool haveAnswered(bool isLeaving) const;
     /// @returns whether some candidates report their logs, and none has one that may be promoted
     bool hasOnlyDivergedLogs() const;
--- a/include/lentiljunction/leadership/LogHolderRemoval.h
+++ b/include/lentiljunction/leadership/LogHolderRemoval.h
@@ -21,11 +21,15 @@
 
 /// Finds recorded log holders that no failover needs to wait for any more.
 ///
-/// A holder is gone when its upstream was restarted, when it is not listed any more after it announced its leave, or when it
-/// has not been listed for as long as one that crashed may take to return. What it has received may be the only copy of a
-/// commit beside that of the primary. So it is removed only once others have received what the primary had when the holder was
-/// gone already: as many other holders as a commit waits for in place of one that leaves, as a failover waits for these in
-/// turn; otherwise all other upstreams of the group, since one that crashed may still return.
+/// A holder is gone when
+/// - its upstream was restarted,
+/// - it is not listed any more after it announced that it leaves, or
+/// - it has not been listed for as long as one that crashed may take to return.
+///
+/// What it has received may be the only copy of a commit beside that of the primary. So it is removed only once others have
+/// received what the primary had when the holder was gone already. In place of one that left, as many other holders suffice as a
+/// commit waits for, since a failover waits for these in turn. Otherwise all other upstreams of the group must have caught up: one
+/// that crashed may still return and add a copy.
 ///
 /// Performs no I/O. Not thread-safe; the control thread owns it.
 ///
--- a/src/gateway/CommitProtection.h
+++ b/src/gateway/CommitProtection.h
@@ -12,8 +12,8 @@
 
 namespace lentiljunction {
 
-/// Supplies failovers with what they need to lose no acknowledged commit of a group whose commits wait for replicas, and
-/// resumes replicas that they have paused.
+/// Supplies failovers with what they need to promote the right log: one with all acknowledged commits where commits wait for
+/// replicas, otherwise one that has not diverged. Also resumes replicas that failovers have paused.
 ///
 /// Not thread-safe; the control thread owns it.
 ///
